--- /dev/null
+++ b/crates/callers/src/events.rs
@@ -0,0 +1,84 @@
+//! Writes the events of an answer.
+//!
+//! This runs once a token, so it writes into one buffer and allocates little.
+
+use {
+    crate::{ticket::EventSealer, wire::DONE},
+    bytes::{BufMut, Bytes, BytesMut},
+    std::fmt::Write,
+    tealshore_core::{
+        answer::Problem,
+        chain::TokenChain,
+        ids::{Position, RequestId, TokenId},
+    },
+};
+
+/// What one event takes, roughly; more makes the buffer grow.
+const EVENT_BYTES: usize = 512;
+
+/// Writes the events of one answer.
+pub struct EventWriter {
+    head: String,
+}
+
+impl EventWriter {
+    /// A writer of the answer to a request.
+    #[must_use]
+    pub fn new(request: &RequestId) -> Self {
+        let id = serde_json::to_string(request).unwrap_or_default();
+        Self {
+            head: format!("data: {{\"id\":{id},\"object\":\"text_completion\",\"position\":"),
+        }
+    }
+
+    /// The event of one token; `chain` is the hash up to and with it.
+    #[must_use]
+    pub fn token(
+        &self,
+        sealer: &EventSealer,
+        position: Position,
+        chain: TokenChain,
+        token: TokenId,
+        text: &str,
+    ) -> Bytes {
+        let mut event = BytesMut::with_capacity(EVENT_BYTES);
+        event.put_slice(b"id: ");
+        sealer.write(&mut event, position + 1, chain);
+        // Writing to a buffer that grows can't fail.
+        let _ = write!(
+            event,
+            "\n{}{position},\"choices\":[{{\"index\":0,\"text\":",
+            self.head
+        );
+        put_json_text(&mut event, text);
+        let _ = write!(
+            event,
+            ",\"token_ids\":[{token}],\"finish_reason\":null}}]}}\n\n"
+        );
+        event.freeze()
+    }
+
+    /// The events that end a whole answer of `length` tokens.
+    #[must_use]
+    pub fn end(&self, length: Position, reason: &str) -> Bytes {
+        let head = &self.head;
+        let choice = format!(
+            "{{\"index\":0,\"text\":\"\",\"token_ids\":[],\"finish_reason\":\"{reason}\"}}"
+        );
+        Bytes::from(format!(
+            "{head}{length},\"choices\":[{choice}]}}\n\ndata: {DONE}\n\n"
+        ))
+    }
+
+    /// The event that breaks an answer off.
+    #[must_use]
+    pub fn error(problem: &Problem) -> Bytes {
+        let data = serde_json::to_string(problem).unwrap_or_default();
+        Bytes::from(format!("event: error\ndata: {data}\n\n"))
+    }
+}
+
+fn put_json_text(event: &mut BytesMut, text: &str) {
+    // Writing to a buffer that grows can't fail.
+    let _ = serde_json::to_writer(event.writer(), text);
+}
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The command line of operators and callers.
--- /dev/null
+++ b/crates/core/src/http/server.rs
@@ -0,0 +1,120 @@
+//! An HTTP server with bounds, for HTTP/1.1 and HTTP/2 without upgrade.
+
+use {
+    super::body::Body,
+    http::{Request, Response},
+    hyper::{body::Incoming, service::service_fn},
+    hyper_util::{
+        rt::{TokioExecutor, TokioIo, TokioTimer},
+        server::{conn::auto::Builder, graceful::GracefulShutdown},
+    },
+    std::{convert::Infallible, future::Future, io, net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{net::TcpListener, sync::Semaphore},
+};
+
+/// The bounds of a server.
+#[derive(Clone, Debug)]
+pub struct ServerOptions {
+    /// How many connections are open at once; more wait in the kernel's queue.
+    pub max_connections: usize,
+    /// How long the head of a request may take to arrive.
+    pub header_read_timeout: Duration,
+    /// The largest head, in bytes.
+    pub max_header_bytes: usize,
+    /// How many streams one HTTP/2 connection may have open.
+    pub max_concurrent_streams: u32,
+}
+
+impl Default for ServerOptions {
+    fn default() -> Self {
+        Self {
+            max_connections: 10_000,
+            header_read_timeout: Duration::from_secs(10),
+            max_header_bytes: 16 * 1024,
+            max_concurrent_streams: 256,
+        }
+    }
+}
+
+/// Opens a listening socket and tells its address, with the port that the system chose
+/// where 0 was asked for.
+///
+/// # Errors
+/// The address can't be used.
+pub async fn bind(address: SocketAddr) -> io::Result<(TcpListener, SocketAddr)> {
+    let listener = TcpListener::bind(address).await?;
+    let bound = listener.local_addr()?;
+    Ok((listener, bound))
+}
+
+/// Serves until `stop` ends, then lets the requests in flight finish.
+pub async fn serve<H, F, S>(listener: TcpListener, options: ServerOptions, handler: H, stop: S)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+    S: Future<Output = ()>,
+{
+    let builder = Arc::new(connection_builder(&options));
+    let permits = Arc::new(Semaphore::new(options.max_connections));
+    let graceful = GracefulShutdown::new();
+    let mut stop = std::pin::pin!(stop);
+    loop {
+        let accepted = tokio::select! {
+            () = &mut stop => break,
+            accepted = accept(&listener, &permits) => accepted,
+        };
+        let Some((stream, permit)) = accepted else {
+            continue;
+        };
+        let handler = handler.clone();
+        let service = service_fn(move |request| {
+            let answer = handler(request);
+            async move { Ok::<_, Infallible>(answer.await) }
+        });
+        let connection = builder
+            .serve_connection(TokioIo::new(stream), service)
+            .into_owned();
+        let watched = graceful.watch(connection);
+        tokio::spawn(async move {
+            // A broken connection is the caller's affair; its requests notice by themselves.
+            let _ = watched.await;
+            drop(permit);
+        });
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
+
+async fn accept(
+    listener: &TcpListener,
+    permits: &Arc<Semaphore>,
+) -> Option<(tokio::net::TcpStream, tokio::sync::OwnedSemaphorePermit)> {
+    const PAUSE_AFTER_ERROR: Duration = Duration::from_millis(20);
+    let permit = permits.clone().acquire_owned().await.ok()?;
+    match listener.accept().await {
+        Ok((stream, _)) => {
+            // Tokens are small writes; without this each would wait for the one before.
+            let _ = stream.set_nodelay(true);
+            Some((stream, permit))
+        }
+        Err(_) => {
+            tokio::time::sleep(PAUSE_AFTER_ERROR).await;
+            None
+        }
+    }
+}
+
+fn connection_builder(options: &ServerOptions) -> Builder<TokioExecutor> {
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(options.header_read_timeout)
+        .max_buf_size(options.max_header_bytes);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_concurrent_streams(options.max_concurrent_streams)
+        .max_header_list_size(u32::try_from(options.max_header_bytes).unwrap_or(u32::MAX));
+    builder
+}
--- /dev/null
+++ b/crates/core/src/ids.rs
@@ -0,0 +1,34 @@
+//! Aliases for the ids and counters that cross package borders.
+
+/// Names one request of one customer; callers choose it (`Idempotency-Key`).
+pub type RequestId = String;
+/// Names one run of a request from its first token on; it outlives its attempts.
+pub type GenerationId = u64;
+/// Names one stream on one engine: a generation and an attempt.
+pub type StreamId = String;
+/// Counts the attempts of a generation; it only grows.
+pub type AttemptNo = u32;
+/// The index of a token in an answer, counted from 0.
+pub type Position = u64;
+/// A token as the model numbers it.
+pub type TokenId = u32;
+/// Names a customer.
+pub type CustomerId = String;
+/// Names a model engine.
+pub type EngineId = String;
+/// Names an entry host.
+pub type HostId = String;
+/// Names a hall.
+pub type HallId = String;
+/// Names one of the two sites during a move.
+pub type SiteId = String;
+/// Names a group of upstreams that serve the same thing, such as `summary-llm`.
+pub type ServiceId = String;
+/// The version of the declarations; it only grows.
+pub type ConfigVersion = u64;
+
+/// Builds the id under which an engine knows one attempt of a generation.
+#[must_use]
+pub fn stream_id(generation: GenerationId, attempt: AttemptNo) -> StreamId {
+    format!("{generation:016x}-{attempt}")
+}
--- /dev/null
+++ b/crates/core/src/logs.rs
@@ -0,0 +1,77 @@
+//! Starts the structured logs.
+
+use {
+    crate::settings::{Section, SettingError},
+    logforth::{
+        append, layout,
+        record::{Level, LevelFilter},
+    },
+};
+
+/// The form of the log lines.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LogFormat {
+    /// A line a person reads.
+    #[default]
+    Text,
+    /// A JSON object a line.
+    Json,
+}
+
+/// The `[log]` section.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LogOptions {
+    /// The form of the lines.
+    pub format: LogFormat,
+    /// The lowest level that is written.
+    pub level: Level,
+}
+
+impl Default for LogOptions {
+    fn default() -> Self {
+        Self {
+            format: LogFormat::Text,
+            level: Level::Info,
+        }
+    }
+}
+
+impl LogOptions {
+    /// Reads the section.
+    ///
+    /// # Errors
+    /// Names the key with an unknown value.
+    pub fn read(section: &mut Section<'_>) -> Result<Self, SettingError> {
+        let format = match section
+            .choice("format", "text", &["text", "json"])?
+            .as_str()
+        {
+            "json" => LogFormat::Json,
+            _ => LogFormat::Text,
+        };
+        let level = match section
+            .choice("level", "info", &["error", "warn", "info", "debug"])?
+            .as_str()
+        {
+            "error" => Level::Error,
+            "warn" => Level::Warn,
+            "debug" => Level::Debug,
+            _ => Level::Info,
+        };
+        Ok(Self { format, level })
+    }
+}
+
+/// Starts logging to standard error. Call it once.
+pub fn start(options: &LogOptions) {
+    let filter = LevelFilter::MoreSevereEqual(options.level);
+    let stderr = match options.format {
+        LogFormat::Text => {
+            append::Stderr::default().with_layout(layout::TextLayout::default().no_color())
+        }
+        LogFormat::Json => append::Stderr::default().with_layout(layout::JsonLayout::default()),
+    };
+    logforth::starter_log::builder()
+        .dispatch(|dispatch| dispatch.filter(filter).append(stderr))
+        .apply();
+}
--- /dev/null
+++ b/crates/core/src/protection.rs
@@ -0,0 +1,66 @@
+//! Switches that turn one protection off, so that a test can show that it is needed.
+//!
+//! They exist only in builds with the `failpoints` feature; elsewhere [`enabled`] is
+//! always true and costs nothing.
+
+/// A protection that a test may switch off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Protection {
+    /// Events of another attempt than the current one are dropped.
+    AttemptCheck,
+    /// A token is accepted only at the next position.
+    PositionCheck,
+    /// A resumed stream must hold the same tokens as the caller has.
+    ChainCheck,
+    /// A request that may not be repeated is never dispatched twice.
+    SingleDispatch,
+    /// A claim precedes the dispatch of a request that may not be repeated.
+    Claim,
+    /// A lost answer of the table is read back instead of taken as a failure.
+    ReadBack,
+    /// A lower version of the declarations is never applied.
+    MonotonicVersion,
+    /// A resume token must carry a valid signature.
+    TokenSignature,
+    /// The pinned version is asked for at each attempt.
+    PinnedVersion,
+}
+
+impl Protection {
+    /// All protections, for the tool that switches each one off.
+    pub const ALL: [Self; 9] = [
+        Self::AttemptCheck,
+        Self::PositionCheck,
+        Self::ChainCheck,
+        Self::SingleDispatch,
+        Self::Claim,
+        Self::ReadBack,
+        Self::MonotonicVersion,
+        Self::TokenSignature,
+        Self::PinnedVersion,
+    ];
+
+    /// The name of its switch.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::AttemptCheck => "attempt-check",
+            Self::PositionCheck => "position-check",
+            Self::ChainCheck => "chain-check",
+            Self::SingleDispatch => "single-dispatch",
+            Self::Claim => "claim",
+            Self::ReadBack => "read-back",
+            Self::MonotonicVersion => "monotonic-version",
+            Self::TokenSignature => "token-signature",
+            Self::PinnedVersion => "pinned-version",
+        }
+    }
+}
+
+/// Whether the protection is in force.
+#[must_use]
+pub fn enabled(protection: Protection) -> bool {
+    fail::fail_point!(protection.name(), |_| false);
+    let _ = protection;
+    true
+}
--- /dev/null
+++ b/crates/core/src/settings.rs
@@ -0,0 +1,323 @@
+//! Reads INI settings with one clear error for whatever is wrong.
+
+use {
+    ini::{Ini, Properties},
+    std::{
+        collections::BTreeSet, fmt, net::SocketAddr, ops::RangeInclusive, path::Path,
+        time::Duration,
+    },
+};
+
+/// What is wrong with a settings file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SettingError {
+    /// The file can't be read or is not INI.
+    Unreadable {
+        /// The file.
+        file: String,
+        /// Why.
+        cause: String,
+    },
+    /// A section that no part knows.
+    UnknownSection {
+        /// Its name.
+        section: String,
+        /// The known ones.
+        allowed: String,
+    },
+    /// A key that its section does not know.
+    UnknownKey {
+        /// The section.
+        section: String,
+        /// The key.
+        key: String,
+        /// The known ones.
+        allowed: String,
+    },
+    /// A key without a default is missing.
+    Missing {
+        /// The section.
+        section: String,
+        /// The key.
+        key: String,
+        /// What it takes.
+        allowed: String,
+    },
+    /// A value that its key does not take.
+    BadValue {
+        /// The section.
+        section: String,
+        /// The key.
+        key: String,
+        /// The value.
+        value: String,
+        /// What it takes.
+        allowed: String,
+    },
+}
+
+impl fmt::Display for SettingError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unreadable { file, cause } => write!(f, "{file}: {cause}"),
+            Self::UnknownSection { section, allowed } => {
+                write!(f, "[{section}]: unknown section; allowed: {allowed}")
+            }
+            Self::UnknownKey {
+                section,
+                key,
+                allowed,
+            } => {
+                write!(f, "[{section}] {key}: unknown key; allowed: {allowed}")
+            }
+            Self::Missing {
+                section,
+                key,
+                allowed,
+            } => {
+                write!(f, "[{section}] {key}: missing; allowed: {allowed}")
+            }
+            Self::BadValue {
+                section,
+                key,
+                value,
+                allowed,
+            } => {
+                write!(
+                    f,
+                    "[{section}] {key} = {value}: not allowed; allowed: {allowed}"
+                )
+            }
+        }
+    }
+}
+
+impl std::error::Error for SettingError {}
+
+/// A whole settings file.
+pub struct Settings {
+    ini: Ini,
+}
+
+impl Settings {
+    /// Reads a file.
+    ///
+    /// # Errors
+    /// The file can't be read or is not INI.
+    pub fn load(file: &Path) -> Result<Self, SettingError> {
+        let unreadable = |cause: String| SettingError::Unreadable {
+            file: file.display().to_string(),
+            cause,
+        };
+        let text = std::fs::read_to_string(file).map_err(|e| unreadable(e.to_string()))?;
+        Self::parse(&text).map_err(|e| unreadable(e.to_string()))
+    }
+
+    /// Reads a text.
+    ///
+    /// # Errors
+    /// The text is not INI.
+    pub fn parse(text: &str) -> Result<Self, ini::ParseError> {
+        Ini::load_from_str(text).map(|ini| Self { ini })
+    }
+
+    /// A section by its name; an absent one reads as empty.
+    #[must_use]
+    pub fn section<'a>(&'a self, name: &str) -> Section<'a> {
+        Section::new(name, self.ini.section(Some(name)))
+    }
+
+    /// The sections whose names are `prefix NAME`, with their NAMEs.
+    #[must_use]
+    pub fn named<'a>(&'a self, prefix: &str) -> Vec<(String, Section<'a>)> {
+        self.ini
+            .iter()
+            .filter_map(|(section, values)| {
+                let full = section?;
+                let name = full.strip_prefix(prefix)?.strip_prefix(' ')?.trim();
+                Some((name.to_owned(), Section::new(full, Some(values))))
+            })
+            .collect()
+    }
+
+    /// Refuses sections that are neither in `plain` nor start with a word of `prefixes`.
+    ///
+    /// # Errors
+    /// Names the first unknown section.
+    pub fn deny_unknown(&self, plain: &[&str], prefixes: &[&str]) -> Result<(), SettingError> {
+        let named = |section: &str| {
+            let word = section.split(' ').next().unwrap_or_default();
+            section.contains(' ') && prefixes.contains(&word)
+        };
+        let outside = (String::new(), !self.ini.general_section().is_empty());
+        let unknown = self
+            .ini
+            .sections()
+            .flatten()
+            .find(|section| !plain.contains(section) && !named(section))
+            .map(str::to_owned)
+            .or_else(|| outside.1.then_some(outside.0));
+        let Some(section) = unknown else {
+            return Ok(());
+        };
+        let prefixes = prefixes.iter().map(|prefix| format!("{prefix} NAME"));
+        let allowed: Vec<String> = plain
+            .iter()
+            .map(|name| (*name).to_owned())
+            .chain(prefixes)
+            .collect();
+        Err(SettingError::UnknownSection {
+            section,
+            allowed: allowed.join(", "),
+        })
+    }
+}
+
+/// One section while it is read; it remembers which keys were asked for.
+pub struct Section<'a> {
+    name: String,
+    values: Option<&'a Properties>,
+    known: BTreeSet<String>,
+}
+
+impl<'a> Section<'a> {
+    fn new(name: &str, values: Option<&'a Properties>) -> Self {
+        Self {
+            name: name.to_owned(),
+            values,
+            known: BTreeSet::new(),
+        }
+    }
+
+    /// The section's name, as an error shows it.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// The raw value of a key.
+    pub fn optional(&mut self, key: &str) -> Option<&'a str> {
+        self.known.insert(key.to_owned());
+        self.values
+            .and_then(|values| values.get(key))
+            .map(str::trim)
+    }
+
+    /// A value that is not allowed, as an error.
+    #[must_use]
+    pub fn bad_value(&self, key: &str, value: &str, allowed: &str) -> SettingError {
+        SettingError::BadValue {
+            section: self.name.clone(),
+            key: key.to_owned(),
+            value: value.to_owned(),
+            allowed: allowed.to_owned(),
+        }
+    }
+
+    /// A text that has a default.
+    pub fn text(&mut self, key: &str, default: &str) -> String {
+        self.optional(key).unwrap_or(default).to_owned()
+    }
+
+    /// A text that must be there.
+    ///
+    /// # Errors
+    /// The key is missing or empty.
+    pub fn required(&mut self, key: &str, allowed: &str) -> Result<String, SettingError> {
+        match self.optional(key) {
+            Some("") => Err(self.bad_value(key, "", allowed)),
+            Some(value) => Ok(value.to_owned()),
+            None => Err(SettingError::Missing {
+                section: self.name.clone(),
+                key: key.to_owned(),
+                allowed: allowed.to_owned(),
+            }),
+        }
+    }
+
+    /// One of a closed set of words.
+    ///
+    /// # Errors
+    /// The word is not in the set.
+    pub fn choice(
+        &mut self,
+        key: &str,
+        default: &str,
+        words: &[&str],
+    ) -> Result<String, SettingError> {
+        let value = self.optional(key).unwrap_or(default);
+        if words.contains(&value) {
+            return Ok(value.to_owned());
+        }
+        Err(self.bad_value(key, value, &words.join(", ")))
+    }
+
+    /// A whole number within a range.
+    ///
+    /// # Errors
+    /// It is no number or outside of the range.
+    pub fn integer(
+        &mut self,
+        key: &str,
+        default: u64,
+        range: RangeInclusive<u64>,
+    ) -> Result<u64, SettingError> {
+        let Some(value) = self.optional(key) else {
+            return Ok(default);
+        };
+        let allowed = format!("a whole number from {} to {}", range.start(), range.end());
+        match value.parse::<u64>() {
+            Ok(number) if range.contains(&number) => Ok(number),
+            _ => Err(self.bad_value(key, value, &allowed)),
+        }
+    }
+
+    /// A duration; the key ends in `_ms` and the value is in milliseconds.
+    ///
+    /// # Errors
+    /// It is no number or outside of the range.
+    pub fn duration_ms(
+        &mut self,
+        key: &str,
+        default: Duration,
+        range_ms: RangeInclusive<u64>,
+    ) -> Result<Duration, SettingError> {
+        let default_ms = u64::try_from(default.as_millis()).unwrap_or(u64::MAX);
+        self.integer(key, default_ms, range_ms)
+            .map(Duration::from_millis)
+    }
+
+    /// An address, `IP:PORT`.
+    ///
+    /// # Errors
+    /// It is missing or no address.
+    pub fn address(&mut self, key: &str) -> Result<SocketAddr, SettingError> {
+        const ALLOWED: &str = "an address, IP:PORT";
+        let value = self.required(key, ALLOWED)?;
+        value
+            .parse()
+            .map_err(|_| self.bad_value(key, &value, ALLOWED))
+    }
+
+    /// Refuses keys that nobody asked for. Call it last.
+    ///
+    /// # Errors
+    /// Names the first unknown key.
+    pub fn deny_unknown(self) -> Result<(), SettingError> {
+        let Some(values) = self.values else {
+            return Ok(());
+        };
+        let unknown = values
+            .iter()
+            .map(|(key, _)| key)
+            .find(|key| !self.known.contains(*key));
+        match unknown {
+            None => Ok(()),
+            Some(key) => Err(SettingError::UnknownKey {
+                section: self.name.clone(),
+                key: key.to_owned(),
+                allowed: self.known.iter().cloned().collect::<Vec<_>>().join(", "),
+            }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/decide/src/generation/attempt.rs
@@ -0,0 +1,71 @@
+//! One attempt of a generation on one engine.
+
+use {
+    std::time::{Duration, Instant},
+    tealshore_core::ids::{AttemptNo, EngineId},
+};
+
+/// How an attempt was lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Loss {
+    /// No byte of the order left.
+    NotSent,
+    /// The engine confirmed that it never started and never will.
+    NeverStarted,
+    /// The stream broke: a reset, a gap, a repeat, or an error of the engine.
+    Broken,
+    /// The engine fell silent.
+    Silent,
+}
+
+/// One attempt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Attempt {
+    /// Its number.
+    pub no: AttemptNo,
+    /// Where it runs; none while an engine is being chosen.
+    pub engine: Option<EngineId>,
+    /// When it was last heard.
+    pub last_heard: Instant,
+    /// Whether it has sent a token.
+    pub has_sent: bool,
+    /// Whether its silence has raised suspicion.
+    pub suspected: bool,
+}
+
+impl Attempt {
+    /// An attempt whose engine is being chosen.
+    #[must_use]
+    pub fn placing(no: AttemptNo, now: Instant) -> Self {
+        Self {
+            no,
+            engine: None,
+            last_heard: now,
+            has_sent: false,
+            suspected: false,
+        }
+    }
+
+    /// An attempt that an engine has.
+    #[must_use]
+    pub fn running(no: AttemptNo, engine: EngineId, now: Instant) -> Self {
+        Self {
+            no,
+            engine: Some(engine),
+            last_heard: now,
+            has_sent: false,
+            suspected: false,
+        }
+    }
+
+    /// Notes a sign of life; the gap since the last token, if there was one.
+    pub fn heard(&mut self, now: Instant) -> Option<Duration> {
+        let gap = self
+            .has_sent
+            .then(|| now.saturating_duration_since(self.last_heard));
+        self.last_heard = now;
+        self.has_sent = true;
+        self.suspected = false;
+        gap
+    }
+}
--- /dev/null
+++ b/crates/engines/src/client.rs
@@ -0,0 +1,186 @@
+//! What the router asks of an engine, and the adapter over HTTP.
+
+use {
+    crate::{
+        stream::TokenStream,
+        wire::{CancelAnswer, GENERATE_PATH, GenerateOrder, LOAD_PATH, LoadReport, STREAMS_PATH},
+    },
+    http::{Method, Request, StatusCode, header::CONTENT_TYPE},
+    std::{future::Future, net::SocketAddr, time::Duration},
+    tealshore_core::{
+        http::{Body, HttpClient, SendError, empty, json_body},
+        ids::{Position, StreamId},
+    },
+};
+
+/// The largest answer to anything but a stream.
+const ANSWER_BOUND_BYTES: usize = 64 * 1024;
+
+/// Why an order gave no stream.
+#[derive(Debug, PartialEq, Eq)]
+pub enum DispatchError {
+    /// No byte of it left.
+    NotSent,
+    /// The engine confirmed that it never started and never will.
+    Refused,
+    /// The engine does not have the stream that was asked for.
+    NotFound,
+    /// Bytes may have left and nothing came back.
+    Unknown,
+}
+
+/// What an engine said of a cancel.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CancelOutcome {
+    /// It never started and never will.
+    NeverStarted,
+    /// It ran, and is stopped now.
+    Stopped,
+    /// No answer.
+    Unknown,
+}
+
+/// When a cancel takes effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CancelWhen {
+    /// In any case.
+    Always,
+    /// Only where nobody reads the stream: another entry host may have taken it over.
+    Unread,
+}
+
+/// An engine as the router sees it.
+pub trait Engine: Send + Sync {
+    /// Orders a generation and returns its stream.
+    fn generate(
+        &self,
+        order: &GenerateOrder,
+    ) -> impl Future<Output = Result<TokenStream, DispatchError>> + Send;
+
+    /// Reads a stream that the engine already has, from a position on.
+    fn attach(
+        &self,
+        stream: &StreamId,
+        from: Position,
+    ) -> impl Future<Output = Result<TokenStream, DispatchError>> + Send;
+
+    /// Stops a stream, always or only where nobody reads it.
+    fn cancel(
+        &self,
+        stream: &StreamId,
+        when: CancelWhen,
+    ) -> impl Future<Output = CancelOutcome> + Send;
+
+    /// Asks for the load.
+    fn load(&self, timeout: Duration) -> impl Future<Output = Option<LoadReport>> + Send;
+}
+
+/// An engine that speaks the wire format over HTTP.
+#[derive(Clone)]
+pub struct HttpEngine {
+    address: SocketAddr,
+    client: HttpClient,
+}
+
+impl HttpEngine {
+    /// How long a cancel may take.
+    const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
+
+    /// The engine at an address.
+    #[must_use]
+    pub fn new(address: SocketAddr, client: HttpClient) -> Self {
+        Self { address, client }
+    }
+
+    fn request(
+        &self,
+        method: Method,
+        path: &str,
+        body: Body,
+    ) -> Result<Request<Body>, http::Error> {
+        Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address))
+            .header(CONTENT_TYPE, "application/json")
+            .body(body)
+    }
+
+    async fn open(
+        &self,
+        request: Result<Request<Body>, http::Error>,
+        stream: &StreamId,
+    ) -> Result<TokenStream, DispatchError> {
+        let request = request.map_err(|_| DispatchError::NotSent)?;
+        let answer = self
+            .client
+            .send(request)
+            .await
+            .map_err(|error| match error {
+                SendError::NotSent(_) => DispatchError::NotSent,
+                SendError::Unknown(_) => DispatchError::Unknown,
+            })?;
+        match answer.status() {
+            StatusCode::OK => Ok(TokenStream::new(stream.clone(), answer.into_body())),
+            StatusCode::NOT_FOUND => Err(DispatchError::NotFound),
+            // The engine has a stream of this name, so it may have run.
+            StatusCode::CONFLICT => Err(DispatchError::Unknown),
+            status if status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE => {
+                Err(DispatchError::Refused)
+            }
+            _ => Err(DispatchError::Unknown),
+        }
+    }
+}
+
+impl Engine for HttpEngine {
+    async fn generate(&self, order: &GenerateOrder) -> Result<TokenStream, DispatchError> {
+        let request = self.request(Method::POST, GENERATE_PATH, json_body(order));
+        self.open(request, &order.stream_id).await
+    }
+
+    async fn attach(
+        &self,
+        stream: &StreamId,
+        from: Position,
+    ) -> Result<TokenStream, DispatchError> {
+        let path = format!("{STREAMS_PATH}{stream}?from={from}");
+        self.open(self.request(Method::GET, &path, empty()), stream)
+            .await
+    }
+
+    async fn cancel(&self, stream: &StreamId, when: CancelWhen) -> CancelOutcome {
+        let condition = match when {
+            CancelWhen::Always => "",
+            CancelWhen::Unread => "?unread=1",
+        };
+        let path = format!("{STREAMS_PATH}{stream}{condition}");
+        let Ok(request) = self.request(Method::DELETE, &path, empty()) else {
+            return CancelOutcome::Unknown;
+        };
+        let Ok((status, body)) = self
+            .client
+            .fetch(request, Self::CANCEL_TIMEOUT, ANSWER_BOUND_BYTES)
+            .await
+        else {
+            return CancelOutcome::Unknown;
+        };
+        match serde_json::from_slice::<CancelAnswer>(&body) {
+            Ok(answer) if status == StatusCode::OK && answer.started => CancelOutcome::Stopped,
+            Ok(_) if status == StatusCode::OK => CancelOutcome::NeverStarted,
+            _ => CancelOutcome::Unknown,
+        }
+    }
+
+    async fn load(&self, timeout: Duration) -> Option<LoadReport> {
+        let request = self.request(Method::GET, LOAD_PATH, empty()).ok()?;
+        let (status, body) = self
+            .client
+            .fetch(request, timeout, ANSWER_BOUND_BYTES)
+            .await
+            .ok()?;
+        if status != StatusCode::OK {
+            return None;
+        }
+        serde_json::from_slice(&body).ok()
+    }
+}
--- /dev/null
+++ b/crates/hosts/src/lib.rs
@@ -0,0 +1,129 @@
+//! The peer that lists hosts: the platform's lagging host list.
+
+use {
+    http::{Request, StatusCode},
+    serde::{Deserialize, Serialize},
+    std::{net::SocketAddr, time::Duration},
+    tealshore_core::{
+        http::{ClientOptions, HttpClient, empty},
+        ids::{HallId, HostId, ServiceId},
+        settings::{Section, SettingError},
+    },
+};
+
+/// The path of the list.
+pub const HOSTS_PATH: &str = "/v1/hosts";
+/// The largest list, in bytes; 2,000 hosts take about 300 KB.
+const LIST_BOUND_BYTES: usize = 8 * 1024 * 1024;
+
+/// What a host does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum HostRole {
+    /// One of ours: it takes callers.
+    Entry,
+    /// A model engine.
+    Engine,
+    /// A plain service.
+    Plain,
+}
+
+/// What the platform says of a host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum HostState {
+    /// It is up.
+    Live,
+    /// It will go; it must get no new work.
+    Leaving,
+}
+
+/// A host of the list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListedHost {
+    /// Its name.
+    pub id: HostId,
+    /// What it does.
+    pub role: HostRole,
+    /// What it serves, such as `summary-llm`; empty for entry hosts.
+    #[serde(default)]
+    pub service: ServiceId,
+    /// Where it stands.
+    pub hall: HallId,
+    /// Where it takes callers, or orders.
+    pub address: SocketAddr,
+    /// Where an entry host takes its peers.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub peer_address: Option<SocketAddr>,
+    /// What the platform says of it.
+    pub state: HostState,
+}
+
+/// The list.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostList {
+    /// All hosts that the platform knows.
+    pub hosts: Vec<ListedHost>,
+}
+
+/// The `[hosts]` section.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HostsOptions {
+    /// Where the list is read.
+    pub address: SocketAddr,
+    /// How often it is read.
+    pub poll_interval: Duration,
+}
+
+impl HostsOptions {
+    /// Reads the section.
+    ///
+    /// # Errors
+    /// Names the key with a value that is not allowed.
+    pub fn read(section: &mut Section<'_>) -> Result<Self, SettingError> {
+        Ok(Self {
+            address: section.address("address")?,
+            poll_interval: section.duration_ms(
+                "poll_interval_ms",
+                Duration::from_secs(1),
+                50..=60_000,
+            )?,
+        })
+    }
+}
+
+/// Reads the host list.
+#[derive(Clone)]
+pub struct HostsClient {
+    address: SocketAddr,
+    client: HttpClient,
+}
+
+impl HostsClient {
+    const TIMEOUT: Duration = Duration::from_secs(1);
+
+    /// A reader of the list at an address.
+    #[must_use]
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            client: HttpClient::new(&ClientOptions::default()),
+        }
+    }
+
+    /// Reads the list; none where it can't be had.
+    pub async fn read(&self) -> Option<HostList> {
+        let request = Request::get(format!("http://{}{HOSTS_PATH}", self.address))
+            .body(empty())
+            .ok()?;
+        let (status, body) = self
+            .client
+            .fetch(request, Self::TIMEOUT, LIST_BOUND_BYTES)
+            .await
+            .ok()?;
+        if status != StatusCode::OK {
+            return None;
+        }
+        serde_json::from_slice(&body).ok()
+    }
+}
--- /dev/null
+++ b/crates/lab/src/fleet.rs
@@ -0,0 +1,478 @@
+//! A whole system on loopback: stand-ins and entry hosts, each a process of its own.
+
+mod process;
+
+pub use process::Process;
+use {
+    crate::work::{SERVICE, declarations},
+    eyre::{WrapErr, bail, eyre},
+    http::{Method, Request, StatusCode},
+    serde::{Serialize, de::DeserializeOwned},
+    std::{
+        net::SocketAddr,
+        path::PathBuf,
+        time::{Duration, Instant},
+    },
+    tealshore_core::http::{ClientOptions, HttpClient, empty, full, json_body},
+    tealshore_hosts::{HostRole, HostState, ListedHost},
+    tealshore_operators::edit::{Edit, apply},
+    tealshore_standin::engine::WorkCounts,
+    tealshore_table::{TableClient, TableOptions},
+    tempfile::TempDir,
+};
+
+/// How long the system may take to get ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+/// How long a control exchange may take.
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(5);
+/// The largest answer to a control exchange.
+const CONTROL_BOUND_BYTES: usize = 16 * 1024 * 1024;
+/// The halls that hosts and engines stand in, in turn.
+const HALLS: [&str; 3] = ["bkk-a", "bkk-b", "ayt-c"];
+/// The key of tickets in experiments.
+const TICKET_KEY: &str = "k1:000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f";
+
+/// What to start.
+#[derive(Clone, Debug)]
+pub struct FleetOptions {
+    /// Entry hosts.
+    pub routers: u64,
+    /// Model engines.
+    pub engines: u64,
+    /// Plain services.
+    pub plain: u64,
+    /// More arguments of every engine.
+    pub engine_args: Vec<String>,
+    /// Whether engine N samples with salt N.
+    pub salted: bool,
+    /// More arguments of the table.
+    pub table_args: Vec<String>,
+    /// The lag of the host list.
+    pub hosts_lag: Duration,
+    /// Lines that replace settings of entry hosts, as `section.key = value`.
+    pub settings: Vec<(String, String, String)>,
+    /// Variables of the environment of entry hosts.
+    pub env: Vec<(String, String)>,
+}
+
+impl Default for FleetOptions {
+    fn default() -> Self {
+        Self {
+            routers: 3,
+            engines: 4,
+            plain: 0,
+            engine_args: Vec::new(),
+            salted: false,
+            table_args: Vec::new(),
+            hosts_lag: Duration::from_millis(100),
+            settings: Vec::new(),
+            env: Vec::new(),
+        }
+    }
+}
+
+/// An entry host that runs.
+pub struct RouterProcess {
+    /// Its process.
+    pub process: Process,
+    /// Its name.
+    pub id: String,
+    /// Where it takes callers.
+    pub callers: SocketAddr,
+    /// Where it takes peers.
+    pub peers: SocketAddr,
+    /// Where it shows metrics.
+    pub operators: SocketAddr,
+}
+
+/// An upstream that runs.
+pub struct UpstreamProcess {
+    /// Its process.
+    pub process: Process,
+    /// Its name.
+    pub id: String,
+    /// Where it takes orders and control.
+    pub address: SocketAddr,
+}
+
+/// A whole system.
+pub struct Fleet {
+    options: FleetOptions,
+    directory: TempDir,
+    client: HttpClient,
+    /// The table.
+    pub table: UpstreamProcess,
+    /// The host list.
+    pub hosts: UpstreamProcess,
+    /// The engines.
+    pub engines: Vec<UpstreamProcess>,
+    /// The plain services.
+    pub plain: Vec<UpstreamProcess>,
+    /// The entry hosts.
+    pub routers: Vec<RouterProcess>,
+}
+
+impl Fleet {
+    /// Starts everything and waits until entry hosts are ready.
+    ///
+    /// # Errors
+    /// Something does not start.
+    pub async fn start(options: FleetOptions) -> eyre::Result<Self> {
+        let mut fleet = Self::start_platform(options).await?;
+        fleet.declare(0, &declarations()).await?;
+        for index in 0..fleet.options.routers {
+            fleet.start_router(index).await?;
+        }
+        fleet.wait_until_ready().await?;
+        Ok(fleet)
+    }
+
+    /// Starts everything but entry hosts, and declares nothing.
+    ///
+    /// # Errors
+    /// Something does not start.
+    pub async fn start_platform(options: FleetOptions) -> eyre::Result<Self> {
+        let directory = tempfile::tempdir()?;
+        let lag_ms = options.hosts_lag.as_millis().to_string();
+        let table_args: Vec<&str> = ["table"]
+            .into_iter()
+            .chain(options.table_args.iter().map(String::as_str))
+            .collect();
+        let table = start_standin(&directory, "table", &table_args).await?;
+        let hosts = start_standin(&directory, "hosts", &["hosts", "--lag-ms", &lag_ms]).await?;
+        let client = HttpClient::new(&ClientOptions::default());
+        let mut fleet = Self {
+            options,
+            directory,
+            client,
+            table,
+            hosts,
+            engines: Vec::new(),
+            plain: Vec::new(),
+            routers: Vec::new(),
+        };
+        for index in 0..fleet.options.engines {
+            fleet.start_engine(index).await?;
+        }
+        for index in 0..fleet.options.plain {
+            let id = format!("plain-{index}");
+            let plain = start_standin(&fleet.directory, &id, &["plain"]).await?;
+            fleet
+                .list(&[listed(
+                    &id,
+                    HostRole::Plain,
+                    "tile-api",
+                    index,
+                    plain.address,
+                )])
+                .await?;
+            fleet.plain.push(plain);
+        }
+        Ok(fleet)
+    }
+
+    /// Starts one engine and lists it.
+    ///
+    /// # Errors
+    /// It does not start.
+    pub async fn start_engine(&mut self, index: u64) -> eyre::Result<()> {
+        let id = format!("engine-{index}");
+        let salt = if self.options.salted { index } else { 0 }.to_string();
+        let mut args = vec!["engine", "--salt", &salt];
+        args.extend(self.options.engine_args.iter().map(String::as_str));
+        let engine = start_standin(&self.directory, &id, &args).await?;
+        self.list(&[listed(
+            &id,
+            HostRole::Engine,
+            SERVICE,
+            index,
+            engine.address,
+        )])
+        .await?;
+        self.engines.push(engine);
+        Ok(())
+    }
+
+    /// Starts one entry host and lists it.
+    ///
+    /// # Errors
+    /// It does not start.
+    pub async fn start_router(&mut self, index: u64) -> eyre::Result<()> {
+        let id = format!("entry-{index}");
+        let file = self.directory.path().join(format!("{id}.ini"));
+        std::fs::write(&file, self.router_settings(&id, hall(index)))?;
+        let file = file.display().to_string();
+        let (process, line) = Process::start(
+            &self.directory,
+            &id,
+            "tealshore-router",
+            &["--settings", &file],
+            &self.options.env,
+        )
+        .await?;
+        let address = |name: &str| {
+            let field = line
+                .split(' ')
+                .find_map(|field| field.strip_prefix(name)?.strip_prefix('='));
+            field
+                .and_then(|address| address.parse().ok())
+                .ok_or_else(|| eyre!("{id}: no {name} in {line}"))
+        };
+        let router = RouterProcess {
+            callers: address("callers")?,
+            peers: address("peers")?,
+            operators: address("operators")?,
+            process,
+            id,
+        };
+        let mut host = listed(&router.id, HostRole::Entry, "", index, router.callers);
+        host.peer_address = Some(router.peers);
+        self.list(&[host]).await?;
+        self.routers.push(router);
+        Ok(())
+    }
+
+    fn router_settings(&self, id: &str, hall: &str) -> String {
+        let mut settings = vec![
+            ("host", "id", id.to_owned()),
+            ("host", "hall", hall.to_owned()),
+            ("host", "site", "old".to_owned()),
+            ("host", "callers_address", "127.0.0.1:0".to_owned()),
+            ("host", "peers_address", "127.0.0.1:0".to_owned()),
+            ("host", "operators_address", "127.0.0.1:0".to_owned()),
+            ("callers", "keep_addresses_ms", "500".to_owned()),
+            ("resume", "keys", TICKET_KEY.to_owned()),
+            ("table", "address", self.table.address.to_string()),
+            ("hosts", "address", self.hosts.address.to_string()),
+            ("hosts", "poll_interval_ms", "200".to_owned()),
+        ];
+        for (section, key, value) in &self.options.settings {
+            settings.retain(|(known_section, known_key, _)| {
+                (known_section, known_key) != (&section.as_str(), &key.as_str())
+            });
+            settings.push((section, key, value.clone()));
+        }
+        settings.sort_by_key(|(section, ..)| *section);
+        let mut text = String::new();
+        let mut open = "";
+        for (section, key, value) in &settings {
+            if *section != open {
+                text.push_str(&format!("[{section}]\n"));
+                open = section;
+            }
+            text.push_str(&format!("{key} = {value}\n"));
+        }
+        text
+    }
+
+    /// Puts hosts on the host list.
+    ///
+    /// # Errors
+    /// The list does not answer.
+    pub async fn list(&self, hosts: &[ListedHost]) -> eyre::Result<()> {
+        self.control(
+            self.hosts.address,
+            Method::PUT,
+            "/control/hosts",
+            Some(&hosts),
+        )
+        .await
+    }
+
+    /// Takes a host off the host list.
+    ///
+    /// # Errors
+    /// The list does not answer.
+    pub async fn unlist(&self, id: &str) -> eyre::Result<()> {
+        self.control::<()>(
+            self.hosts.address,
+            Method::DELETE,
+            &format!("/control/hosts/{id}"),
+            None,
+        )
+        .await
+    }
+
+    /// The table's client, with short times.
+    #[must_use]
+    pub fn table_client(&self) -> TableClient {
+        TableClient::new(TableOptions {
+            address: self.table.address,
+            exchange_timeout: Duration::from_millis(500),
+            operation_timeout: Duration::from_secs(5),
+        })
+    }
+
+    /// Makes an edit of the declarations; the version that it got.
+    ///
+    /// # Errors
+    /// It is not accepted.
+    pub async fn declare(&self, base: u64, text: &str) -> eyre::Result<u64> {
+        let edit = Edit {
+            id: format!("lab-{base}"),
+            author: "lab".to_owned(),
+            base,
+            text: text.to_owned(),
+        };
+        Ok(apply(&self.table_client(), &edit).await?)
+    }
+
+    /// The callers' addresses of all entry hosts.
+    #[must_use]
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        self.routers.iter().map(|router| router.callers).collect()
+    }
+
+    /// Sends a control exchange.
+    ///
+    /// # Errors
+    /// It is not answered, or refused.
+    pub async fn control<T: Serialize + ?Sized>(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        value: Option<&T>,
+    ) -> eyre::Result<()> {
+        let body = value.map_or_else(empty, |value| json_body(value));
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{address}{path}"))
+            .body(body)?;
+        let (status, body) = self
+            .client
+            .fetch(request, CONTROL_TIMEOUT, CONTROL_BOUND_BYTES)
+            .await?;
+        if !status.is_success() {
+            bail!("{path}: {status} {}", String::from_utf8_lossy(&body));
+        }
+        Ok(())
+    }
+
+    /// Reads a JSON document.
+    ///
+    /// # Errors
+    /// It can't be had.
+    pub async fn read<T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+    ) -> eyre::Result<T> {
+        let request = Request::get(format!("http://{address}{path}")).body(full(""))?;
+        let (status, body) = self
+            .client
+            .fetch(request, CONTROL_TIMEOUT, CONTROL_BOUND_BYTES)
+            .await?;
+        if status != StatusCode::OK {
+            bail!("{path}: {status}");
+        }
+        serde_json::from_slice(&body).wrap_err_with(|| path.to_owned())
+    }
+
+    /// The work of all engines that answer, by engine.
+    pub async fn work(&self) -> Vec<(String, WorkCounts)> {
+        let mut all = Vec::new();
+        for engine in self
+            .engines
+            .iter()
+            .filter(|engine| engine.process.is_running())
+        {
+            if let Ok(counts) = self.read(engine.address, "/control/work").await {
+                all.push((engine.id.clone(), counts));
+            }
+        }
+        all
+    }
+
+    /// The engines to which a request came, in no order.
+    pub async fn engines_of(&self, request: &str) -> Vec<usize> {
+        let work = self.work().await;
+        let ran: Vec<&String> = work
+            .iter()
+            .filter(|(_, counts)| counts.runs.contains_key(request))
+            .map(|(id, _)| id)
+            .collect();
+        (0..self.engines.len())
+            .filter(|index| ran.contains(&&self.engines[*index].id))
+            .collect()
+    }
+
+    /// Waits until each entry host is ready and knows an engine.
+    ///
+    /// # Errors
+    /// It takes too long.
+    pub async fn wait_until_ready(&self) -> eyre::Result<()> {
+        let deadline = Instant::now() + READY_TIMEOUT;
+        for router in &self.routers {
+            while !self.is_ready(router).await {
+                if Instant::now() >= deadline {
+                    bail!("{} is not ready", router.id);
+                }
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+        Ok(())
+    }
+
+    async fn is_ready(&self, router: &RouterProcess) -> bool {
+        let status: eyre::Result<serde_json::Value> = self.read(router.operators, "/status").await;
+        let Ok(status) = status else { return false };
+        let wanted = self.options.engines.min(1);
+        status["config_version"].as_u64() > Some(0)
+            && status["engines_known"].as_u64() >= Some(wanted)
+    }
+}
+
+fn hall(index: u64) -> &'static str {
+    HALLS[usize::try_from(index).unwrap_or(0) % HALLS.len()]
+}
+
+/// A live host of the list.
+#[must_use]
+pub fn listed(
+    id: &str,
+    role: HostRole,
+    service: &str,
+    index: u64,
+    address: SocketAddr,
+) -> ListedHost {
+    ListedHost {
+        id: id.to_owned(),
+        role,
+        service: service.to_owned(),
+        hall: hall(index).to_owned(),
+        address,
+        peer_address: None,
+        state: HostState::Live,
+    }
+}
+
+async fn start_standin(
+    directory: &TempDir,
+    id: &str,
+    args: &[&str],
+) -> eyre::Result<UpstreamProcess> {
+    let (process, line) = Process::start(directory, id, "tealshore-standin", args, &[]).await?;
+    let address = line
+        .strip_prefix("listening ")
+        .and_then(|address| address.parse().ok());
+    let address = address.ok_or_else(|| eyre!("{id}: no address in {line}"))?;
+    Ok(UpstreamProcess {
+        process,
+        id: id.to_owned(),
+        address,
+    })
+}
+
+/// The folder with the system's programs: that of this program, or the one above it for
+/// tests, which are built one folder deeper.
+fn program_folder() -> eyre::Result<PathBuf> {
+    let own = std::env::current_exe()?;
+    let folders = own.ancestors().skip(1).take(2);
+    let found = folders
+        .into_iter()
+        .find(|folder| folder.join("tealshore-router").exists());
+    found.map(PathBuf::from).ok_or_else(|| {
+        eyre!("the programs are not built: run `cargo build --workspace --bins` first")
+    })
+}
--- /dev/null
+++ b/crates/lab/src/work.rs
@@ -0,0 +1,87 @@
+//! Work that callers bring: prompts, templates and customers of the experiments.
+
+use {
+    std::num::NonZeroU64,
+    tealshore_callers::{
+        client::Call,
+        wire::{CallerPrompt, CompletionRequest},
+    },
+    tealshore_engines::wire::{ModelPin, Prompt},
+    tealshore_operators::declarations::key_hash,
+};
+
+/// The key of the customer `mekong-floods`.
+pub const LATENCY_KEY: &str = "mekong-floods-key";
+/// The key of the customer `cedar-nights`.
+pub const THRIFT_KEY: &str = "cedar-nights-key";
+/// The group of engines of all experiments.
+pub const SERVICE: &str = "assess-lm";
+/// The version of the weights of all experiments.
+pub const VERSION: &str = "1";
+
+/// The declarations of all experiments: a customer who weighs latency, one who weighs
+/// thrift, and a template whose requests may not be repeated.
+#[must_use]
+pub fn declarations() -> String {
+    let latency = key_hash(LATENCY_KEY);
+    let thrift = key_hash(THRIFT_KEY);
+    format!(
+        "[template assess]\nservice = {SERVICE}\nversion = {VERSION}\nresume = latency\nmax_tokens = 100000\nmax_in_flight = 5000\n\n\
+         [template summary]\nservice = {SERVICE}\nversion = {VERSION}\nresume = thrift\nmax_tokens = 100000\nmax_in_flight = 5000\n\n\
+         [template draft]\nservice = {SERVICE}\nversion = {VERSION}\nrepeat = forbidden\n\n\
+         [customer mekong-floods]\nkey_hash = {latency}\ntemplates = assess, draft\n\n\
+         [customer cedar-nights]\nkey_hash = {thrift}\ntemplates = summary, draft\n"
+    )
+}
+
+/// A call with what is needed to check its answer.
+#[derive(Clone, Debug)]
+pub struct Work {
+    /// The call.
+    pub call: Call,
+    /// What the generation must be pinned to.
+    pub pin: ModelPin,
+}
+
+impl Work {
+    /// A call of a template for `tokens` tokens.
+    #[must_use]
+    pub fn new(id: &str, template: &str, prompt: &str, tokens: u64) -> Self {
+        let request = CompletionRequest {
+            model: template.to_owned(),
+            prompt: CallerPrompt::Text(prompt.to_owned()),
+            max_tokens: NonZeroU64::new(tokens).unwrap_or(NonZeroU64::MIN),
+            seed: 7,
+            stream: true,
+            received: None,
+        };
+        let pin = ModelPin {
+            model: SERVICE.to_owned(),
+            adapter: String::new(),
+            version: VERSION.to_owned(),
+        };
+        Self {
+            call: Call {
+                id: id.to_owned(),
+                request,
+                repeat: None,
+            },
+            pin,
+        }
+    }
+
+    /// The prompt as an engine gets it.
+    #[must_use]
+    pub fn prompt(&self) -> Prompt {
+        match &self.call.request.prompt {
+            CallerPrompt::Text(text) => Prompt::Text(text.clone()),
+            CallerPrompt::Tokens(tokens) => Prompt::Tokens(tokens.clone()),
+        }
+    }
+
+    /// The length that was asked for.
+    #[must_use]
+    pub fn tokens(&self) -> u64 {
+        self.call.request.max_tokens.get()
+    }
+}
--- /dev/null
+++ b/crates/objects/src/lib.rs
@@ -0,0 +1,1 @@
+//! The peer that keeps objects: the platform's object store.
--- /dev/null
+++ b/crates/operators/src/declarations.rs
@@ -0,0 +1,78 @@
+//! Declarations: templates with parameters, and the customers that fill them.
+
+mod customer;
+mod template;
+
+pub use {
+    customer::Customer,
+    template::{Grant, TemplateOptions},
+};
+use {
+    std::collections::BTreeMap,
+    tealshore_core::{
+        ids::CustomerId,
+        settings::{SettingError, Settings},
+    },
+};
+
+/// All templates and customers, checked as a whole.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Declarations {
+    customers: BTreeMap<CustomerId, Customer>,
+    by_key_hash: BTreeMap<String, CustomerId>,
+}
+
+impl Declarations {
+    /// Reads and checks a text.
+    ///
+    /// # Errors
+    /// Names the first section and key that is not allowed, alone or in combination.
+    pub fn parse(text: &str) -> Result<Self, SettingError> {
+        let settings = Settings::parse(text).map_err(|error| SettingError::Unreadable {
+            file: "declarations".to_owned(),
+            cause: error.to_string(),
+        })?;
+        settings.deny_unknown(&[], &["template", "customer"])?;
+        let mut templates = BTreeMap::new();
+        for (name, section) in settings.named("template") {
+            templates.insert(name, TemplateOptions::read(section)?);
+        }
+        let mut declarations = Self::default();
+        for (name, section) in settings.named("customer") {
+            declarations.add(Customer::read(&name, section, &templates)?)?;
+        }
+        Ok(declarations)
+    }
+
+    fn add(&mut self, customer: Customer) -> Result<(), SettingError> {
+        if let Some(other) = self.by_key_hash.get(&customer.key_hash) {
+            return Err(SettingError::BadValue {
+                section: format!("customer {}", customer.id),
+                key: "key_hash".to_owned(),
+                value: customer.key_hash.clone(),
+                allowed: format!("a hash that no other customer has; {other} has this one"),
+            });
+        }
+        self.by_key_hash
+            .insert(customer.key_hash.clone(), customer.id.clone());
+        self.customers.insert(customer.id.clone(), customer);
+        Ok(())
+    }
+
+    /// The customer whose key this is.
+    #[must_use]
+    pub fn customer_of_key(&self, key: &str) -> Option<&Customer> {
+        self.customers.get(self.by_key_hash.get(&key_hash(key))?)
+    }
+
+    /// All customers, by name.
+    pub fn customers(&self) -> impl Iterator<Item = &Customer> {
+        self.customers.values()
+    }
+}
+
+/// The hash under which a customer's key is declared, so that declarations hold no secrets.
+#[must_use]
+pub fn key_hash(key: &str) -> String {
+    blake3::hash(key.as_bytes()).to_hex().to_string()
+}
--- /dev/null
+++ b/crates/operators/src/declarations/customer.rs
@@ -0,0 +1,63 @@
+//! A customer: who it is and which templates it uses.
+
+use {
+    super::template::{Grant, TemplateOptions},
+    std::collections::BTreeMap,
+    tealshore_core::{
+        ids::CustomerId,
+        settings::{Section, SettingError},
+    },
+};
+
+/// How many hex digits a key's hash has.
+const KEY_HASH_DIGITS: usize = 64;
+
+/// A customer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Customer {
+    /// Its name.
+    pub id: CustomerId,
+    /// The hash of its key.
+    pub key_hash: String,
+    /// What it may use, by template.
+    pub grants: BTreeMap<String, Grant>,
+}
+
+impl Customer {
+    /// Reads the `[customer NAME]` section.
+    ///
+    /// # Errors
+    /// Names the key with a value that is not allowed, or a template that does not exist.
+    pub fn read(
+        name: &str,
+        mut section: Section<'_>,
+        templates: &BTreeMap<String, TemplateOptions>,
+    ) -> Result<Self, SettingError> {
+        const HASH_ALLOWED: &str = "64 hex digits, as `tealshore key-hash` prints them";
+        let key_hash = section.required("key_hash", HASH_ALLOWED)?;
+        if key_hash.len() != KEY_HASH_DIGITS
+            || !key_hash.bytes().all(|byte| byte.is_ascii_hexdigit())
+        {
+            return Err(section.bad_value("key_hash", &key_hash, HASH_ALLOWED));
+        }
+        let known: Vec<&str> = templates.keys().map(String::as_str).collect();
+        let allowed = format!(
+            "names of templates, with commas; there are: {}",
+            known.join(", ")
+        );
+        let used = section.required("templates", &allowed)?;
+        let mut grants = BTreeMap::new();
+        for template in used.split(',').map(str::trim) {
+            let options = templates
+                .get(template)
+                .ok_or_else(|| section.bad_value("templates", template, &allowed))?;
+            grants.insert(template.to_owned(), options.fill(template, &mut section)?);
+        }
+        section.deny_unknown()?;
+        Ok(Self {
+            id: name.to_owned(),
+            key_hash,
+            grants,
+        })
+    }
+}
--- /dev/null
+++ b/crates/operators/src/declarations/template.rs
@@ -0,0 +1,133 @@
+//! A template: which model is used, and how, with the ranges of its parameters.
+
+use {
+    tealshore_core::{
+        ids::ServiceId,
+        settings::{Section, SettingError},
+    },
+    tealshore_decide::policy::{Repeat, ResumePolicy},
+};
+
+/// The most in one answer, in tokens.
+const MAX_TOKENS_LIMIT: u64 = 1_000_000;
+/// The most requests of one customer that one entry host runs at once.
+const IN_FLIGHT_LIMIT: u64 = 10_000;
+
+/// What a customer gets by using a template.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Grant {
+    /// The group of engines.
+    pub service: ServiceId,
+    /// The adapter; empty for none.
+    pub adapter: String,
+    /// The version of the weights.
+    pub version: String,
+    /// Higher goes first.
+    pub priority: i32,
+    /// The customer's weight against others on the same engines.
+    pub share: u64,
+    /// Latency or thrift.
+    pub resume: ResumePolicy,
+    /// Whether requests may reach a model more than once.
+    pub repeat: Repeat,
+    /// The longest answer, in tokens.
+    pub max_tokens: u64,
+    /// The most requests that one entry host runs at once.
+    pub max_in_flight: u64,
+}
+
+/// The `[template NAME]` section.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TemplateOptions {
+    grant: Grant,
+}
+
+impl TemplateOptions {
+    /// Reads the section.
+    ///
+    /// # Errors
+    /// Names the key with a value that is not allowed.
+    pub fn read(mut section: Section<'_>) -> Result<Self, SettingError> {
+        let grant = Grant {
+            service: section.required("service", "the name of a group of engines")?,
+            adapter: section.text("adapter", ""),
+            version: section.required("version", "a version of the weights")?,
+            priority: 0,
+            share: 1,
+            resume: ResumePolicy::default(),
+            repeat: Repeat::Allowed,
+            max_tokens: 8_192,
+            max_in_flight: 64,
+        };
+        let grant = override_parameters(&mut section, "", grant)?;
+        section.deny_unknown()?;
+        Ok(Self { grant })
+    }
+
+    /// The template with a customer's parameters, `TEMPLATE.KEY = VALUE`.
+    ///
+    /// # Errors
+    /// Names the key with a value that is not allowed.
+    pub fn fill(&self, template: &str, section: &mut Section<'_>) -> Result<Grant, SettingError> {
+        override_parameters(section, &format!("{template}."), self.grant.clone())
+    }
+}
+
+/// Reads the parameters that a template sets and a customer may set again.
+fn override_parameters(
+    section: &mut Section<'_>,
+    prefix: &str,
+    base: Grant,
+) -> Result<Grant, SettingError> {
+    let key = |name: &str| format!("{prefix}{name}");
+    let resume = section.choice(
+        &key("resume"),
+        resume_word(base.resume),
+        &["latency", "thrift"],
+    )?;
+    let repeat = section.choice(
+        &key("repeat"),
+        repeat_word(base.repeat),
+        &["allowed", "forbidden"],
+    )?;
+    let priority = section.integer(
+        &key("priority"),
+        u64::try_from(base.priority).unwrap_or(0),
+        0..=9,
+    )?;
+    Ok(Grant {
+        priority: i32::try_from(priority).unwrap_or(0),
+        share: section.integer(&key("share"), base.share, 1..=1_000)?,
+        resume: if resume == "latency" {
+            ResumePolicy::Latency
+        } else {
+            ResumePolicy::Thrift
+        },
+        repeat: if repeat == "forbidden" {
+            Repeat::Forbidden
+        } else {
+            Repeat::Allowed
+        },
+        max_tokens: section.integer(&key("max_tokens"), base.max_tokens, 1..=MAX_TOKENS_LIMIT)?,
+        max_in_flight: section.integer(
+            &key("max_in_flight"),
+            base.max_in_flight,
+            1..=IN_FLIGHT_LIMIT,
+        )?,
+        ..base
+    })
+}
+
+fn resume_word(policy: ResumePolicy) -> &'static str {
+    match policy {
+        ResumePolicy::Latency => "latency",
+        ResumePolicy::Thrift => "thrift",
+    }
+}
+
+fn repeat_word(repeat: Repeat) -> &'static str {
+    match repeat {
+        Repeat::Allowed => "allowed",
+        Repeat::Forbidden => "forbidden",
+    }
+}
--- /dev/null
+++ b/crates/operators/src/edit.rs
@@ -0,0 +1,225 @@
+//! Edits of the declarations: one conditional transaction each, settled even when the
+//! table's answer is lost.
+
+use {
+    crate::declarations::Declarations,
+    serde::{Deserialize, Serialize},
+    std::fmt,
+    tealshore_core::{ids::ConfigVersion, settings::SettingError},
+    tealshore_table::{
+        CommitError, Committed, TableClient, TableUnavailable,
+        wire::{Condition, Conflict, Expect, Put, Row, Transaction},
+    },
+};
+
+/// The row with the declarations in force.
+pub const CURRENT_KEY: &str = "declarations/current";
+/// The prefix of the rows that tell what became of an edit.
+const EDIT_PREFIX: &str = "declarations/edit/";
+/// The prefix of the rows with past texts.
+const HISTORY_PREFIX: &str = "declarations/history/";
+
+/// The declarations as the table has them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredDeclarations {
+    /// Names the edit that wrote them.
+    pub edit_id: String,
+    /// Who wrote them, by its own word.
+    pub author: String,
+    /// The INI text.
+    pub text: String,
+}
+
+/// Declarations with their version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct VersionedDeclarations {
+    /// The version; it only grows.
+    pub version: ConfigVersion,
+    /// What was stored.
+    pub stored: StoredDeclarations,
+}
+
+/// An edit.
+#[derive(Clone, Debug)]
+pub struct Edit {
+    /// Names it; sent again under the same name it takes effect only once.
+    pub id: String,
+    /// Who makes it.
+    pub author: String,
+    /// The version that it starts from; 0 where there is none yet.
+    pub base: ConfigVersion,
+    /// The new text, whole.
+    pub text: String,
+}
+
+/// Why an edit was not accepted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum EditError {
+    /// The text is not allowed.
+    Invalid(SettingError),
+    /// Another edit came first.
+    Lost {
+        /// The version that is in force now.
+        current: ConfigVersion,
+        /// Who wrote it.
+        author: String,
+    },
+    /// The table can't be reached; the edit did not take effect and will not.
+    NotAccepted(TableUnavailable),
+    /// The table can't be reached; send the edit again under the same name to learn.
+    Unknown(TableUnavailable),
+}
+
+impl fmt::Display for EditError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Invalid(error) => write!(f, "not accepted: {error}"),
+            Self::Lost { current, author } => {
+                write!(
+                    f,
+                    "not accepted: version {current} by {author} came first; start again from it"
+                )
+            }
+            Self::NotAccepted(cause) => write!(f, "not accepted: {cause}"),
+            Self::Unknown(cause) => write!(
+                f,
+                "unknown whether accepted: {cause}; send it again with the same edit id"
+            ),
+        }
+    }
+}
+
+impl std::error::Error for EditError {}
+
+/// Reads the declarations in force; none before the first edit.
+///
+/// # Errors
+/// The table can't be reached.
+pub async fn read_current(
+    table: &TableClient,
+) -> Result<Option<VersionedDeclarations>, TableUnavailable> {
+    let row = table.read(CURRENT_KEY).await?;
+    Ok(row.and_then(|row| from_row(&row)))
+}
+
+/// Reads a past version.
+///
+/// # Errors
+/// The table can't be reached.
+pub async fn read_version(
+    table: &TableClient,
+    version: ConfigVersion,
+) -> Result<Option<StoredDeclarations>, TableUnavailable> {
+    let row = table.read(&history_key(version)).await?;
+    Ok(row.and_then(|row| serde_json::from_str(&row.value).ok()))
+}
+
+/// Reads all versions, the oldest first.
+///
+/// # Errors
+/// The table can't be reached.
+pub async fn read_history(
+    table: &TableClient,
+) -> Result<Vec<VersionedDeclarations>, TableUnavailable> {
+    let rows = table.read_prefix(HISTORY_PREFIX).await?;
+    let versions = rows.iter().filter_map(|row| {
+        let version = row.key.strip_prefix(HISTORY_PREFIX)?.parse().ok()?;
+        Some(VersionedDeclarations {
+            version,
+            stored: serde_json::from_str(&row.value).ok()?,
+        })
+    });
+    Ok(versions.collect())
+}
+
+/// Makes an edit; the version that it got.
+///
+/// # Errors
+/// Tells whether the edit may yet be in force.
+pub async fn apply(table: &TableClient, edit: &Edit) -> Result<ConfigVersion, EditError> {
+    Declarations::parse(&edit.text).map_err(EditError::Invalid)?;
+    match table.commit(&transaction_of(edit)).await {
+        Ok(Committed::Yes) => Ok(edit.base + 1),
+        Ok(Committed::Conflict(conflict)) => settle(edit, &conflict),
+        Err(CommitError::NotSent(cause)) => Err(EditError::NotAccepted(cause)),
+        Err(CommitError::Unknown(cause)) => Err(EditError::Unknown(cause)),
+    }
+}
+
+/// The edit's own row breaks the condition when an earlier try took effect: then it is
+/// accepted. Else the version has moved on, and no late try of this edit can ever commit.
+fn settle(edit: &Edit, conflict: &Conflict) -> Result<ConfigVersion, EditError> {
+    let own_key = edit_key(&edit.id);
+    let rows = || {
+        conflict
+            .failed
+            .iter()
+            .filter_map(|failed| failed.row.as_ref())
+    };
+    if let Some(own) = rows().find(|row| row.key == own_key) {
+        return Ok(own.value.parse().unwrap_or(edit.base + 1));
+    }
+    let current = rows().find(|row| row.key == CURRENT_KEY);
+    let current = current.and_then(from_row);
+    let (current, author) = current.map_or((0, String::new()), |current| {
+        (current.version, current.stored.author)
+    });
+    Err(EditError::Lost { current, author })
+}
+
+fn transaction_of(edit: &Edit) -> Transaction {
+    let version = edit.base + 1;
+    let stored = StoredDeclarations {
+        edit_id: edit.id.clone(),
+        author: edit.author.clone(),
+        text: edit.text.clone(),
+    };
+    let stored = serde_json::to_string(&stored).unwrap_or_default();
+    let expect = if edit.base == 0 {
+        Expect::Absent
+    } else {
+        Expect::Version(edit.base)
+    };
+    Transaction {
+        conditions: vec![
+            Condition {
+                key: CURRENT_KEY.to_owned(),
+                expect,
+            },
+            Condition {
+                key: edit_key(&edit.id),
+                expect: Expect::Absent,
+            },
+        ],
+        puts: vec![
+            Put {
+                key: CURRENT_KEY.to_owned(),
+                value: stored.clone(),
+            },
+            Put {
+                key: history_key(version),
+                value: stored,
+            },
+            Put {
+                key: edit_key(&edit.id),
+                value: version.to_string(),
+            },
+        ],
+    }
+}
+
+/// The row is written once an edit, so its version is the declarations' version.
+fn from_row(row: &Row) -> Option<VersionedDeclarations> {
+    Some(VersionedDeclarations {
+        version: row.version,
+        stored: serde_json::from_str(&row.value).ok()?,
+    })
+}
+
+fn edit_key(id: &str) -> String {
+    format!("{EDIT_PREFIX}{id}")
+}
+
+fn history_key(version: ConfigVersion) -> String {
+    format!("{HISTORY_PREFIX}{version:08}")
+}
--- /dev/null
+++ b/crates/plain/src/lib.rs
@@ -0,0 +1,1 @@
+//! The peer that serves plain calls.
--- /dev/null
+++ b/crates/router/src/drive/admitted.rs
@@ -0,0 +1,80 @@
+//! A request that may run, with all that is fixed about it.
+
+use {
+    crate::{claims::Claim, in_flight::InFlightGuard},
+    tealshore_callers::wire::CompletionRequest,
+    tealshore_core::ids::{
+        AttemptNo, CustomerId, EngineId, GenerationId, Position, RequestId, ServiceId, TokenId,
+    },
+    tealshore_decide::{
+        generation::Held,
+        policy::{Repeat, ResumePolicy},
+    },
+    tealshore_engines::wire::ModelPin,
+    tealshore_peers::PlaceKey,
+};
+
+/// How a generation starts on this host.
+pub enum Start {
+    /// From nothing.
+    New,
+    /// From the tokens that the caller sent back.
+    FromTokens {
+        /// The tokens.
+        received: Vec<TokenId>,
+        /// The attempt and engine that may still have the generation.
+        running: (AttemptNo, EngineId),
+    },
+    /// By reading it again from its engine, for a caller that holds a part of it.
+    Attach {
+        /// What the caller holds.
+        held: Held,
+        /// The attempt and engine that have the generation.
+        running: (AttemptNo, EngineId),
+    },
+}
+
+/// A request that may run.
+pub struct Admitted {
+    /// The customer.
+    pub customer: CustomerId,
+    /// The request's id.
+    pub id: RequestId,
+    /// The request.
+    pub request: CompletionRequest,
+    /// The digest of the request.
+    pub digest: String,
+    /// The generation.
+    pub generation: GenerationId,
+    /// The group of engines.
+    pub service: ServiceId,
+    /// What it is pinned to.
+    pub pin: ModelPin,
+    /// Its priority.
+    pub priority: i32,
+    /// The customer's choice.
+    pub policy: ResumePolicy,
+    /// Whether it may reach a model more than once.
+    pub repeat: Repeat,
+    /// Its claim, where it needed one.
+    pub claim: Option<Claim>,
+    /// How it starts.
+    pub start: Start,
+    /// Counts it as in flight until it is dropped.
+    pub _in_flight: InFlightGuard,
+}
+
+impl Admitted {
+    /// Names it across customers.
+    pub fn key(&self) -> PlaceKey {
+        PlaceKey {
+            customer: self.customer.clone(),
+            request: self.id.clone(),
+        }
+    }
+
+    /// The length that was asked for.
+    pub fn max_tokens(&self) -> Position {
+        self.request.max_tokens.get()
+    }
+}
--- /dev/null
+++ b/crates/router/src/fleet.rs
@@ -0,0 +1,289 @@
+//! What this host knows of engines, plain services and entry hosts.
+//!
+//! Engines sit in shards, one a service, each under its own lock.
+
+use {
+    parking_lot::{Mutex, RwLock},
+    std::{
+        collections::{HashMap, HashSet},
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tealshore_core::ids::{EngineId, HallId, HostId, ServiceId},
+    tealshore_decide::routing::{Candidate, choose},
+    tealshore_engines::wire::LoadReport,
+    tealshore_hosts::{HostList, HostRole, HostState, ListedHost},
+    xxhash_rust::xxh3::xxh3_64,
+};
+
+/// How long an engine that failed gets no new work.
+const FAILED_FOR: Duration = Duration::from_secs(2);
+/// Slots of an engine that has not reported yet.
+const UNKNOWN_SLOTS: u32 = 16;
+
+struct KnownEngine {
+    host: ListedHost,
+    report: Option<(LoadReport, Instant)>,
+    sent_since: u32,
+    failed_at: Option<Instant>,
+}
+
+impl KnownEngine {
+    fn new(host: ListedHost) -> Self {
+        Self {
+            host,
+            report: None,
+            sent_since: 0,
+            failed_at: None,
+        }
+    }
+
+    /// Whether it may get new work: by the list, by its own word and by what it did.
+    fn is_open(&self) -> bool {
+        let has_failed = self.failed_at.is_some_and(|at| at.elapsed() < FAILED_FOR);
+        let says_leaving = self
+            .report
+            .as_ref()
+            .is_some_and(|(report, _)| report.leaving);
+        self.host.state == HostState::Live && !says_leaving && !has_failed
+    }
+
+    fn candidate(&self, hall: &HallId) -> Candidate {
+        let report = self.report.as_ref();
+        Candidate {
+            engine: self.host.id.clone(),
+            slots: report.map_or(UNKNOWN_SLOTS, |(report, _)| report.slots),
+            reported: report.map_or(0, |(report, _)| report.running + report.waiting),
+            report_age: report.map_or(Duration::MAX, |(_, at)| at.elapsed()),
+            sent_since: self.sent_since,
+            same_hall: self.host.hall == *hall,
+        }
+    }
+}
+
+type Shard = Arc<Mutex<HashMap<EngineId, KnownEngine>>>;
+
+#[derive(Default)]
+struct Others {
+    plain: HashMap<ServiceId, Vec<ListedHost>>,
+    entries: Vec<ListedHost>,
+    leaving_entries: HashSet<HostId>,
+}
+
+/// What this host knows of all others.
+pub struct Fleet {
+    hall: HallId,
+    own_id: HostId,
+    subset: usize,
+    engines: RwLock<HashMap<ServiceId, Shard>>,
+    others: RwLock<Others>,
+}
+
+impl Fleet {
+    /// Nothing known yet.
+    pub fn new(own_id: HostId, hall: HallId, subset: usize) -> Self {
+        Self {
+            hall,
+            own_id,
+            subset,
+            engines: RwLock::default(),
+            others: RwLock::default(),
+        }
+    }
+
+    /// Takes in a host list.
+    pub fn take_list(&self, list: HostList) {
+        let mut engines: HashMap<ServiceId, Vec<ListedHost>> = HashMap::new();
+        let mut plain: HashMap<ServiceId, Vec<ListedHost>> = HashMap::new();
+        let mut entries = Vec::new();
+        for host in list.hosts {
+            match host.role {
+                HostRole::Engine => engines.entry(host.service.clone()).or_default().push(host),
+                HostRole::Plain => plain.entry(host.service.clone()).or_default().push(host),
+                HostRole::Entry => entries.push(host),
+            }
+        }
+        self.take_engines(engines);
+        let mut others = self.others.write();
+        let known: HashSet<HostId> = entries.iter().map(|host| host.id.clone()).collect();
+        others.leaving_entries.retain(|host| known.contains(host));
+        others.plain = plain;
+        others.entries = entries;
+    }
+
+    fn take_engines(&self, mut listed: HashMap<ServiceId, Vec<ListedHost>>) {
+        for hosts in listed.values_mut() {
+            self.keep_subset(hosts);
+        }
+        let mut shards = self.engines.write();
+        for service in listed.keys() {
+            shards.entry(service.clone()).or_default();
+        }
+        for (service, shard) in shards.iter() {
+            let mut old = std::mem::take(&mut *shard.lock());
+            let hosts = listed.remove(service).unwrap_or_default();
+            let known = hosts.into_iter().map(|host| {
+                let same = old
+                    .remove(&host.id)
+                    .filter(|known| known.host.address == host.address);
+                let engine = match same {
+                    Some(known) => KnownEngine { host, ..known },
+                    None => KnownEngine::new(host),
+                };
+                (engine.host.id.clone(), engine)
+            });
+            *shard.lock() = known.collect();
+        }
+    }
+
+    /// Keeps the engines with the highest hash of this host and the engine, so that each
+    /// host knows a few and each engine is known by about as many hosts.
+    fn keep_subset(&self, hosts: &mut Vec<ListedHost>) {
+        if hosts.len() <= self.subset {
+            return;
+        }
+        let own_id = &self.own_id;
+        hosts.sort_by_key(|host| {
+            std::cmp::Reverse(xxh3_64(format!("{own_id}\0{}", host.id).as_bytes()))
+        });
+        hosts.truncate(self.subset);
+    }
+
+    /// Chooses an engine for a new attempt and counts it as sent.
+    pub fn choose_engine(
+        &self,
+        service: &ServiceId,
+        avoid: &[EngineId],
+        random: u64,
+    ) -> Option<(EngineId, SocketAddr)> {
+        let shard = self.shard(service)?;
+        let mut engines = shard.lock();
+        let is_open = |engine: &&KnownEngine| engine.is_open();
+        let fresh = engines
+            .values()
+            .filter(is_open)
+            .filter(|engine| !avoid.contains(&engine.host.id));
+        let mut candidates: Vec<Candidate> =
+            fresh.map(|engine| engine.candidate(&self.hall)).collect();
+        if candidates.is_empty() {
+            // An engine that failed this generation once is better than none.
+            candidates = engines
+                .values()
+                .filter(is_open)
+                .map(|engine| engine.candidate(&self.hall))
+                .collect();
+        }
+        let chosen = choose(&candidates, random)?.engine.clone();
+        let engine = engines.get_mut(&chosen)?;
+        engine.sent_since += 1;
+        Some((chosen, engine.host.address))
+    }
+
+    /// The address of an engine, wherever it is in its life.
+    pub fn engine_address(&self, service: &ServiceId, engine: &EngineId) -> Option<SocketAddr> {
+        self.shard(service)?
+            .lock()
+            .get(engine)
+            .map(|known| known.host.address)
+    }
+
+    /// When an engine last reported.
+    pub fn last_report(&self, service: &ServiceId, engine: &EngineId) -> Option<Instant> {
+        self.shard(service)?
+            .lock()
+            .get(engine)?
+            .report
+            .as_ref()
+            .map(|(_, at)| *at)
+    }
+
+    /// Takes in a load report.
+    pub fn take_load(&self, service: &ServiceId, engine: &EngineId, report: LoadReport) {
+        let Some(shard) = self.shard(service) else {
+            return;
+        };
+        if let Some(known) = shard.lock().get_mut(engine) {
+            known.report = Some((report, Instant::now()));
+            known.sent_since = 0;
+        }
+    }
+
+    /// Notes that an engine failed, so that it gets no new work for a while.
+    pub fn engine_failed(&self, service: &ServiceId, engine: &EngineId) {
+        let Some(shard) = self.shard(service) else {
+            return;
+        };
+        if let Some(known) = shard.lock().get_mut(engine) {
+            known.failed_at = Some(Instant::now());
+        }
+    }
+
+    /// All engines that are polled for their load.
+    pub fn engines(&self) -> Vec<(ServiceId, EngineId, SocketAddr)> {
+        let shards: Vec<(ServiceId, Shard)> = self
+            .engines
+            .read()
+            .iter()
+            .map(|(service, shard)| (service.clone(), shard.clone()))
+            .collect();
+        let each = shards.iter().flat_map(|(service, shard)| {
+            let engines = shard.lock();
+            engines
+                .values()
+                .map(|known| (service.clone(), known.host.id.clone(), known.host.address))
+                .collect::<Vec<_>>()
+        });
+        each.collect()
+    }
+
+    /// Live hosts of a plain service, those of the own hall first; none for an unknown one.
+    pub fn plain_hosts(&self, service: &str) -> Option<Vec<SocketAddr>> {
+        let others = self.others.read();
+        let hosts = others.plain.get(service)?;
+        let mut live: Vec<&ListedHost> = hosts
+            .iter()
+            .filter(|host| host.state == HostState::Live)
+            .collect();
+        live.sort_by_key(|host| host.hall != self.hall);
+        Some(live.iter().map(|host| host.address).collect())
+    }
+
+    /// Entry hosts that callers may be sent to.
+    pub fn open_entries(&self) -> Vec<ListedHost> {
+        let others = self.others.read();
+        let is_open = |host: &&ListedHost| {
+            host.state == HostState::Live && !others.leaving_entries.contains(&host.id)
+        };
+        others.entries.iter().filter(is_open).cloned().collect()
+    }
+
+    /// All other entry hosts on the list.
+    pub fn peers(&self) -> Vec<ListedHost> {
+        let others = self.others.read();
+        others
+            .entries
+            .iter()
+            .filter(|host| host.id != self.own_id)
+            .cloned()
+            .collect()
+    }
+
+    /// Notes what an entry host says of itself.
+    pub fn take_entry_word(&self, host: &HostId, leaving: bool) {
+        let is_news = self.others.read().leaving_entries.contains(host) != leaving;
+        if !is_news {
+            return;
+        }
+        let mut others = self.others.write();
+        if leaving {
+            others.leaving_entries.insert(host.clone());
+        } else {
+            others.leaving_entries.remove(host);
+        }
+    }
+
+    fn shard(&self, service: &ServiceId) -> Option<Shard> {
+        self.engines.read().get(service).cloned()
+    }
+}
--- /dev/null
+++ b/crates/router/src/serve/addresses.rs
@@ -0,0 +1,54 @@
+//! Tells callers which addresses to use.
+
+use {
+    super::caller,
+    crate::state::RouterState,
+    http::{Request, Response},
+    hyper::body::Incoming,
+    tealshore_callers::wire::{AddressAnswer, EntryAddress},
+    tealshore_core::{
+        answer::Failure,
+        http::{Body, json_body},
+        ids::{CustomerId, HostId},
+    },
+    xxhash_rust::xxh3::xxh3_64,
+};
+
+/// How many addresses a caller is told.
+const ADDRESSES_TOLD: usize = 6;
+
+/// Answers `GET /v1/addresses`, with `?hall=` for the hall that is nearest to the caller.
+pub fn answer(state: &RouterState, request: &Request<Incoming>) -> Result<Response<Body>, Failure> {
+    let running = caller::running(state)?;
+    let customer = caller::customer(&running, request.headers())?;
+    let hall = asked_hall(request).unwrap_or(&state.options.host.hall);
+    let mut entries = state.fleet.open_entries();
+    entries.sort_by_key(|entry| (entry.hall != *hall, caller_order(&customer.id, &entry.id)));
+    let addresses = entries.into_iter().take(ADDRESSES_TOLD);
+    let answer = AddressAnswer {
+        addresses: addresses
+            .map(|entry| EntryAddress {
+                address: entry.address,
+                hall: entry.hall,
+            })
+            .collect(),
+        keep_ms: u64::try_from(state.options.callers.keep_addresses.as_millis())
+            .unwrap_or(u64::MAX),
+    };
+    Ok(Response::new(json_body(&answer)))
+}
+
+/// An order of its own for each customer, so that they do not all go to one host, nor all
+/// to the same next one after a loss.
+fn caller_order(customer: &CustomerId, host: &HostId) -> u64 {
+    xxh3_64(format!("{customer}\0{host}").as_bytes())
+}
+
+/// The hall that the caller says is nearest to it.
+fn asked_hall(request: &Request<Incoming>) -> Option<&str> {
+    let pairs = request.uri().query()?.split('&');
+    pairs
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == "hall")
+        .map(|(_, hall)| hall)
+}
--- /dev/null
+++ b/crates/router/src/serve/caller.rs
@@ -0,0 +1,111 @@
+//! Who calls, and what it sent.
+
+use {
+    crate::{in_force::Running, state::RouterState},
+    bytes::Bytes,
+    http::{HeaderMap, Request, header::AUTHORIZATION},
+    hyper::body::Incoming,
+    std::sync::Arc,
+    tealshore_callers::wire::{REPEAT_HEADER, REQUEST_ID_HEADER, check_request_id},
+    tealshore_core::{
+        answer::{ErrorKind, Failure},
+        http::{ReadError, read_limited},
+        ids::RequestId,
+    },
+    tealshore_decide::policy::Repeat,
+    tealshore_operators::declarations::Customer,
+    tokio::time::timeout,
+};
+
+/// The declarations in force.
+///
+/// # Errors
+/// There are none yet.
+pub fn running(state: &RouterState) -> Result<Arc<Running>, Failure> {
+    state
+        .in_force
+        .now()
+        .ok_or_else(|| Failure::new(ErrorKind::NotReady, "this host has no declarations yet"))
+}
+
+/// The customer whose key a request carries.
+///
+/// # Errors
+/// It carries none, or nobody's.
+pub fn customer<'a>(running: &'a Running, headers: &HeaderMap) -> Result<&'a Customer, Failure> {
+    let key =
+        text(headers, AUTHORIZATION.as_str())?.and_then(|value| value.strip_prefix("Bearer "));
+    let customer = key.and_then(|key| running.declarations.customer_of_key(key));
+    customer.ok_or_else(|| {
+        Failure::new(
+            ErrorKind::Unauthenticated,
+            "authorization: 'Bearer KEY' with a customer's key is needed",
+        )
+    })
+}
+
+/// The request's id; none where the caller gave none.
+///
+/// # Errors
+/// It holds what is not allowed.
+pub fn request_id(headers: &HeaderMap) -> Result<Option<RequestId>, Failure> {
+    text(headers, REQUEST_ID_HEADER)?
+        .map(check_request_id)
+        .transpose()
+}
+
+/// What the caller says of repeating; none where it says nothing.
+///
+/// # Errors
+/// It says something else.
+pub fn repeat(headers: &HeaderMap) -> Result<Option<Repeat>, Failure> {
+    match text(headers, REPEAT_HEADER)? {
+        None => Ok(None),
+        Some("allowed") => Ok(Some(Repeat::Allowed)),
+        Some("forbidden") => Ok(Some(Repeat::Forbidden)),
+        Some(_) => Err(Failure::new(
+            ErrorKind::BadRequest,
+            format!("{REPEAT_HEADER}: allowed, forbidden"),
+        )),
+    }
+}
+
+/// The text of a header.
+///
+/// # Errors
+/// It is no text.
+pub fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Failure> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let text = value.to_str().map_err(|_| {
+        Failure::new(
+            ErrorKind::BadRequest,
+            format!("{name}: printable ASCII is allowed"),
+        )
+    })?;
+    Ok(Some(text))
+}
+
+/// Reads a body within its bounds.
+///
+/// # Errors
+/// It is too large, too slow, or broke off.
+pub async fn body(state: &RouterState, request: Request<Incoming>) -> Result<Bytes, Failure> {
+    let callers = &state.options.callers;
+    let reading = read_limited(request.into_body(), callers.max_body_bytes);
+    match timeout(callers.read_timeout, reading).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(ReadError::TooLarge)) => Err(Failure::new(
+            ErrorKind::BodyTooLarge,
+            format!("body: at most {} bytes are allowed", callers.max_body_bytes),
+        )),
+        Ok(Err(ReadError::Broken)) => {
+            Err(Failure::new(ErrorKind::BadRequest, "body: it broke off"))
+        }
+        Err(_) => Err(Failure::new(
+            ErrorKind::RequestTooSlow,
+            format!("body: it took over {} ms", callers.read_timeout.as_millis()),
+        )),
+    }
+}
--- /dev/null
+++ b/crates/router/src/serve/completions.rs
@@ -0,0 +1,332 @@
+//! Answers `POST /v1/completions`.
+
+use {
+    super::{caller, problem},
+    crate::{
+        claims::{Claim, ClaimOutcome},
+        drive::{Admitted, Driver, Output, Start},
+        state::RouterState,
+    },
+    bytes::Bytes,
+    futures::stream,
+    http::{
+        HeaderMap, HeaderValue, Request, Response,
+        header::{CACHE_CONTROL, CONTENT_TYPE},
+    },
+    http_body_util::{BodyExt, StreamBody},
+    hyper::body::{Frame, Incoming},
+    rand::RngExt,
+    std::{sync::Arc, time::SystemTime},
+    tealshore_callers::{
+        events::EventWriter,
+        ticket::Ticket,
+        wire::{CompletionRequest, LAST_EVENT_HEADER, REQUEST_ID_HEADER},
+    },
+    tealshore_core::{
+        answer::{ErrorKind, Failure},
+        chain::TokenChain,
+        http::{Body, BodyError},
+        ids::{GenerationId, Position, RequestId},
+        protection::{Protection, enabled},
+    },
+    tealshore_decide::{generation::Held, policy::Repeat},
+    tealshore_engines::wire::ModelPin,
+    tealshore_operators::declarations::{Customer, Grant},
+    tealshore_peers::{Place, PlaceKey, Reservation},
+};
+
+/// What is known of a request before it is decided how it starts.
+struct Asked<'a> {
+    state: &'a Arc<RouterState>,
+    customer: &'a Customer,
+    grant: &'a Grant,
+    id: RequestId,
+    digest: String,
+    repeat: Repeat,
+    request: CompletionRequest,
+}
+
+/// How a request starts, with what it is pinned to.
+struct Decided {
+    generation: GenerationId,
+    pin: ModelPin,
+    start: Start,
+    claim: Option<Claim>,
+}
+
+/// Answers a request to generate.
+pub async fn answer(
+    state: &Arc<RouterState>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Failure> {
+    if state.stop.refuses_work() {
+        return Err(Failure::new(
+            ErrorKind::Stopping,
+            "this host stops; ask for addresses again",
+        ));
+    }
+    let running = caller::running(state)?;
+    let headers = request.headers().clone();
+    let customer = caller::customer(&running, &headers)?;
+    let body = caller::body(state, request).await?;
+    let request = CompletionRequest::parse(&body)?;
+    let grant = granted(customer, &request)?;
+    let id = caller::request_id(&headers)?
+        .unwrap_or_else(|| format!("auto-{:032x}", rand::rng().random::<u128>()));
+    let repeat = caller::repeat(&headers)?.unwrap_or(grant.repeat);
+    let bound = state.options.callers.max_in_flight;
+    let in_flight =
+        state
+            .in_flight
+            .enter(&customer.id, &request.model, bound, grant.max_in_flight)?;
+    let asked = Asked {
+        state,
+        customer,
+        grant,
+        id,
+        digest: request.digest(),
+        repeat,
+        request,
+    };
+    let decided = decide(&asked, &headers).await?;
+    let admitted = Admitted {
+        customer: customer.id.clone(),
+        id: asked.id,
+        digest: asked.digest,
+        generation: decided.generation,
+        service: grant.service.clone(),
+        pin: decided.pin,
+        priority: grant.priority,
+        policy: grant.resume,
+        repeat,
+        claim: decided.claim,
+        start: decided.start,
+        _in_flight: in_flight,
+        request: asked.request,
+    };
+    respond(state, admitted).await
+}
+
+fn granted<'a>(customer: &'a Customer, request: &CompletionRequest) -> Result<&'a Grant, Failure> {
+    let grant = customer.grants.get(&request.model).ok_or_else(|| {
+        let known: Vec<&str> = customer.grants.keys().map(String::as_str).collect();
+        Failure::new(
+            ErrorKind::UnknownModel,
+            format!(
+                "model: {} is not granted; allowed: {}",
+                request.model,
+                known.join(", ")
+            ),
+        )
+    })?;
+    if request.max_tokens.get() > grant.max_tokens {
+        return Err(Failure::new(
+            ErrorKind::BadRequest,
+            format!("max_tokens: at most {} are allowed", grant.max_tokens),
+        ));
+    }
+    Ok(grant)
+}
+
+async fn decide(asked: &Asked<'_>, headers: &HeaderMap) -> Result<Decided, Failure> {
+    if let Some(last_event) = caller::text(headers, LAST_EVENT_HEADER)? {
+        let ticket = asked.state.signer.open(last_event, SystemTime::now())?;
+        return resume(asked, ticket);
+    }
+    let generation = rand::rng().random();
+    let key = PlaceKey {
+        customer: asked.customer.id.clone(),
+        request: asked.id.clone(),
+    };
+    let pin = pin_of(asked.grant);
+    let place = Place {
+        digest: asked.digest.clone(),
+        generation,
+        attempt: 0,
+        engine: None,
+        pin: [pin.model.clone(), pin.adapter.clone(), pin.version.clone()],
+    };
+    if let Reservation::Existing(known) = asked.state.reserve_place(&key, place).await {
+        if known.digest != asked.digest {
+            return Err(conflict(asked));
+        }
+        if let Some(decided) = read_again(known) {
+            return Ok(decided);
+        }
+    }
+    let claim = claim(asked, &key).await?;
+    Ok(Decided {
+        generation,
+        pin,
+        start: Start::New,
+        claim,
+    })
+}
+
+/// Goes on for a caller that holds a signed id.
+fn resume(asked: &Asked<'_>, ticket: Ticket) -> Result<Decided, Failure> {
+    let Ticket {
+        position,
+        chain,
+        place,
+    } = ticket;
+    if place.customer != asked.customer.id || place.request != asked.id {
+        return Err(Failure::new(
+            ErrorKind::ForeignResumeToken,
+            "last-event-id: of another request",
+        ));
+    }
+    if place.digest != asked.digest {
+        return Err(conflict(asked));
+    }
+    let [model, adapter, version] = place.pin;
+    let pin = ModelPin {
+        model,
+        adapter,
+        version,
+    };
+    let running = (place.attempt, place.engine);
+    let start = match &asked.request.received {
+        Some(received) => {
+            let is_same =
+                received.len() as Position == position && TokenChain::of(received) == chain;
+            if !is_same && enabled(Protection::ChainCheck) {
+                return Err(Failure::new(
+                    ErrorKind::ResumeMismatch,
+                    "received: not the tokens up to the last event's id",
+                ));
+            }
+            Start::FromTokens {
+                received: received.clone(),
+                running,
+            }
+        }
+        None => Start::Attach {
+            held: Held { position, chain },
+            running,
+        },
+    };
+    Ok(Decided {
+        generation: place.generation,
+        pin,
+        start,
+        claim: None,
+    })
+}
+
+/// Reads a known generation from its start, where an engine has it already.
+fn read_again(place: Place) -> Option<Decided> {
+    let engine = place.engine?;
+    let [model, adapter, version] = place.pin;
+    let held = Held {
+        position: 0,
+        chain: TokenChain::default(),
+    };
+    let start = Start::Attach {
+        held,
+        running: (place.attempt, engine),
+    };
+    Some(Decided {
+        generation: place.generation,
+        pin: ModelPin {
+            model,
+            adapter,
+            version,
+        },
+        start,
+        claim: None,
+    })
+}
+
+async fn claim(asked: &Asked<'_>, key: &PlaceKey) -> Result<Option<Claim>, Failure> {
+    if asked.repeat == Repeat::Allowed || !enabled(Protection::Claim) {
+        return Ok(None);
+    }
+    match asked.state.claims.claim(key, &asked.digest).await {
+        ClaimOutcome::Won(claim) => Ok(Some(claim)),
+        ClaimOutcome::Taken { digest } if digest != asked.digest => Err(conflict(asked)),
+        ClaimOutcome::Taken { .. } => Err(Failure::new(
+            ErrorKind::AlreadyClaimed,
+            format!("request {} was claimed before", asked.id),
+        )),
+        ClaimOutcome::Unavailable => Err(Failure::new(
+            ErrorKind::TableUnavailable,
+            "the request could not be claimed, so it was not run",
+        )),
+    }
+}
+
+fn conflict(asked: &Asked<'_>) -> Failure {
+    Failure::new(
+        ErrorKind::RequestConflict,
+        format!("request {} was used with another body", asked.id),
+    )
+}
+
+fn pin_of(grant: &Grant) -> ModelPin {
+    ModelPin {
+        model: grant.service.clone(),
+        adapter: grant.adapter.clone(),
+        version: grant.version.clone(),
+    }
+}
+
+/// Waits for the first token before the head is sent, so that a failure until then still
+/// gets its own status.
+async fn respond(state: &Arc<RouterState>, admitted: Admitted) -> Result<Response<Body>, Failure> {
+    let id = admitted.id.clone();
+    let mut driver = Driver::start(state.clone(), admitted);
+    let first = match driver.next().await {
+        Some(Output::Event(event)) => (event, false),
+        Some(Output::End(end)) => (end, true),
+        Some(Output::Failed(failure)) => return Err(failure),
+        None => {
+            return Err(Failure::new(
+                ErrorKind::Internal,
+                "the generation ended without an answer",
+            ));
+        }
+    };
+    let answer = Response::new(body_of(state.clone(), driver, first));
+    Ok(with_headers(answer, &id))
+}
+
+fn body_of(state: Arc<RouterState>, driver: Driver, first: (Bytes, bool)) -> Body {
+    let events = stream::unfold(
+        (Some(first), false, driver),
+        move |(first, is_over, mut driver)| {
+            let state = state.clone();
+            async move {
+                if let Some((event, is_end)) = first {
+                    return Some((frame(event), (None, is_end, driver)));
+                }
+                if is_over {
+                    return None;
+                }
+                let (event, is_end) = match driver.next().await? {
+                    Output::Event(event) => (event, false),
+                    Output::End(end) => (end, true),
+                    Output::Failed(failure) => {
+                        (EventWriter::error(&problem::note(&state, &failure)), true)
+                    }
+                };
+                Some((frame(event), (None, is_end, driver)))
+            }
+        },
+    );
+    StreamBody::new(events).boxed_unsync()
+}
+
+fn frame(event: Bytes) -> Result<Frame<Bytes>, BodyError> {
+    Ok(Frame::data(event))
+}
+
+fn with_headers(mut answer: Response<Body>, id: &RequestId) -> Response<Body> {
+    let headers = answer.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
+    if let Ok(id) = HeaderValue::from_str(id) {
+        headers.insert(REQUEST_ID_HEADER, id);
+    }
+    answer
+}
--- /dev/null
+++ b/crates/router/src/serve/problem.rs
@@ -0,0 +1,51 @@
+//! Failures as problem documents (RFC 9457).
+
+use {
+    crate::state::RouterState,
+    http::{
+        HeaderValue, Response,
+        header::{CONTENT_TYPE, RETRY_AFTER},
+    },
+    tealshore_callers::wire::RAN_HEADER,
+    tealshore_core::{
+        answer::{Failure, Problem, Ran},
+        http::{Body, json_body},
+    },
+};
+
+/// Notes a failure and makes its document.
+pub fn note(state: &RouterState, failure: &Failure) -> Problem {
+    state
+        .metrics
+        .failures
+        .with_label_values(&[failure.kind.name()])
+        .inc();
+    log::log!(failure.kind.answer().level, "caller: {failure}");
+    Problem::of(failure)
+}
+
+/// The answer to a failure.
+pub fn answer(state: &RouterState, failure: &Failure) -> Response<Body> {
+    let problem = note(state, failure);
+    let mut answer = Response::new(json_body(&problem));
+    *answer.status_mut() = failure.kind.answer().status;
+    let headers = answer.headers_mut();
+    headers.insert(
+        CONTENT_TYPE,
+        HeaderValue::from_static("application/problem+json"),
+    );
+    headers.insert(RAN_HEADER, HeaderValue::from_static(ran_word(problem.ran)));
+    if let Some(after_ms) = problem.retry_after_ms {
+        // The header counts whole seconds; the document has the finer time.
+        headers.insert(RETRY_AFTER, HeaderValue::from(after_ms.div_ceil(1_000)));
+    }
+    answer
+}
+
+fn ran_word(ran: Ran) -> &'static str {
+    match ran {
+        Ran::No => "no",
+        Ran::Yes => "yes",
+        Ran::Unknown => "unknown",
+    }
+}
--- /dev/null
+++ b/crates/router/src/state.rs
@@ -0,0 +1,156 @@
+//! All that the parts of an entry host share.
+
+use {
+    crate::{
+        claims::Claims, fleet::Fleet, in_flight::InFlight, in_force::InForce,
+        options::RouterOptions, show::metrics::RouterMetrics, stop::StopState,
+    },
+    std::{net::SocketAddr, sync::Arc},
+    tealshore_callers::ticket::TicketSigner,
+    tealshore_core::{
+        http::{ClientOptions, HttpClient},
+        ids::{ConfigVersion, ServiceId},
+    },
+    tealshore_engines::HttpEngine,
+    tealshore_hosts::ListedHost,
+    tealshore_peers::{
+        Hint, PeerClients, PeerEvents, Place, PlaceBook, PlaceBookOptions, PlaceKey, Reservation,
+        RunDeclarations, home_of,
+    },
+    tealshore_table::TableClient,
+    tokio::sync::watch,
+};
+
+/// All that the parts of an entry host share.
+pub struct RouterState {
+    /// The settings.
+    pub options: RouterOptions,
+    /// Engines, plain services and entry hosts.
+    pub fleet: Fleet,
+    /// The declarations.
+    pub in_force: InForce,
+    /// The highest version that a peer told of.
+    pub hinted: watch::Sender<ConfigVersion>,
+    /// The platform's table.
+    pub table: TableClient,
+    /// Claims of requests that may not be repeated.
+    pub claims: Claims,
+    /// Requests in flight.
+    pub in_flight: InFlight,
+    /// Signs tickets.
+    pub signer: TicketSigner,
+    /// Connections to upstreams, kept open.
+    pub upstreams: HttpClient,
+    /// Connections to upstreams, one a request: none can have been closed meanwhile.
+    pub fresh_upstreams: HttpClient,
+    /// Connections to peers.
+    pub peers: PeerClients,
+    /// Places for which this host is the home.
+    pub places: Arc<PlaceBook>,
+    /// What metrics count.
+    pub metrics: RouterMetrics,
+    /// The planned stop.
+    pub stop: StopState,
+}
+
+impl RouterState {
+    /// The state of a host that knows nothing yet.
+    ///
+    /// # Errors
+    /// The settings have no key for tickets, or a metric can't be made.
+    pub fn new(options: RouterOptions) -> eyre::Result<Self> {
+        let signer = TicketSigner::new(options.resume.keys.clone())
+            .ok_or_else(|| eyre::eyre!("no key for tickets"))?;
+        let table = TableClient::new(options.table.clone());
+        let fresh = ClientOptions {
+            max_idle_per_peer: 0,
+            ..ClientOptions::default()
+        };
+        Ok(Self {
+            fleet: Fleet::new(
+                options.host.id.clone(),
+                options.host.hall.clone(),
+                options.host.engine_subset,
+            ),
+            in_force: InForce::default(),
+            hinted: watch::Sender::new(0),
+            claims: Claims::start(options.host.id.clone(), table.clone()),
+            table,
+            in_flight: InFlight::default(),
+            signer,
+            upstreams: HttpClient::new(&ClientOptions::default()),
+            fresh_upstreams: HttpClient::new(&fresh),
+            peers: PeerClients::default(),
+            places: Arc::new(PlaceBook::new(PlaceBookOptions::default())),
+            metrics: RouterMetrics::new()?,
+            stop: StopState::default(),
+            options,
+        })
+    }
+
+    /// The engine at an address.
+    pub fn engine(&self, address: SocketAddr) -> HttpEngine {
+        HttpEngine::new(address, self.upstreams.clone())
+    }
+
+    /// The address of an engine that the host list names.
+    pub fn engine_address(&self, service: &ServiceId, engine: &str) -> Option<SocketAddr> {
+        self.fleet.engine_address(service, &engine.to_owned())
+    }
+
+    /// Notes the place of a request at its home. A home that does not answer counts as free.
+    pub async fn reserve_place(&self, key: &PlaceKey, place: Place) -> Reservation {
+        match self.remote_home(key) {
+            None => self.places.reserve(key.clone(), place),
+            Some(home) => {
+                let answer = self.peers.reserve(home, key.clone(), place).await;
+                answer.unwrap_or(Reservation::Reserved)
+            }
+        }
+    }
+
+    /// Tells the home of a request where it runs now.
+    pub async fn move_place(&self, key: PlaceKey, place: Place) {
+        match self.remote_home(&key) {
+            None => self.places.moved(key, place),
+            Some(home) => self.peers.moved(home, key, place).await,
+        }
+    }
+
+    /// The home of a request, unless it is this host.
+    fn remote_home(&self, key: &PlaceKey) -> Option<SocketAddr> {
+        let peers = self.fleet.peers();
+        let own = &self.options.host.id;
+        let home = home_of(key, peers.iter().map(|host| &host.id).chain([own]))?;
+        let host: &ListedHost = peers.iter().find(|host| host.id == *home)?;
+        host.peer_address
+    }
+}
+
+impl PeerEvents for RouterState {
+    fn own_hint(&self) -> Hint {
+        Hint {
+            host: self.options.host.id.clone(),
+            version: self.in_force.version(),
+            leaving: self.stop.is_leaving(),
+        }
+    }
+
+    fn take_hint(&self, hint: Hint) {
+        self.fleet.take_entry_word(&hint.host, hint.leaving);
+        self.hinted.send_if_modified(|highest| {
+            let is_news = hint.version > *highest;
+            *highest = (*highest).max(hint.version);
+            is_news
+        });
+    }
+
+    fn run_declarations(&self) -> Option<RunDeclarations> {
+        let running = self.in_force.now()?;
+        let stored = serde_json::to_string(&running.stored).ok()?;
+        Some(RunDeclarations {
+            version: running.version,
+            stored,
+        })
+    }
+}
--- /dev/null
+++ b/crates/standin/src/args.rs
@@ -0,0 +1,173 @@
+//! The command line of the stand-ins.
+
+use {
+    crate::{
+        engine::{self, EngineOptions},
+        hosts, plain, table,
+    },
+    clap::{Arg, ArgMatches, Command, value_parser},
+    std::{net::SocketAddr, time::Duration},
+    tealshore_core::http::{ServerOptions, bind},
+    tokio::net::TcpListener,
+};
+
+/// The whole command line.
+#[must_use]
+pub fn command() -> Command {
+    Command::new("tealshore-standin")
+        .about("Stand-ins for engines, plain services and the platform")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .subcommand(engine_command())
+        .subcommand(table_command())
+        .subcommand(hosts_command())
+        .subcommand(plain_command())
+}
+
+fn listen_arg() -> Arg {
+    Arg::new("listen")
+        .long("listen")
+        .value_name("IP:PORT")
+        .default_value("127.0.0.1:0")
+        .value_parser(value_parser!(SocketAddr))
+        .help("Where to listen; port 0 takes a free one, which the first line of output names")
+}
+
+fn number_arg(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("N")
+        .default_value(default)
+        .value_parser(value_parser!(u64))
+        .help(help)
+}
+
+fn engine_command() -> Command {
+    Command::new("engine")
+        .about("A model engine")
+        .arg(listen_arg())
+        .arg(number_arg(
+            "step-ms",
+            "20",
+            "Time of one decode step, in milliseconds",
+        ))
+        .arg(number_arg("slots", "32", "Sequences that run at once"))
+        .arg(number_arg(
+            "prefill-per-step",
+            "512",
+            "Prompt tokens computed in one step",
+        ))
+        .arg(number_arg(
+            "kv-tokens",
+            "200000",
+            "Tokens that the KV cache holds",
+        ))
+        .arg(number_arg(
+            "salt",
+            "0",
+            "Engines of different salt sample differently",
+        ))
+        .arg(number_arg(
+            "orphan-ms",
+            "10000",
+            "How long a stream that nobody reads goes on, in milliseconds",
+        ))
+        .arg(number_arg(
+            "load-lag-ms",
+            "500",
+            "Age of the load report, in milliseconds",
+        ))
+}
+
+fn table_command() -> Command {
+    Command::new("table")
+        .about("The platform's transactional table")
+        .arg(listen_arg())
+        .arg(number_arg(
+            "writes-per-s",
+            "300",
+            "Transactions that it takes a second",
+        ))
+        .arg(number_arg(
+            "reads-per-s",
+            "2000",
+            "Reads that it takes a second",
+        ))
+}
+
+fn hosts_command() -> Command {
+    Command::new("hosts")
+        .about("The platform's host list")
+        .arg(listen_arg())
+        .arg(number_arg(
+            "lag-ms",
+            "1000",
+            "Age of the list, in milliseconds",
+        ))
+}
+
+fn plain_command() -> Command {
+    Command::new("plain")
+        .about("A plain service")
+        .arg(listen_arg())
+}
+
+/// Runs the stand-in that the command line names.
+///
+/// # Errors
+/// The address can't be used.
+pub async fn run(matches: &ArgMatches) -> eyre::Result<()> {
+    match matches.subcommand() {
+        Some(("engine", args)) => engine::serve(listen(args).await?, engine_options(args)).await,
+        Some(("table", args)) => {
+            let rates = table::Rates {
+                writes_per_s: number(args, "writes-per-s"),
+                reads_per_s: number(args, "reads-per-s"),
+            };
+            table::serve(listen(args).await?, rates).await;
+        }
+        Some(("hosts", args)) => {
+            hosts::serve(listen(args).await?, milliseconds(args, "lag-ms")).await
+        }
+        Some(("plain", args)) => plain::serve(listen(args).await?).await,
+        _ => {}
+    }
+    Ok(())
+}
+
+/// The bounds of every stand-in's server.
+#[must_use]
+pub fn server_options() -> ServerOptions {
+    ServerOptions {
+        max_connections: 50_000,
+        ..ServerOptions::default()
+    }
+}
+
+fn engine_options(args: &ArgMatches) -> EngineOptions {
+    EngineOptions {
+        step: milliseconds(args, "step-ms"),
+        slots: u32::try_from(number(args, "slots")).unwrap_or(u32::MAX),
+        prefill_per_step: number(args, "prefill-per-step"),
+        kv_capacity_tokens: number(args, "kv-tokens"),
+        salt: number(args, "salt"),
+        orphan_after: milliseconds(args, "orphan-ms"),
+        load_lag: milliseconds(args, "load-lag-ms"),
+    }
+}
+
+async fn listen(args: &ArgMatches) -> eyre::Result<TcpListener> {
+    let address = args.get_one::<SocketAddr>("listen").copied();
+    let address = address.ok_or_else(|| eyre::eyre!("no address to listen on"))?;
+    let (listener, bound) = bind(address).await?;
+    println!("listening {bound}");
+    Ok(listener)
+}
+
+fn number(args: &ArgMatches, name: &str) -> u64 {
+    args.get_one::<u64>(name).copied().unwrap_or_default()
+}
+
+fn milliseconds(args: &ArgMatches, name: &str) -> Duration {
+    Duration::from_millis(number(args, name))
+}
--- /dev/null
+++ b/crates/standin/src/engine/batch.rs
@@ -0,0 +1,378 @@
+//! The batch of an engine: which streams wait, which run, and what each has produced.
+
+use {
+    crate::model::{TokenModel, tokenize},
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::{BTreeMap, HashMap, HashSet},
+        time::{Duration, Instant},
+    },
+    tealshore_core::ids::{Position, RequestId, StreamId, TokenId},
+    tealshore_engines::wire::{GenerateOrder, LoadReport},
+    tokio::sync::watch,
+};
+
+/// How long a stream that is over can still be read.
+const RETAIN: Duration = Duration::from_secs(60);
+
+/// What an engine is able to do.
+#[derive(Clone, Copy, Debug)]
+pub struct EngineOptions {
+    /// Time of one decode step.
+    pub step: Duration,
+    /// Sequences that run at once.
+    pub slots: u32,
+    /// Prompt tokens computed in one step.
+    pub prefill_per_step: u64,
+    /// Tokens that the KV cache holds.
+    pub kv_capacity_tokens: u64,
+    /// Engines of different salt sample differently.
+    pub salt: u64,
+    /// How long a stream that nobody reads goes on.
+    pub orphan_after: Duration,
+    /// The age of the load report.
+    pub load_lag: Duration,
+}
+
+/// The work that an engine has done.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct WorkCounts {
+    /// Prompt tokens computed.
+    pub prefill_tokens: u64,
+    /// Tokens sampled.
+    pub decode_tokens: u64,
+    /// How often each request reached the model.
+    pub runs: BTreeMap<RequestId, u32>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Waiting,
+    Prefill { left: u64 },
+    Decode,
+    Done,
+    Cancelled,
+}
+
+struct Sequence {
+    order: GenerateOrder,
+    model: TokenModel,
+    prompt_tokens: u64,
+    produced: Vec<TokenId>,
+    phase: Phase,
+    arrived: u64,
+    readers: u32,
+    unread_since: Instant,
+    over_at: Option<Instant>,
+    progress: watch::Sender<u64>,
+}
+
+impl Sequence {
+    fn base(&self) -> Position {
+        self.order.received.len() as Position
+    }
+
+    fn length(&self) -> Position {
+        self.base() + self.produced.len() as Position
+    }
+
+    fn kv_tokens(&self) -> u64 {
+        self.prompt_tokens + self.length()
+    }
+
+    fn is_running(&self) -> bool {
+        matches!(self.phase, Phase::Prefill { .. } | Phase::Decode)
+    }
+
+    fn finish(&mut self, phase: Phase) {
+        self.phase = phase;
+        self.over_at = Some(Instant::now());
+        self.progress.send_modify(|steps| *steps += 1);
+    }
+}
+
+/// What a reader finds at a position of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reading {
+    /// A token.
+    Token(TokenId),
+    /// The answer is whole and has this many tokens.
+    End(Position),
+    /// Nothing yet.
+    NotYet,
+    /// The stream was cancelled, or is unknown.
+    Gone,
+}
+
+/// The state of an engine.
+pub struct Batch {
+    options: EngineOptions,
+    sequences: HashMap<StreamId, Sequence>,
+    refused: HashSet<StreamId>,
+    arrivals: u64,
+    work: WorkCounts,
+    reports: Vec<(Instant, LoadReport)>,
+}
+
+impl Batch {
+    /// An idle engine.
+    #[must_use]
+    pub fn new(options: EngineOptions) -> Self {
+        Self {
+            options,
+            sequences: HashMap::new(),
+            refused: HashSet::new(),
+            arrivals: 0,
+            work: WorkCounts::default(),
+            reports: Vec::new(),
+        }
+    }
+
+    /// Takes an order; false where the stream's name is taken or was cancelled before.
+    pub fn submit(&mut self, order: GenerateOrder) -> bool {
+        if self.sequences.contains_key(&order.stream_id) || self.refused.contains(&order.stream_id)
+        {
+            return false;
+        }
+        let prompt = tokenize(&order.prompt);
+        let mut model = TokenModel::new(&order.pin, order.seed);
+        model.feed(&prompt);
+        model.feed(&order.received);
+        self.arrivals += 1;
+        let sequence = Sequence {
+            model,
+            prompt_tokens: prompt.len() as u64,
+            produced: Vec::new(),
+            phase: Phase::Waiting,
+            arrived: self.arrivals,
+            readers: 0,
+            unread_since: Instant::now(),
+            over_at: None,
+            progress: watch::Sender::new(0),
+            order,
+        };
+        self.sequences
+            .insert(sequence.order.stream_id.clone(), sequence);
+        true
+    }
+
+    /// Stops a stream for good; whether the model ran for it.
+    pub fn cancel(&mut self, stream: &StreamId) -> bool {
+        let Some(sequence) = self.sequences.get_mut(stream) else {
+            // An order that is still under way must not start later.
+            self.refused.insert(stream.clone());
+            return false;
+        };
+        let started = sequence.phase != Phase::Waiting;
+        if matches!(
+            sequence.phase,
+            Phase::Waiting | Phase::Prefill { .. } | Phase::Decode
+        ) {
+            sequence.finish(Phase::Cancelled);
+        }
+        started
+    }
+
+    /// Opens a stream for reading; a channel that changes with each step.
+    pub fn open(&mut self, stream: &StreamId) -> Option<watch::Receiver<u64>> {
+        let sequence = self.sequences.get_mut(stream)?;
+        sequence.readers += 1;
+        Some(sequence.progress.subscribe())
+    }
+
+    /// Ends a reading.
+    pub fn close(&mut self, stream: &StreamId) {
+        if let Some(sequence) = self.sequences.get_mut(stream) {
+            sequence.readers = sequence.readers.saturating_sub(1);
+            sequence.unread_since = Instant::now();
+        }
+    }
+
+    /// Whether somebody reads the stream.
+    #[must_use]
+    pub fn is_read(&self, stream: &StreamId) -> bool {
+        self.sequences
+            .get(stream)
+            .is_some_and(|sequence| sequence.readers > 0)
+    }
+
+    /// Whether the stream can be read from a position on.
+    #[must_use]
+    pub fn holds(&self, stream: &StreamId, position: Position) -> bool {
+        self.sequences
+            .get(stream)
+            .is_some_and(|sequence| position <= sequence.length())
+    }
+
+    /// What stands at a position.
+    #[must_use]
+    pub fn at(&self, stream: &StreamId, position: Position) -> Reading {
+        let Some(sequence) = self.sequences.get(stream) else {
+            return Reading::Gone;
+        };
+        if let Some(known) = usize::try_from(position)
+            .ok()
+            .and_then(|index| sequence.order.received.get(index))
+        {
+            return Reading::Token(*known);
+        }
+        let index = usize::try_from(position - sequence.base()).unwrap_or(usize::MAX);
+        match (sequence.produced.get(index), sequence.phase) {
+            (Some(token), _) => Reading::Token(*token),
+            (None, Phase::Done) => Reading::End(sequence.length()),
+            (None, Phase::Cancelled) => Reading::Gone,
+            (None, Phase::Waiting | Phase::Prefill { .. } | Phase::Decode) => Reading::NotYet,
+        }
+    }
+
+    /// The work done so far.
+    #[must_use]
+    pub fn work(&self) -> &WorkCounts {
+        &self.work
+    }
+
+    /// The load as it was one lag ago.
+    #[must_use]
+    pub fn load(&self) -> LoadReport {
+        let seen = self
+            .reports
+            .iter()
+            .rev()
+            .find(|(at, _)| at.elapsed() >= self.options.load_lag);
+        let idle = LoadReport {
+            slots: self.options.slots,
+            kv_capacity_tokens: self.options.kv_capacity_tokens,
+            ..LoadReport::default()
+        };
+        seen.map_or(idle, |(_, report)| report.clone())
+    }
+
+    /// Does one step of the batch.
+    pub fn step(&mut self) {
+        self.drop_orphans();
+        self.admit();
+        self.prefill();
+        self.decode();
+        self.report();
+    }
+
+    fn drop_orphans(&mut self) {
+        let now = Instant::now();
+        let orphan_after = self.options.orphan_after;
+        let over = |sequence: &Sequence| {
+            sequence
+                .over_at
+                .is_some_and(|at| now.duration_since(at) >= RETAIN)
+        };
+        self.sequences.retain(|_, sequence| !over(sequence));
+        for sequence in self
+            .sequences
+            .values_mut()
+            .filter(|sequence| sequence.over_at.is_none())
+        {
+            if sequence.readers == 0 && now.duration_since(sequence.unread_since) >= orphan_after {
+                sequence.finish(Phase::Cancelled);
+            }
+        }
+    }
+
+    fn admit(&mut self) {
+        let running = self
+            .sequences
+            .values()
+            .filter(|sequence| sequence.is_running());
+        let (mut count, mut kv_tokens) = running.fold((0, 0), |(count, kv), sequence| {
+            (count + 1, kv + sequence.kv_tokens())
+        });
+        let mut waiting: Vec<&mut Sequence> = self
+            .sequences
+            .values_mut()
+            .filter(|sequence| sequence.phase == Phase::Waiting)
+            .collect();
+        waiting.sort_by_key(|sequence| (-sequence.order.priority, sequence.arrived));
+        for sequence in waiting {
+            let needed = sequence.prompt_tokens + sequence.order.max_tokens;
+            if count >= self.options.slots || kv_tokens + needed > self.options.kv_capacity_tokens {
+                break;
+            }
+            count += 1;
+            kv_tokens += needed;
+            sequence.phase = Phase::Prefill {
+                left: sequence.kv_tokens(),
+            };
+            *self
+                .work
+                .runs
+                .entry(sequence.order.request_id.clone())
+                .or_default() += 1;
+        }
+    }
+
+    fn prefill(&mut self) {
+        let mut budget = self.options.prefill_per_step;
+        for sequence in self.sequences.values_mut() {
+            let Phase::Prefill { left } = sequence.phase else {
+                continue;
+            };
+            let done = left.min(budget);
+            budget -= done;
+            self.work.prefill_tokens += done;
+            sequence.phase = if done == left {
+                Phase::Decode
+            } else {
+                Phase::Prefill { left: left - done }
+            };
+        }
+    }
+
+    fn decode(&mut self) {
+        for sequence in self
+            .sequences
+            .values_mut()
+            .filter(|sequence| sequence.phase == Phase::Decode)
+        {
+            if sequence.length() < sequence.order.max_tokens {
+                let token = sequence.model.sample(self.options.salt);
+                sequence.model.feed(&[token]);
+                sequence.produced.push(token);
+                self.work.decode_tokens += 1;
+            }
+            if sequence.length() >= sequence.order.max_tokens {
+                sequence.finish(Phase::Done);
+            } else {
+                sequence.progress.send_modify(|steps| *steps += 1);
+            }
+        }
+    }
+
+    fn report(&mut self) {
+        let running = self
+            .sequences
+            .values()
+            .filter(|sequence| sequence.is_running());
+        let (count, kv_tokens) = running.fold((0, 0), |(count, kv), sequence| {
+            (count + 1, kv + sequence.kv_tokens())
+        });
+        let waiting = self
+            .sequences
+            .values()
+            .filter(|sequence| sequence.phase == Phase::Waiting)
+            .count();
+        let report = LoadReport {
+            slots: self.options.slots,
+            running: count,
+            waiting: u32::try_from(waiting).unwrap_or(u32::MAX),
+            kv_tokens,
+            kv_capacity_tokens: self.options.kv_capacity_tokens,
+            leaving: false,
+        };
+        self.reports.push((Instant::now(), report));
+        let lag = self.options.load_lag;
+        let old = self
+            .reports
+            .iter()
+            .take_while(|(at, _)| at.elapsed() >= lag)
+            .count();
+        self.reports.drain(..old.saturating_sub(1));
+    }
+}
--- /dev/null
+++ b/crates/standin/src/hosts.rs
@@ -0,0 +1,97 @@
+//! A stand-in for the platform's host list, which lags.
+
+use {
+    crate::{args::server_options, reply},
+    http::{Method, Request, Response, StatusCode},
+    hyper::body::Incoming,
+    parking_lot::Mutex,
+    std::{
+        collections::{BTreeMap, VecDeque},
+        future::pending,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tealshore_core::http::{Body, serve as serve_http},
+    tealshore_hosts::{HOSTS_PATH, HostList, ListedHost},
+    tokio::net::TcpListener,
+};
+
+struct Hosts {
+    now: BTreeMap<String, ListedHost>,
+    past: VecDeque<(Instant, HostList)>,
+    lag: Duration,
+    outage: bool,
+}
+
+impl Hosts {
+    fn changed(&mut self) {
+        let list = HostList {
+            hosts: self.now.values().cloned().collect(),
+        };
+        self.past.push_back((Instant::now(), list));
+    }
+
+    /// The list as it was one lag ago.
+    fn seen(&mut self) -> HostList {
+        let old_enough = |at: Instant| at.elapsed() >= self.lag;
+        while self.past.len() > 1 && old_enough(self.past[1].0) {
+            self.past.pop_front();
+        }
+        let front = self.past.front().filter(|(at, _)| at.elapsed() >= self.lag);
+        front.map(|(_, list)| list.clone()).unwrap_or_default()
+    }
+}
+
+type Shared = Arc<Mutex<Hosts>>;
+
+/// Serves until the process ends.
+pub async fn serve(listener: TcpListener, lag: Duration) {
+    let hosts = Hosts {
+        now: BTreeMap::new(),
+        past: VecDeque::new(),
+        lag,
+        outage: false,
+    };
+    let shared: Shared = Arc::new(Mutex::new(hosts));
+    let handler = move |request| handle(shared.clone(), request);
+    serve_http(listener, server_options(), handler, pending()).await;
+}
+
+async fn handle(hosts: Shared, request: Request<Incoming>) -> Response<Body> {
+    let path = request.uri().path().to_owned();
+    match (request.method().clone(), path.as_str()) {
+        (Method::GET, HOSTS_PATH) => {
+            let mut hosts = hosts.lock();
+            if hosts.outage {
+                return reply::status(StatusCode::SERVICE_UNAVAILABLE);
+            }
+            reply::json(StatusCode::OK, &hosts.seen())
+        }
+        (Method::PUT, "/control/outage") => match reply::read_json(request).await {
+            Ok(outage) => {
+                hosts.lock().outage = outage;
+                reply::status(StatusCode::NO_CONTENT)
+            }
+            Err(answer) => answer,
+        },
+        (Method::PUT, "/control/hosts") => match reply::read_json::<Vec<ListedHost>>(request).await
+        {
+            Ok(listed) => {
+                let mut hosts = hosts.lock();
+                hosts
+                    .now
+                    .extend(listed.into_iter().map(|host| (host.id.clone(), host)));
+                hosts.changed();
+                reply::status(StatusCode::NO_CONTENT)
+            }
+            Err(answer) => answer,
+        },
+        (Method::DELETE, path) => {
+            let mut hosts = hosts.lock();
+            hosts.now.remove(path.trim_start_matches("/control/hosts/"));
+            hosts.changed();
+            reply::status(StatusCode::NO_CONTENT)
+        }
+        _ => reply::status(StatusCode::NOT_FOUND),
+    }
+}
--- /dev/null
+++ b/crates/standin/src/reply.rs
@@ -0,0 +1,45 @@
+//! Short answers that all stand-ins give.
+
+use {
+    http::{Request, Response, StatusCode},
+    hyper::body::Incoming,
+    serde::{Serialize, de::DeserializeOwned},
+    tealshore_core::http::{Body, empty, json_body, read_limited},
+};
+
+/// The largest body that a stand-in reads.
+const BODY_BOUND_BYTES: usize = 16 * 1024 * 1024;
+
+/// An answer without content.
+pub fn status(status: StatusCode) -> Response<Body> {
+    let mut answer = Response::new(empty());
+    *answer.status_mut() = status;
+    answer
+}
+
+/// An answer with a JSON body.
+pub fn json<T: Serialize>(status: StatusCode, value: &T) -> Response<Body> {
+    let mut answer = Response::new(json_body(value));
+    *answer.status_mut() = status;
+    answer
+}
+
+/// Reads a JSON body, or gives the answer to a bad one.
+pub async fn read_json<T: DeserializeOwned>(
+    request: Request<Incoming>,
+) -> Result<T, Response<Body>> {
+    let bad = || status(StatusCode::BAD_REQUEST);
+    let body = read_limited(request.into_body(), BODY_BOUND_BYTES)
+        .await
+        .map_err(|_| bad())?;
+    serde_json::from_slice(&body).map_err(|_| bad())
+}
+
+/// The value of a query parameter.
+pub fn query<'a>(request: &'a Request<Incoming>, name: &str) -> Option<&'a str> {
+    let pairs = request.uri().query()?.split('&');
+    pairs
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .map(|(_, value)| value)
+}
--- /dev/null
+++ b/crates/table/src/client.rs
@@ -0,0 +1,223 @@
+//! The client of the table.
+
+use {
+    crate::wire::{Conflict, ROWS_PATH, Row, TRANSACTIONS_PATH, Transaction},
+    bytes::Bytes,
+    http::{Method, Request, StatusCode, header::CONTENT_TYPE},
+    std::{fmt, net::SocketAddr, time::Duration},
+    tealshore_core::{
+        http::{Body, ClientOptions, HttpClient, SendError, empty, json_body},
+        protection::{Protection, enabled},
+        settings::{Section, SettingError},
+    },
+    tokio::time::{Instant, sleep},
+};
+
+/// The largest answer of the table.
+const ANSWER_BOUND_BYTES: usize = 16 * 1024 * 1024;
+/// The first pause between two tries.
+const FIRST_PAUSE: Duration = Duration::from_millis(20);
+/// The longest pause between two tries.
+const LONGEST_PAUSE: Duration = Duration::from_millis(500);
+
+/// The `[table]` section.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TableOptions {
+    /// Where the table answers.
+    pub address: SocketAddr,
+    /// How long one exchange may take.
+    pub exchange_timeout: Duration,
+    /// How long an operation may take with its tries.
+    pub operation_timeout: Duration,
+}
+
+impl TableOptions {
+    /// Reads the section.
+    ///
+    /// # Errors
+    /// Names the key with a value that is not allowed.
+    pub fn read(section: &mut Section<'_>) -> Result<Self, SettingError> {
+        Ok(Self {
+            address: section.address("address")?,
+            exchange_timeout: section.duration_ms(
+                "exchange_timeout_ms",
+                Duration::from_millis(500),
+                10..=60_000,
+            )?,
+            operation_timeout: section.duration_ms(
+                "operation_timeout_ms",
+                Duration::from_secs(2),
+                10..=600_000,
+            )?,
+        })
+    }
+}
+
+/// The table could not be asked, or did not answer in time.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TableUnavailable {
+    /// Why, for a person.
+    pub cause: String,
+}
+
+impl fmt::Display for TableUnavailable {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "the table is unavailable: {}", self.cause)
+    }
+}
+
+impl std::error::Error for TableUnavailable {}
+
+/// The outcome of a transaction that the table answered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Committed {
+    /// It took effect.
+    Yes,
+    /// Conditions did not hold. After a lost answer the cause may be the transaction's own
+    /// earlier effect; the rows tell.
+    Conflict(Conflict),
+}
+
+/// Why a transaction has no outcome.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CommitError {
+    /// No try of it can have reached the table.
+    NotSent(TableUnavailable),
+    /// A try may have taken effect, or may still do so.
+    Unknown(TableUnavailable),
+}
+
+/// The client of the table. Clones share its connections.
+#[derive(Clone)]
+pub struct TableClient {
+    options: TableOptions,
+    client: HttpClient,
+}
+
+enum Exchange {
+    Answer(StatusCode, Bytes),
+    /// The table said that it did nothing and asks to come back.
+    Refused(StatusCode),
+    NotSent(String),
+    Unknown(String),
+}
+
+impl TableClient {
+    /// A client of the table at the address in `options`.
+    #[must_use]
+    pub fn new(options: TableOptions) -> Self {
+        let client = HttpClient::new(&ClientOptions {
+            connect_timeout: options.exchange_timeout,
+            ..ClientOptions::default()
+        });
+        Self { options, client }
+    }
+
+    /// Commits a transaction. Lost answers are settled by sending it again: it must carry a
+    /// condition that its own effect breaks, so that it can take effect only once.
+    ///
+    /// # Errors
+    /// Tells whether the transaction may have taken effect.
+    pub async fn commit(&self, transaction: &Transaction) -> Result<Committed, CommitError> {
+        let deadline = Instant::now() + self.options.operation_timeout;
+        let mut pause = FIRST_PAUSE;
+        let mut may_have_arrived = false;
+        loop {
+            let cause = match self
+                .exchange(Method::POST, TRANSACTIONS_PATH, json_body(transaction))
+                .await
+            {
+                Exchange::Answer(StatusCode::OK, _) => return Ok(Committed::Yes),
+                Exchange::Answer(StatusCode::CONFLICT, body) => {
+                    return Ok(Committed::Conflict(
+                        serde_json::from_slice(&body).unwrap_or_default(),
+                    ));
+                }
+                Exchange::Answer(status, _) => {
+                    may_have_arrived = true;
+                    format!("status {status}")
+                }
+                Exchange::Refused(status) => format!("status {status}"),
+                Exchange::NotSent(cause) => cause,
+                Exchange::Unknown(cause) => {
+                    may_have_arrived = true;
+                    cause
+                }
+            };
+            let may_retry = !may_have_arrived || enabled(Protection::ReadBack);
+            if !may_retry || Instant::now() + pause >= deadline {
+                let unavailable = TableUnavailable { cause };
+                return Err(if may_have_arrived {
+                    CommitError::Unknown(unavailable)
+                } else {
+                    CommitError::NotSent(unavailable)
+                });
+            }
+            sleep(pause).await;
+            pause = (pause * 2).min(LONGEST_PAUSE);
+        }
+    }
+
+    /// Reads a row.
+    ///
+    /// # Errors
+    /// The table did not answer within its time.
+    pub async fn read(&self, key: &str) -> Result<Option<Row>, TableUnavailable> {
+        let path = format!("{ROWS_PATH}/{key}");
+        match self.exchange(Method::GET, &path, empty()).await {
+            Exchange::Answer(StatusCode::NOT_FOUND, _) => Ok(None),
+            Exchange::Answer(StatusCode::OK, body) => decode(&body).map(Some),
+            other => Err(unavailable(other)),
+        }
+    }
+
+    /// Reads all rows whose key starts with `prefix`, by key.
+    ///
+    /// # Errors
+    /// The table did not answer within its time.
+    pub async fn read_prefix(&self, prefix: &str) -> Result<Vec<Row>, TableUnavailable> {
+        let path = format!("{ROWS_PATH}?prefix={prefix}");
+        match self.exchange(Method::GET, &path, empty()).await {
+            Exchange::Answer(StatusCode::OK, body) => decode(&body),
+            other => Err(unavailable(other)),
+        }
+    }
+
+    async fn exchange(&self, method: Method, path: &str, body: Body) -> Exchange {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.options.address))
+            .header(CONTENT_TYPE, "application/json")
+            .body(body);
+        let request = match request {
+            Ok(request) => request,
+            Err(error) => return Exchange::NotSent(error.to_string()),
+        };
+        match self
+            .client
+            .fetch(request, self.options.exchange_timeout, ANSWER_BOUND_BYTES)
+            .await
+        {
+            Ok((status @ (StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS), _)) => {
+                Exchange::Refused(status)
+            }
+            Ok((status, body)) => Exchange::Answer(status, body),
+            Err(SendError::NotSent(cause)) => Exchange::NotSent(cause),
+            Err(SendError::Unknown(cause)) => Exchange::Unknown(cause),
+        }
+    }
+}
+
+fn decode<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, TableUnavailable> {
+    serde_json::from_slice(body).map_err(|error| TableUnavailable {
+        cause: format!("the answer is not understood: {error}"),
+    })
+}
+
+fn unavailable(exchange: Exchange) -> TableUnavailable {
+    let cause = match exchange {
+        Exchange::Answer(status, _) | Exchange::Refused(status) => format!("status {status}"),
+        Exchange::NotSent(cause) | Exchange::Unknown(cause) => cause,
+    };
+    TableUnavailable { cause }
+}
