--- a/crates/callers/src/client.rs
+++ b/crates/callers/src/client.rs
@@ -6,8 +6,9 @@
         ADDRESSES_PATH, AddressAnswer, COMPLETIONS_PATH, CompletionEvent, CompletionRequest, DONE,
         LAST_EVENT_HEADER, REPEAT_HEADER, REQUEST_ID_HEADER,
     },
+    bytes::Bytes,
     futures::StreamExt,
-    http::{Request, Response, StatusCode, header::AUTHORIZATION},
+    http::{Method, Request, Response, StatusCode, header::AUTHORIZATION},
     hyper::body::Incoming,
     sse_stream::SseStream,
     std::{
@@ -16,7 +17,7 @@
     },
     tealshore_core::{
         answer::Problem,
-        http::{Body, ClientOptions, HttpClient, SendError, empty, json_body, read_limited},
+        http::{Body, ClientOptions, HttpClient, SendError, empty, full, json_body, read_limited},
         ids::{RequestId, TokenId},
     },
     tokio::time::timeout,
@@ -56,6 +57,8 @@
     pub position: u64,
     /// The token.
     pub token: TokenId,
+    /// The token as text.
+    pub text: String,
     /// When it arrived.
     pub at: Instant,
 }
@@ -76,8 +79,6 @@
 pub struct CallRecord {
     /// The tokens in the order of their arrival.
     pub arrivals: Vec<Arrival>,
-    /// The text of the answer.
-    pub text: String,
     /// The id of the last event.
     pub last_event: Option<String>,
     /// How many connections were used.
@@ -148,7 +149,6 @@
         let gave_up = CallEnd::GaveUp("no address".to_owned());
         let mut record = CallRecord {
             arrivals: Vec::new(),
-            text: String::new(),
             last_event: None,
             connections: 0,
             end: gave_up,
@@ -179,6 +179,29 @@
         record
     }
 
+    /// Calls a plain service through an entry host.
+    ///
+    /// # Errors
+    /// No answer came.
+    pub async fn plain(
+        &self,
+        entry: SocketAddr,
+        method: Method,
+        path: &str,
+        body: &str,
+    ) -> Result<(StatusCode, Bytes), SendError> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{entry}{path}"))
+            .header(AUTHORIZATION, format!("Bearer {}", self.options.key))
+            .body(full(body.to_owned()))
+            .map_err(|error| SendError::NotSent(error.to_string()))?;
+        let patience = self.options.patience * self.options.max_connections;
+        self.client
+            .fetch(request, patience, ANSWER_BOUND_BYTES)
+            .await
+    }
+
     /// Sends a request over one connection and returns the head of the answer.
     ///
     /// # Errors
@@ -279,12 +302,14 @@
     record: &mut CallRecord,
     progress: &mut impl FnMut(&Arrival),
 ) {
+    let position = event.position;
     for choice in event.choices {
-        record.text.push_str(&choice.text);
-        for (offset, token) in choice.token_ids.into_iter().enumerate() {
+        let text = choice.text;
+        for token in choice.token_ids {
             let arrival = Arrival {
-                position: event.position + offset as u64,
+                position,
                 token,
+                text: text.clone(),
                 at: Instant::now(),
             };
             progress(&arrival);
--- /dev/null
+++ b/crates/cli/src/args.rs
@@ -0,0 +1,200 @@
+//! The command line: one function a group of flags.
+
+use {
+    clap::{Arg, ArgAction, Command, value_parser},
+    std::{net::SocketAddr, path::PathBuf},
+};
+
+const EXIT_CODES: &str = "Exit codes: 0 done, 1 failed, 2 wrong arguments or files (nothing was done), \
+                          3 unknown whether it took effect.";
+
+/// The whole command line.
+#[must_use]
+pub fn command() -> Command {
+    Command::new("tealshore")
+        .about("Serves long generations on engines that fail")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .after_help(EXIT_CODES)
+        .subcommands(file_commands())
+        .subcommands(caller_commands())
+        .subcommands(operator_commands())
+        .subcommand(status_command())
+}
+
+fn file_commands() -> [Command; 3] {
+    [
+        Command::new("check")
+            .about("Checks the settings of an entry host")
+            .arg(file_arg("SETTINGS")),
+        Command::new("check-declarations")
+            .about("Checks declarations")
+            .arg(file_arg("DECLARATIONS")),
+        Command::new("key-hash")
+            .about("Prints the hash of a customer's key, for its declaration")
+            .arg(
+                Arg::new("key")
+                    .required(true)
+                    .value_name("KEY")
+                    .help("The key"),
+            ),
+    ]
+}
+
+fn caller_commands() -> [Command; 2] {
+    let addresses = Command::new("addresses")
+        .about("Asks which addresses to use")
+        .arg(entry_arg())
+        .arg(key_arg());
+    let complete = Command::new("complete")
+        .about("Sends a request and prints its answer, going on elsewhere when a connection breaks")
+        .arg(entry_arg())
+        .arg(key_arg())
+        .arg(
+            Arg::new("model")
+                .long("model")
+                .required(true)
+                .value_name("TEMPLATE")
+                .help("The template to use"),
+        )
+        .arg(
+            Arg::new("prompt")
+                .long("prompt")
+                .required(true)
+                .value_name("TEXT")
+                .help("The prompt"),
+        )
+        .arg(number_arg(
+            "max-tokens",
+            "128",
+            "The length of the answer, in tokens",
+        ))
+        .arg(number_arg("seed", "0", "The sampling seed"))
+        .arg(
+            Arg::new("id")
+                .long("id")
+                .value_name("ID")
+                .help("The request's id; a new one if left out"),
+        )
+        .arg(
+            Arg::new("once")
+                .long("once")
+                .action(ArgAction::SetTrue)
+                .help("The request may not be repeated"),
+        );
+    [addresses, complete]
+}
+
+fn operator_commands() -> [Command; 5] {
+    let apply = Command::new("apply")
+        .about("Puts declarations in force")
+        .arg(table_arg())
+        .arg(file_arg("DECLARATIONS"))
+        .arg(
+            Arg::new("base")
+                .long("base")
+                .value_name("VERSION")
+                .value_parser(value_parser!(u64))
+                .help("The version that the edit starts from; the one in force if left out"),
+        )
+        .arg(author_arg())
+        .arg(edit_id_arg());
+    let rollback = Command::new("rollback")
+        .about("Puts the content of a past version in force, as a new version")
+        .arg(table_arg())
+        .arg(version_arg().required(true))
+        .arg(author_arg())
+        .arg(edit_id_arg());
+    [
+        Command::new("plan")
+            .about("Shows what declarations would change")
+            .arg(table_arg())
+            .arg(file_arg("DECLARATIONS")),
+        apply,
+        rollback,
+        Command::new("show")
+            .about("Prints the declarations in force, or a past version")
+            .arg(table_arg())
+            .arg(version_arg()),
+        Command::new("history")
+            .about("Lists all versions")
+            .arg(table_arg()),
+    ]
+}
+
+fn status_command() -> Command {
+    Command::new("status")
+        .about("Shows what entry hosts run, and who is behind")
+        .arg(
+            Arg::new("operators")
+                .required(true)
+                .num_args(1..)
+                .value_name("IP:PORT")
+                .value_parser(value_parser!(SocketAddr))
+                .help("The operators' addresses of entry hosts"),
+        )
+}
+
+fn file_arg(name: &'static str) -> Arg {
+    Arg::new("file")
+        .required(true)
+        .value_name(name)
+        .value_parser(value_parser!(PathBuf))
+        .help("The file, in INI")
+}
+
+fn address_arg(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .required(true)
+        .value_name("IP:PORT")
+        .value_parser(value_parser!(SocketAddr))
+        .help(help)
+}
+
+fn entry_arg() -> Arg {
+    address_arg("entry", "The address of any entry host")
+}
+
+fn table_arg() -> Arg {
+    address_arg("table", "The address of the platform's table")
+}
+
+fn key_arg() -> Arg {
+    Arg::new("key")
+        .long("key")
+        .value_name("KEY")
+        .help("The customer's key; TEALSHORE_KEY if left out")
+}
+
+fn author_arg() -> Arg {
+    Arg::new("author")
+        .long("author")
+        .default_value("operator")
+        .value_name("NAME")
+        .help("Who makes the edit")
+}
+
+fn edit_id_arg() -> Arg {
+    Arg::new("edit-id")
+        .long("edit-id")
+        .value_name("ID")
+        .help("Names the edit; sent again under the same name it takes effect once")
+}
+
+fn version_arg() -> Arg {
+    Arg::new("version")
+        .value_name("VERSION")
+        .value_parser(value_parser!(u64))
+        .help("A version")
+}
+
+fn number_arg(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("N")
+        .default_value(default)
+        .value_parser(value_parser!(u64))
+        .help(help)
+}
--- /dev/null
+++ b/crates/cli/src/commands/callers.rs
@@ -0,0 +1,114 @@
+//! Commands of callers.
+
+use {
+    super::{number, text},
+    crate::outcome::Outcome,
+    clap::ArgMatches,
+    rand::RngExt,
+    std::{io::Write, net::SocketAddr, num::NonZeroU64, time::Duration},
+    tealshore_callers::{
+        client::{Call, CallEnd, Caller, CallerOptions},
+        wire::{AddressAnswer, CallerPrompt, CompletionRequest},
+    },
+    tealshore_core::answer::Ran,
+};
+
+/// How long the command waits for the next event before it goes elsewhere.
+const PATIENCE: Duration = Duration::from_secs(10);
+/// How many connections it tries.
+const MAX_CONNECTIONS: u32 = 8;
+
+/// `addresses`
+pub async fn addresses(args: &ArgMatches) -> Result<(), Outcome> {
+    let answer = ask_addresses(&caller(args)?, entry(args)?).await?;
+    println!("keep for {} ms", answer.keep_ms);
+    for entry in answer.addresses {
+        println!("{} {}", entry.address, entry.hall);
+    }
+    Ok(())
+}
+
+/// `complete`
+pub async fn complete(args: &ArgMatches) -> Result<(), Outcome> {
+    let caller = caller(args)?;
+    let answer = ask_addresses(&caller, entry(args)?).await?;
+    let entries: Vec<SocketAddr> = answer.addresses.iter().map(|entry| entry.address).collect();
+    let call = call(args)?;
+    eprintln!(
+        "request {} goes to {}",
+        call.id,
+        entries.first().map(ToString::to_string).unwrap_or_default()
+    );
+    let record = caller
+        .complete(&entries, &call, |arrival| {
+            print!("{}", arrival.text);
+            // The text is for a person who watches; a closed pipe shows at the end.
+            let _ = std::io::stdout().flush();
+        })
+        .await;
+    println!();
+    match record.end {
+        CallEnd::Whole => {
+            eprintln!(
+                "{} tokens over {} connection(s)",
+                record.arrivals.len(),
+                record.connections
+            );
+            Ok(())
+        }
+        CallEnd::Problem(problem) => {
+            let cause = format!(
+                "{}: {} (ran: {:?})",
+                problem.title, problem.detail, problem.ran
+            );
+            Err(if problem.ran == Ran::Unknown {
+                Outcome::Unknown(cause)
+            } else {
+                Outcome::Failed(cause)
+            })
+        }
+        CallEnd::GaveUp(cause) => Err(Outcome::Unknown(cause)),
+    }
+}
+
+async fn ask_addresses(caller: &Caller, entry: SocketAddr) -> Result<AddressAnswer, Outcome> {
+    caller.addresses(entry).await.map_err(Outcome::Failed)
+}
+
+fn caller(args: &ArgMatches) -> Result<Caller, Outcome> {
+    let key = text(args, "key").or_else(|| std::env::var("TEALSHORE_KEY").ok());
+    let key = key.ok_or_else(|| Outcome::Usage("--key or TEALSHORE_KEY is needed".to_owned()))?;
+    Ok(Caller::new(CallerOptions {
+        key,
+        patience: PATIENCE,
+        max_connections: MAX_CONNECTIONS,
+        send_received: true,
+    }))
+}
+
+fn entry(args: &ArgMatches) -> Result<SocketAddr, Outcome> {
+    args.get_one::<SocketAddr>("entry")
+        .copied()
+        .ok_or_else(|| Outcome::Usage("--entry is needed".to_owned()))
+}
+
+fn call(args: &ArgMatches) -> Result<Call, Outcome> {
+    let max_tokens = number(args, "max-tokens").and_then(NonZeroU64::new);
+    let request = CompletionRequest {
+        model: text(args, "model").unwrap_or_default(),
+        prompt: CallerPrompt::Text(text(args, "prompt").unwrap_or_default()),
+        max_tokens: max_tokens
+            .ok_or_else(|| Outcome::Usage("--max-tokens: 1 or more".to_owned()))?,
+        seed: number(args, "seed").unwrap_or_default(),
+        stream: true,
+        received: None,
+    };
+    let id =
+        text(args, "id").unwrap_or_else(|| format!("cli-{:016x}", rand::rng().random::<u64>()));
+    let repeat = args.get_flag("once").then(|| "forbidden".to_owned());
+    Ok(Call {
+        id,
+        request,
+        repeat,
+    })
+}
--- /dev/null
+++ b/crates/cli/src/commands/status.rs
@@ -0,0 +1,81 @@
+//! The command that shows what entry hosts run.
+
+use {
+    crate::outcome::Outcome,
+    clap::ArgMatches,
+    futures::future::join_all,
+    http::{Request, StatusCode},
+    std::{net::SocketAddr, time::Duration},
+    tealshore_core::http::{ClientOptions, HttpClient, empty},
+    tealshore_router::HostStatus,
+};
+
+/// How long a host may take to answer.
+const TIMEOUT: Duration = Duration::from_secs(2);
+/// The largest answer.
+const ANSWER_BOUND_BYTES: usize = 64 * 1024;
+
+/// `status ADDRESS...`
+pub async fn status(args: &ArgMatches) -> Result<(), Outcome> {
+    let addresses: Vec<SocketAddr> = args
+        .get_many("operators")
+        .unwrap_or_default()
+        .copied()
+        .collect();
+    let client = HttpClient::new(&ClientOptions::default());
+    let answers = join_all(addresses.iter().map(|address| ask(&client, *address))).await;
+    let highest = answers
+        .iter()
+        .flatten()
+        .map(|host| host.config_version)
+        .max()
+        .unwrap_or(0);
+    for (address, answer) in addresses.iter().zip(&answers) {
+        match answer {
+            None => println!("{address} does not answer"),
+            Some(host) => {
+                let behind = if host.config_version < highest {
+                    " (behind)"
+                } else {
+                    ""
+                };
+                println!(
+                    "{address} {} in {}: {}, version {}{behind}, {} in flight, {} engines known",
+                    host.host,
+                    host.hall,
+                    host.phase,
+                    host.config_version,
+                    host.in_flight,
+                    host.engines_known
+                );
+            }
+        }
+    }
+    let current = answers
+        .iter()
+        .flatten()
+        .filter(|host| host.config_version == highest)
+        .count();
+    println!(
+        "version {highest} is in force on {current} of {} hosts",
+        addresses.len()
+    );
+    if current < addresses.len() {
+        return Err(Outcome::Failed("not in force everywhere".to_owned()));
+    }
+    Ok(())
+}
+
+async fn ask(client: &HttpClient, address: SocketAddr) -> Option<HostStatus> {
+    let request = Request::get(format!("http://{address}/status"))
+        .body(empty())
+        .ok()?;
+    let (status, body) = client
+        .fetch(request, TIMEOUT, ANSWER_BOUND_BYTES)
+        .await
+        .ok()?;
+    if status != StatusCode::OK {
+        return None;
+    }
+    serde_json::from_slice(&body).ok()
+}
--- a/crates/core/src/protection.rs
+++ b/crates/core/src/protection.rs
@@ -57,6 +57,17 @@
     }
 }
 
+/// Reads which protections are off from the variable `FAILPOINTS`, as
+/// `position-check=return`. It does nothing in builds without the `failpoints` feature.
+pub fn start() {
+    #[cfg(feature = "failpoints")]
+    {
+        static START: std::sync::Once = std::sync::Once::new();
+        // The scenario lasts as long as the process: dropping it would clear the switches.
+        START.call_once(|| std::mem::forget(fail::FailScenario::setup()));
+    }
+}
+
 /// Whether the protection is in force.
 #[must_use]
 pub fn enabled(protection: Protection) -> bool {
--- a/crates/decide/src/generation.rs
+++ b/crates/decide/src/generation.rs
@@ -208,7 +208,7 @@
     /// Takes over an attempt that another entry host started.
     pub fn adopt(&mut self, attempt: AttemptNo, engine: EngineId, now: Instant) {
         self.spec.next_attempt = self.spec.next_attempt.max(attempt + 1);
-        self.current = Some(Attempt::running(attempt, engine, now));
+        self.current = Some(Attempt::adopted(attempt, engine, now));
     }
 
     /// Notes that the engine of an attempt reported its load at this time. Queueing and
@@ -419,10 +419,11 @@
             self.current = Some(standby);
             return;
         }
-        self.go_on_after(loss, now, actions);
+        let never_ran = lost.is_some_and(|lost| lost.never_ran(loss));
+        self.go_on_after(never_ran, now, actions);
     }
 
-    fn go_on_after(&mut self, loss: Loss, now: Instant, actions: &mut Vec<Action>) {
+    fn go_on_after(&mut self, never_ran: bool, now: Instant, actions: &mut Vec<Action>) {
         if self.is_complete() {
             // The last token came, only the end marker is missing.
             actions.extend(self.finish(FinishReason::Length));
@@ -431,10 +432,9 @@
         if (self.received.len() as Position) < self.emit_from {
             return self.fail(ErrorKind::ResumeNeedsTokens, actions);
         }
-        let never_started = matches!(loss, Loss::NotSent | Loss::NeverStarted);
         let may_repeat =
             self.spec.repeat == Repeat::Allowed || !enabled(Protection::SingleDispatch);
-        if !never_started && !may_repeat {
+        if !never_ran && !may_repeat {
             let kind = if self.received.is_empty() {
                 ErrorKind::UpstreamUnconfirmed
             } else {
@@ -450,7 +450,7 @@
             };
             return self.fail(kind, actions);
         }
-        self.counts.resumes += u32::from(!never_started);
+        self.counts.resumes += u32::from(!never_ran);
         self.place_current(now, actions);
     }
 
--- a/crates/decide/src/generation/attempt.rs
+++ b/crates/decide/src/generation/attempt.rs
@@ -31,6 +31,9 @@
     pub has_sent: bool,
     /// Whether its silence has raised suspicion.
     pub suspected: bool,
+    /// Whether another entry host started it: then an engine that can't be reached, or does
+    /// not have it, says nothing of whether it ran.
+    pub adopted: bool,
 }
 
 impl Attempt {
@@ -43,6 +46,7 @@
             last_heard: now,
             has_sent: false,
             suspected: false,
+            adopted: false,
         }
     }
 
@@ -55,9 +59,25 @@
             last_heard: now,
             has_sent: false,
             suspected: false,
+            adopted: false,
         }
     }
 
+    /// An attempt that another entry host started.
+    #[must_use]
+    pub fn adopted(no: AttemptNo, engine: EngineId, now: Instant) -> Self {
+        Self {
+            adopted: true,
+            ..Self::running(no, engine, now)
+        }
+    }
+
+    /// Whether a loss shows that the model never ran for this attempt.
+    #[must_use]
+    pub fn never_ran(&self, loss: Loss) -> bool {
+        !self.adopted && matches!(loss, Loss::NotSent | Loss::NeverStarted)
+    }
+
     /// Notes a sign of life; the gap since the last token, if there was one.
     pub fn heard(&mut self, now: Instant) -> Option<Duration> {
         let gap = self
--- /dev/null
+++ b/crates/decide/tests/generation.rs
@@ -0,0 +1,368 @@
+//! The generation machine under any order of events. The oracle: what the caller has seen
+//! is always a prefix of one generation.
+
+#![allow(clippy::unwrap_used, reason = "a test that stops here says why")]
+
+use {
+    proptest::prelude::{Just, Strategy, any, prop, prop_oneof, proptest},
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
+    tealshore_core::{
+        answer::ErrorKind,
+        chain::TokenChain,
+        ids::{AttemptNo, Position, TokenId},
+        protection,
+    },
+    tealshore_decide::{
+        generation::{Action, Event, FinishReason, Generation, GenerationSpec, Held, Loss},
+        policy::{Repeat, ResumePolicy},
+    },
+};
+
+const MAX_TOKENS: Position = 12;
+
+fn spec(repeat: Repeat, policy: ResumePolicy) -> GenerationSpec {
+    GenerationSpec {
+        repeat,
+        policy,
+        max_tokens: MAX_TOKENS,
+        max_attempts: 5,
+        next_attempt: 1,
+    }
+}
+
+/// The token that an attempt gives after a prefix: every attempt samples differently.
+fn token_after(prefix: &[TokenId], attempt: AttemptNo) -> TokenId {
+    let chain = TokenChain::of(prefix).push(attempt);
+    TokenId::try_from(chain.0 % 1_000_000).unwrap()
+}
+
+/// The stream of one attempt: the prefix that it started from and what follows.
+fn stream_of(prefix: &[TokenId], attempt: AttemptNo) -> Vec<TokenId> {
+    let mut stream = prefix.to_vec();
+    while stream.len() < MAX_TOKENS as usize {
+        stream.push(token_after(&stream, attempt));
+    }
+    stream
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Token {
+        attempt: AttemptNo,
+        position: Position,
+    },
+    Next {
+        attempt: AttemptNo,
+    },
+    End {
+        attempt: AttemptNo,
+    },
+    Lost {
+        attempt: AttemptNo,
+        loss: Loss,
+    },
+    Wait {
+        ms: u64,
+    },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let attempt = 1..5u32;
+    let loss = prop_oneof![
+        Just(Loss::Broken),
+        Just(Loss::NeverStarted),
+        Just(Loss::NotSent)
+    ];
+    prop_oneof![
+        2 => (attempt.clone(), 0..MAX_TOKENS).prop_map(|(attempt, position)| Step::Token { attempt, position }),
+        6 => attempt.clone().prop_map(|attempt| Step::Next { attempt }),
+        1 => attempt.clone().prop_map(|attempt| Step::End { attempt }),
+        1 => (attempt, loss).prop_map(|(attempt, loss)| Step::Lost { attempt, loss }),
+        2 => (0..3_000u64).prop_map(|ms| Step::Wait { ms }),
+    ]
+}
+
+/// Runs a machine against attempts that send what they like, and keeps what the caller saw.
+struct Run {
+    generation: Generation,
+    now: Instant,
+    streams: BTreeMap<AttemptNo, Vec<TokenId>>,
+    sent: BTreeMap<AttemptNo, Position>,
+    seen: Vec<(Position, TokenId)>,
+    placed: u32,
+    started: u32,
+    ends: Vec<Action>,
+}
+
+impl Run {
+    fn start(spec: GenerationSpec) -> Self {
+        protection::start();
+        let mut run = Self {
+            generation: Generation::new(spec),
+            now: Instant::now(),
+            streams: BTreeMap::new(),
+            sent: BTreeMap::new(),
+            seen: Vec::new(),
+            placed: 0,
+            started: 0,
+            ends: Vec::new(),
+        };
+        let actions = run.generation.start(run.now);
+        run.execute(actions);
+        run
+    }
+
+    fn execute(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Place { attempt } => {
+                    let received = self.generation.received().to_vec();
+                    self.sent.insert(attempt, received.len() as Position);
+                    self.streams.insert(attempt, stream_of(&received, attempt));
+                    self.placed += 1;
+                    self.started += 1;
+                    self.handle(Event::Dispatched {
+                        attempt,
+                        engine: format!("engine-{attempt}"),
+                    });
+                }
+                Action::Emit { position, token } => self.seen.push((position, token)),
+                Action::Cancel { .. } => {}
+                Action::Finish { .. } | Action::Fail { .. } => self.ends.push(action),
+            }
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        let actions = self.generation.handle(event, self.now);
+        self.execute(actions);
+    }
+
+    fn send(&mut self, attempt: AttemptNo, position: Position) {
+        let token = self
+            .streams
+            .get(&attempt)
+            .and_then(|stream| stream.get(position as usize).copied());
+        if let Some(token) = token {
+            self.handle(Event::Token {
+                attempt,
+                position,
+                token,
+            });
+        }
+    }
+
+    fn next(&mut self, attempt: AttemptNo) {
+        let Some(position) = self.sent.get_mut(&attempt) else {
+            return;
+        };
+        let at = *position;
+        *position += 1;
+        self.send(attempt, at);
+    }
+
+    fn step(&mut self, step: &Step) {
+        match *step {
+            Step::Token { attempt, position } => self.send(attempt, position),
+            Step::Next { attempt } => self.next(attempt),
+            Step::End { attempt } => {
+                let position = self.sent.get(&attempt).copied().unwrap_or(0);
+                self.handle(Event::End {
+                    attempt,
+                    position,
+                    reason: FinishReason::Length,
+                });
+            }
+            Step::Lost { attempt, loss } => {
+                let sent_nothing = self.streams.contains_key(&attempt) && self.sent[&attempt] == 0;
+                let loss = if loss == Loss::Broken || sent_nothing {
+                    loss
+                } else {
+                    Loss::Broken
+                };
+                if loss != Loss::Broken
+                    && self
+                        .generation
+                        .current()
+                        .is_some_and(|current| current.no == attempt)
+                {
+                    self.started -= 1;
+                }
+                self.handle(Event::Lost { attempt, loss });
+            }
+            Step::Wait { ms } => {
+                self.now += Duration::from_millis(ms);
+                self.handle(Event::Tick);
+            }
+        }
+    }
+
+    /// Each token at the next position, and one that some attempt gives after those before.
+    fn check_seen(&self) {
+        let mut prefix = Vec::new();
+        for (position, token) in &self.seen {
+            assert_eq!(
+                *position,
+                prefix.len() as Position,
+                "a token is missing or repeated"
+            );
+            let is_possible =
+                (1..=self.placed).any(|attempt| token_after(&prefix, attempt) == *token);
+            assert!(
+                is_possible,
+                "the token at {position} belongs to another generation"
+            );
+            prefix.push(*token);
+        }
+        assert!(self.ends.len() <= 1, "an answer ends once");
+    }
+}
+
+fn policies() -> impl Strategy<Value = ResumePolicy> {
+    prop_oneof![Just(ResumePolicy::Latency), Just(ResumePolicy::Thrift)]
+}
+
+proptest! {
+    #[test]
+    fn a_caller_sees_a_prefix_of_one_generation(policy in policies(), steps in prop::collection::vec(step(), 0..80)) {
+        let mut run = Run::start(spec(Repeat::Allowed, policy));
+        for step in &steps {
+            run.step(step);
+            run.check_seen();
+        }
+    }
+
+    #[test]
+    fn a_request_that_may_not_be_repeated_is_started_once(policy in policies(), steps in prop::collection::vec(step(), 0..80)) {
+        let mut run = Run::start(spec(Repeat::Forbidden, policy));
+        for step in &steps {
+            run.step(step);
+            run.check_seen();
+            assert!(run.started <= 1, "started {} times", run.started);
+        }
+    }
+
+    #[test]
+    fn a_whole_answer_has_all_tokens(policy in policies(), losses in prop::collection::vec(any::<bool>(), 0..40)) {
+        let mut run = Run::start(spec(Repeat::Allowed, policy));
+        for is_lost in losses {
+            let Some(attempt) = run.generation.current().map(|current| current.no) else { break };
+            if is_lost {
+                run.handle(Event::Lost { attempt, loss: Loss::Broken });
+            } else {
+                run.next(attempt);
+            }
+        }
+        let is_whole = run.ends.iter().any(|end| matches!(end, Action::Finish { .. }));
+        assert!(!is_whole || run.seen.len() == MAX_TOKENS as usize);
+    }
+}
+
+#[test]
+fn a_suspected_engine_that_goes_on_keeps_the_generation() {
+    let mut run = Run::start(spec(Repeat::Allowed, ResumePolicy::Latency));
+    run.next(1);
+    run.step(&Step::Wait { ms: 600 });
+    assert_eq!(run.placed, 2, "the next engine is prepared on suspicion");
+    run.next(1);
+    assert_eq!(run.generation.current().map(|current| current.no), Some(1));
+    assert_eq!(run.generation.counts().false_suspicions, 1);
+    run.check_seen();
+}
+
+#[test]
+fn a_thawed_engine_is_ignored() {
+    let mut run = Run::start(spec(Repeat::Allowed, ResumePolicy::Latency));
+    run.next(1);
+    run.step(&Step::Wait { ms: 600 });
+    run.next(2);
+    run.next(1);
+    run.next(2);
+    assert_eq!(run.seen.len(), 3);
+    run.check_seen();
+}
+
+#[test]
+fn thrift_prepares_nothing_before_a_death() {
+    let mut run = Run::start(spec(Repeat::Allowed, ResumePolicy::Thrift));
+    run.next(1);
+    run.step(&Step::Wait { ms: 600 });
+    assert_eq!(run.placed, 1);
+    run.step(&Step::Wait { ms: 2_500 });
+    assert_eq!(run.placed, 2);
+}
+
+#[test]
+fn an_end_marker_that_is_lost_after_the_last_token_does_not_matter() {
+    let mut run = Run::start(spec(Repeat::Allowed, ResumePolicy::Thrift));
+    (0..MAX_TOKENS).for_each(|_| run.next(1));
+    run.handle(Event::Lost {
+        attempt: 1,
+        loss: Loss::Broken,
+    });
+    assert_eq!(
+        run.ends,
+        [Action::Finish {
+            reason: FinishReason::Length
+        }]
+    );
+    assert_eq!(run.placed, 1);
+}
+
+#[test]
+fn a_stream_that_differs_from_what_the_caller_holds_is_refused() {
+    protection::start();
+    let now = Instant::now();
+    let stream = stream_of(&[], 1);
+    let held = Held {
+        position: 3,
+        chain: TokenChain::of(&[1, 2, 3]),
+    };
+    let mut generation =
+        Generation::held_by_caller(spec(Repeat::Allowed, ResumePolicy::Latency), held);
+    generation.adopt(1, "engine-1".to_owned(), now);
+    let actions: Vec<Action> = (0..4u64)
+        .flat_map(|position| {
+            generation.handle(
+                Event::Token {
+                    attempt: 1,
+                    position,
+                    token: stream[position as usize],
+                },
+                now,
+            )
+        })
+        .collect();
+    assert!(
+        actions.contains(&Action::Fail {
+            kind: ErrorKind::ResumeMismatch
+        }),
+        "{actions:?}"
+    );
+    assert!(
+        !actions
+            .iter()
+            .any(|action| matches!(action, Action::Emit { .. })),
+        "{actions:?}"
+    );
+}
+
+#[test]
+fn that_an_adopted_attempt_can_not_be_reached_does_not_mean_that_it_never_ran() {
+    protection::start();
+    let now = Instant::now();
+    for loss in [Loss::NotSent, Loss::NeverStarted, Loss::Broken] {
+        let mut generation = Generation::new(spec(Repeat::Forbidden, ResumePolicy::Latency));
+        generation.adopt(1, "engine-1".to_owned(), now);
+        let actions = generation.handle(Event::Lost { attempt: 1, loss }, now);
+        assert_eq!(
+            actions.last(),
+            Some(&Action::Fail {
+                kind: ErrorKind::UpstreamUnconfirmed
+            })
+        );
+    }
+}
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -8,7 +8,7 @@
     },
     eyre::eyre,
     std::time::{Duration, Instant},
-    tealshore_callers::client::{CallEnd, CallRecord, Caller, CallerOptions},
+    tealshore_callers::client::{CallEnd, CallRecord},
     tokio::sync::watch,
 };
 
@@ -45,12 +45,7 @@
         "assess the flood extent along the lower river",
         options.tokens,
     );
-    let caller = Caller::new(CallerOptions {
-        key: LATENCY_KEY.to_owned(),
-        patience: Duration::from_secs(5),
-        max_connections: 8,
-        send_received: true,
-    });
+    let caller = Fleet::caller(LATENCY_KEY, true);
     let answer = caller
         .addresses(fleet.entries()[0])
         .await
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -13,9 +13,11 @@
         path::PathBuf,
         time::{Duration, Instant},
     },
+    tealshore_callers::client::{Caller, CallerOptions},
     tealshore_core::http::{ClientOptions, HttpClient, empty, full, json_body},
     tealshore_hosts::{HostRole, HostState, ListedHost},
     tealshore_operators::edit::{Edit, apply},
+    tealshore_router::HostStatus,
     tealshore_standin::engine::WorkCounts,
     tealshore_table::{TableClient, TableOptions},
     tempfile::TempDir,
@@ -323,6 +325,28 @@
         self.routers.iter().map(|router| router.callers).collect()
     }
 
+    /// A caller that goes from one entry host to the next.
+    #[must_use]
+    pub fn caller(key: &str, send_received: bool) -> Caller {
+        Caller::new(CallerOptions {
+            key: key.to_owned(),
+            patience: Duration::from_secs(8),
+            max_connections: 8,
+            send_received,
+        })
+    }
+
+    /// A caller that tries one connection only.
+    #[must_use]
+    pub fn caller_once(key: &str) -> Caller {
+        Caller::new(CallerOptions {
+            key: key.to_owned(),
+            patience: Duration::from_secs(8),
+            max_connections: 1,
+            send_received: false,
+        })
+    }
+
     /// Sends a control exchange.
     ///
     /// # Errors
@@ -414,12 +438,31 @@
         Ok(())
     }
 
+    /// Waits until each entry host runs at least this version of the declarations.
+    ///
+    /// # Errors
+    /// It takes too long.
+    pub async fn wait_until_version(&self, version: u64) -> eyre::Result<()> {
+        let deadline = Instant::now() + READY_TIMEOUT;
+        for router in &self.routers {
+            loop {
+                let status: HostStatus = self.read(router.operators, "/status").await?;
+                if status.config_version >= version {
+                    break;
+                }
+                if Instant::now() >= deadline {
+                    bail!("{} still runs version {}", router.id, status.config_version);
+                }
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        }
+        Ok(())
+    }
+
     async fn is_ready(&self, router: &RouterProcess) -> bool {
-        let status: eyre::Result<serde_json::Value> = self.read(router.operators, "/status").await;
+        let status: eyre::Result<HostStatus> = self.read(router.operators, "/status").await;
         let Ok(status) = status else { return false };
-        let wanted = self.options.engines.min(1);
-        status["config_version"].as_u64() > Some(0)
-            && status["engines_known"].as_u64() >= Some(wanted)
+        status.config_version > 0 && (status.engines_known > 0 || self.options.engines == 0)
     }
 }
 
--- /dev/null
+++ b/crates/lab/tests/at_most_once.rs
@@ -0,0 +1,326 @@
+//! A request that may not be repeated reaches a model at most once, and "not run" is true.
+
+#![allow(clippy::unwrap_used, reason = "a test that stops here says why")]
+
+use {
+    http::Method,
+    std::time::Duration,
+    tealshore_callers::client::{CallEnd, CallRecord},
+    tealshore_core::answer::{Problem, Ran},
+    tealshore_lab::{
+        check::check_answer,
+        fleet::{Fleet, FleetOptions},
+        work::{LATENCY_KEY, Work},
+    },
+    tealshore_standin::table::TableFaults,
+};
+
+fn draft(id: &str) -> Work {
+    Work::new(id, "draft", "a caption for three words", 40)
+}
+
+async fn start() -> Fleet {
+    // Claims give up soon, so that an outage is told at once.
+    let settings = vec![
+        (
+            "table".to_owned(),
+            "exchange_timeout_ms".to_owned(),
+            "200".to_owned(),
+        ),
+        (
+            "table".to_owned(),
+            "operation_timeout_ms".to_owned(),
+            "800".to_owned(),
+        ),
+    ];
+    Fleet::start(FleetOptions {
+        routers: 2,
+        engines: 3,
+        plain: 1,
+        settings,
+        ..FleetOptions::default()
+    })
+    .await
+    .unwrap()
+}
+
+async fn set_table(fleet: &Fleet, faults: TableFaults) {
+    fleet
+        .control(
+            fleet.table.address,
+            Method::PUT,
+            "/control/faults",
+            Some(&faults),
+        )
+        .await
+        .unwrap();
+}
+
+/// One connection to one entry host.
+async fn call_at(fleet: &Fleet, entry: usize, work: &Work) -> CallRecord {
+    let caller = Fleet::caller_once(LATENCY_KEY);
+    caller
+        .complete(&[fleet.entries()[entry]], &work.call, |_| {})
+        .await
+}
+
+fn problem(record: CallRecord) -> Problem {
+    match record.end {
+        CallEnd::Problem(problem) => problem,
+        end => panic!("{end:?}"),
+    }
+}
+
+fn assert_whole(work: &Work, record: &CallRecord) {
+    assert!(matches!(record.end, CallEnd::Whole), "{:?}", record.end);
+    assert!(check_answer(work, &record.arrivals, work.tokens(), 1).is_whole());
+}
+
+async fn runs(fleet: &Fleet, work: &Work) -> u32 {
+    let all = fleet.work().await;
+    all.iter()
+        .filter_map(|(_, counts)| counts.runs.get(&work.call.id))
+        .sum()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_claim_whose_answer_was_lost_runs_once() {
+    let fleet = start().await;
+    set_table(
+        &fleet,
+        TableFaults {
+            lose_answers: 1,
+            ..TableFaults::default()
+        },
+    )
+    .await;
+    let work = draft("lost");
+    assert_whole(&work, &call_at(&fleet, 0, &work).await);
+    assert_eq!(runs(&fleet, &work).await, 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn while_the_table_is_down_nothing_runs_and_later_the_same_request_does() {
+    let fleet = start().await;
+    let outages = [
+        TableFaults {
+            outage: true,
+            ..TableFaults::default()
+        },
+        TableFaults {
+            silent: true,
+            ..TableFaults::default()
+        },
+    ];
+    for (index, outage) in outages.into_iter().enumerate() {
+        let work = draft(&format!("outage-{index}"));
+        set_table(&fleet, outage).await;
+        let refused = problem(call_at(&fleet, 0, &work).await);
+        assert_eq!(
+            (refused.kind_name(), refused.ran),
+            ("table-unavailable", Ran::No)
+        );
+        assert!(refused.retry_after_ms.is_some());
+        assert_eq!(runs(&fleet, &work).await, 0);
+        set_table(&fleet, TableFaults::default()).await;
+        assert_whole(&work, &wait_for_claim(&fleet, &work).await);
+        assert_eq!(runs(&fleet, &work).await, 1);
+    }
+}
+
+/// A claim whose answer was lost in an outage is told as "not run", and released when the
+/// table is back.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_claim_that_was_told_as_not_run_is_released() {
+    let fleet = start().await;
+    let work = draft("released");
+    set_table(
+        &fleet,
+        TableFaults {
+            lose_answers: 100,
+            ..TableFaults::default()
+        },
+    )
+    .await;
+    // The first try takes effect, and the table goes down before it can be read back.
+    let calling = {
+        let caller = Fleet::caller_once(LATENCY_KEY);
+        let (entries, call) = (fleet.entries(), work.call.clone());
+        tokio::spawn(async move { caller.complete(&entries[..1], &call, |_| {}).await })
+    };
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    set_table(
+        &fleet,
+        TableFaults {
+            silent: true,
+            ..TableFaults::default()
+        },
+    )
+    .await;
+    let refused = problem(calling.await.unwrap());
+    assert_eq!(
+        (refused.kind_name(), refused.ran),
+        ("table-unavailable", Ran::No)
+    );
+    set_table(&fleet, TableFaults::default()).await;
+    assert_whole(&work, &wait_for_claim(&fleet, &work).await);
+    assert_eq!(runs(&fleet, &work).await, 1);
+}
+
+/// Comes back until the claim is free again.
+async fn wait_for_claim(fleet: &Fleet, work: &Work) -> CallRecord {
+    for _ in 0..100 {
+        let record = call_at(fleet, 1, work).await;
+        if matches!(record.end, CallEnd::Whole) {
+            return record;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    call_at(fleet, 1, work).await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_engine_is_not_replaced() {
+    let mut fleet = start().await;
+    let mut work = draft("killed");
+    work.call.request.max_tokens = std::num::NonZeroU64::new(400).unwrap();
+    let calling = {
+        let caller = Fleet::caller_once(LATENCY_KEY);
+        let (entries, call) = (fleet.entries(), work.call.clone());
+        tokio::spawn(async move { caller.complete(&entries[..1], &call, |_| {}).await })
+    };
+    let victim = loop {
+        if let Some(victim) = fleet.engines_of(&work.call.id).await.first() {
+            break *victim;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    };
+    fleet.engines[victim].process.kill().await.unwrap();
+    let lost = problem(calling.await.unwrap());
+    assert!(
+        matches!(lost.kind_name(), "upstream-lost" | "upstream-unconfirmed"),
+        "{lost:?}"
+    );
+    assert_ne!(lost.ran, Ran::No);
+    let again = problem(call_at(&fleet, 1, &work).await);
+    assert_ne!(again.ran, Ran::No, "{again:?}");
+    assert_eq!(
+        runs(&fleet, &work).await,
+        0,
+        "no engine that is left has run it"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_draft_at_two_entry_hosts_at_once_runs_once() {
+    let fleet = start().await;
+    for index in 0..10 {
+        let work = draft(&format!("race-{index}"));
+        let (first, second) = tokio::join!(call_at(&fleet, 0, &work), call_at(&fleet, 1, &work));
+        assert_eq!(runs(&fleet, &work).await, 1);
+        for record in [first, second] {
+            match record.end {
+                CallEnd::Whole => assert_whole(&work, &record),
+                CallEnd::Problem(problem) => assert_ne!(problem.ran, Ran::No, "{problem:?}"),
+                CallEnd::GaveUp(cause) => panic!("{cause}"),
+            }
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_draft_is_claimed_even_when_its_place_is_forgotten() {
+    let mut fleet = start().await;
+    let work = draft("forgotten");
+    assert_whole(&work, &call_at(&fleet, 0, &work).await);
+    // Both homes are replaced, so nobody remembers the place.
+    for index in 0..2 {
+        fleet.routers[index].process.kill().await.unwrap();
+        fleet.unlist(&format!("entry-{index}")).await.unwrap();
+    }
+    fleet.routers.clear();
+    fleet.start_router(2).await.unwrap();
+    fleet.start_router(3).await.unwrap();
+    fleet.wait_until_ready().await.unwrap();
+    let again = problem(call_at(&fleet, 0, &work).await);
+    assert_eq!(
+        (again.kind_name(), again.ran),
+        ("already-claimed", Ran::Unknown)
+    );
+    assert_eq!(runs(&fleet, &work).await, 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_plain_call_that_may_not_be_repeated_is_sent_once() {
+    let fleet = start().await;
+    let plain = fleet.plain[0].address;
+    let lose = serde_json::json!({"lose_answers": 1});
+    let call = async |method: Method, path: &str| {
+        let caller = Fleet::caller_once(LATENCY_KEY);
+        caller
+            .plain(fleet.entries()[0], method, path, "body")
+            .await
+            .unwrap()
+    };
+    fleet
+        .control(plain, Method::PUT, "/control/faults", Some(&lose))
+        .await
+        .unwrap();
+    let (status, body) = call(Method::POST, "/v1/services/tile-api/order").await;
+    assert_eq!(status, 502);
+    let problem: Problem = serde_json::from_slice(&body).unwrap();
+    assert_eq!(problem.ran, Ran::Unknown);
+    fleet
+        .control(plain, Method::PUT, "/control/faults", Some(&lose))
+        .await
+        .unwrap();
+    let (status, body) = call(Method::GET, "/v1/services/tile-api/lookup").await;
+    assert_eq!(
+        (status.as_u16(), body.as_ref()),
+        (200, b"/lookup\nbody".as_ref())
+    );
+    let runs: serde_json::Value = fleet.read(plain, "/control/runs").await.unwrap();
+    assert_eq!(runs, serde_json::json!({"/order": 1, "/lookup": 2}));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_forbidden_by_its_header_stays_so_when_it_comes_back_without() {
+    let mut fleet = start().await;
+    let mut work = Work::new("header", "assess", "one two three", 400);
+    work.call.repeat = Some("forbidden".to_owned());
+    let (seen, mut progress) = tokio::sync::watch::channel(0);
+    let calling = {
+        let (entries, call) = (fleet.entries(), work.call.clone());
+        tokio::spawn(async move {
+            let caller = Fleet::caller_once(LATENCY_KEY);
+            caller
+                .complete(&entries[..1], &call, |arrival| {
+                    seen.send_replace(arrival.position + 1);
+                })
+                .await
+        })
+    };
+    progress.wait_for(|tokens| *tokens >= 10).await.unwrap();
+    let victim = fleet.engines_of("header").await[0];
+    fleet.engines[victim].process.kill().await.unwrap();
+    let record = calling.await.unwrap();
+    let ticket = record.last_event.clone().unwrap();
+    let received = record.tokens();
+    let lost = problem(record);
+    assert_eq!((lost.kind_name(), lost.ran), ("upstream-lost", Ran::Yes));
+    work.call.repeat = None;
+    for last_event in [Some(ticket.as_str()), None] {
+        work.call.request.received = last_event.map(|_| received.clone());
+        let caller = Fleet::caller_once(LATENCY_KEY);
+        let answer = caller
+            .send(fleet.entries()[1], &work.call, last_event)
+            .await
+            .unwrap();
+        assert_ne!(answer.status().as_u16(), 200, "with {last_event:?}");
+    }
+    assert_eq!(
+        runs(&fleet, &work).await,
+        0,
+        "no engine that is left has run it"
+    );
+}
--- /dev/null
+++ b/crates/lab/tests/edits.rs
@@ -0,0 +1,172 @@
+//! An accepted configuration is in force everywhere and never reverts.
+
+#![allow(clippy::unwrap_used, reason = "a test that stops here says why")]
+
+use {
+    http::Method,
+    tealshore_lab::{
+        fleet::{Fleet, FleetOptions},
+        work::declarations,
+    },
+    tealshore_operators::edit::{Edit, EditError, apply, read_current, read_history},
+    tealshore_router::HostStatus,
+    tealshore_standin::table::TableFaults,
+};
+
+fn edit(id: &str, base: u64) -> Edit {
+    Edit {
+        id: id.to_owned(),
+        author: format!("author-of-{id}"),
+        base,
+        text: declarations(),
+    }
+}
+
+async fn set_table(fleet: &Fleet, faults: TableFaults) {
+    fleet
+        .control(
+            fleet.table.address,
+            Method::PUT,
+            "/control/faults",
+            Some(&faults),
+        )
+        .await
+        .unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn of_two_operators_one_wins_and_the_other_is_told() {
+    let fleet = Fleet::start_platform(FleetOptions {
+        engines: 0,
+        ..FleetOptions::default()
+    })
+    .await
+    .unwrap();
+    let table = fleet.table_client();
+    for base in 0..10 {
+        let (first, second) = (
+            edit(&format!("a{base}"), base),
+            edit(&format!("b{base}"), base),
+        );
+        let (first, second) = tokio::join!(apply(&table, &first), apply(&table, &second));
+        let won = [&first, &second]
+            .into_iter()
+            .filter(|outcome| **outcome == Ok(base + 1))
+            .count();
+        assert_eq!(won, 1, "{first:?} {second:?}");
+        let lost = [first, second].into_iter().find_map(Result::err).unwrap();
+        assert!(
+            matches!(lost, EditError::Lost { current, .. } if current == base + 1),
+            "{lost:?}"
+        );
+    }
+    assert_eq!(read_history(&table).await.unwrap().len(), 10);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_edit_whose_answer_was_lost_is_accepted_once() {
+    let fleet = Fleet::start_platform(FleetOptions {
+        engines: 0,
+        ..FleetOptions::default()
+    })
+    .await
+    .unwrap();
+    let table = fleet.table_client();
+    set_table(
+        &fleet,
+        TableFaults {
+            lose_answers: 1,
+            ..TableFaults::default()
+        },
+    )
+    .await;
+    assert_eq!(apply(&table, &edit("lost", 0)).await, Ok(1));
+    // Sent again by its author, it is still the same edit.
+    assert_eq!(apply(&table, &edit("lost", 0)).await, Ok(1));
+    assert_eq!(read_current(&table).await.unwrap().unwrap().version, 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_edit_that_is_not_allowed_changes_nothing() {
+    let fleet = Fleet::start_platform(FleetOptions {
+        engines: 0,
+        ..FleetOptions::default()
+    })
+    .await
+    .unwrap();
+    let table = fleet.table_client();
+    let bad = Edit {
+        text: declarations().replace("resume = thrift", "resume = never"),
+        ..edit("bad", 0)
+    };
+    let EditError::Invalid(error) = apply(&table, &bad).await.unwrap_err() else {
+        panic!("it was accepted")
+    };
+    let text = error.to_string();
+    assert!(
+        text.contains("template summary") && text.contains("latency, thrift"),
+        "{text}"
+    );
+    assert_eq!(read_current(&table).await.unwrap(), None);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_accepted_edit_comes_into_force_on_every_host() {
+    let fleet = Fleet::start(FleetOptions {
+        routers: 5,
+        engines: 1,
+        ..FleetOptions::default()
+    })
+    .await
+    .unwrap();
+    fleet.declare(1, &declarations()).await.unwrap();
+    fleet.wait_until_version(2).await.unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_that_starts_while_the_table_is_down_learns_from_its_peers() {
+    let mut fleet = Fleet::start(FleetOptions {
+        routers: 2,
+        engines: 1,
+        ..FleetOptions::default()
+    })
+    .await
+    .unwrap();
+    set_table(
+        &fleet,
+        TableFaults {
+            silent: true,
+            ..TableFaults::default()
+        },
+    )
+    .await;
+    fleet.start_router(2).await.unwrap();
+    fleet.wait_until_ready().await.unwrap();
+    fleet.wait_until_version(1).await.unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_that_was_frozen_during_edits_never_goes_back() {
+    let fleet = Fleet::start(FleetOptions {
+        routers: 3,
+        engines: 1,
+        ..FleetOptions::default()
+    })
+    .await
+    .unwrap();
+    fleet.routers[0].process.freeze().unwrap();
+    fleet.declare(1, &declarations()).await.unwrap();
+    fleet.declare(2, &declarations()).await.unwrap();
+    fleet.routers[0].process.thaw().unwrap();
+    let mut highest = [0; 3];
+    while highest != [3; 3] {
+        for (router, highest) in fleet.routers.iter().zip(&mut highest) {
+            let status: HostStatus = fleet.read(router.operators, "/status").await.unwrap();
+            assert!(
+                status.config_version >= *highest,
+                "{status:?} went back from {highest}"
+            );
+            *highest = status.config_version;
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/tests/stop.rs
@@ -0,0 +1,98 @@
+//! A planned stop cuts no request in flight.
+
+#![allow(clippy::unwrap_used, reason = "a test that stops here says why")]
+
+use {
+    std::time::Duration,
+    tealshore_callers::client::CallEnd,
+    tealshore_lab::{
+        check::check_answer,
+        fleet::{Fleet, FleetOptions},
+        work::{LATENCY_KEY, Work},
+    },
+    tokio::sync::watch,
+};
+
+/// Stops the first entry host while an answer runs there; over how many connections the
+/// answer came, and how often it ran.
+async fn stop_while_running(drain_ms: &str, tokens: u64) -> (u32, u32) {
+    let settings = vec![(
+        "stop".to_owned(),
+        "drain_timeout_ms".to_owned(),
+        drain_ms.to_owned(),
+    )];
+    let mut fleet = Fleet::start(FleetOptions {
+        settings,
+        ..FleetOptions::default()
+    })
+    .await
+    .unwrap();
+    let work = Work::new("stop", "assess", "one two three", tokens);
+    let (seen, mut progress) = watch::channel(0);
+    let caller = Fleet::caller(LATENCY_KEY, true);
+    let (entries, call) = (fleet.entries(), work.call.clone());
+    let calling = tokio::spawn(async move {
+        caller
+            .complete(&entries, &call, |arrival| {
+                seen.send_replace(arrival.position + 1);
+            })
+            .await
+    });
+    progress.wait_for(|tokens| *tokens >= 10).await.unwrap();
+    fleet.routers[0].process.terminate().unwrap();
+    let record = calling.await.unwrap();
+    assert!(matches!(record.end, CallEnd::Whole), "{:?}", record.end);
+    let check = check_answer(&work, &record.arrivals, tokens, 1);
+    assert!(check.is_whole(), "{check:?}");
+    assert_eq!(fleet.routers[0].process.wait().await.unwrap(), Some(0));
+    let work_done = fleet.work().await;
+    let runs = work_done
+        .iter()
+        .filter_map(|(_, counts)| counts.runs.get("stop"))
+        .sum();
+    (record.connections, runs)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_ends_in_time_is_not_cut() {
+    assert_eq!(stop_while_running("60000", 150).await, (1, 1));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_does_not_end_in_time_goes_on_elsewhere_without_running_again() {
+    assert_eq!(stop_while_running("100", 300).await, (2, 1));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_host_is_no_longer_told_to_callers_but_serves_those_that_come() {
+    let settings = vec![(
+        "callers".to_owned(),
+        "keep_addresses_ms".to_owned(),
+        "5000".to_owned(),
+    )];
+    let fleet = Fleet::start(FleetOptions {
+        settings,
+        ..FleetOptions::default()
+    })
+    .await
+    .unwrap();
+    let caller = Fleet::caller(LATENCY_KEY, true);
+    let stopping = fleet.routers[0].callers;
+    fleet.routers[0].process.terminate().unwrap();
+    for other in &fleet.entries()[1..] {
+        while caller
+            .addresses(*other)
+            .await
+            .unwrap()
+            .addresses
+            .iter()
+            .any(|entry| entry.address == stopping)
+        {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+    let work = Work::new("late", "assess", "one two three", 10);
+    let record = caller.complete(&[stopping], &work.call, |_| {}).await;
+    assert!(matches!(record.end, CallEnd::Whole), "{:?}", record.end);
+    assert_eq!(record.connections, 1);
+}
--- a/crates/operators/src/declarations.rs
+++ b/crates/operators/src/declarations.rs
@@ -65,6 +65,12 @@
         self.customers.get(self.by_key_hash.get(&key_hash(key))?)
     }
 
+    /// A customer by its name.
+    #[must_use]
+    pub fn customer(&self, id: &CustomerId) -> Option<&Customer> {
+        self.customers.get(id)
+    }
+
     /// All customers, by name.
     pub fn customers(&self) -> impl Iterator<Item = &Customer> {
         self.customers.values()
--- a/crates/operators/src/declarations/template.rs
+++ b/crates/operators/src/declarations/template.rs
@@ -36,6 +36,24 @@
     pub max_in_flight: u64,
 }
 
+impl Grant {
+    /// All parameters, by the name of their key.
+    #[must_use]
+    pub fn parameters(&self) -> [(&'static str, String); 9] {
+        [
+            ("service", self.service.clone()),
+            ("adapter", self.adapter.clone()),
+            ("version", self.version.clone()),
+            ("priority", self.priority.to_string()),
+            ("share", self.share.to_string()),
+            ("resume", resume_word(self.resume).to_owned()),
+            ("repeat", repeat_word(self.repeat).to_owned()),
+            ("max_tokens", self.max_tokens.to_string()),
+            ("max_in_flight", self.max_in_flight.to_string()),
+        ]
+    }
+}
+
 /// The `[template NAME]` section.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TemplateOptions {
--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -6,3 +6,4 @@
 
 pub mod declarations;
 pub mod edit;
+pub mod plan;
--- a/crates/peers/src/service.rs
+++ b/crates/peers/src/service.rs
@@ -37,6 +37,8 @@
     pub engine: Option<EngineId>,
     /// The pinned model, adapter and version.
     pub pin: [String; 3],
+    /// Whether the request may not be repeated.
+    pub once: bool,
 }
 
 /// The answer to a reservation.
--- a/crates/router/src/drive/driver.rs
+++ b/crates/router/src/drive/driver.rs
@@ -341,10 +341,7 @@
         }
         let running = self.state.in_force.now();
         let grant = running.as_ref().and_then(|running| {
-            let customer = running
-                .declarations
-                .customers()
-                .find(|customer| customer.id == self.admitted.customer)?;
+            let customer = running.declarations.customer(&self.admitted.customer)?;
             customer.grants.get(&self.admitted.request.model)
         });
         grant.map_or_else(
@@ -383,6 +380,7 @@
             attempt,
             engine: Some(engine.clone()),
             pin: [model, adapter, version],
+            once: self.admitted.repeat == Repeat::Forbidden,
         };
         let state = self.state.clone();
         let key = self.admitted.key();
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -9,7 +9,7 @@
 mod drive;
 mod fleet;
 mod in_flight;
-mod in_force;
+pub mod in_force;
 pub mod options;
 mod run;
 mod serve;
@@ -17,4 +17,4 @@
 mod state;
 mod stop;
 
-pub use run::run;
+pub use {run::run, show::HostStatus};
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -2,11 +2,12 @@
 
 use {
     std::process::ExitCode,
-    tealshore_core::{exit, logs},
+    tealshore_core::{exit, logs, protection},
     tealshore_router::options::{RouterOptions, args},
 };
 
 fn main() -> ExitCode {
+    protection::start();
     let matches = args::command().get_matches();
     let options = match RouterOptions::load(&args::settings_file(&matches)) {
         Ok(options) => options,
--- a/crates/router/src/serve/completions.rs
+++ b/crates/router/src/serve/completions.rs
@@ -52,6 +52,7 @@
     pin: ModelPin,
     start: Start,
     claim: Option<Claim>,
+    repeat: Repeat,
 }
 
 /// Answers a request to generate.
@@ -98,7 +99,7 @@
         pin: decided.pin,
         priority: grant.priority,
         policy: grant.resume,
-        repeat,
+        repeat: decided.repeat,
         claim: decided.claim,
         start: decided.start,
         _in_flight: in_flight,
@@ -145,12 +146,13 @@
         attempt: 0,
         engine: None,
         pin: [pin.model.clone(), pin.adapter.clone(), pin.version.clone()],
+        once: asked.repeat == Repeat::Forbidden,
     };
     if let Reservation::Existing(known) = asked.state.reserve_place(&key, place).await {
         if known.digest != asked.digest {
             return Err(conflict(asked));
         }
-        if let Some(decided) = read_again(known) {
+        if let Some(decided) = read_again(asked, known) {
             return Ok(decided);
         }
     }
@@ -160,6 +162,7 @@
         pin,
         start: Start::New,
         claim,
+        repeat: asked.repeat,
     })
 }
 
@@ -211,11 +214,12 @@
         pin,
         start,
         claim: None,
+        repeat: stricter(asked.repeat, place.once),
     })
 }
 
 /// Reads a known generation from its start, where an engine has it already.
-fn read_again(place: Place) -> Option<Decided> {
+fn read_again(asked: &Asked<'_>, place: Place) -> Option<Decided> {
     let engine = place.engine?;
     let [model, adapter, version] = place.pin;
     let held = Held {
@@ -235,9 +239,15 @@
         },
         start,
         claim: None,
+        repeat: stricter(asked.repeat, place.once),
     })
 }
 
+/// A request that may not be repeated stays so, whatever the caller says when it comes back.
+fn stricter(asked: Repeat, once: bool) -> Repeat {
+    if once { Repeat::Forbidden } else { asked }
+}
+
 async fn claim(asked: &Asked<'_>, key: &PlaceKey) -> Result<Option<Claim>, Failure> {
     if asked.repeat == Repeat::Allowed || !enabled(Protection::Claim) {
         return Ok(None);
--- a/crates/router/src/show.rs
+++ b/crates/router/src/show.rs
@@ -3,4 +3,4 @@
 pub mod metrics;
 mod status;
 
-pub use status::handle;
+pub use status::{HostStatus, handle};
--- a/crates/router/src/show/status.rs
+++ b/crates/router/src/show/status.rs
@@ -4,7 +4,7 @@
     crate::state::RouterState,
     http::{Request, Response, StatusCode},
     hyper::body::Incoming,
-    serde::Serialize,
+    serde::{Deserialize, Serialize},
     std::sync::Arc,
     tealshore_core::{
         http::{Body, empty, full, json_body},
@@ -12,17 +12,25 @@
     },
 };
 
-/// What this host runs, for `GET /status`.
-#[derive(Serialize)]
-struct HostStatus<'a> {
-    host: &'a HostId,
-    hall: &'a HallId,
-    site: &'a SiteId,
-    config_version: ConfigVersion,
-    phase: &'static str,
-    in_flight: u64,
-    engines_known: usize,
-    places_kept: usize,
+/// What an entry host runs, for `GET /status`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostStatus {
+    /// The host.
+    pub host: HostId,
+    /// Its hall.
+    pub hall: HallId,
+    /// Its site.
+    pub site: SiteId,
+    /// The version of the declarations in force.
+    pub config_version: ConfigVersion,
+    /// How far its planned stop is; `serving` while none was asked for.
+    pub phase: String,
+    /// Requests in flight.
+    pub in_flight: u64,
+    /// Engines that it may send work to.
+    pub engines_known: usize,
+    /// Places of requests for which it is the home.
+    pub places_kept: usize,
 }
 
 /// Answers one request of an operator.
@@ -56,14 +64,14 @@
     Response::new(full("ready\n"))
 }
 
-fn status_of(state: &RouterState) -> HostStatus<'_> {
+fn status_of(state: &RouterState) -> HostStatus {
     let host = &state.options.host;
     HostStatus {
-        host: &host.id,
-        hall: &host.hall,
-        site: &host.site,
+        host: host.id.clone(),
+        hall: host.hall.clone(),
+        site: host.site.clone(),
         config_version: state.in_force.version(),
-        phase: state.stop.phase().name(),
+        phase: state.stop.phase().name().to_owned(),
         in_flight: state.in_flight.total(),
         engines_known: state.fleet.engines().len(),
         places_kept: state.places.len(),
