--- a/crates/callers/src/client.rs
+++ b/crates/callers/src/client.rs
@@ -37,6 +37,8 @@
     pub max_connections: u32,
     /// Whether it sends back the tokens that it has.
     pub send_received: bool,
+    /// Whether it speaks HTTP/2.
+    pub http2: bool,
 }
 
 /// What a caller asks for.
@@ -114,8 +116,11 @@
     #[must_use]
     pub fn new(options: CallerOptions) -> Self {
         Self {
+            client: HttpClient::new(&ClientOptions {
+                http2: options.http2,
+                ..ClientOptions::default()
+            }),
             options,
-            client: HttpClient::new(&ClientOptions::default()),
         }
     }
 
@@ -181,11 +186,11 @@
         record
     }
 
-    /// Calls a plain service through an entry host.
+    /// Calls any path of an entry host, such as a plain service or a cancel.
     ///
     /// # Errors
     /// No answer came.
-    pub async fn plain(
+    pub async fn fetch(
         &self,
         entry: SocketAddr,
         method: Method,
--- a/crates/callers/src/wire.rs
+++ b/crates/callers/src/wire.rs
@@ -4,7 +4,7 @@
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, num::NonZeroU64},
     tealshore_core::{
-        answer::{ErrorKind, Failure},
+        answer::{ErrorKind, Failure, Ran},
         ids::{HallId, Position, RequestId, TokenId},
     },
 };
@@ -133,6 +133,15 @@
     pub finish_reason: Option<String>,
 }
 
+/// The answer to a cancel.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CancelledAnswer {
+    /// The request.
+    pub id: RequestId,
+    /// Whether it ran, by its engine's word.
+    pub ran: Ran,
+}
+
 /// Where a caller may connect.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AddressAnswer {
--- a/crates/cli/src/commands/callers.rs
+++ b/crates/cli/src/commands/callers.rs
@@ -83,6 +83,7 @@
         patience: PATIENCE,
         max_connections: MAX_CONNECTIONS,
         send_received: true,
+        http2: false,
     }))
 }
 
--- a/crates/core/src/answer.rs
+++ b/crates/core/src/answer.rs
@@ -54,6 +54,10 @@
     RequestConflict,
     /// The request id, which may not be repeated, was claimed before.
     AlreadyClaimed,
+    /// No request of this id is known to run.
+    UnknownRequest,
+    /// The request was cancelled by its customer.
+    Cancelled,
     /// The customer has too many requests in flight.
     CustomerLimit,
     /// The entry host has too many requests in flight.
@@ -118,6 +122,8 @@
             Self::ResumeMismatch => (StatusCode::CONFLICT, Yes, None, Level::Warn),
             Self::RequestConflict => (StatusCode::UNPROCESSABLE_ENTITY, No, None, Level::Info),
             Self::AlreadyClaimed => (StatusCode::CONFLICT, Unknown, None, Level::Info),
+            Self::UnknownRequest => (StatusCode::NOT_FOUND, Unknown, None, Level::Info),
+            Self::Cancelled => (StatusCode::GONE, Unknown, None, Level::Info),
             Self::CustomerLimit => (StatusCode::TOO_MANY_REQUESTS, No, Some(1), Level::Info),
             Self::HostLimit => (StatusCode::SERVICE_UNAVAILABLE, No, Some(1), Level::Warn),
             Self::NoEngine => (StatusCode::SERVICE_UNAVAILABLE, No, Some(2), Level::Warn),
@@ -163,6 +169,8 @@
             Self::ResumeMismatch => "resume-mismatch",
             Self::RequestConflict => "request-conflict",
             Self::AlreadyClaimed => "already-claimed",
+            Self::UnknownRequest => "unknown-request",
+            Self::Cancelled => "cancelled",
             Self::CustomerLimit => "customer-limit",
             Self::HostLimit => "host-limit",
             Self::NoEngine => "no-engine",
--- a/crates/core/src/http.rs
+++ b/crates/core/src/http.rs
@@ -6,7 +6,7 @@
 mod server;
 
 pub use {
-    body::{Body, BodyError, ReadError, empty, full, json_body, read_limited},
+    body::{Body, BodyError, ReadError, empty, full, json_body, read_draining, read_limited},
     client::{ClientOptions, HttpClient, SendError},
     server::{ServerOptions, bind, serve},
 };
--- a/crates/core/src/http/body.rs
+++ b/crates/core/src/http/body.rs
@@ -54,6 +54,43 @@
     }
 }
 
+/// Reads a whole body as [`read_limited`] does. Of a body that is too large it takes in and
+/// drops up to `drain_bytes` more: a sender that still writes when the connection closes
+/// would lose the answer that says so.
+///
+/// # Errors
+/// The body is larger than its bound, or broke off.
+pub async fn read_draining<B>(
+    mut body: B,
+    bound_bytes: usize,
+    drain_bytes: usize,
+) -> Result<Bytes, ReadError>
+where
+    B: hyper::body::Body<Data = Bytes> + Unpin,
+    B::Error: Into<BodyError>,
+{
+    let read = read_limited(&mut body, bound_bytes).await;
+    if read == Err(ReadError::TooLarge) {
+        // However the rest ends, the answer is the same.
+        let _ = drain(body, drain_bytes).await;
+    }
+    read
+}
+
+async fn drain<B>(mut body: B, mut drain_bytes: usize) -> Result<(), B::Error>
+where
+    B: hyper::body::Body<Data = Bytes> + Unpin,
+{
+    while let Some(frame) = body.frame().await {
+        let taken = frame?.data_ref().map_or(0, Bytes::len);
+        match drain_bytes.checked_sub(taken) {
+            Some(left) => drain_bytes = left,
+            None => break,
+        }
+    }
+    Ok(())
+}
+
 fn never(never: Infallible) -> BodyError {
     match never {}
 }
--- a/crates/core/src/http/client.rs
+++ b/crates/core/src/http/client.rs
@@ -21,6 +21,8 @@
     pub max_idle_per_peer: usize,
     /// How long an idle connection is kept.
     pub idle_timeout: Duration,
+    /// Whether HTTP/2 is spoken from the first byte.
+    pub http2: bool,
 }
 
 impl Default for ClientOptions {
@@ -29,6 +31,7 @@
             connect_timeout: Duration::from_millis(500),
             max_idle_per_peer: 64,
             idle_timeout: Duration::from_secs(15),
+            http2: false,
         }
     }
 }
@@ -71,6 +74,7 @@
             .pool_idle_timeout(options.idle_timeout)
             .pool_max_idle_per_host(options.max_idle_per_peer)
             .retry_canceled_requests(false)
+            .http2_only(options.http2)
             .build(connector);
         Self { inner }
     }
--- a/crates/decide/src/generation.rs
+++ b/crates/decide/src/generation.rs
@@ -93,6 +93,11 @@
         /// How it was lost.
         loss: Loss,
     },
+    /// An engine says that the customer cancelled an attempt.
+    Aborted {
+        /// The attempt.
+        attempt: AttemptNo,
+    },
     /// Time went by.
     Tick,
 }
@@ -299,6 +304,7 @@
                 reason,
             } => self.end(attempt, position, reason, now, &mut actions),
             Event::Lost { attempt, loss } => self.lost(attempt, loss, now, &mut actions),
+            Event::Aborted { attempt } => self.aborted(attempt, &mut actions),
             Event::Tick => self.tick(now, &mut actions),
         }
         actions
@@ -401,6 +407,13 @@
         actions.extend(self.finish(reason));
     }
 
+    fn aborted(&mut self, attempt: AttemptNo, actions: &mut Vec<Action>) {
+        if self.is_known(attempt) {
+            self.cancel_all(actions);
+            self.fail(ErrorKind::Cancelled, actions);
+        }
+    }
+
     fn lost(&mut self, attempt: AttemptNo, loss: Loss, now: Instant, actions: &mut Vec<Action>) {
         if self.is_standby(attempt) {
             let lost = self.standby.take();
--- a/crates/engines/src/stream.rs
+++ b/crates/engines/src/stream.rs
@@ -42,6 +42,8 @@
     Stop,
     /// It reached the length that was asked for.
     Length,
+    /// Somebody cancelled it.
+    Abort,
 }
 
 /// A stream of tokens from an engine. Dropping it closes the connection.
@@ -87,6 +89,10 @@
                 position,
                 reason: StreamEnd::Length,
             },
+            Some("abort") => StreamItem::End {
+                position,
+                reason: StreamEnd::Abort,
+            },
             Some(_) => StreamItem::End {
                 position,
                 reason: StreamEnd::Stop,
--- a/crates/engines/src/wire.rs
+++ b/crates/engines/src/wire.rs
@@ -83,7 +83,7 @@
     pub text: String,
     /// One token, or none at the end.
     pub token_ids: Vec<TokenId>,
-    /// `length` or `stop` in the last event.
+    /// `length`, `stop` or `abort` in the last event.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub finish_reason: Option<String>,
 }
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -32,6 +32,8 @@
 const CONTROL_BOUND_BYTES: usize = 16 * 1024 * 1024;
 /// How long a change of the host list takes to reach entry hosts.
 const LIST_SETTLE_TIME: Duration = Duration::from_millis(1_000);
+/// How long a caller waits for the next event.
+const CALLER_PATIENCE: Duration = Duration::from_secs(8);
 /// The halls that hosts and engines stand in, in turn.
 const HALLS: [&str; 3] = ["bkk-a", "bkk-b", "ayt-c"];
 /// The key of tickets in experiments.
@@ -365,10 +367,8 @@
     #[must_use]
     pub fn caller(key: &str, send_received: bool) -> Caller {
         Caller::new(CallerOptions {
-            key: key.to_owned(),
-            patience: Duration::from_secs(8),
-            max_connections: 8,
             send_received,
+            ..caller_options(key)
         })
     }
 
@@ -376,10 +376,17 @@
     #[must_use]
     pub fn caller_once(key: &str) -> Caller {
         Caller::new(CallerOptions {
-            key: key.to_owned(),
-            patience: Duration::from_secs(8),
             max_connections: 1,
-            send_received: false,
+            ..caller_options(key)
+        })
+    }
+
+    /// A caller that speaks HTTP/2.
+    #[must_use]
+    pub fn caller_http2(key: &str) -> Caller {
+        Caller::new(CallerOptions {
+            http2: true,
+            ..caller_options(key)
         })
     }
 
@@ -505,6 +512,16 @@
     }
 }
 
+fn caller_options(key: &str) -> CallerOptions {
+    CallerOptions {
+        key: key.to_owned(),
+        patience: CALLER_PATIENCE,
+        max_connections: 8,
+        send_received: false,
+        http2: false,
+    }
+}
+
 fn hall(index: u64) -> &'static str {
     HALLS[usize::try_from(index).unwrap_or(0) % HALLS.len()]
 }
--- a/crates/lab/tests/at_most_once.rs
+++ b/crates/lab/tests/at_most_once.rs
@@ -258,7 +258,7 @@
     let call = async |method: Method, path: &str| {
         let caller = Fleet::caller_once(LATENCY_KEY);
         caller
-            .plain(fleet.entries()[0], method, path, "body")
+            .fetch(fleet.entries()[0], method, path, "body")
             .await
             .unwrap()
     };
@@ -348,7 +348,7 @@
         fleet.plain[dead].process.kill().await.unwrap();
         let caller = Fleet::caller(LATENCY_KEY, true);
         let (status, body) = caller
-            .plain(
+            .fetch(
                 fleet.entries()[0],
                 Method::GET,
                 "/v1/services/tile-api/lookup",
--- /dev/null
+++ b/crates/lab/tests/interface.rs
@@ -0,0 +1,319 @@
+//! What callers send, good and bad, through the real entry host. A generation runs beside
+//! the bad input and must not notice.
+
+#![allow(clippy::unwrap_used, reason = "a test that stops here says why")]
+
+use {
+    http::Method,
+    std::net::SocketAddr,
+    tealshore_callers::{
+        client::{CallEnd, CallRecord},
+        wire::CancelledAnswer,
+    },
+    tealshore_core::answer::{Problem, Ran},
+    tealshore_lab::{
+        check::check_answer,
+        fleet::{Fleet, FleetOptions},
+        work::{LATENCY_KEY, Work},
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+        sync::watch,
+        task::JoinHandle,
+    },
+};
+
+async fn start() -> Fleet {
+    let settings = [("max_body_bytes", "65536"), ("read_timeout_ms", "500")];
+    let settings =
+        settings.map(|(key, value)| ("callers".to_owned(), key.to_owned(), value.to_owned()));
+    let options = FleetOptions {
+        routers: 2,
+        engines: 2,
+        settings: settings.to_vec(),
+        ..FleetOptions::default()
+    };
+    Fleet::start(options).await.unwrap()
+}
+
+fn call(entries: Vec<SocketAddr>, work: &Work) -> (JoinHandle<CallRecord>, watch::Receiver<u64>) {
+    let (seen, progress) = watch::channel(0);
+    let call = work.call.clone();
+    let calling = tokio::spawn(async move {
+        let caller = Fleet::caller(LATENCY_KEY, true);
+        caller
+            .complete(&entries, &call, |arrival| {
+                seen.send_replace(arrival.position + 1);
+            })
+            .await
+    });
+    (calling, progress)
+}
+
+/// Sends bytes as they are and reads what comes back.
+async fn raw(entry: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(entry).await.unwrap();
+    stream.write_all(bytes).await.unwrap();
+    let mut answer = Vec::new();
+    // A connection that is reset has said all that it will say.
+    let _ = stream.read_to_end(&mut answer).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// A request with a whole head; `body` follows as it is.
+fn post(headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let mut head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: x\r\ncontent-length: {}\r\n",
+        body.len()
+    );
+    head.push_str("connection: close\r\n");
+    if !headers.iter().any(|(name, _)| *name == "authorization") {
+        head.push_str(&format!("authorization: Bearer {LATENCY_KEY}\r\n"));
+    }
+    for (name, value) in headers {
+        head.push_str(&format!("{name}: {value}\r\n"));
+    }
+    head.push_str("\r\n");
+    [head.as_bytes(), body].concat()
+}
+
+fn problem_in(answer: &str) -> Problem {
+    let body = answer.split("\r\n\r\n").nth(1).unwrap_or_default();
+    serde_json::from_str(body).unwrap_or_else(|error| panic!("{error}: {answer}"))
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_input_gets_a_clear_answer_and_disturbs_nothing() {
+    const GOOD: &str = r#"{"model":"assess","prompt":"a b","max_tokens":5}"#;
+    let fleet = start().await;
+    let entry = fleet.entries()[0];
+    let beside = Work::new("beside", "assess", "one two three", 200);
+    let (calling, mut progress) = call(vec![entry], &beside);
+    progress.wait_for(|tokens| *tokens > 0).await.unwrap();
+    let large = format!(
+        r#"{{"model":"assess","prompt":"{}","max_tokens":5}}"#,
+        "x ".repeat(1_500_000)
+    );
+    let cases: Vec<(Vec<u8>, u16, &str, &str)> = vec![
+        (post(&[], large.as_bytes()), 413, "body-too-large", "65536"),
+        (post(&[], b"{"), 400, "bad-request", "body"),
+        (
+            post(
+                &[],
+                br#"{"model":"assess","prompt":"a","max_tokens":"five"}"#,
+            ),
+            400,
+            "bad-request",
+            "five",
+        ),
+        (
+            post(&[], br#"{"model":"assess","prompt":"a","max_tokens":0}"#),
+            400,
+            "bad-request",
+            "body",
+        ),
+        (
+            post(
+                &[],
+                br#"{"model":"assess","prompt":"a","max_tokens":5,"wat":1}"#,
+            ),
+            400,
+            "bad-request",
+            "wat",
+        ),
+        (
+            post(
+                &[],
+                br#"{"model":"assess","prompt":"a","max_tokens":5,"stream":false}"#,
+            ),
+            400,
+            "bad-request",
+            "stream",
+        ),
+        (
+            post(
+                &[],
+                br#"{"model":"assess","prompt":"a","max_tokens":99999999}"#,
+            ),
+            400,
+            "bad-request",
+            "100000",
+        ),
+        (
+            post(
+                &[],
+                b"{\"model\":\"assess\",\"prompt\":\"\xff\xfe\",\"max_tokens\":5}",
+            ),
+            400,
+            "bad-request",
+            "body",
+        ),
+        (
+            post(&[], br#"{"model":"other","prompt":"a","max_tokens":5}"#),
+            404,
+            "unknown-model",
+            "assess",
+        ),
+        (
+            post(&[("authorization", "Bearer wrong")], GOOD.as_bytes()),
+            401,
+            "unauthenticated",
+            "Bearer",
+        ),
+        (
+            post(&[("idempotency-key", "a/b")], GOOD.as_bytes()),
+            400,
+            "bad-request",
+            "idempotency-key",
+        ),
+        (
+            post(&[("tealshore-repeat", "maybe")], GOOD.as_bytes()),
+            400,
+            "bad-request",
+            "allowed, forbidden",
+        ),
+        (
+            post(&[("last-event-id", "1.2.3.k1.x")], GOOD.as_bytes()),
+            403,
+            "foreign-resume-token",
+            "last-event-id",
+        ),
+        (
+            post(&[("last-event-id", "\u{e9}")], GOOD.as_bytes()),
+            400,
+            "bad-request",
+            "last-event-id",
+        ),
+        (
+            b"GET /v2 HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n".to_vec(),
+            404,
+            "unknown-path",
+            "/v2",
+        ),
+        (
+            b"PUT /v1/completions HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n".to_vec(),
+            405,
+            "method-not-allowed",
+            "PUT",
+        ),
+    ];
+    for (bytes, status, kind, named) in cases {
+        let answer = raw(entry, &bytes).await;
+        assert!(
+            answer.starts_with(&format!("HTTP/1.1 {status} ")),
+            "{kind}: {answer}"
+        );
+        let problem = problem_in(&answer);
+        assert_eq!((problem.kind_name(), problem.ran), (kind, Ran::No));
+        assert!(
+            problem.detail.contains(named),
+            "{named}: {}",
+            problem.detail
+        );
+    }
+    assert_whole(&beside, &calling.await.unwrap());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn input_that_breaks_off_or_comes_too_slowly_disturbs_nothing() {
+    let fleet = start().await;
+    let entry = fleet.entries()[0];
+    let beside = Work::new("beside", "assess", "one two three", 150);
+    let (calling, mut progress) = call(vec![entry], &beside);
+    progress.wait_for(|tokens| *tokens > 0).await.unwrap();
+    let whole = post(&[], br#"{"model":"assess","prompt":"a b","max_tokens":5}"#);
+    for length in [3, 40, whole.len() - 1] {
+        let mut cut = TcpStream::connect(entry).await.unwrap();
+        cut.write_all(&whole[..length]).await.unwrap();
+    }
+    raw(entry, b"\x16\x03\x01 this is no HTTP\r\n\r\n").await;
+    let answer = raw(entry, &post(&[("x-large", &"y".repeat(64 * 1024))], b"{}")).await;
+    assert!(
+        answer.is_empty() || answer.starts_with("HTTP/1.1 431"),
+        "{answer}"
+    );
+    let mut slow = TcpStream::connect(entry).await.unwrap();
+    slow.write_all(&whole[..whole.len() - 1]).await.unwrap();
+    let mut answer = String::new();
+    slow.read_to_string(&mut answer).await.unwrap();
+    assert_eq!(problem_in(&answer).kind_name(), "request-too-slow");
+    assert_whole(&beside, &calling.await.unwrap());
+}
+
+fn assert_whole(work: &Work, record: &CallRecord) {
+    assert!(matches!(record.end, CallEnd::Whole), "{:?}", record.end);
+    assert!(check_answer(work, &record.arrivals, work.tokens(), 1).is_whole());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_can_be_cancelled_at_any_entry_host() {
+    let fleet = start().await;
+    let work = Work::new("cancel", "assess", "one two three", 2_000);
+    let (calling, mut progress) = call(vec![fleet.entries()[0]], &work);
+    progress.wait_for(|tokens| *tokens >= 5).await.unwrap();
+    let caller = Fleet::caller_once(LATENCY_KEY);
+    let cancel = async |id: &str| {
+        let path = format!("/v1/completions/{id}");
+        let (status, body) = caller
+            .fetch(fleet.entries()[1], Method::DELETE, &path, "")
+            .await
+            .unwrap();
+        (status.as_u16(), body)
+    };
+    let (status, body) = cancel("cancel").await;
+    assert_eq!(status, 200);
+    let answer: CancelledAnswer = serde_json::from_slice(&body).unwrap();
+    assert_eq!(answer.ran, Ran::Yes);
+    let CallEnd::Problem(problem) = calling.await.unwrap().end else {
+        panic!("it was not cancelled")
+    };
+    assert_eq!(problem.kind_name(), "cancelled");
+    assert_eq!(
+        fleet.engines_of("cancel").await.len(),
+        1,
+        "it is not resumed"
+    );
+    assert_eq!(cancel("never-sent").await.0, 404);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_stays_away_frees_its_engine() {
+    let fleet = Fleet::start(FleetOptions {
+        routers: 1,
+        engines: 1,
+        engine_args: vec!["--load-lag-ms".to_owned(), "0".to_owned()],
+        settings: vec![(
+            "callers".to_owned(),
+            "return_grace_ms".to_owned(),
+            "200".to_owned(),
+        )],
+        ..FleetOptions::default()
+    })
+    .await
+    .unwrap();
+    let work = Work::new("away", "assess", "one two three", 90_000);
+    let (calling, mut progress) = call(fleet.entries(), &work);
+    progress.wait_for(|tokens| *tokens >= 5).await.unwrap();
+    calling.abort();
+    let running = async || -> u64 {
+        let report: serde_json::Value = fleet
+            .read(fleet.engines[0].address, "/v1/load")
+            .await
+            .unwrap();
+        report["running"].as_u64().unwrap()
+    };
+    while running().await > 0 {
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn http_2_serves_as_well() {
+    let fleet = start().await;
+    let work = Work::new("h2", "assess", "one two three", 20);
+    let record = Fleet::caller_http2(LATENCY_KEY)
+        .complete(&fleet.entries(), &work.call, |_| {})
+        .await;
+    assert_whole(&work, &record);
+}
--- a/crates/peers/src/client.rs
+++ b/crates/peers/src/client.rs
@@ -43,6 +43,15 @@
         .await
     }
 
+    /// Asks the home of a request for its place.
+    pub async fn find(&self, peer: SocketAddr, key: PlaceKey) -> Option<Place> {
+        self.ask(peer, |client| async move {
+            client.find(within_patience(), key).await
+        })
+        .await
+        .flatten()
+    }
+
     /// Tells the home of a request where it runs now.
     pub async fn moved(&self, peer: SocketAddr, key: PlaceKey, place: Place) {
         self.ask(peer, |client| async move {
--- a/crates/peers/src/places.rs
+++ b/crates/peers/src/places.rs
@@ -76,6 +76,15 @@
         }
     }
 
+    /// The place of a request.
+    #[must_use]
+    pub fn find(&self, key: &PlaceKey) -> Option<Place> {
+        self.shard(key)
+            .lock()
+            .get(key)
+            .map(|noted| noted.place.clone())
+    }
+
     /// Notes where a request runs now. Of two attempts the later one counts; another
     /// generation replaces the one before.
     pub fn moved(&self, key: PlaceKey, place: Place) {
--- a/crates/peers/src/service.rs
+++ b/crates/peers/src/service.rs
@@ -75,6 +75,8 @@
 pub trait Peer {
     /// Notes the place of a request unless it has one.
     async fn reserve(key: PlaceKey, place: Place) -> Reservation;
+    /// Asks for the place of a request.
+    async fn find(key: PlaceKey) -> Option<Place>;
     /// Tells where a request runs now.
     async fn moved(key: PlaceKey, place: Place);
     /// Tells what the asking host runs; the answer is what the asked one runs.
@@ -121,6 +123,10 @@
         self.places.reserve(key, place)
     }
 
+    async fn find(self, _: Context, key: PlaceKey) -> Option<Place> {
+        self.places.find(&key)
+    }
+
     async fn moved(self, _: Context, key: PlaceKey, place: Place) {
         self.places.moved(key, place);
     }
--- a/crates/router/src/drive/driver.rs
+++ b/crates/router/src/drive/driver.rs
@@ -174,17 +174,19 @@
                     token,
                 });
             }
-            StreamItem::End { position, reason } => {
-                let reason = match reason {
-                    StreamEnd::Stop => FinishReason::Stop,
-                    StreamEnd::Length => FinishReason::Length,
-                };
-                self.handle(Event::End {
+            StreamItem::End { position, reason } => self.handle(match reason {
+                StreamEnd::Stop => Event::End {
                     attempt,
                     position,
-                    reason,
-                });
-            }
+                    reason: FinishReason::Stop,
+                },
+                StreamEnd::Length => Event::End {
+                    attempt,
+                    position,
+                    reason: FinishReason::Length,
+                },
+                StreamEnd::Abort => Event::Aborted { attempt },
+            }),
             StreamItem::Broken => {
                 self.streams.remove(&attempt);
                 self.note_failure(attempt);
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -2,6 +2,7 @@
 
 mod addresses;
 mod caller;
+mod cancel;
 mod completions;
 mod plain;
 mod problem;
@@ -36,6 +37,9 @@
             ErrorKind::MethodNotAllowed,
             format!("{} {path}", request.method()),
         )),
+        (&Method::DELETE, path) if path.starts_with(COMPLETIONS_PATH) => {
+            cancel::answer(state, &request).await
+        }
         (_, path) if path.starts_with(SERVICES_PATH) => plain::answer(state, request).await,
         (_, path) => Err(Failure::new(ErrorKind::UnknownPath, path.to_owned())),
     }
--- a/crates/router/src/serve/caller.rs
+++ b/crates/router/src/serve/caller.rs
@@ -9,7 +9,7 @@
     tealshore_callers::wire::{REPEAT_HEADER, REQUEST_ID_HEADER, check_request_id},
     tealshore_core::{
         answer::{ErrorKind, Failure},
-        http::{ReadError, read_limited},
+        http::{ReadError, read_draining},
         ids::RequestId,
     },
     tealshore_decide::policy::Repeat,
@@ -17,6 +17,9 @@
     tokio::time::timeout,
 };
 
+/// How much more is taken in of a body that is too large, so that its answer arrives.
+const DRAIN_BOUND_BYTES: usize = 64 * 1024 * 1024;
+
 /// The declarations in force.
 ///
 /// # Errors
@@ -93,7 +96,8 @@
 /// It is too large, too slow, or broke off.
 pub async fn body(state: &RouterState, request: Request<Incoming>) -> Result<Bytes, Failure> {
     let callers = &state.options.callers;
-    let reading = read_limited(request.into_body(), callers.max_body_bytes);
+    let bound = callers.max_body_bytes;
+    let reading = read_draining(request.into_body(), bound, DRAIN_BOUND_BYTES);
     match timeout(callers.read_timeout, reading).await {
         Ok(Ok(body)) => Ok(body),
         Ok(Err(ReadError::TooLarge)) => Err(Failure::new(
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -106,6 +106,14 @@
         }
     }
 
+    /// Asks the home of a request for its place.
+    pub async fn find_place(&self, key: &PlaceKey) -> Option<Place> {
+        match self.remote_home(key) {
+            None => self.places.find(key),
+            Some(home) => self.peers.find(home, key.clone()).await,
+        }
+    }
+
     /// Tells the home of a request where it runs now.
     pub async fn move_place(&self, key: PlaceKey, place: Place) {
         match self.remote_home(&key) {
--- a/crates/standin/src/engine/batch.rs
+++ b/crates/standin/src/engine/batch.rs
@@ -100,7 +100,9 @@
     End(Position),
     /// Nothing yet.
     NotYet,
-    /// The stream was cancelled, or is unknown.
+    /// The stream was cancelled after this many tokens.
+    Aborted(Position),
+    /// The stream is unknown.
     Gone,
 }
 
@@ -220,7 +222,7 @@
         match (sequence.produced.get(index), sequence.phase) {
             (Some(token), _) => Reading::Token(*token),
             (None, Phase::Done) => Reading::End(sequence.length()),
-            (None, Phase::Cancelled) => Reading::Gone,
+            (None, Phase::Cancelled) => Reading::Aborted(sequence.length()),
             (None, Phase::Waiting | Phase::Prefill { .. } | Phase::Decode) => Reading::NotYet,
         }
     }
--- a/crates/standin/src/engine/server.rs
+++ b/crates/standin/src/engine/server.rs
@@ -207,21 +207,24 @@
                     return Some(self.token_event(choice));
                 }
                 Reading::End(_) if self.engine.faults.lock().no_end => return None,
-                Reading::End(position) => {
-                    self.over = true;
-                    let choice = StreamChoice {
-                        finish_reason: Some("length".to_owned()),
-                        ..StreamChoice::default()
-                    };
-                    let end = encode(&self.stream, position, choice);
-                    return Some(Bytes::from(format!("{end}data: {DONE}\n\n")));
-                }
+                Reading::End(position) => return Some(self.end_event(position, "length")),
+                Reading::Aborted(position) => return Some(self.end_event(position, "abort")),
                 Reading::NotYet => self.progress.changed().await.ok()?,
                 Reading::Gone => return None,
             }
         }
     }
 
+    fn end_event(&mut self, position: Position, reason: &str) -> Bytes {
+        self.over = true;
+        let choice = StreamChoice {
+            finish_reason: Some(reason.to_owned()),
+            ..StreamChoice::default()
+        };
+        let end = encode(&self.stream, position, choice);
+        Bytes::from(format!("{end}data: {DONE}\n\n"))
+    }
+
     fn token_event(&mut self, choice: StreamChoice) -> Bytes {
         let faults = self.engine.faults.lock().clone();
         let event = encode(&self.stream, self.position, choice);
