Tell a customer's cancel from that of a host that woke late

Cause: the fault matrix, cell repeatable/suspect/entry-freeze: an engine and an entry host froze, the caller read on at another host, both thawed, and the first host cancelled the stream that the second one read. The engine's 'abort' was told to the caller as its own cancel. Ruled out: cancelling only unread streams (our own reading may not have ended yet at the engine, so a stream that was replaced would run on unread until its time is up). Change: who cancelled is asked of the request's home, where DELETE notes it; any other abort is a lost attempt. Engines get request ids with the customer, since two may use the same.

--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -68,7 +68,7 @@
     let half = options.tokens / 2;
     progress.wait_for(|tokens| *tokens >= half).await?;
     let victim = *fleet
-        .engines_of(&work.call.id)
+        .engines_of(&work)
         .await
         .first()
         .ok_or_else(|| eyre!("no engine has the request"))?;
@@ -100,7 +100,7 @@
     let survivors = fleet.work().await;
     let resumes = survivors
         .iter()
-        .filter(|(_, counts)| counts.runs.contains_key(&work.call.id))
+        .filter(|(_, counts)| counts.runs.contains_key(&work.engine_request_id()))
         .count();
     let line = serde_json::json!({
         "tokens": check.tokens,
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -4,7 +4,7 @@
 
 pub use process::Process;
 use {
-    crate::work::{SERVICE, declarations},
+    crate::work::{SERVICE, Work, declarations},
     eyre::{WrapErr, bail, eyre},
     http::{Method, Request, StatusCode},
     serde::{Serialize, de::DeserializeOwned},
@@ -22,12 +22,15 @@
     tealshore_standin::engine::WorkCounts,
     tealshore_table::{TableClient, TableOptions},
     tempfile::TempDir,
+    tokio::time::timeout,
 };
 
 /// How long the system may take to get ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 /// How long a control exchange may take.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long an engine may take to tell its counts.
+const COUNTS_TIMEOUT: Duration = Duration::from_millis(500);
 /// The largest answer to a control exchange.
 const CONTROL_BOUND_BYTES: usize = 16 * 1024 * 1024;
 /// How long a change of the host list takes to reach entry hosts.
@@ -474,26 +477,38 @@
             .iter()
             .filter(|engine| engine.process.is_running())
         {
-            if let Ok(counts) = self.read(engine.address, "/control/work").await {
+            // A frozen engine does not answer.
+            let reading = timeout(COUNTS_TIMEOUT, self.read(engine.address, "/control/work"));
+            if let Ok(Ok(counts)) = reading.await {
                 all.push((engine.id.clone(), counts));
             }
         }
         all
     }
 
-    /// The engines to which a request came, in no order.
-    pub async fn engines_of(&self, request: &str) -> Vec<usize> {
-        let work = self.work().await;
-        let ran: Vec<&String> = work
+    /// The engines that ran a request and are not killed, in the order of their start.
+    pub async fn engines_of(&self, work: &Work) -> Vec<usize> {
+        let request = work.engine_request_id();
+        let counts = self.work().await;
+        let ran = counts
             .iter()
-            .filter(|(_, counts)| counts.runs.contains_key(request))
-            .map(|(id, _)| id)
-            .collect();
+            .filter(|(_, counts)| counts.runs.contains_key(&request));
+        let ran: Vec<&String> = ran.map(|(id, _)| id).collect();
         (0..self.engines.len())
             .filter(|index| ran.contains(&&self.engines[*index].id))
             .collect()
     }
 
+    /// How often a request ran on engines that are not killed.
+    pub async fn runs_of(&self, work: &Work) -> u32 {
+        let request = work.engine_request_id();
+        let counts = self.work().await;
+        counts
+            .iter()
+            .filter_map(|(_, counts)| counts.runs.get(&request))
+            .sum()
+    }
+
     /// Waits until each entry host is ready and knows an engine.
     ///
     /// # Errors
--- a/crates/lab/src/scenario/runner.rs
+++ b/crates/lab/src/scenario/runner.rs
@@ -8,7 +8,7 @@
     crate::{
         check::check_answer,
         fleet::{Fleet, FleetOptions, listed},
-        work::{LATENCY_KEY, SERVICE, THRIFT_KEY, Work},
+        work::{SERVICE, THRIFT_CUSTOMER, Work},
     },
     eyre::{bail, eyre},
     http::Method,
@@ -175,15 +175,13 @@
             line.number("tokens", 100),
         );
         work.call.repeat = line.values.get("repeat").cloned();
-        let key = if line.value("customer", "mekong") == "cedar" {
-            THRIFT_KEY
-        } else {
-            LATENCY_KEY
-        };
+        if line.value("customer", "") == "cedar" {
+            work.customer = THRIFT_CUSTOMER.to_owned();
+        }
         let mut entries = self.fleet.entries();
         let first = usize::try_from(line.number("entry", 0))?;
         entries.rotate_left(first % self.fleet.routers.len());
-        let (progress, task) = call(key, entries, &work);
+        let (progress, task) = call(entries, &work);
         self.calls.insert(
             name,
             Calling {
@@ -227,9 +225,9 @@
     }
 
     async fn wait_for_run(&self, name: &str) -> eyre::Result<bool> {
-        let id = &self.calling(name)?.work.call.id;
+        let work = &self.calling(name)?.work;
         let wait = async {
-            while self.fleet.engines_of(id).await.is_empty() {
+            while self.fleet.engines_of(work).await.is_empty() {
                 tokio::time::sleep(LOOK_INTERVAL).await;
             }
         };
@@ -240,13 +238,13 @@
     async fn engine(&self, line: &Line) -> eyre::Result<usize> {
         match line.word(0) {
             "engine-of" => {
-                let id = &self.calling(line.word(1))?.work.call.id;
+                let work = &self.calling(line.word(1))?.work;
                 self.fleet
-                    .engines_of(id)
+                    .engines_of(work)
                     .await
                     .last()
                     .copied()
-                    .ok_or_else(|| eyre!("no engine runs {id}"))
+                    .ok_or_else(|| eyre!("no engine runs {}", work.call.id))
             }
             word => word
                 .strip_prefix("engine-")
@@ -384,13 +382,13 @@
             .ok_or_else(|| eyre!("{name} did not end"))
     }
 
-    async fn runs(&self, id: &str) -> u32 {
-        let work = self.fleet.work().await;
-        let alive: u32 = work
-            .iter()
-            .filter_map(|(_, counts)| counts.runs.get(id))
-            .sum();
-        alive + self.lost_runs.get(id).copied().unwrap_or(0)
+    async fn runs(&self, work: &Work) -> u32 {
+        let lost = self
+            .lost_runs
+            .get(&work.engine_request_id())
+            .copied()
+            .unwrap_or(0);
+        self.fleet.runs_of(work).await + lost
     }
 
     async fn expect(&mut self, line: &Line) -> eyre::Result<Verdict> {
@@ -404,11 +402,11 @@
         let broken = match line.word(1) {
             "whole" => not_whole(&work, &record, salts),
             "honest" => {
-                let runs = self.runs(&work.call.id).await;
+                let runs = self.runs(&work).await;
                 not_a_prefix(&work, &record, salts).or_else(|| not_honest(&record, runs))
             }
             "runs" => {
-                let (runs, most) = (self.runs(&work.call.id).await, line.word(2).parse::<u32>()?);
+                let (runs, most) = (self.runs(&work).await, line.word(2).parse::<u32>()?);
                 (runs > most).then(|| format!("it ran {runs} times"))
             }
             "problem" => not_problem(&record, line.word(2)),
@@ -420,13 +418,9 @@
     }
 }
 
-fn call(
-    key: &str,
-    entries: Vec<SocketAddr>,
-    work: &Work,
-) -> (watch::Receiver<u64>, JoinHandle<CallRecord>) {
+fn call(entries: Vec<SocketAddr>, work: &Work) -> (watch::Receiver<u64>, JoinHandle<CallRecord>) {
     let (seen, progress) = watch::channel(0);
-    let caller = Fleet::caller_patient(key, Duration::from_secs(3));
+    let caller = Fleet::caller_patient(work.key(), Duration::from_secs(3));
     let call = work.call.clone();
     let task = tokio::spawn(async move {
         let note = |arrival: &Arrival| {
--- a/crates/lab/src/work.rs
+++ b/crates/lab/src/work.rs
@@ -10,10 +10,14 @@
     tealshore_operators::declarations::key_hash,
 };
 
-/// The key of the customer `mekong-floods`.
+/// The key of [`LATENCY_CUSTOMER`].
 pub const LATENCY_KEY: &str = "mekong-floods-key";
-/// The key of the customer `cedar-nights`.
+/// The key of [`THRIFT_CUSTOMER`].
 pub const THRIFT_KEY: &str = "cedar-nights-key";
+/// The customer who weighs latency.
+pub const LATENCY_CUSTOMER: &str = "mekong-floods";
+/// The customer who weighs thrift.
+pub const THRIFT_CUSTOMER: &str = "cedar-nights";
 /// The group of engines of all experiments.
 pub const SERVICE: &str = "assess-lm";
 /// The version of the weights of all experiments.
@@ -29,8 +33,8 @@
         "[template assess]\nservice = {SERVICE}\nversion = {VERSION}\nresume = latency\nmax_tokens = 100000\nmax_in_flight = 5000\n\n\
          [template summary]\nservice = {SERVICE}\nversion = {VERSION}\nresume = thrift\nmax_tokens = 100000\nmax_in_flight = 5000\n\n\
          [template draft]\nservice = {SERVICE}\nversion = {VERSION}\nrepeat = forbidden\n\n\
-         [customer mekong-floods]\nkey_hash = {latency}\ntemplates = assess, draft\n\n\
-         [customer cedar-nights]\nkey_hash = {thrift}\ntemplates = summary, draft\n"
+         [customer {LATENCY_CUSTOMER}]\nkey_hash = {latency}\ntemplates = assess, draft\n\n\
+         [customer {THRIFT_CUSTOMER}]\nkey_hash = {thrift}\ntemplates = summary, draft\n"
     )
 }
 
@@ -47,6 +51,8 @@
 /// A call with what is needed to check its answer.
 #[derive(Clone, Debug)]
 pub struct Work {
+    /// The customer that calls.
+    pub customer: String,
     /// The call.
     pub call: Call,
     /// What the generation must be pinned to.
@@ -54,7 +60,8 @@
 }
 
 impl Work {
-    /// A call of a template for `tokens` tokens.
+    /// A call of a template for `tokens` tokens, by the customer who weighs thrift for
+    /// `summary`, else by the one who weighs latency.
     #[must_use]
     pub fn new(id: &str, template: &str, prompt: &str, tokens: u64) -> Self {
         let request = CompletionRequest {
@@ -70,7 +77,13 @@
             adapter: String::new(),
             version: VERSION.to_owned(),
         };
+        let customer = if template == "summary" {
+            THRIFT_CUSTOMER
+        } else {
+            LATENCY_CUSTOMER
+        };
         Self {
+            customer: customer.to_owned(),
             call: Call {
                 id: id.to_owned(),
                 request,
@@ -80,6 +93,22 @@
         }
     }
 
+    /// Names the request as engines get it.
+    #[must_use]
+    pub fn engine_request_id(&self) -> String {
+        format!("{}:{}", self.customer, self.call.id)
+    }
+
+    /// The key that the customer calls with.
+    #[must_use]
+    pub fn key(&self) -> &'static str {
+        if self.customer == THRIFT_CUSTOMER {
+            THRIFT_KEY
+        } else {
+            LATENCY_KEY
+        }
+    }
+
     /// The prompt as an engine gets it.
     #[must_use]
     pub fn prompt(&self) -> Prompt {
--- a/crates/lab/tests/at_most_once.rs
+++ b/crates/lab/tests/at_most_once.rs
@@ -76,13 +76,6 @@
     assert!(check_answer(work, &record.arrivals, work.tokens(), 1).is_whole());
 }
 
-async fn runs(fleet: &Fleet, work: &Work) -> u32 {
-    let all = fleet.work().await;
-    all.iter()
-        .filter_map(|(_, counts)| counts.runs.get(&work.call.id))
-        .sum()
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn a_claim_whose_answer_was_lost_runs_once() {
     let fleet = start().await;
@@ -96,7 +89,7 @@
     .await;
     let work = draft("lost");
     assert_whole(&work, &call_at(&fleet, 0, &work).await);
-    assert_eq!(runs(&fleet, &work).await, 1);
+    assert_eq!(fleet.runs_of(&work).await, 1);
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -121,10 +114,10 @@
             ("table-unavailable", Ran::No)
         );
         assert!(refused.retry_after_ms.is_some());
-        assert_eq!(runs(&fleet, &work).await, 0);
+        assert_eq!(fleet.runs_of(&work).await, 0);
         set_table(&fleet, TableFaults::default()).await;
         assert_whole(&work, &wait_for_claim(&fleet, &work).await);
-        assert_eq!(runs(&fleet, &work).await, 1);
+        assert_eq!(fleet.runs_of(&work).await, 1);
     }
 }
 
@@ -164,7 +157,7 @@
     );
     set_table(&fleet, TableFaults::default()).await;
     assert_whole(&work, &wait_for_claim(&fleet, &work).await);
-    assert_eq!(runs(&fleet, &work).await, 1);
+    assert_eq!(fleet.runs_of(&work).await, 1);
 }
 
 /// Comes back until the claim is free again.
@@ -190,7 +183,7 @@
         tokio::spawn(async move { caller.complete(&entries[..1], &call, |_| {}).await })
     };
     let victim = loop {
-        if let Some(victim) = fleet.engines_of(&work.call.id).await.first() {
+        if let Some(victim) = fleet.engines_of(&work).await.first() {
             break *victim;
         }
         tokio::time::sleep(Duration::from_millis(10)).await;
@@ -205,7 +198,7 @@
     let again = problem(call_at(&fleet, 1, &work).await);
     assert_ne!(again.ran, Ran::No, "{again:?}");
     assert_eq!(
-        runs(&fleet, &work).await,
+        fleet.runs_of(&work).await,
         0,
         "no engine that is left has run it"
     );
@@ -217,7 +210,7 @@
     for index in 0..10 {
         let work = draft(&format!("race-{index}"));
         let (first, second) = tokio::join!(call_at(&fleet, 0, &work), call_at(&fleet, 1, &work));
-        assert_eq!(runs(&fleet, &work).await, 1);
+        assert_eq!(fleet.runs_of(&work).await, 1);
         for record in [first, second] {
             match record.end {
                 CallEnd::Whole => assert_whole(&work, &record),
@@ -247,7 +240,7 @@
         (again.kind_name(), again.ran),
         ("already-claimed", Ran::Unknown)
     );
-    assert_eq!(runs(&fleet, &work).await, 1);
+    assert_eq!(fleet.runs_of(&work).await, 1);
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -301,7 +294,7 @@
         })
     };
     progress.wait_for(|tokens| *tokens >= 10).await.unwrap();
-    let victim = fleet.engines_of("header").await[0];
+    let victim = fleet.engines_of(&work).await[0];
     fleet.engines[victim].process.kill().await.unwrap();
     let record = calling.await.unwrap();
     let ticket = record.last_event.clone().unwrap();
@@ -317,7 +310,7 @@
         .unwrap();
     assert_eq!(answer.status().as_u16(), 502);
     assert_eq!(
-        runs(&fleet, &work).await,
+        fleet.runs_of(&work).await,
         0,
         "no engine that is left has run it"
     );
--- a/crates/lab/tests/interface.rs
+++ b/crates/lab/tests/interface.rs
@@ -269,11 +269,7 @@
         panic!("it was not cancelled")
     };
     assert_eq!(problem.kind_name(), "cancelled");
-    assert_eq!(
-        fleet.engines_of("cancel").await.len(),
-        1,
-        "it is not resumed"
-    );
+    assert_eq!(fleet.engines_of(&work).await.len(), 1, "it is not resumed");
     assert_eq!(cancel("never-sent").await.0, 404);
 }
 
--- a/crates/lab/tests/resume.rs
+++ b/crates/lab/tests/resume.rs
@@ -63,7 +63,7 @@
 
 async fn engine_of(fleet: &Fleet, work: &Work) -> usize {
     *fleet
-        .engines_of(&work.call.id)
+        .engines_of(work)
         .await
         .first()
         .expect("no engine has the request")
@@ -174,7 +174,7 @@
         assert_whole(&work, &record);
         assert_eq!(record.connections, 2);
         assert_eq!(
-            fleet.engines_of(&work.call.id).await.len(),
+            fleet.engines_of(&work).await.len(),
             1,
             "the generation is used again"
         );
@@ -222,7 +222,7 @@
     assert_whole(&work, &first);
     assert_whole(&work, &second);
     assert_eq!(first.tokens(), second.tokens());
-    assert_eq!(fleet.engines_of(&work.call.id).await.len(), 1);
+    assert_eq!(fleet.engines_of(&work).await.len(), 1);
     let other = Work::new("twice", "assess", "another prompt", TOKENS);
     let (third, _) = call(LATENCY_KEY, true, vec![fleet.entries()[2]], &other);
     let CallEnd::Problem(problem) = third.await.unwrap().end else {
@@ -289,6 +289,6 @@
         let work = Work::new(&format!("leaving-{index}"), "assess", "one two three", 5);
         let (calling, _) = call(LATENCY_KEY, true, fleet.entries(), &work);
         assert_whole(&work, &calling.await.unwrap());
-        assert_eq!(fleet.engines_of(&work.call.id).await, [0]);
+        assert_eq!(fleet.engines_of(&work).await, [0]);
     }
 }
--- /dev/null
+++ b/crates/lab/tests/scenarios.rs
@@ -0,0 +1,52 @@
+//! Runs each file under `scenarios/`, and checks that the language tells what it can't read.
+
+#![allow(clippy::unwrap_used, reason = "a test that stops here says why")]
+
+use {
+    futures::{StreamExt, stream},
+    std::{fs, path::PathBuf},
+    tealshore_lab::scenario::{Verdict, matrix::cells, parse, run},
+};
+
+const AT_ONCE: usize = 4;
+
+fn files() -> Vec<PathBuf> {
+    let folder = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../scenarios");
+    fs::read_dir(folder)
+        .unwrap()
+        .map(|entry| entry.unwrap().path())
+        .collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn all_scenarios_hold() {
+    let files = files();
+    assert!(files.len() >= 8, "{files:?}");
+    let runs = stream::iter(files).map(|file| async move {
+        let lines = parse(&fs::read_to_string(&file).unwrap()).unwrap();
+        (file, run(&lines).await.unwrap())
+    });
+    let broken: Vec<_> = runs
+        .buffer_unordered(AT_ONCE)
+        .filter(|(_, verdict)| futures::future::ready(*verdict != Verdict::Held))
+        .collect()
+        .await;
+    assert!(broken.is_empty(), "{broken:#?}");
+}
+
+#[test]
+fn each_cell_of_the_matrix_is_of_the_language() {
+    let cells = cells("");
+    assert_eq!(cells.len(), 2 * 8 * 16);
+    for cell in cells {
+        parse(&cell.text).unwrap();
+    }
+}
+
+#[test]
+fn a_line_that_is_not_of_the_language_is_named() {
+    let error = parse("system engines=1\n\nkill {engine}\n").unwrap_err();
+    assert_eq!(error.number, 3);
+    let lines = parse("kill engine-of a # and a comment\n").unwrap();
+    assert_eq!((lines[0].verb.as_str(), lines[0].word(1)), ("kill", "a"));
+}
--- a/crates/lab/tests/stop.rs
+++ b/crates/lab/tests/stop.rs
@@ -45,12 +45,7 @@
     let check = check_answer(&work, &record.arrivals, tokens, 1);
     assert!(check.is_whole(), "{check:?}");
     assert_eq!(fleet.routers[0].process.wait().await.unwrap(), Some(0));
-    let work_done = fleet.work().await;
-    let runs = work_done
-        .iter()
-        .filter_map(|(_, counts)| counts.runs.get("stop"))
-        .sum();
-    (record.connections, runs)
+    (record.connections, fleet.runs_of(&work).await)
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/peers/src/client.rs
+++ b/crates/peers/src/client.rs
@@ -52,6 +52,15 @@
         .flatten()
     }
 
+    /// Tells the home of a request that the customer cancelled it; its place.
+    pub async fn cancel(&self, peer: SocketAddr, key: PlaceKey) -> Option<Place> {
+        self.ask(peer, |client| async move {
+            client.cancel(within_patience(), key).await
+        })
+        .await
+        .flatten()
+    }
+
     /// Tells the home of a request where it runs now.
     pub async fn moved(&self, peer: SocketAddr, key: PlaceKey, place: Place) {
         self.ask(peer, |client| async move {
--- a/crates/peers/src/places.rs
+++ b/crates/peers/src/places.rs
@@ -85,16 +85,25 @@
             .map(|noted| noted.place.clone())
     }
 
+    /// Notes that the customer cancelled a request; its place.
+    pub fn cancel(&self, key: &PlaceKey) -> Option<Place> {
+        let mut shard = self.shard(key).lock();
+        let noted = shard.get_mut(key)?;
+        noted.place.cancelled = true;
+        Some(noted.place.clone())
+    }
+
     /// Notes where a request runs now. Of two attempts the later one counts; another
-    /// generation replaces the one before.
-    pub fn moved(&self, key: PlaceKey, place: Place) {
+    /// generation replaces the one before. What was cancelled stays so.
+    pub fn moved(&self, key: PlaceKey, mut place: Place) {
         let mut shard = self.shard(&key).lock();
-        if let Some(known) = shard.get(&key) {
-            let is_older =
-                known.place.generation == place.generation && known.place.attempt > place.attempt;
-            if is_older {
+        if let Some(known) = shard.get(&key)
+            && known.place.generation == place.generation
+        {
+            if known.place.attempt > place.attempt {
                 return;
             }
+            place.cancelled |= known.place.cancelled;
         }
         shard.insert(
             key,
--- a/crates/peers/src/service.rs
+++ b/crates/peers/src/service.rs
@@ -39,6 +39,8 @@
     pub pin: [String; 3],
     /// Whether the request may not be repeated.
     pub once: bool,
+    /// Whether the customer cancelled the request.
+    pub cancelled: bool,
 }
 
 /// The answer to a reservation.
@@ -77,6 +79,8 @@
     async fn reserve(key: PlaceKey, place: Place) -> Reservation;
     /// Asks for the place of a request.
     async fn find(key: PlaceKey) -> Option<Place>;
+    /// Notes that the customer cancelled a request; its place.
+    async fn cancel(key: PlaceKey) -> Option<Place>;
     /// Tells where a request runs now.
     async fn moved(key: PlaceKey, place: Place);
     /// Tells what the asking host runs; the answer is what the asked one runs.
@@ -127,6 +131,10 @@
         self.places.find(&key)
     }
 
+    async fn cancel(self, _: Context, key: PlaceKey) -> Option<Place> {
+        self.places.cancel(&key)
+    }
+
     async fn moved(self, _: Context, key: PlaceKey, place: Place) {
         self.places.moved(key, place);
     }
--- a/crates/router/src/drive/admitted.rs
+++ b/crates/router/src/drive/admitted.rs
@@ -87,6 +87,11 @@
         }
     }
 
+    /// Names it to engines, which know no customers: two of them may use the same id.
+    pub fn engine_request_id(&self) -> RequestId {
+        format!("{}:{}", self.customer, self.id)
+    }
+
     /// The length that was asked for.
     pub fn max_tokens(&self) -> Position {
         self.request.max_tokens.get()
--- a/crates/router/src/drive/driver.rs
+++ b/crates/router/src/drive/driver.rs
@@ -52,13 +52,24 @@
     result: Result<TokenStream, DispatchError>,
 }
 
+/// What the driver waited for, beside streams.
+enum Answer {
+    /// An engine answered an order, or an attach.
+    Opened(Box<Opened>),
+    /// The request's home told who cancelled an attempt.
+    AbortChecked {
+        attempt: AttemptNo,
+        by_customer: bool,
+    },
+}
+
 /// Drives one generation.
 pub struct Driver {
     state: Arc<RouterState>,
     admitted: Admitted,
     generation: Generation,
     streams: StreamMap<AttemptNo, TokenStream>,
-    opening: FuturesUnordered<BoxFuture<'static, Opened>>,
+    answers: FuturesUnordered<BoxFuture<'static, Answer>>,
     outputs: VecDeque<Output>,
     writer: EventWriter,
     sealer: Option<(AttemptNo, EventSealer)>,
@@ -89,7 +100,7 @@
             admitted,
             generation,
             streams: StreamMap::new(),
-            opening: FuturesUnordered::new(),
+            answers: FuturesUnordered::new(),
             outputs: VecDeque::new(),
             sealer: None,
             text: String::new(),
@@ -145,7 +156,7 @@
         tokio::select! {
             biased;
             Some((attempt, item)) = self.streams.next() => self.take_item(attempt, item),
-            Some(opened) = self.opening.next() => self.take_opened(opened),
+            Some(answer) = self.answers.next() => self.take_answer(answer),
             () = state.stop.handover() => self.hand_over(),
             () = &mut self.timer, if self.generation.next_tick().is_some() => self.tick(),
         }
@@ -185,7 +196,7 @@
                     position,
                     reason: FinishReason::Length,
                 },
-                StreamEnd::Abort => Event::Aborted { attempt },
+                StreamEnd::Abort => return self.check_abort(attempt),
             }),
             StreamItem::Broken => {
                 self.streams.remove(&attempt);
@@ -198,6 +209,40 @@
         }
     }
 
+    /// An engine tells that a stream was cancelled, not by whom: the customer, or an entry
+    /// host that froze and woke after this one had taken over.
+    fn check_abort(&mut self, attempt: AttemptNo) {
+        let state = self.state.clone();
+        let key = self.admitted.key();
+        self.answers.push(Box::pin(async move {
+            let place = state.find_place(&key).await;
+            let by_customer = place.is_some_and(|place| place.cancelled);
+            Answer::AbortChecked {
+                attempt,
+                by_customer,
+            }
+        }));
+    }
+
+    fn take_answer(&mut self, answer: Answer) {
+        match answer {
+            Answer::Opened(opened) => self.take_opened(*opened),
+            Answer::AbortChecked {
+                attempt,
+                by_customer: true,
+            } => self.handle(Event::Aborted { attempt }),
+            Answer::AbortChecked {
+                attempt,
+                by_customer: false,
+            } => {
+                self.handle(Event::Lost {
+                    attempt,
+                    loss: Loss::Broken,
+                });
+            }
+        }
+    }
+
     fn take_opened(&mut self, opened: Opened) {
         let Opened {
             attempt,
@@ -309,13 +354,13 @@
         self.tell_home(attempt, &engine);
         let order = self.order(attempt);
         let upstream = self.state.engine(address);
-        self.opening.push(Box::pin(async move {
+        self.answers.push(Box::pin(async move {
             let result = upstream.generate(&order).await;
-            Opened {
+            Answer::Opened(Box::new(Opened {
                 attempt,
                 engine,
                 result,
-            }
+            }))
         }));
     }
 
@@ -326,7 +371,7 @@
         };
         GenerateOrder {
             stream_id: stream_id(self.admitted.generation, attempt),
-            request_id: self.admitted.id.clone(),
+            request_id: self.admitted.engine_request_id(),
             pin: self.pin(),
             prompt,
             received: self.generation.received().to_vec(),
@@ -360,13 +405,13 @@
         let stream = stream_id(self.admitted.generation, attempt);
         let from = self.generation.received().len() as Position;
         let upstream = self.state.engine(address);
-        self.opening.push(Box::pin(async move {
+        self.answers.push(Box::pin(async move {
             let result = upstream.attach(&stream, from).await;
-            Opened {
+            Answer::Opened(Box::new(Opened {
                 attempt,
                 engine,
                 result,
-            }
+            }))
         }));
     }
 
@@ -383,6 +428,7 @@
             engine: Some(engine.clone()),
             pin: [model, adapter, version],
             once: self.admitted.repeat == Repeat::Forbidden,
+            cancelled: false,
         };
         let state = self.state.clone();
         let key = self.admitted.key();
--- a/crates/router/src/serve/cancel.rs
+++ b/crates/router/src/serve/cancel.rs
@@ -15,7 +15,8 @@
     tealshore_peers::PlaceKey,
 };
 
-/// Answers a request to cancel. The one who reads the answer is told by its engine.
+/// Answers a request to cancel. The one who reads the answer is told by its engine, and
+/// learns from the request's home that it was the customer.
 pub async fn answer(
     state: &RouterState,
     request: &Request<Incoming>,
@@ -38,7 +39,7 @@
             format!("no request {id} is known to run"),
         )
     };
-    let place = state.find_place(&key).await.ok_or_else(unknown)?;
+    let place = state.cancel_place(&key).await.ok_or_else(unknown)?;
     let engine = place.engine.ok_or_else(unknown)?;
     let address = state
         .engine_address(&place.pin[0], &engine)
--- a/crates/router/src/serve/completions.rs
+++ b/crates/router/src/serve/completions.rs
@@ -164,6 +164,7 @@
         engine: None,
         pin: [pin.model.clone(), pin.adapter.clone(), pin.version.clone()],
         once: asked.repeat == Repeat::Forbidden,
+        cancelled: false,
     };
     if let Reservation::Existing(known) = asked.state.reserve_place(&key, place).await {
         if known.digest != asked.digest {
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -114,6 +114,14 @@
         }
     }
 
+    /// Tells the home of a request that the customer cancelled it; its place.
+    pub async fn cancel_place(&self, key: &PlaceKey) -> Option<Place> {
+        match self.remote_home(key) {
+            None => self.places.cancel(key),
+            Some(home) => self.peers.cancel(home, key.clone()).await,
+        }
+    }
+
     /// Tells the home of a request where it runs now.
     pub async fn move_place(&self, key: PlaceKey, place: Place) {
         match self.remote_home(&key) {
