Make the property tests say the same in each run

Ruled out: the machine, which ignores events after its end. Change: the count looks whether the answer has ended; cases come from a fixed seed, 1,000 a property; the failing case is kept.

--- a/crates/decide/tests/generation.rs
+++ b/crates/decide/tests/generation.rs
@@ -4,7 +4,10 @@
 #![allow(clippy::unwrap_used, reason = "a test that stops here says why")]
 
 use {
-    proptest::prelude::{Just, Strategy, any, prop, prop_oneof, proptest},
+    proptest::{
+        prelude::{Just, ProptestConfig, Strategy, any, prop, prop_oneof, proptest},
+        test_runner::RngSeed,
+    },
     std::{
         collections::BTreeMap,
         time::{Duration, Instant},
@@ -22,6 +25,8 @@
 };
 
 const MAX_TOKENS: Position = 12;
+const SEED: u64 = 20_261_202;
+const CASES: u32 = 1_000;
 
 fn spec(repeat: Repeat, policy: ResumePolicy) -> GenerationSpec {
     GenerationSpec {
@@ -184,6 +189,7 @@
                     Loss::Broken
                 };
                 if loss != Loss::Broken
+                    && !self.generation.is_over()
                     && self
                         .generation
                         .current()
@@ -221,11 +227,27 @@
     }
 }
 
+/// The same cases in each run, so that CI says the same; a larger search is
+/// `PROPTEST_RNG_SEED=N PROPTEST_CASES=N cargo test -p tealshore-decide`.
+fn config() -> ProptestConfig {
+    let from_env = ProptestConfig::default();
+    match from_env.rng_seed {
+        RngSeed::Random => ProptestConfig {
+            rng_seed: RngSeed::Fixed(SEED),
+            cases: CASES.max(from_env.cases),
+            ..from_env
+        },
+        RngSeed::Fixed(_) => from_env,
+    }
+}
+
 fn policies() -> impl Strategy<Value = ResumePolicy> {
     prop_oneof![Just(ResumePolicy::Latency), Just(ResumePolicy::Thrift)]
 }
 
 proptest! {
+    #![proptest_config(config())]
+
     #[test]
     fn a_caller_sees_a_prefix_of_one_generation(policy in policies(), steps in prop::collection::vec(step(), 0..80)) {
         let mut run = Run::start(spec(Repeat::Allowed, policy));
