Replace a standby that may be frozen itself

Standbys were placed at the other frozen engine and waited for the whole first-token bound of 2 s. Ruled out: detection (all suspicions were raised within 0.2 s). Change: the wait for an attempt's first token is bounded by three times what the first attempt took, but for the last two attempts, which may be slow only from load; a standby that is lost is replaced at once; a suspected engine gets no new work from this host for 2 s.

--- a/crates/decide/src/generation.rs
+++ b/crates/decide/src/generation.rs
@@ -11,7 +11,7 @@
         policy::{Repeat, ResumePolicy, SilenceBounds},
         silence::GapEstimate,
     },
-    std::time::Instant,
+    std::time::{Duration, Instant},
     tealshore_core::{
         answer::ErrorKind,
         chain::TokenChain,
@@ -20,6 +20,11 @@
     },
 };
 
+/// How many times the wait for the first token of all a resume may take for its own.
+const FIRST_WAITS: u32 = 3;
+/// Attempts that are not spent on engines that may merely be slow.
+const KEPT_ATTEMPTS: u32 = 2;
+
 /// Why an answer ended well.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FinishReason {
@@ -159,6 +164,7 @@
     current: Option<Attempt>,
     standby: Option<Attempt>,
     gaps: GapEstimate,
+    first_wait: Option<Duration>,
     avoid: Vec<EngineId>,
     over: bool,
     counts: GenerationCounts,
@@ -184,6 +190,7 @@
             current: None,
             standby: None,
             gaps: GapEstimate::default(),
+            first_wait: None,
             avoid: Vec::new(),
             over: false,
             counts: GenerationCounts::default(),
@@ -354,12 +361,25 @@
             self.counts.false_suspicions += 1;
             cancel(&standby, actions);
         }
-        if let Some(gap) = self.current.as_mut().and_then(|current| current.heard(now)) {
-            self.gaps.observe(gap);
-        }
+        self.note_time(now);
         self.accept(token, actions);
     }
 
+    fn note_time(&mut self, now: Instant) {
+        let Some(current) = self.current.as_mut() else {
+            return;
+        };
+        match current.heard(now) {
+            Some(gap) => self.gaps.observe(gap),
+            // An adopted attempt was dispatched elsewhere, at a time that is not known here.
+            None if current.adopted => {}
+            None => {
+                let wait = now.saturating_duration_since(current.dispatched_at);
+                self.first_wait.get_or_insert(wait);
+            }
+        }
+    }
+
     fn accept(&mut self, token: TokenId, actions: &mut Vec<Action>) {
         let position = self.received.len() as Position;
         self.received.push(token);
@@ -418,6 +438,7 @@
         if self.is_standby(attempt) {
             let lost = self.standby.take();
             self.avoid_engine_of(lost.as_ref());
+            self.replace_standby(now, actions);
             return;
         }
         if !self.is_current(attempt) {
@@ -483,29 +504,40 @@
         else {
             return;
         };
-        let may_prepare = self.spec.policy == ResumePolicy::Latency
-            && self.spec.repeat == Repeat::Allowed
-            && self.spec.max_attempts > 0
-            && self.received.len() as Position >= self.emit_from;
-        if may_prepare && !self.is_dead(&current, now) {
-            self.prepare_standby(current.no, now, actions);
+        if self.may_prepare() && !self.is_dead(&current, now) {
+            self.counts.suspicions += 1;
+            self.prepare_standby(now, actions);
         } else {
             self.lost(current.no, Loss::Silent, now, actions);
         }
     }
 
-    fn prepare_standby(&mut self, suspected: AttemptNo, now: Instant, actions: &mut Vec<Action>) {
-        if let Some(current) = self
+    fn may_prepare(&self) -> bool {
+        self.spec.policy == ResumePolicy::Latency
+            && self.spec.repeat == Repeat::Allowed
+            && self.spec.max_attempts > 0
+            && self.received.len() as Position >= self.emit_from
+    }
+
+    /// The suspected engine is still silent, so another one is prepared; the last attempts
+    /// are kept for when it counts as dead.
+    fn replace_standby(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let is_suspected = self
             .current
-            .as_mut()
-            .filter(|current| current.no == suspected)
-        {
+            .as_ref()
+            .is_some_and(|current| current.suspected);
+        if is_suspected && self.may_prepare() && self.spec.max_attempts >= KEPT_ATTEMPTS {
+            self.prepare_standby(now, actions);
+        }
+    }
+
+    fn prepare_standby(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if let Some(current) = self.current.as_mut() {
             current.suspected = true;
         }
         if self.standby.is_some() {
             return;
         }
-        self.counts.suspicions += 1;
         let attempt = self.take_attempt_no();
         self.standby = Some(Attempt::placing(attempt, now));
         actions.push(Action::Place { attempt });
@@ -535,13 +567,24 @@
 
     fn suspect_at(&self, attempt: &Attempt) -> Instant {
         let bound = match (attempt.has_sent, attempt.suspected) {
-            (false, _) => self.bounds.first_token,
+            (false, _) => self.first_token_bound(),
             (true, true) => self.bounds.death,
             (true, false) => self.gaps.bound(&self.bounds),
         };
         attempt.last_heard + bound
     }
 
+    /// How long the first token of an attempt may take. A resume computes about what the
+    /// first attempt did, so some times its wait is enough; the last attempts wait longest.
+    fn first_token_bound(&self) -> Duration {
+        match self.first_wait {
+            Some(first_wait) if self.spec.max_attempts >= KEPT_ATTEMPTS => {
+                (first_wait * FIRST_WAITS).clamp(self.bounds.floor * 2, self.bounds.first_token)
+            }
+            _ => self.bounds.first_token,
+        }
+    }
+
     fn is_silent(&self, attempt: &Attempt, now: Instant) -> bool {
         attempt.engine.is_some() && now >= self.suspect_at(attempt)
     }
--- a/crates/decide/src/generation/attempt.rs
+++ b/crates/decide/src/generation/attempt.rs
@@ -25,6 +25,8 @@
     pub no: AttemptNo,
     /// Where it runs; none while an engine is being chosen.
     pub engine: Option<EngineId>,
+    /// When its order went out.
+    pub dispatched_at: Instant,
     /// When it was last heard.
     pub last_heard: Instant,
     /// Whether it has sent a token.
@@ -43,6 +45,7 @@
         Self {
             no,
             engine: None,
+            dispatched_at: now,
             last_heard: now,
             has_sent: false,
             suspected: false,
@@ -56,6 +59,7 @@
         Self {
             no,
             engine: Some(engine),
+            dispatched_at: now,
             last_heard: now,
             has_sent: false,
             suspected: false,
--- a/crates/decide/tests/generation.rs
+++ b/crates/decide/tests/generation.rs
@@ -388,3 +388,37 @@
         );
     }
 }
+
+/// Tells the machine that an attempt's first token came this long after its dispatch.
+fn first_token_after(run: &mut Run, attempt: AttemptNo, wait_ms: u64) {
+    run.now += Duration::from_millis(wait_ms);
+    run.next(attempt);
+}
+
+#[test]
+fn a_standby_on_a_frozen_engine_is_replaced_soon() {
+    let mut run = Run::start(spec(Repeat::Allowed, ResumePolicy::Latency));
+    first_token_after(&mut run, 1, 50);
+    run.step(&Step::Wait { ms: 500 });
+    assert_eq!(run.placed, 2, "suspected");
+    run.step(&Step::Wait { ms: 299 });
+    assert_eq!(run.placed, 2, "not yet");
+    run.step(&Step::Wait { ms: 1 });
+    assert_eq!(run.placed, 3, "it is replaced");
+    run.next(3);
+    assert_eq!(run.generation.current().map(|current| current.no), Some(3));
+    run.check_seen();
+}
+
+#[test]
+fn a_standby_with_a_long_prefill_is_waited_for() {
+    let mut run = Run::start(spec(Repeat::Allowed, ResumePolicy::Latency));
+    first_token_after(&mut run, 1, 700);
+    run.step(&Step::Wait { ms: 500 });
+    run.step(&Step::Wait { ms: 900 });
+    run.step(&Step::Wait { ms: 1 });
+    assert_eq!(
+        run.placed, 2,
+        "its prefill takes about as long as the first one"
+    );
+}
--- a/crates/lab/src/args.rs
+++ b/crates/lab/src/args.rs
@@ -4,7 +4,7 @@
     crate::{
         control::{self, Size},
         demo::{self, DemoOptions},
-        relay,
+        relay, resume,
         scenario::{self, Verdict},
     },
     clap::{Arg, ArgMatches, Command, value_parser},
@@ -21,6 +21,7 @@
         .subcommand(demo_command())
         .subcommand(relay_command())
         .subcommand(control_command())
+        .subcommand(resume_command())
         .subcommand(matrix_command())
         .subcommand(scenario_command())
 }
@@ -56,6 +57,12 @@
         ))
 }
 
+fn resume_command() -> Command {
+    Command::new("resume")
+        .about("How long callers wait when engines fail, and what it costs, by policy")
+        .arg(number_arg("streams", "64", "Answers at once"))
+}
+
 fn control_command() -> Command {
     Command::new("control")
         .about("What control costs an idle entry host, and how fast an edit is in force")
@@ -125,6 +132,7 @@
             demo::run(&options).await
         }
         Some(("relay", args)) => relay::run(number(args, "streams")).await,
+        Some(("resume", args)) => resume::run(number(args, "streams")).await,
         Some(("control", _)) => control::run(&control_sizes()).await,
         Some(("matrix", args)) => {
             let filter = args.get_one::<String>("filter").map_or("", String::as_str);
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod demo;
 pub mod fleet;
 pub mod relay;
+pub mod resume;
 pub mod scenario;
 pub mod stats;
 pub mod usage;
--- /dev/null
+++ b/crates/lab/src/resume.rs
@@ -0,0 +1,275 @@
+//! How long callers wait when engines die or fall silent, and what it costs: both policies,
+//! against callers that start over.
+
+use {
+    crate::{
+        fleet::{Fleet, FleetOptions},
+        stats::{Percentiles, round},
+        work::Work,
+    },
+    eyre::eyre,
+    futures::future::join_all,
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+    tealshore_callers::{
+        client::{CallEnd, CallRecord, Caller},
+        ticket::TicketPlace,
+    },
+    tealshore_standin::engine::WorkCounts,
+};
+
+const ENGINES: u64 = 8;
+const STEP: Duration = Duration::from_millis(20);
+const PREFILL_PER_STEP: u64 = 512;
+const PROMPT_TOKENS: u64 = 300;
+const TOKENS: u64 = 250;
+/// When the engines fail, about half way.
+const FAIL_AFTER: Duration = Duration::from_millis(2_500);
+/// How many engines fail at once.
+const VICTIMS: usize = 2;
+
+/// How engines fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Failing {
+    /// Their processes are killed.
+    Kill,
+    /// They freeze, and thaw when all answers are there.
+    Freeze,
+}
+
+/// What callers rely on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Relying {
+    /// A template with the latency policy.
+    Latency,
+    /// A template with the thrift policy.
+    Thrift,
+    /// Their own patience: they start over under a new id.
+    StartingOver,
+}
+
+impl Relying {
+    fn template(self) -> &'static str {
+        match self {
+            Self::Latency => "assess",
+            Self::Thrift => "summary",
+            Self::StartingOver => "draft",
+        }
+    }
+}
+
+struct Outcome {
+    waits_ms: Vec<f64>,
+    whole: usize,
+    work_tokens: u64,
+    suspicions: f64,
+}
+
+/// Runs all cases and prints a row each and, last, one line of JSON a case.
+///
+/// # Errors
+/// A system can't be started.
+pub async fn run(streams: u64) -> eyre::Result<bool> {
+    let limit_ms = limit().as_secs_f64() * 1e3;
+    println!(
+        "{streams} streams, {VICTIMS} of {ENGINES} engines fail; limit without detection {limit_ms:.0} ms"
+    );
+    println!(
+        "policy        failure | affected | wait ms p50, p95, p99 | work of clean | suspicions"
+    );
+    let mut lines = Vec::new();
+    let mut all_whole = true;
+    for relying in [Relying::Latency, Relying::Thrift, Relying::StartingOver] {
+        for failing in [Failing::Kill, Failing::Freeze] {
+            let outcome = measure(relying, failing, streams).await?;
+            let waits = Percentiles::of(outcome.waits_ms);
+            let clean = streams * (PROMPT_TOKENS + TOKENS);
+            let ratio = outcome.work_tokens as f64 / clean as f64;
+            println!(
+                "{:13} {:7} | {:8} | {:6.0}, {:6.0}, {:6.0} | {ratio:13.3} | {:.0}",
+                format!("{relying:?}"),
+                format!("{failing:?}"),
+                waits.count,
+                waits.p50,
+                waits.p95,
+                waits.p99,
+                outcome.suspicions
+            );
+            all_whole &= outcome.whole == usize::try_from(streams)?;
+            lines.push(serde_json::json!({
+                "policy": format!("{relying:?}"), "failure": format!("{failing:?}"), "affected": waits.count,
+                "wait_ms_p50": round(waits.p50), "wait_ms_p95": round(waits.p95), "wait_ms_p99": round(waits.p99),
+                "limit_ms": round(limit_ms), "extra_work_ratio": round(ratio), "whole": outcome.whole,
+                "suspicions": outcome.suspicions,
+            }));
+        }
+    }
+    lines.iter().for_each(|line| println!("{line}"));
+    Ok(all_whole)
+}
+
+/// The least that a resume by recomputing takes once the loss is known: half a step until
+/// the next one in the mean, the prefill of what was received, and one step.
+fn limit() -> Duration {
+    let prefill_steps = (PROMPT_TOKENS + TOKENS / 2).div_ceil(PREFILL_PER_STEP);
+    STEP / 2 + STEP * u32::try_from(prefill_steps).unwrap_or(1)
+}
+
+async fn measure(relying: Relying, failing: Failing, streams: u64) -> eyre::Result<Outcome> {
+    let prefill = PREFILL_PER_STEP.to_string();
+    let options = FleetOptions {
+        engines: ENGINES,
+        engine_args: [
+            "--step-ms",
+            "20",
+            "--slots",
+            "64",
+            "--prefill-per-step",
+            &prefill,
+        ]
+        .map(str::to_owned)
+        .to_vec(),
+        table_args: ["--writes-per-s", "1000"].map(str::to_owned).to_vec(),
+        ..FleetOptions::default()
+    };
+    let mut fleet = Fleet::start(options).await?;
+    let callers: Vec<_> = (0..streams)
+        .map(|index| tokio::spawn(answer(relying, fleet.entries(), index)))
+        .collect();
+    tokio::time::sleep(FAIL_AFTER).await;
+    let mut lost = WorkCounts::default();
+    let victims: Vec<String> = fleet.engines[..VICTIMS]
+        .iter()
+        .map(|engine| engine.id.clone())
+        .collect();
+    let failed_at = Instant::now();
+    for index in 0..VICTIMS {
+        match failing {
+            Failing::Kill => {
+                let counts: WorkCounts = fleet
+                    .read(fleet.engines[index].address, "/control/work")
+                    .await?;
+                lost.prefill_tokens += counts.prefill_tokens;
+                lost.decode_tokens += counts.decode_tokens;
+                fleet.engines[index].process.kill().await?;
+            }
+            Failing::Freeze => fleet.engines[index].process.freeze()?,
+        }
+    }
+    let records = join_all(callers).await;
+    if failing == Failing::Freeze {
+        fleet.engines[..VICTIMS]
+            .iter()
+            .try_for_each(|engine| engine.process.thaw())?;
+        // What a thawed engine still does before it hears of its cancels counts as well.
+        tokio::time::sleep(Duration::from_secs(1)).await;
+    }
+    let mut outcome = Outcome {
+        waits_ms: Vec::new(),
+        whole: 0,
+        work_tokens: lost.prefill_tokens + lost.decode_tokens,
+        suspicions: 0.0,
+    };
+    for record in records {
+        let answer = record??;
+        outcome.whole += usize::from(answer.is_whole);
+        outcome
+            .waits_ms
+            .extend(answer.wait_after(&victims, failed_at));
+    }
+    outcome.work_tokens += fleet
+        .work()
+        .await
+        .iter()
+        .map(|(_, counts)| counts.prefill_tokens + counts.decode_tokens)
+        .sum::<u64>();
+    for index in 0..fleet.routers.len() {
+        outcome.suspicions += fleet.metric(index, "tealshore_suspicions_total").await?;
+    }
+    Ok(outcome)
+}
+
+struct Seen {
+    position: u64,
+    engine: String,
+    at: Instant,
+}
+
+struct Answer {
+    seen: Vec<Seen>,
+    is_whole: bool,
+}
+
+impl Answer {
+    /// The wait from the failure to the next new token, where one of the victims had the
+    /// generation then.
+    fn wait_after(&self, victims: &[String], failed_at: Instant) -> Option<f64> {
+        let before = self.seen.iter().rfind(|seen| seen.at <= failed_at)?;
+        if !victims.contains(&before.engine) {
+            return None;
+        }
+        let next = self
+            .seen
+            .iter()
+            .find(|seen| seen.position > before.position && !victims.contains(&seen.engine))?;
+        Some(next.at.duration_since(failed_at).as_secs_f64() * 1e3)
+    }
+}
+
+async fn answer(relying: Relying, entries: Vec<SocketAddr>, index: u64) -> eyre::Result<Answer> {
+    let mut entries = entries;
+    let first = usize::try_from(index)? % entries.len();
+    entries.rotate_left(first);
+    let mut seen = Vec::new();
+    for try_no in 0..5 {
+        let prompt = format!(
+            "{index} {}",
+            "word ".repeat(usize::try_from(PROMPT_TOKENS)? - 1)
+        );
+        let work = Work::new(
+            &format!("r{index}-{try_no}"),
+            relying.template(),
+            &prompt,
+            TOKENS,
+        );
+        let caller = Fleet::caller_patient(work.key(), Duration::from_secs(5));
+        let record = read(&caller, &entries, &work, &mut seen).await;
+        match record.end {
+            CallEnd::Whole => {
+                return Ok(Answer {
+                    seen,
+                    is_whole: true,
+                });
+            }
+            CallEnd::Problem(_) | CallEnd::GaveUp(_) if relying == Relying::StartingOver => {}
+            end => return Err(eyre!("{} ended with {end:?}", work.call.id)),
+        }
+    }
+    Ok(Answer {
+        seen,
+        is_whole: false,
+    })
+}
+
+async fn read(
+    caller: &Caller,
+    entries: &[SocketAddr],
+    work: &Work,
+    seen: &mut Vec<Seen>,
+) -> CallRecord {
+    caller
+        .complete_with_ids(entries, &work.call, |arrival, id| {
+            let engine = id
+                .and_then(TicketPlace::peek)
+                .map(|place| place.engine)
+                .unwrap_or_default();
+            seen.push(Seen {
+                position: arrival.position,
+                engine,
+                at: arrival.at,
+            });
+        })
+        .await
+}
--- a/crates/router/src/drive/driver.rs
+++ b/crates/router/src/drive/driver.rs
@@ -296,7 +296,16 @@
         let suspicions = self.generation.counts().suspicions;
         self.handle(Event::Tick);
         if self.generation.counts().suspicions > suspicions {
-            self.state.metrics.suspicions.inc();
+            self.note_suspicion();
+        }
+    }
+
+    /// A suspected engine gets no new work for a while, so that the generations beside this
+    /// one do not choose it for their resume.
+    fn note_suspicion(&mut self) {
+        self.state.metrics.suspicions.inc();
+        if let Some(current) = self.generation.current() {
+            self.note_failure(current.no);
         }
     }
 
