Refuse at once what full engines can not take

Cause: new work went to an engine's queue however long it was, so callers waited there until they gave up; nothing told them when to come back. Ruled out: bounds a host and a customer (they know nothing of the engines). Change: new work goes only to engines whose known load, by report, by what was sent since and by what this host has there, is under its slots and a quarter; else 'no-engine', not run, with a time to come back. Resumes go before new work. The longest files were split by job. After: 11 of 16 calls to 4 slots refused at once, none of them ran; all 16 callers that came back when told were served, each run once.

--- a/crates/decide/src/generation.rs
+++ b/crates/decide/src/generation.rs
@@ -4,11 +4,12 @@
 //! attempt and only at the next position. The driver executes the actions and reports back.
 
 mod attempt;
+mod types;
+mod watch;
 
-pub use attempt::{Attempt, Loss};
 use {
     crate::{
-        policy::{Repeat, ResumePolicy, SilenceBounds},
+        policy::{Repeat, SilenceBounds},
         silence::GapEstimate,
     },
     std::time::{Duration, Instant},
@@ -19,138 +20,10 @@
         protection::{Protection, enabled},
     },
 };
-
-/// How many times the wait for the first token of all a resume may take for its own.
-const FIRST_WAITS: u32 = 3;
-/// Attempts that are not spent on engines that may merely be slow.
-const KEPT_ATTEMPTS: u32 = 2;
-
-/// Why an answer ended well.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum FinishReason {
-    /// The model ended it.
-    Stop,
-    /// It reached the length that was asked for.
-    Length,
-}
-
-/// What is fixed about a generation when it starts.
-#[derive(Clone, Debug)]
-pub struct GenerationSpec {
-    /// Whether it may reach a model more than once.
-    pub repeat: Repeat,
-    /// The customer's choice.
-    pub policy: ResumePolicy,
-    /// The length that was asked for.
-    pub max_tokens: Position,
-    /// How many more attempts may be made, the first included.
-    pub max_attempts: u32,
-    /// The number of the next attempt.
-    pub next_attempt: AttemptNo,
-}
-
-/// What a caller that comes back has proved to hold.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Held {
-    /// How many tokens it has.
-    pub position: Position,
-    /// Their running hash.
-    pub chain: TokenChain,
-}
-
-/// What happened.
-#[derive(Clone, Debug)]
-pub enum Event {
-    /// The order of an attempt went to an engine; bytes may have left.
-    Dispatched {
-        /// The attempt.
-        attempt: AttemptNo,
-        /// Where it went.
-        engine: EngineId,
-    },
-    /// No engine could be found for an attempt.
-    NoEngine {
-        /// The attempt.
-        attempt: AttemptNo,
-    },
-    /// An engine sent a token.
-    Token {
-        /// The attempt that it belongs to.
-        attempt: AttemptNo,
-        /// Its position.
-        position: Position,
-        /// The token.
-        token: TokenId,
-    },
-    /// An engine ended its answer.
-    End {
-        /// The attempt.
-        attempt: AttemptNo,
-        /// How many tokens the answer has by the engine's word.
-        position: Position,
-        /// Why it ended.
-        reason: FinishReason,
-    },
-    /// An attempt is over without an end.
-    Lost {
-        /// The attempt.
-        attempt: AttemptNo,
-        /// How it was lost.
-        loss: Loss,
-    },
-    /// An engine says that the customer cancelled an attempt.
-    Aborted {
-        /// The attempt.
-        attempt: AttemptNo,
-    },
-    /// Time went by.
-    Tick,
-}
-
-/// What the driver must do.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Action {
-    /// Choose an engine for an attempt and send it the prompt and all received tokens.
-    Place {
-        /// The attempt.
-        attempt: AttemptNo,
-    },
-    /// Stop an attempt, as well as can be done.
-    Cancel {
-        /// The attempt.
-        attempt: AttemptNo,
-        /// Where it runs.
-        engine: EngineId,
-    },
-    /// Pass the token that was just handled on to the caller.
-    Emit {
-        /// Its position.
-        position: Position,
-        /// The token.
-        token: TokenId,
-    },
-    /// Tell the caller that the answer is whole.
-    Finish {
-        /// Why it ended.
-        reason: FinishReason,
-    },
-    /// Tell the caller that the answer can't go on.
-    Fail {
-        /// What went wrong.
-        kind: ErrorKind,
-    },
-}
-
-/// What a generation cost beyond a clean run, and what it waited.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct GenerationCounts {
-    /// Attempts that were made after the first.
-    pub resumes: u32,
-    /// Suspicions raised by silence.
-    pub suspicions: u32,
-    /// Suspicions after which the suspected engine went on.
-    pub false_suspicions: u32,
-}
+pub use {
+    attempt::{Attempt, Loss},
+    types::{Action, Event, FinishReason, GenerationCounts, GenerationSpec, Held},
+};
 
 /// One generation.
 #[derive(Clone, Debug)]
@@ -281,16 +154,6 @@
             .filter(|attempt| attempt.engine.is_some())
     }
 
-    /// When [`Event::Tick`] is due if nothing else happens.
-    #[must_use]
-    pub fn next_tick(&self) -> Option<Instant> {
-        let attempts = self.current.iter().chain(&self.standby);
-        attempts
-            .filter(|attempt| attempt.engine.is_some())
-            .map(|attempt| self.suspect_at(attempt))
-            .min()
-    }
-
     /// Takes in an event.
     pub fn handle(&mut self, event: Event, now: Instant) -> Vec<Action> {
         if self.over {
@@ -488,61 +351,6 @@
         self.place_current(now, actions);
     }
 
-    fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        if let Some(standby) = self
-            .standby
-            .clone()
-            .filter(|standby| self.is_silent(standby, now))
-        {
-            cancel(&standby, actions);
-            self.lost(standby.no, Loss::Silent, now, actions);
-        }
-        let Some(current) = self
-            .current
-            .clone()
-            .filter(|current| self.is_silent(current, now))
-        else {
-            return;
-        };
-        if self.may_prepare() && !self.is_dead(&current, now) {
-            self.counts.suspicions += 1;
-            self.prepare_standby(now, actions);
-        } else {
-            self.lost(current.no, Loss::Silent, now, actions);
-        }
-    }
-
-    fn may_prepare(&self) -> bool {
-        self.spec.policy == ResumePolicy::Latency
-            && self.spec.repeat == Repeat::Allowed
-            && self.spec.max_attempts > 0
-            && self.received.len() as Position >= self.emit_from
-    }
-
-    /// The suspected engine is still silent, so another one is prepared; the last attempts
-    /// are kept for when it counts as dead.
-    fn replace_standby(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let is_suspected = self
-            .current
-            .as_ref()
-            .is_some_and(|current| current.suspected);
-        if is_suspected && self.may_prepare() && self.spec.max_attempts >= KEPT_ATTEMPTS {
-            self.prepare_standby(now, actions);
-        }
-    }
-
-    fn prepare_standby(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        if let Some(current) = self.current.as_mut() {
-            current.suspected = true;
-        }
-        if self.standby.is_some() {
-            return;
-        }
-        let attempt = self.take_attempt_no();
-        self.standby = Some(Attempt::placing(attempt, now));
-        actions.push(Action::Place { attempt });
-    }
-
     fn place_current(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let attempt = self.take_attempt_no();
         self.current = Some(Attempt::placing(attempt, now));
@@ -565,34 +373,6 @@
         self.current = self.standby.take();
     }
 
-    fn suspect_at(&self, attempt: &Attempt) -> Instant {
-        let bound = match (attempt.has_sent, attempt.suspected) {
-            (false, _) => self.first_token_bound(),
-            (true, true) => self.bounds.death,
-            (true, false) => self.gaps.bound(&self.bounds),
-        };
-        attempt.last_heard + bound
-    }
-
-    /// How long the first token of an attempt may take. A resume computes about what the
-    /// first attempt did, so some times its wait is enough; the last attempts wait longest.
-    fn first_token_bound(&self) -> Duration {
-        match self.first_wait {
-            Some(first_wait) if self.spec.max_attempts >= KEPT_ATTEMPTS => {
-                (first_wait * FIRST_WAITS).clamp(self.bounds.floor * 2, self.bounds.first_token)
-            }
-            _ => self.bounds.first_token,
-        }
-    }
-
-    fn is_silent(&self, attempt: &Attempt, now: Instant) -> bool {
-        attempt.engine.is_some() && now >= self.suspect_at(attempt)
-    }
-
-    fn is_dead(&self, attempt: &Attempt, now: Instant) -> bool {
-        now.saturating_duration_since(attempt.last_heard) >= self.bounds.death
-    }
-
     fn is_complete(&self) -> bool {
         self.received.len() as Position >= self.spec.max_tokens
     }
--- /dev/null
+++ b/crates/decide/src/generation/watch.rs
@@ -0,0 +1,113 @@
+//! Watches the silence of a generation's engines: suspicion, standbys and death.
+
+use {
+    super::{
+        Generation,
+        attempt::{Attempt, Loss},
+        cancel,
+        types::Action,
+    },
+    crate::policy::{Repeat, ResumePolicy},
+    std::time::{Duration, Instant},
+    tealshore_core::ids::Position,
+};
+
+/// How many times the wait for the first token of all a resume may take for its own.
+const FIRST_WAITS: u32 = 3;
+/// Attempts that are not spent on engines that may merely be slow.
+const KEPT_ATTEMPTS: u32 = 2;
+
+impl Generation {
+    /// When [`Event::Tick`] is due if nothing else happens.
+    #[must_use]
+    pub fn next_tick(&self) -> Option<Instant> {
+        let attempts = self.current.iter().chain(&self.standby);
+        attempts
+            .filter(|attempt| attempt.engine.is_some())
+            .map(|attempt| self.suspect_at(attempt))
+            .min()
+    }
+
+    pub(super) fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if let Some(standby) = self
+            .standby
+            .clone()
+            .filter(|standby| self.is_silent(standby, now))
+        {
+            cancel(&standby, actions);
+            self.lost(standby.no, Loss::Silent, now, actions);
+        }
+        let Some(current) = self
+            .current
+            .clone()
+            .filter(|current| self.is_silent(current, now))
+        else {
+            return;
+        };
+        if self.may_prepare() && !self.is_dead(&current, now) {
+            self.counts.suspicions += 1;
+            self.prepare_standby(now, actions);
+        } else {
+            self.lost(current.no, Loss::Silent, now, actions);
+        }
+    }
+
+    fn may_prepare(&self) -> bool {
+        self.spec.policy == ResumePolicy::Latency
+            && self.spec.repeat == Repeat::Allowed
+            && self.spec.max_attempts > 0
+            && self.received.len() as Position >= self.emit_from
+    }
+
+    /// The suspected engine is still silent, so another one is prepared; the last attempts
+    /// are kept for when it counts as dead.
+    pub(super) fn replace_standby(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let is_suspected = self
+            .current
+            .as_ref()
+            .is_some_and(|current| current.suspected);
+        if is_suspected && self.may_prepare() && self.spec.max_attempts >= KEPT_ATTEMPTS {
+            self.prepare_standby(now, actions);
+        }
+    }
+
+    fn prepare_standby(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if let Some(current) = self.current.as_mut() {
+            current.suspected = true;
+        }
+        if self.standby.is_some() {
+            return;
+        }
+        let attempt = self.take_attempt_no();
+        self.standby = Some(Attempt::placing(attempt, now));
+        actions.push(Action::Place { attempt });
+    }
+
+    fn suspect_at(&self, attempt: &Attempt) -> Instant {
+        let bound = match (attempt.has_sent, attempt.suspected) {
+            (false, _) => self.first_token_bound(),
+            (true, true) => self.bounds.death,
+            (true, false) => self.gaps.bound(&self.bounds),
+        };
+        attempt.last_heard + bound
+    }
+
+    /// How long the first token of an attempt may take. A resume computes about what the
+    /// first attempt did, so some times its wait is enough; the last attempts wait longest.
+    fn first_token_bound(&self) -> Duration {
+        match self.first_wait {
+            Some(first_wait) if self.spec.max_attempts >= KEPT_ATTEMPTS => {
+                (first_wait * FIRST_WAITS).clamp(self.bounds.floor * 2, self.bounds.first_token)
+            }
+            _ => self.bounds.first_token,
+        }
+    }
+
+    fn is_silent(&self, attempt: &Attempt, now: Instant) -> bool {
+        attempt.engine.is_some() && now >= self.suspect_at(attempt)
+    }
+
+    fn is_dead(&self, attempt: &Attempt, now: Instant) -> bool {
+        now.saturating_duration_since(attempt.last_heard) >= self.bounds.death
+    }
+}
--- a/crates/decide/src/routing.rs
+++ b/crates/decide/src/routing.rs
@@ -1,4 +1,4 @@
-//! Which engine takes an attempt.
+//! Which engine takes an attempt, and whether any can.
 
 use {std::time::Duration, tealshore_core::ids::EngineId};
 
@@ -10,6 +10,17 @@
 const STALE_COST: f64 = 0.2;
 /// How many engines are compared; few enough that many routers do not pick the same one.
 const COMPARED: usize = 3;
+/// New work may wait at an engine up to one part in this many of its slots.
+const QUEUE_PART: u32 = 4;
+
+/// What an attempt is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Urgency {
+    /// A request that has no token yet: it is refused rather than left to wait long.
+    New,
+    /// An answer that goes on: it goes before new work.
+    Resume,
+}
 
 /// What a router knows of an engine when it chooses.
 #[derive(Clone, Debug, PartialEq)]
@@ -24,39 +35,52 @@
     pub report_age: Duration,
     /// Sequences that this router has sent since the report.
     pub sent_since: u32,
+    /// Sequences that this router has there now.
+    pub own: u32,
     /// Whether it stands in the router's hall.
     pub same_hall: bool,
 }
 
-/// The relative cost of giving one more sequence to an engine.
-#[must_use]
-pub fn cost(candidate: &Candidate) -> f64 {
-    let load =
-        f64::from(candidate.reported + candidate.sent_since) / f64::from(candidate.slots.max(1));
-    let hall = if candidate.same_hall {
-        0.0
-    } else {
-        OTHER_HALL_COST
-    };
-    let stale = if candidate.report_age > STALE_AFTER {
-        STALE_COST
-    } else {
-        0.0
-    };
-    load + hall + stale
+impl Candidate {
+    /// Sequences that the engine has, as far as is known: a report lags behind what this
+    /// router sent, and does not know what others sent since.
+    #[must_use]
+    pub fn load(&self) -> u32 {
+        self.own.max(self.reported.saturating_add(self.sent_since))
+    }
+
+    /// Whether one more sequence would start soon.
+    #[must_use]
+    pub fn has_room(&self) -> bool {
+        self.load() < self.slots + self.slots / QUEUE_PART
+    }
+
+    /// The relative cost of giving it one more sequence.
+    #[must_use]
+    pub fn cost(&self) -> f64 {
+        let load = f64::from(self.load()) / f64::from(self.slots.max(1));
+        let hall = if self.same_hall { 0.0 } else { OTHER_HALL_COST };
+        let stale = if self.report_age > STALE_AFTER {
+            STALE_COST
+        } else {
+            0.0
+        };
+        load + hall + stale
+    }
 }
 
-/// Chooses the cheapest of a few engines drawn by `random`, or none of none.
+/// Chooses the cheapest of a few engines drawn by `random`; none where none has room.
 #[must_use]
-pub fn choose(candidates: &[Candidate], mut random: u64) -> Option<&Candidate> {
-    let count = candidates.len();
-    if count == 0 {
-        return None;
-    }
+pub fn choose(candidates: &[Candidate], urgency: Urgency, mut random: u64) -> Option<&Candidate> {
+    let open: Vec<&Candidate> = candidates
+        .iter()
+        .filter(|candidate| urgency == Urgency::Resume || candidate.has_room())
+        .collect();
+    let count = open.len();
     let drawn = (0..COMPARED.min(count)).map(|_| {
         let index = usize::try_from(random % count as u64).unwrap_or(0);
         random = random.rotate_right(21).wrapping_mul(0x9E37_79B9_7F4A_7C15);
-        &candidates[index]
+        open[index]
     });
-    drawn.min_by(|a, b| cost(a).total_cmp(&cost(b)))
+    drawn.min_by(|a, b| a.cost().total_cmp(&b.cost()))
 }
--- a/crates/engines/src/wire.rs
+++ b/crates/engines/src/wire.rs
@@ -40,6 +40,22 @@
     pub version: String,
 }
 
+impl From<ModelPin> for [String; 3] {
+    fn from(pin: ModelPin) -> Self {
+        [pin.model, pin.adapter, pin.version]
+    }
+}
+
+impl From<[String; 3]> for ModelPin {
+    fn from([model, adapter, version]: [String; 3]) -> Self {
+        Self {
+            model,
+            adapter,
+            version,
+        }
+    }
+}
+
 /// An order to generate.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct GenerateOrder {
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -1,42 +1,25 @@
 //! A whole system on loopback: stand-ins and entry hosts, each a process of its own.
 
+mod callers;
 mod process;
+mod watch;
 
 pub use process::Process;
 use {
-    crate::work::{SERVICE, Work, declarations},
-    eyre::{WrapErr, bail, eyre},
-    http::{Method, Request, StatusCode},
-    serde::{Serialize, de::DeserializeOwned},
-    std::{
-        net::SocketAddr,
-        path::PathBuf,
-        time::{Duration, Instant},
-    },
-    tealshore_callers::client::{Caller, CallerOptions},
-    tealshore_core::http::{ClientOptions, HttpClient, empty, full, json_body},
+    crate::work::{SERVICE, declarations},
+    eyre::eyre,
+    http::Method,
+    std::{net::SocketAddr, path::PathBuf, time::Duration},
+    tealshore_core::http::{ClientOptions, HttpClient},
     tealshore_hosts::{HostRole, HostState, ListedHost},
     tealshore_objects::ObjectsClient,
     tealshore_operators::edit::{BUCKET, Edit, apply},
-    tealshore_router::HostStatus,
-    tealshore_standin::engine::WorkCounts,
     tealshore_table::{TableClient, TableOptions},
     tempfile::TempDir,
-    tokio::time::timeout,
 };
 
-/// How long the system may take to get ready.
-const READY_TIMEOUT: Duration = Duration::from_secs(20);
-/// How long a control exchange may take.
-const CONTROL_TIMEOUT: Duration = Duration::from_secs(5);
-/// How long an engine may take to tell its counts.
-const COUNTS_TIMEOUT: Duration = Duration::from_millis(500);
-/// The largest answer to a control exchange.
-const CONTROL_BOUND_BYTES: usize = 16 * 1024 * 1024;
 /// How long a change of the host list takes to reach entry hosts.
 const LIST_SETTLE_TIME: Duration = Duration::from_millis(1_000);
-/// How long a caller waits for the next event.
-const CALLER_PATIENCE: Duration = Duration::from_secs(8);
 /// The halls that hosts and engines stand in, in turn.
 const HALLS: [&str; 3] = ["bkk-a", "bkk-b", "ayt-c"];
 /// The key of tickets in experiments.
@@ -61,8 +44,11 @@
     pub hosts_lag: Duration,
     /// Lines that replace settings of entry hosts, as `section.key = value`.
     pub settings: Vec<(String, String, String)>,
-    /// Variables of the environment of entry hosts.
-    pub env: Vec<(String, String)>,
+    /// The site of the entry hosts.
+    pub site: String,
+    /// The table of another system that is used in place of its own, as two sites do
+    /// during a move.
+    pub shared_table: Option<SocketAddr>,
 }
 
 impl Default for FleetOptions {
@@ -76,7 +62,8 @@
             table_args: Vec::new(),
             hosts_lag: Duration::from_millis(100),
             settings: Vec::new(),
-            env: Vec::new(),
+            site: "old".to_owned(),
+            shared_table: None,
         }
     }
 }
@@ -131,7 +118,9 @@
     /// Something does not start.
     pub async fn start(options: FleetOptions) -> eyre::Result<Self> {
         let mut fleet = Self::start_platform(options).await?;
-        fleet.declare(0, &declarations()).await?;
+        if fleet.options.shared_table.is_none() {
+            fleet.declare(0, &declarations()).await?;
+        }
         for index in 0..fleet.options.routers {
             fleet.start_router(index).await?;
         }
@@ -242,7 +231,6 @@
             &id,
             "tealshore-router",
             &["--settings", &file],
-            &self.options.env,
         )
         .await?;
         let address = |name: &str| {
@@ -271,13 +259,13 @@
         let mut settings = vec![
             ("host", "id", id.to_owned()),
             ("host", "hall", hall.to_owned()),
-            ("host", "site", "old".to_owned()),
+            ("host", "site", self.options.site.clone()),
             ("host", "callers_address", "127.0.0.1:0".to_owned()),
             ("host", "peers_address", "127.0.0.1:0".to_owned()),
             ("host", "operators_address", "127.0.0.1:0".to_owned()),
             ("callers", "keep_addresses_ms", "500".to_owned()),
             ("resume", "keys", TICKET_KEY.to_owned()),
-            ("table", "address", self.table.address.to_string()),
+            ("table", "address", self.table_address().to_string()),
             ("hosts", "address", self.hosts.address.to_string()),
             ("hosts", "poll_interval_ms", "200".to_owned()),
         ];
@@ -328,11 +316,15 @@
         .await
     }
 
+    fn table_address(&self) -> SocketAddr {
+        self.options.shared_table.unwrap_or(self.table.address)
+    }
+
     /// The table's client, with short times.
     #[must_use]
     pub fn table_client(&self) -> TableClient {
         TableClient::new(TableOptions {
-            address: self.table.address,
+            address: self.table_address(),
             exchange_timeout: Duration::from_millis(500),
             operation_timeout: Duration::from_secs(5),
         })
@@ -365,215 +357,6 @@
     pub fn entries(&self) -> Vec<SocketAddr> {
         self.routers.iter().map(|router| router.callers).collect()
     }
-
-    /// A caller that goes from one entry host to the next.
-    #[must_use]
-    pub fn caller(key: &str, send_received: bool) -> Caller {
-        Caller::new(CallerOptions {
-            send_received,
-            ..caller_options(key)
-        })
-    }
-
-    /// A caller that tries one connection only.
-    #[must_use]
-    pub fn caller_once(key: &str) -> Caller {
-        Caller::new(CallerOptions {
-            max_connections: 1,
-            ..caller_options(key)
-        })
-    }
-
-    /// A caller that goes elsewhere when nothing comes for this long.
-    #[must_use]
-    pub fn caller_patient(key: &str, patience: Duration) -> Caller {
-        Caller::new(CallerOptions {
-            patience,
-            send_received: true,
-            ..caller_options(key)
-        })
-    }
-
-    /// A caller that speaks HTTP/2.
-    #[must_use]
-    pub fn caller_http2(key: &str) -> Caller {
-        Caller::new(CallerOptions {
-            http2: true,
-            ..caller_options(key)
-        })
-    }
-
-    /// Sends a control exchange.
-    ///
-    /// # Errors
-    /// It is not answered, or refused.
-    pub async fn control<T: Serialize + ?Sized>(
-        &self,
-        address: SocketAddr,
-        method: Method,
-        path: &str,
-        value: Option<&T>,
-    ) -> eyre::Result<()> {
-        let body = value.map_or_else(empty, |value| json_body(value));
-        let request = Request::builder()
-            .method(method)
-            .uri(format!("http://{address}{path}"))
-            .body(body)?;
-        let (status, body) = self
-            .client
-            .fetch(request, CONTROL_TIMEOUT, CONTROL_BOUND_BYTES)
-            .await?;
-        if !status.is_success() {
-            bail!("{path}: {status} {}", String::from_utf8_lossy(&body));
-        }
-        Ok(())
-    }
-
-    /// Reads a JSON document.
-    ///
-    /// # Errors
-    /// It can't be had.
-    pub async fn read<T: DeserializeOwned>(
-        &self,
-        address: SocketAddr,
-        path: &str,
-    ) -> eyre::Result<T> {
-        let request = Request::get(format!("http://{address}{path}")).body(full(""))?;
-        let (status, body) = self
-            .client
-            .fetch(request, CONTROL_TIMEOUT, CONTROL_BOUND_BYTES)
-            .await?;
-        if status != StatusCode::OK {
-            bail!("{path}: {status}");
-        }
-        serde_json::from_slice(&body).wrap_err_with(|| path.to_owned())
-    }
-
-    /// The value of a metric of an entry host that has no labels.
-    ///
-    /// # Errors
-    /// The host does not answer, or has no such metric.
-    pub async fn metric(&self, router: usize, name: &str) -> eyre::Result<f64> {
-        let address = self.routers[router].operators;
-        let request = Request::get(format!("http://{address}/metrics")).body(empty())?;
-        let (_, body) = self
-            .client
-            .fetch(request, CONTROL_TIMEOUT, CONTROL_BOUND_BYTES)
-            .await?;
-        let text = String::from_utf8_lossy(&body);
-        let value = text
-            .lines()
-            .find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
-        value
-            .and_then(|value| value.parse().ok())
-            .ok_or_else(|| eyre!("no metric {name}"))
-    }
-
-    /// The work of all engines that answer, by engine.
-    pub async fn work(&self) -> Vec<(String, WorkCounts)> {
-        let mut all = Vec::new();
-        for engine in self
-            .engines
-            .iter()
-            .filter(|engine| engine.process.is_running())
-        {
-            // A frozen engine does not answer.
-            let reading = timeout(COUNTS_TIMEOUT, self.read(engine.address, "/control/work"));
-            if let Ok(Ok(counts)) = reading.await {
-                all.push((engine.id.clone(), counts));
-            }
-        }
-        all
-    }
-
-    /// The engines that ran a request and are not killed, in the order of their start.
-    pub async fn engines_of(&self, work: &Work) -> Vec<usize> {
-        let request = work.engine_request_id();
-        let counts = self.work().await;
-        let ran = counts
-            .iter()
-            .filter(|(_, counts)| counts.runs.contains_key(&request));
-        let ran: Vec<&String> = ran.map(|(id, _)| id).collect();
-        (0..self.engines.len())
-            .filter(|index| ran.contains(&&self.engines[*index].id))
-            .collect()
-    }
-
-    /// How often a request ran on engines that are not killed.
-    pub async fn runs_of(&self, work: &Work) -> u32 {
-        let request = work.engine_request_id();
-        let counts = self.work().await;
-        counts
-            .iter()
-            .filter_map(|(_, counts)| counts.runs.get(&request))
-            .sum()
-    }
-
-    /// Waits until each entry host is ready and knows an engine.
-    ///
-    /// # Errors
-    /// It takes too long.
-    pub async fn wait_until_ready(&self) -> eyre::Result<()> {
-        let deadline = Instant::now() + READY_TIMEOUT;
-        for router in &self.routers {
-            while !self.is_ready(router).await {
-                if Instant::now() >= deadline {
-                    bail!("{} is not ready", router.id);
-                }
-                tokio::time::sleep(Duration::from_millis(20)).await;
-            }
-        }
-        Ok(())
-    }
-
-    /// Waits until each entry host runs at least this version of the declarations.
-    ///
-    /// # Errors
-    /// It takes too long.
-    pub async fn wait_until_version(&self, version: u64) -> eyre::Result<()> {
-        let deadline = Instant::now() + READY_TIMEOUT;
-        for router in &self.routers {
-            loop {
-                let status: HostStatus = self.read(router.operators, "/status").await?;
-                if status.config_version >= version {
-                    break;
-                }
-                if Instant::now() >= deadline {
-                    bail!("{} still runs version {}", router.id, status.config_version);
-                }
-                tokio::time::sleep(Duration::from_millis(10)).await;
-            }
-        }
-        Ok(())
-    }
-
-    /// Waits until a change of the host list and new loads have reached all entry hosts.
-    ///
-    /// # Errors
-    /// An entry host does not answer.
-    pub async fn wait_for_loads(&self) -> eyre::Result<()> {
-        tokio::time::sleep(LIST_SETTLE_TIME).await;
-        self.wait_until_ready().await
-    }
-
-    async fn is_ready(&self, router: &RouterProcess) -> bool {
-        let status: eyre::Result<HostStatus> = self.read(router.operators, "/status").await;
-        let Ok(status) = status else { return false };
-        status.config_version > 0
-            && status.engines_known >= self.engines.len()
-            && status.plain_known >= self.plain.len()
-            && status.peers_known + 1 >= self.routers.len()
-    }
-}
-
-fn caller_options(key: &str) -> CallerOptions {
-    CallerOptions {
-        key: key.to_owned(),
-        patience: CALLER_PATIENCE,
-        max_connections: 8,
-        send_received: false,
-        http2: false,
-    }
 }
 
 fn hall(index: u64) -> &'static str {
@@ -605,7 +388,7 @@
     id: &str,
     args: &[&str],
 ) -> eyre::Result<UpstreamProcess> {
-    let (process, line) = Process::start(directory, id, "tealshore-standin", args, &[]).await?;
+    let (process, line) = Process::start(directory, id, "tealshore-standin", args).await?;
     let address = line
         .strip_prefix("listening ")
         .and_then(|address| address.parse().ok());
--- /dev/null
+++ b/crates/lab/src/fleet/callers.rs
@@ -0,0 +1,59 @@
+//! Callers of a system under experiment.
+
+use {
+    super::Fleet,
+    std::time::Duration,
+    tealshore_callers::client::{Caller, CallerOptions},
+};
+
+/// How long a caller waits for the next event.
+const CALLER_PATIENCE: Duration = Duration::from_secs(8);
+
+impl Fleet {
+    /// A caller that goes from one entry host to the next.
+    #[must_use]
+    pub fn caller(key: &str, send_received: bool) -> Caller {
+        Caller::new(CallerOptions {
+            send_received,
+            ..caller_options(key)
+        })
+    }
+
+    /// A caller that tries one connection only.
+    #[must_use]
+    pub fn caller_once(key: &str) -> Caller {
+        Caller::new(CallerOptions {
+            max_connections: 1,
+            ..caller_options(key)
+        })
+    }
+
+    /// A caller that speaks HTTP/2.
+    #[must_use]
+    pub fn caller_http2(key: &str) -> Caller {
+        Caller::new(CallerOptions {
+            http2: true,
+            ..caller_options(key)
+        })
+    }
+
+    /// A caller that goes elsewhere when nothing comes for this long.
+    #[must_use]
+    pub fn caller_patient(key: &str, patience: Duration) -> Caller {
+        Caller::new(CallerOptions {
+            patience,
+            send_received: true,
+            ..caller_options(key)
+        })
+    }
+}
+
+fn caller_options(key: &str) -> CallerOptions {
+    CallerOptions {
+        key: key.to_owned(),
+        patience: CALLER_PATIENCE,
+        max_connections: 8,
+        send_received: false,
+        http2: false,
+    }
+}
--- a/crates/lab/src/fleet/process.rs
+++ b/crates/lab/src/fleet/process.rs
@@ -33,12 +33,10 @@
         id: &str,
         program: &str,
         args: &[&str],
-        env: &[(String, String)],
     ) -> eyre::Result<(Self, String)> {
         let log = File::create(directory.path().join(format!("{id}.log")))?;
         let mut child = Command::new(program_folder()?.join(program))
             .args(args)
-            .envs(env.iter().cloned())
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .stderr(log)
--- /dev/null
+++ b/crates/lab/tests/overload.rs
@@ -0,0 +1,91 @@
+//! What can't be served soon gets its final answer at once, with when to come back.
+
+#![allow(clippy::unwrap_used, reason = "a test that stops here says why")]
+
+use {
+    futures::future::join_all,
+    tealshore_callers::client::CallEnd,
+    tealshore_core::answer::Ran,
+    tealshore_lab::{
+        check::check_answer,
+        fleet::{Fleet, FleetOptions},
+        work::Work,
+    },
+};
+
+const SLOTS: usize = 4;
+const CALLS: usize = 16;
+
+async fn start() -> Fleet {
+    let engine_args = ["--slots", "4", "--load-lag-ms", "0"]
+        .map(str::to_owned)
+        .to_vec();
+    let settings = vec![(
+        "callers".to_owned(),
+        "max_in_flight".to_owned(),
+        "64".to_owned(),
+    )];
+    Fleet::start(FleetOptions {
+        routers: 1,
+        engines: 1,
+        engine_args,
+        settings,
+        ..FleetOptions::default()
+    })
+    .await
+    .unwrap()
+}
+
+fn works(prefix: &str) -> Vec<Work> {
+    (0..CALLS)
+        .map(|index| Work::new(&format!("{prefix}-{index}"), "draft", "one two three", 60))
+        .collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_full_engines_can_not_take_is_refused_as_not_run() {
+    let fleet = start().await;
+    let works = works("burst");
+    let records = join_all(works.iter().map(async |work| {
+        Fleet::caller_once(work.key())
+            .complete(&fleet.entries(), &work.call, |_| {})
+            .await
+    }))
+    .await;
+    let mut refused = 0;
+    for (work, record) in works.iter().zip(&records) {
+        match &record.end {
+            CallEnd::Whole => {
+                assert!(check_answer(work, &record.arrivals, work.tokens(), 1).is_whole())
+            }
+            CallEnd::Problem(problem) => {
+                assert_eq!((problem.kind_name(), problem.ran), ("no-engine", Ran::No));
+                assert!(problem.retry_after_ms.is_some());
+                assert_eq!(fleet.runs_of(work).await, 0);
+                refused += 1;
+            }
+            CallEnd::GaveUp(cause) => panic!("{cause}"),
+        }
+    }
+    assert_eq!(
+        refused,
+        CALLS - SLOTS - 1,
+        "the slots and a short queue are used, no more"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_that_come_back_when_told_are_served_and_run_once() {
+    let fleet = start().await;
+    let works = works("back");
+    let records = join_all(works.iter().map(async |work| {
+        Fleet::caller(work.key(), true)
+            .complete(&fleet.entries(), &work.call, |_| {})
+            .await
+    }))
+    .await;
+    for (work, record) in works.iter().zip(&records) {
+        assert!(matches!(record.end, CallEnd::Whole), "{:?}", record.end);
+        assert_eq!(fleet.runs_of(work).await, 1);
+    }
+}
--- a/crates/router/src/drive/admitted.rs
+++ b/crates/router/src/drive/admitted.rs
@@ -2,19 +2,23 @@
 
 use {
     crate::{claims::Claim, in_flight::InFlightGuard},
-    tealshore_callers::wire::CompletionRequest,
+    tealshore_callers::{
+        ticket::TicketPlace,
+        wire::{CallerPrompt, CompletionRequest},
+    },
     tealshore_core::{
         answer::Ran,
         ids::{
-            AttemptNo, CustomerId, EngineId, GenerationId, Position, RequestId, ServiceId, TokenId,
+            AttemptNo, CustomerId, EngineId, GenerationId, Position, RequestId, ServiceId, SiteId,
+            TokenId, stream_id,
         },
     },
     tealshore_decide::{
-        generation::Held,
+        generation::{Attempt, Held},
         policy::{Repeat, ResumePolicy},
     },
-    tealshore_engines::wire::ModelPin,
-    tealshore_peers::PlaceKey,
+    tealshore_engines::wire::{GenerateOrder, ModelPin, Prompt},
+    tealshore_peers::{Place, PlaceKey},
 };
 
 /// How a generation starts on this host.
@@ -96,4 +100,51 @@
     pub fn max_tokens(&self) -> Position {
         self.request.max_tokens.get()
     }
+
+    /// The order of an attempt that goes on after the tokens `received`.
+    pub fn order(&self, attempt: AttemptNo, pin: ModelPin, received: &[TokenId]) -> GenerateOrder {
+        let prompt = match &self.request.prompt {
+            CallerPrompt::Text(text) => Prompt::Text(text.clone()),
+            CallerPrompt::Tokens(tokens) => Prompt::Tokens(tokens.clone()),
+        };
+        GenerateOrder {
+            stream_id: stream_id(self.generation, attempt),
+            request_id: self.engine_request_id(),
+            pin,
+            prompt,
+            received: received.to_vec(),
+            max_tokens: self.max_tokens(),
+            seed: self.request.seed,
+            priority: self.priority,
+        }
+    }
+
+    /// What the request's home is told of an attempt.
+    pub fn place_at(&self, attempt: AttemptNo, engine: &EngineId) -> Place {
+        Place {
+            digest: self.digest.clone(),
+            generation: self.generation,
+            attempt,
+            engine: Some(engine.clone()),
+            pin: self.pin.clone().into(),
+            once: self.repeat == Repeat::Forbidden,
+            cancelled: false,
+        }
+    }
+
+    /// What the tickets of an attempt say.
+    pub fn ticket_place(&self, site: &SiteId, attempt: &Attempt, expires_s: u64) -> TicketPlace {
+        TicketPlace {
+            site: site.clone(),
+            customer: self.customer.clone(),
+            request: self.id.clone(),
+            digest: self.digest.clone(),
+            generation: self.generation,
+            attempt: attempt.no,
+            engine: attempt.engine.clone().unwrap_or_default(),
+            pin: self.pin.clone().into(),
+            once: self.repeat == Repeat::Forbidden,
+            expires_s,
+        }
+    }
 }
--- a/crates/router/src/drive/driver.rs
+++ b/crates/router/src/drive/driver.rs
@@ -3,20 +3,22 @@
 
 use {
     super::admitted::{Admitted, Start},
-    crate::state::RouterState,
+    crate::{
+        fleet::{ChosenEngine, EngineSlot},
+        state::RouterState,
+    },
     bytes::Bytes,
     futures::{StreamExt, future::BoxFuture, stream::FuturesUnordered},
     rand::RngExt,
     std::{
-        collections::VecDeque,
+        collections::{HashMap, VecDeque},
         pin::Pin,
         sync::Arc,
         time::{Instant, SystemTime},
     },
     tealshore_callers::{
         events::EventWriter,
-        ticket::{EventSealer, TicketPlace, expiry_s},
-        wire::CallerPrompt,
+        ticket::{EventSealer, expiry_s},
     },
     tealshore_core::{
         answer::{ErrorKind, Failure, Ran},
@@ -25,13 +27,11 @@
     },
     tealshore_decide::{
         generation::{Action, Event, FinishReason, Generation, GenerationSpec, Loss},
-        policy::Repeat,
+        routing::Urgency,
     },
     tealshore_engines::{
-        CancelWhen, DispatchError, Engine, StreamEnd, StreamItem, TokenStream,
-        wire::{GenerateOrder, ModelPin, Prompt},
+        CancelWhen, DispatchError, Engine, StreamEnd, StreamItem, TokenStream, wire::ModelPin,
     },
-    tealshore_peers::Place,
     tokio::time::{Sleep, sleep_until},
     tokio_stream::StreamMap,
 };
@@ -69,6 +69,7 @@
     admitted: Admitted,
     generation: Generation,
     streams: StreamMap<AttemptNo, TokenStream>,
+    slots: HashMap<AttemptNo, EngineSlot>,
     answers: FuturesUnordered<BoxFuture<'static, Answer>>,
     outputs: VecDeque<Output>,
     writer: EventWriter,
@@ -100,6 +101,7 @@
             admitted,
             generation,
             streams: StreamMap::new(),
+            slots: HashMap::new(),
             answers: FuturesUnordered::new(),
             outputs: VecDeque::new(),
             sealer: None,
@@ -324,11 +326,22 @@
 
     fn handle(&mut self, event: Event) {
         let now = Instant::now();
+        let is_token = matches!(event, Event::Token { .. });
         if matches!(event, Event::Lost { .. }) {
             self.lost_at.get_or_insert(now);
         }
         let actions = self.generation.handle(event, now);
         self.execute(actions);
+        if !is_token {
+            self.free_slots();
+        }
+    }
+
+    /// Attempts that are over no longer count at their engines.
+    fn free_slots(&mut self) {
+        let generation = &self.generation;
+        self.slots
+            .retain(|attempt, _| generation.running().any(|running| running.no == *attempt));
     }
 
     fn execute(&mut self, actions: Vec<Action>) {
@@ -344,14 +357,27 @@
     }
 
     fn place(&mut self, attempt: AttemptNo) {
+        let has_tokens = !self.generation.received().is_empty();
+        let urgency = if has_tokens {
+            Urgency::Resume
+        } else {
+            Urgency::New
+        };
+        let service = &self.admitted.service;
         let random = rand::rng().random();
         let chosen =
             self.state
                 .fleet
-                .choose_engine(&self.admitted.service, self.generation.avoid(), random);
-        let Some((engine, address)) = chosen else {
+                .choose_engine(service, self.generation.avoid(), urgency, random);
+        let Some(ChosenEngine {
+            id: engine,
+            address,
+            slot,
+        }) = chosen
+        else {
             return self.handle(Event::NoEngine { attempt });
         };
+        self.slots.insert(attempt, slot);
         log::debug!(
             "generation: request {} attempt {attempt} goes to {engine}",
             self.admitted.id
@@ -361,7 +387,9 @@
             engine: engine.clone(),
         });
         self.tell_home(attempt, &engine);
-        let order = self.order(attempt);
+        let order = self
+            .admitted
+            .order(attempt, self.pin(), self.generation.received());
         let upstream = self.state.engine(address);
         self.answers.push(Box::pin(async move {
             let result = upstream.generate(&order).await;
@@ -373,23 +401,6 @@
         }));
     }
 
-    fn order(&self, attempt: AttemptNo) -> GenerateOrder {
-        let prompt = match &self.admitted.request.prompt {
-            CallerPrompt::Text(text) => Prompt::Text(text.clone()),
-            CallerPrompt::Tokens(tokens) => Prompt::Tokens(tokens.clone()),
-        };
-        GenerateOrder {
-            stream_id: stream_id(self.admitted.generation, attempt),
-            request_id: self.admitted.engine_request_id(),
-            pin: self.pin(),
-            prompt,
-            received: self.generation.received().to_vec(),
-            max_tokens: self.admitted.max_tokens(),
-            seed: self.admitted.request.seed,
-            priority: self.admitted.priority,
-        }
-    }
-
     /// What this attempt is pinned to: always what the first one was.
     fn pin(&self) -> ModelPin {
         if enabled(Protection::PinnedVersion) {
@@ -425,20 +436,7 @@
     }
 
     fn tell_home(&self, attempt: AttemptNo, engine: &EngineId) {
-        let ModelPin {
-            model,
-            adapter,
-            version,
-        } = self.admitted.pin.clone();
-        let place = Place {
-            digest: self.admitted.digest.clone(),
-            generation: self.admitted.generation,
-            attempt,
-            engine: Some(engine.clone()),
-            pin: [model, adapter, version],
-            once: self.admitted.repeat == Repeat::Forbidden,
-            cancelled: false,
-        };
+        let place = self.admitted.place_at(attempt, engine);
         let state = self.state.clone();
         let key = self.admitted.key();
         tokio::spawn(async move { state.move_place(key, place).await });
@@ -499,23 +497,11 @@
         {
             return;
         }
-        let ModelPin {
-            model,
-            adapter,
-            version,
-        } = self.admitted.pin.clone();
-        let place = TicketPlace {
-            site: self.state.options.host.site.clone(),
-            customer: self.admitted.customer.clone(),
-            request: self.admitted.id.clone(),
-            digest: self.admitted.digest.clone(),
-            generation: self.admitted.generation,
-            attempt: current.no,
-            engine: current.engine.clone().unwrap_or_default(),
-            pin: [model, adapter, version],
-            once: self.admitted.repeat == Repeat::Forbidden,
-            expires_s: expiry_s(SystemTime::now(), self.state.options.resume.ticket_lifetime),
-        };
+        let options = &self.state.options;
+        let expires_s = expiry_s(SystemTime::now(), options.resume.ticket_lifetime);
+        let place = self
+            .admitted
+            .ticket_place(&options.host.site, current, expires_s);
         self.sealer = Some((current.no, self.state.signer.sealer(&place)));
     }
 
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -7,11 +7,14 @@
     std::{
         collections::{HashMap, HashSet},
         net::SocketAddr,
-        sync::Arc,
+        sync::{
+            Arc,
+            atomic::{AtomicU32, Ordering},
+        },
         time::{Duration, Instant},
     },
     tealshore_core::ids::{EngineId, HallId, HostId, ServiceId},
-    tealshore_decide::routing::{Candidate, choose},
+    tealshore_decide::routing::{Candidate, Urgency, choose},
     tealshore_engines::wire::LoadReport,
     tealshore_hosts::{HostList, HostRole, HostState, ListedHost},
     xxhash_rust::xxh3::xxh3_64,
@@ -26,6 +29,7 @@
     host: ListedHost,
     report: Option<(LoadReport, Instant)>,
     sent_since: u32,
+    own: Arc<AtomicU32>,
     failed_at: Option<Instant>,
 }
 
@@ -35,6 +39,7 @@
             host,
             report: None,
             sent_since: 0,
+            own: Arc::default(),
             failed_at: None,
         }
     }
@@ -57,11 +62,40 @@
             reported: report.map_or(0, |(report, _)| report.running + report.waiting),
             report_age: report.map_or(Duration::MAX, |(_, at)| at.elapsed()),
             sent_since: self.sent_since,
+            own: self.own.load(Ordering::Relaxed),
             same_hall: self.host.hall == *hall,
         }
     }
 }
 
+/// An engine that was chosen for an attempt.
+pub struct ChosenEngine {
+    /// The engine.
+    pub id: EngineId,
+    /// Where it takes orders.
+    pub address: SocketAddr,
+    /// Counts the attempt.
+    pub slot: EngineSlot,
+}
+
+/// An attempt of this host at an engine; it counts until it is dropped.
+pub struct EngineSlot {
+    own: Arc<AtomicU32>,
+}
+
+impl EngineSlot {
+    fn take(own: &Arc<AtomicU32>) -> Self {
+        own.fetch_add(1, Ordering::Relaxed);
+        Self { own: own.clone() }
+    }
+}
+
+impl Drop for EngineSlot {
+    fn drop(&mut self) {
+        self.own.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 type Shard = Arc<Mutex<HashMap<EngineId, KnownEngine>>>;
 
 #[derive(Default)]
@@ -150,34 +184,36 @@
         hosts.truncate(self.subset);
     }
 
-    /// Chooses an engine for a new attempt and counts it as sent.
+    /// Chooses an engine for an attempt and counts it as sent; none where none has room.
     pub fn choose_engine(
         &self,
         service: &ServiceId,
         avoid: &[EngineId],
+        urgency: Urgency,
         random: u64,
-    ) -> Option<(EngineId, SocketAddr)> {
+    ) -> Option<ChosenEngine> {
         let shard = self.shard(service)?;
         let mut engines = shard.lock();
-        let is_open = |engine: &&KnownEngine| engine.is_open();
-        let fresh = engines
+        let open: Vec<Candidate> = engines
             .values()
-            .filter(is_open)
-            .filter(|engine| !avoid.contains(&engine.host.id));
-        let mut candidates: Vec<Candidate> =
-            fresh.map(|engine| engine.candidate(&self.hall)).collect();
-        if candidates.is_empty() {
-            // An engine that failed this generation once is better than none.
-            candidates = engines
-                .values()
-                .filter(is_open)
-                .map(|engine| engine.candidate(&self.hall))
-                .collect();
-        }
-        let chosen = choose(&candidates, random)?.engine.clone();
-        let engine = engines.get_mut(&chosen)?;
+            .filter(|engine| engine.is_open())
+            .map(|engine| engine.candidate(&self.hall))
+            .collect();
+        let is_fresh = |candidate: &Candidate| !avoid.contains(&candidate.engine);
+        let fresh: Vec<Candidate> = open
+            .iter()
+            .filter(|candidate| is_fresh(candidate))
+            .cloned()
+            .collect();
+        // An engine that failed this generation once is better than none.
+        let chosen = choose(&fresh, urgency, random).or_else(|| choose(&open, urgency, random))?;
+        let engine = engines.get_mut(&chosen.engine)?;
         engine.sent_since += 1;
-        Some((chosen, engine.host.address))
+        Some(ChosenEngine {
+            id: chosen.engine.clone(),
+            address: engine.host.address,
+            slot: EngineSlot::take(&engine.own),
+        })
     }
 
     /// The address of an engine, wherever it is in its life.
@@ -237,6 +273,19 @@
         each.collect()
     }
 
+    /// How many engines have reported their load.
+    pub fn reported_count(&self) -> usize {
+        let shards: Vec<Shard> = self.engines.read().values().cloned().collect();
+        let reported = |shard: &Shard| {
+            shard
+                .lock()
+                .values()
+                .filter(|known| known.report.is_some())
+                .count()
+        };
+        shards.iter().map(reported).sum()
+    }
+
     /// Live hosts of a plain service, those of the own hall first; none for an unknown one.
     pub fn plain_hosts(&self, service: &str) -> Option<Vec<SocketAddr>> {
         let others = self.others.read();
--- a/crates/router/src/serve/completions.rs
+++ b/crates/router/src/serve/completions.rs
@@ -162,7 +162,7 @@
         generation,
         attempt: 0,
         engine: None,
-        pin: [pin.model.clone(), pin.adapter.clone(), pin.version.clone()],
+        pin: pin.clone().into(),
         once: asked.repeat == Repeat::Forbidden,
         cancelled: false,
     };
@@ -217,12 +217,7 @@
     if place.digest != asked.digest {
         return Err(conflict(asked));
     }
-    let [model, adapter, version] = place.pin;
-    let pin = ModelPin {
-        model,
-        adapter,
-        version,
-    };
+    let pin = ModelPin::from(place.pin);
     let running = (place.attempt, place.engine);
     let start = match &asked.request.received {
         Some(received) => {
@@ -256,7 +251,6 @@
 /// Reads a known generation from its start, where an engine has it already.
 fn read_again(asked: &Asked<'_>, place: Place) -> Option<Decided> {
     let engine = place.engine?;
-    let [model, adapter, version] = place.pin;
     let held = Held {
         position: 0,
         chain: TokenChain::default(),
@@ -267,11 +261,7 @@
     };
     Some(Decided {
         generation: place.generation,
-        pin: ModelPin {
-            model,
-            adapter,
-            version,
-        },
+        pin: place.pin.into(),
         start,
         claim: None,
         repeat: stricter(asked.repeat, place.once),
--- a/crates/router/src/show/status.rs
+++ b/crates/router/src/show/status.rs
@@ -29,6 +29,8 @@
     pub in_flight: u64,
     /// Engines that it may send work to.
     pub engines_known: usize,
+    /// Engines of these that have reported their load.
+    pub engines_reported: usize,
     /// Hosts of plain services that it may send calls to.
     pub plain_known: usize,
     /// Other entry hosts on the host list.
@@ -78,6 +80,7 @@
         phase: state.stop.phase().name().to_owned(),
         in_flight: state.in_flight.total(),
         engines_known: state.fleet.engines().len(),
+        engines_reported: state.fleet.reported_count(),
         plain_known: state.fleet.plain_count(),
         peers_known: state.fleet.peers().len(),
         places_kept: state.places.len(),
