Cut entry hosts off from the table and from their peers in tests

Ruled out: faults of the table alone (an outage hits all hosts at once, a cut only one). Change: the experiment tool puts a link that can be cut before the table and before each host's peers; measurements go without.

--- a/crates/decide/src/generation/watch.rs
+++ b/crates/decide/src/generation/watch.rs
@@ -18,7 +18,7 @@
 const KEPT_ATTEMPTS: u32 = 2;
 
 impl Generation {
-    /// When [`Event::Tick`] is due if nothing else happens.
+    /// When [`Event::Tick`](super::Event::Tick) is due if nothing else happens.
     #[must_use]
     pub fn next_tick(&self) -> Option<Instant> {
         let attempts = self.current.iter().chain(&self.standby);
--- a/crates/lab/src/control.rs
+++ b/crates/lab/src/control.rs
@@ -81,6 +81,7 @@
         // Fewer steps, so that idle stand-ins leave the machine to what is measured.
         engine_args: ["--step-ms", "200"].map(str::to_owned).to_vec(),
         hosts_lag: Duration::ZERO,
+        direct: true,
         settings: vec![(
             "hosts".to_owned(),
             "poll_interval_ms".to_owned(),
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -6,7 +6,10 @@
 
 pub use process::Process;
 use {
-    crate::work::{SERVICE, declarations},
+    crate::{
+        link::Link,
+        work::{SERVICE, declarations},
+    },
     eyre::eyre,
     http::Method,
     std::{net::SocketAddr, path::PathBuf, time::Duration},
@@ -46,6 +49,8 @@
     pub settings: Vec<(String, String, String)>,
     /// The site of the entry hosts.
     pub site: String,
+    /// Whether processes reach one another without links in between, as measurements need.
+    pub direct: bool,
     /// The table of another system that is used in place of its own, as two sites do
     /// during a move.
     pub shared_table: Option<SocketAddr>,
@@ -63,6 +68,7 @@
             hosts_lag: Duration::from_millis(100),
             settings: Vec::new(),
             site: "old".to_owned(),
+            direct: false,
             shared_table: None,
         }
     }
@@ -76,8 +82,10 @@
     pub id: String,
     /// Where it takes callers.
     pub callers: SocketAddr,
-    /// Where it takes peers.
-    pub peers: SocketAddr,
+    /// The link over which it reaches the table.
+    pub table_link: Link,
+    /// The link over which its peers reach it.
+    pub peers_link: Link,
     /// Where it shows metrics.
     pub operators: SocketAddr,
 }
@@ -223,8 +231,12 @@
     /// It does not start.
     pub async fn start_router(&mut self, index: u64) -> eyre::Result<()> {
         let id = format!("entry-{index}");
+        let table_link = self.link_to(self.table_address()).await?;
         let file = self.directory.path().join(format!("{id}.ini"));
-        std::fs::write(&file, self.router_settings(&id, hall(index)))?;
+        std::fs::write(
+            &file,
+            self.router_settings(&id, hall(index), table_link.address),
+        )?;
         let file = file.display().to_string();
         let (process, line) = Process::start(
             &self.directory,
@@ -241,21 +253,30 @@
                 .and_then(|address| address.parse().ok())
                 .ok_or_else(|| eyre!("{id}: no {name} in {line}"))
         };
-        let router = RouterProcess {
-            callers: address("callers")?,
-            peers: address("peers")?,
-            operators: address("operators")?,
+        let peers_link = self.link_to(address("peers")?).await?;
+        let mut host = listed(&id, HostRole::Entry, "", index, address("callers")?);
+        host.peer_address = Some(peers_link.address);
+        self.list(std::slice::from_ref(&host)).await?;
+        let operators = address("operators")?;
+        self.routers.push(RouterProcess {
             process,
             id,
-        };
-        let mut host = listed(&router.id, HostRole::Entry, "", index, router.callers);
-        host.peer_address = Some(router.peers);
-        self.list(&[host]).await?;
-        self.routers.push(router);
+            callers: host.address,
+            table_link,
+            peers_link,
+            operators,
+        });
         Ok(())
     }
 
-    fn router_settings(&self, id: &str, hall: &str) -> String {
+    async fn link_to(&self, target: SocketAddr) -> eyre::Result<Link> {
+        if self.options.direct {
+            return Ok(Link::direct(target));
+        }
+        Ok(Link::to(target).await?)
+    }
+
+    fn router_settings(&self, id: &str, hall: &str, table: SocketAddr) -> String {
         let mut settings = vec![
             ("host", "id", id.to_owned()),
             ("host", "hall", hall.to_owned()),
@@ -265,7 +286,7 @@
             ("host", "operators_address", "127.0.0.1:0".to_owned()),
             ("callers", "keep_addresses_ms", "500".to_owned()),
             ("resume", "keys", TICKET_KEY.to_owned()),
-            ("table", "address", self.table_address().to_string()),
+            ("table", "address", table.to_string()),
             ("hosts", "address", self.hosts.address.to_string()),
             ("hosts", "poll_interval_ms", "200".to_owned()),
         ];
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod control;
 pub mod demo;
 pub mod fleet;
+pub mod link;
 pub mod relay;
 pub mod resume;
 pub mod scenario;
--- a/crates/lab/src/scenario/link.rs
+++ b/crates/lab/src/link.rs
@@ -1,5 +1,5 @@
-//! A link between an entry host and an engine that can be cut, both ways or one way, and
-//! healed: what was sent meanwhile arrives late, as over TCP.
+//! A link between two processes that can be cut, both ways or one way, and healed: what was
+//! sent meanwhile arrives late, as over TCP.
 
 use {
     std::{io, net::SocketAddr},
@@ -16,13 +16,26 @@
 /// How a link is cut.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Cut {
-    /// Nothing reaches the engine.
+    /// Nothing reaches the one that was connected to.
     pub forth: bool,
     /// Nothing comes back from it.
     pub back: bool,
 }
 
-/// A link to an engine.
+impl Cut {
+    /// Nothing passes.
+    pub const BOTH: Self = Self {
+        forth: true,
+        back: true,
+    };
+    /// Everything passes.
+    pub const NONE: Self = Self {
+        forth: false,
+        back: false,
+    };
+}
+
+/// A link to a process.
 pub struct Link {
     /// Where the link is entered.
     pub address: SocketAddr,
@@ -42,6 +55,15 @@
         Ok(Self { address, cut })
     }
 
+    /// No link: the process itself, for measurements. It can't be cut.
+    #[must_use]
+    pub fn direct(target: SocketAddr) -> Self {
+        Self {
+            address: target,
+            cut: watch::Sender::new(Cut::NONE),
+        }
+    }
+
     /// Cuts it, or heals it.
     pub fn set(&self, cut: Cut) {
         self.cut.send_replace(cut);
@@ -56,15 +78,15 @@
 
 async fn connect(caller: TcpStream, target: SocketAddr, cut: watch::Receiver<Cut>) {
     // A dropped caller is how a refused connection shows through the link.
-    let Ok(engine) = TcpStream::connect(target).await else {
+    let Ok(process) = TcpStream::connect(target).await else {
         return;
     };
     let _ = caller.set_nodelay(true);
-    let _ = engine.set_nodelay(true);
+    let _ = process.set_nodelay(true);
     let (from_caller, to_caller) = caller.into_split();
-    let (from_engine, to_engine) = engine.into_split();
-    let forth = pass(from_caller, to_engine, cut.clone(), |cut| cut.forth);
-    let back = pass(from_engine, to_caller, cut, |cut| cut.back);
+    let (from_process, to_process) = process.into_split();
+    let forth = pass(from_caller, to_process, cut.clone(), |cut| cut.forth);
+    let back = pass(from_process, to_caller, cut, |cut| cut.back);
     // When one side ends, the other connection ends with it.
     tokio::select! {
         () = forth => {}
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -5,7 +5,6 @@
 //! a fault.
 
 mod line;
-mod link;
 pub mod matrix;
 mod runner;
 
--- a/crates/lab/src/scenario/runner.rs
+++ b/crates/lab/src/scenario/runner.rs
@@ -1,13 +1,11 @@
 //! Runs a scenario against real processes.
 
 use {
-    super::{
-        line::Line,
-        link::{Cut, Link},
-    },
+    super::line::Line,
     crate::{
         check::check_answer,
         fleet::{Fleet, FleetOptions, listed},
+        link::{Cut, Link},
         work::{SERVICE, THRIFT_CUSTOMER, Work},
     },
     eyre::{bail, eyre},
