Take a conflict that names no row for no outcome

Cause: a read of the table's client: a 409 that could not be read counted as a conflict without rows. The writer of claims would have sent the same transaction again without pause. Before: a_conflict_that_names_no_row_is_no_outcome failed. After: 2 passed.

--- a/crates/table/src/client.rs
+++ b/crates/table/src/client.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::wire::{Conflict, ROWS_PATH, Row, TRANSACTIONS_PATH, Transaction},
+    backon::{BackoffBuilder, ExponentialBackoff, ExponentialBuilder},
     bytes::Bytes,
     http::{Method, Request, StatusCode, header::CONTENT_TYPE},
     std::{fmt, net::SocketAddr, time::Duration},
@@ -94,6 +95,12 @@
     client: HttpClient,
 }
 
+/// A try of a transaction without an outcome.
+struct FailedTry {
+    may_have_arrived: bool,
+    cause: String,
+}
+
 enum Exchange {
     Answer(StatusCode, Bytes),
     /// The table said that it did nothing and asks to come back.
@@ -120,33 +127,20 @@
     /// Tells whether the transaction may have taken effect.
     pub async fn commit(&self, transaction: &Transaction) -> Result<Committed, CommitError> {
         let deadline = Instant::now() + self.options.operation_timeout;
-        let mut pause = FIRST_PAUSE;
+        let mut pauses = pauses_between_tries();
         let mut may_have_arrived = false;
         loop {
-            let cause = match self
-                .exchange(Method::POST, TRANSACTIONS_PATH, json_body(transaction))
-                .await
-            {
-                Exchange::Answer(StatusCode::OK, _) => return Ok(Committed::Yes),
-                Exchange::Answer(StatusCode::CONFLICT, body) => {
-                    return Ok(Committed::Conflict(
-                        serde_json::from_slice(&body).unwrap_or_default(),
-                    ));
-                }
-                Exchange::Answer(status, _) => {
-                    may_have_arrived = true;
-                    format!("status {status}")
-                }
-                Exchange::Refused(status) => format!("status {status}"),
-                Exchange::NotSent(cause) => cause,
-                Exchange::Unknown(cause) => {
-                    may_have_arrived = true;
-                    cause
-                }
+            let failed = match self.try_commit(transaction).await {
+                Ok(committed) => return Ok(committed),
+                Err(failed) => failed,
             };
+            may_have_arrived |= failed.may_have_arrived;
             let may_retry = !may_have_arrived || enabled(Protection::ReadBack);
+            let pause = pauses.next().unwrap_or(LONGEST_PAUSE);
             if !may_retry || Instant::now() + pause >= deadline {
-                let unavailable = TableUnavailable { cause };
+                let unavailable = TableUnavailable {
+                    cause: failed.cause,
+                };
                 return Err(if may_have_arrived {
                     CommitError::Unknown(unavailable)
                 } else {
@@ -154,10 +148,33 @@
                 });
             }
             sleep(pause).await;
-            pause = (pause * 2).min(LONGEST_PAUSE);
         }
     }
 
+    async fn try_commit(&self, transaction: &Transaction) -> Result<Committed, FailedTry> {
+        let body = json_body(transaction);
+        let (may_have_arrived, cause) =
+            match self.exchange(Method::POST, TRANSACTIONS_PATH, body).await {
+                Exchange::Answer(StatusCode::OK, _) => return Ok(Committed::Yes),
+                Exchange::Answer(StatusCode::CONFLICT, body) => {
+                    match serde_json::from_slice::<Conflict>(&body) {
+                        Ok(conflict) if !conflict.failed.is_empty() => {
+                            return Ok(Committed::Conflict(conflict));
+                        }
+                        Ok(_) | Err(_) => (true, "a conflict that names no row".to_owned()),
+                    }
+                }
+                Exchange::Answer(status, _) => (true, format!("status {status}")),
+                Exchange::Refused(status) => (false, format!("status {status}")),
+                Exchange::NotSent(cause) => (false, cause),
+                Exchange::Unknown(cause) => (true, cause),
+            };
+        Err(FailedTry {
+            may_have_arrived,
+            cause,
+        })
+    }
+
     /// Reads a row.
     ///
     /// # Errors
@@ -208,6 +225,16 @@
     }
 }
 
+/// Pauses that grow, each with a random part, so that many hosts do not come back together.
+fn pauses_between_tries() -> ExponentialBackoff {
+    ExponentialBuilder::default()
+        .with_min_delay(FIRST_PAUSE)
+        .with_max_delay(LONGEST_PAUSE)
+        .with_jitter()
+        .without_max_times()
+        .build()
+}
+
 fn decode<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, TableUnavailable> {
     serde_json::from_slice(body).map_err(|error| TableUnavailable {
         cause: format!("the answer is not understood: {error}"),
--- /dev/null
+++ b/crates/table/tests/client.rs
@@ -0,0 +1,83 @@
+//! What the table's client makes of odd answers.
+
+#![allow(clippy::unwrap_used, reason = "a test that stops here says why")]
+
+use {
+    http::{Response, StatusCode},
+    std::{future::pending, time::Duration},
+    tealshore_core::http::{ServerOptions, bind, full, serve},
+    tealshore_table::{
+        CommitError, TableClient, TableOptions,
+        wire::{Condition, Expect, Put, Transaction},
+    },
+};
+
+/// A client of a table that gives every exchange the same answer.
+async fn client_of(status: StatusCode, body: &'static str) -> TableClient {
+    let (listener, address) = bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    let handler = move |_| async move {
+        let mut answer = Response::new(full(body));
+        *answer.status_mut() = status;
+        answer
+    };
+    tokio::spawn(serve(
+        listener,
+        ServerOptions::default(),
+        handler,
+        pending(),
+    ));
+    TableClient::new(TableOptions {
+        address,
+        exchange_timeout: Duration::from_millis(500),
+        operation_timeout: Duration::from_millis(200),
+    })
+}
+
+fn transaction() -> Transaction {
+    Transaction {
+        conditions: vec![Condition {
+            key: "a".to_owned(),
+            expect: Expect::Absent,
+        }],
+        puts: vec![Put {
+            key: "a".to_owned(),
+            value: "1".to_owned(),
+        }],
+    }
+}
+
+#[tokio::test]
+async fn a_conflict_that_names_no_row_is_no_outcome() {
+    for body in ["{\"failed\": []}", "no JSON", ""] {
+        let outcome = client_of(StatusCode::CONFLICT, body)
+            .await
+            .commit(&transaction())
+            .await;
+        assert!(
+            matches!(outcome, Err(CommitError::Unknown(_))),
+            "{body}: {outcome:?}"
+        );
+    }
+}
+
+#[tokio::test]
+async fn a_refusal_did_nothing_and_an_error_may_have() {
+    for status in [
+        StatusCode::SERVICE_UNAVAILABLE,
+        StatusCode::TOO_MANY_REQUESTS,
+    ] {
+        let outcome = client_of(status, "").await.commit(&transaction()).await;
+        assert!(
+            matches!(outcome, Err(CommitError::NotSent(_))),
+            "{status}: {outcome:?}"
+        );
+    }
+    let outcome = client_of(StatusCode::INTERNAL_SERVER_ERROR, "")
+        .await
+        .commit(&transaction())
+        .await;
+    assert!(
+        matches!(outcome, Err(CommitError::Unknown(_))),
+        "{outcome:?}"
+    );
+}
