Time the demonstration's resume by the engine that answers

Cause: one of three runs of the demonstration printed resume_ms 3691. The wait was taken from the longest gap after the kill; a resume faster than an ordinary gap of 20 ms is not the longest, and a later one was timed in its place. Ruled out: a slow resume (the answer had no gap of that length). Change: the first token that comes from another engine, by the event's id.

--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -3,12 +3,16 @@
 use {
     crate::{
         check::check_answer,
-        fleet::{Fleet, FleetOptions, start_call},
+        fleet::{Fleet, FleetOptions},
         work::{LATENCY_KEY, Work},
     },
     eyre::eyre,
-    std::time::{Duration, Instant},
-    tealshore_callers::client::{CallEnd, CallRecord},
+    std::{net::SocketAddr, time::Instant},
+    tealshore_callers::{
+        client::{Arrival, CallEnd, CallRecord, Caller},
+        ticket::TicketPlace,
+    },
+    tokio::sync::watch,
 };
 
 /// What to show.
@@ -55,7 +59,8 @@
         entries.len(),
         entries[0]
     );
-    let (calling, mut progress) = start_call(caller, entries, &work);
+    let (seen, mut progress) = watch::channel(0);
+    let calling = tokio::spawn(read(caller, entries, work.clone(), seen));
     let half = options.tokens / 2;
     progress.wait_for(|tokens| *tokens >= half).await?;
     let victim = *fleet
@@ -66,8 +71,43 @@
     let killed_at = Instant::now();
     fleet.engines[victim].process.kill().await?;
     println!("killed {} after {half} tokens", fleet.engines[victim].id);
-    let record = calling.await?;
-    report(&fleet, &work, &record, killed_at).await
+    let (record, moves) = calling.await?;
+    let resumed = moves
+        .iter()
+        .find(|moved| moved.at > killed_at && moved.engine != fleet.engines[victim].id);
+    let resume_ms = resumed.map(|moved| moved.at.duration_since(killed_at).as_millis());
+    report(&fleet, &work, &record, killed_at, resume_ms).await
+}
+
+/// The first token that an engine gave.
+struct Move {
+    engine: String,
+    at: Instant,
+}
+
+/// Reads the answer and notes each engine that it comes from, by the ids of its events.
+async fn read(
+    caller: Caller,
+    entries: Vec<SocketAddr>,
+    work: Work,
+    seen: watch::Sender<u64>,
+) -> (CallRecord, Vec<Move>) {
+    let mut moves: Vec<Move> = Vec::new();
+    let note = |arrival: &Arrival, id: Option<&str>| {
+        seen.send_replace(arrival.position + 1);
+        let engine = id
+            .and_then(TicketPlace::peek)
+            .map(|place| place.engine)
+            .unwrap_or_default();
+        if moves.last().is_none_or(|last| last.engine != engine) {
+            moves.push(Move {
+                engine,
+                at: arrival.at,
+            });
+        }
+    };
+    let record = caller.complete_with_ids(&entries, &work.call, note).await;
+    (record, moves)
 }
 
 async fn report(
@@ -75,19 +115,13 @@
     work: &Work,
     record: &CallRecord,
     killed_at: Instant,
+    resume_ms: Option<u128>,
 ) -> eyre::Result<bool> {
     println!(
         "the answer ended: {:?}, over {} connection(s)",
         record.end, record.connections
     );
     let check = check_answer(work, &record.arrivals, work.tokens(), 1);
-    let resumed = record
-        .arrivals
-        .iter()
-        .find(|arrival| arrival.at > killed_at + longest_flight(record, killed_at));
-    let resume_ms = resumed.map_or(0, |arrival| {
-        arrival.at.duration_since(killed_at).as_millis()
-    });
     let survivors = fleet.work().await;
     let resumes = survivors
         .iter()
@@ -107,17 +141,6 @@
     Ok(is_whole && resumes == 1 && matches!(record.end, CallEnd::Whole))
 }
 
-/// Tokens that were on their way when the engine died arrive right after: the wait is the
-/// longest gap between two arrivals that begins around the kill.
-fn longest_flight(record: &CallRecord, killed_at: Instant) -> Duration {
-    let pairs = record.arrivals.windows(2);
-    let gaps = pairs
-        .filter(|pair| pair[1].at > killed_at)
-        .map(|pair| (pair[1].at - pair[0].at, pair[0].at));
-    let start = gaps.max().map_or(killed_at, |(_, start)| start);
-    start.saturating_duration_since(killed_at)
-}
-
 /// Tokens computed in all against those of one clean run. The dead engine's work is counted
 /// as the prompt and what it had sent.
 fn extra_work_ratio(
