Prove the host list's word on leaving, and drop what nothing uses

That an upstream which the list calls leaving gets no new work had no test that fails without its check: the one there rests on the engine's own refusals. An error kind and a list of protections were used nowhere. Ruled out: a fault in the check itself, which holds.

--- a/crates/core/src/answer.rs
+++ b/crates/core/src/answer.rs
@@ -80,8 +80,6 @@
     UpstreamLost,
     /// The retry budget is spent after the request ran in part.
     RetriesSpent,
-    /// An answer of the upstream exceeds its bound.
-    AnswerTooLarge,
     /// A fault of tealshore itself.
     Internal,
 }
@@ -135,7 +133,6 @@
             Self::UpstreamUnconfirmed => (StatusCode::BAD_GATEWAY, Unknown, None, Level::Warn),
             Self::UpstreamLost => (StatusCode::BAD_GATEWAY, Yes, None, Level::Warn),
             Self::RetriesSpent => (StatusCode::GATEWAY_TIMEOUT, Yes, Some(2), Level::Warn),
-            Self::AnswerTooLarge => (StatusCode::BAD_GATEWAY, Yes, None, Level::Warn),
             Self::Internal => (
                 StatusCode::INTERNAL_SERVER_ERROR,
                 Unknown,
@@ -182,7 +179,6 @@
             Self::UpstreamUnconfirmed => "upstream-unconfirmed",
             Self::UpstreamLost => "upstream-lost",
             Self::RetriesSpent => "retries-spent",
-            Self::AnswerTooLarge => "answer-too-large",
             Self::Internal => "internal",
         }
     }
--- a/crates/core/src/protection.rs
+++ b/crates/core/src/protection.rs
@@ -24,22 +24,11 @@
     TokenSignature,
     /// The pinned version is asked for at each attempt.
     PinnedVersion,
+    /// An upstream that the host list calls leaving gets no new work.
+    LeavingCheck,
 }
 
 impl Protection {
-    /// All protections, for the tool that switches each one off.
-    pub const ALL: [Self; 9] = [
-        Self::AttemptCheck,
-        Self::PositionCheck,
-        Self::ChainCheck,
-        Self::SingleDispatch,
-        Self::Claim,
-        Self::ReadBack,
-        Self::MonotonicVersion,
-        Self::TokenSignature,
-        Self::PinnedVersion,
-    ];
-
     /// The name of its switch.
     #[must_use]
     pub fn name(self) -> &'static str {
@@ -53,6 +42,7 @@
             Self::MonotonicVersion => "monotonic-version",
             Self::TokenSignature => "token-signature",
             Self::PinnedVersion => "pinned-version",
+            Self::LeavingCheck => "leaving-check",
         }
     }
 }
--- a/crates/lab/tests/resume.rs
+++ b/crates/lab/tests/resume.rs
@@ -5,10 +5,11 @@
 use {
     std::net::SocketAddr,
     tealshore_callers::client::{CallEnd, CallRecord},
+    tealshore_hosts::{HostRole, HostState},
     tealshore_lab::{
         check::check_answer,
-        fleet::{Fleet, FleetOptions, start_call},
-        work::{LATENCY_KEY, THRIFT_KEY, VERSION, Work, declarations},
+        fleet::{Fleet, FleetOptions, listed, start_call},
+        work::{LATENCY_KEY, SERVICE, THRIFT_KEY, VERSION, Work, declarations},
     },
     tealshore_standin::engine::EngineFaults,
     tokio::{sync::watch, task::JoinHandle},
@@ -258,3 +259,27 @@
         assert_eq!(fleet.engines_of(&work).await, [0]);
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_the_list_calls_leaving_gets_no_new_work() {
+    let fleet = salted_fleet().await;
+    for (index, engine) in fleet.engines.iter().enumerate().skip(1) {
+        let mut host = listed(
+            &engine.id,
+            HostRole::Engine,
+            SERVICE,
+            index as u64,
+            engine.address,
+        );
+        host.state = HostState::Leaving;
+        fleet.list(&[host]).await.unwrap();
+    }
+    // The list lags; the engines themselves know nothing of it.
+    fleet.wait_for_loads().await.unwrap();
+    for index in 0..8 {
+        let work = Work::new(&format!("listed-{index}"), "assess", "one two three", 5);
+        let (calling, _) = call(LATENCY_KEY, true, fleet.entries(), &work);
+        assert_whole(&work, &calling.await.unwrap());
+        assert_eq!(fleet.engines_of(&work).await, [0]);
+    }
+}
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -13,7 +13,10 @@
         },
         time::{Duration, Instant},
     },
-    tealshore_core::ids::{EngineId, HallId, HostId, ServiceId},
+    tealshore_core::{
+        ids::{EngineId, HallId, HostId, ServiceId},
+        protection::{Protection, enabled},
+    },
     tealshore_decide::routing::{Candidate, Urgency, choose},
     tealshore_engines::wire::LoadReport,
     tealshore_hosts::{HostList, HostRole, HostState, ListedHost},
@@ -51,7 +54,8 @@
             .report
             .as_ref()
             .is_some_and(|(report, _)| report.leaving);
-        self.host.state == HostState::Live && !says_leaving && !has_failed
+        let is_leaving = self.host.state == HostState::Leaving && enabled(Protection::LeavingCheck);
+        !is_leaving && !says_leaving && !has_failed
     }
 
     fn candidate(&self, hall: &HallId) -> Candidate {
--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -18,6 +18,7 @@
 monotonic-version tealshore-router in_force a_lower_version_is_never_applied
 token-signature tealshore-lab resume a_ticket_serves_only_its_own_request
 pinned-version tealshore-lab resume a_new_version_does_not_touch_a_running_generation
+leaving-check tealshore-lab resume an_engine_that_the_list_calls_leaving_gets_no_new_work
 LIST
 }
 
