--- a/crates/core/src/answer.rs
+++ b/crates/core/src/answer.rs
@@ -80,6 +80,14 @@
     UpstreamLost,
     /// The retry budget is spent after the request ran in part.
     RetriesSpent,
+    /// All upstreams that could take the request turned it away.
+    UpstreamsBusy,
+    /// This host has not heard from the platform's store for too long to trust its keys.
+    StaleView,
+    /// The time for the request is over and an upstream may have worked on it.
+    DeadlineReached,
+    /// The time for the request is over before any upstream took it.
+    DeadlineUntried,
     /// A fault of tealshore itself.
     Internal,
 }
@@ -105,10 +113,10 @@
             Ran::{No, Unknown, Yes},
             log::Level,
         };
-        let (status, ran, retry_after_s, level) = match self {
+        let (status, ran, retry_after_ms, level) = match self {
             Self::BadRequest => (StatusCode::BAD_REQUEST, No, None, Level::Info),
             Self::BodyTooLarge => (StatusCode::PAYLOAD_TOO_LARGE, No, None, Level::Info),
-            Self::RequestTooSlow => (StatusCode::REQUEST_TIMEOUT, No, Some(1), Level::Info),
+            Self::RequestTooSlow => (StatusCode::REQUEST_TIMEOUT, No, Some(1_000), Level::Info),
             Self::Unauthenticated => (StatusCode::UNAUTHORIZED, No, None, Level::Info),
             Self::UnknownPath => (StatusCode::NOT_FOUND, No, None, Level::Info),
             Self::MethodNotAllowed => (StatusCode::METHOD_NOT_ALLOWED, No, None, Level::Info),
@@ -116,23 +124,52 @@
             Self::UnknownService => (StatusCode::NOT_FOUND, No, None, Level::Info),
             Self::ForeignResumeToken => (StatusCode::FORBIDDEN, No, None, Level::Warn),
             Self::ExpiredResumeToken => (StatusCode::GONE, Yes, None, Level::Info),
-            Self::ResumeNeedsTokens => (StatusCode::CONFLICT, Yes, Some(1), Level::Info),
+            Self::ResumeNeedsTokens => (StatusCode::CONFLICT, Yes, Some(1_000), Level::Info),
             Self::ResumeMismatch => (StatusCode::CONFLICT, Yes, None, Level::Warn),
             Self::RequestConflict => (StatusCode::UNPROCESSABLE_ENTITY, No, None, Level::Info),
             Self::AlreadyClaimed => (StatusCode::CONFLICT, Unknown, None, Level::Info),
             Self::UnknownRequest => (StatusCode::NOT_FOUND, Unknown, None, Level::Info),
             Self::Cancelled => (StatusCode::GONE, Unknown, None, Level::Info),
-            Self::CustomerLimit => (StatusCode::TOO_MANY_REQUESTS, No, Some(1), Level::Info),
-            Self::HostLimit => (StatusCode::SERVICE_UNAVAILABLE, No, Some(1), Level::Warn),
-            Self::NoEngine => (StatusCode::SERVICE_UNAVAILABLE, No, Some(2), Level::Warn),
-            Self::TableUnavailable => (StatusCode::SERVICE_UNAVAILABLE, No, Some(5), Level::Warn),
-            Self::NotReady => (StatusCode::SERVICE_UNAVAILABLE, No, Some(1), Level::Warn),
-            Self::Stopping => (StatusCode::SERVICE_UNAVAILABLE, No, Some(1), Level::Info),
+            Self::CustomerLimit => (StatusCode::TOO_MANY_REQUESTS, No, Some(1_000), Level::Info),
+            Self::HostLimit => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                No,
+                Some(1_000),
+                Level::Warn,
+            ),
+            Self::NoEngine => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                No,
+                Some(2_000),
+                Level::Warn,
+            ),
+            Self::TableUnavailable => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                No,
+                Some(5_000),
+                Level::Warn,
+            ),
+            Self::NotReady => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                No,
+                Some(1_000),
+                Level::Warn,
+            ),
+            Self::Stopping => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                No,
+                Some(1_000),
+                Level::Info,
+            ),
             Self::HandedOver => (StatusCode::SERVICE_UNAVAILABLE, Yes, Some(0), Level::Info),
-            Self::UpstreamUnreachable => (StatusCode::BAD_GATEWAY, No, Some(1), Level::Warn),
+            Self::UpstreamUnreachable => (StatusCode::BAD_GATEWAY, No, Some(1_000), Level::Warn),
             Self::UpstreamUnconfirmed => (StatusCode::BAD_GATEWAY, Unknown, None, Level::Warn),
             Self::UpstreamLost => (StatusCode::BAD_GATEWAY, Yes, None, Level::Warn),
-            Self::RetriesSpent => (StatusCode::GATEWAY_TIMEOUT, Yes, Some(2), Level::Warn),
+            Self::RetriesSpent => (StatusCode::GATEWAY_TIMEOUT, Yes, Some(2_000), Level::Warn),
+            Self::UpstreamsBusy => (StatusCode::SERVICE_UNAVAILABLE, No, Some(50), Level::Warn),
+            Self::StaleView => (StatusCode::SERVICE_UNAVAILABLE, No, Some(20), Level::Warn),
+            Self::DeadlineReached => (StatusCode::GATEWAY_TIMEOUT, Unknown, None, Level::Warn),
+            Self::DeadlineUntried => (StatusCode::SERVICE_UNAVAILABLE, No, Some(50), Level::Warn),
             Self::Internal => (
                 StatusCode::INTERNAL_SERVER_ERROR,
                 Unknown,
@@ -143,7 +180,7 @@
         Answer {
             status,
             ran,
-            retry_after: retry_after_s.map(Duration::from_secs),
+            retry_after: retry_after_ms.map(Duration::from_millis),
             level,
         }
     }
@@ -179,6 +216,10 @@
             Self::UpstreamUnconfirmed => "upstream-unconfirmed",
             Self::UpstreamLost => "upstream-lost",
             Self::RetriesSpent => "retries-spent",
+            Self::UpstreamsBusy => "upstreams-busy",
+            Self::StaleView => "stale-view",
+            Self::DeadlineReached => "deadline-reached",
+            Self::DeadlineUntried => "deadline-untried",
             Self::Internal => "internal",
         }
     }
--- a/crates/core/src/logs.rs
+++ b/crates/core/src/logs.rs
@@ -1,5 +1,8 @@
 //! Starts the structured logs.
 
+mod bounded;
+
+pub use bounded::{BoundedOutput, LineBudget};
 use {
     crate::settings::{Section, SettingError},
     logforth::{
@@ -75,3 +78,12 @@
         .dispatch(|dispatch| dispatch.filter(filter).append(stderr))
         .apply();
 }
+
+/// Starts logging to standard output, bounded and without blocking. Call it once.
+pub fn start_bounded(options: &LogOptions, budget: LineBudget) {
+    let filter = LevelFilter::MoreSevereEqual(options.level);
+    let output = BoundedOutput::start(budget, std::io::stdout());
+    logforth::starter_log::builder()
+        .dispatch(|dispatch| dispatch.filter(filter).append(output))
+        .apply();
+}
--- /dev/null
+++ b/crates/gateway/src/balance.rs
@@ -0,0 +1,141 @@
+//! Which upstream takes a request, from what all hosts are known to have there.
+
+use {
+    crate::view::Work,
+    std::cmp::Ordering,
+    tealshore_core::ids::{EngineId, HallId},
+};
+
+/// What a running stream costs a new prompt beside it, in prompt tokens to read.
+const STREAM_COST_TOKENS: f64 = 1_500.0;
+/// What another hall costs, in prompt tokens to read.
+const OTHER_HALL_COST_TOKENS: f64 = 400.0;
+/// What a share of failed calls of 1 costs, in busy slots.
+const FAILURE_COST: f64 = 3.0;
+/// What another hall costs a plain call, in busy shares of an upstream.
+const OTHER_HALL_COST: f64 = 0.1;
+/// How much costs vary by chance, so that hosts do not all choose alike.
+const JITTER: f64 = 0.05;
+/// The part of an engine's memory that work is sent to.
+const MEMORY_PART: f64 = 0.9;
+
+/// What is known of an upstream when a choice is made.
+#[derive(Clone, Debug)]
+pub struct Candidate {
+    /// The upstream.
+    pub id: EngineId,
+    /// Its hall.
+    pub hall: HallId,
+    /// What all hosts have there.
+    pub work: Work,
+    /// How many requests it works on at once.
+    pub slots: u32,
+    /// The share of recent calls that failed.
+    pub failure_score: f64,
+    /// Whether it seemed dead a short time ago.
+    pub suspected: bool,
+    /// A number from 0 to 1 drawn for this choice.
+    pub draw: f64,
+}
+
+/// What is asked for.
+#[derive(Clone, Copy, Debug)]
+pub enum Need<'a> {
+    /// A place for a plain call.
+    Call,
+    /// A place for a prompt.
+    Prompt {
+        /// Tokens that it will hold in memory.
+        memory_tokens: u64,
+        /// Tokens that an engine's memory holds.
+        engine_memory_tokens: u64,
+    },
+    /// A place for a copy of a run's memory, in another hall than the run if there is one.
+    Copy {
+        /// The run's hall.
+        away_from: &'a HallId,
+        /// Tokens that it will hold.
+        memory_tokens: u64,
+        /// Tokens that an engine's memory holds.
+        engine_memory_tokens: u64,
+    },
+}
+
+/// The cheapest candidate that is not in `avoid`; suspected ones only where there is no
+/// other. None where nothing has room.
+#[must_use]
+pub fn choose<'a>(
+    candidates: &'a [Candidate],
+    need: Need<'_>,
+    own_hall: &HallId,
+    avoid: &[EngineId],
+) -> Option<&'a Candidate> {
+    let allowed = candidates
+        .iter()
+        .filter(|candidate| !avoid.contains(&candidate.id))
+        .filter(|candidate| has_room(candidate, need));
+    allowed.min_by(|a, b| {
+        let by_cost = || {
+            let cost_of = |candidate| cost(candidate, need, own_hall);
+            cost_of(a)
+                .partial_cmp(&cost_of(b))
+                .unwrap_or(Ordering::Equal)
+        };
+        a.suspected.cmp(&b.suspected).then_with(by_cost)
+    })
+}
+
+fn has_room(candidate: &Candidate, need: Need<'_>) -> bool {
+    match need {
+        Need::Call => true,
+        Need::Prompt {
+            memory_tokens,
+            engine_memory_tokens,
+        }
+        | Need::Copy {
+            memory_tokens,
+            engine_memory_tokens,
+            ..
+        } => {
+            let held = to_f64(candidate.work.memory_tokens + memory_tokens);
+            let is_idle = candidate.work.running == 0;
+            is_idle
+                || engine_memory_tokens == 0
+                || held <= to_f64(engine_memory_tokens) * MEMORY_PART
+        }
+    }
+}
+
+fn cost(candidate: &Candidate, need: Need<'_>, own_hall: &HallId) -> f64 {
+    let is_away = candidate.hall != *own_hall;
+    let running = f64::from(candidate.work.running);
+    let failures = candidate.failure_score * FAILURE_COST;
+    match need {
+        Need::Call => {
+            let busy = running / f64::from(candidate.slots.max(1));
+            let away = if is_away { OTHER_HALL_COST } else { 0.0 };
+            busy + away + failures + candidate.draw * JITTER
+        }
+        Need::Prompt { .. } => {
+            let away = if is_away { OTHER_HALL_COST_TOKENS } else { 0.0 };
+            let waiting = to_f64(candidate.work.unread_tokens) + running * STREAM_COST_TOKENS;
+            waiting
+                + away
+                + failures * STREAM_COST_TOKENS
+                + candidate.draw * STREAM_COST_TOKENS * JITTER
+        }
+        Need::Copy { away_from, .. } => {
+            let is_shared_fate = candidate.hall == *away_from;
+            let fate = if is_shared_fate { 1.0 } else { 0.0 };
+            fate + to_f64(candidate.work.memory_tokens) / 1e6 + candidate.draw * JITTER / 10.0
+        }
+    }
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "token counts are far below 2^52"
+)]
+fn to_f64(count: u64) -> f64 {
+    count as f64
+}
--- /dev/null
+++ b/crates/gateway/src/edge.rs
@@ -0,0 +1,218 @@
+//! The edge towards a deployment: what its protocol says, in tealshore's words.
+//!
+//! A [`Protocol`] only translates. It chooses, retries, remembers and waits for nothing.
+
+use {
+    crate::view::{Configuration, UpstreamRecord},
+    bytes::Bytes,
+    http::{HeaderMap, Request, Response, StatusCode, request, response},
+    std::{net::SocketAddr, time::Duration},
+    tealshore_core::ids::{CustomerId, EngineId, HallId, HostId, RequestId},
+};
+
+/// The id of one event of a stream; ids rise by one from 1.
+pub type EventId = u64;
+/// A version of the store's rows; it rises with each change.
+pub type Revision = u64;
+
+/// What the head of a caller's request says.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RequestFacts {
+    /// Names this attempt of the caller.
+    pub request: Option<RequestId>,
+    /// The caller's key.
+    pub key: Option<String>,
+    /// How long the caller will wait.
+    pub deadline: Option<Duration>,
+    /// The last event that the caller has.
+    pub last_event: Option<EventId>,
+    /// The prompt's size, where the request is for a model.
+    pub prompt: Option<PromptShape>,
+}
+
+/// The size of a prompt and of its answer.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PromptShape {
+    /// Tokens to read.
+    pub input_tokens: u32,
+    /// The most tokens to make.
+    pub output_tokens: u32,
+    /// The id of the prompt's last part, which is the request's own.
+    pub own_part: String,
+}
+
+/// How urgent an upstream should take a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Urgency {
+    /// A new request of this priority; 0 is the highest.
+    New(u8),
+    /// A stream that goes on after a loss.
+    Resume,
+}
+
+/// Where a copy of a run's memory lies.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MemoryCopy {
+    /// The upstream that holds it.
+    pub upstream: EngineId,
+    /// Its address.
+    pub address: SocketAddr,
+    /// The request whose run it was copied from.
+    pub run: RequestId,
+}
+
+/// What is said to an upstream along with a request.
+#[derive(Clone, Debug)]
+pub struct Order<'a> {
+    /// The upstream that is meant; another one at its address must not run it.
+    pub upstream: &'a EngineId,
+    /// The customer that asks.
+    pub customer: Option<&'a CustomerId>,
+    /// How long the upstream may work.
+    pub deadline: Duration,
+    /// The last event that the caller has.
+    pub last_event: Option<EventId>,
+    /// How urgent it is, for a model.
+    pub urgency: Option<Urgency>,
+    /// Where the run's memory is to be copied while it runs.
+    pub copy_to: Option<SocketAddr>,
+    /// The copy to go on from.
+    pub go_on_from: Option<&'a MemoryCopy>,
+}
+
+/// What the head of an upstream's answer says.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct AnswerFacts {
+    /// The request that it answers.
+    pub request: Option<RequestId>,
+    /// The upstream states that it did not run the request.
+    pub not_run: bool,
+    /// It carries the upstream's signature.
+    pub signed: bool,
+}
+
+/// A set of rows of the platform's store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RowSet {
+    /// The configuration.
+    Configuration,
+    /// The upstreams.
+    Upstreams,
+    /// The hosts of this system.
+    Hosts,
+}
+
+impl RowSet {
+    /// The set's name in logs.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Configuration => "configuration",
+            Self::Upstreams => "upstreams",
+            Self::Hosts => "hosts",
+        }
+    }
+}
+
+/// One row that was read.
+#[derive(Clone, Debug)]
+pub enum Change {
+    /// A configuration.
+    Configuration(Box<Configuration>),
+    /// An upstream as it is now.
+    Upstream(UpstreamRecord),
+    /// An upstream that is no longer listed.
+    UpstreamGone(EngineId),
+    /// A host of this system.
+    Host(HostRecord),
+    /// A row that could not be read, with the reason.
+    Unreadable(String),
+}
+
+/// A host of this system as the store keeps it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HostRecord {
+    /// Its name.
+    pub host: HostId,
+    /// Where its peers reach it.
+    pub peers_address: SocketAddr,
+}
+
+/// What the store answered about rows.
+#[derive(Clone, Debug)]
+pub struct Page {
+    /// The rows, each with its version, in order.
+    pub changes: Vec<(Revision, Change)>,
+    /// The newest version in the store.
+    pub revision: Revision,
+    /// The store's steady clock when it answered.
+    pub store_time: Duration,
+    /// The key after which to read on, where there is more.
+    pub next_key: Option<String>,
+}
+
+/// Why the store gave no rows.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoreRefusal {
+    /// The changes asked for are no longer kept; read the whole set.
+    HistoryGone,
+    /// It takes no call now.
+    Busy(StatusCode),
+    /// The answer can't be understood.
+    Malformed(String),
+}
+
+/// A call that answers about this host.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum HostCall {
+    /// Whether it takes traffic.
+    Readiness,
+    /// Which addresses a caller may use.
+    Addresses {
+        /// The caller's hall.
+        hall: Option<HallId>,
+    },
+    /// No such call.
+    Unknown,
+}
+
+/// Translates between a deployment's protocol and tealshore's words.
+pub trait Protocol: Send + Sync + 'static {
+    /// Reads the head of a caller's request.
+    fn read_request(&self, head: &request::Parts) -> RequestFacts;
+
+    /// Writes what an order says into the headers that travel to an upstream, and takes out
+    /// what the upstream must not see.
+    fn write_order(&self, order: &Order<'_>, headers: &mut HeaderMap);
+
+    /// Reads the head of an upstream's answer.
+    fn read_answer(&self, head: &response::Parts) -> AnswerFacts;
+
+    /// Adds to a refusal of ours what the protocol asks for.
+    fn write_refusal(&self, facts: &RequestFacts, headers: &mut HeaderMap);
+
+    /// The cheapest call that any live upstream answers.
+    fn probe_call(&self, upstream: &UpstreamRecord) -> Request<Bytes>;
+
+    /// Reads a call about this host.
+    fn read_host_call(&self, head: &request::Parts) -> HostCall;
+
+    /// Writes the addresses that callers may use, and for how long.
+    fn write_addresses(&self, addresses: &[SocketAddr], keep: Duration) -> Response<Bytes>;
+
+    /// Reads a set of rows, or goes on with it after a key.
+    fn list_call(&self, set: RowSet, after_key: Option<&str>) -> Request<Bytes>;
+
+    /// Waits for changes of a set after a version.
+    fn watch_call(&self, set: RowSet, after: Revision, wait: Duration) -> Request<Bytes>;
+
+    /// Reads the answer to a list or a watch.
+    ///
+    /// # Errors
+    /// The store gave no rows.
+    fn read_page(&self, set: RowSet, status: StatusCode, body: &[u8])
+    -> Result<Page, StoreRefusal>;
+
+    /// Writes this host's row.
+    fn write_host_call(&self, host: &HostRecord) -> Request<Bytes>;
+}
--- /dev/null
+++ b/crates/gateway/src/forward.rs
@@ -0,0 +1,15 @@
+//! Runs requests at upstreams.
+
+mod call;
+mod connect;
+mod plain;
+mod probe;
+mod relay;
+mod reservation;
+mod stream;
+
+pub use {
+    call::{Call, strip_connection_headers},
+    plain::run as run_plain,
+    stream::run as run_stream,
+};
--- /dev/null
+++ b/crates/gateway/src/forward/call.rs
@@ -0,0 +1,142 @@
+//! One caller's request on its way.
+
+use {
+    crate::{
+        edge::{Order, RequestFacts},
+        state::GatewayState,
+        view::{Configuration, Route, Upstream},
+    },
+    bytes::Bytes,
+    http::{HeaderMap, HeaderName, Method, Request, Uri, header},
+    http_body_util::Full,
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tealshore_core::{
+        answer::{ErrorKind, Failure},
+        ids::{CustomerId, RequestId, ServiceId},
+    },
+};
+
+/// One caller's request on its way.
+pub struct Call {
+    /// What its head said.
+    pub facts: RequestFacts,
+    /// Its method.
+    pub method: Method,
+    /// Its path and query.
+    pub uri: Uri,
+    /// The headers that travel along.
+    pub headers: HeaderMap,
+    /// Its whole body.
+    pub body: Bytes,
+    /// The configuration that admitted it.
+    pub configuration: Arc<Configuration>,
+    /// Its route.
+    pub route: Route,
+    /// The service that was chosen for it.
+    pub service: ServiceId,
+    /// The customer that its key names.
+    pub customer: Option<CustomerId>,
+    /// Its rank; 0 is the highest.
+    pub priority: u8,
+    /// When its head had arrived.
+    pub received: Instant,
+    /// When its final answer is due.
+    pub ends: Instant,
+}
+
+impl Call {
+    /// Its id, for logs.
+    pub fn id(&self) -> &str {
+        self.facts.request.as_deref().unwrap_or("-")
+    }
+
+    /// Its id.
+    pub fn request(&self) -> RequestId {
+        self.facts.request.clone().unwrap_or_default()
+    }
+
+    /// What is left until its final answer is due.
+    pub fn left(&self, now: Instant) -> Duration {
+        self.ends.saturating_duration_since(now)
+    }
+
+    /// How long ago it arrived, in milliseconds, for logs.
+    pub fn age_ms(&self) -> u128 {
+        self.received.elapsed().as_millis()
+    }
+
+    /// Checks at the instant of sending what may have changed since it was admitted.
+    ///
+    /// # Errors
+    /// Its key can't be trusted any more.
+    pub fn check_before_send(&self, state: &GatewayState) -> Result<(), Failure> {
+        let Some(key) = &self.facts.key else {
+            return Ok(());
+        };
+        if self.customer.is_none() {
+            return Ok(());
+        }
+        if !state.trusts_keys(Instant::now()) {
+            let detail = "this host has not heard from the store in time";
+            return Err(Failure::new(ErrorKind::StaleView, detail));
+        }
+        let configuration = state.view.configuration();
+        if configuration.is_some_and(|now| !now.customers.contains_key(key)) {
+            let detail = "the key was taken away";
+            return Err(Failure::new(ErrorKind::Unauthenticated, detail));
+        }
+        Ok(())
+    }
+
+    /// The request as it goes to an upstream.
+    pub fn request_for(
+        &self,
+        state: &GatewayState,
+        upstream: &Upstream,
+        order: &Order<'_>,
+    ) -> Request<Full<Bytes>> {
+        let mut headers = self.headers.clone();
+        state.protocol.write_order(order, &mut headers);
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        if !headers.contains_key(header::HOST)
+            && let Ok(host) = upstream.record.address.to_string().parse()
+        {
+            headers.insert(header::HOST, host);
+        }
+        *request.headers_mut() = headers;
+        request
+    }
+}
+
+/// Headers that concern one connection only.
+const CONNECTION_HEADERS: [HeaderName; 8] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    HeaderName::from_static("keep-alive"),
+];
+
+/// Takes out the headers that concern one connection only, those that the connection header
+/// names included, and the length, which is written anew.
+pub fn strip_connection_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&CONNECTION_HEADERS) {
+        headers.remove(name);
+    }
+    headers.remove(header::CONTENT_LENGTH);
+}
--- /dev/null
+++ b/crates/gateway/src/forward/connect.rs
@@ -0,0 +1,117 @@
+//! Sends one request to one upstream, on a connection of its own.
+//!
+//! A connection is never used twice: bytes that an upstream sends too much, or too late,
+//! can then belong to no other request, and no request meets a connection that the upstream
+//! is closing.
+
+use {
+    crate::{edge::AnswerFacts, state::GatewayState, view::Upstream},
+    bytes::Bytes,
+    http::{Request, response},
+    http_body_util::Full,
+    hyper::{body::Incoming, client::conn::http1},
+    hyper_util::rt::TokioIo,
+    std::time::Duration,
+    tokio::{net::TcpStream, task::JoinHandle, time::timeout},
+};
+
+/// How long a connection may take to come up.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Why a request got no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendFailure {
+    /// No byte of it left, as the upstream can't be reached.
+    Unreachable,
+    /// No byte of it left, as the upstream takes no new work.
+    Leaving,
+    /// It left, and no whole answer head came.
+    Unanswered,
+    /// The answer is one to another request.
+    ForeignAnswer,
+}
+
+impl SendFailure {
+    /// The failure's name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Unreachable => "unreachable",
+            Self::Leaving => "leaving",
+            Self::Unanswered => "unanswered",
+            Self::ForeignAnswer => "foreign-answer",
+        }
+    }
+
+    /// Whether the request may have run.
+    pub fn may_have_run(self) -> bool {
+        match self {
+            Self::Unreachable | Self::Leaving => false,
+            Self::Unanswered | Self::ForeignAnswer => true,
+        }
+    }
+}
+
+/// An answer whose body is still to be read. Dropping it closes the connection at once.
+pub struct Answer {
+    /// Its head.
+    pub head: response::Parts,
+    /// What its head says.
+    pub facts: AnswerFacts,
+    /// Its body.
+    pub body: Incoming,
+    /// The connection.
+    pub connection: Connection,
+}
+
+/// A connection that closes when this is dropped.
+pub struct Connection(JoinHandle<()>);
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Sends a request and waits for the head of its answer.
+///
+/// # Errors
+/// No answer to this request came.
+pub async fn send(
+    state: &GatewayState,
+    upstream: &Upstream,
+    request: Request<Full<Bytes>>,
+    id: &str,
+) -> Result<Answer, SendFailure> {
+    let stream = open(upstream).await?;
+    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let (mut sender, driver) = handshake.map_err(|_| SendFailure::Unreachable)?;
+    let connection = Connection(tokio::spawn(async move {
+        // How the connection ended is seen by the one that reads the answer.
+        let _ = driver.await;
+    }));
+    if !state.view.upstreams.takes_work(&upstream.record.id) {
+        return Err(SendFailure::Leaving);
+    }
+    let answer = sender.send_request(request).await;
+    let (head, body) = answer.map_err(|_| SendFailure::Unanswered)?.into_parts();
+    let facts = state.protocol.read_answer(&head);
+    if facts.request.as_deref() != Some(id) && !facts.not_run {
+        return Err(SendFailure::ForeignAnswer);
+    }
+    Ok(Answer {
+        head,
+        facts,
+        body,
+        connection,
+    })
+}
+
+async fn open(upstream: &Upstream) -> Result<TcpStream, SendFailure> {
+    let opening = TcpStream::connect(upstream.record.address);
+    let opened = timeout(CONNECT_TIMEOUT, opening).await;
+    let stream = opened
+        .map_err(|_| SendFailure::Unreachable)?
+        .map_err(|_| SendFailure::Unreachable)?;
+    let _ = stream.set_nodelay(true);
+    Ok(stream)
+}
--- /dev/null
+++ b/crates/gateway/src/forward/plain.rs
@@ -0,0 +1,313 @@
+//! Runs a plain call: at most once where it may not be repeated; with repeats and a hedge
+//! where it may.
+
+use {
+    super::{
+        call::{Call, strip_connection_headers},
+        connect::{self, Answer},
+        reservation::Reservation,
+    },
+    crate::{
+        balance::Need,
+        edge::Order,
+        state::GatewayState,
+        view::{Upstream, Work},
+    },
+    bytes::Bytes,
+    futures::{StreamExt, future::BoxFuture, stream::FuturesUnordered},
+    http::{Response, StatusCode, response},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tealshore_core::{
+        answer::{ErrorKind, Failure},
+        http::{Body, full, read_limited},
+        ids::EngineId,
+    },
+    tokio::time::{sleep, sleep_until},
+};
+
+/// The largest answer to a plain call, in bytes.
+const ANSWER_BOUND_BYTES: usize = 8 * 1024 * 1024;
+/// A second upstream is asked after this part of the objective.
+const HEDGE_PART: u32 = 2;
+/// The pause before all upstreams are asked again after all turned a call away.
+const FULL_PAUSE: Duration = Duration::from_millis(15);
+/// A call waits for room for one part in this many of its objective.
+const ROOM_PART: u32 = 4;
+
+/// How one try ended.
+enum TryEnd {
+    /// A whole answer.
+    Answered(response::Parts, Bytes),
+    /// The upstream did not run it.
+    NotRun,
+    /// The upstream can't be reached; nothing left.
+    Unreachable,
+    /// It may have run.
+    Unknown,
+    /// Nothing may be sent.
+    Forbidden(Failure),
+}
+
+struct Tried {
+    upstream: Arc<Upstream>,
+    end: TryEnd,
+    cause: &'static str,
+}
+
+struct PlainRun<'a> {
+    state: &'a Arc<GatewayState>,
+    call: &'a Call,
+    avoid: Vec<EngineId>,
+    /// Tries that may have run.
+    runs: u32,
+    /// Tries that were sent.
+    sends: u32,
+    fallback: Option<(response::Parts, Bytes)>,
+}
+
+/// Runs a plain call to its answer.
+///
+/// # Errors
+/// No upstream gave an answer that may be passed on.
+pub async fn run(state: &Arc<GatewayState>, call: &Call) -> Result<Response<Body>, Failure> {
+    let mut run = PlainRun {
+        state,
+        call,
+        avoid: Vec::new(),
+        runs: 0,
+        sends: 0,
+        fallback: None,
+    };
+    run.drive().await
+}
+
+impl<'a> PlainRun<'a> {
+    async fn drive(&mut self) -> Result<Response<Body>, Failure> {
+        let mut tries: FuturesUnordered<BoxFuture<'a, Tried>> = FuturesUnordered::new();
+        let first = self.next_try().await?;
+        tries.push(first);
+        let hedge_after = self.call.route.objective / HEDGE_PART;
+        let mut hedge_at = Instant::now() + hedge_after;
+        let ends = self.call.ends;
+        loop {
+            let may_hedge = self.may_run_again() && !tries.is_empty();
+            tokio::select! {
+                Some(tried) = tries.next() => {
+                    if let Some(answer) = self.take_in(tried)? {
+                        return Ok(answer);
+                    }
+                }
+                () = sleep_until(hedge_at.into()), if may_hedge => {
+                    hedge_at = ends;
+                    if let Ok(hedge) = self.next_try().await {
+                        tries.push(hedge);
+                    }
+                    continue;
+                }
+                () = sleep_until(ends.into()) => return self.out_of_time(tries.is_empty()),
+            }
+            if tries.is_empty() {
+                if !self.may_run_again() {
+                    return self.give_up();
+                }
+                match self.next_try().await {
+                    Ok(next) => tries.push(next),
+                    Err(failure) if self.runs == 0 => return Err(failure),
+                    Err(_) => return self.give_up(),
+                }
+            }
+        }
+    }
+
+    /// Whether the call may run at one more upstream than it may have run at.
+    fn may_run_again(&self) -> bool {
+        if self.call.route.may_repeat() {
+            self.runs < self.call.route.max_attempts.max(1)
+        } else {
+            self.runs == 0
+        }
+    }
+
+    /// Takes in how a try ended; the answer, where it is one.
+    fn take_in(&mut self, tried: Tried) -> Result<Option<Response<Body>>, Failure> {
+        let upstream = &tried.upstream;
+        self.avoid.push(upstream.record.id.clone());
+        let failed = match &tried.end {
+            TryEnd::Answered(head, _) => head.status.is_server_error(),
+            TryEnd::NotRun | TryEnd::Forbidden(_) => false,
+            TryEnd::Unreachable | TryEnd::Unknown => true,
+        };
+        upstream.note_outcome(failed);
+        if failed || !matches!(tried.end, TryEnd::Answered(..)) {
+            self.log_loss(&tried);
+        }
+        match tried.end {
+            TryEnd::Answered(head, body) if !failed => Ok(Some(passed_on(head, body))),
+            TryEnd::Answered(head, body) => {
+                self.fallback = Some((head, body));
+                Ok(None)
+            }
+            TryEnd::NotRun => {
+                self.runs -= 1;
+                Ok(None)
+            }
+            TryEnd::Unreachable => {
+                self.runs -= 1;
+                self.state.suspect(upstream, "unreachable");
+                Ok(None)
+            }
+            TryEnd::Unknown => Ok(None),
+            TryEnd::Forbidden(failure) => Err(failure),
+        }
+    }
+
+    fn log_loss(&self, tried: &Tried) {
+        self.state
+            .metrics
+            .losses
+            .with_label_values(&[tried.cause])
+            .inc();
+        log::info!(
+            "call: try ended request={} upstream={} try={} cause={} age_ms={} left_ms={}",
+            self.call.id(),
+            tried.upstream.record.id,
+            self.sends,
+            tried.cause,
+            self.call.age_ms(),
+            self.call.left(Instant::now()).as_millis()
+        );
+    }
+
+    fn give_up(&mut self) -> Result<Response<Body>, Failure> {
+        if let Some((head, body)) = self.fallback.take() {
+            return Ok(passed_on(head, body));
+        }
+        let detail = "the upstream gave no whole answer";
+        Err(Failure::new(ErrorKind::UpstreamUnconfirmed, detail))
+    }
+
+    fn out_of_time(&mut self, nothing_open: bool) -> Result<Response<Body>, Failure> {
+        if self.fallback.is_some() {
+            return self.give_up();
+        }
+        let kind = if self.runs == 0 && nothing_open {
+            ErrorKind::DeadlineUntried
+        } else {
+            ErrorKind::DeadlineReached
+        };
+        Err(Failure::new(kind, "the time for the call is over"))
+    }
+
+    /// Prepares the next try. Waits a short time where all upstreams turned the call away.
+    async fn next_try(&mut self) -> Result<BoxFuture<'a, Tried>, Failure> {
+        let upstream = loop {
+            let service = &self.call.service;
+            if let Some(found) = self.state.choose_upstream(service, Need::Call, &self.avoid) {
+                break found;
+            }
+            if !self.may_wait_for_room() {
+                let detail = "all upstreams of the service turned the call away";
+                return Err(Failure::new(ErrorKind::UpstreamsBusy, detail));
+            }
+            sleep(FULL_PAUSE).await;
+            self.avoid.clear();
+        };
+        if self.sends > 0 && !self.state.take_retry(&self.call.service) {
+            let detail = "the budget of repeated sends is spent";
+            return Err(Failure::new(ErrorKind::UpstreamsBusy, detail));
+        }
+        self.sends += 1;
+        self.runs += 1;
+        Ok(Box::pin(try_once(self.state, self.call, upstream)))
+    }
+
+    fn may_wait_for_room(&self) -> bool {
+        let patience = self.call.route.objective / ROOM_PART;
+        self.call.received.elapsed() < patience && self.runs == 0
+    }
+}
+
+async fn try_once(state: &Arc<GatewayState>, call: &Call, upstream: Arc<Upstream>) -> Tried {
+    let work = Work {
+        running: 1,
+        ..Work::default()
+    };
+    let reservation = Reservation::begin(state, &upstream, work);
+    let (end, cause) = exchange(state, call, &upstream).await;
+    drop(reservation);
+    Tried {
+        upstream,
+        end,
+        cause,
+    }
+}
+
+async fn exchange(
+    state: &GatewayState,
+    call: &Call,
+    upstream: &Upstream,
+) -> (TryEnd, &'static str) {
+    if let Err(failure) = call.check_before_send(state) {
+        return (TryEnd::Forbidden(failure), "forbidden");
+    }
+    let order = Order {
+        upstream: &upstream.record.id,
+        customer: call.customer.as_ref(),
+        deadline: call.left(Instant::now()),
+        last_event: None,
+        urgency: None,
+        copy_to: None,
+        go_on_from: None,
+    };
+    let request = call.request_for(state, upstream, &order);
+    match connect::send(state, upstream, request, call.id()).await {
+        Ok(answer) => read(call, answer).await,
+        Err(failure) if failure.may_have_run() => (TryEnd::Unknown, failure.name()),
+        Err(connect::SendFailure::Leaving) => (TryEnd::NotRun, "leaving"),
+        Err(failure) => (TryEnd::Unreachable, failure.name()),
+    }
+}
+
+async fn read(call: &Call, answer: Answer) -> (TryEnd, &'static str) {
+    if answer.facts.not_run {
+        return (TryEnd::NotRun, "turned-away");
+    }
+    let status = answer.head.status;
+    let is_encoded = answer
+        .head
+        .headers
+        .contains_key(http::header::CONTENT_ENCODING);
+    if !answer.facts.signed || is_encoded {
+        return (TryEnd::Unknown, "unsigned");
+    }
+    if promises_not_run(status) && !call.route.may_repeat() {
+        return (TryEnd::Unknown, "unconfirmed-refusal");
+    }
+    match read_limited(answer.body, ANSWER_BOUND_BYTES).await {
+        Ok(body) if status.is_server_error() => {
+            (TryEnd::Answered(answer.head, body), "server-error")
+        }
+        Ok(body) => (TryEnd::Answered(answer.head, body), "answered"),
+        Err(_) => (TryEnd::Unknown, "body-broken"),
+    }
+}
+
+/// Whether a status tells a caller that its request has not run.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+    )
+}
+
+fn passed_on(mut head: response::Parts, body: Bytes) -> Response<Body> {
+    strip_connection_headers(&mut head.headers);
+    head.extensions.clear();
+    Response::from_parts(head, full(body))
+}
--- /dev/null
+++ b/crates/gateway/src/forward/reservation.rs
@@ -0,0 +1,54 @@
+//! Work that this host has at an upstream, noted for as long as it lasts.
+
+use {
+    crate::{
+        state::GatewayState,
+        view::{Upstream, Work},
+    },
+    std::sync::Arc,
+};
+
+/// Work that is noted at an upstream until this is dropped.
+pub struct Reservation {
+    state: Arc<GatewayState>,
+    upstream: Arc<Upstream>,
+    work: Work,
+}
+
+impl Reservation {
+    /// Notes work at an upstream. Peers are told of work that holds memory.
+    pub fn begin(state: &Arc<GatewayState>, upstream: &Arc<Upstream>, work: Work) -> Self {
+        upstream.begin(work);
+        let reservation = Self {
+            state: state.clone(),
+            upstream: upstream.clone(),
+            work,
+        };
+        reservation.tell();
+        reservation
+    }
+
+    /// Notes that the prompt has been read.
+    pub fn prompt_read(&mut self) {
+        let unread = Work {
+            unread_tokens: self.work.unread_tokens,
+            ..Work::default()
+        };
+        self.upstream.end(unread);
+        self.work.unread_tokens = 0;
+        self.tell();
+    }
+
+    fn tell(&self) {
+        if self.work.memory_tokens > 0 {
+            self.state.peers.work_changed();
+        }
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        self.upstream.end(self.work);
+        self.tell();
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,23 @@
+//! Serves callers by routes: it forwards plain calls and event streams to upstreams, keeps
+//! streams whole when an upstream dies, and holds one view of the outside.
+//!
+//! Folders by job: `view` is what this host believes, `forward` runs requests, `serve`
+//! answers callers, `peers` talks to the other hosts, `options` holds the settings. The
+//! protocol spoken with the outside is an [`edge::Protocol`]; nothing here knows its names.
+
+pub mod balance;
+pub mod budget;
+pub mod edge;
+pub mod events;
+mod forward;
+mod metrics;
+pub mod options;
+pub mod peers;
+mod run;
+mod serve;
+mod state;
+mod stop;
+pub mod sync;
+pub mod view;
+
+pub use run::run;
--- /dev/null
+++ b/crates/gateway/src/options.rs
@@ -0,0 +1,226 @@
+//! The settings, one struct a section.
+
+use {
+    crate::budget::BudgetBounds,
+    std::{
+        net::{IpAddr, SocketAddr},
+        path::Path,
+        time::Duration,
+    },
+    tealshore_core::{
+        ids::{HallId, HostId},
+        logs::LogOptions,
+        settings::{Section, SettingError, Settings},
+    },
+};
+
+/// The longest time that a setting may give, in milliseconds.
+const TIME_LIMIT_MS: u64 = 3_600_000;
+/// The names of the sections.
+const SECTIONS: [&str; 5] = ["host", "store", "peers", "bounds", "log"];
+
+/// All settings.
+#[derive(Clone, Debug)]
+pub struct GatewayOptions {
+    /// `[host]`
+    pub host: HostOptions,
+    /// `[store]`
+    pub store: StoreOptions,
+    /// `[peers]`
+    pub peers: PeerOptions,
+    /// `[bounds]`
+    pub bounds: BoundOptions,
+    /// `[log]`
+    pub log: LogOptions,
+}
+
+/// Who and where this host is.
+#[derive(Clone, Debug)]
+pub struct HostOptions {
+    /// Its name.
+    pub id: HostId,
+    /// Its hall.
+    pub hall: HallId,
+    /// Where it takes callers.
+    pub callers_address: SocketAddr,
+    /// Where it tells callers which addresses to use.
+    pub directory_address: SocketAddr,
+    /// Where it tells whether it takes traffic.
+    pub readiness_address: SocketAddr,
+    /// Where it shows metrics.
+    pub metrics_address: SocketAddr,
+    /// Bytes of request bodies held at once.
+    pub body_bytes: usize,
+    /// Connections of callers held at once.
+    pub max_connections: usize,
+}
+
+/// The platform's store.
+#[derive(Clone, Debug)]
+pub struct StoreOptions {
+    /// Where it is.
+    pub address: SocketAddr,
+    /// How long a watch waits for changes.
+    pub watch: Duration,
+    /// How long the store may take beyond that.
+    pub timeout: Duration,
+}
+
+/// The other hosts of this system.
+#[derive(Clone, Debug)]
+pub struct PeerOptions {
+    /// Where this host takes their datagrams; theirs have the same port.
+    pub address: SocketAddr,
+    /// Hosts to begin with.
+    pub seeds: Vec<IpAddr>,
+    /// How often this host tells them of itself.
+    pub heartbeat: Duration,
+    /// Silence after which a peer is taken out of the addresses for callers.
+    pub silence: Duration,
+}
+
+/// Bounds that the system keeps.
+#[derive(Clone, Debug)]
+pub struct BoundOptions {
+    /// How old what is known of keys may be when a request with a key is sent on.
+    pub key_age: Duration,
+    /// How long a planned stop may take.
+    pub stop: Duration,
+    /// How long callers may keep addresses.
+    pub keep_addresses: Duration,
+    /// The budget of repeated sends of all hosts.
+    pub retries: BudgetBounds,
+}
+
+impl GatewayOptions {
+    /// Reads a file.
+    ///
+    /// # Errors
+    /// Names the section and key that is not allowed, and what is.
+    pub fn load(file: &Path) -> Result<Self, SettingError> {
+        let settings = Settings::load(file)?;
+        settings.deny_unknown(&SECTIONS, &[])?;
+        Ok(Self {
+            host: read(&settings, "host", HostOptions::read)?,
+            store: read(&settings, "store", StoreOptions::read)?,
+            peers: read(&settings, "peers", PeerOptions::read)?,
+            bounds: read(&settings, "bounds", BoundOptions::read)?,
+            log: read(&settings, "log", LogOptions::read)?,
+        })
+    }
+}
+
+fn read<T>(
+    settings: &Settings,
+    name: &str,
+    read: fn(&mut Section<'_>) -> Result<T, SettingError>,
+) -> Result<T, SettingError> {
+    let mut section = settings.section(name);
+    let options = read(&mut section)?;
+    section.deny_unknown()?;
+    Ok(options)
+}
+
+impl HostOptions {
+    fn read(section: &mut Section<'_>) -> Result<Self, SettingError> {
+        let memory_mb = section.integer("memory_mb", 256, 16..=1 << 20)?;
+        let max_files = section.integer("max_files", 4_096, 64..=1 << 24)?;
+        Ok(Self {
+            id: section.required("id", "the host's name")?,
+            hall: section.required("hall", "the name of a hall")?,
+            callers_address: section.address("callers_address")?,
+            directory_address: section.address("directory_address")?,
+            readiness_address: section.address("readiness_address")?,
+            metrics_address: section.address("metrics_address")?,
+            body_bytes: to_usize(memory_mb * 1024 * 1024 / BODY_MEMORY_PART),
+            max_connections: to_usize(max_files / CONNECTION_FILES_PART),
+        })
+    }
+}
+
+/// Bodies of requests take one part in this many of the memory.
+const BODY_MEMORY_PART: u64 = 4;
+/// Callers' connections take one part in this many of the files.
+const CONNECTION_FILES_PART: u64 = 2;
+
+impl StoreOptions {
+    fn read(section: &mut Section<'_>) -> Result<Self, SettingError> {
+        let limit = 1..=TIME_LIMIT_MS;
+        Ok(Self {
+            address: section.address("address")?,
+            watch: section.duration_ms("watch_ms", Duration::from_secs(2), limit.clone())?,
+            timeout: section.duration_ms("timeout_ms", Duration::from_millis(1_500), limit)?,
+        })
+    }
+}
+
+impl PeerOptions {
+    fn read(section: &mut Section<'_>) -> Result<Self, SettingError> {
+        let limit = 1..=TIME_LIMIT_MS;
+        Ok(Self {
+            address: section.address("address")?,
+            seeds: read_seeds(section)?,
+            heartbeat: section.duration_ms(
+                "heartbeat_ms",
+                Duration::from_millis(500),
+                limit.clone(),
+            )?,
+            silence: section.duration_ms("silence_ms", Duration::from_millis(1_600), limit)?,
+        })
+    }
+}
+
+fn read_seeds(section: &mut Section<'_>) -> Result<Vec<IpAddr>, SettingError> {
+    const ALLOWED: &str = "addresses IP:PORT or IP, separated by commas";
+    let text = section.text("seeds", "");
+    let entries = text.split(',').map(str::trim);
+    entries
+        .filter(|entry| !entry.is_empty())
+        .map(|entry| {
+            let with_port = entry.parse::<SocketAddr>().map(|address| address.ip());
+            with_port
+                .or_else(|_| entry.parse::<IpAddr>())
+                .map_err(|_| section.bad_value("seeds", entry, ALLOWED))
+        })
+        .collect()
+}
+
+impl BoundOptions {
+    fn read(section: &mut Section<'_>) -> Result<Self, SettingError> {
+        let limit = 1..=TIME_LIMIT_MS;
+        let key_age = section.duration_ms("key_age_ms", Duration::from_secs(5), limit.clone())?;
+        let stop_s = number(section, "stop_s", 8.0)?;
+        let keep_s = number(section, "keep_addresses_s", 5.0)?;
+        let ratio = number(section, "retry_ratio", 0.2)?;
+        let slack = number(section, "retry_slack", 20.0)?;
+        let window_s = number(section, "retry_window_s", 10.0)?;
+        Ok(Self {
+            key_age,
+            stop: Duration::from_secs_f64(stop_s),
+            keep_addresses: Duration::from_secs_f64(keep_s),
+            retries: BudgetBounds {
+                ratio,
+                slack,
+                window: Duration::from_secs_f64(window_s),
+            },
+        })
+    }
+}
+
+/// The largest number that a setting may give.
+const NUMBER_LIMIT: f64 = 1e6;
+
+fn number(section: &mut Section<'_>, key: &str, default: f64) -> Result<f64, SettingError> {
+    const ALLOWED: &str = "a number from 0 to 1000000";
+    let Some(value) = section.optional(key) else {
+        return Ok(default);
+    };
+    match value.parse::<f64>() {
+        Ok(number) if (0.0..=NUMBER_LIMIT).contains(&number) => Ok(number),
+        Ok(_) | Err(_) => Err(section.bad_value(key, value, ALLOWED)),
+    }
+}
+
+fn to_usize(number: u64) -> usize {
+    usize::try_from(number).unwrap_or(usize::MAX)
+}
--- /dev/null
+++ b/crates/gateway/src/peers.rs
@@ -0,0 +1,337 @@
+//! What the hosts of this system tell each other, in datagrams: who they are, whether they
+//! take traffic, what they have at each upstream, and which upstreams seem dead to them.
+//!
+//! A datagram is the whole state of its sender, so a lost one is mended by the next. One
+//! goes out at each heartbeat, and at once when a stream begins or ends.
+
+use {
+    crate::{
+        edge::HostRecord,
+        options::{HostOptions, PeerOptions},
+        state::GatewayState,
+        view::Work,
+    },
+    parking_lot::Mutex,
+    rand::RngExt,
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::HashMap,
+        net::{IpAddr, SocketAddr},
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::{Duration, Instant},
+    },
+    tealshore_core::ids::{EngineId, HallId, HostId},
+    tokio::{
+        net::UdpSocket,
+        sync::Notify,
+        time::{sleep, timeout},
+    },
+};
+
+/// The largest datagram, in bytes.
+const DATAGRAM_BOUND_BYTES: usize = 8 * 1024;
+/// News within this time leave together.
+const COALESCE: Duration = Duration::from_millis(10);
+/// Silent peers are told of this host this many times longer than they are believed.
+const FORGET_FACTOR: u32 = 12;
+/// How many other hosts a datagram names, so that all come to know all.
+const NAMED_PEERS: usize = 4;
+
+/// Whether a host takes traffic.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum HostPhase {
+    /// It has no view yet, or one that is too old.
+    Starting,
+    /// It does.
+    Serving,
+    /// It stops.
+    Leaving,
+}
+
+/// What a host has at one upstream.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct UpstreamWork {
+    upstream: EngineId,
+    running: u32,
+    unread_tokens: u64,
+    memory_tokens: u64,
+    suspected: bool,
+}
+
+/// The state of a host, as a datagram carries it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PeerState {
+    host: HostId,
+    hall: HallId,
+    callers_address: SocketAddr,
+    peers_address: SocketAddr,
+    phase: HostPhase,
+    /// Drawn at the start of the process; another one is another process.
+    incarnation: u64,
+    /// Counts the datagrams of an incarnation.
+    sequence: u64,
+    work: Vec<UpstreamWork>,
+    /// Some other hosts' addresses for datagrams.
+    named: Vec<SocketAddr>,
+}
+
+struct Peer {
+    state: PeerState,
+    heard: Instant,
+}
+
+/// The other hosts.
+pub struct Peers {
+    own: HostOptions,
+    options: PeerOptions,
+    incarnation: u64,
+    sequence: AtomicU64,
+    known: Mutex<HashMap<HostId, Peer>>,
+    /// Hosts that were named and not heard yet, with the time until they are tried.
+    named: Mutex<HashMap<SocketAddr, Instant>>,
+    news: Notify,
+}
+
+impl Peers {
+    /// The peers of a host that has heard of none.
+    #[must_use]
+    pub fn new(own: &HostOptions, options: &PeerOptions) -> Self {
+        let peers = Self {
+            own: own.clone(),
+            options: options.clone(),
+            incarnation: rand::rng().random(),
+            sequence: AtomicU64::new(0),
+            known: Mutex::default(),
+            named: Mutex::default(),
+            news: Notify::new(),
+        };
+        for seed in &options.seeds {
+            peers.name(peers.address_at(*seed));
+        }
+        peers
+    }
+
+    /// Takes in a host that the store lists.
+    pub fn add(&self, host: &HostRecord) {
+        self.name(host.peers_address);
+    }
+
+    /// This host as the store is to keep it.
+    #[must_use]
+    pub fn own_record(&self) -> HostRecord {
+        HostRecord {
+            host: self.own.id.clone(),
+            peers_address: self.options.address,
+        }
+    }
+
+    /// Lets the news of this host's work leave at once.
+    pub fn work_changed(&self) {
+        self.news.notify_one();
+    }
+
+    /// How many hosts there are, this one included, as far as is known.
+    pub fn known_hosts(&self) -> usize {
+        let unheard = self.named.lock().len();
+        self.known.lock().len() + unheard + 1
+    }
+
+    /// What the other hosts have at each upstream.
+    pub fn work(&self, now: Instant) -> HashMap<EngineId, Work> {
+        let known = self.known.lock();
+        let mut sum: HashMap<EngineId, Work> = HashMap::new();
+        for peer in known.values().filter(|peer| self.is_believed(peer, now)) {
+            for entry in &peer.state.work {
+                let work = Work {
+                    running: entry.running,
+                    unread_tokens: entry.unread_tokens,
+                    memory_tokens: entry.memory_tokens,
+                };
+                sum.entry(entry.upstream.clone()).or_default().add(work);
+            }
+        }
+        sum
+    }
+
+    /// The addresses for callers of the other hosts that take traffic.
+    pub fn serving(&self, now: Instant) -> Vec<SocketAddr> {
+        let known = self.known.lock();
+        let serving = known
+            .values()
+            .filter(|peer| self.is_believed(peer, now))
+            .filter(|peer| peer.state.phase == HostPhase::Serving);
+        serving.map(|peer| peer.state.callers_address).collect()
+    }
+
+    /// Takes in a datagram; the upstreams that seem dead to its sender.
+    pub fn take_in(&self, state: PeerState, now: Instant) -> Vec<EngineId> {
+        if state.host == self.own.id {
+            return Vec::new();
+        }
+        self.named.lock().remove(&state.peers_address);
+        for address in &state.named {
+            self.name(*address);
+        }
+        let suspected = state.work.iter().filter(|entry| entry.suspected);
+        let suspected = suspected.map(|entry| entry.upstream.clone()).collect();
+        let mut known = self.known.lock();
+        let before = known.get(&state.host);
+        if before.is_some_and(|before| before.state.is_newer_than(&state)) {
+            return Vec::new();
+        }
+        let was = before.map(|before| before.state.phase);
+        if was != Some(state.phase) {
+            log::info!(
+                "peers: host={} hall={} phase={:?} before={was:?}",
+                state.host,
+                state.hall,
+                state.phase
+            );
+        }
+        known.insert(state.host.clone(), Peer { state, heard: now });
+        suspected
+    }
+
+    fn is_believed(&self, peer: &Peer, now: Instant) -> bool {
+        now.saturating_duration_since(peer.heard) <= self.options.silence
+    }
+
+    fn address_at(&self, ip: IpAddr) -> SocketAddr {
+        SocketAddr::new(ip, self.options.address.port())
+    }
+
+    fn name(&self, address: SocketAddr) {
+        if address == self.options.address {
+            return;
+        }
+        let is_known = {
+            let known = self.known.lock();
+            known
+                .values()
+                .any(|peer| peer.state.peers_address == address)
+        };
+        if !is_known {
+            let until = Instant::now() + self.options.silence * FORGET_FACTOR;
+            self.named.lock().entry(address).or_insert(until);
+        }
+    }
+
+    /// Drops what has been silent for long and tells where datagrams go.
+    fn receivers(&self, now: Instant) -> Vec<SocketAddr> {
+        let forget = self.options.silence * FORGET_FACTOR;
+        let mut known = self.known.lock();
+        known.retain(|host, peer| {
+            let is_kept = now.saturating_duration_since(peer.heard) <= forget;
+            if !is_kept {
+                log::info!("peers: forgotten host={host}");
+            }
+            is_kept
+        });
+        let mut named = self.named.lock();
+        named.retain(|_, until| *until > now);
+        let heard = known.values().map(|peer| peer.state.peers_address);
+        heard.chain(named.keys().copied()).collect()
+    }
+
+    fn some_names(&self) -> Vec<SocketAddr> {
+        let known = self.known.lock();
+        let count = known.len().max(1);
+        let skipped = rand::rng().random_range(0..count);
+        let addresses = known.values().map(|peer| peer.state.peers_address);
+        addresses.skip(skipped).take(NAMED_PEERS).collect()
+    }
+
+    fn own_state(&self, state: &GatewayState, now: Instant) -> PeerState {
+        let all = state.view.upstreams.all();
+        let work = all.iter().filter_map(|upstream| {
+            let own = upstream.own_work();
+            let suspected = upstream.is_suspected_here(now);
+            let is_worth_telling = suspected || own.memory_tokens > 0;
+            is_worth_telling.then(|| UpstreamWork {
+                upstream: upstream.record.id.clone(),
+                running: own.running,
+                unread_tokens: own.unread_tokens,
+                memory_tokens: own.memory_tokens,
+                suspected,
+            })
+        });
+        PeerState {
+            host: self.own.id.clone(),
+            hall: self.own.hall.clone(),
+            callers_address: self.own.callers_address,
+            peers_address: self.options.address,
+            phase: state.phase(now),
+            incarnation: self.incarnation,
+            sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
+            work: work.collect(),
+            named: self.some_names(),
+        }
+    }
+}
+
+impl PeerState {
+    /// Whether this came from the same process as `other`, and later.
+    fn is_newer_than(&self, other: &Self) -> bool {
+        self.incarnation == other.incarnation && self.sequence >= other.sequence
+    }
+}
+
+/// Tells and hears for as long as the process lives.
+///
+/// # Errors
+/// The address can't be used.
+pub async fn start(state: &Arc<GatewayState>) -> std::io::Result<()> {
+    let socket = Arc::new(UdpSocket::bind(state.options.peers.address).await?);
+    tokio::spawn(tell(state.clone(), socket.clone()));
+    tokio::spawn(hear(state.clone(), socket));
+    Ok(())
+}
+
+async fn tell(state: Arc<GatewayState>, socket: Arc<UdpSocket>) {
+    loop {
+        let now = Instant::now();
+        let own = state.peers.own_state(&state, now);
+        if let Ok(datagram) = postcard::to_stdvec(&own) {
+            for receiver in state.peers.receivers(now) {
+                // A datagram that is not sent is one that is lost: the next one mends it.
+                let _ = socket.send_to(&datagram, receiver).await;
+            }
+        }
+        // Whether news or the heartbeat's time ends the wait makes no difference.
+        let _ = timeout(state.options.peers.heartbeat, state.peers.news.notified()).await;
+        sleep(COALESCE).await;
+    }
+}
+
+async fn hear(state: Arc<GatewayState>, socket: Arc<UdpSocket>) {
+    let mut buffer = vec![0; DATAGRAM_BOUND_BYTES];
+    loop {
+        let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
+            sleep(COALESCE).await;
+            continue;
+        };
+        let Ok(peer) = postcard::from_bytes::<PeerState>(&buffer[..length]) else {
+            log::warn!("peers: datagram unreadable bytes={length}");
+            continue;
+        };
+        let sender = peer.host.clone();
+        for id in state.peers.take_in(peer, Instant::now()) {
+            suspect_as_told(&state, &id, &sender);
+        }
+    }
+}
+
+/// Takes over a peer's suspicion, unless this host has one of its own already. It is not
+/// told on: suspicions of suspicions would never end.
+fn suspect_as_told(state: &GatewayState, id: &EngineId, sender: &HostId) {
+    let now = Instant::now();
+    let Some(upstream) = state.view.upstreams.get(id) else {
+        return;
+    };
+    if !upstream.is_suspected(now) && upstream.suspect_by_word(now) {
+        log::info!("upstream: suspected upstream={id} cause=peer peer={sender}");
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/run.rs
@@ -0,0 +1,87 @@
+//! Starts a host and runs it until its planned stop is done.
+
+use {
+    crate::{
+        edge::Protocol,
+        options::GatewayOptions,
+        peers,
+        serve::{answer_caller, answer_host_call},
+        state::GatewayState,
+        stop::{note_reloads, stop_when_asked},
+        sync,
+    },
+    eyre::WrapErr,
+    futures::future::pending,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tealshore_core::http::{ServerOptions, bind, serve},
+    tokio::net::TcpListener,
+};
+
+/// How long a caller may take for the head of a request, and rest between two requests:
+/// longer than any caller is told that it may.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
+/// The largest head of a request that is read, in bytes.
+const HEAD_BOUND_BYTES: usize = 64 * 1024;
+
+/// Runs a host.
+///
+/// # Errors
+/// An address can't be used.
+pub async fn run(options: GatewayOptions, protocol: Arc<dyn Protocol>) -> eyre::Result<()> {
+    let host = options.host.clone();
+    let callers = listen("callers_address", host.callers_address).await?;
+    let state = Arc::new(GatewayState::new(options, protocol)?);
+    let mut served = Vec::new();
+    for (key, address) in [
+        ("directory_address", host.directory_address),
+        ("readiness_address", host.readiness_address),
+        ("metrics_address", host.metrics_address),
+    ] {
+        if !served.contains(&address) {
+            let listener = listen(key, address).await?;
+            tokio::spawn(serve_host_calls(state.clone(), listener));
+            served.push(address);
+        }
+    }
+    peers::start(&state)
+        .await
+        .wrap_err_with(|| format!("[peers] address = {}", state.options.peers.address))?;
+    sync::start(&state);
+    tokio::spawn(note_reloads());
+    log::info!(
+        "start: host={} hall={} callers={} version={}",
+        host.id,
+        host.hall,
+        host.callers_address,
+        env!("CARGO_PKG_VERSION")
+    );
+    let server = ServerOptions {
+        max_connections: host.max_connections,
+        header_read_timeout: HEAD_TIMEOUT,
+        max_header_bytes: HEAD_BOUND_BYTES,
+        ..ServerOptions::default()
+    };
+    let answering = {
+        let state = state.clone();
+        move |request| answer_caller(state.clone(), request)
+    };
+    tokio::select! {
+        () = serve(callers, server, answering, pending()) => Ok(()),
+        stopped = stop_when_asked(state) => stopped.wrap_err("no signals can be received"),
+    }
+}
+
+async fn listen(key: &str, address: SocketAddr) -> eyre::Result<TcpListener> {
+    let bound = bind(address).await;
+    let (listener, _) = bound.wrap_err_with(|| format!("[host] {key} = {address}"))?;
+    Ok(listener)
+}
+
+async fn serve_host_calls(state: Arc<GatewayState>, listener: TcpListener) {
+    let answering = move |request| answer_host_call(state.clone(), request);
+    let options = ServerOptions {
+        header_read_timeout: HEAD_TIMEOUT,
+        ..ServerOptions::default()
+    };
+    serve(listener, options, answering, pending()).await;
+}
--- /dev/null
+++ b/crates/gateway/src/serve.rs
@@ -0,0 +1,7 @@
+//! Answers callers, the platform's checks and operators.
+
+mod host_calls;
+mod ingress;
+mod refusal;
+
+pub use {host_calls::answer_host_call, ingress::answer_caller};
--- /dev/null
+++ b/crates/gateway/src/serve/host_calls.rs
@@ -0,0 +1,73 @@
+//! Answers calls about this host: readiness, addresses for callers, metrics.
+
+use {
+    crate::{edge::HostCall, peers::HostPhase, state::GatewayState},
+    http::{Request, Response, StatusCode},
+    http_body_util::BodyExt,
+    hyper::body::Incoming,
+    rand::seq::SliceRandom,
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tealshore_core::http::{Body, empty, full},
+};
+
+/// Where metrics are, in the usual place.
+const METRICS_PATH: &str = "/metrics";
+/// The most addresses that one answer gives.
+const ADDRESS_LIMIT: usize = 64;
+/// How long callers are told to keep addresses, where the bound allows it.
+const KEEP_ADDRESSES: Duration = Duration::from_secs(2);
+
+/// Answers one call about this host.
+pub async fn answer_host_call(
+    state: Arc<GatewayState>,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    let (head, _) = request.into_parts();
+    if head.uri.path() == METRICS_PATH {
+        return Response::new(full(state.metrics.text()));
+    }
+    match state.protocol.read_host_call(&head) {
+        HostCall::Readiness => answer_readiness(&state),
+        HostCall::Addresses { .. } => answer_addresses(&state),
+        HostCall::Unknown => with_status(StatusCode::NOT_FOUND),
+    }
+}
+
+fn answer_readiness(state: &GatewayState) -> Response<Body> {
+    let is_ready = state.view.configuration().is_some() && !state.stop.is_asked();
+    with_status(if is_ready {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    })
+}
+
+fn answer_addresses(state: &GatewayState) -> Response<Body> {
+    let now = Instant::now();
+    let mut addresses = state.peers.serving(now);
+    let own: SocketAddr = state.options.host.callers_address;
+    if state.phase(now) == HostPhase::Serving {
+        addresses.push(own);
+    }
+    if addresses.is_empty() {
+        return with_status(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    addresses.shuffle(&mut rand::rng());
+    addresses.truncate(ADDRESS_LIMIT);
+    let keep = KEEP_ADDRESSES.min(state.options.bounds.keep_addresses);
+    let response = state.protocol.write_addresses(&addresses, keep);
+    response.map(|bytes| {
+        let body = http_body_util::Full::new(bytes);
+        body.map_err(|never| match never {}).boxed_unsync()
+    })
+}
+
+fn with_status(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(empty());
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/gateway/src/serve/ingress.rs
@@ -0,0 +1,256 @@
+//! Takes a caller's request: finds its route and customer, takes in its body, runs it.
+
+use {
+    super::refusal::refuse,
+    crate::{
+        edge::RequestFacts,
+        forward::{Call, run_plain, run_stream, strip_connection_headers},
+        state::GatewayState,
+        stop::InFlight,
+        view::{Configuration, Customer, Route, RouteKind},
+    },
+    bytes::Bytes,
+    http::{Request, Response, header, request},
+    hyper::body::{Body as _, Incoming},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tealshore_core::{
+        answer::{ErrorKind, Failure},
+        http::{Body, ReadError, read_draining},
+        ids::ServiceId,
+    },
+    tokio::sync::OwnedSemaphorePermit,
+};
+
+/// Of a body that is too large, this much more is taken in before the answer.
+const DRAIN_BYTES: usize = 1024 * 1024;
+/// The longest time a request is held whose caller and route name none.
+const LONGEST_HOLD: Duration = Duration::from_secs(600);
+/// A final answer leaves this much before the caller or the operator stops waiting.
+const ANSWER_MARGIN: Duration = Duration::from_millis(20);
+/// After this long into a planned stop, streams that begin may not end in time.
+const LAST_STREAM_START: Duration = Duration::from_millis(1_200);
+
+/// What was found out about a request before its body was read.
+struct Admitted {
+    configuration: Arc<Configuration>,
+    route: Route,
+    service: ServiceId,
+    customer: Option<Customer>,
+}
+
+/// Answers one request of a caller.
+pub async fn answer_caller(state: Arc<GatewayState>, request: Request<Incoming>) -> Response<Body> {
+    let received = Instant::now();
+    let in_flight = InFlight::begin(&state);
+    let (head, body) = request.into_parts();
+    let facts = state.protocol.read_request(&head);
+    let result = serve(&state, received, head, facts.clone(), body).await;
+    let response = match result {
+        Ok(response) => response,
+        Err(failure) => {
+            log_failure(&state, &facts, &failure, received);
+            refuse(&state, &facts, &failure)
+        }
+    };
+    drop(in_flight);
+    response
+}
+
+async fn serve(
+    state: &Arc<GatewayState>,
+    received: Instant,
+    head: request::Parts,
+    facts: RequestFacts,
+    body: Incoming,
+) -> Result<Response<Body>, Failure> {
+    let admitted = admit(state, &head, &facts)?;
+    if facts.request.is_none() {
+        let detail = "the request has no id";
+        return Err(Failure::new(ErrorKind::BadRequest, detail));
+    }
+    state.note_request(&admitted.service);
+    let (body, _room) = take_body(state, &admitted.configuration, body).await?;
+    let call = Arc::new(prepare(received, head, facts, body, admitted));
+    log::debug!(
+        "call: admitted request={} route={} configuration={} customer={}",
+        call.id(),
+        call.route.name,
+        call.configuration.version,
+        call.customer.as_deref().unwrap_or("-")
+    );
+    match call.route.kind {
+        RouteKind::Stream { .. } => run_stream(state, call).await,
+        RouteKind::Safe | RouteKind::Unsafe => {
+            let response = run_plain(state, &call).await?;
+            log_answer(state, &call, &response);
+            Ok(response)
+        }
+    }
+}
+
+fn admit(
+    state: &GatewayState,
+    head: &request::Parts,
+    facts: &RequestFacts,
+) -> Result<Admitted, Failure> {
+    let Some(configuration) = state.view.configuration() else {
+        let detail = "this host has not yet learned the configuration";
+        return Err(Failure::new(ErrorKind::NotReady, detail));
+    };
+    let needs_keys = !configuration.customers.is_empty();
+    if needs_keys && !state.trusts_keys(Instant::now()) {
+        let detail = "this host has not heard from the store in time";
+        return Err(Failure::new(ErrorKind::StaleView, detail));
+    }
+    let host = host_of(head);
+    let route = configuration
+        .route(&host, head.uri.path())
+        .ok_or_else(|| Failure::new(ErrorKind::UnknownPath, "no route has this host and path"))?
+        .clone();
+    let customer = authenticate(&configuration, &route, facts)?;
+    if state.stop.age().is_some_and(|age| age > LAST_STREAM_START)
+        && matches!(route.kind, RouteKind::Stream { .. })
+    {
+        let detail = "this host stops before the stream would end";
+        return Err(Failure::new(ErrorKind::Stopping, detail));
+    }
+    let service = route
+        .choose_service()
+        .ok_or_else(|| Failure::new(ErrorKind::UnknownService, "the route has no service"))?
+        .clone();
+    Ok(Admitted {
+        configuration,
+        route,
+        service,
+        customer,
+    })
+}
+
+fn host_of(head: &request::Parts) -> String {
+    let from_header = head
+        .headers
+        .get(header::HOST)
+        .and_then(|host| host.to_str().ok());
+    let host = from_header.or_else(|| head.uri.host()).unwrap_or_default();
+    let without_port = host.split(':').next().unwrap_or_default();
+    without_port.to_ascii_lowercase()
+}
+
+fn authenticate(
+    configuration: &Configuration,
+    route: &Route,
+    facts: &RequestFacts,
+) -> Result<Option<Customer>, Failure> {
+    let known = facts
+        .key
+        .as_ref()
+        .and_then(|key| configuration.customers.get(key));
+    if known.is_none() && !configuration.customers.is_empty() && !route.public {
+        let detail = "no customer has this key";
+        return Err(Failure::new(ErrorKind::Unauthenticated, detail));
+    }
+    Ok(known.cloned())
+}
+
+/// Takes in the whole body, within the room that this host has for bodies.
+async fn take_body(
+    state: &GatewayState,
+    configuration: &Configuration,
+    body: Incoming,
+) -> Result<(Bytes, Option<OwnedSemaphorePermit>), Failure> {
+    let bound = configuration.limits.body_bytes;
+    let expected = body.size_hint().upper().unwrap_or(bound as u64);
+    let expected = usize::try_from(expected).unwrap_or(bound).min(bound);
+    let room = state.body_room.clone();
+    let permits = u32::try_from(expected).unwrap_or(u32::MAX);
+    let permit = room
+        .try_acquire_many_owned(permits)
+        .map_err(|_| Failure::new(ErrorKind::HostLimit, "this host holds too many bodies"))?;
+    match read_draining(body, bound, DRAIN_BYTES).await {
+        Ok(bytes) => Ok((bytes, Some(permit))),
+        Err(ReadError::TooLarge) => {
+            let detail = format!("a body has at most {bound} bytes");
+            Err(Failure::new(ErrorKind::BodyTooLarge, detail))
+        }
+        Err(ReadError::Broken) => {
+            let detail = "the body broke off";
+            Err(Failure::new(ErrorKind::BadRequest, detail))
+        }
+    }
+}
+
+fn prepare(
+    received: Instant,
+    head: request::Parts,
+    facts: RequestFacts,
+    body: Bytes,
+    admitted: Admitted,
+) -> Call {
+    let Admitted {
+        configuration,
+        route,
+        service,
+        customer,
+    } = admitted;
+    let mut headers = head.headers;
+    strip_connection_headers(&mut headers);
+    let hold = facts.deadline.unwrap_or(LONGEST_HOLD).min(route.timeout);
+    let priority = customer
+        .as_ref()
+        .and_then(|customer| customer.priority)
+        .unwrap_or(route.priority);
+    Call {
+        method: head.method,
+        uri: head.uri,
+        headers,
+        body,
+        ends: received + hold.saturating_sub(ANSWER_MARGIN),
+        facts,
+        configuration,
+        route,
+        service,
+        customer: customer.map(|customer| customer.name),
+        priority,
+        received,
+    }
+}
+
+fn log_answer(state: &GatewayState, call: &Call, response: &Response<Body>) {
+    let outcome = if response.status().is_success() {
+        "complete"
+    } else {
+        "upstream-failed"
+    };
+    state.metrics.outcomes.with_label_values(&[outcome]).inc();
+    state
+        .metrics
+        .note_first_byte("call", call.received.elapsed());
+    log::info!(
+        "call: end request={} route={} outcome={outcome} status={} age_ms={} configuration={}",
+        call.id(),
+        call.route.name,
+        response.status().as_u16(),
+        call.age_ms(),
+        call.configuration.version
+    );
+}
+
+fn log_failure(state: &GatewayState, facts: &RequestFacts, failure: &Failure, received: Instant) {
+    let now = Instant::now();
+    let name = failure.kind.name();
+    state.metrics.outcomes.with_label_values(&[name]).inc();
+    log::log!(
+        failure.kind.answer().level,
+        "call: end request={} outcome={name} ran={:?} age_ms={} configuration={} \
+         view_age_ms={:?} detail={:?}",
+        facts.request.as_deref().unwrap_or("-"),
+        failure.ran,
+        now.saturating_duration_since(received).as_millis(),
+        state.view.version(),
+        state.view.age(now).map(|age| age.as_millis()),
+        failure.detail
+    );
+}
--- /dev/null
+++ b/crates/gateway/src/state.rs
@@ -0,0 +1,155 @@
+//! All that the parts of this host share.
+
+use {
+    crate::{
+        balance::{Candidate, Need, choose},
+        budget::RetryBudget,
+        edge::Protocol,
+        metrics::GatewayMetrics,
+        options::GatewayOptions,
+        peers::{HostPhase, Peers},
+        stop::Stop,
+        view::{Upstream, View},
+    },
+    parking_lot::Mutex,
+    rand::RngExt,
+    std::{
+        collections::HashMap,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tealshore_core::ids::{EngineId, ServiceId},
+    tokio::sync::Semaphore,
+};
+
+/// What is left of the bound on the age of keys for a request that is on its way.
+const KEY_AGE_MARGIN: Duration = Duration::from_millis(400);
+
+/// All that the parts of this host share.
+pub struct GatewayState {
+    /// The settings.
+    pub options: GatewayOptions,
+    /// Translates the deployment's protocol.
+    pub protocol: Arc<dyn Protocol>,
+    /// What this host believes about the outside.
+    pub view: View,
+    /// The other hosts.
+    pub peers: Peers,
+    /// What it counts.
+    pub metrics: GatewayMetrics,
+    /// The planned stop.
+    pub stop: Stop,
+    /// Room for request bodies, in bytes.
+    pub body_room: Arc<Semaphore>,
+    budgets: Mutex<HashMap<ServiceId, RetryBudget>>,
+}
+
+impl GatewayState {
+    /// The state of a host that knows nothing yet.
+    ///
+    /// # Errors
+    /// A metric can't be made.
+    pub fn new(options: GatewayOptions, protocol: Arc<dyn Protocol>) -> eyre::Result<Self> {
+        Ok(Self {
+            peers: Peers::new(&options.host, &options.peers),
+            view: View::default(),
+            metrics: GatewayMetrics::new()?,
+            stop: Stop::default(),
+            body_room: Arc::new(Semaphore::new(options.host.body_bytes)),
+            budgets: Mutex::default(),
+            protocol,
+            options,
+        })
+    }
+
+    /// Whether what is known of keys is young enough to send a request with a key on.
+    pub fn trusts_keys(&self, now: Instant) -> bool {
+        let bound = self.options.bounds.key_age.saturating_sub(KEY_AGE_MARGIN);
+        self.view.age(now).is_some_and(|age| age <= bound)
+    }
+
+    /// Whether this host takes traffic, for its peers and for callers' addresses.
+    pub fn phase(&self, now: Instant) -> HostPhase {
+        if self.stop.is_asked() {
+            HostPhase::Leaving
+        } else if self.trusts_keys(now) {
+            HostPhase::Serving
+        } else {
+            HostPhase::Starting
+        }
+    }
+
+    /// Notes a caller's request for the budget of its service.
+    pub fn note_request(&self, service: &ServiceId) {
+        let mut budgets = self.budgets.lock();
+        self.budget(&mut budgets, service)
+            .note_request(Instant::now());
+    }
+
+    /// Takes one repeat from the budget of a service.
+    pub fn take_retry(&self, service: &ServiceId) -> bool {
+        let now = Instant::now();
+        let hosts = self.peers.known_hosts();
+        let mut budgets = self.budgets.lock();
+        self.budget(&mut budgets, service).take(now, hosts)
+    }
+
+    fn budget<'a>(
+        &self,
+        budgets: &'a mut HashMap<ServiceId, RetryBudget>,
+        service: &ServiceId,
+    ) -> &'a mut RetryBudget {
+        let bounds = self.options.bounds.retries;
+        budgets
+            .entry(service.clone())
+            .or_insert_with(|| RetryBudget::new(bounds))
+    }
+
+    /// Chooses an upstream of a service.
+    pub fn choose_upstream(
+        &self,
+        service: &ServiceId,
+        need: Need<'_>,
+        avoid: &[EngineId],
+    ) -> Option<Arc<Upstream>> {
+        let now = Instant::now();
+        let ready = self.view.upstreams.ready(service);
+        let elsewhere = self.peers.work(now);
+        let candidates: Vec<Candidate> = ready
+            .iter()
+            .map(|upstream| {
+                let id = &upstream.record.id;
+                let mut work = upstream.own_work();
+                work.add(elsewhere.get(id).copied().unwrap_or_default());
+                Candidate {
+                    id: id.clone(),
+                    hall: upstream.record.hall.clone(),
+                    work,
+                    slots: upstream.record.slots,
+                    failure_score: upstream.failure_score(),
+                    suspected: upstream.is_suspected(now),
+                    draw: rand::rng().random::<f64>(),
+                }
+            })
+            .collect();
+        let chosen = choose(&candidates, need, &self.options.host.hall, avoid)?;
+        ready
+            .iter()
+            .find(|upstream| upstream.record.id == chosen.id)
+            .cloned()
+    }
+
+    /// Notes that an upstream seems dead, and tells the peers.
+    pub fn suspect(&self, upstream: &Upstream, cause: &str) {
+        if upstream.suspect(Instant::now()) {
+            let record = &upstream.record;
+            log::warn!(
+                "upstream: suspected upstream={} address={} hall={} cause={cause}",
+                record.id,
+                record.address,
+                record.hall
+            );
+            self.peers.work_changed();
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/sync.rs
@@ -0,0 +1,359 @@
+//! Keeps the view in step with the platform's store: reads each set of rows whole, then
+//! waits for its changes; after any doubt it reads the set whole again.
+
+use {
+    crate::{
+        edge::{Change, HostRecord, Page, Revision, RowSet, StoreRefusal},
+        state::GatewayState,
+        view::StoreClock,
+    },
+    bytes::Bytes,
+    http::Request,
+    http_body_util::{BodyExt, Full, Limited},
+    hyper::client::conn::http1::{SendRequest, handshake},
+    hyper_util::rt::TokioIo,
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tealshore_core::{ids::EngineId, spread::spread},
+    tokio::{
+        net::TcpStream,
+        task::JoinHandle,
+        time::{sleep, timeout},
+    },
+};
+
+/// The pause after the first failed call; each further failure doubles it.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+/// The longest pause after a failed call.
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+/// The largest answer of the store, in bytes.
+const ANSWER_BOUND_BYTES: usize = 16 * 1024 * 1024;
+
+/// Why a call to the store gave nothing.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum CallFailure {
+    Unreachable,
+    Silent,
+    Refused(StoreRefusal),
+    Stale,
+}
+
+impl CallFailure {
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Unreachable => "unreachable",
+            Self::Silent => "silent",
+            Self::Refused(StoreRefusal::HistoryGone) => "history-gone",
+            Self::Refused(StoreRefusal::Busy(_)) => "busy",
+            Self::Refused(StoreRefusal::Malformed(_)) => "malformed",
+            Self::Stale => "stale",
+        }
+    }
+}
+
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// Follows one set of rows.
+struct Follower {
+    state: Arc<GatewayState>,
+    set: RowSet,
+    connection: Option<Connection>,
+    clock: StoreClock,
+    newest: Revision,
+    failures: u32,
+}
+
+/// Follows the configuration and the upstreams for as long as the process lives, and tells
+/// the store once of this host.
+pub fn start(state: &Arc<GatewayState>) {
+    for set in [RowSet::Configuration, RowSet::Upstreams] {
+        let mut follower = Follower::new(state.clone(), set);
+        tokio::spawn(async move { follower.follow().await });
+    }
+    let mut hosts = Follower::new(state.clone(), RowSet::Hosts);
+    tokio::spawn(async move { hosts.join().await });
+}
+
+impl Follower {
+    fn new(state: Arc<GatewayState>, set: RowSet) -> Self {
+        Self {
+            state,
+            set,
+            connection: None,
+            clock: StoreClock::default(),
+            newest: 0,
+            failures: 0,
+        }
+    }
+
+    async fn follow(&mut self) {
+        loop {
+            let failure = match self.read_whole().await {
+                Ok(()) => self.watch().await,
+                Err(failure) => failure,
+            };
+            self.pause_after(&failure).await;
+        }
+    }
+
+    /// Writes this host's row and reads those of the others, once.
+    async fn join(&mut self) {
+        let own = self.state.peers.own_record();
+        while let Err(failure) = self.write(&own).await {
+            self.pause_after(&failure).await;
+        }
+        while let Err(failure) = self.read_whole().await {
+            self.pause_after(&failure).await;
+        }
+    }
+
+    async fn write(&mut self, own: &HostRecord) -> Result<(), CallFailure> {
+        let request = self.state.protocol.write_host_call(own);
+        let bound = self.state.options.store.timeout;
+        let (status, _) = self.call(request, bound).await?;
+        if status.is_success() {
+            return Ok(());
+        }
+        Err(CallFailure::Refused(StoreRefusal::Busy(status)))
+    }
+
+    /// Reads the whole set and takes it in.
+    async fn read_whole(&mut self) -> Result<(), CallFailure> {
+        let mut after_key: Option<String> = None;
+        let mut present: Vec<EngineId> = Vec::new();
+        let mut first: Option<(Revision, Instant)> = None;
+        loop {
+            let request = self
+                .state
+                .protocol
+                .list_call(self.set, after_key.as_deref());
+            let bound = self.state.options.store.timeout;
+            let (page, written) = self.page(request, bound).await?;
+            let (revision, written) = *first.get_or_insert((page.revision, written));
+            present.extend(page.changes.iter().filter_map(upstream_of));
+            self.take_in(page.changes);
+            after_key = page.next_key;
+            if after_key.is_none() {
+                self.finish_whole(revision, written, &present);
+                return Ok(());
+            }
+        }
+    }
+
+    fn finish_whole(&mut self, revision: Revision, written: Instant, present: &[EngineId]) {
+        match self.set {
+            RowSet::Configuration => self.confirm(written),
+            RowSet::Upstreams => {
+                let gone = self.state.view.upstreams.retain(revision, present);
+                log::info!(
+                    "view: read whole set={} revision={revision} rows={} gone={gone}",
+                    self.set.name(),
+                    present.len()
+                );
+            }
+            RowSet::Hosts => {}
+        }
+        self.newest = revision;
+        self.note_regained();
+    }
+
+    /// Waits for changes until a call fails.
+    async fn watch(&mut self) -> CallFailure {
+        let wait = self.state.options.store.watch;
+        let bound = wait + self.state.options.store.timeout;
+        loop {
+            let request = self.state.protocol.watch_call(self.set, self.newest, wait);
+            match self.page(request, bound).await {
+                Ok((page, written)) => {
+                    self.newest = page.revision;
+                    self.take_in(page.changes);
+                    self.confirm(written);
+                }
+                Err(failure) => return failure,
+            }
+        }
+    }
+
+    fn confirm(&self, written: Instant) {
+        if self.set == RowSet::Configuration && self.state.view.version() > 0 {
+            self.state.view.confirm(written);
+        }
+    }
+
+    /// Makes a call and reads its answer as a page; tells when the store wrote it.
+    async fn page(
+        &mut self,
+        request: Request<Bytes>,
+        bound: Duration,
+    ) -> Result<(Page, Instant), CallFailure> {
+        let asked = Instant::now();
+        let (status, body) = self.call(request, bound).await?;
+        let page = self
+            .state
+            .protocol
+            .read_page(self.set, status, &body)
+            .map_err(CallFailure::Refused)?;
+        if page.revision < self.newest {
+            return Err(CallFailure::Stale);
+        }
+        let written = self
+            .clock
+            .written_at(page.store_time, asked, Instant::now());
+        Ok((page, written))
+    }
+
+    async fn call(
+        &mut self,
+        request: Request<Bytes>,
+        bound: Duration,
+    ) -> Result<(http::StatusCode, Bytes), CallFailure> {
+        let result = timeout(bound, self.exchange(request.map(Full::new))).await;
+        let result = result.unwrap_or(Err(CallFailure::Silent));
+        if result.is_err() {
+            self.connection = None;
+        }
+        let name = result
+            .as_ref()
+            .map_or_else(CallFailure::name, |_| "answered");
+        self.state
+            .metrics
+            .store_calls
+            .with_label_values(&[self.set.name(), name])
+            .inc();
+        result
+    }
+
+    async fn exchange(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(http::StatusCode, Bytes), CallFailure> {
+        let connection = match self.connection.take() {
+            Some(connection) if connection.sender.is_ready() => connection,
+            Some(_) | None => connect(self.state.options.store.address).await?,
+        };
+        let connection = self.connection.insert(connection);
+        let unreachable = |_| CallFailure::Unreachable;
+        let answer = connection.sender.send_request(request).await;
+        let answer = answer.map_err(unreachable)?;
+        let status = answer.status();
+        let body = Limited::new(answer.into_body(), ANSWER_BOUND_BYTES);
+        let body = body.collect().await;
+        let body = body.map_err(|_| CallFailure::Unreachable)?.to_bytes();
+        Ok((status, body))
+    }
+
+    fn take_in(&self, changes: Vec<(Revision, Change)>) {
+        for (revision, change) in changes {
+            self.take_in_one(revision, change);
+        }
+    }
+
+    fn take_in_one(&self, revision: Revision, change: Change) {
+        let view = &self.state.view;
+        match change {
+            Change::Configuration(configuration) => {
+                let version = configuration.version;
+                let routes = configuration.route_count();
+                let keys = configuration.customers.len();
+                let outcome = if view.apply(*configuration) {
+                    "in-force"
+                } else {
+                    "older"
+                };
+                self.state
+                    .metrics
+                    .config_version
+                    .set(i64::try_from(view.version()).unwrap_or(i64::MAX));
+                log::info!(
+                    "view: configuration version={version} revision={revision} routes={routes} \
+                     keys={keys} outcome={outcome}"
+                );
+            }
+            Change::Upstream(record) => {
+                let (id, state) = (record.id.clone(), record.state);
+                let (address, hall) = (record.address, record.hall.clone());
+                if view.upstreams.put(revision, record) {
+                    log::info!(
+                        "view: upstream upstream={id} address={address} hall={hall} \
+                         state={state:?} revision={revision}"
+                    );
+                }
+            }
+            Change::UpstreamGone(id) => {
+                if view.upstreams.remove(revision, &id) {
+                    log::info!("view: upstream gone upstream={id} revision={revision}");
+                }
+            }
+            Change::Host(host) => self.state.peers.add(&host),
+            Change::Unreadable(reason) => {
+                log::error!(
+                    "view: row unreadable set={} revision={revision} reason={reason}",
+                    self.set.name()
+                );
+            }
+        }
+    }
+
+    async fn pause_after(&mut self, failure: &CallFailure) {
+        if self.failures == 0 {
+            log::warn!(
+                "store: lost set={} cause={} revision={}",
+                self.set.name(),
+                failure.name(),
+                self.newest
+            );
+        }
+        let doubled = FIRST_PAUSE * (1 << self.failures.min(4));
+        self.failures += 1;
+        sleep(spread(doubled.min(LONGEST_PAUSE) / 2)).await;
+    }
+
+    fn note_regained(&mut self) {
+        if self.failures > 0 {
+            log::info!(
+                "store: regained set={} failures={} revision={}",
+                self.set.name(),
+                self.failures,
+                self.newest
+            );
+        }
+        self.failures = 0;
+    }
+}
+
+fn upstream_of(row: &(Revision, Change)) -> Option<EngineId> {
+    match &row.1 {
+        Change::Upstream(record) => Some(record.id.clone()),
+        Change::Configuration(_)
+        | Change::UpstreamGone(_)
+        | Change::Host(_)
+        | Change::Unreadable(_) => None,
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<Connection, CallFailure> {
+    let stream = TcpStream::connect(address)
+        .await
+        .map_err(|_| CallFailure::Unreachable)?;
+    let _ = stream.set_nodelay(true);
+    let (sender, driver) = handshake(TokioIo::new(stream))
+        .await
+        .map_err(|_| CallFailure::Unreachable)?;
+    let driver = tokio::spawn(async move {
+        // The caller of the connection sees its end by its own call.
+        let _ = driver.await;
+    });
+    Ok(Connection { sender, driver })
+}
--- /dev/null
+++ b/crates/gateway/src/view/upstreams.rs
@@ -0,0 +1,255 @@
+//! The upstreams that the store lists, with what this host has there and thinks of them.
+
+use {
+    crate::edge::Revision,
+    parking_lot::{Mutex, RwLock},
+    std::{
+        collections::HashMap,
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tealshore_core::ids::{EngineId, HallId, ServiceId},
+    tokio::sync::Notify,
+};
+
+/// What one failed call adds to an upstream's failure score; good calls take it away.
+const FAILURE_WEIGHT: f64 = 0.2;
+/// How long an upstream that seemed dead gets no new work.
+const SUSPICION: Duration = Duration::from_millis(1_500);
+
+/// Whether an upstream takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UpstreamState {
+    /// It does.
+    Ready,
+    /// It finishes what it has and leaves.
+    Leaving,
+}
+
+/// One incarnation of an upstream as the store lists it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UpstreamRecord {
+    /// Names this incarnation.
+    pub id: EngineId,
+    /// The service that it is part of.
+    pub service: ServiceId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its hall.
+    pub hall: HallId,
+    /// How many requests it works on at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub state: UpstreamState,
+}
+
+/// What one or more hosts have at an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Work {
+    /// Requests.
+    pub running: u32,
+    /// Prompt tokens that were sent and probably not read yet.
+    pub unread_tokens: u64,
+    /// Tokens that the requests will hold in memory.
+    pub memory_tokens: u64,
+}
+
+impl Work {
+    /// Adds other work.
+    pub fn add(&mut self, other: Self) {
+        self.running += other.running;
+        self.unread_tokens += other.unread_tokens;
+        self.memory_tokens += other.memory_tokens;
+    }
+
+    /// Takes work away.
+    pub fn remove(&mut self, other: Self) {
+        self.running = self.running.saturating_sub(other.running);
+        self.unread_tokens = self.unread_tokens.saturating_sub(other.unread_tokens);
+        self.memory_tokens = self.memory_tokens.saturating_sub(other.memory_tokens);
+    }
+}
+
+#[derive(Default)]
+struct Opinion {
+    own: Work,
+    failure_score: f64,
+    suspected_until: Option<Instant>,
+    /// The suspicion came from a peer.
+    by_word: bool,
+}
+
+/// An upstream and what this host thinks of it.
+pub struct Upstream {
+    /// What the store lists.
+    pub record: UpstreamRecord,
+    opinion: Mutex<Opinion>,
+    suspicion: Notify,
+}
+
+impl Upstream {
+    fn new(record: UpstreamRecord) -> Self {
+        Self {
+            record,
+            opinion: Mutex::default(),
+            suspicion: Notify::new(),
+        }
+    }
+
+    /// What this host has there.
+    pub fn own_work(&self) -> Work {
+        self.opinion.lock().own
+    }
+
+    /// Notes work that begins there.
+    pub fn begin(&self, work: Work) {
+        self.opinion.lock().own.add(work);
+    }
+
+    /// Notes work that ended there.
+    pub fn end(&self, work: Work) {
+        self.opinion.lock().own.remove(work);
+    }
+
+    /// Notes how a call there ended.
+    pub fn note_outcome(&self, failed: bool) {
+        let mut opinion = self.opinion.lock();
+        let outcome = f64::from(u8::from(failed));
+        opinion.failure_score += (outcome - opinion.failure_score) * FAILURE_WEIGHT;
+    }
+
+    /// The share of recent calls that failed, 0 to 1.
+    pub fn failure_score(&self) -> f64 {
+        self.opinion.lock().failure_score
+    }
+
+    /// Notes that it seems dead, and wakes all that wait for it; whether that is news.
+    pub fn suspect(&self, now: Instant) -> bool {
+        self.suspect_as(now, false)
+    }
+
+    /// Notes that it seems dead to a peer; whether that is news.
+    pub fn suspect_by_word(&self, now: Instant) -> bool {
+        self.suspect_as(now, true)
+    }
+
+    fn suspect_as(&self, now: Instant, by_word: bool) -> bool {
+        let mut opinion = self.opinion.lock();
+        let is_news = opinion.suspected_until.is_none_or(|until| until <= now);
+        opinion.suspected_until = Some(now + SUSPICION);
+        opinion.by_word = by_word;
+        drop(opinion);
+        if is_news {
+            self.suspicion.notify_waiters();
+        }
+        is_news
+    }
+
+    /// Whether it seemed dead a short time ago.
+    pub fn is_suspected(&self, now: Instant) -> bool {
+        let until = self.opinion.lock().suspected_until;
+        until.is_some_and(|until| until > now)
+    }
+
+    /// Whether this host itself found a short time ago that it seems dead.
+    pub fn is_suspected_here(&self, now: Instant) -> bool {
+        let by_word = self.opinion.lock().by_word;
+        !by_word && self.is_suspected(now)
+    }
+
+    /// Ends when somebody finds that it seems dead.
+    pub async fn suspected(&self) {
+        self.suspicion.notified().await;
+    }
+}
+
+struct Listed {
+    revision: Revision,
+    upstream: Option<Arc<Upstream>>,
+}
+
+/// All upstreams by their ids. A row is never replaced by an older one.
+#[derive(Default)]
+pub struct Upstreams {
+    listed: RwLock<HashMap<EngineId, Listed>>,
+}
+
+impl Upstreams {
+    /// Takes in a row; whether it changed anything.
+    pub fn put(&self, revision: Revision, record: UpstreamRecord) -> bool {
+        let mut listed = self.listed.write();
+        let known = listed.get(&record.id);
+        if known.is_some_and(|known| known.revision >= revision) {
+            return false;
+        }
+        let same = known
+            .and_then(|known| known.upstream.as_ref())
+            .filter(|upstream| upstream.record == record)
+            .cloned();
+        let is_news = same.is_none();
+        let upstream = same.unwrap_or_else(|| Arc::new(Upstream::new(record.clone())));
+        let entry = Listed {
+            revision,
+            upstream: Some(upstream),
+        };
+        listed.insert(record.id, entry);
+        is_news
+    }
+
+    /// Takes in that a row went; whether it changed anything.
+    pub fn remove(&self, revision: Revision, id: &EngineId) -> bool {
+        let mut listed = self.listed.write();
+        match listed.get_mut(id) {
+            Some(known) if known.revision < revision => {
+                known.revision = revision;
+                known.upstream.take().is_some()
+            }
+            Some(_) | None => false,
+        }
+    }
+
+    /// Takes in a whole set as of a version: what it lacks has gone. Tells how many went.
+    pub fn retain(&self, revision: Revision, present: &[EngineId]) -> usize {
+        let gone: Vec<EngineId> = {
+            let listed = self.listed.read();
+            let known = listed.iter().filter(|(_, known)| known.upstream.is_some());
+            let missing = known.filter(|(id, _)| !present.contains(id));
+            missing.map(|(id, _)| id.clone()).collect()
+        };
+        gone.iter().filter(|id| self.remove(revision, id)).count()
+    }
+
+    /// The upstream with an id, while it is listed.
+    pub fn get(&self, id: &EngineId) -> Option<Arc<Upstream>> {
+        let listed = self.listed.read();
+        listed.get(id).and_then(|known| known.upstream.clone())
+    }
+
+    /// All upstreams of a service that take new work.
+    pub fn ready(&self, service: &ServiceId) -> Vec<Arc<Upstream>> {
+        let listed = self.listed.read();
+        listed
+            .values()
+            .filter_map(|known| known.upstream.as_ref())
+            .filter(|upstream| upstream.record.service == *service)
+            .filter(|upstream| upstream.record.state == UpstreamState::Ready)
+            .cloned()
+            .collect()
+    }
+
+    /// All upstreams that are listed.
+    pub fn all(&self) -> Vec<Arc<Upstream>> {
+        let listed = self.listed.read();
+        listed
+            .values()
+            .filter_map(|known| known.upstream.clone())
+            .collect()
+    }
+
+    /// Whether an upstream is listed and takes new work at this instant.
+    pub fn takes_work(&self, id: &EngineId) -> bool {
+        self.get(id)
+            .is_some_and(|upstream| upstream.record.state == UpstreamState::Ready)
+    }
+}
