Let callers that come back go on from the memory of their run

Ruled out: knowing a run by the id of the prompt's last part alone. Sessions share such parts, and a run must never go on from another request's memory: the digest takes in path, key, parts and the whole body.

Change: hosts tell each other which request runs where, and where its copy lies. A caller that comes back goes on from the copy, then at the engine that read its prompt; without such word, a rendezvous hash of the request prefers the same engine. Watches wait 3 s and 12 s and let news gather for 300 ms.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -1,13 +1,16 @@
 //! Which upstream takes a request, from what all hosts are known to have there.
 
 use {
-    crate::view::Work,
+    crate::{runs::Fingerprint, view::Work},
     std::cmp::Ordering,
     tealshore_core::ids::{EngineId, HallId},
 };
 
 /// What a running stream costs a new prompt beside it, in prompt tokens to read.
 const STREAM_COST_TOKENS: f64 = 1_500.0;
+/// How far a request goes out of its way to the engine that it would choose again, in prompt
+/// tokens to read: that engine may still keep its prompt when its caller comes back.
+const AFFINITY_TOKENS: f64 = 6_000.0;
 /// What another hall costs, in prompt tokens to read.
 const OTHER_HALL_COST_TOKENS: f64 = 400.0;
 /// What a share of failed calls of 1 costs, in busy slots.
@@ -34,7 +37,7 @@
     pub failure_score: f64,
     /// Whether it seemed dead a short time ago.
     pub suspected: bool,
-    /// A number from 0 to 1 drawn for this choice.
+    /// A number from 0 to 1 drawn for this choice, or for this request.
     pub draw: f64,
 }
 
@@ -45,6 +48,8 @@
     Call,
     /// A place for a prompt.
     Prompt {
+        /// The request's digest: the same request prefers the same engine on all hosts.
+        fingerprint: Fingerprint,
         /// Tokens that it will hold in memory.
         memory_tokens: u64,
         /// Tokens that an engine's memory holds.
@@ -91,6 +96,7 @@
         Need::Prompt {
             memory_tokens,
             engine_memory_tokens,
+            ..
         }
         | Need::Copy {
             memory_tokens,
@@ -118,11 +124,9 @@
         }
         Need::Prompt { .. } => {
             let away = if is_away { OTHER_HALL_COST_TOKENS } else { 0.0 };
-            let waiting = to_f64(candidate.work.unread_tokens) + running * STREAM_COST_TOKENS;
-            waiting
-                + away
-                + failures * STREAM_COST_TOKENS
-                + candidate.draw * STREAM_COST_TOKENS * JITTER
+            let busy = to_f64(candidate.work.unread_tokens) + running * STREAM_COST_TOKENS;
+            let preference = candidate.draw * AFFINITY_TOKENS;
+            busy + away + failures * STREAM_COST_TOKENS + preference
         }
         Need::Copy { away_from, .. } => {
             let is_shared_fate = candidate.hall == *away_from;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -9,7 +9,7 @@
 mod stream;
 
 pub use {
-    call::{Call, strip_connection_headers},
+    call::{Call, fingerprint_of, strip_connection_headers},
     plain::run as run_plain,
     stream::run as run_stream,
 };
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         edge::{Order, RequestFacts},
+        runs::Fingerprint,
         state::GatewayState,
         view::{Configuration, Route, Upstream},
     },
@@ -17,6 +18,7 @@
         answer::{ErrorKind, Failure},
         ids::{CustomerId, RequestId, ServiceId},
     },
+    xxhash_rust::xxh3::Xxh3,
 };
 
 /// One caller's request on its way.
@@ -41,6 +43,8 @@
     pub customer: Option<CustomerId>,
     /// Its rank; 0 is the highest.
     pub priority: u8,
+    /// Its digest.
+    pub fingerprint: Fingerprint,
     /// When its head had arrived.
     pub received: Instant,
     /// When its final answer is due.
@@ -140,3 +144,17 @@
     }
     headers.remove(header::CONTENT_LENGTH);
 }
+
+/// The digest of all that makes a request what it is, without its attempt's id.
+pub fn fingerprint_of(uri: &Uri, facts: &RequestFacts, body: &Bytes) -> Fingerprint {
+    let mut digest = Xxh3::new();
+    digest.update(uri.to_string().as_bytes());
+    digest.update(facts.key.as_deref().unwrap_or_default().as_bytes());
+    if let Some(prompt) = &facts.prompt {
+        digest.update(prompt.own_part.as_bytes());
+        digest.update(&prompt.input_tokens.to_le_bytes());
+        digest.update(&prompt.output_tokens.to_le_bytes());
+    }
+    digest.update(body);
+    digest.digest()
+}
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -15,9 +15,10 @@
         balance::Need,
         edge::{MemoryCopy, Order, Urgency},
         events::{Event, EventSplitter, Progress},
+        runs::RunTrace,
         state::GatewayState,
         stop::InFlight,
-        view::{Engines, Upstream, UpstreamRecord, Work},
+        view::{Engines, Upstream, UpstreamRecord, UpstreamState, Work},
     },
     bytes::Bytes,
     http::{Response, StatusCode, response},
@@ -89,7 +90,7 @@
     /// It did not run there; try another one.
     TryNext,
     /// A whole answer that is no stream.
-    Whole(Response<Body>),
+    Whole(Box<Response<Body>>),
     /// It may have run and may not be repeated.
     Unknown,
 }
@@ -105,19 +106,27 @@
     copy: Option<MemoryCopy>,
     attempt: Option<Attempt>,
     lost_at: Option<Instant>,
+    /// The engine that may still keep the prompt from an earlier attempt of the caller.
+    prompt_kept_at: Option<EngineId>,
 }
 
 impl Relay {
     /// A stream that no engine has yet.
     pub fn new(state: Arc<GatewayState>, call: Arc<Call>) -> Self {
+        let earlier = state.runs.find(call.fingerprint, Instant::now());
+        let goes_on = call.facts.last_event.is_some();
         Self {
             progress: Progress::after(call.facts.last_event),
+            copy: earlier
+                .as_ref()
+                .filter(|_| goes_on)
+                .and_then(RunTrace::memory_copy),
+            prompt_kept_at: earlier.map(|trace| trace.engine),
             state,
             call,
             avoid: Vec::new(),
             runs: 0,
             sends: 0,
-            copy: None,
             attempt: None,
             lost_at: None,
         }
@@ -163,6 +172,10 @@
             // An answer that ends early must look cut.
             let _ = sender.send(Err(end.into())).await;
         }
+        let request = self.call.request();
+        self.state
+            .runs
+            .end(self.call.fingerprint, &request, is_whole, Instant::now());
         // The run at the engine ends before anything else.
         let upstream = self
             .attempt
@@ -334,7 +347,7 @@
             match self.try_place(upstream, copy).await {
                 Ok(head) => return Ok(Opened::Stream(head)),
                 Err(PlaceEnd::TryNext) => {}
-                Err(PlaceEnd::Whole(response)) => return Ok(Opened::Whole(response)),
+                Err(PlaceEnd::Whole(response)) => return Ok(Opened::Whole(*response)),
                 Err(PlaceEnd::Unknown) if self.call.route.may_repeat() => {}
                 Err(PlaceEnd::Unknown) => {
                     let detail = "the engine gave no answer";
@@ -355,7 +368,16 @@
                 return Some((holder, Some(copy)));
             }
         }
+        if let Some(kept_at) = self.prompt_kept_at.take()
+            && let Some(upstream) = self.state.view.upstreams.get(&kept_at)
+            && upstream.record.state == UpstreamState::Ready
+            && !upstream.is_suspected(now)
+            && !self.avoid.contains(&kept_at)
+        {
+            return Some((upstream, None));
+        }
         let need = Need::Prompt {
+            fingerprint: self.call.fingerprint,
             memory_tokens: self.memory_tokens(),
             engine_memory_tokens: self.engines().memory_tokens,
         };
@@ -401,6 +423,15 @@
             address: holder.record.address,
             run: self.call.request(),
         });
+        self.state.runs.begin(RunTrace {
+            fingerprint: self.call.fingerprint,
+            request: self.call.request(),
+            engine: upstream.record.id.clone(),
+            copy: self
+                .copy
+                .as_ref()
+                .map(|copy| (copy.upstream.clone(), copy.address)),
+        });
         self.attempt = Some(Attempt {
             upstream,
             body: answer.body,
@@ -526,7 +557,7 @@
             Ok(body) => {
                 strip_connection_headers(&mut head.headers);
                 head.extensions.clear();
-                PlaceEnd::Whole(Response::from_parts(head, full(body)))
+                PlaceEnd::Whole(Box::new(Response::from_parts(head, full(body))))
             }
             Err(_) => PlaceEnd::Unknown,
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod options;
 pub mod peers;
 mod run;
+pub mod runs;
 mod serve;
 mod state;
 mod stop;
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -60,8 +60,10 @@
 pub struct StoreOptions {
     /// Where it is.
     pub address: SocketAddr,
-    /// How long a watch waits for changes.
+    /// How long a watch of the configuration waits for changes.
     pub watch: Duration,
+    /// How long a watch of the upstreams waits, while the other one shows a sound store.
+    pub long_watch: Duration,
     /// How long the store may take beyond that.
     pub timeout: Duration,
 }
@@ -148,7 +150,12 @@
         let limit = 1..=TIME_LIMIT_MS;
         Ok(Self {
             address: section.address("address")?,
-            watch: section.duration_ms("watch_ms", Duration::from_secs(2), limit.clone())?,
+            watch: section.duration_ms("watch_ms", Duration::from_secs(3), limit.clone())?,
+            long_watch: section.duration_ms(
+                "long_watch_ms",
+                Duration::from_secs(12),
+                limit.clone(),
+            )?,
             timeout: section.duration_ms("timeout_ms", Duration::from_millis(1_500), limit)?,
         })
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -8,6 +8,7 @@
     crate::{
         edge::HostRecord,
         options::{HostOptions, PeerOptions},
+        runs::RunTrace,
         state::GatewayState,
         view::Work,
     },
@@ -74,6 +75,8 @@
     /// Counts the datagrams of an incarnation.
     sequence: u64,
     work: Vec<UpstreamWork>,
+    /// The streams that run on it.
+    runs: Vec<RunTrace>,
     /// Some other hosts' addresses for datagrams.
     named: Vec<SocketAddr>,
 }
@@ -267,6 +270,7 @@
             incarnation: self.incarnation,
             sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
             work: work.collect(),
+            runs: state.runs.own(now),
             named: self.some_names(),
         }
     }
@@ -318,7 +322,11 @@
             continue;
         };
         let sender = peer.host.clone();
-        for id in state.peers.take_in(peer, Instant::now()) {
+        let now = Instant::now();
+        for run in &peer.runs {
+            state.runs.hear(run.clone(), now);
+        }
+        for id in state.peers.take_in(peer, now) {
             suspect_as_told(&state, &id, &sender);
         }
     }
--- a/crates/gateway/src/serve/ingress.rs
+++ b/crates/gateway/src/serve/ingress.rs
@@ -4,7 +4,7 @@
     super::refusal::refuse,
     crate::{
         edge::RequestFacts,
-        forward::{Call, run_plain, run_stream, strip_connection_headers},
+        forward::{Call, fingerprint_of, run_plain, run_stream, strip_connection_headers},
         state::GatewayState,
         stop::InFlight,
         view::{Configuration, Customer, Route, RouteKind},
@@ -203,6 +203,7 @@
         .and_then(|customer| customer.priority)
         .unwrap_or(route.priority);
     Call {
+        fingerprint: fingerprint_of(&head.uri, &facts, &body),
         method: head.method,
         uri: head.uri,
         headers,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -8,6 +8,7 @@
         metrics::GatewayMetrics,
         options::GatewayOptions,
         peers::{HostPhase, Peers},
+        runs::{Fingerprint, Runs},
         stop::Stop,
         view::{Upstream, View},
     },
@@ -20,6 +21,7 @@
     },
     tealshore_core::ids::{EngineId, ServiceId},
     tokio::sync::Semaphore,
+    xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
 /// What is left of the bound on the age of keys for a request that is on its way.
@@ -35,6 +37,8 @@
     pub view: View,
     /// The other hosts.
     pub peers: Peers,
+    /// Streams that ran a short time ago.
+    pub runs: Runs,
     /// What it counts.
     pub metrics: GatewayMetrics,
     /// The planned stop.
@@ -53,6 +57,7 @@
         Ok(Self {
             peers: Peers::new(&options.host, &options.peers),
             view: View::default(),
+            runs: Runs::default(),
             metrics: GatewayMetrics::new()?,
             stop: Stop::default(),
             body_room: Arc::new(Semaphore::new(options.host.body_bytes)),
@@ -112,6 +117,10 @@
         need: Need<'_>,
         avoid: &[EngineId],
     ) -> Option<Arc<Upstream>> {
+        let affinity = match need {
+            Need::Prompt { fingerprint, .. } => Some(fingerprint),
+            Need::Call | Need::Copy { .. } => None,
+        };
         let now = Instant::now();
         let ready = self.view.upstreams.ready(service);
         let elsewhere = self.peers.work(now);
@@ -128,7 +137,10 @@
                     slots: upstream.record.slots,
                     failure_score: upstream.failure_score(),
                     suspected: upstream.is_suspected(now),
-                    draw: rand::rng().random::<f64>(),
+                    draw: match affinity {
+                        Some(fingerprint) => affinity_draw(fingerprint, id),
+                        None => rand::rng().random::<f64>(),
+                    },
                 }
             })
             .collect();
@@ -153,3 +165,10 @@
         }
     }
 }
+
+/// A number from 0 to 1 that is the same on all hosts for a request and an upstream.
+fn affinity_draw(fingerprint: Fingerprint, upstream: &EngineId) -> f64 {
+    let hash = xxh3_64_with_seed(upstream.as_bytes(), fingerprint);
+    let high = u32::try_from(hash >> 32).unwrap_or(u32::MAX);
+    f64::from(high) / f64::from(u32::MAX)
+}
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -20,6 +20,7 @@
     tealshore_core::{ids::EngineId, spread::spread},
     tokio::{
         net::TcpStream,
+        sync::Notify,
         task::JoinHandle,
         time::{sleep, timeout},
     },
@@ -29,6 +30,8 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 /// The longest pause after a failed call.
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+/// After news, more of it is let gather for this long, so that it comes by one call.
+const COALESCE: Duration = Duration::from_millis(300);
 /// The largest answer of the store, in bytes.
 const ANSWER_BOUND_BYTES: usize = 16 * 1024 * 1024;
 
@@ -39,6 +42,8 @@
     Silent,
     Refused(StoreRefusal),
     Stale,
+    /// Another follower lost the store, so this one's wait may be in vain.
+    Doubted,
 }
 
 impl CallFailure {
@@ -50,6 +55,7 @@
             Self::Refused(StoreRefusal::Busy(_)) => "busy",
             Self::Refused(StoreRefusal::Malformed(_)) => "malformed",
             Self::Stale => "stale",
+            Self::Doubted => "doubted",
         }
     }
 }
@@ -73,21 +79,24 @@
     clock: StoreClock,
     newest: Revision,
     failures: u32,
+    /// Tells the other followers that the configuration's lost the store.
+    doubt: Arc<Notify>,
 }
 
 /// Follows the configuration and the upstreams for as long as the process lives, and tells
 /// the store once of this host.
 pub fn start(state: &Arc<GatewayState>) {
+    let doubt = Arc::new(Notify::new());
     for set in [RowSet::Configuration, RowSet::Upstreams] {
-        let mut follower = Follower::new(state.clone(), set);
+        let mut follower = Follower::new(state.clone(), set, &doubt);
         tokio::spawn(async move { follower.follow().await });
     }
-    let mut hosts = Follower::new(state.clone(), RowSet::Hosts);
+    let mut hosts = Follower::new(state.clone(), RowSet::Hosts, &doubt);
     tokio::spawn(async move { hosts.join().await });
 }
 
 impl Follower {
-    fn new(state: Arc<GatewayState>, set: RowSet) -> Self {
+    fn new(state: Arc<GatewayState>, set: RowSet, doubt: &Arc<Notify>) -> Self {
         Self {
             state,
             set,
@@ -95,6 +104,7 @@
             clock: StoreClock::default(),
             newest: 0,
             failures: 0,
+            doubt: doubt.clone(),
         }
     }
 
@@ -171,15 +181,30 @@
 
     /// Waits for changes until a call fails.
     async fn watch(&mut self) -> CallFailure {
-        let wait = self.state.options.store.watch;
+        let wait = match self.set {
+            RowSet::Configuration => self.state.options.store.watch,
+            RowSet::Upstreams | RowSet::Hosts => self.state.options.store.long_watch,
+        };
+        let doubt = self.doubt.clone();
         let bound = wait + self.state.options.store.timeout;
         loop {
             let request = self.state.protocol.watch_call(self.set, self.newest, wait);
-            match self.page(request, bound).await {
+            let page = tokio::select! {
+                page = self.page(request, bound) => page,
+                () = doubt.notified(), if self.set != RowSet::Configuration => {
+                    self.connection = None;
+                    return CallFailure::Doubted;
+                }
+            };
+            match page {
                 Ok((page, written)) => {
+                    let is_news = !page.changes.is_empty();
                     self.newest = page.revision;
                     self.take_in(page.changes);
                     self.confirm(written);
+                    if is_news {
+                        sleep(COALESCE).await;
+                    }
                 }
                 Err(failure) => return failure,
             }
@@ -307,6 +332,9 @@
     }
 
     async fn pause_after(&mut self, failure: &CallFailure) {
+        if self.set == RowSet::Configuration {
+            self.doubt.notify_waiters();
+        }
         if self.failures == 0 {
             log::warn!(
                 "store: lost set={} cause={} revision={}",
