Keep watches short, and lean to the same engine only a little

Cause 1: a watch that begins while the store forgets its history hears nothing. Cause 2: a strong leaning to the engine that a request's digest names put prompts beside running streams, which then lived to see a second crash.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -10,7 +10,7 @@
 const STREAM_COST_TOKENS: f64 = 1_500.0;
 /// How far a request goes out of its way to the engine that it would choose again, in prompt
 /// tokens to read: that engine may still keep its prompt when its caller comes back.
-const AFFINITY_TOKENS: f64 = 6_000.0;
+const AFFINITY_TOKENS: f64 = 1_500.0;
 /// What another hall costs, in prompt tokens to read.
 const OTHER_HALL_COST_TOKENS: f64 = 400.0;
 /// What a share of failed calls of 1 costs, in busy slots.
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -530,7 +530,7 @@
             self.runs -= 1;
             if status == StatusCode::MISDIRECTED_REQUEST {
                 // Another incarnation has the address: this one is gone.
-                self.state.suspect(upstream, "another-incarnation");
+                self.state.note_replaced(upstream);
             }
             return Err(self.note_try(upstream, "turned-away", PlaceEnd::TryNext));
         }
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -60,10 +60,9 @@
 pub struct StoreOptions {
     /// Where it is.
     pub address: SocketAddr,
-    /// How long a watch of the configuration waits for changes.
+    /// How long a watch waits for changes. A watch may fall silent: with the time beyond it,
+    /// this must stay below the bound after which a leaving upstream gets no new work.
     pub watch: Duration,
-    /// How long a watch of the upstreams waits, while the other one shows a sound store.
-    pub long_watch: Duration,
     /// How long the store may take beyond that.
     pub timeout: Duration,
 }
@@ -150,12 +149,7 @@
         let limit = 1..=TIME_LIMIT_MS;
         Ok(Self {
             address: section.address("address")?,
-            watch: section.duration_ms("watch_ms", Duration::from_secs(3), limit.clone())?,
-            long_watch: section.duration_ms(
-                "long_watch_ms",
-                Duration::from_secs(12),
-                limit.clone(),
-            )?,
+            watch: section.duration_ms("watch_ms", Duration::from_millis(2_500), limit.clone())?,
             timeout: section.duration_ms("timeout_ms", Duration::from_millis(1_500), limit)?,
         })
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -340,6 +340,6 @@
         return;
     };
     if !upstream.is_suspected(now) && upstream.suspect_by_word(now) {
-        log::info!("upstream: suspected upstream={id} cause=peer peer={sender}");
+        log::debug!("upstream: suspected upstream={id} cause=peer peer={sender}");
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -172,3 +172,14 @@
     let high = u32::try_from(hash >> 32).unwrap_or(u32::MAX);
     f64::from(high) / f64::from(u32::MAX)
 }
+
+impl GatewayState {
+    /// Notes that another incarnation has an upstream's address.
+    pub fn note_replaced(&self, upstream: &Upstream) {
+        let now = Instant::now();
+        if !upstream.is_suspected(now) {
+            log::warn!("upstream: replaced upstream={}", upstream.record.id);
+        }
+        upstream.gone_for_good(now);
+    }
+}
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -20,7 +20,6 @@
     tealshore_core::{ids::EngineId, spread::spread},
     tokio::{
         net::TcpStream,
-        sync::Notify,
         task::JoinHandle,
         time::{sleep, timeout},
     },
@@ -42,8 +41,6 @@
     Silent,
     Refused(StoreRefusal),
     Stale,
-    /// Another follower lost the store, so this one's wait may be in vain.
-    Doubted,
 }
 
 impl CallFailure {
@@ -55,7 +52,6 @@
             Self::Refused(StoreRefusal::Busy(_)) => "busy",
             Self::Refused(StoreRefusal::Malformed(_)) => "malformed",
             Self::Stale => "stale",
-            Self::Doubted => "doubted",
         }
     }
 }
@@ -79,24 +75,21 @@
     clock: StoreClock,
     newest: Revision,
     failures: u32,
-    /// Tells the other followers that the configuration's lost the store.
-    doubt: Arc<Notify>,
 }
 
 /// Follows the configuration and the upstreams for as long as the process lives, and tells
 /// the store once of this host.
 pub fn start(state: &Arc<GatewayState>) {
-    let doubt = Arc::new(Notify::new());
     for set in [RowSet::Configuration, RowSet::Upstreams] {
-        let mut follower = Follower::new(state.clone(), set, &doubt);
+        let mut follower = Follower::new(state.clone(), set);
         tokio::spawn(async move { follower.follow().await });
     }
-    let mut hosts = Follower::new(state.clone(), RowSet::Hosts, &doubt);
+    let mut hosts = Follower::new(state.clone(), RowSet::Hosts);
     tokio::spawn(async move { hosts.join().await });
 }
 
 impl Follower {
-    fn new(state: Arc<GatewayState>, set: RowSet, doubt: &Arc<Notify>) -> Self {
+    fn new(state: Arc<GatewayState>, set: RowSet) -> Self {
         Self {
             state,
             set,
@@ -104,7 +97,6 @@
             clock: StoreClock::default(),
             newest: 0,
             failures: 0,
-            doubt: doubt.clone(),
         }
     }
 
@@ -181,22 +173,11 @@
 
     /// Waits for changes until a call fails.
     async fn watch(&mut self) -> CallFailure {
-        let wait = match self.set {
-            RowSet::Configuration => self.state.options.store.watch,
-            RowSet::Upstreams | RowSet::Hosts => self.state.options.store.long_watch,
-        };
-        let doubt = self.doubt.clone();
+        let wait = self.state.options.store.watch;
         let bound = wait + self.state.options.store.timeout;
         loop {
             let request = self.state.protocol.watch_call(self.set, self.newest, wait);
-            let page = tokio::select! {
-                page = self.page(request, bound) => page,
-                () = doubt.notified(), if self.set != RowSet::Configuration => {
-                    self.connection = None;
-                    return CallFailure::Doubted;
-                }
-            };
-            match page {
+            match self.page(request, bound).await {
                 Ok((page, written)) => {
                     let is_news = !page.changes.is_empty();
                     self.newest = page.revision;
@@ -332,9 +313,6 @@
     }
 
     async fn pause_after(&mut self, failure: &CallFailure) {
-        if self.set == RowSet::Configuration {
-            self.doubt.notify_waiters();
-        }
         if self.failures == 0 {
             log::warn!(
                 "store: lost set={} cause={} revision={}",
--- a/crates/gateway/src/view/upstreams.rs
+++ b/crates/gateway/src/view/upstreams.rs
@@ -15,6 +15,8 @@
 
 /// What one failed call adds to an upstream's failure score; good calls take it away.
 const FAILURE_WEIGHT: f64 = 0.2;
+/// How long an incarnation that was replaced gets none: far longer than it stays listed.
+const GONE_FOR_GOOD: Duration = Duration::from_secs(600);
 /// How long an upstream that seemed dead gets no new work.
 const SUSPICION: Duration = Duration::from_millis(1_500);
 
@@ -129,6 +131,14 @@
         self.suspect_as(now, false)
     }
 
+    /// Notes that another incarnation has its address, so that it never comes back.
+    pub fn gone_for_good(&self, now: Instant) {
+        let mut opinion = self.opinion.lock();
+        opinion.suspected_until = Some(now + GONE_FOR_GOOD);
+        drop(opinion);
+        self.suspicion.notify_waiters();
+    }
+
     /// Notes that it seems dead to a peer; whether that is news.
     pub fn suspect_by_word(&self, now: Instant) -> bool {
         self.suspect_as(now, true)
@@ -137,7 +147,8 @@
     fn suspect_as(&self, now: Instant, by_word: bool) -> bool {
         let mut opinion = self.opinion.lock();
         let is_news = opinion.suspected_until.is_none_or(|until| until <= now);
-        opinion.suspected_until = Some(now + SUSPICION);
+        let until = now + SUSPICION;
+        opinion.suspected_until = opinion.suspected_until.max(Some(until));
         opinion.by_word = by_word;
         drop(opinion);
         if is_news {
