Keep where streams run in the store, and copy memory anew when its holder dies

Cause 2: streams that outlive two crashes lost the copy in the first one.

Change: each host writes a row with its running streams at most every 3 s, while there is news; a host that starts reads all of them.

--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -3,7 +3,10 @@
 //! A [`Protocol`] only translates. It chooses, retries, remembers and waits for nothing.
 
 use {
-    crate::view::{Configuration, UpstreamRecord},
+    crate::{
+        runs::Fingerprint,
+        view::{Configuration, UpstreamRecord},
+    },
     bytes::Bytes,
     http::{HeaderMap, Request, Response, StatusCode, request, response},
     std::{net::SocketAddr, time::Duration},
@@ -55,10 +58,10 @@
 pub struct MemoryCopy {
     /// The upstream that holds it.
     pub upstream: EngineId,
-    /// Its address.
+    /// The address under which it is known.
     pub address: SocketAddr,
-    /// The request whose run it was copied from.
-    pub run: RequestId,
+    /// The name under which it is known there.
+    pub name: String,
 }
 
 /// What is said to an upstream along with a request.
@@ -100,6 +103,8 @@
     Upstreams,
     /// The hosts of this system.
     Hosts,
+    /// Where streams run, as each host last wrote it.
+    Runs,
 }
 
 impl RowSet {
@@ -110,6 +115,7 @@
             Self::Configuration => "configuration",
             Self::Upstreams => "upstreams",
             Self::Hosts => "hosts",
+            Self::Runs => "runs",
         }
     }
 }
@@ -125,6 +131,8 @@
     UpstreamGone(EngineId),
     /// A host of this system.
     Host(HostRecord),
+    /// Where the streams of a host ran.
+    Runs(Vec<RunPlace>),
     /// A row that could not be read, with the reason.
     Unreadable(String),
 }
@@ -138,6 +146,15 @@
     pub peers_address: SocketAddr,
 }
 
+/// Where a stream ran, as the store keeps it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunPlace {
+    /// The request's digest.
+    pub fingerprint: Fingerprint,
+    /// The engine that read its prompt.
+    pub engine: EngineId,
+}
+
 /// What the store answered about rows.
 #[derive(Clone, Debug)]
 pub struct Page {
@@ -215,4 +232,18 @@
 
     /// Writes this host's row.
     fn write_host_call(&self, host: &HostRecord) -> Request<Bytes>;
+
+    /// Writes where this host's streams run.
+    fn write_runs_call(&self, host: &HostId, runs: &[RunPlace]) -> Request<Bytes>;
+
+    /// Asks the engine of a run to copy its memory to another engine while it runs on.
+    fn copy_call(
+        &self,
+        source: &UpstreamRecord,
+        run: &RequestId,
+        target: SocketAddr,
+    ) -> Request<Bytes>;
+
+    /// The name under which a copy lies, from the answer to a copy call.
+    fn read_copied(&self, status: StatusCode, body: &[u8]) -> Option<String>;
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -4,6 +4,7 @@
 mod connect;
 mod plain;
 mod probe;
+mod recopy;
 mod relay;
 mod reservation;
 mod stream;
--- a/crates/gateway/src/forward/connect.rs
+++ b/crates/gateway/src/forward/connect.rs
@@ -5,13 +5,18 @@
 //! is closing.
 
 use {
-    crate::{edge::AnswerFacts, state::GatewayState, view::Upstream},
+    crate::{
+        edge::AnswerFacts,
+        state::GatewayState,
+        view::{Upstream, UpstreamRecord},
+    },
     bytes::Bytes,
-    http::{Request, response},
+    http::{Request, StatusCode, response},
     http_body_util::Full,
     hyper::{body::Incoming, client::conn::http1},
     hyper_util::rt::TokioIo,
     std::time::Duration,
+    tealshore_core::http::read_limited,
     tokio::{net::TcpStream, task::JoinHandle, time::timeout},
 };
 
@@ -115,3 +120,28 @@
     let _ = stream.set_nodelay(true);
     Ok(stream)
 }
+
+/// The largest answer to a short call, in bytes.
+const SHORT_ANSWER_BYTES: usize = 64 * 1024;
+
+/// Makes a short call of this host's own, on a connection of its own; none without a whole
+/// answer in time.
+pub async fn exchange(
+    upstream: &UpstreamRecord,
+    request: Request<Bytes>,
+    bound: Duration,
+) -> Option<(StatusCode, Bytes)> {
+    let exchange = async {
+        let stream = TcpStream::connect(upstream.address).await.ok()?;
+        let (mut sender, driver) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        let _connection = Connection(tokio::spawn(async move {
+            // How the connection ended is seen by the one that reads the answer.
+            let _ = driver.await;
+        }));
+        let answer = sender.send_request(request.map(Full::new)).await.ok()?;
+        let status = answer.status();
+        let body = read_limited(answer.into_body(), SHORT_ANSWER_BYTES).await;
+        Some((status, body.ok()?))
+    };
+    timeout(bound, exchange).await.ok().flatten()
+}
--- a/crates/gateway/src/forward/probe.rs
+++ b/crates/gateway/src/forward/probe.rs
@@ -1,15 +1,10 @@
 //! Tells a dead upstream from one that is silent for good reason.
 
 use {
+    super::connect::exchange,
     crate::{state::GatewayState, view::Upstream},
-    http_body_util::Full,
-    hyper::client::conn::http1,
-    hyper_util::rt::TokioIo,
     std::{future::Future, pin::pin, time::Duration},
-    tokio::{
-        net::TcpStream,
-        time::{sleep, timeout},
-    },
+    tokio::time::{sleep, timeout},
 };
 
 /// How long a live upstream may take to answer a probe.
@@ -109,20 +104,8 @@
 }
 
 async fn probe(state: &GatewayState, upstream: &Upstream) -> bool {
-    let Ok(stream) = TcpStream::connect(upstream.record.address).await else {
-        return false;
-    };
-    let Ok((mut sender, driver)) = http1::handshake(TokioIo::new(stream)).await else {
-        return false;
-    };
-    let request = state.protocol.probe_call(&upstream.record).map(Full::new);
-    let exchange = async {
-        let answer = sender.send_request(request).await;
-        answer.is_ok()
-    };
-    tokio::select! {
-        biased;
-        answered = exchange => answered,
-        _ = driver => false,
-    }
+    let request = state.protocol.probe_call(&upstream.record);
+    exchange(&upstream.record, request, PROBE_TIMEOUT)
+        .await
+        .is_some()
 }
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -9,6 +9,7 @@
         call::{Call, strip_connection_headers},
         connect::{self, Answer, Connection, SendFailure},
         probe::{Patience, wait_while_alive},
+        recopy::Recopy,
         reservation::Reservation,
     },
     crate::{
@@ -108,6 +109,8 @@
     lost_at: Option<Instant>,
     /// The engine that may still keep the prompt from an earlier attempt of the caller.
     prompt_kept_at: Option<EngineId>,
+    /// Makes a new copy of the run's memory when the holder of the first one is lost.
+    recopy: Recopy,
 }
 
 impl Relay {
@@ -129,6 +132,7 @@
             sends: 0,
             attempt: None,
             lost_at: None,
+            recopy: Recopy::default(),
         }
     }
 
@@ -219,6 +223,7 @@
                     if sender.send(Ok(Frame::data(event.bytes))).await.is_err() {
                         return "caller-gone";
                     }
+                    self.tend_copy();
                 }
                 Step::End => return "complete",
                 Step::Lost(cause) => {
@@ -231,6 +236,33 @@
         }
     }
 
+    /// Sees to it that a copy of the run's memory lies at an engine that lives.
+    fn tend_copy(&mut self) {
+        let engines = self.engines();
+        let Some(attempt) = &self.attempt else {
+            return;
+        };
+        if !engines.copies || !self.call.route.may_repeat() {
+            return;
+        }
+        if let Some(copy) = self.recopy.take_made() {
+            self.copy = Some(copy);
+        }
+        let now = Instant::now();
+        let holder = self.copy.as_ref().map(|copy| &copy.upstream);
+        let is_held = holder
+            .and_then(|holder| self.state.view.upstreams.get(holder))
+            .is_some_and(|holder| !holder.is_suspected(now));
+        if !self.recopy.is_due(is_held, now) {
+            return;
+        }
+        let runs_at = attempt.upstream.clone();
+        if let Some(target) = self.choose_copy(&runs_at.record) {
+            let run = self.call.request();
+            self.recopy.begin(&self.state, runs_at, run, target, now);
+        }
+    }
+
     /// Places the stream at another engine; how it ends where that can't be done.
     async fn go_on(&mut self) -> Option<&'static str> {
         if !self.call.route.may_repeat() {
@@ -252,6 +284,10 @@
             return;
         };
         attempt.upstream.note_outcome(true);
+        if let Some(copy) = self.recopy.take_made() {
+            self.copy = Some(copy);
+        }
+        self.recopy = Recopy::default();
         self.lost_at = Some(Instant::now());
         self.avoid.push(attempt.upstream.record.id.clone());
         self.state.metrics.losses.with_label_values(&[cause]).inc();
@@ -421,7 +457,7 @@
         self.copy = copy_to.map(|holder| MemoryCopy {
             upstream: holder.record.id.clone(),
             address: holder.record.address,
-            run: self.call.request(),
+            name: self.call.request(),
         });
         self.state.runs.begin(RunTrace {
             fingerprint: self.call.fingerprint,
--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -4,7 +4,7 @@
 //! its run left behind: the copy, or else what the engine keeps of the prompt.
 
 use {
-    crate::edge::MemoryCopy,
+    crate::edge::{MemoryCopy, RunPlace},
     parking_lot::Mutex,
     serde::{Deserialize, Serialize},
     std::{
@@ -15,8 +15,12 @@
     tealshore_core::ids::{EngineId, RequestId},
 };
 
-/// How long a run that ended is of use: engines keep copies for some seconds.
-const KEPT_AFTER_END: Duration = Duration::from_secs(6);
+/// How long the copy of a run that ended is of use: engines keep copies for some seconds.
+const COPY_KEPT: Duration = Duration::from_secs(6);
+/// How long an engine may keep a prompt that it has read.
+const PROMPT_KEPT: Duration = Duration::from_secs(30);
+/// The most runs that are remembered.
+const RUNS_BOUND: usize = 20_000;
 
 /// A digest of all that makes a request what it is, without the attempt's id.
 pub type Fingerprint = u64;
@@ -42,15 +46,22 @@
         Some(MemoryCopy {
             upstream,
             address,
-            run: self.request.clone(),
+            name: self.request.clone(),
         })
     }
 }
 
 struct Kept {
     trace: RunTrace,
-    /// When it may be forgotten; none while it runs here.
-    until: Option<Instant>,
+    /// When it was last known to run; none while it runs here.
+    last_known: Option<Instant>,
+}
+
+impl Kept {
+    fn is_younger_than(&self, bound: Duration, now: Instant) -> bool {
+        self.last_known
+            .is_none_or(|known| now.saturating_duration_since(known) <= bound)
+    }
 }
 
 /// The runs of a short time.
@@ -62,7 +73,10 @@
 impl Runs {
     /// Notes that a request runs, in place of where it ran before.
     pub fn begin(&self, trace: RunTrace) {
-        let kept = Kept { trace, until: None };
+        let kept = Kept {
+            trace,
+            last_known: None,
+        };
         self.kept.lock().insert(kept.trace.fingerprint, kept);
     }
 
@@ -78,7 +92,7 @@
         if complete {
             kept.remove(&fingerprint);
         } else {
-            known.until = Some(now + KEPT_AFTER_END);
+            known.last_known = Some(now);
         }
     }
 
@@ -86,27 +100,61 @@
     pub fn hear(&self, trace: RunTrace, now: Instant) {
         let mut kept = self.kept.lock();
         let known = kept.get(&trace.fingerprint);
-        if known.is_some_and(|known| known.until.is_none()) {
+        if known.is_some_and(|known| known.last_known.is_none()) {
             // It runs here now, which is later.
             return;
         }
-        let until = Some(now + KEPT_AFTER_END);
-        kept.insert(trace.fingerprint, Kept { trace, until });
+        if kept.len() >= RUNS_BOUND {
+            return;
+        }
+        let last_known = Some(now);
+        kept.insert(trace.fingerprint, Kept { trace, last_known });
+    }
+
+    /// Takes in what the store kept of a run, unless more is known.
+    pub fn restore(&self, place: RunPlace, now: Instant) {
+        let trace = RunTrace {
+            fingerprint: place.fingerprint,
+            request: RequestId::default(),
+            engine: place.engine,
+            copy: None,
+        };
+        let is_known = self.kept.lock().contains_key(&trace.fingerprint);
+        if !is_known {
+            self.hear(trace, now);
+        }
     }
 
-    /// Where a request ran last.
+    /// Where a request ran last; its copy only while engines keep it.
     pub fn find(&self, fingerprint: Fingerprint, now: Instant) -> Option<RunTrace> {
         let kept = self.kept.lock();
         let known = kept.get(&fingerprint)?;
-        let is_current = known.until.is_none_or(|until| until > now);
-        is_current.then(|| known.trace.clone())
+        if !known.is_younger_than(PROMPT_KEPT, now) {
+            return None;
+        }
+        let mut trace = known.trace.clone();
+        if !known.is_younger_than(COPY_KEPT, now) {
+            trace.copy = None;
+        }
+        Some(trace)
     }
 
     /// The runs of this host, for its peers; forgets what is of no more use.
     pub fn own(&self, now: Instant) -> Vec<RunTrace> {
         let mut kept = self.kept.lock();
-        kept.retain(|_, known| known.until.is_none_or(|until| until > now));
-        let running = kept.values().filter(|known| known.until.is_none());
+        kept.retain(|_, known| known.is_younger_than(PROMPT_KEPT, now));
+        let running = kept.values().filter(|known| known.last_known.is_none());
         running.map(|known| known.trace.clone()).collect()
     }
+
+    /// Where this host's streams run, for the store, in a fixed order.
+    pub fn own_places(&self, now: Instant) -> Vec<RunPlace> {
+        let own = self.own(now).into_iter().map(|trace| RunPlace {
+            fingerprint: trace.fingerprint,
+            engine: trace.engine,
+        });
+        let mut places: Vec<RunPlace> = own.collect();
+        places.sort_by_key(|place| place.fingerprint);
+        places
+    }
 }
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -3,7 +3,7 @@
 
 use {
     crate::{
-        edge::{Change, HostRecord, Page, Revision, RowSet, StoreRefusal},
+        edge::{Change, Page, Revision, RowSet, RunPlace, StoreRefusal},
         state::GatewayState,
         view::StoreClock,
     },
@@ -31,6 +31,8 @@
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 /// After news, more of it is let gather for this long, so that it comes by one call.
 const COALESCE: Duration = Duration::from_millis(300);
+/// How often a host writes where its streams run, while there is news.
+const RUNS_INTERVAL: Duration = Duration::from_secs(3);
 /// The largest answer of the store, in bytes.
 const ANSWER_BOUND_BYTES: usize = 16 * 1024 * 1024;
 
@@ -86,6 +88,8 @@
     }
     let mut hosts = Follower::new(state.clone(), RowSet::Hosts);
     tokio::spawn(async move { hosts.join().await });
+    let mut runs = Follower::new(state.clone(), RowSet::Runs);
+    tokio::spawn(async move { runs.keep_runs().await });
 }
 
 impl Follower {
@@ -113,7 +117,7 @@
     /// Writes this host's row and reads those of the others, once.
     async fn join(&mut self) {
         let own = self.state.peers.own_record();
-        while let Err(failure) = self.write(&own).await {
+        while let Err(failure) = self.write(self.state.protocol.write_host_call(&own)).await {
             self.pause_after(&failure).await;
         }
         while let Err(failure) = self.read_whole().await {
@@ -121,8 +125,33 @@
         }
     }
 
-    async fn write(&mut self, own: &HostRecord) -> Result<(), CallFailure> {
-        let request = self.state.protocol.write_host_call(own);
+    /// Reads where streams ran before this host started, then keeps in the store where its
+    /// own run: what all hosts know is lost when all of them lose power.
+    async fn keep_runs(&mut self) {
+        while let Err(failure) = self.read_whole().await {
+            self.pause_after(&failure).await;
+        }
+        let mut written: Vec<RunPlace> = Vec::new();
+        loop {
+            sleep(RUNS_INTERVAL).await;
+            let now = self.state.runs.own_places(Instant::now());
+            let has_news = now.iter().any(|place| !written.contains(place));
+            if !has_news {
+                continue;
+            }
+            let host = &self.state.options.host.id;
+            let request = self.state.protocol.write_runs_call(host, &now);
+            match self.write(request).await {
+                Ok(()) => {
+                    self.note_regained();
+                    written = now;
+                }
+                Err(failure) => self.pause_after(&failure).await,
+            }
+        }
+    }
+
+    async fn write(&mut self, request: Request<Bytes>) -> Result<(), CallFailure> {
         let bound = self.state.options.store.timeout;
         let (status, _) = self.call(request, bound).await?;
         if status.is_success() {
@@ -165,7 +194,7 @@
                     present.len()
                 );
             }
-            RowSet::Hosts => {}
+            RowSet::Hosts | RowSet::Runs => {}
         }
         self.newest = revision;
         self.note_regained();
@@ -303,6 +332,12 @@
                 }
             }
             Change::Host(host) => self.state.peers.add(&host),
+            Change::Runs(places) => {
+                let now = Instant::now();
+                for place in places {
+                    self.state.runs.restore(place, now);
+                }
+            }
             Change::Unreadable(reason) => {
                 log::error!(
                     "view: row unreadable set={} revision={revision} reason={reason}",
@@ -345,6 +380,7 @@
         Change::Configuration(_)
         | Change::UpstreamGone(_)
         | Change::Host(_)
+        | Change::Runs(_)
         | Change::Unreadable(_) => None,
     }
 }
