Give streams up as silent by the rate at which engines read prompts

Ruled out: an engine that was busy: its other streams went on.

Change: an engine that is to go on from a copy has 1 s; one that reads a prompt has 1.3 s and 1.6 times what its unread tokens take at the average rate seen. The stream's code is split by job: run, place, attempt, relay, copies. Engines' refusals are told apart in the log.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -4,8 +4,6 @@
 mod connect;
 mod plain;
 mod probe;
-mod recopy;
-mod relay;
 mod reservation;
 mod stream;
 
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -1,29 +1,120 @@
-//! Opens a stream for a caller and hands it to a relay.
+//! Serves one caller's stream over as many engines as it takes.
+//!
+//! While an engine runs a stream, the run's memory is copied to another engine. When the
+//! first one dies, the stream goes on from the copy; without one, the prompt is read again.
+
+mod attempt;
+mod place;
+mod recopy;
+mod relay;
 
 use {
-    super::{
-        call::{Call, strip_connection_headers},
-        relay::{Opened, Relay},
+    super::call::{Call, strip_connection_headers},
+    crate::{
+        edge::MemoryCopy, events::Progress, runs::RunTrace, state::GatewayState, view::Engines,
     },
-    crate::state::GatewayState,
+    attempt::Attempt,
     http::Response,
-    std::sync::Arc,
-    tealshore_core::{answer::Failure, http::Body},
+    place::Opened,
+    recopy::Recopy,
+    std::{sync::Arc, time::Instant},
+    tealshore_core::{
+        answer::{ErrorKind, Failure},
+        http::Body,
+        ids::EngineId,
+    },
+    tokio::time::timeout_at,
 };
 
+/// One caller's stream.
+struct StreamRun {
+    state: Arc<GatewayState>,
+    call: Arc<Call>,
+    progress: Progress,
+    /// Engines that are not tried again.
+    avoid: Vec<EngineId>,
+    /// Engines at which it may have run.
+    runs: u32,
+    /// Times that it was sent.
+    sends: u32,
+    copy: Option<MemoryCopy>,
+    attempt: Option<Attempt>,
+    lost_at: Option<Instant>,
+    /// The engine that may still keep the prompt from an earlier attempt of the caller.
+    prompt_kept_at: Option<EngineId>,
+    /// Makes a new copy of the run's memory when the holder of the first one is lost.
+    recopy: Recopy,
+}
+
 /// Opens a stream: the head of the first engine's answer, and the events of as many engines
 /// as it takes.
 ///
 /// # Errors
 /// No engine gave an answer that may be passed on.
 pub async fn run(state: &Arc<GatewayState>, call: Arc<Call>) -> Result<Response<Body>, Failure> {
-    let mut relay = Relay::new(state.clone(), call);
-    match relay.open().await? {
+    let mut run = StreamRun::new(state.clone(), call);
+    match run.open().await? {
         Opened::Stream(mut head) => {
             strip_connection_headers(&mut head.headers);
             head.extensions.clear();
-            Ok(Response::from_parts(head, relay.into_body()))
+            Ok(Response::from_parts(head, run.into_body()))
         }
         Opened::Whole(response) => Ok(response),
     }
 }
+
+impl StreamRun {
+    /// A stream that no engine has yet.
+    fn new(state: Arc<GatewayState>, call: Arc<Call>) -> Self {
+        let earlier = state.runs.find(call.fingerprint, Instant::now());
+        let goes_on = call.facts.last_event.is_some();
+        Self {
+            progress: Progress::after(call.facts.last_event),
+            copy: earlier
+                .as_ref()
+                .filter(|_| goes_on)
+                .and_then(RunTrace::memory_copy),
+            prompt_kept_at: earlier.map(|trace| trace.engine),
+            state,
+            call,
+            avoid: Vec::new(),
+            runs: 0,
+            sends: 0,
+            attempt: None,
+            lost_at: None,
+            recopy: Recopy::default(),
+        }
+    }
+
+    /// Places the stream at its first engine.
+    async fn open(&mut self) -> Result<Opened, Failure> {
+        let ends = self.call.ends.into();
+        match timeout_at(ends, self.place()).await {
+            Ok(placed) => placed,
+            Err(_) if self.runs == 0 => Err(out_of_time(ErrorKind::DeadlineUntried)),
+            Err(_) => Err(out_of_time(ErrorKind::DeadlineReached)),
+        }
+    }
+
+    fn engines(&self) -> Engines {
+        let service = self.call.configuration.services.get(&self.call.service);
+        service
+            .and_then(|service| service.engines)
+            .unwrap_or_default()
+    }
+
+    fn input_tokens(&self) -> u64 {
+        let prompt = self.call.facts.prompt.as_ref();
+        prompt.map_or(0, |prompt| u64::from(prompt.input_tokens))
+    }
+
+    fn memory_tokens(&self) -> u64 {
+        let prompt = self.call.facts.prompt.as_ref();
+        let output = prompt.map_or(0, |prompt| u64::from(prompt.output_tokens));
+        (self.input_tokens() + output).max(1)
+    }
+}
+
+fn out_of_time(kind: ErrorKind) -> Failure {
+    Failure::new(kind, "the time for the stream is over")
+}
--- /dev/null
+++ b/crates/gateway/src/forward/stream/place.rs
@@ -0,0 +1,380 @@
+//! Places a stream at an engine: where its memory was copied, where its prompt was read, or
+//! else where it fits best.
+
+use {
+    super::{StreamRun, attempt::Attempt},
+    crate::{
+        balance::Need,
+        edge::{MemoryCopy, Order, Urgency},
+        events::EventSplitter,
+        forward::{
+            call::strip_connection_headers,
+            connect::{self, Answer, SendFailure},
+            probe::{Patience, wait_while_alive},
+            reservation::Reservation,
+        },
+        runs::RunTrace,
+        view::{Upstream, UpstreamRecord, UpstreamState, Work},
+    },
+    http::{Response, StatusCode, response},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tealshore_core::{
+        answer::{ErrorKind, Failure},
+        http::{Body, full, read_limited},
+    },
+    tokio::time::sleep,
+};
+
+/// The largest answer that is no stream, in bytes.
+const ANSWER_BOUND_BYTES: usize = 1024 * 1024;
+/// Silence after which an engine is probed that queues and reads a prompt.
+const PROBE_WHILE_READING: Duration = Duration::from_millis(500);
+/// Silence of an engine that goes on from a copy: nothing is to be read.
+const FROM_COPY: Patience = Patience {
+    probe_after: Duration::from_millis(260),
+    longest: Duration::from_millis(1_000),
+};
+/// The pause before all engines are asked again after all turned a stream away.
+const FULL_PAUSE: Duration = Duration::from_millis(40);
+/// A stream waits for room for one part in this many of its objective.
+const ROOM_PART: u32 = 4;
+
+/// What opening a stream gave.
+pub enum Opened {
+    /// The head of a stream; its events follow.
+    Stream(response::Parts),
+    /// A whole answer that is no stream.
+    Whole(Response<Body>),
+}
+
+/// Why a try to place the stream gave no attempt.
+enum PlaceEnd {
+    /// It did not run there; try another one.
+    TryNext,
+    /// A whole answer that is no stream.
+    Whole(Box<Response<Body>>),
+    /// It may have run.
+    Unknown,
+}
+
+/// An engine that was chosen, with the copy to go on from, if it holds one.
+struct Chosen {
+    upstream: Arc<Upstream>,
+    go_on_from: Option<MemoryCopy>,
+}
+
+/// What a try needs at its engine.
+struct Try {
+    patience: Patience,
+    copy_to: Option<Arc<Upstream>>,
+    go_on_from: Option<MemoryCopy>,
+}
+
+impl StreamRun {
+    /// Places the stream at the engine with the copy, or else at the best one.
+    pub async fn place(&mut self) -> Result<Opened, Failure> {
+        let began = Instant::now();
+        loop {
+            if self.runs >= self.call.route.max_attempts.max(1) {
+                let detail = "the stream ran at as many engines as its route allows";
+                return Err(Failure::new(ErrorKind::RetriesSpent, detail));
+            }
+            let Some(chosen) = self.choose() else {
+                if began.elapsed() > self.call.route.objective / ROOM_PART {
+                    let detail = "no engine has room for the stream";
+                    return Err(Failure::new(ErrorKind::NoEngine, detail));
+                }
+                sleep(FULL_PAUSE).await;
+                self.avoid.clear();
+                continue;
+            };
+            self.call.check_before_send(&self.state)?;
+            if self.sends > 0 && !self.state.take_retry(&self.call.service) {
+                let detail = "the budget of repeated sends is spent";
+                return Err(Failure::new(ErrorKind::UpstreamsBusy, detail));
+            }
+            self.sends += 1;
+            match self.try_place(chosen).await {
+                Ok(head) => return Ok(Opened::Stream(head)),
+                Err(PlaceEnd::TryNext) => {}
+                Err(PlaceEnd::Whole(response)) => return Ok(Opened::Whole(*response)),
+                Err(PlaceEnd::Unknown) if self.call.route.may_repeat() => {}
+                Err(PlaceEnd::Unknown) => {
+                    let detail = "the engine gave no answer";
+                    return Err(Failure::new(ErrorKind::UpstreamUnconfirmed, detail));
+                }
+            }
+        }
+    }
+
+    fn choose(&mut self) -> Option<Chosen> {
+        let now = Instant::now();
+        if let Some(copy) = self.copy.take() {
+            let holder = self.state.view.upstreams.get(&copy.upstream);
+            let usable = holder.filter(|holder| {
+                !holder.is_suspected(now) && self.state.view.upstreams.takes_work(&copy.upstream)
+            });
+            if let Some(holder) = usable {
+                return Some(Chosen {
+                    upstream: holder,
+                    go_on_from: Some(copy),
+                });
+            }
+        }
+        if let Some(kept_at) = self.prompt_kept_at.take()
+            && let Some(upstream) = self.state.view.upstreams.get(&kept_at)
+            && upstream.record.state == UpstreamState::Ready
+            && !upstream.is_suspected(now)
+            && !self.avoid.contains(&kept_at)
+        {
+            return Some(Chosen {
+                upstream,
+                go_on_from: None,
+            });
+        }
+        let need = Need::Prompt {
+            fingerprint: self.call.fingerprint,
+            memory_tokens: self.memory_tokens(),
+            engine_memory_tokens: self.engines().memory_tokens,
+        };
+        let service = &self.call.service;
+        let chosen = self.state.choose_upstream(service, need, &self.avoid)?;
+        Some(Chosen {
+            upstream: chosen,
+            go_on_from: None,
+        })
+    }
+
+    async fn try_place(&mut self, chosen: Chosen) -> Result<response::Parts, PlaceEnd> {
+        let Chosen {
+            upstream,
+            go_on_from,
+        } = chosen;
+        let unread_tokens = match go_on_from {
+            Some(_) => 0,
+            None => self.input_tokens(),
+        };
+        let work = Work {
+            running: 1,
+            unread_tokens,
+            memory_tokens: self.memory_tokens(),
+        };
+        let reservation = Reservation::begin(&self.state, &upstream, work);
+        let to_read = self.state.work_at(&upstream).unread_tokens;
+        let copy_to = self.choose_copy(&upstream.record);
+        let copy_reservation = copy_to.as_ref().map(|holder| self.reserve_copy(holder));
+        self.log_placed(&upstream, copy_to.as_deref(), go_on_from.is_some(), to_read);
+        let try_here = Try {
+            patience: self.patience(to_read, go_on_from.is_some()),
+            copy_to,
+            go_on_from,
+        };
+        let asked = Instant::now();
+        let answer = self.order(&upstream, &try_here).await?;
+        let Some(head) = self.check_head(&upstream, &answer, try_here.go_on_from.is_some())? else {
+            return Err(self.whole(answer).await);
+        };
+        if try_here.go_on_from.is_none() {
+            let service = &self.call.service;
+            self.state.note_read(service, to_read, asked.elapsed());
+        }
+        self.note_running(&upstream, try_here.copy_to.as_deref());
+        self.attempt = Some(Attempt {
+            upstream,
+            patience: try_here.patience,
+            body: answer.body,
+            _connection: answer.connection,
+            events: EventSplitter::default(),
+            has_sent: false,
+            reservation,
+            _copy_reservation: copy_reservation,
+        });
+        Ok(head)
+    }
+
+    fn reserve_copy(&self, holder: &Arc<Upstream>) -> Reservation {
+        let work = Work {
+            memory_tokens: self.memory_tokens(),
+            ..Work::default()
+        };
+        Reservation::begin(&self.state, holder, work)
+    }
+
+    /// How long an engine may be silent before its first event.
+    fn patience(&self, to_read: u64, from_copy: bool) -> Patience {
+        if from_copy {
+            return FROM_COPY;
+        }
+        Patience {
+            probe_after: PROBE_WHILE_READING,
+            longest: self.state.read_rate(&self.call.service).patience(to_read),
+        }
+    }
+
+    /// Notes for a caller that comes back where its stream runs and where its copy lies.
+    fn note_running(&mut self, upstream: &Upstream, copy_to: Option<&Upstream>) {
+        self.copy = copy_to.map(|holder| MemoryCopy {
+            upstream: holder.record.id.clone(),
+            address: holder.record.address,
+            name: self.call.request(),
+        });
+        let copy = self.copy.as_ref();
+        self.state.runs.begin(RunTrace {
+            fingerprint: self.call.fingerprint,
+            request: self.call.request(),
+            engine: upstream.record.id.clone(),
+            copy: copy.map(|copy| (copy.upstream.clone(), copy.address)),
+        });
+    }
+
+    fn log_placed(
+        &self,
+        upstream: &Upstream,
+        copy_to: Option<&Upstream>,
+        from_copy: bool,
+        to_read: u64,
+    ) {
+        let work = upstream.own_work();
+        log::info!(
+            "stream: placed request={} upstream={} hall={} try={} from_copy={from_copy} \
+             copy_to={} after={:?} own_running={} to_read={to_read} configuration={} age_ms={}",
+            self.call.id(),
+            upstream.record.id,
+            upstream.record.hall,
+            self.sends,
+            copy_to.map_or("-", |holder| holder.record.id.as_str()),
+            self.progress.last(),
+            work.running,
+            self.state.view.version(),
+            self.call.age_ms()
+        );
+    }
+
+    /// Sends the order and waits for the head of the answer.
+    async fn order(
+        &mut self,
+        upstream: &Arc<Upstream>,
+        try_here: &Try,
+    ) -> Result<Answer, PlaceEnd> {
+        let urgency = if self.progress.passed() > 0 {
+            Urgency::Resume
+        } else {
+            Urgency::New(self.call.priority)
+        };
+        let order = Order {
+            upstream: &upstream.record.id,
+            customer: self.call.customer.as_ref(),
+            deadline: self.call.left(Instant::now()),
+            last_event: self.progress.last(),
+            urgency: Some(urgency),
+            copy_to: try_here
+                .copy_to
+                .as_ref()
+                .map(|holder| holder.record.address),
+            go_on_from: try_here.go_on_from.as_ref(),
+        };
+        let request = self.call.request_for(&self.state, upstream, &order);
+        let id = self.call.id();
+        self.runs += 1;
+        let sending = connect::send(&self.state, upstream, request, id);
+        let waited = wait_while_alive(&self.state, upstream, try_here.patience, sending).await;
+        match waited {
+            Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(failure)) => Err(self.send_failed(upstream, failure)),
+            Err(silence) => Err(self.note_try(upstream, silence.name(), PlaceEnd::Unknown)),
+        }
+    }
+
+    fn send_failed(&mut self, upstream: &Arc<Upstream>, failure: SendFailure) -> PlaceEnd {
+        if failure == SendFailure::Unreachable {
+            self.state.suspect(upstream, "unreachable");
+        }
+        if failure.may_have_run() {
+            return self.note_try(upstream, failure.name(), PlaceEnd::Unknown);
+        }
+        self.runs -= 1;
+        self.note_try(upstream, failure.name(), PlaceEnd::TryNext)
+    }
+
+    fn note_try(&mut self, upstream: &Upstream, cause: &'static str, end: PlaceEnd) -> PlaceEnd {
+        self.avoid.push(upstream.record.id.clone());
+        self.state.metrics.losses.with_label_values(&[cause]).inc();
+        log::warn!(
+            "stream: try ended request={} upstream={} try={} cause={cause} age_ms={}",
+            self.call.id(),
+            upstream.record.id,
+            self.sends,
+            self.call.age_ms()
+        );
+        end
+    }
+
+    /// The head, where it is one of a stream; none where the answer is to be read whole.
+    fn check_head(
+        &mut self,
+        upstream: &Arc<Upstream>,
+        answer: &Answer,
+        from_copy: bool,
+    ) -> Result<Option<response::Parts>, PlaceEnd> {
+        let status = answer.head.status;
+        if answer.facts.not_run {
+            self.runs -= 1;
+            let cause = if status == StatusCode::MISDIRECTED_REQUEST {
+                // Another incarnation has the address: this one is gone.
+                self.state.note_replaced(upstream);
+                "another-incarnation"
+            } else if from_copy {
+                "copy-refused"
+            } else {
+                "turned-away"
+            };
+            return Err(self.note_try(upstream, cause, PlaceEnd::TryNext));
+        }
+        let is_encoded = answer
+            .head
+            .headers
+            .contains_key(http::header::CONTENT_ENCODING);
+        if !answer.facts.signed || is_encoded {
+            return Err(self.note_try(upstream, "unsigned", PlaceEnd::Unknown));
+        }
+        if status.is_success() {
+            return Ok(Some(answer.head.clone()));
+        }
+        if status.is_server_error() && self.call.route.may_repeat() {
+            return Err(self.note_try(upstream, "server-error", PlaceEnd::TryNext));
+        }
+        Ok(None)
+    }
+
+    /// An answer that is no stream, whole.
+    async fn whole(&self, answer: Answer) -> PlaceEnd {
+        let mut head = answer.head;
+        match read_limited(answer.body, ANSWER_BOUND_BYTES).await {
+            Ok(body) => {
+                strip_connection_headers(&mut head.headers);
+                head.extensions.clear();
+                PlaceEnd::Whole(Box::new(Response::from_parts(head, full(body))))
+            }
+            Err(_) => PlaceEnd::Unknown,
+        }
+    }
+
+    /// The engine that is to hold a copy of the run's memory.
+    pub fn choose_copy(&self, runs_at: &UpstreamRecord) -> Option<Arc<Upstream>> {
+        let engines = self.engines();
+        if !engines.copies || !self.call.route.may_repeat() {
+            return None;
+        }
+        let need = Need::Copy {
+            away_from: &runs_at.hall,
+            memory_tokens: self.memory_tokens(),
+            engine_memory_tokens: engines.memory_tokens,
+        };
+        let mut avoid = self.avoid.clone();
+        avoid.push(runs_at.id.clone());
+        self.state.choose_upstream(&self.call.service, need, &avoid)
+    }
+}
--- a/crates/gateway/src/forward/recopy.rs
+++ b/crates/gateway/src/forward/stream/recopy.rs
@@ -4,8 +4,7 @@
 //! as the run lasts; it then copies only what is new.
 
 use {
-    super::connect::exchange,
-    crate::{edge::MemoryCopy, state::GatewayState, view::Upstream},
+    crate::{edge::MemoryCopy, forward::connect::exchange, state::GatewayState, view::Upstream},
     std::{
         sync::Arc,
         time::{Duration, Instant},
--- /dev/null
+++ b/crates/gateway/src/forward/stream/relay.rs
@@ -0,0 +1,231 @@
+//! Carries the events of a stream to its caller, each once, over as many engines as it
+//! takes.
+
+use {
+    super::{StreamRun, attempt::Step, place::Opened, recopy::Recopy},
+    crate::{events::Event, stop::InFlight},
+    bytes::Bytes,
+    http_body_util::{BodyExt, StreamBody},
+    hyper::body::Frame,
+    std::time::Instant,
+    tealshore_core::http::{Body, BodyError},
+    tokio::{sync::mpsc, time::timeout_at},
+    tokio_stream::wrappers::ReceiverStream,
+};
+
+/// Events that wait for a slow caller.
+const WAITING_EVENTS: usize = 8;
+
+type EventSender = mpsc::Sender<Result<Frame<Bytes>, BodyError>>;
+
+/// How a caller's answer ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RelayEnd {
+    Complete,
+    CallerGone,
+    /// It broke off, for this cause.
+    BrokenOff(&'static str),
+}
+
+impl RelayEnd {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Complete => "complete",
+            Self::CallerGone => "caller-gone",
+            Self::BrokenOff(cause) => cause,
+        }
+    }
+}
+
+impl StreamRun {
+    /// The body of the answer; a task of its own fills it until the caller goes.
+    pub fn into_body(mut self) -> Body {
+        let (sender, receiver) = mpsc::channel(WAITING_EVENTS);
+        let in_flight = InFlight::begin(&self.state);
+        tokio::spawn(async move {
+            let ends = self.call.ends.into();
+            let end = tokio::select! {
+                biased;
+                () = sender.closed() => RelayEnd::CallerGone,
+                end = timeout_at(ends, self.carry(&sender)) => {
+                    end.unwrap_or(RelayEnd::BrokenOff("deadline-reached"))
+                }
+            };
+            self.finish(end, &sender).await;
+            drop(in_flight);
+        });
+        StreamBody::new(ReceiverStream::new(receiver)).boxed_unsync()
+    }
+
+    /// Carries events until the stream is complete, or can't go on.
+    async fn carry(&mut self, sender: &EventSender) -> RelayEnd {
+        loop {
+            match self.next_step().await {
+                Step::Event(event) => {
+                    self.note_resumed();
+                    if sender.send(Ok(Frame::data(event.bytes))).await.is_err() {
+                        return RelayEnd::CallerGone;
+                    }
+                    self.tend_copy();
+                }
+                Step::End => return RelayEnd::Complete,
+                Step::Lost(cause) => {
+                    self.lose(cause);
+                    if let Some(cause) = self.go_on().await {
+                        return RelayEnd::BrokenOff(cause);
+                    }
+                }
+            }
+        }
+    }
+
+    /// The next event that is due, or how the attempt ends.
+    async fn next_step(&mut self) -> Step {
+        let Some(attempt) = self.attempt.as_mut() else {
+            return Step::Lost("no-attempt");
+        };
+        let step = attempt.next_step(&self.state).await;
+        let Step::Event(event) = step else {
+            return step;
+        };
+        self.note_first_event(&event);
+        match self.progress.accept(&event) {
+            Ok(()) => Step::Event(event),
+            Err(fault) => Step::Lost(fault.name()),
+        }
+    }
+
+    fn note_first_event(&mut self, event: &Event) {
+        let Some(attempt) = self.attempt.as_mut().filter(|attempt| !attempt.has_sent) else {
+            return;
+        };
+        attempt.has_sent = true;
+        attempt.reservation.prompt_read();
+        let waited = self.call.received.elapsed();
+        let kind = if self.sends > 1 {
+            "resumed-stream"
+        } else {
+            "stream"
+        };
+        self.state.metrics.note_first_byte(kind, waited);
+        log::info!(
+            "stream: first event request={} upstream={} id={:?} age_ms={}",
+            self.call.id(),
+            attempt.upstream.record.id,
+            event.id,
+            waited.as_millis()
+        );
+    }
+
+    fn note_resumed(&mut self) {
+        if let Some(lost) = self.lost_at.take() {
+            let waited = lost.elapsed().as_secs_f64();
+            self.state.metrics.resume_seconds.observe(waited);
+        }
+    }
+
+    /// Places the stream at another engine; why it ends, where that can't be done.
+    async fn go_on(&mut self) -> Option<&'static str> {
+        if !self.call.route.may_repeat() {
+            return Some("upstream-lost");
+        }
+        if self.progress.passed() > 0 && self.progress.last().is_none() {
+            return Some("no-position");
+        }
+        match self.place().await {
+            Ok(Opened::Stream(_)) => None,
+            Ok(Opened::Whole(_)) => Some("resume-refused"),
+            Err(failure) => Some(failure.kind.name()),
+        }
+    }
+
+    /// Ends the current attempt and notes why.
+    fn lose(&mut self, cause: &'static str) {
+        let Some(attempt) = self.attempt.take() else {
+            return;
+        };
+        attempt.upstream.note_outcome(true);
+        if let Some(copy) = self.recopy.take_made() {
+            self.copy = Some(copy);
+        }
+        self.recopy = Recopy::default();
+        self.lost_at = Some(Instant::now());
+        self.avoid.push(attempt.upstream.record.id.clone());
+        self.state.metrics.losses.with_label_values(&[cause]).inc();
+        log::warn!(
+            "stream: lost request={} upstream={} cause={cause} last={:?} copy={} run={} age_ms={}",
+            self.call.id(),
+            attempt.upstream.record.id,
+            self.progress.last(),
+            self.copy
+                .as_ref()
+                .map_or("-", |copy| copy.upstream.as_str()),
+            self.runs,
+            self.call.age_ms()
+        );
+    }
+
+    /// Sees to it that a copy of the run's memory lies at an engine that lives.
+    fn tend_copy(&mut self) {
+        let Some(attempt) = &self.attempt else {
+            return;
+        };
+        if !self.engines().copies || !self.call.route.may_repeat() {
+            return;
+        }
+        if let Some(copy) = self.recopy.take_made() {
+            self.copy = Some(copy);
+        }
+        let now = Instant::now();
+        let holder = self.copy.as_ref().map(|copy| &copy.upstream);
+        let is_held = holder
+            .and_then(|holder| self.state.view.upstreams.get(holder))
+            .is_some_and(|holder| !holder.is_suspected(now));
+        if !self.recopy.is_due(is_held, now) {
+            return;
+        }
+        let runs_at = attempt.upstream.clone();
+        if let Some(target) = self.choose_copy(&runs_at.record) {
+            let run = self.call.request();
+            self.recopy.begin(&self.state, runs_at, run, target, now);
+        }
+    }
+
+    async fn finish(&mut self, end: RelayEnd, sender: &EventSender) {
+        if let RelayEnd::BrokenOff(cause) = end {
+            // An answer that ends early must look cut.
+            let _ = sender.send(Err(cause.into())).await;
+        }
+        let is_whole = end == RelayEnd::Complete;
+        let request = self.call.request();
+        self.state
+            .runs
+            .end(self.call.fingerprint, &request, is_whole, Instant::now());
+        // Dropping the attempt ends the run at the engine.
+        let attempt = self.attempt.take();
+        let upstream = attempt.map(|attempt| attempt.upstream.record.id.clone());
+        let outcome = end.name();
+        self.state
+            .metrics
+            .outcomes
+            .with_label_values(&[outcome])
+            .inc();
+        let level = if is_whole {
+            log::Level::Info
+        } else {
+            log::Level::Warn
+        };
+        log::log!(
+            level,
+            "stream: end request={} outcome={outcome} upstream={} runs={} events={} last={:?} \
+             age_ms={} configuration={}",
+            self.call.id(),
+            upstream.as_deref().unwrap_or("-"),
+            self.runs,
+            self.progress.passed(),
+            self.progress.last(),
+            self.call.age_ms(),
+            self.call.configuration.version
+        );
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod metrics;
 pub mod options;
 pub mod peers;
+pub mod read_rate;
 mod run;
 pub mod runs;
 mod serve;
--- /dev/null
+++ b/crates/gateway/src/read_rate.rs
@@ -0,0 +1,59 @@
+//! How fast the engines of a service read prompts, learned from the streams that began.
+
+use std::time::Duration;
+
+/// The rate that is assumed before any stream began: slower than engines are, so that none
+/// is given up too early.
+const FIRST_TOKENS_PER_MS: f64 = 4.0;
+/// What one stream weighs in the average.
+const WEIGHT: f64 = 0.1;
+/// Waits shorter than this tell nothing: the prompt was kept.
+const SHORTEST_WAIT: Duration = Duration::from_millis(100);
+/// A stream may take this many times as long as its tokens would at the average rate.
+const PATIENCE_FACTOR: f64 = 1.6;
+/// It may take this much longer besides.
+const PATIENCE_BASE: Duration = Duration::from_millis(1_300);
+
+/// An average of prompt tokens that an engine reads in a millisecond, those included that
+/// wait before a stream's own.
+#[derive(Clone, Copy, Debug)]
+pub struct ReadRate {
+    tokens_per_ms: f64,
+}
+
+impl Default for ReadRate {
+    fn default() -> Self {
+        Self {
+            tokens_per_ms: FIRST_TOKENS_PER_MS,
+        }
+    }
+}
+
+impl ReadRate {
+    /// Notes that a stream began after `wait` at an engine that had `tokens` to read for it
+    /// and for those before it.
+    pub fn observe(&mut self, tokens: u64, wait: Duration) {
+        if wait < SHORTEST_WAIT || tokens == 0 {
+            return;
+        }
+        let rate = to_f64(tokens) / (wait.as_secs_f64() * 1_000.0);
+        self.tokens_per_ms += (rate - self.tokens_per_ms) * WEIGHT;
+    }
+
+    /// How long a stream may wait for its first event before it counts as lost.
+    #[must_use]
+    pub fn patience(&self, tokens: u64) -> Duration {
+        let expected_ms = to_f64(tokens) / self.tokens_per_ms.max(f64::MIN_POSITIVE);
+        let expected = Duration::try_from_secs_f64(expected_ms / 1_000.0);
+        let expected = expected.unwrap_or(Duration::MAX / 4);
+        PATIENCE_BASE + expected.mul_f64(PATIENCE_FACTOR)
+    }
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "token counts are far below 2^52"
+)]
+fn to_f64(count: u64) -> f64 {
+    count as f64
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -8,9 +8,10 @@
         metrics::GatewayMetrics,
         options::GatewayOptions,
         peers::{HostPhase, Peers},
+        read_rate::ReadRate,
         runs::{Fingerprint, Runs},
         stop::Stop,
-        view::{Upstream, View},
+        view::{Upstream, View, Work},
     },
     parking_lot::Mutex,
     rand::RngExt,
@@ -46,6 +47,7 @@
     /// Room for request bodies, in bytes.
     pub body_room: Arc<Semaphore>,
     budgets: Mutex<HashMap<ServiceId, RetryBudget>>,
+    read_rates: Mutex<HashMap<ServiceId, ReadRate>>,
 }
 
 impl GatewayState {
@@ -62,6 +64,7 @@
             stop: Stop::default(),
             body_room: Arc::new(Semaphore::new(options.host.body_bytes)),
             budgets: Mutex::default(),
+            read_rates: Mutex::default(),
             protocol,
             options,
         })
@@ -91,6 +94,19 @@
             .note_request(Instant::now());
     }
 
+    /// How fast the engines of a service read prompts.
+    pub fn read_rate(&self, service: &ServiceId) -> ReadRate {
+        let rates = self.read_rates.lock();
+        rates.get(service).copied().unwrap_or_default()
+    }
+
+    /// Notes how long a stream waited for its first event.
+    pub fn note_read(&self, service: &ServiceId, tokens: u64, wait: Duration) {
+        let mut rates = self.read_rates.lock();
+        let rate = rates.entry(service.clone()).or_default();
+        rate.observe(tokens, wait);
+    }
+
     /// Takes one repeat from the budget of a service.
     pub fn take_retry(&self, service: &ServiceId) -> bool {
         let now = Instant::now();
@@ -110,6 +126,19 @@
             .or_insert_with(|| RetryBudget::new(bounds))
     }
 
+    /// What all hosts have at an upstream.
+    pub fn work_at(&self, upstream: &Upstream) -> Work {
+        let elsewhere = self.peers.work(Instant::now());
+        let mut work = upstream.own_work();
+        work.add(
+            elsewhere
+                .get(&upstream.record.id)
+                .copied()
+                .unwrap_or_default(),
+        );
+        work
+    }
+
     /// Chooses an upstream of a service.
     pub fn choose_upstream(
         &self,
