--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -29,8 +29,15 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 /// The longest pause after a failed call.
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
-/// After news, more of it is let gather for this long, so that it comes by one call.
-const COALESCE: Duration = Duration::from_millis(300);
+/// After news, more of it is let gather for at least this long, so that it comes by one call.
+const SHORTEST_GATHERING: Duration = Duration::from_millis(300);
+/// The longest such time: well within the bound after which a leaving upstream gets no new
+/// work, and configurations are in force.
+const LONGEST_GATHERING: Duration = Duration::from_millis(1_000);
+/// The time by which each host makes it longer.
+const GATHERING_PER_HOST: Duration = Duration::from_millis(3);
+/// How often one page is asked for while the store refuses calls.
+const PAGE_TRIES: u32 = 6;
 /// How often a host writes where its streams run, while there is news.
 const RUNS_INTERVAL: Duration = Duration::from_secs(3);
 /// The largest answer of the store, in bytes.
@@ -166,12 +173,7 @@
         let mut present: Vec<EngineId> = Vec::new();
         let mut first: Option<(Revision, Instant)> = None;
         loop {
-            let request = self
-                .state
-                .protocol
-                .list_call(self.set, after_key.as_deref());
-            let bound = self.state.options.store.timeout;
-            let (page, written) = self.page(request, bound).await?;
+            let (page, written) = self.list(after_key.as_deref()).await?;
             let (revision, written) = *first.get_or_insert((page.revision, written));
             present.extend(page.changes.iter().filter_map(upstream_of));
             self.take_in(page.changes);
@@ -183,6 +185,23 @@
         }
     }
 
+    /// Reads one page of the set. While the store refuses calls because there are too many,
+    /// the same page is asked for again: to begin anew would only make more of them.
+    async fn list(&mut self, after_key: Option<&str>) -> Result<(Page, Instant), CallFailure> {
+        let bound = self.state.options.store.timeout;
+        for _ in 0..PAGE_TRIES {
+            let request = self.state.protocol.list_call(self.set, after_key);
+            match self.page(request, bound).await {
+                Err(failure @ CallFailure::Refused(StoreRefusal::Busy(_))) => {
+                    self.pause_after(&failure).await;
+                }
+                other => return other,
+            }
+        }
+        let request = self.state.protocol.list_call(self.set, after_key);
+        self.page(request, bound).await
+    }
+
     fn finish_whole(&mut self, revision: Revision, written: Instant, present: &[EngineId]) {
         match self.set {
             RowSet::Configuration => self.confirm(written),
@@ -213,7 +232,7 @@
                     self.take_in(page.changes);
                     self.confirm(written);
                     if is_news {
-                        sleep(COALESCE).await;
+                        sleep(self.gathering_time()).await;
                     }
                 }
                 Err(failure) => return failure,
@@ -221,6 +240,14 @@
         }
     }
 
+    /// How long more news is let gather. All hosts hear of each change of an upstream, so the
+    /// more hosts there are, the more news each call must bring.
+    fn gathering_time(&self) -> Duration {
+        let hosts = u32::try_from(self.state.peers.known_hosts()).unwrap_or(u32::MAX);
+        let by_hosts = GATHERING_PER_HOST.saturating_mul(hosts);
+        by_hosts.clamp(SHORTEST_GATHERING, LONGEST_GATHERING)
+    }
+
     fn confirm(&self, written: Instant) {
         if self.set == RowSet::Configuration && self.state.view.version() > 0 {
             self.state.view.confirm(written);
--- /dev/null
+++ b/crates/gateway/tests/balance.rs
@@ -0,0 +1,112 @@
+//! The choice of an upstream.
+
+use tealshore_gateway::{
+    balance::{Candidate, Need, choose},
+    view::Work,
+};
+
+fn candidate(id: &str, hall: &str) -> Candidate {
+    Candidate {
+        id: id.into(),
+        hall: hall.into(),
+        work: Work::default(),
+        slots: 6,
+        failure_score: 0.0,
+        suspected: false,
+        draw: 0.5,
+    }
+}
+
+const PROMPT: Need<'_> = Need::Prompt {
+    fingerprint: 1,
+    memory_tokens: 10_000,
+    engine_memory_tokens: 88_000,
+};
+
+fn chosen(candidates: &[Candidate], need: Need<'_>, avoid: &[String]) -> Option<String> {
+    choose(candidates, need, &"a".to_owned(), avoid).map(|candidate| candidate.id.clone())
+}
+
+#[test]
+fn a_prompt_goes_where_least_is_to_be_read() {
+    let mut busy = candidate("busy", "a");
+    busy.work.unread_tokens = 8_000;
+    busy.work.running = 1;
+    let far = candidate("far", "b");
+    assert_eq!(chosen(&[busy, far], PROMPT, &[]).unwrap(), "far");
+}
+
+#[test]
+fn equal_engines_are_taken_in_the_own_hall() {
+    let near = candidate("near", "a");
+    let far = candidate("far", "b");
+    assert_eq!(chosen(&[far, near], PROMPT, &[]).unwrap(), "near");
+}
+
+#[test]
+fn an_engine_whose_memory_is_full_gets_no_prompt() {
+    let mut full = candidate("full", "a");
+    full.work.memory_tokens = 75_000;
+    full.work.running = 7;
+    assert_eq!(chosen(std::slice::from_ref(&full), PROMPT, &[]), None);
+    full.work.memory_tokens = 60_000;
+    assert_eq!(chosen(&[full], PROMPT, &[]).unwrap(), "full");
+}
+
+#[test]
+fn an_idle_engine_takes_a_prompt_larger_than_its_part() {
+    let huge = Need::Prompt {
+        fingerprint: 1,
+        memory_tokens: 86_000,
+        engine_memory_tokens: 88_000,
+    };
+    assert_eq!(
+        chosen(&[candidate("idle", "a")], huge, &[]).unwrap(),
+        "idle"
+    );
+}
+
+#[test]
+fn suspected_upstreams_come_last_and_avoided_ones_never() {
+    let mut suspected = candidate("suspected", "a");
+    suspected.suspected = true;
+    let mut busy = candidate("busy", "b");
+    busy.work.running = 6;
+    let both = [suspected, busy];
+    assert_eq!(chosen(&both, Need::Call, &[]).unwrap(), "busy");
+    assert_eq!(
+        chosen(&both, Need::Call, &["busy".to_owned()]).unwrap(),
+        "suspected"
+    );
+    let all = ["busy".to_owned(), "suspected".to_owned()];
+    assert_eq!(chosen(&both, Need::Call, &all), None);
+}
+
+#[test]
+fn a_call_avoids_an_upstream_that_fails_often() {
+    let mut failing = candidate("failing", "a");
+    failing.failure_score = 0.4;
+    let mut sound = candidate("sound", "b");
+    sound.work.running = 3;
+    assert_eq!(chosen(&[failing, sound], Need::Call, &[]).unwrap(), "sound");
+}
+
+#[test]
+fn a_copy_lies_in_another_hall_than_its_run() {
+    let hall = "a".to_owned();
+    let need = Need::Copy {
+        away_from: &hall,
+        memory_tokens: 9_000,
+        engine_memory_tokens: 88_000,
+    };
+    let mut away = candidate("away", "b");
+    away.work.memory_tokens = 50_000;
+    assert_eq!(
+        chosen(&[candidate("beside", "a"), away], need, &[]).unwrap(),
+        "away"
+    );
+    assert_eq!(
+        chosen(&[candidate("beside", "a")], need, &[]).unwrap(),
+        "beside"
+    );
+}
--- /dev/null
+++ b/crates/gateway/tests/events.rs
@@ -0,0 +1,99 @@
+//! Events pass whole, once and in order.
+
+use {
+    bytes::Bytes,
+    proptest::prelude::*,
+    tealshore_gateway::events::{Event, EventSplitter, Progress, StreamFault},
+};
+
+fn event(id: u64) -> String {
+    format!("id: {id}\ndata: piece {id}\n\n")
+}
+
+fn split(splitter: &mut EventSplitter) -> Vec<Event> {
+    std::iter::from_fn(|| splitter.next_event().unwrap()).collect()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::with_cases(100) })]
+
+    /// However the bytes are cut, the caller gets a prefix of the stream in whole events; over
+    /// any number of engines that die anywhere, each event once.
+    #[test]
+    fn a_caller_gets_each_event_once_over_engines_that_die_anywhere(
+        length in 1_u64..30,
+        deaths in prop::collection::vec((0_usize..600, 1_usize..40), 0..6),
+    ) {
+        let mut progress = Progress::after(None);
+        let mut got = String::new();
+        let lives = deaths.into_iter().map(Some).chain([None]);
+        for life in lives {
+            let from = progress.last().map_or(1, |last| last + 1);
+            let stream: String = (from..=length).map(event).collect();
+            let (end, chunk) = life.unwrap_or((stream.len(), 7));
+            let mut splitter = EventSplitter::default();
+            for piece in stream.as_bytes()[..end.min(stream.len())].chunks(chunk) {
+                splitter.push(piece);
+                for event in split(&mut splitter) {
+                    prop_assert!(progress.accept(&event).is_ok());
+                    got.push_str(std::str::from_utf8(&event.bytes).unwrap());
+                }
+            }
+        }
+        let whole: String = (1..=length).map(event).collect();
+        prop_assert_eq!(got, whole);
+    }
+}
+
+fn numbered(id: Option<u64>) -> Event {
+    Event {
+        id,
+        bytes: Bytes::new(),
+    }
+}
+
+#[test]
+fn an_event_that_is_not_due_is_refused() {
+    let mut progress = Progress::after(Some(4));
+    assert_eq!(
+        progress.accept(&numbered(Some(4))),
+        Err(StreamFault::WrongPosition)
+    );
+    assert_eq!(
+        progress.accept(&numbered(Some(6))),
+        Err(StreamFault::WrongPosition)
+    );
+    assert_eq!(
+        progress.accept(&numbered(None)),
+        Err(StreamFault::WrongPosition)
+    );
+    assert_eq!(progress.accept(&numbered(Some(5))), Ok(()));
+    assert_eq!(progress.last(), Some(5));
+    assert_eq!(progress.passed(), 1);
+}
+
+#[test]
+fn a_stream_without_positions_passes_and_has_none() {
+    let mut progress = Progress::after(None);
+    assert_eq!(progress.accept(&numbered(None)), Ok(()));
+    assert_eq!(progress.accept(&numbered(None)), Ok(()));
+    assert_eq!(progress.last(), None);
+    assert_eq!(progress.passed(), 2);
+}
+
+#[test]
+fn lines_may_end_in_carriage_returns() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(b"id: 9\r\ndata: x\r\n\r\nid: 10");
+    let events = split(&mut splitter);
+    assert_eq!(events.len(), 1);
+    assert_eq!(events[0].id, Some(9));
+    assert!(splitter.is_within_event());
+}
+
+#[test]
+fn an_event_without_end_is_a_fault() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(&vec![b'x'; 300 * 1024]);
+    assert_eq!(splitter.next_event(), Err(StreamFault::TooLarge));
+}
--- /dev/null
+++ b/crates/gateway/tests/runs.rs
@@ -0,0 +1,102 @@
+//! Where a caller that comes back finds its run.
+
+use {
+    std::time::{Duration, Instant},
+    tealshore_gateway::{
+        edge::RunPlace,
+        read_rate::ReadRate,
+        runs::{RunTrace, Runs},
+    },
+};
+
+fn trace(fingerprint: u64, request: &str, engine: &str) -> RunTrace {
+    RunTrace {
+        fingerprint,
+        request: request.to_owned(),
+        engine: engine.to_owned(),
+        copy: Some(("holder".to_owned(), "127.0.0.1:9".parse().unwrap())),
+    }
+}
+
+#[test]
+fn a_run_that_broke_off_is_found_and_one_that_ended_well_is_not() {
+    let runs = Runs::default();
+    let now = Instant::now();
+    runs.begin(trace(1, "r1", "e1"));
+    runs.begin(trace(2, "r2", "e2"));
+    runs.end(1, &"r1".to_owned(), false, now);
+    runs.end(2, &"r2".to_owned(), true, now);
+    assert_eq!(runs.find(1, now).unwrap().engine, "e1");
+    assert_eq!(runs.find(2, now), None);
+    assert_eq!(runs.find(3, now), None);
+}
+
+#[test]
+fn a_copy_is_forgotten_before_the_engine_that_read_the_prompt() {
+    let runs = Runs::default();
+    let now = Instant::now();
+    runs.begin(trace(1, "r1", "e1"));
+    runs.end(1, &"r1".to_owned(), false, now);
+    let soon = runs.find(1, now + Duration::from_secs(2)).unwrap();
+    let copy = soon.memory_copy().unwrap();
+    assert_eq!(
+        (copy.upstream.as_str(), copy.name.as_str()),
+        ("holder", "r1")
+    );
+    let late = runs.find(1, now + Duration::from_secs(18)).unwrap();
+    assert_eq!((late.engine.as_str(), late.memory_copy()), ("e1", None));
+    assert_eq!(runs.find(1, now + Duration::from_secs(60)), None);
+}
+
+#[test]
+fn the_end_of_an_earlier_attempt_does_not_touch_a_later_one() {
+    let runs = Runs::default();
+    let now = Instant::now();
+    runs.begin(trace(1, "first", "e1"));
+    runs.begin(trace(1, "second", "e2"));
+    runs.end(1, &"first".to_owned(), true, now);
+    assert_eq!(runs.find(1, now).unwrap().request, "second");
+}
+
+#[test]
+fn the_word_of_a_peer_does_not_replace_a_run_of_this_host() {
+    let runs = Runs::default();
+    let now = Instant::now();
+    runs.begin(trace(1, "here", "e1"));
+    runs.hear(trace(1, "there", "e2"), now);
+    assert_eq!(runs.find(1, now).unwrap().request, "here");
+    runs.hear(trace(2, "there", "e2"), now);
+    assert_eq!(runs.find(2, now).unwrap().request, "there");
+    assert_eq!(runs.own(now).len(), 1);
+}
+
+#[test]
+fn what_the_store_kept_names_the_engine_and_no_copy() {
+    let runs = Runs::default();
+    let now = Instant::now();
+    let place = |fingerprint, engine: &str| RunPlace {
+        fingerprint,
+        engine: engine.to_owned(),
+    };
+    runs.restore(place(1, "e1"), now);
+    let found = runs.find(1, now).unwrap();
+    assert_eq!((found.engine.as_str(), found.memory_copy()), ("e1", None));
+    runs.hear(trace(2, "r", "e2"), now);
+    runs.restore(place(2, "older"), now);
+    assert_eq!(runs.find(2, now).unwrap().engine, "e2");
+}
+
+#[test]
+fn patience_follows_the_rate_at_which_engines_read() {
+    let mut rate = ReadRate::default();
+    let before = rate.patience(8_000);
+    for _ in 0..100 {
+        rate.observe(8_000, Duration::from_secs(1));
+    }
+    let after = rate.patience(8_000);
+    assert!(after < before);
+    assert!(after > Duration::from_millis(2_500) && after < Duration::from_millis(3_200));
+    // A prompt that was kept tells nothing of reading.
+    rate.observe(8_000, Duration::from_millis(5));
+    assert_eq!(rate.patience(8_000), after);
+}
