Take room for bodies as they arrive, and give up those that never end

Cause 1: a body in chunks tells no length, so each took the room of the largest allowed for as long as its request lasted: at 110 MB six such streams filled it, and the next were refused. Cause 2: a body that never ended held its request for ever. Cause 3: a host cut off from the others forgot them and took the whole slack of the retry budget. Cause 4: a stream that may not be repeated passed an engine's own 503 on, which promises that it has not run.

Ruled out for 1: a larger part of the memory: 4 MB a request stays too much.

--- a/crates/gateway/src/forward/plain.rs
+++ b/crates/gateway/src/forward/plain.rs
@@ -3,7 +3,7 @@
 
 use {
     super::{
-        call::{Call, strip_connection_headers},
+        call::{Call, promises_not_run, strip_connection_headers},
         connect::{self, Answer},
         reservation::Reservation,
     },
@@ -15,7 +15,7 @@
     },
     bytes::Bytes,
     futures::{StreamExt, future::BoxFuture, stream::FuturesUnordered},
-    http::{Response, StatusCode, response},
+    http::{Response, response},
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -295,17 +295,6 @@
     }
 }
 
-/// Whether a status tells a caller that its request has not run.
-fn promises_not_run(status: StatusCode) -> bool {
-    matches!(
-        status,
-        StatusCode::TOO_MANY_REQUESTS
-            | StatusCode::SERVICE_UNAVAILABLE
-            | StatusCode::REQUEST_TIMEOUT
-            | StatusCode::MISDIRECTED_REQUEST
-    )
-}
-
 fn passed_on(mut head: response::Parts, body: Bytes) -> Response<Body> {
     strip_connection_headers(&mut head.headers);
     head.extensions.clear();
--- a/crates/gateway/src/forward/stream/place.rs
+++ b/crates/gateway/src/forward/stream/place.rs
@@ -8,7 +8,7 @@
         edge::{MemoryCopy, Order, Urgency},
         events::EventSplitter,
         forward::{
-            call::strip_connection_headers,
+            call::{promises_not_run, strip_connection_headers},
             connect::{self, Answer, SendFailure},
             probe::{Patience, wait_while_alive},
             reservation::Reservation,
@@ -340,6 +340,9 @@
         if !answer.facts.signed || is_encoded {
             return Err(self.note_try(upstream, "unsigned", PlaceEnd::Unknown));
         }
+        if promises_not_run(status) && !self.call.route.may_repeat() {
+            return Err(self.note_try(upstream, "unconfirmed-refusal", PlaceEnd::Unknown));
+        }
         if status.is_success() {
             return Ok(Some(answer.head.clone()));
         }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -20,7 +20,7 @@
         net::{IpAddr, SocketAddr},
         sync::{
             Arc,
-            atomic::{AtomicU64, Ordering},
+            atomic::{AtomicU64, AtomicUsize, Ordering},
         },
         time::{Duration, Instant},
     },
@@ -96,6 +96,7 @@
     /// Hosts that were named and not heard yet, with the time until they are tried.
     named: Mutex<HashMap<SocketAddr, Instant>>,
     news: Notify,
+    most_hosts: AtomicUsize,
 }
 
 impl Peers {
@@ -110,6 +111,7 @@
             known: Mutex::default(),
             named: Mutex::default(),
             news: Notify::new(),
+            most_hosts: AtomicUsize::new(1),
         };
         for seed in &options.seeds {
             peers.name(peers.address_at(*seed));
@@ -136,10 +138,12 @@
         self.news.notify_one();
     }
 
-    /// How many hosts there are, this one included, as far as is known.
-    pub fn known_hosts(&self) -> usize {
+    /// The most hosts that there ever were at once, this one included, as far as is known. A
+    /// host that is cut off from the others must not take their parts for its own.
+    pub fn most_hosts(&self) -> usize {
         let unheard = self.named.lock().len();
-        self.known.lock().len() + unheard + 1
+        let now = self.known.lock().len() + unheard + 1;
+        self.most_hosts.fetch_max(now, Ordering::Relaxed).max(now)
     }
 
     /// What the other hosts have at each upstream.
--- a/crates/gateway/src/serve/ingress.rs
+++ b/crates/gateway/src/serve/ingress.rs
@@ -9,19 +9,20 @@
         stop::InFlight,
         view::{Configuration, Customer, Route, RouteKind},
     },
-    bytes::Bytes,
+    bytes::{Bytes, BytesMut},
     http::{Request, Response, header, request},
-    hyper::body::{Body as _, Incoming},
+    http_body_util::BodyExt,
+    hyper::body::Incoming,
     std::{
         sync::Arc,
         time::{Duration, Instant},
     },
     tealshore_core::{
         answer::{ErrorKind, Failure},
-        http::{Body, ReadError, read_draining},
+        http::Body,
         ids::ServiceId,
     },
-    tokio::sync::OwnedSemaphorePermit,
+    tokio::{sync::OwnedSemaphorePermit, time::timeout_at},
 };
 
 /// Of a body that is too large, this much more is taken in before the answer.
@@ -72,7 +73,11 @@
         return Err(Failure::new(ErrorKind::BadRequest, detail));
     }
     state.note_request(&admitted.service);
-    let (body, _room) = take_body(state, &admitted.configuration, body).await?;
+    let ends = received + hold_of(&facts, &admitted.route);
+    let taken = timeout_at(ends.into(), take_body(state, &admitted.configuration, body));
+    let (body, _room) = taken
+        .await
+        .map_err(|_| Failure::new(ErrorKind::RequestTooSlow, "the body took too long"))??;
     let call = Arc::new(prepare(received, head, facts, body, admitted));
     log::debug!(
         "call: admitted request={} route={} configuration={} customer={}",
@@ -155,29 +160,51 @@
     Ok(known.cloned())
 }
 
-/// Takes in the whole body, within the room that this host has for bodies.
+/// Takes in the whole body, within the room that this host has for bodies. Room is taken as
+/// the body arrives: its sender may not tell its length, and may be slow.
 async fn take_body(
     state: &GatewayState,
     configuration: &Configuration,
-    body: Incoming,
+    mut body: Incoming,
 ) -> Result<(Bytes, Option<OwnedSemaphorePermit>), Failure> {
     let bound = configuration.limits.body_bytes;
-    let expected = body.size_hint().upper().unwrap_or(bound as u64);
-    let expected = usize::try_from(expected).unwrap_or(bound).min(bound);
-    let room = state.body_room.clone();
-    let permits = u32::try_from(expected).unwrap_or(u32::MAX);
-    let permit = room
-        .try_acquire_many_owned(permits)
-        .map_err(|_| Failure::new(ErrorKind::HostLimit, "this host holds too many bodies"))?;
-    match read_draining(body, bound, DRAIN_BYTES).await {
-        Ok(bytes) => Ok((bytes, Some(permit))),
-        Err(ReadError::TooLarge) => {
+    let mut whole = BytesMut::new();
+    let mut room: Option<OwnedSemaphorePermit> = None;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Failure::new(ErrorKind::BadRequest, "the body broke off"))?;
+        let Ok(bytes) = frame.into_data() else {
+            continue;
+        };
+        if whole.len() + bytes.len() > bound {
+            drain(body, DRAIN_BYTES).await;
             let detail = format!("a body has at most {bound} bytes");
-            Err(Failure::new(ErrorKind::BodyTooLarge, detail))
+            return Err(Failure::new(ErrorKind::BodyTooLarge, detail));
         }
-        Err(ReadError::Broken) => {
-            let detail = "the body broke off";
-            Err(Failure::new(ErrorKind::BadRequest, detail))
+        let taken = take_room(state, bytes.len())?;
+        match &mut room {
+            Some(room) => room.merge(taken),
+            None => room = Some(taken),
+        }
+        whole.extend_from_slice(&bytes);
+    }
+    Ok((whole.freeze(), room))
+}
+
+fn take_room(state: &GatewayState, bytes: usize) -> Result<OwnedSemaphorePermit, Failure> {
+    let permits = u32::try_from(bytes).unwrap_or(u32::MAX);
+    let room = state.body_room.clone();
+    room.try_acquire_many_owned(permits)
+        .map_err(|_| Failure::new(ErrorKind::HostLimit, "this host holds too many bodies"))
+}
+
+/// Takes in and drops a part of what is still to come: a sender that writes while the
+/// connection closes would lose the answer.
+async fn drain(mut body: Incoming, mut bound_bytes: usize) {
+    while let Some(Ok(frame)) = body.frame().await {
+        let taken = frame.data_ref().map_or(0, Bytes::len);
+        match bound_bytes.checked_sub(taken) {
+            Some(left) => bound_bytes = left,
+            None => return,
         }
     }
 }
@@ -197,7 +224,7 @@
     } = admitted;
     let mut headers = head.headers;
     strip_connection_headers(&mut headers);
-    let hold = facts.deadline.unwrap_or(LONGEST_HOLD).min(route.timeout);
+    let ends = received + hold_of(&facts, &route);
     let priority = customer
         .as_ref()
         .and_then(|customer| customer.priority)
@@ -208,7 +235,7 @@
         uri: head.uri,
         headers,
         body,
-        ends: received + hold.saturating_sub(ANSWER_MARGIN),
+        ends,
         facts,
         configuration,
         route,
@@ -219,6 +246,12 @@
     }
 }
 
+/// How long a request may be held, its caller's and its operator's word taken together.
+fn hold_of(facts: &RequestFacts, route: &Route) -> Duration {
+    let hold = facts.deadline.unwrap_or(LONGEST_HOLD).min(route.timeout);
+    hold.saturating_sub(ANSWER_MARGIN)
+}
+
 fn log_answer(state: &GatewayState, call: &Call, response: &Response<Body>) {
     let outcome = if response.status().is_success() {
         "complete"
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -110,7 +110,7 @@
     /// Takes one repeat from the budget of a service.
     pub fn take_retry(&self, service: &ServiceId) -> bool {
         let now = Instant::now();
-        let hosts = self.peers.known_hosts();
+        let hosts = self.peers.most_hosts();
         let mut budgets = self.budgets.lock();
         self.budget(&mut budgets, service).take(now, hosts)
     }
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -243,7 +243,7 @@
     /// How long more news is let gather. All hosts hear of each change of an upstream, so the
     /// more hosts there are, the more news each call must bring.
     fn gathering_time(&self) -> Duration {
-        let hosts = u32::try_from(self.state.peers.known_hosts()).unwrap_or(u32::MAX);
+        let hosts = u32::try_from(self.state.peers.most_hosts()).unwrap_or(u32::MAX);
         let by_hosts = GATHERING_PER_HOST.saturating_mul(hosts);
         by_hosts.clamp(SHORTEST_GATHERING, LONGEST_GATHERING)
     }
