Report how much of the error budget is spent

Change: tealshore report ADDRESS..., as text, JSON or one HTML page with plots, from the hosts' metrics. The page was not looked at as a picture.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -21,6 +21,7 @@
         .subcommands(caller_commands())
         .subcommands(operator_commands())
         .subcommand(status_command())
+        .subcommand(report_command())
 }
 
 fn file_commands() -> [Command; 3] {
@@ -129,14 +130,16 @@
 fn status_command() -> Command {
     Command::new("status")
         .about("Shows what entry hosts run, and who is behind")
-        .arg(
-            Arg::new("operators")
-                .required(true)
-                .num_args(1..)
-                .value_name("IP:PORT")
-                .value_parser(value_parser!(SocketAddr))
-                .help("The operators' addresses of entry hosts"),
-        )
+        .arg(operators_arg())
+}
+
+fn operators_arg() -> Arg {
+    Arg::new("operators")
+        .required(true)
+        .num_args(1..)
+        .value_name("IP:PORT")
+        .value_parser(value_parser!(SocketAddr))
+        .help("The operators' addresses of entry hosts")
 }
 
 fn file_arg(name: &'static str) -> Arg {
@@ -205,3 +208,47 @@
         .value_parser(value_parser!(u64))
         .help(help)
 }
+
+fn report_command() -> Command {
+    let share = |name: &'static str, default: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .value_name("NUMBER")
+            .default_value(default)
+            .value_parser(parse_positive)
+            .help(help)
+    };
+    Command::new("report")
+        .about("Reports how much of the error budget of the service levels is spent")
+        .arg(operators_arg())
+        .arg(
+            Arg::new("format")
+                .long("format")
+                .value_parser(["text", "json", "html"])
+                .default_value("text")
+                .help("The form of the report"),
+        )
+        .arg(share(
+            "availability",
+            "0.99",
+            "The share of requests that must be served",
+        ))
+        .arg(share(
+            "in-time",
+            "0.95",
+            "The share of answers that must begin in time",
+        ))
+        .arg(share("call-s", "0.3", "That time for calls, in seconds"))
+        .arg(share(
+            "stream-s",
+            "4.5",
+            "That time for streams, in seconds",
+        ))
+}
+
+fn parse_positive(text: &str) -> Result<f64, String> {
+    match text.parse::<f64>() {
+        Ok(number) if number.is_finite() && number > 0.0 => Ok(number),
+        Ok(_) | Err(_) => Err("a number above 0".to_owned()),
+    }
+}
--- /dev/null
+++ b/crates/cli/src/burn/html.rs
@@ -0,0 +1,121 @@
+//! The report as one page that needs nothing else.
+
+use super::{Burn, BurnReport, LatencyBucket};
+
+/// The width of a plot, in pixels.
+const PLOT_WIDTH: f64 = 560.0;
+/// The height of a bar, in pixels.
+const BAR_HEIGHT: f64 = 18.0;
+/// The room for a bar's name, in pixels.
+const NAME_WIDTH: f64 = 170.0;
+
+struct Bar {
+    name: String,
+    value: f64,
+    label: String,
+    is_bad: bool,
+}
+
+/// The report as a page of HTML with its plots.
+#[must_use]
+pub fn render_html(report: &BurnReport) -> String {
+    let mut page = String::from(
+        "<!doctype html><html lang=\"en\"><meta charset=\"utf-8\">\
+         <title>Service levels</title>\
+         <style>body{font:15px sans-serif;margin:2em;max-width:50em}\
+         svg text{font:12px sans-serif}</style><h1>Service levels</h1>",
+    );
+    page.push_str(&format!("<p>{} hosts answered.</p>", report.hosts));
+    page.push_str("<h2>Error budget spent</h2>");
+    page.push_str(&plot(&burn_bars(report)));
+    page.push_str("<h2>Ends of requests</h2>");
+    page.push_str(&plot(&outcome_bars(report)));
+    for (kind, buckets) in &report.latency {
+        page.push_str(&format!(
+            "<h2>Time to the first byte: {}</h2>",
+            escape(kind)
+        ));
+        page.push_str(&plot(&latency_bars(buckets)));
+    }
+    page.push_str("</html>\n");
+    page
+}
+
+fn burn_bars(report: &BurnReport) -> Vec<Bar> {
+    let bar = |name: String, burn: &Burn| Bar {
+        name,
+        value: burn.budget_spent,
+        label: format!(
+            "{:.0} % ({} of {} kept)",
+            burn.budget_spent * 100.0,
+            burn.good,
+            burn.total
+        ),
+        is_bad: burn.budget_spent > 1.0,
+    };
+    let mut bars = vec![bar("served".to_owned(), &report.availability)];
+    for (kind, burn) in &report.in_time {
+        bars.push(bar(format!("{kind} in time"), burn));
+    }
+    bars
+}
+
+fn outcome_bars(report: &BurnReport) -> Vec<Bar> {
+    let bars = report.outcomes.iter().map(|(outcome, count)| Bar {
+        name: outcome.clone(),
+        // Rare outcomes matter most, so the bars grow with the logarithm.
+        value: super::ratio(count + 1, 1).ln(),
+        label: count.to_string(),
+        is_bad: !super::NO_FAILURES.contains(&outcome.as_str()),
+    });
+    bars.collect()
+}
+
+/// One bar a bucket: how many fell into it and not into the one before.
+fn latency_bars(buckets: &[LatencyBucket]) -> Vec<Bar> {
+    let mut before = 0;
+    let mut bars = Vec::new();
+    for bucket in buckets {
+        let count = bucket.count.saturating_sub(before);
+        before = bucket.count;
+        bars.push(Bar {
+            name: format!("up to {} s", bucket.bound_s),
+            value: super::ratio(count, 1),
+            label: count.to_string(),
+            is_bad: false,
+        });
+    }
+    bars
+}
+
+fn plot(bars: &[Bar]) -> String {
+    let largest = bars
+        .iter()
+        .map(|bar| bar.value)
+        .fold(f64::EPSILON, f64::max);
+    let room = PLOT_WIDTH - NAME_WIDTH - 150.0;
+    let mut top = 0.0;
+    let mut drawn = String::new();
+    for bar in bars {
+        let width = (bar.value / largest * room).max(1.0);
+        let colour = if bar.is_bad { "#b3402a" } else { "#2a7a8c" };
+        let middle = top + BAR_HEIGHT * 0.7;
+        drawn.push_str(&format!(
+            "<text x=\"0\" y=\"{middle}\">{}</text>\
+             <rect x=\"{NAME_WIDTH}\" y=\"{top}\" width=\"{width:.1}\" height=\"{}\" fill=\"{colour}\"/>\
+             <text x=\"{:.1}\" y=\"{middle}\">{}</text>",
+            escape(&bar.name),
+            BAR_HEIGHT - 4.0,
+            NAME_WIDTH + width + 6.0,
+            escape(&bar.label)
+        ));
+        top += BAR_HEIGHT;
+    }
+    format!("<svg width=\"{PLOT_WIDTH}\" height=\"{top}\">{drawn}</svg>")
+}
+
+fn escape(text: &str) -> String {
+    text.replace('&', "&amp;")
+        .replace('<', "&lt;")
+        .replace('>', "&gt;")
+}
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -3,6 +3,7 @@
 mod callers;
 mod files;
 mod operators;
+mod report;
 mod status;
 
 use {crate::outcome::Outcome, clap::ArgMatches, std::path::PathBuf};
@@ -21,6 +22,7 @@
         Some(("show", args)) => operators::show(args).await,
         Some(("history", args)) => operators::history(args).await,
         Some(("status", args)) => status::status(args).await,
+        Some(("report", args)) => report::report(args).await,
         _ => Err(Outcome::Usage("no such command".to_owned())),
     };
     result.err().unwrap_or(Outcome::Done)
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,6 +1,7 @@
 //! The command line of operators and callers.
 
 pub mod args;
+pub mod burn;
 mod commands;
 mod outcome;
 
