Leave room at engines for what runs, and a host's part of each upstream

Change: patience before the first event is 5 s and twice the expected time; copies go to engines up to 0.6 of their memory, and anew only where one was lost; a host has at most its part of twice an upstream's slots there, and calls wait a quarter of their objective for room.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -17,10 +17,17 @@
 const FAILURE_COST: f64 = 3.0;
 /// What another hall costs a plain call, in busy shares of an upstream.
 const OTHER_HALL_COST: f64 = 0.1;
+/// Calls that all hosts together have at an upstream, in percent of its slots.
+const QUEUE_PERCENT: u32 = 200;
+/// The least part of an upstream that a host takes.
+const LEAST_PART: u32 = 2;
 /// How much costs vary by chance, so that hosts do not all choose alike.
 const JITTER: f64 = 0.05;
 /// The part of an engine's memory that work is sent to.
 const MEMORY_PART: f64 = 0.9;
+/// The part of an engine's memory up to which copies are sent to it: they must not push out
+/// what runs there.
+const COPY_MEMORY_PART: f64 = 0.6;
 
 /// What is known of an upstream when a choice is made.
 #[derive(Clone, Debug)]
@@ -45,7 +52,10 @@
 #[derive(Clone, Copy, Debug)]
 pub enum Need<'a> {
     /// A place for a plain call.
-    Call,
+    Call {
+        /// How many hosts share the upstreams.
+        hosts: usize,
+    },
     /// A place for a prompt.
     Prompt {
         /// The request's digest: the same request prefers the same engine on all hosts.
@@ -92,32 +102,50 @@
 
 fn has_room(candidate: &Candidate, need: Need<'_>) -> bool {
     match need {
-        Need::Call => true,
+        Need::Call { hosts } => candidate.work.running < own_part(candidate.slots, hosts),
         Need::Prompt {
             memory_tokens,
             engine_memory_tokens,
             ..
+        } => {
+            let is_idle = candidate.work.running == 0;
+            is_idle || fits(candidate, memory_tokens, engine_memory_tokens, MEMORY_PART)
         }
-        | Need::Copy {
+        Need::Copy {
             memory_tokens,
             engine_memory_tokens,
             ..
-        } => {
-            let held = to_f64(candidate.work.memory_tokens + memory_tokens);
-            let is_idle = candidate.work.running == 0;
-            is_idle
-                || engine_memory_tokens == 0
-                || held <= to_f64(engine_memory_tokens) * MEMORY_PART
-        }
+        } => fits(
+            candidate,
+            memory_tokens,
+            engine_memory_tokens,
+            COPY_MEMORY_PART,
+        ),
     }
 }
 
+/// Whether an engine holds more tokens within a part of its memory; 0 tells that its size is
+/// not known.
+fn fits(candidate: &Candidate, tokens: u64, engine_tokens: u64, part: f64) -> bool {
+    let held = to_f64(candidate.work.memory_tokens + tokens);
+    engine_tokens == 0 || held <= to_f64(engine_tokens) * part
+}
+
+/// How many calls one host has at an upstream at once: its part of the slots and of a short
+/// queue. Past it a call waits here, where it can still go to another upstream; upstreams
+/// reset connections that are too many, and a call lost so may have run.
+fn own_part(slots: u32, hosts: usize) -> u32 {
+    let hosts = u32::try_from(hosts.max(1)).unwrap_or(u32::MAX);
+    let queued = slots.saturating_mul(QUEUE_PERCENT) / 100;
+    queued.div_ceil(hosts).max(LEAST_PART)
+}
+
 fn cost(candidate: &Candidate, need: Need<'_>, own_hall: &HallId) -> f64 {
     let is_away = candidate.hall != *own_hall;
     let running = f64::from(candidate.work.running);
     let failures = candidate.failure_score * FAILURE_COST;
     match need {
-        Need::Call => {
+        Need::Call { .. } => {
             let busy = running / f64::from(candidate.slots.max(1));
             let away = if is_away { OTHER_HALL_COST } else { 0.0 };
             busy + away + failures + candidate.draw * JITTER
--- a/crates/gateway/src/forward/plain.rs
+++ b/crates/gateway/src/forward/plain.rs
@@ -34,7 +34,7 @@
 /// A second upstream is asked after this part of the objective.
 const HEDGE_PART: u32 = 2;
 /// The pause before all upstreams are asked again after all turned a call away.
-const FULL_PAUSE: Duration = Duration::from_millis(15);
+const FULL_PAUSE: Duration = Duration::from_millis(5);
 /// A call waits for room for one part in this many of its objective.
 const ROOM_PART: u32 = 4;
 
@@ -206,7 +206,10 @@
     async fn next_try(&mut self) -> Result<BoxFuture<'a, Tried>, Failure> {
         let upstream = loop {
             let service = &self.call.service;
-            if let Some(found) = self.state.choose_upstream(service, Need::Call, &self.avoid) {
+            let need = Need::Call {
+                hosts: self.state.peers.most_hosts(),
+            };
+            if let Some(found) = self.state.choose_upstream(service, need, &self.avoid) {
                 break found;
             }
             if !self.may_wait_for_room() {
--- a/crates/gateway/src/forward/stream/relay.rs
+++ b/crates/gateway/src/forward/stream/relay.rs
@@ -177,10 +177,12 @@
             self.copy = Some(copy);
         }
         let now = Instant::now();
-        let holder = self.copy.as_ref().map(|copy| &copy.upstream);
-        let is_held = holder
-            .and_then(|holder| self.state.view.upstreams.get(holder))
-            .is_some_and(|holder| !holder.is_suspected(now));
+        // Where no engine had room for the first copy, there is none to be made anew.
+        let Some(copy) = &self.copy else {
+            return;
+        };
+        let holder = self.state.view.upstreams.get(&copy.upstream);
+        let is_held = holder.is_some_and(|holder| !holder.is_suspected(now));
         if !self.recopy.is_due(is_held, now) {
             return;
         }
--- a/crates/gateway/src/read_rate.rs
+++ b/crates/gateway/src/read_rate.rs
@@ -9,10 +9,11 @@
 const WEIGHT: f64 = 0.1;
 /// Waits shorter than this tell nothing: the prompt was kept.
 const SHORTEST_WAIT: Duration = Duration::from_millis(100);
-/// A stream may take this many times as long as its tokens would at the average rate.
-const PATIENCE_FACTOR: f64 = 1.6;
+/// A stream may take this many times as long as its tokens would at the average rate: to send
+/// it elsewhere while it only waits would read its prompt twice, and that when engines are full.
+const PATIENCE_FACTOR: f64 = 2.0;
 /// It may take this much longer besides.
-const PATIENCE_BASE: Duration = Duration::from_millis(1_300);
+const PATIENCE_BASE: Duration = Duration::from_millis(5_000);
 
 /// An average of prompt tokens that an engine reads in a millisecond, those included that
 /// wait before a stream's own.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -153,7 +153,7 @@
     ) -> Option<Arc<Upstream>> {
         let affinity = match need {
             Need::Prompt { fingerprint, .. } => Some(fingerprint),
-            Need::Call | Need::Copy { .. } => None,
+            Need::Call { .. } | Need::Copy { .. } => None,
         };
         let now = Instant::now();
         let ready = self.view.upstreams.ready(service);
