--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -1,6 +1,8 @@
 //! Keeps the view in step with the platform's store: reads each set of rows whole, then
 //! waits for its changes; after any doubt it reads the set whole again.
 
+mod calls;
+
 use {
     crate::{
         edge::{Change, Page, Revision, RowSet, RunPlace, StoreRefusal},
@@ -8,12 +10,9 @@
         view::StoreClock,
     },
     bytes::Bytes,
-    http::Request,
-    http_body_util::{BodyExt, Full, Limited},
-    hyper::client::conn::http1::{SendRequest, handshake},
-    hyper_util::rt::TokioIo,
+    calls::{CallFailure, StoreCalls},
+    http::{Request, StatusCode},
     std::{
-        net::SocketAddr,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -22,11 +21,7 @@
         protection::{Protection, enabled},
         spread::spread,
     },
-    tokio::{
-        net::TcpStream,
-        task::JoinHandle,
-        time::{sleep, timeout},
-    },
+    tokio::time::sleep,
 };
 
 /// The pause after the first failed call; each further failure doubles it.
@@ -44,47 +39,12 @@
 const PAGE_TRIES: u32 = 6;
 /// How often a host writes where its streams run, while there is news.
 const RUNS_INTERVAL: Duration = Duration::from_secs(3);
-/// The largest answer of the store, in bytes.
-const ANSWER_BOUND_BYTES: usize = 16 * 1024 * 1024;
-
-/// Why a call to the store gave nothing.
-#[derive(Clone, Debug, PartialEq, Eq)]
-enum CallFailure {
-    Unreachable,
-    Silent,
-    Refused(StoreRefusal),
-    Stale,
-}
-
-impl CallFailure {
-    fn name(&self) -> &'static str {
-        match self {
-            Self::Unreachable => "unreachable",
-            Self::Silent => "silent",
-            Self::Refused(StoreRefusal::HistoryGone) => "history-gone",
-            Self::Refused(StoreRefusal::Busy(_)) => "busy",
-            Self::Refused(StoreRefusal::Malformed(_)) => "malformed",
-            Self::Stale => "stale",
-        }
-    }
-}
-
-struct Connection {
-    sender: SendRequest<Full<Bytes>>,
-    driver: JoinHandle<()>,
-}
-
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.driver.abort();
-    }
-}
 
 /// Follows one set of rows.
 struct Follower {
     state: Arc<GatewayState>,
     set: RowSet,
-    connection: Option<Connection>,
+    calls: StoreCalls,
     clock: StoreClock,
     newest: Revision,
     failures: u32,
@@ -106,9 +66,9 @@
 impl Follower {
     fn new(state: Arc<GatewayState>, set: RowSet) -> Self {
         Self {
+            calls: StoreCalls::new(state.options.store.address),
             state,
             set,
-            connection: None,
             clock: StoreClock::default(),
             newest: 0,
             failures: 0,
@@ -288,12 +248,8 @@
         &mut self,
         request: Request<Bytes>,
         bound: Duration,
-    ) -> Result<(http::StatusCode, Bytes), CallFailure> {
-        let result = timeout(bound, self.exchange(request.map(Full::new))).await;
-        let result = result.unwrap_or(Err(CallFailure::Silent));
-        if result.is_err() {
-            self.connection = None;
-        }
+    ) -> Result<(StatusCode, Bytes), CallFailure> {
+        let result = self.calls.call(request, bound).await;
         let name = result
             .as_ref()
             .map_or_else(CallFailure::name, |_| "answered");
@@ -305,25 +261,6 @@
         result
     }
 
-    async fn exchange(
-        &mut self,
-        request: Request<Full<Bytes>>,
-    ) -> Result<(http::StatusCode, Bytes), CallFailure> {
-        let connection = match self.connection.take() {
-            Some(connection) if connection.sender.is_ready() => connection,
-            Some(_) | None => connect(self.state.options.store.address).await?,
-        };
-        let connection = self.connection.insert(connection);
-        let unreachable = |_| CallFailure::Unreachable;
-        let answer = connection.sender.send_request(request).await;
-        let answer = answer.map_err(unreachable)?;
-        let status = answer.status();
-        let body = Limited::new(answer.into_body(), ANSWER_BOUND_BYTES);
-        let body = body.collect().await;
-        let body = body.map_err(|_| CallFailure::Unreachable)?.to_bytes();
-        Ok((status, body))
-    }
-
     fn take_in(&self, changes: Vec<(Revision, Change)>) {
         for (revision, change) in changes {
             self.take_in_one(revision, change);
@@ -419,18 +356,3 @@
         | Change::Unreadable(_) => None,
     }
 }
-
-async fn connect(address: SocketAddr) -> Result<Connection, CallFailure> {
-    let stream = TcpStream::connect(address)
-        .await
-        .map_err(|_| CallFailure::Unreachable)?;
-    let _ = stream.set_nodelay(true);
-    let (sender, driver) = handshake(TokioIo::new(stream))
-        .await
-        .map_err(|_| CallFailure::Unreachable)?;
-    let driver = tokio::spawn(async move {
-        // The caller of the connection sees its end by its own call.
-        let _ = driver.await;
-    });
-    Ok(Connection { sender, driver })
-}
--- /dev/null
+++ b/crates/gateway/src/sync/calls.rs
@@ -0,0 +1,120 @@
+//! Calls to the store, on one connection that is opened anew after any failure.
+
+use {
+    crate::edge::StoreRefusal,
+    bytes::Bytes,
+    http::{Request, StatusCode},
+    http_body_util::{BodyExt, Full, Limited},
+    hyper::client::conn::http1::{SendRequest, handshake},
+    hyper_util::rt::TokioIo,
+    std::{net::SocketAddr, time::Duration},
+    tokio::{net::TcpStream, task::JoinHandle, time::timeout},
+};
+
+/// The largest answer of the store, in bytes.
+const ANSWER_BOUND_BYTES: usize = 16 * 1024 * 1024;
+
+/// Why a call to the store gave nothing.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CallFailure {
+    /// It can't be reached, or closed the connection.
+    Unreachable,
+    /// No answer came in time.
+    Silent,
+    /// It refused the call, or its answer can't be understood.
+    Refused(StoreRefusal),
+    /// Its answer is older than what is known.
+    Stale,
+}
+
+impl CallFailure {
+    /// The failure's name in logs and metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Unreachable => "unreachable",
+            Self::Silent => "silent",
+            Self::Refused(StoreRefusal::HistoryGone) => "history-gone",
+            Self::Refused(StoreRefusal::Busy(_)) => "busy",
+            Self::Refused(StoreRefusal::Malformed(_)) => "malformed",
+            Self::Stale => "stale",
+        }
+    }
+}
+
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// One after the other on one connection.
+pub struct StoreCalls {
+    address: SocketAddr,
+    connection: Option<Connection>,
+}
+
+impl StoreCalls {
+    /// Calls to the store at an address.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            connection: None,
+        }
+    }
+
+    /// Makes a call.
+    ///
+    /// # Errors
+    /// The store can't be reached, or no whole answer came in time.
+    pub async fn call(
+        &mut self,
+        request: Request<Bytes>,
+        bound: Duration,
+    ) -> Result<(StatusCode, Bytes), CallFailure> {
+        let result = timeout(bound, self.exchange(request.map(Full::new))).await;
+        let result = result.unwrap_or(Err(CallFailure::Silent));
+        if result.is_err() {
+            // Once an answer is lost on a connection, that connection says nothing more.
+            self.connection = None;
+        }
+        result
+    }
+
+    async fn exchange(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(StatusCode, Bytes), CallFailure> {
+        let connection = match self.connection.take() {
+            Some(connection) if connection.sender.is_ready() => connection,
+            Some(_) | None => connect(self.address).await?,
+        };
+        let connection = self.connection.insert(connection);
+        let answer = connection.sender.send_request(request).await;
+        let answer = answer.map_err(|_| CallFailure::Unreachable)?;
+        let status = answer.status();
+        let body = Limited::new(answer.into_body(), ANSWER_BOUND_BYTES);
+        let body = body.collect().await;
+        let body = body.map_err(|_| CallFailure::Unreachable)?.to_bytes();
+        Ok((status, body))
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<Connection, CallFailure> {
+    let stream = TcpStream::connect(address)
+        .await
+        .map_err(|_| CallFailure::Unreachable)?;
+    let _ = stream.set_nodelay(true);
+    let (sender, driver) = handshake(TokioIo::new(stream))
+        .await
+        .map_err(|_| CallFailure::Unreachable)?;
+    let driver = tokio::spawn(async move {
+        // The caller of the connection sees its end by its own call.
+        let _ = driver.await;
+    });
+    Ok(Connection { sender, driver })
+}
