--- a/crates/decide/src/generation.rs
+++ b/crates/decide/src/generation.rs
@@ -4,14 +4,12 @@
 //! attempt and only at the next position. The driver executes the actions and reports back.
 
 mod attempt;
+mod recovery;
 mod types;
 mod watch;
 
 use {
-    crate::{
-        policy::{Repeat, SilenceBounds},
-        silence::GapEstimate,
-    },
+    crate::{policy::SilenceBounds, silence::GapEstimate},
     std::time::{Duration, Instant},
     tealshore_core::{
         answer::ErrorKind,
@@ -302,60 +300,6 @@
         }
     }
 
-    fn lost(&mut self, attempt: AttemptNo, loss: Loss, now: Instant, actions: &mut Vec<Action>) {
-        if self.is_standby(attempt) {
-            let lost = self.standby.take();
-            self.avoid_engine_of(lost.as_ref());
-            self.replace_standby(now, actions);
-            return;
-        }
-        if !self.is_current(attempt) {
-            return;
-        }
-        let lost = self.current.take();
-        self.avoid_engine_of(lost.as_ref());
-        if let (Some(lost), Loss::Silent | Loss::Broken) = (&lost, loss) {
-            cancel(lost, actions);
-        }
-        if let Some(standby) = self.standby.take() {
-            self.current = Some(standby);
-            return;
-        }
-        let never_ran = lost.is_some_and(|lost| lost.never_ran(loss));
-        self.go_on_after(never_ran, now, actions);
-    }
-
-    fn go_on_after(&mut self, never_ran: bool, now: Instant, actions: &mut Vec<Action>) {
-        if self.is_complete() {
-            // The last token came, only the end marker is missing.
-            actions.extend(self.finish(FinishReason::Length));
-            return;
-        }
-        if (self.received.len() as Position) < self.emit_from {
-            return self.fail(ErrorKind::ResumeNeedsTokens, actions);
-        }
-        let may_repeat =
-            self.spec.repeat == Repeat::Allowed || !enabled(Protection::SingleDispatch);
-        if !never_ran && !may_repeat {
-            let kind = if self.received.is_empty() {
-                ErrorKind::UpstreamUnconfirmed
-            } else {
-                ErrorKind::UpstreamLost
-            };
-            return self.fail(kind, actions);
-        }
-        if self.spec.max_attempts == 0 {
-            let kind = if self.ran_before() {
-                ErrorKind::RetriesSpent
-            } else {
-                ErrorKind::NoEngine
-            };
-            return self.fail(kind, actions);
-        }
-        self.counts.resumes += u32::from(!never_ran);
-        self.place_current(now, actions);
-    }
-
     fn place_current(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let attempt = self.take_attempt_no();
         self.current = Some(Attempt::placing(attempt, now));
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -1,6 +1,7 @@
 //! A whole system on loopback: stand-ins and entry hosts, each a process of its own.
 
 mod callers;
+mod listed;
 mod process;
 mod watch;
 
@@ -11,20 +12,19 @@
     },
     eyre::eyre,
     http::Method,
-    std::{net::SocketAddr, path::PathBuf, time::Duration},
+    listed::hall,
+    std::{net::SocketAddr, time::Duration},
     tealshore_core::http::{ClientOptions, HttpClient},
-    tealshore_hosts::{HostRole, HostState, ListedHost},
+    tealshore_hosts::{HostRole, ListedHost},
     tealshore_objects::ObjectsClient,
     tealshore_operators::edit::{BUCKET, Edit, apply},
     tealshore_table::{TableClient, TableOptions},
     tempfile::TempDir,
 };
-pub use {callers::start_call, process::Process};
+pub use {callers::start_call, listed::listed, process::Process};
 
 /// How long a change of the host list takes to reach entry hosts.
 const LIST_SETTLE_TIME: Duration = Duration::from_millis(1_000);
-/// The halls that hosts and engines stand in, in turn.
-const HALLS: [&str; 3] = ["bkk-a", "bkk-b", "ayt-c"];
 /// The key of tickets in experiments.
 const TICKET_KEY: &str = "k1:000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f";
 
@@ -380,30 +380,6 @@
     }
 }
 
-fn hall(index: u64) -> &'static str {
-    HALLS[usize::try_from(index).unwrap_or(0) % HALLS.len()]
-}
-
-/// A live host of the list.
-#[must_use]
-pub fn listed(
-    id: &str,
-    role: HostRole,
-    service: &str,
-    index: u64,
-    address: SocketAddr,
-) -> ListedHost {
-    ListedHost {
-        id: id.to_owned(),
-        role,
-        service: service.to_owned(),
-        hall: hall(index).to_owned(),
-        address,
-        peer_address: None,
-        state: HostState::Live,
-    }
-}
-
 async fn start_standin(
     directory: &TempDir,
     id: &str,
@@ -420,16 +396,3 @@
         address,
     })
 }
-
-/// The folder with the system's programs: that of this program, or the one above it for
-/// tests, which are built one folder deeper.
-fn program_folder() -> eyre::Result<PathBuf> {
-    let own = std::env::current_exe()?;
-    let folders = own.ancestors().skip(1).take(2);
-    let found = folders
-        .into_iter()
-        .find(|folder| folder.join("tealshore-router").exists());
-    found.map(PathBuf::from).ok_or_else(|| {
-        eyre!("the programs are not built: run `cargo build --workspace --bins` first")
-    })
-}
--- a/crates/lab/src/fleet/process.rs
+++ b/crates/lab/src/fleet/process.rs
@@ -1,13 +1,12 @@
 //! One process of the system under experiment.
 
 use {
-    super::program_folder,
     eyre::{WrapErr, eyre},
     nix::{
         sys::signal::{Signal, kill},
         unistd::Pid,
     },
-    std::{fs::File, process::Stdio, time::Duration},
+    std::{fs::File, path::PathBuf, process::Stdio, time::Duration},
     tempfile::TempDir,
     tokio::{
         io::{AsyncBufReadExt, BufReader},
@@ -122,3 +121,16 @@
 fn log_text(directory: &TempDir, id: &str) -> String {
     std::fs::read_to_string(directory.path().join(format!("{id}.log"))).unwrap_or_default()
 }
+
+/// The folder with the system's programs: that of this program, or the one above it for
+/// tests, which are built one folder deeper.
+fn program_folder() -> eyre::Result<PathBuf> {
+    let own = std::env::current_exe()?;
+    let folders = own.ancestors().skip(1).take(2);
+    let found = folders
+        .into_iter()
+        .find(|folder| folder.join("tealshore-router").exists());
+    found.map(PathBuf::from).ok_or_else(|| {
+        eyre!("the programs are not built: run `cargo build --workspace --bins` first")
+    })
+}
--- a/crates/lab/src/scenario/runner.rs
+++ b/crates/lab/src/scenario/runner.rs
@@ -1,20 +1,20 @@
 //! Runs a scenario against real processes.
 
+mod checks;
+mod faults;
+
 use {
     super::line::Line,
     crate::{
-        check::check_answer,
         fleet::{Fleet, FleetOptions, listed, start_call},
         link::{Cut, Link},
         work::{SERVICE, THRIFT_CUSTOMER, Work},
     },
+    checks::{not_a_prefix, not_honest, not_problem, not_whole},
     eyre::{bail, eyre},
-    http::Method,
     std::{collections::BTreeMap, fmt, time::Duration},
-    tealshore_callers::client::{CallEnd, CallRecord},
-    tealshore_core::answer::Ran,
+    tealshore_callers::client::CallRecord,
     tealshore_hosts::HostRole,
-    tealshore_standin::table::TableFaults,
     tokio::{sync::watch, task::JoinHandle, time::timeout},
 };
 
@@ -263,101 +263,6 @@
             .ok_or_else(|| eyre!("no host {word}"))
     }
 
-    async fn kill(&mut self, line: &Line) -> eyre::Result<()> {
-        if line.word(0).starts_with("entry-") {
-            let index = self.entry(line.word(0))?;
-            return self.fleet.routers[index].process.kill().await;
-        }
-        // With `engine-of`, no engine may have the request yet; then there is none to kill.
-        let Ok(index) = self.engine(line).await else {
-            return Ok(());
-        };
-        let counts: tealshore_standin::engine::WorkCounts = self
-            .fleet
-            .read(self.fleet.engines[index].address, "/control/work")
-            .await?;
-        for (request, runs) in counts.runs {
-            *self.lost_runs.entry(request).or_default() += runs;
-        }
-        self.fleet.engines[index].process.kill().await
-    }
-
-    async fn signal(&mut self, line: &Line, freeze: bool) -> eyre::Result<()> {
-        if line.word(0) == "all" {
-            let engines = self.fleet.engines.iter().map(|engine| &engine.process);
-            let routers = self.fleet.routers.iter().map(|router| &router.process);
-            engines
-                .chain(routers)
-                .filter(|process| process.is_running())
-                .try_for_each(|process| process.thaw())?;
-            return Ok(());
-        }
-        let process = if line.word(0).starts_with("entry-") {
-            &self.fleet.routers[self.entry(line.word(0))?].process
-        } else {
-            let Ok(index) = self.engine(line).await else {
-                return Ok(());
-            };
-            &self.fleet.engines[index].process
-        };
-        if freeze {
-            process.freeze()
-        } else {
-            process.thaw()
-        }
-    }
-
-    async fn cut(&self, line: &Line, cut: Cut) -> eyre::Result<()> {
-        let cut = if line.word(0) == "engine-of" {
-            Cut {
-                forth: line.word(2) != "back",
-                back: line.word(2) != "forth",
-            }
-        } else {
-            cut
-        };
-        if let Ok(index) = self.engine(line).await {
-            self.links[index].set(cut);
-        }
-        Ok(())
-    }
-
-    async fn set_table(&self, line: &Line) -> eyre::Result<()> {
-        let faults = match line.word(0) {
-            "outage" => TableFaults {
-                outage: true,
-                ..TableFaults::default()
-            },
-            "silent" => TableFaults {
-                silent: true,
-                ..TableFaults::default()
-            },
-            "slow" => TableFaults {
-                slow_ms: line.word(1).parse()?,
-                ..TableFaults::default()
-            },
-            "loses" => TableFaults {
-                lose_answers: line.word(1).parse()?,
-                ..TableFaults::default()
-            },
-            "fine" => TableFaults::default(),
-            other => bail!("no such state of the table: {other}"),
-        };
-        self.fleet.set_table(&faults).await
-    }
-
-    async fn set_hosts(&self, line: &Line) -> eyre::Result<()> {
-        let outage = line.word(0) == "outage";
-        self.fleet
-            .control(
-                self.fleet.hosts.address,
-                Method::PUT,
-                "/control/outage",
-                Some(&outage),
-            )
-            .await
-    }
-
     fn calling(&self, name: &str) -> eyre::Result<&Calling> {
         self.calls.get(name).ok_or_else(|| eyre!("no call {name}"))
     }
@@ -411,36 +316,3 @@
         }))
     }
 }
-
-fn not_whole(work: &Work, record: &CallRecord, salts: u64) -> Option<String> {
-    if !matches!(record.end, CallEnd::Whole) {
-        return Some(format!(
-            "it ended with {:?} after {} tokens",
-            record.end,
-            record.arrivals.len()
-        ));
-    }
-    let check = check_answer(work, &record.arrivals, work.tokens(), salts);
-    (!check.is_whole()).then(|| format!("{check:?}"))
-}
-
-fn not_a_prefix(work: &Work, record: &CallRecord, salts: u64) -> Option<String> {
-    let check = check_answer(work, &record.arrivals, record.arrivals.len() as u64, salts);
-    (!check.is_whole()).then(|| format!("{check:?}"))
-}
-
-fn not_honest(record: &CallRecord, runs: u32) -> Option<String> {
-    match &record.end {
-        CallEnd::Problem(problem) if problem.ran == Ran::No && runs > 0 => {
-            Some(format!("told as not run, and ran {runs} times"))
-        }
-        CallEnd::Whole | CallEnd::Problem(_) | CallEnd::GaveUp(_) => None,
-    }
-}
-
-fn not_problem(record: &CallRecord, kind: &str) -> Option<String> {
-    match &record.end {
-        CallEnd::Problem(problem) if problem.kind_name() == kind => None,
-        other => Some(format!("it ended with {other:?}")),
-    }
-}
--- a/crates/router/src/drive/driver.rs
+++ b/crates/router/src/drive/driver.rs
@@ -1,30 +1,22 @@
 //! Drives one generation. It is polled by the answer's body, so a token takes no detour
 //! through another task, and it stops when the caller goes away.
 
+mod actions;
+
 use {
     super::{
         admitted::{Admitted, Start},
         output::{AnswerOutputs, Output},
     },
-    crate::{
-        fleet::{ChosenEngine, EngineSlot},
-        state::RouterState,
-    },
+    crate::{fleet::EngineSlot, state::RouterState},
     futures::{StreamExt, future::BoxFuture, stream::FuturesUnordered},
-    rand::RngExt,
     std::{collections::HashMap, pin::Pin, sync::Arc, time::Instant},
     tealshore_core::{
-        answer::{ErrorKind, Failure, Ran},
-        ids::{AttemptNo, EngineId, Position, TokenId, stream_id},
-        protection::{Protection, enabled},
-    },
-    tealshore_decide::{
-        generation::{Action, Event, FinishReason, Generation, GenerationSpec, Loss},
-        routing::Urgency,
-    },
-    tealshore_engines::{
-        CancelWhen, DispatchError, Engine, StreamEnd, StreamItem, TokenStream, wire::ModelPin,
+        answer::{ErrorKind, Failure},
+        ids::{AttemptNo, EngineId, stream_id},
     },
+    tealshore_decide::generation::{Event, FinishReason, Generation, GenerationSpec, Loss},
+    tealshore_engines::{CancelWhen, DispatchError, Engine, StreamEnd, StreamItem, TokenStream},
     tokio::time::{Sleep, sleep_until},
     tokio_stream::StreamMap,
 };
@@ -322,164 +314,6 @@
         self.slots
             .retain(|attempt, _| generation.running().any(|running| running.no == *attempt));
     }
-
-    fn execute(&mut self, actions: Vec<Action>) {
-        for action in actions {
-            match action {
-                Action::Place { attempt } => self.place(attempt),
-                Action::Cancel { attempt, engine } => self.cancel(attempt, &engine),
-                Action::Emit { position, token } => self.emit(position, token),
-                Action::Finish { reason } => self
-                    .outputs
-                    .finish(self.generation.received().len() as Position, reason),
-                Action::Fail { kind } => self.fail(kind),
-            }
-        }
-    }
-
-    fn place(&mut self, attempt: AttemptNo) {
-        let has_tokens = !self.generation.received().is_empty();
-        let urgency = if has_tokens {
-            Urgency::Resume
-        } else {
-            Urgency::New
-        };
-        let service = &self.admitted.service;
-        let random = rand::rng().random();
-        let chosen =
-            self.state
-                .fleet
-                .choose_engine(service, self.generation.avoid(), urgency, random);
-        let Some(ChosenEngine {
-            id: engine,
-            address,
-            slot,
-        }) = chosen
-        else {
-            return self.handle(Event::NoEngine { attempt });
-        };
-        self.slots.insert(attempt, slot);
-        log::debug!(
-            "generation: request {} attempt {attempt} goes to {engine}",
-            self.admitted.id
-        );
-        self.handle(Event::Dispatched {
-            attempt,
-            engine: engine.clone(),
-        });
-        self.tell_home(attempt, &engine);
-        let order = self
-            .admitted
-            .order(attempt, self.pin(), self.generation.received());
-        let upstream = self.state.engine(address);
-        self.answers.push(Box::pin(async move {
-            let result = upstream.generate(&order).await;
-            Answer::Opened(Box::new(Opened {
-                attempt,
-                engine,
-                result,
-            }))
-        }));
-    }
-
-    /// What this attempt is pinned to: always what the first one was.
-    fn pin(&self) -> ModelPin {
-        if enabled(Protection::PinnedVersion) {
-            return self.admitted.pin.clone();
-        }
-        let running = self.state.in_force.now();
-        let grant = running.as_ref().and_then(|running| {
-            let customer = running.declarations.customer(&self.admitted.customer)?;
-            customer.grants.get(&self.admitted.request.model)
-        });
-        grant.map_or_else(
-            || self.admitted.pin.clone(),
-            |grant| ModelPin {
-                model: grant.service.clone(),
-                adapter: grant.adapter.clone(),
-                version: grant.version.clone(),
-            },
-        )
-    }
-
-    fn attach(&mut self, attempt: AttemptNo, engine: EngineId, address: std::net::SocketAddr) {
-        let stream = stream_id(self.admitted.generation, attempt);
-        let from = self.generation.received().len() as Position;
-        let upstream = self.state.engine(address);
-        self.answers.push(Box::pin(async move {
-            let result = upstream.attach(&stream, from).await;
-            Answer::Opened(Box::new(Opened {
-                attempt,
-                engine,
-                result,
-            }))
-        }));
-    }
-
-    fn tell_home(&self, attempt: AttemptNo, engine: &EngineId) {
-        let place = self.admitted.place_at(attempt, engine);
-        let state = self.state.clone();
-        let key = self.admitted.key();
-        tokio::spawn(async move { state.move_place(key, place).await });
-    }
-
-    fn cancel(&mut self, attempt: AttemptNo, engine: &EngineId) {
-        self.streams.remove(&attempt);
-        if self.generation.avoid().contains(engine) {
-            self.state
-                .fleet
-                .engine_failed(&self.admitted.service, engine);
-        }
-        let Some(address) = self.state.engine_address(&self.admitted.service, engine) else {
-            return;
-        };
-        let upstream = self.state.engine(address);
-        let stream = stream_id(self.admitted.generation, attempt);
-        tokio::spawn(async move { upstream.cancel(&stream, CancelWhen::Always).await });
-    }
-
-    fn emit(&mut self, position: Position, token: TokenId) {
-        self.count_token();
-        if let Some(current) = self.generation.current() {
-            self.outputs.seal_for(&self.state, &self.admitted, current);
-        }
-        self.outputs
-            .token(position, self.generation.chain(), token, &self.text);
-    }
-
-    fn count_token(&mut self) {
-        self.state.metrics.tokens.inc();
-        if let Some(lost_at) = self.lost_at.take() {
-            let metrics = &self.state.metrics;
-            metrics.resumes.inc();
-            metrics
-                .resume_seconds
-                .observe(lost_at.elapsed().as_secs_f64());
-            log::info!(
-                "generation: request {} goes on after {} ms",
-                self.admitted.id,
-                lost_at.elapsed().as_millis()
-            );
-        }
-    }
-
-    fn fail(&mut self, kind: ErrorKind) {
-        let tokens = self.generation.received().len();
-        let failure = Failure::new(
-            kind,
-            format!("request {} after {tokens} tokens", self.admitted.id),
-        );
-        let failure = match self.admitted.start.earlier_try() {
-            Some(earlier) => failure.after_earlier_try(earlier),
-            None => failure,
-        };
-        if failure.ran == Ran::No
-            && let Some(claim) = self.admitted.claim.take()
-        {
-            self.state.claims.release(claim);
-        }
-        self.outputs.fail(failure);
-    }
 }
 
 impl Drop for Driver {
