Take an engine's word that it has no request for the loss of ours

The list of runs in the report: it was empty while an engine read a prompt.

Change: two reports in a row that name no request end the wait.

--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -211,6 +211,10 @@
     /// The cheapest call that any live upstream answers.
     fn probe_call(&self, upstream: &UpstreamRecord) -> Request<Bytes>;
 
+    /// How many requests an upstream says it has, from its answer to the probe; none where it
+    /// does not say.
+    fn read_probe(&self, status: StatusCode, body: &[u8]) -> Option<u32>;
+
     /// Reads a call about this host.
     fn read_host_call(&self, head: &request::Parts) -> HostCall;
 
--- a/crates/gateway/src/forward/probe.rs
+++ b/crates/gateway/src/forward/probe.rs
@@ -12,6 +12,20 @@
 /// After this time a second probe goes out, lest one lost packet pass for a death.
 const SECOND_PROBE_AFTER: Duration = Duration::from_millis(60);
 
+/// An upstream's word on its load is some hundred milliseconds old, so it must say this many
+/// times in a row that it is idle.
+const IDLE_WORDS: u32 = 2;
+
+/// What an upstream answered to a probe.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ProbeWord {
+    Unanswered,
+    /// It lives, and may have requests.
+    Alive,
+    /// It lives and has no request.
+    Idle,
+}
+
 /// How long an upstream may be silent.
 #[derive(Clone, Copy, Debug)]
 pub struct Patience {
@@ -28,6 +42,8 @@
     Dead,
     /// Another request found that it seems dead.
     FoundDead,
+    /// It says that it has no request at all, so it lost this one.
+    NotHeld,
     /// It lives and says nothing.
     TooLong,
 }
@@ -38,6 +54,7 @@
         match self {
             Self::Dead => "probe-unanswered",
             Self::FoundDead => "found-dead",
+            Self::NotHeld => "not-held",
             Self::TooLong => "silent-too-long",
         }
     }
@@ -66,28 +83,41 @@
     let found_dead = async {
         upstream.suspected().await;
         // The word of others is checked: they may be the ones that are cut off.
-        match answers_probe(state, upstream).await {
-            true => std::future::pending().await,
-            false => Silence::FoundDead,
+        match ask(state, upstream).await {
+            ProbeWord::Alive | ProbeWord::Idle => std::future::pending().await,
+            ProbeWord::Unanswered => Silence::FoundDead,
         }
     };
-    let probing = async {
-        loop {
-            sleep(patience.probe_after).await;
-            if !answers_probe(state, upstream).await {
+    tokio::select! {
+        silence = found_dead => silence,
+        silence = probe_repeatedly(state, upstream, patience) => silence,
+        () = sleep(patience.longest) => Silence::TooLong,
+    }
+}
+
+async fn probe_repeatedly(
+    state: &GatewayState,
+    upstream: &Upstream,
+    patience: Patience,
+) -> Silence {
+    let mut idle_words = 0;
+    loop {
+        sleep(patience.probe_after).await;
+        match ask(state, upstream).await {
+            ProbeWord::Unanswered => {
                 state.suspect(upstream, "probe-unanswered");
                 return Silence::Dead;
             }
+            ProbeWord::Idle => idle_words += 1,
+            ProbeWord::Alive => idle_words = 0,
+        }
+        if idle_words >= IDLE_WORDS {
+            return Silence::NotHeld;
         }
-    };
-    tokio::select! {
-        silence = found_dead => silence,
-        silence = probing => silence,
-        () = sleep(patience.longest) => Silence::TooLong,
     }
 }
 
-async fn answers_probe(state: &GatewayState, upstream: &Upstream) -> bool {
+async fn ask(state: &GatewayState, upstream: &Upstream) -> ProbeWord {
     let second = async {
         sleep(SECOND_PROBE_AFTER).await;
         probe(state, upstream).await
@@ -96,16 +126,28 @@
         let mut first = pin!(probe(state, upstream));
         let mut second = pin!(second);
         tokio::select! {
-            answered = &mut first => answered || second.await,
-            answered = &mut second => answered || first.await,
+            word = &mut first => match word {
+                ProbeWord::Unanswered => second.await,
+                ProbeWord::Alive | ProbeWord::Idle => word,
+            },
+            word = &mut second => match word {
+                ProbeWord::Unanswered => first.await,
+                ProbeWord::Alive | ProbeWord::Idle => word,
+            },
         }
     };
-    timeout(PROBE_TIMEOUT, either).await.unwrap_or(false)
+    timeout(PROBE_TIMEOUT, either)
+        .await
+        .unwrap_or(ProbeWord::Unanswered)
 }
 
-async fn probe(state: &GatewayState, upstream: &Upstream) -> bool {
+async fn probe(state: &GatewayState, upstream: &Upstream) -> ProbeWord {
     let request = state.protocol.probe_call(&upstream.record);
-    exchange(&upstream.record, request, PROBE_TIMEOUT)
-        .await
-        .is_some()
+    match exchange(&upstream.record, request, PROBE_TIMEOUT).await {
+        None => ProbeWord::Unanswered,
+        Some((status, body)) => match state.protocol.read_probe(status, &body) {
+            Some(0) => ProbeWord::Idle,
+            Some(_) | None => ProbeWord::Alive,
+        },
+    }
 }
