--- a/crates/gateway/src/forward/plain.rs
+++ b/crates/gateway/src/forward/plain.rs
@@ -66,6 +66,8 @@
     runs: u32,
     /// Tries that were sent.
     sends: u32,
+    /// Upstreams whose answer is still to come.
+    open: Vec<EngineId>,
     fallback: Option<(response::Parts, Bytes)>,
 }
 
@@ -80,6 +82,7 @@
         avoid: Vec::new(),
         runs: 0,
         sends: 0,
+        open: Vec::new(),
         fallback: None,
     };
     run.drive().await
@@ -135,6 +138,7 @@
     /// Takes in how a try ended; the answer, where it is one.
     fn take_in(&mut self, tried: Tried) -> Result<Option<Response<Body>>, Failure> {
         let upstream = &tried.upstream;
+        self.open.retain(|id| *id != upstream.record.id);
         self.avoid.push(upstream.record.id.clone());
         let failed = match &tried.end {
             TryEnd::Answered(head, _) => head.status.is_server_error(),
@@ -199,7 +203,20 @@
         } else {
             ErrorKind::DeadlineReached
         };
-        Err(Failure::new(kind, "the time for the call is over"))
+        let detail = format!(
+            "route {} and its caller hold the call for {} ms; no answer yet of {}",
+            self.call.route.name,
+            self.call
+                .ends
+                .duration_since(self.call.received)
+                .as_millis(),
+            if self.open.is_empty() {
+                "any upstream".to_owned()
+            } else {
+                self.open.join(", ")
+            }
+        );
+        Err(Failure::new(kind, detail))
     }
 
     /// Prepares the next try. Waits a short time where all upstreams turned the call away.
@@ -225,6 +242,7 @@
         }
         self.sends += 1;
         self.runs += 1;
+        self.open.push(upstream.record.id.clone());
         Ok(Box::pin(try_once(self.state, self.call, upstream)))
     }
 
