Do not promise 'not run' of a stream that an engine may have run

Cause: a stream whose first engine gave no answer, and for which no other engine, budget or trust in its key was left, was refused with 503, which promises that it has not run.

Ruled out: the status alone; the kind decides status and word together.

Change: after an engine may have run it, such a refusal is retries-spent, 504.

--- a/crates/gateway/src/forward/stream/place.rs
+++ b/crates/gateway/src/forward/stream/place.rs
@@ -85,16 +85,18 @@
             let Some(chosen) = self.choose() else {
                 if began.elapsed() > self.call.route.objective / ROOM_PART {
                     let detail = "no engine has room for the stream";
-                    return Err(Failure::new(ErrorKind::NoEngine, detail));
+                    return Err(self.refusal(ErrorKind::NoEngine, detail));
                 }
                 sleep(FULL_PAUSE).await;
                 self.avoid.clear();
                 continue;
             };
-            self.call.check_before_send(&self.state)?;
+            if let Err(failure) = self.call.check_before_send(&self.state) {
+                return Err(self.refusal(failure.kind, &failure.detail));
+            }
             if self.sends > 0 && !self.state.take_retry(&self.call.service) {
                 let detail = "the budget of repeated sends is spent";
-                return Err(Failure::new(ErrorKind::UpstreamsBusy, detail));
+                return Err(self.refusal(ErrorKind::UpstreamsBusy, detail));
             }
             self.sends += 1;
             match self.try_place(chosen).await {
@@ -110,6 +112,15 @@
         }
     }
 
+    /// A refusal. Of a stream that may have run at an earlier engine, it does not promise that
+    /// it has not.
+    fn refusal(&self, kind: ErrorKind, detail: &str) -> Failure {
+        if self.runs == 0 {
+            return Failure::new(kind, detail);
+        }
+        Failure::new(ErrorKind::RetriesSpent, format!("{kind}: {detail}"))
+    }
+
     fn choose(&mut self) -> Option<Chosen> {
         let now = Instant::now();
         if let Some(copy) = self.copy.take() {
