Break two circles and say three things once

Cause: state and stop named each other in both hosts' packages; sections of settings and operators' addresses were read by the same lines twice. Ruled out: a trait between state and stop; the parts that need the state are the process's life, not the stop's.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -6,7 +6,11 @@
 mod report;
 mod status;
 
-use {crate::outcome::Outcome, clap::ArgMatches, std::path::PathBuf};
+use {
+    crate::outcome::Outcome,
+    clap::ArgMatches,
+    std::{net::SocketAddr, path::PathBuf},
+};
 
 /// Runs the command that the command line names.
 pub async fn run(matches: &ArgMatches) -> Outcome {
@@ -39,3 +43,9 @@
 fn number(args: &ArgMatches, name: &str) -> Option<u64> {
     args.get_one::<u64>(name).copied()
 }
+
+/// The operators' addresses of hosts.
+fn operators(args: &ArgMatches) -> Vec<SocketAddr> {
+    let addresses = args.get_many("operators").unwrap_or_default();
+    addresses.copied().collect()
+}
--- a/crates/cli/src/commands/report.rs
+++ b/crates/cli/src/commands/report.rs
@@ -19,11 +19,7 @@
 
 /// `report ADDRESS...`
 pub async fn report(args: &ArgMatches) -> Result<(), Outcome> {
-    let addresses: Vec<SocketAddr> = args
-        .get_many("operators")
-        .unwrap_or_default()
-        .copied()
-        .collect();
+    let addresses = super::operators(args);
     let client = HttpClient::new(&ClientOptions::default());
     let answers = join_all(addresses.iter().map(|address| ask(&client, *address))).await;
     for (address, _) in addresses
--- a/crates/cli/src/commands/status.rs
+++ b/crates/cli/src/commands/status.rs
@@ -17,11 +17,7 @@
 
 /// `status ADDRESS...`
 pub async fn status(args: &ArgMatches) -> Result<(), Outcome> {
-    let addresses: Vec<SocketAddr> = args
-        .get_many("operators")
-        .unwrap_or_default()
-        .copied()
-        .collect();
+    let addresses = super::operators(args);
     let client = HttpClient::new(&ClientOptions::default());
     let answers = join_all(addresses.iter().map(|address| ask(&client, *address))).await;
     let highest = answers
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -127,6 +127,21 @@
         Section::new(name, self.ini.section(Some(name)))
     }
 
+    /// Reads a section and refuses keys that are not known in it.
+    ///
+    /// # Errors
+    /// Names the section and key that is not allowed, and what is.
+    pub fn read_section<T>(
+        &self,
+        name: &str,
+        read: fn(&mut Section<'_>) -> Result<T, SettingError>,
+    ) -> Result<T, SettingError> {
+        let mut section = self.section(name);
+        let options = read(&mut section)?;
+        section.deny_unknown()?;
+        Ok(options)
+    }
+
     /// The sections whose names are `prefix NAME`, with their NAMEs.
     #[must_use]
     pub fn named<'a>(&'a self, prefix: &str) -> Vec<(String, Section<'a>)> {
--- a/crates/gateway/src/forward/stream/relay.rs
+++ b/crates/gateway/src/forward/stream/relay.rs
@@ -3,7 +3,7 @@
 
 use {
     super::{StreamRun, attempt::Step, place::Opened, recopy::Recopy},
-    crate::{events::Event, stop::InFlight},
+    crate::{events::Event, lifecycle::InFlight},
     bytes::Bytes,
     http_body_util::{BodyExt, StreamBody},
     hyper::body::Frame,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod edge;
 pub mod events;
 mod forward;
+mod lifecycle;
 mod metrics;
 pub mod options;
 pub mod peers;
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -102,26 +102,15 @@
         let settings = Settings::load(file)?;
         settings.deny_unknown(&SECTIONS, &[])?;
         Ok(Self {
-            host: read(&settings, "host", HostOptions::read)?,
-            store: read(&settings, "store", StoreOptions::read)?,
-            peers: read(&settings, "peers", PeerOptions::read)?,
-            bounds: read(&settings, "bounds", BoundOptions::read)?,
-            log: read(&settings, "log", LogOptions::read)?,
+            host: settings.read_section("host", HostOptions::read)?,
+            store: settings.read_section("store", StoreOptions::read)?,
+            peers: settings.read_section("peers", PeerOptions::read)?,
+            bounds: settings.read_section("bounds", BoundOptions::read)?,
+            log: settings.read_section("log", LogOptions::read)?,
         })
     }
 }
 
-fn read<T>(
-    settings: &Settings,
-    name: &str,
-    read: fn(&mut Section<'_>) -> Result<T, SettingError>,
-) -> Result<T, SettingError> {
-    let mut section = settings.section(name);
-    let options = read(&mut section)?;
-    section.deny_unknown()?;
-    Ok(options)
-}
-
 impl HostOptions {
     fn read(section: &mut Section<'_>) -> Result<Self, SettingError> {
         let memory_mb = section.integer("memory_mb", 256, 16..=1 << 20)?;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -3,11 +3,11 @@
 use {
     crate::{
         edge::Protocol,
+        lifecycle::{note_reloads, stop_when_asked},
         options::GatewayOptions,
         peers,
         serve::{answer_caller, answer_host_call},
         state::GatewayState,
-        stop::{note_reloads, stop_when_asked},
         sync,
     },
     eyre::WrapErr,
--- a/crates/gateway/src/serve/ingress.rs
+++ b/crates/gateway/src/serve/ingress.rs
@@ -5,8 +5,8 @@
     crate::{
         edge::RequestFacts,
         forward::{Call, fingerprint_of, run_plain, run_stream, strip_connection_headers},
+        lifecycle::InFlight,
         state::GatewayState,
-        stop::InFlight,
         view::{Configuration, Customer, Route, RouteKind},
     },
     bytes::{Bytes, BytesMut},
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -1,30 +1,13 @@
-//! A planned stop: the host leaves the addresses at once, serves what still comes, and ends
-//! when it is quiet or its time is over.
+//! How far a planned stop is, and what is in flight.
 
 use {
-    crate::state::GatewayState,
     std::{
-        sync::{
-            Arc,
-            atomic::{AtomicUsize, Ordering},
-        },
+        sync::atomic::{AtomicUsize, Ordering},
         time::{Duration, Instant},
     },
-    tokio::{
-        signal::unix::{SignalKind, signal},
-        sync::watch,
-        time::sleep,
-    },
+    tokio::sync::watch,
 };
 
-/// How long callers may still come with an address that was withdrawn, before the host may
-/// end although it is quiet.
-const WITHDRAWAL: Duration = Duration::from_millis(3_500);
-/// Left of the time for a stop when the process ends in any case.
-const END_MARGIN: Duration = Duration::from_millis(400);
-/// How often a stop looks whether the host is quiet.
-const LOOK_INTERVAL: Duration = Duration::from_millis(50);
-
 /// How far a planned stop is, and what is in flight.
 pub struct Stop {
     asked: watch::Sender<Option<Instant>>,
@@ -40,26 +23,22 @@
     }
 }
 
-/// Counts a request as in flight until it is dropped.
-pub struct InFlight(Arc<GatewayState>);
+impl Stop {
+    /// Notes that a stop was asked for.
+    pub fn ask(&self, now: Instant) {
+        self.asked.send_replace(Some(now));
+    }
 
-impl InFlight {
-    /// Counts a request.
-    pub fn begin(state: &Arc<GatewayState>) -> Self {
-        state.stop.in_flight.fetch_add(1, Ordering::Relaxed);
-        state.metrics.in_flight.inc();
-        Self(state.clone())
+    /// Counts a request that begins.
+    pub fn begin_request(&self) {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
     }
-}
 
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.0.stop.in_flight.fetch_sub(1, Ordering::Relaxed);
-        self.0.metrics.in_flight.dec();
+    /// Counts a request that ended.
+    pub fn end_request(&self) {
+        self.in_flight.fetch_sub(1, Ordering::Relaxed);
     }
-}
 
-impl Stop {
     /// Whether a stop was asked for.
     pub fn is_asked(&self) -> bool {
         self.asked.borrow().is_some()
@@ -75,45 +54,3 @@
         self.in_flight.load(Ordering::Relaxed)
     }
 }
-
-/// Waits for SIGTERM or SIGINT and ends when the process may.
-///
-/// # Errors
-/// Signals can't be received.
-pub async fn stop_when_asked(state: Arc<GatewayState>) -> std::io::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-    let began = Instant::now();
-    state.stop.asked.send_replace(Some(began));
-    state.peers.work_changed();
-    log::info!("stop: asked in_flight={}", state.stop.in_flight());
-    let end = state.options.bounds.stop.saturating_sub(END_MARGIN);
-    loop {
-        let age = began.elapsed();
-        let in_flight = state.stop.in_flight();
-        if age >= end || (age >= WITHDRAWAL && in_flight == 0) {
-            log::info!(
-                "stop: done in_flight={in_flight} age_ms={}",
-                age.as_millis()
-            );
-            return Ok(());
-        }
-        sleep(LOOK_INTERVAL).await;
-    }
-}
-
-/// Notes each SIGHUP. The settings hold nothing that a running host takes in anew.
-///
-/// # Errors
-/// Signals can't be received.
-pub async fn note_reloads() -> std::io::Result<()> {
-    let mut hangup = signal(SignalKind::hangup())?;
-    while hangup.recv().await.is_some() {
-        log::info!("reload: asked outcome=nothing-to-reload");
-    }
-    Ok(())
-}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -14,6 +14,7 @@
 mod run;
 mod serve;
 mod show;
+mod shutdown;
 mod state;
 mod stop;
 
--- a/crates/router/src/options.rs
+++ b/crates/router/src/options.rs
@@ -11,7 +11,7 @@
     std::path::Path,
     tealshore_core::{
         logs::LogOptions,
-        settings::{Section, SettingError, Settings},
+        settings::{SettingError, Settings},
     },
     tealshore_hosts::HostsOptions,
     tealshore_table::TableOptions,
@@ -48,24 +48,13 @@
             &[],
         )?;
         Ok(Self {
-            host: read(&settings, "host", HostOptions::read)?,
-            callers: read(&settings, "callers", CallersOptions::read)?,
-            resume: read(&settings, "resume", ResumeOptions::read)?,
-            stop: read(&settings, "stop", StopOptions::read)?,
-            table: read(&settings, "table", TableOptions::read)?,
-            hosts: read(&settings, "hosts", HostsOptions::read)?,
-            log: read(&settings, "log", LogOptions::read)?,
+            host: settings.read_section("host", HostOptions::read)?,
+            callers: settings.read_section("callers", CallersOptions::read)?,
+            resume: settings.read_section("resume", ResumeOptions::read)?,
+            stop: settings.read_section("stop", StopOptions::read)?,
+            table: settings.read_section("table", TableOptions::read)?,
+            hosts: settings.read_section("hosts", HostsOptions::read)?,
+            log: settings.read_section("log", LogOptions::read)?,
         })
     }
 }
-
-fn read<T>(
-    settings: &Settings,
-    name: &str,
-    read: fn(&mut Section<'_>) -> Result<T, SettingError>,
-) -> Result<T, SettingError> {
-    let mut section = settings.section(name);
-    let options = read(&mut section)?;
-    section.deny_unknown()?;
-    Ok(options)
-}
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        collect, options::RouterOptions, serve, show, state::RouterState, stop::stop_when_asked,
+        collect, options::RouterOptions, serve, show, shutdown::stop_when_asked, state::RouterState,
     },
     eyre::WrapErr,
     futures::future::pending,
