Switch off the planned stop's withdrawal, the retry budget and the body's time

Cause: three promises had no test that was seen to fail without its protection. Ruled out: one switch for all of the stop.

--- a/crates/core/src/protection.rs
+++ b/crates/core/src/protection.rs
@@ -38,6 +38,12 @@
     WatchTimeout,
     /// What the upstream did not confirm as not run is not told as not run.
     ConfirmedRefusal,
+    /// A host that stops is not ready and leaves the addresses.
+    Withdrawal,
+    /// Repeated sends draw on a budget.
+    RetryBudget,
+    /// A body that never ends is given up.
+    BodyTimeout,
 }
 
 impl Protection {
@@ -61,6 +67,9 @@
             Self::RequestDigest => "request-digest",
             Self::WatchTimeout => "watch-timeout",
             Self::ConfirmedRefusal => "confirmed-refusal",
+            Self::Withdrawal => "withdrawal",
+            Self::RetryBudget => "retry-budget",
+            Self::BodyTimeout => "body-timeout",
         }
     }
 }
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -1,9 +1,12 @@
 //! The budget of repeated sends. Each host keeps to its own part, so the sum over all hosts
 //! keeps to the whole without a word between them.
 
-use std::{
-    collections::VecDeque,
-    time::{Duration, Instant},
+use {
+    std::{
+        collections::VecDeque,
+        time::{Duration, Instant},
+    },
+    tealshore_core::protection::{Protection, enabled},
 };
 
 /// How finely the window is counted.
@@ -56,7 +59,7 @@
     pub fn take(&mut self, now: Instant, hosts: usize) -> bool {
         let allowed = self.allowed(now, hosts);
         let used: u32 = self.cells.iter().map(|cell| cell.repeats).sum();
-        if f64::from(used) + 1.0 > allowed {
+        if f64::from(used) + 1.0 > allowed && enabled(Protection::RetryBudget) {
             return false;
         }
         self.cell(now).repeats += 1;
--- a/crates/gateway/src/serve/ingress.rs
+++ b/crates/gateway/src/serve/ingress.rs
@@ -21,6 +21,7 @@
         answer::{ErrorKind, Failure},
         http::Body,
         ids::ServiceId,
+        protection::{Protection, enabled},
     },
     tokio::{sync::OwnedSemaphorePermit, time::timeout_at},
 };
@@ -73,7 +74,10 @@
         return Err(Failure::new(ErrorKind::BadRequest, detail));
     }
     state.note_request(&admitted.service);
-    let ends = received + hold_of(&facts, &admitted.route);
+    let mut ends = received + hold_of(&facts, &admitted.route);
+    if !enabled(Protection::BodyTimeout) {
+        ends += LONGEST_HOLD;
+    }
     let taken = timeout_at(ends.into(), take_body(state, &admitted.configuration, body));
     let (body, _room) = taken
         .await
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -5,6 +5,7 @@
         sync::atomic::{AtomicUsize, Ordering},
         time::{Duration, Instant},
     },
+    tealshore_core::protection::{Protection, enabled},
     tokio::sync::watch,
 };
 
@@ -41,7 +42,7 @@
 
     /// Whether a stop was asked for.
     pub fn is_asked(&self) -> bool {
-        self.asked.borrow().is_some()
+        self.asked.borrow().is_some() && enabled(Protection::Withdrawal)
     }
 
     /// How long ago a stop was asked for.
--- a/crates/gateway/tests/budget.rs
+++ b/crates/gateway/tests/budget.rs
@@ -64,6 +64,7 @@
 
 #[test]
 fn a_host_alone_has_the_whole_slack_and_one_of_many_its_part() {
+    tealshore_core::protection::start();
     let now = Instant::now();
     let taken = |hosts| {
         let mut budget = RetryBudget::new(BOUNDS);
