Let hosts with many streams still be heard by their peers

Cause: a datagram tells of all streams of its host; past some 150 it exceeded the 8 KB that a peer reads, could not be understood, and the host was left out of the addresses while it served.

Ruled out: several datagrams; what is told of streams is a help, and a lost part would need a number of its own.

Change: 200 streams and 400 upstreams at most, and room for the largest datagram.

Figures: a_host_with_many_streams_is_still_heard, 240 streams: fails before (one address of two), passes after. Found by reading.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -32,8 +32,12 @@
     },
 };
 
-/// The largest datagram, in bytes.
-const DATAGRAM_BOUND_BYTES: usize = 8 * 1024;
+/// The largest datagram that is read, in bytes: the most that UDP carries.
+const DATAGRAM_BOUND_BYTES: usize = 64 * 1024;
+/// The most streams that a datagram tells of, so that it stays well below that.
+const TOLD_RUNS: usize = 200;
+/// The most upstreams whose work it tells of.
+const TOLD_UPSTREAMS: usize = 400;
 /// News within this time leave together.
 const COALESCE: Duration = Duration::from_millis(10);
 /// Silent peers are told of this host this many times longer than they are believed.
@@ -273,8 +277,8 @@
             phase: state.phase(now),
             incarnation: self.incarnation,
             sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
-            work: work.collect(),
-            runs: state.runs.own(now),
+            work: work.take(TOLD_UPSTREAMS).collect(),
+            runs: state.runs.own(now).into_iter().take(TOLD_RUNS).collect(),
             named: self.some_names(),
         }
     }
