--- a/crates/cli/src/burn/html.rs
+++ b/crates/cli/src/burn/html.rs
@@ -3,12 +3,15 @@
 use super::{Burn, BurnReport, LatencyBucket};
 
 /// The width of a plot, in pixels.
-const PLOT_WIDTH: f64 = 560.0;
+const PLOT_WIDTH: f64 = 680.0;
 /// The height of a bar, in pixels.
 const BAR_HEIGHT: f64 = 18.0;
 /// The room for a bar's name, in pixels.
 const NAME_WIDTH: f64 = 170.0;
 
+/// The room for a bar's label, in pixels.
+const LABEL_WIDTH: f64 = 210.0;
+
 struct Bar {
     name: String,
     value: f64,
@@ -25,7 +28,7 @@
          <style>body{font:15px sans-serif;margin:2em;max-width:50em}\
          svg text{font:12px sans-serif}</style><h1>Service levels</h1>",
     );
-    page.push_str(&format!("<p>{} hosts answered.</p>", report.hosts));
+    page.push_str(&format!("<p>Hosts that answered: {}.</p>", report.hosts));
     page.push_str("<h2>Error budget spent</h2>");
     page.push_str(&plot(&burn_bars(report)));
     page.push_str("<h2>Ends of requests</h2>");
@@ -79,7 +82,11 @@
         let count = bucket.count.saturating_sub(before);
         before = bucket.count;
         bars.push(Bar {
-            name: format!("up to {} s", bucket.bound_s),
+            name: if bucket.bound_s.is_finite() {
+                format!("up to {} s", bucket.bound_s)
+            } else {
+                "longer".to_owned()
+            },
             value: super::ratio(count, 1),
             label: count.to_string(),
             is_bad: false,
@@ -93,7 +100,7 @@
         .iter()
         .map(|bar| bar.value)
         .fold(f64::EPSILON, f64::max);
-    let room = PLOT_WIDTH - NAME_WIDTH - 150.0;
+    let room = PLOT_WIDTH - NAME_WIDTH - LABEL_WIDTH;
     let mut top = 0.0;
     let mut drawn = String::new();
     for bar in bars {
--- a/crates/cli/tests/burn.rs
+++ b/crates/cli/tests/burn.rs
@@ -60,6 +60,7 @@
     let report = BurnReport::new(OBJECTIVE, &[HostMetrics::parse(&text).unwrap()]);
     let page = render_html(&report);
     assert!(page.contains("&lt;script&gt;") && !page.contains("<script>"));
+    assert!(page.contains(">longer</text>") && !page.contains("inf"));
 }
 
 /// Answers one request with the metrics above.
