Send a hedge to another upstream than the call's own, and try it again

A hedge could go to the upstream at which the call hangs, as only upstreams whose try had ended were left out; with the stand-in's 64 slots that was an even chance. And a hedge that found no upstream was not tried again.

The list of upstreams arriving late: the new test shows that as the second cause, not the first.

Change: open tries' upstreams are left out; a hedge that finds none is tried again after the same time.

--- a/crates/gateway/src/forward/plain.rs
+++ b/crates/gateway/src/forward/plain.rs
@@ -105,7 +105,8 @@
                     }
                 }
                 () = sleep_until(hedge_at.into()), if may_hedge => {
-                    hedge_at = ends;
+                    // A hedge that finds no upstream with room is tried again a little later.
+                    hedge_at = Instant::now() + hedge_after;
                     if let Ok(hedge) = self.next_try().await {
                         tries.push(hedge);
                     }
@@ -226,7 +227,9 @@
             let need = Need::Call {
                 hosts: self.state.peers.most_hosts(),
             };
-            if let Some(found) = self.state.choose_upstream(service, need, &self.avoid) {
+            // A second try beside an open one goes to another upstream.
+            let avoid: Vec<EngineId> = self.avoid.iter().chain(&self.open).cloned().collect();
+            if let Some(found) = self.state.choose_upstream(service, need, &avoid) {
                 break found;
             }
             if !self.may_wait_for_room() {
