Share what is left of the retry budget, and tell of replaced upstreams at once

And 513 of the 730 sends that were spent went to incarnations that were gone: each host met the 'another one' answer for itself.

Ruled out: full upstreams (no try ended for lack of room), slow store (rows came in time; it is the rows of the dead that stay for 3.6 s).

Change: hosts tell in their datagrams what they used of each budget; past its own part a host takes at most its equal part of what is left in a second, and only while three quarters of all hosts are heard. A replaced upstream is told to peers at once and believed for good; a younger incarnation at the same address makes hosts avoid the older one.

New tests: the sum over hosts under late, lost and missing words; the old own-part test stays.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -1,7 +1,11 @@
-//! The budget of repeated sends. Each host keeps to its own part, so the sum over all hosts
-//! keeps to the whole without a word between them.
+//! The budget of repeated sends of all hosts.
+//!
+//! Each host may always use its own part, without a word from the others. What the others
+//! leave over is shared as well, as long as nearly all of them are heard: each takes at most
+//! its equal part of what is left in the time that news needs to reach everybody.
 
 use {
+    serde::{Deserialize, Serialize},
     std::{
         collections::VecDeque,
         time::{Duration, Instant},
@@ -26,6 +30,48 @@
 /// Part of the ratio that is used: requests and repeats of one window may be counted in
 /// cells that differ by one.
 const RATIO_PART: f64 = 0.75;
+/// The part of all hosts that must have been heard before what they leave over is used.
+const HEARD_PART: f64 = 0.75;
+
+/// What was used of a budget within its window.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BudgetUse {
+    /// Requests of callers.
+    pub requests: u32,
+    /// Repeated sends.
+    pub repeats: u32,
+}
+
+impl BudgetUse {
+    /// Adds what another host used.
+    pub fn add(&mut self, other: Self) {
+        self.requests = self.requests.saturating_add(other.requests);
+        self.repeats = self.repeats.saturating_add(other.repeats);
+    }
+}
+
+/// What a host knows of the others when it is about to repeat a send.
+#[derive(Clone, Copy, Debug)]
+pub struct Pool {
+    /// The most hosts that there ever were at once, this one included.
+    pub hosts: usize,
+    /// Other hosts that were heard a moment ago.
+    pub heard: usize,
+    /// What those have used.
+    pub used: BudgetUse,
+}
+
+impl Pool {
+    /// A pool of which nothing was heard.
+    #[must_use]
+    pub fn unheard(hosts: usize) -> Self {
+        Self {
+            hosts,
+            heard: 0,
+            used: BudgetUse::default(),
+        }
+    }
+}
 
 #[derive(Clone, Copy)]
 struct Cell {
@@ -55,23 +101,64 @@
         self.cell(now).requests += 1;
     }
 
-    /// Takes one repeat, where the part of one of `hosts` hosts allows it.
-    pub fn take(&mut self, now: Instant, hosts: usize) -> bool {
-        let allowed = self.allowed(now, hosts);
-        let used: u32 = self.cells.iter().map(|cell| cell.repeats).sum();
-        if f64::from(used) + 1.0 > allowed && enabled(Protection::RetryBudget) {
+    /// Takes one repeat, where this host's own part allows it, or what the others leave over.
+    pub fn take(&mut self, now: Instant, pool: &Pool) -> bool {
+        let is_allowed = self.own_part_allows(now, pool) || self.pool_allows(now, pool);
+        if !is_allowed && enabled(Protection::RetryBudget) {
             return false;
         }
         self.cell(now).repeats += 1;
         true
     }
 
-    /// Repeats that this host may make within the window that ends now.
-    fn allowed(&mut self, now: Instant, hosts: usize) -> f64 {
+    /// What this host used within the window that ends now.
+    pub fn used(&mut self, now: Instant) -> BudgetUse {
         self.forget(now);
-        let requests: u32 = self.cells.iter().map(|cell| cell.requests).sum();
-        let share = 1.0 / f64::from(u32::try_from(hosts.max(1)).unwrap_or(u32::MAX));
-        f64::from(requests) * self.bounds.ratio * RATIO_PART + self.bounds.slack * share
+        let mut used = BudgetUse::default();
+        for cell in &self.cells {
+            used.add(BudgetUse {
+                requests: cell.requests,
+                repeats: cell.repeats,
+            });
+        }
+        used
+    }
+
+    fn own_part_allows(&mut self, now: Instant, pool: &Pool) -> bool {
+        let own = self.used(now);
+        let slack = self.bounds.slack / to_f64(pool.hosts);
+        f64::from(own.repeats) + 1.0 <= self.allowed(own.requests, slack)
+    }
+
+    /// Whether the whole of the hosts that were heard has something left, and this host has
+    /// not yet taken its equal part of that since news last reached everybody.
+    fn pool_allows(&mut self, now: Instant, pool: &Pool) -> bool {
+        let members = to_f64(pool.heard + 1);
+        if members < to_f64(pool.hosts) * HEARD_PART {
+            return false;
+        }
+        let mut whole = self.used(now);
+        whole.add(pool.used);
+        let slack = self.bounds.slack * members / to_f64(pool.hosts);
+        let left = self.allowed(whole.requests, slack) - f64::from(whole.repeats);
+        let equal_part = (left / to_f64(pool.hosts)).floor();
+        f64::from(self.repeats_since_news(now)) + 1.0 <= equal_part
+    }
+
+    /// Repeats in the cell that runs and in the one before it: a cell is as long as a
+    /// heartbeat between hosts may take.
+    fn repeats_since_news(&self, now: Instant) -> u32 {
+        let news = self.bounds.window / CELLS;
+        let recent = self
+            .cells
+            .iter()
+            .filter(|cell| now.saturating_duration_since(cell.began) <= news * 2);
+        recent.map(|cell| cell.repeats).sum()
+    }
+
+    /// Repeats that so many requests allow, with a slack besides.
+    fn allowed(&self, requests: u32, slack: f64) -> f64 {
+        f64::from(requests) * self.bounds.ratio * RATIO_PART + slack
     }
 
     fn forget(&mut self, now: Instant) {
@@ -103,3 +190,7 @@
         &mut self.cells[last]
     }
 }
+
+fn to_f64(count: usize) -> f64 {
+    f64::from(u32::try_from(count.max(1)).unwrap_or(u32::MAX))
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -6,11 +6,12 @@
 
 use {
     crate::{
+        budget::{BudgetUse, Pool},
         edge::HostRecord,
         options::{HostOptions, PeerOptions},
         runs::RunTrace,
         state::GatewayState,
-        view::Work,
+        view::{Condition, Work},
     },
     parking_lot::Mutex,
     rand::RngExt,
@@ -24,7 +25,7 @@
         },
         time::{Duration, Instant},
     },
-    tealshore_core::ids::{EngineId, HallId, HostId},
+    tealshore_core::ids::{EngineId, HallId, HostId, ServiceId},
     tokio::{
         net::UdpSocket,
         sync::Notify,
@@ -63,7 +64,23 @@
     running: u32,
     unread_tokens: u64,
     memory_tokens: u64,
-    suspected: bool,
+    condition: Condition,
+}
+
+/// An upstream of which a peer says that it is not sound.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Finding {
+    /// The upstream.
+    pub upstream: EngineId,
+    /// What the peer found.
+    pub condition: Condition,
+}
+
+/// What a host used of the retry budget of a service.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct ServiceUse {
+    service: ServiceId,
+    used: BudgetUse,
 }
 
 /// The state of a host, as a datagram carries it.
@@ -79,6 +96,8 @@
     /// Counts the datagrams of an incarnation.
     sequence: u64,
     work: Vec<UpstreamWork>,
+    /// What it used of the retry budgets.
+    budgets: Vec<ServiceUse>,
     /// The streams that run on it.
     runs: Vec<RunTrace>,
     /// Some other hosts' addresses for datagrams.
@@ -177,8 +196,22 @@
         serving.map(|peer| peer.state.callers_address).collect()
     }
 
-    /// Takes in a datagram; the upstreams that seem dead to its sender.
-    pub fn take_in(&self, state: PeerState, now: Instant) -> Vec<EngineId> {
+    /// What the other hosts used of the retry budget of a service, as far as they were heard.
+    pub fn budget_pool(&self, service: &ServiceId, now: Instant) -> Pool {
+        let mut pool = Pool::unheard(self.most_hosts());
+        let known = self.known.lock();
+        for peer in known.values().filter(|peer| self.is_believed(peer, now)) {
+            pool.heard += 1;
+            let of_service = peer.state.budgets.iter();
+            for entry in of_service.filter(|entry| entry.service == *service) {
+                pool.used.add(entry.used);
+            }
+        }
+        pool
+    }
+
+    /// Takes in a datagram; what its sender found of upstreams that are not sound.
+    pub fn take_in(&self, state: PeerState, now: Instant) -> Vec<Finding> {
         if state.host == self.own.id {
             return Vec::new();
         }
@@ -186,8 +219,13 @@
         for address in &state.named {
             self.name(*address);
         }
-        let suspected = state.work.iter().filter(|entry| entry.suspected);
-        let suspected = suspected.map(|entry| entry.upstream.clone()).collect();
+        let unsound = state.work.iter();
+        let unsound = unsound.filter(|entry| entry.condition != Condition::Sound);
+        let findings = unsound.map(|entry| Finding {
+            upstream: entry.upstream.clone(),
+            condition: entry.condition,
+        });
+        let findings = findings.collect();
         let mut known = self.known.lock();
         let before = known.get(&state.host);
         if before.is_some_and(|before| before.state.is_newer_than(&state)) {
@@ -203,7 +241,7 @@
             );
         }
         known.insert(state.host.clone(), Peer { state, heard: now });
-        suspected
+        findings
     }
 
     fn is_believed(&self, peer: &Peer, now: Instant) -> bool {
@@ -259,16 +297,18 @@
         let all = state.view.upstreams.all();
         let work = all.iter().filter_map(|upstream| {
             let own = upstream.own_work();
-            let suspected = upstream.is_suspected_here(now);
-            let is_worth_telling = suspected || own.memory_tokens > 0;
+            let condition = upstream.condition_here(now);
+            let is_worth_telling = condition != Condition::Sound || own.memory_tokens > 0;
             is_worth_telling.then(|| UpstreamWork {
                 upstream: upstream.record.id.clone(),
                 running: own.running,
                 unread_tokens: own.unread_tokens,
                 memory_tokens: own.memory_tokens,
-                suspected,
+                condition,
             })
         });
+        let budgets = state.budget_use(now).into_iter();
+        let budgets = budgets.map(|(service, used)| ServiceUse { service, used });
         PeerState {
             host: self.own.id.clone(),
             hall: self.own.hall.clone(),
@@ -278,6 +318,7 @@
             incarnation: self.incarnation,
             sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
             work: work.take(TOLD_UPSTREAMS).collect(),
+            budgets: budgets.collect(),
             runs: state.runs.own(now).into_iter().take(TOLD_RUNS).collect(),
             named: self.some_names(),
         }
@@ -334,20 +375,29 @@
         for run in &peer.runs {
             state.runs.hear(run.clone(), now);
         }
-        for id in state.peers.take_in(peer, now) {
-            suspect_as_told(&state, &id, &sender);
+        for finding in state.peers.take_in(peer, now) {
+            take_over(&state, &finding, &sender);
         }
     }
 }
 
-/// Takes over a peer's suspicion, unless this host has one of its own already. It is not
-/// told on: suspicions of suspicions would never end.
-fn suspect_as_told(state: &GatewayState, id: &EngineId, sender: &HostId) {
+/// Takes over what a peer found, unless this host found the same. It is not told on:
+/// suspicions of suspicions would never end.
+fn take_over(state: &GatewayState, finding: &Finding, sender: &HostId) {
     let now = Instant::now();
-    let Some(upstream) = state.view.upstreams.get(id) else {
+    let Some(upstream) = state.view.upstreams.get(&finding.upstream) else {
         return;
     };
-    if !upstream.is_suspected(now) && upstream.suspect_by_word(now) {
-        log::debug!("upstream: suspected upstream={id} cause=peer peer={sender}");
+    let is_news = match finding.condition {
+        Condition::Sound => false,
+        Condition::Suspected => !upstream.is_suspected(now) && upstream.suspect_by_word(now),
+        Condition::Replaced => upstream.replaced_by_word(now),
+    };
+    if is_news {
+        log::debug!(
+            "upstream: unsound upstream={} condition={:?} peer={sender}",
+            finding.upstream,
+            finding.condition
+        );
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         balance::{Candidate, Need, choose},
-        budget::RetryBudget,
+        budget::{BudgetUse, RetryBudget},
         edge::Protocol,
         metrics::GatewayMetrics,
         options::GatewayOptions,
@@ -115,9 +115,23 @@
     /// Takes one repeat from the budget of a service.
     pub fn take_retry(&self, service: &ServiceId) -> bool {
         let now = Instant::now();
-        let hosts = self.peers.most_hosts();
+        let pool = self.peers.budget_pool(service, now);
         let mut budgets = self.budgets.lock();
-        self.budget(&mut budgets, service).take(now, hosts)
+        let taken = self.budget(&mut budgets, service).take(now, &pool);
+        drop(budgets);
+        if taken {
+            self.peers.work_changed();
+        }
+        taken
+    }
+
+    /// What this host used of the budget of each service, for its peers.
+    pub fn budget_use(&self, now: Instant) -> Vec<(ServiceId, BudgetUse)> {
+        let mut budgets = self.budgets.lock();
+        let all = budgets.iter_mut();
+        let used = all.map(|(service, budget)| (service.clone(), budget.used(now)));
+        used.filter(|(_, used)| *used != BudgetUse::default())
+            .collect()
     }
 
     fn budget<'a>(
@@ -215,5 +229,6 @@
             log::warn!("upstream: replaced upstream={}", upstream.record.id);
         }
         upstream.gone_for_good(now);
+        self.peers.work_changed();
     }
 }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -7,7 +7,7 @@
 pub use {
     configuration::{Configuration, Customer, Engines, Limits, Route, RouteKind, Service, Target},
     freshness::{Freshness, StoreClock},
-    upstreams::{Upstream, UpstreamRecord, UpstreamState, Upstreams, Work},
+    upstreams::{Condition, Upstream, UpstreamRecord, UpstreamState, Upstreams, Work},
 };
 use {
     parking_lot::RwLock,
--- a/crates/gateway/src/view/upstreams.rs
+++ b/crates/gateway/src/view/upstreams.rs
@@ -3,6 +3,7 @@
 use {
     crate::edge::Revision,
     parking_lot::{Mutex, RwLock},
+    serde::{Deserialize, Serialize},
     std::{
         collections::HashMap,
         net::SocketAddr,
@@ -20,6 +21,12 @@
 const FAILURE_WEIGHT: f64 = 0.2;
 /// How long an incarnation that was replaced gets none: far longer than it stays listed.
 const GONE_FOR_GOOD: Duration = Duration::from_secs(600);
+/// How long an incarnation gets none after a younger one was listed at its address: the
+/// platform takes its row away in less.
+const SUPERSEDED: Duration = Duration::from_secs(5);
+/// An incarnation counts as younger where it was listed this much later: of two that are
+/// read at once, nothing tells which one lives.
+const YOUNGER_BY: Duration = Duration::from_millis(500);
 /// How long an upstream that seemed dead gets no new work.
 const SUSPICION: Duration = Duration::from_millis(1_500);
 
@@ -32,6 +39,17 @@
     Leaving,
 }
 
+/// What a host found of an upstream by itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Condition {
+    /// Nothing that speaks against it.
+    Sound,
+    /// It seems dead.
+    Suspected,
+    /// Another incarnation answered at its address.
+    Replaced,
+}
+
 /// One incarnation of an upstream as the store lists it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct UpstreamRecord {
@@ -83,12 +101,16 @@
     suspected_until: Option<Instant>,
     /// The suspicion came from a peer.
     by_word: bool,
+    /// Another incarnation answered at its address.
+    replaced: bool,
 }
 
 /// An upstream and what this host thinks of it.
 pub struct Upstream {
     /// What the store lists.
     pub record: UpstreamRecord,
+    /// When this host first saw it listed.
+    listed: Instant,
     opinion: Mutex<Opinion>,
     suspicion: Notify,
 }
@@ -97,6 +119,7 @@
     fn new(record: UpstreamRecord) -> Self {
         Self {
             record,
+            listed: Instant::now(),
             opinion: Mutex::default(),
             suspicion: Notify::new(),
         }
@@ -136,10 +159,33 @@
 
     /// Notes that another incarnation has its address, so that it never comes back.
     pub fn gone_for_good(&self, now: Instant) {
+        self.replaced_as(now, false);
+    }
+
+    /// Notes that a younger incarnation is listed at its address.
+    fn superseded(&self, now: Instant) {
+        let mut opinion = self.opinion.lock();
+        opinion.suspected_until = opinion.suspected_until.max(Some(now + SUPERSEDED));
+        drop(opinion);
+        self.suspicion.notify_waiters();
+    }
+
+    /// Notes that a peer found another incarnation at its address; whether that is news.
+    pub fn replaced_by_word(&self, now: Instant) -> bool {
+        self.replaced_as(now, true)
+    }
+
+    fn replaced_as(&self, now: Instant, by_word: bool) -> bool {
         let mut opinion = self.opinion.lock();
+        if opinion.replaced {
+            return false;
+        }
+        opinion.replaced = true;
+        opinion.by_word = by_word;
         opinion.suspected_until = Some(now + GONE_FOR_GOOD);
         drop(opinion);
         self.suspicion.notify_waiters();
+        true
     }
 
     /// Notes that it seems dead to a peer; whether that is news.
@@ -152,7 +198,9 @@
         let is_news = opinion.suspected_until.is_none_or(|until| until <= now);
         let until = now + SUSPICION;
         opinion.suspected_until = opinion.suspected_until.max(Some(until));
-        opinion.by_word = by_word;
+        if !opinion.replaced {
+            opinion.by_word = by_word;
+        }
         drop(opinion);
         if is_news {
             self.suspicion.notify_waiters();
@@ -166,10 +214,15 @@
         until.is_some_and(|until| until > now)
     }
 
-    /// Whether this host itself found a short time ago that it seems dead.
-    pub fn is_suspected_here(&self, now: Instant) -> bool {
-        let by_word = self.opinion.lock().by_word;
-        !by_word && self.is_suspected(now)
+    /// What this host itself found of it a short time ago.
+    pub fn condition_here(&self, now: Instant) -> Condition {
+        let opinion = self.opinion.lock();
+        let is_suspected = opinion.suspected_until.is_some_and(|until| until > now);
+        match (is_suspected && !opinion.by_word, opinion.replaced) {
+            (false, _) => Condition::Sound,
+            (true, false) => Condition::Suspected,
+            (true, true) => Condition::Replaced,
+        }
     }
 
     /// Ends when somebody finds that it seems dead.
@@ -202,6 +255,9 @@
             .filter(|upstream| upstream.record == record)
             .cloned();
         let is_news = same.is_none();
+        if known.is_none() {
+            supersede(&listed, &record);
+        }
         let upstream = same.unwrap_or_else(|| Arc::new(Upstream::new(record.clone())));
         let entry = Listed {
             revision,
@@ -273,3 +329,15 @@
             .is_some_and(|upstream| upstream.record.state == UpstreamState::Ready)
     }
 }
+
+/// Gives up the older incarnations at the address of one that was not listed before.
+fn supersede(listed: &HashMap<EngineId, Listed>, newcomer: &UpstreamRecord) {
+    let now = Instant::now();
+    let upstreams = listed.values().filter_map(|known| known.upstream.as_ref());
+    let older = upstreams
+        .filter(|upstream| upstream.record.address == newcomer.address)
+        .filter(|upstream| now.saturating_duration_since(upstream.listed) >= YOUNGER_BY);
+    for upstream in older {
+        upstream.superseded(now);
+    }
+}
--- a/crates/gateway/tests/budget.rs
+++ b/crates/gateway/tests/budget.rs
@@ -1,9 +1,10 @@
-//! The budget of repeated sends holds over all hosts without a word between them.
+//! The budget of repeated sends holds over all hosts, whatever they hear of each other, and
+//! what some leave over is there for the others.
 
 use {
     proptest::prelude::*,
     std::time::{Duration, Instant},
-    tealshore_gateway::budget::{BudgetBounds, RetryBudget},
+    tealshore_gateway::budget::{BudgetBounds, BudgetUse, Pool, RetryBudget},
 };
 
 const BOUNDS: BudgetBounds = BudgetBounds {
@@ -45,7 +46,7 @@
             if step.is_request {
                 budget.note_request(now);
                 requests.push(now);
-            } else if budget.take(now, 9) {
+            } else if budget.take(now, &Pool::unheard(9)) {
                 repeats.push(now);
             }
         }
@@ -68,7 +69,9 @@
     let now = Instant::now();
     let taken = |hosts| {
         let mut budget = RetryBudget::new(BOUNDS);
-        (0..1_000).filter(|_| budget.take(now, hosts)).count()
+        (0..1_000)
+            .filter(|_| budget.take(now, &Pool::unheard(hosts)))
+            .count()
     };
     assert_eq!(taken(1), 150);
     assert_eq!(taken(10), 15);
@@ -79,7 +82,134 @@
 fn repeats_come_back_when_the_window_has_passed() {
     let now = Instant::now();
     let mut budget = RetryBudget::new(BOUNDS);
-    while budget.take(now, 1) {}
-    assert!(!budget.take(now + Duration::from_secs(9), 1));
-    assert!(budget.take(now + Duration::from_secs(11), 1));
+    while budget.take(now, &Pool::unheard(1)) {}
+    assert!(!budget.take(now + Duration::from_secs(9), &Pool::unheard(1)));
+    assert!(budget.take(now + Duration::from_secs(11), &Pool::unheard(1)));
+}
+
+/// What a host last heard of another one.
+#[derive(Clone, Copy)]
+struct Word {
+    used: BudgetUse,
+    heard: Instant,
+}
+
+/// Hosts that tell each other what they used, late and with losses.
+struct Hosts {
+    budgets: Vec<RetryBudget>,
+    words: Vec<Vec<Option<Word>>>,
+}
+
+/// How long a word is believed.
+const BELIEVED: Duration = Duration::from_millis(1_600);
+
+impl Hosts {
+    fn new(count: usize) -> Self {
+        Self {
+            budgets: (0..count).map(|_| RetryBudget::new(BOUNDS)).collect(),
+            words: vec![vec![None; count]; count],
+        }
+    }
+
+    fn tell(&mut self, from: usize, to: usize, now: Instant) {
+        let used = self.budgets[from].used(now);
+        self.words[to][from] = Some(Word { used, heard: now });
+    }
+
+    fn take(&mut self, host: usize, now: Instant) -> bool {
+        let mut pool = Pool::unheard(self.budgets.len());
+        let heard = self.words[host].iter().flatten();
+        for word in heard.filter(|word| now - word.heard <= BELIEVED) {
+            pool.heard += 1;
+            pool.used.add(word.used);
+        }
+        self.budgets[host].take(now, &pool)
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(11), ..ProptestConfig::with_cases(24) })]
+
+    /// All hosts repeat as often as they may, at once or in turn, while what they tell each
+    /// other comes each half second and is lost now and then, and some are cut off.
+    #[test]
+    fn what_hosts_leave_over_is_never_spent_twice(
+        busy in 1_usize..9,
+        requests_per_s in 5_u32..80,
+        lost_percent in 0_u32..30,
+        cut_off in 0_usize..3,
+        draws in prop::collection::vec(0_u32..100, 4_000)
+    ) {
+        const HOSTS: usize = 9;
+        let start = Instant::now();
+        let mut hosts = Hosts::new(HOSTS);
+        let mut draws = draws.into_iter().cycle();
+        let mut repeats: Vec<Instant> = Vec::new();
+        for tick in 0..600_u32 {
+            let now = start + Duration::from_millis(50) * tick;
+            for _ in 0..requests_per_s / 20 + 1 {
+                let host = usize::try_from(draws.next().unwrap()).unwrap() % HOSTS;
+                hosts.budgets[host].note_request(now);
+            }
+            if tick % 10 == 0 {
+                for from in cut_off..HOSTS {
+                    for to in cut_off..HOSTS {
+                        if from != to && draws.next().unwrap() >= lost_percent {
+                            hosts.tell(from, to, now);
+                        }
+                    }
+                }
+            }
+            for host in 0..busy {
+                while hosts.take(host, now) {
+                    repeats.push(now);
+                }
+            }
+        }
+        let per_window = (requests_per_s / 20 + 1) * 200;
+        let allowed = 0.8 * f64::from(per_window) + BOUNDS.slack;
+        for end in &repeats {
+            let window = repeats.iter().filter(|time| *time <= end && *end - **time < BOUNDS.window);
+            let repeated = f64::from(u32::try_from(window.count()).unwrap());
+            prop_assert!(repeated <= allowed, "{repeated} of {allowed}");
+        }
+    }
+}
+
+#[test]
+fn a_host_that_needs_more_takes_what_the_others_leave_over() {
+    let now = Instant::now();
+    let mut hosts = Hosts::new(88);
+    for host in 0..88 {
+        for _ in 0..5 {
+            hosts.budgets[host].note_request(now);
+        }
+    }
+    // Its own part alone allows four in the whole window.
+    let mut taken = 0;
+    for second in 0..5 {
+        let at = now + Duration::from_millis(1_100) * second;
+        for from in 1..88 {
+            hosts.tell(from, 0, at);
+        }
+        taken += (0..100).filter(|_| hosts.take(0, at)).count();
+    }
+    assert!(taken >= 16, "{taken}");
+}
+
+#[test]
+fn a_host_that_hears_too_few_keeps_to_its_own_part() {
+    let now = Instant::now();
+    let mut hosts = Hosts::new(9);
+    for host in 0..9 {
+        for _ in 0..20 {
+            hosts.budgets[host].note_request(now);
+        }
+    }
+    let taken_alone = (0..1_000).filter(|_| hosts.take(0, now)).count();
+    for from in 2..6 {
+        hosts.tell(from, 1, now);
+    }
+    let taken_with_few = (0..1_000).filter(|_| hosts.take(1, now)).count();
+    assert_eq!(taken_alone, taken_with_few);
 }
--- a/crates/gateway/tests/view.rs
+++ b/crates/gateway/tests/view.rs
@@ -8,7 +8,8 @@
     proptest::prelude::*,
     std::time::{Duration, Instant},
     tealshore_gateway::view::{
-        Configuration, Route, RouteKind, StoreClock, Target, UpstreamRecord, UpstreamState, View,
+        Condition, Configuration, Route, RouteKind, StoreClock, Target, UpstreamRecord,
+        UpstreamState, View,
     },
 };
 
@@ -204,5 +205,41 @@
     let now = Instant::now();
     assert!(upstream.suspect_by_word(now));
     assert!(upstream.is_suspected(now));
-    assert!(!upstream.is_suspected_here(now));
+    assert_eq!(upstream.condition_here(now), Condition::Sound);
+}
+
+#[test]
+fn a_replacement_that_a_peer_met_is_believed_and_not_told_on() {
+    let view = View::default();
+    view.upstreams.put(1, record("e", UpstreamState::Ready));
+    let upstream = view.upstreams.get(&"e".to_owned()).unwrap();
+    let now = Instant::now();
+    assert!(upstream.replaced_by_word(now));
+    assert!(!upstream.replaced_by_word(now));
+    // It is another one for good, unlike one that only seems dead.
+    assert!(upstream.is_suspected(now + Duration::from_secs(60)));
+    assert_eq!(upstream.condition_here(now), Condition::Sound);
+    let met = view.upstreams.put(2, record("f", UpstreamState::Ready));
+    assert!(met);
+    let met = view.upstreams.get(&"f".to_owned()).unwrap();
+    met.gone_for_good(now);
+    assert_eq!(met.condition_here(now), Condition::Replaced);
+}
+
+#[test]
+fn an_incarnation_gives_way_to_a_younger_one_at_its_address() {
+    let view = View::default();
+    view.upstreams.put(1, record("old", UpstreamState::Ready));
+    view.upstreams.put(2, record("twin", UpstreamState::Ready));
+    let get = |id: &str| view.upstreams.get(&id.to_owned()).unwrap();
+    // Two that are listed at once: nothing tells which one lives.
+    assert!(!get("old").is_suspected(Instant::now()));
+    std::thread::sleep(Duration::from_millis(600));
+    view.upstreams.put(3, record("young", UpstreamState::Ready));
+    let now = Instant::now();
+    assert!(get("old").is_suspected(now));
+    assert!(!get("young").is_suspected(now));
+    // A late row of the old one changes nothing.
+    view.upstreams.put(4, record("old", UpstreamState::Leaving));
+    assert!(!get("young").is_suspected(Instant::now()));
 }
