Let one host read the store for the others

Change: each host chooses its feeder among the hosts that it hears, that take traffic and reach the store. The feeder watches for 0.5 s at a time and tells how far it knows each set, by the store's versions and times; changed upstreams go along. A host that missed a change, or has no word younger than 1.2 s, reads the store itself. Where streams run is written by the feeder alone. sync.rs is split by job.

--- a/crates/core/src/protection.rs
+++ b/crates/core/src/protection.rs
@@ -44,6 +44,8 @@
     RetryBudget,
     /// A body that never ends is given up.
     BodyTimeout,
+    /// What another host tells of the store is as old as the store's own time says.
+    RelayedAge,
 }
 
 impl Protection {
@@ -70,6 +72,7 @@
             Self::Withdrawal => "withdrawal",
             Self::RetryBudget => "retry-budget",
             Self::BodyTimeout => "body-timeout",
+            Self::RelayedAge => "relayed-age",
         }
     }
 }
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -9,6 +9,7 @@
     },
     bytes::Bytes,
     http::{HeaderMap, Request, Response, StatusCode, request, response},
+    serde::{Deserialize, Serialize},
     std::{net::SocketAddr, time::Duration},
     tealshore_core::ids::{CustomerId, EngineId, HallId, HostId, RequestId},
 };
@@ -17,6 +18,8 @@
 pub type EventId = u64;
 /// A version of the store's rows; it rises with each change.
 pub type Revision = u64;
+/// A time of the store's steady clock.
+pub type StoreTime = Duration;
 
 /// What the head of a caller's request says.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -103,7 +106,7 @@
     Upstreams,
     /// The hosts of this system.
     Hosts,
-    /// Where streams run, as each host last wrote it.
+    /// Where streams run, as each group of hosts last wrote it.
     Runs,
 }
 
@@ -125,18 +128,25 @@
 pub enum Change {
     /// A configuration.
     Configuration(Box<Configuration>),
-    /// An upstream as it is now.
-    Upstream(UpstreamRecord),
-    /// An upstream that is no longer listed.
-    UpstreamGone(EngineId),
+    /// An upstream.
+    Upstream(UpstreamChange),
     /// A host of this system.
     Host(HostRecord),
-    /// Where the streams of a host ran.
+    /// Where the streams of a group of hosts ran.
     Runs(Vec<RunPlace>),
     /// A row that could not be read, with the reason.
     Unreadable(String),
 }
 
+/// A change of one upstream's row.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum UpstreamChange {
+    /// It is listed so.
+    Listed(UpstreamRecord),
+    /// It is no longer listed.
+    Gone(EngineId),
+}
+
 /// A host of this system as the store keeps it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HostRecord {
@@ -163,7 +173,7 @@
     /// The newest version in the store.
     pub revision: Revision,
     /// The store's steady clock when it answered.
-    pub store_time: Duration,
+    pub store_time: StoreTime,
     /// The key after which to read on, where there is more.
     pub next_key: Option<String>,
 }
@@ -237,8 +247,8 @@
     /// Writes this host's row.
     fn write_host_call(&self, host: &HostRecord) -> Request<Bytes>;
 
-    /// Writes where this host's streams run.
-    fn write_runs_call(&self, host: &HostId, runs: &[RunPlace]) -> Request<Bytes>;
+    /// Writes where the streams of a group of hosts run.
+    fn write_runs_call(&self, group: &str, runs: &[RunPlace]) -> Request<Bytes>;
 
     /// Asks the engine of a run to copy its memory to another engine while it runs on.
     fn copy_call(
--- /dev/null
+++ b/crates/gateway/src/feed.rs
@@ -0,0 +1,179 @@
+//! How the hosts share what the store says: one host of a group reads the store and feeds
+//! the others by datagrams; a host that is not fed reads the store itself.
+//!
+//! Nothing is agreed on. Each host chooses its feeder by itself, from what it last heard of
+//! all; two feeders, or none for a moment, only cost calls. What a feeder tells carries the
+//! store's own versions and times, so a late or lost datagram is never taken for news.
+
+mod choice;
+mod clock;
+mod progress;
+
+use {
+    crate::edge::{Revision, RowSet, StoreTime, UpstreamChange},
+    parking_lot::Mutex,
+    serde::{Deserialize, Serialize},
+    std::{
+        sync::atomic::{AtomicBool, Ordering},
+        time::{Duration, Instant},
+    },
+    tealshore_core::protection::{Protection, enabled},
+    tokio::{sync::Notify, time::timeout},
+};
+pub use {
+    choice::{Contender, FeederChoice, choose_feeder, group_of},
+    clock::StoreClockFloor,
+    progress::SetProgress,
+};
+
+/// The age of a feeder's word past which a host reads the store itself. A feeder that is cut
+/// off from the store is noticed after this; with the call that follows, it stays well below
+/// the time after which a leaving upstream gets no new work and a configuration is in force.
+pub const FED_BOUND: Duration = Duration::from_millis(1_200);
+
+/// How far a host's knowledge of one set goes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SetWord {
+    /// The version up to which changes are known.
+    pub revision: Revision,
+    /// A version at or after the newest change that is known: who knows the set as of this
+    /// version or a later one has missed none.
+    pub changed: Revision,
+    /// The store's time at which the set was last known to be so.
+    pub written: StoreTime,
+}
+
+/// How far a host's knowledge of the store goes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreWord {
+    /// Of the configuration.
+    pub configuration: SetWord,
+    /// Of the upstreams.
+    pub upstreams: SetWord,
+}
+
+impl StoreWord {
+    /// The word on one of the sets that are fed.
+    #[must_use]
+    pub fn of(&self, set: RowSet) -> Option<SetWord> {
+        match set {
+            RowSet::Configuration => Some(self.configuration),
+            RowSet::Upstreams => Some(self.upstreams),
+            RowSet::Hosts | RowSet::Runs => None,
+        }
+    }
+
+    /// The time up to which both sets are known.
+    #[must_use]
+    pub fn written(&self) -> StoreTime {
+        self.configuration.written.min(self.upstreams.written)
+    }
+}
+
+/// Changed upstreams, as a feeder sends them on.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct UpstreamNews {
+    /// The version after which they changed.
+    pub after: Revision,
+    /// The version up to which these are all changes.
+    pub revision: Revision,
+    /// Each change with its version, in order.
+    pub changes: Vec<(Revision, UpstreamChange)>,
+}
+
+/// What this host knows of the store, and since when.
+#[derive(Default)]
+pub struct Feed {
+    configuration: Mutex<SetProgress>,
+    upstreams: Mutex<SetProgress>,
+    clock: Mutex<StoreClockFloor>,
+    /// The last call of this host to the store failed.
+    is_cut_off: AtomicBool,
+    configuration_news: Notify,
+    upstreams_news: Notify,
+}
+
+impl Feed {
+    /// How far the knowledge of a set goes.
+    pub fn progress(&self, set: RowSet) -> SetProgress {
+        self.set(set)
+            .map_or_else(SetProgress::default, |progress| *progress.lock())
+    }
+
+    /// Notes that a set is known as of a version, with whether that brought changes.
+    pub fn advance(&self, set: RowSet, word: SetWord) {
+        if let Some(progress) = self.set(set) {
+            progress.lock().advance(word);
+        }
+    }
+
+    /// Whether changes after a version would leave no gap.
+    pub fn knows(&self, set: RowSet, revision: Revision) -> bool {
+        self.progress(set)
+            .word()
+            .is_some_and(|word| word.revision >= revision)
+    }
+
+    /// How far this host's knowledge goes; none before both sets were read.
+    pub fn word(&self) -> Option<StoreWord> {
+        Some(StoreWord {
+            configuration: self.configuration.lock().word()?,
+            upstreams: self.upstreams.lock().word()?,
+        })
+    }
+
+    /// Notes an answer of the store to a call of this host.
+    pub fn note_answer(&self, written: StoreTime, asked: Instant, arrived: Instant) {
+        self.clock.lock().observe(written, asked, arrived);
+        self.is_cut_off.store(false, Ordering::Relaxed);
+    }
+
+    /// Notes that a call of this host to the store failed.
+    pub fn note_failure(&self) {
+        self.is_cut_off.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether this host could feed others.
+    pub fn reaches_store(&self) -> bool {
+        !self.is_cut_off.load(Ordering::Relaxed)
+    }
+
+    /// The latest moment of this host that surely was not after a time of the store.
+    pub fn moment(&self, written: StoreTime, now: Instant) -> Option<Instant> {
+        if !enabled(Protection::RelayedAge) {
+            return Some(now);
+        }
+        self.clock.lock().moment(written, now)
+    }
+
+    /// Whether a word is young enough to rely on.
+    pub fn is_young(&self, written: StoreTime, now: Instant) -> bool {
+        self.moment(written, now)
+            .is_some_and(|moment| now.saturating_duration_since(moment) <= FED_BOUND)
+    }
+
+    /// Wakes all that wait for news.
+    pub fn notify(&self) {
+        self.configuration_news.notify_one();
+        self.upstreams_news.notify_one();
+    }
+
+    /// Waits for news of a set, or until a moment.
+    pub async fn wait_for_news(&self, set: RowSet, until: Instant) {
+        let news = match set {
+            RowSet::Configuration => &self.configuration_news,
+            RowSet::Upstreams | RowSet::Hosts | RowSet::Runs => &self.upstreams_news,
+        };
+        let left = until.saturating_duration_since(Instant::now());
+        // Whether news or the time's end ends the wait makes no difference.
+        let _ = timeout(left, news.notified()).await;
+    }
+
+    fn set(&self, set: RowSet) -> Option<&Mutex<SetProgress>> {
+        match set {
+            RowSet::Configuration => Some(&self.configuration),
+            RowSet::Upstreams => Some(&self.upstreams),
+            RowSet::Hosts | RowSet::Runs => None,
+        }
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod budget;
 pub mod edge;
 pub mod events;
+pub mod feed;
 mod forward;
 mod lifecycle;
 mod metrics;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -8,9 +8,11 @@
     crate::{
         budget::{BudgetUse, Pool},
         edge::HostRecord,
+        feed::{Contender, FeederChoice, StoreWord, UpstreamNews},
         options::{HostOptions, PeerOptions},
         runs::RunTrace,
         state::GatewayState,
+        sync::take_news,
         view::{Condition, Work},
     },
     parking_lot::Mutex,
@@ -35,6 +37,8 @@
 
 /// The largest datagram that is read, in bytes: the most that UDP carries.
 const DATAGRAM_BOUND_BYTES: usize = 64 * 1024;
+/// The largest datagram that is sent, in bytes: UDP carries a little more.
+const SENT_BOUND_BYTES: usize = 60_000;
 /// The most streams that a datagram tells of, so that it stays well below that.
 const TOLD_RUNS: usize = 200;
 /// The most upstreams whose work it tells of.
@@ -96,6 +100,8 @@
     /// Counts the datagrams of an incarnation.
     sequence: u64,
     work: Vec<UpstreamWork>,
+    /// How far its knowledge of the store goes; none while it can't tell.
+    word: Option<StoreWord>,
     /// What it used of the retry budgets.
     budgets: Vec<ServiceUse>,
     /// The streams that run on it.
@@ -104,6 +110,15 @@
     named: Vec<SocketAddr>,
 }
 
+/// What hosts send each other.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+enum Datagram {
+    /// The state of the sender.
+    State(Box<PeerState>),
+    /// Changed upstreams, from a feeder.
+    Upstreams(UpstreamNews),
+}
+
 struct Peer {
     state: PeerState,
     heard: Instant,
@@ -119,6 +134,10 @@
     /// Hosts that were named and not heard yet, with the time until they are tried.
     named: Mutex<HashMap<SocketAddr, Instant>>,
     news: Notify,
+    /// Changes of upstreams that wait to be sent on.
+    waiting_news: Mutex<Vec<UpstreamNews>>,
+    /// The host that feeds this one, as far as it was chosen last.
+    feeder: Mutex<Option<HostId>>,
     most_hosts: AtomicUsize,
 }
 
@@ -134,6 +153,8 @@
             known: Mutex::default(),
             named: Mutex::default(),
             news: Notify::new(),
+            waiting_news: Mutex::default(),
+            feeder: Mutex::default(),
             most_hosts: AtomicUsize::new(1),
         };
         for seed in &options.seeds {
@@ -161,6 +182,57 @@
         self.news.notify_one();
     }
 
+    /// Lets this host's word on the store leave at once, with changes of upstreams before it.
+    pub fn send_on(&self, news: Option<UpstreamNews>) {
+        self.waiting_news.lock().extend(news);
+        self.news.notify_one();
+    }
+
+    /// Whether no other host was heard a moment ago.
+    pub fn is_alone(&self, now: Instant) -> bool {
+        let known = self.known.lock();
+        !known.values().any(|peer| self.is_believed(peer, now))
+    }
+
+    /// The hosts that were heard a moment ago, take traffic and reach the store.
+    pub fn contenders(&self, now: Instant) -> Vec<Contender> {
+        let known = self.known.lock();
+        let serving = known
+            .values()
+            .filter(|peer| self.is_believed(peer, now))
+            .filter(|peer| peer.state.phase == HostPhase::Serving);
+        let contenders = serving.filter_map(|peer| {
+            Some(Contender {
+                host: peer.state.host.clone(),
+                hall: peer.state.hall.clone(),
+                word: peer.state.word?,
+            })
+        });
+        contenders.collect()
+    }
+
+    /// Notes which host feeds this one.
+    pub fn note_feeder(&self, chosen: &FeederChoice) {
+        let host = match chosen {
+            FeederChoice::Peer(host, _) => Some(host),
+            FeederChoice::Nobody | FeederChoice::Itself => None,
+        };
+        let mut feeder = self.feeder.lock();
+        if feeder.as_ref() != host {
+            log::info!(
+                "feed: feeder={} before={}",
+                host.map_or("-", String::as_str),
+                feeder.as_deref().unwrap_or("-")
+            );
+            *feeder = host.cloned();
+        }
+    }
+
+    /// Whether a host was last chosen as the feeder of this one.
+    fn is_fed_by(&self, host: &HostId) -> bool {
+        self.feeder.lock().as_ref() == Some(host)
+    }
+
     /// The most hosts that there ever were at once, this one included, as far as is known. A
     /// host that is cut off from the others must not take their parts for its own.
     pub fn most_hosts(&self) -> usize {
@@ -285,6 +357,15 @@
         heard.chain(named.keys().copied()).collect()
     }
 
+    /// Where the hosts of a hall take datagrams; those of all hosts where no hall is given.
+    fn group_addresses(&self, hall: Option<&str>) -> Vec<SocketAddr> {
+        let known = self.known.lock();
+        let group = known
+            .values()
+            .filter(|peer| hall.is_none_or(|hall| hall == peer.state.hall));
+        group.map(|peer| peer.state.peers_address).collect()
+    }
+
     fn some_names(&self) -> Vec<SocketAddr> {
         let known = self.known.lock();
         let count = known.len().max(1);
@@ -318,6 +399,7 @@
             incarnation: self.incarnation,
             sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
             work: work.take(TOLD_UPSTREAMS).collect(),
+            word: state.own_word(),
             budgets: budgets.collect(),
             runs: state.runs.own(now).into_iter().take(TOLD_RUNS).collect(),
             named: self.some_names(),
@@ -346,19 +428,34 @@
 async fn tell(state: Arc<GatewayState>, socket: Arc<UdpSocket>) {
     loop {
         let now = Instant::now();
-        let own = state.peers.own_state(&state, now);
-        if let Ok(datagram) = postcard::to_stdvec(&own) {
-            for receiver in state.peers.receivers(now) {
-                // A datagram that is not sent is one that is lost: the next one mends it.
-                let _ = socket.send_to(&datagram, receiver).await;
-            }
+        let receivers = state.peers.receivers(now);
+        let news = std::mem::take(&mut *state.peers.waiting_news.lock());
+        for news in news {
+            let fed = state.peers.group_addresses(state.group());
+            send_to_all(&socket, &Datagram::Upstreams(news), &fed).await;
         }
+        let own = Datagram::State(Box::new(state.peers.own_state(&state, now)));
+        send_to_all(&socket, &own, &receivers).await;
         // Whether news or the heartbeat's time ends the wait makes no difference.
         let _ = timeout(state.options.peers.heartbeat, state.peers.news.notified()).await;
         sleep(COALESCE).await;
     }
 }
 
+async fn send_to_all(socket: &UdpSocket, datagram: &Datagram, receivers: &[SocketAddr]) {
+    let Ok(bytes) = postcard::to_stdvec(datagram) else {
+        return;
+    };
+    if bytes.len() > SENT_BOUND_BYTES {
+        log::warn!("peers: datagram too large bytes={}", bytes.len());
+        return;
+    }
+    for receiver in receivers {
+        // A datagram that is not sent is one that is lost: the next one mends it.
+        let _ = socket.send_to(&bytes, receiver).await;
+    }
+}
+
 async fn hear(state: Arc<GatewayState>, socket: Arc<UdpSocket>) {
     let mut buffer = vec![0; DATAGRAM_BOUND_BYTES];
     loop {
@@ -366,21 +463,28 @@
             sleep(COALESCE).await;
             continue;
         };
-        let Ok(peer) = postcard::from_bytes::<PeerState>(&buffer[..length]) else {
-            log::warn!("peers: datagram unreadable bytes={length}");
-            continue;
-        };
-        let sender = peer.host.clone();
-        let now = Instant::now();
-        for run in &peer.runs {
-            state.runs.hear(run.clone(), now);
-        }
-        for finding in state.peers.take_in(peer, now) {
-            take_over(&state, &finding, &sender);
+        match postcard::from_bytes::<Datagram>(&buffer[..length]) {
+            Ok(Datagram::State(peer)) => take_in_state(&state, *peer),
+            Ok(Datagram::Upstreams(news)) => take_news(&state, news),
+            Err(_) => log::warn!("peers: datagram unreadable bytes={length}"),
         }
     }
 }
 
+fn take_in_state(state: &GatewayState, peer: PeerState) {
+    let sender = peer.host.clone();
+    let now = Instant::now();
+    for run in &peer.runs {
+        state.runs.hear(run.clone(), now);
+    }
+    for finding in state.peers.take_in(peer, now) {
+        take_over(state, &finding, &sender);
+    }
+    if state.peers.is_fed_by(&sender) {
+        state.feed.notify();
+    }
+}
+
 /// Takes over what a peer found, unless this host found the same. It is not told on:
 /// suspicions of suspicions would never end.
 fn take_over(state: &GatewayState, finding: &Finding, sender: &HostId) {
--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -19,6 +19,8 @@
 const COPY_KEPT: Duration = Duration::from_secs(6);
 /// How long an engine may keep a prompt that it has read.
 const PROMPT_KEPT: Duration = Duration::from_secs(30);
+/// How long a run of another host counts as running after it was heard of.
+const RUNNING: Duration = Duration::from_secs(2);
 /// The most runs that are remembered.
 const RUNS_BOUND: usize = 20_000;
 
@@ -147,13 +149,20 @@
         running.map(|known| known.trace.clone()).collect()
     }
 
-    /// Where this host's streams run, for the store, in a fixed order.
-    pub fn own_places(&self, now: Instant) -> Vec<RunPlace> {
-        let own = self.own(now).into_iter().map(|trace| RunPlace {
-            fingerprint: trace.fingerprint,
-            engine: trace.engine,
-        });
-        let mut places: Vec<RunPlace> = own.collect();
+    /// Where streams run now, on this host and on those that were heard a moment ago, for the
+    /// store, in a fixed order.
+    pub fn running_places(&self, now: Instant) -> Vec<RunPlace> {
+        let kept = self.kept.lock();
+        let running = kept
+            .values()
+            .filter(|known| known.is_younger_than(RUNNING, now));
+        let mut places: Vec<RunPlace> = running
+            .map(|known| RunPlace {
+                fingerprint: known.trace.fingerprint,
+                engine: known.trace.engine.clone(),
+            })
+            .collect();
+        drop(kept);
         places.sort_by_key(|place| place.fingerprint);
         places
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,6 +5,7 @@
         balance::{Candidate, Need, choose},
         budget::{BudgetUse, RetryBudget},
         edge::Protocol,
+        feed::{Contender, Feed, FeederChoice, StoreWord, choose_feeder, group_of},
         metrics::GatewayMetrics,
         options::GatewayOptions,
         peers::{HostPhase, Peers},
@@ -39,6 +40,8 @@
     pub protocol: Arc<dyn Protocol>,
     /// What this host believes about the outside.
     pub view: View,
+    /// How far this host's knowledge of the store goes.
+    pub feed: Feed,
     /// The other hosts.
     pub peers: Peers,
     /// Streams that ran a short time ago.
@@ -62,6 +65,7 @@
         Ok(Self {
             peers: Peers::new(&options.host, &options.peers),
             view: View::default(),
+            feed: Feed::default(),
             runs: Runs::default(),
             metrics: GatewayMetrics::new()?,
             stop: Stop::default(),
@@ -92,6 +96,37 @@
         }
     }
 
+    /// How far this host's knowledge goes, as it tells its peers; none while it can't tell.
+    pub fn own_word(&self) -> Option<StoreWord> {
+        let word = self.feed.word()?;
+        self.feed.reaches_store().then_some(word)
+    }
+
+    /// Which host tells this one what the store says.
+    pub fn feeder(&self, now: Instant) -> FeederChoice {
+        let host = &self.options.host;
+        let mut contenders = self.peers.contenders(now);
+        if self.phase(now) == HostPhase::Serving
+            && let Some(word) = self.own_word()
+        {
+            contenders.push(Contender {
+                host: host.id.clone(),
+                hall: host.hall.clone(),
+                word,
+            });
+        }
+        contenders.retain(|contender| self.feed.is_young(contender.word.written(), now));
+        let hosts = self.peers.most_hosts();
+        let chosen = choose_feeder(&host.id, &host.hall, hosts, &contenders);
+        self.peers.note_feeder(&chosen);
+        chosen
+    }
+
+    /// The hall whose hosts share a feeder; none where all hosts do.
+    pub fn group(&self) -> Option<&str> {
+        group_of(self.peers.most_hosts(), &self.options.host.hall)
+    }
+
     /// Notes a caller's request for the budget of its service.
     pub fn note_request(&self, service: &ServiceId) {
         let mut budgets = self.budgets.lock();
--- /dev/null
+++ b/crates/gateway/src/sync/follow.rs
@@ -0,0 +1,162 @@
+//! Follows a set: by the word of the host that feeds this one, or else by watches of its own.
+
+use {
+    super::{CallFailure, Follower},
+    crate::{
+        edge::{Change, Revision, RowSet},
+        feed::{FED_BOUND, FeederChoice, SetWord, UpstreamNews},
+    },
+    std::time::{Duration, Instant},
+    tealshore_core::protection::{Protection, enabled},
+    tokio::time::sleep,
+};
+
+/// How long a watch waits for changes where other hosts may rely on it: its end shows them
+/// that the feeder still reaches the store.
+const SHARED_WATCH: Duration = Duration::from_millis(500);
+/// After news, more of it is let gather for this long, so that it comes by one call.
+const GATHERING: Duration = Duration::from_millis(250);
+/// Changes that a feeder sent on arrive a little later than its word may.
+const NEWS_DELAY: Duration = Duration::from_millis(40);
+
+/// Where a set is learned from.
+pub(super) enum Source {
+    /// From the store.
+    Store,
+    /// From a feeder, but changes were missed: the store tells them.
+    Behind,
+    /// From a feeder, without a gap.
+    Fed {
+        /// How far its knowledge goes.
+        word: SetWord,
+        /// A moment at which this was so.
+        moment: Instant,
+    },
+}
+
+impl Follower {
+    /// Follows the set for as long as the process lives.
+    pub(super) async fn follow(&mut self) {
+        let mut is_whole = false;
+        loop {
+            let result = match self.source(Instant::now()) {
+                Source::Fed { word, moment } => {
+                    self.be_fed(word, moment).await;
+                    continue;
+                }
+                Source::Store | Source::Behind if !is_whole => self.read_whole().await,
+                Source::Store => self.watch(self.watch_time()).await,
+                Source::Behind => self.catch_up().await,
+            };
+            is_whole = result.is_ok();
+            if let Err(failure) = result {
+                self.pause_after(&failure).await;
+            }
+        }
+    }
+
+    /// Where the set is learned from now.
+    pub(super) fn source(&self, now: Instant) -> Source {
+        let feed = &self.state.feed;
+        let Some(known) = feed.progress(self.set).word() else {
+            return Source::Store;
+        };
+        let FeederChoice::Peer(_, word) = self.state.feeder(now) else {
+            return Source::Store;
+        };
+        let Some(word) = word.of(self.set) else {
+            return Source::Store;
+        };
+        match feed.moment(word.written, now) {
+            None => Source::Store,
+            Some(_) if known.revision < word.changed => Source::Behind,
+            Some(moment) => Source::Fed { word, moment },
+        }
+    }
+
+    async fn be_fed(&mut self, word: SetWord, moment: Instant) {
+        self.state.feed.advance(self.set, word);
+        self.confirm(moment);
+        if self.failures > 0 {
+            self.note_regained();
+        }
+        let until = moment + FED_BOUND;
+        self.state.feed.wait_for_news(self.set, until).await;
+    }
+
+    /// Asks the store for the changes that were missed, unless they arrive meanwhile.
+    async fn catch_up(&mut self) -> Result<(), CallFailure> {
+        sleep(NEWS_DELAY).await;
+        if let Source::Behind = self.source(Instant::now()) {
+            return self.watch(Duration::ZERO).await;
+        }
+        Ok(())
+    }
+
+    /// How long a watch waits for changes.
+    fn watch_time(&self) -> Duration {
+        let longest = self.state.options.store.watch;
+        if self.state.peers.is_alone(Instant::now()) {
+            longest
+        } else {
+            SHARED_WATCH.min(longest)
+        }
+    }
+
+    /// Waits for changes once, takes them in and sends them on.
+    async fn watch(&mut self, wait: Duration) -> Result<(), CallFailure> {
+        let bound = if enabled(Protection::WatchTimeout) {
+            wait + self.state.options.store.timeout
+        } else {
+            Duration::MAX / 4
+        };
+        let after = self.newest();
+        let request = self.state.protocol.watch_call(self.set, after, wait);
+        let (page, written) = self.page(request, bound).await?;
+        let is_news = !page.changes.is_empty();
+        let word = SetWord {
+            revision: page.revision,
+            changed: if is_news { page.revision } else { 0 },
+            written: written.store_time,
+        };
+        let news = self.news(after, page.revision, &page.changes);
+        self.take_in(page.changes);
+        self.state.feed.advance(self.set, word);
+        self.confirm(written.moment);
+        self.note_regained();
+        if self.state.feeder(Instant::now()) == FeederChoice::Itself {
+            self.state.peers.send_on(news);
+        }
+        if is_news {
+            sleep(GATHERING).await;
+        }
+        Ok(())
+    }
+
+    /// The changes of upstreams as they are sent on; none of another set, which each host
+    /// reads for itself.
+    fn news(
+        &self,
+        after: Revision,
+        revision: Revision,
+        changes: &[(Revision, Change)],
+    ) -> Option<UpstreamNews> {
+        if self.set != RowSet::Upstreams || changes.is_empty() {
+            return None;
+        }
+        let changes = changes
+            .iter()
+            .filter_map(|(revision, change)| match change {
+                Change::Upstream(change) => Some((*revision, change.clone())),
+                Change::Configuration(_)
+                | Change::Host(_)
+                | Change::Runs(_)
+                | Change::Unreadable(_) => None,
+            });
+        Some(UpstreamNews {
+            after,
+            revision,
+            changes: changes.collect(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/sync/runs.rs
@@ -0,0 +1,46 @@
+//! Keeps in the store where streams run: what all hosts know is lost when all of them lose
+//! power. One host writes it for its group, the one that feeds the others.
+
+use {
+    super::Follower,
+    crate::{edge::RunPlace, feed::FeederChoice},
+    std::time::{Duration, Instant},
+    tokio::time::sleep,
+};
+
+/// How often it is written, while there is news.
+const RUNS_INTERVAL: Duration = Duration::from_secs(3);
+/// The row of a group that is all hosts.
+const ALL_HOSTS: &str = "all";
+
+impl Follower {
+    /// Reads where streams ran before this host started, then keeps in the store where they
+    /// run, while this host feeds the others or has none.
+    pub(super) async fn keep_runs(&mut self) {
+        while let Err(failure) = self.read_whole().await {
+            self.pause_after(&failure).await;
+        }
+        let mut written: Vec<RunPlace> = Vec::new();
+        loop {
+            sleep(RUNS_INTERVAL).await;
+            let now = Instant::now();
+            if matches!(self.state.feeder(now), FeederChoice::Peer(..)) {
+                continue;
+            }
+            let places = self.state.runs.running_places(now);
+            let has_news = places.iter().any(|place| !written.contains(place));
+            if !has_news {
+                continue;
+            }
+            let group = self.state.group().unwrap_or(ALL_HOSTS);
+            let request = self.state.protocol.write_runs_call(group, &places);
+            match self.write(request).await {
+                Ok(()) => {
+                    self.note_regained();
+                    written = places;
+                }
+                Err(failure) => self.pause_after(&failure).await,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/sync/take_in.rs
@@ -0,0 +1,113 @@
+//! Takes changes of rows into the view.
+
+use {
+    super::Follower,
+    crate::{
+        edge::{Change, Revision, RowSet, UpstreamChange},
+        feed::{SetWord, UpstreamNews},
+        state::GatewayState,
+        view::Configuration,
+    },
+    std::time::{Duration, Instant},
+    tealshore_core::ids::EngineId,
+};
+
+impl Follower {
+    pub(super) fn take_in(&self, changes: Vec<(Revision, Change)>) {
+        for (revision, change) in changes {
+            self.take_in_one(revision, change);
+        }
+    }
+
+    fn take_in_one(&self, revision: Revision, change: Change) {
+        match change {
+            Change::Configuration(configuration) => {
+                take_in_configuration(&self.state, revision, *configuration);
+            }
+            Change::Upstream(change) => take_in_upstream(&self.state, revision, change),
+            Change::Host(host) => self.state.peers.add(&host),
+            Change::Runs(places) => {
+                let now = Instant::now();
+                for place in places {
+                    self.state.runs.restore(place, now);
+                }
+            }
+            Change::Unreadable(reason) => {
+                log::error!(
+                    "view: row unreadable set={} revision={revision} reason={reason}",
+                    self.set.name()
+                );
+            }
+        }
+    }
+}
+
+/// Takes in what a feeder sends on, unless changes before it were missed.
+pub fn take_news(state: &GatewayState, news: UpstreamNews) {
+    if !state.feed.knows(RowSet::Upstreams, news.after) {
+        log::debug!(
+            "feed: gap set=upstreams after={} known={:?}",
+            news.after,
+            state.feed.progress(RowSet::Upstreams).word()
+        );
+        return;
+    }
+    for (revision, change) in news.changes {
+        take_in_upstream(state, revision, change);
+    }
+    let word = SetWord {
+        revision: news.revision,
+        changed: news.revision,
+        // How old it is, the feeder's own word tells.
+        written: Duration::ZERO,
+    };
+    state.feed.advance(RowSet::Upstreams, word);
+    state.feed.notify();
+}
+
+/// The upstream that a row lists.
+pub(super) fn upstream_of(row: &(Revision, Change)) -> Option<EngineId> {
+    match &row.1 {
+        Change::Upstream(UpstreamChange::Listed(record)) => Some(record.id.clone()),
+        Change::Upstream(UpstreamChange::Gone(_))
+        | Change::Configuration(_)
+        | Change::Host(_)
+        | Change::Runs(_)
+        | Change::Unreadable(_) => None,
+    }
+}
+
+fn take_in_configuration(state: &GatewayState, revision: Revision, new: Configuration) {
+    let version = new.version;
+    let routes = new.route_count();
+    let keys = new.customers.len();
+    let is_applied = state.view.apply(new);
+    let outcome = if is_applied { "in-force" } else { "older" };
+    let in_force = i64::try_from(state.view.version()).unwrap_or(i64::MAX);
+    state.metrics.config_version.set(in_force);
+    log::info!(
+        "view: configuration version={version} revision={revision} routes={routes} keys={keys} \
+         outcome={outcome}"
+    );
+}
+
+fn take_in_upstream(state: &GatewayState, revision: Revision, change: UpstreamChange) {
+    let upstreams = &state.view.upstreams;
+    match change {
+        UpstreamChange::Listed(record) => {
+            let (id, upstream_state) = (record.id.clone(), record.state);
+            let (address, hall) = (record.address, record.hall.clone());
+            if upstreams.put(revision, record) {
+                log::info!(
+                    "view: upstream upstream={id} address={address} hall={hall} \
+                     state={upstream_state:?} revision={revision}"
+                );
+            }
+        }
+        UpstreamChange::Gone(id) => {
+            if upstreams.remove(revision, &id) {
+                log::info!("view: upstream gone upstream={id} revision={revision}");
+            }
+        }
+    }
+}
--- a/crates/gateway/src/view/upstreams.rs
+++ b/crates/gateway/src/view/upstreams.rs
@@ -31,7 +31,7 @@
 const SUSPICION: Duration = Duration::from_millis(1_500);
 
 /// Whether an upstream takes new work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum UpstreamState {
     /// It does.
     Ready,
@@ -51,7 +51,7 @@
 }
 
 /// One incarnation of an upstream as the store lists it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UpstreamRecord {
     /// Names this incarnation.
     pub id: EngineId,
--- /dev/null
+++ b/crates/gateway/tests/feed.rs
@@ -0,0 +1,159 @@
+//! Hosts that share what the store says: who feeds whom, and how old a told time is.
+#![allow(
+    clippy::unwrap_used,
+    reason = "helpers of tests fail as tests do, which clippy.toml allows"
+)]
+
+use {
+    proptest::prelude::*,
+    std::time::{Duration, Instant},
+    tealshore_gateway::{
+        edge::RowSet,
+        feed::{
+            Contender, FED_BOUND, Feed, FeederChoice, SetProgress, SetWord, StoreWord,
+            choose_feeder,
+        },
+    },
+};
+
+fn word(revision: u64, changed: u64, written_ms: u64) -> SetWord {
+    SetWord {
+        revision,
+        changed,
+        written: Duration::from_millis(written_ms),
+    }
+}
+
+fn contender(host: &str, hall: &str) -> Contender {
+    Contender {
+        host: host.to_owned(),
+        hall: hall.to_owned(),
+        word: StoreWord::default(),
+    }
+}
+
+fn chosen(own: &str, hall: &str, hosts: usize, contenders: &[Contender]) -> FeederChoice {
+    choose_feeder(&own.to_owned(), &hall.to_owned(), hosts, contenders)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::with_cases(200) })]
+
+    /// However long calls took, and however long a datagram was on its way or lay unread while
+    /// this host was frozen, a told time is never taken as younger than it is.
+    #[test]
+    fn a_told_time_is_never_taken_as_younger_than_it_is(
+        calls in prop::collection::vec((0_u64..2_000, 0_u64..900, 0_u64..900), 1..20),
+        told_age_ms in 0_u64..9_000,
+    ) {
+        tealshore_core::protection::start();
+        let start = Instant::now();
+        let store_start_ms = 777_000;
+        let feed = Feed::default();
+        let mut now_ms = 10_000;
+        for (pause_ms, there_ms, back_ms) in calls {
+            now_ms += pause_ms;
+            let asked = start + Duration::from_millis(now_ms);
+            let written_ms = now_ms + there_ms;
+            now_ms = written_ms + back_ms;
+            let arrived = start + Duration::from_millis(now_ms);
+            let written = Duration::from_millis(store_start_ms + written_ms);
+            feed.note_answer(written, asked, arrived);
+        }
+        let now = start + Duration::from_millis(now_ms);
+        let told = Duration::from_millis(store_start_ms + now_ms - told_age_ms);
+        let truth = now - Duration::from_millis(told_age_ms);
+        let moment = feed.moment(told, now).unwrap();
+        prop_assert!(moment <= truth);
+        if told_age_ms > u64::try_from(FED_BOUND.as_millis()).unwrap() {
+            prop_assert!(!feed.is_young(told, now));
+        }
+    }
+
+    #[test]
+    fn knowledge_never_goes_back(words in prop::collection::vec((0_u64..50, 0_u64..50, 0_u64..50), 1..30)) {
+        let mut progress = SetProgress::default();
+        let mut before = SetWord::default();
+        for (revision, changed, written_ms) in words {
+            progress.advance(word(revision, changed, written_ms));
+            let after = progress.word().unwrap();
+            prop_assert!(after.revision >= before.revision.max(revision));
+            prop_assert!(after.changed >= before.changed.max(changed));
+            prop_assert!(after.written >= before.written);
+            before = after;
+        }
+    }
+}
+
+#[test]
+fn a_time_from_the_future_is_no_time() {
+    let feed = Feed::default();
+    let now = Instant::now();
+    assert_eq!(feed.moment(Duration::from_secs(3), now), None);
+    feed.note_answer(Duration::from_secs(5), now, now);
+    assert!(feed.moment(Duration::from_secs(5), now).is_some());
+    assert_eq!(feed.moment(Duration::from_secs(6), now), None);
+    // The store has another clock now: what the old one told stands for nothing.
+    let later = now + Duration::from_secs(1);
+    feed.note_answer(Duration::from_secs(900), later, later);
+    assert_eq!(feed.moment(Duration::from_secs(900), later), Some(later));
+}
+
+#[test]
+fn hosts_that_hear_the_same_choose_the_same_feeder() {
+    let names: Vec<String> = (0..40).map(|index| format!("host-{index}")).collect();
+    let contenders: Vec<Contender> = names.iter().map(|name| contender(name, "a")).collect();
+    let mut feeders = Vec::new();
+    for name in &names {
+        let feeder = match chosen(name, "a", 40, &contenders) {
+            FeederChoice::Peer(host, _) => host,
+            FeederChoice::Itself => name.clone(),
+            FeederChoice::Nobody => String::new(),
+        };
+        feeders.push(feeder);
+    }
+    feeders.dedup();
+    assert_eq!(feeders.len(), 1);
+    assert!(names.contains(&feeders[0]));
+}
+
+#[test]
+fn a_host_that_hears_of_no_reader_reads_by_itself() {
+    assert_eq!(chosen("x", "a", 9, &[]), FeederChoice::Nobody);
+    let own = [contender("x", "a")];
+    assert_eq!(chosen("x", "a", 9, &own), FeederChoice::Itself);
+}
+
+#[test]
+fn many_hosts_have_one_feeder_a_hall() {
+    let contenders: Vec<Contender> = (0..200)
+        .map(|index| {
+            contender(
+                &format!("host-{index}"),
+                if index < 100 { "a" } else { "b" },
+            )
+        })
+        .collect();
+    let of = |hall: &str| match chosen("none", hall, 200, &contenders) {
+        FeederChoice::Peer(host, _) => host,
+        FeederChoice::Itself | FeederChoice::Nobody => String::new(),
+    };
+    let hall_of = |host: &str| {
+        let found = contenders.iter().find(|contender| contender.host == host);
+        found.unwrap().hall.clone()
+    };
+    assert_eq!(hall_of(&of("a")), "a");
+    assert_eq!(hall_of(&of("b")), "b");
+}
+
+#[test]
+fn changes_after_a_gap_are_not_taken_for_all_changes() {
+    let feed = Feed::default();
+    assert!(!feed.knows(RowSet::Upstreams, 0));
+    feed.advance(RowSet::Upstreams, word(10, 10, 1));
+    assert!(feed.knows(RowSet::Upstreams, 10));
+    assert!(!feed.knows(RowSet::Upstreams, 11));
+    assert!(feed.word().is_none(), "the configuration is not known yet");
+    feed.advance(RowSet::Configuration, word(9, 9, 2));
+    assert_eq!(feed.word().unwrap().written(), Duration::from_millis(1));
+}
--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -32,6 +32,7 @@
 withdrawal tealshore-platform daemon a_planned_stop_cuts_nothing_and_leaves_the_addresses_at_once
 retry-budget tealshore-gateway budget a_host_alone_has_the_whole_slack_and_one_of_many_its_part
 body-timeout tealshore-platform calls a_body_that_never_ends_is_given_up
+relayed-age tealshore-gateway feed a_told_time_is_never_taken_as_younger_than_it_is
 request-digest tealshore-platform streams another_request_never_goes_on_from_this_ones_memory
 LIST
 }
