Tell peers what changed, and the whole state only now and then

Its log: the follower of the configuration waited 2 s for an answer of the store and got none, while probes of live upstreams and connections to them timed out all over the system. 62 of 104 hosts had just been killed and the upstreams of a hall suspected, so each host's state, told whole to each other at each event, had grown to some kB: more than links of 10 Mbit/s carry.

Ruled out: the store (others were answered), the feeder (this host had none and asked by itself), slow processors (other lines of the host came in time).

Change: a datagram tells what changed since the last; the whole state goes out each 2 s, at the start, to newcomers and when the phase changes. A watch that others rely on is given up 0.8 s after its time instead of 1.5 s. peers.rs is split into messages, what was told, and the exchange.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,45 +1,41 @@
 //! What the hosts of this system tell each other, in datagrams: who they are, whether they
-//! take traffic, what they have at each upstream, and which upstreams seem dead to them.
+//! take traffic, what they have at each upstream, which upstreams seem dead to them, and how
+//! far they know the store.
 //!
-//! A datagram is the whole state of its sender, so a lost one is mended by the next. One
-//! goes out at each heartbeat, and at once when a stream begins or ends.
+//! At each heartbeat, and at once when a stream begins or ends, a host tells what changed;
+//! now and then it tells its whole state, which mends what lost datagrams left wrong.
+
+mod exchange;
+mod message;
+mod told;
 
 use {
     crate::{
-        budget::{BudgetUse, Pool},
+        budget::Pool,
         edge::HostRecord,
-        feed::{Contender, FeederChoice, StoreWord, UpstreamNews},
+        feed::{Contender, FeederChoice, UpstreamNews},
         options::{HostOptions, PeerOptions},
-        runs::RunTrace,
         state::GatewayState,
-        sync::take_news,
         view::{Condition, Work},
     },
     parking_lot::Mutex,
     rand::RngExt,
-    serde::{Deserialize, Serialize},
     std::{
         collections::HashMap,
         net::{IpAddr, SocketAddr},
-        sync::{
-            Arc,
-            atomic::{AtomicU64, AtomicUsize, Ordering},
-        },
+        sync::atomic::{AtomicU64, AtomicUsize, Ordering},
         time::{Duration, Instant},
     },
-    tealshore_core::ids::{EngineId, HallId, HostId, ServiceId},
-    tokio::{
-        net::UdpSocket,
-        sync::Notify,
-        time::{sleep, timeout},
-    },
+    tealshore_core::ids::{EngineId, HostId, ServiceId},
+    tokio::sync::Notify,
+};
+pub use {
+    exchange::start,
+    message::{Datagram, Finding, HostPhase, PeerChange, PeerState, ServiceUse, UpstreamWork},
+    told::Told,
 };
 
-/// The largest datagram that is read, in bytes: the most that UDP carries.
-const DATAGRAM_BOUND_BYTES: usize = 64 * 1024;
-/// The largest datagram that is sent, in bytes: UDP carries a little more.
-const SENT_BOUND_BYTES: usize = 60_000;
-/// The most streams that a datagram tells of, so that it stays well below that.
+/// The most streams that a datagram tells of, so that it stays well below what UDP carries.
 const TOLD_RUNS: usize = 200;
 /// The most upstreams whose work it tells of.
 const TOLD_UPSTREAMS: usize = 400;
@@ -50,73 +46,12 @@
 /// How many other hosts a datagram names, so that all come to know all.
 const NAMED_PEERS: usize = 4;
 
-/// Whether a host takes traffic.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum HostPhase {
-    /// It has no view yet, or one that is too old.
-    Starting,
-    /// It does.
-    Serving,
-    /// It stops.
-    Leaving,
-}
-
-/// What a host has at one upstream.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct UpstreamWork {
-    upstream: EngineId,
-    running: u32,
-    unread_tokens: u64,
-    memory_tokens: u64,
-    condition: Condition,
-}
-
-/// An upstream of which a peer says that it is not sound.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Finding {
-    /// The upstream.
-    pub upstream: EngineId,
-    /// What the peer found.
-    pub condition: Condition,
-}
-
-/// What a host used of the retry budget of a service.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-struct ServiceUse {
-    service: ServiceId,
-    used: BudgetUse,
-}
-
-/// The state of a host, as a datagram carries it.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct PeerState {
-    host: HostId,
-    hall: HallId,
-    callers_address: SocketAddr,
-    peers_address: SocketAddr,
-    phase: HostPhase,
-    /// Drawn at the start of the process; another one is another process.
-    incarnation: u64,
-    /// Counts the datagrams of an incarnation.
-    sequence: u64,
-    work: Vec<UpstreamWork>,
-    /// How far its knowledge of the store goes; none while it can't tell.
-    word: Option<StoreWord>,
-    /// What it used of the retry budgets.
-    budgets: Vec<ServiceUse>,
-    /// The streams that run on it.
-    runs: Vec<RunTrace>,
-    /// Some other hosts' addresses for datagrams.
-    named: Vec<SocketAddr>,
-}
-
-/// What hosts send each other.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-enum Datagram {
-    /// The state of the sender.
-    State(Box<PeerState>),
-    /// Changed upstreams, from a feeder.
-    Upstreams(UpstreamNews),
+/// Where datagrams go.
+struct Receivers {
+    /// To hosts that were heard, and know this one.
+    heard: Vec<SocketAddr>,
+    /// To hosts that were only named, or that have just started: they need the whole state.
+    unheard: Vec<SocketAddr>,
 }
 
 struct Peer {
@@ -134,6 +69,8 @@
     /// Hosts that were named and not heard yet, with the time until they are tried.
     named: Mutex<HashMap<SocketAddr, Instant>>,
     news: Notify,
+    /// Hosts that have just started, to be told the whole state.
+    newcomers: Mutex<Vec<SocketAddr>>,
     /// Changes of upstreams that wait to be sent on.
     waiting_news: Mutex<Vec<UpstreamNews>>,
     /// The host that feeds this one, as far as it was chosen last.
@@ -153,6 +90,7 @@
             known: Mutex::default(),
             named: Mutex::default(),
             news: Notify::new(),
+            newcomers: Mutex::default(),
             waiting_news: Mutex::default(),
             feeder: Mutex::default(),
             most_hosts: AtomicUsize::new(1),
@@ -247,12 +185,8 @@
         let mut sum: HashMap<EngineId, Work> = HashMap::new();
         for peer in known.values().filter(|peer| self.is_believed(peer, now)) {
             for entry in &peer.state.work {
-                let work = Work {
-                    running: entry.running,
-                    unread_tokens: entry.unread_tokens,
-                    memory_tokens: entry.memory_tokens,
-                };
-                sum.entry(entry.upstream.clone()).or_default().add(work);
+                let sum = sum.entry(entry.upstream.clone()).or_default();
+                sum.add(entry.work);
             }
         }
         sum
@@ -291,18 +225,16 @@
         for address in &state.named {
             self.name(*address);
         }
-        let unsound = state.work.iter();
-        let unsound = unsound.filter(|entry| entry.condition != Condition::Sound);
-        let findings = unsound.map(|entry| Finding {
-            upstream: entry.upstream.clone(),
-            condition: entry.condition,
-        });
-        let findings = findings.collect();
+        let findings = findings(&state.work);
         let mut known = self.known.lock();
         let before = known.get(&state.host);
         if before.is_some_and(|before| before.state.is_newer_than(&state)) {
             return Vec::new();
         }
+        if before.is_none_or(|before| before.state.incarnation != state.incarnation) {
+            self.newcomers.lock().push(state.peers_address);
+            self.news.notify_one();
+        }
         let was = before.map(|before| before.state.phase);
         if was != Some(state.phase) {
             log::info!(
@@ -316,6 +248,23 @@
         findings
     }
 
+    /// Takes in what changed of a peer's state; what it found of upstreams that are not sound.
+    pub fn take_in_change(&self, change: PeerChange, now: Instant) -> Vec<Finding> {
+        let mut known = self.known.lock();
+        let Some(peer) = known.get_mut(&change.host) else {
+            return Vec::new();
+        };
+        let is_next =
+            peer.state.incarnation == change.incarnation && peer.state.sequence < change.sequence;
+        if !is_next {
+            return Vec::new();
+        }
+        let findings = findings(&change.work);
+        peer.heard = now;
+        peer.state.apply(change);
+        findings
+    }
+
     fn is_believed(&self, peer: &Peer, now: Instant) -> bool {
         now.saturating_duration_since(peer.heard) <= self.options.silence
     }
@@ -340,8 +289,13 @@
         }
     }
 
+    /// The changes of upstreams that wait to be sent on.
+    fn take_waiting_news(&self) -> Vec<UpstreamNews> {
+        std::mem::take(&mut *self.waiting_news.lock())
+    }
+
     /// Drops what has been silent for long and tells where datagrams go.
-    fn receivers(&self, now: Instant) -> Vec<SocketAddr> {
+    fn receivers(&self, now: Instant) -> Receivers {
         let forget = self.options.silence * FORGET_FACTOR;
         let mut known = self.known.lock();
         known.retain(|host, peer| {
@@ -353,8 +307,14 @@
         });
         let mut named = self.named.lock();
         named.retain(|_, until| *until > now);
-        let heard = known.values().map(|peer| peer.state.peers_address);
-        heard.chain(named.keys().copied()).collect()
+        let newcomers = std::mem::take(&mut *self.newcomers.lock());
+        Receivers {
+            heard: known
+                .values()
+                .map(|peer| peer.state.peers_address)
+                .collect(),
+            unheard: named.keys().copied().chain(newcomers).collect(),
+        }
     }
 
     /// Where the hosts of a hall take datagrams; those of all hosts where no hall is given.
@@ -378,15 +338,12 @@
         let all = state.view.upstreams.all();
         let work = all.iter().filter_map(|upstream| {
             let own = upstream.own_work();
-            let condition = upstream.condition_here(now);
-            let is_worth_telling = condition != Condition::Sound || own.memory_tokens > 0;
-            is_worth_telling.then(|| UpstreamWork {
+            let told = UpstreamWork {
                 upstream: upstream.record.id.clone(),
-                running: own.running,
-                unread_tokens: own.unread_tokens,
-                memory_tokens: own.memory_tokens,
-                condition,
-            })
+                work: own,
+                condition: upstream.condition_here(now),
+            };
+            told.is_worth_telling().then_some(told)
         });
         let budgets = state.budget_use(now).into_iter();
         let budgets = budgets.map(|(service, used)| ServiceUse { service, used });
@@ -407,101 +364,14 @@
     }
 }
 
-impl PeerState {
-    /// Whether this came from the same process as `other`, and later.
-    fn is_newer_than(&self, other: &Self) -> bool {
-        self.incarnation == other.incarnation && self.sequence >= other.sequence
-    }
-}
-
-/// Tells and hears for as long as the process lives.
-///
-/// # Errors
-/// The address can't be used.
-pub async fn start(state: &Arc<GatewayState>) -> std::io::Result<()> {
-    let socket = Arc::new(UdpSocket::bind(state.options.peers.address).await?);
-    tokio::spawn(tell(state.clone(), socket.clone()));
-    tokio::spawn(hear(state.clone(), socket));
-    Ok(())
-}
-
-async fn tell(state: Arc<GatewayState>, socket: Arc<UdpSocket>) {
-    loop {
-        let now = Instant::now();
-        let receivers = state.peers.receivers(now);
-        let news = std::mem::take(&mut *state.peers.waiting_news.lock());
-        for news in news {
-            let fed = state.peers.group_addresses(state.group());
-            send_to_all(&socket, &Datagram::Upstreams(news), &fed).await;
-        }
-        let own = Datagram::State(Box::new(state.peers.own_state(&state, now)));
-        send_to_all(&socket, &own, &receivers).await;
-        // Whether news or the heartbeat's time ends the wait makes no difference.
-        let _ = timeout(state.options.peers.heartbeat, state.peers.news.notified()).await;
-        sleep(COALESCE).await;
-    }
-}
-
-async fn send_to_all(socket: &UdpSocket, datagram: &Datagram, receivers: &[SocketAddr]) {
-    let Ok(bytes) = postcard::to_stdvec(datagram) else {
-        return;
-    };
-    if bytes.len() > SENT_BOUND_BYTES {
-        log::warn!("peers: datagram too large bytes={}", bytes.len());
-        return;
-    }
-    for receiver in receivers {
-        // A datagram that is not sent is one that is lost: the next one mends it.
-        let _ = socket.send_to(&bytes, receiver).await;
-    }
-}
-
-async fn hear(state: Arc<GatewayState>, socket: Arc<UdpSocket>) {
-    let mut buffer = vec![0; DATAGRAM_BOUND_BYTES];
-    loop {
-        let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
-            sleep(COALESCE).await;
-            continue;
-        };
-        match postcard::from_bytes::<Datagram>(&buffer[..length]) {
-            Ok(Datagram::State(peer)) => take_in_state(&state, *peer),
-            Ok(Datagram::Upstreams(news)) => take_news(&state, news),
-            Err(_) => log::warn!("peers: datagram unreadable bytes={length}"),
-        }
-    }
-}
-
-fn take_in_state(state: &GatewayState, peer: PeerState) {
-    let sender = peer.host.clone();
-    let now = Instant::now();
-    for run in &peer.runs {
-        state.runs.hear(run.clone(), now);
-    }
-    for finding in state.peers.take_in(peer, now) {
-        take_over(state, &finding, &sender);
-    }
-    if state.peers.is_fed_by(&sender) {
-        state.feed.notify();
-    }
-}
-
-/// Takes over what a peer found, unless this host found the same. It is not told on:
-/// suspicions of suspicions would never end.
-fn take_over(state: &GatewayState, finding: &Finding, sender: &HostId) {
-    let now = Instant::now();
-    let Some(upstream) = state.view.upstreams.get(&finding.upstream) else {
-        return;
-    };
-    let is_news = match finding.condition {
-        Condition::Sound => false,
-        Condition::Suspected => !upstream.is_suspected(now) && upstream.suspect_by_word(now),
-        Condition::Replaced => upstream.replaced_by_word(now),
-    };
-    if is_news {
-        log::debug!(
-            "upstream: unsound upstream={} condition={:?} peer={sender}",
-            finding.upstream,
-            finding.condition
-        );
-    }
+/// What work at upstreams says of those that are not sound.
+fn findings(work: &[UpstreamWork]) -> Vec<Finding> {
+    let unsound = work
+        .iter()
+        .filter(|entry| entry.condition != Condition::Sound);
+    let findings = unsound.map(|entry| Finding {
+        upstream: entry.upstream.clone(),
+        condition: entry.condition,
+    });
+    findings.collect()
 }
--- /dev/null
+++ b/crates/gateway/src/peers/exchange.rs
@@ -0,0 +1,136 @@
+//! Sends this host's datagrams and takes in those of the others.
+
+use {
+    super::{
+        COALESCE, Receivers,
+        message::{Datagram, Finding, PeerChange, PeerState},
+        told::Told,
+    },
+    crate::{runs::RunTrace, state::GatewayState, sync::take_news, view::Condition},
+    std::{net::SocketAddr, sync::Arc, time::Instant},
+    tealshore_core::ids::HostId,
+    tokio::{
+        net::UdpSocket,
+        time::{sleep, timeout},
+    },
+};
+
+/// The largest datagram that is read, in bytes: the most that UDP carries.
+const DATAGRAM_BOUND_BYTES: usize = 64 * 1024;
+/// The largest datagram that is sent, in bytes: UDP carries a little more.
+const SENT_BOUND_BYTES: usize = 60_000;
+
+/// Tells and hears for as long as the process lives.
+///
+/// # Errors
+/// The address can't be used.
+pub async fn start(state: &Arc<GatewayState>) -> std::io::Result<()> {
+    let socket = Arc::new(UdpSocket::bind(state.options.peers.address).await?);
+    tokio::spawn(tell(state.clone(), socket.clone()));
+    tokio::spawn(hear(state.clone(), socket));
+    Ok(())
+}
+
+async fn tell(state: Arc<GatewayState>, socket: Arc<UdpSocket>) {
+    let mut told = Told::nothing(Instant::now());
+    loop {
+        let now = Instant::now();
+        for news in state.peers.take_waiting_news() {
+            let fed = state.peers.group_addresses(state.group());
+            send_to_all(&socket, &Datagram::Upstreams(news), &fed).await;
+        }
+        let Receivers { heard, unheard } = state.peers.receivers(now);
+        let own = state.peers.own_state(&state, now);
+        if told.is_whole_due(own.phase, now) {
+            told.note_whole(&own, now);
+            let whole = Datagram::State(Box::new(own));
+            send_to_all(&socket, &whole, &heard).await;
+            send_to_all(&socket, &whole, &unheard).await;
+        } else {
+            let change = Datagram::Change(told.change(&own));
+            send_to_all(&socket, &Datagram::State(Box::new(own)), &unheard).await;
+            send_to_all(&socket, &change, &heard).await;
+        }
+        // Whether news or the heartbeat's time ends the wait makes no difference.
+        let _ = timeout(state.options.peers.heartbeat, state.peers.news.notified()).await;
+        sleep(COALESCE).await;
+    }
+}
+
+async fn send_to_all(socket: &UdpSocket, datagram: &Datagram, receivers: &[SocketAddr]) {
+    let Ok(bytes) = postcard::to_stdvec(datagram) else {
+        return;
+    };
+    if bytes.len() > SENT_BOUND_BYTES {
+        log::warn!("peers: datagram too large bytes={}", bytes.len());
+        return;
+    }
+    for receiver in receivers {
+        // A datagram that is not sent is one that is lost: the next one mends it.
+        let _ = socket.send_to(&bytes, receiver).await;
+    }
+}
+
+async fn hear(state: Arc<GatewayState>, socket: Arc<UdpSocket>) {
+    let mut buffer = vec![0; DATAGRAM_BOUND_BYTES];
+    loop {
+        let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
+            sleep(COALESCE).await;
+            continue;
+        };
+        match postcard::from_bytes::<Datagram>(&buffer[..length]) {
+            Ok(Datagram::State(peer)) => take_in_state(&state, *peer),
+            Ok(Datagram::Change(change)) => take_in_change(&state, change),
+            Ok(Datagram::Upstreams(news)) => take_news(&state, news),
+            Err(_) => log::warn!("peers: datagram unreadable bytes={length}"),
+        }
+    }
+}
+
+fn take_in_state(state: &GatewayState, peer: PeerState) {
+    let sender = peer.host.clone();
+    let runs = peer.runs.clone();
+    let findings = state.peers.take_in(peer, Instant::now());
+    take_in_news(state, &sender, runs, &findings);
+}
+
+fn take_in_change(state: &GatewayState, change: PeerChange) {
+    let sender = change.host.clone();
+    let runs = change.runs.clone();
+    let findings = state.peers.take_in_change(change, Instant::now());
+    take_in_news(state, &sender, runs, &findings);
+}
+
+fn take_in_news(state: &GatewayState, sender: &HostId, runs: Vec<RunTrace>, findings: &[Finding]) {
+    let now = Instant::now();
+    for run in runs {
+        state.runs.hear(run, now);
+    }
+    for finding in findings {
+        take_over(state, finding, sender);
+    }
+    if state.peers.is_fed_by(sender) {
+        state.feed.notify();
+    }
+}
+
+/// Takes over what a peer found, unless this host found the same. It is not told on:
+/// suspicions of suspicions would never end.
+fn take_over(state: &GatewayState, finding: &Finding, sender: &HostId) {
+    let now = Instant::now();
+    let Some(upstream) = state.view.upstreams.get(&finding.upstream) else {
+        return;
+    };
+    let is_news = match finding.condition {
+        Condition::Sound => false,
+        Condition::Suspected => !upstream.is_suspected(now) && upstream.suspect_by_word(now),
+        Condition::Replaced => upstream.replaced_by_word(now),
+    };
+    if is_news {
+        log::debug!(
+            "upstream: unsound upstream={} condition={:?} peer={sender}",
+            finding.upstream,
+            finding.condition
+        );
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peers/told.rs
@@ -0,0 +1,116 @@
+//! What this host last told its peers, so that only what changed since is told again.
+
+use {
+    super::message::{HostPhase, PeerChange, PeerState, ServiceUse, UpstreamWork},
+    crate::{
+        runs::{Fingerprint, RunTrace},
+        view::{Condition, Work},
+    },
+    std::{
+        collections::HashMap,
+        time::{Duration, Instant},
+    },
+    tealshore_core::ids::{EngineId, ServiceId},
+};
+
+/// How often the whole state is told: what a lost datagram said is known again after this.
+const WHOLE_INTERVAL: Duration = Duration::from_secs(2);
+/// A host that starts tells its whole state at each heartbeat for this long.
+const INTRODUCTION: Duration = Duration::from_secs(3);
+
+/// What a host last told its peers.
+pub struct Told {
+    started: Instant,
+    phase: Option<HostPhase>,
+    whole_at: Option<Instant>,
+    work: HashMap<EngineId, UpstreamWork>,
+    budgets: HashMap<ServiceId, ServiceUse>,
+    runs: HashMap<Fingerprint, RunTrace>,
+}
+
+impl Told {
+    /// Of a host that starts now and told nothing.
+    #[must_use]
+    pub fn nothing(now: Instant) -> Self {
+        Self {
+            started: now,
+            phase: None,
+            whole_at: None,
+            work: HashMap::new(),
+            budgets: HashMap::new(),
+            runs: HashMap::new(),
+        }
+    }
+
+    /// Whether the whole state is to be told.
+    #[must_use]
+    pub fn is_whole_due(&self, phase: HostPhase, now: Instant) -> bool {
+        let is_introduced = now.saturating_duration_since(self.started) > INTRODUCTION;
+        let is_old = self
+            .whole_at
+            .is_none_or(|told| now.saturating_duration_since(told) >= WHOLE_INTERVAL);
+        !is_introduced || is_old || self.phase != Some(phase)
+    }
+
+    /// Notes that the whole state was told to all.
+    pub fn note_whole(&mut self, state: &PeerState, now: Instant) {
+        self.whole_at = Some(now);
+        // What changed is of no interest: all of it was told.
+        let _ = self.change(state);
+    }
+
+    /// What changed of the state since it was last told; it counts as told now.
+    pub fn change(&mut self, state: &PeerState) -> PeerChange {
+        self.phase = Some(state.phase);
+        PeerChange {
+            host: state.host.clone(),
+            incarnation: state.incarnation,
+            sequence: state.sequence,
+            word: state.word,
+            work: self.changed_work(&state.work),
+            budgets: self.changed_budgets(&state.budgets),
+            runs: self.new_runs(&state.runs),
+        }
+    }
+
+    fn changed_work(&mut self, now: &[UpstreamWork]) -> Vec<UpstreamWork> {
+        let current: HashMap<EngineId, UpstreamWork> = now
+            .iter()
+            .map(|entry| (entry.upstream.clone(), entry.clone()))
+            .collect();
+        let ended = self.work.keys().filter(|id| !current.contains_key(*id));
+        let ended = ended.map(|id| UpstreamWork {
+            upstream: id.clone(),
+            work: Work::default(),
+            condition: Condition::Sound,
+        });
+        let changed = now
+            .iter()
+            .filter(|entry| self.work.get(&entry.upstream) != Some(*entry));
+        let told = changed.cloned().chain(ended).collect();
+        self.work = current;
+        told
+    }
+
+    /// Requests come all the time; only repeats are told at once.
+    fn changed_budgets(&mut self, now: &[ServiceUse]) -> Vec<ServiceUse> {
+        let mut changed = Vec::new();
+        for entry in now {
+            let told = self.budgets.get(&entry.service);
+            if told.is_none_or(|told| told.used.repeats != entry.used.repeats) {
+                changed.push(entry.clone());
+                self.budgets.insert(entry.service.clone(), entry.clone());
+            }
+        }
+        changed
+    }
+
+    /// Runs that began, or that go on at another engine.
+    fn new_runs(&mut self, now: &[RunTrace]) -> Vec<RunTrace> {
+        let told = |run: &&RunTrace| self.runs.get(&run.fingerprint) != Some(*run);
+        let new = now.iter().filter(told).cloned().collect();
+        let current = now.iter().map(|run| (run.fingerprint, run.clone()));
+        self.runs = current.collect();
+        new
+    }
+}
--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -20,7 +20,7 @@
 /// How long an engine may keep a prompt that it has read.
 const PROMPT_KEPT: Duration = Duration::from_secs(30);
 /// How long a run of another host counts as running after it was heard of.
-const RUNNING: Duration = Duration::from_secs(2);
+const RUNNING: Duration = Duration::from_secs(5);
 /// The most runs that are remembered.
 const RUNS_BOUND: usize = 20_000;
 
--- a/crates/gateway/src/sync/follow.rs
+++ b/crates/gateway/src/sync/follow.rs
@@ -14,6 +14,8 @@
 /// How long a watch waits for changes where other hosts may rely on it: its end shows them
 /// that the feeder still reaches the store.
 const SHARED_WATCH: Duration = Duration::from_millis(500);
+/// How long the store may take beyond that where other hosts rely on this one.
+const SHARED_PATIENCE: Duration = Duration::from_millis(800);
 /// After news, more of it is let gather for this long, so that it comes by one call.
 const GATHERING: Duration = Duration::from_millis(250);
 /// Changes that a feeder sent on arrive a little later than its word may.
@@ -103,10 +105,20 @@
         }
     }
 
+    /// How long the store may take beyond that before a watch counts as silent.
+    fn patience(&self) -> Duration {
+        let longest = self.state.options.store.timeout;
+        if self.state.peers.is_alone(Instant::now()) {
+            longest
+        } else {
+            SHARED_PATIENCE.min(longest)
+        }
+    }
+
     /// Waits for changes once, takes them in and sends them on.
     async fn watch(&mut self, wait: Duration) -> Result<(), CallFailure> {
         let bound = if enabled(Protection::WatchTimeout) {
-            wait + self.state.options.store.timeout
+            wait + self.patience()
         } else {
             Duration::MAX / 4
         };
--- a/crates/gateway/src/view/upstreams.rs
+++ b/crates/gateway/src/view/upstreams.rs
@@ -68,7 +68,7 @@
 }
 
 /// What one or more hosts have at an upstream.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Work {
     /// Requests.
     pub running: u32,
--- /dev/null
+++ b/crates/gateway/tests/peers.rs
@@ -0,0 +1,160 @@
+//! What a host tells of itself in pieces is what it is.
+#![allow(
+    clippy::unwrap_used,
+    reason = "helpers of tests fail as tests do, which clippy.toml allows"
+)]
+
+use {
+    proptest::prelude::*,
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
+    tealshore_gateway::{
+        budget::BudgetUse,
+        peers::{Datagram, HostPhase, PeerState, ServiceUse, Told, UpstreamWork},
+        runs::RunTrace,
+        view::{Condition, Work},
+    },
+};
+
+fn state(sequence: u64, work: &BTreeMap<u8, (u64, bool)>, repeats: u32) -> PeerState {
+    let entry = |(id, (memory, suspected)): (&u8, &(u64, bool))| UpstreamWork {
+        upstream: format!("i-{id}"),
+        work: Work {
+            running: 1,
+            unread_tokens: 0,
+            memory_tokens: *memory,
+        },
+        condition: if *suspected {
+            Condition::Suspected
+        } else {
+            Condition::Sound
+        },
+    };
+    PeerState {
+        host: "host".to_owned(),
+        hall: "a".to_owned(),
+        callers_address: "127.0.0.1:1".parse().unwrap(),
+        peers_address: "127.0.0.1:2".parse().unwrap(),
+        phase: HostPhase::Serving,
+        incarnation: 4,
+        sequence,
+        work: work.iter().map(entry).collect(),
+        word: None,
+        budgets: vec![ServiceUse {
+            service: "model".to_owned(),
+            used: BudgetUse {
+                requests: 9,
+                repeats,
+            },
+        }],
+        runs: work.keys().map(|id| run(u64::from(*id))).collect(),
+        named: Vec::new(),
+    }
+}
+
+fn run(fingerprint: u64) -> RunTrace {
+    RunTrace {
+        fingerprint,
+        request: format!("request-{fingerprint}"),
+        engine: "i-1".to_owned(),
+        copy: None,
+    }
+}
+
+fn sorted(state: &PeerState) -> Vec<UpstreamWork> {
+    let mut work = state.work.clone();
+    work.sort_by(|a, b| a.upstream.cmp(&b.upstream));
+    work
+}
+
+/// A change of work: an upstream, and what the host has there, or nothing.
+type Step = (u8, Option<(u64, bool)>);
+
+fn step() -> impl Strategy<Value = Step> {
+    (0_u8..6, prop::option::of((1_u64..9_000, any::<bool>())))
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::with_cases(100) })]
+
+    #[test]
+    fn changes_add_up_to_the_whole_state(steps in prop::collection::vec(step(), 1..60)) {
+        let mut told = Told::nothing(Instant::now());
+        let mut work = BTreeMap::new();
+        let mut heard = state(0, &work, 0);
+        told.note_whole(&heard, Instant::now());
+        for (index, (id, now)) in steps.into_iter().enumerate() {
+            match now {
+                Some(now) => drop(work.insert(id, now)),
+                None => drop(work.remove(&id)),
+            }
+            let sequence = 1 + u64::try_from(index).unwrap();
+            let repeats = u32::try_from(index / 3).unwrap();
+            let own = state(sequence, &work, repeats);
+            heard.apply(told.change(&own));
+            prop_assert_eq!(sorted(&heard), sorted(&own));
+            prop_assert_eq!(heard.budgets[0].used.repeats, repeats);
+        }
+    }
+}
+
+#[test]
+fn what_did_not_change_is_not_told_again() {
+    let mut told = Told::nothing(Instant::now());
+    let work = BTreeMap::from([(1, (8_000, false)), (2, (500, true))]);
+    let first = told.change(&state(1, &work, 0));
+    assert_eq!(first.work.len(), 2);
+    assert_eq!(first.runs.len(), 2);
+    let second = told.change(&state(2, &work, 0));
+    assert!(second.work.is_empty() && second.runs.is_empty() && second.budgets.is_empty());
+    // A suspicion that has passed is told as such.
+    let passed = BTreeMap::from([(1, (8_000, false))]);
+    let third = told.change(&state(3, &passed, 0));
+    assert_eq!(third.work.len(), 1);
+    assert_eq!(third.work[0].condition, Condition::Sound);
+}
+
+#[test]
+fn a_run_that_goes_on_at_another_engine_is_told_again() {
+    let mut told = Told::nothing(Instant::now());
+    let work = BTreeMap::from([(1, (8_000, false))]);
+    let mut own = state(1, &work, 0);
+    assert_eq!(told.change(&own).runs.len(), 1);
+    own.runs[0].engine = "i-2".to_owned();
+    let change = told.change(&own);
+    assert_eq!(change.runs, own.runs);
+}
+
+#[test]
+fn the_whole_state_is_told_at_first_now_and_then_and_when_its_phase_changes() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut told = Told::nothing(start);
+    let serving = state(1, &BTreeMap::new(), 0);
+    told.note_whole(&serving, at(100));
+    assert!(told.is_whole_due(HostPhase::Serving, at(600)));
+    told.note_whole(&serving, at(4_000));
+    assert!(!told.is_whole_due(HostPhase::Serving, at(4_500)));
+    assert!(told.is_whole_due(HostPhase::Leaving, at(4_500)));
+    assert!(told.is_whole_due(HostPhase::Serving, at(6_500)));
+}
+
+#[test]
+fn a_heartbeat_without_news_is_a_small_part_of_the_whole_state() {
+    let mut told = Told::nothing(Instant::now());
+    // A hall has just died: many upstreams are suspected.
+    let work = (0..40).map(|id| (id, (8_000, true))).collect();
+    let own = state(1, &work, 3);
+    told.note_whole(&own, Instant::now());
+    let whole = postcard::to_stdvec(&Datagram::State(Box::new(own))).unwrap();
+    let change = Datagram::Change(told.change(&state(2, &work, 3)));
+    let change = postcard::to_stdvec(&change).unwrap();
+    assert!(
+        change.len() * 20 < whole.len(),
+        "{} of {}",
+        change.len(),
+        whole.len()
+    );
+}
