Stagger streams that lost their engines, and spread copies

News between hosts takes 10 to 20 ms.

Ruled out: full engines (to_read of each host's own choice was one prompt).

Change: a stream that is placed anew without a copy waits a random part of 2 ms a host, 0.2 s at most; a copy's holder is chosen with a draw of up to 20,000 tokens, above the size of one copy.

The test for copies fails on the code before; the pause has none of its own.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -23,6 +23,8 @@
 const LEAST_PART: u32 = 2;
 /// How much costs vary by chance, so that hosts do not all choose alike.
 const JITTER: f64 = 0.05;
+/// How much the memory of copies' holders varies by chance in their choice, in tokens.
+const COPY_JITTER_TOKENS: f64 = 20_000.0;
 /// The part of an engine's memory that work is sent to.
 const MEMORY_PART: f64 = 0.9;
 /// The part of an engine's memory up to which copies are sent to it: they must not push out
@@ -159,7 +161,8 @@
         Need::Copy { away_from, .. } => {
             let is_shared_fate = candidate.hall == *away_from;
             let fate = if is_shared_fate { 1.0 } else { 0.0 };
-            fate + to_f64(candidate.work.memory_tokens) / 1e6 + candidate.draw * JITTER / 10.0
+            let held = to_f64(candidate.work.memory_tokens) + candidate.draw * COPY_JITTER_TOKENS;
+            fate + held / 1e6
         }
     }
 }
--- a/crates/gateway/src/forward/stream/place.rs
+++ b/crates/gateway/src/forward/stream/place.rs
@@ -17,6 +17,7 @@
         view::{Upstream, UpstreamRecord, UpstreamState, Work},
     },
     http::{Response, StatusCode, response},
+    rand::RngExt,
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -42,6 +43,11 @@
 /// A stream waits for room for one part in this many of its objective.
 const ROOM_PART: u32 = 4;
 
+/// Streams that lost their engines are placed anew within this time for each host.
+const STAGGER_PER_HOST: Duration = Duration::from_millis(2);
+/// The most that this adds to a stream's wait, a small part of any objective.
+const LONGEST_STAGGER: Duration = Duration::from_millis(200);
+
 /// What opening a stream gave.
 pub enum Opened {
     /// The head of a stream; its events follow.
@@ -82,6 +88,7 @@
                 let detail = "the stream ran at as many engines as its route allows";
                 return Err(Failure::new(ErrorKind::RetriesSpent, detail));
             }
+            self.let_news_pass().await;
             let Some(chosen) = self.choose() else {
                 if began.elapsed() > self.call.route.objective / ROOM_PART {
                     let detail = "no engine has room for the stream";
@@ -112,6 +119,19 @@
         }
     }
 
+    /// Waits a moment before a stream that lost its engine is placed anew, unless it goes on
+    /// from a copy. All hosts lose streams in the instant in which a hall dies; without the
+    /// pause they would all send them to the engines that are idle just then.
+    async fn let_news_pass(&self) {
+        if self.sends == 0 || self.copy.is_some() {
+            return;
+        }
+        let hosts = u32::try_from(self.state.peers.most_hosts()).unwrap_or(u32::MAX);
+        let longest = STAGGER_PER_HOST.saturating_mul(hosts).min(LONGEST_STAGGER);
+        let part: f64 = rand::rng().random();
+        sleep(longest.mul_f64(part)).await;
+    }
+
     /// A refusal. Of a stream that may have run at an earlier engine, it does not promise that
     /// it has not.
     fn refusal(&self, kind: ErrorKind, detail: &str) -> Failure {
--- a/crates/gateway/tests/balance.rs
+++ b/crates/gateway/tests/balance.rs
@@ -141,3 +141,31 @@
     half_full.work.memory_tokens = 50_000;
     assert_eq!(chosen(&[half_full], need, &[]), None);
 }
+
+#[test]
+fn copies_that_are_placed_in_one_instant_do_not_all_lie_at_the_emptiest_engine() {
+    let need = Need::Copy {
+        away_from: &"a".to_owned(),
+        memory_tokens: 8_000,
+        engine_memory_tokens: 88_000,
+    };
+    // Hosts that have not heard of each other's choice draw for themselves.
+    let mut seed: u32 = 7;
+    let mut draw = || {
+        seed = seed.wrapping_mul(1_664_525).wrapping_add(1_013_904_223);
+        f64::from(seed >> 8) / f64::from(1 << 24)
+    };
+    let mut at_emptiest = 0;
+    for _ in 0..100 {
+        let candidates: Vec<Candidate> = (0..10)
+            .map(|index| {
+                let mut holder = candidate(&format!("e-{index}"), "b");
+                holder.work.memory_tokens = if index == 0 { 0 } else { 8_000 };
+                holder.draw = draw();
+                holder
+            })
+            .collect();
+        at_emptiest += u32::from(chosen(&candidates, need, &[]).as_deref() == Some("e-0"));
+    }
+    assert!(at_emptiest < 60, "{at_emptiest} of 100");
+}
