Let streams go on from their copies after all hosts were lost

Ruled out: longer waits for engines to be asked again (they keep copies for 4 s only).

Change: with one writer, the row is written each 0.7 s and holds the attempt under which the copy is known, and where the copy lies.

The test of what outlasts all hosts was replaced by two: the copy under its attempt, and the engine where the copy is gone. The first fails on the code before: it names no copy.

--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -4,7 +4,7 @@
 
 use {
     crate::{
-        runs::Fingerprint,
+        runs::RunTrace,
         view::{Configuration, UpstreamRecord},
     },
     bytes::Bytes,
@@ -133,7 +133,7 @@
     /// A host of this system.
     Host(HostRecord),
     /// Where the streams of a group of hosts ran.
-    Runs(Vec<RunPlace>),
+    Runs(Vec<RunTrace>),
     /// A row that could not be read, with the reason.
     Unreadable(String),
 }
@@ -156,15 +156,6 @@
     pub peers_address: SocketAddr,
 }
 
-/// Where a stream ran, as the store keeps it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct RunPlace {
-    /// The request's digest.
-    pub fingerprint: Fingerprint,
-    /// The engine that read its prompt.
-    pub engine: EngineId,
-}
-
 /// What the store answered about rows.
 #[derive(Clone, Debug)]
 pub struct Page {
@@ -248,7 +239,7 @@
     fn write_host_call(&self, host: &HostRecord) -> Request<Bytes>;
 
     /// Writes where the streams of a group of hosts run.
-    fn write_runs_call(&self, group: &str, runs: &[RunPlace]) -> Request<Bytes>;
+    fn write_runs_call(&self, group: &str, runs: &[RunTrace]) -> Request<Bytes>;
 
     /// Asks the engine of a run to copy its memory to another engine while it runs on.
     fn copy_call(
--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -4,7 +4,7 @@
 //! its run left behind: the copy, or else what the engine keeps of the prompt.
 
 use {
-    crate::edge::{MemoryCopy, RunPlace},
+    crate::edge::MemoryCopy,
     parking_lot::Mutex,
     serde::{Deserialize, Serialize},
     std::{
@@ -114,13 +114,7 @@
     }
 
     /// Takes in what the store kept of a run, unless more is known.
-    pub fn restore(&self, place: RunPlace, now: Instant) {
-        let trace = RunTrace {
-            fingerprint: place.fingerprint,
-            request: RequestId::default(),
-            engine: place.engine,
-            copy: None,
-        };
+    pub fn restore(&self, trace: RunTrace, now: Instant) {
         let is_known = self.kept.lock().contains_key(&trace.fingerprint);
         if !is_known {
             self.hear(trace, now);
@@ -151,19 +145,14 @@
 
     /// Where streams run now, on this host and on those that were heard a moment ago, for the
     /// store, in a fixed order.
-    pub fn running_places(&self, now: Instant) -> Vec<RunPlace> {
+    pub fn running(&self, now: Instant) -> Vec<RunTrace> {
         let kept = self.kept.lock();
         let running = kept
             .values()
             .filter(|known| known.is_younger_than(RUNNING, now));
-        let mut places: Vec<RunPlace> = running
-            .map(|known| RunPlace {
-                fingerprint: known.trace.fingerprint,
-                engine: known.trace.engine.clone(),
-            })
-            .collect();
+        let mut traces: Vec<RunTrace> = running.map(|known| known.trace.clone()).collect();
         drop(kept);
-        places.sort_by_key(|place| place.fingerprint);
-        places
+        traces.sort_by_key(|trace| trace.fingerprint);
+        traces
     }
 }
--- a/crates/gateway/src/sync/runs.rs
+++ b/crates/gateway/src/sync/runs.rs
@@ -3,13 +3,14 @@
 
 use {
     super::Follower,
-    crate::{edge::RunPlace, feed::FeederChoice},
+    crate::{feed::FeederChoice, runs::RunTrace},
     std::time::{Duration, Instant},
     tokio::time::sleep,
 };
 
-/// How often it is written, while there is news.
-const RUNS_INTERVAL: Duration = Duration::from_secs(3);
+/// How often it is written, while there is news. Engines keep copies for a few seconds only,
+/// and streams last not much longer.
+const RUNS_INTERVAL: Duration = Duration::from_millis(700);
 /// The row of a group that is all hosts.
 const ALL_HOSTS: &str = "all";
 
@@ -20,24 +21,24 @@
         while let Err(failure) = self.read_whole().await {
             self.pause_after(&failure).await;
         }
-        let mut written: Vec<RunPlace> = Vec::new();
+        let mut written: Vec<RunTrace> = Vec::new();
         loop {
             sleep(RUNS_INTERVAL).await;
             let now = Instant::now();
             if matches!(self.state.feeder(now), FeederChoice::Peer(..)) {
                 continue;
             }
-            let places = self.state.runs.running_places(now);
-            let has_news = places.iter().any(|place| !written.contains(place));
+            let running = self.state.runs.running(now);
+            let has_news = running.iter().any(|run| !written.contains(run));
             if !has_news {
                 continue;
             }
             let group = self.state.group().unwrap_or(ALL_HOSTS);
-            let request = self.state.protocol.write_runs_call(group, &places);
+            let request = self.state.protocol.write_runs_call(group, &running);
             match self.write(request).await {
                 Ok(()) => {
                     self.note_regained();
-                    written = places;
+                    written = running;
                 }
                 Err(failure) => self.pause_after(&failure).await,
             }
--- a/crates/gateway/src/sync/take_in.rs
+++ b/crates/gateway/src/sync/take_in.rs
@@ -26,10 +26,10 @@
             }
             Change::Upstream(change) => take_in_upstream(&self.state, revision, change),
             Change::Host(host) => self.state.peers.add(&host),
-            Change::Runs(places) => {
+            Change::Runs(runs) => {
                 let now = Instant::now();
-                for place in places {
-                    self.state.runs.restore(place, now);
+                for run in runs {
+                    self.state.runs.restore(run, now);
                 }
             }
             Change::Unreadable(reason) => {
--- a/crates/gateway/tests/runs.rs
+++ b/crates/gateway/tests/runs.rs
@@ -7,7 +7,6 @@
 use {
     std::time::{Duration, Instant},
     tealshore_gateway::{
-        edge::RunPlace,
         read_rate::ReadRate,
         runs::{RunTrace, Runs},
     },
@@ -75,21 +74,41 @@
 }
 
 #[test]
-fn what_the_store_kept_names_the_engine_and_no_copy() {
+fn what_the_store_kept_names_the_engine_and_the_copy_while_engines_keep_it() {
     let runs = Runs::default();
     let now = Instant::now();
-    let place = |fingerprint, engine: &str| RunPlace {
-        fingerprint,
-        engine: engine.to_owned(),
-    };
-    runs.restore(place(1, "e1"), now);
+    let mut kept = trace(1, "old attempt", "e1");
+    kept.copy = Some(("e9".to_owned(), "127.0.0.1:9".parse().unwrap()));
+    runs.restore(kept, now);
     let found = runs.find(1, now).unwrap();
-    assert_eq!((found.engine.as_str(), found.memory_copy()), ("e1", None));
+    assert_eq!(found.engine, "e1");
+    let copy = found.memory_copy().unwrap();
+    // A copy is known by the attempt that it was made for.
+    assert_eq!(
+        (copy.upstream.as_str(), copy.name.as_str()),
+        ("e9", "old attempt")
+    );
+    let later = runs.find(1, now + Duration::from_secs(7)).unwrap();
+    assert_eq!((later.engine.as_str(), later.memory_copy()), ("e1", None));
     runs.hear(trace(2, "r", "e2"), now);
-    runs.restore(place(2, "older"), now);
+    runs.restore(trace(2, "r", "older"), now);
     assert_eq!(runs.find(2, now).unwrap().engine, "e2");
 }
 
+#[test]
+fn the_store_keeps_the_runs_of_all_hosts_that_were_heard_lately() {
+    let runs = Runs::default();
+    let now = Instant::now();
+    runs.begin(trace(2, "here", "e1"));
+    runs.hear(trace(1, "there", "e2"), now);
+    let digests = |at| -> Vec<u64> {
+        let running = runs.running(at);
+        running.iter().map(|run| run.fingerprint).collect()
+    };
+    assert_eq!(digests(now), [1, 2]);
+    assert_eq!(digests(now + Duration::from_secs(9)), [2]);
+}
+
 #[test]
 fn patience_follows_the_rate_at_which_engines_read() {
     let mut rate = ReadRate::default();
