Serve requests without a key while the store is away

A host whose keys were too old refused all, those on public routes as well.

Ruled out: serving by an old configuration where no route matches: such a host still says 503 and not 404, since the route may have come meanwhile.

Change: a request without a key on a public route that is known is served.

--- a/crates/gateway/src/serve/ingress.rs
+++ b/crates/gateway/src/serve/ingress.rs
@@ -109,16 +109,17 @@
         let detail = "this host has not yet learned the configuration";
         return Err(Failure::new(ErrorKind::NotReady, detail));
     };
+    let host = host_of(head);
+    let route = configuration.route(&host, head.uri.path()).cloned();
     let needs_keys = !configuration.customers.is_empty();
-    if needs_keys && !state.trusts_keys(Instant::now()) {
+    let is_open = facts.key.is_none() && route.as_ref().is_some_and(|route| route.public);
+    if needs_keys && !is_open && !state.trusts_keys(Instant::now()) {
+        // Nor is it told that there is no such route: there may be one by now.
         let detail = "this host has not heard from the store in time";
         return Err(Failure::new(ErrorKind::StaleView, detail));
     }
-    let host = host_of(head);
-    let route = configuration
-        .route(&host, head.uri.path())
-        .ok_or_else(|| Failure::new(ErrorKind::UnknownPath, "no route has this host and path"))?
-        .clone();
+    let route = route
+        .ok_or_else(|| Failure::new(ErrorKind::UnknownPath, "no route has this host and path"))?;
     let customer = authenticate(&configuration, &route, facts)?;
     if state.stop.age().is_some_and(|age| age > LAST_STREAM_START)
         && matches!(route.kind, RouteKind::Stream { .. })
