Keep upstreams whose rows lapsed while the store was away for a moment

Cause: rows go after three heartbeats of silence, and upstreams can't write while the store is away. The first whole read after an outage dropped those that had lapsed, though they live and are back within two seconds.

Ruled out: keeping them longer (one that is still missing is gone), and keeping those that were leaving.

Change: after an outage of 2.5 s or more, upstreams that took work and are missing do so for 1.8 s more. Hosts that read changed configurations on the word of their feeder let 0.5 s of them gather instead of 0.25 s.

The new test of the view has no counterpart before.

--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -37,6 +37,11 @@
 /// How often one page is asked for while the store refuses calls.
 const PAGE_TRIES: u32 = 6;
 
+/// A store that was away for this long may have let rows lapse of upstreams that live.
+const LAPSE_AFTER: Duration = Duration::from_millis(2_500);
+/// Such rows are back within about two seconds, or their upstreams are gone.
+const LAPSED_ROWS_BACK: Duration = Duration::from_millis(1_800);
+
 /// Follows one set of rows.
 struct Follower {
     state: Arc<GatewayState>,
@@ -44,6 +49,8 @@
     calls: StoreCalls,
     clock: StoreClock,
     failures: u32,
+    /// When the store was lost; none while it answers.
+    lost_at: Option<Instant>,
 }
 
 /// Follows the configuration and the upstreams for as long as the process lives, and tells
@@ -76,6 +83,7 @@
             set,
             clock: StoreClock::default(),
             failures: 0,
+            lost_at: None,
         }
     }
 
@@ -144,7 +152,7 @@
         match self.set {
             RowSet::Configuration => self.confirm(written.moment),
             RowSet::Upstreams => {
-                let gone = self.state.view.upstreams.retain(revision, present);
+                let gone = self.retain(revision, present);
                 log::info!(
                     "view: read whole set={} revision={revision} rows={} gone={gone}",
                     self.set.name(),
@@ -162,6 +170,19 @@
         self.note_regained();
     }
 
+    /// Drops the upstreams that a whole set lacks; how many it lacks.
+    fn retain(&self, revision: Revision, present: &[EngineId]) -> usize {
+        let upstreams = &self.state.view.upstreams;
+        let was_away = self
+            .lost_at
+            .is_some_and(|lost_at| lost_at.elapsed() >= LAPSE_AFTER);
+        if was_away {
+            let until = Instant::now() + LAPSED_ROWS_BACK;
+            return upstreams.retain_lapsed(revision, present, until);
+        }
+        upstreams.retain(revision, present)
+    }
+
     fn confirm(&self, moment: Instant) {
         if self.set == RowSet::Configuration && self.state.view.version() > 0 {
             self.state.view.confirm(moment);
@@ -224,6 +245,7 @@
         if !matches!(failure, CallFailure::Refused(StoreRefusal::HistoryGone)) {
             self.state.feed.note_failure();
         }
+        self.lost_at.get_or_insert_with(Instant::now);
         let doubled = FIRST_PAUSE * (1 << self.failures.min(6));
         self.failures += 1;
         let until = Instant::now() + spread(doubled.min(self.longest_pause()) / 2);
@@ -252,5 +274,6 @@
             );
         }
         self.failures = 0;
+        self.lost_at = None;
     }
 }
--- a/crates/gateway/src/sync/follow.rs
+++ b/crates/gateway/src/sync/follow.rs
@@ -18,6 +18,9 @@
 const SHARED_PATIENCE: Duration = Duration::from_millis(800);
 /// After news, more of it is let gather for this long, so that it comes by one call.
 const GATHERING: Duration = Duration::from_millis(250);
+/// A host that reads changes for itself, on the word of its feeder, lets them gather longer:
+/// all others read them as well.
+const SHARED_GATHERING: Duration = Duration::from_millis(500);
 /// Changes that a feeder sent on arrive a little later than its word may.
 const NEWS_DELAY: Duration = Duration::from_millis(40);
 
@@ -90,7 +93,8 @@
     async fn catch_up(&mut self) -> Result<(), CallFailure> {
         sleep(NEWS_DELAY).await;
         if let Source::Behind = self.source(Instant::now()) {
-            return self.watch(Duration::ZERO).await;
+            self.watch(Duration::ZERO).await?;
+            sleep(SHARED_GATHERING - GATHERING).await;
         }
         Ok(())
     }
--- a/crates/gateway/src/view/upstreams.rs
+++ b/crates/gateway/src/view/upstreams.rs
@@ -234,6 +234,16 @@
 struct Listed {
     revision: Revision,
     upstream: Option<Arc<Upstream>>,
+    /// Its row lapsed while the store was away; it counts as listed until then.
+    lapses: Option<Instant>,
+}
+
+impl Listed {
+    /// The upstream, while it counts as listed.
+    fn current(&self) -> Option<&Arc<Upstream>> {
+        let has_lapsed = self.lapses.is_some_and(|lapses| lapses <= Instant::now());
+        self.upstream.as_ref().filter(|_| !has_lapsed)
+    }
 }
 
 /// All upstreams by their ids. A row is never replaced by an older one.
@@ -262,6 +272,7 @@
         let entry = Listed {
             revision,
             upstream: Some(upstream),
+            lapses: None,
         };
         listed.insert(record.id, entry);
         is_news
@@ -281,19 +292,43 @@
 
     /// Takes in a whole set as of a version: what it lacks has gone. Tells how many went.
     pub fn retain(&self, revision: Revision, present: &[EngineId]) -> usize {
-        let gone: Vec<EngineId> = {
-            let listed = self.listed.read();
-            let known = listed.iter().filter(|(_, known)| known.upstream.is_some());
-            let missing = known.filter(|(id, _)| !present.contains(id));
-            missing.map(|(id, _)| id.clone()).collect()
-        };
+        let gone = self.missing(present);
         gone.iter().filter(|id| self.remove(revision, id)).count()
     }
 
+    /// Takes in the first whole set after the store was away for long. What it lacks may have
+    /// lapsed only because it could not write, so what took work before does so until a
+    /// moment; rows that are back by then stay. Tells how many are missing.
+    pub fn retain_lapsed(&self, revision: Revision, present: &[EngineId], until: Instant) -> usize {
+        let missing = self.missing(present);
+        let mut listed = self.listed.write();
+        for id in &missing {
+            let Some(known) = listed.get_mut(id) else {
+                continue;
+            };
+            let took_work = known
+                .upstream
+                .as_ref()
+                .is_some_and(|upstream| upstream.record.state == UpstreamState::Ready);
+            if !took_work && known.revision < revision {
+                known.upstream = None;
+            }
+            known.lapses.get_or_insert(until);
+        }
+        missing.len()
+    }
+
+    fn missing(&self, present: &[EngineId]) -> Vec<EngineId> {
+        let listed = self.listed.read();
+        let known = listed.iter().filter(|(_, known)| known.upstream.is_some());
+        let missing = known.filter(|(id, _)| !present.contains(id));
+        missing.map(|(id, _)| id.clone()).collect()
+    }
+
     /// The upstream with an id, while it is listed.
     pub fn get(&self, id: &EngineId) -> Option<Arc<Upstream>> {
         let listed = self.listed.read();
-        listed.get(id).and_then(|known| known.upstream.clone())
+        listed.get(id).and_then(|known| known.current().cloned())
     }
 
     /// All upstreams of a service that take new work.
@@ -301,7 +336,7 @@
         let listed = self.listed.read();
         listed
             .values()
-            .filter_map(|known| known.upstream.as_ref())
+            .filter_map(Listed::current)
             .filter(|upstream| upstream.record.service == *service)
             .filter(|upstream| {
                 let is_ready = upstream.record.state == UpstreamState::Ready;
@@ -316,7 +351,8 @@
         let listed = self.listed.read();
         listed
             .values()
-            .filter_map(|known| known.upstream.clone())
+            .filter_map(Listed::current)
+            .cloned()
             .collect()
     }
 
--- a/crates/gateway/tests/view.rs
+++ b/crates/gateway/tests/view.rs
@@ -243,3 +243,24 @@
     view.upstreams.put(4, record("old", UpstreamState::Leaving));
     assert!(!get("young").is_suspected(Instant::now()));
 }
+
+#[test]
+fn rows_that_lapsed_while_the_store_was_away_count_for_a_while() {
+    let view = View::default();
+    view.upstreams.put(1, record("back", UpstreamState::Ready));
+    view.upstreams.put(2, record("lost", UpstreamState::Ready));
+    view.upstreams
+        .put(3, record("leaving", UpstreamState::Leaving));
+    let takes_work = |id: &str| view.upstreams.takes_work(&id.to_owned());
+    let until = Instant::now() + Duration::from_millis(300);
+    assert_eq!(view.upstreams.retain_lapsed(9, &[], until), 3);
+    assert!(takes_work("back") && takes_work("lost"));
+    // One that was leaving is bound to leave whatever the store lost.
+    assert!(!takes_work("leaving"));
+    view.upstreams.put(10, record("back", UpstreamState::Ready));
+    std::thread::sleep(Duration::from_millis(320));
+    assert!(takes_work("back"));
+    assert!(!takes_work("lost"));
+    assert!(view.upstreams.get(&"lost".to_owned()).is_none());
+    assert_eq!(view.upstreams.ready(&"tiles".to_owned()).len(), 1);
+}
