Measure queues, store calls, pauses, whole answers and the configuration's age

Cause: on-call could count losses and first bytes, but not tell a wait in this host from one at an upstream, nor a slow store from a silent one.

Ruled out: a histogram a service; labels grow with deployments.

Change: five histograms on the metrics address.

--- a/crates/gateway/src/forward/plain.rs
+++ b/crates/gateway/src/forward/plain.rs
@@ -243,6 +243,10 @@
             let detail = "the budget of repeated sends is spent";
             return Err(Failure::new(ErrorKind::UpstreamsBusy, detail));
         }
+        if self.sends == 0 {
+            let waited = self.call.received.elapsed();
+            self.state.metrics.note_queued("call", waited);
+        }
         self.sends += 1;
         self.runs += 1;
         self.open.push(upstream.record.id.clone());
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -40,6 +40,8 @@
     copy: Option<MemoryCopy>,
     attempt: Option<Attempt>,
     lost_at: Option<Instant>,
+    /// When the last event left for the caller.
+    passed_at: Option<Instant>,
     /// The engine that may still keep the prompt from an earlier attempt of the caller.
     prompt_kept_at: Option<EngineId>,
     /// Makes a new copy of the run's memory when the holder of the first one is lost.
@@ -82,6 +84,7 @@
             sends: 0,
             attempt: None,
             lost_at: None,
+            passed_at: None,
             recopy: Recopy::default(),
         }
     }
--- a/crates/gateway/src/forward/stream/place.rs
+++ b/crates/gateway/src/forward/stream/place.rs
@@ -105,6 +105,10 @@
                 let detail = "the budget of repeated sends is spent";
                 return Err(self.refusal(ErrorKind::UpstreamsBusy, detail));
             }
+            if self.sends == 0 {
+                let waited = self.call.received.elapsed();
+                self.state.metrics.note_queued("stream", waited);
+            }
             self.sends += 1;
             match self.try_place(chosen).await {
                 Ok(head) => return Ok(Opened::Stream(head)),
--- a/crates/gateway/src/forward/stream/relay.rs
+++ b/crates/gateway/src/forward/stream/relay.rs
@@ -63,6 +63,7 @@
             match self.next_step().await {
                 Step::Event(event) => {
                     self.note_resumed();
+                    self.note_pause();
                     if sender.send(Ok(Frame::data(event.bytes))).await.is_err() {
                         return RelayEnd::CallerGone;
                     }
@@ -117,6 +118,18 @@
         );
     }
 
+    /// Notes how long the caller waited since the event before.
+    fn note_pause(&mut self) {
+        let now = Instant::now();
+        if let Some(before) = self.passed_at.replace(now) {
+            let pause = now.saturating_duration_since(before);
+            self.state
+                .metrics
+                .pause_seconds
+                .observe(pause.as_secs_f64());
+        }
+    }
+
     fn note_resumed(&mut self) {
         if let Some(lost) = self.lost_at.take() {
             let waited = lost.elapsed().as_secs_f64();
@@ -207,6 +220,10 @@
         let attempt = self.attempt.take();
         let upstream = attempt.map(|attempt| attempt.upstream.record.id.clone());
         let outcome = end.name();
+        if is_whole {
+            let took = self.call.received.elapsed();
+            self.state.metrics.note_whole("stream", took);
+        }
         self.state
             .metrics
             .outcomes
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -3,7 +3,7 @@
 use {
     prometheus::{
         Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry,
-        TextEncoder, exponential_buckets,
+        TextEncoder, core::Collector, exponential_buckets,
     },
     std::time::Duration,
 };
@@ -21,6 +21,16 @@
     pub first_byte_seconds: HistogramVec,
     /// From noticing a loss to the next event.
     pub resume_seconds: Histogram,
+    /// Between two events of a stream, as they leave for the caller.
+    pub pause_seconds: Histogram,
+    /// From a request's head to the end of its answer, by kind.
+    pub whole_seconds: HistogramVec,
+    /// From a request's head to its first send to an upstream, by kind.
+    pub queue_seconds: HistogramVec,
+    /// Time of calls to the store that were answered, by set; watches wait for changes.
+    pub store_call_seconds: HistogramVec,
+    /// How old the configuration in force was when requests were admitted.
+    pub configuration_age_seconds: Histogram,
     /// Requests in flight.
     pub in_flight: IntGauge,
     /// The version of the configuration in force.
@@ -37,14 +47,8 @@
         let counter = |name: &str, help: &str, labels: &[&str]| {
             IntCounterVec::new(Opts::new(name, help), labels)
         };
-        let first_byte = HistogramOpts::new(
-            "tealshore_first_byte_seconds",
-            "From a request's head to the first byte of its answer",
-        );
-        let resume = HistogramOpts::new(
-            "tealshore_stream_resume_seconds",
-            "From noticing a loss to the next event",
-        );
+        let histogram =
+            |name: &str, help: &str| HistogramOpts::new(name, help).buckets(buckets.clone());
         let metrics = Self {
             registry: Registry::new(),
             outcomes: counter("tealshore_requests_total", "Ends of requests", &["outcome"])?,
@@ -54,8 +58,46 @@
                 "Calls to the platform's store",
                 &["set", "result"],
             )?,
-            first_byte_seconds: HistogramVec::new(first_byte.buckets(buckets.clone()), &["kind"])?,
-            resume_seconds: Histogram::with_opts(resume.buckets(buckets))?,
+            first_byte_seconds: HistogramVec::new(
+                histogram(
+                    "tealshore_first_byte_seconds",
+                    "From a request's head to the first byte of its answer",
+                ),
+                &["kind"],
+            )?,
+            resume_seconds: Histogram::with_opts(histogram(
+                "tealshore_stream_resume_seconds",
+                "From noticing a loss to the next event",
+            ))?,
+            pause_seconds: Histogram::with_opts(histogram(
+                "tealshore_stream_pause_seconds",
+                "Between two events of a stream",
+            ))?,
+            whole_seconds: HistogramVec::new(
+                histogram(
+                    "tealshore_whole_seconds",
+                    "From a request's head to the end of its answer",
+                ),
+                &["kind"],
+            )?,
+            queue_seconds: HistogramVec::new(
+                histogram(
+                    "tealshore_queue_seconds",
+                    "From a request's head to its first send to an upstream",
+                ),
+                &["kind"],
+            )?,
+            store_call_seconds: HistogramVec::new(
+                histogram(
+                    "tealshore_store_call_seconds",
+                    "Calls to the platform's store that were answered",
+                ),
+                &["set"],
+            )?,
+            configuration_age_seconds: Histogram::with_opts(histogram(
+                "tealshore_configuration_age_seconds",
+                "Age of the configuration in force at the admission of requests",
+            ))?,
             in_flight: IntGauge::new("tealshore_requests_in_flight", "Requests in flight")?,
             config_version: IntGauge::new(
                 "tealshore_configuration_version",
@@ -67,16 +109,24 @@
     }
 
     fn register(&self) -> Result<(), prometheus::Error> {
-        self.registry.register(Box::new(self.outcomes.clone()))?;
-        self.registry.register(Box::new(self.losses.clone()))?;
-        self.registry.register(Box::new(self.store_calls.clone()))?;
-        self.registry
-            .register(Box::new(self.first_byte_seconds.clone()))?;
-        self.registry
-            .register(Box::new(self.resume_seconds.clone()))?;
-        self.registry.register(Box::new(self.in_flight.clone()))?;
-        self.registry
-            .register(Box::new(self.config_version.clone()))
+        let all: [Box<dyn Collector>; 12] = [
+            Box::new(self.outcomes.clone()),
+            Box::new(self.losses.clone()),
+            Box::new(self.store_calls.clone()),
+            Box::new(self.first_byte_seconds.clone()),
+            Box::new(self.resume_seconds.clone()),
+            Box::new(self.pause_seconds.clone()),
+            Box::new(self.whole_seconds.clone()),
+            Box::new(self.queue_seconds.clone()),
+            Box::new(self.store_call_seconds.clone()),
+            Box::new(self.configuration_age_seconds.clone()),
+            Box::new(self.in_flight.clone()),
+            Box::new(self.config_version.clone()),
+        ];
+        for collector in all {
+            self.registry.register(collector)?;
+        }
+        Ok(())
     }
 
     /// Notes how long a request waited for the first byte of its answer.
@@ -86,6 +136,20 @@
             .observe(waited.as_secs_f64());
     }
 
+    /// Notes how long a request waited for its first send to an upstream.
+    pub fn note_queued(&self, kind: &str, waited: Duration) {
+        self.queue_seconds
+            .with_label_values(&[kind])
+            .observe(waited.as_secs_f64());
+    }
+
+    /// Notes how long a request took to the end of its answer.
+    pub fn note_whole(&self, kind: &str, took: Duration) {
+        self.whole_seconds
+            .with_label_values(&[kind])
+            .observe(took.as_secs_f64());
+    }
+
     /// All metrics as text.
     pub fn text(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/gateway/src/serve/ingress.rs
+++ b/crates/gateway/src/serve/ingress.rs
@@ -74,6 +74,10 @@
         return Err(Failure::new(ErrorKind::BadRequest, detail));
     }
     state.note_request(&admitted.service);
+    if let Some(age) = state.view.age(received) {
+        let age_s = age.as_secs_f64();
+        state.metrics.configuration_age_seconds.observe(age_s);
+    }
     let mut ends = received + hold_of(&facts, &admitted.route);
     if !enabled(Protection::BodyTimeout) {
         ends += LONGEST_HOLD;
@@ -264,9 +268,10 @@
         "upstream-failed"
     };
     state.metrics.outcomes.with_label_values(&[outcome]).inc();
-    state
-        .metrics
-        .note_first_byte("call", call.received.elapsed());
+    // A plain answer is taken in whole before it is passed on.
+    let took = call.received.elapsed();
+    state.metrics.note_first_byte("call", took);
+    state.metrics.note_whole("call", took);
     log::info!(
         "call: end request={} route={} outcome={outcome} status={} age_ms={} configuration={}",
         call.id(),
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -220,7 +220,15 @@
         request: Request<Bytes>,
         bound: Duration,
     ) -> Result<(StatusCode, Bytes), CallFailure> {
+        let asked = Instant::now();
         let result = self.calls.call(request, bound).await;
+        if result.is_ok() {
+            self.state
+                .metrics
+                .store_call_seconds
+                .with_label_values(&[self.set.name()])
+                .observe(asked.elapsed().as_secs_f64());
+        }
         let name = result
             .as_ref()
             .map_or_else(CallFailure::name, |_| "answered");
