--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -4,9 +4,11 @@
 //! first one dies, the stream goes on from the copy; without one, the prompt is read again.
 
 mod attempt;
+mod copy_holder;
 mod place;
 mod recopy;
 mod relay;
+mod stagger;
 
 use {
     super::call::{Call, strip_connection_headers},
--- /dev/null
+++ b/crates/gateway/src/forward/stream/copy_holder.rs
@@ -0,0 +1,38 @@
+//! Which engine is to hold a copy of a run's memory.
+
+use {
+    super::StreamRun,
+    crate::{
+        balance::Need,
+        forward::reservation::Reservation,
+        view::{Upstream, UpstreamRecord, Work},
+    },
+    std::sync::Arc,
+};
+
+impl StreamRun {
+    /// The engine that is to hold a copy of the run's memory.
+    pub fn choose_copy(&self, runs_at: &UpstreamRecord) -> Option<Arc<Upstream>> {
+        let engines = self.engines();
+        if !engines.copies || !self.call.route.may_repeat() {
+            return None;
+        }
+        let need = Need::Copy {
+            away_from: &runs_at.hall,
+            memory_tokens: self.memory_tokens(),
+            engine_memory_tokens: engines.memory_tokens,
+        };
+        let mut avoid = self.avoid.clone();
+        avoid.push(runs_at.id.clone());
+        self.state.choose_upstream(&self.call.service, need, &avoid)
+    }
+
+    /// Notes at a copy's holder the memory that it will take.
+    pub fn reserve_copy(&self, holder: &Arc<Upstream>) -> Reservation {
+        let work = Work {
+            memory_tokens: self.memory_tokens(),
+            ..Work::default()
+        };
+        Reservation::begin(&self.state, holder, work)
+    }
+}
--- a/crates/gateway/src/forward/stream/place.rs
+++ b/crates/gateway/src/forward/stream/place.rs
@@ -2,7 +2,7 @@
 //! else where it fits best.
 
 use {
-    super::{StreamRun, attempt::Attempt},
+    super::{StreamRun, attempt::Attempt, stagger::stagger},
     crate::{
         balance::Need,
         edge::{MemoryCopy, Order, Urgency},
@@ -14,10 +14,9 @@
             reservation::Reservation,
         },
         runs::RunTrace,
-        view::{Upstream, UpstreamRecord, UpstreamState, Work},
+        view::{Upstream, UpstreamState, Work},
     },
     http::{Response, StatusCode, response},
-    rand::RngExt,
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -43,11 +42,6 @@
 /// A stream waits for room for one part in this many of its objective.
 const ROOM_PART: u32 = 4;
 
-/// Streams that lost their engines are placed anew within this time for each host.
-const STAGGER_PER_HOST: Duration = Duration::from_millis(2);
-/// The most that this adds to a stream's wait, a small part of any objective.
-const LONGEST_STAGGER: Duration = Duration::from_millis(200);
-
 /// What opening a stream gave.
 pub enum Opened {
     /// The head of a stream; its events follow.
@@ -130,10 +124,7 @@
         if self.sends == 0 || self.copy.is_some() {
             return;
         }
-        let hosts = u32::try_from(self.state.peers.most_hosts()).unwrap_or(u32::MAX);
-        let longest = STAGGER_PER_HOST.saturating_mul(hosts).min(LONGEST_STAGGER);
-        let part: f64 = rand::rng().random();
-        sleep(longest.mul_f64(part)).await;
+        sleep(stagger(self.state.peers.most_hosts())).await;
     }
 
     /// A refusal. Of a stream that may have run at an earlier engine, it does not promise that
@@ -230,14 +221,6 @@
         Ok(head)
     }
 
-    fn reserve_copy(&self, holder: &Arc<Upstream>) -> Reservation {
-        let work = Work {
-            memory_tokens: self.memory_tokens(),
-            ..Work::default()
-        };
-        Reservation::begin(&self.state, holder, work)
-    }
-
     /// How long an engine may be silent before its first event.
     fn patience(&self, to_read: u64, from_copy: bool) -> Patience {
         if from_copy {
@@ -399,20 +382,4 @@
             Err(_) => PlaceEnd::Unknown,
         }
     }
-
-    /// The engine that is to hold a copy of the run's memory.
-    pub fn choose_copy(&self, runs_at: &UpstreamRecord) -> Option<Arc<Upstream>> {
-        let engines = self.engines();
-        if !engines.copies || !self.call.route.may_repeat() {
-            return None;
-        }
-        let need = Need::Copy {
-            away_from: &runs_at.hall,
-            memory_tokens: self.memory_tokens(),
-            engine_memory_tokens: engines.memory_tokens,
-        };
-        let mut avoid = self.avoid.clone();
-        avoid.push(runs_at.id.clone());
-        self.state.choose_upstream(&self.call.service, need, &avoid)
-    }
 }
--- a/crates/gateway/src/sync/follow.rs
+++ b/crates/gateway/src/sync/follow.rs
@@ -104,21 +104,20 @@
 
     /// How long a watch waits for changes.
     fn watch_time(&self) -> Duration {
-        let longest = self.state.options.store.watch;
-        if self.state.peers.is_alone(Instant::now()) {
-            longest
-        } else {
-            SHARED_WATCH.min(longest)
-        }
+        self.unless_alone(SHARED_WATCH, self.state.options.store.watch)
     }
 
     /// How long the store may take beyond that before a watch counts as silent.
     fn patience(&self) -> Duration {
-        let longest = self.state.options.store.timeout;
+        self.unless_alone(SHARED_PATIENCE, self.state.options.store.timeout)
+    }
+
+    /// A bound of the settings, or a shorter one where other hosts may rely on this one.
+    fn unless_alone(&self, shared: Duration, of_settings: Duration) -> Duration {
         if self.state.peers.is_alone(Instant::now()) {
-            longest
+            of_settings
         } else {
-            SHARED_PATIENCE.min(longest)
+            shared.min(of_settings)
         }
     }
 
