Answer hosts that start at the next heartbeat, and keep waits apart

Cause: read again, a host told its whole state to all others at each event of its first three seconds, and at once for each host that it met: where 300 start together, each of them some hundred times a second to 299 others. The waits of the followers of hosts and runs took the wake-up that was meant for the follower of the upstreams, which then learned its feeder's word up to 1.2 s late. A store that only refused calls for their number counted as away, after which rows that had gone were kept for 1.8 s.

Change: in the first three seconds the whole state goes out each 0.4 s; newcomers are answered with the next datagram; sets that are not fed wait by time alone; only a loss starts the time of an outage.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -18,7 +18,10 @@
         time::{Duration, Instant},
     },
     tealshore_core::protection::{Protection, enabled},
-    tokio::{sync::Notify, time::timeout},
+    tokio::{
+        sync::Notify,
+        time::{sleep, timeout},
+    },
 };
 pub use {
     choice::{Contender, FeederChoice, choose_feeder, group_of},
@@ -158,13 +161,14 @@
         self.upstreams_news.notify_one();
     }
 
-    /// Waits for news of a set, or until a moment.
+    /// Waits for news of a set, or until a moment. Of sets that are not fed there are none.
     pub async fn wait_for_news(&self, set: RowSet, until: Instant) {
+        let left = until.saturating_duration_since(Instant::now());
         let news = match set {
             RowSet::Configuration => &self.configuration_news,
-            RowSet::Upstreams | RowSet::Hosts | RowSet::Runs => &self.upstreams_news,
+            RowSet::Upstreams => &self.upstreams_news,
+            RowSet::Hosts | RowSet::Runs => return sleep(left).await,
         };
-        let left = until.saturating_duration_since(Instant::now());
         // Whether news or the time's end ends the wait makes no difference.
         let _ = timeout(left, news.notified()).await;
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -232,8 +232,9 @@
             return Vec::new();
         }
         if before.is_none_or(|before| before.state.incarnation != state.incarnation) {
+            // Told at the next heartbeat: where many hosts start at once, an answer to each of
+            // them at once would be a storm of datagrams.
             self.newcomers.lock().push(state.peers_address);
-            self.news.notify_one();
         }
         let was = before.map(|before| before.state.phase);
         if was != Some(state.phase) {
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -87,21 +87,23 @@
     }
 }
 
-fn take_in_state(state: &GatewayState, peer: PeerState) {
+fn take_in_state(state: &GatewayState, mut peer: PeerState) {
     let sender = peer.host.clone();
-    let runs = peer.runs.clone();
+    let runs = std::mem::take(&mut peer.runs);
     let findings = state.peers.take_in(peer, Instant::now());
-    take_in_news(state, &sender, runs, &findings);
+    note_told(state, &sender, runs, &findings);
 }
 
-fn take_in_change(state: &GatewayState, change: PeerChange) {
+fn take_in_change(state: &GatewayState, mut change: PeerChange) {
     let sender = change.host.clone();
-    let runs = change.runs.clone();
+    let runs = std::mem::take(&mut change.runs);
     let findings = state.peers.take_in_change(change, Instant::now());
-    take_in_news(state, &sender, runs, &findings);
+    note_told(state, &sender, runs, &findings);
 }
 
-fn take_in_news(state: &GatewayState, sender: &HostId, runs: Vec<RunTrace>, findings: &[Finding]) {
+/// Notes what a peer told of its runs and of upstreams, and wakes what waits for its word on
+/// the store.
+fn note_told(state: &GatewayState, sender: &HostId, runs: Vec<RunTrace>, findings: &[Finding]) {
     let now = Instant::now();
     for run in runs {
         state.runs.hear(run, now);
--- a/crates/gateway/src/peers/told.rs
+++ b/crates/gateway/src/peers/told.rs
@@ -15,8 +15,10 @@
 
 /// How often the whole state is told: what a lost datagram said is known again after this.
 const WHOLE_INTERVAL: Duration = Duration::from_secs(2);
-/// A host that starts tells its whole state at each heartbeat for this long.
+/// A host that starts tells its whole state more often for this long.
 const INTRODUCTION: Duration = Duration::from_secs(3);
+/// How often it does so: about each heartbeat, and not at each of its streams' events.
+const INTRODUCTION_INTERVAL: Duration = Duration::from_millis(400);
 
 /// What a host last told its peers.
 pub struct Told {
@@ -46,10 +48,15 @@
     #[must_use]
     pub fn is_whole_due(&self, phase: HostPhase, now: Instant) -> bool {
         let is_introduced = now.saturating_duration_since(self.started) > INTRODUCTION;
+        let interval = if is_introduced {
+            WHOLE_INTERVAL
+        } else {
+            INTRODUCTION_INTERVAL
+        };
         let is_old = self
             .whole_at
-            .is_none_or(|told| now.saturating_duration_since(told) >= WHOLE_INTERVAL);
-        !is_introduced || is_old || self.phase != Some(phase)
+            .is_none_or(|told| now.saturating_duration_since(told) >= interval);
+        is_old || self.phase != Some(phase)
     }
 
     /// Notes that the whole state was told to all.
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -263,17 +263,15 @@
                 self.newest()
             );
         }
-        if failure.shows_loss() {
-            self.state.feed.note_failure();
-        }
-        self.lost_at.get_or_insert_with(Instant::now);
-        let doubled = FIRST_PAUSE * (1 << self.failures.min(6));
-        self.failures += 1;
         let longest = if failure.shows_loss() {
+            self.state.feed.note_failure();
+            self.lost_at.get_or_insert_with(Instant::now);
             self.longest_pause()
         } else {
             LONGEST_PAUSE
         };
+        let doubled = FIRST_PAUSE * (1 << self.failures.min(6));
+        self.failures += 1;
         let until = Instant::now() + spread(doubled.min(longest) / 2);
         loop {
             self.state.feed.wait_for_news(self.set, until).await;
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -134,6 +134,8 @@
     let mut told = Told::nothing(start);
     let serving = state(1, &BTreeMap::new(), 0);
     told.note_whole(&serving, at(100));
+    // Not at each event: all hosts that start tell all others.
+    assert!(!told.is_whole_due(HostPhase::Serving, at(110)));
     assert!(told.is_whole_due(HostPhase::Serving, at(600)));
     told.note_whole(&serving, at(4_000));
     assert!(!told.is_whole_due(HostPhase::Serving, at(4_500)));
