--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -29,14 +29,14 @@
     progress::SetProgress,
 };
 
-/// The age of a feeder's word past which a host reads the store itself. A feeder that is cut
+/// The age of a feeder's watermark past which a host reads the store itself. A feeder that is cut
 /// off from the store is noticed after this; with the call that follows, it stays well below
 /// the time after which a leaving upstream gets no new work and a configuration is in force.
 pub const FED_BOUND: Duration = Duration::from_millis(1_200);
 
 /// How far a host's knowledge of one set goes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SetWord {
+pub struct SetWatermark {
     /// The version up to which changes are known.
     pub revision: Revision,
     /// A version at or after the newest change that is known: who knows the set as of this
@@ -48,17 +48,17 @@
 
 /// How far a host's knowledge of the store goes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct StoreWord {
+pub struct StoreWatermark {
     /// Of the configuration.
-    pub configuration: SetWord,
+    pub configuration: SetWatermark,
     /// Of the upstreams.
-    pub upstreams: SetWord,
+    pub upstreams: SetWatermark,
 }
 
-impl StoreWord {
-    /// The word on one of the sets that are fed.
+impl StoreWatermark {
+    /// The watermark on one of the sets that are fed.
     #[must_use]
-    pub fn of(&self, set: RowSet) -> Option<SetWord> {
+    pub fn of(&self, set: RowSet) -> Option<SetWatermark> {
         match set {
             RowSet::Configuration => Some(self.configuration),
             RowSet::Upstreams => Some(self.upstreams),
@@ -104,24 +104,24 @@
     }
 
     /// Notes that a set is known as of a version, with whether that brought changes.
-    pub fn advance(&self, set: RowSet, word: SetWord) {
+    pub fn advance(&self, set: RowSet, watermark: SetWatermark) {
         if let Some(progress) = self.set(set) {
-            progress.lock().advance(word);
+            progress.lock().advance(watermark);
         }
     }
 
     /// Whether changes after a version would leave no gap.
     pub fn knows(&self, set: RowSet, revision: Revision) -> bool {
         self.progress(set)
-            .word()
-            .is_some_and(|word| word.revision >= revision)
+            .watermark()
+            .is_some_and(|watermark| watermark.revision >= revision)
     }
 
     /// How far this host's knowledge goes; none before both sets were read.
-    pub fn word(&self) -> Option<StoreWord> {
-        Some(StoreWord {
-            configuration: self.configuration.lock().word()?,
-            upstreams: self.upstreams.lock().word()?,
+    pub fn watermark(&self) -> Option<StoreWatermark> {
+        Some(StoreWatermark {
+            configuration: self.configuration.lock().watermark()?,
+            upstreams: self.upstreams.lock().watermark()?,
         })
     }
 
@@ -149,7 +149,7 @@
         self.clock.lock().moment(written, now)
     }
 
-    /// Whether a word is young enough to rely on.
+    /// Whether a watermark is young enough to rely on.
     pub fn is_young(&self, written: StoreTime, now: Instant) -> bool {
         self.moment(written, now)
             .is_some_and(|moment| now.saturating_duration_since(moment) <= FED_BOUND)
--- a/crates/gateway/src/feed/choice.rs
+++ b/crates/gateway/src/feed/choice.rs
@@ -1,7 +1,7 @@
 //! Which host feeds this one.
 
 use {
-    super::StoreWord,
+    super::StoreWatermark,
     tealshore_core::ids::{HallId, HostId},
     xxhash_rust::xxh3::xxh3_64,
 };
@@ -17,7 +17,7 @@
     /// Its hall.
     pub hall: HallId,
     /// How far its knowledge goes.
-    pub word: StoreWord,
+    pub watermark: StoreWatermark,
 }
 
 /// Who feeds a host.
@@ -28,11 +28,11 @@
     /// It does itself, and others as well.
     Itself,
     /// Another host, whose knowledge goes so far.
-    Peer(HostId, StoreWord),
+    Peer(HostId, StoreWatermark),
 }
 
 /// Chooses the feeder of a host among those that are heard, take traffic, reach the store
-/// and have young words, the host itself included where that holds for it. `hosts` is how
+/// and have young watermarks, the host itself included where that holds for it. `hosts` is how
 /// many there ever were. All hosts rank the others alike, so those that hear the same choose
 /// the same.
 #[must_use]
@@ -50,7 +50,7 @@
     match first {
         None => FeederChoice::Nobody,
         Some(first) if first.host == *own => FeederChoice::Itself,
-        Some(first) => FeederChoice::Peer(first.host.clone(), first.word),
+        Some(first) => FeederChoice::Peer(first.host.clone(), first.watermark),
     }
 }
 
--- a/crates/gateway/src/feed/progress.rs
+++ b/crates/gateway/src/feed/progress.rs
@@ -1,27 +1,27 @@
 //! How far a host's knowledge of one set of rows goes.
 
-use super::SetWord;
+use super::SetWatermark;
 
 /// How far a host's knowledge of one set of rows goes; it never goes back.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct SetProgress {
-    word: Option<SetWord>,
+    watermark: Option<SetWatermark>,
 }
 
 impl SetProgress {
     /// How far it goes; none before the set was read.
     #[must_use]
-    pub fn word(&self) -> Option<SetWord> {
-        self.word
+    pub fn watermark(&self) -> Option<SetWatermark> {
+        self.watermark
     }
 
-    /// Notes that the set is known as another word says.
-    pub fn advance(&mut self, word: SetWord) {
-        let known = self.word.unwrap_or_default();
-        self.word = Some(SetWord {
-            revision: known.revision.max(word.revision),
-            changed: known.changed.max(word.changed),
-            written: known.written.max(word.written),
+    /// Notes that the set is known as another watermark says.
+    pub fn advance(&mut self, watermark: SetWatermark) {
+        let known = self.watermark.unwrap_or_default();
+        self.watermark = Some(SetWatermark {
+            revision: known.revision.max(watermark.revision),
+            changed: known.changed.max(watermark.changed),
+            written: known.written.max(watermark.written),
         });
     }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -120,7 +120,7 @@
         self.news.notify_one();
     }
 
-    /// Lets this host's word on the store leave at once, with changes of upstreams before it.
+    /// Lets this host's watermark on the store leave at once, with changes of upstreams before it.
     pub fn send_on(&self, news: Option<UpstreamNews>) {
         self.waiting_news.lock().extend(news);
         self.news.notify_one();
@@ -143,7 +143,7 @@
             Some(Contender {
                 host: peer.state.host.clone(),
                 hall: peer.state.hall.clone(),
-                word: peer.state.word?,
+                watermark: peer.state.watermark?,
             })
         });
         contenders.collect()
@@ -357,7 +357,7 @@
             incarnation: self.incarnation,
             sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
             work: work.take(TOLD_UPSTREAMS).collect(),
-            word: state.own_word(),
+            watermark: state.own_watermark(),
             budgets: budgets.collect(),
             runs: state.runs.own(now).into_iter().take(TOLD_RUNS).collect(),
             named: self.some_names(),
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -101,7 +101,7 @@
     note_told(state, &sender, runs, &findings);
 }
 
-/// Notes what a peer told of its runs and of upstreams, and wakes what waits for its word on
+/// Notes what a peer told of its runs and of upstreams, and wakes what waits for its watermark on
 /// the store.
 fn note_told(state: &GatewayState, sender: &HostId, runs: Vec<RunTrace>, findings: &[Finding]) {
     let now = Instant::now();
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         budget::BudgetUse,
-        feed::{StoreWord, UpstreamNews},
+        feed::{StoreWatermark, UpstreamNews},
         runs::RunTrace,
         view::{Condition, Work},
     },
@@ -80,7 +80,7 @@
     /// What it has at upstreams.
     pub work: Vec<UpstreamWork>,
     /// How far its knowledge of the store goes; none while it can't tell.
-    pub word: Option<StoreWord>,
+    pub watermark: Option<StoreWatermark>,
     /// What it used of the retry budgets.
     pub budgets: Vec<ServiceUse>,
     /// The streams that run on it.
@@ -99,7 +99,7 @@
     /// Counts the datagrams of an incarnation.
     pub sequence: u64,
     /// How far its knowledge of the store goes; none while it can't tell.
-    pub word: Option<StoreWord>,
+    pub watermark: Option<StoreWatermark>,
     /// Its work at upstreams where that changed, as it is now.
     pub work: Vec<UpstreamWork>,
     /// What it used of the retry budgets, where it repeated sends since.
@@ -129,7 +129,7 @@
     /// Takes in what changed since.
     pub fn apply(&mut self, change: PeerChange) {
         self.sequence = change.sequence;
-        self.word = change.word;
+        self.watermark = change.watermark;
         for entry in change.work {
             self.work.retain(|known| known.upstream != entry.upstream);
             if entry.is_worth_telling() {
--- a/crates/gateway/src/peers/told.rs
+++ b/crates/gateway/src/peers/told.rs
@@ -73,7 +73,7 @@
             host: state.host.clone(),
             incarnation: state.incarnation,
             sequence: state.sequence,
-            word: state.word,
+            watermark: state.watermark,
             work: self.changed_work(&state.work),
             budgets: self.changed_budgets(&state.budgets),
             runs: self.new_runs(&state.runs),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,7 +5,7 @@
         balance::{Candidate, Need, choose},
         budget::{BudgetUse, RetryBudget},
         edge::Protocol,
-        feed::{Contender, Feed, FeederChoice, StoreWord, choose_feeder, group_of},
+        feed::{Contender, Feed, FeederChoice, StoreWatermark, choose_feeder, group_of},
         metrics::GatewayMetrics,
         options::GatewayOptions,
         peers::{HostPhase, Peers},
@@ -97,9 +97,9 @@
     }
 
     /// How far this host's knowledge goes, as it tells its peers; none while it can't tell.
-    pub fn own_word(&self) -> Option<StoreWord> {
-        let word = self.feed.word()?;
-        self.feed.reaches_store().then_some(word)
+    pub fn own_watermark(&self) -> Option<StoreWatermark> {
+        let watermark = self.feed.watermark()?;
+        self.feed.reaches_store().then_some(watermark)
     }
 
     /// Which host tells this one what the store says.
@@ -107,15 +107,15 @@
         let host = &self.options.host;
         let mut contenders = self.peers.contenders(now);
         if self.phase(now) == HostPhase::Serving
-            && let Some(word) = self.own_word()
+            && let Some(watermark) = self.own_watermark()
         {
             contenders.push(Contender {
                 host: host.id.clone(),
                 hall: host.hall.clone(),
-                word,
+                watermark,
             });
         }
-        contenders.retain(|contender| self.feed.is_young(contender.word.written(), now));
+        contenders.retain(|contender| self.feed.is_young(contender.watermark.written(), now));
         let hosts = self.peers.most_hosts();
         let chosen = choose_feeder(&host.id, &host.hall, hosts, &contenders);
         self.peers.note_feeder(&chosen);
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -10,7 +10,7 @@
 use {
     crate::{
         edge::{Page, Revision, RowSet, StoreRefusal, StoreTime},
-        feed::SetWord,
+        feed::SetWatermark,
         state::GatewayState,
     },
     bytes::Bytes,
@@ -86,8 +86,8 @@
 
     /// The version up to which the set is known; 0 before it was read.
     fn newest(&self) -> Revision {
-        let word = self.state.feed.progress(self.set).word();
-        word.map_or(0, |word| word.revision)
+        let watermark = self.state.feed.progress(self.set).watermark();
+        watermark.map_or(0, |watermark| watermark.revision)
     }
 
     /// Writes this host's row and reads those of the others, once.
@@ -171,12 +171,12 @@
             "view: read whole set={} revision={revision} changed={changed} gone={gone}",
             self.set.name()
         );
-        let word = SetWord {
+        let watermark = SetWatermark {
             revision,
             changed,
             written: written.store_time,
         };
-        self.state.feed.advance(self.set, word);
+        self.state.feed.advance(self.set, watermark);
         self.note_regained();
     }
 
--- a/crates/gateway/src/sync/follow.rs
+++ b/crates/gateway/src/sync/follow.rs
@@ -1,10 +1,10 @@
-//! Follows a set: by the word of the host that feeds this one, or else by watches of its own.
+//! Follows a set: by the watermark of the host that feeds this one, or else by watches of its own.
 
 use {
     super::{CallFailure, Follower},
     crate::{
         edge::{Change, Revision, RowSet},
-        feed::{FED_BOUND, FeederChoice, SetWord, UpstreamNews},
+        feed::{FED_BOUND, FeederChoice, SetWatermark, UpstreamNews},
     },
     std::time::{Duration, Instant},
     tealshore_core::protection::{Protection, enabled},
@@ -18,10 +18,10 @@
 const SHARED_PATIENCE: Duration = Duration::from_millis(800);
 /// After news, more of it is let gather for this long, so that it comes by one call.
 const GATHERING: Duration = Duration::from_millis(250);
-/// A host that reads changes for itself, on the word of its feeder, lets them gather longer:
+/// A host that reads changes for itself, on the watermark of its feeder, lets them gather longer:
 /// all others read them as well.
 const SHARED_GATHERING: Duration = Duration::from_millis(500);
-/// Changes that a feeder sent on arrive a little later than its word may.
+/// Changes that a feeder sent on arrive a little later than its watermark may.
 const NEWS_DELAY: Duration = Duration::from_millis(40);
 
 /// Where a set is learned from.
@@ -33,7 +33,7 @@
     /// From a feeder, without a gap.
     Fed {
         /// How far its knowledge goes.
-        word: SetWord,
+        watermark: SetWatermark,
         /// A moment at which this was so.
         moment: Instant,
     },
@@ -45,8 +45,8 @@
         let mut is_whole = false;
         loop {
             let result = match self.source(Instant::now()) {
-                Source::Fed { word, moment } => {
-                    self.be_fed(word, moment).await;
+                Source::Fed { watermark, moment } => {
+                    self.be_fed(watermark, moment).await;
                     continue;
                 }
                 Source::Store | Source::Behind if !is_whole => self.read_whole().await,
@@ -66,24 +66,24 @@
     /// Where the set is learned from now.
     pub(super) fn source(&self, now: Instant) -> Source {
         let feed = &self.state.feed;
-        let Some(known) = feed.progress(self.set).word() else {
+        let Some(known) = feed.progress(self.set).watermark() else {
             return Source::Store;
         };
-        let FeederChoice::Peer(_, word) = self.state.feeder(now) else {
+        let FeederChoice::Peer(_, watermark) = self.state.feeder(now) else {
             return Source::Store;
         };
-        let Some(word) = word.of(self.set) else {
+        let Some(watermark) = watermark.of(self.set) else {
             return Source::Store;
         };
-        match feed.moment(word.written, now) {
+        match feed.moment(watermark.written, now) {
             None => Source::Store,
-            Some(_) if known.revision < word.changed => Source::Behind,
-            Some(moment) => Source::Fed { word, moment },
+            Some(_) if known.revision < watermark.changed => Source::Behind,
+            Some(moment) => Source::Fed { watermark, moment },
         }
     }
 
-    async fn be_fed(&mut self, word: SetWord, moment: Instant) {
-        self.state.feed.advance(self.set, word);
+    async fn be_fed(&mut self, watermark: SetWatermark, moment: Instant) {
+        self.state.feed.advance(self.set, watermark);
         self.confirm(moment);
         if self.failures > 0 {
             self.note_regained();
@@ -132,14 +132,14 @@
         let request = self.state.protocol.watch_call(self.set, after, wait);
         let (page, written) = self.page(request, bound).await?;
         let is_news = !page.changes.is_empty();
-        let word = SetWord {
+        let watermark = SetWatermark {
             revision: page.revision,
             changed: if is_news { page.revision } else { 0 },
             written: written.store_time,
         };
         let news = self.news(after, page.revision, &page.changes);
         self.take_in(page.changes);
-        self.state.feed.advance(self.set, word);
+        self.state.feed.advance(self.set, watermark);
         self.confirm(written.moment);
         self.note_regained();
         if self.state.feeder(Instant::now()) == FeederChoice::Itself {
--- a/crates/gateway/src/sync/take_in.rs
+++ b/crates/gateway/src/sync/take_in.rs
@@ -4,7 +4,7 @@
     super::Follower,
     crate::{
         edge::{Change, Revision, RowSet, UpstreamChange},
-        feed::{SetWord, UpstreamNews},
+        feed::{SetWatermark, UpstreamNews},
         state::GatewayState,
         view::Configuration,
     },
@@ -48,20 +48,20 @@
         log::debug!(
             "feed: gap set=upstreams after={} known={:?}",
             news.after,
-            state.feed.progress(RowSet::Upstreams).word()
+            state.feed.progress(RowSet::Upstreams).watermark()
         );
         return;
     }
     for (revision, change) in news.changes {
         take_in_upstream(state, revision, change);
     }
-    let word = SetWord {
+    let watermark = SetWatermark {
         revision: news.revision,
         changed: news.revision,
-        // How old it is, the feeder's own word tells.
+        // How old it is, the feeder's own watermark tells.
         written: Duration::ZERO,
     };
-    state.feed.advance(RowSet::Upstreams, word);
+    state.feed.advance(RowSet::Upstreams, watermark);
     state.feed.notify();
 }
 
--- a/crates/gateway/tests/feed.rs
+++ b/crates/gateway/tests/feed.rs
@@ -10,14 +10,14 @@
     tealshore_gateway::{
         edge::RowSet,
         feed::{
-            Contender, FED_BOUND, Feed, FeederChoice, SetProgress, SetWord, StoreWord,
+            Contender, FED_BOUND, Feed, FeederChoice, SetProgress, SetWatermark, StoreWatermark,
             choose_feeder,
         },
     },
 };
 
-fn word(revision: u64, changed: u64, written_ms: u64) -> SetWord {
-    SetWord {
+fn watermark(revision: u64, changed: u64, written_ms: u64) -> SetWatermark {
+    SetWatermark {
         revision,
         changed,
         written: Duration::from_millis(written_ms),
@@ -28,7 +28,7 @@
     Contender {
         host: host.to_owned(),
         hall: hall.to_owned(),
-        word: StoreWord::default(),
+        watermark: StoreWatermark::default(),
     }
 }
 
@@ -98,12 +98,12 @@
     }
 
     #[test]
-    fn knowledge_never_goes_back(words in prop::collection::vec((0_u64..50, 0_u64..50, 0_u64..50), 1..30)) {
+    fn knowledge_never_goes_back(watermarks in prop::collection::vec((0_u64..50, 0_u64..50, 0_u64..50), 1..30)) {
         let mut progress = SetProgress::default();
-        let mut before = SetWord::default();
-        for (revision, changed, written_ms) in words {
-            progress.advance(word(revision, changed, written_ms));
-            let after = progress.word().unwrap();
+        let mut before = SetWatermark::default();
+        for (revision, changed, written_ms) in watermarks {
+            progress.advance(watermark(revision, changed, written_ms));
+            let after = progress.watermark().unwrap();
             prop_assert!(after.revision >= before.revision.max(revision));
             prop_assert!(after.changed >= before.changed.max(changed));
             prop_assert!(after.written >= before.written);
@@ -188,12 +188,18 @@
 fn changes_after_a_gap_are_not_taken_for_all_changes() {
     let feed = Feed::default();
     assert!(!feed.knows(RowSet::Upstreams, 0));
-    feed.advance(RowSet::Upstreams, word(10, 10, 1));
+    feed.advance(RowSet::Upstreams, watermark(10, 10, 1));
     assert!(feed.knows(RowSet::Upstreams, 10));
     assert!(!feed.knows(RowSet::Upstreams, 11));
-    assert!(feed.word().is_none(), "the configuration is not known yet");
-    feed.advance(RowSet::Configuration, word(9, 9, 2));
-    assert_eq!(feed.word().unwrap().written(), Duration::from_millis(1));
+    assert!(
+        feed.watermark().is_none(),
+        "the configuration is not known yet"
+    );
+    feed.advance(RowSet::Configuration, watermark(9, 9, 2));
+    assert_eq!(
+        feed.watermark().unwrap().written(),
+        Duration::from_millis(1)
+    );
 }
 
 #[tokio::test]
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -41,7 +41,7 @@
         incarnation: 4,
         sequence,
         work: work.iter().map(entry).collect(),
-        word: None,
+        watermark: None,
         budgets: vec![ServiceUse {
             service: "model".to_owned(),
             used: BudgetUse {
