Give the lab's settings a type, and their text a module

Cause: settings of experiments were triples of strings, spelled out in eight places, and fleet.rs wrote the file between its other jobs. Ruled out: nothing. Change: Setting and settings_text; no value changes.

--- a/crates/lab/src/control.rs
+++ b/crates/lab/src/control.rs
@@ -3,7 +3,7 @@
 
 use {
     crate::{
-        fleet::{Fleet, FleetOptions},
+        fleet::{Fleet, FleetOptions, Setting},
         stats::{Percentiles, round},
         usage::{Usage, loopback_bytes, usage_of},
         work::declarations_for,
@@ -82,11 +82,7 @@
         engine_args: ["--step-ms", "200"].map(str::to_owned).to_vec(),
         hosts_lag: Duration::ZERO,
         direct: true,
-        settings: vec![(
-            "hosts".to_owned(),
-            "poll_interval_ms".to_owned(),
-            "1000".to_owned(),
-        )],
+        settings: vec![Setting::new("hosts", "poll_interval_ms", "1000")],
         ..FleetOptions::default()
     };
     let fleet = Fleet::start(options).await?;
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -3,6 +3,7 @@
 mod callers;
 mod listed;
 mod process;
+mod setting;
 mod watch;
 
 use {
@@ -13,6 +14,7 @@
     eyre::eyre,
     http::Method,
     listed::hall,
+    setting::settings_text,
     std::{net::SocketAddr, time::Duration},
     tealshore_core::http::{ClientOptions, HttpClient},
     tealshore_hosts::{HostRole, ListedHost},
@@ -21,7 +23,7 @@
     tealshore_table::{TableClient, TableOptions},
     tempfile::TempDir,
 };
-pub use {callers::start_call, listed::listed, process::Process};
+pub use {callers::start_call, listed::listed, process::Process, setting::Setting};
 
 /// How long a change of the host list takes to reach entry hosts.
 const LIST_SETTLE_TIME: Duration = Duration::from_millis(1_000);
@@ -45,8 +47,8 @@
     pub table_args: Vec<String>,
     /// The lag of the host list.
     pub hosts_lag: Duration,
-    /// Lines that replace settings of entry hosts, as `section.key = value`.
-    pub settings: Vec<(String, String, String)>,
+    /// Settings of entry hosts that replace those of [`Fleet::start`].
+    pub settings: Vec<Setting>,
     /// The site of the entry hosts.
     pub site: String,
     /// Whether processes reach one another without links in between, as measurements need.
@@ -277,36 +279,22 @@
     }
 
     fn router_settings(&self, id: &str, hall: &str, table: SocketAddr) -> String {
+        let set = Setting::new;
         let mut settings = vec![
-            ("host", "id", id.to_owned()),
-            ("host", "hall", hall.to_owned()),
-            ("host", "site", self.options.site.clone()),
-            ("host", "callers_address", "127.0.0.1:0".to_owned()),
-            ("host", "peers_address", "127.0.0.1:0".to_owned()),
-            ("host", "operators_address", "127.0.0.1:0".to_owned()),
-            ("callers", "keep_addresses_ms", "500".to_owned()),
-            ("resume", "keys", TICKET_KEY.to_owned()),
-            ("table", "address", table.to_string()),
-            ("hosts", "address", self.hosts.address.to_string()),
-            ("hosts", "poll_interval_ms", "200".to_owned()),
+            set("host", "id", id),
+            set("host", "hall", hall),
+            set("host", "site", &self.options.site),
+            set("host", "callers_address", "127.0.0.1:0"),
+            set("host", "peers_address", "127.0.0.1:0"),
+            set("host", "operators_address", "127.0.0.1:0"),
+            set("callers", "keep_addresses_ms", "500"),
+            set("resume", "keys", TICKET_KEY),
+            set("table", "address", &table.to_string()),
+            set("hosts", "address", &self.hosts.address.to_string()),
+            set("hosts", "poll_interval_ms", "200"),
         ];
-        for (section, key, value) in &self.options.settings {
-            settings.retain(|(known_section, known_key, _)| {
-                (known_section, known_key) != (&section.as_str(), &key.as_str())
-            });
-            settings.push((section, key, value.clone()));
-        }
-        settings.sort_by_key(|(section, ..)| *section);
-        let mut text = String::new();
-        let mut open = "";
-        for (section, key, value) in &settings {
-            if *section != open {
-                text.push_str(&format!("[{section}]\n"));
-                open = section;
-            }
-            text.push_str(&format!("{key} = {value}\n"));
-        }
-        text
+        settings.extend(self.options.settings.iter().cloned());
+        settings_text(&settings)
     }
 
     /// Puts hosts on the host list.
--- /dev/null
+++ b/crates/lab/src/fleet/setting.rs
@@ -0,0 +1,50 @@
+//! Settings of entry hosts, and the text of a settings file.
+
+/// One setting.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Setting {
+    /// The section's name.
+    pub section: String,
+    /// The key within the section.
+    pub key: String,
+    /// The value, as it stands in the file.
+    pub value: String,
+}
+
+impl Setting {
+    /// A setting.
+    #[must_use]
+    pub fn new(section: &str, key: &str, value: &str) -> Self {
+        Self {
+            section: section.to_owned(),
+            key: key.to_owned(),
+            value: value.to_owned(),
+        }
+    }
+}
+
+/// The text of a settings file; of two settings of one key the later one counts.
+#[must_use]
+pub fn settings_text(settings: &[Setting]) -> String {
+    let mut kept: Vec<&Setting> = Vec::new();
+    for setting in settings {
+        kept.retain(|known| (&known.section, &known.key) != (&setting.section, &setting.key));
+        kept.push(setting);
+    }
+    kept.sort_by(|a, b| a.section.cmp(&b.section));
+    let mut text = String::new();
+    let mut open = "";
+    for Setting {
+        section,
+        key,
+        value,
+    } in kept
+    {
+        if section != open {
+            text.push_str(&format!("[{section}]\n"));
+            open = section;
+        }
+        text.push_str(&format!("{key} = {value}\n"));
+    }
+    text
+}
--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        fleet::{Fleet, FleetOptions},
+        fleet::{Fleet, FleetOptions, Setting},
         stats::{Percentiles, round},
         usage::usage_of,
         work::{LATENCY_KEY, Work},
@@ -177,13 +177,11 @@
         routers: 1,
         engines: LOAD_ENGINES,
         engine_args: args.map(str::to_owned).to_vec(),
-        settings: [
-            ("host", "threads", "1"),
-            ("callers", "max_in_flight", "100000"),
-            ("callers", "max_connections", "100000"),
-        ]
-        .map(|(section, key, value)| (section.to_owned(), key.to_owned(), value.to_owned()))
-        .to_vec(),
+        settings: vec![
+            Setting::new("host", "threads", "1"),
+            Setting::new("callers", "max_in_flight", "100000"),
+            Setting::new("callers", "max_connections", "100000"),
+        ],
         ..FleetOptions::default()
     };
     let fleet = Fleet::start(options).await?;
--- a/crates/lab/src/scenario/runner.rs
+++ b/crates/lab/src/scenario/runner.rs
@@ -6,7 +6,7 @@
 use {
     super::line::Line,
     crate::{
-        fleet::{Fleet, FleetOptions, listed, start_call},
+        fleet::{Fleet, FleetOptions, Setting, listed, start_call},
         link::{Cut, Link},
         work::{SERVICE, THRIFT_CUSTOMER, Work},
     },
@@ -85,11 +85,12 @@
 impl Runner {
     async fn start(system: &Line) -> eyre::Result<Self> {
         let engines = system.number("engines", 4);
-        let settings = [
-            ("callers", "return_grace_ms", "3000"),
-            ("table", "exchange_timeout_ms", "200"),
-            ("table", "operation_timeout_ms", "800"),
-            ("stop", "drain_timeout_ms", system.value("drain_ms", "300")),
+        let drain_ms = system.value("drain_ms", "300");
+        let settings = vec![
+            Setting::new("callers", "return_grace_ms", "3000"),
+            Setting::new("table", "exchange_timeout_ms", "200"),
+            Setting::new("table", "operation_timeout_ms", "800"),
+            Setting::new("stop", "drain_timeout_ms", drain_ms),
         ];
         let options = FleetOptions {
             routers: system.number("entries", 3),
@@ -104,9 +105,7 @@
             .map(str::to_owned)
             .to_vec(),
             salted: true,
-            settings: settings
-                .map(|(section, key, value)| (section.to_owned(), key.to_owned(), value.to_owned()))
-                .to_vec(),
+            settings,
             ..FleetOptions::default()
         };
         let fleet = Fleet::start(options).await?;
--- a/crates/lab/tests/at_most_once.rs
+++ b/crates/lab/tests/at_most_once.rs
@@ -9,7 +9,7 @@
     tealshore_core::answer::{Problem, Ran},
     tealshore_lab::{
         check::check_answer,
-        fleet::{Fleet, FleetOptions, start_call},
+        fleet::{Fleet, FleetOptions, Setting, start_call},
         work::{LATENCY_KEY, Work},
     },
     tealshore_standin::table::TableFaults,
@@ -22,16 +22,8 @@
 async fn start() -> Fleet {
     // Claims give up soon, so that an outage is told at once.
     let settings = vec![
-        (
-            "table".to_owned(),
-            "exchange_timeout_ms".to_owned(),
-            "200".to_owned(),
-        ),
-        (
-            "table".to_owned(),
-            "operation_timeout_ms".to_owned(),
-            "800".to_owned(),
-        ),
+        Setting::new("table", "exchange_timeout_ms", "200"),
+        Setting::new("table", "operation_timeout_ms", "800"),
     ];
     Fleet::start(FleetOptions {
         routers: 2,
--- a/crates/lab/tests/cuts.rs
+++ b/crates/lab/tests/cuts.rs
@@ -8,7 +8,7 @@
     tealshore_core::answer::Ran,
     tealshore_lab::{
         check::check_answer,
-        fleet::{Fleet, FleetOptions},
+        fleet::{Fleet, FleetOptions, Setting},
         link::Cut,
         work::{Work, declarations},
     },
@@ -17,16 +17,8 @@
 
 async fn start() -> Fleet {
     let settings = vec![
-        (
-            "table".to_owned(),
-            "exchange_timeout_ms".to_owned(),
-            "200".to_owned(),
-        ),
-        (
-            "table".to_owned(),
-            "operation_timeout_ms".to_owned(),
-            "600".to_owned(),
-        ),
+        Setting::new("table", "exchange_timeout_ms", "200"),
+        Setting::new("table", "operation_timeout_ms", "600"),
     ];
     Fleet::start(FleetOptions {
         engines: 2,
--- a/crates/lab/tests/interface.rs
+++ b/crates/lab/tests/interface.rs
@@ -13,7 +13,7 @@
     tealshore_core::answer::{Problem, Ran},
     tealshore_lab::{
         check::check_answer,
-        fleet::{Fleet, FleetOptions, start_call},
+        fleet::{Fleet, FleetOptions, Setting, start_call},
         work::{LATENCY_KEY, Work},
     },
     tokio::{
@@ -25,13 +25,14 @@
 };
 
 async fn start() -> Fleet {
-    let settings = [("max_body_bytes", "65536"), ("read_timeout_ms", "500")];
-    let settings =
-        settings.map(|(key, value)| ("callers".to_owned(), key.to_owned(), value.to_owned()));
+    let settings = vec![
+        Setting::new("callers", "max_body_bytes", "65536"),
+        Setting::new("callers", "read_timeout_ms", "500"),
+    ];
     let options = FleetOptions {
         routers: 2,
         engines: 2,
-        settings: settings.to_vec(),
+        settings,
         ..FleetOptions::default()
     };
     Fleet::start(options).await.unwrap()
@@ -269,11 +270,7 @@
         routers: 1,
         engines: 1,
         engine_args: vec!["--load-lag-ms".to_owned(), "0".to_owned()],
-        settings: vec![(
-            "callers".to_owned(),
-            "return_grace_ms".to_owned(),
-            "200".to_owned(),
-        )],
+        settings: vec![Setting::new("callers", "return_grace_ms", "200")],
         ..FleetOptions::default()
     })
     .await
--- a/crates/lab/tests/overload.rs
+++ b/crates/lab/tests/overload.rs
@@ -8,7 +8,7 @@
     tealshore_core::answer::Ran,
     tealshore_lab::{
         check::check_answer,
-        fleet::{Fleet, FleetOptions},
+        fleet::{Fleet, FleetOptions, Setting},
         work::Work,
     },
 };
@@ -20,11 +20,7 @@
     let engine_args = ["--slots", "4", "--load-lag-ms", "0"]
         .map(str::to_owned)
         .to_vec();
-    let settings = vec![(
-        "callers".to_owned(),
-        "max_in_flight".to_owned(),
-        "64".to_owned(),
-    )];
+    let settings = vec![Setting::new("callers", "max_in_flight", "64")];
     Fleet::start(FleetOptions {
         routers: 1,
         engines: 1,
--- a/crates/lab/tests/stop.rs
+++ b/crates/lab/tests/stop.rs
@@ -7,7 +7,7 @@
     tealshore_callers::client::CallEnd,
     tealshore_lab::{
         check::check_answer,
-        fleet::{Fleet, FleetOptions, start_call},
+        fleet::{Fleet, FleetOptions, Setting, start_call},
         work::{LATENCY_KEY, Work},
     },
 };
@@ -15,11 +15,7 @@
 /// Stops the first entry host while an answer runs there; over how many connections the
 /// answer came, and how often it ran.
 async fn stop_while_running(drain_ms: &str, tokens: u64) -> (u32, u32) {
-    let settings = vec![(
-        "stop".to_owned(),
-        "drain_timeout_ms".to_owned(),
-        drain_ms.to_owned(),
-    )];
+    let settings = vec![Setting::new("stop", "drain_timeout_ms", drain_ms)];
     let mut fleet = Fleet::start(FleetOptions {
         settings,
         ..FleetOptions::default()
@@ -51,11 +47,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stopping_host_is_no_longer_told_to_callers_but_serves_those_that_come() {
-    let settings = vec![(
-        "callers".to_owned(),
-        "keep_addresses_ms".to_owned(),
-        "5000".to_owned(),
-    )];
+    let settings = vec![Setting::new("callers", "keep_addresses_ms", "5000")];
     let fleet = Fleet::start(FleetOptions {
         settings,
         ..FleetOptions::default()
