Serve by the keys last known where a deployment is not strict about them

Cause: a host refused each request with a key once it had heard nothing of the store for 4.6 s, on every deployment, left the addresses for callers, and refused the same caller again 20 ms later. The new customer's deployments say strict_revoke = false: their keys need not stop within a time on hosts that can't reach the store.

Weighed: a second, longer bound for deployments that are not strict (no figure of theirs gives one, and a store that is away for longer would end in the same refusals); no difference in the addresses between hosts with fresh and stale views (callers would go on meeting the one host that is cut off). Ruled out as a cause: upstream rows, which are kept.

Change: [bounds] stale_keys = refuse | serve, from the deployment's own setting. Where it says serve, a host takes traffic in the new phase Stale, logs each request that it admits so with the view's age, and counts them (tealshore_stale_requests_total). Callers are sent to stale hosts only where no host has a fresh view. A host logs each change of its own phase. Strict deployments behave as before.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,8 +2,8 @@
 
 use {
     prometheus::{
-        Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry,
-        TextEncoder, core::Collector, exponential_buckets,
+        Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+        Registry, TextEncoder, core::Collector, exponential_buckets,
     },
     std::time::Duration,
 };
@@ -31,6 +31,8 @@
     pub store_call_seconds: HistogramVec,
     /// How old the configuration in force was when requests were admitted.
     pub configuration_age_seconds: Histogram,
+    /// Requests with keys that were admitted by a stale view.
+    pub stale_requests: IntCounter,
     /// Requests in flight.
     pub in_flight: IntGauge,
     /// The version of the configuration in force.
@@ -98,6 +100,10 @@
                 "tealshore_configuration_age_seconds",
                 "Age of the configuration in force at the admission of requests",
             ))?,
+            stale_requests: IntCounter::new(
+                "tealshore_stale_requests_total",
+                "Requests with keys admitted by a stale view",
+            )?,
             in_flight: IntGauge::new("tealshore_requests_in_flight", "Requests in flight")?,
             config_version: IntGauge::new(
                 "tealshore_configuration_version",
@@ -109,7 +115,7 @@
     }
 
     fn register(&self) -> Result<(), prometheus::Error> {
-        let all: [Box<dyn Collector>; 12] = [
+        let all: [Box<dyn Collector>; 13] = [
             Box::new(self.outcomes.clone()),
             Box::new(self.losses.clone()),
             Box::new(self.store_calls.clone()),
@@ -120,6 +126,7 @@
             Box::new(self.queue_seconds.clone()),
             Box::new(self.store_call_seconds.clone()),
             Box::new(self.configuration_age_seconds.clone()),
+            Box::new(self.stale_requests.clone()),
             Box::new(self.in_flight.clone()),
             Box::new(self.config_version.clone()),
         ];
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -80,11 +80,33 @@
     pub silence: Duration,
 }
 
+/// What becomes of requests with keys while a host's knowledge of keys is stale.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StaleKeys {
+    /// They are refused: a key that was taken away must stop everywhere within the age.
+    Refuse,
+    /// They are served by the keys last known, for as long as nothing newer can be learned.
+    Serve,
+}
+
+impl StaleKeys {
+    fn read(section: &mut Section<'_>) -> Result<Self, SettingError> {
+        const ALLOWED: &str = "refuse or serve";
+        match section.optional("stale_keys") {
+            None | Some("refuse") => Ok(Self::Refuse),
+            Some("serve") => Ok(Self::Serve),
+            Some(value) => Err(section.bad_value("stale_keys", value, ALLOWED)),
+        }
+    }
+}
+
 /// Bounds that the system keeps.
 #[derive(Clone, Debug)]
 pub struct BoundOptions {
-    /// How old what is known of keys may be when a request with a key is sent on.
+    /// The age past which what is known of keys counts as stale.
     pub key_age: Duration,
+    /// What becomes of requests with keys while it is stale.
+    pub stale_keys: StaleKeys,
     /// How long a planned stop may take.
     pub stop: Duration,
     /// How long callers may keep addresses.
@@ -186,6 +208,7 @@
         let window_s = number(section, "retry_window_s", 10.0)?;
         Ok(Self {
             key_age,
+            stale_keys: StaleKeys::read(section)?,
             stop: Duration::from_secs_f64(stop_s),
             keep_addresses: Duration::from_secs_f64(keep_s),
             retries: BudgetBounds {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -192,14 +192,31 @@
         sum
     }
 
-    /// The addresses for callers of the other hosts that take traffic.
-    pub fn serving(&self, now: Instant) -> Vec<SocketAddr> {
+    /// The addresses that callers may use: those of hosts that serve by a fresh view, this one
+    /// included, or where there is none, of hosts that serve by a stale one.
+    #[must_use]
+    pub fn callers_addresses(&self, own_phase: HostPhase, now: Instant) -> Vec<SocketAddr> {
+        let serving = self.addresses_in(HostPhase::Serving, own_phase, now);
+        if serving.is_empty() {
+            return self.addresses_in(HostPhase::Stale, own_phase, now);
+        }
+        serving
+    }
+
+    fn addresses_in(
+        &self,
+        phase: HostPhase,
+        own_phase: HostPhase,
+        now: Instant,
+    ) -> Vec<SocketAddr> {
+        let own = (own_phase == phase).then_some(self.own.callers_address);
         let known = self.known.lock();
-        let serving = known
+        let others = known
             .values()
             .filter(|peer| self.is_believed(peer, now))
-            .filter(|peer| peer.state.phase == HostPhase::Serving);
-        serving.map(|peer| peer.state.callers_address).collect()
+            .filter(|peer| peer.state.phase == phase);
+        let others = others.map(|peer| peer.state.callers_address);
+        others.chain(own).collect()
     }
 
     /// What the other hosts used of the retry budget of a service, as far as they were heard.
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         COALESCE, Receivers,
-        message::{Datagram, Finding, PeerChange, PeerState},
+        message::{Datagram, Finding, HostPhase, PeerChange, PeerState},
         told::Told,
     },
     crate::{runs::RunTrace, state::GatewayState, sync::take_news, view::Condition},
@@ -41,6 +41,7 @@
         }
         let Receivers { heard, unheard } = state.peers.receivers(now);
         let own = state.peers.own_state(&state, now);
+        log_phase(&state, told.phase(), own.phase, now);
         if told.is_whole_due(own.phase, now) {
             told.note_whole(&own, now);
             let whole = Datagram::State(Box::new(own));
@@ -57,6 +58,18 @@
     }
 }
 
+/// Logs that this host began or ceased to take traffic, or to do so by a fresh view.
+fn log_phase(state: &GatewayState, before: Option<HostPhase>, phase: HostPhase, now: Instant) {
+    if before == Some(phase) {
+        return;
+    }
+    log::info!(
+        "peers: own phase={phase:?} before={before:?} configuration={} view_age_ms={:?}",
+        state.view.version(),
+        state.view.age(now).map(|age| age.as_millis())
+    );
+}
+
 async fn send_to_all(socket: &UdpSocket, datagram: &Datagram, receivers: &[SocketAddr]) {
     let Ok(bytes) = postcard::to_stdvec(datagram) else {
         return;
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -19,6 +19,8 @@
     Starting,
     /// It does.
     Serving,
+    /// It does, by a view that may be too old; callers had better go elsewhere.
+    Stale,
     /// It stops.
     Leaving,
 }
--- a/crates/gateway/src/peers/told.rs
+++ b/crates/gateway/src/peers/told.rs
@@ -44,6 +44,12 @@
         }
     }
 
+    /// The phase that was last told; none before the first.
+    #[must_use]
+    pub fn phase(&self) -> Option<HostPhase> {
+        self.phase
+    }
+
     /// Whether the whole state is to be told.
     #[must_use]
     pub fn is_whole_due(&self, phase: HostPhase, now: Instant) -> bool {
--- a/crates/gateway/src/serve/host_calls.rs
+++ b/crates/gateway/src/serve/host_calls.rs
@@ -1,13 +1,12 @@
 //! Answers calls about this host: readiness, addresses for callers, metrics.
 
 use {
-    crate::{edge::HostCall, peers::HostPhase, state::GatewayState},
+    crate::{edge::HostCall, state::GatewayState},
     http::{Request, Response, StatusCode},
     http_body_util::BodyExt,
     hyper::body::Incoming,
     rand::seq::SliceRandom,
     std::{
-        net::SocketAddr,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -48,11 +47,7 @@
 
 fn answer_addresses(state: &GatewayState) -> Response<Body> {
     let now = Instant::now();
-    let mut addresses = state.peers.serving(now);
-    let own: SocketAddr = state.options.host.callers_address;
-    if state.phase(now) == HostPhase::Serving {
-        addresses.push(own);
-    }
+    let mut addresses = state.peers.callers_addresses(state.phase(now), now);
     if addresses.is_empty() {
         return with_status(StatusCode::SERVICE_UNAVAILABLE);
     }
--- a/crates/gateway/src/serve/ingress.rs
+++ b/crates/gateway/src/serve/ingress.rs
@@ -117,10 +117,8 @@
     let route = configuration.route(&host, head.uri.path()).cloned();
     let needs_keys = !configuration.customers.is_empty();
     let is_open = facts.key.is_none() && route.as_ref().is_some_and(|route| route.public);
-    if needs_keys && !is_open && !state.trusts_keys(Instant::now()) {
-        // Nor is it told that there is no such route: there may be one by now.
-        let detail = "this host has not heard from the store in time";
-        return Err(Failure::new(ErrorKind::StaleView, detail));
+    if needs_keys && !is_open {
+        check_view_age(state, facts)?;
     }
     let route = route
         .ok_or_else(|| Failure::new(ErrorKind::UnknownPath, "no route has this host and path"))?;
@@ -143,6 +141,26 @@
     })
 }
 
+/// Checks that a request with a key may be judged by what is known of keys.
+fn check_view_age(state: &GatewayState, facts: &RequestFacts) -> Result<(), Failure> {
+    let now = Instant::now();
+    if !state.trusts_keys(now) {
+        // Nor is it told that there is no such route: there may be one by now.
+        let detail = "this host has not heard from the store in time";
+        return Err(Failure::new(ErrorKind::StaleView, detail));
+    }
+    if !state.is_view_fresh(now) {
+        state.metrics.stale_requests.inc();
+        log::info!(
+            "call: admitted by a stale view request={} configuration={} view_age_ms={:?}",
+            facts.request.as_deref().unwrap_or("-"),
+            state.view.version(),
+            state.view.age(now).map(|age| age.as_millis())
+        );
+    }
+    Ok(())
+}
+
 fn host_of(head: &request::Parts) -> String {
     let from_header = head
         .headers
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,7 +7,7 @@
         edge::Protocol,
         feed::{Contender, Feed, FeederChoice, StoreWatermark, choose_feeder, group_of},
         metrics::GatewayMetrics,
-        options::GatewayOptions,
+        options::{GatewayOptions, StaleKeys},
         peers::{HostPhase, Peers},
         read_rate::ReadRate,
         runs::{Fingerprint, Runs},
@@ -77,8 +77,16 @@
         })
     }
 
-    /// Whether what is known of keys is young enough to send a request with a key on.
+    /// Whether a request with a key may be sent on by what is known of keys.
     pub fn trusts_keys(&self, now: Instant) -> bool {
+        match self.options.bounds.stale_keys {
+            StaleKeys::Refuse => self.is_view_fresh(now),
+            StaleKeys::Serve => self.view.age(now).is_some(),
+        }
+    }
+
+    /// Whether what is known of keys is young enough to be sure of it.
+    pub fn is_view_fresh(&self, now: Instant) -> bool {
         let bound = self.options.bounds.key_age.saturating_sub(KEY_AGE_MARGIN);
         self.view
             .age(now)
@@ -89,8 +97,10 @@
     pub fn phase(&self, now: Instant) -> HostPhase {
         if self.stop.is_asked() {
             HostPhase::Leaving
-        } else if self.trusts_keys(now) {
+        } else if self.is_view_fresh(now) {
             HostPhase::Serving
+        } else if self.trusts_keys(now) {
+            HostPhase::Stale
         } else {
             HostPhase::Starting
         }
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -12,7 +12,8 @@
     },
     tealshore_gateway::{
         budget::BudgetUse,
-        peers::{Datagram, HostPhase, PeerState, ServiceUse, Told, UpstreamWork},
+        options::GatewayOptions,
+        peers::{Datagram, HostPhase, PeerState, Peers, ServiceUse, Told, UpstreamWork},
         runs::RunTrace,
         view::{Condition, Work},
     },
@@ -143,6 +144,38 @@
     assert!(told.is_whole_due(HostPhase::Serving, at(6_500)));
 }
 
+fn peers() -> Peers {
+    let options = "[host]\nid = own\nhall = a\ncallers_address = 127.0.0.1:9\n\
+        directory_address = 127.0.0.1:10\nreadiness_address = 127.0.0.1:11\n\
+        metrics_address = 127.0.0.1:12\n[store]\naddress = 127.0.0.1:13\n\
+        [peers]\naddress = 127.0.0.1:14\n";
+    let file = std::env::temp_dir().join(format!("tealshore-peers-{}.ini", std::process::id()));
+    std::fs::write(&file, options).unwrap();
+    let options = GatewayOptions::load(&file).unwrap();
+    std::fs::remove_file(&file).unwrap();
+    Peers::new(&options.host, &options.peers)
+}
+
+#[test]
+fn callers_are_sent_to_stale_hosts_only_where_no_host_has_a_fresh_view() {
+    let peers = peers();
+    let now = Instant::now();
+    let mut peer = state(1, &BTreeMap::new(), 0);
+    let own = vec!["127.0.0.1:9".parse().unwrap()];
+    assert_eq!(peers.callers_addresses(HostPhase::Stale, now), own);
+    assert!(peers.callers_addresses(HostPhase::Starting, now).is_empty());
+    peer.phase = HostPhase::Stale;
+    peers.take_in(peer.clone(), now);
+    assert_eq!(peers.callers_addresses(HostPhase::Serving, now), own);
+    assert_eq!(peers.callers_addresses(HostPhase::Stale, now).len(), 2);
+    peer.phase = HostPhase::Serving;
+    peer.sequence += 1;
+    let other = vec![peer.callers_address];
+    peers.take_in(peer, now);
+    assert_eq!(peers.callers_addresses(HostPhase::Stale, now), other);
+    assert_eq!(peers.callers_addresses(HostPhase::Leaving, now), other);
+}
+
 #[test]
 fn a_heartbeat_without_news_is_a_small_part_of_the_whole_state() {
     let mut told = Told::nothing(Instant::now());
