Let the load that upstreams report count in the choice of one for a call

Cause: some services append running, waiting and slots to their answers, and nobody read it. A call's upstream was chosen by what this host itself has there, the hall, and failures; the other hosts' calls are not told among hosts, since they last some 30 ms.

Ruled out: telling calls among hosts (a datagram a call); using the load for streams, whose work the hosts already tell each other with the tokens that are still to be read.

Change: the adapter decodes the header once, into UpstreamLoad; each upstream keeps the newest one with its moment, and it counts for less the older it is, for nothing after 250 ms. Tests: a_call_avoids_an_upstream_that_reports_that_it_is_busy, a_reported_load_counts_for_less_the_older_it_is, the_load_that_an_upstream_reports_is_read.

--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -5,7 +5,7 @@
 use {
     crate::{
         runs::RunTrace,
-        view::{Configuration, UpstreamRecord},
+        view::{Configuration, UpstreamLoad, UpstreamRecord},
     },
     bytes::Bytes,
     http::{HeaderMap, Request, Response, StatusCode, request, response},
@@ -95,6 +95,8 @@
     pub not_run: bool,
     /// It carries the upstream's signature.
     pub signed: bool,
+    /// The load that the upstream reports of itself, where it does.
+    pub load: Option<UpstreamLoad>,
 }
 
 /// A set of rows of the platform's store.
--- a/crates/gateway/src/forward/connect.rs
+++ b/crates/gateway/src/forward/connect.rs
@@ -15,7 +15,7 @@
     http_body_util::Full,
     hyper::{body::Incoming, client::conn::http1},
     hyper_util::rt::TokioIo,
-    std::time::Duration,
+    std::time::{Duration, Instant},
     tealshore_core::{
         http::read_limited,
         protection::{Protection, enabled},
@@ -103,6 +103,9 @@
     let answer = sender.send_request(request).await;
     let (head, body) = answer.map_err(|_| SendFailure::Unanswered)?.into_parts();
     let facts = state.protocol.read_answer(&head);
+    if let Some(load) = facts.load {
+        upstream.record_load(load, Instant::now());
+    }
     let is_foreign = facts.request.as_deref() != Some(id) && !facts.not_run;
     if is_foreign && enabled(Protection::AnswerIdentity) {
         return Err(SendFailure::ForeignAnswer);
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -2,11 +2,13 @@
 
 mod configuration;
 mod freshness;
+mod load;
 mod upstreams;
 
 pub use {
     configuration::{Configuration, Customer, Engines, Limits, Route, RouteKind, Service, Target},
     freshness::Freshness,
+    load::{ReportedLoad, UpstreamLoad},
     upstreams::{Condition, Upstream, UpstreamRecord, UpstreamState, Upstreams, Work},
 };
 use {
--- a/crates/gateway/src/view/upstreams.rs
+++ b/crates/gateway/src/view/upstreams.rs
@@ -1,6 +1,7 @@
 //! The upstreams that the store lists, with what this host has there and thinks of them.
 
 use {
+    super::load::{ReportedLoad, UpstreamLoad},
     crate::edge::Revision,
     parking_lot::{Mutex, RwLock},
     serde::{Deserialize, Serialize},
@@ -97,6 +98,7 @@
 #[derive(Default)]
 struct Opinion {
     own: Work,
+    reported: ReportedLoad,
     failure_score: f64,
     suspected_until: Option<Instant>,
     /// The suspicion came from a peer.
@@ -140,6 +142,16 @@
         self.opinion.lock().own.remove(work);
     }
 
+    /// Records the load that it reported in an answer.
+    pub fn record_load(&self, load: UpstreamLoad, reported: Instant) {
+        self.opinion.lock().reported.record(load, reported);
+    }
+
+    /// The requests per slot that it reported and that are still to be expected there.
+    pub fn reported_per_slot(&self, now: Instant) -> f64 {
+        self.opinion.lock().reported.per_slot(now)
+    }
+
     /// Notes how a call there ended.
     pub fn note_outcome(&self, failed: bool) {
         let mut opinion = self.opinion.lock();
