Pass configurations between hosts, and all they know to one that starts

And a host that started while the store was away knew nothing until the store was back.

One host of each hall, by rank, reads a changed configuration from the store; the others of the hall wait up to 700 ms and learn it from whoever there has it. A host that has lost the store asks all. A host that starts without the store learns both sets, and dates them by the peer's clock of the store, which can only make them older than they are. Calls of a host's own stand once now (connection.rs).

--- /dev/null
+++ b/crates/gateway/src/connection.rs
@@ -0,0 +1,58 @@
+//! Connections of this host's own: each serves one exchange and closes when it is dropped.
+
+use {
+    bytes::Bytes,
+    http::{Request, StatusCode},
+    http_body_util::Full,
+    hyper::client::conn::http1,
+    hyper_util::rt::TokioIo,
+    std::{net::SocketAddr, time::Duration},
+    tealshore_core::http::read_limited,
+    tokio::{net::TcpStream, task::JoinHandle, time::timeout},
+};
+
+/// The task that drives a connection. Dropping it closes the connection.
+pub struct Connection(JoinHandle<()>);
+
+impl Connection {
+    /// Drives a connection by a task.
+    pub fn driven_by(task: JoinHandle<()>) -> Self {
+        Self(task)
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// The bounds of a short call.
+#[derive(Clone, Copy, Debug)]
+pub struct CallBounds {
+    /// How long the whole call may take.
+    pub timeout: Duration,
+    /// The largest answer, in bytes.
+    pub answer_bytes: usize,
+}
+
+/// Makes a short call on a connection of its own; none without a whole answer within the bounds.
+pub async fn short_call(
+    address: SocketAddr,
+    request: Request<Bytes>,
+    bounds: CallBounds,
+) -> Option<(StatusCode, Bytes)> {
+    let exchange = async {
+        let stream = TcpStream::connect(address).await.ok()?;
+        let (mut sender, driver) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        let _connection = Connection::driven_by(tokio::spawn(async move {
+            // How the connection ended is seen by the one that reads the answer.
+            let _ = driver.await;
+        }));
+        let answer = sender.send_request(request.map(Full::new)).await.ok()?;
+        let status = answer.status();
+        let body = read_limited(answer.into_body(), bounds.answer_bytes).await;
+        Some((status, body.ok()?))
+    };
+    timeout(bounds.timeout, exchange).await.ok().flatten()
+}
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -24,7 +24,7 @@
     },
 };
 pub use {
-    choice::{Contender, FeederChoice, choose_feeder, group_of},
+    choice::{Contender, FeederChoice, choose_feeder, group_of, ranks_first},
     clock::StoreClockFloor,
     progress::SetProgress,
 };
@@ -141,6 +141,20 @@
         !self.is_cut_off.load(Ordering::Relaxed)
     }
 
+    /// Records the store's time, or a later one, as another host told it. It only counts for a
+    /// host that has never heard the store itself.
+    pub fn observe_peer(&self, store_time: StoreTime, asked: Instant, arrived: Instant) {
+        let mut clock = self.clock.lock();
+        if clock.time_at(arrived).is_none() {
+            clock.observe(store_time, asked, arrived);
+        }
+    }
+
+    /// The store's time at a moment, or a later one; none before an answer was seen.
+    pub fn store_time(&self, now: Instant) -> Option<StoreTime> {
+        self.clock.lock().time_at(now)
+    }
+
     /// The latest moment of this host that surely was not after a time of the store.
     pub fn moment(&self, written: StoreTime, now: Instant) -> Option<Instant> {
         if !enabled(Protection::RelayedAge) {
--- a/crates/gateway/src/feed/choice.rs
+++ b/crates/gateway/src/feed/choice.rs
@@ -60,6 +60,12 @@
     (hosts > GROUP_HOSTS).then_some(hall.as_str())
 }
 
+/// Whether a host ranks before all others of some.
+#[must_use]
+pub fn ranks_first(own: &HostId, others: impl IntoIterator<Item = HostId>) -> bool {
+    others.into_iter().all(|other| rank(own) <= rank(&other))
+}
+
 fn rank(host: &HostId) -> u64 {
     xxh3_64(host.as_bytes())
 }
--- a/crates/gateway/src/feed/clock.rs
+++ b/crates/gateway/src/feed/clock.rs
@@ -31,6 +31,13 @@
         };
     }
 
+    /// The store's time at a moment, or a later one: the origin is never too late. None where no
+    /// answer was seen yet.
+    #[must_use]
+    pub fn time_at(&self, now: Instant) -> Option<StoreTime> {
+        Some(now.saturating_duration_since(self.origin?))
+    }
+
     /// The latest moment that surely was not after a time of the store; none where the time
     /// makes no sense, or no answer was seen yet.
     #[must_use]
--- a/crates/gateway/src/forward/connect.rs
+++ b/crates/gateway/src/forward/connect.rs
@@ -5,22 +5,15 @@
 //! is closing.
 
 use {
-    crate::{
-        edge::AnswerFacts,
-        state::GatewayState,
-        view::{Upstream, UpstreamRecord},
-    },
+    crate::{connection::Connection, edge::AnswerFacts, state::GatewayState, view::Upstream},
     bytes::Bytes,
-    http::{Request, StatusCode, response},
+    http::{Request, response},
     http_body_util::Full,
     hyper::{body::Incoming, client::conn::http1},
     hyper_util::rt::TokioIo,
     std::time::{Duration, Instant},
-    tealshore_core::{
-        http::read_limited,
-        protection::{Protection, enabled},
-    },
-    tokio::{net::TcpStream, task::JoinHandle, time::timeout},
+    tealshore_core::protection::{Protection, enabled},
+    tokio::{net::TcpStream, time::timeout},
 };
 
 /// How long a connection may take to come up.
@@ -71,15 +64,6 @@
     pub connection: Connection,
 }
 
-/// A connection that closes when this is dropped.
-pub struct Connection(JoinHandle<()>);
-
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
-
 /// Sends a request and waits for the head of its answer.
 ///
 /// # Errors
@@ -93,7 +77,7 @@
     let stream = open(upstream).await?;
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (mut sender, driver) = handshake.map_err(|_| SendFailure::Unreachable)?;
-    let connection = Connection(tokio::spawn(async move {
+    let connection = Connection::driven_by(tokio::spawn(async move {
         // How the connection ended is seen by the one that reads the answer.
         let _ = driver.await;
     }));
@@ -127,28 +111,3 @@
     let _ = stream.set_nodelay(true);
     Ok(stream)
 }
-
-/// The largest answer to a short call, in bytes.
-const SHORT_ANSWER_BYTES: usize = 64 * 1024;
-
-/// Makes a short call of this host's own, on a connection of its own; none without a whole
-/// answer in time.
-pub async fn exchange(
-    upstream: &UpstreamRecord,
-    request: Request<Bytes>,
-    bound: Duration,
-) -> Option<(StatusCode, Bytes)> {
-    let exchange = async {
-        let stream = TcpStream::connect(upstream.address).await.ok()?;
-        let (mut sender, driver) = http1::handshake(TokioIo::new(stream)).await.ok()?;
-        let _connection = Connection(tokio::spawn(async move {
-            // How the connection ended is seen by the one that reads the answer.
-            let _ = driver.await;
-        }));
-        let answer = sender.send_request(request.map(Full::new)).await.ok()?;
-        let status = answer.status();
-        let body = read_limited(answer.into_body(), SHORT_ANSWER_BYTES).await;
-        Some((status, body.ok()?))
-    };
-    timeout(bound, exchange).await.ok().flatten()
-}
--- a/crates/gateway/src/forward/probe.rs
+++ b/crates/gateway/src/forward/probe.rs
@@ -1,14 +1,22 @@
 //! Tells a dead upstream from one that is silent for good reason.
 
 use {
-    super::connect::exchange,
-    crate::{state::GatewayState, view::Upstream},
+    crate::{
+        connection::{CallBounds, short_call},
+        state::GatewayState,
+        view::Upstream,
+    },
     std::{future::Future, pin::pin, time::Duration},
     tokio::time::{sleep, timeout},
 };
 
 /// How long a live upstream may take to answer a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(170);
+/// The bounds of one probe; a report of an engine's runs takes some kilobytes.
+const PROBE_BOUNDS: CallBounds = CallBounds {
+    timeout: PROBE_TIMEOUT,
+    answer_bytes: 64 * 1024,
+};
 /// After this time a second probe goes out, lest one lost packet pass for a death.
 const SECOND_PROBE_AFTER: Duration = Duration::from_millis(60);
 
@@ -143,7 +151,7 @@
 
 async fn probe(state: &GatewayState, upstream: &Upstream) -> ProbeWord {
     let request = state.protocol.probe_call(&upstream.record);
-    match exchange(&upstream.record, request, PROBE_TIMEOUT).await {
+    match short_call(upstream.record.address, request, PROBE_BOUNDS).await {
         None => ProbeWord::Unanswered,
         Some((status, body)) => match state.protocol.read_probe(status, &body) {
             Some(0) => ProbeWord::Idle,
--- a/crates/gateway/src/forward/stream/attempt.rs
+++ b/crates/gateway/src/forward/stream/attempt.rs
@@ -2,9 +2,9 @@
 
 use {
     crate::{
+        connection::Connection,
         events::{Event, EventSplitter},
         forward::{
-            connect::Connection,
             probe::{Patience, wait_while_alive},
             reservation::Reservation,
         },
--- a/crates/gateway/src/forward/stream/recopy.rs
+++ b/crates/gateway/src/forward/stream/recopy.rs
@@ -4,7 +4,12 @@
 //! as the run lasts; it then copies only what is new.
 
 use {
-    crate::{edge::MemoryCopy, forward::connect::exchange, state::GatewayState, view::Upstream},
+    crate::{
+        connection::{CallBounds, short_call},
+        edge::MemoryCopy,
+        state::GatewayState,
+        view::Upstream,
+    },
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -15,8 +20,11 @@
 
 /// How often the call is made again, well within the time that engines keep a copy.
 const REPEAT_AFTER: Duration = Duration::from_millis(2_500);
-/// How long a call may take.
-const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// The bounds of a call, which is answered when the copy is made.
+const COPY_BOUNDS: CallBounds = CallBounds {
+    timeout: Duration::from_secs(2),
+    answer_bytes: 64 * 1024,
+};
 
 /// The copies that are made of one run after its first copy was lost.
 #[derive(Default)]
@@ -95,7 +103,7 @@
     let request = state
         .protocol
         .copy_call(&source.record, run, target.record.address);
-    let answer = exchange(&source.record, request, CALL_TIMEOUT).await;
+    let answer = short_call(source.record.address, request, COPY_BOUNDS).await;
     let name = answer.and_then(|(status, body)| state.protocol.read_copied(status, &body));
     log::info!(
         "stream: copied anew request={run} upstream={} copy_to={} outcome={}",
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod balance;
 pub mod budget;
+mod connection;
 pub mod edge;
 pub mod events;
 pub mod feed;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -7,19 +7,20 @@
 
 mod exchange;
 mod message;
+mod snapshot;
 mod told;
 
 use {
     crate::{
         budget::Pool,
-        edge::HostRecord,
+        edge::{HostRecord, Revision, RowSet},
         feed::{Contender, FeederChoice, UpstreamNews},
         options::{HostOptions, PeerOptions},
         state::GatewayState,
         view::{Condition, Work},
     },
     parking_lot::Mutex,
-    rand::RngExt,
+    rand::{RngExt, seq::SliceRandom},
     std::{
         collections::HashMap,
         net::{IpAddr, SocketAddr},
@@ -32,6 +33,7 @@
 pub use {
     exchange::start,
     message::{Datagram, Finding, HostPhase, PeerChange, PeerState, ServiceUse, UpstreamWork},
+    snapshot::{SetSnapshot, SnapshotRows, path_of},
     told::Told,
 };
 
@@ -54,6 +56,15 @@
     unheard: Vec<SocketAddr>,
 }
 
+/// Which other hosts are asked for a set of rows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reach {
+    /// Those of the own hall that are known to know more than this one.
+    OwnHall,
+    /// All that take traffic, those of the own hall first.
+    Everywhere,
+}
+
 struct Peer {
     state: PeerState,
     heard: Instant,
@@ -192,6 +203,42 @@
         sum
     }
 
+    /// Where other hosts give a set of which they may know more than up to a version, in a random
+    /// order.
+    #[must_use]
+    pub fn snapshot_sources(
+        &self,
+        set: RowSet,
+        known: Revision,
+        reach: Reach,
+        now: Instant,
+    ) -> Vec<SocketAddr> {
+        let peers = self.known.lock();
+        let believed = peers.values().filter(|peer| self.is_believed(peer, now));
+        let mut sources: Vec<(bool, SocketAddr)> = believed
+            .filter(|peer| match peer.state.phase {
+                HostPhase::Serving | HostPhase::Stale => true,
+                HostPhase::Starting | HostPhase::Leaving => false,
+            })
+            .filter(|peer| {
+                let watermark = peer.state.watermark.and_then(|told| told.of(set));
+                match reach {
+                    Reach::OwnHall => {
+                        peer.state.hall == self.own.hall
+                            && watermark.is_some_and(|told| told.revision > known)
+                    }
+                    // A host that has lost the store tells no watermark, and may know more.
+                    Reach::Everywhere => watermark.is_none_or(|told| told.revision > known),
+                }
+            })
+            .map(|peer| (peer.state.hall != self.own.hall, peer.state.peers_address))
+            .collect();
+        drop(peers);
+        sources.shuffle(&mut rand::rng());
+        sources.sort_by_key(|(is_away, _)| *is_away);
+        sources.into_iter().map(|(_, address)| address).collect()
+    }
+
     /// The addresses that callers may use: those of hosts that serve by a fresh view, this one
     /// included, or where there is none, of hosts that serve by a stale one.
     #[must_use]
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -4,13 +4,14 @@
     super::{
         COALESCE, Receivers,
         message::{Datagram, Finding, HostPhase, PeerChange, PeerState},
+        snapshot::serve_snapshots,
         told::Told,
     },
     crate::{runs::RunTrace, state::GatewayState, sync::take_news, view::Condition},
     std::{net::SocketAddr, sync::Arc, time::Instant},
     tealshore_core::ids::HostId,
     tokio::{
-        net::UdpSocket,
+        net::{TcpListener, UdpSocket},
         time::{sleep, timeout},
     },
 };
@@ -28,6 +29,8 @@
     let socket = Arc::new(UdpSocket::bind(state.options.peers.address).await?);
     tokio::spawn(tell(state.clone(), socket.clone()));
     tokio::spawn(hear(state.clone(), socket));
+    let listener = TcpListener::bind(state.options.peers.address).await?;
+    tokio::spawn(serve_snapshots(state.clone(), listener));
     Ok(())
 }
 
--- /dev/null
+++ b/crates/gateway/src/peers/snapshot.rs
@@ -0,0 +1,101 @@
+//! Whole sets of rows, as one host gives them to another that can't read them from the store
+//! or need not.
+
+use {
+    crate::{
+        edge::{Revision, RowSet, StoreTime},
+        feed::SetWatermark,
+        state::GatewayState,
+        view::{Configuration, UpstreamRecord},
+    },
+    http::{Request, Response, StatusCode},
+    hyper::body::Incoming,
+    serde::{Deserialize, Serialize},
+    std::{future::pending, sync::Arc, time::Instant},
+    tealshore_core::http::{Body, ServerOptions, empty, full, serve},
+    tokio::net::TcpListener,
+};
+
+/// The most connections of other hosts at once.
+const MAX_CONNECTIONS: usize = 64;
+
+/// The rows of a set.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum SnapshotRows {
+    /// The configuration in force.
+    Configuration(Configuration),
+    /// All upstreams that are listed, each with the version of its row.
+    Upstreams(Vec<(Revision, UpstreamRecord)>),
+}
+
+/// All that a host knows of a set.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct SetSnapshot {
+    /// How far the host's knowledge goes; the rows are as of this or newer.
+    pub watermark: SetWatermark,
+    /// The store's time now, or later: a host that has never reached the store dates the
+    /// watermark by it, as older rather than as younger than it is.
+    pub store_time: StoreTime,
+    /// The rows.
+    pub rows: SnapshotRows,
+}
+
+impl SetSnapshot {
+    /// What this host knows of a set; none before it was read, and of sets that are not fed.
+    pub fn of(state: &GatewayState, set: RowSet, now: Instant) -> Option<Self> {
+        // The watermark is read first: rows that change meanwhile are newer than it says.
+        let watermark = state.feed.progress(set).watermark()?;
+        let rows = match set {
+            RowSet::Configuration => {
+                SnapshotRows::Configuration(state.view.configuration()?.as_ref().clone())
+            }
+            RowSet::Upstreams => SnapshotRows::Upstreams(state.view.upstreams.rows()),
+            RowSet::Hosts | RowSet::Runs => return None,
+        };
+        Some(Self {
+            watermark,
+            store_time: state.feed.store_time(now)?,
+            rows,
+        })
+    }
+}
+
+/// The path under which a host gives a set.
+pub fn path_of(set: RowSet) -> String {
+    format!("/{}", set.name())
+}
+
+/// Gives sets to other hosts for as long as the process lives.
+pub async fn serve_snapshots(state: Arc<GatewayState>, listener: TcpListener) {
+    let options = ServerOptions {
+        max_connections: MAX_CONNECTIONS,
+        ..ServerOptions::default()
+    };
+    let answering = move |request: Request<Incoming>| {
+        let response = answer(&state, request.uri().path());
+        async move { response }
+    };
+    serve(listener, options, answering, pending()).await;
+}
+
+fn answer(state: &GatewayState, path: &str) -> Response<Body> {
+    let asked = [RowSet::Configuration, RowSet::Upstreams]
+        .into_iter()
+        .find(|set| path_of(*set) == path);
+    let snapshot = asked.and_then(|set| SetSnapshot::of(state, set, Instant::now()));
+    let bytes = snapshot.map(|snapshot| postcard::to_stdvec(&snapshot));
+    match bytes {
+        Some(Ok(bytes)) => Response::new(full(bytes)),
+        Some(Err(error)) => {
+            log::error!("peers: snapshot can't be written path={path} error={error}");
+            with_status(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+        None => with_status(StatusCode::NOT_FOUND),
+    }
+}
+
+fn with_status(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(empty());
+    *response.status_mut() = status;
+    response
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,7 +5,9 @@
         balance::{Candidate, Need, choose},
         budget::{BudgetUse, RetryBudget},
         edge::Protocol,
-        feed::{Contender, Feed, FeederChoice, StoreWatermark, choose_feeder, group_of},
+        feed::{
+            Contender, Feed, FeederChoice, StoreWatermark, choose_feeder, group_of, ranks_first,
+        },
         metrics::GatewayMetrics,
         options::{GatewayOptions, StaleKeys},
         peers::{HostPhase, Peers},
@@ -81,7 +83,7 @@
     pub fn trusts_keys(&self, now: Instant) -> bool {
         match self.options.bounds.stale_keys {
             StaleKeys::Refuse => self.is_view_fresh(now),
-            StaleKeys::Serve => self.view.age(now).is_some(),
+            StaleKeys::Serve => self.view.configuration().is_some(),
         }
     }
 
@@ -132,6 +134,18 @@
         chosen
     }
 
+    /// Whether this host reads changed configurations from the store for its hall: the first by
+    /// rank of those in the hall that take traffic and reach the store.
+    pub fn reads_for_hall(&self, now: Instant) -> bool {
+        let host = &self.options.host;
+        if self.own_watermark().is_none() {
+            return false;
+        }
+        let others = self.peers.contenders(now).into_iter();
+        let in_hall = others.filter(|other| other.hall == host.hall);
+        ranks_first(&host.id, in_hall.map(|other| other.host))
+    }
+
     /// The hall whose hosts share a feeder; none where all hosts do.
     pub fn group(&self) -> Option<&str> {
         group_of(self.peers.most_hosts(), &self.options.host.hall)
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -3,6 +3,7 @@
 
 mod calls;
 mod follow;
+mod from_peers;
 mod runs;
 mod take_in;
 
@@ -11,6 +12,7 @@
     crate::{
         edge::{Page, Revision, RowSet, StoreRefusal, StoreTime},
         feed::SetWatermark,
+        peers::Reach,
         state::GatewayState,
     },
     bytes::Bytes,
@@ -275,12 +277,22 @@
         loop {
             self.state.feed.wait_for_news(self.set, until).await;
             let now = Instant::now();
-            if now >= until || !matches!(self.source(now), Source::Store) {
+            if self.is_helped(now).await || now >= until {
                 return;
             }
         }
     }
 
+    /// Whether other hosts make up for the store.
+    async fn is_helped(&mut self, now: Instant) -> bool {
+        match self.source(now) {
+            Source::Fed { .. } => true,
+            Source::Behind => self.learn_from_peers(Reach::Everywhere).await,
+            Source::Store if self.newest() == 0 => self.learn_from_peers(Reach::Everywhere).await,
+            Source::Store => false,
+        }
+    }
+
     fn longest_pause(&self) -> Duration {
         let others = u32::try_from(self.state.peers.most_hosts()).unwrap_or(u32::MAX) - 1;
         let shared = PAUSE_PER_HOST.saturating_mul(others);
--- a/crates/gateway/src/sync/follow.rs
+++ b/crates/gateway/src/sync/follow.rs
@@ -5,9 +5,13 @@
     crate::{
         edge::{Change, Revision, RowSet},
         feed::{FED_BOUND, FeederChoice, SetWatermark, UpstreamNews},
+        peers::Reach,
     },
     std::time::{Duration, Instant},
-    tealshore_core::protection::{Protection, enabled},
+    tealshore_core::{
+        protection::{Protection, enabled},
+        spread::spread,
+    },
     tokio::time::sleep,
 };
 
@@ -21,6 +25,12 @@
 /// A host that reads changes for itself, on the watermark of its feeder, lets them gather longer:
 /// all others read them as well.
 const SHARED_GATHERING: Duration = Duration::from_millis(500);
+/// How long a host waits for the one that reads changed configurations for its hall. With the
+/// call of its own that follows, it stays below half of the time in which a configuration has
+/// to be in force.
+const HALL_PATIENCE: Duration = Duration::from_millis(700);
+/// How often it looks whether that one knows the change; about the time that its call takes.
+const HALL_INTERVAL: Duration = Duration::from_millis(40);
 /// Changes that a feeder sent on arrive a little later than its watermark may.
 const NEWS_DELAY: Duration = Duration::from_millis(40);
 
@@ -92,16 +102,48 @@
         self.state.feed.wait_for_news(self.set, until).await;
     }
 
-    /// Asks the store for the changes that were missed, unless they arrive meanwhile.
+    /// Learns the changes that were missed from another host or from the store, unless they
+    /// arrive meanwhile.
     async fn catch_up(&mut self) -> Result<(), CallFailure> {
         sleep(NEWS_DELAY).await;
+        if self.catch_up_from_hall().await {
+            sleep(SHARED_GATHERING).await;
+            return Ok(());
+        }
         if let Source::Behind = self.source(Instant::now()) {
             self.watch(Duration::ZERO).await?;
+            // The other hosts of the hall wait for this one to know it.
+            self.state.peers.work_changed();
             sleep(SHARED_GATHERING - GATHERING).await;
         }
         Ok(())
     }
 
+    /// Learns a changed configuration from another host, of the own hall unless this host has
+    /// lost the store; whether it did. The host that reads for its hall does not wait for others.
+    async fn catch_up_from_hall(&mut self) -> bool {
+        if self.set != RowSet::Configuration {
+            return false;
+        }
+        let until = Instant::now() + HALL_PATIENCE;
+        loop {
+            let now = Instant::now();
+            let is_over = now >= until || !matches!(self.source(now), Source::Behind);
+            if is_over || self.state.reads_for_hall(now) {
+                return false;
+            }
+            let reach = if self.state.feed.reaches_store() {
+                Reach::OwnHall
+            } else {
+                Reach::Everywhere
+            };
+            if self.learn_from_peers(reach).await {
+                return true;
+            }
+            sleep(spread(HALL_INTERVAL)).await;
+        }
+    }
+
     /// How long a watch waits for changes.
     fn watch_time(&self) -> Duration {
         self.unless_alone(SHARED_WATCH, self.state.options.store.watch)
--- a/crates/gateway/src/sync/take_in.rs
+++ b/crates/gateway/src/sync/take_in.rs
@@ -77,7 +77,7 @@
     }
 }
 
-fn take_in_configuration(state: &GatewayState, revision: Revision, new: Configuration) {
+pub(super) fn take_in_configuration(state: &GatewayState, revision: Revision, new: Configuration) {
     let version = new.version;
     let routes = new.route_count();
     let keys = new.customers.len();
@@ -91,7 +91,7 @@
     );
 }
 
-fn take_in_upstream(state: &GatewayState, revision: Revision, change: UpstreamChange) {
+pub(super) fn take_in_upstream(state: &GatewayState, revision: Revision, change: UpstreamChange) {
     let upstreams = &state.view.upstreams;
     match change {
         UpstreamChange::Listed(record) => {
--- a/crates/gateway/src/view/configuration.rs
+++ b/crates/gateway/src/view/configuration.rs
@@ -2,12 +2,13 @@
 
 use {
     rand::RngExt,
+    serde::{Deserialize, Serialize},
     std::{collections::HashMap, time::Duration},
     tealshore_core::ids::{ConfigVersion, CustomerId, ServiceId},
 };
 
 /// A configuration.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Configuration {
     /// Its version; it only rises.
     pub version: ConfigVersion,
@@ -21,7 +22,7 @@
 }
 
 /// What may be repeated.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RouteKind {
     /// Calls that may run more than once.
     Safe,
@@ -35,7 +36,7 @@
 }
 
 /// One of the services that share a route's traffic.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Target {
     /// The service.
     pub service: ServiceId,
@@ -44,7 +45,7 @@
 }
 
 /// A route.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Route {
     /// Its name.
     pub name: String,
@@ -71,7 +72,7 @@
 }
 
 /// A service.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Service {
     /// The path of its health check.
     pub health_path: String,
@@ -80,7 +81,7 @@
 }
 
 /// What all model engines of a service have in common.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
 pub struct Engines {
     /// Tokens that one engine's memory holds.
     pub memory_tokens: u64,
@@ -89,7 +90,7 @@
 }
 
 /// The holder of a key.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Customer {
     /// Its name.
     pub name: CustomerId,
@@ -98,7 +99,7 @@
 }
 
 /// What a caller may send.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct Limits {
     /// The largest body, in bytes.
     pub body_bytes: usize,
--- a/crates/gateway/src/view/upstreams.rs
+++ b/crates/gateway/src/view/upstreams.rs
@@ -373,6 +373,17 @@
             .collect()
     }
 
+    /// All upstreams that are listed, each with the version of its row.
+    pub fn rows(&self) -> Vec<(Revision, UpstreamRecord)> {
+        let listed = self.listed.read();
+        let current = listed
+            .values()
+            .filter_map(|known| Some((known.revision, known.current()?)));
+        current
+            .map(|(revision, upstream)| (revision, upstream.record.clone()))
+            .collect()
+    }
+
     /// Whether an upstream is listed and takes new work at this instant.
     pub fn takes_work(&self, id: &EngineId) -> bool {
         if !enabled(Protection::LeavingCheck) {
