Let the feeder alone be listed in the store, and one set try a store that is away

Ruled out: reading the running streams on demand (a call on a request's way).

Change: hosts find each other by their seeds and tell each other of all, so one row is enough to be found by: the host that feeds others lists itself and reads who is listed; a host that is alone looks again, ever more rarely, where before it looked once. While the store is away the configuration's follower tries it; the others wait for its success, three times as long at most. The setting is refuse_stale_keys = true | false now, which the deployment's own value fills as it is.

--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -91,11 +91,12 @@
 
 impl StaleKeys {
     fn read(section: &mut Section<'_>) -> Result<Self, SettingError> {
-        const ALLOWED: &str = "refuse or serve";
-        match section.optional("stale_keys") {
-            None | Some("refuse") => Ok(Self::Refuse),
-            Some("serve") => Ok(Self::Serve),
-            Some(value) => Err(section.bad_value("stale_keys", value, ALLOWED)),
+        const KEY: &str = "refuse_stale_keys";
+        const ALLOWED: &str = "true or false";
+        match section.optional(KEY) {
+            None | Some("true") => Ok(Self::Refuse),
+            Some("false") => Ok(Self::Serve),
+            Some(value) => Err(section.bad_value(KEY, value, ALLOWED)),
         }
     }
 }
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod follow;
 mod from_peers;
+mod hosts;
 mod runs;
 mod take_in;
 
@@ -35,6 +36,10 @@
 const PAUSE_PER_HOST: Duration = Duration::from_millis(20);
 /// How much longer the pause gets by that.
 const LONGEST_SHARED_PAUSE: Duration = Duration::from_millis(2_400);
+/// The set by which a host tries a store that is away; the followers of the others wait for it.
+const TRIED_SET: RowSet = RowSet::Configuration;
+/// How much longer those wait at most, should that set alone stay unanswered.
+const OTHER_SETS_FACTOR: u32 = 3;
 /// How often one page is asked for while the store refuses calls.
 const PAGE_TRIES: u32 = 6;
 
@@ -53,15 +58,15 @@
     lost_at: Option<Instant>,
 }
 
-/// Follows the configuration and the upstreams for as long as the process lives, and tells
-/// the store once of this host.
+/// Follows the configuration and the upstreams for as long as the process lives, and keeps in
+/// the store who the hosts are and where streams run.
 pub fn start(state: &Arc<GatewayState>) {
     for set in [RowSet::Configuration, RowSet::Upstreams] {
         let mut follower = Follower::new(state.clone(), set);
         tokio::spawn(async move { follower.follow().await });
     }
     let mut hosts = Follower::new(state.clone(), RowSet::Hosts);
-    tokio::spawn(async move { hosts.join().await });
+    tokio::spawn(async move { hosts.keep_hosts().await });
     let mut runs = Follower::new(state.clone(), RowSet::Runs);
     tokio::spawn(async move { runs.keep_runs().await });
 }
@@ -92,17 +97,6 @@
         watermark.map_or(0, |watermark| watermark.revision)
     }
 
-    /// Writes this host's row and reads those of the others, once.
-    async fn join(&mut self) {
-        let own = self.state.peers.own_record();
-        while let Err(failure) = self.write(self.state.protocol.write_host_call(&own)).await {
-            self.pause_after(&failure).await;
-        }
-        while let Err(failure) = self.read_whole().await {
-            self.pause_after(&failure).await;
-        }
-    }
-
     async fn write(&mut self, request: Request<Bytes>) -> Result<(), CallFailure> {
         let bound = self.state.options.store.timeout;
         let (status, _) = self.call(request, bound).await?;
@@ -289,14 +283,24 @@
             Source::Fed { .. } => true,
             Source::Behind => self.learn_from_peers(Reach::Everywhere).await,
             Source::Store if self.newest() == 0 => self.learn_from_peers(Reach::Everywhere).await,
-            Source::Store => false,
+            Source::Store => self.is_store_back(),
         }
     }
 
+    /// Whether the one set by which hosts try a store that is away was answered since the failure.
+    fn is_store_back(&self) -> bool {
+        self.set != TRIED_SET && self.state.feed.reaches_store()
+    }
+
     fn longest_pause(&self) -> Duration {
         let others = u32::try_from(self.state.peers.most_hosts()).unwrap_or(u32::MAX) - 1;
         let shared = PAUSE_PER_HOST.saturating_mul(others);
-        LONGEST_PAUSE + shared.min(LONGEST_SHARED_PAUSE)
+        let longest = LONGEST_PAUSE + shared.min(LONGEST_SHARED_PAUSE);
+        if self.set == TRIED_SET {
+            longest
+        } else {
+            longest * OTHER_SETS_FACTOR
+        }
     }
 
     fn note_regained(&mut self) {
@@ -307,6 +311,7 @@
                 self.failures,
                 self.newest()
             );
+            self.state.feed.notify();
         }
         self.failures = 0;
         self.lost_at = None;
--- a/crates/gateway/src/sync/runs.rs
+++ b/crates/gateway/src/sync/runs.rs
@@ -25,7 +25,9 @@
         loop {
             sleep(RUNS_INTERVAL).await;
             let now = Instant::now();
-            if matches!(self.state.feeder(now), FeederChoice::Peer(..)) {
+            let is_fed = matches!(self.state.feeder(now), FeederChoice::Peer(..));
+            // While the store is away no host feeds others, and all would try.
+            if is_fed || !self.state.feed.reaches_store() {
                 continue;
             }
             let running = self.state.runs.running(now);
