Notice an answer that is lost at a live engine, and go back there for it

An engine that closed a connection after it had read the prompt was not asked again either.

Ruled out: a shorter patience for all (a busy engine would lose streams whose prompt it is about to finish, and at the worst moment); hedging (a second prompt for each slow stream).

Change: an engine's report lists the runs that have begun to answer. Before the first event, a probe takes from it that the engine makes events for this request (the answer is lost), or lists all its requests and not this one (it is not held); two such reports in a row end the wait, the second 200 ms after the first. A stream that lost its answer like this, or by a closed connection after 100 ms or more, goes back to the same engine once: it keeps the prompt that it has read. The prompt counts as read there when work is told.

Between events nothing changed: there a lost packet looks the same.

--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -99,6 +99,26 @@
     pub load: Option<UpstreamLoad>,
 }
 
+/// What an upstream reports of itself and of one request. The report is some hundred
+/// milliseconds old.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ProbeReport {
+    /// How many requests it has, those that wait included; none where it does not say.
+    pub requests: Option<u32>,
+    /// How many of these it lists one by one: those for which it has made events.
+    pub listed: u32,
+    /// How many events it has made for the request; none where it does not list it.
+    pub events_made: Option<u64>,
+}
+
+impl ProbeReport {
+    /// Whether the upstream does not have the request: it lists all that it has, and not this one.
+    #[must_use]
+    pub fn lacks_request(&self) -> bool {
+        self.requests == Some(self.listed) && self.events_made.is_none()
+    }
+}
+
 /// A set of rows of the platform's store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RowSet {
@@ -214,9 +234,8 @@
     /// The cheapest call that any live upstream answers.
     fn probe_call(&self, upstream: &UpstreamRecord) -> Request<Bytes>;
 
-    /// How many requests an upstream says it has, from its answer to the probe; none where it
-    /// does not say.
-    fn read_probe(&self, status: StatusCode, body: &[u8]) -> Option<u32>;
+    /// Reads an upstream's answer to the probe, and what it says there of one request.
+    fn read_probe(&self, status: StatusCode, body: &[u8], request: &RequestId) -> ProbeReport;
 
     /// Reads a call about this host.
     fn read_host_call(&self, head: &request::Parts) -> HostCall;
--- a/crates/gateway/src/forward/probe.rs
+++ b/crates/gateway/src/forward/probe.rs
@@ -7,6 +7,7 @@
         view::Upstream,
     },
     std::{future::Future, pin::pin, time::Duration},
+    tealshore_core::ids::RequestId,
     tokio::time::{sleep, timeout},
 };
 
@@ -20,18 +21,33 @@
 /// After this time a second probe goes out, lest one lost packet pass for a death.
 const SECOND_PROBE_AFTER: Duration = Duration::from_millis(60);
 
-/// An upstream's word on its load is some hundred milliseconds old, so it must say this many
-/// times in a row that it is idle.
-const IDLE_WORDS: u32 = 2;
+/// A report is some hundred milliseconds old, so it must say this many times in a row that the
+/// request is not there, or that it was answered.
+const REPORTS_NEEDED: u32 = 2;
+/// After one such report the next one is asked for this soon; reports are renewed about as often.
+const CONFIRM_AFTER: Duration = Duration::from_millis(200);
 
-/// What an upstream answered to a probe.
+/// What a probe showed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ProbeWord {
+enum ProbeResult {
     Unanswered,
-    /// It lives, and may have requests.
+    /// It lives, and may have the request.
     Alive,
-    /// It lives and has no request.
-    Idle,
+    /// It lives and does not have the request.
+    Absent,
+    /// It lives and has made events for the request.
+    MadeEvents,
+}
+
+/// What is awaited of an upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct Awaited<'a> {
+    /// The request that it runs.
+    pub request: &'a RequestId,
+    /// How long it may be silent.
+    pub patience: Patience,
+    /// Whether an event of the request came already.
+    pub has_events: bool,
 }
 
 /// How long an upstream may be silent.
@@ -50,19 +66,30 @@
     Dead,
     /// Another request found that it seems dead.
     FoundDead,
-    /// It says that it has no request at all, so it lost this one.
+    /// It says that it does not have the request, so it lost it.
     NotHeld,
+    /// It says that it makes events for the request, and none arrived.
+    AnswerLost,
     /// It lives and says nothing.
     TooLong,
 }
 
 impl Silence {
+    /// Whether the upstream lives and has probably read the prompt of the request.
+    pub fn leaves_prompt_read(self) -> bool {
+        match self {
+            Self::NotHeld | Self::AnswerLost => true,
+            Self::Dead | Self::FoundDead | Self::TooLong => false,
+        }
+    }
+
     /// The silence's name in logs.
     pub fn name(self) -> &'static str {
         match self {
             Self::Dead => "probe-unanswered",
             Self::FoundDead => "found-dead",
             Self::NotHeld => "not-held",
+            Self::AnswerLost => "answer-lost",
             Self::TooLong => "silent-too-long",
         }
     }
@@ -75,87 +102,106 @@
 pub async fn wait_while_alive<T>(
     state: &GatewayState,
     upstream: &Upstream,
-    patience: Patience,
-    awaited: impl Future<Output = T>,
+    awaited: Awaited<'_>,
+    arrival: impl Future<Output = T>,
 ) -> Result<T, Silence> {
-    let mut awaited = pin!(awaited);
-    let mut watching = pin!(watch(state, upstream, patience));
+    let mut arrival = pin!(arrival);
+    let mut watching = pin!(watch(state, upstream, awaited));
     tokio::select! {
         biased;
-        value = &mut awaited => Ok(value),
+        value = &mut arrival => Ok(value),
         silence = &mut watching => Err(silence),
     }
 }
 
-async fn watch(state: &GatewayState, upstream: &Upstream, patience: Patience) -> Silence {
+async fn watch(state: &GatewayState, upstream: &Upstream, awaited: Awaited<'_>) -> Silence {
     let found_dead = async {
         upstream.suspected().await;
-        // The word of others is checked: they may be the ones that are cut off.
-        match ask(state, upstream).await {
-            ProbeWord::Alive | ProbeWord::Idle => std::future::pending().await,
-            ProbeWord::Unanswered => Silence::FoundDead,
+        // What others found is checked: they may be the ones that are cut off.
+        match ask(state, upstream, awaited.request).await {
+            ProbeResult::Unanswered => Silence::FoundDead,
+            ProbeResult::Alive | ProbeResult::Absent | ProbeResult::MadeEvents => {
+                std::future::pending().await
+            }
         }
     };
     tokio::select! {
         silence = found_dead => silence,
-        silence = probe_repeatedly(state, upstream, patience) => silence,
-        () = sleep(patience.longest) => Silence::TooLong,
+        silence = probe_repeatedly(state, upstream, awaited) => silence,
+        () = sleep(awaited.patience.longest) => Silence::TooLong,
     }
 }
 
 async fn probe_repeatedly(
     state: &GatewayState,
     upstream: &Upstream,
-    patience: Patience,
+    awaited: Awaited<'_>,
 ) -> Silence {
-    let mut idle_words = 0;
+    let mut absent_reports = 0;
+    let mut lost_reports = 0;
+    let mut pause = awaited.patience.probe_after;
     loop {
-        sleep(patience.probe_after).await;
-        match ask(state, upstream).await {
-            ProbeWord::Unanswered => {
-                state.suspect(upstream, "probe-unanswered");
-                return Silence::Dead;
-            }
-            ProbeWord::Idle => idle_words += 1,
-            ProbeWord::Alive => idle_words = 0,
+        sleep(pause).await;
+        let result = ask(state, upstream, awaited.request).await;
+        let is_absent = result == ProbeResult::Absent;
+        absent_reports = if is_absent { absent_reports + 1 } else { 0 };
+        let is_lost = result == ProbeResult::MadeEvents && !awaited.has_events;
+        lost_reports = if is_lost { lost_reports + 1 } else { 0 };
+        if result == ProbeResult::Unanswered {
+            state.suspect(upstream, "probe-unanswered");
+            return Silence::Dead;
         }
-        if idle_words >= IDLE_WORDS {
+        if absent_reports >= REPORTS_NEEDED {
             return Silence::NotHeld;
         }
+        if lost_reports >= REPORTS_NEEDED {
+            return Silence::AnswerLost;
+        }
+        pause = if is_lost || is_absent {
+            CONFIRM_AFTER
+        } else {
+            awaited.patience.probe_after
+        };
     }
 }
 
-async fn ask(state: &GatewayState, upstream: &Upstream) -> ProbeWord {
+async fn ask(state: &GatewayState, upstream: &Upstream, request: &RequestId) -> ProbeResult {
     let second = async {
         sleep(SECOND_PROBE_AFTER).await;
-        probe(state, upstream).await
+        probe(state, upstream, request).await
     };
     let either = async {
-        let mut first = pin!(probe(state, upstream));
+        let mut first = pin!(probe(state, upstream, request));
         let mut second = pin!(second);
         tokio::select! {
-            word = &mut first => match word {
-                ProbeWord::Unanswered => second.await,
-                ProbeWord::Alive | ProbeWord::Idle => word,
-            },
-            word = &mut second => match word {
-                ProbeWord::Unanswered => first.await,
-                ProbeWord::Alive | ProbeWord::Idle => word,
-            },
+            result = &mut first => answered_or(result, second).await,
+            result = &mut second => answered_or(result, first).await,
         }
     };
     timeout(PROBE_TIMEOUT, either)
         .await
-        .unwrap_or(ProbeWord::Unanswered)
+        .unwrap_or(ProbeResult::Unanswered)
 }
 
-async fn probe(state: &GatewayState, upstream: &Upstream) -> ProbeWord {
-    let request = state.protocol.probe_call(&upstream.record);
-    match short_call(upstream.record.address, request, PROBE_BOUNDS).await {
-        None => ProbeWord::Unanswered,
-        Some((status, body)) => match state.protocol.read_probe(status, &body) {
-            Some(0) => ProbeWord::Idle,
-            Some(_) | None => ProbeWord::Alive,
-        },
+/// The result of one probe, or that of the other one where it was not answered.
+async fn answered_or(result: ProbeResult, other: impl Future<Output = ProbeResult>) -> ProbeResult {
+    match result {
+        ProbeResult::Unanswered => other.await,
+        ProbeResult::Alive | ProbeResult::Absent | ProbeResult::MadeEvents => result,
+    }
+}
+
+async fn probe(state: &GatewayState, upstream: &Upstream, request: &RequestId) -> ProbeResult {
+    let call = state.protocol.probe_call(&upstream.record);
+    let Some((status, body)) = short_call(upstream.record.address, call, PROBE_BOUNDS).await else {
+        return ProbeResult::Unanswered;
+    };
+    let report = state.protocol.read_probe(status, &body, request);
+    if report.events_made.is_some_and(|made| made > 0) {
+        return ProbeResult::MadeEvents;
+    }
+    if report.lacks_request() {
+        return ProbeResult::Absent;
     }
+    ProbeResult::Alive
 }
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -46,6 +46,8 @@
     passed_at: Option<Instant>,
     /// The engine that may still keep the prompt from an earlier attempt of the caller.
     prompt_kept_at: Option<EngineId>,
+    /// The stream went back to an engine that had lost its answer.
+    went_back: bool,
     /// Makes a new copy of the run's memory when the holder of the first one is lost.
     recopy: Recopy,
 }
@@ -79,6 +81,7 @@
                 .filter(|_| goes_on)
                 .and_then(RunTrace::memory_copy),
             prompt_kept_at: earlier.map(|trace| trace.engine),
+            went_back: false,
             state,
             call,
             avoid: Vec::new(),
--- a/crates/gateway/src/forward/stream/attempt.rs
+++ b/crates/gateway/src/forward/stream/attempt.rs
@@ -5,7 +5,7 @@
         connection::Connection,
         events::{Event, EventSplitter},
         forward::{
-            probe::{Patience, wait_while_alive},
+            probe::{Awaited, Patience, wait_while_alive},
             reservation::Reservation,
         },
         state::GatewayState,
@@ -14,6 +14,7 @@
     http_body_util::BodyExt,
     hyper::body::Incoming,
     std::{sync::Arc, time::Duration},
+    tealshore_core::ids::RequestId,
 };
 
 /// Silence between events after which an engine is probed, and after which it counts as
@@ -27,6 +28,8 @@
 pub struct Attempt {
     /// The engine.
     pub upstream: Arc<Upstream>,
+    /// The request that it runs.
+    pub request: RequestId,
     /// How long it may be silent before its first event.
     pub patience: Patience,
     /// Its answer's body.
@@ -75,8 +78,13 @@
         } else {
             self.patience
         };
+        let awaited = Awaited {
+            request: &self.request,
+            patience,
+            has_events: self.has_sent,
+        };
         let frame = self.body.frame();
-        match wait_while_alive(state, &self.upstream, patience, frame).await {
+        match wait_while_alive(state, &self.upstream, awaited, frame).await {
             Ok(Some(Ok(frame))) => {
                 if let Ok(bytes) = frame.into_data() {
                     self.events.push(&bytes);
--- a/crates/gateway/src/forward/stream/place.rs
+++ b/crates/gateway/src/forward/stream/place.rs
@@ -10,7 +10,7 @@
         forward::{
             call::{promises_not_run, strip_connection_headers},
             connect::{self, Answer, SendFailure},
-            probe::{Patience, wait_while_alive},
+            probe::{Awaited, Patience, wait_while_alive},
             reservation::Reservation,
         },
         runs::RunTrace,
@@ -37,6 +37,9 @@
     probe_after: Duration::from_millis(260),
     longest: Duration::from_millis(1_000),
 };
+/// The shortest time in which an engine reads any prompt to speak of: one that was lost sooner
+/// is read anew wherever it fits best.
+const SHORTEST_READ: Duration = Duration::from_millis(100);
 /// The pause before all engines are asked again after all turned a stream away.
 const FULL_PAUSE: Duration = Duration::from_millis(40);
 /// A stream waits for room for one part in this many of its objective.
@@ -64,6 +67,8 @@
 struct Chosen {
     upstream: Arc<Upstream>,
     go_on_from: Option<MemoryCopy>,
+    /// It has probably read the prompt before and keeps it.
+    keeps_prompt: bool,
 }
 
 /// What a try needs at its engine.
@@ -147,6 +152,7 @@
                 return Some(Chosen {
                     upstream: holder,
                     go_on_from: Some(copy),
+                    keeps_prompt: true,
                 });
             }
         }
@@ -159,6 +165,7 @@
             return Some(Chosen {
                 upstream,
                 go_on_from: None,
+                keeps_prompt: true,
             });
         }
         let need = Need::Prompt {
@@ -171,6 +178,7 @@
         Some(Chosen {
             upstream: chosen,
             go_on_from: None,
+            keeps_prompt: false,
         })
     }
 
@@ -178,11 +186,9 @@
         let Chosen {
             upstream,
             go_on_from,
+            keeps_prompt,
         } = chosen;
-        let unread_tokens = match go_on_from {
-            Some(_) => 0,
-            None => self.input_tokens(),
-        };
+        let unread_tokens = if keeps_prompt { 0 } else { self.input_tokens() };
         let work = Work {
             running: 1,
             unread_tokens,
@@ -210,6 +216,7 @@
         self.note_running(&upstream, try_here.copy_to.as_deref());
         self.attempt = Some(Attempt {
             upstream,
+            request: self.call.request(),
             patience: try_here.patience,
             body: answer.body,
             _connection: answer.connection,
@@ -298,14 +305,40 @@
         let id = self.call.id();
         self.runs += 1;
         let sending = connect::send(&self.state, upstream, request, id);
-        let waited = wait_while_alive(&self.state, upstream, try_here.patience, sending).await;
+        let awaited = Awaited {
+            request: &self.call.request(),
+            patience: try_here.patience,
+            has_events: false,
+        };
+        let asked = Instant::now();
+        let waited = wait_while_alive(&self.state, upstream, awaited, sending).await;
         match waited {
             Ok(Ok(answer)) => Ok(answer),
-            Ok(Err(failure)) => Err(self.send_failed(upstream, failure)),
-            Err(silence) => Err(self.note_try(upstream, silence.name(), PlaceEnd::Unknown)),
+            Ok(Err(failure)) => {
+                if failure == SendFailure::Unanswered {
+                    self.go_back_to(upstream, asked.elapsed());
+                }
+                Err(self.send_failed(upstream, failure))
+            }
+            Err(silence) => {
+                if silence.leaves_prompt_read() {
+                    self.go_back_to(upstream, asked.elapsed());
+                }
+                Err(self.note_try(upstream, silence.name(), PlaceEnd::Unknown))
+            }
         }
     }
 
+    /// Lets the stream go back, once, to an engine that lost its answer after it has probably
+    /// read the prompt: it keeps what it has read, if it lives.
+    pub fn go_back_to(&mut self, upstream: &Upstream, waited: Duration) {
+        if self.went_back || waited < SHORTEST_READ {
+            return;
+        }
+        self.went_back = true;
+        self.prompt_kept_at = Some(upstream.record.id.clone());
+    }
+
     fn send_failed(&mut self, upstream: &Arc<Upstream>, failure: SendFailure) -> PlaceEnd {
         if failure == SendFailure::Unreachable {
             self.state.suspect(upstream, "unreachable");
@@ -318,7 +351,9 @@
     }
 
     fn note_try(&mut self, upstream: &Upstream, cause: &'static str, end: PlaceEnd) -> PlaceEnd {
-        self.avoid.push(upstream.record.id.clone());
+        if self.prompt_kept_at.as_ref() != Some(&upstream.record.id) {
+            self.avoid.push(upstream.record.id.clone());
+        }
         self.state.metrics.losses.with_label_values(&[cause]).inc();
         log::warn!(
             "stream: try ended request={} upstream={} try={} cause={cause} age_ms={}",
