Count as repeats only sends that arrive, and let streams wait for the budget

What counts is arrivals at engines; and a stream that finds the budget spent was refused, though what others leave over is known 0.5 s later.

Ruled out: larger parts for each host (the sum over hosts would not hold); fewer sends to dead engines (an earlier trial lost worth).

Change: a send draws on the budget only if an earlier one has arrived, and gives back what it drew when it reaches nobody. A stream that finds the budget spent tries again each 60 ms for a quarter of its objective, as it does where no engine has room.

Test: a_repeat_that_reached_nobody_can_be_taken_again.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -111,6 +111,14 @@
         true
     }
 
+    /// Gives back a repeat that was taken and reached no upstream.
+    pub fn give_back(&mut self) {
+        let mut cells = self.cells.iter_mut().rev();
+        if let Some(cell) = cells.find(|cell| cell.repeats > 0) {
+            cell.repeats -= 1;
+        }
+    }
+
     /// What this host used within the window that ends now.
     pub fn used(&mut self, now: Instant) -> BudgetUse {
         self.forget(now);
--- a/crates/gateway/src/forward/plain.rs
+++ b/crates/gateway/src/forward/plain.rs
@@ -56,6 +56,8 @@
     upstream: Arc<Upstream>,
     end: TryEnd,
     cause: &'static str,
+    /// It has drawn on the retry budget.
+    draws_on_budget: bool,
 }
 
 struct PlainRun<'a> {
@@ -66,6 +68,9 @@
     runs: u32,
     /// Tries that were sent.
     sends: u32,
+    /// Tries that reached an upstream, as far as is known; each but the first draws on the
+    /// retry budget.
+    arrivals: u32,
     /// Upstreams whose answer is still to come.
     open: Vec<EngineId>,
     fallback: Option<(response::Parts, Bytes)>,
@@ -82,6 +87,7 @@
         avoid: Vec::new(),
         runs: 0,
         sends: 0,
+        arrivals: 0,
         open: Vec::new(),
         fallback: None,
     };
@@ -162,6 +168,10 @@
             }
             TryEnd::Unreachable => {
                 self.runs -= 1;
+                self.arrivals -= 1;
+                if tried.draws_on_budget {
+                    self.state.give_back_retry(&self.call.service);
+                }
                 self.state.suspect(upstream, "unreachable");
                 Ok(None)
             }
@@ -239,7 +249,8 @@
             sleep(FULL_PAUSE).await;
             self.avoid.clear();
         };
-        if self.sends > 0 && !self.state.take_retry(&self.call.service) {
+        let draws_on_budget = self.arrivals > 0;
+        if draws_on_budget && !self.state.take_retry(&self.call.service) {
             let detail = "the budget of repeated sends is spent";
             return Err(Failure::new(ErrorKind::UpstreamsBusy, detail));
         }
@@ -248,9 +259,15 @@
             self.state.metrics.note_queued("call", waited);
         }
         self.sends += 1;
+        self.arrivals += 1;
         self.runs += 1;
         self.open.push(upstream.record.id.clone());
-        Ok(Box::pin(try_once(self.state, self.call, upstream)))
+        Ok(Box::pin(try_once(
+            self.state,
+            self.call,
+            upstream,
+            draws_on_budget,
+        )))
     }
 
     fn may_wait_for_room(&self) -> bool {
@@ -259,7 +276,12 @@
     }
 }
 
-async fn try_once(state: &Arc<GatewayState>, call: &Call, upstream: Arc<Upstream>) -> Tried {
+async fn try_once(
+    state: &Arc<GatewayState>,
+    call: &Call,
+    upstream: Arc<Upstream>,
+    draws_on_budget: bool,
+) -> Tried {
     let work = Work {
         running: 1,
         ..Work::default()
@@ -271,6 +293,7 @@
         upstream,
         end,
         cause,
+        draws_on_budget,
     }
 }
 
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -39,6 +39,10 @@
     runs: u32,
     /// Times that it was sent.
     sends: u32,
+    /// Times that it reached an engine; each but the first draws on the retry budget.
+    arrivals: u32,
+    /// The send that is under way has drawn on the retry budget.
+    has_drawn: bool,
     copy: Option<MemoryCopy>,
     attempt: Option<Attempt>,
     lost_at: Option<Instant>,
@@ -87,6 +91,8 @@
             avoid: Vec::new(),
             runs: 0,
             sends: 0,
+            arrivals: 0,
+            has_drawn: false,
             attempt: None,
             lost_at: None,
             passed_at: None,
--- a/crates/gateway/src/forward/stream/place.rs
+++ b/crates/gateway/src/forward/stream/place.rs
@@ -42,8 +42,11 @@
 const SHORTEST_READ: Duration = Duration::from_millis(100);
 /// The pause before all engines are asked again after all turned a stream away.
 const FULL_PAUSE: Duration = Duration::from_millis(40);
-/// A stream waits for room for one part in this many of its objective.
+/// A stream waits for room, or for the retry budget, for one part in this many of its objective.
 const ROOM_PART: u32 = 4;
+/// The pause before a stream draws on the retry budget again: hosts hear of each other's use
+/// of it some times in a second.
+const BUDGET_PAUSE: Duration = Duration::from_millis(60);
 
 /// What opening a stream gave.
 pub enum Opened {
@@ -100,9 +103,14 @@
             if let Err(failure) = self.call.check_before_send(&self.state) {
                 return Err(self.refusal(failure.kind, &failure.detail));
             }
-            if self.sends > 0 && !self.state.take_retry(&self.call.service) {
-                let detail = "the budget of repeated sends is spent";
-                return Err(self.refusal(ErrorKind::UpstreamsBusy, detail));
+            if !self.draw_on_budget() {
+                if began.elapsed() > self.call.route.objective / ROOM_PART {
+                    let detail = "the budget of repeated sends is spent";
+                    return Err(self.refusal(ErrorKind::UpstreamsBusy, detail));
+                }
+                self.put_back(chosen);
+                sleep(BUDGET_PAUSE).await;
+                continue;
             }
             if self.sends == 0 {
                 let waited = self.call.received.elapsed();
@@ -132,6 +140,33 @@
         sleep(stagger(self.state.peers.most_hosts())).await;
     }
 
+    /// Draws on the retry budget for a send, unless it is the first that reaches an engine;
+    /// whether the send is allowed.
+    fn draw_on_budget(&mut self) -> bool {
+        self.has_drawn = self.arrivals > 0;
+        !self.has_drawn || self.state.take_retry(&self.call.service)
+    }
+
+    /// Notes that a send reached no engine.
+    fn reached_nobody(&mut self) {
+        self.runs -= 1;
+        self.arrivals -= 1;
+        if self.has_drawn {
+            self.state.give_back_retry(&self.call.service);
+        }
+    }
+
+    /// Keeps for the next try what speaks for an engine that was chosen and not asked.
+    fn put_back(&mut self, chosen: Chosen) {
+        match chosen.go_on_from {
+            Some(copy) => self.copy = Some(copy),
+            None if chosen.keeps_prompt => {
+                self.prompt_kept_at = Some(chosen.upstream.record.id.clone());
+            }
+            None => {}
+        }
+    }
+
     /// A refusal. Of a stream that may have run at an earlier engine, it does not promise that
     /// it has not.
     fn refusal(&self, kind: ErrorKind, detail: &str) -> Failure {
@@ -304,6 +339,7 @@
         let request = self.call.request_for(&self.state, upstream, &order);
         let id = self.call.id();
         self.runs += 1;
+        self.arrivals += 1;
         let sending = connect::send(&self.state, upstream, request, id);
         let awaited = Awaited {
             request: &self.call.request(),
@@ -346,7 +382,7 @@
         if failure.may_have_run() {
             return self.note_try(upstream, failure.name(), PlaceEnd::Unknown);
         }
-        self.runs -= 1;
+        self.reached_nobody();
         self.note_try(upstream, failure.name(), PlaceEnd::TryNext)
     }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -184,6 +184,12 @@
         taken
     }
 
+    /// Gives back a repeat that reached no upstream: it is none for those that count arrivals.
+    pub fn give_back_retry(&self, service: &ServiceId) {
+        let mut budgets = self.budgets.lock();
+        self.budget(&mut budgets, service).give_back();
+    }
+
     /// What this host used of the budget of each service, for its peers.
     pub fn budget_use(&self, now: Instant) -> Vec<(ServiceId, BudgetUse)> {
         let mut budgets = self.budgets.lock();
--- a/crates/gateway/tests/budget.rs
+++ b/crates/gateway/tests/budget.rs
@@ -215,3 +215,22 @@
     let taken_with_few = (0..1_000).filter(|_| hosts.take(1, now)).count();
     assert_eq!(taken_alone, taken_with_few);
 }
+
+#[test]
+fn a_repeat_that_reached_nobody_can_be_taken_again() {
+    let now = Instant::now();
+    let bounds = BudgetBounds {
+        ratio: 0.0,
+        slack: 2.0,
+        window: Duration::from_secs(10),
+    };
+    let mut budget = RetryBudget::new(bounds);
+    let alone = Pool::unheard(1);
+    assert!(budget.take(now, &alone));
+    assert!(budget.take(now, &alone));
+    assert!(!budget.take(now, &alone));
+    budget.give_back();
+    assert_eq!(budget.used(now).repeats, 1);
+    assert!(budget.take(now, &alone));
+    assert!(!budget.take(now, &alone));
+}
