Refuse at once a stream that can't end before its deadline

Cause: callers whose host lost power notice it after 18 s of silence and come back with 3 to 7 s left.

Weighed: refusing by the average (some that would just make it would be refused); never reading a prompt again for a stream that is late already (late answers are to be delivered). Ruled out: nothing else explains prompts read after the host's loss.

Change: a host learns per service the time between events and the events per output token, beside the rate at which prompts are read. A stream whose best case, a part better than those averages, does not fit in what is left is refused as deadline-too-near, with status 503, not run, and when to come back; in the middle of an answer it ends at once. Prompts that an engine is known to keep take no time.

--- a/crates/core/src/answer.rs
+++ b/crates/core/src/answer.rs
@@ -88,6 +88,8 @@
     DeadlineReached,
     /// The time for the request is over before any upstream took it.
     DeadlineUntried,
+    /// The answer can't be complete before the time for the request is over.
+    DeadlineTooNear,
     /// A fault of tealshore itself.
     Internal,
 }
@@ -170,6 +172,12 @@
             Self::StaleView => (StatusCode::SERVICE_UNAVAILABLE, No, Some(20), Level::Warn),
             Self::DeadlineReached => (StatusCode::GATEWAY_TIMEOUT, Unknown, None, Level::Warn),
             Self::DeadlineUntried => (StatusCode::SERVICE_UNAVAILABLE, No, Some(50), Level::Warn),
+            Self::DeadlineTooNear => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                No,
+                Some(1_000),
+                Level::Info,
+            ),
             Self::Internal => (
                 StatusCode::INTERNAL_SERVER_ERROR,
                 Unknown,
@@ -220,6 +228,7 @@
             Self::StaleView => "stale-view",
             Self::DeadlineReached => "deadline-reached",
             Self::DeadlineUntried => "deadline-untried",
+            Self::DeadlineTooNear => "deadline-too-near",
             Self::Internal => "internal",
         }
     }
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -13,7 +13,8 @@
 use {
     super::call::{Call, strip_connection_headers},
     crate::{
-        edge::MemoryCopy, events::Progress, runs::RunTrace, state::GatewayState, view::Engines,
+        edge::MemoryCopy, events::Progress, pace::RemainingWork, runs::RunTrace,
+        state::GatewayState, view::Engines,
     },
     attempt::Attempt,
     http::Response,
@@ -46,6 +47,8 @@
     copy: Option<MemoryCopy>,
     attempt: Option<Attempt>,
     lost_at: Option<Instant>,
+    /// When the first event left for the caller.
+    first_passed_at: Option<Instant>,
     /// When the last event left for the caller.
     passed_at: Option<Instant>,
     /// The engine that may still keep the prompt from an earlier attempt of the caller.
@@ -95,6 +98,7 @@
             has_drawn: false,
             attempt: None,
             lost_at: None,
+            first_passed_at: None,
             passed_at: None,
             recopy: Recopy::default(),
         }
@@ -122,10 +126,35 @@
         prompt.map_or(0, |prompt| u64::from(prompt.input_tokens))
     }
 
-    fn memory_tokens(&self) -> u64 {
+    fn output_tokens(&self) -> u64 {
         let prompt = self.call.facts.prompt.as_ref();
-        let output = prompt.map_or(0, |prompt| u64::from(prompt.output_tokens));
-        (self.input_tokens() + output).max(1)
+        prompt.map_or(0, |prompt| u64::from(prompt.output_tokens))
+    }
+
+    fn memory_tokens(&self) -> u64 {
+        (self.input_tokens() + self.output_tokens()).max(1)
+    }
+
+    /// Checks that the stream can still end in time, by what was seen of others.
+    fn check_time_left(&self) -> Result<(), Failure> {
+        let is_read = self.copy.is_some() || self.prompt_kept_at.is_some();
+        let work = RemainingWork {
+            unread_tokens: if is_read { 0 } else { self.input_tokens() },
+            output_tokens: self.output_tokens(),
+            events_had: self.progress.last().unwrap_or_default(),
+        };
+        let left = self.call.left(Instant::now());
+        match self.state.least_time(&self.call.service, work) {
+            Some(least) if least > left => {
+                let detail = format!(
+                    "the stream needs {} ms at least and has {} ms left; {work:?}",
+                    least.as_millis(),
+                    left.as_millis()
+                );
+                Err(Failure::new(ErrorKind::DeadlineTooNear, detail))
+            }
+            Some(_) | None => Ok(()),
+        }
     }
 }
 
--- a/crates/gateway/src/forward/stream/place.rs
+++ b/crates/gateway/src/forward/stream/place.rs
@@ -90,6 +90,9 @@
                 let detail = "the stream ran at as many engines as its route allows";
                 return Err(Failure::new(ErrorKind::RetriesSpent, detail));
             }
+            if let Err(failure) = self.check_time_left() {
+                return Err(self.refusal(failure.kind, &failure.detail));
+            }
             self.let_news_pass().await;
             let Some(chosen) = self.choose() else {
                 if began.elapsed() > self.call.route.objective / ROOM_PART {
--- a/crates/gateway/src/forward/stream/relay.rs
+++ b/crates/gateway/src/forward/stream/relay.rs
@@ -118,9 +118,23 @@
         );
     }
 
+    /// Records how fast the stream went, unless it began in the middle.
+    fn record_pace(&self) {
+        let began_whole = self.call.facts.last_event.is_none();
+        if let (true, Some(first), Some(last)) = (began_whole, self.first_passed_at, self.passed_at)
+        {
+            let took = last.saturating_duration_since(first);
+            let events = self.progress.passed();
+            let service = &self.call.service;
+            self.state
+                .record_stream(service, events, took, self.output_tokens());
+        }
+    }
+
     /// Notes how long the caller waited since the event before.
     fn note_pause(&mut self) {
         let now = Instant::now();
+        self.first_passed_at.get_or_insert(now);
         if let Some(before) = self.passed_at.replace(now) {
             let pause = now.saturating_duration_since(before);
             self.state
@@ -223,6 +237,7 @@
         if is_whole {
             let took = self.call.received.elapsed();
             self.state.metrics.note_whole("stream", took);
+            self.record_pace();
         }
         self.state
             .metrics
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod lifecycle;
 mod metrics;
 pub mod options;
+pub mod pace;
 pub mod peers;
 pub mod read_rate;
 mod run;
--- a/crates/gateway/src/read_rate.rs
+++ b/crates/gateway/src/read_rate.rs
@@ -41,11 +41,16 @@
         self.tokens_per_ms += (rate - self.tokens_per_ms) * WEIGHT;
     }
 
+    /// How many milliseconds it takes on average until so many tokens are read.
+    #[must_use]
+    pub fn expected_ms(&self, tokens: u64) -> f64 {
+        to_f64(tokens) / self.tokens_per_ms.max(f64::MIN_POSITIVE)
+    }
+
     /// How long a stream may wait for its first event before it counts as lost.
     #[must_use]
     pub fn patience(&self, tokens: u64) -> Duration {
-        let expected_ms = to_f64(tokens) / self.tokens_per_ms.max(f64::MIN_POSITIVE);
-        let expected = Duration::try_from_secs_f64(expected_ms / 1_000.0);
+        let expected = Duration::try_from_secs_f64(self.expected_ms(tokens) / 1_000.0);
         let expected = expected.unwrap_or(Duration::MAX / 4);
         PATIENCE_BASE + expected.mul_f64(PATIENCE_FACTOR)
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -10,6 +10,7 @@
         },
         metrics::GatewayMetrics,
         options::{GatewayOptions, StaleKeys},
+        pace::{Pace, RemainingWork},
         peers::{HostPhase, Peers},
         read_rate::ReadRate,
         runs::{Fingerprint, Runs},
@@ -56,6 +57,7 @@
     pub body_room: Arc<Semaphore>,
     budgets: Mutex<HashMap<ServiceId, RetryBudget>>,
     read_rates: Mutex<HashMap<ServiceId, ReadRate>>,
+    paces: Mutex<HashMap<ServiceId, Pace>>,
 }
 
 impl GatewayState {
@@ -74,6 +76,7 @@
             body_room: Arc::new(Semaphore::new(options.host.body_bytes)),
             budgets: Mutex::default(),
             read_rates: Mutex::default(),
+            paces: Mutex::default(),
             protocol,
             options,
         })
@@ -171,6 +174,25 @@
         rate.observe(tokens, wait);
     }
 
+    /// Records a stream that ended well: its events and the time from the first to the last.
+    pub fn record_stream(
+        &self,
+        service: &ServiceId,
+        events: u64,
+        took: Duration,
+        output_tokens: u64,
+    ) {
+        let mut paces = self.paces.lock();
+        let pace = paces.entry(service.clone()).or_default();
+        pace.observe(events, took, output_tokens);
+    }
+
+    /// The least time in which a stream of a service may end; none where too little is known.
+    pub fn least_time(&self, service: &ServiceId, work: RemainingWork) -> Option<Duration> {
+        let pace = self.paces.lock().get(service).copied()?;
+        pace.least_time(work, self.read_rate(service))
+    }
+
     /// Takes one repeat from the budget of a service.
     pub fn take_retry(&self, service: &ServiceId) -> bool {
         let now = Instant::now();
