Split large files of the gateway, and untie two pairs that imported each other

Change: order.rs holds one try of a stream at one engine, place.rs the choice and the loop; view/upstream.rs one upstream, upstreams.rs the list; peers/addresses.rs who is told to callers and asked for rows. Run traces and memory copies have a module of their own, and the state that a host tells is made where it is sent. Nothing else changed.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -1,7 +1,7 @@
 //! Which upstream takes a request, from what all hosts are known to have there.
 
 use {
-    crate::{runs::Fingerprint, view::Work},
+    crate::{run_trace::Fingerprint, view::Work},
     std::cmp::Ordering,
     tealshore_core::ids::{EngineId, HallId},
 };
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -4,7 +4,7 @@
 
 use {
     crate::{
-        runs::RunTrace,
+        run_trace::{MemoryCopy, RunTrace},
         view::{Configuration, UpstreamLoad, UpstreamRecord},
     },
     bytes::Bytes,
@@ -56,17 +56,6 @@
     Resume,
 }
 
-/// Where a copy of a run's memory lies.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct MemoryCopy {
-    /// The upstream that holds it.
-    pub upstream: EngineId,
-    /// The address under which it is known.
-    pub address: SocketAddr,
-    /// The name under which it is known there.
-    pub name: String,
-}
-
 /// What is said to an upstream along with a request.
 #[derive(Clone, Debug)]
 pub struct Order<'a> {
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         edge::{Order, RequestFacts},
-        runs::Fingerprint,
+        run_trace::Fingerprint,
         state::GatewayState,
         view::{Configuration, Route, Upstream},
     },
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -5,6 +5,7 @@
 
 mod attempt;
 mod copy_holder;
+mod order;
 mod place;
 mod recopy;
 mod relay;
@@ -13,8 +14,11 @@
 use {
     super::call::{Call, strip_connection_headers},
     crate::{
-        edge::MemoryCopy, events::Progress, pace::RemainingWork, runs::RunTrace,
-        state::GatewayState, view::Engines,
+        events::Progress,
+        pace::RemainingWork,
+        run_trace::{MemoryCopy, RunTrace},
+        state::GatewayState,
+        view::Engines,
     },
     attempt::Attempt,
     http::Response,
--- /dev/null
+++ b/crates/gateway/src/forward/stream/order.rs
@@ -0,0 +1,199 @@
+//! One try of a stream at one engine: the order is sent, and the head of the answer is read.
+
+use {
+    super::StreamRun,
+    crate::{
+        edge::{Order, Urgency},
+        forward::{
+            call::{promises_not_run, strip_connection_headers},
+            connect::{self, Answer, SendFailure},
+            probe::{Awaited, Patience, wait_while_alive},
+        },
+        run_trace::MemoryCopy,
+        view::Upstream,
+    },
+    http::{Response, StatusCode, response},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tealshore_core::http::{Body, full, read_limited},
+};
+
+/// The largest answer that is no stream, in bytes.
+const ANSWER_BOUND_BYTES: usize = 1024 * 1024;
+/// The shortest time in which an engine reads any prompt to speak of: one that was lost sooner
+/// is read anew wherever it fits best.
+const SHORTEST_READ: Duration = Duration::from_millis(100);
+
+/// Why a try to place the stream gave no attempt.
+pub enum TryEnd {
+    /// It did not run there; try another one.
+    TryNext,
+    /// A whole answer that is no stream.
+    Whole(Box<Response<Body>>),
+    /// It may have run.
+    Unknown,
+}
+
+/// What a try needs at its engine.
+pub struct Try {
+    /// How long the engine may be silent before its first event.
+    pub patience: Patience,
+    /// The engine to which the run's memory is copied.
+    pub copy_to: Option<Arc<Upstream>>,
+    /// The copy to go on from.
+    pub go_on_from: Option<MemoryCopy>,
+}
+
+impl StreamRun {
+    /// Sends the order and waits for the head of the answer.
+    pub async fn order(
+        &mut self,
+        upstream: &Arc<Upstream>,
+        try_here: &Try,
+    ) -> Result<Answer, TryEnd> {
+        let urgency = if self.progress.passed() > 0 {
+            Urgency::Resume
+        } else {
+            Urgency::New(self.call.priority)
+        };
+        let order = Order {
+            upstream: &upstream.record.id,
+            customer: self.call.customer.as_ref(),
+            deadline: self.call.left(Instant::now()),
+            last_event: self.progress.last(),
+            urgency: Some(urgency),
+            copy_to: try_here
+                .copy_to
+                .as_ref()
+                .map(|holder| holder.record.address),
+            go_on_from: try_here.go_on_from.as_ref(),
+        };
+        let request = self.call.request_for(&self.state, upstream, &order);
+        let id = self.call.id();
+        self.runs += 1;
+        self.arrivals += 1;
+        let sending = connect::send(&self.state, upstream, request, id);
+        let awaited = Awaited {
+            request: &self.call.request(),
+            patience: try_here.patience,
+            has_events: false,
+        };
+        let asked = Instant::now();
+        let waited = wait_while_alive(&self.state, upstream, awaited, sending).await;
+        match waited {
+            Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(failure)) => {
+                if failure == SendFailure::Unanswered {
+                    self.go_back_to(upstream, asked.elapsed());
+                }
+                Err(self.send_failed(upstream, failure))
+            }
+            Err(silence) => {
+                if silence.leaves_prompt_read() {
+                    self.go_back_to(upstream, asked.elapsed());
+                }
+                Err(self.note_try(upstream, silence.name(), TryEnd::Unknown))
+            }
+        }
+    }
+
+    /// Lets the stream go back, once, to an engine that lost its answer after it has probably
+    /// read the prompt: it keeps what it has read, if it lives.
+    fn go_back_to(&mut self, upstream: &Upstream, waited: Duration) {
+        if self.went_back || waited < SHORTEST_READ {
+            return;
+        }
+        self.went_back = true;
+        self.prompt_kept_at = Some(upstream.record.id.clone());
+    }
+
+    /// Notes that a send reached no engine.
+    fn reached_nobody(&mut self) {
+        self.runs -= 1;
+        self.arrivals -= 1;
+        if self.has_drawn {
+            self.state.give_back_retry(&self.call.service);
+        }
+    }
+
+    fn send_failed(&mut self, upstream: &Arc<Upstream>, failure: SendFailure) -> TryEnd {
+        if failure == SendFailure::Unreachable {
+            self.state.suspect(upstream, "unreachable");
+        }
+        if failure.may_have_run() {
+            return self.note_try(upstream, failure.name(), TryEnd::Unknown);
+        }
+        self.reached_nobody();
+        self.note_try(upstream, failure.name(), TryEnd::TryNext)
+    }
+
+    fn note_try(&mut self, upstream: &Upstream, cause: &'static str, end: TryEnd) -> TryEnd {
+        if self.prompt_kept_at.as_ref() != Some(&upstream.record.id) {
+            self.avoid.push(upstream.record.id.clone());
+        }
+        self.state.metrics.losses.with_label_values(&[cause]).inc();
+        log::warn!(
+            "stream: try ended request={} upstream={} try={} cause={cause} age_ms={}",
+            self.call.id(),
+            upstream.record.id,
+            self.sends,
+            self.call.age_ms()
+        );
+        end
+    }
+
+    /// The head, where it is one of a stream; none where the answer is to be read whole.
+    pub fn check_head(
+        &mut self,
+        upstream: &Arc<Upstream>,
+        answer: &Answer,
+        from_copy: bool,
+    ) -> Result<Option<response::Parts>, TryEnd> {
+        let status = answer.head.status;
+        if answer.facts.not_run {
+            self.runs -= 1;
+            let cause = if status == StatusCode::MISDIRECTED_REQUEST {
+                // Another incarnation has the address: this one is gone.
+                self.state.note_replaced(upstream);
+                "another-incarnation"
+            } else if from_copy {
+                "copy-refused"
+            } else {
+                "turned-away"
+            };
+            return Err(self.note_try(upstream, cause, TryEnd::TryNext));
+        }
+        let is_encoded = answer
+            .head
+            .headers
+            .contains_key(http::header::CONTENT_ENCODING);
+        if !answer.facts.signed || is_encoded {
+            return Err(self.note_try(upstream, "unsigned", TryEnd::Unknown));
+        }
+        if promises_not_run(status) && !self.call.route.may_repeat() {
+            return Err(self.note_try(upstream, "unconfirmed-refusal", TryEnd::Unknown));
+        }
+        if status.is_success() {
+            return Ok(Some(answer.head.clone()));
+        }
+        if status.is_server_error() && self.call.route.may_repeat() {
+            return Err(self.note_try(upstream, "server-error", TryEnd::TryNext));
+        }
+        Ok(None)
+    }
+
+    /// An answer that is no stream, whole.
+    pub async fn whole(&self, answer: Answer) -> TryEnd {
+        let mut head = answer.head;
+        match read_limited(answer.body, ANSWER_BOUND_BYTES).await {
+            Ok(body) => {
+                strip_connection_headers(&mut head.headers);
+                head.extensions.clear();
+                TryEnd::Whole(Box::new(Response::from_parts(head, full(body))))
+            }
+            Err(_) => TryEnd::Unknown,
+        }
+    }
+}
--- a/crates/gateway/src/forward/stream/place.rs
+++ b/crates/gateway/src/forward/stream/place.rs
@@ -2,34 +2,31 @@
 //! else where it fits best.
 
 use {
-    super::{StreamRun, attempt::Attempt, stagger::stagger},
+    super::{
+        StreamRun,
+        attempt::Attempt,
+        order::{Try, TryEnd},
+        stagger::stagger,
+    },
     crate::{
         balance::Need,
-        edge::{MemoryCopy, Order, Urgency},
         events::EventSplitter,
-        forward::{
-            call::{promises_not_run, strip_connection_headers},
-            connect::{self, Answer, SendFailure},
-            probe::{Awaited, Patience, wait_while_alive},
-            reservation::Reservation,
-        },
-        runs::RunTrace,
+        forward::{probe::Patience, reservation::Reservation},
+        run_trace::{MemoryCopy, RunTrace},
         view::{Upstream, UpstreamState, Work},
     },
-    http::{Response, StatusCode, response},
+    http::{Response, response},
     std::{
         sync::Arc,
         time::{Duration, Instant},
     },
     tealshore_core::{
         answer::{ErrorKind, Failure},
-        http::{Body, full, read_limited},
+        http::Body,
     },
     tokio::time::sleep,
 };
 
-/// The largest answer that is no stream, in bytes.
-const ANSWER_BOUND_BYTES: usize = 1024 * 1024;
 /// Silence after which an engine is probed that queues and reads a prompt.
 const PROBE_WHILE_READING: Duration = Duration::from_millis(500);
 /// Silence of an engine that goes on from a copy: nothing is to be read.
@@ -37,9 +34,6 @@
     probe_after: Duration::from_millis(260),
     longest: Duration::from_millis(1_000),
 };
-/// The shortest time in which an engine reads any prompt to speak of: one that was lost sooner
-/// is read anew wherever it fits best.
-const SHORTEST_READ: Duration = Duration::from_millis(100);
 /// The pause before all engines are asked again after all turned a stream away.
 const FULL_PAUSE: Duration = Duration::from_millis(40);
 /// A stream waits for room, or for the retry budget, for one part in this many of its objective.
@@ -56,16 +50,6 @@
     Whole(Response<Body>),
 }
 
-/// Why a try to place the stream gave no attempt.
-enum PlaceEnd {
-    /// It did not run there; try another one.
-    TryNext,
-    /// A whole answer that is no stream.
-    Whole(Box<Response<Body>>),
-    /// It may have run.
-    Unknown,
-}
-
 /// An engine that was chosen, with the copy to go on from, if it holds one.
 struct Chosen {
     upstream: Arc<Upstream>,
@@ -74,13 +58,6 @@
     keeps_prompt: bool,
 }
 
-/// What a try needs at its engine.
-struct Try {
-    patience: Patience,
-    copy_to: Option<Arc<Upstream>>,
-    go_on_from: Option<MemoryCopy>,
-}
-
 impl StreamRun {
     /// Places the stream at the engine with the copy, or else at the best one.
     pub async fn place(&mut self) -> Result<Opened, Failure> {
@@ -122,10 +99,10 @@
             self.sends += 1;
             match self.try_place(chosen).await {
                 Ok(head) => return Ok(Opened::Stream(head)),
-                Err(PlaceEnd::TryNext) => {}
-                Err(PlaceEnd::Whole(response)) => return Ok(Opened::Whole(*response)),
-                Err(PlaceEnd::Unknown) if self.call.route.may_repeat() => {}
-                Err(PlaceEnd::Unknown) => {
+                Err(TryEnd::TryNext) => {}
+                Err(TryEnd::Whole(response)) => return Ok(Opened::Whole(*response)),
+                Err(TryEnd::Unknown) if self.call.route.may_repeat() => {}
+                Err(TryEnd::Unknown) => {
                     let detail = "the engine gave no answer";
                     return Err(Failure::new(ErrorKind::UpstreamUnconfirmed, detail));
                 }
@@ -150,15 +127,6 @@
         !self.has_drawn || self.state.take_retry(&self.call.service)
     }
 
-    /// Notes that a send reached no engine.
-    fn reached_nobody(&mut self) {
-        self.runs -= 1;
-        self.arrivals -= 1;
-        if self.has_drawn {
-            self.state.give_back_retry(&self.call.service);
-        }
-    }
-
     /// Keeps for the next try what speaks for an engine that was chosen and not asked.
     fn put_back(&mut self, chosen: Chosen) {
         match chosen.go_on_from {
@@ -220,7 +188,7 @@
         })
     }
 
-    async fn try_place(&mut self, chosen: Chosen) -> Result<response::Parts, PlaceEnd> {
+    async fn try_place(&mut self, chosen: Chosen) -> Result<response::Parts, TryEnd> {
         let Chosen {
             upstream,
             go_on_from,
@@ -315,145 +283,4 @@
             self.call.age_ms()
         );
     }
-
-    /// Sends the order and waits for the head of the answer.
-    async fn order(
-        &mut self,
-        upstream: &Arc<Upstream>,
-        try_here: &Try,
-    ) -> Result<Answer, PlaceEnd> {
-        let urgency = if self.progress.passed() > 0 {
-            Urgency::Resume
-        } else {
-            Urgency::New(self.call.priority)
-        };
-        let order = Order {
-            upstream: &upstream.record.id,
-            customer: self.call.customer.as_ref(),
-            deadline: self.call.left(Instant::now()),
-            last_event: self.progress.last(),
-            urgency: Some(urgency),
-            copy_to: try_here
-                .copy_to
-                .as_ref()
-                .map(|holder| holder.record.address),
-            go_on_from: try_here.go_on_from.as_ref(),
-        };
-        let request = self.call.request_for(&self.state, upstream, &order);
-        let id = self.call.id();
-        self.runs += 1;
-        self.arrivals += 1;
-        let sending = connect::send(&self.state, upstream, request, id);
-        let awaited = Awaited {
-            request: &self.call.request(),
-            patience: try_here.patience,
-            has_events: false,
-        };
-        let asked = Instant::now();
-        let waited = wait_while_alive(&self.state, upstream, awaited, sending).await;
-        match waited {
-            Ok(Ok(answer)) => Ok(answer),
-            Ok(Err(failure)) => {
-                if failure == SendFailure::Unanswered {
-                    self.go_back_to(upstream, asked.elapsed());
-                }
-                Err(self.send_failed(upstream, failure))
-            }
-            Err(silence) => {
-                if silence.leaves_prompt_read() {
-                    self.go_back_to(upstream, asked.elapsed());
-                }
-                Err(self.note_try(upstream, silence.name(), PlaceEnd::Unknown))
-            }
-        }
-    }
-
-    /// Lets the stream go back, once, to an engine that lost its answer after it has probably
-    /// read the prompt: it keeps what it has read, if it lives.
-    pub fn go_back_to(&mut self, upstream: &Upstream, waited: Duration) {
-        if self.went_back || waited < SHORTEST_READ {
-            return;
-        }
-        self.went_back = true;
-        self.prompt_kept_at = Some(upstream.record.id.clone());
-    }
-
-    fn send_failed(&mut self, upstream: &Arc<Upstream>, failure: SendFailure) -> PlaceEnd {
-        if failure == SendFailure::Unreachable {
-            self.state.suspect(upstream, "unreachable");
-        }
-        if failure.may_have_run() {
-            return self.note_try(upstream, failure.name(), PlaceEnd::Unknown);
-        }
-        self.reached_nobody();
-        self.note_try(upstream, failure.name(), PlaceEnd::TryNext)
-    }
-
-    fn note_try(&mut self, upstream: &Upstream, cause: &'static str, end: PlaceEnd) -> PlaceEnd {
-        if self.prompt_kept_at.as_ref() != Some(&upstream.record.id) {
-            self.avoid.push(upstream.record.id.clone());
-        }
-        self.state.metrics.losses.with_label_values(&[cause]).inc();
-        log::warn!(
-            "stream: try ended request={} upstream={} try={} cause={cause} age_ms={}",
-            self.call.id(),
-            upstream.record.id,
-            self.sends,
-            self.call.age_ms()
-        );
-        end
-    }
-
-    /// The head, where it is one of a stream; none where the answer is to be read whole.
-    fn check_head(
-        &mut self,
-        upstream: &Arc<Upstream>,
-        answer: &Answer,
-        from_copy: bool,
-    ) -> Result<Option<response::Parts>, PlaceEnd> {
-        let status = answer.head.status;
-        if answer.facts.not_run {
-            self.runs -= 1;
-            let cause = if status == StatusCode::MISDIRECTED_REQUEST {
-                // Another incarnation has the address: this one is gone.
-                self.state.note_replaced(upstream);
-                "another-incarnation"
-            } else if from_copy {
-                "copy-refused"
-            } else {
-                "turned-away"
-            };
-            return Err(self.note_try(upstream, cause, PlaceEnd::TryNext));
-        }
-        let is_encoded = answer
-            .head
-            .headers
-            .contains_key(http::header::CONTENT_ENCODING);
-        if !answer.facts.signed || is_encoded {
-            return Err(self.note_try(upstream, "unsigned", PlaceEnd::Unknown));
-        }
-        if promises_not_run(status) && !self.call.route.may_repeat() {
-            return Err(self.note_try(upstream, "unconfirmed-refusal", PlaceEnd::Unknown));
-        }
-        if status.is_success() {
-            return Ok(Some(answer.head.clone()));
-        }
-        if status.is_server_error() && self.call.route.may_repeat() {
-            return Err(self.note_try(upstream, "server-error", PlaceEnd::TryNext));
-        }
-        Ok(None)
-    }
-
-    /// An answer that is no stream, whole.
-    async fn whole(&self, answer: Answer) -> PlaceEnd {
-        let mut head = answer.head;
-        match read_limited(answer.body, ANSWER_BOUND_BYTES).await {
-            Ok(body) => {
-                strip_connection_headers(&mut head.headers);
-                head.extensions.clear();
-                PlaceEnd::Whole(Box::new(Response::from_parts(head, full(body))))
-            }
-            Err(_) => PlaceEnd::Unknown,
-        }
-    }
 }
--- a/crates/gateway/src/forward/stream/recopy.rs
+++ b/crates/gateway/src/forward/stream/recopy.rs
@@ -6,7 +6,7 @@
 use {
     crate::{
         connection::{CallBounds, short_call},
-        edge::MemoryCopy,
+        run_trace::MemoryCopy,
         state::GatewayState,
         view::Upstream,
     },
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod peers;
 pub mod read_rate;
 mod run;
+pub mod run_trace;
 pub mod runs;
 mod serve;
 mod state;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,6 +5,7 @@
 //! At each heartbeat, and at once when a stream begins or ends, a host tells what changed;
 //! now and then it tells its whole state, which mends what lost datagrams left wrong.
 
+mod addresses;
 mod exchange;
 mod message;
 mod snapshot;
@@ -13,14 +14,13 @@
 use {
     crate::{
         budget::Pool,
-        edge::{HostRecord, Revision, RowSet},
+        edge::HostRecord,
         feed::{Contender, FeederChoice, UpstreamNews},
         options::{HostOptions, PeerOptions},
-        state::GatewayState,
         view::{Condition, Work},
     },
     parking_lot::Mutex,
-    rand::{RngExt, seq::SliceRandom},
+    rand::RngExt,
     std::{
         collections::HashMap,
         net::{IpAddr, SocketAddr},
@@ -31,6 +31,7 @@
     tokio::sync::Notify,
 };
 pub use {
+    addresses::Reach,
     exchange::start,
     message::{Datagram, Finding, HostPhase, PeerChange, PeerState, ServiceUse, UpstreamWork},
     snapshot::{SetSnapshot, SnapshotRows, path_of},
@@ -56,15 +57,6 @@
     unheard: Vec<SocketAddr>,
 }
 
-/// Which other hosts are asked for a set of rows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Reach {
-    /// Those of the own hall that are known to know more than this one.
-    OwnHall,
-    /// All that take traffic, those of the own hall first.
-    Everywhere,
-}
-
 struct Peer {
     state: PeerState,
     heard: Instant,
@@ -203,69 +195,6 @@
         sum
     }
 
-    /// Where other hosts give a set of which they may know more than up to a version, in a random
-    /// order.
-    #[must_use]
-    pub fn snapshot_sources(
-        &self,
-        set: RowSet,
-        known: Revision,
-        reach: Reach,
-        now: Instant,
-    ) -> Vec<SocketAddr> {
-        let peers = self.known.lock();
-        let believed = peers.values().filter(|peer| self.is_believed(peer, now));
-        let mut sources: Vec<(bool, SocketAddr)> = believed
-            .filter(|peer| match peer.state.phase {
-                HostPhase::Serving | HostPhase::Stale => true,
-                HostPhase::Starting | HostPhase::Leaving => false,
-            })
-            .filter(|peer| {
-                let watermark = peer.state.watermark.and_then(|told| told.of(set));
-                match reach {
-                    Reach::OwnHall => {
-                        peer.state.hall == self.own.hall
-                            && watermark.is_some_and(|told| told.revision > known)
-                    }
-                    // A host that has lost the store tells no watermark, and may know more.
-                    Reach::Everywhere => watermark.is_none_or(|told| told.revision > known),
-                }
-            })
-            .map(|peer| (peer.state.hall != self.own.hall, peer.state.peers_address))
-            .collect();
-        drop(peers);
-        sources.shuffle(&mut rand::rng());
-        sources.sort_by_key(|(is_away, _)| *is_away);
-        sources.into_iter().map(|(_, address)| address).collect()
-    }
-
-    /// The addresses that callers may use: those of hosts that serve by a fresh view, this one
-    /// included, or where there is none, of hosts that serve by a stale one.
-    #[must_use]
-    pub fn callers_addresses(&self, own_phase: HostPhase, now: Instant) -> Vec<SocketAddr> {
-        let serving = self.addresses_in(HostPhase::Serving, own_phase, now);
-        if serving.is_empty() {
-            return self.addresses_in(HostPhase::Stale, own_phase, now);
-        }
-        serving
-    }
-
-    fn addresses_in(
-        &self,
-        phase: HostPhase,
-        own_phase: HostPhase,
-        now: Instant,
-    ) -> Vec<SocketAddr> {
-        let own = (own_phase == phase).then_some(self.own.callers_address);
-        let known = self.known.lock();
-        let others = known
-            .values()
-            .filter(|peer| self.is_believed(peer, now))
-            .filter(|peer| peer.state.phase == phase);
-        let others = others.map(|peer| peer.state.callers_address);
-        others.chain(own).collect()
-    }
-
     /// What the other hosts used of the retry budget of a service, as far as they were heard.
     pub fn budget_pool(&self, service: &ServiceId, now: Instant) -> Pool {
         let mut pool = Pool::unheard(self.most_hosts());
@@ -398,35 +327,6 @@
         let addresses = known.values().map(|peer| peer.state.peers_address);
         addresses.skip(skipped).take(NAMED_PEERS).collect()
     }
-
-    fn own_state(&self, state: &GatewayState, now: Instant) -> PeerState {
-        let all = state.view.upstreams.all();
-        let work = all.iter().filter_map(|upstream| {
-            let own = upstream.own_work();
-            let told = UpstreamWork {
-                upstream: upstream.record.id.clone(),
-                work: own,
-                condition: upstream.condition_here(now),
-            };
-            told.is_worth_telling().then_some(told)
-        });
-        let budgets = state.budget_use(now).into_iter();
-        let budgets = budgets.map(|(service, used)| ServiceUse { service, used });
-        PeerState {
-            host: self.own.id.clone(),
-            hall: self.own.hall.clone(),
-            callers_address: self.own.callers_address,
-            peers_address: self.options.address,
-            phase: state.phase(now),
-            incarnation: self.incarnation,
-            sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
-            work: work.take(TOLD_UPSTREAMS).collect(),
-            watermark: state.own_watermark(),
-            budgets: budgets.collect(),
-            runs: state.runs.own(now).into_iter().take(TOLD_RUNS).collect(),
-            named: self.some_names(),
-        }
-    }
 }
 
 /// What work at upstreams says of those that are not sound.
--- /dev/null
+++ b/crates/gateway/src/peers/addresses.rs
@@ -0,0 +1,82 @@
+//! Which hosts callers are sent to, and which hosts are asked for sets of rows.
+
+use {
+    super::{HostPhase, Peers},
+    crate::edge::{Revision, RowSet},
+    rand::seq::SliceRandom,
+    std::{net::SocketAddr, time::Instant},
+};
+
+/// Which other hosts are asked for a set of rows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reach {
+    /// Those of the own hall that are known to know more than this one.
+    OwnHall,
+    /// All that take traffic, those of the own hall first.
+    Everywhere,
+}
+
+impl Peers {
+    /// Where other hosts give a set of which they may know more than up to a version, in a random
+    /// order.
+    #[must_use]
+    pub fn snapshot_sources(
+        &self,
+        set: RowSet,
+        known: Revision,
+        reach: Reach,
+        now: Instant,
+    ) -> Vec<SocketAddr> {
+        let peers = self.known.lock();
+        let believed = peers.values().filter(|peer| self.is_believed(peer, now));
+        let mut sources: Vec<(bool, SocketAddr)> = believed
+            .filter(|peer| match peer.state.phase {
+                HostPhase::Serving | HostPhase::Stale => true,
+                HostPhase::Starting | HostPhase::Leaving => false,
+            })
+            .filter(|peer| {
+                let watermark = peer.state.watermark.and_then(|told| told.of(set));
+                match reach {
+                    Reach::OwnHall => {
+                        peer.state.hall == self.own.hall
+                            && watermark.is_some_and(|told| told.revision > known)
+                    }
+                    // A host that has lost the store tells no watermark, and may know more.
+                    Reach::Everywhere => watermark.is_none_or(|told| told.revision > known),
+                }
+            })
+            .map(|peer| (peer.state.hall != self.own.hall, peer.state.peers_address))
+            .collect();
+        drop(peers);
+        sources.shuffle(&mut rand::rng());
+        sources.sort_by_key(|(is_away, _)| *is_away);
+        sources.into_iter().map(|(_, address)| address).collect()
+    }
+
+    /// The addresses that callers may use: those of hosts that serve by a fresh view, this one
+    /// included, or where there is none, of hosts that serve by a stale one.
+    #[must_use]
+    pub fn callers_addresses(&self, own_phase: HostPhase, now: Instant) -> Vec<SocketAddr> {
+        let serving = self.addresses_in(HostPhase::Serving, own_phase, now);
+        if serving.is_empty() {
+            return self.addresses_in(HostPhase::Stale, own_phase, now);
+        }
+        serving
+    }
+
+    fn addresses_in(
+        &self,
+        phase: HostPhase,
+        own_phase: HostPhase,
+        now: Instant,
+    ) -> Vec<SocketAddr> {
+        let own = (own_phase == phase).then_some(self.own.callers_address);
+        let known = self.known.lock();
+        let others = known
+            .values()
+            .filter(|peer| self.is_believed(peer, now))
+            .filter(|peer| peer.state.phase == phase);
+        let others = others.map(|peer| peer.state.callers_address);
+        others.chain(own).collect()
+    }
+}
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -2,13 +2,17 @@
 
 use {
     super::{
-        COALESCE, Receivers,
-        message::{Datagram, Finding, HostPhase, PeerChange, PeerState},
+        COALESCE, Receivers, TOLD_RUNS, TOLD_UPSTREAMS,
+        message::{Datagram, Finding, HostPhase, PeerChange, PeerState, ServiceUse, UpstreamWork},
         snapshot::serve_snapshots,
         told::Told,
     },
-    crate::{runs::RunTrace, state::GatewayState, sync::take_news, view::Condition},
-    std::{net::SocketAddr, sync::Arc, time::Instant},
+    crate::{run_trace::RunTrace, state::GatewayState, sync::take_news, view::Condition},
+    std::{
+        net::SocketAddr,
+        sync::{Arc, atomic::Ordering},
+        time::Instant,
+    },
     tealshore_core::ids::HostId,
     tokio::{
         net::{TcpListener, UdpSocket},
@@ -43,7 +47,7 @@
             send_to_all(&socket, &Datagram::Upstreams(news), &fed).await;
         }
         let Receivers { heard, unheard } = state.peers.receivers(now);
-        let own = state.peers.own_state(&state, now);
+        let own = own_state(&state, now);
         log_phase(&state, told.phase(), own.phase, now);
         if told.is_whole_due(own.phase, now) {
             told.note_whole(&own, now);
@@ -61,6 +65,37 @@
     }
 }
 
+/// The whole state of this host.
+fn own_state(state: &GatewayState, now: Instant) -> PeerState {
+    let peers = &state.peers;
+    let all = state.view.upstreams.all();
+    let work = all.iter().filter_map(|upstream| {
+        let own = upstream.own_work();
+        let told = UpstreamWork {
+            upstream: upstream.record.id.clone(),
+            work: own,
+            condition: upstream.condition_here(now),
+        };
+        told.is_worth_telling().then_some(told)
+    });
+    let budgets = state.budget_use(now).into_iter();
+    let budgets = budgets.map(|(service, used)| ServiceUse { service, used });
+    PeerState {
+        host: peers.own.id.clone(),
+        hall: peers.own.hall.clone(),
+        callers_address: peers.own.callers_address,
+        peers_address: peers.options.address,
+        phase: state.phase(now),
+        incarnation: peers.incarnation,
+        sequence: peers.sequence.fetch_add(1, Ordering::Relaxed),
+        work: work.take(TOLD_UPSTREAMS).collect(),
+        watermark: state.own_watermark(),
+        budgets: budgets.collect(),
+        runs: state.runs.own(now).into_iter().take(TOLD_RUNS).collect(),
+        named: peers.some_names(),
+    }
+}
+
 /// Logs that this host began or ceased to take traffic, or to do so by a fresh view.
 fn log_phase(state: &GatewayState, before: Option<HostPhase>, phase: HostPhase, now: Instant) {
     if before == Some(phase) {
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -4,7 +4,7 @@
     crate::{
         budget::BudgetUse,
         feed::{StoreWatermark, UpstreamNews},
-        runs::RunTrace,
+        run_trace::RunTrace,
         view::{Condition, Work},
     },
     serde::{Deserialize, Serialize},
--- a/crates/gateway/src/peers/told.rs
+++ b/crates/gateway/src/peers/told.rs
@@ -3,7 +3,7 @@
 use {
     super::message::{HostPhase, PeerChange, PeerState, ServiceUse, UpstreamWork},
     crate::{
-        runs::{Fingerprint, RunTrace},
+        run_trace::{Fingerprint, RunTrace},
         view::{Condition, Work},
     },
     std::{
--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -4,15 +4,13 @@
 //! its run left behind: the copy, or else what the engine keeps of the prompt.
 
 use {
-    crate::edge::MemoryCopy,
+    crate::run_trace::{Fingerprint, RunTrace},
     parking_lot::Mutex,
-    serde::{Deserialize, Serialize},
     std::{
         collections::HashMap,
-        net::SocketAddr,
         time::{Duration, Instant},
     },
-    tealshore_core::ids::{EngineId, RequestId},
+    tealshore_core::ids::RequestId,
 };
 
 /// How long the copy of a run that ended is of use: engines keep copies for some seconds.
@@ -24,35 +22,6 @@
 /// The most runs that are remembered.
 const RUNS_BOUND: usize = 20_000;
 
-/// A digest of all that makes a request what it is, without the attempt's id.
-pub type Fingerprint = u64;
-
-/// Where a request ran last.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RunTrace {
-    /// The request's digest.
-    pub fingerprint: Fingerprint,
-    /// The attempt of the caller that it ran for.
-    pub request: RequestId,
-    /// The engine that ran it.
-    pub engine: EngineId,
-    /// The engine that holds a copy of the run's memory, with its address.
-    pub copy: Option<(EngineId, SocketAddr)>,
-}
-
-impl RunTrace {
-    /// The copy of the run's memory.
-    #[must_use]
-    pub fn memory_copy(&self) -> Option<MemoryCopy> {
-        let (upstream, address) = self.copy.clone()?;
-        Some(MemoryCopy {
-            upstream,
-            address,
-            name: self.request.clone(),
-        })
-    }
-}
-
 struct Kept {
     trace: RunTrace,
     /// When it was last known to run; none while it runs here.
--- a/crates/gateway/src/sync/runs.rs
+++ b/crates/gateway/src/sync/runs.rs
@@ -3,7 +3,7 @@
 
 use {
     super::Follower,
-    crate::{feed::FeederChoice, runs::RunTrace},
+    crate::{feed::FeederChoice, run_trace::RunTrace},
     std::time::{Duration, Instant},
     tokio::time::sleep,
 };
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -3,13 +3,15 @@
 mod configuration;
 mod freshness;
 mod load;
+mod upstream;
 mod upstreams;
 
 pub use {
     configuration::{Configuration, Customer, Engines, Limits, Route, RouteKind, Service, Target},
     freshness::Freshness,
     load::{ReportedLoad, UpstreamLoad},
-    upstreams::{Condition, Upstream, UpstreamRecord, UpstreamState, Upstreams, Work},
+    upstream::{Condition, Upstream, UpstreamRecord, UpstreamState, Work},
+    upstreams::Upstreams,
 };
 use {
     parking_lot::RwLock,
--- /dev/null
+++ b/crates/gateway/src/view/upstream.rs
@@ -0,0 +1,235 @@
+//! One upstream, with what this host has there and thinks of it.
+
+use {
+    super::load::{ReportedLoad, UpstreamLoad},
+    parking_lot::Mutex,
+    serde::{Deserialize, Serialize},
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+    tealshore_core::ids::{EngineId, HallId, ServiceId},
+    tokio::sync::Notify,
+};
+
+/// What one failed call adds to an upstream's failure score; good calls take it away.
+const FAILURE_WEIGHT: f64 = 0.2;
+/// How long an incarnation that was replaced gets none: far longer than it stays listed.
+const GONE_FOR_GOOD: Duration = Duration::from_secs(600);
+/// How long an incarnation gets none after a younger one was listed at its address: the
+/// platform takes its row away in less.
+const SUPERSEDED: Duration = Duration::from_secs(5);
+/// How long an upstream that seemed dead gets no new work.
+const SUSPICION: Duration = Duration::from_millis(1_500);
+
+/// Whether an upstream takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum UpstreamState {
+    /// It does.
+    Ready,
+    /// It finishes what it has and leaves.
+    Leaving,
+}
+
+/// What a host found of an upstream by itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Condition {
+    /// Nothing that speaks against it.
+    Sound,
+    /// It seems dead.
+    Suspected,
+    /// Another incarnation answered at its address.
+    Replaced,
+}
+
+/// One incarnation of an upstream as the store lists it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamRecord {
+    /// Names this incarnation.
+    pub id: EngineId,
+    /// The service that it is part of.
+    pub service: ServiceId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its hall.
+    pub hall: HallId,
+    /// How many requests it works on at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub state: UpstreamState,
+}
+
+/// What one or more hosts have at an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Work {
+    /// Requests.
+    pub running: u32,
+    /// Prompt tokens that were sent and probably not read yet.
+    pub unread_tokens: u64,
+    /// Tokens that the requests will hold in memory.
+    pub memory_tokens: u64,
+}
+
+impl Work {
+    /// Adds other work.
+    pub fn add(&mut self, other: Self) {
+        self.running += other.running;
+        self.unread_tokens += other.unread_tokens;
+        self.memory_tokens += other.memory_tokens;
+    }
+
+    /// Takes work away.
+    pub fn remove(&mut self, other: Self) {
+        self.running = self.running.saturating_sub(other.running);
+        self.unread_tokens = self.unread_tokens.saturating_sub(other.unread_tokens);
+        self.memory_tokens = self.memory_tokens.saturating_sub(other.memory_tokens);
+    }
+}
+
+#[derive(Default)]
+struct Opinion {
+    own: Work,
+    reported: ReportedLoad,
+    failure_score: f64,
+    suspected_until: Option<Instant>,
+    /// The suspicion came from a peer.
+    by_word: bool,
+    /// Another incarnation answered at its address.
+    replaced: bool,
+}
+
+/// An upstream and what this host thinks of it.
+pub struct Upstream {
+    /// What the store lists.
+    pub record: UpstreamRecord,
+    /// When this host first saw it listed.
+    pub(super) listed: Instant,
+    opinion: Mutex<Opinion>,
+    suspicion: Notify,
+}
+
+impl Upstream {
+    pub(super) fn new(record: UpstreamRecord, listed: Instant) -> Self {
+        Self {
+            record,
+            listed,
+            opinion: Mutex::default(),
+            suspicion: Notify::new(),
+        }
+    }
+
+    /// What this host has there.
+    pub fn own_work(&self) -> Work {
+        self.opinion.lock().own
+    }
+
+    /// Notes work that begins there.
+    pub fn begin(&self, work: Work) {
+        self.opinion.lock().own.add(work);
+    }
+
+    /// Notes work that ended there.
+    pub fn end(&self, work: Work) {
+        self.opinion.lock().own.remove(work);
+    }
+
+    /// Records the load that it reported in an answer.
+    pub fn record_load(&self, load: UpstreamLoad, reported: Instant) {
+        self.opinion.lock().reported.record(load, reported);
+    }
+
+    /// The requests per slot that it reported and that are still to be expected there.
+    pub fn reported_per_slot(&self, now: Instant) -> f64 {
+        self.opinion.lock().reported.per_slot(now)
+    }
+
+    /// Notes how a call there ended.
+    pub fn note_outcome(&self, failed: bool) {
+        let mut opinion = self.opinion.lock();
+        let outcome = f64::from(u8::from(failed));
+        opinion.failure_score += (outcome - opinion.failure_score) * FAILURE_WEIGHT;
+    }
+
+    /// The share of recent calls that failed, 0 to 1.
+    pub fn failure_score(&self) -> f64 {
+        self.opinion.lock().failure_score
+    }
+
+    /// Notes that it seems dead, and wakes all that wait for it; whether that is news.
+    pub fn suspect(&self, now: Instant) -> bool {
+        self.suspect_as(now, false)
+    }
+
+    /// Notes that another incarnation has its address, so that it never comes back.
+    pub fn gone_for_good(&self, now: Instant) {
+        self.replaced_as(now, false);
+    }
+
+    /// Notes that a younger incarnation is listed at its address.
+    pub(super) fn superseded(&self, now: Instant) {
+        let mut opinion = self.opinion.lock();
+        opinion.suspected_until = opinion.suspected_until.max(Some(now + SUPERSEDED));
+        drop(opinion);
+        self.suspicion.notify_waiters();
+    }
+
+    /// Notes that a peer found another incarnation at its address; whether that is news.
+    pub fn replaced_by_word(&self, now: Instant) -> bool {
+        self.replaced_as(now, true)
+    }
+
+    fn replaced_as(&self, now: Instant, by_word: bool) -> bool {
+        let mut opinion = self.opinion.lock();
+        if opinion.replaced {
+            return false;
+        }
+        opinion.replaced = true;
+        opinion.by_word = by_word;
+        opinion.suspected_until = Some(now + GONE_FOR_GOOD);
+        drop(opinion);
+        self.suspicion.notify_waiters();
+        true
+    }
+
+    /// Notes that it seems dead to a peer; whether that is news.
+    pub fn suspect_by_word(&self, now: Instant) -> bool {
+        self.suspect_as(now, true)
+    }
+
+    fn suspect_as(&self, now: Instant, by_word: bool) -> bool {
+        let mut opinion = self.opinion.lock();
+        let is_news = opinion.suspected_until.is_none_or(|until| until <= now);
+        let until = now + SUSPICION;
+        opinion.suspected_until = opinion.suspected_until.max(Some(until));
+        if !opinion.replaced {
+            opinion.by_word = by_word;
+        }
+        drop(opinion);
+        if is_news {
+            self.suspicion.notify_waiters();
+        }
+        is_news
+    }
+
+    /// Whether it seemed dead a short time ago.
+    pub fn is_suspected(&self, now: Instant) -> bool {
+        let until = self.opinion.lock().suspected_until;
+        until.is_some_and(|until| until > now)
+    }
+
+    /// What this host itself found of it a short time ago.
+    pub fn condition_here(&self, now: Instant) -> Condition {
+        let opinion = self.opinion.lock();
+        let is_suspected = opinion.suspected_until.is_some_and(|until| until > now);
+        match (is_suspected && !opinion.by_word, opinion.replaced) {
+            (false, _) => Condition::Sound,
+            (true, false) => Condition::Suspected,
+            (true, true) => Condition::Replaced,
+        }
+    }
+
+    /// Ends when somebody finds that it seems dead.
+    pub async fn suspected(&self) {
+        self.suspicion.notified().await;
+    }
+}
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -14,7 +14,7 @@
         budget::BudgetUse,
         options::GatewayOptions,
         peers::{Datagram, HostPhase, PeerState, Peers, ServiceUse, Told, UpstreamWork},
-        runs::RunTrace,
+        run_trace::RunTrace,
         view::{Condition, Work},
     },
 };
--- a/crates/gateway/tests/runs.rs
+++ b/crates/gateway/tests/runs.rs
@@ -6,10 +6,7 @@
 
 use {
     std::time::{Duration, Instant},
-    tealshore_gateway::{
-        read_rate::ReadRate,
-        runs::{RunTrace, Runs},
-    },
+    tealshore_gateway::{read_rate::ReadRate, run_trace::RunTrace, runs::Runs},
 };
 
 fn trace(fingerprint: u64, request: &str, engine: &str) -> RunTrace {
