Use the field's words for what hosts apply, observe and hear from peers

Cause: note_ stood for three things, take_in for applying a change, "by word" for hearing from a peer, Sound for healthy; a newcomer had to learn them.

Change: apply_configuration, apply_rows and their like; observe_ for histograms; from_peer; Condition::Healthy; back_off; host_share and equal_share of the retry budget.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -106,7 +106,7 @@
 
 fn has_room(candidate: &Candidate, need: Need<'_>) -> bool {
     match need {
-        Need::Call { hosts } => candidate.work.running < own_part(candidate.slots, hosts),
+        Need::Call { hosts } => candidate.work.running < host_share(candidate.slots, hosts),
         Need::Prompt {
             memory_tokens,
             engine_memory_tokens,
@@ -138,7 +138,7 @@
 /// How many calls one host has at an upstream at once: its part of the slots and of a short
 /// queue. Past it a call waits here, where it can still go to another upstream; upstreams
 /// reset connections that are too many, and a call lost so may have run.
-fn own_part(slots: u32, hosts: usize) -> u32 {
+fn host_share(slots: u32, hosts: usize) -> u32 {
     let hosts = u32::try_from(hosts.max(1)).unwrap_or(u32::MAX);
     let queued = slots.saturating_mul(QUEUE_PERCENT) / 100;
     queued.div_ceil(hosts).max(LEAST_PART)
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -103,7 +103,7 @@
 
     /// Takes one repeat, where this host's own part allows it, or what the others leave over.
     pub fn take(&mut self, now: Instant, pool: &Pool) -> bool {
-        let is_allowed = self.own_part_allows(now, pool) || self.pool_allows(now, pool);
+        let is_allowed = self.host_share_allows(now, pool) || self.pool_allows(now, pool);
         if !is_allowed && enabled(Protection::RetryBudget) {
             return false;
         }
@@ -132,7 +132,7 @@
         used
     }
 
-    fn own_part_allows(&mut self, now: Instant, pool: &Pool) -> bool {
+    fn host_share_allows(&mut self, now: Instant, pool: &Pool) -> bool {
         let own = self.used(now);
         let slack = self.bounds.slack / to_f64(pool.hosts);
         f64::from(own.repeats) + 1.0 <= self.allowed(own.requests, slack)
@@ -149,8 +149,8 @@
         whole.add(pool.used);
         let slack = self.bounds.slack * members / to_f64(pool.hosts);
         let left = self.allowed(whole.requests, slack) - f64::from(whole.repeats);
-        let equal_part = (left / to_f64(pool.hosts)).floor();
-        f64::from(self.repeats_since_news(now)) + 1.0 <= equal_part
+        let equal_share = (left / to_f64(pool.hosts)).floor();
+        f64::from(self.repeats_since_news(now)) + 1.0 <= equal_share
     }
 
     /// Repeats in the cell that runs and in the one before it: a cell is as long as a
--- a/crates/gateway/src/forward/plain.rs
+++ b/crates/gateway/src/forward/plain.rs
@@ -256,7 +256,7 @@
         }
         if self.sends == 0 {
             let waited = self.call.received.elapsed();
-            self.state.metrics.note_queued("call", waited);
+            self.state.metrics.observe_queue("call", waited);
         }
         self.sends += 1;
         self.arrivals += 1;
--- a/crates/gateway/src/forward/stream/place.rs
+++ b/crates/gateway/src/forward/stream/place.rs
@@ -70,7 +70,7 @@
             if let Err(failure) = self.check_time_left() {
                 return Err(self.refusal(failure.kind, &failure.detail));
             }
-            self.let_news_pass().await;
+            self.back_off().await;
             let Some(chosen) = self.choose() else {
                 if began.elapsed() > self.call.route.objective / ROOM_PART {
                     let detail = "no engine has room for the stream";
@@ -94,7 +94,7 @@
             }
             if self.sends == 0 {
                 let waited = self.call.received.elapsed();
-                self.state.metrics.note_queued("stream", waited);
+                self.state.metrics.observe_queue("stream", waited);
             }
             self.sends += 1;
             match self.try_place(chosen).await {
@@ -113,7 +113,7 @@
     /// Waits a moment before a stream that lost its engine is placed anew, unless it goes on
     /// from a copy. All hosts lose streams in the instant in which a hall dies; without the
     /// pause they would all send them to the engines that are idle just then.
-    async fn let_news_pass(&self) {
+    async fn back_off(&self) {
         if self.sends == 0 || self.copy.is_some() {
             return;
         }
@@ -217,7 +217,7 @@
         };
         if try_here.go_on_from.is_none() {
             let service = &self.call.service;
-            self.state.note_read(service, to_read, asked.elapsed());
+            self.state.observe_read(service, to_read, asked.elapsed());
         }
         self.note_running(&upstream, try_here.copy_to.as_deref());
         self.attempt = Some(Attempt {
--- a/crates/gateway/src/forward/stream/relay.rs
+++ b/crates/gateway/src/forward/stream/relay.rs
@@ -62,8 +62,8 @@
         loop {
             match self.next_step().await {
                 Step::Event(event) => {
-                    self.note_resumed();
-                    self.note_pause();
+                    self.observe_resume();
+                    self.observe_pause();
                     if sender.send(Ok(Frame::data(event.bytes))).await.is_err() {
                         return RelayEnd::CallerGone;
                     }
@@ -108,7 +108,7 @@
         } else {
             "stream"
         };
-        self.state.metrics.note_first_byte(kind, waited);
+        self.state.metrics.observe_first_byte(kind, waited);
         log::info!(
             "stream: first event request={} upstream={} id={:?} age_ms={}",
             self.call.id(),
@@ -132,7 +132,7 @@
     }
 
     /// Notes how long the caller waited since the event before.
-    fn note_pause(&mut self) {
+    fn observe_pause(&mut self) {
         let now = Instant::now();
         self.first_passed_at.get_or_insert(now);
         if let Some(before) = self.passed_at.replace(now) {
@@ -144,7 +144,7 @@
         }
     }
 
-    fn note_resumed(&mut self) {
+    fn observe_resume(&mut self) {
         if let Some(lost) = self.lost_at.take() {
             let waited = lost.elapsed().as_secs_f64();
             self.state.metrics.resume_seconds.observe(waited);
@@ -236,7 +236,7 @@
         let outcome = end.name();
         if is_whole {
             let took = self.call.received.elapsed();
-            self.state.metrics.note_whole("stream", took);
+            self.state.metrics.observe_whole("stream", took);
             self.record_pace();
         }
         self.state
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -137,21 +137,21 @@
     }
 
     /// Notes how long a request waited for the first byte of its answer.
-    pub fn note_first_byte(&self, kind: &str, waited: Duration) {
+    pub fn observe_first_byte(&self, kind: &str, waited: Duration) {
         self.first_byte_seconds
             .with_label_values(&[kind])
             .observe(waited.as_secs_f64());
     }
 
     /// Notes how long a request waited for its first send to an upstream.
-    pub fn note_queued(&self, kind: &str, waited: Duration) {
+    pub fn observe_queue(&self, kind: &str, waited: Duration) {
         self.queue_seconds
             .with_label_values(&[kind])
             .observe(waited.as_secs_f64());
     }
 
     /// Notes how long a request took to the end of its answer.
-    pub fn note_whole(&self, kind: &str, took: Duration) {
+    pub fn observe_whole(&self, kind: &str, took: Duration) {
         self.whole_seconds
             .with_label_values(&[kind])
             .observe(took.as_secs_f64());
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -210,7 +210,7 @@
     }
 
     /// Takes in a datagram; what its sender found of upstreams that are not sound.
-    pub fn take_in(&self, state: PeerState, now: Instant) -> Vec<Finding> {
+    pub fn apply_state(&self, state: PeerState, now: Instant) -> Vec<Finding> {
         if state.host == self.own.id {
             return Vec::new();
         }
@@ -243,7 +243,7 @@
     }
 
     /// Takes in what changed of a peer's state; what it found of upstreams that are not sound.
-    pub fn take_in_change(&self, change: PeerChange, now: Instant) -> Vec<Finding> {
+    pub fn apply_change(&self, change: PeerChange, now: Instant) -> Vec<Finding> {
         let mut known = self.known.lock();
         let Some(peer) = known.get_mut(&change.host) else {
             return Vec::new();
@@ -333,7 +333,7 @@
 fn findings(work: &[UpstreamWork]) -> Vec<Finding> {
     let unsound = work
         .iter()
-        .filter(|entry| entry.condition != Condition::Sound);
+        .filter(|entry| entry.condition != Condition::Healthy);
     let findings = unsound.map(|entry| Finding {
         upstream: entry.upstream.clone(),
         condition: entry.condition,
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -7,7 +7,7 @@
         snapshot::serve_snapshots,
         told::Told,
     },
-    crate::{run_trace::RunTrace, state::GatewayState, sync::take_news, view::Condition},
+    crate::{run_trace::RunTrace, state::GatewayState, sync::apply_news, view::Condition},
     std::{
         net::SocketAddr,
         sync::{Arc, atomic::Ordering},
@@ -130,25 +130,25 @@
             continue;
         };
         match postcard::from_bytes::<Datagram>(&buffer[..length]) {
-            Ok(Datagram::State(peer)) => take_in_state(&state, *peer),
-            Ok(Datagram::Change(change)) => take_in_change(&state, change),
-            Ok(Datagram::Upstreams(news)) => take_news(&state, news),
+            Ok(Datagram::State(peer)) => apply_state(&state, *peer),
+            Ok(Datagram::Change(change)) => apply_change(&state, change),
+            Ok(Datagram::Upstreams(news)) => apply_news(&state, news),
             Err(_) => log::warn!("peers: datagram unreadable bytes={length}"),
         }
     }
 }
 
-fn take_in_state(state: &GatewayState, mut peer: PeerState) {
+fn apply_state(state: &GatewayState, mut peer: PeerState) {
     let sender = peer.host.clone();
     let runs = std::mem::take(&mut peer.runs);
-    let findings = state.peers.take_in(peer, Instant::now());
+    let findings = state.peers.apply_state(peer, Instant::now());
     note_told(state, &sender, runs, &findings);
 }
 
-fn take_in_change(state: &GatewayState, mut change: PeerChange) {
+fn apply_change(state: &GatewayState, mut change: PeerChange) {
     let sender = change.host.clone();
     let runs = std::mem::take(&mut change.runs);
-    let findings = state.peers.take_in_change(change, Instant::now());
+    let findings = state.peers.apply_change(change, Instant::now());
     note_told(state, &sender, runs, &findings);
 }
 
@@ -175,9 +175,9 @@
         return;
     };
     let is_news = match finding.condition {
-        Condition::Sound => false,
-        Condition::Suspected => !upstream.is_suspected(now) && upstream.suspect_by_word(now),
-        Condition::Replaced => upstream.replaced_by_word(now),
+        Condition::Healthy => false,
+        Condition::Suspected => !upstream.is_suspected(now) && upstream.suspect_for_peer(now),
+        Condition::Replaced => upstream.replaced_for_peer(now),
     };
     if is_news {
         log::debug!(
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -40,7 +40,7 @@
     /// Whether it says anything.
     #[must_use]
     pub fn is_worth_telling(&self) -> bool {
-        self.condition != Condition::Sound || self.work.memory_tokens > 0
+        self.condition != Condition::Healthy || self.work.memory_tokens > 0
     }
 }
 
--- a/crates/gateway/src/peers/told.rs
+++ b/crates/gateway/src/peers/told.rs
@@ -95,7 +95,7 @@
         let ended = ended.map(|id| UpstreamWork {
             upstream: id.clone(),
             work: Work::default(),
-            condition: Condition::Sound,
+            condition: Condition::Healthy,
         });
         let changed = now
             .iter()
--- a/crates/gateway/src/serve/ingress.rs
+++ b/crates/gateway/src/serve/ingress.rs
@@ -288,8 +288,8 @@
     state.metrics.outcomes.with_label_values(&[outcome]).inc();
     // A plain answer is taken in whole before it is passed on.
     let took = call.received.elapsed();
-    state.metrics.note_first_byte("call", took);
-    state.metrics.note_whole("call", took);
+    state.metrics.observe_first_byte("call", took);
+    state.metrics.observe_whole("call", took);
     log::info!(
         "call: end request={} route={} outcome={outcome} status={} age_ms={} configuration={}",
         call.id(),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -169,7 +169,7 @@
     }
 
     /// Notes how long a stream waited for its first event.
-    pub fn note_read(&self, service: &ServiceId, tokens: u64, wait: Duration) {
+    pub fn observe_read(&self, service: &ServiceId, tokens: u64, wait: Duration) {
         let mut rates = self.read_rates.lock();
         let rate = rates.entry(service.clone()).or_default();
         rate.observe(tokens, wait);
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -1,14 +1,14 @@
 //! Keeps the view in step with the platform's store: reads each set of rows whole, then is
 //! fed by another host or watches the set itself; after any doubt it reads the set whole again.
 
+mod apply;
 mod calls;
 mod follow;
 mod from_peers;
 mod hosts;
 mod runs;
-mod take_in;
 
-pub use take_in::take_news;
+pub use apply::apply_news;
 use {
     crate::{
         edge::{Page, Revision, RowSet, StoreRefusal, StoreTime},
@@ -117,8 +117,8 @@
             let rows = page.changes.iter().map(|(revision, _)| *revision);
             newest_row = rows.max().unwrap_or_default().max(newest_row);
             let (revision, written) = *first.get_or_insert((page.revision, written));
-            present.extend(page.changes.iter().filter_map(take_in::upstream_of));
-            self.take_in(page.changes);
+            present.extend(page.changes.iter().filter_map(apply::upstream_of));
+            self.apply_rows(page.changes);
             after_key = page.next_key;
             if after_key.is_none() {
                 let gone = self.finish_whole(revision, written, &present);
--- a/crates/gateway/src/sync/take_in.rs
+++ b/crates/gateway/src/sync/apply.rs
@@ -13,18 +13,18 @@
 };
 
 impl Follower {
-    pub(super) fn take_in(&self, changes: Vec<(Revision, Change)>) {
+    pub(super) fn apply_rows(&self, changes: Vec<(Revision, Change)>) {
         for (revision, change) in changes {
-            self.take_in_one(revision, change);
+            self.apply_row(revision, change);
         }
     }
 
-    fn take_in_one(&self, revision: Revision, change: Change) {
+    fn apply_row(&self, revision: Revision, change: Change) {
         match change {
             Change::Configuration(configuration) => {
-                take_in_configuration(&self.state, revision, *configuration);
+                apply_configuration(&self.state, revision, *configuration);
             }
-            Change::Upstream(change) => take_in_upstream(&self.state, revision, change),
+            Change::Upstream(change) => apply_upstream(&self.state, revision, change),
             Change::Host(host) => self.state.peers.add(&host),
             Change::Runs(runs) => {
                 let now = Instant::now();
@@ -43,7 +43,7 @@
 }
 
 /// Takes in what a feeder sends on, unless changes before it were missed.
-pub fn take_news(state: &GatewayState, news: UpstreamNews) {
+pub fn apply_news(state: &GatewayState, news: UpstreamNews) {
     if !state.feed.knows(RowSet::Upstreams, news.after) {
         log::debug!(
             "feed: gap set=upstreams after={} known={:?}",
@@ -53,7 +53,7 @@
         return;
     }
     for (revision, change) in news.changes {
-        take_in_upstream(state, revision, change);
+        apply_upstream(state, revision, change);
     }
     let watermark = SetWatermark {
         revision: news.revision,
@@ -77,7 +77,7 @@
     }
 }
 
-pub(super) fn take_in_configuration(state: &GatewayState, revision: Revision, new: Configuration) {
+pub(super) fn apply_configuration(state: &GatewayState, revision: Revision, new: Configuration) {
     let version = new.version;
     let routes = new.route_count();
     let keys = new.customers.len();
@@ -91,7 +91,7 @@
     );
 }
 
-pub(super) fn take_in_upstream(state: &GatewayState, revision: Revision, change: UpstreamChange) {
+pub(super) fn apply_upstream(state: &GatewayState, revision: Revision, change: UpstreamChange) {
     let upstreams = &state.view.upstreams;
     match change {
         UpstreamChange::Listed(record) => {
--- a/crates/gateway/src/sync/follow.rs
+++ b/crates/gateway/src/sync/follow.rs
@@ -180,7 +180,7 @@
             written: written.store_time,
         };
         let news = self.news(after, page.revision, &page.changes);
-        self.take_in(page.changes);
+        self.apply_rows(page.changes);
         self.state.feed.advance(self.set, watermark);
         self.confirm(written.moment);
         self.note_regained();
--- a/crates/gateway/src/sync/from_peers.rs
+++ b/crates/gateway/src/sync/from_peers.rs
@@ -4,7 +4,7 @@
 use {
     super::{
         Follower,
-        take_in::{take_in_configuration, take_in_upstream},
+        apply::{apply_configuration, apply_upstream},
     },
     crate::{
         connection::{CallBounds, short_call},
@@ -84,11 +84,11 @@
         feed.observe_peer(store_time, asked, Instant::now());
         match rows {
             SnapshotRows::Configuration(configuration) => {
-                take_in_configuration(&self.state, watermark.revision, configuration);
+                apply_configuration(&self.state, watermark.revision, configuration);
             }
             SnapshotRows::Upstreams(rows) => {
                 for (revision, record) in rows {
-                    take_in_upstream(&self.state, revision, UpstreamChange::Listed(record));
+                    apply_upstream(&self.state, revision, UpstreamChange::Listed(record));
                 }
             }
         }
--- a/crates/gateway/src/view/upstream.rs
+++ b/crates/gateway/src/view/upstream.rs
@@ -35,7 +35,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Condition {
     /// Nothing that speaks against it.
-    Sound,
+    Healthy,
     /// It seems dead.
     Suspected,
     /// Another incarnation answered at its address.
@@ -93,7 +93,7 @@
     failure_score: f64,
     suspected_until: Option<Instant>,
     /// The suspicion came from a peer.
-    by_word: bool,
+    from_peer: bool,
     /// Another incarnation answered at its address.
     replaced: bool,
 }
@@ -174,17 +174,17 @@
     }
 
     /// Notes that a peer found another incarnation at its address; whether that is news.
-    pub fn replaced_by_word(&self, now: Instant) -> bool {
+    pub fn replaced_for_peer(&self, now: Instant) -> bool {
         self.replaced_as(now, true)
     }
 
-    fn replaced_as(&self, now: Instant, by_word: bool) -> bool {
+    fn replaced_as(&self, now: Instant, from_peer: bool) -> bool {
         let mut opinion = self.opinion.lock();
         if opinion.replaced {
             return false;
         }
         opinion.replaced = true;
-        opinion.by_word = by_word;
+        opinion.from_peer = from_peer;
         opinion.suspected_until = Some(now + GONE_FOR_GOOD);
         drop(opinion);
         self.suspicion.notify_waiters();
@@ -192,17 +192,17 @@
     }
 
     /// Notes that it seems dead to a peer; whether that is news.
-    pub fn suspect_by_word(&self, now: Instant) -> bool {
+    pub fn suspect_for_peer(&self, now: Instant) -> bool {
         self.suspect_as(now, true)
     }
 
-    fn suspect_as(&self, now: Instant, by_word: bool) -> bool {
+    fn suspect_as(&self, now: Instant, from_peer: bool) -> bool {
         let mut opinion = self.opinion.lock();
         let is_news = opinion.suspected_until.is_none_or(|until| until <= now);
         let until = now + SUSPICION;
         opinion.suspected_until = opinion.suspected_until.max(Some(until));
         if !opinion.replaced {
-            opinion.by_word = by_word;
+            opinion.from_peer = from_peer;
         }
         drop(opinion);
         if is_news {
@@ -221,8 +221,8 @@
     pub fn condition_here(&self, now: Instant) -> Condition {
         let opinion = self.opinion.lock();
         let is_suspected = opinion.suspected_until.is_some_and(|until| until > now);
-        match (is_suspected && !opinion.by_word, opinion.replaced) {
-            (false, _) => Condition::Sound,
+        match (is_suspected && !opinion.from_peer, opinion.replaced) {
+            (false, _) => Condition::Healthy,
             (true, false) => Condition::Suspected,
             (true, true) => Condition::Replaced,
         }
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -30,7 +30,7 @@
         condition: if *suspected {
             Condition::Suspected
         } else {
-            Condition::Sound
+            Condition::Healthy
         },
     };
     PeerState {
@@ -114,7 +114,7 @@
     let passed = BTreeMap::from([(1, (8_000, false))]);
     let third = told.change(&state(3, &passed, 0));
     assert_eq!(third.work.len(), 1);
-    assert_eq!(third.work[0].condition, Condition::Sound);
+    assert_eq!(third.work[0].condition, Condition::Healthy);
 }
 
 #[test]
@@ -165,13 +165,13 @@
     assert_eq!(peers.callers_addresses(HostPhase::Stale, now), own);
     assert!(peers.callers_addresses(HostPhase::Starting, now).is_empty());
     peer.phase = HostPhase::Stale;
-    peers.take_in(peer.clone(), now);
+    peers.apply_state(peer.clone(), now);
     assert_eq!(peers.callers_addresses(HostPhase::Serving, now), own);
     assert_eq!(peers.callers_addresses(HostPhase::Stale, now).len(), 2);
     peer.phase = HostPhase::Serving;
     peer.sequence += 1;
     let other = vec![peer.callers_address];
-    peers.take_in(peer, now);
+    peers.apply_state(peer, now);
     assert_eq!(peers.callers_addresses(HostPhase::Stale, now), other);
     assert_eq!(peers.callers_addresses(HostPhase::Leaving, now), other);
 }
--- a/crates/gateway/tests/view.rs
+++ b/crates/gateway/tests/view.rs
@@ -166,9 +166,9 @@
     view.upstreams.put(1, record("e", UpstreamState::Ready));
     let upstream = view.upstreams.get(&"e".to_owned()).unwrap();
     let now = Instant::now();
-    assert!(upstream.suspect_by_word(now));
+    assert!(upstream.suspect_for_peer(now));
     assert!(upstream.is_suspected(now));
-    assert_eq!(upstream.condition_here(now), Condition::Sound);
+    assert_eq!(upstream.condition_here(now), Condition::Healthy);
 }
 
 #[test]
@@ -177,11 +177,11 @@
     view.upstreams.put(1, record("e", UpstreamState::Ready));
     let upstream = view.upstreams.get(&"e".to_owned()).unwrap();
     let now = Instant::now();
-    assert!(upstream.replaced_by_word(now));
-    assert!(!upstream.replaced_by_word(now));
+    assert!(upstream.replaced_for_peer(now));
+    assert!(!upstream.replaced_for_peer(now));
     // It is another one for good, unlike one that only seems dead.
     assert!(upstream.is_suspected(now + Duration::from_secs(60)));
-    assert_eq!(upstream.condition_here(now), Condition::Sound);
+    assert_eq!(upstream.condition_here(now), Condition::Healthy);
     let met = view.upstreams.put(2, record("f", UpstreamState::Ready));
     assert!(met);
     let met = view.upstreams.get(&"f".to_owned()).unwrap();
