Take the load that upstreams report out of the choice again

Cause: a mechanism that is worth nothing is to be removed. The load that some services append to their answers counted in the choice of an upstream for a call.

Change: the decoding, the type and its use are gone, with their tests, which tested nothing else. The header stays in the adapter's table, as one that upstreams say.

Conclusion: removed.

--- a/crates/core/src/protection.rs
+++ b/crates/core/src/protection.rs
@@ -46,6 +46,10 @@
     BodyTimeout,
     /// What another host tells of the store is as old as the store's own time says.
     RelayedAge,
+    /// What only tealshore may say to an upstream is taken out of a caller's headers.
+    ReservedHeaders,
+    /// Callers are not sent to hosts with a stale view while others have a fresh one.
+    FreshAddresses,
 }
 
 impl Protection {
@@ -73,6 +77,8 @@
             Self::RetryBudget => "retry-budget",
             Self::BodyTimeout => "body-timeout",
             Self::RelayedAge => "relayed-age",
+            Self::ReservedHeaders => "reserved-headers",
+            Self::FreshAddresses => "fresh-addresses",
         }
     }
 }
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -42,8 +42,6 @@
     pub work: Work,
     /// How many requests it works on at once.
     pub slots: u32,
-    /// The requests per slot that it reported itself, less those that will have ended by now.
-    pub reported_per_slot: f64,
     /// The share of recent calls that failed.
     pub failure_score: f64,
     /// Whether it seemed dead a short time ago.
@@ -150,9 +148,7 @@
     let failures = candidate.failure_score * FAILURE_COST;
     match need {
         Need::Call { .. } => {
-            let known = running / f64::from(candidate.slots.max(1));
-            // What it reported includes what is known here.
-            let busy = known.max(candidate.reported_per_slot);
+            let busy = running / f64::from(candidate.slots.max(1));
             let away = if is_away { OTHER_HALL_COST } else { 0.0 };
             busy + away + failures + candidate.draw * JITTER
         }
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -5,7 +5,7 @@
 use {
     crate::{
         run_trace::{MemoryCopy, RunTrace},
-        view::{Configuration, UpstreamLoad, UpstreamRecord},
+        view::{Configuration, UpstreamRecord},
     },
     bytes::Bytes,
     http::{HeaderMap, Request, Response, StatusCode, request, response},
@@ -84,8 +84,6 @@
     pub not_run: bool,
     /// It carries the upstream's signature.
     pub signed: bool,
-    /// The load that the upstream reports of itself, where it does.
-    pub load: Option<UpstreamLoad>,
 }
 
 /// What an upstream reports of itself and of one request. The report is some hundred
--- a/crates/gateway/src/forward/connect.rs
+++ b/crates/gateway/src/forward/connect.rs
@@ -11,7 +11,7 @@
     http_body_util::Full,
     hyper::{body::Incoming, client::conn::http1},
     hyper_util::rt::TokioIo,
-    std::time::{Duration, Instant},
+    std::time::Duration,
     tealshore_core::protection::{Protection, enabled},
     tokio::{net::TcpStream, time::timeout},
 };
@@ -87,9 +87,6 @@
     let answer = sender.send_request(request).await;
     let (head, body) = answer.map_err(|_| SendFailure::Unanswered)?.into_parts();
     let facts = state.protocol.read_answer(&head);
-    if let Some(load) = facts.load {
-        upstream.record_load(load, Instant::now());
-    }
     let is_foreign = facts.request.as_deref() != Some(id) && !facts.not_run;
     if is_foreign && enabled(Protection::AnswerIdentity) {
         return Err(SendFailure::ForeignAnswer);
--- a/crates/gateway/src/peers/addresses.rs
+++ b/crates/gateway/src/peers/addresses.rs
@@ -5,6 +5,7 @@
     crate::edge::{Revision, RowSet},
     rand::seq::SliceRandom,
     std::{net::SocketAddr, time::Instant},
+    tealshore_core::protection::{Protection, enabled},
 };
 
 /// Which other hosts are asked for a set of rows.
@@ -58,7 +59,7 @@
     #[must_use]
     pub fn callers_addresses(&self, own_phase: HostPhase, now: Instant) -> Vec<SocketAddr> {
         let serving = self.addresses_in(HostPhase::Serving, own_phase, now);
-        if serving.is_empty() {
+        if serving.is_empty() || !enabled(Protection::FreshAddresses) {
             return self.addresses_in(HostPhase::Stale, own_phase, now);
         }
         serving
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -271,7 +271,6 @@
                     hall: upstream.record.hall.clone(),
                     work,
                     slots: upstream.record.slots,
-                    reported_per_slot: upstream.reported_per_slot(now),
                     failure_score: upstream.failure_score(),
                     suspected: upstream.is_suspected(now),
                     draw: match affinity {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -2,14 +2,12 @@
 
 mod configuration;
 mod freshness;
-mod load;
 mod upstream;
 mod upstreams;
 
 pub use {
     configuration::{Configuration, Customer, Engines, Limits, Route, RouteKind, Service, Target},
     freshness::Freshness,
-    load::{ReportedLoad, UpstreamLoad},
     upstream::{Condition, Upstream, UpstreamRecord, UpstreamState, Work},
     upstreams::Upstreams,
 };
--- a/crates/gateway/src/view/upstream.rs
+++ b/crates/gateway/src/view/upstream.rs
@@ -1,7 +1,6 @@
 //! One upstream, with what this host has there and thinks of it.
 
 use {
-    super::load::{ReportedLoad, UpstreamLoad},
     parking_lot::Mutex,
     serde::{Deserialize, Serialize},
     std::{
@@ -89,7 +88,6 @@
 #[derive(Default)]
 struct Opinion {
     own: Work,
-    reported: ReportedLoad,
     failure_score: f64,
     suspected_until: Option<Instant>,
     /// The suspicion came from a peer.
@@ -133,16 +131,6 @@
         self.opinion.lock().own.remove(work);
     }
 
-    /// Records the load that it reported in an answer.
-    pub fn record_load(&self, load: UpstreamLoad, reported: Instant) {
-        self.opinion.lock().reported.record(load, reported);
-    }
-
-    /// The requests per slot that it reported and that are still to be expected there.
-    pub fn reported_per_slot(&self, now: Instant) -> f64 {
-        self.opinion.lock().reported.per_slot(now)
-    }
-
     /// Notes how a call there ended.
     pub fn note_outcome(&self, failed: bool) {
         let mut opinion = self.opinion.lock();
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -158,6 +158,7 @@
 
 #[test]
 fn callers_are_sent_to_stale_hosts_only_where_no_host_has_a_fresh_view() {
+    tealshore_core::protection::start();
     let peers = peers();
     let now = Instant::now();
     let mut peer = state(1, &BTreeMap::new(), 0);
