--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -24,7 +24,7 @@
     },
 };
 pub use {
-    choice::{Contender, FeederChoice, choose_feeder, group_of, ranks_first},
+    choice::{Contender, FeederChoice, GROUP_HOSTS, choose_feeder, hosts_before, rank},
     clock::StoreClockFloor,
     progress::SetProgress,
 };
@@ -33,6 +33,10 @@
 /// off from the store is noticed after this; with the call that follows, it stays well below
 /// the time after which a leaving upstream gets no new work and a configuration is in force.
 pub const FED_BOUND: Duration = Duration::from_millis(1_200);
+/// The age past which the host that ranks second does so: it takes over before all others, which
+/// would else call the store in the same instant. A watermark is told each 500 ms and reaches the
+/// last host some 200 ms later.
+pub const DEPUTY_BOUND: Duration = Duration::from_millis(850);
 
 /// How far a host's knowledge of one set goes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -103,11 +107,15 @@
             .map_or_else(SetProgress::default, |progress| *progress.lock())
     }
 
-    /// Notes that a set is known as of a version, with whether that brought changes.
-    pub fn advance(&self, set: RowSet, watermark: SetWatermark) {
-        if let Some(progress) = self.set(set) {
-            progress.lock().advance(watermark);
-        }
+    /// Notes that a set is known as another watermark says; whether that is more than before.
+    pub fn advance(&self, set: RowSet, watermark: SetWatermark) -> bool {
+        let Some(progress) = self.set(set) else {
+            return false;
+        };
+        let mut progress = progress.lock();
+        let before = progress.watermark();
+        progress.advance(watermark);
+        progress.watermark() != before
     }
 
     /// Whether changes after a version would leave no gap.
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -24,7 +24,10 @@
     http::Response,
     place::Opened,
     recopy::Recopy,
-    std::{sync::Arc, time::Instant},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     tealshore_core::{
         answer::{ErrorKind, Failure},
         http::Body,
@@ -33,6 +36,10 @@
     tokio::time::timeout_at,
 };
 
+/// How long a stream that goes on waits, at a host that has just started, until that host knows
+/// where streams ran: without the copy its whole prompt is read again, a second or more.
+const RESTORE_PATIENCE: Duration = Duration::from_millis(1_000);
+
 /// One caller's stream.
 struct StreamRun {
     state: Arc<GatewayState>,
@@ -69,6 +76,9 @@
 /// # Errors
 /// No engine gave an answer that may be passed on.
 pub async fn run(state: &Arc<GatewayState>, call: Arc<Call>) -> Result<Response<Body>, Failure> {
+    if call.facts.last_event.is_some() {
+        state.runs.wait_restored(RESTORE_PATIENCE).await;
+    }
     let mut run = StreamRun::new(state.clone(), call);
     match run.open().await? {
         Opened::Stream(mut head) => {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -33,6 +33,8 @@
     pub configuration_age_seconds: Histogram,
     /// Requests with keys that were admitted by a stale view.
     pub stale_requests: IntCounter,
+    /// Datagrams of other hosts that could not be read.
+    pub unreadable_datagrams: IntCounter,
     /// Requests in flight.
     pub in_flight: IntGauge,
     /// The version of the configuration in force.
@@ -104,6 +106,10 @@
                 "tealshore_stale_requests_total",
                 "Requests with keys admitted by a stale view",
             )?,
+            unreadable_datagrams: IntCounter::new(
+                "tealshore_unreadable_datagrams_total",
+                "Datagrams of other hosts that could not be read",
+            )?,
             in_flight: IntGauge::new("tealshore_requests_in_flight", "Requests in flight")?,
             config_version: IntGauge::new(
                 "tealshore_configuration_version",
@@ -115,7 +121,7 @@
     }
 
     fn register(&self) -> Result<(), prometheus::Error> {
-        let all: [Box<dyn Collector>; 13] = [
+        let all: [Box<dyn Collector>; 14] = [
             Box::new(self.outcomes.clone()),
             Box::new(self.losses.clone()),
             Box::new(self.store_calls.clone()),
@@ -127,6 +133,7 @@
             Box::new(self.store_call_seconds.clone()),
             Box::new(self.configuration_age_seconds.clone()),
             Box::new(self.stale_requests.clone()),
+            Box::new(self.unreadable_datagrams.clone()),
             Box::new(self.in_flight.clone()),
             Box::new(self.config_version.clone()),
         ];
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -53,6 +53,10 @@
     pub body_bytes: usize,
     /// Connections of callers held at once.
     pub max_connections: usize,
+    /// What its link carries, in Mbit/s: hosts with better links send for others first.
+    pub link_mbps: u32,
+    /// Whether the whole system starts for the first time: nothing runs yet, and no caller waits.
+    pub is_first_start: bool,
 }
 
 /// The platform's store.
@@ -91,13 +95,8 @@
 
 impl StaleKeys {
     fn read(section: &mut Section<'_>) -> Result<Self, SettingError> {
-        const KEY: &str = "refuse_stale_keys";
-        const ALLOWED: &str = "true or false";
-        match section.optional(KEY) {
-            None | Some("true") => Ok(Self::Refuse),
-            Some("false") => Ok(Self::Serve),
-            Some(value) => Err(section.bad_value(KEY, value, ALLOWED)),
-        }
+        let refuses = flag(section, "refuse_stale_keys", true)?;
+        Ok(if refuses { Self::Refuse } else { Self::Serve })
     }
 }
 
@@ -147,6 +146,8 @@
             metrics_address: section.address("metrics_address")?,
             body_bytes: to_usize(memory_mb * 1024 * 1024 / BODY_MEMORY_PART),
             max_connections: to_usize(max_files / CONNECTION_FILES_PART),
+            link_mbps: number(section, "link_mbps", 1_000.0)?.round() as u32,
+            is_first_start: flag(section, "first_start", false)?,
         })
     }
 }
@@ -235,6 +236,16 @@
     }
 }
 
+fn flag(section: &mut Section<'_>, key: &str, default: bool) -> Result<bool, SettingError> {
+    const ALLOWED: &str = "true or false";
+    match section.optional(key) {
+        None => Ok(default),
+        Some("true") => Ok(true),
+        Some("false") => Ok(false),
+        Some(value) => Err(section.bad_value(key, value, ALLOWED)),
+    }
+}
+
 fn to_usize(number: u64) -> usize {
     usize::try_from(number).unwrap_or(usize::MAX)
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -2,12 +2,17 @@
 //! take traffic, what they have at each upstream, which upstreams seem dead to them, and how
 //! far they know the store.
 //!
-//! At each heartbeat, and at once when a stream begins or ends, a host tells what changed;
-//! now and then it tells its whole state, which mends what lost datagrams left wrong.
+//! At each heartbeat, and at once when a stream begins or ends, a host tells the hosts of its group
+//! what changed; now and then it tells its whole state, which mends what lost datagrams left wrong.
+//! A small fleet is one group. Of a large one each hall is a group, and one host of each, its
+//! relay, exchanges sums with the relays of the others and passes theirs on to its group.
 
 mod addresses;
+mod digest;
 mod exchange;
+mod groups;
 mod message;
+mod relay;
 mod snapshot;
 mod told;
 
@@ -15,25 +20,31 @@
     crate::{
         budget::Pool,
         edge::HostRecord,
-        feed::{Contender, FeederChoice, UpstreamNews},
+        feed::{Contender, FeederChoice, GROUP_HOSTS, UpstreamNews, rank},
         options::{HostOptions, PeerOptions},
+        run_trace::RunTrace,
         view::{Condition, Work},
     },
+    groups::Groups,
     parking_lot::Mutex,
-    rand::RngExt,
+    rand::{RngExt, seq::SliceRandom},
     std::{
         collections::HashMap,
         net::{IpAddr, SocketAddr},
         sync::atomic::{AtomicU64, AtomicUsize, Ordering},
         time::{Duration, Instant},
     },
-    tealshore_core::ids::{EngineId, HostId, ServiceId},
+    tealshore_core::ids::{EngineId, HallId, HostId, ServiceId},
     tokio::sync::Notify,
 };
 pub use {
     addresses::Reach,
+    digest::{GroupSums, LastDigest, Teller},
     exchange::start,
-    message::{Datagram, Finding, HostPhase, PeerChange, PeerState, ServiceUse, UpstreamWork},
+    message::{
+        Datagram, Finding, GroupDigest, GroupMember, HostAddress, HostPhase, PeerChange, PeerState,
+        ServiceUse, Unreadable, UpstreamWork,
+    },
     snapshot::{SetSnapshot, SnapshotRows, path_of},
     told::Told,
 };
@@ -46,15 +57,22 @@
 const COALESCE: Duration = Duration::from_millis(10);
 /// Silent peers are told of this host this many times longer than they are believed.
 const FORGET_FACTOR: u32 = 12;
-/// How many other hosts a datagram names, so that all come to know all.
+/// How many other hosts a state names, so that all come to know all.
 const NAMED_PEERS: usize = 4;
+/// How many it names to a host that has just started.
+const NAMED_TO_NEWCOMERS: usize = 24;
+/// The most streams of its group that a relay keeps until it tells them.
+const GROUP_RUNS_BOUND: usize = 2_000;
+/// The most digests that a relay keeps until it passes them on.
+const RELAYED_BOUND: usize = 200;
 
 /// Where datagrams go.
 struct Receivers {
-    /// To hosts that were heard, and know this one.
+    /// To hosts of the group that were heard, and know this one.
     heard: Vec<SocketAddr>,
-    /// To hosts that were only named, or that have just started: they need the whole state.
-    unheard: Vec<SocketAddr>,
+    /// To hosts that were only named, or that have just started: they need the whole state. The
+    /// hall of those that were named without it is not known.
+    unheard: Vec<(SocketAddr, Option<HallId>)>,
 }
 
 struct Peer {
@@ -62,6 +80,41 @@
     heard: Instant,
 }
 
+/// A host that was named and not heard yet.
+struct NamedHost {
+    hall: Option<HallId>,
+    /// It is tried until then.
+    until: Instant,
+}
+
+/// Who feeds this host.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+enum Feeder {
+    #[default]
+    Nobody,
+    Itself,
+    Host(HostId),
+}
+
+impl std::fmt::Display for Feeder {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str(match self {
+            Self::Nobody => "-",
+            Self::Itself => "itself",
+            Self::Host(host) => host,
+        })
+    }
+}
+
+/// To whom changes of upstreams are sent on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Audience {
+    /// To the group, by its relay.
+    Group,
+    /// To the group, and to the relays of the others, by the host that read them.
+    Fleet,
+}
+
 /// The other hosts.
 pub struct Peers {
     own: HostOptions,
@@ -69,15 +122,24 @@
     incarnation: u64,
     sequence: AtomicU64,
     known: Mutex<HashMap<HostId, Peer>>,
-    /// Hosts that were named and not heard yet, with the time until they are tried.
-    named: Mutex<HashMap<SocketAddr, Instant>>,
+    named: Mutex<HashMap<SocketAddr, NamedHost>>,
+    /// Hosts whose datagrams have another layout, with when they were last heard: they have their
+    /// parts of what all hosts share.
+    unreadable: Mutex<HashMap<IpAddr, Instant>>,
+    /// The other groups, where the fleet has some.
+    groups: Mutex<Groups>,
     news: Notify,
     /// Hosts that have just started, to be told the whole state.
-    newcomers: Mutex<Vec<SocketAddr>>,
+    newcomers: Mutex<Vec<HostAddress>>,
+    newcomer_came: Notify,
+    /// Streams that began in the group, for the digest.
+    group_runs: Mutex<Vec<RunTrace>>,
+    /// Digests of other groups that wait to be passed on to the group.
+    waiting_digests: Mutex<Vec<GroupDigest>>,
     /// Changes of upstreams that wait to be sent on.
-    waiting_news: Mutex<Vec<UpstreamNews>>,
-    /// The host that feeds this one, as far as it was chosen last.
-    feeder: Mutex<Option<HostId>>,
+    waiting_news: Mutex<Vec<(UpstreamNews, Audience)>>,
+    /// Who feeds this host, as far as it was chosen last.
+    feeder: Mutex<Feeder>,
     most_hosts: AtomicUsize,
 }
 
@@ -92,21 +154,26 @@
             sequence: AtomicU64::new(0),
             known: Mutex::default(),
             named: Mutex::default(),
+            unreadable: Mutex::default(),
+            groups: Mutex::default(),
             news: Notify::new(),
             newcomers: Mutex::default(),
+            newcomer_came: Notify::new(),
+            group_runs: Mutex::default(),
+            waiting_digests: Mutex::default(),
             waiting_news: Mutex::default(),
             feeder: Mutex::default(),
             most_hosts: AtomicUsize::new(1),
         };
         for seed in &options.seeds {
-            peers.name(peers.address_at(*seed));
+            peers.name(peers.address_at(*seed), None);
         }
         peers
     }
 
     /// Takes in a host that the store lists.
     pub fn add(&self, host: &HostRecord) {
-        self.name(host.peers_address);
+        self.name(host.peers_address, None);
     }
 
     /// This host as the store is to keep it.
@@ -125,87 +192,156 @@
 
     /// Lets this host's watermark on the store leave at once, with changes of upstreams before it.
     pub fn send_on(&self, news: Option<UpstreamNews>) {
+        let news = news.map(|news| (news, Audience::Fleet));
         self.waiting_news.lock().extend(news);
         self.news.notify_one();
     }
 
+    /// Lets changes of upstreams that came from another group leave for the own one.
+    fn send_on_to_group(&self, news: UpstreamNews) {
+        self.waiting_news.lock().push((news, Audience::Group));
+        self.news.notify_one();
+    }
+
     /// Whether no other host was heard a moment ago.
     pub fn is_alone(&self, now: Instant) -> bool {
         let known = self.known.lock();
         !known.values().any(|peer| self.is_believed(peer, now))
     }
 
-    /// The hosts that were heard a moment ago, take traffic and reach the store.
+    /// The hosts of the group that were heard a moment ago, know the store and don't stop. Before
+    /// the first configuration they take no traffic yet.
     pub fn contenders(&self, now: Instant) -> Vec<Contender> {
         let known = self.known.lock();
-        let serving = known
+        let staying = known
             .values()
-            .filter(|peer| self.is_believed(peer, now))
-            .filter(|peer| peer.state.phase == HostPhase::Serving);
-        let contenders = serving.filter_map(|peer| {
+            .filter(|peer| self.is_believed(peer, now) && self.is_in_group(&peer.state.hall))
+            .filter(|peer| peer.state.phase != HostPhase::Leaving);
+        let contenders = staying.filter_map(|peer| {
             Some(Contender {
                 host: peer.state.host.clone(),
                 hall: peer.state.hall.clone(),
+                link_mbps: peer.state.link_mbps,
                 watermark: peer.state.watermark?,
+                reaches_store: peer.state.reaches_store,
             })
         });
         contenders.collect()
     }
 
+    /// The relays of the other groups that were heard a moment ago.
+    pub fn relays(&self, now: Instant) -> Vec<Contender> {
+        if !self.is_grouped() {
+            return Vec::new();
+        }
+        self.groups.lock().relays(self.options.silence, now)
+    }
+
+    /// Whether this host ranks before all that were heard a moment ago.
+    pub fn ranks_first(&self, now: Instant) -> bool {
+        let own = rank(&self.own.id, self.own.link_mbps);
+        let known = self.known.lock();
+        let mut believed = known.values().filter(|peer| self.is_believed(peer, now));
+        believed.all(|peer| own < rank(&peer.state.host, peer.state.link_mbps))
+    }
+
+    /// Whether the hosts are so many that each hall is a group of its own.
+    pub fn is_grouped(&self) -> bool {
+        self.most_hosts.load(Ordering::Relaxed) > GROUP_HOSTS
+    }
+
+    /// The hall whose hosts this one tells directly; none where it tells all hosts.
+    pub fn group(&self) -> Option<&str> {
+        self.is_grouped().then_some(self.own.hall.as_str())
+    }
+
+    fn is_in_group(&self, hall: &HallId) -> bool {
+        self.group().is_none_or(|group| group == hall)
+    }
+
     /// Notes which host feeds this one.
     pub fn note_feeder(&self, chosen: &FeederChoice) {
-        let host = match chosen {
-            FeederChoice::Peer(host, _) => Some(host),
-            FeederChoice::Nobody | FeederChoice::Itself => None,
+        let now = match chosen {
+            FeederChoice::Peer(host, _) => Feeder::Host(host.clone()),
+            FeederChoice::Itself => Feeder::Itself,
+            FeederChoice::Nobody => Feeder::Nobody,
         };
         let mut feeder = self.feeder.lock();
-        if feeder.as_ref() != host {
-            log::info!(
-                "feed: feeder={} before={}",
-                host.map_or("-", String::as_str),
-                feeder.as_deref().unwrap_or("-")
-            );
-            *feeder = host.cloned();
+        if *feeder != now {
+            log::info!("feed: feeder={now} before={feeder}");
+            *feeder = now;
         }
     }
 
     /// Whether a host was last chosen as the feeder of this one.
     fn is_fed_by(&self, host: &HostId) -> bool {
-        self.feeder.lock().as_ref() == Some(host)
+        matches!(&*self.feeder.lock(), Feeder::Host(feeder) if feeder == host)
+    }
+
+    /// How many hosts are known now, this one included.
+    fn hosts_known(&self) -> usize {
+        let unheard = self.named.lock().len();
+        let others = {
+            let known = self.known.lock();
+            let in_group = known.values();
+            in_group
+                .filter(|peer| self.is_in_group(&peer.state.hall))
+                .count()
+        };
+        let elsewhere = self.groups.lock().hosts();
+        let unreadable = self.unreadable.lock().len();
+        others + elsewhere + unheard + unreadable + 1
+    }
+
+    /// Notes a host whose datagrams can't be read as they have another layout.
+    pub fn note_unreadable(&self, address: SocketAddr, now: Instant) {
+        self.named.lock().remove(&address);
+        self.unreadable.lock().insert(address.ip(), now);
     }
 
     /// The most hosts that there ever were at once, this one included, as far as is known. A
     /// host that is cut off from the others must not take their parts for its own.
     pub fn most_hosts(&self) -> usize {
-        let unheard = self.named.lock().len();
-        let now = self.known.lock().len() + unheard + 1;
+        let now = self.hosts_known();
         self.most_hosts.fetch_max(now, Ordering::Relaxed).max(now)
     }
 
     /// What the other hosts have at each upstream.
     pub fn work(&self, now: Instant) -> HashMap<EngineId, Work> {
+        let mut sums: HashMap<EngineId, Work> = HashMap::new();
+        self.groups
+            .lock()
+            .add_work(&mut sums, self.options.silence, now);
         let known = self.known.lock();
-        let mut sum: HashMap<EngineId, Work> = HashMap::new();
-        for peer in known.values().filter(|peer| self.is_believed(peer, now)) {
+        for peer in known.values().filter(|peer| self.is_counted(peer, now)) {
             for entry in &peer.state.work {
-                let sum = sum.entry(entry.upstream.clone()).or_default();
+                let sum = sums.entry(entry.upstream.clone()).or_default();
                 sum.add(entry.work);
             }
         }
-        sum
+        sums
     }
 
     /// What the other hosts used of the retry budget of a service, as far as they were heard.
     pub fn budget_pool(&self, service: &ServiceId, now: Instant) -> Pool {
         let mut pool = Pool::unheard(self.most_hosts());
-        let known = self.known.lock();
-        for peer in known.values().filter(|peer| self.is_believed(peer, now)) {
-            pool.heard += 1;
-            let of_service = peer.state.budgets.iter();
-            for entry in of_service.filter(|entry| entry.service == *service) {
+        let mut add = |budgets: &[ServiceUse]| {
+            let of_service = budgets.iter().filter(|entry| entry.service == *service);
+            for entry in of_service {
                 pool.used.add(entry.used);
             }
+        };
+        let mut heard = 0;
+        for (hosts, budgets) in self.groups.lock().budgets(self.options.silence, now) {
+            heard += hosts;
+            add(&budgets);
         }
+        let known = self.known.lock();
+        for peer in known.values().filter(|peer| self.is_counted(peer, now)) {
+            heard += 1;
+            add(&peer.state.budgets);
+        }
+        pool.heard = heard;
         pool
     }
 
@@ -215,9 +351,11 @@
             return Vec::new();
         }
         self.named.lock().remove(&state.peers_address);
-        for address in &state.named {
-            self.name(*address);
+        for host in &state.named {
+            self.name(host.address, Some(&host.hall));
         }
+        let told = usize::try_from(state.fleet_hosts).unwrap_or(usize::MAX);
+        self.most_hosts.fetch_max(told, Ordering::Relaxed);
         let findings = findings(&state.work);
         let mut known = self.known.lock();
         let before = known.get(&state.host);
@@ -225,9 +363,13 @@
             return Vec::new();
         }
         if before.is_none_or(|before| before.state.incarnation != state.incarnation) {
-            // Told at the next heartbeat: where many hosts start at once, an answer to each of
-            // them at once would be a storm of datagrams.
-            self.newcomers.lock().push(state.peers_address);
+            // Told a moment later, together with others: where many hosts start at once, an answer
+            // to each of them at once would be a storm of datagrams.
+            self.newcomers.lock().push(HostAddress {
+                hall: state.hall.clone(),
+                address: state.peers_address,
+            });
+            self.newcomer_came.notify_one();
         }
         let was = before.map(|before| before.state.phase);
         if was != Some(state.phase) {
@@ -259,6 +401,29 @@
         findings
     }
 
+    /// Takes in a digest of another group; what its hosts found of upstreams that are not sound.
+    pub fn apply_digest(&self, digest: &GroupDigest, now: Instant) -> Vec<Finding> {
+        if digest.group == self.own.hall || !self.groups.lock().apply(digest, now) {
+            return Vec::new();
+        }
+        if let Some(members) = &digest.members {
+            let mut named = self.named.lock();
+            for member in members {
+                named.remove(&member.peers_address);
+            }
+        }
+        findings(&digest.work)
+    }
+
+    /// Whether what a peer told of itself is counted: not where the digest of its group counts it.
+    fn is_counted(&self, peer: &Peer, now: Instant) -> bool {
+        let is_by_digest = || {
+            let groups = self.groups.lock();
+            groups.is_fresh(&peer.state.hall, self.options.silence, now)
+        };
+        self.is_believed(peer, now) && (peer.state.hall == self.own.hall || !is_by_digest())
+    }
+
     fn is_believed(&self, peer: &Peer, now: Instant) -> bool {
         now.saturating_duration_since(peer.heard) <= self.options.silence
     }
@@ -267,8 +432,9 @@
         SocketAddr::new(ip, self.options.address.port())
     }
 
-    fn name(&self, address: SocketAddr) {
-        if address == self.options.address {
+    fn name(&self, address: SocketAddr, hall: Option<&HallId>) {
+        let is_elsewhere = hall.is_some_and(|hall| !self.is_in_group(hall));
+        if address == self.options.address || is_elsewhere {
             return;
         }
         let is_known = {
@@ -277,14 +443,18 @@
                 .values()
                 .any(|peer| peer.state.peers_address == address)
         };
-        if !is_known {
-            let until = Instant::now() + self.options.silence * FORGET_FACTOR;
-            self.named.lock().entry(address).or_insert(until);
+        if is_known || self.groups.lock().has_address(address) {
+            return;
         }
+        let named = NamedHost {
+            hall: hall.cloned(),
+            until: Instant::now() + self.options.silence * FORGET_FACTOR,
+        };
+        self.named.lock().entry(address).or_insert(named);
     }
 
     /// The changes of upstreams that wait to be sent on.
-    fn take_waiting_news(&self) -> Vec<UpstreamNews> {
+    fn take_waiting_news(&self) -> Vec<(UpstreamNews, Audience)> {
         std::mem::take(&mut *self.waiting_news.lock())
     }
 
@@ -299,18 +469,43 @@
             }
             is_kept
         });
+        self.groups.lock().forget(forget, now);
+        let is_recent = |heard: &mut Instant| now.saturating_duration_since(*heard) <= forget;
+        self.unreadable.lock().retain(|_, heard| is_recent(heard));
         let mut named = self.named.lock();
-        named.retain(|_, until| *until > now);
-        let newcomers = std::mem::take(&mut *self.newcomers.lock());
+        named.retain(|_, host| {
+            let is_elsewhere = host
+                .hall
+                .as_ref()
+                .is_some_and(|hall| !self.is_in_group(hall));
+            host.until > now && !is_elsewhere
+        });
+        let mut unheard: Vec<(SocketAddr, Option<HallId>)> = named
+            .iter()
+            .map(|(address, host)| (*address, host.hall.clone()))
+            .collect();
+        unheard.extend(self.take_newcomers());
+        let in_group = known
+            .values()
+            .filter(|peer| self.is_in_group(&peer.state.hall));
         Receivers {
-            heard: known
-                .values()
-                .map(|peer| peer.state.peers_address)
-                .collect(),
-            unheard: named.keys().copied().chain(newcomers).collect(),
+            heard: in_group.map(|peer| peer.state.peers_address).collect(),
+            unheard,
         }
     }
 
+    fn take_newcomers(&self) -> impl Iterator<Item = (SocketAddr, Option<HallId>)> + use<> {
+        let newcomers = std::mem::take(&mut *self.newcomers.lock());
+        let newcomers = newcomers.into_iter();
+        newcomers.map(|host| (host.address, Some(host.hall)))
+    }
+
+    /// Whether a host of the own hall was heard.
+    fn has_met_hall(&self) -> bool {
+        let known = self.known.lock();
+        known.values().any(|peer| peer.state.hall == self.own.hall)
+    }
+
     /// Where the hosts of a hall take datagrams; those of all hosts where no hall is given.
     fn group_addresses(&self, hall: Option<&str>) -> Vec<SocketAddr> {
         let known = self.known.lock();
@@ -320,12 +515,34 @@
         group.map(|peer| peer.state.peers_address).collect()
     }
 
-    fn some_names(&self) -> Vec<SocketAddr> {
+    /// Some other hosts, of a hall as far as there are any and it is known; of all others, too,
+    /// where all hosts tell each other.
+    fn some_names(&self, hall: Option<&HallId>, count: usize) -> Vec<HostAddress> {
+        let mut names = self.addresses_known();
+        let of_hall = |host: &HostAddress| hall.is_none_or(|hall| host.hall == *hall);
+        if self.is_grouped() {
+            names.retain(of_hall);
+        }
+        let mut random = rand::rng();
+        names.shuffle(&mut random);
+        names.sort_by_key(|host| !of_hall(host));
+        names.truncate(count);
+        names
+    }
+
+    fn addresses_known(&self) -> Vec<HostAddress> {
+        let now = Instant::now();
+        let elsewhere = self.groups.lock().members(self.options.silence, now);
+        let elsewhere = elsewhere.into_iter().map(|(hall, member)| HostAddress {
+            hall,
+            address: member.peers_address,
+        });
         let known = self.known.lock();
-        let count = known.len().max(1);
-        let skipped = rand::rng().random_range(0..count);
-        let addresses = known.values().map(|peer| peer.state.peers_address);
-        addresses.skip(skipped).take(NAMED_PEERS).collect()
+        let direct = known.values().map(|peer| HostAddress {
+            hall: peer.state.hall.clone(),
+            address: peer.state.peers_address,
+        });
+        direct.chain(elsewhere).collect()
     }
 }
 
--- a/crates/gateway/src/peers/addresses.rs
+++ b/crates/gateway/src/peers/addresses.rs
@@ -31,24 +31,27 @@
         let peers = self.known.lock();
         let believed = peers.values().filter(|peer| self.is_believed(peer, now));
         let mut sources: Vec<(bool, SocketAddr)> = believed
-            .filter(|peer| match peer.state.phase {
-                HostPhase::Serving | HostPhase::Stale => true,
-                HostPhase::Starting | HostPhase::Leaving => false,
-            })
+            // One that has read the store, and found no configuration in it yet, is starting.
+            .filter(|peer| peer.state.phase != HostPhase::Leaving)
             .filter(|peer| {
-                let watermark = peer.state.watermark.and_then(|told| told.of(set));
-                match reach {
-                    Reach::OwnHall => {
-                        peer.state.hall == self.own.hall
-                            && watermark.is_some_and(|told| told.revision > known)
-                    }
-                    // A host that has lost the store tells no watermark, and may know more.
-                    Reach::Everywhere => watermark.is_none_or(|told| told.revision > known),
-                }
+                // Only a host that knows all sets is asked: it can feed this one from then on.
+                let knows_more = peer
+                    .state
+                    .watermark
+                    .is_some_and(|told| told.of(set).is_none_or(|told| told.revision > known));
+                let is_near = peer.state.hall == self.own.hall && peer.state.reaches_store;
+                knows_more && (reach == Reach::Everywhere || is_near)
             })
             .map(|peer| (peer.state.hall != self.own.hall, peer.state.peers_address))
             .collect();
         drop(peers);
+        if reach == Reach::Everywhere {
+            let elsewhere = self.groups.lock().members(self.options.silence, now);
+            let serving = elsewhere
+                .into_iter()
+                .filter(|(_, member)| member.phase == HostPhase::Serving);
+            sources.extend(serving.map(|(_, member)| (true, member.peers_address)));
+        }
         sources.shuffle(&mut rand::rng());
         sources.sort_by_key(|(is_away, _)| *is_away);
         sources.into_iter().map(|(_, address)| address).collect()
@@ -73,11 +76,15 @@
     ) -> Vec<SocketAddr> {
         let own = (own_phase == phase).then_some(self.own.callers_address);
         let known = self.known.lock();
-        let others = known
+        let direct = known
             .values()
-            .filter(|peer| self.is_believed(peer, now))
-            .filter(|peer| peer.state.phase == phase);
-        let others = others.map(|peer| peer.state.callers_address);
-        others.chain(own).collect()
+            .filter(|peer| self.is_counted(peer, now) && peer.state.phase == phase);
+        let direct = direct.map(|peer| peer.state.callers_address);
+        let elsewhere = self.groups.lock().members(self.options.silence, now);
+        let elsewhere = elsewhere
+            .into_iter()
+            .filter(|(_, member)| member.phase == phase)
+            .map(|(_, member)| member.callers_address);
+        direct.chain(elsewhere).chain(own).collect()
     }
 }
--- /dev/null
+++ b/crates/gateway/src/peers/digest.rs
@@ -0,0 +1,203 @@
+//! What a relay last told the other groups of its own, so that digests carry what changed.
+
+use {
+    super::{
+        groups::worse,
+        message::{GroupDigest, GroupMember, HostAddress, ServiceUse, UpstreamWork},
+    },
+    crate::{
+        feed::StoreWatermark,
+        run_trace::{Fingerprint, RunTrace},
+        view::{Condition, Work},
+    },
+    std::{
+        collections::{BTreeMap, HashMap},
+        time::{Duration, Instant},
+    },
+    tealshore_core::ids::{EngineId, HostId},
+};
+
+/// How often all is told: what a lost digest said is known again after this.
+const WHOLE_INTERVAL: Duration = Duration::from_secs(2);
+/// How long a run that was told is not told again: as long as hosts count it as running.
+const RUN_REMEMBERED: Duration = Duration::from_secs(5);
+
+/// The sums of a group at one moment.
+#[derive(Clone, Debug, Default)]
+pub struct GroupSums {
+    /// Its hosts, by name.
+    pub members: Vec<GroupMember>,
+    /// The sums of work by upstream.
+    pub work: BTreeMap<EngineId, (Work, Condition)>,
+    /// The sums of what was used of the retry budgets.
+    pub budgets: Vec<ServiceUse>,
+    /// Streams that began since the last digest.
+    pub runs: Vec<RunTrace>,
+}
+
+impl GroupSums {
+    /// Adds what one host has at upstreams.
+    pub fn add_work(&mut self, work: &[UpstreamWork]) {
+        for entry in work {
+            let sum = self
+                .work
+                .entry(entry.upstream.clone())
+                .or_insert((Work::default(), Condition::Healthy));
+            sum.0.add(entry.work);
+            sum.1 = worse(sum.1, entry.condition);
+        }
+    }
+
+    /// Adds what one host used of the retry budgets.
+    pub fn add_budgets(&mut self, budgets: &[ServiceUse]) {
+        for entry in budgets {
+            let known = self.budgets.iter_mut();
+            match known.into_iter().find(|sum| sum.service == entry.service) {
+                Some(sum) => sum.used.add(entry.used),
+                None => self.budgets.push(entry.clone()),
+            }
+        }
+    }
+}
+
+/// Who tells a digest, and how far its knowledge of the store goes.
+#[derive(Clone, Debug)]
+pub struct Teller {
+    /// The relay.
+    pub host: HostId,
+    /// Its hall, which is the group.
+    pub hall: String,
+    /// Where it takes datagrams.
+    pub address: std::net::SocketAddr,
+    /// What its link carries, in Mbit/s.
+    pub link_mbps: u32,
+    /// Its process.
+    pub incarnation: u64,
+    /// How far its knowledge of the store goes.
+    pub watermark: Option<StoreWatermark>,
+    /// Whether its last call to the store was answered.
+    pub reaches_store: bool,
+    /// The relays of other groups that it knows of.
+    pub relays: Vec<HostAddress>,
+}
+
+/// What a relay last told the other groups.
+#[derive(Default)]
+pub struct LastDigest {
+    sequence: u64,
+    told_at: Option<Instant>,
+    whole_at: Option<Instant>,
+    members: Vec<GroupMember>,
+    work: BTreeMap<EngineId, (Work, Condition)>,
+    repeats: u32,
+    watermark: Option<StoreWatermark>,
+    runs: HashMap<Fingerprint, (RunTrace, Instant)>,
+}
+
+impl LastDigest {
+    /// The next digest; none while nothing changed that others wait for, and the heartbeat is not
+    /// due.
+    pub fn next(
+        &mut self,
+        teller: Teller,
+        mut sums: GroupSums,
+        heartbeat: Duration,
+        now: Instant,
+    ) -> Option<GroupDigest> {
+        let is_whole = is_past(self.whole_at, WHOLE_INTERVAL, now);
+        sums.members.sort_by(|a, b| a.host.cmp(&b.host));
+        let members_changed = sums.members != self.members;
+        let runs = self.new_runs(sums.runs, now);
+        let work = if is_whole {
+            entries(&sums.work)
+        } else {
+            self.changed_work(&sums.work)
+        };
+        // Requests come all the time; only repeats are told at once.
+        let repeats = sums.budgets.iter().map(|entry| entry.used.repeats).sum();
+        let is_due = is_whole
+            || members_changed
+            || !runs.is_empty()
+            || !work.is_empty()
+            || repeats != self.repeats
+            || teller.watermark != self.watermark
+            || is_past(self.told_at, heartbeat, now);
+        if !is_due {
+            return None;
+        }
+        self.told_at = Some(now);
+        if is_whole {
+            self.whole_at = Some(now);
+        }
+        self.sequence += 1;
+        self.members.clone_from(&sums.members);
+        self.work = sums.work;
+        self.repeats = repeats;
+        self.watermark = teller.watermark;
+        Some(GroupDigest {
+            group: teller.hall,
+            relay: teller.host,
+            relay_address: teller.address,
+            link_mbps: teller.link_mbps,
+            incarnation: teller.incarnation,
+            sequence: self.sequence,
+            members: (is_whole || members_changed).then_some(sums.members),
+            is_whole,
+            work,
+            budgets: sums.budgets,
+            runs,
+            watermark: teller.watermark,
+            reaches_store: teller.reaches_store,
+            relays: teller.relays,
+        })
+    }
+
+    /// Lets the next digest tell all: this host was not the relay meanwhile.
+    pub fn forget(&mut self) {
+        self.whole_at = None;
+    }
+
+    fn changed_work(&self, now: &BTreeMap<EngineId, (Work, Condition)>) -> Vec<UpstreamWork> {
+        let ended = self.work.keys().filter(|id| !now.contains_key(*id));
+        let ended = ended.map(|id| UpstreamWork {
+            upstream: id.clone(),
+            work: Work::default(),
+            condition: Condition::Healthy,
+        });
+        let changed = now
+            .iter()
+            .filter(|(id, entry)| self.work.get(*id) != Some(*entry))
+            .map(entry_of);
+        changed.chain(ended).collect()
+    }
+
+    fn new_runs(&mut self, runs: Vec<RunTrace>, now: Instant) -> Vec<RunTrace> {
+        self.runs
+            .retain(|_, (_, told)| now.saturating_duration_since(*told) <= RUN_REMEMBERED);
+        let mut new = Vec::new();
+        for run in runs {
+            let told = self.runs.get(&run.fingerprint);
+            if told.is_none_or(|(told, _)| *told != run) {
+                self.runs.insert(run.fingerprint, (run.clone(), now));
+                new.push(run);
+            }
+        }
+        new
+    }
+}
+
+fn is_past(moment: Option<Instant>, interval: Duration, now: Instant) -> bool {
+    moment.is_none_or(|moment| now.saturating_duration_since(moment) >= interval)
+}
+
+fn entries(work: &BTreeMap<EngineId, (Work, Condition)>) -> Vec<UpstreamWork> {
+    work.iter().map(entry_of).collect()
+}
+
+fn entry_of((id, (work, condition)): (&EngineId, &(Work, Condition))) -> UpstreamWork {
+    UpstreamWork {
+        upstream: id.clone(),
+        work: *work,
+        condition: *condition,
+    }
+}
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -2,21 +2,28 @@
 
 use {
     super::{
-        COALESCE, Receivers, TOLD_RUNS, TOLD_UPSTREAMS,
-        message::{Datagram, Finding, HostPhase, PeerChange, PeerState, ServiceUse, UpstreamWork},
+        Audience, COALESCE, NAMED_PEERS, NAMED_TO_NEWCOMERS, Receivers, TOLD_RUNS, TOLD_UPSTREAMS,
+        message::{
+            Datagram, Finding, GroupDigest, HostPhase, PeerChange, PeerState, ServiceUse,
+            Unreadable, UpstreamWork,
+        },
+        relay::relay,
         snapshot::serve_snapshots,
         told::Told,
     },
-    crate::{run_trace::RunTrace, state::GatewayState, sync::apply_news, view::Condition},
+    crate::{
+        run_trace::RunTrace, runs::RunHost, state::GatewayState, sync::apply_news, view::Condition,
+    },
     std::{
+        collections::HashMap,
         net::SocketAddr,
         sync::{Arc, atomic::Ordering},
-        time::Instant,
+        time::{Duration, Instant},
     },
-    tealshore_core::ids::HostId,
+    tealshore_core::ids::{HallId, HostId},
     tokio::{
         net::{TcpListener, UdpSocket},
-        time::{sleep, timeout},
+        time::sleep,
     },
 };
 
@@ -25,6 +32,14 @@
 /// The largest datagram that is sent, in bytes: UDP carries a little more.
 const SENT_BOUND_BYTES: usize = 60_000;
 
+/// A host that starts and has not met its hall yet introduces itself again after this: its seeds
+/// may start a moment later than it does.
+const INTRODUCE_INTERVAL: Duration = Duration::from_millis(60);
+/// For how long it does so.
+const INTRODUCED_AFTER: Duration = Duration::from_secs(2);
+/// How long a host lets others that start gather before it answers them together.
+const NEWCOMERS_GATHER: Duration = Duration::from_millis(20);
+
 /// Tells and hears for as long as the process lives.
 ///
 /// # Errors
@@ -32,6 +47,7 @@
 pub async fn start(state: &Arc<GatewayState>) -> std::io::Result<()> {
     let socket = Arc::new(UdpSocket::bind(state.options.peers.address).await?);
     tokio::spawn(tell(state.clone(), socket.clone()));
+    tokio::spawn(relay(state.clone(), socket.clone()));
     tokio::spawn(hear(state.clone(), socket));
     let listener = TcpListener::bind(state.options.peers.address).await?;
     tokio::spawn(serve_snapshots(state.clone(), listener));
@@ -39,34 +55,101 @@
 }
 
 async fn tell(state: Arc<GatewayState>, socket: Arc<UdpSocket>) {
-    let mut told = Told::nothing(Instant::now());
+    let started = Instant::now();
+    let mut told = Told::nothing(started);
     loop {
         let now = Instant::now();
-        for news in state.peers.take_waiting_news() {
-            let fed = state.peers.group_addresses(state.group());
-            send_to_all(&socket, &Datagram::Upstreams(news), &fed).await;
-        }
+        send_news(&state, &socket).await;
         let Receivers { heard, unheard } = state.peers.receivers(now);
         let own = own_state(&state, now);
         log_phase(&state, told.phase(), own.phase, now);
+        introduce(&state, &socket, &own, unheard).await;
         if told.is_whole_due(own.phase, now) {
             told.note_whole(&own, now);
-            let whole = Datagram::State(Box::new(own));
-            send_to_all(&socket, &whole, &heard).await;
-            send_to_all(&socket, &whole, &unheard).await;
+            send_to_all(&socket, &Datagram::State(Box::new(own)), &heard).await;
         } else {
             let change = Datagram::Change(told.change(&own));
-            send_to_all(&socket, &Datagram::State(Box::new(own)), &unheard).await;
             send_to_all(&socket, &change, &heard).await;
         }
-        // Whether news or the heartbeat's time ends the wait makes no difference.
-        let _ = timeout(state.options.peers.heartbeat, state.peers.news.notified()).await;
+        wait_for_news(&state, &socket, started).await;
         sleep(COALESCE).await;
     }
 }
 
+/// Waits for news or the heartbeat; answers hosts that start meanwhile.
+async fn wait_for_news(state: &GatewayState, socket: &UdpSocket, started: Instant) {
+    let peers = &state.peers;
+    let until = Instant::now() + state.options.peers.heartbeat;
+    loop {
+        let left = until.saturating_duration_since(Instant::now());
+        let has_met = peers.has_met_hall();
+        let is_introduced = has_met || started.elapsed() > INTRODUCED_AFTER;
+        let wait = if is_introduced {
+            left
+        } else {
+            left.min(INTRODUCE_INTERVAL)
+        };
+        tokio::select! {
+            () = peers.news.notified() => return,
+            () = peers.newcomer_came.notified() => {
+                sleep(NEWCOMERS_GATHER).await;
+                let own = own_state(state, Instant::now());
+                let newcomers = peers.take_newcomers().collect();
+                introduce(state, socket, &own, newcomers).await;
+            }
+            () = sleep(wait) => {
+                if is_introduced {
+                    return;
+                }
+                let own = own_state(state, Instant::now());
+                let Receivers { unheard, .. } = peers.receivers(Instant::now());
+                introduce(state, socket, &own, unheard).await;
+            }
+        }
+    }
+}
+
+/// Sends changes of upstreams on.
+async fn send_news(state: &GatewayState, socket: &UdpSocket) {
+    for (news, audience) in state.peers.take_waiting_news() {
+        let group = state.peers.group_addresses(state.peers.group());
+        if audience == Audience::Fleet && state.peers.is_grouped() {
+            let relays = state.peers.digest_targets(Instant::now());
+            let datagram = Datagram::Upstreams {
+                news: news.clone(),
+                is_for_group: true,
+            };
+            send_to_all(socket, &datagram, &relays).await;
+        }
+        let datagram = Datagram::Upstreams {
+            news,
+            is_for_group: false,
+        };
+        send_to_all(socket, &datagram, &group).await;
+    }
+}
+
+/// Tells hosts that don't know this one its whole state, and names others of their halls.
+async fn introduce(
+    state: &GatewayState,
+    socket: &UdpSocket,
+    own: &PeerState,
+    unheard: Vec<(SocketAddr, Option<HallId>)>,
+) {
+    let mut by_hall: HashMap<Option<HallId>, Vec<SocketAddr>> = HashMap::new();
+    for (address, hall) in unheard {
+        by_hall.entry(hall).or_default().push(address);
+    }
+    for (hall, addresses) in by_hall {
+        let mut introduction = own.clone();
+        introduction.named = state.peers.some_names(hall.as_ref(), NAMED_TO_NEWCOMERS);
+        let datagram = Datagram::State(Box::new(introduction));
+        send_to_all(socket, &datagram, &addresses).await;
+    }
+}
+
 /// The whole state of this host.
-fn own_state(state: &GatewayState, now: Instant) -> PeerState {
+pub(super) fn own_state(state: &GatewayState, now: Instant) -> PeerState {
     let peers = &state.peers;
     let all = state.view.upstreams.all();
     let work = all.iter().filter_map(|upstream| {
@@ -89,10 +172,13 @@
         incarnation: peers.incarnation,
         sequence: peers.sequence.fetch_add(1, Ordering::Relaxed),
         work: work.take(TOLD_UPSTREAMS).collect(),
-        watermark: state.own_watermark(),
+        watermark: state.feed.watermark(),
+        reaches_store: state.feed.reaches_store(),
+        link_mbps: peers.own.link_mbps,
+        fleet_hosts: u32::try_from(peers.hosts_known()).unwrap_or(u32::MAX),
         budgets: budgets.collect(),
         runs: state.runs.own(now).into_iter().take(TOLD_RUNS).collect(),
-        named: peers.some_names(),
+        named: peers.some_names(Some(&peers.own.hall), NAMED_PEERS),
     }
 }
 
@@ -108,9 +194,13 @@
     );
 }
 
-async fn send_to_all(socket: &UdpSocket, datagram: &Datagram, receivers: &[SocketAddr]) {
-    let Ok(bytes) = postcard::to_stdvec(datagram) else {
-        return;
+pub(super) async fn send_to_all(socket: &UdpSocket, datagram: &Datagram, receivers: &[SocketAddr]) {
+    let bytes = match datagram.to_bytes() {
+        Ok(bytes) => bytes,
+        Err(error) => {
+            log::error!("peers: datagram can't be written error={error}");
+            return;
+        }
     };
     if bytes.len() > SENT_BOUND_BYTES {
         log::warn!("peers: datagram too large bytes={}", bytes.len());
@@ -125,39 +215,99 @@
 async fn hear(state: Arc<GatewayState>, socket: Arc<UdpSocket>) {
     let mut buffer = vec![0; DATAGRAM_BOUND_BYTES];
     loop {
-        let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
+        let Ok((length, sender)) = socket.recv_from(&mut buffer).await else {
             sleep(COALESCE).await;
             continue;
         };
-        match postcard::from_bytes::<Datagram>(&buffer[..length]) {
+        match Datagram::from_bytes(&buffer[..length]) {
             Ok(Datagram::State(peer)) => apply_state(&state, *peer),
             Ok(Datagram::Change(change)) => apply_change(&state, change),
-            Ok(Datagram::Upstreams(news)) => apply_news(&state, news),
-            Err(_) => log::warn!("peers: datagram unreadable bytes={length}"),
+            Ok(Datagram::Upstreams { news, is_for_group }) => {
+                if is_for_group {
+                    state.peers.send_on_to_group(news.clone());
+                }
+                apply_news(&state, news);
+            }
+            Ok(Datagram::Digest {
+                digest,
+                is_passed_on,
+            }) => take_digest(&state, &socket, *digest, is_passed_on).await,
+            Ok(Datagram::Relayed(digests)) => {
+                for digest in digests {
+                    apply_digest(&state, digest);
+                }
+            }
+            Err(cause) => {
+                state.metrics.unreadable_datagrams.inc();
+                log::warn!(
+                    "peers: datagram unreadable peer={sender} cause={cause:?} bytes={length}"
+                );
+                if let Unreadable::OtherVersion(_) = cause {
+                    state.peers.note_unreadable(sender, Instant::now());
+                }
+            }
         }
     }
 }
 
+/// Takes in the digest of another group, and sees to it that the own group hears of it.
+async fn take_digest(
+    state: &GatewayState,
+    socket: &UdpSocket,
+    digest: GroupDigest,
+    is_passed_on: bool,
+) {
+    let relay = state.peers.relay(Instant::now());
+    match relay {
+        None => state.peers.pass_on(digest.clone()),
+        Some(relay) if !is_passed_on => {
+            let datagram = Datagram::Digest {
+                digest: Box::new(digest.clone()),
+                is_passed_on: true,
+            };
+            send_to_all(socket, &datagram, &[relay]).await;
+        }
+        Some(_) => {}
+    }
+    apply_digest(state, digest);
+}
+
+fn apply_digest(state: &GatewayState, mut digest: GroupDigest) {
+    let runs = std::mem::take(&mut digest.runs);
+    let findings = state.peers.apply_digest(&digest, Instant::now());
+    note_told(state, &digest.relay, runs, RunHost::Elsewhere, &findings);
+}
+
 fn apply_state(state: &GatewayState, mut peer: PeerState) {
     let sender = peer.host.clone();
     let runs = std::mem::take(&mut peer.runs);
+    if state.peers.is_in_group(&peer.hall) {
+        state.peers.note_group_runs(&runs);
+    }
     let findings = state.peers.apply_state(peer, Instant::now());
-    note_told(state, &sender, runs, &findings);
+    note_told(state, &sender, runs, RunHost::InGroup, &findings);
 }
 
 fn apply_change(state: &GatewayState, mut change: PeerChange) {
     let sender = change.host.clone();
     let runs = std::mem::take(&mut change.runs);
+    state.peers.note_group_runs(&runs);
     let findings = state.peers.apply_change(change, Instant::now());
-    note_told(state, &sender, runs, &findings);
+    note_told(state, &sender, runs, RunHost::InGroup, &findings);
 }
 
 /// Notes what a peer told of its runs and of upstreams, and wakes what waits for its watermark on
 /// the store.
-fn note_told(state: &GatewayState, sender: &HostId, runs: Vec<RunTrace>, findings: &[Finding]) {
+fn note_told(
+    state: &GatewayState,
+    sender: &HostId,
+    runs: Vec<RunTrace>,
+    host: RunHost,
+    findings: &[Finding],
+) {
     let now = Instant::now();
     for run in runs {
-        state.runs.hear(run, now);
+        state.runs.hear(run, host, now);
     }
     for finding in findings {
         take_over(state, finding, sender);
--- /dev/null
+++ b/crates/gateway/src/peers/groups.rs
@@ -0,0 +1,234 @@
+//! What this host heard of the other groups of hosts, by the digests of their relays.
+
+use {
+    super::message::{GroupDigest, GroupMember, HostAddress, ServiceUse},
+    crate::{
+        feed::Contender,
+        view::{Condition, Work},
+    },
+    std::{
+        collections::HashMap,
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+    tealshore_core::ids::{EngineId, HallId},
+};
+
+/// How many hosts of a group whose relay is not known are told.
+const UNKNOWN_RELAY_TARGETS: usize = 2;
+
+/// A group, as its relay last told of it.
+struct Group {
+    relay: Contender,
+    relay_address: SocketAddr,
+    incarnation: u64,
+    sequence: u64,
+    heard: Instant,
+    members: Vec<GroupMember>,
+    work: HashMap<EngineId, Work>,
+    budgets: Vec<ServiceUse>,
+}
+
+/// The other groups.
+#[derive(Default)]
+pub struct Groups {
+    known: HashMap<HallId, Group>,
+    /// Relays that other relays named and that were not heard yet.
+    named: HashMap<HallId, SocketAddr>,
+}
+
+impl Groups {
+    /// Takes in a digest; whether it was newer than what its relay told before.
+    pub fn apply(&mut self, digest: &GroupDigest, now: Instant) -> bool {
+        for relay in &digest.relays {
+            self.named.insert(relay.hall.clone(), relay.address);
+        }
+        let before = self.known.get(&digest.group);
+        let is_old = before.is_some_and(|before| {
+            before.incarnation == digest.incarnation && before.sequence >= digest.sequence
+        });
+        if is_old {
+            return false;
+        }
+        if before.is_none_or(|before| before.relay.host != digest.relay) {
+            log::info!(
+                "peers: relay group={} host={} before={}",
+                digest.group,
+                digest.relay,
+                before.map_or("-", |before| before.relay.host.as_str())
+            );
+        }
+        let group = self
+            .known
+            .entry(digest.group.clone())
+            .or_insert_with(|| Group::of(digest, now));
+        group.apply(digest, now);
+        true
+    }
+
+    /// Forgets groups that have been silent for long.
+    pub fn forget(&mut self, bound: Duration, now: Instant) {
+        self.known.retain(|hall, group| {
+            let is_kept = now.saturating_duration_since(group.heard) <= bound;
+            if !is_kept {
+                log::info!("peers: forgotten group={hall}");
+            }
+            is_kept
+        });
+    }
+
+    /// Whether a group was heard within a time.
+    pub fn is_fresh(&self, hall: &HallId, silence: Duration, now: Instant) -> bool {
+        let group = self.known.get(hall);
+        group.is_some_and(|group| group.is_fresh(silence, now))
+    }
+
+    /// How many hosts the other groups have.
+    pub fn hosts(&self) -> usize {
+        self.known.values().map(|group| group.members.len()).sum()
+    }
+
+    /// Whether a host of another group takes datagrams at an address.
+    pub fn has_address(&self, address: SocketAddr) -> bool {
+        let mut members = self.known.values().flat_map(|group| &group.members);
+        members.any(|member| member.peers_address == address)
+    }
+
+    /// The hosts of all groups that were heard within a time.
+    pub fn members(&self, silence: Duration, now: Instant) -> Vec<(HallId, GroupMember)> {
+        let fresh = self.fresh(silence, now);
+        fresh
+            .flat_map(|(hall, group)| {
+                let members = group.members.iter();
+                members.map(|member| (hall.clone(), member.clone()))
+            })
+            .collect()
+    }
+
+    /// Adds what the other groups have at upstreams to sums.
+    pub fn add_work(&self, sums: &mut HashMap<EngineId, Work>, silence: Duration, now: Instant) {
+        for (_, group) in self.fresh(silence, now) {
+            for (upstream, work) in &group.work {
+                sums.entry(upstream.clone()).or_default().add(*work);
+            }
+        }
+    }
+
+    /// What the other groups used of the retry budgets, with how many hosts each of them has.
+    pub fn budgets(&self, silence: Duration, now: Instant) -> Vec<(usize, Vec<ServiceUse>)> {
+        let fresh = self.fresh(silence, now);
+        fresh
+            .map(|(_, group)| (group.members.len(), group.budgets.clone()))
+            .collect()
+    }
+
+    /// The relays that were heard within a time and take traffic.
+    pub fn relays(&self, silence: Duration, now: Instant) -> Vec<Contender> {
+        let fresh = self.fresh(silence, now);
+        fresh.map(|(_, group)| group.relay.clone()).collect()
+    }
+
+    /// The relays that were heard within a time, for the other relays.
+    pub fn relay_addresses(&self, silence: Duration, now: Instant) -> Vec<HostAddress> {
+        let fresh = self.fresh(silence, now);
+        fresh
+            .map(|(hall, group)| HostAddress {
+                hall: hall.clone(),
+                address: group.relay_address,
+            })
+            .collect()
+    }
+
+    /// Where digests for the other groups go: to their relays, and where a group has been silent,
+    /// to whoever was named as its relay and to some of its hosts. `met` are hosts of other groups
+    /// that were heard directly.
+    pub fn targets(&self, met: &[HostAddress], silence: Duration, now: Instant) -> Vec<SocketAddr> {
+        let mut halls: Vec<&HallId> = self.known.keys().chain(self.named.keys()).collect();
+        halls.extend(met.iter().map(|host| &host.hall));
+        halls.sort();
+        halls.dedup();
+        let mut targets = Vec::new();
+        for hall in halls {
+            match self.known.get(hall) {
+                Some(group) if group.is_fresh(silence, now) => targets.push(group.relay_address),
+                group => {
+                    targets.extend(self.named.get(hall));
+                    let met = met.iter().filter(|host| host.hall == *hall);
+                    targets.extend(met.map(|host| host.address).take(UNKNOWN_RELAY_TARGETS));
+                    let members = group.into_iter().flat_map(|group| &group.members);
+                    let members = members.map(|member| member.peers_address);
+                    targets.extend(members.take(UNKNOWN_RELAY_TARGETS));
+                }
+            }
+        }
+        targets.sort();
+        targets.dedup();
+        targets
+    }
+
+    fn fresh(&self, silence: Duration, now: Instant) -> impl Iterator<Item = (&HallId, &Group)> {
+        let all = self.known.iter();
+        all.filter(move |(_, group)| group.is_fresh(silence, now))
+    }
+}
+
+impl Group {
+    fn of(digest: &GroupDigest, now: Instant) -> Self {
+        Self {
+            relay: relay_of(digest),
+            relay_address: digest.relay_address,
+            incarnation: digest.incarnation,
+            sequence: digest.sequence,
+            heard: now,
+            members: Vec::new(),
+            work: HashMap::new(),
+            budgets: Vec::new(),
+        }
+    }
+
+    fn apply(&mut self, digest: &GroupDigest, now: Instant) {
+        self.relay = relay_of(digest);
+        self.relay_address = digest.relay_address;
+        self.incarnation = digest.incarnation;
+        self.sequence = digest.sequence;
+        self.heard = now;
+        if let Some(members) = &digest.members {
+            self.members.clone_from(members);
+        }
+        if digest.is_whole {
+            self.work.clear();
+        }
+        for entry in &digest.work {
+            if entry.work == Work::default() {
+                self.work.remove(&entry.upstream);
+            } else {
+                self.work.insert(entry.upstream.clone(), entry.work);
+            }
+        }
+        self.budgets.clone_from(&digest.budgets);
+    }
+
+    fn is_fresh(&self, silence: Duration, now: Instant) -> bool {
+        now.saturating_duration_since(self.heard) <= silence
+    }
+}
+
+fn relay_of(digest: &GroupDigest) -> Contender {
+    Contender {
+        host: digest.relay.clone(),
+        hall: digest.group.clone(),
+        link_mbps: digest.link_mbps,
+        watermark: digest.watermark.unwrap_or_default(),
+        reaches_store: digest.reaches_store && digest.watermark.is_some(),
+    }
+}
+
+/// The worse of two conditions.
+#[must_use]
+pub fn worse(one: Condition, other: Condition) -> Condition {
+    match (one, other) {
+        (Condition::Replaced, _) | (_, Condition::Replaced) => Condition::Replaced,
+        (Condition::Suspected, _) | (_, Condition::Suspected) => Condition::Suspected,
+        (Condition::Healthy, Condition::Healthy) => Condition::Healthy,
+    }
+}
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -83,12 +83,74 @@
     pub work: Vec<UpstreamWork>,
     /// How far its knowledge of the store goes; none while it can't tell.
     pub watermark: Option<StoreWatermark>,
+    /// Whether its last call to the store was answered.
+    pub reaches_store: bool,
+    /// What its link carries, in Mbit/s.
+    pub link_mbps: u32,
+    /// How many hosts it knows of, itself included.
+    pub fleet_hosts: u32,
     /// What it used of the retry budgets.
     pub budgets: Vec<ServiceUse>,
     /// The streams that run on it.
     pub runs: Vec<RunTrace>,
-    /// Some other hosts' addresses for datagrams.
-    pub named: Vec<SocketAddr>,
+    /// Some other hosts, of the receiver's hall where it is known.
+    pub named: Vec<HostAddress>,
+}
+
+/// Where a host of a hall takes datagrams.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostAddress {
+    /// Its hall.
+    pub hall: HallId,
+    /// Where it takes datagrams.
+    pub address: SocketAddr,
+}
+
+/// A host of a group, as its relay tells of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GroupMember {
+    /// Its name.
+    pub host: HostId,
+    /// Where it takes callers.
+    pub callers_address: SocketAddr,
+    /// Where it takes datagrams.
+    pub peers_address: SocketAddr,
+    /// Whether it takes traffic.
+    pub phase: HostPhase,
+}
+
+/// What the hosts of a group have together, as its relay tells the other groups. Sums are
+/// absolute, so one from another relay of the same group takes the place of the last one.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct GroupDigest {
+    /// The hall whose hosts the group is.
+    pub group: HallId,
+    /// The relay that tells it.
+    pub relay: HostId,
+    /// Where the relay takes datagrams.
+    pub relay_address: SocketAddr,
+    /// What the relay's link carries, in Mbit/s.
+    pub link_mbps: u32,
+    /// Drawn at the start of the relay's process.
+    pub incarnation: u64,
+    /// Counts the digests of an incarnation.
+    pub sequence: u64,
+    /// All its hosts, where those changed or all is told.
+    pub members: Option<Vec<GroupMember>>,
+    /// Whether `work` is all that they have; else it is what changed.
+    pub is_whole: bool,
+    /// The sums of their work at upstreams, and the worst that one of them found there.
+    pub work: Vec<UpstreamWork>,
+    /// What they used of the retry budgets.
+    pub budgets: Vec<ServiceUse>,
+    /// Streams that began on them.
+    pub runs: Vec<RunTrace>,
+    /// How far the relay's knowledge of the store goes.
+    pub watermark: Option<StoreWatermark>,
+    /// Whether the relay's last call to the store was answered.
+    pub reaches_store: bool,
+    /// The relays of other groups that it knows of.
+    pub relays: Vec<HostAddress>,
 }
 
 /// What changed of a host's state since it was last told.
@@ -102,6 +164,8 @@
     pub sequence: u64,
     /// How far its knowledge of the store goes; none while it can't tell.
     pub watermark: Option<StoreWatermark>,
+    /// Whether its last call to the store was answered.
+    pub reaches_store: bool,
     /// Its work at upstreams where that changed, as it is now.
     pub work: Vec<UpstreamWork>,
     /// What it used of the retry budgets, where it repeated sends since.
@@ -118,7 +182,57 @@
     /// What changed of it.
     Change(PeerChange),
     /// Changed upstreams, from a feeder.
-    Upstreams(UpstreamNews),
+    Upstreams {
+        /// The changes.
+        news: UpstreamNews,
+        /// The receiver is the relay of another group, and passes them on to it.
+        is_for_group: bool,
+    },
+    /// The digest of another group, to its relay.
+    Digest {
+        /// The digest.
+        digest: Box<GroupDigest>,
+        /// It came to a host that is not the relay, and was passed on once.
+        is_passed_on: bool,
+    },
+    /// Digests of other groups, from the relay of the own one.
+    Relayed(Vec<GroupDigest>),
+}
+
+/// The version of the datagrams' layout, their first byte. Hosts of two versions run side by side
+/// while hosts are replaced in turn; each counts and drops what the other says.
+const LAYOUT_VERSION: u8 = 2;
+
+/// Why a datagram can't be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unreadable {
+    /// It has another layout.
+    OtherVersion(Option<u8>),
+    /// It is cut or damaged.
+    Damaged,
+}
+
+impl Datagram {
+    /// The bytes that are sent.
+    ///
+    /// # Errors
+    /// A value can't be written; none of these types has such.
+    pub fn to_bytes(&self) -> Result<Vec<u8>, postcard::Error> {
+        postcard::to_extend(self, vec![LAYOUT_VERSION])
+    }
+
+    /// Reads what was sent.
+    ///
+    /// # Errors
+    /// The layout is another one, or the bytes are damaged.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, Unreadable> {
+        match bytes.split_first() {
+            Some((&LAYOUT_VERSION, rest)) => {
+                postcard::from_bytes(rest).map_err(|_| Unreadable::Damaged)
+            }
+            other => Err(Unreadable::OtherVersion(other.map(|(version, _)| *version))),
+        }
+    }
 }
 
 impl PeerState {
@@ -132,6 +246,7 @@
     pub fn apply(&mut self, change: PeerChange) {
         self.sequence = change.sequence;
         self.watermark = change.watermark;
+        self.reaches_store = change.reaches_store;
         for entry in change.work {
             self.work.retain(|known| known.upstream != entry.upstream);
             if entry.is_worth_telling() {
--- /dev/null
+++ b/crates/gateway/src/peers/relay.rs
@@ -0,0 +1,196 @@
+//! What the relay of a group does: it tells the relays of the other groups the sums of its own, and
+//! passes theirs on to its group.
+//!
+//! Any host of a group that takes itself for the relay may do so; the sums of two relays of one
+//! group are alike, and the later one counts.
+
+use {
+    super::{
+        Feeder, GROUP_RUNS_BOUND, Groups, HostAddress, Peers, RELAYED_BOUND,
+        digest::{GroupSums, LastDigest, Teller},
+        exchange::{own_state, send_to_all},
+        message::{Datagram, GroupDigest, GroupMember, HostPhase, PeerState},
+    },
+    crate::{feed::rank, run_trace::RunTrace, state::GatewayState},
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::{net::UdpSocket, time::sleep},
+};
+
+/// How often a relay tells what changed, and passes on what it heard. What a stream's host tells
+/// reaches all halls within twice this; sums for 67 streams a second are then some 10 kB a second.
+const RELAY_INTERVAL: Duration = Duration::from_millis(100);
+/// The most bytes of digests that are passed on in one datagram.
+const RELAYED_BYTES: usize = 16_000;
+
+/// Relays for as long as the process lives, whenever this host is the relay of its group.
+pub(super) async fn relay(state: Arc<GatewayState>, socket: Arc<UdpSocket>) {
+    let mut last = LastDigest::default();
+    loop {
+        sleep(RELAY_INTERVAL).await;
+        let now = Instant::now();
+        let peers = &state.peers;
+        // Counts hosts, so that a fleet that grows is divided into groups.
+        peers.most_hosts();
+        let relayed = peers.take_waiting_digests();
+        let runs = peers.take_group_runs();
+        if !peers.is_grouped() || peers.relay(now).is_some() {
+            last.forget();
+            continue;
+        }
+        let own = own_state(&state, now);
+        let sums = peers.group_sums(&own, runs, now);
+        let teller = peers.teller(&own, now);
+        let heartbeat = state.options.peers.heartbeat;
+        if let Some(digest) = last.next(teller, sums, heartbeat, now) {
+            let targets = peers.digest_targets(now);
+            let datagram = Datagram::Digest {
+                digest: Box::new(digest),
+                is_passed_on: false,
+            };
+            send_to_all(&socket, &datagram, &targets).await;
+        }
+        let group = peers.group_addresses(peers.group());
+        for part in parts(relayed) {
+            send_to_all(&socket, &Datagram::Relayed(part), &group).await;
+        }
+    }
+}
+
+/// Divides digests into parts that one datagram carries.
+fn parts(digests: Vec<GroupDigest>) -> Vec<Vec<GroupDigest>> {
+    let mut parts: Vec<Vec<GroupDigest>> = Vec::new();
+    let mut bytes = 0;
+    for digest in digests {
+        let size = postcard::experimental::serialized_size(&digest).unwrap_or(RELAYED_BYTES);
+        bytes += size;
+        match parts.last_mut() {
+            Some(part) if bytes <= RELAYED_BYTES => part.push(digest),
+            Some(_) | None => {
+                bytes = size;
+                parts.push(vec![digest]);
+            }
+        }
+    }
+    parts
+}
+
+impl Peers {
+    /// Where the relay of the own group takes datagrams; none where this host is the relay: the
+    /// first by rank of all that take traffic, or of all where none does.
+    pub(super) fn relay(&self, now: Instant) -> Option<SocketAddr> {
+        let feeder = self.feeder.lock().clone();
+        let known = self.known.lock();
+        let mut in_group = known
+            .values()
+            .filter(|peer| self.is_believed(peer, now) && self.is_in_group(&peer.state.hall));
+        match feeder {
+            Feeder::Itself => None,
+            // One of another group feeds this host as the relay of its own.
+            Feeder::Host(feeder) => {
+                let relay = in_group.find(|peer| peer.state.host == feeder);
+                relay.map(|peer| peer.state.peers_address)
+            }
+            Feeder::Nobody => {
+                let own = rank(&self.own.id, self.own.link_mbps);
+                let live = in_group.filter(|peer| peer.state.phase != HostPhase::Leaving);
+                let ranked = live.map(|peer| {
+                    let rank = rank(&peer.state.host, peer.state.link_mbps);
+                    (rank, peer.state.peers_address)
+                });
+                let (first, address) = ranked.min_by_key(|(rank, _)| *rank)?;
+                (first < own).then_some(address)
+            }
+        }
+    }
+
+    /// Whether this host is the relay of its group.
+    pub fn is_relay(&self, now: Instant) -> bool {
+        self.relay(now).is_none()
+    }
+
+    /// What the hosts of the group have together, this one included.
+    fn group_sums(&self, own: &PeerState, runs: Vec<RunTrace>, now: Instant) -> GroupSums {
+        let mut sums = GroupSums {
+            runs,
+            ..GroupSums::default()
+        };
+        let known = self.known.lock();
+        let believed = known
+            .values()
+            .filter(|peer| self.is_believed(peer, now) && self.is_in_group(&peer.state.hall));
+        for state in believed.map(|peer| &peer.state).chain([own]) {
+            sums.add_work(&state.work);
+            sums.add_budgets(&state.budgets);
+            sums.members.push(GroupMember {
+                host: state.host.clone(),
+                callers_address: state.callers_address,
+                peers_address: state.peers_address,
+                phase: state.phase,
+            });
+        }
+        sums.runs.extend(own.runs.iter().cloned());
+        sums
+    }
+
+    fn teller(&self, own: &PeerState, now: Instant) -> Teller {
+        Teller {
+            host: own.host.clone(),
+            hall: own.hall.clone(),
+            address: own.peers_address,
+            link_mbps: own.link_mbps,
+            incarnation: own.incarnation,
+            watermark: own.watermark,
+            reaches_store: own.reaches_store,
+            relays: self
+                .groups
+                .lock()
+                .relay_addresses(self.options.silence, now),
+        }
+    }
+
+    /// Where digests of the own group go.
+    pub(super) fn digest_targets(&self, now: Instant) -> Vec<SocketAddr> {
+        let met: Vec<HostAddress> = {
+            let known = self.known.lock();
+            let elsewhere = known
+                .values()
+                .filter(|peer| !self.is_in_group(&peer.state.hall));
+            let elsewhere = elsewhere.map(|peer| HostAddress {
+                hall: peer.state.hall.clone(),
+                address: peer.state.peers_address,
+            });
+            elsewhere.collect()
+        };
+        let groups: &Groups = &self.groups.lock();
+        let mut targets = groups.targets(&met, self.options.silence, now);
+        targets.retain(|target| *target != self.options.address);
+        targets
+    }
+
+    /// Keeps streams that began on a host of the group for the next digest.
+    pub(super) fn note_group_runs(&self, runs: &[RunTrace]) {
+        let mut kept = self.group_runs.lock();
+        let room = GROUP_RUNS_BOUND.saturating_sub(kept.len());
+        kept.extend(runs.iter().take(room).cloned());
+    }
+
+    fn take_group_runs(&self) -> Vec<RunTrace> {
+        std::mem::take(&mut *self.group_runs.lock())
+    }
+
+    /// Keeps a digest of another group until it is passed on.
+    pub(super) fn pass_on(&self, digest: GroupDigest) {
+        let mut waiting = self.waiting_digests.lock();
+        if waiting.len() < RELAYED_BOUND {
+            waiting.push(digest);
+        }
+    }
+
+    fn take_waiting_digests(&self) -> Vec<GroupDigest> {
+        std::mem::take(&mut *self.waiting_digests.lock())
+    }
+}
--- a/crates/gateway/src/peers/snapshot.rs
+++ b/crates/gateway/src/peers/snapshot.rs
@@ -5,6 +5,7 @@
     crate::{
         edge::{Revision, RowSet, StoreTime},
         feed::SetWatermark,
+        run_trace::RunTrace,
         state::GatewayState,
         view::{Configuration, UpstreamRecord},
     },
@@ -22,10 +23,24 @@
 /// The rows of a set.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum SnapshotRows {
-    /// The configuration in force.
-    Configuration(Configuration),
+    /// The configuration in force; none while the store holds none.
+    Configuration(Option<Configuration>),
     /// All upstreams that are listed, each with the version of its row.
     Upstreams(Vec<(Revision, UpstreamRecord)>),
+    /// Where streams run, on all hosts. It has no watermark: no host follows this set.
+    Runs(Vec<RunTrace>),
+}
+
+impl SnapshotRows {
+    /// How many rows there are.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        match self {
+            Self::Configuration(configuration) => usize::from(configuration.is_some()),
+            Self::Upstreams(rows) => rows.len(),
+            Self::Runs(runs) => runs.len(),
+        }
+    }
 }
 
 /// All that a host knows of a set.
@@ -41,16 +56,26 @@
 }
 
 impl SetSnapshot {
-    /// What this host knows of a set; none before it was read, and of sets that are not fed.
+    /// What this host knows of a set; none before it was read, and of sets that no host gives.
     pub fn of(state: &GatewayState, set: RowSet, now: Instant) -> Option<Self> {
         // The watermark is read first: rows that change meanwhile are newer than it says.
-        let watermark = state.feed.progress(set).watermark()?;
-        let rows = match set {
+        let watermark = state.feed.progress(set).watermark();
+        let (watermark, rows) = match set {
             RowSet::Configuration => {
-                SnapshotRows::Configuration(state.view.configuration()?.as_ref().clone())
+                let configuration = state.view.configuration();
+                let configuration = configuration.map(|known| known.as_ref().clone());
+                (watermark?, SnapshotRows::Configuration(configuration))
+            }
+            RowSet::Upstreams => (
+                watermark?,
+                SnapshotRows::Upstreams(state.view.upstreams.rows()),
+            ),
+            RowSet::Runs if !state.runs.is_restored() => return None,
+            RowSet::Runs => {
+                let runs = SnapshotRows::Runs(state.runs.running(now));
+                (SetWatermark::default(), runs)
             }
-            RowSet::Upstreams => SnapshotRows::Upstreams(state.view.upstreams.rows()),
-            RowSet::Hosts | RowSet::Runs => return None,
+            RowSet::Hosts => return None,
         };
         Some(Self {
             watermark,
@@ -79,7 +104,7 @@
 }
 
 fn answer(state: &GatewayState, path: &str) -> Response<Body> {
-    let asked = [RowSet::Configuration, RowSet::Upstreams]
+    let asked = [RowSet::Configuration, RowSet::Upstreams, RowSet::Runs]
         .into_iter()
         .find(|set| path_of(*set) == path);
     let snapshot = asked.and_then(|set| SetSnapshot::of(state, set, Instant::now()));
--- a/crates/gateway/src/peers/told.rs
+++ b/crates/gateway/src/peers/told.rs
@@ -80,6 +80,7 @@
             incarnation: state.incarnation,
             sequence: state.sequence,
             watermark: state.watermark,
+            reaches_store: state.reaches_store,
             work: self.changed_work(&state.work),
             budgets: self.changed_budgets(&state.budgets),
             runs: self.new_runs(&state.runs),
--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -8,9 +8,11 @@
     parking_lot::Mutex,
     std::{
         collections::HashMap,
+        sync::atomic::{AtomicBool, Ordering},
         time::{Duration, Instant},
     },
     tealshore_core::ids::RequestId,
+    tokio::{sync::Notify, time::timeout},
 };
 
 /// How long the copy of a run that ended is of use: engines keep copies for some seconds.
@@ -22,8 +24,18 @@
 /// The most runs that are remembered.
 const RUNS_BOUND: usize = 20_000;
 
+/// On which host a run is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunHost {
+    /// On this one, or one of its group.
+    InGroup,
+    /// On a host of another group, which keeps it in the store.
+    Elsewhere,
+}
+
 struct Kept {
     trace: RunTrace,
+    host: RunHost,
     /// When it was last known to run; none while it runs here.
     last_known: Option<Instant>,
 }
@@ -39,13 +51,37 @@
 #[derive(Default)]
 pub struct Runs {
     kept: Mutex<HashMap<Fingerprint, Kept>>,
+    /// The runs from before this host's start are known, as far as any host or the store knows.
+    is_restored: AtomicBool,
+    restored: Notify,
 }
 
 impl Runs {
+    /// Notes that the runs from before this host's start were learned, or that there were none.
+    pub fn note_restored(&self) {
+        self.is_restored.store(true, Ordering::Relaxed);
+        self.restored.notify_waiters();
+    }
+
+    /// Waits until those runs are known, for a time at most.
+    pub async fn wait_restored(&self, bound: Duration) {
+        let notified = self.restored.notified();
+        if !self.is_restored() {
+            // Whether they are known or the time's end ends the wait makes no difference.
+            let _ = timeout(bound, notified).await;
+        }
+    }
+
+    /// Whether this host can tell another one where streams run.
+    pub fn is_restored(&self) -> bool {
+        self.is_restored.load(Ordering::Relaxed)
+    }
+
     /// Notes that a request runs, in place of where it ran before.
     pub fn begin(&self, trace: RunTrace) {
         let kept = Kept {
             trace,
+            host: RunHost::InGroup,
             last_known: None,
         };
         self.kept.lock().insert(kept.trace.fingerprint, kept);
@@ -68,7 +104,7 @@
     }
 
     /// Takes in a run of another host.
-    pub fn hear(&self, trace: RunTrace, now: Instant) {
+    pub fn hear(&self, trace: RunTrace, host: RunHost, now: Instant) {
         let mut kept = self.kept.lock();
         let known = kept.get(&trace.fingerprint);
         if known.is_some_and(|known| known.last_known.is_none()) {
@@ -79,14 +115,19 @@
             return;
         }
         let last_known = Some(now);
-        kept.insert(trace.fingerprint, Kept { trace, last_known });
+        let entry = Kept {
+            trace,
+            host,
+            last_known,
+        };
+        kept.insert(entry.trace.fingerprint, entry);
     }
 
     /// Takes in what the store kept of a run, unless more is known.
     pub fn restore(&self, trace: RunTrace, now: Instant) {
         let is_known = self.kept.lock().contains_key(&trace.fingerprint);
         if !is_known {
-            self.hear(trace, now);
+            self.hear(trace, RunHost::Elsewhere, now);
         }
     }
 
@@ -112,13 +153,21 @@
         running.map(|known| known.trace.clone()).collect()
     }
 
-    /// Where streams run now, on this host and on those that were heard a moment ago, for the
-    /// store, in a fixed order.
+    /// Where streams run now, as far as was heard a moment ago, in a fixed order.
     pub fn running(&self, now: Instant) -> Vec<RunTrace> {
+        self.running_where(now, |_| true)
+    }
+
+    /// Where streams of the hosts of this one's group run now, for the store, in a fixed order.
+    pub fn running_in_group(&self, now: Instant) -> Vec<RunTrace> {
+        self.running_where(now, |host| host == RunHost::InGroup)
+    }
+
+    fn running_where(&self, now: Instant, is_wanted: impl Fn(RunHost) -> bool) -> Vec<RunTrace> {
         let kept = self.kept.lock();
         let running = kept
             .values()
-            .filter(|known| known.is_younger_than(RUNNING, now));
+            .filter(|known| is_wanted(known.host) && known.is_younger_than(RUNNING, now));
         let mut traces: Vec<RunTrace> = running.map(|known| known.trace.clone()).collect();
         drop(kept);
         traces.sort_by_key(|trace| trace.fingerprint);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,7 +6,7 @@
         budget::{BudgetUse, RetryBudget},
         edge::Protocol,
         feed::{
-            Contender, Feed, FeederChoice, StoreWatermark, choose_feeder, group_of, ranks_first,
+            Contender, DEPUTY_BOUND, FED_BOUND, Feed, FeederChoice, choose_feeder, hosts_before,
         },
         metrics::GatewayMetrics,
         options::{GatewayOptions, StaleKeys},
@@ -112,47 +112,62 @@
         }
     }
 
-    /// How far this host's knowledge goes, as it tells its peers; none while it can't tell.
-    pub fn own_watermark(&self) -> Option<StoreWatermark> {
-        let watermark = self.feed.watermark()?;
-        self.feed.reaches_store().then_some(watermark)
+    /// This host as one that may feed others; none while it stops or knows too little.
+    fn own_contender(&self, now: Instant) -> Option<Contender> {
+        let host = &self.options.host;
+        if self.phase(now) == HostPhase::Leaving {
+            return None;
+        }
+        Some(Contender {
+            host: host.id.clone(),
+            hall: host.hall.clone(),
+            link_mbps: host.link_mbps,
+            watermark: self.feed.watermark()?,
+            reaches_store: self.feed.reaches_store(),
+        })
     }
 
     /// Which host tells this one what the store says.
     pub fn feeder(&self, now: Instant) -> FeederChoice {
-        let host = &self.options.host;
-        let mut contenders = self.peers.contenders(now);
-        if self.phase(now) == HostPhase::Serving
-            && let Some(watermark) = self.own_watermark()
-        {
-            contenders.push(Contender {
-                host: host.id.clone(),
-                hall: host.hall.clone(),
-                watermark,
-            });
+        let mut group = self.peers.contenders(now);
+        group.extend(self.own_contender(now));
+        let mut relays = self.peers.relays(now);
+        for contenders in [&mut group, &mut relays] {
+            contenders.retain(|contender| self.feed.is_young(contender.watermark.written(), now));
         }
-        contenders.retain(|contender| self.feed.is_young(contender.watermark.written(), now));
-        let hosts = self.peers.most_hosts();
-        let chosen = choose_feeder(&host.id, &host.hall, hosts, &contenders);
+        let chosen = choose_feeder(&self.options.host.id, &group, &relays);
         self.peers.note_feeder(&chosen);
         chosen
     }
 
+    /// The age past which this host no longer relies on what its feeder tells.
+    pub fn fed_bound(&self, now: Instant) -> Duration {
+        let host = &self.options.host;
+        if self.own_contender(now).is_none_or(|own| !own.reaches_store) {
+            return FED_BOUND;
+        }
+        let is_second = |others: &[Contender]| {
+            let readers = others.iter().filter(|other| other.reaches_store);
+            hosts_before(&host.id, host.link_mbps, readers) == 1
+        };
+        let is_relay = self.peers.is_grouped() && self.peers.is_relay(now);
+        let is_deputy = is_second(&self.peers.contenders(now))
+            || (is_relay && is_second(&self.peers.relays(now)));
+        if is_deputy { DEPUTY_BOUND } else { FED_BOUND }
+    }
+
     /// Whether this host reads changed configurations from the store for its hall: the first by
     /// rank of those in the hall that take traffic and reach the store.
     pub fn reads_for_hall(&self, now: Instant) -> bool {
         let host = &self.options.host;
-        if self.own_watermark().is_none() {
+        if self.feed.watermark().is_none() || !self.feed.reaches_store() {
             return false;
         }
-        let others = self.peers.contenders(now).into_iter();
-        let in_hall = others.filter(|other| other.hall == host.hall);
-        ranks_first(&host.id, in_hall.map(|other| other.host))
-    }
-
-    /// The hall whose hosts share a feeder; none where all hosts do.
-    pub fn group(&self) -> Option<&str> {
-        group_of(self.peers.most_hosts(), &self.options.host.hall)
+        let contenders = self.peers.contenders(now);
+        let in_hall = contenders
+            .iter()
+            .filter(|other| other.hall == host.hall && other.reaches_store);
+        hosts_before(&host.id, host.link_mbps, in_hall) == 0
     }
 
     /// Notes a caller's request for the budget of its service.
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -16,6 +16,7 @@
         peers::Reach,
         state::GatewayState,
     },
+    apply::LogRows,
     bytes::Bytes,
     calls::{CallFailure, StoreCalls},
     follow::Source,
@@ -80,6 +81,18 @@
     moment: Instant,
 }
 
+/// What reading a whole set gave.
+struct WholeRead {
+    /// The version as of which it was read.
+    revision: Revision,
+    /// A version at or after its newest change.
+    changed: Revision,
+    /// How many rows it has.
+    rows: usize,
+    /// How many upstreams it lacks that were known.
+    gone: usize,
+}
+
 impl Follower {
     fn new(state: Arc<GatewayState>, set: RowSet) -> Self {
         Self {
@@ -112,13 +125,16 @@
         let mut present: Vec<EngineId> = Vec::new();
         let mut first: Option<(Revision, Written)> = None;
         let mut newest_row: Revision = 0;
+        let mut rows = 0;
+        let log = self.whole_log();
         loop {
             let (page, written) = self.list(after_key.as_deref()).await?;
-            let rows = page.changes.iter().map(|(revision, _)| *revision);
-            newest_row = rows.max().unwrap_or_default().max(newest_row);
+            rows += page.changes.len();
+            let versions = page.changes.iter().map(|(revision, _)| *revision);
+            newest_row = versions.max().unwrap_or_default().max(newest_row);
             let (revision, written) = *first.get_or_insert((page.revision, written));
             present.extend(page.changes.iter().filter_map(apply::upstream_of));
-            self.apply_rows(page.changes);
+            self.apply_rows(page.changes, log);
             after_key = page.next_key;
             if after_key.is_none() {
                 let gone = self.finish_whole(revision, written, &present);
@@ -127,7 +143,13 @@
                     RowSet::Configuration => newest_row,
                     RowSet::Upstreams | RowSet::Hosts | RowSet::Runs => revision,
                 };
-                self.note_whole(revision, changed, written, gone);
+                let read = WholeRead {
+                    revision,
+                    changed,
+                    rows,
+                    gone,
+                };
+                self.note_whole(&read, written);
                 return Ok(());
             }
         }
@@ -162,9 +184,24 @@
         }
     }
 
-    fn note_whole(&mut self, revision: Revision, changed: Revision, written: Written, gone: usize) {
+    /// Whether the rows of a whole set are logged one by one.
+    pub(super) fn whole_log(&self) -> LogRows {
+        if self.newest() == 0 {
+            LogRows::Counted
+        } else {
+            LogRows::Each
+        }
+    }
+
+    fn note_whole(&mut self, read: &WholeRead, written: Written) {
+        let WholeRead {
+            revision,
+            changed,
+            rows,
+            gone,
+        } = *read;
         log::info!(
-            "view: read whole set={} revision={revision} changed={changed} gone={gone}",
+            "view: read whole set={} rows={rows} revision={revision} changed={changed} gone={gone}",
             self.set.name()
         );
         let watermark = SetWatermark {
@@ -172,7 +209,12 @@
             changed,
             written: written.store_time,
         };
+        let is_first = self.newest() == 0;
         self.state.feed.advance(self.set, watermark);
+        if is_first {
+            // Others that start wait for one that knows the set.
+            self.state.peers.work_changed();
+        }
         self.note_regained();
     }
 
--- a/crates/gateway/src/sync/apply.rs
+++ b/crates/gateway/src/sync/apply.rs
@@ -12,19 +12,30 @@
     tealshore_core::ids::EngineId,
 };
 
+/// Whether rows are logged one by one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum LogRows {
+    /// Each that changed something.
+    Each,
+    /// None: they are the whole set of a host that knew none, and one line counts them. Lines of
+    /// 266 upstreams pushed all others out of the log of a host that started.
+    Counted,
+}
+
 impl Follower {
-    pub(super) fn apply_rows(&self, changes: Vec<(Revision, Change)>) {
+    /// Takes in rows; `log` tells whether each of them is a change to be told of.
+    pub(super) fn apply_rows(&self, changes: Vec<(Revision, Change)>, log: LogRows) {
         for (revision, change) in changes {
-            self.apply_row(revision, change);
+            self.apply_row(revision, change, log);
         }
     }
 
-    fn apply_row(&self, revision: Revision, change: Change) {
+    fn apply_row(&self, revision: Revision, change: Change, log: LogRows) {
         match change {
             Change::Configuration(configuration) => {
                 apply_configuration(&self.state, revision, *configuration);
             }
-            Change::Upstream(change) => apply_upstream(&self.state, revision, change),
+            Change::Upstream(change) => apply_upstream(&self.state, revision, change, log),
             Change::Host(host) => self.state.peers.add(&host),
             Change::Runs(runs) => {
                 let now = Instant::now();
@@ -53,7 +64,7 @@
         return;
     }
     for (revision, change) in news.changes {
-        apply_upstream(state, revision, change);
+        apply_upstream(state, revision, change, LogRows::Each);
     }
     let watermark = SetWatermark {
         revision: news.revision,
@@ -91,13 +102,18 @@
     );
 }
 
-pub(super) fn apply_upstream(state: &GatewayState, revision: Revision, change: UpstreamChange) {
+pub(super) fn apply_upstream(
+    state: &GatewayState,
+    revision: Revision,
+    change: UpstreamChange,
+    log: LogRows,
+) {
     let upstreams = &state.view.upstreams;
     match change {
         UpstreamChange::Listed(record) => {
             let (id, upstream_state) = (record.id.clone(), record.state);
             let (address, hall) = (record.address, record.hall.clone());
-            if upstreams.put(revision, record) {
+            if upstreams.put(revision, record) && log == LogRows::Each {
                 log::info!(
                     "view: upstream upstream={id} address={address} hall={hall} \
                      state={upstream_state:?} revision={revision}"
--- a/crates/gateway/src/sync/follow.rs
+++ b/crates/gateway/src/sync/follow.rs
@@ -1,10 +1,10 @@
 //! Follows a set: by the watermark of the host that feeds this one, or else by watches of its own.
 
 use {
-    super::{CallFailure, Follower},
+    super::{CallFailure, Follower, apply::LogRows},
     crate::{
         edge::{Change, Revision, RowSet},
-        feed::{FED_BOUND, FeederChoice, SetWatermark, UpstreamNews},
+        feed::{FeederChoice, SetWatermark, UpstreamNews},
         peers::Reach,
     },
     std::time::{Duration, Instant},
@@ -25,12 +25,15 @@
 /// A host that reads changes for itself, on the watermark of its feeder, lets them gather longer:
 /// all others read them as well.
 const SHARED_GATHERING: Duration = Duration::from_millis(500);
-/// How long a host waits for the one that reads changed configurations for its hall. With the
+/// How long a host waits for the one that reads changes for its hall. With the
 /// call of its own that follows, it stays below half of the time in which a configuration has
 /// to be in force.
 const HALL_PATIENCE: Duration = Duration::from_millis(700);
 /// How often it looks whether that one knows the change; about the time that its call takes.
 const HALL_INTERVAL: Duration = Duration::from_millis(40);
+/// How long a host that has just read a set waits for a feeder. It stays below half of the time in
+/// which a leaving upstream gets no new work.
+const FEEDER_PATIENCE: Duration = Duration::from_millis(800);
 /// Changes that a feeder sent on arrive a little later than its watermark may.
 const NEWS_DELAY: Duration = Duration::from_millis(40);
 
@@ -52,6 +55,7 @@
 impl Follower {
     /// Follows the set for as long as the process lives.
     pub(super) async fn follow(&mut self) {
+        self.start_from_peers().await;
         let mut is_whole = false;
         loop {
             let result = match self.source(Instant::now()) {
@@ -59,12 +63,16 @@
                     self.be_fed(watermark, moment).await;
                     continue;
                 }
-                Source::Store | Source::Behind if !is_whole => self.read_whole().await,
-                Source::Store => self.watch(self.watch_time()).await,
-                Source::Behind => self.catch_up().await,
+                Source::Store if !is_whole => self.read_whole().await,
+                Source::Store => self.watch_and_gather().await,
+                Source::Behind => self.catch_up(is_whole).await,
             };
             match result {
-                Ok(()) => is_whole = true,
+                Ok(()) if !is_whole => {
+                    is_whole = true;
+                    self.await_feeder().await;
+                }
+                Ok(()) => {}
                 Err(failure) => {
                     is_whole = is_whole && !failure.needs_whole();
                     self.pause_after(&failure).await;
@@ -86,45 +94,66 @@
             return Source::Store;
         };
         match feed.moment(watermark.written, now) {
-            None => Source::Store,
+            Some(moment) if now > moment + self.state.fed_bound(now) => Source::Store,
             Some(_) if known.revision < watermark.changed => Source::Behind,
             Some(moment) => Source::Fed { watermark, moment },
+            None => Source::Store,
+        }
+    }
+
+    /// Waits a moment for a feeder before this host watches a set that it has just read: hosts that
+    /// start together hear each other some 0.4 s later, once their seeds have started. Else 295
+    /// of them made 830 calls more, 0.009 of a day's worth.
+    async fn await_feeder(&mut self) {
+        let until = Instant::now() + FEEDER_PATIENCE;
+        while Instant::now() < until && matches!(self.source(Instant::now()), Source::Store) {
+            self.state.feed.wait_for_news(self.set, until).await;
         }
     }
 
     async fn be_fed(&mut self, watermark: SetWatermark, moment: Instant) {
-        self.state.feed.advance(self.set, watermark);
+        let now = Instant::now();
+        let is_news = self.state.feed.advance(self.set, watermark);
         self.confirm(moment);
         if self.failures > 0 {
             self.note_regained();
         }
-        let until = moment + FED_BOUND;
+        if is_news && self.state.peers.is_grouped() && self.state.peers.is_relay(now) {
+            // The group waits for it.
+            self.state.peers.send_on(None);
+        }
+        let until = moment + self.state.fed_bound(now);
         self.state.feed.wait_for_news(self.set, until).await;
     }
 
     /// Learns the changes that were missed from another host or from the store, unless they
     /// arrive meanwhile.
-    async fn catch_up(&mut self) -> Result<(), CallFailure> {
+    async fn catch_up(&mut self, is_whole: bool) -> Result<(), CallFailure> {
         sleep(NEWS_DELAY).await;
         if self.catch_up_from_hall().await {
             sleep(SHARED_GATHERING).await;
             return Ok(());
         }
         if let Source::Behind = self.source(Instant::now()) {
+            if !is_whole {
+                return self.read_whole().await;
+            }
             self.watch(Duration::ZERO).await?;
             // The other hosts of the hall wait for this one to know it.
             self.state.peers.work_changed();
-            sleep(SHARED_GATHERING - GATHERING).await;
+            let is_relay =
+                self.state.peers.is_grouped() && self.state.peers.is_relay(Instant::now());
+            if !is_relay {
+                // While a relay let changes gather, its group would hear nothing from it.
+                sleep(SHARED_GATHERING).await;
+            }
         }
         Ok(())
     }
 
-    /// Learns a changed configuration from another host, of the own hall unless this host has
-    /// lost the store; whether it did. The host that reads for its hall does not wait for others.
+    /// Learns what changed from another host, of the own hall unless this host has lost the store;
+    /// whether it did. The host that reads for its hall does not wait for others.
     async fn catch_up_from_hall(&mut self) -> bool {
-        if self.set != RowSet::Configuration {
-            return false;
-        }
         let until = Instant::now() + HALL_PATIENCE;
         loop {
             let now = Instant::now();
@@ -163,8 +192,16 @@
         }
     }
 
-    /// Waits for changes once, takes them in and sends them on.
-    async fn watch(&mut self, wait: Duration) -> Result<(), CallFailure> {
+    /// Watches the set, and lets further changes gather after some.
+    async fn watch_and_gather(&mut self) -> Result<(), CallFailure> {
+        if self.watch(self.watch_time()).await? {
+            sleep(GATHERING).await;
+        }
+        Ok(())
+    }
+
+    /// Waits for changes once, takes them in and sends them on; whether there were any.
+    async fn watch(&mut self, wait: Duration) -> Result<bool, CallFailure> {
         let bound = if enabled(Protection::WatchTimeout) {
             wait + self.patience()
         } else {
@@ -180,17 +217,14 @@
             written: written.store_time,
         };
         let news = self.news(after, page.revision, &page.changes);
-        self.apply_rows(page.changes);
+        self.apply_rows(page.changes, LogRows::Each);
         self.state.feed.advance(self.set, watermark);
         self.confirm(written.moment);
         self.note_regained();
         if self.state.feeder(Instant::now()) == FeederChoice::Itself {
             self.state.peers.send_on(news);
         }
-        if is_news {
-            sleep(GATHERING).await;
-        }
-        Ok(())
+        Ok(is_news)
     }
 
     /// The changes of upstreams as they are sent on; none of another set, which each host
--- a/crates/gateway/src/sync/from_peers.rs
+++ b/crates/gateway/src/sync/from_peers.rs
@@ -1,10 +1,12 @@
 //! Learns a set of rows from other hosts: what has changed from a host of the own hall, so that
-//! one call to the store serves the hall; and all of it where the store can't be reached.
+//! one call to the store serves the hall; and all of it at a start, or where the store can't be
+//! reached.
 
 use {
     super::{
         Follower,
         apply::{apply_configuration, apply_upstream},
+        follow::Source,
     },
     crate::{
         connection::{CallBounds, short_call},
@@ -17,6 +19,7 @@
         net::SocketAddr,
         time::{Duration, Instant},
     },
+    tealshore_core::{ids::EngineId, spread::spread},
 };
 
 /// The bounds of a call for a set: some times what the largest configurations take on a link
@@ -27,18 +30,28 @@
 };
 /// How many hosts are asked before the attempt is given up.
 const HOSTS_ASKED: usize = 2;
+/// How often a host that starts looks whether another one knows a set.
+const START_INTERVAL: Duration = Duration::from_millis(25);
+/// How long a host that starts lets others be heard before it takes itself for the first. Callers
+/// wait meanwhile; where others live, one of them answers within some 30 ms.
+const START_GATHER: Duration = Duration::from_millis(150);
+/// How long a host that starts waits for one that ranks before it, and then reads the store.
+const START_PATIENCE: Duration = Duration::from_millis(500);
+/// The same at the first start of the whole system, when no caller waits yet: processes start
+/// within some 0.3 s of each other.
+const FIRST_START_GATHER: Duration = Duration::from_millis(500);
+/// The same for one that waits for another.
+const FIRST_START_PATIENCE: Duration = Duration::from_millis(2_500);
 
 impl Follower {
     /// Learns more of the set from another host than this one knows; whether it did.
     pub(super) async fn learn_from_peers(&mut self, reach: Reach) -> bool {
         let known = self.newest();
-        let is_wanted = match self.set {
-            RowSet::Configuration => true,
-            // Changes of upstreams are sent on; only a host that starts needs all of them.
-            RowSet::Upstreams => known == 0,
+        let is_given = match self.set {
+            RowSet::Configuration | RowSet::Upstreams => true,
             RowSet::Hosts | RowSet::Runs => false,
         };
-        if !is_wanted {
+        if !is_given {
             return false;
         }
         let peers = &self.state.peers;
@@ -65,8 +78,9 @@
             return false;
         }
         log::info!(
-            "feed: snapshot set={} peer={source} revision={} took_ms={}",
+            "feed: snapshot set={} peer={source} rows={} revision={} took_ms={}",
             self.set.name(),
+            snapshot.rows.count(),
             snapshot.watermark.revision,
             asked.elapsed().as_millis()
         );
@@ -74,6 +88,76 @@
         true
     }
 
+    /// Waits, as a host that starts, for one that knows the set, learns it there, and waits until
+    /// its feeder is heard. Where none is heard in time, this host reads the store: at once where it can expect to be the first,
+    /// a little later where others that start rank before it. Without the wait 295 hosts that
+    /// start together made 5,757 calls, 0.10 of a day's worth.
+    pub(super) async fn start_from_peers(&mut self) {
+        let started = Instant::now();
+        loop {
+            if self.newest() == 0 && self.learn_from_peers(Reach::Everywhere).await {
+                // Others that start wait for one that knows the set.
+                self.state.peers.work_changed();
+            }
+            let now = Instant::now();
+            let is_fed = match self.source(now) {
+                Source::Fed { .. } | Source::Behind => true,
+                Source::Store => false,
+            };
+            let waited = now.saturating_duration_since(started);
+            if is_fed || waited >= self.start_patience(now) {
+                log::info!(
+                    "feed: started set={} fed={is_fed} revision={} waited_ms={}",
+                    self.set.name(),
+                    self.newest(),
+                    waited.as_millis()
+                );
+                return;
+            }
+            let until = now + spread(START_INTERVAL);
+            self.state.feed.wait_for_news(self.set, until).await;
+        }
+    }
+
+    /// How long a host that starts waits for one that knows the set.
+    pub(super) fn start_patience(&self, now: Instant) -> Duration {
+        let peers = &self.state.peers;
+        let is_first_start = self.state.options.host.is_first_start;
+        if !peers.is_alone(now) && !peers.ranks_first(now) {
+            return if is_first_start {
+                FIRST_START_PATIENCE
+            } else {
+                START_PATIENCE
+            };
+        }
+        if is_first_start {
+            FIRST_START_GATHER
+        } else {
+            START_GATHER
+        }
+    }
+
+    /// Learns from another host where streams run; whether one told.
+    pub(super) async fn learn_runs(&self) -> bool {
+        let now = Instant::now();
+        let sources = self
+            .state
+            .peers
+            .snapshot_sources(RowSet::Runs, 0, Reach::Everywhere, now);
+        for source in sources.into_iter().take(HOSTS_ASKED) {
+            let snapshot = fetch(RowSet::Runs, source).await;
+            if let Some(SnapshotRows::Runs(runs)) = snapshot.map(|snapshot| snapshot.rows) {
+                log::info!("feed: runs peer={source} runs={}", runs.len());
+                let now = Instant::now();
+                for run in runs {
+                    self.state.runs.restore(run, now);
+                }
+                return true;
+            }
+        }
+        false
+    }
+
     fn apply_snapshot(&self, snapshot: SetSnapshot, asked: Instant) {
         let SetSnapshot {
             watermark,
@@ -84,13 +168,21 @@
         feed.observe_peer(store_time, asked, Instant::now());
         match rows {
             SnapshotRows::Configuration(configuration) => {
-                apply_configuration(&self.state, watermark.revision, configuration);
+                if let Some(configuration) = configuration {
+                    apply_configuration(&self.state, watermark.revision, configuration);
+                }
             }
             SnapshotRows::Upstreams(rows) => {
+                let log = self.whole_log();
+                let present: Vec<EngineId> =
+                    rows.iter().map(|(_, record)| record.id.clone()).collect();
                 for (revision, record) in rows {
-                    apply_upstream(&self.state, revision, UpstreamChange::Listed(record));
+                    apply_upstream(&self.state, revision, UpstreamChange::Listed(record), log);
                 }
+                let upstreams = &self.state.view.upstreams;
+                upstreams.retain(watermark.revision, &present);
             }
+            SnapshotRows::Runs(_) => {}
         }
         feed.advance(self.set, watermark);
         if let Some(moment) = feed.moment(watermark.written, Instant::now()) {
--- a/crates/gateway/src/sync/runs.rs
+++ b/crates/gateway/src/sync/runs.rs
@@ -11,6 +11,11 @@
 /// How often it is written, while there is news. Engines keep copies for a few seconds only,
 /// and streams last not much longer.
 const RUNS_INTERVAL: Duration = Duration::from_millis(700);
+/// How long a host that starts waits for another one that tells where streams ran; a stream that
+/// goes on waits with it.
+const RUNS_PATIENCE: Duration = Duration::from_millis(600);
+/// How often a host that starts looks for another one that tells where streams run.
+const RUNS_LOOK_INTERVAL: Duration = Duration::from_millis(30);
 /// The row of a group that is all hosts.
 const ALL_HOSTS: &str = "all";
 
@@ -18,24 +23,27 @@
     /// Reads where streams ran before this host started, then keeps in the store where they
     /// run, while this host feeds the others or has none.
     pub(super) async fn keep_runs(&mut self) {
-        while let Err(failure) = self.read_whole().await {
-            self.pause_after(&failure).await;
-        }
+        self.restore_runs().await;
         let mut written: Vec<RunTrace> = Vec::new();
         loop {
             sleep(RUNS_INTERVAL).await;
             let now = Instant::now();
             let is_fed = matches!(self.state.feeder(now), FeederChoice::Peer(..));
+            let writes = if self.state.peers.is_grouped() {
+                self.state.peers.is_relay(now)
+            } else {
+                !is_fed
+            };
             // While the store is away no host feeds others, and all would try.
-            if is_fed || !self.state.feed.reaches_store() {
+            if !writes || !self.state.feed.reaches_store() {
                 continue;
             }
-            let running = self.state.runs.running(now);
+            let running = self.state.runs.running_in_group(now);
             let has_news = running.iter().any(|run| !written.contains(run));
             if !has_news {
                 continue;
             }
-            let group = self.state.group().unwrap_or(ALL_HOSTS);
+            let group = self.state.peers.group().unwrap_or(ALL_HOSTS);
             let request = self.state.protocol.write_runs_call(group, &running);
             match self.write(request).await {
                 Ok(()) => {
@@ -46,4 +54,31 @@
             }
         }
     }
+
+    /// Learns where streams ran before this host started: from another host, or where all have
+    /// lost it, from the store. At the first start of the whole system none did.
+    async fn restore_runs(&mut self) {
+        if !self.state.options.host.is_first_start {
+            self.learn_earlier_runs().await;
+        }
+        self.state.runs.note_restored();
+    }
+
+    async fn learn_earlier_runs(&mut self) {
+        let until = Instant::now() + RUNS_PATIENCE;
+        while Instant::now() < until {
+            let now = Instant::now();
+            let is_first = !self.state.peers.is_alone(now) && self.state.peers.ranks_first(now);
+            if is_first {
+                break;
+            }
+            if self.learn_runs().await {
+                return;
+            }
+            sleep(RUNS_LOOK_INTERVAL).await;
+        }
+        while let Err(failure) = self.read_whole().await {
+            self.pause_after(&failure).await;
+        }
+    }
 }
--- /dev/null
+++ b/crates/gateway/tests/groups.rs
@@ -0,0 +1,372 @@
+//! Hosts in groups: what relays tell each other adds up, is counted once, and fails safe.
+#![allow(
+    clippy::unwrap_used,
+    reason = "helpers of tests fail as tests do, which clippy.toml allows"
+)]
+
+use {
+    proptest::prelude::*,
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+    tealshore_gateway::{
+        budget::BudgetUse,
+        options::GatewayOptions,
+        peers::{
+            Datagram, GroupDigest, GroupMember, GroupSums, HostAddress, HostPhase, LastDigest,
+            PeerState, Peers, ServiceUse, Teller, Unreadable, UpstreamWork,
+        },
+        run_trace::RunTrace,
+        view::{Condition, Work},
+    },
+};
+
+/// How often relays tell that they live in these tests.
+const HEARTBEAT: Duration = Duration::from_millis(500);
+
+fn address(text: &str) -> SocketAddr {
+    text.parse().unwrap()
+}
+
+fn work(running: u32) -> Work {
+    Work {
+        running,
+        unread_tokens: 0,
+        memory_tokens: u64::from(running) * 9_000,
+    }
+}
+
+fn at_upstream(upstream: &str, running: u32, condition: Condition) -> UpstreamWork {
+    UpstreamWork {
+        upstream: upstream.to_owned(),
+        work: work(running),
+        condition,
+    }
+}
+
+fn used(requests: u32, repeats: u32) -> Vec<ServiceUse> {
+    vec![ServiceUse {
+        service: "model".to_owned(),
+        used: BudgetUse { requests, repeats },
+    }]
+}
+
+/// Host `index` of a hall, with one stream at an upstream.
+fn host(hall: &str, index: u32) -> PeerState {
+    PeerState {
+        host: format!("{hall}-{index}"),
+        hall: hall.to_owned(),
+        callers_address: address(&format!("127.1.{index}.1:1")),
+        peers_address: address(&format!("127.1.{index}.{}:2", hall.len())),
+        phase: HostPhase::Serving,
+        incarnation: 1,
+        sequence: 1,
+        work: vec![at_upstream("i-1", 1, Condition::Healthy)],
+        watermark: None,
+        reaches_store: true,
+        link_mbps: 20,
+        fleet_hosts: 2,
+        budgets: used(10, 1),
+        runs: Vec::new(),
+        named: Vec::new(),
+    }
+}
+
+fn member(hall: &str, index: u32) -> GroupMember {
+    let host = host(hall, index);
+    GroupMember {
+        host: host.host,
+        callers_address: host.callers_address,
+        peers_address: host.peers_address,
+        phase: host.phase,
+    }
+}
+
+fn teller(hall: &str) -> Teller {
+    Teller {
+        host: format!("{hall}-0"),
+        hall: hall.to_owned(),
+        address: address("127.2.0.1:2"),
+        link_mbps: 20,
+        incarnation: 1,
+        watermark: None,
+        reaches_store: true,
+        relays: Vec::new(),
+    }
+}
+
+/// What `hosts` hosts of a hall have together, one stream each at an upstream.
+fn sums(hosts: u32) -> GroupSums {
+    let mut sums = GroupSums::default();
+    for index in 0..hosts {
+        let host = host("bb", index);
+        sums.add_work(&host.work);
+        sums.add_budgets(&host.budgets);
+        sums.members.push(member("bb", index));
+    }
+    sums
+}
+
+fn digest(hosts: u32) -> GroupDigest {
+    let mut last = LastDigest::default();
+    last.next(teller("bb"), sums(hosts), HEARTBEAT, Instant::now())
+        .unwrap()
+}
+
+/// The peers of a host of hall `a`.
+fn peers(test: &str) -> Peers {
+    let options = "[host]\nid = own\nhall = a\ncallers_address = 127.0.0.1:9\n\
+        directory_address = 127.0.0.1:10\nreadiness_address = 127.0.0.1:11\n\
+        metrics_address = 127.0.0.1:12\nlink_mbps = 20\n[store]\naddress = 127.0.0.1:13\n\
+        [peers]\naddress = 127.0.0.1:14\n";
+    let name = format!("tealshore-groups-{test}-{}.ini", std::process::id());
+    let file = std::env::temp_dir().join(name);
+    std::fs::write(&file, options).unwrap();
+    let options = GatewayOptions::load(&file).unwrap();
+    std::fs::remove_file(&file).unwrap();
+    tealshore_core::protection::start();
+    Peers::new(&options.host, &options.peers)
+}
+
+/// The same, in a fleet that is divided into groups.
+fn grouped_peers(test: &str, now: Instant) -> Peers {
+    let peers = peers(test);
+    let mut newcomer = host("a", 200);
+    newcomer.fleet_hosts = 300;
+    newcomer.work.clear();
+    newcomer.budgets.clear();
+    peers.apply_state(newcomer, now);
+    assert!(peers.is_grouped());
+    peers
+}
+
+/// What a receiver takes the work of a group for.
+fn received(peers: &Peers, now: Instant) -> BTreeMap<String, Work> {
+    peers.work(now).into_iter().collect()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::with_cases(60) })]
+
+    /// Whatever was lost, repeated or late before, one digest that tells all mends it.
+    #[test]
+    fn a_whole_digest_mends_what_lost_repeated_and_late_ones_left(
+        steps in prop::collection::vec((0_u8..5, 0_u32..4, any::<bool>()), 1..40),
+        order in prop::collection::vec(any::<prop::sample::Index>(), 0..20),
+    ) {
+        let start = Instant::now();
+        let peers = grouped_peers("mends", start);
+        let mut last = LastDigest::default();
+        let mut now = start;
+        let mut truth: BTreeMap<String, Work> = BTreeMap::new();
+        let mut sent = Vec::new();
+        for (upstream, running, arrives) in steps {
+            now += Duration::from_millis(20);
+            let id = format!("i-{upstream}");
+            if running == 0 {
+                truth.remove(&id);
+            } else {
+                truth.insert(id, work(running));
+            }
+            let entries = truth.iter().map(|(id, work)| (id.clone(), (*work, Condition::Healthy)));
+            let sums = GroupSums { work: entries.collect(), ..GroupSums::default() };
+            if let Some(digest) = last.next(teller("bb"), sums, HEARTBEAT, now) {
+                if arrives {
+                    peers.apply_digest(&digest, now);
+                }
+                sent.push(digest);
+            }
+        }
+        for index in order {
+            if !sent.is_empty() {
+                peers.apply_digest(index.get(&sent), now);
+            }
+        }
+        now += Duration::from_secs(3);
+        let entries = truth.iter().map(|(id, work)| (id.clone(), (*work, Condition::Healthy)));
+        let sums = GroupSums { work: entries.collect(), ..GroupSums::default() };
+        let whole = last.next(teller("bb"), sums, HEARTBEAT, now).unwrap();
+        prop_assert!(whole.is_whole);
+        peers.apply_digest(&whole, now);
+        prop_assert_eq!(received(&peers, now), truth);
+    }
+}
+
+#[test]
+fn a_host_that_was_heard_directly_and_in_a_digest_is_counted_once() {
+    let now = Instant::now();
+    let peers = grouped_peers("once", now);
+    peers.apply_state(host("bb", 0), now);
+    assert_eq!(peers.work(now)["i-1"], work(1));
+    peers.apply_digest(&digest(3), now);
+    assert_eq!(peers.work(now)["i-1"], work(3));
+    let pool = peers.budget_pool(&"model".to_owned(), now);
+    assert_eq!((pool.used.requests, pool.used.repeats), (30, 3));
+    // One host of the own hall besides.
+    assert_eq!(pool.heard, 4);
+}
+
+#[test]
+fn a_group_whose_relay_fell_silent_counts_as_not_heard() {
+    let now = Instant::now();
+    let peers = grouped_peers("silent", now);
+    peers.apply_digest(&digest(60), now);
+    assert_eq!(peers.callers_addresses(HostPhase::Serving, now).len(), 62);
+    let later = now + Duration::from_secs(2);
+    let pool = peers.budget_pool(&"model".to_owned(), later);
+    // Unheard hosts keep their parts: this host does not take what they may have used.
+    assert!(pool.heard == 0 && pool.hosts >= 61, "{pool:?}");
+    assert_eq!(peers.callers_addresses(HostPhase::Serving, later).len(), 1);
+}
+
+#[test]
+fn another_relay_of_the_same_group_takes_the_place_of_the_first() {
+    let now = Instant::now();
+    let peers = grouped_peers("successor", now);
+    peers.apply_digest(&digest(5), now);
+    let mut successor = digest(4);
+    successor.relay = "bb-1".to_owned();
+    successor.incarnation = 9;
+    peers.apply_digest(&successor, now);
+    assert_eq!(peers.work(now)["i-1"], work(4));
+    let relays: Vec<String> = peers.relays(now).into_iter().map(|it| it.host).collect();
+    assert_eq!(relays, ["bb-1"]);
+}
+
+#[test]
+fn a_late_digest_changes_nothing() {
+    let now = Instant::now();
+    let peers = grouped_peers("late", now);
+    let mut last = LastDigest::default();
+    let early = last.next(teller("bb"), sums(2), HEARTBEAT, now).unwrap();
+    let later = now + Duration::from_millis(100);
+    let newer = last.next(teller("bb"), sums(3), HEARTBEAT, later).unwrap();
+    peers.apply_digest(&early, now);
+    peers.apply_digest(&newer, later);
+    peers.apply_digest(&early, later);
+    assert_eq!(peers.work(later)["i-1"], work(3));
+}
+
+#[test]
+fn the_host_with_the_best_link_is_the_relay_and_another_follows_when_it_is_silent() {
+    let now = Instant::now();
+    let peers = peers("relay");
+    assert!(peers.is_relay(now), "a host that hears nobody");
+    let mut strong = host("a", 1);
+    strong.link_mbps = 200;
+    strong.fleet_hosts = 300;
+    peers.apply_state(strong, now);
+    assert!(!peers.is_relay(now));
+    assert!(peers.is_relay(now + Duration::from_secs(2)));
+}
+
+#[test]
+fn in_a_small_fleet_all_hosts_tell_each_other() {
+    let now = Instant::now();
+    let peers = peers("small");
+    for index in 0..9 {
+        peers.apply_state(host(if index < 3 { "a" } else { "bb" }, index), now);
+    }
+    assert!(!peers.is_grouped());
+    assert!(peers.relays(now).is_empty());
+    assert_eq!(peers.work(now)["i-1"], work(9));
+}
+
+#[test]
+fn a_digest_tells_what_changed_and_nothing_while_nothing_does() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut last = LastDigest::default();
+    let mut told = |sums: &GroupSums, ms| last.next(teller("bb"), sums.clone(), HEARTBEAT, at(ms));
+    let mut now = sums(60);
+    assert!(told(&now, 0).unwrap().members.is_some());
+    assert!(told(&now, 100).is_none());
+    now.add_work(&[at_upstream("i-2", 1, Condition::Suspected)]);
+    let changed = told(&now, 200).unwrap();
+    assert_eq!(changed.work, [at_upstream("i-2", 1, Condition::Suspected)]);
+    assert!(changed.members.is_none() && !changed.is_whole);
+    now.runs = vec![RunTrace {
+        fingerprint: 4,
+        request: "r".to_owned(),
+        engine: "i-2".to_owned(),
+        copy: None,
+    }];
+    assert_eq!(told(&now, 300).unwrap().runs.len(), 1);
+    assert!(told(&now, 400).is_none(), "the run was told");
+    assert!(told(&now, 850).unwrap().work.is_empty(), "a heartbeat");
+    now.members[7].phase = HostPhase::Leaving;
+    let leaving = told(&now, 900).unwrap().members.unwrap();
+    let phases = leaving.iter().filter(|it| it.phase == HostPhase::Leaving);
+    assert_eq!(phases.count(), 1);
+}
+
+/// What relays send between halls grows with the work that changes, not with the hosts.
+#[test]
+fn a_digest_of_many_hosts_is_no_larger_than_one_of_few_where_as_much_changed() {
+    let changed_bytes = |hosts: u32| {
+        let start = Instant::now();
+        let mut last = LastDigest::default();
+        let mut now = sums(hosts);
+        last.next(teller("bb"), now.clone(), HEARTBEAT, start);
+        now.add_work(&[at_upstream("i-2", 1, Condition::Healthy)]);
+        let later = start + Duration::from_millis(100);
+        let digest = last.next(teller("bb"), now, HEARTBEAT, later).unwrap();
+        postcard::to_stdvec(&digest).unwrap().len()
+    };
+    assert!(changed_bytes(250) <= changed_bytes(10) + 8);
+}
+
+#[test]
+fn a_host_names_to_a_newcomer_hosts_of_its_hall_alone() {
+    let now = Instant::now();
+    let peers = grouped_peers("names", now);
+    let mut seed = host("bb", 1);
+    seed.named = vec![
+        HostAddress {
+            hall: "bb".to_owned(),
+            address: address("127.3.0.1:2"),
+        },
+        HostAddress {
+            hall: "a".to_owned(),
+            address: address("127.3.0.2:2"),
+        },
+    ];
+    let before = peers.most_hosts();
+    peers.apply_state(seed, now);
+    // The host of the other hall is not asked, nor counted before its relay tells of it.
+    assert!(peers.most_hosts() <= before.max(300));
+}
+
+#[test]
+fn datagrams_of_another_layout_are_told_from_damaged_ones() {
+    let bytes = Datagram::Relayed(vec![digest(3)]).to_bytes().unwrap();
+    assert!(matches!(
+        Datagram::from_bytes(&bytes),
+        Ok(Datagram::Relayed(_))
+    ));
+    let mut other = bytes.clone();
+    other[0] = other[0].wrapping_add(1);
+    let unreadable = Datagram::from_bytes(&other).unwrap_err();
+    assert_eq!(unreadable, Unreadable::OtherVersion(Some(other[0])));
+    let cut = Datagram::from_bytes(&bytes[..bytes.len() / 2]).unwrap_err();
+    assert_eq!(cut, Unreadable::Damaged);
+    assert_eq!(
+        Datagram::from_bytes(&[]).unwrap_err(),
+        Unreadable::OtherVersion(None)
+    );
+}
+
+#[test]
+fn a_host_of_another_version_keeps_its_part_of_the_budget() {
+    let now = Instant::now();
+    let peers = peers("versions");
+    for index in 0..5 {
+        let sender = address(&format!("127.4.0.{index}:2"));
+        peers.note_unreadable(sender, now);
+        peers.note_unreadable(sender, now);
+    }
+    let pool = peers.budget_pool(&"model".to_owned(), now);
+    assert_eq!((pool.hosts, pool.heard), (6, 0));
+}
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -43,6 +43,9 @@
         sequence,
         work: work.iter().map(entry).collect(),
         watermark: None,
+        reaches_store: true,
+        link_mbps: 200,
+        fleet_hosts: 2,
         budgets: vec![ServiceUse {
             service: "model".to_owned(),
             used: BudgetUse {
