--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -2,7 +2,7 @@
 //!
 //! Each host may always use its own part, without a word from the others. What the others
 //! leave over is shared as well, as long as nearly all of them are heard: each takes at most
-//! its equal part of what is left in the time that news needs to reach everybody.
+//! its equal part of what is left in the time that an update needs to reach everybody.
 
 use {
     serde::{Deserialize, Serialize},
@@ -139,7 +139,7 @@
     }
 
     /// Whether the whole of the hosts that were heard has something left, and this host has
-    /// not yet taken its equal part of that since news last reached everybody.
+    /// not yet taken its equal part of that since an update last reached everybody.
     fn pool_allows(&mut self, now: Instant, pool: &Pool) -> bool {
         let members = to_f64(pool.heard + 1);
         if members < to_f64(pool.hosts) * HEARD_PART {
@@ -150,17 +150,17 @@
         let slack = self.bounds.slack * members / to_f64(pool.hosts);
         let left = self.allowed(whole.requests, slack) - f64::from(whole.repeats);
         let equal_share = (left / to_f64(pool.hosts)).floor();
-        f64::from(self.repeats_since_news(now)) + 1.0 <= equal_share
+        f64::from(self.repeats_since_update(now)) + 1.0 <= equal_share
     }
 
     /// Repeats in the cell that runs and in the one before it: a cell is as long as a
     /// heartbeat between hosts may take.
-    fn repeats_since_news(&self, now: Instant) -> u32 {
-        let news = self.bounds.window / CELLS;
+    fn repeats_since_update(&self, now: Instant) -> u32 {
+        let update_interval = self.bounds.window / CELLS;
         let recent = self
             .cells
             .iter()
-            .filter(|cell| now.saturating_duration_since(cell.began) <= news * 2);
+            .filter(|cell| now.saturating_duration_since(cell.began) <= update_interval * 2);
         recent.map(|cell| cell.repeats).sum()
     }
 
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -79,7 +79,7 @@
 
 /// Changed upstreams, as a feeder sends them on.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct UpstreamNews {
+pub struct UpstreamDelta {
     /// The version after which they changed.
     pub after: Revision,
     /// The version up to which these are all changes.
@@ -96,8 +96,8 @@
     clock: Mutex<StoreClockFloor>,
     /// The last call of this host to the store failed.
     is_cut_off: AtomicBool,
-    configuration_news: Notify,
-    upstreams_news: Notify,
+    configuration_updates: Notify,
+    upstreams_updates: Notify,
     /// Both sets are known.
     known: Notify,
 }
@@ -194,22 +194,22 @@
             .is_some_and(|moment| now.saturating_duration_since(moment) <= FED_BOUND)
     }
 
-    /// Wakes all that wait for news.
+    /// Wakes all that wait for an update.
     pub fn notify(&self) {
-        self.configuration_news.notify_one();
-        self.upstreams_news.notify_one();
+        self.configuration_updates.notify_one();
+        self.upstreams_updates.notify_one();
     }
 
-    /// Waits for news of a set, or until a moment. Of sets that are not fed there are none.
-    pub async fn wait_for_news(&self, set: RowSet, until: Instant) {
+    /// Waits for an update of a set, or until a moment. Of sets that are not fed there are none.
+    pub async fn wait_for_update(&self, set: RowSet, until: Instant) {
         let left = until.saturating_duration_since(Instant::now());
-        let news = match set {
-            RowSet::Configuration => &self.configuration_news,
-            RowSet::Upstreams => &self.upstreams_news,
+        let updates = match set {
+            RowSet::Configuration => &self.configuration_updates,
+            RowSet::Upstreams => &self.upstreams_updates,
             RowSet::Hosts | RowSet::Runs => return sleep(left).await,
         };
-        // Whether news or the time's end ends the wait makes no difference.
-        let _ = timeout(left, news.notified()).await;
+        // Whether an update or the time's end ends the wait makes no difference.
+        let _ = timeout(left, updates.notified()).await;
     }
 
     fn set(&self, set: RowSet) -> Option<&Mutex<SetProgress>> {
--- a/crates/gateway/src/forward/reservation.rs
+++ b/crates/gateway/src/forward/reservation.rs
@@ -24,7 +24,7 @@
             upstream: upstream.clone(),
             work,
         };
-        reservation.tell();
+        reservation.announce();
         reservation
     }
 
@@ -36,12 +36,12 @@
         };
         self.upstream.end(unread);
         self.work.unread_tokens = 0;
-        self.tell();
+        self.announce();
     }
 
-    fn tell(&self) {
+    fn announce(&self) {
         if self.work.memory_tokens > 0 {
-            self.state.peers.work_changed();
+            self.state.peers.wake_sender();
         }
     }
 }
@@ -49,6 +49,6 @@
 impl Drop for Reservation {
     fn drop(&mut self) {
         self.upstream.end(self.work);
-        self.tell();
+        self.announce();
     }
 }
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -53,7 +53,7 @@
     }
     let began = Instant::now();
     state.stop.ask(began);
-    state.peers.work_changed();
+    state.peers.wake_sender();
     log::info!("stop: asked in_flight={}", state.stop.in_flight());
     let end = state.options.bounds.stop.saturating_sub(END_MARGIN);
     loop {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -11,16 +11,16 @@
 mod digest;
 mod exchange;
 mod groups;
+mod last_state;
 mod message;
 mod relay;
 mod snapshot;
-mod told;
 
 use {
     crate::{
         budget::Pool,
         edge::HostRecord,
-        feed::{Contender, FeederChoice, GROUP_HOSTS, UpstreamNews, rank},
+        feed::{Contender, FeederChoice, GROUP_HOSTS, UpstreamDelta, rank},
         options::{HostOptions, PeerOptions},
         run_trace::RunTrace,
         view::{Condition, Work},
@@ -39,28 +39,28 @@
 };
 pub use {
     addresses::Reach,
-    digest::{GroupSums, LastDigest, Teller},
+    digest::{DigestSource, GroupSums, LastDigest},
     exchange::start,
+    last_state::LastState,
     message::{
-        Datagram, Finding, GroupDigest, GroupMember, HostAddress, HostPhase, PeerChange, PeerState,
+        Datagram, Finding, GroupDigest, GroupMember, HostAddress, HostPhase, PeerDelta, PeerState,
         ServiceUse, Unreadable, UpstreamWork,
     },
     snapshot::{SetSnapshot, SnapshotRows, path_of},
-    told::Told,
 };
 
 /// The most streams that a datagram tells of, so that it stays well below what UDP carries.
-const TOLD_RUNS: usize = 200;
+const RUNS_BOUND: usize = 200;
 /// The most upstreams whose work it tells of.
-const TOLD_UPSTREAMS: usize = 400;
+const UPSTREAMS_BOUND: usize = 400;
 /// News within this time leave together.
 const COALESCE: Duration = Duration::from_millis(10);
 /// Silent peers are told of this host this many times longer than they are believed.
 const FORGET_FACTOR: u32 = 12;
 /// How many other hosts a state names, so that all come to know all.
-const NAMED_PEERS: usize = 4;
+const KNOWN_PEERS_TOLD: usize = 4;
 /// How many it names to a host that has just started.
-const NAMED_TO_NEWCOMERS: usize = 24;
+const KNOWN_PEERS_TO_NEWCOMERS: usize = 24;
 /// The most streams of its group that a relay keeps until it tells them.
 const GROUP_RUNS_BOUND: usize = 2_000;
 /// The most digests that a relay keeps until it passes them on.
@@ -81,7 +81,7 @@
 }
 
 /// A host that was named and not heard yet.
-struct NamedHost {
+struct UnmetHost {
     hall: Option<HallId>,
     /// It is tried until then.
     until: Instant,
@@ -122,13 +122,13 @@
     incarnation: u64,
     sequence: AtomicU64,
     known: Mutex<HashMap<HostId, Peer>>,
-    named: Mutex<HashMap<SocketAddr, NamedHost>>,
+    named: Mutex<HashMap<SocketAddr, UnmetHost>>,
     /// Hosts whose datagrams have another layout, with when they were last heard: they have their
     /// parts of what all hosts share.
     unreadable: Mutex<HashMap<IpAddr, Instant>>,
     /// The other groups, where the fleet has some.
     groups: Mutex<Groups>,
-    news: Notify,
+    updates: Notify,
     /// Hosts that have just started, to be told the whole state.
     newcomers: Mutex<Vec<HostAddress>>,
     newcomer_came: Notify,
@@ -137,7 +137,7 @@
     /// Digests of other groups that wait to be passed on to the group.
     waiting_digests: Mutex<Vec<GroupDigest>>,
     /// Changes of upstreams that wait to be sent on.
-    waiting_news: Mutex<Vec<(UpstreamNews, Audience)>>,
+    waiting_deltas: Mutex<Vec<(UpstreamDelta, Audience)>>,
     /// Who feeds this host, as far as it was chosen last.
     feeder: Mutex<Feeder>,
     most_hosts: AtomicUsize,
@@ -156,12 +156,12 @@
             named: Mutex::default(),
             unreadable: Mutex::default(),
             groups: Mutex::default(),
-            news: Notify::new(),
+            updates: Notify::new(),
             newcomers: Mutex::default(),
             newcomer_came: Notify::new(),
             group_runs: Mutex::default(),
             waiting_digests: Mutex::default(),
-            waiting_news: Mutex::default(),
+            waiting_deltas: Mutex::default(),
             feeder: Mutex::default(),
             most_hosts: AtomicUsize::new(1),
         };
@@ -185,22 +185,22 @@
         }
     }
 
-    /// Lets the news of this host's work leave at once.
-    pub fn work_changed(&self) {
-        self.news.notify_one();
+    /// Wakes the sender, so that what changed of this host leaves at once.
+    pub fn wake_sender(&self) {
+        self.updates.notify_one();
     }
 
     /// Lets this host's watermark on the store leave at once, with changes of upstreams before it.
-    pub fn send_on(&self, news: Option<UpstreamNews>) {
-        let news = news.map(|news| (news, Audience::Fleet));
-        self.waiting_news.lock().extend(news);
-        self.news.notify_one();
+    pub fn send_on(&self, delta: Option<UpstreamDelta>) {
+        let delta = delta.map(|delta| (delta, Audience::Fleet));
+        self.waiting_deltas.lock().extend(delta);
+        self.updates.notify_one();
     }
 
     /// Lets changes of upstreams that came from another group leave for the own one.
-    fn send_on_to_group(&self, news: UpstreamNews) {
-        self.waiting_news.lock().push((news, Audience::Group));
-        self.news.notify_one();
+    fn send_on_to_group(&self, delta: UpstreamDelta) {
+        self.waiting_deltas.lock().push((delta, Audience::Group));
+        self.updates.notify_one();
     }
 
     /// Whether no other host was heard a moment ago.
@@ -363,7 +363,7 @@
             return Vec::new();
         }
         if before.is_none_or(|before| before.state.incarnation != state.incarnation) {
-            // Told a moment later, together with others: where many hosts start at once, an answer
+            // LastState a moment later, together with others: where many hosts start at once, an answer
             // to each of them at once would be a storm of datagrams.
             self.newcomers.lock().push(HostAddress {
                 hall: state.hall.clone(),
@@ -385,7 +385,7 @@
     }
 
     /// Takes in what changed of a peer's state; what it found of upstreams that are not sound.
-    pub fn apply_change(&self, change: PeerChange, now: Instant) -> Vec<Finding> {
+    pub fn apply_delta(&self, change: PeerDelta, now: Instant) -> Vec<Finding> {
         let mut known = self.known.lock();
         let Some(peer) = known.get_mut(&change.host) else {
             return Vec::new();
@@ -446,7 +446,7 @@
         if is_known || self.groups.lock().has_address(address) {
             return;
         }
-        let named = NamedHost {
+        let named = UnmetHost {
             hall: hall.cloned(),
             until: Instant::now() + self.options.silence * FORGET_FACTOR,
         };
@@ -454,8 +454,8 @@
     }
 
     /// The changes of upstreams that wait to be sent on.
-    fn take_waiting_news(&self) -> Vec<(UpstreamNews, Audience)> {
-        std::mem::take(&mut *self.waiting_news.lock())
+    fn take_waiting_deltas(&self) -> Vec<(UpstreamDelta, Audience)> {
+        std::mem::take(&mut *self.waiting_deltas.lock())
     }
 
     /// Drops what has been silent for long and tells where datagrams go.
@@ -517,7 +517,7 @@
 
     /// Some other hosts, of a hall as far as there are any and it is known; of all others, too,
     /// where all hosts tell each other.
-    fn some_names(&self, hall: Option<&HallId>, count: usize) -> Vec<HostAddress> {
+    fn some_known_peers(&self, hall: Option<&HallId>, count: usize) -> Vec<HostAddress> {
         let mut names = self.addresses_known();
         let of_hall = |host: &HostAddress| hall.is_none_or(|hall| host.hall == *hall);
         if self.is_grouped() {
--- a/crates/gateway/src/peers/digest.rs
+++ b/crates/gateway/src/peers/digest.rs
@@ -1,4 +1,4 @@
-//! What a relay last told the other groups of its own, so that digests carry what changed.
+//! What a relay last sent the other groups of its own, so that digests carry what changed.
 
 use {
     super::{
@@ -17,9 +17,9 @@
     tealshore_core::ids::{EngineId, HostId},
 };
 
-/// How often all is told: what a lost digest said is known again after this.
+/// How often all is sent: what a lost digest said is known again after this.
 const WHOLE_INTERVAL: Duration = Duration::from_secs(2);
-/// How long a run that was told is not told again: as long as hosts count it as running.
+/// How long a run that was sent is not sent again: as long as hosts count it as running.
 const RUN_REMEMBERED: Duration = Duration::from_secs(5);
 
 /// The sums of a group at one moment.
@@ -60,9 +60,9 @@
     }
 }
 
-/// Who tells a digest, and how far its knowledge of the store goes.
+/// Who sends a digest, and how far its knowledge of the store goes.
 #[derive(Clone, Debug)]
-pub struct Teller {
+pub struct DigestSource {
     /// The relay.
     pub host: HostId,
     /// Its hall, which is the group.
@@ -81,11 +81,11 @@
     pub relays: Vec<HostAddress>,
 }
 
-/// What a relay last told the other groups.
+/// What a relay last sent the other groups.
 #[derive(Default)]
 pub struct LastDigest {
     sequence: u64,
-    told_at: Option<Instant>,
+    sent_at: Option<Instant>,
     whole_at: Option<Instant>,
     members: Vec<GroupMember>,
     work: BTreeMap<EngineId, (Work, Condition)>,
@@ -99,7 +99,7 @@
     /// due.
     pub fn next(
         &mut self,
-        teller: Teller,
+        source: DigestSource,
         mut sums: GroupSums,
         heartbeat: Duration,
         now: Instant,
@@ -113,19 +113,19 @@
         } else {
             self.changed_work(&sums.work)
         };
-        // Requests come all the time; only repeats are told at once.
+        // Requests come all the time; only repeats are sent at once.
         let repeats = sums.budgets.iter().map(|entry| entry.used.repeats).sum();
         let is_due = is_whole
             || members_changed
             || !runs.is_empty()
             || !work.is_empty()
             || repeats != self.repeats
-            || teller.watermark != self.watermark
-            || is_past(self.told_at, heartbeat, now);
+            || source.watermark != self.watermark
+            || is_past(self.sent_at, heartbeat, now);
         if !is_due {
             return None;
         }
-        self.told_at = Some(now);
+        self.sent_at = Some(now);
         if is_whole {
             self.whole_at = Some(now);
         }
@@ -133,26 +133,26 @@
         self.members.clone_from(&sums.members);
         self.work = sums.work;
         self.repeats = repeats;
-        self.watermark = teller.watermark;
+        self.watermark = source.watermark;
         Some(GroupDigest {
-            group: teller.hall,
-            relay: teller.host,
-            relay_address: teller.address,
-            link_mbps: teller.link_mbps,
-            incarnation: teller.incarnation,
+            group: source.hall,
+            relay: source.host,
+            relay_address: source.address,
+            link_mbps: source.link_mbps,
+            incarnation: source.incarnation,
             sequence: self.sequence,
             members: (is_whole || members_changed).then_some(sums.members),
             is_whole,
             work,
             budgets: sums.budgets,
             runs,
-            watermark: teller.watermark,
-            reaches_store: teller.reaches_store,
-            relays: teller.relays,
+            watermark: source.watermark,
+            reaches_store: source.reaches_store,
+            relays: source.relays,
         })
     }
 
-    /// Lets the next digest tell all: this host was not the relay meanwhile.
+    /// Lets the next digest send all: this host was not the relay meanwhile.
     pub fn forget(&mut self) {
         self.whole_at = None;
     }
@@ -173,11 +173,11 @@
 
     fn new_runs(&mut self, runs: Vec<RunTrace>, now: Instant) -> Vec<RunTrace> {
         self.runs
-            .retain(|_, (_, told)| now.saturating_duration_since(*told) <= RUN_REMEMBERED);
+            .retain(|_, (_, sent)| now.saturating_duration_since(*sent) <= RUN_REMEMBERED);
         let mut new = Vec::new();
         for run in runs {
-            let told = self.runs.get(&run.fingerprint);
-            if told.is_none_or(|(told, _)| *told != run) {
+            let sent = self.runs.get(&run.fingerprint);
+            if sent.is_none_or(|(sent, _)| *sent != run) {
                 self.runs.insert(run.fingerprint, (run.clone(), now));
                 new.push(run);
             }
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -2,17 +2,19 @@
 
 use {
     super::{
-        Audience, COALESCE, NAMED_PEERS, NAMED_TO_NEWCOMERS, Receivers, TOLD_RUNS, TOLD_UPSTREAMS,
+        Audience, COALESCE, KNOWN_PEERS_TO_NEWCOMERS, KNOWN_PEERS_TOLD, RUNS_BOUND, Receivers,
+        UPSTREAMS_BOUND,
+        last_state::LastState,
         message::{
-            Datagram, Finding, GroupDigest, HostPhase, PeerChange, PeerState, ServiceUse,
+            Datagram, Finding, GroupDigest, HostPhase, PeerDelta, PeerState, ServiceUse,
             Unreadable, UpstreamWork,
         },
         relay::relay,
         snapshot::serve_snapshots,
-        told::Told,
     },
     crate::{
-        run_trace::RunTrace, runs::RunHost, state::GatewayState, sync::apply_news, view::Condition,
+        run_trace::RunTrace, runs::RunHost, state::GatewayState, sync::apply_upstream_delta,
+        view::Condition,
     },
     std::{
         collections::HashMap,
@@ -46,38 +48,38 @@
 /// The address can't be used.
 pub async fn start(state: &Arc<GatewayState>) -> std::io::Result<()> {
     let socket = Arc::new(UdpSocket::bind(state.options.peers.address).await?);
-    tokio::spawn(tell(state.clone(), socket.clone()));
+    tokio::spawn(send(state.clone(), socket.clone()));
     tokio::spawn(relay(state.clone(), socket.clone()));
-    tokio::spawn(hear(state.clone(), socket));
+    tokio::spawn(receive(state.clone(), socket));
     let listener = TcpListener::bind(state.options.peers.address).await?;
     tokio::spawn(serve_snapshots(state.clone(), listener));
     Ok(())
 }
 
-async fn tell(state: Arc<GatewayState>, socket: Arc<UdpSocket>) {
+async fn send(state: Arc<GatewayState>, socket: Arc<UdpSocket>) {
     let started = Instant::now();
-    let mut told = Told::nothing(started);
+    let mut last = LastState::new(started);
     loop {
         let now = Instant::now();
-        send_news(&state, &socket).await;
+        send_waiting_deltas(&state, &socket).await;
         let Receivers { heard, unheard } = state.peers.receivers(now);
         let own = own_state(&state, now);
-        log_phase(&state, told.phase(), own.phase, now);
+        log_phase(&state, last.phase(), own.phase, now);
         introduce(&state, &socket, &own, unheard).await;
-        if told.is_whole_due(own.phase, now) {
-            told.note_whole(&own, now);
+        if last.is_whole_due(own.phase, now) {
+            last.note_full(&own, now);
             send_to_all(&socket, &Datagram::State(Box::new(own)), &heard).await;
         } else {
-            let change = Datagram::Change(told.change(&own));
-            send_to_all(&socket, &change, &heard).await;
+            let delta = Datagram::Delta(last.delta(&own));
+            send_to_all(&socket, &delta, &heard).await;
         }
-        wait_for_news(&state, &socket, started).await;
+        wait_for_update(&state, &socket, started).await;
         sleep(COALESCE).await;
     }
 }
 
-/// Waits for news or the heartbeat; answers hosts that start meanwhile.
-async fn wait_for_news(state: &GatewayState, socket: &UdpSocket, started: Instant) {
+/// Waits for an update or the heartbeat; answers hosts that start meanwhile.
+async fn wait_for_update(state: &GatewayState, socket: &UdpSocket, started: Instant) {
     let peers = &state.peers;
     let until = Instant::now() + state.options.peers.heartbeat;
     loop {
@@ -90,7 +92,7 @@
             left.min(INTRODUCE_INTERVAL)
         };
         tokio::select! {
-            () = peers.news.notified() => return,
+            () = peers.updates.notified() => return,
             () = peers.newcomer_came.notified() => {
                 sleep(NEWCOMERS_GATHER).await;
                 let own = own_state(state, Instant::now());
@@ -110,19 +112,19 @@
 }
 
 /// Sends changes of upstreams on.
-async fn send_news(state: &GatewayState, socket: &UdpSocket) {
-    for (news, audience) in state.peers.take_waiting_news() {
+async fn send_waiting_deltas(state: &GatewayState, socket: &UdpSocket) {
+    for (delta, audience) in state.peers.take_waiting_deltas() {
         let group = state.peers.group_addresses(state.peers.group());
         if audience == Audience::Fleet && state.peers.is_grouped() {
             let relays = state.peers.digest_targets(Instant::now());
             let datagram = Datagram::Upstreams {
-                news: news.clone(),
+                delta: delta.clone(),
                 is_for_group: true,
             };
             send_to_all(socket, &datagram, &relays).await;
         }
         let datagram = Datagram::Upstreams {
-            news,
+            delta,
             is_for_group: false,
         };
         send_to_all(socket, &datagram, &group).await;
@@ -142,7 +144,9 @@
     }
     for (hall, addresses) in by_hall {
         let mut introduction = own.clone();
-        introduction.named = state.peers.some_names(hall.as_ref(), NAMED_TO_NEWCOMERS);
+        introduction.named = state
+            .peers
+            .some_known_peers(hall.as_ref(), KNOWN_PEERS_TO_NEWCOMERS);
         let datagram = Datagram::State(Box::new(introduction));
         send_to_all(socket, &datagram, &addresses).await;
     }
@@ -154,12 +158,12 @@
     let all = state.view.upstreams.all();
     let work = all.iter().filter_map(|upstream| {
         let own = upstream.own_work();
-        let told = UpstreamWork {
+        let entry = UpstreamWork {
             upstream: upstream.record.id.clone(),
             work: own,
             condition: upstream.condition_here(now),
         };
-        told.is_worth_telling().then_some(told)
+        entry.is_significant().then_some(entry)
     });
     let budgets = state.budget_use(now).into_iter();
     let budgets = budgets.map(|(service, used)| ServiceUse { service, used });
@@ -171,14 +175,14 @@
         phase: state.phase(now),
         incarnation: peers.incarnation,
         sequence: peers.sequence.fetch_add(1, Ordering::Relaxed),
-        work: work.take(TOLD_UPSTREAMS).collect(),
+        work: work.take(UPSTREAMS_BOUND).collect(),
         watermark: state.feed.watermark(),
         reaches_store: state.feed.reaches_store(),
         link_mbps: peers.own.link_mbps,
         fleet_hosts: u32::try_from(peers.hosts_known()).unwrap_or(u32::MAX),
         budgets: budgets.collect(),
-        runs: state.runs.own(now).into_iter().take(TOLD_RUNS).collect(),
-        named: peers.some_names(Some(&peers.own.hall), NAMED_PEERS),
+        runs: state.runs.own(now).into_iter().take(RUNS_BOUND).collect(),
+        named: peers.some_known_peers(Some(&peers.own.hall), KNOWN_PEERS_TOLD),
     }
 }
 
@@ -212,7 +216,7 @@
     }
 }
 
-async fn hear(state: Arc<GatewayState>, socket: Arc<UdpSocket>) {
+async fn receive(state: Arc<GatewayState>, socket: Arc<UdpSocket>) {
     let mut buffer = vec![0; DATAGRAM_BOUND_BYTES];
     loop {
         let Ok((length, sender)) = socket.recv_from(&mut buffer).await else {
@@ -221,12 +225,15 @@
         };
         match Datagram::from_bytes(&buffer[..length]) {
             Ok(Datagram::State(peer)) => apply_state(&state, *peer),
-            Ok(Datagram::Change(change)) => apply_change(&state, change),
-            Ok(Datagram::Upstreams { news, is_for_group }) => {
+            Ok(Datagram::Delta(change)) => apply_delta(&state, change),
+            Ok(Datagram::Upstreams {
+                delta,
+                is_for_group,
+            }) => {
                 if is_for_group {
-                    state.peers.send_on_to_group(news.clone());
+                    state.peers.send_on_to_group(delta.clone());
                 }
-                apply_news(&state, news);
+                apply_upstream_delta(&state, delta);
             }
             Ok(Datagram::Digest {
                 digest,
@@ -275,7 +282,7 @@
 fn apply_digest(state: &GatewayState, mut digest: GroupDigest) {
     let runs = std::mem::take(&mut digest.runs);
     let findings = state.peers.apply_digest(&digest, Instant::now());
-    note_told(state, &digest.relay, runs, RunHost::Elsewhere, &findings);
+    apply_common(state, &digest.relay, runs, RunHost::Elsewhere, &findings);
 }
 
 fn apply_state(state: &GatewayState, mut peer: PeerState) {
@@ -285,20 +292,20 @@
         state.peers.note_group_runs(&runs);
     }
     let findings = state.peers.apply_state(peer, Instant::now());
-    note_told(state, &sender, runs, RunHost::InGroup, &findings);
+    apply_common(state, &sender, runs, RunHost::InGroup, &findings);
 }
 
-fn apply_change(state: &GatewayState, mut change: PeerChange) {
+fn apply_delta(state: &GatewayState, mut change: PeerDelta) {
     let sender = change.host.clone();
     let runs = std::mem::take(&mut change.runs);
     state.peers.note_group_runs(&runs);
-    let findings = state.peers.apply_change(change, Instant::now());
-    note_told(state, &sender, runs, RunHost::InGroup, &findings);
+    let findings = state.peers.apply_delta(change, Instant::now());
+    apply_common(state, &sender, runs, RunHost::InGroup, &findings);
 }
 
 /// Notes what a peer told of its runs and of upstreams, and wakes what waits for its watermark on
 /// the store.
-fn note_told(
+fn apply_common(
     state: &GatewayState,
     sender: &HostId,
     runs: Vec<RunTrace>,
@@ -307,7 +314,7 @@
 ) {
     let now = Instant::now();
     for run in runs {
-        state.runs.hear(run, host, now);
+        state.runs.record_peer(run, host, now);
     }
     for finding in findings {
         take_over(state, finding, sender);
@@ -324,12 +331,12 @@
     let Some(upstream) = state.view.upstreams.get(&finding.upstream) else {
         return;
     };
-    let is_news = match finding.condition {
+    let is_change = match finding.condition {
         Condition::Healthy => false,
         Condition::Suspected => !upstream.is_suspected(now) && upstream.suspect_for_peer(now),
         Condition::Replaced => upstream.replaced_for_peer(now),
     };
-    if is_news {
+    if is_change {
         log::debug!(
             "upstream: unsound upstream={} condition={:?} peer={sender}",
             finding.upstream,
--- a/crates/gateway/src/peers/told.rs
+++ b/crates/gateway/src/peers/last_state.rs
@@ -1,7 +1,7 @@
-//! What this host last told its peers, so that only what changed since is told again.
+//! What this host last sent its peers, so that it then sends only what changed.
 
 use {
-    super::message::{HostPhase, PeerChange, PeerState, ServiceUse, UpstreamWork},
+    super::message::{HostPhase, PeerDelta, PeerState, ServiceUse, UpstreamWork},
     crate::{
         run_trace::{Fingerprint, RunTrace},
         view::{Condition, Work},
@@ -13,15 +13,15 @@
     tealshore_core::ids::{EngineId, ServiceId},
 };
 
-/// How often the whole state is told: what a lost datagram said is known again after this.
+/// How often the whole state is sent: what a lost datagram said is known again after this.
 const WHOLE_INTERVAL: Duration = Duration::from_secs(2);
-/// A host that starts tells its whole state more often for this long.
+/// A host that starts sends its whole state more often for this long.
 const INTRODUCTION: Duration = Duration::from_secs(3);
 /// How often it does so: about each heartbeat, and not at each of its streams' events.
 const INTRODUCTION_INTERVAL: Duration = Duration::from_millis(400);
 
-/// What a host last told its peers.
-pub struct Told {
+/// What a host last sent its peers.
+pub struct LastState {
     started: Instant,
     phase: Option<HostPhase>,
     whole_at: Option<Instant>,
@@ -30,10 +30,10 @@
     runs: HashMap<Fingerprint, RunTrace>,
 }
 
-impl Told {
-    /// Of a host that starts now and told nothing.
+impl LastState {
+    /// Of a host that starts now and sent nothing.
     #[must_use]
-    pub fn nothing(now: Instant) -> Self {
+    pub fn new(now: Instant) -> Self {
         Self {
             started: now,
             phase: None,
@@ -44,13 +44,13 @@
         }
     }
 
-    /// The phase that was last told; none before the first.
+    /// The phase that was last sent; none before the first.
     #[must_use]
     pub fn phase(&self) -> Option<HostPhase> {
         self.phase
     }
 
-    /// Whether the whole state is to be told.
+    /// Whether the whole state is to be sent.
     #[must_use]
     pub fn is_whole_due(&self, phase: HostPhase, now: Instant) -> bool {
         let is_introduced = now.saturating_duration_since(self.started) > INTRODUCTION;
@@ -61,21 +61,21 @@
         };
         let is_old = self
             .whole_at
-            .is_none_or(|told| now.saturating_duration_since(told) >= interval);
+            .is_none_or(|sent| now.saturating_duration_since(sent) >= interval);
         is_old || self.phase != Some(phase)
     }
 
-    /// Notes that the whole state was told to all.
-    pub fn note_whole(&mut self, state: &PeerState, now: Instant) {
+    /// Notes that the whole state was sent to all.
+    pub fn note_full(&mut self, state: &PeerState, now: Instant) {
         self.whole_at = Some(now);
-        // What changed is of no interest: all of it was told.
-        let _ = self.change(state);
+        // What changed is of no interest: all of it was sent.
+        let _ = self.delta(state);
     }
 
-    /// What changed of the state since it was last told; it counts as told now.
-    pub fn change(&mut self, state: &PeerState) -> PeerChange {
+    /// What changed of the state since it was last sent; it counts as sent now.
+    pub fn delta(&mut self, state: &PeerState) -> PeerDelta {
         self.phase = Some(state.phase);
-        PeerChange {
+        PeerDelta {
             host: state.host.clone(),
             incarnation: state.incarnation,
             sequence: state.sequence,
@@ -101,17 +101,17 @@
         let changed = now
             .iter()
             .filter(|entry| self.work.get(&entry.upstream) != Some(*entry));
-        let told = changed.cloned().chain(ended).collect();
+        let entries = changed.cloned().chain(ended).collect();
         self.work = current;
-        told
+        entries
     }
 
-    /// Requests come all the time; only repeats are told at once.
+    /// Requests come all the time; only repeats are sent at once.
     fn changed_budgets(&mut self, now: &[ServiceUse]) -> Vec<ServiceUse> {
         let mut changed = Vec::new();
         for entry in now {
-            let told = self.budgets.get(&entry.service);
-            if told.is_none_or(|told| told.used.repeats != entry.used.repeats) {
+            let sent = self.budgets.get(&entry.service);
+            if sent.is_none_or(|sent| sent.used.repeats != entry.used.repeats) {
                 changed.push(entry.clone());
                 self.budgets.insert(entry.service.clone(), entry.clone());
             }
@@ -121,8 +121,8 @@
 
     /// Runs that began, or that go on at another engine.
     fn new_runs(&mut self, now: &[RunTrace]) -> Vec<RunTrace> {
-        let told = |run: &&RunTrace| self.runs.get(&run.fingerprint) != Some(*run);
-        let new = now.iter().filter(told).cloned().collect();
+        let sent = |run: &&RunTrace| self.runs.get(&run.fingerprint) != Some(*run);
+        let new = now.iter().filter(sent).cloned().collect();
         let current = now.iter().map(|run| (run.fingerprint, run.clone()));
         self.runs = current.collect();
         new
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         budget::BudgetUse,
-        feed::{StoreWatermark, UpstreamNews},
+        feed::{StoreWatermark, UpstreamDelta},
         run_trace::RunTrace,
         view::{Condition, Work},
     },
@@ -39,7 +39,7 @@
 impl UpstreamWork {
     /// Whether it says anything.
     #[must_use]
-    pub fn is_worth_telling(&self) -> bool {
+    pub fn is_significant(&self) -> bool {
         self.condition != Condition::Healthy || self.work.memory_tokens > 0
     }
 }
@@ -155,7 +155,7 @@
 
 /// What changed of a host's state since it was last told.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct PeerChange {
+pub struct PeerDelta {
     /// The host.
     pub host: HostId,
     /// Its process.
@@ -180,11 +180,11 @@
     /// The whole state of the sender.
     State(Box<PeerState>),
     /// What changed of it.
-    Change(PeerChange),
+    Delta(PeerDelta),
     /// Changed upstreams, from a feeder.
     Upstreams {
         /// The changes.
-        news: UpstreamNews,
+        delta: UpstreamDelta,
         /// The receiver is the relay of another group, and passes them on to it.
         is_for_group: bool,
     },
@@ -243,13 +243,13 @@
     }
 
     /// Takes in what changed since.
-    pub fn apply(&mut self, change: PeerChange) {
+    pub fn apply(&mut self, change: PeerDelta) {
         self.sequence = change.sequence;
         self.watermark = change.watermark;
         self.reaches_store = change.reaches_store;
         for entry in change.work {
             self.work.retain(|known| known.upstream != entry.upstream);
-            if entry.is_worth_telling() {
+            if entry.is_significant() {
                 self.work.push(entry);
             }
         }
--- a/crates/gateway/src/peers/relay.rs
+++ b/crates/gateway/src/peers/relay.rs
@@ -7,7 +7,7 @@
 use {
     super::{
         Feeder, GROUP_RUNS_BOUND, Groups, HostAddress, Peers, RELAYED_BOUND,
-        digest::{GroupSums, LastDigest, Teller},
+        digest::{DigestSource, GroupSums, LastDigest},
         exchange::{own_state, send_to_all},
         message::{Datagram, GroupDigest, GroupMember, HostPhase, PeerState},
     },
@@ -43,9 +43,9 @@
         }
         let own = own_state(&state, now);
         let sums = peers.group_sums(&own, runs, now);
-        let teller = peers.teller(&own, now);
+        let source = peers.source(&own, now);
         let heartbeat = state.options.peers.heartbeat;
-        if let Some(digest) = last.next(teller, sums, heartbeat, now) {
+        if let Some(digest) = last.next(source, sums, heartbeat, now) {
             let targets = peers.digest_targets(now);
             let datagram = Datagram::Digest {
                 digest: Box::new(digest),
@@ -136,8 +136,8 @@
         sums
     }
 
-    fn teller(&self, own: &PeerState, now: Instant) -> Teller {
-        Teller {
+    fn source(&self, own: &PeerState, now: Instant) -> DigestSource {
+        DigestSource {
             host: own.host.clone(),
             hall: own.hall.clone(),
             address: own.peers_address,
--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -104,7 +104,7 @@
     }
 
     /// Takes in a run of another host.
-    pub fn hear(&self, trace: RunTrace, host: RunHost, now: Instant) {
+    pub fn record_peer(&self, trace: RunTrace, host: RunHost, now: Instant) {
         let mut kept = self.kept.lock();
         let known = kept.get(&trace.fingerprint);
         if known.is_some_and(|known| known.last_known.is_none()) {
@@ -127,7 +127,7 @@
     pub fn restore(&self, trace: RunTrace, now: Instant) {
         let is_known = self.kept.lock().contains_key(&trace.fingerprint);
         if !is_known {
-            self.hear(trace, RunHost::Elsewhere, now);
+            self.record_peer(trace, RunHost::Elsewhere, now);
         }
     }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -230,7 +230,7 @@
         let taken = self.budget(&mut budgets, service).take(now, &pool);
         drop(budgets);
         if taken {
-            self.peers.work_changed();
+            self.peers.wake_sender();
         }
         taken
     }
@@ -325,7 +325,7 @@
                 record.address,
                 record.hall
             );
-            self.peers.work_changed();
+            self.peers.wake_sender();
         }
     }
 }
@@ -345,6 +345,6 @@
             log::warn!("upstream: replaced upstream={}", upstream.record.id);
         }
         upstream.gone_for_good(now);
-        self.peers.work_changed();
+        self.peers.wake_sender();
     }
 }
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -8,7 +8,7 @@
 mod hosts;
 mod runs;
 
-pub use apply::apply_news;
+pub use apply::apply_upstream_delta;
 use {
     crate::{
         edge::{Page, Revision, RowSet, StoreRefusal, StoreTime},
@@ -213,7 +213,7 @@
         self.state.feed.advance(self.set, watermark);
         if is_first {
             // Others that start wait for one that knows the set.
-            self.state.peers.work_changed();
+            self.state.peers.wake_sender();
         }
         self.note_regained();
     }
@@ -311,7 +311,7 @@
         self.failures += 1;
         let until = Instant::now() + spread(doubled.min(longest) / 2);
         loop {
-            self.state.feed.wait_for_news(self.set, until).await;
+            self.state.feed.wait_for_update(self.set, until).await;
             let now = Instant::now();
             if self.is_helped(now).await || now >= until {
                 return;
--- a/crates/gateway/src/sync/apply.rs
+++ b/crates/gateway/src/sync/apply.rs
@@ -4,7 +4,7 @@
     super::Follower,
     crate::{
         edge::{Change, Revision, RowSet, UpstreamChange},
-        feed::{SetWatermark, UpstreamNews},
+        feed::{SetWatermark, UpstreamDelta},
         state::GatewayState,
         view::Configuration,
     },
@@ -54,21 +54,21 @@
 }
 
 /// Takes in what a feeder sends on, unless changes before it were missed.
-pub fn apply_news(state: &GatewayState, news: UpstreamNews) {
-    if !state.feed.knows(RowSet::Upstreams, news.after) {
+pub fn apply_upstream_delta(state: &GatewayState, delta: UpstreamDelta) {
+    if !state.feed.knows(RowSet::Upstreams, delta.after) {
         log::debug!(
             "feed: gap set=upstreams after={} known={:?}",
-            news.after,
+            delta.after,
             state.feed.progress(RowSet::Upstreams).watermark()
         );
         return;
     }
-    for (revision, change) in news.changes {
+    for (revision, change) in delta.changes {
         apply_upstream(state, revision, change, LogRows::Each);
     }
     let watermark = SetWatermark {
-        revision: news.revision,
-        changed: news.revision,
+        revision: delta.revision,
+        changed: delta.revision,
         // How old it is, the feeder's own watermark tells.
         written: Duration::ZERO,
     };
--- a/crates/gateway/src/sync/follow.rs
+++ b/crates/gateway/src/sync/follow.rs
@@ -4,7 +4,7 @@
     super::{CallFailure, Follower, apply::LogRows},
     crate::{
         edge::{Change, Revision, RowSet},
-        feed::{FeederChoice, SetWatermark, UpstreamNews},
+        feed::{FeederChoice, SetWatermark, UpstreamDelta},
         peers::Reach,
     },
     std::time::{Duration, Instant},
@@ -20,7 +20,7 @@
 const SHARED_WATCH: Duration = Duration::from_millis(500);
 /// How long the store may take beyond that where other hosts rely on this one.
 const SHARED_PATIENCE: Duration = Duration::from_millis(800);
-/// After news, more of it is let gather for this long, so that it comes by one call.
+/// After a change, more of them are let gather for this long, so that they come by one call.
 const GATHERING: Duration = Duration::from_millis(250);
 /// A host that reads changes for itself, on the watermark of its feeder, lets them gather longer:
 /// all others read them as well.
@@ -115,23 +115,23 @@
                 return;
             }
             let look_again = until.min(now + HALL_INTERVAL);
-            self.state.feed.wait_for_news(self.set, look_again).await;
+            self.state.feed.wait_for_update(self.set, look_again).await;
         }
     }
 
     async fn be_fed(&mut self, watermark: SetWatermark, moment: Instant) {
         let now = Instant::now();
-        let is_news = self.state.feed.advance(self.set, watermark);
+        let is_change = self.state.feed.advance(self.set, watermark);
         self.confirm(moment);
         if self.failures > 0 {
             self.note_regained();
         }
-        if is_news && self.state.peers.is_grouped() && self.state.peers.is_relay(now) {
+        if is_change && self.state.peers.is_grouped() && self.state.peers.is_relay(now) {
             // The group waits for it.
             self.state.peers.send_on(None);
         }
         let until = moment + self.state.fed_bound(now);
-        self.state.feed.wait_for_news(self.set, until).await;
+        self.state.feed.wait_for_update(self.set, until).await;
     }
 
     /// Learns the changes that were missed from another host or from the store, unless they
@@ -148,7 +148,7 @@
             }
             self.watch(Duration::ZERO).await?;
             // The other hosts of the hall wait for this one to know it.
-            self.state.peers.work_changed();
+            self.state.peers.wake_sender();
             let is_relay =
                 self.state.peers.is_grouped() && self.state.peers.is_relay(Instant::now());
             if !is_relay {
@@ -218,31 +218,31 @@
         let after = self.newest();
         let request = self.state.protocol.watch_call(self.set, after, wait);
         let (page, written) = self.page(request, bound).await?;
-        let is_news = !page.changes.is_empty();
+        let is_change = !page.changes.is_empty();
         let watermark = SetWatermark {
             revision: page.revision,
-            changed: if is_news { page.revision } else { 0 },
+            changed: if is_change { page.revision } else { 0 },
             written: written.store_time,
         };
-        let news = self.news(after, page.revision, &page.changes);
+        let delta = self.upstream_delta(after, page.revision, &page.changes);
         self.apply_rows(page.changes, LogRows::Each);
         self.state.feed.advance(self.set, watermark);
         self.confirm(written.moment);
         self.note_regained();
         if self.state.feeder(Instant::now()) == FeederChoice::Itself {
-            self.state.peers.send_on(news);
+            self.state.peers.send_on(delta);
         }
-        Ok(is_news)
+        Ok(is_change)
     }
 
     /// The changes of upstreams as they are sent on; none of another set, which each host
     /// reads for itself.
-    fn news(
+    fn upstream_delta(
         &self,
         after: Revision,
         revision: Revision,
         changes: &[(Revision, Change)],
-    ) -> Option<UpstreamNews> {
+    ) -> Option<UpstreamDelta> {
         if self.set != RowSet::Upstreams || changes.is_empty() {
             return None;
         }
@@ -255,7 +255,7 @@
                 | Change::Runs(_)
                 | Change::Unreadable(_) => None,
             });
-        Some(UpstreamNews {
+        Some(UpstreamDelta {
             after,
             revision,
             changes: changes.collect(),
--- a/crates/gateway/src/sync/from_peers.rs
+++ b/crates/gateway/src/sync/from_peers.rs
@@ -99,7 +99,7 @@
         loop {
             if self.newest() == 0 && self.learn_from_peers(Reach::Everywhere).await {
                 // Others that start wait for one that knows the set.
-                self.state.peers.work_changed();
+                self.state.peers.wake_sender();
             }
             let now = Instant::now();
             let is_fed = match self.source(now) {
@@ -117,7 +117,7 @@
                 return;
             }
             let until = now + spread(START_INTERVAL);
-            self.state.feed.wait_for_news(self.set, until).await;
+            self.state.feed.wait_for_update(self.set, until).await;
         }
     }
 
--- a/crates/gateway/src/sync/runs.rs
+++ b/crates/gateway/src/sync/runs.rs
@@ -8,7 +8,7 @@
     tokio::time::sleep,
 };
 
-/// How often it is written, while there is news. Engines keep copies for a few seconds only,
+/// How often it is written, while it changes. Engines keep copies for a few seconds only,
 /// and streams last not much longer.
 const RUNS_INTERVAL: Duration = Duration::from_millis(700);
 /// How often a host that starts looks for another one that tells where streams ran.
@@ -36,8 +36,8 @@
                 continue;
             }
             let running = self.state.runs.running_in_group(now);
-            let has_news = running.iter().any(|run| !written.contains(run));
-            if !has_news {
+            let has_change = running.iter().any(|run| !written.contains(run));
+            if !has_change {
                 continue;
             }
             let group = self.state.peers.group().unwrap_or(ALL_HOSTS);
--- a/crates/gateway/src/view/upstream.rs
+++ b/crates/gateway/src/view/upstream.rs
@@ -143,7 +143,7 @@
         self.opinion.lock().failure_score
     }
 
-    /// Notes that it seems dead, and wakes all that wait for it; whether that is news.
+    /// Notes that it seems dead, and wakes all that wait for it; whether that is a change.
     pub fn suspect(&self, now: Instant) -> bool {
         self.suspect_as(now, false)
     }
@@ -161,7 +161,7 @@
         self.suspicion.notify_waiters();
     }
 
-    /// Notes that a peer found another incarnation at its address; whether that is news.
+    /// Notes that a peer found another incarnation at its address; whether that is a change.
     pub fn replaced_for_peer(&self, now: Instant) -> bool {
         self.replaced_as(now, true)
     }
@@ -179,24 +179,24 @@
         true
     }
 
-    /// Notes that it seems dead to a peer; whether that is news.
+    /// Notes that it seems dead to a peer; whether that is a change.
     pub fn suspect_for_peer(&self, now: Instant) -> bool {
         self.suspect_as(now, true)
     }
 
     fn suspect_as(&self, now: Instant, from_peer: bool) -> bool {
         let mut opinion = self.opinion.lock();
-        let is_news = opinion.suspected_until.is_none_or(|until| until <= now);
+        let is_change = opinion.suspected_until.is_none_or(|until| until <= now);
         let until = now + SUSPICION;
         opinion.suspected_until = opinion.suspected_until.max(Some(until));
         if !opinion.replaced {
             opinion.from_peer = from_peer;
         }
         drop(opinion);
-        if is_news {
+        if is_change {
             self.suspicion.notify_waiters();
         }
-        is_news
+        is_change
     }
 
     /// Whether it seemed dead a short time ago.
--- a/crates/gateway/src/view/upstreams.rs
+++ b/crates/gateway/src/view/upstreams.rs
@@ -56,7 +56,7 @@
             .and_then(|known| known.upstream.as_ref())
             .filter(|upstream| upstream.record == record)
             .cloned();
-        let is_news = same.is_none();
+        let is_change = same.is_none();
         if known.is_none() {
             supersede(&listed, &record, seen);
         }
@@ -67,7 +67,7 @@
             lapses: None,
         };
         listed.insert(record.id, entry);
-        is_news
+        is_change
     }
 
     /// Takes in that a row went; whether it changed anything.
--- a/crates/gateway/tests/feed.rs
+++ b/crates/gateway/tests/feed.rs
@@ -268,12 +268,12 @@
     let feed = Feed::default();
     feed.notify();
     let now = Instant::now();
-    feed.wait_for_news(RowSet::Runs, now + Duration::from_millis(1))
+    feed.wait_for_update(RowSet::Runs, now + Duration::from_millis(1))
         .await;
-    feed.wait_for_news(RowSet::Hosts, now + Duration::from_millis(1))
+    feed.wait_for_update(RowSet::Hosts, now + Duration::from_millis(1))
         .await;
     // Only the news ends this wait.
     let far = now + Duration::from_secs(86_400);
-    feed.wait_for_news(RowSet::Upstreams, far).await;
-    feed.wait_for_news(RowSet::Configuration, far).await;
+    feed.wait_for_update(RowSet::Upstreams, far).await;
+    feed.wait_for_update(RowSet::Configuration, far).await;
 }
--- a/crates/gateway/tests/groups.rs
+++ b/crates/gateway/tests/groups.rs
@@ -15,8 +15,8 @@
         budget::BudgetUse,
         options::GatewayOptions,
         peers::{
-            Datagram, GroupDigest, GroupMember, GroupSums, HostAddress, HostPhase, LastDigest,
-            PeerState, Peers, ServiceUse, Teller, Unreadable, UpstreamWork,
+            Datagram, DigestSource, GroupDigest, GroupMember, GroupSums, HostAddress, HostPhase,
+            LastDigest, PeerState, Peers, ServiceUse, Unreadable, UpstreamWork,
         },
         run_trace::RunTrace,
         view::{Condition, Work},
@@ -84,8 +84,8 @@
     }
 }
 
-fn teller(hall: &str) -> Teller {
-    Teller {
+fn source(hall: &str) -> DigestSource {
+    DigestSource {
         host: format!("{hall}-0"),
         hall: hall.to_owned(),
         address: address("127.2.0.1:2"),
@@ -111,7 +111,7 @@
 
 fn digest(hosts: u32) -> GroupDigest {
     let mut last = LastDigest::default();
-    last.next(teller("bb"), sums(hosts), HEARTBEAT, Instant::now())
+    last.next(source("bb"), sums(hosts), HEARTBEAT, Instant::now())
         .unwrap()
 }
 
@@ -172,7 +172,7 @@
             }
             let entries = truth.iter().map(|(id, work)| (id.clone(), (*work, Condition::Healthy)));
             let sums = GroupSums { work: entries.collect(), ..GroupSums::default() };
-            if let Some(digest) = last.next(teller("bb"), sums, HEARTBEAT, now) {
+            if let Some(digest) = last.next(source("bb"), sums, HEARTBEAT, now) {
                 if arrives {
                     peers.apply_digest(&digest, now);
                 }
@@ -187,7 +187,7 @@
         now += Duration::from_secs(3);
         let entries = truth.iter().map(|(id, work)| (id.clone(), (*work, Condition::Healthy)));
         let sums = GroupSums { work: entries.collect(), ..GroupSums::default() };
-        let whole = last.next(teller("bb"), sums, HEARTBEAT, now).unwrap();
+        let whole = last.next(source("bb"), sums, HEARTBEAT, now).unwrap();
         prop_assert!(whole.is_whole);
         peers.apply_digest(&whole, now);
         prop_assert_eq!(received(&peers, now), truth);
@@ -240,9 +240,9 @@
     let now = Instant::now();
     let peers = grouped_peers("late", now);
     let mut last = LastDigest::default();
-    let early = last.next(teller("bb"), sums(2), HEARTBEAT, now).unwrap();
+    let early = last.next(source("bb"), sums(2), HEARTBEAT, now).unwrap();
     let later = now + Duration::from_millis(100);
-    let newer = last.next(teller("bb"), sums(3), HEARTBEAT, later).unwrap();
+    let newer = last.next(source("bb"), sums(3), HEARTBEAT, later).unwrap();
     peers.apply_digest(&early, now);
     peers.apply_digest(&newer, later);
     peers.apply_digest(&early, later);
@@ -279,7 +279,7 @@
     let start = Instant::now();
     let at = |ms| start + Duration::from_millis(ms);
     let mut last = LastDigest::default();
-    let mut told = |sums: &GroupSums, ms| last.next(teller("bb"), sums.clone(), HEARTBEAT, at(ms));
+    let mut told = |sums: &GroupSums, ms| last.next(source("bb"), sums.clone(), HEARTBEAT, at(ms));
     let mut now = sums(60);
     assert!(told(&now, 0).unwrap().members.is_some());
     assert!(told(&now, 100).is_none());
@@ -309,10 +309,10 @@
         let start = Instant::now();
         let mut last = LastDigest::default();
         let mut now = sums(hosts);
-        last.next(teller("bb"), now.clone(), HEARTBEAT, start);
+        last.next(source("bb"), now.clone(), HEARTBEAT, start);
         now.add_work(&[at_upstream("i-2", 1, Condition::Healthy)]);
         let later = start + Duration::from_millis(100);
-        let digest = last.next(teller("bb"), now, HEARTBEAT, later).unwrap();
+        let digest = last.next(source("bb"), now, HEARTBEAT, later).unwrap();
         postcard::to_stdvec(&digest).unwrap().len()
     };
     assert!(changed_bytes(250) <= changed_bytes(10) + 8);
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -13,7 +13,7 @@
     tealshore_gateway::{
         budget::BudgetUse,
         options::GatewayOptions,
-        peers::{Datagram, HostPhase, PeerState, Peers, ServiceUse, Told, UpstreamWork},
+        peers::{Datagram, HostPhase, LastState, PeerState, Peers, ServiceUse, UpstreamWork},
         run_trace::RunTrace,
         view::{Condition, Work},
     },
@@ -85,10 +85,10 @@
 
     #[test]
     fn changes_add_up_to_the_whole_state(steps in prop::collection::vec(step(), 1..60)) {
-        let mut told = Told::nothing(Instant::now());
+        let mut told = LastState::new(Instant::now());
         let mut work = BTreeMap::new();
         let mut heard = state(0, &work, 0);
-        told.note_whole(&heard, Instant::now());
+        last.note_whole(&heard, Instant::now());
         for (index, (id, now)) in steps.into_iter().enumerate() {
             match now {
                 Some(now) => drop(work.insert(id, now)),
@@ -97,7 +97,7 @@
             let sequence = 1 + u64::try_from(index).unwrap();
             let repeats = u32::try_from(index / 3).unwrap();
             let own = state(sequence, &work, repeats);
-            heard.apply(told.change(&own));
+            heard.apply(last.delta(&own));
             prop_assert_eq!(sorted(&heard), sorted(&own));
             prop_assert_eq!(heard.budgets[0].used.repeats, repeats);
         }
@@ -106,28 +106,28 @@
 
 #[test]
 fn what_did_not_change_is_not_told_again() {
-    let mut told = Told::nothing(Instant::now());
+    let mut told = LastState::new(Instant::now());
     let work = BTreeMap::from([(1, (8_000, false)), (2, (500, true))]);
-    let first = told.change(&state(1, &work, 0));
+    let first = last.delta(&state(1, &work, 0));
     assert_eq!(first.work.len(), 2);
     assert_eq!(first.runs.len(), 2);
-    let second = told.change(&state(2, &work, 0));
+    let second = last.delta(&state(2, &work, 0));
     assert!(second.work.is_empty() && second.runs.is_empty() && second.budgets.is_empty());
     // A suspicion that has passed is told as such.
     let passed = BTreeMap::from([(1, (8_000, false))]);
-    let third = told.change(&state(3, &passed, 0));
+    let third = last.delta(&state(3, &passed, 0));
     assert_eq!(third.work.len(), 1);
     assert_eq!(third.work[0].condition, Condition::Healthy);
 }
 
 #[test]
 fn a_run_that_goes_on_at_another_engine_is_told_again() {
-    let mut told = Told::nothing(Instant::now());
+    let mut told = LastState::new(Instant::now());
     let work = BTreeMap::from([(1, (8_000, false))]);
     let mut own = state(1, &work, 0);
-    assert_eq!(told.change(&own).runs.len(), 1);
+    assert_eq!(last.delta(&own).runs.len(), 1);
     own.runs[0].engine = "i-2".to_owned();
-    let change = told.change(&own);
+    let change = last.delta(&own);
     assert_eq!(change.runs, own.runs);
 }
 
@@ -135,16 +135,16 @@
 fn the_whole_state_is_told_at_first_now_and_then_and_when_its_phase_changes() {
     let start = Instant::now();
     let at = |ms| start + Duration::from_millis(ms);
-    let mut told = Told::nothing(start);
+    let mut told = LastState::new(start);
     let serving = state(1, &BTreeMap::new(), 0);
-    told.note_whole(&serving, at(100));
+    last.note_whole(&serving, at(100));
     // Not at each event: all hosts that start tell all others.
-    assert!(!told.is_whole_due(HostPhase::Serving, at(110)));
-    assert!(told.is_whole_due(HostPhase::Serving, at(600)));
-    told.note_whole(&serving, at(4_000));
-    assert!(!told.is_whole_due(HostPhase::Serving, at(4_500)));
-    assert!(told.is_whole_due(HostPhase::Leaving, at(4_500)));
-    assert!(told.is_whole_due(HostPhase::Serving, at(6_500)));
+    assert!(!last.is_whole_due(HostPhase::Serving, at(110)));
+    assert!(last.is_whole_due(HostPhase::Serving, at(600)));
+    last.note_whole(&serving, at(4_000));
+    assert!(!last.is_whole_due(HostPhase::Serving, at(4_500)));
+    assert!(last.is_whole_due(HostPhase::Leaving, at(4_500)));
+    assert!(last.is_whole_due(HostPhase::Serving, at(6_500)));
 }
 
 fn peers() -> Peers {
@@ -182,13 +182,13 @@
 
 #[test]
 fn a_heartbeat_without_news_is_a_small_part_of_the_whole_state() {
-    let mut told = Told::nothing(Instant::now());
+    let mut told = LastState::new(Instant::now());
     // A hall has just died: many upstreams are suspected.
     let work = (0..40).map(|id| (id, (8_000, true))).collect();
     let own = state(1, &work, 3);
-    told.note_whole(&own, Instant::now());
+    last.note_whole(&own, Instant::now());
     let whole = postcard::to_stdvec(&Datagram::State(Box::new(own))).unwrap();
-    let change = Datagram::Change(told.change(&state(2, &work, 3)));
+    let change = Datagram::Delta(last.delta(&state(2, &work, 3)));
     let change = postcard::to_stdvec(&change).unwrap();
     assert!(
         change.len() * 20 < whole.len(),
--- a/crates/gateway/tests/runs.rs
+++ b/crates/gateway/tests/runs.rs
@@ -67,9 +67,9 @@
     let runs = Runs::default();
     let now = Instant::now();
     runs.begin(trace(1, "here", "e1"));
-    runs.hear(trace(1, "there", "e2"), RunHost::InGroup, now);
+    runs.record_peer(trace(1, "there", "e2"), RunHost::InGroup, now);
     assert_eq!(runs.find(1, now).unwrap().request, "here");
-    runs.hear(trace(2, "there", "e2"), RunHost::InGroup, now);
+    runs.record_peer(trace(2, "there", "e2"), RunHost::InGroup, now);
     assert_eq!(runs.find(2, now).unwrap().request, "there");
     assert_eq!(runs.own(now).len(), 1);
 }
@@ -91,7 +91,7 @@
     );
     let later = runs.find(1, now + Duration::from_secs(7)).unwrap();
     assert_eq!((later.engine.as_str(), later.memory_copy()), ("e1", None));
-    runs.hear(trace(2, "r", "e2"), RunHost::InGroup, now);
+    runs.record_peer(trace(2, "r", "e2"), RunHost::InGroup, now);
     runs.restore(trace(2, "r", "older"), now);
     assert_eq!(runs.find(2, now).unwrap().engine, "e2");
 }
@@ -101,7 +101,7 @@
     let runs = Runs::default();
     let now = Instant::now();
     runs.begin(trace(2, "here", "e1"));
-    runs.hear(trace(1, "there", "e2"), RunHost::InGroup, now);
+    runs.record_peer(trace(1, "there", "e2"), RunHost::InGroup, now);
     let digests = |at| -> Vec<u64> {
         let running = runs.running(at);
         running.iter().map(|run| run.fingerprint).collect()
