Follow the renamed states in the tests of peers

Change: tests/peers.rs names the last state as the code does. Conclusion: renames are built with all targets before they are committed.

--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -85,10 +85,10 @@
 
     #[test]
     fn changes_add_up_to_the_whole_state(steps in prop::collection::vec(step(), 1..60)) {
-        let mut told = LastState::new(Instant::now());
+        let mut last = LastState::new(Instant::now());
         let mut work = BTreeMap::new();
         let mut heard = state(0, &work, 0);
-        last.note_whole(&heard, Instant::now());
+        last.note_full(&heard, Instant::now());
         for (index, (id, now)) in steps.into_iter().enumerate() {
             match now {
                 Some(now) => drop(work.insert(id, now)),
@@ -106,7 +106,7 @@
 
 #[test]
 fn what_did_not_change_is_not_told_again() {
-    let mut told = LastState::new(Instant::now());
+    let mut last = LastState::new(Instant::now());
     let work = BTreeMap::from([(1, (8_000, false)), (2, (500, true))]);
     let first = last.delta(&state(1, &work, 0));
     assert_eq!(first.work.len(), 2);
@@ -122,7 +122,7 @@
 
 #[test]
 fn a_run_that_goes_on_at_another_engine_is_told_again() {
-    let mut told = LastState::new(Instant::now());
+    let mut last = LastState::new(Instant::now());
     let work = BTreeMap::from([(1, (8_000, false))]);
     let mut own = state(1, &work, 0);
     assert_eq!(last.delta(&own).runs.len(), 1);
@@ -135,13 +135,13 @@
 fn the_whole_state_is_told_at_first_now_and_then_and_when_its_phase_changes() {
     let start = Instant::now();
     let at = |ms| start + Duration::from_millis(ms);
-    let mut told = LastState::new(start);
+    let mut last = LastState::new(start);
     let serving = state(1, &BTreeMap::new(), 0);
-    last.note_whole(&serving, at(100));
+    last.note_full(&serving, at(100));
     // Not at each event: all hosts that start tell all others.
     assert!(!last.is_whole_due(HostPhase::Serving, at(110)));
     assert!(last.is_whole_due(HostPhase::Serving, at(600)));
-    last.note_whole(&serving, at(4_000));
+    last.note_full(&serving, at(4_000));
     assert!(!last.is_whole_due(HostPhase::Serving, at(4_500)));
     assert!(last.is_whole_due(HostPhase::Leaving, at(4_500)));
     assert!(last.is_whole_due(HostPhase::Serving, at(6_500)));
@@ -182,11 +182,11 @@
 
 #[test]
 fn a_heartbeat_without_news_is_a_small_part_of_the_whole_state() {
-    let mut told = LastState::new(Instant::now());
+    let mut last = LastState::new(Instant::now());
     // A hall has just died: many upstreams are suspected.
     let work = (0..40).map(|id| (id, (8_000, true))).collect();
     let own = state(1, &work, 3);
-    last.note_whole(&own, Instant::now());
+    last.note_full(&own, Instant::now());
     let whole = postcard::to_stdvec(&Datagram::State(Box::new(own))).unwrap();
     let change = Datagram::Delta(last.delta(&state(2, &work, 3)));
     let change = postcard::to_stdvec(&change).unwrap();
