Let few hosts try a store that is away, and no relay fall behind a quiet reader

Cause: in an outage of 8 s each of 295 hosts tried both sets eight or nine times, 5,300 calls; after it, hosts slept on until their own pause was over (3 s), as they only woke for a feeder they had. The reader let changes gather 250 ms before a watch of 500 ms, so its watermark came 0.9 s apart; the host second by rank then began a long poll, heard nothing for its duration, and its hall of 59 called the store at once. Ruled out: lost datagrams between relays (each digest was logged at both ends); a late clock. Change: beyond the first three by rank of a group, hosts try at the longest pause from the first failure on; any host that reaches the store wakes those without a feeder; a watch after gathered changes is shorter by that time; the second by rank looks without waiting.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -239,10 +239,16 @@
 
     /// Whether this host ranks before all that were heard a moment ago.
     pub fn ranks_first(&self, now: Instant) -> bool {
+        self.hosts_before(now) == 0
+    }
+
+    /// How many of the hosts that were heard a moment ago rank before this one.
+    pub fn hosts_before(&self, now: Instant) -> usize {
         let own = rank(&self.own.id, self.own.link_mbps);
         let known = self.known.lock();
-        let mut believed = known.values().filter(|peer| self.is_believed(peer, now));
-        believed.all(|peer| own < rank(&peer.state.host, peer.state.link_mbps))
+        let believed = known.values().filter(|peer| self.is_believed(peer, now));
+        let before = believed.filter(|peer| rank(&peer.state.host, peer.state.link_mbps) < own);
+        before.count()
     }
 
     /// Whether the hosts are so many that each hall is a group of its own.
@@ -278,6 +284,11 @@
         matches!(&*self.feeder.lock(), Feeder::Host(feeder) if feeder == host)
     }
 
+    /// Whether no host was last chosen as the feeder of this one.
+    fn has_no_feeder(&self) -> bool {
+        *self.feeder.lock() == Feeder::Nobody
+    }
+
     /// How many hosts are known now, this one included.
     fn hosts_known(&self) -> usize {
         let unheard = self.named.lock().len();
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -282,44 +282,68 @@
 fn apply_digest(state: &GatewayState, mut digest: GroupDigest) {
     let runs = std::mem::take(&mut digest.runs);
     let findings = state.peers.apply_digest(&digest, Instant::now());
-    apply_common(state, &digest.relay, runs, RunHost::Elsewhere, &findings);
+    let sender = Sender {
+        host: &digest.relay,
+        runs_on: RunHost::Elsewhere,
+        reaches_store: digest.reaches_store,
+    };
+    apply_common(state, &sender, runs, &findings);
 }
 
 fn apply_state(state: &GatewayState, mut peer: PeerState) {
-    let sender = peer.host.clone();
+    let host = peer.host.clone();
+    let sender = Sender {
+        host: &host,
+        runs_on: RunHost::InGroup,
+        reaches_store: peer.reaches_store,
+    };
     let runs = std::mem::take(&mut peer.runs);
     if state.peers.is_in_group(&peer.hall) {
         state.peers.note_group_runs(&runs);
     }
     let findings = state.peers.apply_state(peer, Instant::now());
-    apply_common(state, &sender, runs, RunHost::InGroup, &findings);
+    apply_common(state, &sender, runs, &findings);
 }
 
-fn apply_delta(state: &GatewayState, mut change: PeerDelta) {
-    let sender = change.host.clone();
-    let runs = std::mem::take(&mut change.runs);
+fn apply_delta(state: &GatewayState, mut delta: PeerDelta) {
+    let host = delta.host.clone();
+    let sender = Sender {
+        host: &host,
+        runs_on: RunHost::InGroup,
+        reaches_store: delta.reaches_store,
+    };
+    let runs = std::mem::take(&mut delta.runs);
     state.peers.note_group_runs(&runs);
-    let findings = state.peers.apply_delta(change, Instant::now());
-    apply_common(state, &sender, runs, RunHost::InGroup, &findings);
+    let findings = state.peers.apply_delta(delta, Instant::now());
+    apply_common(state, &sender, runs, &findings);
+}
+
+/// Who sent a datagram.
+struct Sender<'a> {
+    host: &'a HostId,
+    /// Where the runs are that it tells of.
+    runs_on: RunHost,
+    /// Whether its last call to the store was answered.
+    reaches_store: bool,
 }
 
 /// Notes what a peer told of its runs and of upstreams, and wakes what waits for its watermark on
-/// the store.
+/// the store: while this host has no feeder, for that of any host that reaches the store.
 fn apply_common(
     state: &GatewayState,
-    sender: &HostId,
+    sender: &Sender<'_>,
     runs: Vec<RunTrace>,
-    host: RunHost,
     findings: &[Finding],
 ) {
     let now = Instant::now();
     for run in runs {
-        state.runs.record_peer(run, host, now);
+        state.runs.record_peer(run, sender.runs_on, now);
     }
     for finding in findings {
-        take_over(state, finding, sender);
+        take_over(state, finding, sender.host);
     }
-    if state.peers.is_fed_by(sender) {
+    let may_feed = sender.reaches_store && state.peers.has_no_feeder();
+    if may_feed || state.peers.is_fed_by(sender.host) {
         state.feed.notify();
     }
 }
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -37,6 +37,9 @@
 const PAUSE_PER_HOST: Duration = Duration::from_millis(20);
 /// How much longer the pause gets by that.
 const LONGEST_SHARED_PAUSE: Duration = Duration::from_millis(2_400);
+/// So many hosts of a group, the first by rank, try a store that is away more and more slowly;
+/// the others at the longest pause from the first failure on.
+const STORE_TRIERS: usize = 3;
 /// The set by which a host tries a store that is away; the followers of the others wait for it.
 const TRIED_SET: RowSet = RowSet::Configuration;
 /// How much longer those wait at most, should that set alone stay unanswered.
@@ -55,6 +58,8 @@
     set: RowSet,
     calls: StoreCalls,
     failures: u32,
+    /// Changes were let gather after the last watch.
+    has_gathered: bool,
     /// When the store was lost; none while it answers.
     lost_at: Option<Instant>,
 }
@@ -100,6 +105,7 @@
             state,
             set,
             failures: 0,
+            has_gathered: false,
             lost_at: None,
         }
     }
@@ -307,7 +313,11 @@
         } else {
             LONGEST_PAUSE
         };
-        let doubled = FIRST_PAUSE * (1 << self.failures.min(6));
+        let doubled = if self.leaves_trying_to_others() {
+            longest
+        } else {
+            FIRST_PAUSE * (1 << self.failures.min(6))
+        };
         self.failures += 1;
         let until = Instant::now() + spread(doubled.min(longest) / 2);
         loop {
@@ -325,7 +335,7 @@
             Source::Fed { .. } => true,
             Source::Behind => self.learn_from_peers(Reach::Everywhere).await,
             Source::Store if self.newest() == 0 => self.learn_from_peers(Reach::Everywhere).await,
-            Source::Store => self.is_store_back(),
+            Source::Store | Source::Late => self.is_store_back(),
         }
     }
 
@@ -334,6 +344,13 @@
         self.set != TRIED_SET && self.state.feed.reaches_store()
     }
 
+    /// Whether so many hosts rank before this one that they notice soon enough when the store is
+    /// back. An outage of 8 s was tried 5,300 times by 295 hosts, each after 50 ms, 100 ms and on.
+    fn leaves_trying_to_others(&self) -> bool {
+        let peers = &self.state.peers;
+        peers.is_grouped() && peers.hosts_before(Instant::now()) >= STORE_TRIERS
+    }
+
     fn longest_pause(&self) -> Duration {
         let others = u32::try_from(self.state.peers.most_hosts()).unwrap_or(u32::MAX) - 1;
         let shared = PAUSE_PER_HOST.saturating_mul(others);
--- a/crates/gateway/src/sync/follow.rs
+++ b/crates/gateway/src/sync/follow.rs
@@ -25,6 +25,8 @@
 /// A host that reads changes for itself, on the watermark of its feeder, lets them gather longer:
 /// all others read them as well.
 const SHARED_GATHERING: Duration = Duration::from_millis(500);
+/// How often the host that ranks second looks at the store while its feeder is silent.
+const LATE_INTERVAL: Duration = Duration::from_millis(300);
 /// How long a host waits for the one that reads changes for its hall. With the
 /// call of its own that follows, it stays below half of the time in which a configuration has
 /// to be in force.
@@ -43,6 +45,9 @@
     Store,
     /// From a feeder, but changes were missed: the store tells them.
     Behind,
+    /// From a feeder that has been silent for a while: this host looks at the store before all
+    /// others would.
+    Late,
     /// From a feeder, without a gap.
     Fed {
         /// How far its knowledge goes.
@@ -65,6 +70,7 @@
                 }
                 Source::Store if !is_whole => self.read_whole().await,
                 Source::Store => self.watch_and_gather().await,
+                Source::Late => self.look_for_feeder().await,
                 Source::Behind => self.catch_up(is_whole).await,
             };
             match result {
@@ -94,7 +100,7 @@
             return Source::Store;
         };
         match feed.moment(watermark.written, now) {
-            Some(moment) if now > moment + self.state.fed_bound(now) => Source::Store,
+            Some(moment) if now > moment + self.state.fed_bound(now) => Source::Late,
             Some(_) if known.revision < watermark.changed => Source::Behind,
             Some(moment) => Source::Fed { watermark, moment },
             None => Source::Store,
@@ -202,12 +208,32 @@
 
     /// Watches the set, and lets further changes gather after some.
     async fn watch_and_gather(&mut self) -> Result<(), CallFailure> {
-        if self.watch(self.watch_time()).await? {
+        // Others hear no less often of a set that changes.
+        let wait = if self.has_gathered {
+            self.watch_time().saturating_sub(GATHERING)
+        } else {
+            self.watch_time()
+        };
+        self.has_gathered = self.watch(wait).await?;
+        if self.has_gathered {
             sleep(GATHERING).await;
         }
         Ok(())
     }
 
+    /// Asks the store how far the set goes, without waiting for a change: the feeder may speak
+    /// again at any time, and a group that this host relays to waits.
+    async fn look_for_feeder(&mut self) -> Result<(), CallFailure> {
+        self.watch(Duration::ZERO).await?;
+        let now = Instant::now();
+        if self.state.peers.is_grouped() && self.state.peers.is_relay(now) {
+            self.state.peers.send_on(None);
+        }
+        let until = now + LATE_INTERVAL;
+        self.state.feed.wait_for_update(self.set, until).await;
+        Ok(())
+    }
+
     /// Waits for changes once, takes them in and sends them on; whether there were any.
     async fn watch(&mut self, wait: Duration) -> Result<bool, CallFailure> {
         let bound = if enabled(Protection::WatchTimeout) {
--- a/crates/gateway/src/sync/from_peers.rs
+++ b/crates/gateway/src/sync/from_peers.rs
@@ -103,7 +103,7 @@
             }
             let now = Instant::now();
             let is_fed = match self.source(now) {
-                Source::Fed { .. } | Source::Behind => true,
+                Source::Fed { .. } | Source::Behind | Source::Late => true,
                 Source::Store => false,
             };
             let waited = now.saturating_duration_since(started);
