Count engines, not tries, against a route's bound on them

The bound is one on engines. Ruled out: not counting the second try at all, which would let an engine that never ran it be counted. Change: EnginesTried counts each engine once; a stream at its bound may still go back.

--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -5,6 +5,7 @@
 
 mod attempt;
 mod copy_holder;
+mod engines_tried;
 mod order;
 mod place;
 mod recopy;
@@ -21,6 +22,7 @@
         view::Engines,
     },
     attempt::Attempt,
+    engines_tried::EnginesTried,
     http::Response,
     place::Opened,
     recopy::Recopy,
@@ -48,7 +50,7 @@
     /// Engines that are not tried again.
     avoid: Vec<EngineId>,
     /// Engines at which it may have run.
-    runs: u32,
+    tried: EnginesTried,
     /// Times that it was sent.
     sends: u32,
     /// Times that it reached an engine; each but the first draws on the retry budget.
@@ -106,7 +108,7 @@
             state,
             call,
             avoid: Vec::new(),
-            runs: 0,
+            tried: EnginesTried::default(),
             sends: 0,
             arrivals: 0,
             has_drawn: false,
@@ -123,7 +125,7 @@
         let ends = self.call.ends.into();
         match timeout_at(ends, self.place()).await {
             Ok(placed) => placed,
-            Err(_) if self.runs == 0 => Err(out_of_time(ErrorKind::DeadlineUntried)),
+            Err(_) if self.tried.count() == 0 => Err(out_of_time(ErrorKind::DeadlineUntried)),
             Err(_) => Err(out_of_time(ErrorKind::DeadlineReached)),
         }
     }
--- a/crates/gateway/src/forward/stream/order.rs
+++ b/crates/gateway/src/forward/stream/order.rs
@@ -72,7 +72,7 @@
         };
         let request = self.call.request_for(&self.state, upstream, &order);
         let id = self.call.id();
-        self.runs += 1;
+        self.tried.begin(&upstream.record.id);
         self.arrivals += 1;
         let sending = connect::send(&self.state, upstream, request, id);
         let awaited = Awaited {
@@ -110,8 +110,8 @@
     }
 
     /// Notes that a send reached no engine.
-    fn reached_nobody(&mut self) {
-        self.runs -= 1;
+    fn reached_nobody(&mut self, upstream: &Upstream) {
+        self.tried.undo(&upstream.record.id);
         self.arrivals -= 1;
         if self.has_drawn {
             self.state.give_back_retry(&self.call.service);
@@ -125,7 +125,7 @@
         if failure.may_have_run() {
             return self.note_try(upstream, failure.name(), TryEnd::Unknown);
         }
-        self.reached_nobody();
+        self.reached_nobody(upstream);
         self.note_try(upstream, failure.name(), TryEnd::TryNext)
     }
 
@@ -153,7 +153,7 @@
     ) -> Result<Option<response::Parts>, TryEnd> {
         let status = answer.head.status;
         if answer.facts.not_run {
-            self.runs -= 1;
+            self.tried.undo(&upstream.record.id);
             let cause = if status == StatusCode::MISDIRECTED_REQUEST {
                 // Another incarnation has the address: this one is gone.
                 self.state.note_replaced(upstream);
--- a/crates/gateway/src/forward/stream/place.rs
+++ b/crates/gateway/src/forward/stream/place.rs
@@ -58,14 +58,18 @@
     keeps_prompt: bool,
 }
 
+fn attempts_spent() -> Failure {
+    let detail = "the stream ran at as many engines as its route allows";
+    Failure::new(ErrorKind::RetriesSpent, detail)
+}
+
 impl StreamRun {
     /// Places the stream at the engine with the copy, or else at the best one.
     pub async fn place(&mut self) -> Result<Opened, Failure> {
         let began = Instant::now();
         loop {
-            if self.runs >= self.call.route.max_attempts.max(1) {
-                let detail = "the stream ran at as many engines as its route allows";
-                return Err(Failure::new(ErrorKind::RetriesSpent, detail));
+            if !self.may_try_another() {
+                return Err(attempts_spent());
             }
             if let Err(failure) = self.check_time_left() {
                 return Err(self.refusal(failure.kind, &failure.detail));
@@ -80,6 +84,10 @@
                 self.avoid.clear();
                 continue;
             };
+            let engine = &chosen.upstream.record.id;
+            if !self.tried.allows(engine, self.call.route.max_attempts) {
+                return Err(attempts_spent());
+            }
             let checked = if self.arrivals == 0 {
                 self.call.check_before_send(&self.state)
             } else {
@@ -125,6 +133,14 @@
         sleep(stagger(self.state.peers.most_hosts())).await;
     }
 
+    /// Whether a further engine, or one that it goes back to, may have the stream.
+    fn may_try_another(&self) -> bool {
+        let back_to = self.prompt_kept_at.as_ref();
+        let goes_back = back_to.is_some_and(|engine| self.tried.contains(engine));
+        let most = self.call.route.max_attempts.max(1);
+        goes_back || self.tried.count() < usize::try_from(most).unwrap_or(usize::MAX)
+    }
+
     /// Draws on the retry budget for a send, unless it is the first that reaches an engine;
     /// whether the send is allowed.
     fn draw_on_budget(&mut self) -> bool {
@@ -146,7 +162,7 @@
     /// A refusal. Of a stream that may have run at an earlier engine, it does not promise that
     /// it has not.
     fn refusal(&self, kind: ErrorKind, detail: &str) -> Failure {
-        if self.runs == 0 {
+        if self.tried.count() == 0 {
             return Failure::new(kind, detail);
         }
         Failure::new(ErrorKind::RetriesSpent, format!("{kind}: {detail}"))
--- a/crates/gateway/src/forward/stream/relay.rs
+++ b/crates/gateway/src/forward/stream/relay.rs
@@ -187,7 +187,7 @@
             self.copy
                 .as_ref()
                 .map_or("-", |copy| copy.upstream.as_str()),
-            self.runs,
+            self.tried.count(),
             self.call.age_ms()
         );
     }
@@ -255,7 +255,7 @@
              age_ms={} configuration={}",
             self.call.id(),
             upstream.as_deref().unwrap_or("-"),
-            self.runs,
+            self.tried.count(),
             self.progress.passed(),
             self.progress.last(),
             self.call.age_ms(),
