Split the membership and the sums of hosts from their shared state

Change: peers/membership.rs (who there is, what each said, who is told) and peers/sums.rs (work and budgets, each host counted once). Ruled out: a change of behaviour; the lines were moved.

--- /dev/null
+++ b/crates/gateway/src/peers/membership.rs
@@ -0,0 +1,242 @@
+//! Which other hosts there are: what they said of themselves, who was named, who is told.
+
+use {
+    super::{
+        FORGET_FACTOR, HostAddress, Peer, Peers, Receivers, UnmetHost,
+        message::{Finding, GroupDigest, PeerDelta, PeerState, UpstreamWork},
+    },
+    crate::view::Condition,
+    rand::seq::SliceRandom,
+    std::{
+        net::{IpAddr, SocketAddr},
+        sync::atomic::Ordering,
+        time::Instant,
+    },
+    tealshore_core::ids::HallId,
+};
+
+impl Peers {
+    /// How many hosts are known now, this one included.
+    pub(super) fn hosts_known(&self) -> usize {
+        let unheard = self.named.lock().len();
+        let others = {
+            let known = self.known.lock();
+            let in_group = known.values();
+            in_group
+                .filter(|peer| self.is_in_group(&peer.state.hall))
+                .count()
+        };
+        let elsewhere = self.groups.lock().hosts();
+        let unreadable = self.unreadable.lock().len();
+        others + elsewhere + unheard + unreadable + 1
+    }
+
+    /// Notes a host whose datagrams can't be read as they have another layout.
+    pub fn note_unreadable(&self, address: SocketAddr, now: Instant) {
+        self.named.lock().remove(&address);
+        self.unreadable.lock().insert(address.ip(), now);
+    }
+
+    /// The most hosts that there ever were at once, this one included, as far as is known. A
+    /// host that is cut off from the others must not take their parts for its own.
+    pub fn most_hosts(&self) -> usize {
+        let now = self.hosts_known();
+        self.most_hosts.fetch_max(now, Ordering::Relaxed).max(now)
+    }
+
+    /// Takes in a datagram; what its sender found of upstreams that are not sound.
+    pub fn apply_state(&self, state: PeerState, now: Instant) -> Vec<Finding> {
+        if state.host == self.own.id {
+            return Vec::new();
+        }
+        self.named.lock().remove(&state.peers_address);
+        for host in &state.named {
+            self.name(host.address, Some(&host.hall));
+        }
+        let told = usize::try_from(state.fleet_hosts).unwrap_or(usize::MAX);
+        self.most_hosts.fetch_max(told, Ordering::Relaxed);
+        let findings = findings(&state.work);
+        let mut known = self.known.lock();
+        let before = known.get(&state.host);
+        if before.is_some_and(|before| before.state.is_newer_than(&state)) {
+            return Vec::new();
+        }
+        if before.is_none_or(|before| before.state.incarnation != state.incarnation) {
+            // LastState a moment later, together with others: where many hosts start at once, an answer
+            // to each of them at once would be a storm of datagrams.
+            self.newcomers.lock().push(HostAddress {
+                hall: state.hall.clone(),
+                address: state.peers_address,
+            });
+            self.newcomer_came.notify_one();
+        }
+        let was = before.map(|before| before.state.phase);
+        if was != Some(state.phase) {
+            log::info!(
+                "peers: host={} hall={} phase={:?} before={was:?}",
+                state.host,
+                state.hall,
+                state.phase
+            );
+        }
+        known.insert(state.host.clone(), Peer { state, heard: now });
+        findings
+    }
+
+    /// Takes in what changed of a peer's state; what it found of upstreams that are not sound.
+    pub fn apply_delta(&self, change: PeerDelta, now: Instant) -> Vec<Finding> {
+        let mut known = self.known.lock();
+        let Some(peer) = known.get_mut(&change.host) else {
+            return Vec::new();
+        };
+        let is_next =
+            peer.state.incarnation == change.incarnation && peer.state.sequence < change.sequence;
+        if !is_next {
+            return Vec::new();
+        }
+        let findings = findings(&change.work);
+        peer.heard = now;
+        peer.state.apply(change);
+        findings
+    }
+
+    /// Takes in a digest of another group; what its hosts found of upstreams that are not sound.
+    pub fn apply_digest(&self, digest: &GroupDigest, now: Instant) -> Vec<Finding> {
+        if digest.group == self.own.hall || !self.groups.lock().apply(digest, now) {
+            return Vec::new();
+        }
+        if let Some(members) = &digest.members {
+            let mut named = self.named.lock();
+            for member in members {
+                named.remove(&member.peers_address);
+            }
+        }
+        findings(&digest.work)
+    }
+
+    pub(super) fn address_at(&self, ip: IpAddr) -> SocketAddr {
+        SocketAddr::new(ip, self.options.address.port())
+    }
+
+    pub(super) fn name(&self, address: SocketAddr, hall: Option<&HallId>) {
+        let is_elsewhere = hall.is_some_and(|hall| !self.is_in_group(hall));
+        if address == self.options.address || is_elsewhere {
+            return;
+        }
+        let is_known = {
+            let known = self.known.lock();
+            known
+                .values()
+                .any(|peer| peer.state.peers_address == address)
+        };
+        if is_known || self.groups.lock().has_address(address) {
+            return;
+        }
+        let named = UnmetHost {
+            hall: hall.cloned(),
+            until: Instant::now() + self.options.silence * FORGET_FACTOR,
+        };
+        self.named.lock().entry(address).or_insert(named);
+    }
+
+    /// Drops what has been silent for long and tells where datagrams go.
+    pub(super) fn receivers(&self, now: Instant) -> Receivers {
+        let forget = self.options.silence * FORGET_FACTOR;
+        let mut known = self.known.lock();
+        known.retain(|host, peer| {
+            let is_kept = now.saturating_duration_since(peer.heard) <= forget;
+            if !is_kept {
+                log::info!("peers: forgotten host={host}");
+            }
+            is_kept
+        });
+        self.groups.lock().forget(forget, now);
+        let is_recent = |heard: &mut Instant| now.saturating_duration_since(*heard) <= forget;
+        self.unreadable.lock().retain(|_, heard| is_recent(heard));
+        let mut named = self.named.lock();
+        named.retain(|_, host| {
+            let is_elsewhere = host
+                .hall
+                .as_ref()
+                .is_some_and(|hall| !self.is_in_group(hall));
+            host.until > now && !is_elsewhere
+        });
+        let mut unheard: Vec<(SocketAddr, Option<HallId>)> = named
+            .iter()
+            .map(|(address, host)| (*address, host.hall.clone()))
+            .collect();
+        unheard.extend(self.take_newcomers());
+        let in_group = known
+            .values()
+            .filter(|peer| self.is_in_group(&peer.state.hall));
+        Receivers {
+            heard: in_group.map(|peer| peer.state.peers_address).collect(),
+            unheard,
+        }
+    }
+
+    pub(super) fn take_newcomers(
+        &self,
+    ) -> impl Iterator<Item = (SocketAddr, Option<HallId>)> + use<> {
+        let newcomers = std::mem::take(&mut *self.newcomers.lock());
+        let newcomers = newcomers.into_iter();
+        newcomers.map(|host| (host.address, Some(host.hall)))
+    }
+
+    /// Whether a host of the own hall was heard.
+    pub(super) fn has_met_hall(&self) -> bool {
+        let known = self.known.lock();
+        known.values().any(|peer| peer.state.hall == self.own.hall)
+    }
+
+    /// Where the hosts of a hall take datagrams; those of all hosts where no hall is given.
+    pub(super) fn group_addresses(&self, hall: Option<&str>) -> Vec<SocketAddr> {
+        let known = self.known.lock();
+        let group = known
+            .values()
+            .filter(|peer| hall.is_none_or(|hall| hall == peer.state.hall));
+        group.map(|peer| peer.state.peers_address).collect()
+    }
+
+    /// Some other hosts, of a hall as far as there are any and it is known; of all others, too,
+    /// where all hosts tell each other.
+    pub(super) fn some_known_peers(&self, hall: Option<&HallId>, count: usize) -> Vec<HostAddress> {
+        let mut names = self.addresses_known();
+        let of_hall = |host: &HostAddress| hall.is_none_or(|hall| host.hall == *hall);
+        if self.is_grouped() {
+            names.retain(of_hall);
+        }
+        let mut random = rand::rng();
+        names.shuffle(&mut random);
+        names.sort_by_key(|host| !of_hall(host));
+        names.truncate(count);
+        names
+    }
+
+    pub(super) fn addresses_known(&self) -> Vec<HostAddress> {
+        let now = Instant::now();
+        let elsewhere = self.groups.lock().members(self.options.silence, now);
+        let elsewhere = elsewhere.into_iter().map(|(hall, member)| HostAddress {
+            hall,
+            address: member.peers_address,
+        });
+        let known = self.known.lock();
+        let direct = known.values().map(|peer| HostAddress {
+            hall: peer.state.hall.clone(),
+            address: peer.state.peers_address,
+        });
+        direct.chain(elsewhere).collect()
+    }
+}
+
+/// What work at upstreams says of those that are not sound.
+fn findings(work: &[UpstreamWork]) -> Vec<Finding> {
+    let unsound = work
+        .iter()
+        .filter(|entry| entry.condition != Condition::Healthy);
+    let findings = unsound.map(|entry| Finding {
+        upstream: entry.upstream.clone(),
+        condition: entry.condition,
+    });
+    findings.collect()
+}
--- /dev/null
+++ b/crates/gateway/src/peers/sums.rs
@@ -0,0 +1,62 @@
+//! What the other hosts have and used together, each counted once.
+
+use {
+    super::{Peer, Peers, message::ServiceUse},
+    crate::{budget::Pool, view::Work},
+    std::{collections::HashMap, time::Instant},
+    tealshore_core::ids::{EngineId, ServiceId},
+};
+
+impl Peers {
+    /// What the other hosts have at each upstream.
+    pub fn work(&self, now: Instant) -> HashMap<EngineId, Work> {
+        let mut sums: HashMap<EngineId, Work> = HashMap::new();
+        self.groups
+            .lock()
+            .add_work(&mut sums, self.options.silence, now);
+        let known = self.known.lock();
+        for peer in known.values().filter(|peer| self.is_counted(peer, now)) {
+            for entry in &peer.state.work {
+                let sum = sums.entry(entry.upstream.clone()).or_default();
+                sum.add(entry.work);
+            }
+        }
+        sums
+    }
+
+    /// What the other hosts used of the retry budget of a service, as far as they were heard.
+    pub fn budget_pool(&self, service: &ServiceId, now: Instant) -> Pool {
+        let mut pool = Pool::unheard(self.most_hosts());
+        let mut add = |budgets: &[ServiceUse]| {
+            let of_service = budgets.iter().filter(|entry| entry.service == *service);
+            for entry in of_service {
+                pool.used.add(entry.used);
+            }
+        };
+        let mut heard = 0;
+        for (hosts, budgets) in self.groups.lock().budgets(self.options.silence, now) {
+            heard += hosts;
+            add(&budgets);
+        }
+        let known = self.known.lock();
+        for peer in known.values().filter(|peer| self.is_counted(peer, now)) {
+            heard += 1;
+            add(&peer.state.budgets);
+        }
+        pool.heard = heard;
+        pool
+    }
+
+    /// Whether what a peer told of itself is counted: not where the digest of its group counts it.
+    pub(super) fn is_counted(&self, peer: &Peer, now: Instant) -> bool {
+        let is_by_digest = || {
+            let groups = self.groups.lock();
+            groups.is_fresh(&peer.state.hall, self.options.silence, now)
+        };
+        self.is_believed(peer, now) && (peer.state.hall == self.own.hall || !is_by_digest())
+    }
+
+    pub(super) fn is_believed(&self, peer: &Peer, now: Instant) -> bool {
+        now.saturating_duration_since(peer.heard) <= self.options.silence
+    }
+}
