Untie the datagrams' exchange from the relay, and write one entry once

Cause: peers/exchange.rs and peers/relay.rs imported each other; two files made the entry of an upstream at which nothing is left. Change: what this host says of itself and how a datagram leaves are in peers/outgoing.rs; UpstreamWork::none_at. Ruled out: a change of behaviour; lines were moved.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -14,6 +14,7 @@
 mod last_state;
 mod membership;
 mod message;
+mod outgoing;
 mod relay;
 mod snapshot;
 mod sums;
--- a/crates/gateway/src/peers/digest.rs
+++ b/crates/gateway/src/peers/digest.rs
@@ -159,11 +159,7 @@
 
     fn changed_work(&self, now: &BTreeMap<EngineId, (Work, Condition)>) -> Vec<UpstreamWork> {
         let ended = self.work.keys().filter(|id| !now.contains_key(*id));
-        let ended = ended.map(|id| UpstreamWork {
-            upstream: id.clone(),
-            work: Work::default(),
-            condition: Condition::Healthy,
-        });
+        let ended = ended.map(UpstreamWork::none_at);
         let changed = now
             .iter()
             .filter(|(id, entry)| self.work.get(*id) != Some(*entry))
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -2,13 +2,10 @@
 
 use {
     super::{
-        Audience, COALESCE, KNOWN_PEERS_TO_NEWCOMERS, KNOWN_PEERS_TOLD, RUNS_BOUND, Receivers,
-        UPSTREAMS_BOUND,
+        Audience, COALESCE, KNOWN_PEERS_TO_NEWCOMERS, Receivers,
         last_state::LastState,
-        message::{
-            Datagram, Finding, GroupDigest, HostPhase, PeerDelta, PeerState, ServiceUse,
-            Unreadable, UpstreamWork,
-        },
+        message::{Datagram, Finding, GroupDigest, HostPhase, PeerDelta, PeerState, Unreadable},
+        outgoing::{own_state, send_to_all},
         relay::relay,
         snapshot::serve_snapshots,
     },
@@ -19,7 +16,7 @@
     std::{
         collections::HashMap,
         net::SocketAddr,
-        sync::{Arc, atomic::Ordering},
+        sync::Arc,
         time::{Duration, Instant},
     },
     tealshore_core::ids::{HallId, HostId},
@@ -31,8 +28,6 @@
 
 /// The largest datagram that is read, in bytes: the most that UDP carries.
 const DATAGRAM_BOUND_BYTES: usize = 64 * 1024;
-/// The largest datagram that is sent, in bytes: UDP carries a little more.
-const SENT_BOUND_BYTES: usize = 60_000;
 
 /// A host that starts and has not met its hall yet introduces itself again after this: its seeds
 /// may start a moment later than it does.
@@ -42,7 +37,7 @@
 /// How long a host lets others that start gather before it answers them together.
 const NEWCOMERS_GATHER: Duration = Duration::from_millis(4);
 
-/// Tells and hears for as long as the process lives.
+/// Sends and receives for as long as the process lives.
 ///
 /// # Errors
 /// The address can't be used.
@@ -152,40 +147,6 @@
     }
 }
 
-/// The whole state of this host.
-pub(super) fn own_state(state: &GatewayState, now: Instant) -> PeerState {
-    let peers = &state.peers;
-    let all = state.view.upstreams.all();
-    let work = all.iter().filter_map(|upstream| {
-        let own = upstream.own_work();
-        let entry = UpstreamWork {
-            upstream: upstream.record.id.clone(),
-            work: own,
-            condition: upstream.condition_here(now),
-        };
-        entry.is_significant().then_some(entry)
-    });
-    let budgets = state.budget_use(now).into_iter();
-    let budgets = budgets.map(|(service, used)| ServiceUse { service, used });
-    PeerState {
-        host: peers.own.id.clone(),
-        hall: peers.own.hall.clone(),
-        callers_address: peers.own.callers_address,
-        peers_address: peers.options.address,
-        phase: state.phase(now),
-        incarnation: peers.incarnation,
-        sequence: peers.sequence.fetch_add(1, Ordering::Relaxed),
-        work: work.take(UPSTREAMS_BOUND).collect(),
-        watermark: state.feed.watermark(),
-        reaches_store: state.feed.reaches_store(),
-        link_mbps: peers.own.link_mbps,
-        fleet_hosts: u32::try_from(peers.hosts_known()).unwrap_or(u32::MAX),
-        budgets: budgets.collect(),
-        runs: state.runs.own(now).into_iter().take(RUNS_BOUND).collect(),
-        named: peers.some_known_peers(Some(&peers.own.hall), KNOWN_PEERS_TOLD),
-    }
-}
-
 /// Logs that this host began or ceased to take traffic, or to do so by a fresh view.
 fn log_phase(state: &GatewayState, before: Option<HostPhase>, phase: HostPhase, now: Instant) {
     if before == Some(phase) {
@@ -198,24 +159,6 @@
     );
 }
 
-pub(super) async fn send_to_all(socket: &UdpSocket, datagram: &Datagram, receivers: &[SocketAddr]) {
-    let bytes = match datagram.to_bytes() {
-        Ok(bytes) => bytes,
-        Err(error) => {
-            log::error!("peers: datagram can't be written error={error}");
-            return;
-        }
-    };
-    if bytes.len() > SENT_BOUND_BYTES {
-        log::warn!("peers: datagram too large bytes={}", bytes.len());
-        return;
-    }
-    for receiver in receivers {
-        // A datagram that is not sent is one that is lost: the next one mends it.
-        let _ = socket.send_to(&bytes, receiver).await;
-    }
-}
-
 async fn receive(state: Arc<GatewayState>, socket: Arc<UdpSocket>) {
     let mut buffer = vec![0; DATAGRAM_BOUND_BYTES];
     loop {
--- a/crates/gateway/src/peers/last_state.rs
+++ b/crates/gateway/src/peers/last_state.rs
@@ -2,10 +2,7 @@
 
 use {
     super::message::{HostPhase, PeerDelta, PeerState, ServiceUse, UpstreamWork},
-    crate::{
-        run_trace::{Fingerprint, RunTrace},
-        view::{Condition, Work},
-    },
+    crate::run_trace::{Fingerprint, RunTrace},
     std::{
         collections::HashMap,
         time::{Duration, Instant},
@@ -93,11 +90,7 @@
             .map(|entry| (entry.upstream.clone(), entry.clone()))
             .collect();
         let ended = self.work.keys().filter(|id| !current.contains_key(*id));
-        let ended = ended.map(|id| UpstreamWork {
-            upstream: id.clone(),
-            work: Work::default(),
-            condition: Condition::Healthy,
-        });
+        let ended = ended.map(UpstreamWork::none_at);
         let changed = now
             .iter()
             .filter(|entry| self.work.get(&entry.upstream) != Some(*entry));
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -37,6 +37,16 @@
 }
 
 impl UpstreamWork {
+    /// That nothing is left at an upstream.
+    #[must_use]
+    pub fn none_at(upstream: &EngineId) -> Self {
+        Self {
+            upstream: upstream.clone(),
+            work: Work::default(),
+            condition: Condition::Healthy,
+        }
+    }
+
     /// Whether it says anything.
     #[must_use]
     pub fn is_significant(&self) -> bool {
--- /dev/null
+++ b/crates/gateway/src/peers/outgoing.rs
@@ -0,0 +1,67 @@
+//! What this host says of itself, and how a datagram leaves.
+
+use {
+    super::{
+        KNOWN_PEERS_TOLD, RUNS_BOUND, UPSTREAMS_BOUND,
+        message::{Datagram, PeerState, ServiceUse, UpstreamWork},
+    },
+    crate::state::GatewayState,
+    std::{net::SocketAddr, sync::atomic::Ordering, time::Instant},
+    tokio::net::UdpSocket,
+};
+
+/// The largest datagram that is sent, in bytes: UDP carries a little more.
+const SENT_BOUND_BYTES: usize = 60_000;
+
+/// The whole state of this host.
+pub(super) fn own_state(state: &GatewayState, now: Instant) -> PeerState {
+    let peers = &state.peers;
+    let all = state.view.upstreams.all();
+    let work = all.iter().filter_map(|upstream| {
+        let own = upstream.own_work();
+        let entry = UpstreamWork {
+            upstream: upstream.record.id.clone(),
+            work: own,
+            condition: upstream.condition_here(now),
+        };
+        entry.is_significant().then_some(entry)
+    });
+    let budgets = state.budget_use(now).into_iter();
+    let budgets = budgets.map(|(service, used)| ServiceUse { service, used });
+    PeerState {
+        host: peers.own.id.clone(),
+        hall: peers.own.hall.clone(),
+        callers_address: peers.own.callers_address,
+        peers_address: peers.options.address,
+        phase: state.phase(now),
+        incarnation: peers.incarnation,
+        sequence: peers.sequence.fetch_add(1, Ordering::Relaxed),
+        work: work.take(UPSTREAMS_BOUND).collect(),
+        watermark: state.feed.watermark(),
+        reaches_store: state.feed.reaches_store(),
+        link_mbps: peers.own.link_mbps,
+        fleet_hosts: u32::try_from(peers.hosts_known()).unwrap_or(u32::MAX),
+        budgets: budgets.collect(),
+        runs: state.runs.own(now).into_iter().take(RUNS_BOUND).collect(),
+        named: peers.some_known_peers(Some(&peers.own.hall), KNOWN_PEERS_TOLD),
+    }
+}
+
+/// Sends a datagram to each of some hosts; one that is too large is logged and dropped.
+pub(super) async fn send_to_all(socket: &UdpSocket, datagram: &Datagram, receivers: &[SocketAddr]) {
+    let bytes = match datagram.to_bytes() {
+        Ok(bytes) => bytes,
+        Err(error) => {
+            log::error!("peers: datagram can't be written error={error}");
+            return;
+        }
+    };
+    if bytes.len() > SENT_BOUND_BYTES {
+        log::warn!("peers: datagram too large bytes={}", bytes.len());
+        return;
+    }
+    for receiver in receivers {
+        // A datagram that is not sent is one that is lost: the next one mends it.
+        let _ = socket.send_to(&bytes, receiver).await;
+    }
+}
--- a/crates/gateway/src/peers/relay.rs
+++ b/crates/gateway/src/peers/relay.rs
@@ -8,8 +8,8 @@
     super::{
         Feeder, GROUP_RUNS_BOUND, Groups, HostAddress, Peers, RELAYED_BOUND,
         digest::{DigestSource, GroupSums, LastDigest},
-        exchange::{own_state, send_to_all},
         message::{Datagram, GroupDigest, GroupMember, HostPhase, PeerState},
+        outgoing::{own_state, send_to_all},
     },
     crate::{feed::rank, run_trace::RunTrace, state::GatewayState},
     std::{
