Never tell a call that was sent once that it has not run

Cause: a safe call whose first try was under way, and whose second was forbidden since its key had been taken away or was too old, was answered 401 or 503 with ran=no, although the first upstream had it. Ruled out: streams (their refusals after a first engine say retries-spent) and calls that may not be repeated (one try). Change: a forbidden try stops further ones; the answer is that of the try under way, or that none came.

--- a/crates/gateway/src/forward/plain.rs
+++ b/crates/gateway/src/forward/plain.rs
@@ -74,6 +74,8 @@
     /// Upstreams whose answer is still to come.
     open: Vec<EngineId>,
     fallback: Option<(response::Parts, Bytes)>,
+    /// The call's key still allows a send.
+    may_send: bool,
 }
 
 /// Runs a plain call to its answer.
@@ -90,6 +92,7 @@
         arrivals: 0,
         open: Vec::new(),
         fallback: None,
+        may_send: true,
     };
     run.drive().await
 }
@@ -135,6 +138,9 @@
 
     /// Whether the call may run at one more upstream than it may have run at.
     fn may_run_again(&self) -> bool {
+        if !self.may_send {
+            return false;
+        }
         if self.call.route.may_repeat() || !enabled(Protection::SingleDispatch) {
             self.runs < self.call.route.max_attempts.max(1)
         } else {
@@ -176,7 +182,20 @@
                 Ok(None)
             }
             TryEnd::Unknown => Ok(None),
-            TryEnd::Forbidden(failure) => Err(failure),
+            TryEnd::Forbidden(failure) => {
+                self.runs -= 1;
+                self.arrivals -= 1;
+                if tried.draws_on_budget {
+                    self.state.give_back_retry(&self.call.service);
+                }
+                // An earlier try may have run, and may still answer.
+                self.may_send = false;
+                if self.runs == 0 {
+                    Err(failure)
+                } else {
+                    Ok(None)
+                }
+            }
         }
     }
 
