Let a relay pass digests on by shares of its hall

Cause: what a relay of a large hall sends was not known by kind. Counted (tealshore_peer_sent_bytes_total, new): the digests of other halls, sent to each host of the hall, are most of it.

Ruled out: a tree with fixed levels (each level another silence when a host dies); a list of receivers in each datagram (100 addresses are larger than most digests); the same for changed upstreams (a host that hears the relay's watermark before them would read them from the store).

Change: the relay sends to the square root of its hall, each receiver passes on to its share. Shares follow from a hash of addresses and a number drawn for each datagram. Layout of datagrams: version 3.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -35,6 +35,8 @@
     pub stale_requests: IntCounter,
     /// Datagrams of other hosts that could not be read.
     pub unreadable_datagrams: IntCounter,
+    /// Bytes sent to other hosts, by kind of message; headers of packets are not counted.
+    pub peer_sent_bytes: IntCounterVec,
     /// Requests in flight.
     pub in_flight: IntGauge,
     /// The version of the configuration in force.
@@ -110,6 +112,11 @@
                 "tealshore_unreadable_datagrams_total",
                 "Datagrams of other hosts that could not be read",
             )?,
+            peer_sent_bytes: counter(
+                "tealshore_peer_sent_bytes_total",
+                "Bytes sent to other hosts",
+                &["message"],
+            )?,
             in_flight: IntGauge::new("tealshore_requests_in_flight", "Requests in flight")?,
             config_version: IntGauge::new(
                 "tealshore_configuration_version",
@@ -121,7 +128,7 @@
     }
 
     fn register(&self) -> Result<(), prometheus::Error> {
-        let all: [Box<dyn Collector>; 14] = [
+        let all: [Box<dyn Collector>; 15] = [
             Box::new(self.outcomes.clone()),
             Box::new(self.losses.clone()),
             Box::new(self.store_calls.clone()),
@@ -134,6 +141,7 @@
             Box::new(self.configuration_age_seconds.clone()),
             Box::new(self.stale_requests.clone()),
             Box::new(self.unreadable_datagrams.clone()),
+            Box::new(self.peer_sent_bytes.clone()),
             Box::new(self.in_flight.clone()),
             Box::new(self.config_version.clone()),
         ];
@@ -150,6 +158,13 @@
             .observe(waited.as_secs_f64());
     }
 
+    /// Notes bytes that were sent to other hosts.
+    pub fn count_sent_to_peers(&self, message: &str, bytes: usize) {
+        self.peer_sent_bytes
+            .with_label_values(&[message])
+            .inc_by(u64::try_from(bytes).unwrap_or(u64::MAX));
+    }
+
     /// Notes how long a request waited for its first send to an upstream.
     pub fn observe_queue(&self, kind: &str, waited: Duration) {
         self.queue_seconds
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -16,6 +16,7 @@
 mod message;
 mod outgoing;
 mod relay;
+mod shares;
 mod snapshot;
 mod sums;
 
@@ -47,6 +48,7 @@
         Datagram, Finding, GroupDigest, GroupMember, HostAddress, HostPhase, PeerDelta, PeerState,
         ServiceUse, Unreadable, UpstreamWork,
     },
+    shares::{Share, divide},
     snapshot::{SetSnapshot, SnapshotRows, path_of},
 };
 
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -5,8 +5,8 @@
         Audience, COALESCE, KNOWN_PEERS_TO_NEWCOMERS, Receivers,
         last_state::LastState,
         message::{Datagram, Finding, GroupDigest, HostPhase, PeerDelta, PeerState, Unreadable},
-        outgoing::{own_state, send_to_all},
-        relay::relay,
+        outgoing::{PeerSocket, own_state},
+        relay::{forward_to_share, relay},
         snapshot::serve_snapshots,
     },
     crate::{
@@ -20,10 +20,7 @@
         time::{Duration, Instant},
     },
     tealshore_core::ids::{HallId, HostId},
-    tokio::{
-        net::{TcpListener, UdpSocket},
-        time::sleep,
-    },
+    tokio::{net::TcpListener, time::sleep},
 };
 
 /// The largest datagram that is read, in bytes: the most that UDP carries.
@@ -42,7 +39,7 @@
 /// # Errors
 /// The address can't be used.
 pub async fn start(state: &Arc<GatewayState>) -> std::io::Result<()> {
-    let socket = Arc::new(UdpSocket::bind(state.options.peers.address).await?);
+    let socket = Arc::new(PeerSocket::bind(state).await?);
     tokio::spawn(send(state.clone(), socket.clone()));
     tokio::spawn(relay(state.clone(), socket.clone()));
     tokio::spawn(receive(state.clone(), socket));
@@ -51,7 +48,7 @@
     Ok(())
 }
 
-async fn send(state: Arc<GatewayState>, socket: Arc<UdpSocket>) {
+async fn send(state: Arc<GatewayState>, socket: Arc<PeerSocket>) {
     let started = Instant::now();
     let mut last = LastState::new(started);
     loop {
@@ -63,10 +60,12 @@
         introduce(&state, &socket, &own, unheard).await;
         if last.is_whole_due(own.phase, now) {
             last.note_whole(&own, now);
-            send_to_all(&socket, &Datagram::State(Box::new(own)), &heard).await;
+            socket
+                .send_to_all(&Datagram::State(Box::new(own)), &heard)
+                .await;
         } else {
             let delta = Datagram::Delta(last.delta(&own));
-            send_to_all(&socket, &delta, &heard).await;
+            socket.send_to_all(&delta, &heard).await;
         }
         wait_for_update(&state, &socket, started).await;
         sleep(COALESCE).await;
@@ -74,7 +73,7 @@
 }
 
 /// Waits for an update or the heartbeat; answers hosts that start meanwhile.
-async fn wait_for_update(state: &GatewayState, socket: &UdpSocket, started: Instant) {
+async fn wait_for_update(state: &GatewayState, socket: &PeerSocket, started: Instant) {
     let peers = &state.peers;
     let until = Instant::now() + state.options.peers.heartbeat;
     loop {
@@ -107,7 +106,7 @@
 }
 
 /// Sends changes of upstreams on.
-async fn send_waiting_deltas(state: &GatewayState, socket: &UdpSocket) {
+async fn send_waiting_deltas(state: &GatewayState, socket: &PeerSocket) {
     for (delta, audience) in state.peers.take_waiting_deltas() {
         let group = state.peers.group_addresses(state.peers.group());
         if audience == Audience::Fleet && state.peers.is_grouped() {
@@ -116,20 +115,20 @@
                 delta: delta.clone(),
                 is_for_group: true,
             };
-            send_to_all(socket, &datagram, &relays).await;
+            socket.send_to_all(&datagram, &relays).await;
         }
         let datagram = Datagram::Upstreams {
             delta,
             is_for_group: false,
         };
-        send_to_all(socket, &datagram, &group).await;
+        socket.send_to_all(&datagram, &group).await;
     }
 }
 
 /// Tells hosts that don't know this one its whole state, and names others of their halls.
 async fn introduce(
     state: &GatewayState,
-    socket: &UdpSocket,
+    socket: &PeerSocket,
     own: &PeerState,
     unheard: Vec<(SocketAddr, Option<HallId>)>,
 ) {
@@ -143,7 +142,7 @@
             .peers
             .some_known_peers(hall.as_ref(), KNOWN_PEERS_TO_NEWCOMERS);
         let datagram = Datagram::State(Box::new(introduction));
-        send_to_all(socket, &datagram, &addresses).await;
+        socket.send_to_all(&datagram, &addresses).await;
     }
 }
 
@@ -159,10 +158,10 @@
     );
 }
 
-async fn receive(state: Arc<GatewayState>, socket: Arc<UdpSocket>) {
+async fn receive(state: Arc<GatewayState>, socket: Arc<PeerSocket>) {
     let mut buffer = vec![0; DATAGRAM_BOUND_BYTES];
     loop {
-        let Ok((length, sender)) = socket.recv_from(&mut buffer).await else {
+        let Ok((length, sender)) = socket.receive(&mut buffer).await else {
             sleep(COALESCE).await;
             continue;
         };
@@ -182,7 +181,10 @@
                 digest,
                 is_passed_on,
             }) => take_digest(&state, &socket, *digest, is_passed_on).await,
-            Ok(Datagram::Relayed(digests)) => {
+            Ok(Datagram::Relayed { digests, share }) => {
+                if let Some(share) = share {
+                    forward_to_share(&state, &socket, digests.clone(), share, sender).await;
+                }
                 for digest in digests {
                     apply_digest(&state, digest);
                 }
@@ -203,7 +205,7 @@
 /// Takes in the digest of another group, and sees to it that the own group hears of it.
 async fn take_digest(
     state: &GatewayState,
-    socket: &UdpSocket,
+    socket: &PeerSocket,
     digest: GroupDigest,
     is_passed_on: bool,
 ) {
@@ -215,7 +217,7 @@
                 digest: Box::new(digest.clone()),
                 is_passed_on: true,
             };
-            send_to_all(socket, &datagram, &[relay]).await;
+            socket.send_to_all(&datagram, &[relay]).await;
         }
         Some(_) => {}
     }
--- a/crates/gateway/src/peers/membership.rs
+++ b/crates/gateway/src/peers/membership.rs
@@ -10,7 +10,7 @@
     std::{
         net::{IpAddr, SocketAddr},
         sync::atomic::Ordering,
-        time::Instant,
+        time::{Duration, Instant},
     },
     tealshore_core::ids::HallId,
 };
@@ -62,7 +62,7 @@
             return Vec::new();
         }
         if before.is_none_or(|before| before.state.incarnation != state.incarnation) {
-            // LastState a moment later, together with others: where many hosts start at once, an answer
+            // A moment later, together with others: where many hosts start at once, an answer
             // to each of them at once would be a storm of datagrams.
             self.newcomers.lock().push(HostAddress {
                 hall: state.hall.clone(),
@@ -198,6 +198,16 @@
         group.map(|peer| peer.state.peers_address).collect()
     }
 
+    /// Where the hosts of the group take datagrams that were heard within a time.
+    pub(super) fn live_in_group(&self, within: Duration, now: Instant) -> Vec<SocketAddr> {
+        let known = self.known.lock();
+        let live = known.values().filter(|peer| {
+            let silent = now.saturating_duration_since(peer.heard);
+            silent <= within && self.is_in_group(&peer.state.hall)
+        });
+        live.map(|peer| peer.state.peers_address).collect()
+    }
+
     /// Some other hosts, of a hall as far as there are any and it is known; of all others, too,
     /// where all hosts tell each other.
     pub(super) fn some_known_peers(&self, hall: Option<&HallId>, count: usize) -> Vec<HostAddress> {
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -1,6 +1,7 @@
 //! What hosts send each other.
 
 use {
+    super::shares::Share,
     crate::{
         budget::BudgetUse,
         feed::{StoreWatermark, UpstreamDelta},
@@ -206,12 +207,17 @@
         is_passed_on: bool,
     },
     /// Digests of other groups, from the relay of the own one.
-    Relayed(Vec<GroupDigest>),
+    Relayed {
+        /// The digests.
+        digests: Vec<GroupDigest>,
+        /// The hosts to which the receiver passes them on.
+        share: Option<Share>,
+    },
 }
 
 /// The version of the datagrams' layout, their first byte. Hosts of two versions run side by side
 /// while hosts are replaced in turn; each counts and drops what the other says.
-const LAYOUT_VERSION: u8 = 2;
+const LAYOUT_VERSION: u8 = 3;
 
 /// Why a datagram can't be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -223,6 +229,18 @@
 }
 
 impl Datagram {
+    /// What it is called in metrics.
+    #[must_use]
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::State(_) => "state",
+            Self::Delta(_) => "delta",
+            Self::Upstreams { .. } => "upstreams",
+            Self::Digest { .. } => "digest",
+            Self::Relayed { .. } => "relayed",
+        }
+    }
+
     /// The bytes that are sent.
     ///
     /// # Errors
--- a/crates/gateway/src/peers/outgoing.rs
+++ b/crates/gateway/src/peers/outgoing.rs
@@ -6,7 +6,11 @@
         message::{Datagram, PeerState, ServiceUse, UpstreamWork},
     },
     crate::state::GatewayState,
-    std::{net::SocketAddr, sync::atomic::Ordering, time::Instant},
+    std::{
+        net::SocketAddr,
+        sync::{Arc, atomic::Ordering},
+        time::Instant,
+    },
     tokio::net::UdpSocket,
 };
 
@@ -47,21 +51,52 @@
     }
 }
 
-/// Sends a datagram to each of some hosts; one that is too large is logged and dropped.
-pub(super) async fn send_to_all(socket: &UdpSocket, datagram: &Datagram, receivers: &[SocketAddr]) {
-    let bytes = match datagram.to_bytes() {
-        Ok(bytes) => bytes,
-        Err(error) => {
-            log::error!("peers: datagram can't be written error={error}");
+/// The socket for datagrams of other hosts, which counts what it sends.
+pub(super) struct PeerSocket {
+    socket: UdpSocket,
+    state: Arc<GatewayState>,
+}
+
+impl PeerSocket {
+    /// Binds the address of the settings.
+    ///
+    /// # Errors
+    /// It can't be used.
+    pub(super) async fn bind(state: &Arc<GatewayState>) -> std::io::Result<Self> {
+        Ok(Self {
+            socket: UdpSocket::bind(state.options.peers.address).await?,
+            state: state.clone(),
+        })
+    }
+
+    /// Waits for a datagram; its length and sender.
+    ///
+    /// # Errors
+    /// The socket fails.
+    pub(super) async fn receive(&self, buffer: &mut [u8]) -> std::io::Result<(usize, SocketAddr)> {
+        self.socket.recv_from(buffer).await
+    }
+
+    /// Sends a datagram to each of some hosts; one that is too large is logged and dropped.
+    pub(super) async fn send_to_all(&self, datagram: &Datagram, receivers: &[SocketAddr]) {
+        let bytes = match datagram.to_bytes() {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                log::error!("peers: datagram can't be written error={error}");
+                return;
+            }
+        };
+        if bytes.len() > SENT_BOUND_BYTES {
+            log::warn!("peers: datagram too large bytes={}", bytes.len());
             return;
         }
-    };
-    if bytes.len() > SENT_BOUND_BYTES {
-        log::warn!("peers: datagram too large bytes={}", bytes.len());
-        return;
-    }
-    for receiver in receivers {
-        // A datagram that is not sent is one that is lost: the next one mends it.
-        let _ = socket.send_to(&bytes, receiver).await;
+        for receiver in receivers {
+            // A datagram that is not sent is one that is lost: the next one mends it.
+            let _ = self.socket.send_to(&bytes, receiver).await;
+        }
+        let sent = bytes.len() * receivers.len();
+        self.state
+            .metrics
+            .count_sent_to_peers(datagram.kind(), sent);
     }
 }
--- a/crates/gateway/src/peers/relay.rs
+++ b/crates/gateway/src/peers/relay.rs
@@ -9,15 +9,17 @@
         Feeder, GROUP_RUNS_BOUND, Groups, HostAddress, Peers, RELAYED_BOUND,
         digest::{DigestSource, GroupSums, LastDigest},
         message::{Datagram, GroupDigest, GroupMember, HostPhase, PeerState},
-        outgoing::{own_state, send_to_all},
+        outgoing::{PeerSocket, own_state},
+        shares::{Share, divide},
     },
     crate::{feed::rank, run_trace::RunTrace, state::GatewayState},
+    rand::RngExt,
     std::{
         net::SocketAddr,
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::{net::UdpSocket, time::sleep},
+    tokio::time::sleep,
 };
 
 /// How often a relay tells what changed, and passes on what it heard. What a stream's host tells
@@ -27,7 +29,7 @@
 const RELAYED_BYTES: usize = 16_000;
 
 /// Relays for as long as the process lives, whenever this host is the relay of its group.
-pub(super) async fn relay(state: Arc<GatewayState>, socket: Arc<UdpSocket>) {
+pub(super) async fn relay(state: Arc<GatewayState>, socket: Arc<PeerSocket>) {
     let mut last = LastDigest::default();
     loop {
         sleep(RELAY_INTERVAL).await;
@@ -51,15 +53,50 @@
                 digest: Box::new(digest),
                 is_passed_on: false,
             };
-            send_to_all(&socket, &datagram, &targets).await;
+            socket.send_to_all(&datagram, &targets).await;
         }
-        let group = peers.group_addresses(peers.group());
         for part in parts(relayed) {
-            send_to_all(&socket, &Datagram::Relayed(part), &group).await;
+            relay_to_group(&state, &socket, part, now).await;
         }
     }
 }
 
+/// Sends digests of other groups to the own one, in shares.
+async fn relay_to_group(
+    state: &GatewayState,
+    socket: &PeerSocket,
+    digests: Vec<GroupDigest>,
+    now: Instant,
+) {
+    let group = state.peers.group_addresses(state.peers.group());
+    let live = state
+        .peers
+        .live_in_group(state.options.peers.heartbeat * 2, now);
+    let round = rand::rng().random();
+    for (receiver, share) in divide(&group, &live, round) {
+        let digests = digests.clone();
+        let datagram = Datagram::Relayed { digests, share };
+        socket.send_to_all(&datagram, &[receiver]).await;
+    }
+}
+
+/// Passes digests of other groups on to a share of the own one, but not back to their sender.
+pub(super) async fn forward_to_share(
+    state: &GatewayState,
+    socket: &PeerSocket,
+    digests: Vec<GroupDigest>,
+    share: Share,
+    sender: SocketAddr,
+) {
+    let mut receivers = state.peers.group_addresses(Some(&state.peers.own.hall));
+    receivers.retain(|host| share.holds(*host) && *host != sender);
+    let datagram = Datagram::Relayed {
+        digests,
+        share: None,
+    };
+    socket.send_to_all(&datagram, &receivers).await;
+}
+
 /// Divides digests into parts that one datagram carries.
 fn parts(digests: Vec<GroupDigest>) -> Vec<Vec<GroupDigest>> {
     let mut parts: Vec<Vec<GroupDigest>> = Vec::new();
--- a/crates/gateway/src/peers/snapshot.rs
+++ b/crates/gateway/src/peers/snapshot.rs
@@ -112,7 +112,10 @@
     let snapshot = asked.and_then(|set| SetSnapshot::of(state, set, Instant::now()));
     let bytes = snapshot.map(|snapshot| postcard::to_stdvec(&snapshot));
     match bytes {
-        Some(Ok(bytes)) => Response::new(full(bytes)),
+        Some(Ok(bytes)) => {
+            state.metrics.count_sent_to_peers("snapshot", bytes.len());
+            Response::new(full(bytes))
+        }
         Some(Err(error)) => {
             log::error!("peers: snapshot can't be written path={path} error={error}");
             with_status(StatusCode::INTERNAL_SERVER_ERROR)
--- a/crates/gateway/tests/groups.rs
+++ b/crates/gateway/tests/groups.rs
@@ -341,10 +341,15 @@
 
 #[test]
 fn datagrams_of_another_layout_are_told_from_damaged_ones() {
-    let bytes = Datagram::Relayed(vec![digest(3)]).to_bytes().unwrap();
+    let bytes = Datagram::Relayed {
+        digests: vec![digest(3)],
+        share: None,
+    }
+    .to_bytes()
+    .unwrap();
     assert!(matches!(
         Datagram::from_bytes(&bytes),
-        Ok(Datagram::Relayed(_))
+        Ok(Datagram::Relayed { .. })
     ));
     let mut other = bytes.clone();
     other[0] = other[0].wrapping_add(1);
--- /dev/null
+++ b/crates/gateway/tests/shares.rs
@@ -0,0 +1,132 @@
+//! How a relay divides its group: who is told, how often, and at what cost to whom.
+
+use {
+    proptest::prelude::*,
+    std::{
+        collections::{HashMap, HashSet},
+        net::{Ipv4Addr, SocketAddr},
+    },
+    tealshore_gateway::peers::{Share, divide},
+};
+
+fn hosts(count: u16) -> Vec<SocketAddr> {
+    let ips = (0..count).map(|index| {
+        let [high, low] = index.to_be_bytes();
+        Ipv4Addr::new(10, 1, high, low)
+    });
+    ips.map(|ip| SocketAddr::new(ip.into(), 7_200)).collect()
+}
+
+/// Who receives a datagram of the relay, and how many copies each host sends. Forwarders know only
+/// the hosts of `their_view`; those of `dead` pass nothing on.
+fn spread(
+    group: &[SocketAddr],
+    live: &[SocketAddr],
+    their_view: &[SocketAddr],
+    dead: &HashSet<SocketAddr>,
+    round: u64,
+) -> (HashMap<SocketAddr, usize>, Vec<usize>) {
+    let mut received: HashMap<SocketAddr, usize> = HashMap::new();
+    let first = divide(group, live, round);
+    let mut sent = vec![first.len()];
+    for (host, share) in first {
+        *received.entry(host).or_default() += 1;
+        let Some(share) = share.filter(|_| !dead.contains(&host)) else {
+            continue;
+        };
+        let receivers = their_view.iter().filter(|other| share.holds(**other));
+        let others: Vec<_> = receivers.filter(|other| **other != host).collect();
+        sent.push(others.len());
+        for other in others {
+            *received.entry(*other).or_default() += 1;
+        }
+    }
+    (received, sent)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(11), ..ProptestConfig::with_cases(60) })]
+
+    /// All hosts are told, at most twice, and nobody sends much more than the square root of them.
+    #[test]
+    fn every_host_is_told_and_none_sends_to_all(count in 1_u16..640, round: u64) {
+        let group = hosts(count);
+        let (received, sent) = spread(&group, &group, &group, &HashSet::new(), round);
+        prop_assert_eq!(received.len(), group.len());
+        prop_assert!(received.values().all(|copies| *copies <= 2));
+        let root = group.len().isqrt();
+        prop_assert!(sent.iter().all(|copies| *copies <= 3 * root + 16), "{sent:?}");
+        let copies: usize = sent.iter().sum();
+        prop_assert!(copies <= group.len() + root);
+    }
+
+    /// Hosts that a forwarder has not heard of yet miss the datagram; all others get it.
+    #[test]
+    fn hosts_need_not_agree_on_the_group(round: u64, unknown in 0_usize..100) {
+        let group = hosts(100);
+        let mut view = group.clone();
+        let missing = view.remove(unknown);
+        let (received, _) = spread(&group, &group, &view, &HashSet::new(), round);
+        let told = group.iter().filter(|host| received.contains_key(*host));
+        prop_assert!(told.count() >= 99);
+        prop_assert!(view.iter().all(|host| received.contains_key(host)), "{missing}");
+    }
+}
+
+/// A relay of 99 hosts sent to each of them in each round.
+#[test]
+fn a_relay_of_a_hundred_hosts_sends_a_tenth() {
+    let group = hosts(99);
+    for round in 0..50 {
+        assert_eq!(divide(&group, &group, round).len(), 9);
+    }
+}
+
+#[test]
+fn forwarders_that_died_take_few_datagrams_from_each_host_and_from_none_all() {
+    const ROUNDS: u64 = 40;
+    let group = hosts(100);
+    let dead: HashSet<_> = group.iter().step_by(4).copied().collect();
+    let mut heard: HashMap<SocketAddr, usize> = HashMap::new();
+    for round in 0..ROUNDS {
+        // The relay has not noticed yet.
+        let (received, _) = spread(&group, &group, &group, &dead, round);
+        for host in received.into_keys() {
+            *heard.entry(host).or_default() += 1;
+        }
+    }
+    let least = group.iter().map(|host| heard[host]).min();
+    assert!(least > Some(15), "a host heard {least:?} of {ROUNDS}");
+}
+
+#[test]
+fn only_hosts_that_live_pass_on() {
+    let group = hosts(100);
+    let live = &group[..30];
+    for round in 0..50 {
+        let forwarders = divide(&group, live, round);
+        assert!(forwarders.iter().all(|(host, _)| live.contains(host)));
+    }
+}
+
+#[test]
+fn where_no_host_is_known_to_live_and_in_a_small_group_all_are_told_directly() {
+    let group = hosts(100);
+    let direct = |group: &[SocketAddr], live: &[SocketAddr]| {
+        let told = divide(group, live, 5);
+        let is_direct = told.iter().all(|(_, share)| share.is_none());
+        is_direct && told.len() == group.len()
+    };
+    assert!(direct(&group, &[]));
+    assert!(direct(&group[..16], &group[..16]));
+}
+
+#[test]
+fn a_share_of_none_divides_by_nothing() {
+    let share = Share {
+        round: 1,
+        index: 0,
+        count: 0,
+    };
+    assert!(share.holds(hosts(1)[0]));
+}
