Use half of the retry budget's slack, so that a restart of all keeps to the whole

Cause: a host that starts does not know what its former process used of the retry budget a moment ago. Where all hosts are killed, the new processes have the whole slack once more within the same window.

Ruled out: requests of the window that were not counted (all attempts are recorded); repeats of the ratio's part (they are covered by the requests of the same window, the former process's included).

Tried and dropped: a host that starts takes its part of the slack as used for one window, and tells the others so.

Change: hosts use half of the slack; one restart of all within a window stays within the whole.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -30,6 +30,11 @@
 /// Part of the ratio that is used: requests and repeats of one window may be counted in
 /// cells that differ by one.
 const RATIO_PART: f64 = 0.75;
+/// Part of the slack that is used. A host that starts does not know what its former process used a
+/// moment ago: where all hosts are killed, they would else use the whole slack twice in one window.
+/// Hosts that took none of it for a window after a start would not go on with the first streams that
+/// come to them.
+const SLACK_PART: f64 = 0.5;
 /// The part of all hosts that must have been heard before what they leave over is used.
 const HEARD_PART: f64 = 0.75;
 
@@ -134,7 +139,7 @@
 
     fn host_share_allows(&mut self, now: Instant, pool: &Pool) -> bool {
         let own = self.used(now);
-        let slack = self.bounds.slack / to_f64(pool.hosts);
+        let slack = self.bounds.slack * SLACK_PART / to_f64(pool.hosts);
         f64::from(own.repeats) + 1.0 <= self.allowed(own.requests, slack)
     }
 
@@ -147,7 +152,7 @@
         }
         let mut whole = self.used(now);
         whole.add(pool.used);
-        let slack = self.bounds.slack * members / to_f64(pool.hosts);
+        let slack = self.bounds.slack * SLACK_PART * members / to_f64(pool.hosts);
         let left = self.allowed(whole.requests, slack) - f64::from(whole.repeats);
         let equal_share = (left / to_f64(pool.hosts)).floor();
         f64::from(self.repeats_since_update(now)) + 1.0 <= equal_share
--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -2,6 +2,8 @@
 # Proves promises under failure, with real processes.
 #   matrix [TEXT]   each fault at each step; ends with cells=N held=N broke=N not_run=N
 #   scenarios       the files under scenarios/
+#   soak-mutants    switches protections off under the soak; a seed must break; ends with
+#                   protections=N caught=N seeds=N
 #   mutants         switches each protection off; a test must fail; ends with protections=N caught=N
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -30,7 +32,7 @@
 single-dispatch tealshore-platform calls a_call_that_may_not_be_repeated_runs_once_when_its_answer_is_lost
 leaving-check tealshore-platform calls an_upstream_that_leaves_or_goes_gets_no_new_work
 withdrawal tealshore-platform daemon a_planned_stop_cuts_nothing_and_leaves_the_addresses_at_once
-retry-budget tealshore-gateway budget a_host_alone_has_the_whole_slack_and_one_of_many_its_part
+retry-budget tealshore-gateway budget a_host_alone_has_half_of_the_slack_and_one_of_many_its_part
 retry-budget tealshore-gateway budget what_hosts_leave_over_is_never_spent_twice
 body-timeout tealshore-platform calls a_body_that_never_ends_is_given_up
 relayed-age tealshore-gateway feed a_told_time_is_never_taken_as_younger_than_it_is
@@ -40,7 +42,43 @@
 LIST
 }
 
+# Protections whose loss the soak is to catch by itself.
+soak_mutants() {
+  cat <<'LIST'
+event-position
+monotonic-version
+key-age
+answer-identity
+confirmed-refusal
+single-dispatch
+leaving-check
+withdrawal
+retry-budget
+reserved-headers
+watch-timeout
+LIST
+}
+
 case "${1:-}" in
+  soak-mutants)
+    export CARGO_TARGET_DIR=target/mutants
+    seeds=20
+    run=(cargo test -q -p tealshore-platform --features tealshore-core/failpoints --test soak --)
+    run+=(--seed 1 --seeds "$seeds" --seconds 20 --jobs 4 --stop-at-first)
+    cargo test -q -p tealshore-platform --features tealshore-core/failpoints --test soak --no-run
+    protections=0 caught=0
+    for protection in $(soak_mutants); do
+      protections=$((protections + 1))
+      if said=$(FAILPOINTS="$protection=return" "${run[@]}" 2>/dev/null); then
+        echo "$protection: NOT caught"
+      else
+        caught=$((caught + 1))
+        echo "$protection: caught, $(grep -m1 ': broken ' <<<"$said")"
+      fi
+    done
+    echo "protections=$protections caught=$caught seeds=$seeds"
+    [ "$protections" = "$caught" ]
+    ;;
   matrix)
     cargo build --release --workspace --bins
     exec target/release/tealshore-lab matrix "${2:-}"
@@ -71,7 +109,7 @@
     [ "$protections" = "$caught" ]
     ;;
   *)
-    sed -n '2,5p' "$0"
+    sed -n '2,7p' "$0"
     exit 2
     ;;
 esac
