--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -38,7 +38,7 @@
 relayed-age tealshore-gateway feed a_told_time_is_never_taken_as_younger_than_it_is
 reserved-headers tealshore-platform headers what_only_tealshore_may_say_never_travels_as_a_caller_said_it
 fresh-addresses tealshore-gateway peers callers_are_sent_to_stale_hosts_only_where_no_host_has_a_fresh_view
-request-digest tealshore-platform streams another_request_never_goes_on_from_this_ones_memory
+request-digest tealshore-platform returns another_request_never_goes_on_from_this_ones_memory
 LIST
 }
 
