Revert "Give what is left of the retry budget below one repeat a host by lot"

Conclusion: it mends the large fleet's first seconds, and what it does to small fleets, where more is taken than by parts rounded down, is not known well enough.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -2,8 +2,7 @@
 //!
 //! Each host may always use its own part, without a word from the others. What the others
 //! leave over is shared as well, as long as nearly all of them are heard: each takes at most
-//! its equal part of what is left in the time that an update needs to reach everybody. A part of a
-//! repeat goes by lot.
+//! its equal part of what is left in the time that an update needs to reach everybody.
 
 use {
     serde::{Deserialize, Serialize},
@@ -12,7 +11,6 @@
         time::{Duration, Instant},
     },
     tealshore_core::protection::{Protection, enabled},
-    xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
 /// How finely the window is counted.
@@ -91,21 +89,15 @@
 /// One host's part of the budget for one service.
 pub struct RetryBudget {
     bounds: BudgetBounds,
-    /// Decides this host's lots.
-    seed: u64,
-    /// How many cells there were.
-    cell_count: u64,
     cells: VecDeque<Cell>,
 }
 
 impl RetryBudget {
-    /// A budget that has seen nothing. Each host has a seed of its own.
+    /// A budget that has seen nothing.
     #[must_use]
-    pub fn new(bounds: BudgetBounds, seed: u64) -> Self {
+    pub fn new(bounds: BudgetBounds) -> Self {
         Self {
             bounds,
-            seed,
-            cell_count: 0,
             cells: VecDeque::new(),
         }
     }
@@ -163,22 +155,8 @@
         whole.add(pool.used);
         let slack = self.bounds.slack * SLACK_PART * members / to_f64(pool.hosts);
         let left = self.allowed(whole.requests, slack) - f64::from(whole.repeats);
-        let equal_share = left / to_f64(pool.hosts);
-        let rounded = if self.lot(now) < equal_share.fract() {
-            equal_share.ceil()
-        } else {
-            equal_share.floor()
-        };
-        f64::from(self.repeats_since_update(now)) + 1.0 <= rounded
-    }
-
-    /// A number from 0 to 1 that stays the same within a cell. Were parts rounded down, 295 hosts would
-    /// take none of up to 294 repeats that are left: a hall that died 5 s after the first request cut 17
-    /// streams for it, and none by lot (counted in the logs, one play each).
-    fn lot(&mut self, now: Instant) -> f64 {
-        self.cell(now);
-        let drawn = xxh3_64_with_seed(&self.cell_count.to_be_bytes(), self.seed);
-        f64::from((drawn >> 32) as u32) / f64::from(u32::MAX)
+        let equal_share = (left / to_f64(pool.hosts)).floor();
+        f64::from(self.repeats_since_update(now)) + 1.0 <= equal_share
     }
 
     /// Repeats in the cell that runs and in the one before it: a cell is as long as a
@@ -216,7 +194,6 @@
             .is_some_and(|cell| now.saturating_duration_since(cell.began) < span);
         if !is_current {
             self.forget(now);
-            self.cell_count += 1;
             self.cells.push_back(Cell {
                 began: now,
                 requests: 0,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -62,8 +62,6 @@
     /// Room for request bodies, in bytes.
     pub body_room: Arc<Semaphore>,
     budgets: Mutex<HashMap<ServiceId, RetryBudget>>,
-    /// Decides this host's lots in the retry budget.
-    budget_seed: u64,
     read_rates: Mutex<HashMap<ServiceId, ReadRate>>,
     paces: Mutex<HashMap<ServiceId, Pace>>,
 }
@@ -84,7 +82,6 @@
             stop: Stop::default(),
             body_room: Arc::new(Semaphore::new(options.host.body_bytes)),
             budgets: Mutex::default(),
-            budget_seed: rand::random(),
             read_rates: Mutex::default(),
             paces: Mutex::default(),
             protocol,
@@ -261,7 +258,7 @@
         let bounds = self.options.bounds.retries;
         budgets
             .entry(service.clone())
-            .or_insert_with(|| RetryBudget::new(bounds, self.budget_seed))
+            .or_insert_with(|| RetryBudget::new(bounds))
     }
 
     /// What all hosts have at an upstream.
