Let the status of a failure follow from what is known of the run

Cause: `after_earlier_try` changed whether a request ran and left its status, so a request that an earlier try had run ended with 503 or 429, which promise "not run"; `handed-over` was 503 of a request that runs. A call whose claim could not be written said "not run" although an earlier call with the same id may hold the claim and have run, and so did hosts that stop, start or are full, which refuse before they look the id up. A caller that trusts this sends the work again.

Ruled out: a table with one more column. Kind and `ran` could still contradict each other.

Change: `Failure::status` derives the status from the kind and from what ran; both fields of the table's row are private, so nothing else can answer. `EarlierCalls` reads from a call's headers what may have run before. An engine that never started the second or a later attempt no longer lets a cancel say "not run". A refused stream with a last event's id says that it ran.

A named request that is refused early costs its caller the certainty that it had wrongly; it is safe to send again under its own id.

--- a/crates/core/src/answer.rs
+++ b/crates/core/src/answer.rs
@@ -8,6 +8,7 @@
     http::StatusCode,
     serde::{Deserialize, Serialize},
     std::{fmt, time::Duration},
+    strum::EnumIter,
 };
 
 /// Whether a request reached a model or a plain service.
@@ -23,7 +24,7 @@
 }
 
 /// Every way in which a request can fail.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, EnumIter)]
 #[serde(rename_all = "kebab-case")]
 pub enum ErrorKind {
     /// The request is malformed.
@@ -94,13 +95,26 @@
     Internal,
 }
 
+/// Whether a status promises that its request has not run and never will. Callers send such a
+/// request again, so each of these on a request that ran lets the work be done twice.
+#[must_use]
+pub fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+    )
+}
+
 /// One row of the table from kind to answer.
 #[derive(Clone, Copy, Debug)]
 pub struct Answer {
-    /// The HTTP status.
-    pub status: StatusCode,
-    /// Whether the request ran.
-    pub ran: Ran,
+    /// The HTTP status, unless more is known of the run: see [`Failure::status`].
+    status: StatusCode,
+    /// Whether the request ran, unless more is known.
+    ran: Ran,
     /// The shortest time after which to come back, where coming back can help.
     pub retry_after: Option<Duration>,
     /// The level of the log line.
@@ -163,7 +177,7 @@
                 Some(1_000),
                 Level::Info,
             ),
-            Self::HandedOver => (StatusCode::SERVICE_UNAVAILABLE, Yes, Some(0), Level::Info),
+            Self::HandedOver => (StatusCode::GATEWAY_TIMEOUT, Yes, Some(0), Level::Info),
             Self::UpstreamUnreachable => (StatusCode::BAD_GATEWAY, No, Some(1_000), Level::Warn),
             Self::UpstreamUnconfirmed => (StatusCode::BAD_GATEWAY, Unknown, None, Level::Warn),
             Self::UpstreamLost => (StatusCode::BAD_GATEWAY, Yes, None, Level::Warn),
@@ -247,8 +261,9 @@
     pub kind: ErrorKind,
     /// What was wrong in this case, for a person.
     pub detail: String,
-    /// Whether the request ran: the kind's word, unless more is known.
-    pub ran: Ran,
+    /// Whether the request ran: what the kind says, unless more is known. Private, so that the
+    /// status can't contradict it.
+    ran: Ran,
 }
 
 impl Failure {
@@ -261,6 +276,23 @@
         }
     }
 
+    /// Whether the request ran.
+    #[must_use]
+    pub fn ran(&self) -> Ran {
+        self.ran
+    }
+
+    /// The HTTP status: the kind's, unless that would promise "not run" of a request that ran or
+    /// may have run. Such a request ends with a status that promises nothing.
+    #[must_use]
+    pub fn status(&self) -> StatusCode {
+        let usual = self.kind.answer().status;
+        match self.ran {
+            Ran::Yes | Ran::Unknown if promises_not_run(usual) => StatusCode::GATEWAY_TIMEOUT,
+            Ran::No | Ran::Yes | Ran::Unknown => usual,
+        }
+    }
+
     /// The same failure of a request of which an earlier try is known. "Not run" would be
     /// taken for the whole request, so it gives way to what is known of that try.
     #[must_use]
@@ -309,9 +341,9 @@
         Self {
             type_ref: format!("/problems/{}", failure.kind),
             title: failure.kind.name().replace('-', " "),
-            status: answer.status.as_u16(),
+            status: failure.status().as_u16(),
             detail: failure.detail.clone(),
-            ran: failure.ran,
+            ran: failure.ran(),
             retry_after_ms: answer
                 .retry_after
                 .map(|base| u64::try_from(spread(base).as_millis()).unwrap_or(u64::MAX)),
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -8,6 +8,8 @@
 pub type StreamId = String;
 /// Counts the attempts of a generation; it only grows.
 pub type AttemptNo = u32;
+/// The first attempt of a generation; 0 stands for none.
+pub const FIRST_ATTEMPT: AttemptNo = 1;
 /// The index of a token in an answer, counted from 0.
 pub type Position = u64;
 /// A token as the model numbers it.
--- a/crates/gateway/src/serve/ingress.rs
+++ b/crates/gateway/src/serve/ingress.rs
@@ -18,7 +18,7 @@
         time::{Duration, Instant},
     },
     tealshore_core::{
-        answer::{ErrorKind, Failure},
+        answer::{ErrorKind, Failure, Ran},
         http::Body,
         ids::ServiceId,
         protection::{Protection, enabled},
@@ -53,6 +53,11 @@
     let response = match result {
         Ok(response) => response,
         Err(failure) => {
+            let failure = match facts.last_event {
+                // The caller has events of an earlier attempt, so its stream ran.
+                Some(_) => failure.after_earlier_try(Ran::Yes),
+                None => failure,
+            };
             log_failure(&state, &facts, &failure, received);
             refuse(&state, &facts, &failure)
         }
@@ -310,7 +315,7 @@
         "call: end request={} outcome={name} ran={:?} age_ms={} configuration={} \
          view_age_ms={:?} detail={:?}",
         facts.request.as_deref().unwrap_or("-"),
-        failure.ran,
+        failure.ran(),
         now.saturating_duration_since(received).as_millis(),
         state.view.version(),
         state.view.age(now).map(|age| age.as_millis()),
--- a/crates/gateway/src/serve/refusal.rs
+++ b/crates/gateway/src/serve/refusal.rs
@@ -14,7 +14,7 @@
 pub fn refuse(state: &GatewayState, facts: &RequestFacts, failure: &Failure) -> Response<Body> {
     let problem = Problem::of(failure);
     let mut response = Response::new(json_body(&problem));
-    *response.status_mut() = failure.kind.answer().status;
+    *response.status_mut() = failure.status();
     let headers = response.headers_mut();
     let json = HeaderValue::from_static("application/problem+json");
     headers.insert(header::CONTENT_TYPE, json);
--- a/crates/router/src/drive/driver.rs
+++ b/crates/router/src/drive/driver.rs
@@ -13,7 +13,7 @@
     std::{collections::HashMap, pin::Pin, sync::Arc, time::Instant},
     tealshore_core::{
         answer::{ErrorKind, Failure},
-        ids::{AttemptNo, EngineId, stream_id},
+        ids::{AttemptNo, EngineId, FIRST_ATTEMPT, stream_id},
     },
     tealshore_decide::generation::{Event, FinishReason, Generation, GenerationSpec, Loss},
     tealshore_engines::{CancelWhen, DispatchError, Engine, StreamEnd, StreamItem, TokenStream},
@@ -61,7 +61,7 @@
             policy: admitted.policy,
             max_tokens: admitted.max_tokens(),
             max_attempts: state.options.resume.max_attempts,
-            next_attempt: 1,
+            next_attempt: FIRST_ATTEMPT,
         };
         let generation = match &admitted.start {
             Start::New => Generation::new(spec),
--- a/crates/router/src/drive/driver/actions.rs
+++ b/crates/router/src/drive/driver/actions.rs
@@ -172,7 +172,7 @@
             Some(earlier) => failure.after_earlier_try(earlier),
             None => failure,
         };
-        if failure.ran == Ran::No
+        if failure.ran() == Ran::No
             && let Some(claim) = self.admitted.claim.take()
         {
             self.state.claims.release(claim);
--- a/crates/router/src/serve/caller.rs
+++ b/crates/router/src/serve/caller.rs
@@ -6,9 +6,11 @@
     http::{HeaderMap, Request, header::AUTHORIZATION},
     hyper::body::Incoming,
     std::sync::Arc,
-    tealshore_callers::wire::{REPEAT_HEADER, REQUEST_ID_HEADER, check_request_id},
+    tealshore_callers::wire::{
+        LAST_EVENT_HEADER, REPEAT_HEADER, REQUEST_ID_HEADER, check_request_id,
+    },
     tealshore_core::{
-        answer::{ErrorKind, Failure},
+        answer::{ErrorKind, Failure, Ran},
         http::{ReadError, read_draining},
         ids::RequestId,
     },
@@ -20,6 +22,43 @@
 /// How much more is taken in of a body that is too large, so that its answer arrives.
 const DRAIN_BOUND_BYTES: usize = 64 * 1024 * 1024;
 
+/// What the headers of a call tell of earlier calls for the same request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EarlierCalls {
+    /// There was none: this host makes the request's id.
+    None,
+    /// The caller names the request, so an earlier call, here or elsewhere, may have run it.
+    MayHaveRun,
+    /// The caller brings the last event of an answer.
+    Ran,
+}
+
+impl EarlierCalls {
+    /// What these headers tell.
+    pub fn of(headers: &HeaderMap) -> Self {
+        if headers.contains_key(LAST_EVENT_HEADER) {
+            Self::Ran
+        } else if headers.contains_key(REQUEST_ID_HEADER) {
+            Self::MayHaveRun
+        } else {
+            Self::None
+        }
+    }
+
+    /// A refusal by a host that has not looked the request up: it says "not run" only where
+    /// there was no earlier call. What is wrong with the call itself stays as it is.
+    pub fn qualify(self, failure: Failure) -> Failure {
+        if failure.kind.answer().retry_after.is_none() {
+            return failure;
+        }
+        match self {
+            Self::None => failure,
+            Self::MayHaveRun => failure.after_earlier_try(Ran::Unknown),
+            Self::Ran => failure.after_earlier_try(Ran::Yes),
+        }
+    }
+}
+
 /// Refuses new work once the host drains.
 ///
 /// # Errors
--- a/crates/router/src/serve/cancel.rs
+++ b/crates/router/src/serve/cancel.rs
@@ -9,7 +9,7 @@
     tealshore_core::{
         answer::{ErrorKind, Failure, Ran},
         http::{Body, json_body},
-        ids::stream_id,
+        ids::{FIRST_ATTEMPT, stream_id},
     },
     tealshore_engines::{CancelOutcome, CancelWhen, Engine},
     tealshore_peers::PlaceKey,
@@ -50,7 +50,9 @@
         .cancel(&stream, CancelWhen::Always)
         .await
     {
-        CancelOutcome::NeverStarted => Ran::No,
+        CancelOutcome::NeverStarted if place.attempt == FIRST_ATTEMPT => Ran::No,
+        // An earlier attempt of the request was placed at another engine, and may have run there.
+        CancelOutcome::NeverStarted => Ran::Unknown,
         CancelOutcome::Stopped => Ran::Yes,
         CancelOutcome::Unknown => {
             return Err(Failure::new(
--- a/crates/router/src/serve/completions.rs
+++ b/crates/router/src/serve/completions.rs
@@ -1,7 +1,10 @@
 //! Answers `POST /v1/completions`.
 
 use {
-    super::{caller, problem},
+    super::{
+        caller::{self, EarlierCalls},
+        problem,
+    },
     crate::{
         claims::{Claim, ClaimOutcome},
         drive::{Admitted, Driver, Output, Start},
@@ -41,6 +44,7 @@
     customer: &'a Customer,
     grant: &'a Grant,
     id: RequestId,
+    earlier_calls: EarlierCalls,
     digest: String,
     repeat: Repeat,
     request: CompletionRequest,
@@ -60,16 +64,12 @@
     state: &Arc<RouterState>,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Failure> {
-    let has_ticket = request.headers().contains_key(LAST_EVENT_HEADER);
+    let earlier_calls = EarlierCalls::of(request.headers());
     let outcome = admit_and_respond(state, request).await;
-    outcome.map_err(|failure| {
-        // Who brings a ticket has an answer in part. Mistakes of the caller keep their word.
-        let comes_back = failure.kind.answer().retry_after.is_some();
-        if has_ticket && comes_back {
-            failure.after_earlier_try(Ran::Yes)
-        } else {
-            failure
-        }
+    outcome.map_err(|failure| match earlier_calls {
+        EarlierCalls::Ran => earlier_calls.qualify(failure),
+        // Once the request's place and claim were looked up, more is known than its id tells.
+        EarlierCalls::MayHaveRun | EarlierCalls::None => failure,
     })
 }
 
@@ -77,26 +77,29 @@
     state: &Arc<RouterState>,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Failure> {
-    caller::refuse_if_stopping(state)?;
-    let running = caller::running(state)?;
     let headers = request.headers().clone();
+    let earlier_calls = EarlierCalls::of(&headers);
+    let qualify = |failure| earlier_calls.qualify(failure);
+    caller::refuse_if_stopping(state).map_err(qualify)?;
+    let running = caller::running(state).map_err(qualify)?;
     let customer = caller::customer(&running, &headers)?;
-    let body = caller::body(state, request).await?;
+    let body = caller::body(state, request).await.map_err(qualify)?;
     let request = CompletionRequest::parse(&body)?;
     let grant = granted(customer, &request)?;
     let id = caller::request_id(&headers)?
         .unwrap_or_else(|| format!("auto-{:032x}", rand::rng().random::<u128>()));
     let repeat = caller::repeat(&headers)?.unwrap_or(grant.repeat);
     let bound = state.options.callers.max_in_flight;
-    let in_flight =
-        state
-            .in_flight
-            .enter(&customer.id, &request.model, bound, grant.max_in_flight)?;
+    let in_flight = state
+        .in_flight
+        .enter(&customer.id, &request.model, bound, grant.max_in_flight)
+        .map_err(qualify)?;
     let asked = Asked {
         state,
         customer,
         grant,
         id,
+        earlier_calls,
         digest: request.digest(),
         repeat,
         request,
@@ -279,10 +282,11 @@
             ErrorKind::AlreadyClaimed,
             format!("request {} was claimed before", asked.id),
         )),
-        ClaimOutcome::Unavailable => Err(Failure::new(
-            ErrorKind::TableUnavailable,
-            "the request could not be claimed, so it was not run",
-        )),
+        ClaimOutcome::Unavailable => {
+            let detail = "the request could not be claimed, so this time it was not sent";
+            let failure = Failure::new(ErrorKind::TableUnavailable, detail);
+            Err(asked.earlier_calls.qualify(failure))
+        }
     }
 }
 
--- a/crates/router/src/serve/plain.rs
+++ b/crates/router/src/serve/plain.rs
@@ -4,7 +4,7 @@
 //! again only while no byte of it can have left.
 
 use {
-    super::caller,
+    super::caller::{self, EarlierCalls},
     crate::{
         claims::{Claim, ClaimOutcome},
         state::RouterState,
@@ -31,9 +31,11 @@
     state: &Arc<RouterState>,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Failure> {
-    caller::refuse_if_stopping(state)?;
-    let running = caller::running(state)?;
     let (parts, body) = request.into_parts();
+    let earlier_calls = EarlierCalls::of(&parts.headers);
+    let qualify = |failure| earlier_calls.qualify(failure);
+    caller::refuse_if_stopping(state).map_err(qualify)?;
+    let running = caller::running(state).map_err(qualify)?;
     let customer = caller::customer(&running, &parts.headers)?;
     let (service, path) = split_path(&parts)?;
     let hosts = state
@@ -41,10 +43,15 @@
         .plain_hosts(service)
         .ok_or_else(|| Failure::new(ErrorKind::UnknownService, service.to_owned()))?;
     let bound = state.options.callers.max_in_flight;
-    let _in_flight = state.in_flight.enter(&customer.id, service, bound, bound)?;
+    let _in_flight = state
+        .in_flight
+        .enter(&customer.id, service, bound, bound)
+        .map_err(qualify)?;
     let repeat = caller::repeat(&parts.headers)?.unwrap_or_else(|| usual_repeat(&parts.method));
     let id = caller::request_id(&parts.headers)?;
-    let body = caller::body(state, Request::from_parts(parts.clone(), body)).await?;
+    let body = caller::body(state, Request::from_parts(parts.clone(), body))
+        .await
+        .map_err(qualify)?;
     let call = PlainCall {
         method: parts.method.clone(),
         path,
@@ -60,7 +67,7 @@
     };
     let outcome = pass_on(state, &hosts, &call).await;
     if let (Err(failure), Some(claim)) = (&outcome, claim)
-        && failure.ran == Ran::No
+        && failure.ran() == Ran::No
     {
         state.claims.release(claim);
     }
@@ -124,10 +131,12 @@
             ErrorKind::AlreadyClaimed,
             format!("call {id} was claimed before"),
         )),
+        // An earlier call with the same id may have been claimed and sent.
         ClaimOutcome::Unavailable => Err(Failure::new(
             ErrorKind::TableUnavailable,
-            "the call could not be claimed, so it was not run",
-        )),
+            "the call could not be claimed, so this time it was not sent",
+        )
+        .after_earlier_try(Ran::Unknown)),
     }
 }
 
--- a/crates/router/src/serve/problem.rs
+++ b/crates/router/src/serve/problem.rs
@@ -28,7 +28,7 @@
 pub fn answer(state: &RouterState, failure: &Failure) -> Response<Body> {
     let problem = note(state, failure);
     let mut answer = Response::new(json_body(&problem));
-    *answer.status_mut() = failure.kind.answer().status;
+    *answer.status_mut() = failure.status();
     let headers = answer.headers_mut();
     headers.insert(
         CONTENT_TYPE,
