Pass no promise on that nobody gave, and make none to a stream that ran before

Cause, three paths of the platform's host on which a refusal said "not run" of begun work: 1. An upstream's own 408, 429 or 503 without its word that it did not run was passed on to callers of routes that may be repeated; only the others were guarded. 2. A refusal that names another request counted as this one's ("turned away"), so the request was sent on, or told as not run, while its upstream may run it. 3. A stream whose caller comes back with events, or whose run this host knows, was refused with 503 (`no-engine`, `upstreams-busy`, `deadline-too-near`, `not-ready`, `stale-view`, `stopping`).

Ruled out: sends that never left, upstreams that leave, engines that say that they turned it away, a second send to the same engine (tries are counted per engine), time that ends within a send: each was read again and is true.

Change: 1 ends like a lost answer (502, or another try where allowed); 2 is a foreign answer; 3 ends with 504 and the same time to come back.

--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -8,7 +8,7 @@
         view::{Configuration, Route, Upstream},
     },
     bytes::Bytes,
-    http::{HeaderMap, HeaderName, Method, Request, StatusCode, Uri, header},
+    http::{HeaderMap, HeaderName, Method, Request, Uri, header},
     http_body_util::Full,
     std::{
         sync::Arc,
@@ -172,14 +172,3 @@
     }
     digest.digest()
 }
-
-/// Whether a status tells a caller that its request has not run.
-pub fn promises_not_run(status: StatusCode) -> bool {
-    matches!(
-        status,
-        StatusCode::TOO_MANY_REQUESTS
-            | StatusCode::SERVICE_UNAVAILABLE
-            | StatusCode::REQUEST_TIMEOUT
-            | StatusCode::MISDIRECTED_REQUEST
-    )
-}
--- a/crates/gateway/src/forward/connect.rs
+++ b/crates/gateway/src/forward/connect.rs
@@ -87,8 +87,7 @@
     let answer = sender.send_request(request).await;
     let (head, body) = answer.map_err(|_| SendFailure::Unanswered)?.into_parts();
     let facts = state.protocol.read_answer(&head);
-    let is_foreign = facts.request.as_deref() != Some(id) && !facts.not_run;
-    if is_foreign && enabled(Protection::AnswerIdentity) {
+    if is_foreign(&facts, id) && enabled(Protection::AnswerIdentity) {
         return Err(SendFailure::ForeignAnswer);
     }
     Ok(Answer {
@@ -99,6 +98,15 @@
     })
 }
 
+/// Whether an answer belongs to another request. A refusal may name no request, but one that
+/// names another request says nothing of this one, which may be running.
+fn is_foreign(facts: &AnswerFacts, id: &str) -> bool {
+    match facts.request.as_deref() {
+        Some(named) => named != id,
+        None => !facts.not_run,
+    }
+}
+
 async fn open(upstream: &Upstream) -> Result<TcpStream, SendFailure> {
     let opening = TcpStream::connect(upstream.record.address);
     let opened = timeout(CONNECT_TIMEOUT, opening).await;
--- a/crates/gateway/src/forward/plain.rs
+++ b/crates/gateway/src/forward/plain.rs
@@ -3,7 +3,7 @@
 
 use {
     super::{
-        call::{Call, promises_not_run, strip_connection_headers},
+        call::{Call, strip_connection_headers},
         connect::{self, Answer},
         reservation::Reservation,
     },
@@ -21,7 +21,7 @@
         time::{Duration, Instant},
     },
     tealshore_core::{
-        answer::{ErrorKind, Failure},
+        answer::{ErrorKind, Failure, promises_not_run},
         http::{Body, full, read_limited},
         ids::EngineId,
         protection::{Protection, enabled},
@@ -335,14 +335,14 @@
     };
     let request = call.request_for(state, upstream, &order);
     match connect::send(state, upstream, request, call.id()).await {
-        Ok(answer) => read(call, answer).await,
+        Ok(answer) => read(answer).await,
         Err(failure) if failure.may_have_run() => (TryEnd::Unknown, failure.name()),
         Err(connect::SendFailure::Leaving) => (TryEnd::NotRun, "leaving"),
         Err(failure) => (TryEnd::Unreachable, failure.name()),
     }
 }
 
-async fn read(call: &Call, answer: Answer) -> (TryEnd, &'static str) {
+async fn read(answer: Answer) -> (TryEnd, &'static str) {
     if answer.facts.not_run {
         return (TryEnd::NotRun, "turned-away");
     }
@@ -354,8 +354,8 @@
     if !answer.facts.signed || is_encoded {
         return (TryEnd::Unknown, "unsigned");
     }
-    if promises_not_run(status) && !call.route.may_repeat() && enabled(Protection::ConfirmedRefusal)
-    {
+    // Passed on, the status would promise that the call did not run, which the upstream did not say.
+    if promises_not_run(status) && enabled(Protection::ConfirmedRefusal) {
         return (TryEnd::Unknown, "unconfirmed-refusal");
     }
     match read_limited(answer.body, ANSWER_BOUND_BYTES).await {
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -31,7 +31,7 @@
         time::{Duration, Instant},
     },
     tealshore_core::{
-        answer::{ErrorKind, Failure},
+        answer::{ErrorKind, Failure, Ran},
         http::Body,
         ids::EngineId,
     },
@@ -57,6 +57,8 @@
     arrivals: u32,
     /// The send that is under way has drawn on the retry budget.
     has_drawn: bool,
+    /// Whether an earlier attempt of the caller ran this stream, as far as is known here.
+    ran_before: Ran,
     copy: Option<MemoryCopy>,
     attempt: Option<Attempt>,
     lost_at: Option<Instant>,
@@ -82,7 +84,8 @@
         state.runs.wait_restored(RESTORE_PATIENCE).await;
     }
     let mut run = StreamRun::new(state.clone(), call);
-    match run.open().await? {
+    let opened = run.open().await;
+    match opened.map_err(|failure| failure.after_earlier_try(run.ran_before))? {
         Opened::Stream(mut head) => {
             strip_connection_headers(&mut head.headers);
             head.extensions.clear();
@@ -97,7 +100,13 @@
     fn new(state: Arc<GatewayState>, call: Arc<Call>) -> Self {
         let earlier = state.runs.find(call.fingerprint, Instant::now());
         let goes_on = call.facts.last_event.is_some();
+        let ran_before = if goes_on || earlier.is_some() {
+            Ran::Yes
+        } else {
+            Ran::No
+        };
         Self {
+            ran_before,
             progress: Progress::after(call.facts.last_event),
             copy: earlier
                 .as_ref()
--- a/crates/gateway/src/forward/stream/order.rs
+++ b/crates/gateway/src/forward/stream/order.rs
@@ -5,7 +5,7 @@
     crate::{
         edge::{Order, Urgency},
         forward::{
-            call::{promises_not_run, strip_connection_headers},
+            call::strip_connection_headers,
             connect::{self, Answer, SendFailure},
             probe::{Awaited, Patience, wait_while_alive},
         },
@@ -17,7 +17,10 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    tealshore_core::http::{Body, full, read_limited},
+    tealshore_core::{
+        answer::promises_not_run,
+        http::{Body, full, read_limited},
+    },
 };
 
 /// The largest answer that is no stream, in bytes.
@@ -172,7 +175,8 @@
         if !answer.facts.signed || is_encoded {
             return Err(self.note_try(upstream, "unsigned", TryEnd::Unknown));
         }
-        if promises_not_run(status) && !self.call.route.may_repeat() {
+        // Passed on, the status would promise that the stream did not run.
+        if promises_not_run(status) {
             return Err(self.note_try(upstream, "unconfirmed-refusal", TryEnd::Unknown));
         }
         if status.is_success() {
