Take a stream on when only its connection falls silent

Cause: an open connection may go silent for good, without a reset, while new ones work. Between events a host probed the engine, heard that it lives, and waited 4 s, though the engine's report told of events that had not arrived. That was read only until the first event.

Ruled out: shorter patience between events (engines that put a run back are silent for long and live).

Change: the report's number of events is held against what the caller has, at any time. Two reports in a row, 0.2 s apart, with more events than came, and none in between, end the wait.

--- a/crates/gateway/src/forward/probe.rs
+++ b/crates/gateway/src/forward/probe.rs
@@ -35,8 +35,8 @@
     Alive,
     /// It lives and does not have the request.
     Absent,
-    /// It lives and has made events for the request.
-    MadeEvents,
+    /// It lives and has made so many events for the request.
+    MadeEvents(u64),
 }
 
 /// What is awaited of an upstream.
@@ -46,8 +46,9 @@
     pub request: &'a RequestId,
     /// How long it may be silent.
     pub patience: Patience,
-    /// Whether an event of the request came already.
-    pub has_events: bool,
+    /// The events of the request that came from it or, before, from another upstream; 0 until
+    /// its own first one.
+    pub events_had: u64,
 }
 
 /// How long an upstream may be silent.
@@ -68,7 +69,8 @@
     FoundDead,
     /// It says that it does not have the request, so it lost it.
     NotHeld,
-    /// It says that it makes events for the request, and none arrived.
+    /// It says that it makes events for the request, and they do not arrive: a connection may go
+    /// silent for good without a reset, while probes on new ones are answered.
     AnswerLost,
     /// It lives and says nothing.
     TooLong,
@@ -120,7 +122,7 @@
         // What others found is checked: they may be the ones that are cut off.
         match ask(state, upstream, awaited.request).await {
             ProbeResult::Unanswered => Silence::FoundDead,
-            ProbeResult::Alive | ProbeResult::Absent | ProbeResult::MadeEvents => {
+            ProbeResult::Alive | ProbeResult::Absent | ProbeResult::MadeEvents(_) => {
                 std::future::pending().await
             }
         }
@@ -145,7 +147,10 @@
         let result = ask(state, upstream, awaited.request).await;
         let is_absent = result == ProbeResult::Absent;
         absent_reports = if is_absent { absent_reports + 1 } else { 0 };
-        let is_lost = result == ProbeResult::MadeEvents && !awaited.has_events;
+        let is_lost = match result {
+            ProbeResult::MadeEvents(made) => made > awaited.events_had,
+            ProbeResult::Unanswered | ProbeResult::Alive | ProbeResult::Absent => false,
+        };
         lost_reports = if is_lost { lost_reports + 1 } else { 0 };
         if result == ProbeResult::Unanswered {
             state.suspect(upstream, "probe-unanswered");
@@ -187,7 +192,7 @@
 async fn answered_or(result: ProbeResult, other: impl Future<Output = ProbeResult>) -> ProbeResult {
     match result {
         ProbeResult::Unanswered => other.await,
-        ProbeResult::Alive | ProbeResult::Absent | ProbeResult::MadeEvents => result,
+        ProbeResult::Alive | ProbeResult::Absent | ProbeResult::MadeEvents(_) => result,
     }
 }
 
@@ -197,8 +202,8 @@
         return ProbeResult::Unanswered;
     };
     let report = state.protocol.read_probe(status, &body, request);
-    if report.events_made.is_some_and(|made| made > 0) {
-        return ProbeResult::MadeEvents;
+    if let Some(made) = report.events_made.filter(|made| *made > 0) {
+        return ProbeResult::MadeEvents(made);
     }
     if report.lacks_request() {
         return ProbeResult::Absent;
--- a/crates/gateway/src/forward/stream/attempt.rs
+++ b/crates/gateway/src/forward/stream/attempt.rs
@@ -40,6 +40,8 @@
     pub events: EventSplitter,
     /// Whether an event came.
     pub has_sent: bool,
+    /// The events that the caller has by now, those of earlier engines included.
+    pub events_had: u64,
     /// The work that is noted there.
     pub reservation: Reservation,
     /// The memory that is noted where the run's memory is copied to.
@@ -81,7 +83,7 @@
         let awaited = Awaited {
             request: &self.request,
             patience,
-            has_events: self.has_sent,
+            events_had: if self.has_sent { self.events_had } else { 0 },
         };
         let frame = self.body.frame();
         match wait_while_alive(state, &self.upstream, awaited, frame).await {
--- a/crates/gateway/src/forward/stream/order.rs
+++ b/crates/gateway/src/forward/stream/order.rs
@@ -81,7 +81,7 @@
         let awaited = Awaited {
             request: &self.call.request(),
             patience: try_here.patience,
-            has_events: false,
+            events_had: 0,
         };
         let asked = Instant::now();
         let waited = wait_while_alive(&self.state, upstream, awaited, sending).await;
--- a/crates/gateway/src/forward/stream/place.rs
+++ b/crates/gateway/src/forward/stream/place.rs
@@ -249,6 +249,7 @@
             _connection: answer.connection,
             events: EventSplitter::default(),
             has_sent: false,
+            events_had: 0,
             reservation,
             _copy_reservation: copy_reservation,
         });
--- a/crates/gateway/src/forward/stream/relay.rs
+++ b/crates/gateway/src/forward/stream/relay.rs
@@ -90,10 +90,13 @@
             return step;
         };
         self.note_first_event(&event);
-        match self.progress.accept(&event) {
-            Ok(()) => Step::Event(event),
-            Err(fault) => Step::Lost(fault.name()),
+        if let Err(fault) = self.progress.accept(&event) {
+            return Step::Lost(fault.name());
         }
+        if let Some(attempt) = self.attempt.as_mut() {
+            attempt.events_had = self.progress.last().unwrap_or(self.progress.passed());
+        }
+        Step::Event(event)
     }
 
     fn note_first_event(&mut self, event: &Event) {
