--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -16,6 +16,8 @@
 pub type TokenId = u32;
 /// Names a customer.
 pub type CustomerId = String;
+/// Names a version of the software of an upstream.
+pub type EngineVersion = String;
 /// Names a model engine.
 pub type EngineId = String;
 /// Names an entry host.
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -3,7 +3,7 @@
 use {
     crate::{run_trace::Fingerprint, view::Work},
     std::cmp::Ordering,
-    tealshore_core::ids::{EngineId, HallId},
+    tealshore_core::ids::{EngineId, EngineVersion, HallId},
 };
 
 /// What a running stream costs a new prompt beside it, in prompt tokens to read.
@@ -74,6 +74,8 @@
     Copy {
         /// The run's hall.
         away_from: &'a HallId,
+        /// The version of the engine that runs it.
+        version: &'a EngineVersion,
         /// Tokens that it will hold.
         memory_tokens: u64,
         /// Tokens that an engine's memory holds.
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -4,6 +4,7 @@
 
 use {
     crate::{
+        rollout::{RolloutOrder, RolloutRecord},
         run_trace::{MemoryCopy, RunTrace},
         view::{Configuration, UpstreamRecord},
     },
@@ -117,6 +118,8 @@
     Hosts,
     /// Where streams run, as each group of hosts last wrote it.
     Runs,
+    /// How far roll-outs are, as their leaders last wrote it.
+    Rollouts,
 }
 
 impl RowSet {
@@ -128,6 +131,7 @@
             Self::Upstreams => "upstreams",
             Self::Hosts => "hosts",
             Self::Runs => "runs",
+            Self::Rollouts => "rollouts",
         }
     }
 }
@@ -143,6 +147,10 @@
     Host(HostRecord),
     /// Where the streams of a group of hosts ran.
     Runs(Vec<RunTrace>),
+    /// An order to roll a version out.
+    RolloutOrder(RolloutOrder),
+    /// How far a roll-out is.
+    Rollout(RolloutRecord),
     /// A row that could not be read, with the reason.
     Unreadable(String),
 }
@@ -189,6 +197,17 @@
     Malformed(String),
 }
 
+/// What became of a write under a condition.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Written {
+    /// It is done, as of this version.
+    Done(Revision),
+    /// The row had changed: nothing was written.
+    Changed,
+    /// The store did not say; it may be done, now or later.
+    Unknown,
+}
+
 /// A call that answers about this host.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum HostCall {
@@ -249,6 +268,13 @@
     /// Writes where the streams of a group of hosts run.
     fn write_runs_call(&self, group: &str, runs: &[RunTrace]) -> Request<Bytes>;
 
+    /// Writes how far a roll-out is, for hosts and for the operator, where the version of its row is
+    /// still this one; 0 where there was none.
+    fn write_rollout_call(&self, record: &RolloutRecord, expected: Revision) -> Request<Bytes>;
+
+    /// Reads the answer to such a write.
+    fn read_written(&self, status: StatusCode, body: &[u8]) -> Written;
+
     /// Asks the engine of a run to copy its memory to another engine while it runs on.
     fn copy_call(
         &self,
--- a/crates/gateway/src/forward/connect.rs
+++ b/crates/gateway/src/forward/connect.rs
@@ -81,7 +81,8 @@
         // How the connection ended is seen by the one that reads the answer.
         let _ = driver.await;
     }));
-    if !state.view.upstreams.takes_work(&upstream.record.id) {
+    let takes_work = state.view.upstreams.takes_work(&upstream.record.id);
+    if !takes_work || !state.rollouts.is_open(&upstream.record) {
         return Err(SendFailure::Leaving);
     }
     let answer = sender.send_request(request).await;
--- a/crates/gateway/src/forward/plain.rs
+++ b/crates/gateway/src/forward/plain.rs
@@ -10,6 +10,7 @@
     crate::{
         balance::Need,
         edge::Order,
+        rollout::Outcome,
         state::GatewayState,
         view::{Upstream, Work},
     },
@@ -56,6 +57,8 @@
     upstream: Arc<Upstream>,
     end: TryEnd,
     cause: &'static str,
+    /// The time from the send to its end.
+    took: Duration,
     /// It has drawn on the retry budget.
     draws_on_budget: bool,
 }
@@ -159,6 +162,7 @@
             TryEnd::Unreachable | TryEnd::Unknown => true,
         };
         upstream.note_outcome(failed);
+        self.note_outcome(&tried);
         if failed || !matches!(tried.end, TryEnd::Answered(..)) {
             self.log_loss(&tried);
         }
@@ -199,6 +203,20 @@
         }
     }
 
+    /// Notes what a try said of its upstream's version; one that reached nobody says nothing.
+    fn note_outcome(&self, tried: &Tried) {
+        let outcome = match &tried.end {
+            TryEnd::Answered(head, _) if head.status.is_server_error() => Outcome::Failed,
+            TryEnd::Answered(..) => Outcome::Answered(tried.took),
+            TryEnd::Unknown => Outcome::Failed,
+            TryEnd::NotRun | TryEnd::Unreachable | TryEnd::Forbidden(_) => return,
+        };
+        let record = &tried.upstream.record;
+        let route = &self.call.route.name;
+        self.state.rollouts.note_outcome(record, route, outcome);
+        self.state.note_whole_answer(&record.service, tried.took);
+    }
+
     fn log_loss(&self, tried: &Tried) {
         self.state
             .metrics
@@ -306,12 +324,14 @@
         ..Work::default()
     };
     let reservation = Reservation::begin(state, &upstream, work);
+    let sent = Instant::now();
     let (end, cause) = exchange(state, call, &upstream).await;
     drop(reservation);
     Tried {
         upstream,
         end,
         cause,
+        took: sent.elapsed(),
         draws_on_budget,
     }
 }
--- a/crates/gateway/src/forward/stream/order.rs
+++ b/crates/gateway/src/forward/stream/order.rs
@@ -9,6 +9,7 @@
             connect::{self, Answer, SendFailure},
             probe::{Awaited, Patience, wait_while_alive},
         },
+        rollout::Outcome,
         run_trace::MemoryCopy,
         view::Upstream,
     },
@@ -133,6 +134,9 @@
     }
 
     fn note_try(&mut self, upstream: &Upstream, cause: &'static str, end: TryEnd) -> TryEnd {
+        if matches!(end, TryEnd::Unknown) {
+            self.note_outcome(&upstream.record, Outcome::Failed);
+        }
         if self.prompt_kept_at.as_ref() != Some(&upstream.record.id) {
             self.avoid.push(upstream.record.id.clone());
         }
@@ -183,6 +187,7 @@
             return Ok(Some(answer.head.clone()));
         }
         if status.is_server_error() && self.call.route.may_repeat() {
+            self.note_outcome(&upstream.record, Outcome::Failed);
             return Err(self.note_try(upstream, "server-error", TryEnd::TryNext));
         }
         Ok(None)
--- a/crates/gateway/src/forward/stream/place.rs
+++ b/crates/gateway/src/forward/stream/place.rs
@@ -12,8 +12,9 @@
         balance::Need,
         events::EventSplitter,
         forward::{probe::Patience, reservation::Reservation},
+        rollout::Outcome,
         run_trace::{MemoryCopy, RunTrace},
-        view::{Upstream, UpstreamState, Work},
+        view::{Upstream, UpstreamRecord, UpstreamState, Work},
     },
     http::{Response, response},
     std::{
@@ -173,9 +174,12 @@
         if let Some(copy) = self.copy.take() {
             let holder = self.state.view.upstreams.get(&copy.upstream);
             let usable = holder.filter(|holder| {
-                !holder.is_suspected(now) && self.state.view.upstreams.takes_work(&copy.upstream)
+                !holder.is_suspected(now)
+                    && self.state.view.upstreams.takes_work(&copy.upstream)
+                    && self.state.may_get(holder)
             });
             if let Some(holder) = usable {
+                self.state.rollouts.note_chosen(&holder.record);
                 return Some(Chosen {
                     upstream: holder,
                     go_on_from: Some(copy),
@@ -188,7 +192,9 @@
             && upstream.record.state == UpstreamState::Ready
             && !upstream.is_suspected(now)
             && !self.avoid.contains(&kept_at)
+            && self.state.may_get(&upstream)
         {
+            self.state.rollouts.note_chosen(&upstream.record);
             return Some(Chosen {
                 upstream,
                 go_on_from: None,
@@ -237,6 +243,7 @@
             return Err(self.whole(answer).await);
         };
         if try_here.go_on_from.is_none() {
+            self.note_outcome(&upstream.record, Outcome::Answered(asked.elapsed()));
             let service = &self.call.service;
             self.state.observe_read(service, to_read, asked.elapsed());
         }
@@ -256,6 +263,12 @@
         Ok(head)
     }
 
+    /// Notes what a send said of its engine's version.
+    pub fn note_outcome(&self, upstream: &UpstreamRecord, outcome: Outcome) {
+        let rollouts = &self.state.rollouts;
+        rollouts.note_outcome(upstream, &self.call.route.name, outcome);
+    }
+
     /// How long an engine may be silent before its first event.
     fn patience(&self, to_read: u64, from_copy: bool) -> Patience {
         if from_copy {
--- a/crates/gateway/src/forward/stream/relay.rs
+++ b/crates/gateway/src/forward/stream/relay.rs
@@ -3,7 +3,7 @@
 
 use {
     super::{StreamRun, attempt::Step, place::Opened, recopy::Recopy},
-    crate::{events::Event, lifecycle::InFlight},
+    crate::{events::Event, lifecycle::InFlight, rollout::Outcome},
     bytes::Bytes,
     http_body_util::{BodyExt, StreamBody},
     hyper::body::Frame,
@@ -175,6 +175,12 @@
             return;
         };
         attempt.upstream.note_outcome(true);
+        let rollouts = &self.state.rollouts;
+        rollouts.note_outcome(
+            &attempt.upstream.record,
+            &self.call.route.name,
+            Outcome::Failed,
+        );
         if let Some(copy) = self.recopy.take_made() {
             self.copy = Some(copy);
         }
@@ -240,6 +246,7 @@
         if is_whole {
             let took = self.call.received.elapsed();
             self.state.metrics.observe_whole("stream", took);
+            self.state.note_whole_answer(&self.call.service, took);
             self.record_pace();
         }
         self.state
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod pace;
 pub mod peers;
 pub mod read_rate;
+pub mod rollout;
 mod run;
 pub mod run_trace;
 pub mod runs;
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -113,6 +113,8 @@
     pub keep_addresses: Duration,
     /// The budget of repeated sends of all hosts.
     pub retries: BudgetBounds,
+    /// The part of a service's requests that a version gets at most while it is tried.
+    pub canary_share: f64,
 }
 
 impl GatewayOptions {
@@ -218,6 +220,7 @@
                 slack,
                 window: Duration::from_secs_f64(window_s),
             },
+            canary_share: number(section, "canary_share", 0.1)?,
         })
     }
 }
--- a/crates/gateway/src/peers/digest.rs
+++ b/crates/gateway/src/peers/digest.rs
@@ -53,7 +53,7 @@
         for entry in budgets {
             let known = self.budgets.iter_mut();
             match known.into_iter().find(|sum| sum.service == entry.service) {
-                Some(sum) => sum.used.add(entry.used),
+                Some(sum) => sum.add(entry),
                 None => self.budgets.push(entry.clone()),
             }
         }
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -4,7 +4,9 @@
     super::{
         Audience, COALESCE, KNOWN_PEERS_TO_NEWCOMERS, Receivers,
         last_state::LastState,
-        message::{Datagram, Finding, GroupDigest, HostPhase, PeerDelta, PeerState, Unreadable},
+        message::{
+            Datagram, Finding, GroupDigest, HostPhase, PeerDelta, PeerState, ServiceUse, Unreadable,
+        },
         outgoing::{PeerSocket, own_state},
         relay::{forward_to_share, relay},
         snapshot::serve_snapshots,
@@ -225,6 +227,7 @@
 }
 
 fn apply_digest(state: &GatewayState, mut digest: GroupDigest) {
+    take_rollouts(state, &digest.budgets);
     let runs = std::mem::take(&mut digest.runs);
     let findings = state.peers.apply_digest(&digest, Instant::now());
     let sender = Sender {
@@ -236,6 +239,7 @@
 }
 
 fn apply_state(state: &GatewayState, mut peer: PeerState) {
+    take_rollouts(state, &peer.budgets);
     let host = peer.host.clone();
     let sender = Sender {
         host: &host,
@@ -251,6 +255,7 @@
 }
 
 fn apply_delta(state: &GatewayState, mut delta: PeerDelta) {
+    take_rollouts(state, &delta.budgets);
     let host = delta.host.clone();
     let sender = Sender {
         host: &host,
@@ -263,6 +268,15 @@
     apply_common(state, &sender, runs, &findings);
 }
 
+/// Takes in how far roll-outs are. What is new is told on at once: the sender may not reach all.
+fn take_rollouts(state: &GatewayState, entries: &[ServiceUse]) {
+    for news in entries.iter().filter_map(|entry| entry.rollout.as_ref()) {
+        if state.rollouts.take_record(news.revision, &news.record) {
+            state.peers.wake_sender();
+        }
+    }
+}
+
 /// Who sent a datagram.
 struct Sender<'a> {
     host: &'a HostId,
--- a/crates/gateway/src/peers/last_state.rs
+++ b/crates/gateway/src/peers/last_state.rs
@@ -99,12 +99,15 @@
         entries
     }
 
-    /// Requests come all the time; only repeats are sent at once.
+    /// Requests come all the time; only repeats are sent at once, and what a roll-out changed.
     fn changed_budgets(&mut self, now: &[ServiceUse]) -> Vec<ServiceUse> {
         let mut changed = Vec::new();
         for entry in now {
             let sent = self.budgets.get(&entry.service);
-            if sent.is_none_or(|sent| sent.used.repeats != entry.used.repeats) {
+            let is_change = |sent: &ServiceUse| {
+                sent.used.repeats != entry.used.repeats || sent.rollout != entry.rollout
+            };
+            if sent.is_none_or(is_change) {
                 changed.push(entry.clone());
                 self.budgets.insert(entry.service.clone(), entry.clone());
             }
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -5,6 +5,7 @@
     crate::{
         budget::BudgetUse,
         feed::{StoreWatermark, UpstreamDelta},
+        rollout::RolloutNews,
         run_trace::RunTrace,
         view::{Condition, Work},
     },
@@ -64,13 +65,27 @@
     pub condition: Condition,
 }
 
-/// What a host used of the retry budget of a service.
+/// What a host says of a service: its use of the retry budget, and its roll-out.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceUse {
     /// The service.
     pub service: ServiceId,
     /// What was used.
     pub used: BudgetUse,
+    /// How far its roll-out is, and what answers told; none before the first.
+    pub rollout: Option<RolloutNews>,
+}
+
+impl ServiceUse {
+    /// Adds what another host says of the same service.
+    pub fn add(&mut self, other: &Self) {
+        self.used.add(other.used);
+        match (&mut self.rollout, &other.rollout) {
+            (Some(sum), Some(news)) => sum.add(news),
+            (sum @ None, Some(news)) => *sum = Some(news.clone()),
+            (Some(_) | None, None) => {}
+        }
+    }
 }
 
 /// The state of a host, as a datagram carries it.
@@ -217,7 +232,7 @@
 
 /// The version of the datagrams' layout, their first byte. Hosts of two versions run side by side
 /// while hosts are replaced in turn; each counts and drops what the other says.
-const LAYOUT_VERSION: u8 = 3;
+const LAYOUT_VERSION: u8 = 4;
 
 /// Why a datagram can't be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/gateway/src/peers/outgoing.rs
+++ b/crates/gateway/src/peers/outgoing.rs
@@ -5,7 +5,7 @@
         KNOWN_PEERS_TOLD, RUNS_BOUND, UPSTREAMS_BOUND,
         message::{Datagram, PeerState, ServiceUse, UpstreamWork},
     },
-    crate::state::GatewayState,
+    crate::{budget::BudgetUse, state::GatewayState},
     std::{
         net::SocketAddr,
         sync::{Arc, atomic::Ordering},
@@ -30,8 +30,7 @@
         };
         entry.is_significant().then_some(entry)
     });
-    let budgets = state.budget_use(now).into_iter();
-    let budgets = budgets.map(|(service, used)| ServiceUse { service, used });
+    let budgets = service_uses(state, now);
     PeerState {
         host: peers.own.id.clone(),
         hall: peers.own.hall.clone(),
@@ -45,12 +44,36 @@
         reaches_store: state.feed.reaches_store(),
         link_mbps: peers.own.link_mbps,
         fleet_hosts: u32::try_from(peers.hosts_known()).unwrap_or(u32::MAX),
-        budgets: budgets.collect(),
+        budgets,
         runs: state.runs.own(now).into_iter().take(RUNS_BOUND).collect(),
         named: peers.some_known_peers(Some(&peers.own.hall), KNOWN_PEERS_TOLD),
     }
 }
 
+/// What this host says of services.
+fn service_uses(state: &GatewayState, now: Instant) -> Vec<ServiceUse> {
+    let used = state.budget_use(now).into_iter();
+    let mut uses: Vec<ServiceUse> = used
+        .map(|(service, used)| ServiceUse {
+            service,
+            used,
+            rollout: None,
+        })
+        .collect();
+    for news in state.rollouts.news() {
+        let service = &news.record.service;
+        match uses.iter_mut().find(|entry| entry.service == *service) {
+            Some(entry) => entry.rollout = Some(news),
+            None => uses.push(ServiceUse {
+                service: service.clone(),
+                used: BudgetUse::default(),
+                rollout: Some(news),
+            }),
+        }
+    }
+    uses
+}
+
 /// The socket for datagrams of other hosts, which counts what it sends.
 pub(super) struct PeerSocket {
     socket: UdpSocket,
--- a/crates/gateway/src/peers/snapshot.rs
+++ b/crates/gateway/src/peers/snapshot.rs
@@ -5,6 +5,7 @@
     crate::{
         edge::{Revision, RowSet, StoreTime},
         feed::SetWatermark,
+        rollout::RolloutOrder,
         run_trace::RunTrace,
         state::GatewayState,
         view::{Configuration, UpstreamRecord},
@@ -25,8 +26,13 @@
 /// The rows of a set.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum SnapshotRows {
-    /// The configuration in force; none while the store holds none.
-    Configuration(Option<Configuration>),
+    /// What operators wrote.
+    Configuration {
+        /// The configuration in force; none while the store holds none.
+        configuration: Option<Configuration>,
+        /// The newest order to roll a version out, of each service that has one.
+        rollout_orders: Vec<RolloutOrder>,
+    },
     /// All upstreams that are listed, each with the version of its row.
     Upstreams(Vec<(Revision, UpstreamRecord)>),
     /// Where streams run, on all hosts. It has no watermark: no host follows this set.
@@ -38,7 +44,10 @@
     #[must_use]
     pub fn count(&self) -> usize {
         match self {
-            Self::Configuration(configuration) => usize::from(configuration.is_some()),
+            Self::Configuration {
+                configuration,
+                rollout_orders,
+            } => usize::from(configuration.is_some()) + rollout_orders.len(),
             Self::Upstreams(rows) => rows.len(),
             Self::Runs(runs) => runs.len(),
         }
@@ -66,7 +75,12 @@
             RowSet::Configuration => {
                 let configuration = state.view.configuration();
                 let configuration = configuration.map(|known| known.as_ref().clone());
-                (watermark?, SnapshotRows::Configuration(configuration))
+                let orders = state.rollouts.orders().into_iter();
+                let rows = SnapshotRows::Configuration {
+                    configuration,
+                    rollout_orders: orders.map(|(order, _)| order).collect(),
+                };
+                (watermark?, rows)
             }
             RowSet::Upstreams => (
                 watermark?,
@@ -77,7 +91,7 @@
                 let runs = SnapshotRows::Runs(state.runs.running(now));
                 (SetWatermark::default(), runs)
             }
-            RowSet::Hosts => return None,
+            RowSet::Hosts | RowSet::Rollouts => return None,
         };
         Some(Self {
             watermark,
--- a/crates/gateway/src/peers/sums.rs
+++ b/crates/gateway/src/peers/sums.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{Peer, Peers, message::ServiceUse},
-    crate::{budget::Pool, view::Work},
+    crate::{budget::Pool, edge::Revision, rollout::Evidence, view::Work},
     std::{collections::HashMap, time::Instant},
     tealshore_core::ids::{EngineId, ServiceId},
 };
@@ -47,6 +47,25 @@
         pool
     }
 
+    /// What answers told the other hosts of a service's roll-out, as far as they were heard.
+    pub fn rollout_evidence(&self, service: &ServiceId, order: Revision, now: Instant) -> Evidence {
+        let mut sum = Evidence::none(order);
+        let mut add = |entries: &[ServiceUse]| {
+            let of_service = entries.iter().filter(|entry| entry.service == *service);
+            for news in of_service.filter_map(|entry| entry.rollout.as_ref()) {
+                sum.add(&news.evidence);
+            }
+        };
+        for (_, entries) in self.groups.lock().budgets(self.options.silence, now) {
+            add(&entries);
+        }
+        let known = self.known.lock();
+        for peer in known.values().filter(|peer| self.is_counted(peer, now)) {
+            add(&peer.state.budgets);
+        }
+        sum
+    }
+
     /// Whether what a peer told of itself is counted: not where the digest of its group counts it.
     pub(super) fn is_counted(&self, peer: &Peer, now: Instant) -> bool {
         let is_by_digest = || {
--- /dev/null
+++ b/crates/gateway/src/rollout.rs
@@ -0,0 +1,26 @@
+//! Roll-outs: moves a service's requests from upstreams of one software version to those of
+//! another, as an operator orders.
+//!
+//! While a roll-out is a canary, the target version gets a bounded share of the requests, and its
+//! answers are held against those of the version that serves. One host leads: the one that feeds
+//! the others. It writes each phase to the store under a condition on the version of its row, so
+//! that of several leaders one decides, and a phase never goes back. Hosts tell each other the
+//! record and what answers told them.
+
+mod evidence;
+mod exposure;
+mod known;
+mod plan;
+mod record;
+mod verdict;
+mod versions;
+
+pub use {
+    evidence::{Evidence, Outcome, Tally, TypicalTimes},
+    exposure::Exposure,
+    known::{RolloutNews, Rollouts, TURN_TAKERS},
+    plan::{Sight, next_record},
+    record::{Phase, RolloutOrder, RolloutRecord},
+    verdict::{Judged, Verdict, judge},
+    versions::{ListedVersion, Permit, permit},
+};
--- /dev/null
+++ b/crates/gateway/src/rollout/known.rs
@@ -0,0 +1,372 @@
+//! What this host knows of the roll-outs of all services.
+
+use {
+    super::{
+        evidence::{Evidence, Outcome, Tally, TypicalTimes},
+        exposure::Exposure,
+        record::{Phase, RolloutOrder, RolloutRecord},
+        versions::{ListedVersion, Permit, permit, permit_of},
+    },
+    crate::{
+        edge::{Revision, StoreTime},
+        view::{Upstream, UpstreamRecord},
+    },
+    parking_lot::Mutex,
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::HashMap,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tealshore_core::ids::{EngineVersion, ServiceId},
+};
+
+/// Upstreams of a version that is tried take all of its requests in turn, each for so long: then
+/// one has about the load that all will have, and faults under load show.
+const TURN: Duration = Duration::from_millis(500);
+/// How many upstreams take turns: enough that one that is bad by itself is outvoted.
+pub const TURN_TAKERS: usize = 3;
+
+/// What hosts tell each other of a roll-out.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RolloutNews {
+    /// The version of the record's row.
+    pub revision: Revision,
+    /// The record.
+    pub record: RolloutRecord,
+    /// What answers told the sender, or all hosts of a group.
+    pub evidence: Evidence,
+}
+
+impl RolloutNews {
+    /// Takes in what another host says: the newer record, and the sum of the evidence.
+    pub fn add(&mut self, other: &Self) {
+        if other.revision > self.revision {
+            self.revision = other.revision;
+            self.record = other.record.clone();
+        }
+        if other.evidence.order > self.evidence.order {
+            self.evidence = other.evidence.clone();
+        } else {
+            self.evidence.add(&other.evidence);
+        }
+    }
+}
+
+/// An order with the moment at which this host heard of it.
+#[derive(Clone, Debug)]
+struct KnownOrder {
+    order: RolloutOrder,
+    heard: Instant,
+}
+
+/// What is known of one service.
+#[derive(Debug, Default)]
+struct ServiceRollout {
+    order: Option<KnownOrder>,
+    record: Option<(Revision, RolloutRecord)>,
+    /// The version that was seen to serve while no order was known.
+    serving: Option<EngineVersion>,
+    exposure: Exposure,
+    evidence: Evidence,
+    typical: TypicalTimes,
+}
+
+impl ServiceRollout {
+    fn permit(&self, listed: &[ListedVersion]) -> Option<Permit> {
+        permit(
+            listed,
+            self.order.as_ref().map(|known| &known.order),
+            self.record.as_ref().map(|(_, record)| record),
+            self.serving.as_ref(),
+        )
+    }
+
+    /// What the record says, unless a newer order than that of the record is known.
+    fn permit_by_record(&self) -> Option<Permit> {
+        let (_, record) = self.record.as_ref()?;
+        let ordered = self.order.as_ref().map(|known| known.order.revision);
+        (ordered <= Some(record.order)).then(|| permit_of(record))
+    }
+
+    /// That a version is not the target of an order whose record was not heard of.
+    fn is_not_tried_unheard(&self, version: &EngineVersion) -> bool {
+        let target = self.order.as_ref().map(|known| &known.order.target);
+        target != Some(version) || self.serving.as_ref() == Some(version)
+    }
+
+    /// Counts anew where the order is another one than was counted for.
+    fn count_for(&mut self, order: Revision) {
+        if self.evidence.order != order {
+            self.evidence = Evidence::none(order);
+            self.exposure = Exposure::default();
+        }
+    }
+
+    /// The roll-out that is under way.
+    fn current(&self) -> Option<&RolloutRecord> {
+        let (_, record) = self.record.as_ref()?;
+        (!record.phase.is_over()).then_some(record)
+    }
+}
+
+/// What this host knows of the roll-outs of all services.
+#[derive(Default)]
+pub struct Rollouts {
+    services: Mutex<HashMap<ServiceId, ServiceRollout>>,
+}
+
+impl Rollouts {
+    /// Takes in an order; whether it is a new one.
+    pub fn take_order(&self, order: RolloutOrder, now: Instant) -> bool {
+        let mut services = self.services.lock();
+        let service = services.entry(order.service.clone()).or_default();
+        let known = service.order.as_ref();
+        if known.is_some_and(|known| known.order.revision >= order.revision) {
+            return false;
+        }
+        service.order = Some(KnownOrder { order, heard: now });
+        true
+    }
+
+    /// Takes in a record, unless a newer one is known; whether it was newer.
+    pub fn take_record(&self, revision: Revision, record: &RolloutRecord) -> bool {
+        let mut services = self.services.lock();
+        let service = services.entry(record.service.clone()).or_default();
+        let known = service.record.as_ref();
+        if known.is_some_and(|(known, _)| *known >= revision) {
+            return false;
+        }
+        let before = known.map_or("-", |(_, record)| record.phase.name());
+        log::info!(
+            "rollout: phase service={} order={} phase={} before={before} from={} target={} \
+             revision={revision} since_ms={} deadline_ms={}",
+            record.service,
+            record.order,
+            record.phase.name(),
+            record.from,
+            record.target,
+            record.since.as_millis(),
+            record.deadline.as_millis()
+        );
+        service.count_for(record.order);
+        service.record = Some((revision, record.clone()));
+        true
+    }
+
+    /// All orders that are known.
+    #[must_use]
+    pub fn orders(&self) -> Vec<(RolloutOrder, Duration)> {
+        let services = self.services.lock();
+        let known = services.values().filter_map(|it| it.order.as_ref());
+        known
+            .map(|known| (known.order.clone(), known.heard.elapsed()))
+            .collect()
+    }
+
+    /// The record of a service, with the version of its row.
+    #[must_use]
+    pub fn record(&self, service: &ServiceId) -> Option<(Revision, RolloutRecord)> {
+        self.services.lock().get(service)?.record.clone()
+    }
+
+    /// The version that serves a service besides any that is tried.
+    #[must_use]
+    pub fn serving(&self, service: &ServiceId, ready: &[Arc<Upstream>]) -> Option<EngineVersion> {
+        let services = self.services.lock();
+        let permit = services.get(service)?.permit(&listed_versions(ready))?;
+        Some(match permit {
+            Permit::Only(version) => version,
+            Permit::Canary { from, .. } => from,
+            Permit::Prefer { target, .. } => target,
+        })
+    }
+
+    /// What this host tells the others of each service that was ever rolled out.
+    #[must_use]
+    pub fn news(&self) -> Vec<RolloutNews> {
+        let services = self.services.lock();
+        let known = services.values().filter_map(|service| {
+            let (revision, record) = service.record.clone()?;
+            Some(RolloutNews {
+                revision,
+                record,
+                evidence: service.evidence.clone(),
+            })
+        });
+        known.collect()
+    }
+
+    /// What the answers on this host told since an order.
+    #[must_use]
+    pub fn evidence(&self, service: &ServiceId, order: Revision) -> Evidence {
+        let services = self.services.lock();
+        let known = services.get(service).map(|known| known.evidence.clone());
+        known
+            .filter(|evidence| evidence.order == order)
+            .unwrap_or_else(|| Evidence::none(order))
+    }
+
+    /// The upstreams that may get a request, in sets: the next one is for where the one before has no
+    /// room. `share` is the part of the requests that a version that is tried may get.
+    #[must_use]
+    pub fn admitted(
+        &self,
+        service: &ServiceId,
+        ready: Vec<Arc<Upstream>>,
+        share: f64,
+        now: Option<StoreTime>,
+    ) -> Vec<Vec<Arc<Upstream>>> {
+        let mut services = self.services.lock();
+        let known = services.entry(service.clone()).or_default();
+        let is_rolled_out = known.order.is_some() || known.record.is_some();
+        if let (false, Some(version)) = (is_rolled_out, single_version(&ready)) {
+            if known.serving.as_ref() != Some(version) {
+                known.serving = Some(version.clone());
+            }
+            return vec![ready];
+        }
+        let Some(permit) = known.permit(&listed_versions(&ready)) else {
+            return vec![ready];
+        };
+        let of = |version: &EngineVersion| -> Vec<Arc<Upstream>> {
+            let upstreams = ready.iter();
+            let found = upstreams.filter(|upstream| upstream.record.version == *version);
+            found.cloned().collect()
+        };
+        match permit {
+            Permit::Only(version) => vec![of(&version)],
+            Permit::Prefer { target, from } => vec![of(&target), of(&from)],
+            Permit::Canary { from, target } if known.exposure.allows_canary(share) => {
+                vec![turn_takers(of(&target), now), of(&from)]
+            }
+            Permit::Canary { from, .. } => vec![of(&from)],
+        }
+    }
+
+    /// Whether an upstream may get a request that would rather go there than anywhere else.
+    #[must_use]
+    pub fn may_get(&self, upstream: &UpstreamRecord, share: f64) -> bool {
+        let services = self.services.lock();
+        let Some(known) = services.get(&upstream.service) else {
+            return true;
+        };
+        let version = &upstream.version;
+        match known.permit_by_record() {
+            Some(Permit::Only(only)) => only == *version,
+            Some(Permit::Prefer { target, .. }) => target == *version,
+            Some(Permit::Canary { from, target }) => {
+                from == *version || (target == *version && known.exposure.allows_canary(share))
+            }
+            None => known.is_not_tried_unheard(version),
+        }
+    }
+
+    /// Whether an upstream may get a request at all, checked at the instant of the send: a roll-back
+    /// may have been heard of since it was chosen.
+    #[must_use]
+    pub fn is_open(&self, upstream: &UpstreamRecord) -> bool {
+        let services = self.services.lock();
+        let known = services.get(&upstream.service);
+        let record = known.and_then(|known| known.record.as_ref());
+        record.is_none_or(|(_, record)| match record.phase {
+            Phase::Canary | Phase::Shifting => true,
+            Phase::Completed => upstream.version == record.target,
+            Phase::RolledBack => upstream.version != record.target,
+        })
+    }
+
+    /// Notes that an upstream was chosen for a request.
+    pub fn note_chosen(&self, upstream: &UpstreamRecord) {
+        let mut services = self.services.lock();
+        let Some(known) = services.get_mut(&upstream.service) else {
+            return;
+        };
+        let target = known.current().map(|record| &record.target);
+        if target.is_some_and(|target| *target == upstream.version) {
+            known.exposure.note_canary();
+        } else {
+            known.exposure.note_request();
+        }
+    }
+
+    /// Notes how a send ended.
+    pub fn note_outcome(&self, upstream: &UpstreamRecord, route: &str, outcome: Outcome) {
+        let mut services = self.services.lock();
+        let Some(known) = services.get_mut(&upstream.service) else {
+            return;
+        };
+        let is_bad = match outcome {
+            Outcome::Failed => true,
+            Outcome::Answered(took) => known.typical.is_slow(route, took),
+        };
+        let one = Tally {
+            answers: 1,
+            bad: u32::from(is_bad),
+        };
+        let is_target = known
+            .current()
+            .is_some_and(|record| record.target == upstream.version);
+        if is_target {
+            known.evidence.note_target(&upstream.id, one);
+            return;
+        }
+        if let Outcome::Answered(took) = outcome {
+            known.typical.observe(route, took);
+        }
+        let is_from = known
+            .current()
+            .is_some_and(|record| record.from == upstream.version);
+        if is_from {
+            known.evidence.from.add(one);
+        }
+    }
+
+    /// Whether a roll-out of any service is under way, or one was ordered and has no record yet.
+    #[must_use]
+    pub fn is_any_open(&self) -> bool {
+        let services = self.services.lock();
+        services.values().any(|service| {
+            let ordered = service.order.as_ref().map(|known| known.order.revision);
+            let recorded = service.record.as_ref().map(|(_, record)| record.order);
+            service.current().is_some() || ordered > recorded
+        })
+    }
+}
+
+fn single_version(ready: &[Arc<Upstream>]) -> Option<&EngineVersion> {
+    let first = &ready.first()?.record.version;
+    ready
+        .iter()
+        .all(|upstream| upstream.record.version == *first)
+        .then_some(first)
+}
+
+fn listed_versions(ready: &[Arc<Upstream>]) -> Vec<ListedVersion> {
+    let mut listed: Vec<ListedVersion> = Vec::new();
+    for upstream in ready {
+        let version = &upstream.record.version;
+        let row = upstream.row;
+        match listed.iter_mut().find(|it| it.version == *version) {
+            Some(known) => known.oldest_row = known.oldest_row.min(row),
+            None => listed.push(ListedVersion {
+                version: version.clone(),
+                oldest_row: row,
+            }),
+        }
+    }
+    listed
+}
+
+/// Of the upstreams of a version that is tried, the one whose turn it is; all of them while the
+/// store's time is not known.
+fn turn_takers(mut upstreams: Vec<Arc<Upstream>>, now: Option<StoreTime>) -> Vec<Arc<Upstream>> {
+    upstreams.sort_by(|a, b| a.record.id.cmp(&b.record.id));
+    upstreams.truncate(TURN_TAKERS);
+    let (Some(now), false) = (now, upstreams.is_empty()) else {
+        return upstreams;
+    };
+    let turns = now.as_millis() / TURN.as_millis();
+    let taker = usize::try_from(turns % upstreams.len() as u128).unwrap_or_default();
+    vec![upstreams.swap_remove(taker)]
+}
--- /dev/null
+++ b/crates/gateway/src/rollout/plan.rs
@@ -0,0 +1,116 @@
+//! What the leader of a roll-out writes next. Nothing here reads a clock or the store.
+
+use {
+    super::{
+        record::{Phase, RolloutOrder, RolloutRecord},
+        verdict::Verdict,
+    },
+    crate::edge::StoreTime,
+    std::time::Duration,
+    tealshore_core::ids::EngineVersion,
+};
+
+/// What is left of the time when the roll-out is to be over: its last write takes some of it, and
+/// the order was known a moment after it was given.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(600);
+/// How long the target gets all new requests at least: calls that began before end in this time,
+/// and all hosts hear of the phase.
+const LEAST_SHIFT: Duration = Duration::from_millis(2_000);
+/// The most of a roll-out's time that is left for the end of what runs on the old version.
+const MOST_DRAIN_PART: f64 = 0.5;
+/// A target that nothing speaks against is trusted without a verdict this long before the end.
+const LAST_TRUST: Duration = Duration::from_millis(2_600);
+
+/// What a leader sees.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Sight {
+    /// The store's time.
+    pub now: StoreTime,
+    /// How long the order is known.
+    pub order_age: Duration,
+    /// What the answers say of the target.
+    pub verdict: Verdict,
+    /// Whether more speaks against the target than for it.
+    pub is_doubted: bool,
+    /// Whether an upstream of the target takes work.
+    pub is_target_ready: bool,
+    /// Whether requests run on the old version.
+    pub runs_on_old: bool,
+    /// How long answers of the service last, at most, as far as was seen.
+    pub longest_answer: Duration,
+}
+
+/// The record that a leader writes over the one in the store, if any is due.
+///
+/// It is written under the condition that the row is still the one that `current` was read from,
+/// so that the phase of an order never goes back and has one end.
+#[must_use]
+pub fn next_record(
+    current: Option<&RolloutRecord>,
+    order: &RolloutOrder,
+    serving: &EngineVersion,
+    sight: &Sight,
+) -> Option<RolloutRecord> {
+    match current {
+        Some(record) if record.order == order.revision => {
+            let phase = next_phase(record, sight)?;
+            Some(record.in_phase(phase, sight.now))
+        }
+        // An order of which only an older version was heard.
+        Some(record) if record.order > order.revision => None,
+        Some(_) | None => Some(begin(order, serving, sight)),
+    }
+}
+
+fn begin(order: &RolloutOrder, serving: &EngineVersion, sight: &Sight) -> RolloutRecord {
+    let ordered = sight.now.saturating_sub(sight.order_age);
+    // Nothing is to be tried of the version that serves: only what is left elsewhere ends.
+    let phase = if order.target == *serving {
+        Phase::Shifting
+    } else {
+        Phase::Canary
+    };
+    RolloutRecord {
+        service: order.service.clone(),
+        order: order.revision,
+        from: serving.clone(),
+        target: order.target.clone(),
+        phase,
+        since: sight.now,
+        deadline: ordered + order.duration,
+    }
+}
+
+fn next_phase(record: &RolloutRecord, sight: &Sight) -> Option<Phase> {
+    let end = record.deadline.saturating_sub(DEADLINE_MARGIN);
+    match record.phase {
+        Phase::Canary => next_of_canary(record, sight, end),
+        Phase::Shifting if sight.verdict == Verdict::Bad => Some(Phase::RolledBack),
+        Phase::Shifting => {
+            let is_settled = sight.now >= record.since + LEAST_SHIFT;
+            let is_drained = is_settled && !sight.runs_on_old;
+            let is_due = sight.now >= end;
+            (sight.is_target_ready && (is_drained || is_due)).then_some(Phase::Completed)
+        }
+        Phase::Completed | Phase::RolledBack => None,
+    }
+}
+
+/// The canary lasts as long as it can, since a version may turn bad late: until what runs on the
+/// old version has just time to end.
+fn next_of_canary(record: &RolloutRecord, sight: &Sight, end: StoreTime) -> Option<Phase> {
+    if sight.verdict == Verdict::Bad || sight.now >= end {
+        return Some(Phase::RolledBack);
+    }
+    if !sight.is_target_ready {
+        return None;
+    }
+    let whole = record.deadline.saturating_sub(record.since);
+    let drain = sight
+        .longest_answer
+        .max(LEAST_SHIFT)
+        .min(whole.mul_f64(MOST_DRAIN_PART));
+    let is_proved = sight.verdict == Verdict::Good && sight.now + drain >= end;
+    let is_trusted = !sight.is_doubted && sight.now + LAST_TRUST >= end;
+    (is_proved || is_trusted).then_some(Phase::Shifting)
+}
--- /dev/null
+++ b/crates/gateway/src/rollout/record.rs
@@ -0,0 +1,96 @@
+//! What an operator orders, and how far it is.
+
+use {
+    crate::edge::{Revision, StoreTime},
+    serde::{Deserialize, Serialize},
+    std::time::Duration,
+    tealshore_core::ids::{EngineVersion, ServiceId},
+};
+
+/// An operator's order to move a service to another version of its software.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RolloutOrder {
+    /// The version of its row, which tells it from any other order.
+    pub revision: Revision,
+    /// The service.
+    pub service: ServiceId,
+    /// The version that is to serve.
+    pub target: EngineVersion,
+    /// The time from the order to the end of the roll-out, either way.
+    pub duration: Duration,
+}
+
+/// How far a roll-out is. The order of the variants is the order in time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Phase {
+    /// The target gets a bounded share of the requests, to be judged by.
+    Canary,
+    /// The target gets all new requests; the version before it finishes what it has.
+    Shifting,
+    /// The target serves. Upstreams of the version before it may be stopped at any moment.
+    Completed,
+    /// The version from before the order serves, and the target gets nothing.
+    RolledBack,
+}
+
+impl Phase {
+    /// Whether the roll-out has ended.
+    #[must_use]
+    pub fn is_over(self) -> bool {
+        match self {
+            Self::Canary | Self::Shifting => false,
+            Self::Completed | Self::RolledBack => true,
+        }
+    }
+
+    /// Its name in logs and rows.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Canary => "canary",
+            Self::Shifting => "shifting",
+            Self::Completed => "completed",
+            Self::RolledBack => "rolled-back",
+        }
+    }
+}
+
+/// A roll-out as the store keeps it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct RolloutRecord {
+    /// The service.
+    pub service: ServiceId,
+    /// The version of the order's row.
+    pub order: Revision,
+    /// The version that served when the order came.
+    pub from: EngineVersion,
+    /// The version that is to serve.
+    pub target: EngineVersion,
+    /// How far it is.
+    pub phase: Phase,
+    /// When this phase began, by the store's clock.
+    pub since: StoreTime,
+    /// When it has to be over, by the store's clock.
+    pub deadline: StoreTime,
+}
+
+impl RolloutRecord {
+    /// The version that serves requests that are no canaries.
+    #[must_use]
+    pub fn serving(&self) -> &EngineVersion {
+        match self.phase {
+            Phase::Canary | Phase::RolledBack => &self.from,
+            Phase::Shifting | Phase::Completed => &self.target,
+        }
+    }
+
+    /// The same roll-out in another phase that begins now.
+    #[must_use]
+    pub fn in_phase(&self, phase: Phase, now: StoreTime) -> Self {
+        Self {
+            phase,
+            since: now,
+            ..self.clone()
+        }
+    }
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -13,6 +13,7 @@
         pace::{Pace, RemainingWork},
         peers::{HostPhase, Peers},
         read_rate::ReadRate,
+        rollout::Rollouts,
         run_trace::Fingerprint,
         runs::Runs,
         stop::Stop,
@@ -40,6 +41,10 @@
 /// after its start: callers come back in the instant in which hosts that died are there again.
 const FIRST_VIEW_PATIENCE: Duration = Duration::from_millis(250);
 
+/// The part of the longest answer that is kept with each answer: what was seen some hundred
+/// answers ago no longer counts.
+const LONGEST_KEPT: f64 = 0.99;
+
 /// All that the parts of this host share.
 pub struct GatewayState {
     started: Instant,
@@ -55,6 +60,8 @@
     pub peers: Peers,
     /// Streams that ran a short time ago.
     pub runs: Runs,
+    /// Roll-outs of versions.
+    pub rollouts: Rollouts,
     /// What it counts.
     pub metrics: GatewayMetrics,
     /// The planned stop.
@@ -64,6 +71,7 @@
     budgets: Mutex<HashMap<ServiceId, RetryBudget>>,
     read_rates: Mutex<HashMap<ServiceId, ReadRate>>,
     paces: Mutex<HashMap<ServiceId, Pace>>,
+    longest_answers: Mutex<HashMap<ServiceId, Duration>>,
 }
 
 impl GatewayState {
@@ -78,12 +86,14 @@
             view: View::default(),
             feed: Feed::default(),
             runs: Runs::default(),
+            rollouts: Rollouts::default(),
             metrics: GatewayMetrics::new()?,
             stop: Stop::default(),
             body_room: Arc::new(Semaphore::new(options.host.body_bytes)),
             budgets: Mutex::default(),
             read_rates: Mutex::default(),
             paces: Mutex::default(),
+            longest_answers: Mutex::default(),
             protocol,
             options,
         })
@@ -222,6 +232,19 @@
         pace.least_time(work, self.read_rate(service))
     }
 
+    /// Notes how long a whole answer of a service took.
+    pub fn note_whole_answer(&self, service: &ServiceId, took: Duration) {
+        let mut longest = self.longest_answers.lock();
+        let known = longest.entry(service.clone()).or_default();
+        *known = took.max(known.mul_f64(LONGEST_KEPT));
+    }
+
+    /// How long answers of a service take at most, as far as was seen here a short time ago.
+    pub fn longest_answer(&self, service: &ServiceId) -> Duration {
+        let longest = self.longest_answers.lock();
+        longest.get(service).copied().unwrap_or_default()
+    }
+
     /// Takes one repeat from the budget of a service.
     pub fn take_retry(&self, service: &ServiceId) -> bool {
         let now = Instant::now();
@@ -280,13 +303,39 @@
         service: &ServiceId,
         need: Need<'_>,
         avoid: &[EngineId],
+    ) -> Option<Arc<Upstream>> {
+        let ready = self.view.upstreams.ready(service);
+        if let Need::Copy { version, .. } = need {
+            // A run's memory is of use to its own version only.
+            let alike = ready.into_iter().filter(|it| it.record.version == *version);
+            return self.choose_among(&alike.collect::<Vec<_>>(), need, avoid);
+        }
+        let store_time = self.feed.store_time(Instant::now());
+        let share = self.options.bounds.canary_share;
+        let sets = self.rollouts.admitted(service, ready, share, store_time);
+        let mut chosen = sets.iter().map(|set| self.choose_among(set, need, avoid));
+        let chosen = chosen.find_map(|chosen| chosen)?;
+        self.rollouts.note_chosen(&chosen.record);
+        Some(chosen)
+    }
+
+    /// Whether an upstream, to which a request would rather go than to any other, may get it.
+    pub fn may_get(&self, upstream: &Upstream) -> bool {
+        let share = self.options.bounds.canary_share;
+        self.rollouts.may_get(&upstream.record, share)
+    }
+
+    fn choose_among(
+        &self,
+        ready: &[Arc<Upstream>],
+        need: Need<'_>,
+        avoid: &[EngineId],
     ) -> Option<Arc<Upstream>> {
         let affinity = match need {
             Need::Prompt { fingerprint, .. } => Some(fingerprint),
             Need::Call { .. } | Need::Copy { .. } => None,
         };
         let now = Instant::now();
-        let ready = self.view.upstreams.ready(service);
         let elsewhere = self.peers.work(now);
         let candidates: Vec<Candidate> = ready
             .iter()
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -6,6 +6,7 @@
 mod follow;
 mod from_peers;
 mod hosts;
+mod rollouts;
 mod runs;
 
 pub use apply::apply_upstream_delta;
@@ -75,6 +76,8 @@
     tokio::spawn(async move { hosts.keep_hosts().await });
     let mut runs = Follower::new(state.clone(), RowSet::Runs);
     tokio::spawn(async move { runs.keep_runs().await });
+    let mut rollouts = Follower::new(state.clone(), RowSet::Rollouts);
+    tokio::spawn(async move { rollouts.lead_rollouts().await });
 }
 
 /// When the store wrote an answer.
@@ -147,7 +150,7 @@
                 let changed = match self.set {
                     // Its one row is never dropped, so its version is that of the last change.
                     RowSet::Configuration => newest_row,
-                    RowSet::Upstreams | RowSet::Hosts | RowSet::Runs => revision,
+                    RowSet::Upstreams | RowSet::Hosts | RowSet::Runs | RowSet::Rollouts => revision,
                 };
                 let read = WholeRead {
                     revision,
@@ -186,7 +189,7 @@
                 0
             }
             RowSet::Upstreams => self.retain(revision, present),
-            RowSet::Hosts | RowSet::Runs => 0,
+            RowSet::Hosts | RowSet::Runs | RowSet::Rollouts => 0,
         }
     }
 
--- a/crates/gateway/src/sync/apply.rs
+++ b/crates/gateway/src/sync/apply.rs
@@ -5,6 +5,7 @@
     crate::{
         edge::{Change, Revision, RowSet, UpstreamChange},
         feed::{SetWatermark, UpstreamDelta},
+        rollout::RolloutOrder,
         state::GatewayState,
         view::Configuration,
     },
@@ -43,6 +44,12 @@
                     self.state.runs.restore(run, now);
                 }
             }
+            Change::RolloutOrder(order) => apply_rollout_order(&self.state, order),
+            Change::Rollout(record) => {
+                if self.state.rollouts.take_record(revision, &record) {
+                    self.state.peers.wake_sender();
+                }
+            }
             Change::Unreadable(reason) => {
                 log::error!(
                     "view: row unreadable set={} revision={revision} reason={reason}",
@@ -84,10 +91,22 @@
         | Change::Configuration(_)
         | Change::Host(_)
         | Change::Runs(_)
+        | Change::RolloutOrder(_)
+        | Change::Rollout(_)
         | Change::Unreadable(_) => None,
     }
 }
 
+pub(super) fn apply_rollout_order(state: &GatewayState, order: RolloutOrder) {
+    let (service, target) = (order.service.clone(), order.target.clone());
+    let (revision, duration_ms) = (order.revision, order.duration.as_millis());
+    if state.rollouts.take_order(order, Instant::now()) {
+        log::info!(
+            "rollout: ordered service={service} target={target} duration_ms={duration_ms}              order={revision}"
+        );
+    }
+}
+
 pub(super) fn apply_configuration(state: &GatewayState, revision: Revision, new: Configuration) {
     let version = new.version;
     let routes = new.route_count();
@@ -113,10 +132,11 @@
         UpstreamChange::Listed(record) => {
             let (id, upstream_state) = (record.id.clone(), record.state);
             let (address, hall) = (record.address, record.hall.clone());
+            let version = record.version.clone();
             if upstreams.put(revision, record) && log == LogRows::Each {
                 log::info!(
                     "view: upstream upstream={id} address={address} hall={hall} \
-                     state={upstream_state:?} revision={revision}"
+                     version={version} state={upstream_state:?} revision={revision}"
                 );
             }
         }
--- a/crates/gateway/src/sync/follow.rs
+++ b/crates/gateway/src/sync/follow.rs
@@ -279,6 +279,8 @@
                 Change::Configuration(_)
                 | Change::Host(_)
                 | Change::Runs(_)
+                | Change::RolloutOrder(_)
+                | Change::Rollout(_)
                 | Change::Unreadable(_) => None,
             });
         Some(UpstreamDelta {
--- a/crates/gateway/src/sync/from_peers.rs
+++ b/crates/gateway/src/sync/from_peers.rs
@@ -5,7 +5,7 @@
 use {
     super::{
         Follower,
-        apply::{apply_configuration, apply_upstream},
+        apply::{apply_configuration, apply_rollout_order, apply_upstream},
         follow::Source,
     },
     crate::{
@@ -51,7 +51,7 @@
         let known = self.newest();
         let is_given = match self.set {
             RowSet::Configuration | RowSet::Upstreams => true,
-            RowSet::Hosts | RowSet::Runs => false,
+            RowSet::Hosts | RowSet::Runs | RowSet::Rollouts => false,
         };
         if !is_given {
             return false;
@@ -170,10 +170,16 @@
         let feed = &self.state.feed;
         feed.observe_peer(store_time, asked, Instant::now());
         match rows {
-            SnapshotRows::Configuration(configuration) => {
+            SnapshotRows::Configuration {
+                configuration,
+                rollout_orders,
+            } => {
                 if let Some(configuration) = configuration {
                     apply_configuration(&self.state, watermark.revision, configuration);
                 }
+                for order in rollout_orders {
+                    apply_rollout_order(&self.state, order);
+                }
             }
             SnapshotRows::Upstreams(rows) => {
                 let log = self.whole_log();
--- /dev/null
+++ b/crates/gateway/src/sync/rollouts.rs
@@ -0,0 +1,207 @@
+//! Leads roll-outs: the host that feeds the others judges each one and writes its phases to the
+//! store.
+//!
+//! Several hosts may take themselves for the leader. Each write holds only while the row is as it
+//! was read, so one of them decides; the others read what it wrote.
+
+use {
+    super::{CallFailure, Follower, apply::LogRows},
+    crate::{
+        edge::{Revision, Written},
+        feed::FeederChoice,
+        rollout::{
+            Evidence, Judged, Phase, RolloutOrder, RolloutRecord, Sight, TURN_TAKERS, judge,
+            next_record,
+        },
+        state::GatewayState,
+        view::Upstream,
+    },
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tealshore_core::ids::{EngineVersion, ServiceId},
+    tokio::time::sleep,
+};
+
+/// How often the leader looks at what answers told.
+const LEAD_INTERVAL: Duration = Duration::from_millis(150);
+/// How often a host that nobody feeds reads how far roll-outs are while one is open: another leader
+/// may have decided. It stays far below the time within which a roll-back is in force.
+const READ_INTERVAL: Duration = Duration::from_millis(700);
+/// Answers of a target below which it is not trusted without a verdict,
+const LEAST_ANSWERS: u32 = 5;
+/// where the version that serves gave so many.
+const SERVED_ANSWERS: u32 = 50;
+
+impl Follower {
+    /// Leads roll-outs for as long as the process lives, whenever this host feeds the others, or
+    /// follows them in the store where nobody feeds it.
+    pub(super) async fn lead_rollouts(&mut self) {
+        let mut read_at: Option<Instant> = None;
+        loop {
+            sleep(LEAD_INTERVAL).await;
+            let now = Instant::now();
+            let orders = self.state.rollouts.orders();
+            let is_fed = matches!(self.state.feeder(now), FeederChoice::Peer(..));
+            let is_idle = orders.is_empty() || is_fed || !self.state.feed.reaches_store();
+            if is_idle {
+                read_at = None;
+                continue;
+            }
+            let is_due = self.state.rollouts.is_any_open()
+                && read_at.is_none_or(|read| now.saturating_duration_since(read) >= READ_INTERVAL);
+            if read_at.is_none() || is_due {
+                if let Err(failure) = self.read_rollouts().await {
+                    self.pause_after(&failure).await;
+                    continue;
+                }
+                read_at = Some(now);
+            }
+            for (order, order_age) in orders {
+                if let Err(failure) = self.lead(&order, order_age).await {
+                    // What the write did is read before anything else is decided.
+                    read_at = None;
+                    self.pause_after(&failure).await;
+                }
+            }
+        }
+    }
+
+    /// Reads how far all roll-outs are.
+    async fn read_rollouts(&mut self) -> Result<(), CallFailure> {
+        let (page, _) = self.list(None).await?;
+        self.apply_rows(page.changes, LogRows::Each);
+        self.note_regained();
+        Ok(())
+    }
+
+    /// Writes what is due of one roll-out.
+    async fn lead(&mut self, order: &RolloutOrder, order_age: Duration) -> Result<(), CallFailure> {
+        let known = self.state.rollouts.record(&order.service);
+        let (revision, record) = match &known {
+            Some((revision, record)) => (*revision, Some(record)),
+            None => (0, None),
+        };
+        let Some((sight, judged)) = see(&self.state, order, order_age, record) else {
+            return Ok(());
+        };
+        let Some(serving) = self.serving(order) else {
+            return Ok(());
+        };
+        let Some(next) = next_record(record, order, &serving, &sight) else {
+            return Ok(());
+        };
+        log_decision(&next, &sight, &judged);
+        self.write_record(&next, revision).await
+    }
+
+    /// The version that serves the service of an order now.
+    fn serving(&self, order: &RolloutOrder) -> Option<EngineVersion> {
+        let ready = self.state.view.upstreams.ready(&order.service);
+        self.state.rollouts.serving(&order.service, &ready)
+    }
+
+    async fn write_record(
+        &mut self,
+        record: &RolloutRecord,
+        expected: Revision,
+    ) -> Result<(), CallFailure> {
+        let request = self.state.protocol.write_rollout_call(record, expected);
+        let bound = self.state.options.store.timeout;
+        let (status, body) = self.call(request, bound).await?;
+        match self.state.protocol.read_written(status, &body) {
+            Written::Done(revision) => {
+                if self.state.rollouts.take_record(revision, record) {
+                    self.state.peers.wake_sender();
+                }
+                Ok(())
+            }
+            Written::Changed => {
+                log::info!(
+                    "rollout: another host decided service={} order={} phase={}",
+                    record.service,
+                    record.order,
+                    record.phase.name()
+                );
+                self.read_rollouts().await
+            }
+            Written::Unknown => Err(CallFailure::Silent),
+        }
+    }
+}
+
+/// What the leader sees of a roll-out; none before the store's time is known.
+fn see(
+    state: &GatewayState,
+    order: &RolloutOrder,
+    order_age: Duration,
+    record: Option<&RolloutRecord>,
+) -> Option<(Sight, Judged)> {
+    let now = Instant::now();
+    let evidence = all_evidence(state, &order.service, order.revision, now);
+    let ready = state.view.upstreams.ready(&order.service);
+    let targets = ready.iter().filter(|it| it.record.version == order.target);
+    let targets = targets.count();
+    let judged = judge(&evidence, targets.min(TURN_TAKERS));
+    let is_unseen = judged.target.answers < LEAST_ANSWERS && judged.from.answers >= SERVED_ANSWERS;
+    let sight = Sight {
+        now: state.feed.store_time(now)?,
+        order_age,
+        verdict: judged.verdict,
+        is_doubted: judged.log_ratio > 0.0 || is_unseen,
+        is_target_ready: targets > 0,
+        runs_on_old: record.is_some_and(|record| runs_on(state, record)),
+        longest_answer: state.longest_answer(&order.service),
+    };
+    Some((sight, judged))
+}
+
+/// What answers told all hosts that are heard.
+fn all_evidence(
+    state: &GatewayState,
+    service: &ServiceId,
+    order: Revision,
+    now: Instant,
+) -> Evidence {
+    let mut evidence = state.rollouts.evidence(service, order);
+    evidence.add(&state.peers.rollout_evidence(service, order, now));
+    evidence
+}
+
+/// Whether requests run on upstreams of another version than the target, as far as hosts tell.
+fn runs_on(state: &GatewayState, record: &RolloutRecord) -> bool {
+    let all = state.view.upstreams.all();
+    let old = |upstream: &&Arc<Upstream>| {
+        upstream.record.service == record.service && upstream.record.version != record.target
+    };
+    all.iter()
+        .filter(old)
+        .any(|upstream| state.work_at(upstream).running > 0)
+}
+
+fn log_decision(next: &RolloutRecord, sight: &Sight, judged: &Judged) {
+    let level = match next.phase {
+        Phase::Canary | Phase::Shifting | Phase::Completed => log::Level::Info,
+        Phase::RolledBack => log::Level::Warn,
+    };
+    log::log!(
+        level,
+        "rollout: decided service={} order={} phase={} verdict={:?} log_ratio={:.2} \
+         from_answers={} from_bad={} target_answers={} target_bad={} target_ready={} \
+         runs_on_old={} longest_answer_ms={} left_ms={}",
+        next.service,
+        next.order,
+        next.phase.name(),
+        judged.verdict,
+        judged.log_ratio,
+        judged.from.answers,
+        judged.from.bad,
+        judged.target.answers,
+        judged.target.bad,
+        sight.is_target_ready,
+        sight.runs_on_old,
+        sight.longest_answer.as_millis(),
+        next.deadline.saturating_sub(sight.now).as_millis()
+    );
+}
--- a/crates/gateway/src/view/upstream.rs
+++ b/crates/gateway/src/view/upstream.rs
@@ -1,13 +1,14 @@
 //! One upstream, with what this host has there and thinks of it.
 
 use {
+    crate::edge::Revision,
     parking_lot::Mutex,
     serde::{Deserialize, Serialize},
     std::{
         net::SocketAddr,
         time::{Duration, Instant},
     },
-    tealshore_core::ids::{EngineId, HallId, ServiceId},
+    tealshore_core::ids::{EngineId, EngineVersion, HallId, ServiceId},
     tokio::sync::Notify,
 };
 
@@ -52,6 +53,8 @@
     pub address: SocketAddr,
     /// Its hall.
     pub hall: HallId,
+    /// The version of its software.
+    pub version: EngineVersion,
     /// How many requests it works on at once.
     pub slots: u32,
     /// Whether it takes new work.
@@ -100,6 +103,8 @@
 pub struct Upstream {
     /// What the store lists.
     pub record: UpstreamRecord,
+    /// The version of the row by which this host first saw it so.
+    pub row: Revision,
     /// When this host first saw it listed.
     pub(super) listed: Instant,
     opinion: Mutex<Opinion>,
@@ -107,9 +112,10 @@
 }
 
 impl Upstream {
-    pub(super) fn new(record: UpstreamRecord, listed: Instant) -> Self {
+    pub(super) fn new(record: UpstreamRecord, row: Revision, listed: Instant) -> Self {
         Self {
             record,
+            row,
             listed,
             opinion: Mutex::default(),
             suspicion: Notify::new(),
--- a/crates/gateway/src/view/upstreams.rs
+++ b/crates/gateway/src/view/upstreams.rs
@@ -60,7 +60,8 @@
         if known.is_none() {
             supersede(&listed, &record, seen);
         }
-        let upstream = same.unwrap_or_else(|| Arc::new(Upstream::new(record.clone(), seen)));
+        let upstream =
+            same.unwrap_or_else(|| Arc::new(Upstream::new(record.clone(), revision, seen)));
         let entry = Listed {
             revision,
             upstream: Some(upstream),
--- a/crates/gateway/tests/balance.rs
+++ b/crates/gateway/tests/balance.rs
@@ -96,7 +96,9 @@
 #[test]
 fn a_copy_lies_in_another_hall_than_its_run() {
     let hall = "a".to_owned();
+    let version = "v1".to_owned();
     let need = Need::Copy {
+        version: &version,
         away_from: &hall,
         memory_tokens: 9_000,
         engine_memory_tokens: 88_000,
@@ -130,7 +132,9 @@
 #[test]
 fn copies_leave_room_for_what_runs() {
     let hall = "a".to_owned();
+    let version = "v1".to_owned();
     let need = Need::Copy {
+        version: &version,
         away_from: &hall,
         memory_tokens: 9_000,
         engine_memory_tokens: 88_000,
@@ -144,7 +148,9 @@
 
 #[test]
 fn copies_that_are_placed_in_one_instant_do_not_all_lie_at_the_emptiest_engine() {
+    let version = "v1".to_owned();
     let need = Need::Copy {
+        version: &version,
         away_from: &"a".to_owned(),
         memory_tokens: 8_000,
         engine_memory_tokens: 88_000,
--- a/crates/gateway/tests/groups.rs
+++ b/crates/gateway/tests/groups.rs
@@ -48,6 +48,7 @@
 
 fn used(requests: u32, repeats: u32) -> Vec<ServiceUse> {
     vec![ServiceUse {
+        rollout: None,
         service: "model".to_owned(),
         used: BudgetUse { requests, repeats },
     }]
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -47,6 +47,7 @@
         link_mbps: 200,
         fleet_hosts: 2,
         budgets: vec![ServiceUse {
+            rollout: None,
             service: "model".to_owned(),
             used: BudgetUse {
                 requests: 9,
--- /dev/null
+++ b/crates/gateway/tests/rollout.rs
@@ -0,0 +1,413 @@
+//! The decisions of a roll-out: who may get requests, how many, what is judged, and when.
+#![allow(
+    clippy::unwrap_used,
+    reason = "helpers of tests fail as tests do, which clippy.toml allows"
+)]
+
+use {
+    proptest::prelude::*,
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+    std::time::Duration,
+    tealshore_gateway::rollout::{
+        Evidence, Exposure, ListedVersion, Permit, Phase, RolloutOrder, RolloutRecord, Sight,
+        Tally, TypicalTimes, Verdict, judge, next_record, permit,
+    },
+};
+
+const OLD: &str = "v1";
+const NEW: &str = "v2";
+
+fn listed(version: &str, oldest_row: u64) -> ListedVersion {
+    ListedVersion {
+        version: version.to_owned(),
+        oldest_row,
+    }
+}
+
+fn order(revision: u64) -> RolloutOrder {
+    RolloutOrder {
+        revision,
+        service: "tiles".to_owned(),
+        target: NEW.to_owned(),
+        duration: Duration::from_secs(12),
+    }
+}
+
+fn record(order: u64, phase: Phase) -> RolloutRecord {
+    RolloutRecord {
+        service: "tiles".to_owned(),
+        order,
+        from: OLD.to_owned(),
+        target: NEW.to_owned(),
+        phase,
+        since: Duration::from_secs(100),
+        deadline: Duration::from_secs(112),
+    }
+}
+
+fn only(version: &str) -> Option<Permit> {
+    Some(Permit::Only(version.to_owned()))
+}
+
+#[test]
+fn without_an_order_only_the_version_that_serves_gets_requests() {
+    let both = [listed(NEW, 9), listed(OLD, 3)];
+    let serving = OLD.to_owned();
+    assert_eq!(permit(&both, None, None, Some(&serving)), only(OLD));
+    // A host that has just started goes by the age of the rows.
+    assert_eq!(permit(&both, None, None, None), only(OLD));
+    // A version that serves and is listed no more leaves its service to the others.
+    assert_eq!(
+        permit(&[listed(NEW, 9)], None, None, Some(&serving)),
+        only(NEW)
+    );
+    assert_eq!(permit(&[], None, None, None), None);
+}
+
+#[test]
+fn an_order_without_a_record_lets_nothing_go_to_its_target() {
+    let both = [listed(NEW, 9), listed(OLD, 3)];
+    assert_eq!(permit(&both, Some(&order(5)), None, None), only(OLD));
+    let serving = OLD.to_owned();
+    assert_eq!(
+        permit(&both, Some(&order(5)), None, Some(&serving)),
+        only(OLD)
+    );
+    // The record of an earlier order tells which version serves.
+    for (phase, serves) in [(Phase::RolledBack, OLD), (Phase::Completed, NEW)] {
+        let earlier = record(4, phase);
+        assert_eq!(
+            permit(&both, Some(&order(5)), Some(&earlier), None),
+            only(serves)
+        );
+    }
+    // Where nothing else is left the service is not left without anybody.
+    assert_eq!(
+        permit(&[listed(NEW, 3)], Some(&order(5)), None, None),
+        only(NEW)
+    );
+}
+
+#[test]
+fn a_record_tells_who_gets_requests_in_each_phase() {
+    let both = [listed(OLD, 3), listed(NEW, 9)];
+    let of = |phase| permit(&both, Some(&order(5)), Some(&record(5, phase)), None);
+    let (from, target) = (OLD.to_owned(), NEW.to_owned());
+    let canary = Permit::Canary {
+        from: from.clone(),
+        target: target.clone(),
+    };
+    assert_eq!(of(Phase::Canary), Some(canary));
+    assert_eq!(of(Phase::Shifting), Some(Permit::Prefer { target, from }));
+    assert_eq!(of(Phase::Completed), only(NEW));
+    assert_eq!(of(Phase::RolledBack), only(OLD));
+    // A version that was rolled back gets nothing, even where nothing else is listed.
+    let rolled_back = record(5, Phase::RolledBack);
+    assert_eq!(
+        permit(&[listed(NEW, 9)], None, Some(&rolled_back), None),
+        only(OLD)
+    );
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(32), ..ProptestConfig::default() })]
+
+    /// Whatever each host gets, and however often hosts start anew, all canaries together stay
+    /// within the share of all requests.
+    #[test]
+    fn canaries_of_all_hosts_stay_within_their_share(
+        steps in proptest::collection::vec((0_usize..5, 0_u8..20), 1..2_000),
+        share in 0.01_f64..0.5,
+    ) {
+        let mut hosts = [Exposure::default(); 5];
+        let (mut requests, mut canaries) = (0.0, 0.0);
+        for (host, step) in steps {
+            if step == 0 {
+                hosts[host] = Exposure::default();
+                continue;
+            }
+            requests += 1.0;
+            if hosts[host].allows_canary(share) {
+                hosts[host].note_canary();
+                canaries += 1.0;
+            } else {
+                hosts[host].note_request();
+            }
+        }
+        prop_assert!(canaries <= requests * share, "{canaries} of {requests}");
+    }
+}
+
+/// How a version answers in a simulated roll-out.
+#[derive(Clone, Copy)]
+struct Answers {
+    /// The rate of bad answers of the version that serves.
+    old_bad: f64,
+    /// That of each upstream of the target.
+    target_bad: [f64; 3],
+}
+
+/// What became of a simulated roll-out.
+#[derive(Default)]
+struct Ended {
+    condemned: u32,
+    bad_before: u32,
+    acquitted: u32,
+}
+
+/// Plays many roll-outs of up to 400 canaries, ten answers of the old version beside each; the
+/// verdict is looked at after each answer.
+fn play(answers: Answers, seed: u64) -> Ended {
+    const PLAYS: u32 = 400;
+    const CANARIES: u32 = 400;
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut ended = Ended::default();
+    for _ in 0..PLAYS {
+        let mut evidence = Evidence::none(1);
+        for canary in 0..CANARIES {
+            for _ in 0..10 {
+                evidence
+                    .from
+                    .add(one(random.random::<f64>() < answers.old_bad));
+            }
+            let upstream = (canary as usize / 20) % 3;
+            let is_bad = random.random::<f64>() < answers.target_bad[upstream];
+            evidence.note_target(&format!("i-{upstream}"), one(is_bad));
+            match judge(&evidence, 3).verdict {
+                Verdict::Bad => {
+                    ended.condemned += 1;
+                    let bad = evidence.target_sum().bad;
+                    ended.bad_before = ended.bad_before.max(bad);
+                    break;
+                }
+                Verdict::Good if canary >= 60 => {
+                    ended.acquitted += 1;
+                    break;
+                }
+                Verdict::Good | Verdict::Undecided => {}
+            }
+        }
+    }
+    ended
+}
+
+fn one(is_bad: bool) -> Tally {
+    Tally {
+        answers: 1,
+        bad: u32::from(is_bad),
+    }
+}
+
+#[test]
+fn a_good_version_is_rarely_condemned_whatever_strikes_both() {
+    let cases = [
+        (
+            "calm",
+            Answers {
+                old_bad: 0.004,
+                target_bad: [0.004; 3],
+            },
+        ),
+        (
+            "errors of its own",
+            Answers {
+                old_bad: 0.14,
+                target_bad: [0.14; 3],
+            },
+        ),
+        (
+            "answers are lost",
+            Answers {
+                old_bad: 0.3,
+                target_bad: [0.3; 3],
+            },
+        ),
+        (
+            "one bad upstream",
+            Answers {
+                old_bad: 0.06,
+                target_bad: [0.5, 0.06, 0.06],
+            },
+        ),
+        (
+            "one dead upstream",
+            Answers {
+                old_bad: 0.02,
+                target_bad: [1.0, 0.02, 0.02],
+            },
+        ),
+    ];
+    for (index, (name, answers)) in cases.into_iter().enumerate() {
+        let ended = play(answers, index as u64);
+        println!(
+            "{name}: condemned {} acquitted {}",
+            ended.condemned, ended.acquitted
+        );
+        assert!(ended.condemned <= 4, "{name}: {} of 400", ended.condemned);
+        assert!(ended.acquitted >= 380, "{name}: {} of 400", ended.acquitted);
+    }
+}
+
+#[test]
+fn a_bad_version_is_condemned_before_fifty_bad_answers() {
+    let cases = [
+        (
+            "a third fails",
+            Answers {
+                old_bad: 0.02,
+                target_bad: [0.33; 3],
+            },
+        ),
+        (
+            "half fails among errors",
+            Answers {
+                old_bad: 0.14,
+                target_bad: [0.57; 3],
+            },
+        ),
+        (
+            "all are slow",
+            Answers {
+                old_bad: 0.03,
+                target_bad: [0.9; 3],
+            },
+        ),
+    ];
+    for (index, (name, answers)) in cases.into_iter().enumerate() {
+        let ended = play(answers, 100 + index as u64);
+        println!(
+            "{name}: condemned {} most bad {}",
+            ended.condemned, ended.bad_before
+        );
+        assert!(ended.condemned >= 396, "{name}: {} of 400", ended.condemned);
+        assert!(ended.bad_before < 50, "{name}: {} bad", ended.bad_before);
+    }
+}
+
+#[test]
+fn answers_that_take_much_longer_than_usual_count_as_slow() {
+    let mut typical = TypicalTimes::default();
+    let usual = Duration::from_millis(60);
+    assert!(!typical.is_slow("crop", usual * 9), "nothing is known yet");
+    for _ in 0..20 {
+        typical.observe("crop", usual);
+    }
+    assert!(!typical.is_slow("crop", usual * 2));
+    assert!(typical.is_slow("crop", usual * 4));
+    assert!(!typical.is_slow("another", usual * 4));
+}
+
+fn sight(now_s: f64, verdict: Verdict) -> Sight {
+    Sight {
+        now: Duration::from_secs_f64(now_s),
+        order_age: Duration::ZERO,
+        verdict,
+        is_doubted: verdict != Verdict::Good,
+        is_target_ready: true,
+        runs_on_old: true,
+        longest_answer: Duration::from_secs(5),
+    }
+}
+
+fn next_phase(current: Phase, sight: &Sight) -> Option<Phase> {
+    let current = record(5, current);
+    let next = next_record(Some(&current), &order(5), &OLD.to_owned(), sight);
+    next.map(|record| record.phase)
+}
+
+#[test]
+fn a_roll_out_begins_with_canaries_and_ends_in_time() {
+    let begun = next_record(
+        None,
+        &order(5),
+        &OLD.to_owned(),
+        &sight(100.0, Verdict::Undecided),
+    );
+    assert_eq!(begun, Some(record(5, Phase::Canary)));
+    // It is tried for as long as the end of what runs on the old version allows.
+    assert_eq!(
+        next_phase(Phase::Canary, &sight(103.0, Verdict::Good)),
+        None
+    );
+    assert_eq!(
+        next_phase(Phase::Canary, &sight(107.0, Verdict::Good)),
+        Some(Phase::Shifting)
+    );
+    assert_eq!(
+        next_phase(Phase::Shifting, &sight(108.0, Verdict::Good)),
+        None
+    );
+    let drained = Sight {
+        runs_on_old: false,
+        ..sight(108.0, Verdict::Good)
+    };
+    assert_eq!(
+        next_phase(Phase::Shifting, &drained),
+        Some(Phase::Completed)
+    );
+    assert_eq!(
+        next_phase(Phase::Shifting, &sight(111.5, Verdict::Good)),
+        Some(Phase::Completed)
+    );
+}
+
+#[test]
+fn a_bad_version_goes_back_from_each_phase_that_runs() {
+    for phase in [Phase::Canary, Phase::Shifting] {
+        assert_eq!(
+            next_phase(phase, &sight(102.0, Verdict::Bad)),
+            Some(Phase::RolledBack)
+        );
+    }
+    for phase in [Phase::Completed, Phase::RolledBack] {
+        for verdict in [Verdict::Bad, Verdict::Good, Verdict::Undecided] {
+            assert_eq!(next_phase(phase, &sight(111.9, verdict)), None);
+        }
+    }
+}
+
+#[test]
+fn what_is_not_proved_in_time_goes_back_unless_nothing_speaks_against_it() {
+    assert_eq!(
+        next_phase(Phase::Canary, &sight(109.0, Verdict::Undecided)),
+        None
+    );
+    assert_eq!(
+        next_phase(Phase::Canary, &sight(111.5, Verdict::Undecided)),
+        Some(Phase::RolledBack)
+    );
+    let undoubted = Sight {
+        is_doubted: false,
+        ..sight(109.0, Verdict::Undecided)
+    };
+    assert_eq!(next_phase(Phase::Canary, &undoubted), Some(Phase::Shifting));
+    let missing = Sight {
+        is_target_ready: false,
+        ..undoubted
+    };
+    assert_eq!(next_phase(Phase::Canary, &missing), None);
+}
+
+#[test]
+fn an_order_back_to_what_serves_tries_nothing() {
+    let mut back = order(6);
+    back.target = OLD.to_owned();
+    let earlier = record(5, Phase::RolledBack);
+    let next = next_record(
+        Some(&earlier),
+        &back,
+        &OLD.to_owned(),
+        &sight(120.0, Verdict::Undecided),
+    );
+    assert_eq!(next.map(|record| record.phase), Some(Phase::Shifting));
+    // An order that is older than the record is not begun again.
+    assert_eq!(
+        next_record(
+            Some(&earlier),
+            &order(4),
+            &OLD.to_owned(),
+            &sight(120.0, Verdict::Good)
+        ),
+        None
+    );
+}
--- a/crates/gateway/tests/view.rs
+++ b/crates/gateway/tests/view.rs
@@ -43,6 +43,7 @@
         service: "tiles".to_owned(),
         address: "127.0.0.1:9".parse().unwrap(),
         hall: "a".to_owned(),
+        version: "v1".to_owned(),
         slots: 6,
         state,
     }
