Let tests switch the new protections off

Cause: a protection without a test that fails without it is a claim. True statuses, the versions that a roll-out lets and the canaries' share had tests that failed on the code before, but no switch that keeps them so.

--- a/crates/core/src/answer.rs
+++ b/crates/core/src/answer.rs
@@ -4,7 +4,10 @@
 //! caller may come back.
 
 use {
-    crate::spread::spread,
+    crate::{
+        protection::{Protection, enabled},
+        spread::spread,
+    },
     http::StatusCode,
     serde::{Deserialize, Serialize},
     std::{fmt, time::Duration},
@@ -288,7 +291,11 @@
     pub fn status(&self) -> StatusCode {
         let usual = self.kind.answer().status;
         match self.ran {
-            Ran::Yes | Ran::Unknown if promises_not_run(usual) => StatusCode::GATEWAY_TIMEOUT,
+            Ran::Yes | Ran::Unknown
+                if promises_not_run(usual) && enabled(Protection::TrueStatus) =>
+            {
+                StatusCode::GATEWAY_TIMEOUT
+            }
             Ran::No | Ran::Yes | Ran::Unknown => usual,
         }
     }
--- a/crates/core/src/protection.rs
+++ b/crates/core/src/protection.rs
@@ -50,6 +50,12 @@
     ReservedHeaders,
     /// Callers are not sent to hosts with a stale view while others have a fresh one.
     FreshAddresses,
+    /// A status promises "not run" only of a request that did not run.
+    TrueStatus,
+    /// A version gets requests only where a roll-out lets it.
+    VersionPermit,
+    /// A version that is tried gets a bounded share of the requests.
+    CanaryShare,
 }
 
 impl Protection {
@@ -79,6 +85,9 @@
             Self::RelayedAge => "relayed-age",
             Self::ReservedHeaders => "reserved-headers",
             Self::FreshAddresses => "fresh-addresses",
+            Self::TrueStatus => "true-status",
+            Self::VersionPermit => "version-permit",
+            Self::CanaryShare => "canary-share",
         }
     }
 }
--- a/crates/gateway/src/rollout/exposure.rs
+++ b/crates/gateway/src/rollout/exposure.rs
@@ -1,5 +1,7 @@
 //! Bounds what a version gets that is being tried.
 
+use tealshore_core::protection::{Protection, enabled};
+
 /// The part of the allowed share that hosts use. A host counts what it chose upstreams for, and of
 /// these up to a quarter may be repeats, which are no requests of callers.
 const SHARE_PART: f64 = 0.75;
@@ -30,7 +32,8 @@
     /// requests that it may get.
     #[must_use]
     pub fn allows_canary(&self, share: f64) -> bool {
-        to_f64(self.canaries + 1) <= to_f64(self.requests + 1) * share * SHARE_PART
+        let bound = to_f64(self.requests + 1) * share * SHARE_PART;
+        to_f64(self.canaries + 1) <= bound || !enabled(Protection::CanaryShare)
     }
 }
 
--- a/crates/gateway/src/rollout/known.rs
+++ b/crates/gateway/src/rollout/known.rs
@@ -18,7 +18,10 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    tealshore_core::ids::{EngineVersion, ServiceId},
+    tealshore_core::{
+        ids::{EngineVersion, ServiceId},
+        protection::{Protection, enabled},
+    },
 };
 
 /// Upstreams of a version that is tried take all of its requests in turn, each for so long: then
@@ -217,6 +220,9 @@
         share: f64,
         now: Option<StoreTime>,
     ) -> Vec<Vec<Arc<Upstream>>> {
+        if !enabled(Protection::VersionPermit) {
+            return vec![ready];
+        }
         let mut services = self.services.lock();
         let known = services.entry(service.clone()).or_default();
         let is_rolled_out = known.order.is_some() || known.record.is_some();
