--- /dev/null
+++ b/crates/gateway/src/state/choice.rs
@@ -0,0 +1,103 @@
+//! Which upstream a request goes to, from all that is known of upstreams.
+
+use {
+    super::GatewayState,
+    crate::{
+        balance::{Candidate, Need, choose},
+        run_trace::Fingerprint,
+        view::{Upstream, Work},
+    },
+    rand::RngExt,
+    std::{sync::Arc, time::Instant},
+    tealshore_core::ids::{EngineId, ServiceId},
+    xxhash_rust::xxh3::xxh3_64_with_seed,
+};
+
+impl GatewayState {
+    /// What all hosts have at an upstream.
+    pub fn work_at(&self, upstream: &Upstream) -> Work {
+        let elsewhere = self.peers.work(Instant::now());
+        let mut work = upstream.own_work();
+        work.add(
+            elsewhere
+                .get(&upstream.record.id)
+                .copied()
+                .unwrap_or_default(),
+        );
+        work
+    }
+
+    /// Chooses an upstream of a service.
+    pub fn choose_upstream(
+        &self,
+        service: &ServiceId,
+        need: Need<'_>,
+        avoid: &[EngineId],
+    ) -> Option<Arc<Upstream>> {
+        let ready = self.view.upstreams.ready(service);
+        if let Need::Copy { version, .. } = need {
+            // A run's memory is of use to its own version only.
+            let alike = ready.into_iter().filter(|it| it.record.version == *version);
+            return self.choose_among(&alike.collect::<Vec<_>>(), need, avoid);
+        }
+        let store_time = self.feed.store_time(Instant::now());
+        let share = self.options.bounds.canary_share;
+        let sets = self.rollouts.admitted(service, ready, share, store_time);
+        let mut chosen = sets.iter().map(|set| self.choose_among(set, need, avoid));
+        let chosen = chosen.find_map(|chosen| chosen)?;
+        self.rollouts.note_chosen(&chosen.record);
+        Some(chosen)
+    }
+
+    /// Whether an upstream, to which a request would rather go than to any other, may get it.
+    pub fn may_get(&self, upstream: &Upstream) -> bool {
+        let share = self.options.bounds.canary_share;
+        self.rollouts.may_get(&upstream.record, share)
+    }
+
+    fn choose_among(
+        &self,
+        ready: &[Arc<Upstream>],
+        need: Need<'_>,
+        avoid: &[EngineId],
+    ) -> Option<Arc<Upstream>> {
+        let affinity = match need {
+            Need::Prompt { fingerprint, .. } => Some(fingerprint),
+            Need::Call { .. } | Need::Copy { .. } => None,
+        };
+        let now = Instant::now();
+        let elsewhere = self.peers.work(now);
+        let candidates: Vec<Candidate> = ready
+            .iter()
+            .map(|upstream| {
+                let id = &upstream.record.id;
+                let mut work = upstream.own_work();
+                work.add(elsewhere.get(id).copied().unwrap_or_default());
+                Candidate {
+                    id: id.clone(),
+                    hall: upstream.record.hall.clone(),
+                    work,
+                    slots: upstream.record.slots,
+                    failure_score: upstream.failure_score(),
+                    suspected: upstream.is_suspected(now),
+                    draw: match affinity {
+                        Some(fingerprint) => affinity_draw(fingerprint, id),
+                        None => rand::rng().random::<f64>(),
+                    },
+                }
+            })
+            .collect();
+        let chosen = choose(&candidates, need, &self.options.host.hall, avoid)?;
+        ready
+            .iter()
+            .find(|upstream| upstream.record.id == chosen.id)
+            .cloned()
+    }
+}
+
+/// A number from 0 to 1 that is the same on all hosts for a request and an upstream.
+fn affinity_draw(fingerprint: Fingerprint, upstream: &EngineId) -> f64 {
+    let hash = xxh3_64_with_seed(upstream.as_bytes(), fingerprint);
+    let high = u32::try_from(hash >> 32).unwrap_or(u32::MAX);
+    f64::from(high) / f64::from(u32::MAX)
+}
--- a/crates/gateway/tests/rollout_protocol.rs
+++ b/crates/gateway/tests/rollout_protocol.rs
@@ -271,7 +271,7 @@
             let may_try = leader.known.is_some() && self.row.is_some();
             assert!(
                 is_old || may_try,
-                "work for a version that is not let: {self:?}"
+                "work for a version that is not allowed: {self:?}"
             );
             if let Some((_, record)) = &leader.known
                 && record.phase == Phase::RolledBack
