Let versions matter only where roll-outs may be ordered

Cause: a deployment whose upstreams are listed with several versions and where nobody orders roll-outs would have lost all but the oldest version. No deployment at hand is so, but nothing says that none is.

Without it all listed versions serve, copies included, as long as no order is known.

--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -113,10 +113,32 @@
     pub keep_addresses: Duration,
     /// The budget of repeated sends of all hosts.
     pub retries: BudgetBounds,
+    /// Whether new versions need an operator's order, and what they get while they are tried.
+    pub rollouts: RolloutBounds,
+}
+
+/// The part of a service's requests that a version gets while it is tried, unless the settings say.
+const CANARY_SHARE: f64 = 0.1;
+
+/// What an upstream's version means for the requests that it gets.
+#[derive(Clone, Copy, Debug)]
+pub struct RolloutBounds {
+    /// A version gets requests only where an order lets it. Else all versions that are listed do, as
+    /// long as no order is known: nobody orders roll-outs there.
+    pub needs_order: bool,
     /// The part of a service's requests that a version gets at most while it is tried.
     pub canary_share: f64,
 }
 
+impl RolloutBounds {
+    fn read(section: &mut Section<'_>) -> Result<Self, SettingError> {
+        Ok(Self {
+            needs_order: section.optional("canary_share").is_some(),
+            canary_share: number(section, "canary_share", CANARY_SHARE)?,
+        })
+    }
+}
+
 impl GatewayOptions {
     /// Reads a file.
     ///
@@ -220,7 +242,7 @@
                 slack,
                 window: Duration::from_secs_f64(window_s),
             },
-            canary_share: number(section, "canary_share", 0.1)?,
+            rollouts: RolloutBounds::read(section)?,
         })
     }
 }
--- a/crates/gateway/src/rollout/known.rs
+++ b/crates/gateway/src/rollout/known.rs
@@ -9,6 +9,7 @@
     },
     crate::{
         edge::{Revision, StoreTime},
+        options::RolloutBounds,
         view::{Upstream, UpstreamRecord},
     },
     parking_lot::Mutex,
@@ -211,13 +212,13 @@
     }
 
     /// The upstreams that may get a request, in sets: the next one is for where the one before has no
-    /// room. `share` is the part of the requests that a version that is tried may get.
+    /// room.
     #[must_use]
     pub fn admitted(
         &self,
         service: &ServiceId,
         ready: Vec<Arc<Upstream>>,
-        share: f64,
+        bounds: RolloutBounds,
         now: Option<StoreTime>,
     ) -> Vec<Vec<Arc<Upstream>>> {
         if !enabled(Protection::VersionPermit) {
@@ -232,6 +233,9 @@
             }
             return vec![ready];
         }
+        if !is_rolled_out && !bounds.needs_order {
+            return vec![ready];
+        }
         let Some(permit) = known.permit(&listed_versions(&ready)) else {
             return vec![ready];
         };
@@ -243,7 +247,9 @@
         match permit {
             Permit::Only(version) => vec![of(&version)],
             Permit::Prefer { target, from } => vec![of(&target), of(&from)],
-            Permit::Canary { from, target } if known.exposure.allows_canary(share) => {
+            Permit::Canary { from, target }
+                if known.exposure.allows_canary(bounds.canary_share) =>
+            {
                 vec![turn_takers(of(&target), now), of(&from)]
             }
             Permit::Canary { from, .. } => vec![of(&from)],
--- a/crates/gateway/src/state/choice.rs
+++ b/crates/gateway/src/state/choice.rs
@@ -35,14 +35,16 @@
         avoid: &[EngineId],
     ) -> Option<Arc<Upstream>> {
         let ready = self.view.upstreams.ready(service);
+        let bounds = self.options.bounds.rollouts;
         if let Need::Copy { version, .. } = need {
             // A run's memory is of use to its own version only.
-            let alike = ready.into_iter().filter(|it| it.record.version == *version);
-            return self.choose_among(&alike.collect::<Vec<_>>(), need, avoid);
+            let is_alike =
+                |it: &Arc<Upstream>| it.record.version == *version || !bounds.needs_order;
+            let alike: Vec<_> = ready.into_iter().filter(is_alike).collect();
+            return self.choose_among(&alike, need, avoid);
         }
         let store_time = self.feed.store_time(Instant::now());
-        let share = self.options.bounds.canary_share;
-        let sets = self.rollouts.admitted(service, ready, share, store_time);
+        let sets = self.rollouts.admitted(service, ready, bounds, store_time);
         let mut chosen = sets.iter().map(|set| self.choose_among(set, need, avoid));
         let chosen = chosen.find_map(|chosen| chosen)?;
         self.rollouts.note_chosen(&chosen.record);
@@ -51,7 +53,7 @@
 
     /// Whether an upstream, to which a request would rather go than to any other, may get it.
     pub fn may_get(&self, upstream: &Upstream) -> bool {
-        let share = self.options.bounds.canary_share;
+        let share = self.options.bounds.rollouts.canary_share;
         self.rollouts.may_get(&upstream.record, share)
     }
 
