Wait for room for an eighth of the objective

Three places had it as a constant of two modules.

Change: `room.rs` has the one figure and its reason.

--- a/crates/gateway/src/forward/plain.rs
+++ b/crates/gateway/src/forward/plain.rs
@@ -11,6 +11,7 @@
         balance::Need,
         edge::Order,
         rollout::Outcome,
+        room,
         state::GatewayState,
         view::{Upstream, Work},
     },
@@ -36,8 +37,6 @@
 const HEDGE_PART: u32 = 2;
 /// The pause before all upstreams are asked again after all turned a call away.
 const FULL_PAUSE: Duration = Duration::from_millis(5);
-/// A call waits for room for one part in this many of its objective.
-const ROOM_PART: u32 = 4;
 
 /// How one try ended.
 enum TryEnd {
@@ -308,7 +307,7 @@
     }
 
     fn may_wait_for_room(&self) -> bool {
-        let patience = self.call.route.objective / ROOM_PART;
+        let patience = room::patience(self.call.route.objective);
         self.call.received.elapsed() < patience && self.runs == 0
     }
 }
--- a/crates/gateway/src/forward/stream/place.rs
+++ b/crates/gateway/src/forward/stream/place.rs
@@ -13,6 +13,7 @@
         events::EventSplitter,
         forward::{probe::Patience, reservation::Reservation},
         rollout::Outcome,
+        room,
         run_trace::{MemoryCopy, RunTrace},
         view::{Upstream, UpstreamRecord, UpstreamState, Work},
     },
@@ -37,8 +38,6 @@
 };
 /// The pause before all engines are asked again after all turned a stream away.
 const FULL_PAUSE: Duration = Duration::from_millis(40);
-/// A stream waits for room, or for the retry budget, for one part in this many of its objective.
-const ROOM_PART: u32 = 4;
 /// The pause before a stream draws on the retry budget again: hosts hear of each other's use
 /// of it some times in a second.
 const BUDGET_PAUSE: Duration = Duration::from_millis(60);
@@ -68,6 +67,7 @@
     /// Places the stream at the engine with the copy, or else at the best one.
     pub async fn place(&mut self) -> Result<Opened, Failure> {
         let began = Instant::now();
+        let patience = room::patience(self.call.route.objective);
         loop {
             if !self.may_try_another() {
                 return Err(attempts_spent());
@@ -77,7 +77,7 @@
             }
             self.back_off().await;
             let Some(chosen) = self.choose() else {
-                if began.elapsed() > self.call.route.objective / ROOM_PART {
+                if began.elapsed() > patience {
                     let detail = "no engine has room for the stream";
                     return Err(self.refusal(ErrorKind::NoEngine, detail));
                 }
@@ -98,7 +98,7 @@
                 return Err(self.refusal(failure.kind, &failure.detail));
             }
             if !self.draw_on_budget() {
-                if began.elapsed() > self.call.route.objective / ROOM_PART {
+                if began.elapsed() > patience {
                     let detail = "the budget of repeated sends is spent";
                     return Err(self.refusal(ErrorKind::UpstreamsBusy, detail));
                 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod peers;
 pub mod read_rate;
 pub mod rollout;
+pub mod room;
 mod run;
 pub mod run_trace;
 pub mod runs;
