--- /dev/null
+++ b/crates/duties/src/lease.rs
@@ -0,0 +1,441 @@
+//! A lease that one process at a time holds, kept in one row of a store by writes under a condition.
+//!
+//! Nothing is judged by a time of day. A holder counts from the moment before it asked for its last
+//! renewal; a contender counts from the moment at which it first knew the row's present version. The
+//! first moment is before the second, and [`LeaseBounds::hold`] is shorter than
+//! [`LeaseBounds::expiry`], so a holder stops before another one begins, without a common clock.
+//!
+//! Each taking raises the fencing token. Who held the lease before is kept in the row for
+//! [`LeaseBounds::rest`], so that no host takes it back while others may still see its last acts: not
+//! even one that has restarted since and knows nothing.
+
+use {
+    serde::{Deserialize, Serialize},
+    std::time::{Duration, Instant},
+    tealshore_core::ids::HostId,
+};
+
+/// The fencing token of a holder; it only grows.
+pub type Fence = u64;
+/// The version of the row; each write raises it.
+pub type RowVersion = u64;
+/// A time of the store's steady clock.
+pub type StoreTime = Duration;
+
+/// One process of a host.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct ProcessId {
+    /// The host.
+    pub host: HostId,
+    /// Drawn at the start of the process; another one is another process.
+    pub incarnation: u64,
+}
+
+/// A host that held the lease.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FormerHolder {
+    /// The host.
+    pub host: HostId,
+    /// By when it surely had ceased to act.
+    pub left: StoreTime,
+}
+
+/// The row of a lease.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseRecord {
+    /// The token of the holder, or of the last one.
+    pub fence: Fence,
+    /// Who holds it; none after a release.
+    pub holder: Option<ProcessId>,
+    /// Who held it a short time ago.
+    pub former: Vec<FormerHolder>,
+    /// Counts the writes that the holder's process asked for. A process that lost the answers of two
+    /// writes knows by it which one was done, and so since when others know the row.
+    pub serial: u64,
+}
+
+/// What a holder tells other hosts of the row, so that they need not read it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseNews {
+    /// The row's version.
+    pub version: RowVersion,
+    /// The token in it.
+    pub fence: Fence,
+    /// Who holds it; none after a release.
+    pub holder: Option<ProcessId>,
+}
+
+/// The times of a lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaseBounds {
+    /// How long a holder acts after it asked for its last renewal.
+    pub hold: Duration,
+    /// How long a contender has to know the same version of the row before it takes the lease.
+    pub expiry: Duration,
+    /// How often a holder renews.
+    pub renew: Duration,
+    /// How long a host that held the lease does not take it again.
+    pub rest: Duration,
+}
+
+impl LeaseBounds {
+    /// The bounds of a lease that is over `length` after its last renewal. What a holder sent may be
+    /// on its way for the quarter between `hold` and `expiry`.
+    #[must_use]
+    pub fn of(length: Duration) -> Self {
+        Self {
+            hold: length * 3 / 4,
+            expiry: length,
+            renew: length * 3 / 10,
+            rest: length * 5 / 4,
+        }
+    }
+}
+
+/// What a host may do about the lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// It takes the lease where that is free, this long after it could.
+    Candidate {
+        /// Others that would rather have it go first.
+        delay: Duration,
+    },
+    /// It takes none. What it holds it keeps.
+    Bystander,
+    /// It gives up what it holds.
+    Leaving,
+}
+
+/// What to do next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Nothing before this moment, unless something is heard.
+    Wait(Instant),
+    /// Read the row.
+    Read,
+    /// Write the row, where it still has the version; 0 where there is none.
+    Write {
+        /// The row.
+        record: LeaseRecord,
+        /// The version that it must have.
+        expected: RowVersion,
+        /// What the write does.
+        purpose: Purpose,
+    },
+}
+
+/// What a write does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Purpose {
+    /// It takes the lease.
+    Take,
+    /// It renews it.
+    Renew,
+    /// It gives it up.
+    Release,
+}
+
+impl Purpose {
+    /// Its name in logs and metrics.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Take => "take",
+            Self::Renew => "renew",
+            Self::Release => "release",
+        }
+    }
+}
+
+/// The right to act.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Tenure {
+    /// The token to act under.
+    pub fence: Fence,
+    /// Nothing may leave the host at or after this moment.
+    pub until: Instant,
+}
+
+#[derive(Clone, Debug)]
+struct Seen {
+    version: RowVersion,
+    record: LeaseRecord,
+}
+
+/// The newest version of the row that is known.
+#[derive(Clone, Copy, Debug)]
+struct Newest {
+    version: RowVersion,
+    /// When this process first knew it.
+    since: Instant,
+    /// Whether somebody holds the lease by it.
+    is_held: bool,
+}
+
+/// A write that may have been done.
+#[derive(Clone, Copy, Debug)]
+struct InDoubt {
+    serial: u64,
+    asked: Instant,
+}
+
+/// What one process knows of the lease and may do about it.
+#[derive(Clone, Debug)]
+pub struct Lease {
+    own: ProcessId,
+    bounds: LeaseBounds,
+    /// The row as it was last read or written.
+    seen: Option<Seen>,
+    newest: Option<Newest>,
+    tenure: Option<Tenure>,
+    /// When the tenure was last renewed.
+    renewed: Option<Instant>,
+    in_doubt: Option<InDoubt>,
+    /// The writes that this process asked for.
+    serial: u64,
+    /// The row has to be read before anything else is decided.
+    must_read: bool,
+}
+
+impl Lease {
+    /// The lease as a process knows it that has just started.
+    #[must_use]
+    pub fn new(own: ProcessId, bounds: LeaseBounds) -> Self {
+        Self {
+            own,
+            bounds,
+            seen: None,
+            newest: None,
+            tenure: None,
+            renewed: None,
+            in_doubt: None,
+            serial: 0,
+            must_read: true,
+        }
+    }
+
+    /// The right to act at a moment; none where this process does not hold the lease.
+    #[must_use]
+    pub fn tenure(&self, now: Instant) -> Option<Tenure> {
+        self.tenure.filter(|tenure| now < tenure.until)
+    }
+
+    /// The row as it was last read or written: what other hosts are told of it.
+    #[must_use]
+    pub fn news(&self) -> Option<LeaseNews> {
+        let seen = self.seen.as_ref()?;
+        Some(LeaseNews {
+            version: seen.version,
+            fence: seen.record.fence,
+            holder: seen.record.holder.clone(),
+        })
+    }
+
+    /// Notes what another host tells of the row.
+    pub fn hear(&mut self, news: &LeaseNews, now: Instant) {
+        self.note_version(news.version, news.holder.is_some(), now);
+    }
+
+    /// Notes the row as it was read; none where there is none.
+    pub fn note_read(&mut self, row: Option<(RowVersion, LeaseRecord)>, now: Instant) {
+        self.must_read = false;
+        let in_doubt = self.in_doubt.take();
+        let (version, record) = row.unwrap_or_default();
+        self.note_version(version, record.holder.is_some(), now);
+        let is_own = record.holder.as_ref() == Some(&self.own);
+        let done = in_doubt.filter(|write| is_own && write.serial == record.serial);
+        let is_unchanged = self
+            .seen
+            .as_ref()
+            .is_some_and(|seen| seen.version == version);
+        if let Some(write) = done {
+            self.begin_tenure(record.fence, write.asked);
+        } else if !is_unchanged {
+            self.end_tenure();
+        }
+        self.seen = Some(Seen { version, record });
+    }
+
+    /// The row to write, as [`Self::next`] gave it, with a number of its own.
+    #[must_use]
+    pub fn numbered(&mut self, mut record: LeaseRecord) -> LeaseRecord {
+        self.serial += 1;
+        record.serial = self.serial;
+        record
+    }
+
+    /// Notes that a write was done.
+    pub fn note_written(
+        &mut self,
+        version: RowVersion,
+        record: LeaseRecord,
+        asked: Instant,
+        now: Instant,
+    ) {
+        self.note_version(version, record.holder.is_some(), now);
+        if record.holder.as_ref() == Some(&self.own) {
+            self.begin_tenure(record.fence, asked);
+        } else {
+            self.end_tenure();
+        }
+        self.seen = Some(Seen { version, record });
+    }
+
+    /// Notes that a write was not done, because the row had changed.
+    pub fn note_changed(&mut self) {
+        self.end_tenure();
+        self.must_read = true;
+    }
+
+    /// Notes that a write may have been done, now or later.
+    pub fn note_unknown(&mut self, record: &LeaseRecord, asked: Instant) {
+        self.in_doubt = Some(InDoubt {
+            serial: record.serial,
+            asked,
+        });
+        self.must_read = true;
+    }
+
+    /// Notes that the receiver of a call knows a higher token: this process holds nothing.
+    pub fn note_fenced(&mut self) {
+        self.end_tenure();
+        self.must_read = true;
+    }
+
+    /// Asks for a renewal now, so that what the row carries beside the lease is written at once.
+    pub fn renew_now(&mut self) {
+        self.renewed = None;
+    }
+
+    /// What to do at a moment. `store_time` is the store's time then, or a later one; none while that
+    /// is not known.
+    #[must_use]
+    pub fn next(&self, store_time: Option<StoreTime>, role: Role, now: Instant) -> Step {
+        if self.must_read {
+            return match role {
+                Role::Candidate { .. } => Step::Read,
+                Role::Bystander | Role::Leaving if self.in_doubt.is_some() => Step::Read,
+                Role::Bystander | Role::Leaving => Step::Wait(now + self.bounds.renew),
+            };
+        }
+        let Some(seen) = &self.seen else {
+            return Step::Wait(now + self.bounds.renew);
+        };
+        let is_own = seen.record.holder.as_ref() == Some(&self.own);
+        match role {
+            Role::Leaving if is_own => self.release(seen, store_time, now),
+            Role::Candidate { .. } | Role::Bystander if is_own => self.renew(seen, now),
+            Role::Candidate { delay } => self.contend(seen, store_time, delay, now),
+            Role::Bystander | Role::Leaving => Step::Wait(now + self.bounds.renew),
+        }
+    }
+
+    /// Renews what this process holds, also after its time was over: the condition of the write tells
+    /// whether another one took it.
+    fn renew(&self, seen: &Seen, now: Instant) -> Step {
+        let due = self.renewed.map(|renewed| renewed + self.bounds.renew);
+        if let Some(due) = due
+            && now < due
+        {
+            return Step::Wait(due);
+        }
+        Step::Write {
+            record: seen.record.clone(),
+            expected: seen.version,
+            purpose: Purpose::Renew,
+        }
+    }
+
+    fn release(&self, seen: &Seen, store_time: Option<StoreTime>, now: Instant) -> Step {
+        let Some(store_time) = store_time else {
+            return Step::Wait(now + self.bounds.renew);
+        };
+        let mut record = seen.record.clone();
+        record.holder = None;
+        self.add_former(&mut record, self.own.host.clone(), store_time);
+        Step::Write {
+            record,
+            expected: seen.version,
+            purpose: Purpose::Release,
+        }
+    }
+
+    fn contend(
+        &self,
+        seen: &Seen,
+        store_time: Option<StoreTime>,
+        delay: Duration,
+        now: Instant,
+    ) -> Step {
+        let (Some(newest), Some(store_time)) = (self.newest, store_time) else {
+            return Step::Read;
+        };
+        let held_for = if newest.is_held {
+            self.bounds.expiry
+        } else {
+            Duration::ZERO
+        };
+        let free_from = newest.since + held_for + delay;
+        if now < free_from {
+            return Step::Wait(free_from);
+        }
+        if newest.version > seen.version {
+            // What the row carries beside the lease is not known.
+            return Step::Read;
+        }
+        let own_host = &self.own.host;
+        let left = seen.record.former.iter().filter(|it| it.host == *own_host);
+        if let Some(rested) = left.map(|it| it.left + self.bounds.rest).max()
+            && store_time < rested
+        {
+            return Step::Wait(now + (rested - store_time));
+        }
+        Step::Write {
+            record: self.taken(&seen.record, store_time),
+            expected: seen.version,
+            purpose: Purpose::Take,
+        }
+    }
+
+    /// The row once this process has taken the lease from whoever had it.
+    fn taken(&self, before: &LeaseRecord, store_time: StoreTime) -> LeaseRecord {
+        let mut record = before.clone();
+        let other = before.holder.as_ref().filter(|it| it.host != self.own.host);
+        if let Some(other) = other {
+            self.add_former(&mut record, other.host.clone(), store_time);
+        }
+        let rest = self.bounds.rest;
+        record.former.retain(|it| store_time < it.left + rest);
+        record.holder = Some(self.own.clone());
+        record.fence += 1;
+        record
+    }
+
+    fn add_former(&self, record: &mut LeaseRecord, host: HostId, left: StoreTime) {
+        record.former.retain(|it| it.host != host);
+        record.former.push(FormerHolder { host, left });
+    }
+
+    fn begin_tenure(&mut self, fence: Fence, asked: Instant) {
+        self.tenure = Some(Tenure {
+            fence,
+            until: asked + self.bounds.hold,
+        });
+        self.renewed = Some(asked);
+    }
+
+    fn end_tenure(&mut self) {
+        self.tenure = None;
+        self.renewed = None;
+    }
+
+    fn note_version(&mut self, version: RowVersion, is_held: bool, now: Instant) {
+        if self.newest.is_none_or(|newest| version > newest.version) {
+            self.newest = Some(Newest {
+                version,
+                since: now,
+                is_held,
+            });
+        }
+    }
+}
