Hold duties by a lease, and report usage once and through losses

One host holds a lease in one row of the store, which also keeps what was decided and what all processes counted. Counts travel to the holder and the first hosts by rank; windows are found on a clock that no single time of day moves; what is decided is written before it is sent.

Requests are counted once each, however often they are sent.

--- a/crates/core/src/protection.rs
+++ b/crates/core/src/protection.rs
@@ -56,6 +56,8 @@
     VersionPermit,
     /// A version that is tried gets a bounded share of the requests.
     CanaryShare,
+    /// Nothing of a duty leaves a host after its tenure.
+    DutyTenure,
 }
 
 impl Protection {
@@ -88,6 +90,7 @@
             Self::TrueStatus => "true-status",
             Self::VersionPermit => "version-permit",
             Self::CanaryShare => "canary-share",
+            Self::DutyTenure => "duty-tenure",
         }
     }
 }
--- a/crates/duties/src/lease.rs
+++ b/crates/duties/src/lease.rs
@@ -78,6 +78,15 @@
     pub rest: Duration,
 }
 
+/// The length of a lease, unless settings say another one.
+const DEFAULT_LENGTH: Duration = Duration::from_secs(3);
+
+impl Default for LeaseBounds {
+    fn default() -> Self {
+        Self::of(DEFAULT_LENGTH)
+    }
+}
+
 impl LeaseBounds {
     /// The bounds of a lease that is over `length` after its last renewal. What a holder sent may be
     /// on its way for the quarter between `hold` and `expiry`.
@@ -163,13 +172,13 @@
 }
 
 /// The newest version of the row that is known.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Newest {
     version: RowVersion,
     /// When this process first knew it.
     since: Instant,
-    /// Whether somebody holds the lease by it.
-    is_held: bool,
+    /// Who holds the lease by it.
+    holder: Option<ProcessId>,
 }
 
 /// A write that may have been done.
@@ -220,6 +229,12 @@
         self.tenure.filter(|tenure| now < tenure.until)
     }
 
+    /// Who holds the lease by the newest version of the row that is known.
+    #[must_use]
+    pub fn holder(&self) -> Option<&ProcessId> {
+        self.newest.as_ref()?.holder.as_ref()
+    }
+
     /// The row as it was last read or written: what other hosts are told of it.
     #[must_use]
     pub fn news(&self) -> Option<LeaseNews> {
@@ -233,7 +248,7 @@
 
     /// Notes what another host tells of the row.
     pub fn hear(&mut self, news: &LeaseNews, now: Instant) {
-        self.note_version(news.version, news.holder.is_some(), now);
+        self.note_version(news.version, news.holder.as_ref(), now);
     }
 
     /// Notes the row as it was read; none where there is none.
@@ -241,7 +256,7 @@
         self.must_read = false;
         let in_doubt = self.in_doubt.take();
         let (version, record) = row.unwrap_or_default();
-        self.note_version(version, record.holder.is_some(), now);
+        self.note_version(version, record.holder.as_ref(), now);
         let is_own = record.holder.as_ref() == Some(&self.own);
         let done = in_doubt.filter(|write| is_own && write.serial == record.serial);
         let is_unchanged = self
@@ -272,7 +287,7 @@
         asked: Instant,
         now: Instant,
     ) {
-        self.note_version(version, record.holder.is_some(), now);
+        self.note_version(version, record.holder.as_ref(), now);
         if record.holder.as_ref() == Some(&self.own) {
             self.begin_tenure(record.fence, asked);
         } else {
@@ -367,13 +382,12 @@
         delay: Duration,
         now: Instant,
     ) -> Step {
-        let (Some(newest), Some(store_time)) = (self.newest, store_time) else {
+        let (Some(newest), Some(store_time)) = (&self.newest, store_time) else {
             return Step::Read;
         };
-        let held_for = if newest.is_held {
-            self.bounds.expiry
-        } else {
-            Duration::ZERO
+        let held_for = match newest.holder {
+            Some(_) => self.bounds.expiry,
+            None => Duration::ZERO,
         };
         let free_from = newest.since + held_for + delay;
         if now < free_from {
@@ -429,12 +443,13 @@
         self.renewed = None;
     }
 
-    fn note_version(&mut self, version: RowVersion, is_held: bool, now: Instant) {
-        if self.newest.is_none_or(|newest| version > newest.version) {
+    fn note_version(&mut self, version: RowVersion, holder: Option<&ProcessId>, now: Instant) {
+        let newest = self.newest.as_ref();
+        if newest.is_none_or(|newest| version > newest.version) {
             self.newest = Some(Newest {
                 version,
                 since: now,
-                is_held,
+                holder: holder.cloned(),
             });
         }
     }
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -4,6 +4,10 @@
 
 use {
     crate::{
+        duties::{
+            DutyRecord,
+            api::{DutyAnswer, DutyCaller},
+        },
         rollout::{RolloutOrder, RolloutRecord},
         run_trace::{MemoryCopy, RunTrace},
         view::{Configuration, UpstreamRecord},
@@ -12,7 +16,9 @@
     http::{HeaderMap, Request, Response, StatusCode, request, response},
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, time::Duration},
+    tealshore_capacity::EngineOrder,
     tealshore_core::ids::{CustomerId, EngineId, HallId, HostId, RequestId},
+    tealshore_duties::usage::UsageReport,
 };
 
 /// The id of one event of a stream; ids rise by one from 1.
@@ -120,6 +126,8 @@
     Runs,
     /// How far roll-outs are, as their leaders last wrote it.
     Rollouts,
+    /// The lease of the duties that one host holds, with what was decided under it.
+    Duties,
 }
 
 impl RowSet {
@@ -132,6 +140,7 @@
             Self::Hosts => "hosts",
             Self::Runs => "runs",
             Self::Rollouts => "rollouts",
+            Self::Duties => "duties",
         }
     }
 }
@@ -151,6 +160,8 @@
     RolloutOrder(RolloutOrder),
     /// How far a roll-out is.
     Rollout(RolloutRecord),
+    /// The lease of the duties, with what was decided under it.
+    Duties(Box<DutyRecord>),
     /// A row that could not be read, with the reason.
     Unreadable(String),
 }
@@ -275,6 +286,19 @@
     /// Reads the answer to such a write.
     fn read_written(&self, status: StatusCode, body: &[u8]) -> Written;
 
+    /// Writes the lease of the duties and what was decided, where the version of its row is still this
+    /// one; 0 where there was none.
+    fn write_duties_call(&self, record: &DutyRecord, expected: Revision) -> Request<Bytes>;
+
+    /// Reports what customers used in a window.
+    fn usage_call(&self, report: &UsageReport, caller: &DutyCaller) -> Request<Bytes>;
+
+    /// Orders engines.
+    fn engine_order_call(&self, order: &EngineOrder, caller: &DutyCaller) -> Request<Bytes>;
+
+    /// Reads the answer to a call that only the holder of a duty may make.
+    fn read_duty_answer(&self, status: StatusCode) -> DutyAnswer;
+
     /// Asks the engine of a run to copy its memory to another engine while it runs on.
     fn copy_call(
         &self,
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -66,7 +66,7 @@
         match set {
             RowSet::Configuration => Some(self.configuration),
             RowSet::Upstreams => Some(self.upstreams),
-            RowSet::Hosts | RowSet::Runs | RowSet::Rollouts => None,
+            RowSet::Hosts | RowSet::Runs | RowSet::Rollouts | RowSet::Duties => None,
         }
     }
 
@@ -206,7 +206,9 @@
         let updates = match set {
             RowSet::Configuration => &self.configuration_updates,
             RowSet::Upstreams => &self.upstreams_updates,
-            RowSet::Hosts | RowSet::Runs | RowSet::Rollouts => return sleep(left).await,
+            RowSet::Hosts | RowSet::Runs | RowSet::Rollouts | RowSet::Duties => {
+                return sleep(left).await;
+            }
         };
         // Whether an update or the time's end ends the wait makes no difference.
         let _ = timeout(left, updates.notified()).await;
@@ -216,7 +218,7 @@
         match set {
             RowSet::Configuration => Some(&self.configuration),
             RowSet::Upstreams => Some(&self.upstreams),
-            RowSet::Hosts | RowSet::Runs | RowSet::Rollouts => None,
+            RowSet::Hosts | RowSet::Runs | RowSet::Rollouts | RowSet::Duties => None,
         }
     }
 }
--- a/crates/gateway/src/forward/plain.rs
+++ b/crates/gateway/src/forward/plain.rs
@@ -78,6 +78,8 @@
     fallback: Option<(response::Parts, Bytes)>,
     /// The call's key still allows a send.
     may_send: bool,
+    /// It was counted for its customer.
+    is_counted: bool,
 }
 
 /// Runs a plain call to its answer.
@@ -95,6 +97,7 @@
         open: Vec::new(),
         fallback: None,
         may_send: true,
+        is_counted: false,
     };
     run.drive().await
 }
@@ -162,6 +165,7 @@
         };
         upstream.note_outcome(failed);
         self.note_outcome(&tried);
+        self.count_begun(&tried.end);
         if failed || !matches!(tried.end, TryEnd::Answered(..)) {
             self.log_loss(&tried);
         }
@@ -202,6 +206,19 @@
         }
     }
 
+    /// Counts the call for its customer, once however often it is sent: one whose answer was lost has
+    /// most likely run.
+    fn count_begun(&mut self, end: &TryEnd) {
+        let has_begun = match end {
+            TryEnd::Answered(..) | TryEnd::Unknown => true,
+            TryEnd::NotRun | TryEnd::Unreachable | TryEnd::Forbidden(_) => false,
+        };
+        if has_begun && !self.is_counted {
+            self.is_counted = true;
+            self.state.count_begun(self.call.customer.as_ref());
+        }
+    }
+
     /// Notes what a try said of its upstream's version; one that reached nobody says nothing.
     fn note_outcome(&self, tried: &Tried) {
         let outcome = match &tried.end {
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -64,6 +64,8 @@
     copy: Option<MemoryCopy>,
     attempt: Option<Attempt>,
     lost_at: Option<Instant>,
+    /// It was counted for its customer.
+    is_counted: bool,
     /// When the first event left for the caller.
     first_passed_at: Option<Instant>,
     /// When the last event left for the caller.
@@ -126,6 +128,7 @@
             has_drawn: false,
             attempt: None,
             lost_at: None,
+            is_counted: false,
             first_passed_at: None,
             passed_at: None,
             recopy: Recopy::default(),
--- a/crates/gateway/src/forward/stream/relay.rs
+++ b/crates/gateway/src/forward/stream/relay.rs
@@ -104,6 +104,11 @@
             return;
         };
         attempt.has_sent = true;
+        if !self.is_counted {
+            // Once, at how many engines it runs.
+            self.is_counted = true;
+            self.state.count_begun(self.call.customer.as_ref());
+        }
         attempt.reservation.prompt_read();
         for failed in self.failed_at.drain(..) {
             self.state.note_failing(&failed, &attempt.upstream);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,7 +7,9 @@
 
 pub mod balance;
 pub mod budget;
+mod capacity;
 mod connection;
+pub mod duties;
 pub mod edge;
 pub mod events;
 pub mod feed;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -43,6 +43,12 @@
     pub in_flight: IntGauge,
     /// The version of the configuration in force.
     pub config_version: IntGauge,
+    /// The fencing token under which this host holds the duties; 0 where it does not.
+    pub duty_fence: IntGauge,
+    /// Writes of the duties' lease, by purpose and result.
+    lease_writes: IntCounterVec,
+    /// Calls to the platform as the holder of the duties, by duty and result.
+    duty_calls: IntCounterVec,
 }
 
 impl GatewayMetrics {
@@ -129,13 +135,27 @@
                 "tealshore_configuration_version",
                 "The version of the configuration in force",
             )?,
+            duty_fence: IntGauge::new(
+                "tealshore_duty_fence",
+                "The fencing token under which this host holds the duties, 0 where it does not",
+            )?,
+            lease_writes: counter(
+                "tealshore_lease_writes_total",
+                "Writes of the duties' lease",
+                &["purpose", "result"],
+            )?,
+            duty_calls: counter(
+                "tealshore_duty_calls_total",
+                "Calls to the platform as the holder of the duties",
+                &["duty", "result"],
+            )?,
         };
         metrics.register()?;
         Ok(metrics)
     }
 
     fn register(&self) -> Result<(), prometheus::Error> {
-        let all: [Box<dyn Collector>; 16] = [
+        let all: [Box<dyn Collector>; 19] = [
             Box::new(self.outcomes.clone()),
             Box::new(self.losses.clone()),
             Box::new(self.failing.clone()),
@@ -152,6 +172,9 @@
             Box::new(self.peer_sent_bytes.clone()),
             Box::new(self.in_flight.clone()),
             Box::new(self.config_version.clone()),
+            Box::new(self.duty_fence.clone()),
+            Box::new(self.lease_writes.clone()),
+            Box::new(self.duty_calls.clone()),
         ];
         for collector in all {
             self.registry.register(collector)?;
@@ -187,6 +210,18 @@
             .observe(took.as_secs_f64());
     }
 
+    /// Counts a write of the duties' lease.
+    pub fn count_lease(&self, purpose: &str, result: &str) {
+        let labels = [purpose, result];
+        self.lease_writes.with_label_values(&labels).inc();
+    }
+
+    /// Counts a call to the platform as the holder of the duties.
+    pub fn count_duty_call(&self, duty: &str, result: &str) {
+        let labels = [duty, result];
+        self.duty_calls.with_label_values(&labels).inc();
+    }
+
     /// All metrics as text.
     pub fn text(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -1,5 +1,7 @@
 //! The settings, one struct a section.
 
+mod duties;
+
 use {
     crate::budget::BudgetBounds,
     std::{
@@ -14,10 +16,12 @@
     },
 };
 
+pub use duties::{Duty, DutyOptions};
+
 /// The longest time that a setting may give, in milliseconds.
 const TIME_LIMIT_MS: u64 = 3_600_000;
 /// The names of the sections.
-const SECTIONS: [&str; 5] = ["host", "store", "peers", "bounds", "log"];
+const SECTIONS: [&str; 6] = ["host", "store", "peers", "bounds", "duties", "log"];
 
 /// All settings.
 #[derive(Clone, Debug)]
@@ -30,6 +34,8 @@
     pub peers: PeerOptions,
     /// `[bounds]`
     pub bounds: BoundOptions,
+    /// `[duties]`; none where the deployment has none.
+    pub duties: Option<DutyOptions>,
     /// `[log]`
     pub log: LogOptions,
 }
@@ -152,6 +158,7 @@
             store: settings.read_section("store", StoreOptions::read)?,
             peers: settings.read_section("peers", PeerOptions::read)?,
             bounds: settings.read_section("bounds", BoundOptions::read)?,
+            duties: settings.read_section("duties", DutyOptions::read)?,
             log: settings.read_section("log", LogOptions::read)?,
         })
     }
--- /dev/null
+++ b/crates/gateway/src/options/duties.rs
@@ -0,0 +1,88 @@
+//! `[duties]`: what one host at a time does for the deployment.
+
+use {
+    super::{TIME_LIMIT_MS, number},
+    std::{net::SocketAddr, time::Duration},
+    tealshore_core::settings::{Section, SettingError},
+    tealshore_duties::{lease::LeaseBounds, usage::UsageBounds},
+};
+
+/// A duty.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Duty {
+    /// What customers used is reported.
+    ReportUsage,
+    /// Engines are ordered.
+    OrderEngines,
+}
+
+impl Duty {
+    /// Its name in the settings.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::ReportUsage => "usage_report",
+            Self::OrderEngines => "autoscale",
+        }
+    }
+
+    fn read_all(section: &mut Section<'_>) -> Result<Vec<Self>, SettingError> {
+        const ALLOWED: &str = "usage_report and autoscale, separated by a comma";
+        let text = section.text("perform", "");
+        let names = text
+            .split(',')
+            .map(str::trim)
+            .filter(|name| !name.is_empty());
+        names
+            .map(|name| {
+                let all = [Self::ReportUsage, Self::OrderEngines];
+                let duty = all.into_iter().find(|duty| duty.name() == name);
+                duty.ok_or_else(|| section.bad_value("perform", name, ALLOWED))
+            })
+            .collect()
+    }
+}
+
+/// The duties of the deployment, and their times.
+#[derive(Clone, Debug)]
+pub struct DutyOptions {
+    /// Where the platform takes the calls.
+    pub address: SocketAddr,
+    /// What is to be done.
+    pub duties: Vec<Duty>,
+    /// The times of the lease.
+    pub lease: LeaseBounds,
+    /// The windows of usage.
+    pub usage: UsageBounds,
+}
+
+/// The shortest lease, in milliseconds: a holder renews it three times, and an answer of the store may
+/// take some hundred milliseconds.
+const LEAST_LEASE_MS: u64 = 200;
+
+impl DutyOptions {
+    /// Reads the section; none where it names no address.
+    pub(super) fn read(section: &mut Section<'_>) -> Result<Option<Self>, SettingError> {
+        let duties = Duty::read_all(section)?;
+        let lease_range = LEAST_LEASE_MS..=TIME_LIMIT_MS;
+        let lease = section.duration_ms("lease_ms", Duration::from_secs(3), lease_range)?;
+        let window_s = number(section, "window_s", 60.0)?;
+        let due_s = number(section, "report_within_s", 60.0)?;
+        if section.optional("address").is_none() && duties.is_empty() {
+            return Ok(None);
+        }
+        if window_s <= 0.0 {
+            let allowed = "a number of seconds above 0";
+            return Err(section.bad_value("window_s", &window_s.to_string(), allowed));
+        }
+        Ok(Some(Self {
+            address: section.address("address")?,
+            duties,
+            lease: LeaseBounds::of(lease),
+            usage: UsageBounds {
+                window: Duration::from_secs_f64(window_s),
+                due: Duration::from_secs_f64(due_s),
+            },
+        }))
+    }
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -9,6 +9,7 @@
 
 mod addresses;
 mod digest;
+mod duties;
 mod exchange;
 mod groups;
 mod last_state;
@@ -37,6 +38,7 @@
         time::{Duration, Instant},
     },
     tealshore_core::ids::{HallId, HostId},
+    tealshore_duties::lease::ProcessId,
     tokio::sync::Notify,
 };
 pub use {
@@ -176,6 +178,15 @@
         peers
     }
 
+    /// This process.
+    #[must_use]
+    pub fn process(&self) -> ProcessId {
+        ProcessId {
+            host: self.own.id.clone(),
+            incarnation: self.incarnation,
+        }
+    }
+
     /// Takes in a host that the store lists.
     pub fn add(&self, host: &HostRecord) {
         self.name(host.peers_address, None);
--- a/crates/gateway/src/peers/digest.rs
+++ b/crates/gateway/src/peers/digest.rs
@@ -15,6 +15,7 @@
         time::{Duration, Instant},
     },
     tealshore_core::ids::{EngineId, HostId},
+    tealshore_duties::{lease::LeaseNews, usage::WindowCounts},
 };
 
 /// How often all is sent: what a lost digest said is known again after this.
@@ -79,6 +80,10 @@
     pub reaches_store: bool,
     /// The relays of other groups that it knows of.
     pub relays: Vec<HostAddress>,
+    /// The lease of the duties, where it holds that or gave it up.
+    pub lease: Option<LeaseNews>,
+    /// What its hosts counted for customers in the last windows.
+    pub usage: Vec<WindowCounts>,
 }
 
 /// What a relay last sent the other groups.
@@ -149,6 +154,8 @@
             watermark: source.watermark,
             reaches_store: source.reaches_store,
             relays: source.relays,
+            lease: source.lease,
+            usage: if is_whole { source.usage } else { Vec::new() },
         })
     }
 
--- /dev/null
+++ b/crates/gateway/src/peers/duties.rs
@@ -0,0 +1,66 @@
+//! Tells the hosts that may hold the duties what this one counted.
+
+use {
+    super::{
+        Peers,
+        message::{Datagram, HostPhase},
+        outgoing::PeerSocket,
+    },
+    crate::{duties::CANDIDATES, feed::rank, options::Duty, state::GatewayState},
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tealshore_core::ids::HostId,
+    tokio::time::sleep,
+};
+
+/// How often counts are told. A host that is killed takes with it what it counted since.
+const USAGE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Tells what this host counted for as long as the process lives, where usage is reported.
+pub(super) async fn tell_usage(state: Arc<GatewayState>, socket: Arc<PeerSocket>) {
+    if !state.duties.has(Duty::ReportUsage) {
+        return;
+    }
+    let mut told = None;
+    loop {
+        sleep(USAGE_INTERVAL).await;
+        let now = Instant::now();
+        let news = state.duties.own_usage(state.feed.store_time(now), now);
+        let Some(news) = news else {
+            continue;
+        };
+        let receivers = state
+            .peers
+            .duty_candidates(state.duties.holder().as_ref(), now);
+        // Who may hold the duties changes, and so it is told to all of them once more.
+        let current = Some((news.clone(), receivers.clone()));
+        if told != current {
+            socket.send_to_all(&Datagram::Usage(news), &receivers).await;
+            told = current;
+        }
+    }
+}
+
+impl Peers {
+    /// Where the hosts of the group take datagrams that hold the duties or may do so next: the holder,
+    /// and the first by rank.
+    fn duty_candidates(&self, holder: Option<&HostId>, now: Instant) -> Vec<SocketAddr> {
+        let known = self.known.lock();
+        let mut staying: Vec<_> = known
+            .values()
+            .filter(|peer| self.is_believed(peer, now) && self.is_in_group(&peer.state.hall))
+            .filter(|peer| peer.state.phase != HostPhase::Leaving)
+            .map(|peer| &peer.state)
+            .collect();
+        staying.sort_by_key(|state| rank(&state.host, state.link_mbps));
+        let is_holder = |host: &HostId| Some(host) == holder;
+        let told = staying
+            .iter()
+            .enumerate()
+            .filter(|(position, state)| *position < CANDIDATES || is_holder(&state.host));
+        told.map(|(_, state)| state.peers_address).collect()
+    }
+}
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         Audience, COALESCE, KNOWN_PEERS_TO_NEWCOMERS, Receivers,
+        duties::tell_usage,
         last_state::LastState,
         message::{
             Datagram, Finding, GroupDigest, HostPhase, PeerDelta, PeerState, ServiceUse, Unreadable,
@@ -22,6 +23,7 @@
         time::{Duration, Instant},
     },
     tealshore_core::ids::{HallId, HostId},
+    tealshore_duties::lease::LeaseNews,
     tokio::{net::TcpListener, time::sleep},
 };
 
@@ -44,6 +46,7 @@
     let socket = Arc::new(PeerSocket::bind(state).await?);
     tokio::spawn(send(state.clone(), socket.clone()));
     tokio::spawn(relay(state.clone(), socket.clone()));
+    tokio::spawn(tell_usage(state.clone(), socket.clone()));
     tokio::spawn(receive(state.clone(), socket));
     let listener = TcpListener::bind(state.options.peers.address).await?;
     tokio::spawn(serve_snapshots(state.clone(), listener));
@@ -191,6 +194,7 @@
                     apply_digest(&state, digest);
                 }
             }
+            Ok(Datagram::Usage(news)) => state.duties.hear_usage(&news),
             Err(cause) => {
                 state.metrics.unreadable_datagrams.inc();
                 log::warn!(
@@ -228,6 +232,8 @@
 
 fn apply_digest(state: &GatewayState, mut digest: GroupDigest) {
     take_rollouts(state, &digest.budgets);
+    take_lease(state, digest.lease.as_ref());
+    state.duties.hear_hall(&digest.group, &digest.usage);
     let runs = std::mem::take(&mut digest.runs);
     let findings = state.peers.apply_digest(&digest, Instant::now());
     let sender = Sender {
@@ -240,6 +246,12 @@
 
 fn apply_state(state: &GatewayState, mut peer: PeerState) {
     take_rollouts(state, &peer.budgets);
+    take_lease(state, peer.lease.as_ref());
+    if let Some(offset_ms) = peer.clock_offset_ms {
+        state
+            .duties
+            .hear_offset(&peer.host, offset_ms, Instant::now());
+    }
     let host = peer.host.clone();
     let sender = Sender {
         host: &host,
@@ -256,6 +268,7 @@
 
 fn apply_delta(state: &GatewayState, mut delta: PeerDelta) {
     take_rollouts(state, &delta.budgets);
+    take_lease(state, delta.lease.as_ref());
     let host = delta.host.clone();
     let sender = Sender {
         host: &host,
@@ -268,6 +281,13 @@
     apply_common(state, &sender, runs, &findings);
 }
 
+/// Takes in what the holder of the duties, or the one that gave them up, tells of the lease.
+fn take_lease(state: &GatewayState, news: Option<&LeaseNews>) {
+    if let Some(news) = news {
+        state.duties.hear_lease(news, Instant::now());
+    }
+}
+
 /// Takes in how far roll-outs are. What is new is told on at once: the sender may not reach all.
 fn take_rollouts(state: &GatewayState, entries: &[ServiceUse]) {
     for news in entries.iter().filter_map(|entry| entry.rollout.as_ref()) {
--- a/crates/gateway/src/peers/last_state.rs
+++ b/crates/gateway/src/peers/last_state.rs
@@ -81,6 +81,7 @@
             work: self.changed_work(&state.work),
             budgets: self.changed_budgets(&state.budgets),
             runs: self.new_runs(&state.runs),
+            lease: state.lease.clone(),
         }
     }
 
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -4,6 +4,7 @@
     super::shares::Share,
     crate::{
         budget::BudgetUse,
+        duties::UsageNews,
         feed::{StoreWatermark, UpstreamDelta},
         rollout::RolloutNews,
         run_trace::RunTrace,
@@ -12,6 +13,7 @@
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
     tealshore_core::ids::{EngineId, HallId, HostId, ServiceId},
+    tealshore_duties::{lease::LeaseNews, usage::WindowCounts},
 };
 
 /// Whether a host takes traffic.
@@ -121,6 +123,10 @@
     pub runs: Vec<RunTrace>,
     /// Some other hosts, of the receiver's hall where it is known.
     pub named: Vec<HostAddress>,
+    /// How far its time of day is ahead of the store's time; none where no duty needs it.
+    pub clock_offset_ms: Option<i64>,
+    /// The lease of the duties, where it holds that or gave it up.
+    pub lease: Option<LeaseNews>,
 }
 
 /// Where a host of a hall takes datagrams.
@@ -177,6 +183,10 @@
     pub reaches_store: bool,
     /// The relays of other groups that it knows of.
     pub relays: Vec<HostAddress>,
+    /// The lease of the duties, where the relay holds that or gave it up.
+    pub lease: Option<LeaseNews>,
+    /// What its hosts counted for customers in the last windows, where all is told.
+    pub usage: Vec<WindowCounts>,
 }
 
 /// What changed of a host's state since it was last told.
@@ -198,6 +208,8 @@
     pub budgets: Vec<ServiceUse>,
     /// The streams that began on it since.
     pub runs: Vec<RunTrace>,
+    /// The lease of the duties, where it holds that or gave it up.
+    pub lease: Option<LeaseNews>,
 }
 
 /// What hosts send each other.
@@ -228,11 +240,13 @@
         /// The hosts to which the receiver passes them on.
         share: Option<Share>,
     },
+    /// What the sender counted for customers, to the hosts that may hold the duties.
+    Usage(UsageNews),
 }
 
 /// The version of the datagrams' layout, their first byte. Hosts of two versions run side by side
 /// while hosts are replaced in turn; each counts and drops what the other says.
-const LAYOUT_VERSION: u8 = 4;
+const LAYOUT_VERSION: u8 = 5;
 
 /// Why a datagram can't be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -253,6 +267,7 @@
             Self::Upstreams { .. } => "upstreams",
             Self::Digest { .. } => "digest",
             Self::Relayed { .. } => "relayed",
+            Self::Usage(_) => "usage",
         }
     }
 
--- a/crates/gateway/src/peers/relay.rs
+++ b/crates/gateway/src/peers/relay.rs
@@ -45,7 +45,8 @@
         }
         let own = own_state(&state, now);
         let sums = peers.group_sums(&own, runs, now);
-        let source = peers.source(&own, now);
+        let mut source = peers.source(&own, now);
+        source.usage = state.duties.hall_usage(state.feed.store_time(now), now);
         let heartbeat = state.options.peers.heartbeat;
         if let Some(digest) = last.next(source, sums, heartbeat, now) {
             let targets = peers.digest_targets(now);
@@ -186,6 +187,8 @@
                 .groups
                 .lock()
                 .relay_addresses(self.options.silence, now),
+            lease: own.lease.clone(),
+            usage: Vec::new(),
         }
     }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,6 +5,7 @@
 use {
     crate::{
         budget::{BudgetUse, RetryBudget},
+        duties::Duties,
         edge::Protocol,
         feed::{
             Contender, DEPUTY_BOUND, FED_BOUND, Feed, FeederChoice, choose_feeder, hosts_before,
@@ -26,7 +27,7 @@
         time::{Duration, Instant},
     },
     tealshore_core::{
-        ids::ServiceId,
+        ids::{CustomerId, ServiceId},
         protection::{Protection, enabled},
     },
     tokio::sync::Semaphore,
@@ -60,6 +61,8 @@
     pub runs: Runs,
     /// Roll-outs of versions.
     pub rollouts: Rollouts,
+    /// Duties that one host holds at a time.
+    pub duties: Duties,
     /// What it counts.
     pub metrics: GatewayMetrics,
     /// The planned stop.
@@ -78,9 +81,11 @@
     /// # Errors
     /// A metric can't be made.
     pub fn new(options: GatewayOptions, protocol: Arc<dyn Protocol>) -> eyre::Result<Self> {
+        let peers = Peers::new(&options.host, &options.peers);
         Ok(Self {
             started: Instant::now(),
-            peers: Peers::new(&options.host, &options.peers),
+            duties: Duties::new(options.duties.clone(), peers.process(), &options.host.hall),
+            peers,
             view: View::default(),
             feed: Feed::default(),
             runs: Runs::default(),
@@ -191,6 +196,15 @@
         hosts_before(&host.id, host.link_mbps, in_hall) == 0
     }
 
+    /// Counts for its customer a request that an upstream began.
+    pub fn count_begun(&self, customer: Option<&CustomerId>) {
+        let Some(customer) = customer else {
+            return;
+        };
+        let now = Instant::now();
+        self.duties.count(customer, self.feed.store_time(now), now);
+    }
+
     /// Notes a caller's request for the budget of its service.
     pub fn note_request(&self, service: &ServiceId) {
         let mut budgets = self.budgets.lock();
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -3,6 +3,7 @@
 
 mod apply;
 mod calls;
+mod duties;
 mod follow;
 mod from_peers;
 mod hosts;
@@ -20,6 +21,7 @@
     apply::LogRows,
     bytes::Bytes,
     calls::{CallFailure, StoreCalls},
+    duties::DutyKeeper,
     follow::Source,
     http::{Request, StatusCode},
     std::{
@@ -65,6 +67,10 @@
     tokio::spawn(async move { runs.keep_runs().await });
     let mut rollouts = Follower::new(state.clone(), RowSet::Rollouts);
     tokio::spawn(async move { rollouts.lead_rollouts().await });
+    let duties = Follower::new(state.clone(), RowSet::Duties);
+    if let Some(mut keeper) = DutyKeeper::new(duties) {
+        tokio::spawn(async move { keeper.keep().await });
+    }
 }
 
 /// When the store wrote an answer.
@@ -137,7 +143,11 @@
                 let changed = match self.set {
                     // Its one row is never dropped, so its version is that of the last change.
                     RowSet::Configuration => newest_row,
-                    RowSet::Upstreams | RowSet::Hosts | RowSet::Runs | RowSet::Rollouts => revision,
+                    RowSet::Upstreams
+                    | RowSet::Hosts
+                    | RowSet::Runs
+                    | RowSet::Rollouts
+                    | RowSet::Duties => revision,
                 };
                 let read = WholeRead {
                     revision,
@@ -176,7 +186,7 @@
                 0
             }
             RowSet::Upstreams => self.retain(revision, present),
-            RowSet::Hosts | RowSet::Runs | RowSet::Rollouts => 0,
+            RowSet::Hosts | RowSet::Runs | RowSet::Rollouts | RowSet::Duties => 0,
         }
     }
 
--- a/crates/gateway/src/sync/apply.rs
+++ b/crates/gateway/src/sync/apply.rs
@@ -50,6 +50,8 @@
                     self.state.peers.wake_sender();
                 }
             }
+            // Read and taken in by the one that may hold the duties.
+            Change::Duties(_) => {}
             Change::Unreadable(reason) => {
                 log::error!(
                     "view: row unreadable set={} revision={revision} reason={reason}",
@@ -93,6 +95,7 @@
         | Change::Runs(_)
         | Change::RolloutOrder(_)
         | Change::Rollout(_)
+        | Change::Duties(_)
         | Change::Unreadable(_) => None,
     }
 }
--- a/crates/gateway/src/sync/follow.rs
+++ b/crates/gateway/src/sync/follow.rs
@@ -281,6 +281,7 @@
                 | Change::Runs(_)
                 | Change::RolloutOrder(_)
                 | Change::Rollout(_)
+                | Change::Duties(_)
                 | Change::Unreadable(_) => None,
             });
         Some(UpstreamDelta {
--- a/crates/gateway/tests/groups.rs
+++ b/crates/gateway/tests/groups.rs
@@ -72,6 +72,8 @@
         budgets: used(10, 1),
         runs: Vec::new(),
         named: Vec::new(),
+        clock_offset_ms: None,
+        lease: None,
     }
 }
 
@@ -95,6 +97,8 @@
         watermark: None,
         reaches_store: true,
         relays: Vec::new(),
+        lease: None,
+        usage: Vec::new(),
     }
 }
 
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -56,6 +56,8 @@
         }],
         runs: work.keys().map(|id| run(u64::from(*id))).collect(),
         named: Vec::new(),
+        clock_offset_ms: None,
+        lease: None,
     }
 }
 
