Search the lease's protocol, and end a tenure before its release is sent

Cause: the lease had no tests. A search through two or three hosts, a store that writes under a condition, lost and late answers, freezes, deaths, restarts and planned stops found that a process kept its tenure after it had asked for a release: another host could take the lease before the answer, and calls of two tenures crossed.

Change: the tenure ends when the release gets its number. A process that leaves and whose release met a changed row reads again where it may still hold the lease; it went without releasing, and others waited for the expiry. The lease can be hashed and compared, which the search needs.

Ruled out: playing each call of the search (over 2.6 million worlds with two lost answers until tick 6); it keeps the last arrival of each tenure in place of that.

Conclusion: the protocol holds in the worlds searched.

--- a/crates/duties/src/lease.rs
+++ b/crates/duties/src/lease.rs
@@ -32,7 +32,7 @@
 }
 
 /// A host that held the lease.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct FormerHolder {
     /// The host.
     pub host: HostId,
@@ -41,7 +41,7 @@
 }
 
 /// The row of a lease.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct LeaseRecord {
     /// The token of the holder, or of the last one.
     pub fence: Fence,
@@ -66,7 +66,7 @@
 }
 
 /// The times of a lease.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct LeaseBounds {
     /// How long a holder acts after it asked for its last renewal.
     pub hold: Duration,
@@ -134,7 +134,7 @@
 }
 
 /// What a write does.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Purpose {
     /// It takes the lease.
     Take,
@@ -157,7 +157,7 @@
 }
 
 /// The right to act.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Tenure {
     /// The token to act under.
     pub fence: Fence,
@@ -165,14 +165,14 @@
     pub until: Instant,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Seen {
     version: RowVersion,
     record: LeaseRecord,
 }
 
 /// The newest version of the row that is known.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Newest {
     version: RowVersion,
     /// When this process first knew it.
@@ -182,14 +182,14 @@
 }
 
 /// A write that may have been done.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct InDoubt {
     serial: u64,
     asked: Instant,
 }
 
 /// What one process knows of the lease and may do about it.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Lease {
     own: ProcessId,
     bounds: LeaseBounds,
@@ -271,9 +271,13 @@
         self.seen = Some(Seen { version, record });
     }
 
-    /// The row to write, as [`Self::next`] gave it, with a number of its own.
+    /// The row to write, as [`Self::next`] gave it, with a number of its own. The tenure ends before a
+    /// release is sent: another host may take the lease before this process has the answer.
     #[must_use]
     pub fn numbered(&mut self, mut record: LeaseRecord) -> LeaseRecord {
+        if record.holder.is_none() {
+            self.end_tenure();
+        }
         self.serial += 1;
         record.serial = self.serial;
         record
@@ -326,17 +330,20 @@
     /// is not known.
     #[must_use]
     pub fn next(&self, store_time: Option<StoreTime>, role: Role, now: Instant) -> Step {
+        let seen = self.seen.as_ref();
+        let is_own = seen.is_some_and(|seen| seen.record.holder.as_ref() == Some(&self.own));
         if self.must_read {
+            // A write that came late may have changed the row: what is still held is to be released.
+            let may_hold = is_own || self.in_doubt.is_some();
             return match role {
                 Role::Candidate { .. } => Step::Read,
-                Role::Bystander | Role::Leaving if self.in_doubt.is_some() => Step::Read,
+                Role::Bystander | Role::Leaving if may_hold => Step::Read,
                 Role::Bystander | Role::Leaving => Step::Wait(now + self.bounds.renew),
             };
         }
-        let Some(seen) = &self.seen else {
+        let Some(seen) = seen else {
             return Step::Wait(now + self.bounds.renew);
         };
-        let is_own = seen.record.holder.as_ref() == Some(&self.own);
         match role {
             Role::Leaving if is_own => self.release(seen, store_time, now),
             Role::Candidate { .. } | Role::Bystander if is_own => self.renew(seen, now),
