Decide windows of usage without waiting for earlier ones to be accepted

Cause: while the receiver was away, windows after the first unsent one stayed undecided, and the counts of each process for up to 12 windows went into the row, many times larger than their sums: of 59 hosts and 24 customers some 1,400 numbers a window. Also, after a long pause the oldest window to be decided was one that the ledger keeps no longer: it was reported without counts.

Ruled out: keeping fewer windows, which would give up late reports sooner.

Change: what has settled is decided first, and the oldest one decided is the oldest one kept. Tests of usage: merging in any order with loss and repeats, sums of halls, restoring, windows and their ends, one decision a window through hand-overs, bounded windows.

Conclusion: the row stays small while the receiver is away.

--- a/crates/duties/src/usage.rs
+++ b/crates/duties/src/usage.rs
@@ -321,26 +321,39 @@
         settle: Duration,
         since_epoch: Duration,
     ) -> UsageStep {
-        if let Some(report) = self.decided.first() {
-            return UsageStep::Send(report.clone());
+        let reports = self.due(ledger, bounds, settle, since_epoch);
+        if !reports.is_empty() {
+            return UsageStep::Decide(reports);
         }
+        match self.decided.first() {
+            Some(report) => UsageStep::Send(report.clone()),
+            None => UsageStep::Nothing,
+        }
+    }
+
+    /// The windows that are to be decided. They don't wait for what is not accepted yet: sums take far
+    /// less room in the row than the counts of each process that they are made of.
+    fn due(
+        &self,
+        ledger: &UsageLedger,
+        bounds: UsageBounds,
+        settle: Duration,
+        since_epoch: Duration,
+    ) -> Vec<UsageReport> {
         let Some(next) = self.next else {
-            return UsageStep::Nothing;
+            return Vec::new();
         };
         let current = bounds.window_at(since_epoch);
-        let oldest = current.saturating_sub(u64::try_from(WINDOWS_KEPT).unwrap_or(u64::MAX));
-        let ended = (next.max(oldest)..current)
-            .take_while(|window| bounds.end_of(*window) + settle <= since_epoch);
-        let reports: Vec<UsageReport> = ended
+        // The present window is one of those that are kept.
+        let others_kept = u64::try_from(WINDOWS_KEPT - 1).unwrap_or(u64::MAX);
+        let oldest = current.saturating_sub(others_kept);
+        (next.max(oldest)..current)
+            .take_while(|window| bounds.end_of(*window) + settle <= since_epoch)
             .map(|window| UsageReport {
                 window,
                 counts: ledger.sum(window),
             })
-            .collect();
-        if reports.is_empty() {
-            return UsageStep::Nothing;
-        }
-        UsageStep::Decide(reports)
+            .collect()
     }
 
     /// Takes decisions in.
--- /dev/null
+++ b/crates/duties/tests/usage.rs
@@ -0,0 +1,506 @@
+//! Usage: counts that are merged, restored and decided in whatever order they come.
+
+use {
+    proptest::prelude::{Just, Strategy, prop, prop_assert, prop_assert_eq, proptest},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
+    tealshore_duties::{
+        lease::ProcessId,
+        usage::{
+            Counts, HallCounts, UsageBounds, UsageLedger, UsageRecord, UsageReport, UsageStep,
+            WindowCounts, WindowIndex,
+        },
+    },
+};
+
+const BOUNDS: UsageBounds = UsageBounds {
+    window: Duration::from_secs(5),
+    due: Duration::from_secs(10),
+};
+const SETTLE: Duration = Duration::from_secs(3);
+/// The most windows that a ledger keeps.
+const KEPT: usize = 12;
+const FIRST: WindowIndex = 350_000_000;
+
+/// What a process counted: its hall, itself and a window.
+type Source = (u8, u8, WindowIndex);
+
+#[derive(Clone, Debug)]
+struct Told {
+    source: Source,
+    counts: Counts,
+}
+
+fn hall(number: u8) -> String {
+    format!("hall-{number}")
+}
+
+fn process(hall: u8, number: u8) -> ProcessId {
+    ProcessId {
+        host: format!("host-{hall}-{number}"),
+        incarnation: u64::from(number),
+    }
+}
+
+fn customer(number: u8) -> String {
+    format!("customer-{number}")
+}
+
+fn tell(ledger: &mut UsageLedger, told: &Told) {
+    let (of, number, window) = told.source;
+    let counts = told.counts.clone();
+    ledger.merge(
+        &hall(of),
+        &process(of, number),
+        &WindowCounts { window, counts },
+    );
+}
+
+/// Requests that began: where each was counted, and for whom.
+fn requests() -> impl Strategy<Value = Vec<(Source, u8)>> {
+    let source = (0_u8..3, 0_u8..3, FIRST..FIRST + 4);
+    prop::collection::vec((source, 0_u8..4), 0..120)
+}
+
+/// The sums that all requests make.
+fn sums(requests: &[(Source, u8)]) -> BTreeMap<WindowIndex, Counts> {
+    let mut sums: BTreeMap<WindowIndex, Counts> = BTreeMap::new();
+    for ((_, _, window), number) in requests {
+        let counts = sums.entry(*window).or_default();
+        *counts.entry(customer(*number)).or_default() += 1;
+    }
+    sums
+}
+
+/// What each process tells, each time after a request.
+fn messages(requests: &[(Source, u8)]) -> Vec<Told> {
+    let mut counted: BTreeMap<Source, Counts> = BTreeMap::new();
+    let messages = requests.iter().map(|(source, number)| {
+        let counts = counted.entry(*source).or_default();
+        *counts.entry(customer(*number)).or_default() += 1;
+        Told {
+            source: *source,
+            counts: counts.clone(),
+        }
+    });
+    messages.collect()
+}
+
+/// The last message of each source.
+fn last_messages(messages: &[Told]) -> Vec<Told> {
+    let last: BTreeMap<Source, Told> = messages
+        .iter()
+        .map(|told| (told.source, told.clone()))
+        .collect();
+    last.into_values().collect()
+}
+
+/// Messages as they may come: the last of each source at least once, others lost or repeated.
+fn deliveries() -> impl Strategy<Value = (Vec<(Source, u8)>, Vec<Told>)> {
+    requests().prop_flat_map(|requests| {
+        let all = messages(&requests);
+        let last = last_messages(&all);
+        let some = if all.is_empty() {
+            Just(Vec::new()).boxed()
+        } else {
+            let length = all.len();
+            prop::collection::vec(prop::sample::select(all), 0..2 * length).boxed()
+        };
+        let delivered = some.prop_flat_map(move |some| {
+            let mut delivered = some;
+            delivered.extend(last.iter().cloned());
+            Just(delivered).prop_shuffle()
+        });
+        (Just(requests), delivered)
+    })
+}
+
+fn windows() -> impl Iterator<Item = WindowIndex> {
+    FIRST..FIRST + 4
+}
+
+/// What a ledger holds, in an order of its own.
+fn written(ledger: &UsageLedger) -> BTreeMap<(String, String, WindowIndex), Counts> {
+    let mut written = BTreeMap::new();
+    for hall in ledger.all_from(0) {
+        for told in &hall.told {
+            let key = (hall.hall.clone(), String::new(), told.window);
+            written.insert(key, told.counts.clone());
+        }
+        for process in &hall.processes {
+            for counted in &process.windows {
+                let key = (
+                    hall.hall.clone(),
+                    process.process.host.clone(),
+                    counted.window,
+                );
+                written.insert(key, counted.counts.clone());
+            }
+        }
+    }
+    written
+}
+
+proptest! {
+    #[test]
+    fn counts_come_in_any_order_more_than_once_or_not_at_all((requests, delivered) in deliveries()) {
+        let mut ledger = UsageLedger::default();
+        for told in &delivered {
+            tell(&mut ledger, told);
+        }
+        let expected = sums(&requests);
+        for window in windows() {
+            prop_assert_eq!(ledger.sum(window), expected.get(&window).cloned().unwrap_or_default());
+        }
+    }
+
+    #[test]
+    fn what_a_process_counts_itself_is_what_it_tells(requests in requests()) {
+        let mut ledgers: BTreeMap<(u8, u8), UsageLedger> = BTreeMap::new();
+        for ((of, number, window), who) in &requests {
+            let ledger = ledgers.entry((*of, *number)).or_default();
+            ledger.count(&hall(*of), &process(*of, *number), *window, &customer(*who));
+        }
+        let mut holder = UsageLedger::default();
+        for ((of, number), ledger) in &ledgers {
+            let process = process(*of, *number);
+            for told in ledger.of_process(&hall(*of), &process, FIRST) {
+                holder.merge(&hall(*of), &process, &told);
+            }
+        }
+        let expected = sums(&requests);
+        for window in windows() {
+            prop_assert_eq!(holder.sum(window), expected.get(&window).cloned().unwrap_or_default());
+        }
+    }
+
+    #[test]
+    fn sums_of_a_hall_stand_for_its_processes(
+        requests in requests(),
+        known in prop::collection::vec(prop::bool::ANY, 40),
+    ) {
+        let last = last_messages(&messages(&requests));
+        // Each hall has a relay, which knows all of its processes.
+        let mut relay = UsageLedger::default();
+        let mut holder = UsageLedger::default();
+        for (index, told) in last.iter().enumerate() {
+            tell(&mut relay, told);
+            if known[index % known.len()] {
+                tell(&mut holder, told);
+            }
+        }
+        for of in 0..3 {
+            for told in relay.of_hall(&hall(of), FIRST) {
+                holder.merge_hall(&hall(of), &told);
+            }
+        }
+        let expected = sums(&requests);
+        for window in windows() {
+            prop_assert_eq!(holder.sum(window), expected.get(&window).cloned().unwrap_or_default());
+        }
+    }
+
+    #[test]
+    fn processes_that_are_known_count_where_the_sums_of_their_hall_are_older(
+        requests in requests(),
+        heard in 0_usize..120,
+    ) {
+        let all = messages(&requests);
+        let mut relay = UsageLedger::default();
+        for told in all.iter().take(heard) {
+            tell(&mut relay, told);
+        }
+        let mut holder = UsageLedger::default();
+        for told in &all {
+            tell(&mut holder, told);
+        }
+        for of in 0..3 {
+            for told in relay.of_hall(&hall(of), FIRST) {
+                holder.merge_hall(&hall(of), &told);
+            }
+        }
+        let expected = sums(&requests);
+        for window in windows() {
+            prop_assert_eq!(holder.sum(window), expected.get(&window).cloned().unwrap_or_default());
+        }
+    }
+
+    #[test]
+    fn a_restored_ledger_has_lost_nothing(
+        (_, before) in deliveries(),
+        (_, after) in deliveries(),
+    ) {
+        let mut lost = UsageLedger::default();
+        for told in &before {
+            tell(&mut lost, told);
+        }
+        for of in 0..3 {
+            let sums = lost.of_hall(&hall(of), FIRST);
+            for told in &sums {
+                lost.merge_hall(&hall(of), told);
+            }
+        }
+        let mut fresh = UsageLedger::default();
+        fresh.restore(&lost.all_from(0));
+        prop_assert_eq!(written(&fresh), written(&lost));
+        // What was heard in the meantime stays as well, whichever came first.
+        let (mut one, mut other) = (UsageLedger::default(), UsageLedger::default());
+        for told in &after {
+            tell(&mut one, told);
+        }
+        one.restore(&lost.all_from(0));
+        other.restore(&lost.all_from(0));
+        for told in &after {
+            tell(&mut other, told);
+        }
+        prop_assert_eq!(written(&one), written(&other));
+    }
+
+    #[test]
+    fn a_window_lasts_from_its_beginning_to_its_end(
+        window in 1_u64..400_000_000,
+        window_ms in 1_u64..60_000,
+    ) {
+        let bounds = UsageBounds { window: Duration::from_millis(window_ms), ..BOUNDS };
+        let end = bounds.end_of(window);
+        prop_assert_eq!(bounds.window_at(end), window + 1);
+        prop_assert_eq!(bounds.window_at(end - Duration::from_nanos(1)), window);
+        prop_assert_eq!(end - bounds.end_of(window - 1), bounds.window);
+    }
+
+    #[test]
+    fn few_windows_are_kept_and_they_are_the_newest(
+        counted in prop::collection::vec(0_u64..40, 1..200),
+    ) {
+        let mut ledger = UsageLedger::default();
+        for window in &counted {
+            ledger.count(&hall(0), &process(0, 0), *window, &customer(0));
+        }
+        let kept = ledger.of_process(&hall(0), &process(0, 0), 0);
+        prop_assert!(kept.len() <= KEPT);
+        let all: BTreeSet<u64> = counted.into_iter().collect();
+        let newest: BTreeSet<u64> = all.into_iter().rev().take(KEPT).collect();
+        let kept: BTreeSet<u64> = kept.into_iter().map(|told| told.window).collect();
+        prop_assert_eq!(kept, newest);
+    }
+}
+
+/// What happens to the holders of a duty.
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    /// A request begins and is told.
+    Count(u8),
+    /// So much time passes.
+    Pass(u64),
+    /// The holder does what is due. What it wrote is kept, or its answer is lost though it was done.
+    Do { write_is_done: bool },
+    /// What was sent is accepted.
+    Accept,
+    /// Another host takes over, with the row and with no counts of its own.
+    TakeOver,
+}
+
+fn events() -> impl Strategy<Value = Vec<Event>> {
+    let event = prop::sample::select(vec![
+        Event::Count(0),
+        Event::Count(1),
+        Event::Pass(400),
+        Event::Pass(3_000),
+        Event::Do {
+            write_is_done: true,
+        },
+        Event::Do {
+            write_is_done: true,
+        },
+        Event::Do {
+            write_is_done: false,
+        },
+        Event::Accept,
+        Event::TakeOver,
+    ]);
+    prop::collection::vec(event, 0..300)
+}
+
+/// Holders one after the other, the row, and what the platform received.
+struct Duty {
+    now_ms: u64,
+    ledger: UsageLedger,
+    row: UsageRecord,
+    sent: BTreeMap<WindowIndex, Counts>,
+    order: Vec<WindowIndex>,
+}
+
+impl Duty {
+    fn now(&self) -> Duration {
+        BOUNDS.end_of(FIRST - 1) + Duration::from_millis(self.now_ms)
+    }
+
+    fn step(&self) -> UsageStep {
+        self.row.step(&self.ledger, BOUNDS, SETTLE, self.now())
+    }
+
+    /// What is due is done; the window whose second report differs from the first.
+    fn act(&mut self, write_is_done: bool) -> Option<WindowIndex> {
+        match self.step() {
+            UsageStep::Nothing => None,
+            UsageStep::Decide(reports) => {
+                if write_is_done {
+                    self.row.decide(reports);
+                }
+                None
+            }
+            UsageStep::Send(UsageReport { window, counts }) => {
+                if self.order.last() != Some(&window) {
+                    self.order.push(window);
+                }
+                let first = self.sent.entry(window).or_insert_with(|| counts.clone());
+                (*first != counts).then_some(window)
+            }
+        }
+    }
+
+    fn take_over(&mut self) {
+        self.ledger = UsageLedger::default();
+        self.ledger.restore(&self.row.counted);
+    }
+}
+
+proptest! {
+    #[test]
+    fn a_window_is_decided_once_and_sent_in_its_order(events in events()) {
+        let mut duty = Duty {
+            now_ms: 0,
+            ledger: UsageLedger::default(),
+            row: UsageRecord::default(),
+            sent: BTreeMap::new(),
+            order: Vec::new(),
+        };
+        duty.row.begin_at(FIRST);
+        for event in events {
+            match event {
+                Event::Count(who) => {
+                    let window = BOUNDS.window_at(duty.now());
+                    duty.ledger.count(&hall(0), &process(0, 0), window, &customer(who));
+                }
+                Event::Pass(ms) => duty.now_ms += ms,
+                Event::Do { write_is_done } => {
+                    prop_assert_eq!(duty.act(write_is_done), None);
+                }
+                Event::Accept => {
+                    if let Some(window) = duty.order.last() {
+                        duty.row.settle(*window);
+                    }
+                }
+                Event::TakeOver => duty.take_over(),
+            }
+        }
+        prop_assert!(duty.order.is_sorted(), "{:?}", duty.order);
+        for window in duty.sent.keys() {
+            prop_assert!(BOUNDS.end_of(*window) + SETTLE <= duty.now());
+        }
+    }
+}
+
+fn counted(windows: impl IntoIterator<Item = WindowIndex>) -> UsageLedger {
+    let mut ledger = UsageLedger::default();
+    for window in windows {
+        ledger.count(&hall(0), &process(0, 0), window, &customer(0));
+    }
+    ledger
+}
+
+fn decided(step: &UsageStep) -> Vec<WindowIndex> {
+    match step {
+        UsageStep::Decide(reports) => reports.iter().map(|report| report.window).collect(),
+        UsageStep::Nothing | UsageStep::Send(_) => Vec::new(),
+    }
+}
+
+#[test]
+fn a_window_is_decided_once_it_has_settled() {
+    let ledger = counted([FIRST]);
+    let mut record = UsageRecord::default();
+    let settled = BOUNDS.end_of(FIRST) + SETTLE;
+    assert_eq!(
+        record.step(&ledger, BOUNDS, SETTLE, settled),
+        UsageStep::Nothing
+    );
+    record.begin_at(FIRST);
+    // The first choice stays.
+    record.begin_at(FIRST + 1);
+    let before = settled - Duration::from_millis(1);
+    assert_eq!(
+        record.step(&ledger, BOUNDS, SETTLE, before),
+        UsageStep::Nothing
+    );
+    let step = record.step(&ledger, BOUNDS, SETTLE, settled);
+    assert_eq!(decided(&step), [FIRST]);
+}
+
+/// Counts of windows that are not decided are many times larger than their sums: while the receiver
+/// is away they may not pile up in the row.
+#[test]
+fn windows_are_decided_also_while_an_earlier_one_is_not_accepted() {
+    let ledger = counted([FIRST, FIRST + 1]);
+    let mut record = UsageRecord::default();
+    record.begin_at(FIRST);
+    record.decide(vec![UsageReport {
+        window: FIRST,
+        counts: ledger.sum(FIRST),
+    }]);
+    let settled = BOUNDS.end_of(FIRST + 1) + SETTLE;
+    let step = record.step(&ledger, BOUNDS, SETTLE, settled);
+    assert_eq!(decided(&step), [FIRST + 1]);
+    let UsageStep::Decide(reports) = step else {
+        panic!("{step:?}");
+    };
+    record.decide(reports);
+    let sent = record.step(&ledger, BOUNDS, SETTLE, settled);
+    assert!(matches!(sent, UsageStep::Send(report) if report.window == FIRST));
+}
+
+/// A window whose counts may be gone would be reported with none.
+#[test]
+fn a_window_that_is_not_kept_is_not_decided() {
+    let now = FIRST + 40;
+    let ledger = counted(FIRST..=now);
+    let mut record = UsageRecord::default();
+    record.begin_at(FIRST);
+    let step = record.step(&ledger, BOUNDS, SETTLE, BOUNDS.end_of(now - 1) + SETTLE);
+    let UsageStep::Decide(reports) = step else {
+        panic!("{step:?}");
+    };
+    assert!(reports.iter().all(|report| !report.counts.is_empty()));
+    assert_eq!(reports.last().map(|report| report.window), Some(now - 1));
+    assert_eq!(reports.len(), KEPT - 1);
+}
+
+#[test]
+fn a_window_without_requests_is_reported_with_none() {
+    let mut record = UsageRecord::default();
+    record.begin_at(FIRST);
+    let settled = BOUNDS.end_of(FIRST) + SETTLE;
+    let step = record.step(&UsageLedger::default(), BOUNDS, SETTLE, settled);
+    let report = UsageReport {
+        window: FIRST,
+        counts: Counts::new(),
+    };
+    assert_eq!(step, UsageStep::Decide(vec![report]));
+}
+
+#[test]
+fn what_was_forgotten_is_not_written_down() {
+    let mut ledger = counted(FIRST..FIRST + 4);
+    ledger.forget_before(FIRST + 2);
+    let halls: Vec<HallCounts> = ledger.all_from(0);
+    let windows: Vec<WindowIndex> = halls[0].processes[0]
+        .windows
+        .iter()
+        .map(|counted| counted.window)
+        .collect();
+    assert_eq!(windows, [FIRST + 2, FIRST + 3]);
+    assert_eq!(ledger.processes(FIRST), 0);
+    assert_eq!(ledger.processes(FIRST + 2), 1);
+}
