Let canaries flow from a roll-out's first request on

Cause: each host counted from zero and sent its first canary once a dozen requests had come to it. Versions that turn bad late or under load had no time and no load to show it.

Ruled out: a budget pooled by what hosts tell (soft where they are cut off), and an equal first part for all (still late, or no bound).

Change: each process draws the part of a canary that it begins with evenly from 0 to 1. The mean is just the share, for any number of lives; the sum strays by the root of the number of hosts.

--- a/crates/gateway/src/rollout/exposure.rs
+++ b/crates/gateway/src/rollout/exposure.rs
@@ -8,15 +8,29 @@
 
 /// One host's count of requests since it knows of an order.
 ///
-/// Each host keeps to the share by its own count, so that all together keep to it whatever they
-/// hear of each other. A host that starts anew counts anew, and so uses nothing twice.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+/// Each host keeps to the share by its own count, whatever it hears of the others. A count from
+/// zero would let a host have its first canary only once it had a dozen requests, which on many
+/// hosts with few requests each is after most of the roll-out's time. So each begins with a part
+/// of one canary, drawn evenly from 0 to 1: what it then uses is on average just the share of
+/// what it got, also of a host that starts anew, and the sum over hosts strays by less than the
+/// root of their number.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Exposure {
     requests: u64,
     canaries: u64,
+    first_part: f64,
 }
 
 impl Exposure {
+    /// Nothing is counted yet; `first_part` is what it has of its first canary, from 0 to 1.
+    #[must_use]
+    pub fn beginning_with(first_part: f64) -> Self {
+        Self {
+            first_part,
+            ..Self::default()
+        }
+    }
+
     /// Notes a request that was sent to the version that serves.
     pub fn note_request(&mut self) {
         self.requests += 1;
@@ -32,7 +46,7 @@
     /// requests that it may get.
     #[must_use]
     pub fn allows_canary(&self, share: f64) -> bool {
-        let bound = to_f64(self.requests + 1) * share * SHARE_PART;
+        let bound = to_f64(self.requests + 1) * share * SHARE_PART + self.first_part;
         to_f64(self.canaries + 1) <= bound || !enabled(Protection::CanaryShare)
     }
 }
--- a/crates/gateway/src/rollout/known.rs
+++ b/crates/gateway/src/rollout/known.rs
@@ -100,10 +100,10 @@
     }
 
     /// Counts anew where the order is another one than was counted for.
-    fn count_for(&mut self, order: Revision) {
+    fn count_for(&mut self, order: Revision, first_part: f64) {
         if self.evidence.order != order {
             self.evidence = Evidence::none(order);
-            self.exposure = Exposure::default();
+            self.exposure = Exposure::beginning_with(first_part);
         }
     }
 
@@ -115,12 +115,22 @@
 }
 
 /// What this host knows of the roll-outs of all services.
-#[derive(Default)]
 pub struct Rollouts {
     services: Mutex<HashMap<ServiceId, ServiceRollout>>,
+    /// What this host has of its first canary of each roll-out.
+    first_part: f64,
 }
 
 impl Rollouts {
+    /// Nothing is known; `first_part` is drawn at the start of the process, evenly from 0 to 1.
+    #[must_use]
+    pub fn new(first_part: f64) -> Self {
+        Self {
+            services: Mutex::default(),
+            first_part,
+        }
+    }
+
     /// Takes in an order; whether it is a new one.
     pub fn take_order(&self, order: RolloutOrder, now: Instant) -> bool {
         let mut services = self.services.lock();
@@ -153,7 +163,7 @@
             record.since.as_millis(),
             record.deadline.as_millis()
         );
-        service.count_for(record.order);
+        service.count_for(record.order, self.first_part);
         service.record = Some((revision, record.clone()));
         true
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -84,7 +84,7 @@
             view: View::default(),
             feed: Feed::default(),
             runs: Runs::default(),
-            rollouts: Rollouts::default(),
+            rollouts: Rollouts::new(rand::random()),
             metrics: GatewayMetrics::new()?,
             stop: Stop::default(),
             body_room: Arc::new(Semaphore::new(options.host.body_bytes)),
