Judge a version of a service by route

Cause: bad answers were counted over all routes together, so that a version that is bad on a small route only was hidden by the others: with half of the answers bad on a route of a tenth of the requests, 5 of 100 are bad over all.

Change: evidence is told apart by route, for both versions and each upstream: six routes and one tally for all others, under a key of four bytes instead of the name. The likelihood ratio is now the mean of that over all answers and the mean of those of the routes, which keeps the bound on false verdicts. A version is good only once each route with a fiftieth of the requests or more has shown it, which a small route does with few answers; else it is trusted near the end as before, if nothing speaks against it. Counts of a roll-out that has ended no longer travel.

--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -232,7 +232,7 @@
 
 /// The version of the datagrams' layout, their first byte. Hosts of two versions run side by side
 /// while hosts are replaced in turn; each counts and drops what the other says.
-const LAYOUT_VERSION: u8 = 4;
+const LAYOUT_VERSION: u8 = 5;
 
 /// Why a datagram can't be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -16,7 +16,9 @@
 mod versions;
 
 pub use {
-    evidence::{Evidence, Outcome, Tally, TypicalTimes},
+    evidence::{
+        Evidence, Outcome, ROUTES_BOUND, RouteKey, RouteTallies, Tally, TypicalTimes, route_key,
+    },
     exposure::Exposure,
     known::{RolloutNews, Rollouts, TURN_TAKERS},
     plan::{Sight, next_record},
--- a/crates/gateway/src/rollout/evidence.rs
+++ b/crates/gateway/src/rollout/evidence.rs
@@ -5,6 +5,7 @@
     serde::{Deserialize, Serialize},
     std::{collections::HashMap, time::Duration},
     tealshore_core::ids::EngineId,
+    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// How often a version was answered, and how often badly.
@@ -24,15 +25,62 @@
     }
 }
 
+/// Stands for a route's name in what hosts tell each other: names may be long.
+pub type RouteKey = u32;
+
+/// All routes that are not told apart.
+const OTHER_ROUTES: RouteKey = 0;
+/// Routes that are told apart, and all others together: a datagram has room for few, and a service
+/// with more of them is judged by those that were seen first.
+pub const ROUTES_BOUND: usize = 6;
+
+/// The key of a route.
+#[must_use]
+pub fn route_key(name: &str) -> RouteKey {
+    let short = xxh3_64(name.as_bytes()) & u64::from(RouteKey::MAX);
+    RouteKey::try_from(short).map_or(OTHER_ROUTES + 1, |key| key.max(OTHER_ROUTES + 1))
+}
+
+/// Tallies by route.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouteTallies(Vec<(RouteKey, Tally)>);
+
+impl RouteTallies {
+    /// Adds answers of a route.
+    fn note(&mut self, route: RouteKey, answers: Tally) {
+        match self.0.iter_mut().find(|(key, _)| *key == route) {
+            Some((_, tally)) => tally.add(answers),
+            None => self.0.push((route, answers)),
+        }
+    }
+
+    /// The answers of a route.
+    #[must_use]
+    pub fn of(&self, route: RouteKey) -> Tally {
+        let found = self.0.iter().find(|(key, _)| *key == route);
+        found.map(|(_, tally)| *tally).unwrap_or_default()
+    }
+
+    /// The sum over all routes.
+    #[must_use]
+    pub fn sum(&self) -> Tally {
+        let mut sum = Tally::default();
+        for (_, tally) in &self.0 {
+            sum.add(*tally);
+        }
+        sum
+    }
+}
+
 /// What answers told since an order, on one host or on several.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Evidence {
     /// The version of the order's row.
     pub order: Revision,
-    /// Of the version that serves.
-    pub from: Tally,
+    /// Of the version that serves. It lists each route that is told apart.
+    from: RouteTallies,
     /// Of the version that is tried, by upstream: one bad upstream does not make a bad version.
-    pub target: Vec<(EngineId, Tally)>,
+    target: Vec<(EngineId, RouteTallies)>,
 }
 
 impl Evidence {
@@ -45,11 +93,20 @@
         }
     }
 
-    /// Adds an answer of the version that is tried.
-    pub fn note_target(&mut self, upstream: &EngineId, one: Tally) {
+    /// Adds answers of the version that serves.
+    pub fn note_serving(&mut self, route: RouteKey, answers: Tally) {
+        let route = self.told_apart(route);
+        self.from.note(route, answers);
+    }
+
+    /// Adds answers of the version that is tried.
+    pub fn note_target(&mut self, upstream: &EngineId, route: RouteKey, answers: Tally) {
+        let route = self.told_apart(route);
         match self.target.iter_mut().find(|(id, _)| id == upstream) {
-            Some((_, tally)) => tally.add(one),
-            None => self.target.push((upstream.clone(), one)),
+            Some((_, tallies)) => tallies.note(route, answers),
+            None => self
+                .target
+                .push((upstream.clone(), RouteTallies(vec![(route, answers)]))),
         }
     }
 
@@ -58,21 +115,56 @@
         if self.order != other.order {
             return;
         }
-        self.from.add(other.from);
-        for (upstream, tally) in &other.target {
-            self.note_target(upstream, *tally);
+        for (route, answers) in &other.from.0 {
+            self.note_serving(*route, *answers);
         }
+        for (upstream, tallies) in &other.target {
+            for (route, answers) in &tallies.0 {
+                self.note_target(upstream, *route, *answers);
+            }
+        }
+    }
+
+    /// The routes that are told apart, and the key of all others if there are any.
+    pub fn routes(&self) -> impl Iterator<Item = RouteKey> + '_ {
+        self.from.0.iter().map(|(route, _)| *route)
+    }
+
+    /// The answers of the version that serves.
+    #[must_use]
+    pub fn serving(&self) -> &RouteTallies {
+        &self.from
+    }
+
+    /// The answers of each upstream of the version that is tried.
+    pub fn target(&self) -> impl Iterator<Item = &RouteTallies> {
+        self.target.iter().map(|(_, tallies)| tallies)
     }
 
     /// The sum over the upstreams of the version that is tried.
     #[must_use]
     pub fn target_sum(&self) -> Tally {
         let mut sum = Tally::default();
-        for (_, tally) in &self.target {
-            sum.add(*tally);
+        for tallies in self.target() {
+            sum.add(tallies.sum());
         }
         sum
     }
+
+    /// The key under which a route is counted, for both versions alike.
+    fn told_apart(&mut self, route: RouteKey) -> RouteKey {
+        let is_told_apart = |key: RouteKey| key != OTHER_ROUTES;
+        let has_room = self.routes().filter(|key| is_told_apart(*key)).count() < ROUTES_BOUND;
+        let key = if has_room || self.routes().any(|known| known == route) {
+            route
+        } else {
+            OTHER_ROUTES
+        };
+        if !self.routes().any(|known| known == key) {
+            self.from.note(key, Tally::default());
+        }
+        key
+    }
 }
 
 /// How a send ended, as far as it speaks for or against a version. Sends that reached nobody or
--- a/crates/gateway/src/rollout/known.rs
+++ b/crates/gateway/src/rollout/known.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        evidence::{Evidence, Outcome, Tally, TypicalTimes},
+        evidence::{Evidence, Outcome, Tally, TypicalTimes, route_key},
         exposure::Exposure,
         record::{Phase, RolloutOrder, RolloutRecord},
         versions::{ListedVersion, Permit, permit, permit_of},
@@ -202,10 +202,16 @@
         let services = self.services.lock();
         let known = services.values().filter_map(|service| {
             let (revision, record) = service.record.clone()?;
+            // What is decided is judged no more: its counts need not travel for ever.
+            let evidence = if record.phase.is_over() {
+                Evidence::none(record.order)
+            } else {
+                service.evidence.clone()
+            };
             Some(RolloutNews {
                 revision,
                 record,
-                evidence: service.evidence.clone(),
+                evidence,
             })
         });
         known.collect()
@@ -330,7 +336,9 @@
             .current()
             .is_some_and(|record| record.target == upstream.version);
         if is_target {
-            known.evidence.note_target(&upstream.id, one);
+            known
+                .evidence
+                .note_target(&upstream.id, route_key(route), one);
             return;
         }
         if let Outcome::Answered(took) = outcome {
@@ -340,7 +348,7 @@
             .current()
             .is_some_and(|record| record.from == upstream.version);
         if is_from {
-            known.evidence.from.add(one);
+            known.evidence.note_serving(route_key(route), one);
         }
     }
 
--- a/crates/gateway/src/rollout/verdict.rs
+++ b/crates/gateway/src/rollout/verdict.rs
@@ -4,8 +4,11 @@
 //! of the serving version. Against it stand mixtures of higher rates. The likelihood ratio of the
 //! two may be looked at after each answer: the chance that it ever passes 1/a where the version
 //! is no worse is at most a (Ville's inequality), as far as the serving version's rate is known.
+//!
+//! A version may be bad on one route only. So half of the weight is on a ratio over all answers,
+//! half is shared by a ratio of each route. A mean of such ratios has the same bound.
 
-use super::evidence::{Evidence, Tally};
+use super::evidence::{Evidence, RouteKey, RouteTallies, Tally};
 
 /// By how much of what is left to 1 a bad version's rate may be higher: it is not known before.
 const EXCESSES: [f64; 4] = [0.1, 0.2, 0.4, 0.8];
@@ -15,6 +18,11 @@
 const TOLERATED_EXCESS: f64 = 0.2;
 /// The likelihood ratio of that excess against none below which a version is good.
 const ACQUITTING_RATIO: f64 = 1.0 / 8.0;
+/// The excess that a good version is shown not to have on any route: few answers of a small route
+/// show less than those of all.
+const TOLERATED_ROUTE_EXCESS: f64 = 0.4;
+/// Routes that get a smaller part of the requests are not waited for before a version is good.
+const LEAST_ROUTE_PART: f64 = 0.02;
 /// The lowest rate of bad answers that is assumed, so that a single one condemns nobody.
 const LEAST_RATE: f64 = 0.02;
 /// The highest: past it nothing can be told apart.
@@ -46,36 +54,85 @@
     pub target: Tally,
     /// The natural logarithm of the likelihood ratio of "worse" against "no worse".
     pub log_ratio: f64,
+    /// The highest such logarithm of a single route.
+    pub worst_route_log_ratio: f64,
 }
 
 /// Judges the version that is tried; `upstreams` of it are tried in turn.
 #[must_use]
 pub fn judge(evidence: &Evidence, upstreams: usize) -> Judged {
-    let target = counted(evidence, upstreams);
-    let rate = serving_rate(evidence.from);
-    let ratios = EXCESSES.map(|excess| log_ratio(target, rate, excess));
-    let log_ratio_worse = mean_of_exponentials(&ratios);
-    let log_ratio_tolerated = log_ratio(target, rate, TOLERATED_EXCESS);
-    let verdict = if log_ratio_worse >= CONDEMNING_RATIO.ln() {
+    let from = evidence.serving().sum();
+    let target = counted(evidence, upstreams, RouteTallies::sum);
+    let routes: Vec<RouteEvidence> = evidence
+        .routes()
+        .map(|route| RouteEvidence::of(evidence, route, upstreams))
+        .collect();
+    let of_routes: Vec<f64> = routes.iter().map(RouteEvidence::log_ratio_worse).collect();
+    let of_all = log_ratio_worse(target, from);
+    let is_tolerable = is_below(target, from, TOLERATED_EXCESS)
+        && routes.iter().all(|route| route.is_tolerable(from));
+    let log_ratio = if of_routes.is_empty() {
+        of_all
+    } else {
+        log_mean(&[of_all, log_mean(&of_routes)])
+    };
+    let verdict = if log_ratio >= CONDEMNING_RATIO.ln() {
         Verdict::Bad
-    } else if log_ratio_tolerated <= ACQUITTING_RATIO.ln() {
+    } else if is_tolerable && log_ratio <= 0.0 {
         Verdict::Good
     } else {
         Verdict::Undecided
     };
     Judged {
         verdict,
-        from: evidence.from,
+        from,
         target,
-        log_ratio: log_ratio_worse,
+        log_ratio,
+        worst_route_log_ratio: of_routes.into_iter().fold(0.0, f64::max),
+    }
+}
+
+/// What is known of a route.
+struct RouteEvidence {
+    serving: Tally,
+    target: Tally,
+}
+
+impl RouteEvidence {
+    fn of(evidence: &Evidence, route: RouteKey, upstreams: usize) -> Self {
+        let of_route = |tallies: &RouteTallies| tallies.of(route);
+        Self {
+            serving: of_route(evidence.serving()),
+            target: counted(evidence, upstreams, of_route),
+        }
+    }
+
+    fn log_ratio_worse(&self) -> f64 {
+        log_ratio_worse(self.target, self.serving)
+    }
+
+    /// Whether the target is shown to be good here, or the route is too small to wait for that.
+    fn is_tolerable(&self, all_serving: Tally) -> bool {
+        let least = f64::from(all_serving.answers) * LEAST_ROUTE_PART;
+        f64::from(self.serving.answers) < least
+            || is_below(self.target, self.serving, TOLERATED_ROUTE_EXCESS)
     }
 }
 
+/// Whether answers show that a rate is not higher by an excess.
+fn is_below(target: Tally, serving: Tally, excess: f64) -> bool {
+    log_ratio(target, serving_rate(serving), excess) <= ACQUITTING_RATIO.ln()
+}
+
 /// The answers of the target that count: those of all upstreams but the worst, unless there is but
 /// one. A single upstream may be bad for reasons of its own, with any version: counted alone, one
 /// that failed half of its requests condemned 375 of 400 good versions in simulation, and 2 so.
-fn counted(evidence: &Evidence, upstreams: usize) -> Tally {
-    let mut tallies: Vec<Tally> = evidence.target.iter().map(|(_, tally)| *tally).collect();
+fn counted(
+    evidence: &Evidence,
+    upstreams: usize,
+    answers: impl Fn(&RouteTallies) -> Tally,
+) -> Tally {
+    let mut tallies: Vec<Tally> = evidence.target().map(answers).collect();
     if upstreams > 1 {
         tallies.sort_by_key(|tally| tally.bad);
         tallies.pop();
@@ -87,6 +144,12 @@
     sum
 }
 
+/// The logarithm of the likelihood ratio of "worse" by any of the excesses.
+fn log_ratio_worse(target: Tally, from: Tally) -> f64 {
+    let rate = serving_rate(from);
+    log_mean(&EXCESSES.map(|excess| log_ratio(target, rate, excess)))
+}
+
 fn serving_rate(from: Tally) -> f64 {
     let rate = (f64::from(from.bad) + PRIOR_BAD) / (f64::from(from.answers) + PRIOR_ANSWERS);
     rate.clamp(LEAST_RATE, MOST_RATE)
@@ -101,11 +164,12 @@
 }
 
 /// The logarithm of the mean of the exponentials of some logarithms.
-fn mean_of_exponentials(logarithms: &[f64; 4]) -> f64 {
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "it is a count of routes or of excesses"
+)]
+fn log_mean(logarithms: &[f64]) -> f64 {
     let largest = logarithms.iter().copied().fold(f64::MIN, f64::max);
-    let sum: f64 = logarithms
-        .iter()
-        .map(|logarithm| (logarithm - largest).exp())
-        .sum();
-    largest + (sum / 4.0).ln()
+    let shifted = logarithms.iter().map(|it| (it - largest).exp());
+    largest + (shifted.sum::<f64>() / logarithms.len() as f64).ln()
 }
--- a/crates/gateway/src/sync/rollouts.rs
+++ b/crates/gateway/src/sync/rollouts.rs
@@ -188,6 +188,7 @@
     log::log!(
         level,
         "rollout: decided service={} order={} phase={} verdict={:?} log_ratio={:.2} \
+         worst_route_log_ratio={:.2} \
          from_answers={} from_bad={} target_answers={} target_bad={} target_ready={} \
          runs_on_old={} longest_answer_ms={} left_ms={}",
         next.service,
@@ -195,6 +196,7 @@
         next.phase.name(),
         judged.verdict,
         judged.log_ratio,
+        judged.worst_route_log_ratio,
         judged.from.answers,
         judged.from.bad,
         judged.target.answers,
