--- a/crates/gateway/src/forward/plain.rs
+++ b/crates/gateway/src/forward/plain.rs
@@ -212,7 +212,7 @@
         };
         let record = &tried.upstream.record;
         let route = &self.call.route.name;
-        self.state.rollouts.note_outcome(record, route, outcome);
+        self.state.note_outcome(record, route, outcome);
         self.state.note_whole_answer(&record.service, tried.took);
     }
 
--- a/crates/gateway/src/forward/stream/place.rs
+++ b/crates/gateway/src/forward/stream/place.rs
@@ -179,7 +179,7 @@
                     && self.state.may_get(holder)
             });
             if let Some(holder) = usable {
-                self.state.rollouts.note_chosen(&holder.record);
+                self.state.note_chosen(&holder.record);
                 return Some(Chosen {
                     upstream: holder,
                     go_on_from: Some(copy),
@@ -194,7 +194,7 @@
             && !self.avoid.contains(&kept_at)
             && self.state.may_get(&upstream)
         {
-            self.state.rollouts.note_chosen(&upstream.record);
+            self.state.note_chosen(&upstream.record);
             return Some(Chosen {
                 upstream,
                 go_on_from: None,
@@ -266,8 +266,8 @@
 
     /// Notes what a send said of its engine's version.
     pub fn note_outcome(&self, upstream: &UpstreamRecord, outcome: Outcome) {
-        let rollouts = &self.state.rollouts;
-        rollouts.note_outcome(upstream, &self.call.route.name, outcome);
+        let route = &self.call.route.name;
+        self.state.note_outcome(upstream, route, outcome);
     }
 
     /// How long an engine may be silent before its first event.
--- a/crates/gateway/src/forward/stream/relay.rs
+++ b/crates/gateway/src/forward/stream/relay.rs
@@ -178,12 +178,8 @@
             return;
         };
         attempt.upstream.note_outcome(true);
-        let rollouts = &self.state.rollouts;
-        rollouts.note_outcome(
-            &attempt.upstream.record,
-            &self.call.route.name,
-            Outcome::Failed,
-        );
+        let (record, route) = (&attempt.upstream.record, &self.call.route.name);
+        self.state.note_outcome(record, route, Outcome::Failed);
         if let Some(copy) = self.recopy.take_made() {
             self.copy = Some(copy);
         }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,7 @@
 //! What this host counts.
 
 use {
+    crate::view::UpstreamRecord,
     prometheus::{
         Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
         Registry, TextEncoder, core::Collector, exponential_buckets,
@@ -17,6 +18,10 @@
     pub losses: IntCounterVec,
     /// Upstreams that failed what others did, by who found it: `here` or `peer`.
     pub failing: IntCounterVec,
+    /// Sends of requests to upstreams, by service and version of the upstream.
+    pub version_requests: IntCounterVec,
+    /// Answers that speak for or against a version, by service, version and result.
+    version_answers: IntCounterVec,
     /// Calls to the store, by set and result.
     pub store_calls: IntCounterVec,
     /// Time of requests to their first byte, by kind.
@@ -66,6 +71,16 @@
                 "Upstreams that failed what others did",
                 &["found_by"],
             )?,
+            version_requests: counter(
+                "tealshore_version_requests_total",
+                "Sends to upstreams of a version",
+                &["service", "version"],
+            )?,
+            version_answers: counter(
+                "tealshore_version_answers_total",
+                "Answers of upstreams of a version, bad ones are failures, losses and slow answers",
+                &["service", "version", "result"],
+            )?,
             store_calls: counter(
                 "tealshore_store_calls_total",
                 "Calls to the platform's store",
@@ -135,10 +150,12 @@
     }
 
     fn register(&self) -> Result<(), prometheus::Error> {
-        let all: [Box<dyn Collector>; 16] = [
+        let all: [Box<dyn Collector>; 18] = [
             Box::new(self.outcomes.clone()),
             Box::new(self.losses.clone()),
             Box::new(self.failing.clone()),
+            Box::new(self.version_requests.clone()),
+            Box::new(self.version_answers.clone()),
             Box::new(self.store_calls.clone()),
             Box::new(self.first_byte_seconds.clone()),
             Box::new(self.resume_seconds.clone()),
@@ -166,6 +183,13 @@
             .observe(waited.as_secs_f64());
     }
 
+    /// Notes an answer of an upstream of some version.
+    pub fn count_answer(&self, upstream: &UpstreamRecord, is_bad: bool) {
+        let result = if is_bad { "bad" } else { "good" };
+        let labels = [upstream.service.as_str(), &upstream.version, result];
+        self.version_answers.with_label_values(&labels).inc();
+    }
+
     /// Notes bytes that were sent to other hosts.
     pub fn count_sent_to_peers(&self, message: &str, bytes: usize) {
         self.peer_sent_bytes
--- a/crates/gateway/src/rollout/known.rs
+++ b/crates/gateway/src/rollout/known.rs
@@ -318,11 +318,11 @@
         }
     }
 
-    /// Notes how a send ended.
-    pub fn note_outcome(&self, upstream: &UpstreamRecord, route: &str, outcome: Outcome) {
+    /// Notes how a send ended; whether that was bad for what is usual on the route.
+    pub fn note_outcome(&self, upstream: &UpstreamRecord, route: &str, outcome: Outcome) -> bool {
         let mut services = self.services.lock();
         let Some(known) = services.get_mut(&upstream.service) else {
-            return;
+            return outcome == Outcome::Failed;
         };
         let is_bad = match outcome {
             Outcome::Failed => true,
@@ -339,7 +339,7 @@
             known
                 .evidence
                 .note_target(&upstream.id, route_key(route), one);
-            return;
+            return is_bad;
         }
         if let Outcome::Answered(took) = outcome {
             known.typical.observe(route, took);
@@ -350,6 +350,7 @@
         if is_from {
             known.evidence.note_serving(route_key(route), one);
         }
+        is_bad
     }
 
     /// Whether a roll-out of any service is under way, or one was ordered and has no record yet.
--- a/crates/gateway/src/state/choice.rs
+++ b/crates/gateway/src/state/choice.rs
@@ -4,8 +4,9 @@
     super::GatewayState,
     crate::{
         balance::{Candidate, Need, choose},
+        rollout::Outcome,
         run_trace::Fingerprint,
-        view::{Upstream, Work},
+        view::{Upstream, UpstreamRecord, Work},
     },
     rand::RngExt,
     std::{sync::Arc, time::Instant},
@@ -47,10 +48,24 @@
         let sets = self.rollouts.admitted(service, ready, bounds, store_time);
         let mut chosen = sets.iter().map(|set| self.choose_among(set, need, avoid));
         let chosen = chosen.find_map(|chosen| chosen)?;
-        self.rollouts.note_chosen(&chosen.record);
+        self.note_chosen(&chosen.record);
         Some(chosen)
     }
 
+    /// Notes that an upstream was chosen for a request.
+    pub fn note_chosen(&self, upstream: &UpstreamRecord) {
+        self.rollouts.note_chosen(upstream);
+        let requests = &self.metrics.version_requests;
+        let labels = [upstream.service.as_str(), &upstream.version];
+        requests.with_label_values(&labels).inc();
+    }
+
+    /// Notes what a send said of its upstream's version.
+    pub fn note_outcome(&self, upstream: &UpstreamRecord, route: &str, outcome: Outcome) {
+        let is_bad = self.rollouts.note_outcome(upstream, route, outcome);
+        self.metrics.count_answer(upstream, is_bad);
+    }
+
     /// Whether an upstream, to which a request would rather go than to any other, may get it.
     pub fn may_get(&self, upstream: &Upstream) -> bool {
         let share = self.options.bounds.rollouts.canary_share;
