--- a/crates/gateway/src/rollout/known.rs
+++ b/crates/gateway/src/rollout/known.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        evidence::{Evidence, Outcome, Tally, TypicalTimes},
+        evidence::{Evidence, Outcome, Tally, TypicalTimes, route_key},
         exposure::Exposure,
         record::{Phase, RolloutOrder, RolloutRecord},
         versions::{ListedVersion, Permit, permit, permit_of},
@@ -100,10 +100,10 @@
     }
 
     /// Counts anew where the order is another one than was counted for.
-    fn count_for(&mut self, order: Revision) {
+    fn count_for(&mut self, order: Revision, first_part: f64) {
         if self.evidence.order != order {
             self.evidence = Evidence::none(order);
-            self.exposure = Exposure::default();
+            self.exposure = Exposure::beginning_with(first_part);
         }
     }
 
@@ -115,12 +115,22 @@
 }
 
 /// What this host knows of the roll-outs of all services.
-#[derive(Default)]
 pub struct Rollouts {
     services: Mutex<HashMap<ServiceId, ServiceRollout>>,
+    /// What this host has of its first canary of each roll-out.
+    first_part: f64,
 }
 
 impl Rollouts {
+    /// Nothing is known; `first_part` is drawn at the start of the process, evenly from 0 to 1.
+    #[must_use]
+    pub fn new(first_part: f64) -> Self {
+        Self {
+            services: Mutex::default(),
+            first_part,
+        }
+    }
+
     /// Takes in an order; whether it is a new one.
     pub fn take_order(&self, order: RolloutOrder, now: Instant) -> bool {
         let mut services = self.services.lock();
@@ -153,7 +163,7 @@
             record.since.as_millis(),
             record.deadline.as_millis()
         );
-        service.count_for(record.order);
+        service.count_for(record.order, self.first_part);
         service.record = Some((revision, record.clone()));
         true
     }
@@ -192,10 +202,16 @@
         let services = self.services.lock();
         let known = services.values().filter_map(|service| {
             let (revision, record) = service.record.clone()?;
+            // What is decided is judged no more: its counts need not travel for ever.
+            let evidence = if record.phase.is_over() {
+                Evidence::none(record.order)
+            } else {
+                service.evidence.clone()
+            };
             Some(RolloutNews {
                 revision,
                 record,
-                evidence: service.evidence.clone(),
+                evidence,
             })
         });
         known.collect()
@@ -302,11 +318,11 @@
         }
     }
 
-    /// Notes how a send ended.
-    pub fn note_outcome(&self, upstream: &UpstreamRecord, route: &str, outcome: Outcome) {
+    /// Notes how a send ended; whether that was bad for what is usual on the route.
+    pub fn note_outcome(&self, upstream: &UpstreamRecord, route: &str, outcome: Outcome) -> bool {
         let mut services = self.services.lock();
         let Some(known) = services.get_mut(&upstream.service) else {
-            return;
+            return outcome == Outcome::Failed;
         };
         let is_bad = match outcome {
             Outcome::Failed => true,
@@ -320,8 +336,10 @@
             .current()
             .is_some_and(|record| record.target == upstream.version);
         if is_target {
-            known.evidence.note_target(&upstream.id, one);
-            return;
+            known
+                .evidence
+                .note_target(&upstream.id, route_key(route), one);
+            return is_bad;
         }
         if let Outcome::Answered(took) = outcome {
             known.typical.observe(route, took);
@@ -330,8 +348,9 @@
             .current()
             .is_some_and(|record| record.from == upstream.version);
         if is_from {
-            known.evidence.from.add(one);
+            known.evidence.note_serving(route_key(route), one);
         }
+        is_bad
     }
 
     /// Whether a roll-out of any service is under way, or one was ordered and has no record yet.
