--- a/crates/gateway/src/sync/duties.rs
+++ b/crates/gateway/src/sync/duties.rs
@@ -42,8 +42,11 @@
 /// How long the store may take for a call about the lease: a lost answer has to be read again, and the
 /// row be renewed, within one tenure.
 const STORE_BOUND: Duration = Duration::from_millis(600);
-/// The pause after the store did not take a call.
+/// The pause after the store did not take a call; it doubles with each failure in turn. A store that
+/// shuns the holder for nine seconds was else called 30 times by it.
 const STORE_PAUSE: Duration = Duration::from_millis(300);
+/// How often the pause doubles at most: a host that the store serves again is a candidate within 1.2 s.
+const MOST_DOUBLINGS: u32 = 2;
 /// How long after its end a window is decided. Hosts tell their counts once a second, and two such
 /// datagrams of one host are seldom lost in turn.
 const SETTLE: Duration = Duration::from_millis(2_500);
@@ -60,6 +63,8 @@
     /// The row as it is to be written next.
     draft: DutyRecord,
     pause: ApiPause,
+    /// Calls to the store in turn that gave nothing.
+    store_failures: u32,
     capacity_seen: Option<Instant>,
 }
 
@@ -74,6 +79,7 @@
             record: DutyRecord::default(),
             draft: DutyRecord::default(),
             pause: ApiPause::default(),
+            store_failures: 0,
             capacity_seen: None,
         })
     }
@@ -147,7 +153,7 @@
             Ok((page, _)) => page,
             Err(failure) => {
                 log::info!("duties: row not read cause={}", failure.name());
-                return sleep(spread(STORE_PAUSE)).await;
+                return self.pause_for_store().await;
             }
         };
         let mut row = None;
@@ -170,6 +176,7 @@
     }
 
     fn take_in(&mut self, row: Option<(Revision, DutyRecord)>) {
+        self.store_failures = 0;
         let (revision, record) = row.unwrap_or_default();
         let duties = &self.state().duties;
         log::info!(
@@ -219,11 +226,18 @@
                 state
                     .duties
                     .with_lease(|known| known.note_unknown(&record.lease, asked));
-                sleep(spread(STORE_PAUSE)).await;
+                self.pause_for_store().await;
             }
         }
     }
 
+    /// Waits after the store did not take a call.
+    async fn pause_for_store(&mut self) {
+        let doublings = self.store_failures.min(MOST_DOUBLINGS);
+        self.store_failures += 1;
+        sleep(spread(STORE_PAUSE * (1 << doublings))).await;
+    }
+
     fn note_done(
         &mut self,
         revision: Revision,
@@ -231,6 +245,7 @@
         asked: Instant,
         purpose: Purpose,
     ) {
+        self.store_failures = 0;
         let state = self.state().clone();
         let before = &self.record.lease;
         match purpose {
