--- a/crates/gateway/tests/duties.rs
+++ b/crates/gateway/tests/duties.rs
@@ -15,7 +15,7 @@
 const TRUE_TIME: Duration = Duration::from_secs(1_700_000_000);
 
 fn offset_ms() -> i64 {
-    ClockOffsets::offset_ms(TRUE_TIME, STORE_TIME).unwrap()
+    ClockOffsets::offset_ms(TRUE_TIME, STORE_TIME).expect("both times fit")
 }
 
 fn order(engines: u32) -> EngineOrder {
