Let placing, copies and addresses know how far halls lie apart

Hosts knew halls only, so that the next hall and one of another region were alike. A map of halls to regions, from the settings, now gives one notion of distance; engines, calls, holders of copies, sources of sets and addresses told to callers use it. Without a map, or of halls that it lacks, all other halls count as in the same region, as before.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -24,6 +24,8 @@
 pub type HostId = String;
 /// Names a hall.
 pub type HallId = String;
+/// Names a region: halls that are near each other.
+pub type RegionId = String;
 /// Names one of the two sites during a move.
 pub type SiteId = String;
 /// Names a group of upstreams that serve the same thing, such as `summary-llm`.
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -210,6 +210,15 @@
         &self.name
     }
 
+    /// All keys and their values, of a section whose keys are names.
+    pub fn entries(&mut self) -> Vec<(&'a str, &'a str)> {
+        let entries = self.values.into_iter().flat_map(Properties::iter);
+        let entries: Vec<_> = entries.map(|(key, value)| (key, value.trim())).collect();
+        let keys = entries.iter().map(|(key, _)| (*key).to_owned());
+        self.known.extend(keys);
+        entries
+    }
+
     /// The raw value of a key.
     pub fn optional(&mut self, key: &str) -> Option<&'a str> {
         self.known.insert(key.to_owned());
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -1,7 +1,11 @@
 //! Which upstream takes a request, from what all hosts are known to have there.
 
 use {
-    crate::{run_trace::Fingerprint, view::Work},
+    crate::{
+        run_trace::Fingerprint,
+        topology::{Distance, Topology},
+        view::Work,
+    },
     std::cmp::Ordering,
     tealshore_core::ids::{EngineId, EngineVersion, HallId},
 };
@@ -16,10 +20,16 @@
 /// median to the first event is 1.24 s with this, 1.46 s with 400, and 1.22 s with 4,000, where the
 /// worst seconds get worse (a day's worth 0.806, 0.761, 0.781; one play each).
 const OTHER_HALL_COST_TOKENS: f64 = 1_600.0;
+/// What another region costs, in prompt tokens to read.
+const OTHER_REGION_COST_TOKENS: f64 = 4_000.0;
 /// What a share of failed calls of 1 costs, in busy slots.
 const FAILURE_COST: f64 = 3.0;
 /// What another hall costs a plain call, in busy shares of an upstream.
 const OTHER_HALL_COST: f64 = 0.1;
+/// What another region costs a plain call, in busy shares of an upstream.
+const OTHER_REGION_COST: f64 = 0.2;
+/// What another region costs a copy, in tokens that its holder has in memory.
+const OTHER_REGION_COPY_TOKENS: f64 = 8_000.0;
 /// Calls that all hosts together have at an upstream, in percent of its slots.
 const QUEUE_PERCENT: u32 = 200;
 /// The least part of an upstream that a host takes.
@@ -95,6 +105,7 @@
     candidates: &'a [Candidate],
     need: Need<'_>,
     own_hall: &HallId,
+    topology: &Topology,
     avoid: &[EngineId],
 ) -> Option<&'a Candidate> {
     let allowed = candidates
@@ -103,7 +114,7 @@
         .filter(|candidate| has_room(candidate, need));
     allowed.min_by(|a, b| {
         let by_cost = || {
-            let cost_of = |candidate| cost(candidate, need, own_hall);
+            let cost_of = |candidate| cost(candidate, need, own_hall, topology);
             cost_of(a)
                 .partial_cmp(&cost_of(b))
                 .unwrap_or(Ordering::Equal)
@@ -161,27 +172,38 @@
     queued.div_ceil(hosts).max(LEAST_PART)
 }
 
-fn cost(candidate: &Candidate, need: Need<'_>, own_hall: &HallId) -> f64 {
-    let is_away = candidate.hall != *own_hall;
+fn cost(candidate: &Candidate, need: Need<'_>, own_hall: &HallId, topology: &Topology) -> f64 {
+    let distance = topology.distance(own_hall, &candidate.hall);
     let running = f64::from(candidate.work.running);
     let failures = candidate.failure_score * FAILURE_COST;
     match need {
         Need::Call { .. } => {
             let busy = running / f64::from(candidate.slots.max(1));
-            let away = if is_away { OTHER_HALL_COST } else { 0.0 };
-            busy + away + failures + candidate.draw * JITTER
+            let way = match distance {
+                Distance::SameHall => 0.0,
+                Distance::SameRegion => OTHER_HALL_COST,
+                Distance::OtherRegion => OTHER_REGION_COST,
+            };
+            busy + way + failures + candidate.draw * JITTER
         }
         Need::Prompt { .. } => {
-            let away = if is_away { OTHER_HALL_COST_TOKENS } else { 0.0 };
+            let way = match distance {
+                Distance::SameHall => 0.0,
+                Distance::SameRegion => OTHER_HALL_COST_TOKENS,
+                Distance::OtherRegion => OTHER_REGION_COST_TOKENS,
+            };
             let busy = to_f64(candidate.work.unread_tokens) + running * STREAM_COST_TOKENS;
             let preference = candidate.draw * AFFINITY_TOKENS;
-            busy + away + failures * STREAM_COST_TOKENS + preference
+            busy + way + failures * STREAM_COST_TOKENS + preference
         }
         Need::Copy { away_from, .. } => {
-            let is_shared_fate = candidate.hall == *away_from;
-            let fate = if is_shared_fate { 1.0 } else { 0.0 };
+            let (fate, way) = match topology.distance(away_from, &candidate.hall) {
+                Distance::SameHall => (1.0, 0.0),
+                Distance::SameRegion => (0.0, 0.0),
+                Distance::OtherRegion => (0.0, OTHER_REGION_COPY_TOKENS),
+            };
             let held = to_f64(candidate.work.memory_tokens) + candidate.draw * COPY_JITTER_TOKENS;
-            fate + held / 1e6
+            fate + (held + way) / 1e6
         }
     }
 }
--- a/crates/gateway/src/forward/plain.rs
+++ b/crates/gateway/src/forward/plain.rs
@@ -323,6 +323,8 @@
         ..Work::default()
     };
     let reservation = Reservation::begin(state, &upstream, work);
+    let distance = state.distance_to(&upstream.record.hall);
+    state.metrics.count_send("call", distance);
     let sent = Instant::now();
     let (end, cause) = exchange(state, call, &upstream).await;
     drop(reservation);
--- a/crates/gateway/src/forward/stream/place.rs
+++ b/crates/gateway/src/forward/stream/place.rs
@@ -232,6 +232,7 @@
         let to_read = self.state.work_at(&upstream).unread_tokens;
         let copy_to = self.choose_copy(&upstream.record);
         let copy_reservation = copy_to.as_ref().map(|holder| self.reserve_copy(holder));
+        self.count_sends(&upstream, copy_to.as_deref());
         self.log_placed(&upstream, copy_to.as_deref(), go_on_from.is_some(), to_read);
         let try_here = Try {
             patience: self.patience(to_read, go_on_from.is_some()),
@@ -297,6 +298,16 @@
         });
     }
 
+    fn count_sends(&self, upstream: &Upstream, copy_to: Option<&Upstream>) {
+        let (state, hall) = (&self.state, &upstream.record.hall);
+        state.metrics.count_send("prompt", state.distance_to(hall));
+        if let Some(holder) = copy_to {
+            let topology = &state.options.topology;
+            let distance = topology.distance(hall, &holder.record.hall);
+            state.metrics.count_send("copy", distance);
+        }
+    }
+
     fn log_placed(
         &self,
         upstream: &Upstream,
@@ -306,11 +317,12 @@
     ) {
         let work = upstream.own_work();
         log::info!(
-            "stream: placed request={} upstream={} hall={} try={} from_copy={from_copy} \
+            "stream: placed request={} upstream={} hall={} distance={} try={} from_copy={from_copy} \
              copy_to={} after={:?} own_running={} to_read={to_read} configuration={} age_ms={}",
             self.call.id(),
             upstream.record.id,
             upstream.record.hall,
+            self.state.distance_to(&upstream.record.hall).name(),
             self.sends,
             copy_to.map_or("-", |holder| holder.record.id.as_str()),
             self.progress.last(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod state;
 mod stop;
 pub mod sync;
+pub mod topology;
 pub mod view;
 
 pub use run::run;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,7 @@
 //! What this host counts.
 
 use {
+    crate::topology::Distance,
     prometheus::{
         Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
         Registry, TextEncoder, core::Collector, exponential_buckets,
@@ -15,6 +16,9 @@
     pub outcomes: IntCounterVec,
     /// Losses of attempts, by cause.
     pub losses: IntCounterVec,
+    /// Sends to upstreams by what is sent (`call`, `prompt`, `copy`) and how far it goes: from this
+    /// host, or for a copy from the run.
+    pub sends: IntCounterVec,
     /// Upstreams that failed what others did, by who found it: `here` or `peer`.
     pub failing: IntCounterVec,
     /// Calls to the store, by set and result.
@@ -61,6 +65,11 @@
             registry: Registry::new(),
             outcomes: counter("tealshore_requests_total", "Ends of requests", &["outcome"])?,
             losses: counter("tealshore_losses_total", "Attempts lost", &["cause"])?,
+            sends: counter(
+                "tealshore_sends_total",
+                "Sends to upstreams, and copies",
+                &["what", "distance"],
+            )?,
             failing: counter(
                 "tealshore_failing_upstreams_total",
                 "Upstreams that failed what others did",
@@ -135,9 +144,10 @@
     }
 
     fn register(&self) -> Result<(), prometheus::Error> {
-        let all: [Box<dyn Collector>; 16] = [
+        let all: [Box<dyn Collector>; 17] = [
             Box::new(self.outcomes.clone()),
             Box::new(self.losses.clone()),
+            Box::new(self.sends.clone()),
             Box::new(self.failing.clone()),
             Box::new(self.store_calls.clone()),
             Box::new(self.first_byte_seconds.clone()),
@@ -159,6 +169,12 @@
         Ok(())
     }
 
+    /// Notes that something is sent to an upstream, or to the holder of a copy.
+    pub fn count_send(&self, what: &str, distance: Distance) {
+        let labels = [what, distance.name()];
+        self.sends.with_label_values(&labels).inc();
+    }
+
     /// Notes how long a request waited for the first byte of its answer.
     pub fn observe_first_byte(&self, kind: &str, waited: Duration) {
         self.first_byte_seconds
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -1,7 +1,7 @@
 //! The settings, one struct a section.
 
 use {
-    crate::budget::BudgetBounds,
+    crate::{budget::BudgetBounds, topology::Topology},
     std::{
         net::{IpAddr, SocketAddr},
         path::Path,
@@ -17,13 +17,15 @@
 /// The longest time that a setting may give, in milliseconds.
 const TIME_LIMIT_MS: u64 = 3_600_000;
 /// The names of the sections.
-const SECTIONS: [&str; 5] = ["host", "store", "peers", "bounds", "log"];
+const SECTIONS: [&str; 6] = ["host", "halls", "store", "peers", "bounds", "log"];
 
 /// All settings.
 #[derive(Clone, Debug)]
 pub struct GatewayOptions {
     /// `[host]`
     pub host: HostOptions,
+    /// `[halls]`
+    pub topology: Topology,
     /// `[store]`
     pub store: StoreOptions,
     /// `[peers]`
@@ -149,6 +151,7 @@
         settings.deny_unknown(&SECTIONS, &[])?;
         Ok(Self {
             host: settings.read_section("host", HostOptions::read)?,
+            topology: settings.read_section("halls", Topology::read)?,
             store: settings.read_section("store", StoreOptions::read)?,
             peers: settings.read_section("peers", PeerOptions::read)?,
             bounds: settings.read_section("bounds", BoundOptions::read)?,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -26,6 +26,7 @@
         feed::{Contender, FeederChoice, GROUP_HOSTS, UpstreamDelta, rank},
         options::{HostOptions, PeerOptions},
         run_trace::RunTrace,
+        topology::Topology,
     },
     groups::Groups,
     parking_lot::Mutex,
@@ -122,6 +123,7 @@
 pub struct Peers {
     own: HostOptions,
     options: PeerOptions,
+    topology: Topology,
     incarnation: u64,
     sequence: AtomicU64,
     known: Mutex<HashMap<HostId, Peer>>,
@@ -151,10 +153,11 @@
 impl Peers {
     /// The peers of a host that has heard of none.
     #[must_use]
-    pub fn new(own: &HostOptions, options: &PeerOptions) -> Self {
+    pub fn new(own: &HostOptions, options: &PeerOptions, topology: &Topology) -> Self {
         let peers = Self {
             own: own.clone(),
             options: options.clone(),
+            topology: topology.clone(),
             incarnation: rand::rng().random(),
             sequence: AtomicU64::new(0),
             known: Mutex::default(),
--- a/crates/gateway/src/peers/addresses.rs
+++ b/crates/gateway/src/peers/addresses.rs
@@ -2,10 +2,16 @@
 
 use {
     super::{HostPhase, Peers},
-    crate::edge::{Revision, RowSet},
+    crate::{
+        edge::{Revision, RowSet},
+        topology::Distance,
+    },
     rand::seq::SliceRandom,
     std::{net::SocketAddr, time::Instant},
-    tealshore_core::protection::{Protection, enabled},
+    tealshore_core::{
+        ids::HallId,
+        protection::{Protection, enabled},
+    },
 };
 
 /// Which other hosts are asked for a set of rows.
@@ -13,7 +19,7 @@
 pub enum Reach {
     /// Those of the own hall that are known to know more than this one.
     OwnHall,
-    /// All that take traffic, those of the own hall first.
+    /// All that take traffic, the nearest first.
     Everywhere,
 }
 
@@ -30,7 +36,8 @@
     ) -> Vec<SocketAddr> {
         let peers = self.known.lock();
         let believed = peers.values().filter(|peer| self.is_believed(peer, now));
-        let mut sources: Vec<(bool, SocketAddr)> = believed
+        let distance = |hall: &HallId| self.topology.distance(&self.own.hall, hall);
+        let mut sources: Vec<(Distance, SocketAddr)> = believed
             // One that has read the store, and found no configuration in it yet, is starting.
             .filter(|peer| peer.state.phase != HostPhase::Leaving)
             .filter(|peer| {
@@ -42,7 +49,7 @@
                 let is_near = peer.state.hall == self.own.hall && peer.state.reaches_store;
                 knows_more && (reach == Reach::Everywhere || is_near)
             })
-            .map(|peer| (peer.state.hall != self.own.hall, peer.state.peers_address))
+            .map(|peer| (distance(&peer.state.hall), peer.state.peers_address))
             .collect();
         drop(peers);
         if reach == Reach::Everywhere {
@@ -50,41 +57,56 @@
             let serving = elsewhere
                 .into_iter()
                 .filter(|(_, member)| member.phase == HostPhase::Serving);
-            sources.extend(serving.map(|(_, member)| (true, member.peers_address)));
+            sources.extend(serving.map(|(hall, member)| (distance(&hall), member.peers_address)));
         }
         sources.shuffle(&mut rand::rng());
-        sources.sort_by_key(|(is_away, _)| *is_away);
+        sources.sort_by_key(|(distance, _)| *distance);
         sources.into_iter().map(|(_, address)| address).collect()
     }
 
-    /// The addresses that callers may use: those of hosts that serve by a fresh view, this one
-    /// included, or where there is none, of hosts that serve by a stale one.
+    /// The addresses that a caller of a hall may use: those of hosts that serve by a fresh view,
+    /// this one included, or where there is none, of hosts that serve by a stale one. Of these the
+    /// caller gets those near it, while they are enough; all where its hall is not told.
     #[must_use]
-    pub fn callers_addresses(&self, own_phase: HostPhase, now: Instant) -> Vec<SocketAddr> {
-        let serving = self.addresses_in(HostPhase::Serving, own_phase, now);
+    pub fn callers_addresses(
+        &self,
+        caller_hall: Option<&HallId>,
+        own_phase: HostPhase,
+        now: Instant,
+    ) -> Vec<SocketAddr> {
+        let hosts = self.hosts_for_callers(own_phase, now);
+        match caller_hall {
+            Some(hall) => self.topology.near(hall, hosts),
+            None => hosts.into_iter().map(|(_, address)| address).collect(),
+        }
+    }
+
+    fn hosts_for_callers(&self, own_phase: HostPhase, now: Instant) -> Vec<(HallId, SocketAddr)> {
+        let serving = self.hosts_in(HostPhase::Serving, own_phase, now);
         if serving.is_empty() || !enabled(Protection::FreshAddresses) {
-            return self.addresses_in(HostPhase::Stale, own_phase, now);
+            return self.hosts_in(HostPhase::Stale, own_phase, now);
         }
         serving
     }
 
-    fn addresses_in(
+    fn hosts_in(
         &self,
         phase: HostPhase,
         own_phase: HostPhase,
         now: Instant,
-    ) -> Vec<SocketAddr> {
-        let own = (own_phase == phase).then_some(self.own.callers_address);
+    ) -> Vec<(HallId, SocketAddr)> {
+        let own = (self.own.hall.clone(), self.own.callers_address);
+        let own = (own_phase == phase).then_some(own);
         let known = self.known.lock();
         let direct = known
             .values()
             .filter(|peer| self.is_counted(peer, now) && peer.state.phase == phase);
-        let direct = direct.map(|peer| peer.state.callers_address);
+        let direct = direct.map(|peer| (peer.state.hall.clone(), peer.state.callers_address));
         let elsewhere = self.groups.lock().members(self.options.silence, now);
         let elsewhere = elsewhere
             .into_iter()
             .filter(|(_, member)| member.phase == phase)
-            .map(|(_, member)| member.callers_address);
+            .map(|(hall, member)| (hall, member.callers_address));
         direct.chain(elsewhere).chain(own).collect()
     }
 }
--- a/crates/gateway/src/serve/host_calls.rs
+++ b/crates/gateway/src/serve/host_calls.rs
@@ -10,7 +10,10 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    tealshore_core::http::{Body, empty, full},
+    tealshore_core::{
+        http::{Body, empty, full},
+        ids::HallId,
+    },
 };
 
 /// Where metrics are, in the usual place.
@@ -31,7 +34,7 @@
     }
     match state.protocol.read_host_call(&head) {
         HostCall::Readiness => answer_readiness(&state),
-        HostCall::Addresses { .. } => answer_addresses(&state),
+        HostCall::Addresses { hall } => answer_addresses(&state, hall.as_ref()),
         HostCall::Unknown => with_status(StatusCode::NOT_FOUND),
     }
 }
@@ -45,9 +48,10 @@
     })
 }
 
-fn answer_addresses(state: &GatewayState) -> Response<Body> {
+fn answer_addresses(state: &GatewayState, caller_hall: Option<&HallId>) -> Response<Body> {
     let now = Instant::now();
-    let mut addresses = state.peers.callers_addresses(state.phase(now), now);
+    let phase = state.phase(now);
+    let mut addresses = state.peers.callers_addresses(caller_hall, phase, now);
     if addresses.is_empty() {
         return with_status(StatusCode::SERVICE_UNAVAILABLE);
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -80,7 +80,7 @@
     pub fn new(options: GatewayOptions, protocol: Arc<dyn Protocol>) -> eyre::Result<Self> {
         Ok(Self {
             started: Instant::now(),
-            peers: Peers::new(&options.host, &options.peers),
+            peers: Peers::new(&options.host, &options.peers, &options.topology),
             view: View::default(),
             feed: Feed::default(),
             runs: Runs::default(),
--- a/crates/gateway/src/state/choice.rs
+++ b/crates/gateway/src/state/choice.rs
@@ -5,11 +5,12 @@
     crate::{
         balance::{Candidate, Need, choose},
         run_trace::Fingerprint,
+        topology::Distance,
         view::{Upstream, Work},
     },
     rand::RngExt,
     std::{sync::Arc, time::Instant},
-    tealshore_core::ids::{EngineId, ServiceId},
+    tealshore_core::ids::{EngineId, HallId, ServiceId},
     xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
@@ -51,6 +52,12 @@
         Some(chosen)
     }
 
+    /// How far a hall is from this host.
+    pub fn distance_to(&self, hall: &HallId) -> Distance {
+        let options = &self.options;
+        options.topology.distance(&options.host.hall, hall)
+    }
+
     /// Whether an upstream, to which a request would rather go than to any other, may get it.
     pub fn may_get(&self, upstream: &Upstream) -> bool {
         let share = self.options.bounds.rollouts.canary_share;
@@ -89,7 +96,8 @@
                 }
             })
             .collect();
-        let chosen = choose(&candidates, need, &self.options.host.hall, avoid)?;
+        let (hall, topology) = (&self.options.host.hall, &self.options.topology);
+        let chosen = choose(&candidates, need, hall, topology, avoid)?;
         ready
             .iter()
             .find(|upstream| upstream.record.id == chosen.id)
--- a/crates/gateway/tests/balance.rs
+++ b/crates/gateway/tests/balance.rs
@@ -2,6 +2,7 @@
 
 use tealshore_gateway::{
     balance::{Candidate, Need, choose},
+    topology::Topology,
     view::Work,
 };
 
@@ -27,7 +28,9 @@
 };
 
 fn chosen(candidates: &[Candidate], need: Need<'_>, avoid: &[String]) -> Option<String> {
-    choose(candidates, need, &"a".to_owned(), avoid).map(|candidate| candidate.id.clone())
+    let one_region = Topology::default();
+    choose(candidates, need, &"a".to_owned(), &one_region, avoid)
+        .map(|candidate| candidate.id.clone())
 }
 
 #[test]
@@ -80,14 +83,15 @@
         engine_memory_tokens: 88_000,
         has_failed: true,
     };
-    let own_hall = "a".to_owned();
+    let (own_hall, one_region) = ("a".to_owned(), Topology::default());
     let mut candidates = [candidate("idle", "a"), candidate("runs", "b")];
     candidates[1].work.running = 3;
-    let chosen = |need| choose(&candidates, need, &own_hall, &[]).map(|it| it.id.clone());
+    let chosen =
+        |need| choose(&candidates, need, &own_hall, &one_region, &[]).map(|it| it.id.clone());
     assert_eq!(chosen(PROMPT).as_deref(), Some("idle"));
     assert_eq!(chosen(failed).as_deref(), Some("runs"));
     candidates[1].work.memory_tokens = 88_000;
-    let chosen = choose(&candidates, failed, &own_hall, &[]);
+    let chosen = choose(&candidates, failed, &own_hall, &one_region, &[]);
     assert_eq!(chosen.map(|it| it.id.as_str()), Some("idle"));
 }
 
--- a/crates/gateway/tests/groups.rs
+++ b/crates/gateway/tests/groups.rs
@@ -128,7 +128,7 @@
     let options = GatewayOptions::load(&file).unwrap();
     std::fs::remove_file(&file).unwrap();
     tealshore_core::protection::start();
-    Peers::new(&options.host, &options.peers)
+    Peers::new(&options.host, &options.peers, &options.topology)
 }
 
 /// The same, in a fleet that is divided into groups.
@@ -214,12 +214,20 @@
     let now = Instant::now();
     let peers = grouped_peers("silent", now);
     peers.apply_digest(&digest(60), now);
-    assert_eq!(peers.callers_addresses(HostPhase::Serving, now).len(), 62);
+    assert_eq!(
+        peers.callers_addresses(None, HostPhase::Serving, now).len(),
+        62
+    );
     let later = now + Duration::from_secs(2);
     let pool = peers.budget_pool(&"model".to_owned(), later);
     // Unheard hosts keep their parts: this host does not take what they may have used.
     assert!(pool.heard == 0 && pool.hosts >= 61, "{pool:?}");
-    assert_eq!(peers.callers_addresses(HostPhase::Serving, later).len(), 1);
+    assert_eq!(
+        peers
+            .callers_addresses(None, HostPhase::Serving, later)
+            .len(),
+        1
+    );
 }
 
 #[test]
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -157,7 +157,7 @@
     std::fs::write(&file, options).unwrap();
     let options = GatewayOptions::load(&file).unwrap();
     std::fs::remove_file(&file).unwrap();
-    Peers::new(&options.host, &options.peers)
+    Peers::new(&options.host, &options.peers, &options.topology)
 }
 
 #[test]
@@ -167,18 +167,28 @@
     let now = Instant::now();
     let mut peer = state(1, &BTreeMap::new(), 0);
     let own = vec!["127.0.0.1:9".parse().unwrap()];
-    assert_eq!(peers.callers_addresses(HostPhase::Stale, now), own);
-    assert!(peers.callers_addresses(HostPhase::Starting, now).is_empty());
+    assert_eq!(peers.callers_addresses(None, HostPhase::Stale, now), own);
+    assert!(
+        peers
+            .callers_addresses(None, HostPhase::Starting, now)
+            .is_empty()
+    );
     peer.phase = HostPhase::Stale;
     peers.apply_state(peer.clone(), now);
-    assert_eq!(peers.callers_addresses(HostPhase::Serving, now), own);
-    assert_eq!(peers.callers_addresses(HostPhase::Stale, now).len(), 2);
+    assert_eq!(peers.callers_addresses(None, HostPhase::Serving, now), own);
+    assert_eq!(
+        peers.callers_addresses(None, HostPhase::Stale, now).len(),
+        2
+    );
     peer.phase = HostPhase::Serving;
     peer.sequence += 1;
     let other = vec![peer.callers_address];
     peers.apply_state(peer, now);
-    assert_eq!(peers.callers_addresses(HostPhase::Stale, now), other);
-    assert_eq!(peers.callers_addresses(HostPhase::Leaving, now), other);
+    assert_eq!(peers.callers_addresses(None, HostPhase::Stale, now), other);
+    assert_eq!(
+        peers.callers_addresses(None, HostPhase::Leaving, now),
+        other
+    );
 }
 
 #[test]
