Test what distance decides, and that one region is as no map

Nearest engines full or dead: prompts go to the region, then elsewhere. A region with few hosts left: its callers are told all. Unknown halls and sites of one region: the choices are those without a map (property tests).

--- a/crates/gateway/tests/balance.rs
+++ b/crates/gateway/tests/balance.rs
@@ -1,9 +1,12 @@
 //! The choice of an upstream.
 
-use tealshore_gateway::{
-    balance::{Candidate, Need, choose},
-    topology::Topology,
-    view::Work,
+use {
+    proptest::prelude::*,
+    tealshore_gateway::{
+        balance::{Candidate, Need, choose},
+        topology::Topology,
+        view::Work,
+    },
 };
 
 fn candidate(id: &str, hall: &str) -> Candidate {
@@ -202,3 +205,117 @@
     }
     assert!(at_emptiest < 60, "{at_emptiest} of 100");
 }
+
+/// Halls `a` and `b` lie in one region, `c` and `d` in another.
+fn two_regions() -> Topology {
+    let halls = [("a", "x"), ("b", "x"), ("c", "y"), ("d", "y")];
+    let named = |(hall, region): (&str, &str)| (hall.to_owned(), region.to_owned());
+    Topology::new(halls.into_iter().map(named).collect())
+}
+
+fn chosen_in_regions(candidates: &[Candidate], need: Need<'_>) -> Option<String> {
+    let own_hall = "a".to_owned();
+    choose(candidates, need, &own_hall, &two_regions(), &[]).map(|it| it.id.clone())
+}
+
+/// As their queues grow, the engines of the own hall, those of the region and those elsewhere get
+/// prompts in this order; the nearest gets them again when it is idle.
+#[test]
+fn prompts_spill_to_the_region_and_then_elsewhere() {
+    let idle = [("near", "a"), ("beside", "b"), ("far", "c")];
+    let mut engines = idle.map(|(id, hall)| candidate(id, hall));
+    let chosen = |engines: &[Candidate]| chosen_in_regions(engines, PROMPT).unwrap();
+    assert_eq!(chosen(&engines), "near");
+    engines[0].work.unread_tokens = 12_000;
+    assert_eq!(chosen(&engines), "beside");
+    engines[1].work.unread_tokens = 12_000;
+    assert_eq!(chosen(&engines), "far");
+    engines[2].work.unread_tokens = 12_000;
+    assert_eq!(chosen(&engines), "near");
+    engines[0].work.unread_tokens = 0;
+    assert_eq!(chosen(&engines), "near");
+}
+
+#[test]
+fn a_prompt_leaves_a_region_whose_engines_are_full_or_dead() {
+    let mut full = candidate("full", "a");
+    full.work.memory_tokens = 88_000;
+    full.work.running = 9;
+    let mut dead = candidate("dead", "b");
+    dead.unsound = true;
+    let far = candidate("far", "d");
+    let engines = [full, dead, far];
+    assert_eq!(chosen_in_regions(&engines, PROMPT).as_deref(), Some("far"));
+    let near_only = &engines[..2];
+    assert_eq!(
+        chosen_in_regions(near_only, PROMPT).as_deref(),
+        Some("dead")
+    );
+}
+
+#[test]
+fn calls_spill_to_the_region_and_then_elsewhere() {
+    let idle = [("near", "a"), ("beside", "b"), ("far", "c")];
+    let mut upstreams = idle.map(|(id, hall)| candidate(id, hall));
+    let chosen = |upstreams: &[Candidate]| chosen_in_regions(upstreams, CALL).unwrap();
+    assert_eq!(chosen(&upstreams), "near");
+    upstreams[0].work.running = 4;
+    assert_eq!(chosen(&upstreams), "beside");
+    upstreams[1].work.running = 4;
+    assert_eq!(chosen(&upstreams), "far");
+}
+
+#[test]
+fn a_copy_lies_in_another_hall_of_the_region_of_its_run() {
+    // The host is in another region than the run: what counts is the way from the run.
+    let (run_at, version) = ("c".to_owned(), "v1".to_owned());
+    let need = Need::Copy {
+        version: &version,
+        away_from: &run_at,
+        memory_tokens: 9_000,
+        engine_memory_tokens: 88_000,
+    };
+    let near_run = candidate("near-run", "d");
+    let far = candidate("far", "a");
+    let beside = candidate("beside", "c");
+    let all = [beside.clone(), far.clone(), near_run];
+    assert_eq!(chosen_in_regions(&all, need).as_deref(), Some("near-run"));
+    // Another region is still another fate, and so goes before the hall of the run.
+    let others = [beside, far];
+    assert_eq!(chosen_in_regions(&others, need).as_deref(), Some("far"));
+}
+
+proptest! {
+    /// With all halls in one region, choices are those made without a map.
+    #[test]
+    fn in_one_region_choices_are_as_without_a_map(
+        engines in prop::collection::vec((0..4_usize, 0..9_u32, 0..30_000_u64, 0.0..1.0_f64), 1..9),
+    ) {
+        let halls = ["a", "b", "c", "d"];
+        let named = halls.map(|hall| (hall.to_owned(), "one".to_owned()));
+        let one_region = Topology::new(named.into_iter().collect());
+        let engines: Vec<Candidate> = engines
+            .into_iter()
+            .enumerate()
+            .map(|(index, (hall, running, unread_tokens, draw))| {
+                let mut engine = candidate(&format!("e-{index}"), halls[hall]);
+                engine.work.running = running;
+                engine.work.unread_tokens = unread_tokens;
+                engine.draw = draw;
+                engine
+            })
+            .collect();
+        let (own_hall, version) = ("a".to_owned(), "v1".to_owned());
+        let copy = Need::Copy {
+            version: &version,
+            away_from: &own_hall,
+            memory_tokens: 9_000,
+            engine_memory_tokens: 88_000,
+        };
+        for need in [PROMPT, CALL, copy] {
+            let with_map = choose(&engines, need, &own_hall, &one_region, &[]);
+            let without = choose(&engines, need, &own_hall, &Topology::default(), &[]);
+            prop_assert_eq!(with_map.map(|it| &it.id), without.map(|it| &it.id));
+        }
+    }
+}
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -8,6 +8,7 @@
     proptest::prelude::*,
     std::{
         collections::BTreeMap,
+        net::SocketAddr,
         time::{Duration, Instant},
     },
     tealshore_gateway::{
@@ -149,12 +150,18 @@
 }
 
 fn peers() -> Peers {
+    peers_with_halls("one-region", "")
+}
+
+/// The peers of a host of hall `a`, whose settings hold these lines on halls.
+fn peers_with_halls(test: &str, halls: &str) -> Peers {
     let options = "[host]\nid = own\nhall = a\ncallers_address = 127.0.0.1:9\n\
         directory_address = 127.0.0.1:10\nreadiness_address = 127.0.0.1:11\n\
         metrics_address = 127.0.0.1:12\n[store]\naddress = 127.0.0.1:13\n\
         [peers]\naddress = 127.0.0.1:14\n";
-    let file = std::env::temp_dir().join(format!("tealshore-peers-{}.ini", std::process::id()));
-    std::fs::write(&file, options).unwrap();
+    let name = format!("tealshore-peers-{test}-{}.ini", std::process::id());
+    let file = std::env::temp_dir().join(name);
+    std::fs::write(&file, format!("{options}{halls}")).unwrap();
     let options = GatewayOptions::load(&file).unwrap();
     std::fs::remove_file(&file).unwrap();
     Peers::new(&options.host, &options.peers, &options.topology)
@@ -208,3 +215,44 @@
         whole.len()
     );
 }
+
+/// A host that serves in a hall, whose callers' address ends in a port.
+fn serving_in(hall: &str, port: u16) -> PeerState {
+    let mut peer = state(1, &BTreeMap::new(), 0);
+    peer.host = format!("host-{port}");
+    peer.hall = hall.to_owned();
+    peer.phase = HostPhase::Serving;
+    peer.callers_address.set_port(port);
+    peer
+}
+
+#[test]
+fn callers_are_told_the_hosts_of_their_region_while_enough_of_them_serve() {
+    tealshore_core::protection::start();
+    let peers = peers_with_halls("regions", "[halls]\na = east\nb = east\nc = west\n");
+    let now = Instant::now();
+    for (hall, port) in [("b", 101), ("c", 102), ("c", 103), ("c", 104)] {
+        peers.apply_state(serving_in(hall, port), now);
+    }
+    let told = |hall: &str| {
+        let hall = hall.to_owned();
+        let told = peers.callers_addresses(Some(&hall), HostPhase::Serving, now);
+        let mut ports: Vec<u16> = told.iter().map(SocketAddr::port).collect();
+        ports.sort_unstable();
+        ports
+    };
+    assert_eq!(told("a"), [9, 101]);
+    assert_eq!(told("b"), [9, 101]);
+    assert_eq!(told("c"), [102, 103, 104]);
+    let everyone = [9, 101, 102, 103, 104];
+    assert_eq!(told("unknown"), everyone);
+    let without_hall = peers.callers_addresses(None, HostPhase::Serving, now);
+    assert_eq!(without_hall.len(), everyone.len());
+    // The others of the region leave: this host alone is less than half of the region's share.
+    let mut leaving = serving_in("b", 101);
+    leaving.sequence = 2;
+    leaving.phase = HostPhase::Leaving;
+    peers.apply_state(leaving, now);
+    peers.apply_state(serving_in("c", 105), now);
+    assert_eq!(told("a"), [9, 102, 103, 104, 105]);
+}
--- /dev/null
+++ b/crates/gateway/tests/topology.rs
@@ -0,0 +1,153 @@
+//! How far halls lie from each other, and what is near enough.
+
+use {
+    proptest::prelude::*,
+    std::collections::BTreeMap,
+    tealshore_core::{ids::HallId, settings::Settings},
+    tealshore_gateway::topology::{Distance, Topology},
+};
+
+/// Two halls in `east`, two in `west`, one in `north`.
+fn three_regions() -> Topology {
+    let halls = [
+        ("e1", "east"),
+        ("e2", "east"),
+        ("w1", "west"),
+        ("w2", "west"),
+        ("n1", "north"),
+    ];
+    let named = |(hall, region): (&str, &str)| (hall.to_owned(), region.to_owned());
+    Topology::new(halls.into_iter().map(named).collect())
+}
+
+fn between(topology: &Topology, hall: &str, other: &str) -> Distance {
+    topology.distance(&hall.to_owned(), &other.to_owned())
+}
+
+fn places(halls: &[(&str, usize)]) -> Vec<(HallId, String)> {
+    let of_hall = |(hall, count): &(&str, usize)| {
+        let hall = (*hall).to_owned();
+        (0..*count).map(move |index| (hall.clone(), format!("{hall}-{index}")))
+    };
+    halls.iter().flat_map(of_hall).collect()
+}
+
+#[test]
+fn halls_of_one_region_are_nearer_than_those_of_another() {
+    let topology = three_regions();
+    assert_eq!(between(&topology, "e1", "e1"), Distance::SameHall);
+    assert_eq!(between(&topology, "e1", "e2"), Distance::SameRegion);
+    assert_eq!(between(&topology, "e1", "w1"), Distance::OtherRegion);
+    assert!(Distance::SameHall < Distance::SameRegion);
+    assert!(Distance::SameRegion < Distance::OtherRegion);
+}
+
+#[test]
+fn halls_that_are_not_known_count_as_in_the_same_region() {
+    let topology = three_regions();
+    assert_eq!(between(&topology, "e1", "new"), Distance::SameRegion);
+    assert_eq!(between(&topology, "new", "e1"), Distance::SameRegion);
+    assert_eq!(between(&topology, "new", "newer"), Distance::SameRegion);
+    assert_eq!(between(&topology, "new", "new"), Distance::SameHall);
+    let unset = Topology::default();
+    assert_eq!(between(&unset, "e1", "w1"), Distance::SameRegion);
+}
+
+#[test]
+fn a_caller_is_told_the_hosts_of_its_region() {
+    let all = places(&[("e1", 9), ("e2", 11), ("w1", 10), ("w2", 10), ("n1", 20)]);
+    let told = three_regions().near(&"e2".to_owned(), all);
+    assert_eq!(told.len(), 20);
+    assert!(told.iter().all(|place| place.starts_with('e')));
+}
+
+/// The few that are left of a region would get the load of all that died.
+#[test]
+fn a_caller_whose_region_has_few_hosts_left_is_told_all() {
+    let most_died = places(&[("e1", 3), ("e2", 4), ("w1", 10), ("w2", 10), ("n1", 20)]);
+    assert_eq!(three_regions().near(&"e2".to_owned(), most_died).len(), 47);
+    // One hall of two died: the other one bears its callers.
+    let hall_died = places(&[("e1", 10), ("w1", 10), ("w2", 10), ("n1", 20)]);
+    let told = three_regions().near(&"e2".to_owned(), hall_died);
+    assert_eq!(told.len(), 10);
+    let all_died = places(&[("w1", 10), ("w2", 10), ("n1", 20)]);
+    assert_eq!(three_regions().near(&"e1".to_owned(), all_died).len(), 40);
+}
+
+#[test]
+fn a_caller_of_a_hall_that_is_not_known_is_told_all() {
+    let all = places(&[("e1", 10), ("w1", 10), ("n1", 10)]);
+    assert_eq!(three_regions().near(&"new".to_owned(), all).len(), 30);
+}
+
+#[test]
+fn a_section_maps_halls_to_regions() {
+    let text = "[halls]\ne1 = east\ne2 = east\nw1 = west\n";
+    let settings = Settings::parse(text).unwrap();
+    let topology = settings.read_section("halls", Topology::read).unwrap();
+    assert_eq!(between(&topology, "e1", "e2"), Distance::SameRegion);
+    assert_eq!(between(&topology, "e1", "w1"), Distance::OtherRegion);
+}
+
+#[test]
+fn a_section_may_be_absent_or_empty() {
+    for text in ["", "[halls]\n"] {
+        let settings = Settings::parse(text).unwrap();
+        let topology = settings.read_section("halls", Topology::read).unwrap();
+        assert_eq!(topology, Topology::default());
+    }
+}
+
+#[test]
+fn a_hall_without_a_region_or_with_two_is_named() {
+    for text in ["[halls]\ne1 =\n", "[halls]\ne1 = east\ne1 = west\n"] {
+        let settings = Settings::parse(text).unwrap();
+        let error = settings.read_section("halls", Topology::read).unwrap_err();
+        let error = error.to_string();
+        assert!(error.contains("[halls] e1"), "{error}");
+    }
+}
+
+fn halls() -> impl Strategy<Value = HallId> {
+    (0..6_u32).prop_map(|index| format!("h{index}"))
+}
+
+fn topologies() -> impl Strategy<Value = Topology> {
+    let regions = prop::collection::btree_map(halls(), "[abc]", 0..6);
+    regions.prop_map(|regions: BTreeMap<HallId, String>| Topology::new(regions))
+}
+
+proptest! {
+    /// Both ends of a way see the same distance, and only a hall itself is at its own place.
+    #[test]
+    fn a_way_is_as_long_back_as_there(topology in topologies(), a in halls(), b in halls()) {
+        prop_assert_eq!(topology.distance(&a, &b), topology.distance(&b, &a));
+        prop_assert_eq!(topology.distance(&a, &b) == Distance::SameHall, a == b);
+    }
+
+    /// Whoever is told some places is told some of those that there are, near ones or all; and
+    /// never so few that they would bear more than twice their share.
+    #[test]
+    fn what_is_told_is_near_or_all(
+        topology in topologies(),
+        caller in halls(),
+        places in prop::collection::vec(halls(), 0..60),
+    ) {
+        let named: Vec<(HallId, HallId)> =
+            places.iter().map(|hall| (hall.clone(), hall.clone())).collect();
+        let told = topology.near(&caller, named);
+        let is_far = |hall: &HallId| topology.distance(&caller, hall) == Distance::OtherRegion;
+        prop_assert!(told.len() == places.len() || !told.iter().any(is_far));
+        prop_assert!(told.len() * 2 * 3 >= places.len());
+    }
+
+    /// Where all halls lie in one region, all callers are told all hosts, as without a map.
+    #[test]
+    fn one_region_is_as_no_map(caller in halls(), places in prop::collection::vec(halls(), 0..60)) {
+        let named: Vec<(HallId, HallId)> =
+            places.iter().map(|hall| (hall.clone(), hall.clone())).collect();
+        let one = Topology::new(places.iter().map(|hall| (hall.clone(), "one".into())).collect());
+        prop_assert_eq!(one.near(&caller, named.clone()), places);
+        prop_assert_eq!(Topology::default().near(&caller, named.clone()).len(), named.len());
+    }
+}
