Tell hosts of other regions of load with the heartbeat

Hosts tell each other at once when a stream begins, answers or ends, and their whole state each 2 s. Between regions that is most of the bytes: at 59 hosts in three regions, a pair of hosts costs some 580 B a second, about half of it whole states (estimated from sizes of datagrams and counts of streams). Hosts of other regions send few prompts to the same engines, so they now hear of load with the heartbeat, and of the whole state each 4 s. Runs, repeats, roll-outs, unsound upstreams, changes of phase and a feeder's watermark still leave at once.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -74,6 +74,8 @@
 struct Receivers {
     /// To hosts of the group that were heard, and know this one.
     heard: Vec<SocketAddr>,
+    /// To such hosts in other regions.
+    heard_far: Vec<SocketAddr>,
     /// To hosts that were only named, or that have just started: they need the whole state. The
     /// hall of those that were named without it is not known.
     unheard: Vec<(SocketAddr, Option<HallId>)>,
@@ -287,6 +289,11 @@
         }
     }
 
+    /// Whether this host reads the store for others.
+    fn is_feeder(&self) -> bool {
+        *self.feeder.lock() == Feeder::Itself
+    }
+
     /// Whether a host was last chosen as the feeder of this one.
     fn is_fed_by(&self, host: &HostId) -> bool {
         matches!(&*self.feeder.lock(), Feeder::Host(feeder) if feeder == host)
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -52,32 +52,62 @@
 
 async fn send(state: Arc<GatewayState>, socket: Arc<PeerSocket>) {
     let started = Instant::now();
+    let heartbeat = state.options.peers.heartbeat;
     let mut last = LastState::new(started);
+    let mut last_far = LastState::of_far_hosts(started);
+    let mut far_due = started;
     loop {
         let now = Instant::now();
         send_waiting_deltas(&state, &socket).await;
-        let Receivers { heard, unheard } = state.peers.receivers(now);
+        let Receivers {
+            heard,
+            heard_far,
+            unheard,
+        } = state.peers.receivers(now);
         let own = own_state(&state, now);
         log_phase(&state, last.phase(), own.phase, now);
         introduce(&state, &socket, &own, unheard).await;
-        if last.is_whole_due(own.phase, now) {
-            last.note_whole(&own, now);
-            socket
-                .send_to_all(&Datagram::State(Box::new(own)), &heard)
-                .await;
-        } else {
-            let delta = Datagram::Delta(last.delta(&own));
-            socket.send_to_all(&delta, &heard).await;
+        tell(&socket, &mut last, &own, &heard, now).await;
+        // Hosts of other regions send little to the same engines, so that its load can wait for the
+        // heartbeat; what a promise or a caller's return depends on can't, nor the store's time.
+        let is_urgent = state.peers.is_feeder()
+            || last_far.is_whole_due(own.phase, now)
+            || last_far.has_news(&own);
+        if is_urgent || now >= far_due {
+            tell(&socket, &mut last_far, &own, &heard_far, now).await;
+            far_due = now + heartbeat;
         }
-        wait_for_update(&state, &socket, started).await;
+        let until = far_due.min(Instant::now() + heartbeat);
+        wait_for_update(&state, &socket, started, until).await;
         sleep(COALESCE).await;
     }
 }
 
-/// Waits for an update or the heartbeat; answers hosts that start meanwhile.
-async fn wait_for_update(state: &GatewayState, socket: &PeerSocket, started: Instant) {
+/// Tells hosts what changed since they were last told, or the whole state where that is due.
+async fn tell(
+    socket: &PeerSocket,
+    last: &mut LastState,
+    own: &PeerState,
+    receivers: &[SocketAddr],
+    now: Instant,
+) {
+    let datagram = if last.is_whole_due(own.phase, now) {
+        last.note_whole(own, now);
+        Datagram::State(Box::new(own.clone()))
+    } else {
+        Datagram::Delta(last.delta(own))
+    };
+    socket.send_to_all(&datagram, receivers).await;
+}
+
+/// Waits for an update or the next heartbeat; answers hosts that start meanwhile.
+async fn wait_for_update(
+    state: &GatewayState,
+    socket: &PeerSocket,
+    started: Instant,
+    until: Instant,
+) {
     let peers = &state.peers;
-    let until = Instant::now() + state.options.peers.heartbeat;
     loop {
         let left = until.saturating_duration_since(Instant::now());
         let has_met = peers.has_met_hall();
--- a/crates/gateway/src/peers/last_state.rs
+++ b/crates/gateway/src/peers/last_state.rs
@@ -2,7 +2,10 @@
 
 use {
     super::message::{HostPhase, PeerDelta, PeerState, ServiceUse, UpstreamWork},
-    crate::run_trace::{Fingerprint, RunTrace},
+    crate::{
+        run_trace::{Fingerprint, RunTrace},
+        view::Condition,
+    },
     std::{
         collections::HashMap,
         time::{Duration, Instant},
@@ -12,6 +15,9 @@
 
 /// How often the whole state is sent: what a lost datagram said is known again after this.
 const WHOLE_INTERVAL: Duration = Duration::from_secs(2);
+/// How often it is sent to hosts of other regions. Whole states each 2 s are half of the bytes of
+/// datagrams there, and what a lost one said matters less where fewer requests go.
+const FAR_WHOLE_INTERVAL: Duration = Duration::from_secs(4);
 /// A host that starts sends its whole state more often for this long.
 const INTRODUCTION: Duration = Duration::from_secs(3);
 /// How often it does so: about each heartbeat, and not at each of its streams' events.
@@ -20,6 +26,7 @@
 /// What a host last sent its peers.
 pub struct LastState {
     started: Instant,
+    whole_interval: Duration,
     phase: Option<HostPhase>,
     whole_at: Option<Instant>,
     work: HashMap<EngineId, UpstreamWork>,
@@ -31,8 +38,19 @@
     /// Of a host that starts now and sent nothing.
     #[must_use]
     pub fn new(now: Instant) -> Self {
+        Self::with_interval(now, WHOLE_INTERVAL)
+    }
+
+    /// The same, of what is sent to hosts of other regions.
+    #[must_use]
+    pub fn of_far_hosts(now: Instant) -> Self {
+        Self::with_interval(now, FAR_WHOLE_INTERVAL)
+    }
+
+    fn with_interval(now: Instant, whole_interval: Duration) -> Self {
         Self {
             started: now,
+            whole_interval,
             phase: None,
             whole_at: None,
             work: HashMap::new(),
@@ -52,7 +70,7 @@
     pub fn is_whole_due(&self, phase: HostPhase, now: Instant) -> bool {
         let is_introduced = now.saturating_duration_since(self.started) > INTRODUCTION;
         let interval = if is_introduced {
-            WHOLE_INTERVAL
+            self.whole_interval
         } else {
             INTRODUCTION_INTERVAL
         };
@@ -62,6 +80,20 @@
         is_old || self.phase != Some(phase)
     }
 
+    /// Whether something changed besides the load of upstreams: a stream began or goes on
+    /// elsewhere, a repeat was sent, a roll-out went on, or an upstream was found to be unsound.
+    #[must_use]
+    pub fn has_news(&self, state: &PeerState) -> bool {
+        let condition_sent = |entry: &UpstreamWork| {
+            let sent = self.work.get(&entry.upstream);
+            sent.map_or(Condition::Healthy, |sent| sent.condition)
+        };
+        let mut work = state.work.iter();
+        work.any(|entry| entry.condition != condition_sent(entry))
+            || state.budgets.iter().any(|entry| self.is_new_use(entry))
+            || state.runs.iter().any(|run| self.is_new_run(run))
+    }
+
     /// Notes that the whole state was sent to all.
     pub fn note_whole(&mut self, state: &PeerState, now: Instant) {
         self.whole_at = Some(now);
@@ -103,11 +135,7 @@
     fn changed_budgets(&mut self, now: &[ServiceUse]) -> Vec<ServiceUse> {
         let mut changed = Vec::new();
         for entry in now {
-            let sent = self.budgets.get(&entry.service);
-            let is_change = |sent: &ServiceUse| {
-                sent.used.repeats != entry.used.repeats || sent.rollout != entry.rollout
-            };
-            if sent.is_none_or(is_change) {
+            if self.is_new_use(entry) {
                 changed.push(entry.clone());
                 self.budgets.insert(entry.service.clone(), entry.clone());
             }
@@ -115,12 +143,23 @@
         changed
     }
 
+    fn is_new_use(&self, entry: &ServiceUse) -> bool {
+        let sent = self.budgets.get(&entry.service);
+        sent.is_none_or(|sent| {
+            sent.used.repeats != entry.used.repeats || sent.rollout != entry.rollout
+        })
+    }
+
     /// Runs that began, or that go on at another engine.
     fn new_runs(&mut self, now: &[RunTrace]) -> Vec<RunTrace> {
-        let sent = |run: &&RunTrace| self.runs.get(&run.fingerprint) != Some(*run);
-        let new = now.iter().filter(sent).cloned().collect();
+        let new = now.iter().filter(|run| self.is_new_run(run));
+        let new = new.cloned().collect();
         let current = now.iter().map(|run| (run.fingerprint, run.clone()));
         self.runs = current.collect();
         new
     }
+
+    fn is_new_run(&self, run: &RunTrace) -> bool {
+        self.runs.get(&run.fingerprint) != Some(run)
+    }
 }
--- a/crates/gateway/src/peers/membership.rs
+++ b/crates/gateway/src/peers/membership.rs
@@ -5,7 +5,7 @@
         FORGET_FACTOR, HostAddress, Peer, Peers, Receivers, UnmetHost,
         message::{Finding, GroupDigest, PeerDelta, PeerState, UpstreamWork},
     },
-    crate::view::Condition,
+    crate::{topology::Distance, view::Condition},
     rand::seq::SliceRandom,
     std::{
         net::{IpAddr, SocketAddr},
@@ -169,8 +169,17 @@
         let in_group = known
             .values()
             .filter(|peer| self.is_in_group(&peer.state.hall));
+        let (far, near): (Vec<&Peer>, Vec<&Peer>) = in_group.partition(|peer| {
+            let distance = self.topology.distance(&self.own.hall, &peer.state.hall);
+            distance == Distance::OtherRegion
+        });
+        let addresses = |peers: Vec<&Peer>| {
+            let addresses = peers.into_iter().map(|peer| peer.state.peers_address);
+            addresses.collect()
+        };
         Receivers {
-            heard: in_group.map(|peer| peer.state.peers_address).collect(),
+            heard: addresses(near),
+            heard_far: addresses(far),
             unheard,
         }
     }
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -149,6 +149,50 @@
     assert!(last.is_whole_due(HostPhase::Serving, at(6_500)));
 }
 
+/// Hosts of other regions hear at once of what a caller's return, a promise or a choice of all hosts
+/// depends on.
+#[test]
+fn a_run_a_repeat_and_an_unsound_upstream_are_news_and_load_is_not() {
+    let mut last = LastState::of_far_hosts(Instant::now());
+    let work = BTreeMap::from([(1, (8_000, false))]);
+    let before = state(1, &work, 0);
+    assert!(last.has_news(&before), "a run began");
+    last.delta(&before);
+    let mut loaded = before.clone();
+    loaded.work[0].work.memory_tokens = 9_000;
+    assert!(!last.has_news(&loaded));
+    let mut ended = before.clone();
+    ended.work.clear();
+    ended.runs.clear();
+    assert!(!last.has_news(&ended));
+    let mut repeated = before.clone();
+    repeated.budgets[0].used.repeats = 1;
+    assert!(last.has_news(&repeated));
+    let mut unsound = before.clone();
+    unsound.work[0].condition = Condition::Suspected;
+    assert!(last.has_news(&unsound));
+    let mut elsewhere = before;
+    elsewhere.runs[0].engine = "i-2".to_owned();
+    assert!(last.has_news(&elsewhere));
+}
+
+#[test]
+fn far_hosts_are_told_the_whole_state_less_often_but_not_at_a_change_of_phase() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let (mut near, mut far) = (LastState::new(start), LastState::of_far_hosts(start));
+    let serving = state(1, &BTreeMap::new(), 0);
+    for last in [&mut near, &mut far] {
+        last.note_whole(&serving, at(100));
+        assert!(last.is_whole_due(HostPhase::Serving, at(600)));
+        last.note_whole(&serving, at(4_000));
+        assert!(last.is_whole_due(HostPhase::Leaving, at(4_500)));
+    }
+    assert!(near.is_whole_due(HostPhase::Serving, at(6_500)));
+    assert!(!far.is_whole_due(HostPhase::Serving, at(6_500)));
+    assert!(far.is_whole_due(HostPhase::Serving, at(8_500)));
+}
+
 fn peers() -> Peers {
     peers_with_halls("one-region", "")
 }
