--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -300,3 +300,24 @@
     peers.apply_state(serving_in("c", 105), now);
     assert_eq!(told("a"), [9, 102, 103, 104, 105]);
 }
+
+/// Each side of a cut goes on with its own hosts.
+#[test]
+fn a_region_that_is_cut_off_tells_its_own_hosts() {
+    tealshore_core::protection::start();
+    let peers = peers_with_halls("cut", "[halls]\na = east\nb = east\nc = west\n");
+    let now = Instant::now();
+    for (hall, port) in [("b", 101), ("c", 102), ("c", 103)] {
+        peers.apply_state(serving_in(hall, port), now);
+    }
+    let (near, far) = ("a".to_owned(), "c".to_owned());
+    let told = |hall, at| peers.callers_addresses(Some(hall), HostPhase::Serving, at);
+    assert_eq!(told(&far, now).len(), 2);
+    let later = now + Duration::from_secs(2);
+    let mut heard = serving_in("b", 101);
+    heard.sequence = 2;
+    peers.apply_state(heard, later);
+    assert_eq!(told(&near, later).len(), 2);
+    // None of the caller's region is heard: it is told those that are.
+    assert_eq!(told(&far, later).len(), 2);
+}
