--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -73,7 +73,9 @@
         let is_urgent = state.peers.is_feeder()
             || last_far.is_whole_due(own.phase, now)
             || last_far.has_news(&own);
-        if is_urgent || now >= far_due {
+        if heard_far.is_empty() {
+            far_due = now + heartbeat;
+        } else if is_urgent || now >= far_due {
             tell(&socket, &mut last_far, &own, &heard_far, now).await;
             far_due = now + heartbeat;
         }
