--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -29,7 +29,7 @@
 /// What another region costs a plain call, in busy shares of an upstream.
 const OTHER_REGION_COST: f64 = 0.2;
 /// What another region costs a copy, in tokens that its holder has in memory.
-const OTHER_REGION_COPY_TOKENS: f64 = 20_000.0;
+const OTHER_REGION_COPY_TOKENS: f64 = 8_000.0;
 /// Calls that all hosts together have at an upstream, in percent of its slots.
 const QUEUE_PERCENT: u32 = 200;
 /// The least part of an upstream that a host takes.
