--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -27,6 +27,7 @@
         feed::{Contender, FeederChoice, GROUP_HOSTS, UpstreamDelta, rank},
         options::{HostOptions, PeerOptions},
         run_trace::RunTrace,
+        topology::Topology,
     },
     groups::Groups,
     parking_lot::Mutex,
@@ -75,6 +76,8 @@
 struct Receivers {
     /// To hosts of the group that were heard, and know this one.
     heard: Vec<SocketAddr>,
+    /// To such hosts in other regions.
+    heard_far: Vec<SocketAddr>,
     /// To hosts that were only named, or that have just started: they need the whole state. The
     /// hall of those that were named without it is not known.
     unheard: Vec<(SocketAddr, Option<HallId>)>,
@@ -124,6 +127,7 @@
 pub struct Peers {
     own: HostOptions,
     options: PeerOptions,
+    topology: Topology,
     incarnation: u64,
     sequence: AtomicU64,
     known: Mutex<HashMap<HostId, Peer>>,
@@ -153,10 +157,11 @@
 impl Peers {
     /// The peers of a host that has heard of none.
     #[must_use]
-    pub fn new(own: &HostOptions, options: &PeerOptions) -> Self {
+    pub fn new(own: &HostOptions, options: &PeerOptions, topology: &Topology) -> Self {
         let peers = Self {
             own: own.clone(),
             options: options.clone(),
+            topology: topology.clone(),
             incarnation: rand::rng().random(),
             sequence: AtomicU64::new(0),
             known: Mutex::default(),
@@ -295,6 +300,11 @@
         }
     }
 
+    /// Whether this host reads the store for others.
+    fn is_feeder(&self) -> bool {
+        *self.feeder.lock() == Feeder::Itself
+    }
+
     /// Whether a host was last chosen as the feeder of this one.
     fn is_fed_by(&self, host: &HostId) -> bool {
         matches!(&*self.feeder.lock(), Feeder::Host(feeder) if feeder == host)
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -81,7 +81,7 @@
     /// # Errors
     /// A metric can't be made.
     pub fn new(options: GatewayOptions, protocol: Arc<dyn Protocol>) -> eyre::Result<Self> {
-        let peers = Peers::new(&options.host, &options.peers);
+        let peers = Peers::new(&options.host, &options.peers, &options.topology);
         Ok(Self {
             started: Instant::now(),
             duties: Duties::new(options.duties.clone(), peers.process(), &options.host.hall),
--- a/crates/gateway/tests/budget.rs
+++ b/crates/gateway/tests/budget.rs
@@ -163,7 +163,7 @@
         busy in 1_usize..9,
         requests_per_s in 5_u32..80,
         lost_percent in 0_u32..30,
-        cut_off in 0_usize..3,
+        cut_off in 0_usize..5,
         draws in prop::collection::vec(0_u32..100, 4_000)
     ) {
         const HOSTS: usize = 9;
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -8,6 +8,7 @@
     proptest::prelude::*,
     std::{
         collections::BTreeMap,
+        net::SocketAddr,
         time::{Duration, Instant},
     },
     tealshore_gateway::{
@@ -150,16 +151,66 @@
     assert!(last.is_whole_due(HostPhase::Serving, at(6_500)));
 }
 
+/// Hosts of other regions hear at once of what a caller's return, a promise or a choice of all hosts
+/// depends on.
+#[test]
+fn a_run_a_repeat_and_an_unsound_upstream_are_news_and_load_is_not() {
+    let mut last = LastState::of_far_hosts(Instant::now());
+    let work = BTreeMap::from([(1, (8_000, false))]);
+    let before = state(1, &work, 0);
+    assert!(last.has_news(&before), "a run began");
+    last.delta(&before);
+    let mut loaded = before.clone();
+    loaded.work[0].work.memory_tokens = 9_000;
+    assert!(!last.has_news(&loaded));
+    let mut ended = before.clone();
+    ended.work.clear();
+    ended.runs.clear();
+    assert!(!last.has_news(&ended));
+    let mut repeated = before.clone();
+    repeated.budgets[0].used.repeats = 1;
+    assert!(last.has_news(&repeated));
+    let mut unsound = before.clone();
+    unsound.work[0].condition = Condition::Suspected;
+    assert!(last.has_news(&unsound));
+    let mut elsewhere = before;
+    elsewhere.runs[0].engine = "i-2".to_owned();
+    assert!(last.has_news(&elsewhere));
+}
+
+#[test]
+fn far_hosts_are_told_the_whole_state_less_often_but_not_at_a_change_of_phase() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let (mut near, mut far) = (LastState::new(start), LastState::of_far_hosts(start));
+    let serving = state(1, &BTreeMap::new(), 0);
+    for last in [&mut near, &mut far] {
+        last.note_whole(&serving, at(100));
+        assert!(last.is_whole_due(HostPhase::Serving, at(600)));
+        last.note_whole(&serving, at(4_000));
+        assert!(last.is_whole_due(HostPhase::Leaving, at(4_500)));
+    }
+    assert!(near.is_whole_due(HostPhase::Serving, at(6_500)));
+    assert!(!far.is_whole_due(HostPhase::Serving, at(6_500)));
+    assert!(far.is_whole_due(HostPhase::Serving, at(8_500)));
+}
+
 fn peers() -> Peers {
+    peers_with_halls("one-region", "")
+}
+
+/// The peers of a host of hall `a`, whose settings hold these lines on halls.
+fn peers_with_halls(test: &str, halls: &str) -> Peers {
     let options = "[host]\nid = own\nhall = a\ncallers_address = 127.0.0.1:9\n\
         directory_address = 127.0.0.1:10\nreadiness_address = 127.0.0.1:11\n\
         metrics_address = 127.0.0.1:12\n[store]\naddress = 127.0.0.1:13\n\
         [peers]\naddress = 127.0.0.1:14\n";
-    let file = std::env::temp_dir().join(format!("tealshore-peers-{}.ini", std::process::id()));
-    std::fs::write(&file, options).unwrap();
+    let name = format!("tealshore-peers-{test}-{}.ini", std::process::id());
+    let file = std::env::temp_dir().join(name);
+    std::fs::write(&file, format!("{options}{halls}")).unwrap();
     let options = GatewayOptions::load(&file).unwrap();
     std::fs::remove_file(&file).unwrap();
-    Peers::new(&options.host, &options.peers)
+    Peers::new(&options.host, &options.peers, &options.topology)
 }
 
 #[test]
@@ -169,18 +220,28 @@
     let now = Instant::now();
     let mut peer = state(1, &BTreeMap::new(), 0);
     let own = vec!["127.0.0.1:9".parse().unwrap()];
-    assert_eq!(peers.callers_addresses(HostPhase::Stale, now), own);
-    assert!(peers.callers_addresses(HostPhase::Starting, now).is_empty());
+    assert_eq!(peers.callers_addresses(None, HostPhase::Stale, now), own);
+    assert!(
+        peers
+            .callers_addresses(None, HostPhase::Starting, now)
+            .is_empty()
+    );
     peer.phase = HostPhase::Stale;
     peers.apply_state(peer.clone(), now);
-    assert_eq!(peers.callers_addresses(HostPhase::Serving, now), own);
-    assert_eq!(peers.callers_addresses(HostPhase::Stale, now).len(), 2);
+    assert_eq!(peers.callers_addresses(None, HostPhase::Serving, now), own);
+    assert_eq!(
+        peers.callers_addresses(None, HostPhase::Stale, now).len(),
+        2
+    );
     peer.phase = HostPhase::Serving;
     peer.sequence += 1;
     let other = vec![peer.callers_address];
     peers.apply_state(peer, now);
-    assert_eq!(peers.callers_addresses(HostPhase::Stale, now), other);
-    assert_eq!(peers.callers_addresses(HostPhase::Leaving, now), other);
+    assert_eq!(peers.callers_addresses(None, HostPhase::Stale, now), other);
+    assert_eq!(
+        peers.callers_addresses(None, HostPhase::Leaving, now),
+        other
+    );
 }
 
 #[test]
@@ -200,3 +261,65 @@
         whole.len()
     );
 }
+
+/// A host that serves in a hall, whose callers' address ends in a port.
+fn serving_in(hall: &str, port: u16) -> PeerState {
+    let mut peer = state(1, &BTreeMap::new(), 0);
+    peer.host = format!("host-{port}");
+    peer.hall = hall.to_owned();
+    peer.phase = HostPhase::Serving;
+    peer.callers_address.set_port(port);
+    peer
+}
+
+#[test]
+fn callers_are_told_the_hosts_of_their_region_while_enough_of_them_serve() {
+    tealshore_core::protection::start();
+    let peers = peers_with_halls("regions", "[halls]\na = east\nb = east\nc = west\n");
+    let now = Instant::now();
+    for (hall, port) in [("b", 101), ("c", 102), ("c", 103), ("c", 104)] {
+        peers.apply_state(serving_in(hall, port), now);
+    }
+    let told = |hall: &str| {
+        let hall = hall.to_owned();
+        let told = peers.callers_addresses(Some(&hall), HostPhase::Serving, now);
+        let mut ports: Vec<u16> = told.iter().map(SocketAddr::port).collect();
+        ports.sort_unstable();
+        ports
+    };
+    assert_eq!(told("a"), [9, 101]);
+    assert_eq!(told("b"), [9, 101]);
+    assert_eq!(told("c"), [102, 103, 104]);
+    let everyone = [9, 101, 102, 103, 104];
+    assert_eq!(told("unknown"), everyone);
+    let without_hall = peers.callers_addresses(None, HostPhase::Serving, now);
+    assert_eq!(without_hall.len(), everyone.len());
+    // The others of the region leave: this host alone is less than half of the region's share.
+    let mut leaving = serving_in("b", 101);
+    leaving.sequence = 2;
+    leaving.phase = HostPhase::Leaving;
+    peers.apply_state(leaving, now);
+    peers.apply_state(serving_in("c", 105), now);
+    assert_eq!(told("a"), [9, 102, 103, 104, 105]);
+}
+
+/// Each side of a cut goes on with its own hosts.
+#[test]
+fn a_region_that_is_cut_off_tells_its_own_hosts() {
+    tealshore_core::protection::start();
+    let peers = peers_with_halls("cut", "[halls]\na = east\nb = east\nc = west\n");
+    let now = Instant::now();
+    for (hall, port) in [("b", 101), ("c", 102), ("c", 103)] {
+        peers.apply_state(serving_in(hall, port), now);
+    }
+    let (near, far) = ("a".to_owned(), "c".to_owned());
+    let told = |hall, at| peers.callers_addresses(Some(hall), HostPhase::Serving, at);
+    assert_eq!(told(&far, now).len(), 2);
+    let later = now + Duration::from_secs(2);
+    let mut heard = serving_in("b", 101);
+    heard.sequence = 2;
+    peers.apply_state(heard, later);
+    assert_eq!(told(&near, later).len(), 2);
+    // None of the caller's region is heard: it is told those that are.
+    assert_eq!(told(&far, later).len(), 2);
+}
