Decide which engines to order from demand, prices and what is listed

Engines are paid by the second from the start on; preemptible ones cost a part of the others. A pure planner keeps each hall's size, puts preemptible engines in the place of others above a floor once they serve, grows at once, shrinks after a while, and repeats orders whose engines never came. Checked against a small fake platform that is dry, silent or accepts orders without effect. Not wired in yet.

--- a/crates/capacity/src/order.rs
+++ b/crates/capacity/src/order.rs
@@ -17,6 +17,9 @@
 }
 
 impl EngineKind {
+    /// All kinds.
+    pub const ALL: [Self; 2] = [Self::OnDemand, Self::Preemptible];
+
     /// Its name in logs and metrics.
     #[must_use]
     pub fn name(self) -> &'static str {
@@ -42,7 +45,7 @@
 }
 
 /// What a service allows of orders, as its configuration says.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Scaling {
     /// The least engines that a hall holds, both kinds together.
     pub least_engines: u32,
@@ -55,3 +58,29 @@
     /// What a second of an engine costs, by hall. A hall that is not listed costs 1.
     pub hall_prices: BTreeMap<HallId, f64>,
 }
+
+impl Scaling {
+    /// What a second of an engine costs.
+    #[must_use]
+    pub fn price(&self, hall: &HallId, kind: EngineKind) -> f64 {
+        let of_hall = self.hall_prices.get(hall).copied().unwrap_or(1.0);
+        match kind {
+            EngineKind::OnDemand => of_hall,
+            EngineKind::Preemptible => of_hall * self.preemptible_price.unwrap_or(1.0),
+        }
+    }
+
+    /// Whether preemptible engines are to be had, and cost less than others.
+    #[must_use]
+    pub fn offers_preemptible(&self) -> bool {
+        self.preemptible_price.is_some_and(|price| price < 1.0)
+    }
+}
+
+/// How many engines of a kind were last ordered in a hall; none where nothing was.
+pub(crate) fn last_order(orders: &[EngineOrder], hall: &HallId, kind: EngineKind) -> Option<u32> {
+    let mut of_subject = orders
+        .iter()
+        .filter(|order| order.hall == *hall && order.kind == kind);
+    of_subject.next_back().map(|order| order.engines)
+}
--- /dev/null
+++ b/crates/capacity/src/planner.rs
@@ -0,0 +1,334 @@
+//! Decides which orders for the engines of one service change.
+//!
+//! The size of each hall is what runs there when nothing was ordered yet, until the work was measured
+//! for long enough to say that it is too much; it grows at once where the work needs more. Within the
+//! size, preemptible engines take the place of those on demand, above a floor: they are ordered first,
+//! and others let go only as far as those serve.
+
+mod hall;
+mod size;
+
+use {
+    crate::{
+        demand::{Demand, Needs, Sizing},
+        fleet::Fleet,
+        order::{EngineKind, EngineOrder, Scaling, last_order},
+    },
+    hall::HallPlan,
+    size::Size,
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
+    tealshore_core::ids::{HallId, ServiceId},
+};
+
+/// How long a kind of engine that was not to be had in a hall is not asked for again: a refusal costs a
+/// call, and such times last for some seconds.
+const UNAVAILABLE_FOR: Duration = Duration::from_secs(3);
+/// How much longer than their boot engines may take until they are listed; then they are ordered
+/// again. They tell of themselves about each second.
+const BOOT_GRACE: Duration = Duration::from_secs(2);
+/// How often engines are let go while streams run, so that those which lose theirs find room.
+const LET_GO_EVERY: Duration = Duration::from_secs(1);
+/// The part of a hall's engines of a kind that is let go at once while streams run.
+const LET_GO_PART: u32 = 8;
+
+/// What an operator sets.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Policy {
+    /// Engines a hall that are never preemptible.
+    pub least_on_demand: u32,
+    /// The part by which bursts exceed what was measured.
+    pub reserve: f64,
+    /// How the number follows from the load.
+    pub sizing: Sizing,
+    /// How long less work than the size is for must last before it shrinks.
+    pub shrink_after: Duration,
+}
+
+/// Why no engine is let go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Hold {
+    /// A roll-out is open: its versions have to be compared under the same load.
+    RolloutOpen,
+    /// Few of the hosts are heard, so what is known of the work is not all.
+    FewHostsHeard,
+    /// Most engines of a hall seem dead.
+    HallStruck,
+}
+
+/// What is known at one moment.
+#[derive(Clone, Copy, Debug)]
+pub struct Observation<'a> {
+    /// The service.
+    pub service: &'a ServiceId,
+    /// What it allows.
+    pub scaling: &'a Scaling,
+    /// Its engines.
+    pub fleet: &'a Fleet,
+    /// The last orders.
+    pub ordered: &'a [EngineOrder],
+    /// Its work.
+    pub demand: Demand,
+    /// Why no engine is let go; none where some may be.
+    pub hold: Option<Hold>,
+}
+
+/// Why an order is given.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// Cheaper engines are to take the place of others, or the size of the hall changed.
+    Size,
+    /// Others serve in their place.
+    Replaced,
+    /// Engines that were ordered are missing.
+    Missing,
+    /// The engines that serve are too few for the work.
+    Short,
+    /// Engines that stood in for others are no longer needed.
+    NotNeeded,
+}
+
+impl Reason {
+    /// Its name in logs.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Size => "size",
+            Self::Replaced => "replaced",
+            Self::Missing => "missing",
+            Self::Short => "short",
+            Self::NotNeeded => "not-needed",
+        }
+    }
+}
+
+/// An order with its reason.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Decision {
+    /// The order.
+    pub order: EngineOrder,
+    /// Why it is given.
+    pub reason: Reason,
+}
+
+/// When a kind of engine was last ordered in a hall.
+#[derive(Clone, Copy, Debug)]
+struct Asked {
+    at: Instant,
+    engines: u32,
+}
+
+/// A hall and a kind.
+type Subject = (HallId, EngineKind);
+
+/// What the holder of the duty remembers of one service. A successor begins anew from the last orders.
+#[derive(Debug, Default)]
+pub struct Planner {
+    size: Size,
+    asked: BTreeMap<Subject, Asked>,
+    unavailable: BTreeMap<Subject, Instant>,
+    let_go_at: Option<Instant>,
+}
+
+impl Planner {
+    /// Notes that a kind of engine is not to be had in a hall.
+    pub fn note_unavailable(&mut self, hall: &HallId, kind: EngineKind, now: Instant) {
+        let subject = (hall.clone(), kind);
+        self.asked.remove(&subject);
+        self.unavailable.insert(subject, now + UNAVAILABLE_FOR);
+    }
+
+    /// How many engines each hall is to have.
+    #[must_use]
+    pub fn sizes(&self) -> &BTreeMap<HallId, u32> {
+        self.size.halls()
+    }
+
+    /// The orders that change, or are to be said again.
+    pub fn decide(
+        &mut self,
+        seen: &Observation<'_>,
+        policy: &Policy,
+        now: Instant,
+    ) -> Vec<Decision> {
+        let halls = seen.fleet.len();
+        let needs = seen.demand.needs(policy.sizing, policy.reserve, halls);
+        if !self.size.update(seen, needs, policy, now) {
+            return Vec::new();
+        }
+        let mut plans = self.hall_plans(seen, policy, now);
+        for plan in plans.values_mut() {
+            plan.order_size();
+        }
+        if let Some(needs) = needs {
+            self.fill(seen, needs, &mut plans, now);
+        }
+        self.let_go(seen, &mut plans, now);
+        self.changes(seen, plans, now)
+    }
+
+    fn hall_plans(
+        &self,
+        seen: &Observation<'_>,
+        policy: &Policy,
+        now: Instant,
+    ) -> BTreeMap<HallId, HallPlan> {
+        let offers_preemptible = seen.scaling.offers_preemptible();
+        let halls = seen.fleet.iter().map(|(hall, listed)| {
+            let wanted = self.size.of(hall);
+            let floor = if offers_preemptible {
+                policy.least_on_demand.min(wanted)
+            } else {
+                wanted
+            };
+            let plan = HallPlan {
+                listed: *listed,
+                ordered_on_demand: last_order(seen.ordered, hall, EngineKind::OnDemand),
+                ordered_preemptible: last_order(seen.ordered, hall, EngineKind::Preemptible),
+                most: seen.scaling.most_engines,
+                wanted,
+                floor,
+                preemptible_to_be_had: self.is_to_be_had(hall, EngineKind::Preemptible, now),
+                changes: BTreeMap::new(),
+            };
+            (hall.clone(), plan)
+        });
+        halls.collect()
+    }
+
+    fn is_to_be_had(&self, hall: &HallId, kind: EngineKind, now: Instant) -> bool {
+        let until = self.unavailable.get(&(hall.clone(), kind));
+        until.is_none_or(|until| *until <= now)
+    }
+
+    /// Engines of a hall that serve, or are on their way: ordered now or within the time of a boot.
+    fn present(&self, hall: &HallId, plan: &HallPlan, boot: Duration, now: Instant) -> u32 {
+        let of_kind = |kind: EngineKind| {
+            let serving = plan.listed.of(kind).serving;
+            let asked = self.asked.get(&(hall.clone(), kind));
+            let booting = asked.filter(|asked| is_booting(asked, boot, now));
+            let coming = booting.map_or(0, |asked| asked.engines);
+            let ordered_now = plan.raised_to(kind);
+            serving.max(coming).max(ordered_now)
+        };
+        EngineKind::ALL.into_iter().map(of_kind).sum()
+    }
+
+    /// Orders more where what serves is too little for the work: preemptible engines where there are
+    /// some, or else others.
+    fn fill(
+        &self,
+        seen: &Observation<'_>,
+        needs: Needs,
+        plans: &mut BTreeMap<HallId, HallPlan>,
+        now: Instant,
+    ) {
+        let boot = seen.scaling.boot;
+        let present: u32 = plans
+            .iter()
+            .map(|(hall, plan)| self.present(hall, plan, boot, now))
+            .sum();
+        let mut lacking = needs.at_least.saturating_sub(present);
+        for kind in [EngineKind::Preemptible, EngineKind::OnDemand] {
+            let is_offered = kind == EngineKind::OnDemand || seen.scaling.offers_preemptible();
+            for hall in halls_by_price(seen.scaling, plans, kind) {
+                let is_to_be_had = is_offered && self.is_to_be_had(&hall, kind, now);
+                if let Some(plan) = plans.get_mut(&hall).filter(|_| is_to_be_had) {
+                    lacking -= plan.fill(kind, lacking);
+                }
+            }
+        }
+    }
+
+    /// Lets engines go that others stand in for.
+    fn let_go(
+        &mut self,
+        seen: &Observation<'_>,
+        plans: &mut BTreeMap<HallId, HallPlan>,
+        now: Instant,
+    ) {
+        let is_idle = seen.demand.running == 0;
+        let waits = self
+            .let_go_at
+            .is_some_and(|at| now.saturating_duration_since(at) < LET_GO_EVERY);
+        if seen.hold.is_some() || (waits && !is_idle) {
+            return;
+        }
+        let serving: u32 = plans.values().map(|plan| plan.listed.serving()).sum();
+        let mut excess = serving.saturating_sub(self.size.total());
+        for plan in plans.values_mut() {
+            let part = if is_idle { 1 } else { LET_GO_PART };
+            let gone = plan.let_go(excess, part);
+            if gone > 0 {
+                self.let_go_at = Some(now);
+            }
+            excess -= gone;
+        }
+    }
+
+    /// The orders that differ from the last ones, and those whose engines are missing.
+    fn changes(
+        &mut self,
+        seen: &Observation<'_>,
+        plans: BTreeMap<HallId, HallPlan>,
+        now: Instant,
+    ) -> Vec<Decision> {
+        let mut decisions = Vec::new();
+        for (hall, mut plan) in plans {
+            for kind in EngineKind::ALL {
+                if plan.is_missing(kind) && self.may_repeat(&hall, kind, seen.scaling.boot, now) {
+                    plan.repeat(kind);
+                }
+            }
+            for (kind, (engines, reason)) in plan.changes {
+                let asked = Asked { at: now, engines };
+                self.asked.insert((hall.clone(), kind), asked);
+                let order = EngineOrder {
+                    service: seen.service.clone(),
+                    hall: hall.clone(),
+                    kind,
+                    engines,
+                };
+                decisions.push(Decision { order, reason });
+            }
+        }
+        decisions
+    }
+
+    /// Whether engines that are missing have had the time to come. Orders of an earlier holder count
+    /// from when this one first saw that their engines are missing.
+    fn may_repeat(
+        &mut self,
+        hall: &HallId,
+        kind: EngineKind,
+        boot: Duration,
+        now: Instant,
+    ) -> bool {
+        if !self.is_to_be_had(hall, kind, now) {
+            return false;
+        }
+        let subject = (hall.clone(), kind);
+        let asked = self.asked.entry(subject).or_insert(Asked {
+            at: now,
+            engines: 0,
+        });
+        !is_booting(asked, boot, now)
+    }
+}
+
+fn is_booting(asked: &Asked, boot: Duration, now: Instant) -> bool {
+    now.saturating_duration_since(asked.at) < boot + BOOT_GRACE
+}
+
+/// The halls, those first whose engines of a kind cost least.
+fn halls_by_price(
+    scaling: &Scaling,
+    plans: &BTreeMap<HallId, HallPlan>,
+    kind: EngineKind,
+) -> Vec<HallId> {
+    let mut halls: Vec<HallId> = plans.keys().cloned().collect();
+    halls.sort_by(|a, b| scaling.price(a, kind).total_cmp(&scaling.price(b, kind)));
+    halls
+}
--- /dev/null
+++ b/crates/capacity/src/planner/hall.rs
@@ -0,0 +1,127 @@
+//! What is ordered in one hall.
+
+use {
+    super::Reason,
+    crate::{fleet::HallFleet, order::EngineKind},
+    std::collections::BTreeMap,
+};
+
+/// One hall while its orders are decided.
+#[derive(Clone, Debug)]
+pub(super) struct HallPlan {
+    pub listed: HallFleet,
+    pub ordered_on_demand: Option<u32>,
+    pub ordered_preemptible: Option<u32>,
+    /// The most engines that the hall holds.
+    pub most: u32,
+    /// How many engines it is to have.
+    pub wanted: u32,
+    /// How many of them are not preemptible.
+    pub floor: u32,
+    pub preemptible_to_be_had: bool,
+    /// The orders that are given now.
+    pub changes: BTreeMap<EngineKind, (u32, Reason)>,
+}
+
+impl HallPlan {
+    /// What was ordered last; where nothing was, what runs.
+    fn ordered(&self, kind: EngineKind) -> u32 {
+        let ordered = match kind {
+            EngineKind::OnDemand => self.ordered_on_demand,
+            EngineKind::Preemptible => self.ordered_preemptible,
+        };
+        ordered.unwrap_or(self.listed.of(kind).serving)
+    }
+
+    fn planned(&self, kind: EngineKind) -> u32 {
+        let change = self.changes.get(&kind);
+        change.map_or_else(|| self.ordered(kind), |(engines, _)| *engines)
+    }
+
+    /// What is ordered now, where that is more than before; 0 elsewhere.
+    pub(super) fn raised_to(&self, kind: EngineKind) -> u32 {
+        let planned = self.planned(kind);
+        if planned > self.ordered(kind) {
+            planned
+        } else {
+            0
+        }
+    }
+
+    /// How many more engines the hall may hold.
+    fn room(&self) -> u32 {
+        let held: u32 = EngineKind::ALL
+            .into_iter()
+            .map(|kind| self.planned(kind).max(self.listed.of(kind).serving))
+            .sum();
+        self.most.saturating_sub(held)
+    }
+
+    fn raise(&mut self, kind: EngineKind, target: u32, reason: Reason) -> u32 {
+        let planned = self.planned(kind);
+        let more = target.saturating_sub(planned).min(self.room());
+        if more > 0 {
+            self.changes.insert(kind, (planned + more, reason));
+        }
+        more
+    }
+
+    /// Orders what the hall's size asks for. The engines on demand that are to go stay until the
+    /// others serve.
+    pub(super) fn order_size(&mut self) {
+        self.raise(EngineKind::OnDemand, self.floor, Reason::Size);
+        if self.preemptible_to_be_had {
+            let target = self.wanted.saturating_sub(self.floor);
+            self.raise(EngineKind::Preemptible, target, Reason::Size);
+        }
+    }
+
+    /// Orders up to so many more engines of a kind; how many.
+    pub(super) fn fill(&mut self, kind: EngineKind, lacking: u32) -> u32 {
+        let target = self.planned(kind) + lacking;
+        self.raise(kind, target, Reason::Short)
+    }
+
+    /// Lets engines go that are more than the hall is to have: those on demand first, which cost
+    /// more. At most `excess`, and one part in `part` of a kind; how many go.
+    pub(super) fn let_go(&mut self, excess: u32, part: u32) -> u32 {
+        let here = self.listed.serving().saturating_sub(self.wanted);
+        let mut left = excess.min(here);
+        let least_preemptible = self.wanted.saturating_sub(self.floor);
+        let kinds = [
+            (EngineKind::OnDemand, self.floor, Reason::Replaced),
+            (
+                EngineKind::Preemptible,
+                least_preemptible,
+                Reason::NotNeeded,
+            ),
+        ];
+        for (kind, least, reason) in kinds {
+            let ordered = self.ordered(kind);
+            let is_raised = self.raised_to(kind) > 0;
+            let most = ordered.div_ceil(part);
+            let gone = ordered.saturating_sub(least).min(left).min(most);
+            if gone > 0 && !is_raised {
+                self.changes.insert(kind, (ordered - gone, reason));
+                left -= gone;
+            }
+        }
+        excess.min(here) - left
+    }
+
+    /// Whether fewer engines are listed than were ordered.
+    pub(super) fn is_missing(&self, kind: EngineKind) -> bool {
+        let was_ordered = match kind {
+            EngineKind::OnDemand => self.ordered_on_demand.is_some(),
+            EngineKind::Preemptible => self.ordered_preemptible.is_some(),
+        };
+        let is_changed = self.changes.contains_key(&kind);
+        was_ordered && !is_changed && self.listed.of(kind).serving < self.ordered(kind)
+    }
+
+    /// Says the last order of a kind again.
+    pub(super) fn repeat(&mut self, kind: EngineKind) {
+        let engines = self.ordered(kind);
+        self.changes.insert(kind, (engines, Reason::Missing));
+    }
+}
--- /dev/null
+++ b/crates/capacity/src/planner/size.rs
@@ -0,0 +1,156 @@
+//! How many engines each hall is to have.
+
+use {
+    super::{Observation, Policy},
+    crate::{
+        demand::Needs,
+        fleet::HallFleet,
+        order::{EngineKind, EngineOrder, last_order},
+    },
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
+    tealshore_core::ids::HallId,
+};
+
+/// How long the list of engines must not have grown before it counts as whole: after a start of
+/// everything, engines and hosts begin in the same second.
+const SETTLED_AFTER: Duration = Duration::from_millis(800);
+/// The part of the size below which less work shrinks it. Between that and the size nothing changes.
+const SHRINK_BELOW: f64 = 0.9;
+
+/// Less work than the size is for.
+#[derive(Clone, Copy, Debug)]
+struct Surplus {
+    since: Instant,
+    /// The most engines that were needed since.
+    most_needed: u32,
+}
+
+/// How many engines each hall is to have.
+#[derive(Debug, Default)]
+pub(super) struct Size {
+    halls: BTreeMap<HallId, u32>,
+    changed: Option<Instant>,
+    is_settled: bool,
+    surplus: Option<Surplus>,
+}
+
+impl Size {
+    pub(super) fn halls(&self) -> &BTreeMap<HallId, u32> {
+        &self.halls
+    }
+
+    pub(super) fn of(&self, hall: &HallId) -> u32 {
+        self.halls.get(hall).copied().unwrap_or_default()
+    }
+
+    pub(super) fn total(&self) -> u32 {
+        self.halls.values().sum()
+    }
+
+    /// Takes in what is known; whether the size is known by now.
+    pub(super) fn update(
+        &mut self,
+        seen: &Observation<'_>,
+        needs: Option<Needs>,
+        policy: &Policy,
+        now: Instant,
+    ) -> bool {
+        self.learn(seen, policy, now);
+        if !self.is_settled {
+            return false;
+        }
+        match needs {
+            Some(needs) if needs.with_reserve > self.total() => {
+                self.set_total(needs.with_reserve, seen);
+                self.surplus = None;
+            }
+            Some(needs) if seen.hold.is_none() => self.shrink(needs, seen, policy, now),
+            Some(_) | None => self.surplus = None,
+        }
+        true
+    }
+
+    /// Learns the size from the last orders, or where there are none from what runs.
+    fn learn(&mut self, seen: &Observation<'_>, policy: &Policy, now: Instant) {
+        for (hall, listed) in seen.fleet {
+            let is_known = self.halls.contains_key(hall);
+            let by_orders = size_by_orders(seen.ordered, hall, *listed, policy.least_on_demand);
+            let size = match by_orders {
+                Some(_) if is_known => continue,
+                Some(size) => size,
+                None if self.is_settled && is_known => continue,
+                None => listed.serving(),
+            };
+            let bounded = size
+                .max(seen.scaling.least_engines)
+                .min(seen.scaling.most_engines);
+            let known = self.halls.entry(hall.clone()).or_default();
+            if bounded > *known {
+                *known = bounded;
+                self.changed = Some(now);
+            }
+        }
+        let quiet_for = self
+            .changed
+            .map(|changed| now.saturating_duration_since(changed));
+        self.is_settled |= quiet_for.is_some_and(|quiet_for| quiet_for >= SETTLED_AFTER);
+    }
+
+    /// Shrinks to the most that was needed for as long as the policy asks.
+    fn shrink(&mut self, needs: Needs, seen: &Observation<'_>, policy: &Policy, now: Instant) {
+        let needed = needs.with_reserve;
+        if f64::from(needed) > f64::from(self.total()) * SHRINK_BELOW {
+            self.surplus = None;
+            return;
+        }
+        let surplus = self.surplus.get_or_insert(Surplus {
+            since: now,
+            most_needed: needed,
+        });
+        surplus.most_needed = surplus.most_needed.max(needed);
+        if now.saturating_duration_since(surplus.since) < policy.shrink_after {
+            return;
+        }
+        let needed = surplus.most_needed;
+        self.surplus = None;
+        self.set_total(needed, seen);
+    }
+
+    /// Shares a total between the halls, each like the others, so that the loss of one takes least.
+    fn set_total(&mut self, total: u32, seen: &Observation<'_>) {
+        let halls = u32::try_from(self.halls.len()).unwrap_or(u32::MAX).max(1);
+        let is_more = total > self.total();
+        let each = total.div_ceil(halls);
+        for size in self.halls.values_mut() {
+            let wanted = if is_more {
+                each.max(*size)
+            } else {
+                each.min(*size)
+            };
+            *size = wanted
+                .max(seen.scaling.least_engines)
+                .min(seen.scaling.most_engines);
+        }
+    }
+}
+
+/// The size that the last orders of a hall were for; none where it has none. While preemptible engines
+/// take the place of others both are ordered, so only the floor of those on demand is added.
+fn size_by_orders(
+    orders: &[EngineOrder],
+    hall: &HallId,
+    listed: HallFleet,
+    floor: u32,
+) -> Option<u32> {
+    let on_demand = last_order(orders, hall, EngineKind::OnDemand);
+    let preemptible = last_order(orders, hall, EngineKind::Preemptible);
+    if on_demand.is_none() && preemptible.is_none() {
+        return None;
+    }
+    let on_demand = on_demand.unwrap_or(listed.on_demand.serving);
+    let preemptible = preemptible.unwrap_or(listed.preemptible.serving);
+    Some(on_demand.max(preemptible + on_demand.min(floor)))
+}
--- /dev/null
+++ b/crates/capacity/tests/support.rs
@@ -0,0 +1,202 @@
+//! A platform that starts and ends engines as it is told, by a clock of its own.
+
+use {
+    std::time::{Duration, Instant},
+    tealshore_capacity::{
+        Decision, Demand, EngineKind, EngineOrder, Fleet, HallFleet, Hold, ListedEngines,
+        Observation, Planner, Policy, Scaling, Sizing,
+    },
+    tealshore_core::ids::{HallId, ServiceId},
+};
+
+pub const HALLS: [&str; 3] = ["a", "b", "c"];
+pub const BOOT: Duration = Duration::from_secs(4);
+const DRAIN: Duration = Duration::from_secs(3);
+
+/// Engines that will serve, or end, at a moment.
+struct Pending {
+    at: Instant,
+    hall: HallId,
+    kind: EngineKind,
+    starts: u32,
+    ends: u32,
+}
+
+pub struct Platform {
+    pub now: Instant,
+    pub fleet: Fleet,
+    pub ordered: Vec<EngineOrder>,
+    pub scaling: Scaling,
+    pub demand: Demand,
+    pub hold: Option<Hold>,
+    /// Preemptible engines are not to be had.
+    pub is_dry: bool,
+    /// Calls get no answer.
+    pub is_silent: bool,
+    /// Orders are accepted, and nothing comes.
+    pub is_barren: bool,
+    pub planner: Planner,
+    pub policy: Policy,
+    pub decisions: Vec<Decision>,
+    pending: Vec<Pending>,
+}
+
+pub fn policy() -> Policy {
+    Policy {
+        least_on_demand: 4,
+        reserve: 0.5,
+        sizing: Sizing::Utilisation,
+        shrink_after: Duration::from_secs(30),
+    }
+}
+
+/// Work that keeps so many engines busy with reading.
+pub fn busy(engines: f64) -> Demand {
+    Demand {
+        streams_per_s: engines,
+        prompt_tokens: 5_000.0,
+        tokens_per_ms: 5.0,
+        running: 1,
+        ..Demand::default()
+    }
+}
+
+impl Platform {
+    /// A fleet of engines on demand, so many a hall.
+    pub fn new(each: u32) -> Self {
+        let hall = HallFleet {
+            on_demand: ListedEngines {
+                serving: each,
+                leaving: 0,
+            },
+            ..HallFleet::default()
+        };
+        Self {
+            now: Instant::now(),
+            fleet: HALLS.map(|name| (name.to_owned(), hall)).into(),
+            ordered: Vec::new(),
+            scaling: Scaling {
+                least_engines: 1,
+                most_engines: 152,
+                boot: BOOT,
+                preemptible_price: Some(0.22),
+                hall_prices: [("a".to_owned(), 0.85), ("b".to_owned(), 1.2)].into(),
+            },
+            demand: Demand::default(),
+            hold: None,
+            is_dry: false,
+            is_silent: false,
+            is_barren: false,
+            planner: Planner::default(),
+            policy: policy(),
+            decisions: Vec::new(),
+            pending: Vec::new(),
+        }
+    }
+
+    /// Lets a second pass so many times, with a decision at the end of each.
+    pub fn run(&mut self, seconds: u32) {
+        for _ in 0..seconds {
+            self.now += Duration::from_secs(1);
+            self.take_effect();
+            let decisions = self.decide();
+            for decision in &decisions {
+                self.order(&decision.order);
+            }
+            self.decisions.extend(decisions);
+        }
+    }
+
+    fn decide(&mut self) -> Vec<Decision> {
+        let service = ServiceId::from("writers");
+        let seen = Observation {
+            service: &service,
+            scaling: &self.scaling,
+            fleet: &self.fleet,
+            ordered: &self.ordered,
+            demand: self.demand,
+            hold: self.hold,
+        };
+        self.planner.decide(&seen, &self.policy, self.now)
+    }
+
+    fn order(&mut self, order: &EngineOrder) {
+        if self.is_silent {
+            return;
+        }
+        let present = self.listed(&order.hall, order.kind).serving + self.coming(order);
+        if order.engines > present && order.kind == EngineKind::Preemptible && self.is_dry {
+            self.planner
+                .note_unavailable(&order.hall, order.kind, self.now);
+            return;
+        }
+        self.ordered
+            .retain(|known| known.hall != order.hall || known.kind != order.kind);
+        self.ordered.push(order.clone());
+        let starts = order.engines.saturating_sub(present);
+        let ends = present.saturating_sub(order.engines);
+        if starts > 0 && !self.is_barren {
+            self.later(order, BOOT, starts, 0);
+        }
+        let listed = self
+            .fleet
+            .entry(order.hall.clone())
+            .or_default()
+            .of_mut(order.kind);
+        listed.serving -= ends.min(listed.serving);
+        listed.leaving += ends;
+        self.later(order, DRAIN, 0, ends);
+    }
+
+    fn later(&mut self, order: &EngineOrder, after: Duration, starts: u32, ends: u32) {
+        self.pending.push(Pending {
+            at: self.now + after,
+            hall: order.hall.clone(),
+            kind: order.kind,
+            starts,
+            ends,
+        });
+    }
+
+    fn coming(&self, order: &EngineOrder) -> u32 {
+        let of_subject = self
+            .pending
+            .iter()
+            .filter(|pending| pending.hall == order.hall && pending.kind == order.kind);
+        of_subject.map(|pending| pending.starts).sum()
+    }
+
+    fn take_effect(&mut self) {
+        let now = self.now;
+        let (due, later) = std::mem::take(&mut self.pending)
+            .into_iter()
+            .partition(|pending| pending.at <= now);
+        self.pending = later;
+        let due: Vec<Pending> = due;
+        for pending in due {
+            let listed = self
+                .fleet
+                .entry(pending.hall)
+                .or_default()
+                .of_mut(pending.kind);
+            listed.serving += pending.starts;
+            listed.leaving = listed.leaving.saturating_sub(pending.ends);
+        }
+    }
+
+    pub fn listed(&self, hall: &str, kind: EngineKind) -> ListedEngines {
+        self.fleet.get(hall).copied().unwrap_or_default().of(kind)
+    }
+
+    pub fn serving(&self, kind: EngineKind) -> u32 {
+        HALLS
+            .iter()
+            .map(|hall| self.listed(hall, kind).serving)
+            .sum()
+    }
+
+    /// Takes all preemptible engines of a hall away.
+    pub fn reclaim(&mut self, hall: &str) {
+        self.fleet.entry(hall.to_owned()).or_default().preemptible = ListedEngines::default();
+    }
+}
