Tell preemptible engines apart, and keep copies from engines that go together

The platform's rows say which engines may be taken away, and its configuration what may be ordered. A copy of a run's memory prefers an engine that does not go with the run's. capacity.rs gathers what the planner needs; nothing calls it before the driver of duties does.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -3,6 +3,7 @@
 use {
     crate::{run_trace::Fingerprint, view::Work},
     std::cmp::Ordering,
+    tealshore_capacity::EngineKind,
     tealshore_core::ids::{EngineId, EngineVersion, HallId},
 };
 
@@ -41,6 +42,8 @@
     pub id: EngineId,
     /// Its hall.
     pub hall: HallId,
+    /// Whether it may be taken away, together with all others of its kind in its hall.
+    pub kind: EngineKind,
     /// What all hosts have there.
     pub work: Work,
     /// How many requests it works on at once.
@@ -79,6 +82,8 @@
     Copy {
         /// The run's hall.
         away_from: &'a HallId,
+        /// The kind of the engine that runs it.
+        kind: EngineKind,
         /// The version of the engine that runs it.
         version: &'a EngineVersion,
         /// Tokens that it will hold.
@@ -177,15 +182,29 @@
             let preference = candidate.draw * AFFINITY_TOKENS;
             busy + away + failures * STREAM_COST_TOKENS + preference
         }
-        Need::Copy { away_from, .. } => {
-            let is_shared_fate = candidate.hall == *away_from;
-            let fate = if is_shared_fate { 1.0 } else { 0.0 };
+        Need::Copy {
+            away_from, kind, ..
+        } => {
+            let fate = shared_fate(candidate, away_from, kind);
             let held = to_f64(candidate.work.memory_tokens) + candidate.draw * COPY_JITTER_TOKENS;
             fate + held / 1e6
         }
     }
 }
 
+/// What it costs a copy that its holder may be lost in the instant in which the run's engine is: more
+/// than any difference in memory. Preemptible engines of a hall go together, others only may.
+fn shared_fate(candidate: &Candidate, hall: &HallId, kind: EngineKind) -> f64 {
+    let is_preemptible = |kind| kind == EngineKind::Preemptible;
+    if candidate.hall != *hall {
+        0.0
+    } else if is_preemptible(kind) && is_preemptible(candidate.kind) {
+        2.0
+    } else {
+        1.0
+    }
+}
+
 #[expect(
     clippy::cast_precision_loss,
     reason = "token counts are far below 2^52"
--- a/crates/gateway/src/capacity.rs
+++ b/crates/gateway/src/capacity.rs
@@ -1,13 +1,248 @@
-//! Which engines this host would order while it holds the duties.
+//! Which engines are to be ordered, by what this host knows of the work of all hosts. The host that
+//! holds the duty asks; the decision itself is in `tealshore-capacity`.
 
 use {
-    crate::{duties::PlacedOrder, state::GatewayState},
-    std::time::Instant,
-    tealshore_capacity::EngineOrder,
+    crate::{
+        peers::Peers,
+        state::GatewayState,
+        view::{Upstream, UpstreamState, Work},
+    },
+    parking_lot::Mutex,
+    std::{
+        collections::{BTreeSet, HashMap},
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tealshore_capacity::{
+        Decision, Demand, EngineOrder, Fleet, Hold, Observation, Planner, Scaling,
+    },
+    tealshore_core::ids::{EngineId, HallId, ServiceId},
 };
 
-/// Orders that differ from what was ordered before.
-pub fn wanted(state: &GatewayState, ordered: &[PlacedOrder], now: Instant) -> Vec<EngineOrder> {
-    let _ = (state, ordered, now);
-    Vec::new()
+/// What one stream weighs in the average of prompts.
+const PROMPT_WEIGHT: f64 = 0.05;
+/// The part of the hosts that must be heard before engines are let go.
+const HEARD_PART: f64 = 0.75;
+/// The part of a hall's engines that must be sound before any are let go.
+const SOUND_PART: f64 = 0.5;
+
+/// What this host remembers for orders of engines.
+#[derive(Default)]
+pub struct Capacity {
+    planners: Mutex<HashMap<ServiceId, Planner>>,
+    prompt_tokens: Mutex<HashMap<ServiceId, f64>>,
+}
+
+impl Capacity {
+    /// Notes the prompt of a stream.
+    pub fn note_prompt(&self, service: &ServiceId, tokens: u64) {
+        let tokens = f64::from(u32::try_from(tokens).unwrap_or(u32::MAX));
+        let mut averages = self.prompt_tokens.lock();
+        let average = averages.entry(service.clone()).or_insert(tokens);
+        *average += (tokens - *average) * PROMPT_WEIGHT;
+    }
+
+    /// Notes that what an order asks for is not to be had.
+    pub fn note_unavailable(&self, order: &EngineOrder, now: Instant) {
+        log::warn!(
+            "engines: not to be had service={} hall={} kind={} engines={}",
+            order.service,
+            order.hall,
+            order.kind.name(),
+            order.engines
+        );
+        let mut planners = self.planners.lock();
+        let planner = planners.entry(order.service.clone()).or_default();
+        planner.note_unavailable(&order.hall, order.kind, now);
+    }
+
+    fn prompt_tokens(&self, service: &ServiceId) -> f64 {
+        let averages = self.prompt_tokens.lock();
+        averages.get(service).copied().unwrap_or_default()
+    }
+}
+
+/// The orders that are to change, from the last ones; empty where all is as it should be.
+pub fn wanted(state: &GatewayState, ordered: &[EngineOrder], now: Instant) -> Vec<EngineOrder> {
+    let options = state.options.engine_orders;
+    let Some(configuration) = state.view.configuration().filter(|_| options.is_on) else {
+        return Vec::new();
+    };
+    let mut orders = Vec::new();
+    for (service, known) in &configuration.services {
+        if let Some(scaling) = &known.scaling {
+            let memory_tokens = known.engines.map_or(0, |engines| engines.memory_tokens);
+            orders.extend(decide(state, service, scaling, memory_tokens, ordered, now));
+        }
+    }
+    orders
+}
+
+fn decide(
+    state: &GatewayState,
+    service: &ServiceId,
+    scaling: &Scaling,
+    engine_memory_tokens: u64,
+    ordered: &[EngineOrder],
+    now: Instant,
+) -> Vec<EngineOrder> {
+    let ordered: Vec<EngineOrder> = ordered
+        .iter()
+        .filter(|order| order.service == *service)
+        .cloned()
+        .collect();
+    let listed = of_service(state, service);
+    let fleet = fleet(&listed, &ordered);
+    let work = work_at_all(&listed, &state.peers.work(now));
+    let seen = Observation {
+        service,
+        scaling,
+        fleet: &fleet,
+        ordered: &ordered,
+        demand: demand(state, service, work, engine_memory_tokens, now),
+        hold: hold(state, service, &listed, now),
+    };
+    let mut planners = state.capacity.planners.lock();
+    let planner = planners.entry(service.clone()).or_default();
+    let decisions = planner.decide(&seen, &state.options.engine_orders.policy, now);
+    state.metrics.engines.show(&seen, planner.sizes());
+    drop(planners);
+    for decision in &decisions {
+        log_order(decision, &seen);
+    }
+    decisions
+        .into_iter()
+        .map(|decision| decision.order)
+        .collect()
+}
+
+fn of_service(state: &GatewayState, service: &ServiceId) -> Vec<Arc<Upstream>> {
+    let mut listed = state.view.upstreams.all();
+    listed.retain(|upstream| upstream.record.service == *service);
+    // Of two incarnations at one address the younger one counts.
+    listed.sort_by_key(|upstream| std::cmp::Reverse(upstream.row));
+    let mut seen: BTreeSet<SocketAddr> = BTreeSet::new();
+    listed.retain(|upstream| seen.insert(upstream.record.address));
+    listed
+}
+
+/// The engines by hall, with the halls for which engines were ordered.
+fn fleet(listed: &[Arc<Upstream>], ordered: &[EngineOrder]) -> Fleet {
+    let halls = ordered.iter().map(|order| order.hall.clone());
+    let mut fleet: Fleet = halls.map(|hall| (hall, Default::default())).collect();
+    for upstream in listed {
+        let record = &upstream.record;
+        let of_hall = fleet.entry(record.hall.clone()).or_default();
+        let engines = of_hall.of_mut(record.kind);
+        match record.state {
+            UpstreamState::Ready => engines.serving += 1,
+            UpstreamState::Leaving => engines.leaving += 1,
+        }
+    }
+    fleet
+}
+
+fn work_at_all(listed: &[Arc<Upstream>], elsewhere: &HashMap<EngineId, Work>) -> Work {
+    let mut sum = Work::default();
+    for upstream in listed {
+        sum.add(upstream.own_work());
+        let by_others = elsewhere.get(&upstream.record.id).copied();
+        sum.add(by_others.unwrap_or_default());
+    }
+    sum
+}
+
+fn demand(
+    state: &GatewayState,
+    service: &ServiceId,
+    work: Work,
+    engine_memory_tokens: u64,
+    now: Instant,
+) -> Demand {
+    let by_others = state.peers.budget_pool(service, now).used.requests;
+    let requests = by_others.saturating_add(state.requests_here(service, now));
+    let window = state
+        .options
+        .bounds
+        .retries
+        .window
+        .max(Duration::from_secs(1));
+    let ms_for_1000 = state.read_rate(service).expected_ms(1_000);
+    Demand {
+        streams_per_s: f64::from(requests) / window.as_secs_f64(),
+        prompt_tokens: state.capacity.prompt_tokens(service),
+        tokens_per_ms: 1_000.0 / ms_for_1000.max(f64::MIN_POSITIVE),
+        held_tokens: work.memory_tokens,
+        engine_memory_tokens,
+        running: work.running,
+    }
+}
+
+/// Why no engine may be let go now.
+fn hold(
+    state: &GatewayState,
+    service: &ServiceId,
+    listed: &[Arc<Upstream>],
+    now: Instant,
+) -> Option<Hold> {
+    if state.rollouts.is_any_open() {
+        return Some(Hold::RolloutOpen);
+    }
+    if hears_few(&state.peers, service, now) {
+        return Some(Hold::FewHostsHeard);
+    }
+    is_a_hall_struck(listed, now).then_some(Hold::HallStruck)
+}
+
+fn hears_few(peers: &Peers, service: &ServiceId, now: Instant) -> bool {
+    let pool = peers.budget_pool(service, now);
+    to_f64(pool.heard + 1) < to_f64(pool.hosts) * HEARD_PART
+}
+
+fn is_a_hall_struck(listed: &[Arc<Upstream>], now: Instant) -> bool {
+    let mut halls: HashMap<&HallId, (usize, usize)> = HashMap::new();
+    let ready = listed
+        .iter()
+        .filter(|upstream| upstream.record.state == UpstreamState::Ready);
+    for upstream in ready {
+        let (all, sound) = halls.entry(&upstream.record.hall).or_default();
+        *all += 1;
+        *sound += usize::from(!upstream.is_suspected(now));
+    }
+    let mut counts = halls.into_values();
+    counts.any(|(all, sound)| to_f64(sound) < to_f64(all) * SOUND_PART)
+}
+
+fn log_order(decision: &Decision, seen: &Observation<'_>) {
+    let order = &decision.order;
+    let listed = seen.fleet.get(&order.hall).copied().unwrap_or_default();
+    let serving: u32 = seen.fleet.values().map(|hall| hall.serving()).sum();
+    log::info!(
+        "engines: order service={} hall={} kind={} engines={} reason={} on_demand={} preemptible={} \
+         leaving={} serving={serving} streams_per_s={:.1} prompt_tokens={:.0} tokens_per_ms={:.2} \
+         held_tokens={} running={} hold={:?}",
+        order.service,
+        order.hall,
+        order.kind.name(),
+        order.engines,
+        decision.reason.name(),
+        listed.on_demand.serving,
+        listed.preemptible.serving,
+        listed.on_demand.leaving + listed.preemptible.leaving,
+        seen.demand.streams_per_s,
+        seen.demand.prompt_tokens,
+        seen.demand.tokens_per_ms,
+        seen.demand.held_tokens,
+        seen.demand.running,
+        seen.hold
+    );
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "numbers of hosts and engines are far below 2^52"
+)]
+fn to_f64(count: usize) -> f64 {
+    count as f64
 }
--- a/crates/gateway/src/forward/stream/copy_holder.rs
+++ b/crates/gateway/src/forward/stream/copy_holder.rs
@@ -19,6 +19,7 @@
         }
         let need = Need::Copy {
             away_from: &runs_at.hall,
+            kind: runs_at.kind,
             version: &runs_at.version,
             memory_tokens: self.memory_tokens(),
             engine_memory_tokens: engines.memory_tokens,
--- a/crates/gateway/src/forward/stream/place.rs
+++ b/crates/gateway/src/forward/stream/place.rs
@@ -109,6 +109,8 @@
             if self.sends == 0 {
                 let waited = self.call.received.elapsed();
                 self.state.metrics.observe_queue("stream", waited);
+                let tokens = self.input_tokens();
+                self.state.capacity.note_prompt(&self.call.service, tokens);
             }
             self.sends += 1;
             match self.try_place(chosen).await {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,7 +1,10 @@
 //! What this host counts.
 
+mod engines;
+
 use {
     crate::view::UpstreamRecord,
+    engines::EngineMetrics,
     prometheus::{
         Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
         Registry, TextEncoder, core::Collector, exponential_buckets,
@@ -44,6 +47,8 @@
     pub unreadable_datagrams: IntCounter,
     /// Bytes sent to other hosts, by kind of message; headers of packets are not counted.
     pub peer_sent_bytes: IntCounterVec,
+    /// Engines that are wanted, ordered and listed.
+    pub engines: EngineMetrics,
     /// Requests in flight.
     pub in_flight: IntGauge,
     /// The version of the configuration in force.
@@ -145,6 +150,7 @@
                 "Bytes sent to other hosts",
                 &["message"],
             )?,
+            engines: EngineMetrics::new()?,
             in_flight: IntGauge::new("tealshore_requests_in_flight", "Requests in flight")?,
             config_version: IntGauge::new(
                 "tealshore_configuration_version",
@@ -193,7 +199,7 @@
             Box::new(self.lease_writes.clone()),
             Box::new(self.duty_calls.clone()),
         ];
-        for collector in all {
+        for collector in all.into_iter().chain(self.engines.collectors()) {
             self.registry.register(collector)?;
         }
         Ok(())
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -2,6 +2,9 @@
 
 mod duties;
 
+mod engine_orders;
+
+pub use engine_orders::EngineOrderOptions;
 use {
     crate::budget::BudgetBounds,
     std::{
@@ -21,7 +24,15 @@
 /// The longest time that a setting may give, in milliseconds.
 const TIME_LIMIT_MS: u64 = 3_600_000;
 /// The names of the sections.
-const SECTIONS: [&str; 6] = ["host", "store", "peers", "bounds", "duties", "log"];
+const SECTIONS: [&str; 7] = [
+    "host",
+    "store",
+    "peers",
+    "bounds",
+    "duties",
+    "engine_orders",
+    "log",
+];
 
 /// All settings.
 #[derive(Clone, Debug)]
@@ -36,6 +47,8 @@
     pub bounds: BoundOptions,
     /// `[duties]`; none where the deployment has none.
     pub duties: Option<DutyOptions>,
+    /// `[engine_orders]`
+    pub engine_orders: EngineOrderOptions,
     /// `[log]`
     pub log: LogOptions,
 }
@@ -159,6 +172,7 @@
             peers: settings.read_section("peers", PeerOptions::read)?,
             bounds: settings.read_section("bounds", BoundOptions::read)?,
             duties: settings.read_section("duties", DutyOptions::read)?,
+            engine_orders: settings.read_section("engine_orders", EngineOrderOptions::read)?,
             log: settings.read_section("log", LogOptions::read)?,
         })
     }
--- /dev/null
+++ b/crates/gateway/src/options/engine_orders.rs
@@ -0,0 +1,51 @@
+//! `[engine_orders]`: whether engines are ordered, and how many are kept in reserve.
+
+use {
+    super::{TIME_LIMIT_MS, number},
+    std::time::Duration,
+    tealshore_capacity::{Policy, Sizing},
+    tealshore_core::settings::{Section, SettingError},
+};
+
+/// Engines a hall that are never preemptible, unless the settings say. Four of a hall's 76 cost 0.04 of
+/// what the hall cost when all of them were on demand.
+const LEAST_ON_DEMAND: u64 = 4;
+/// The most that a setting may ask for in a hall.
+const MOST_ENGINES: u64 = 100_000;
+/// The part by which bursts exceed what was measured over ten seconds, unless the settings say: traffic
+/// that swings by a quarter, with short bursts of 1.8 times as much, exceeds its mean of ten seconds by
+/// about a half.
+const RESERVE: f64 = 0.5;
+/// How long less work must last before engines go for good, unless the settings say: several turns of
+/// traffic that comes in waves of ten seconds.
+const SHRINK_AFTER: Duration = Duration::from_secs(30);
+
+/// Whether and how engines are ordered.
+#[derive(Clone, Copy, Debug)]
+pub struct EngineOrderOptions {
+    /// Whether they are, where the deployment lets this system do so.
+    pub is_on: bool,
+    /// How many.
+    pub policy: Policy,
+}
+
+impl EngineOrderOptions {
+    pub(super) fn read(section: &mut Section<'_>) -> Result<Self, SettingError> {
+        let limit = 1..=TIME_LIMIT_MS;
+        let sizing = section.choice("sizing", "utilisation", &["utilisation", "queueing-delay"])?;
+        let least = section.integer("least_on_demand", LEAST_ON_DEMAND, 0..=MOST_ENGINES)?;
+        Ok(Self {
+            is_on: section.choice("orders", "on", &["on", "off"])? == "on",
+            policy: Policy {
+                least_on_demand: u32::try_from(least).unwrap_or(u32::MAX),
+                reserve: number(section, "reserve", RESERVE)?,
+                sizing: if sizing == "queueing-delay" {
+                    Sizing::QueueingDelay
+                } else {
+                    Sizing::Utilisation
+                },
+                shrink_after: section.duration_ms("shrink_after_ms", SHRINK_AFTER, limit)?,
+            },
+        })
+    }
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,6 +6,7 @@
     crate::{
         budget::{BudgetUse, RetryBudget},
         duties::Duties,
+        capacity::Capacity,
         edge::Protocol,
         feed::{
             Contender, DEPUTY_BOUND, FED_BOUND, Feed, FeederChoice, choose_feeder, hosts_before,
@@ -63,6 +64,8 @@
     pub rollouts: Rollouts,
     /// Duties that one host holds at a time.
     pub duties: Duties,
+    /// What it remembers for orders of engines.
+    pub capacity: Capacity,
     /// What it counts.
     pub metrics: GatewayMetrics,
     /// The planned stop.
@@ -90,6 +93,7 @@
             feed: Feed::default(),
             runs: Runs::default(),
             rollouts: Rollouts::new(rand::random()),
+            capacity: Capacity::default(),
             metrics: GatewayMetrics::new()?,
             stop: Stop::default(),
             body_room: Arc::new(Semaphore::new(options.host.body_bytes)),
@@ -276,6 +280,13 @@
         self.budget(&mut budgets, service).give_back();
     }
 
+    /// Requests of callers for a service that came to this host within the window of its budget.
+    pub fn requests_here(&self, service: &ServiceId, now: Instant) -> u32 {
+        let mut budgets = self.budgets.lock();
+        let budget = budgets.get_mut(service);
+        budget.map_or(0, |budget| budget.used(now).requests)
+    }
+
     /// What this host used of the budget of each service, for its peers.
     pub fn budget_use(&self, now: Instant) -> Vec<(ServiceId, BudgetUse)> {
         let mut budgets = self.budgets.lock();
--- a/crates/gateway/src/state/choice.rs
+++ b/crates/gateway/src/state/choice.rs
@@ -93,6 +93,7 @@
                 Candidate {
                     id: id.clone(),
                     hall: upstream.record.hall.clone(),
+                    kind: upstream.record.kind,
                     work,
                     slots: upstream.record.slots,
                     failure_score: upstream.failure_score(),
--- a/crates/gateway/src/view/configuration.rs
+++ b/crates/gateway/src/view/configuration.rs
@@ -4,6 +4,7 @@
     rand::RngExt,
     serde::{Deserialize, Serialize},
     std::{collections::HashMap, time::Duration},
+    tealshore_capacity::Scaling,
     tealshore_core::ids::{ConfigVersion, CustomerId, ServiceId},
 };
 
@@ -78,6 +79,8 @@
     pub health_path: String,
     /// What is known of its engines, where they serve a model.
     pub engines: Option<Engines>,
+    /// What may be ordered of its engines; none where nothing may.
+    pub scaling: Option<Scaling>,
 }
 
 /// What all model engines of a service have in common.
--- a/crates/gateway/src/view/upstream.rs
+++ b/crates/gateway/src/view/upstream.rs
@@ -8,6 +8,7 @@
         net::SocketAddr,
         time::{Duration, Instant},
     },
+    tealshore_capacity::EngineKind,
     tealshore_core::ids::{EngineId, EngineVersion, HallId, ServiceId},
     tokio::sync::Notify,
 };
@@ -63,6 +64,8 @@
     pub version: EngineVersion,
     /// How many requests it works on at once.
     pub slots: u32,
+    /// How it is paid for, and whether it may be taken away.
+    pub kind: EngineKind,
     /// Whether it takes new work.
     pub state: UpstreamState,
 }
--- a/crates/gateway/tests/balance.rs
+++ b/crates/gateway/tests/balance.rs
@@ -1,14 +1,18 @@
 //! The choice of an upstream.
 
-use tealshore_gateway::{
-    balance::{Candidate, Need, choose},
-    view::Work,
+use {
+    tealshore_capacity::EngineKind,
+    tealshore_gateway::{
+        balance::{Candidate, Need, choose},
+        view::Work,
+    },
 };
 
 fn candidate(id: &str, hall: &str) -> Candidate {
     Candidate {
         id: id.into(),
         hall: hall.into(),
+        kind: EngineKind::OnDemand,
         work: Work::default(),
         slots: 6,
         failure_score: 0.0,
@@ -121,6 +125,7 @@
     let hall = "a".to_owned();
     let version = "v1".to_owned();
     let need = Need::Copy {
+        kind: EngineKind::OnDemand,
         version: &version,
         away_from: &hall,
         memory_tokens: 9_000,
@@ -157,6 +162,7 @@
     let hall = "a".to_owned();
     let version = "v1".to_owned();
     let need = Need::Copy {
+        kind: EngineKind::OnDemand,
         version: &version,
         away_from: &hall,
         memory_tokens: 9_000,
@@ -173,6 +179,7 @@
 fn copies_that_are_placed_in_one_instant_do_not_all_lie_at_the_emptiest_engine() {
     let version = "v1".to_owned();
     let need = Need::Copy {
+        kind: EngineKind::OnDemand,
         version: &version,
         away_from: &"a".to_owned(),
         memory_tokens: 8_000,
@@ -198,3 +205,25 @@
     }
     assert!(at_emptiest < 60, "{at_emptiest} of 100");
 }
+
+#[test]
+fn a_copy_lies_at_no_engine_that_goes_with_the_runs_where_another_has_room() {
+    let preemptible = |id: &str, hall: &str| Candidate {
+        kind: EngineKind::Preemptible,
+        ..candidate(id, hall)
+    };
+    let mut stays = candidate("stays", "a");
+    stays.work.memory_tokens = 30_000;
+    let goes = preemptible("goes", "a");
+    let need = Need::Copy {
+        away_from: &"a".to_owned(),
+        kind: EngineKind::Preemptible,
+        version: &"v1".to_owned(),
+        memory_tokens: 10_000,
+        engine_memory_tokens: 88_000,
+    };
+    let here = [goes.clone(), stays];
+    assert_eq!(chosen(&here, need, &[]).unwrap(), "stays");
+    let with_other_hall = [goes, here[1].clone(), preemptible("far", "b")];
+    assert_eq!(chosen(&with_other_hall, need, &[]).unwrap(), "far");
+}
--- a/crates/gateway/tests/view.rs
+++ b/crates/gateway/tests/view.rs
@@ -7,6 +7,7 @@
 use {
     proptest::prelude::*,
     std::time::{Duration, Instant},
+    tealshore_capacity::EngineKind,
     tealshore_gateway::view::{
         Condition, Configuration, Route, RouteKind, Target, UpstreamRecord, UpstreamState, View,
     },
@@ -44,6 +45,7 @@
         address: "127.0.0.1:9".parse().unwrap(),
         hall: "a".to_owned(),
         version: "v1".to_owned(),
+        kind: EngineKind::OnDemand,
         slots: 6,
         state,
     }
