Fill the reserve with on-demand engines while others are not to be had

What serves is now filled up to the need with its reserve, in the halls with the fewest. A refused order is tried again after 2 s, also where its engines were missing before.

--- a/crates/capacity/src/planner.rs
+++ b/crates/capacity/src/planner.rs
@@ -25,7 +25,7 @@
 
 /// How long a kind of engine that was not to be had in a hall is not asked for again: a refusal costs a
 /// call, and such times last for some seconds.
-const UNAVAILABLE_FOR: Duration = Duration::from_secs(3);
+const UNAVAILABLE_FOR: Duration = Duration::from_secs(2);
 /// How much longer than their boot engines may take until they are listed; then they are ordered
 /// again. They tell of themselves about each second.
 const BOOT_GRACE: Duration = Duration::from_secs(2);
@@ -71,6 +71,8 @@
     pub ordered: &'a [EngineOrder],
     /// Its work.
     pub demand: Demand,
+    /// How long no engine was listed that was not before.
+    pub listed_for: Duration,
     /// Why no engine is let go; none where some may be.
     pub hold: Option<Hold>,
 }
@@ -136,7 +138,6 @@
     /// Notes that a kind of engine is not to be had in a hall.
     pub fn note_unavailable(&mut self, hall: &HallId, kind: EngineKind, now: Instant) {
         let subject = (hall.clone(), kind);
-        self.asked.remove(&subject);
         self.unavailable.insert(subject, now + UNAVAILABLE_FOR);
     }
 
@@ -207,7 +208,9 @@
     fn present(&self, hall: &HallId, plan: &HallPlan, boot: Duration, now: Instant) -> u32 {
         let of_kind = |kind: EngineKind| {
             let serving = plan.listed.of(kind).serving;
-            let asked = self.asked.get(&(hall.clone(), kind));
+            let subject = (hall.clone(), kind);
+            let was_refused = self.unavailable.contains_key(&subject);
+            let asked = self.asked.get(&subject).filter(|_| !was_refused);
             let booting = asked.filter(|asked| is_booting(asked, boot, now));
             let coming = booting.map_or(0, |asked| asked.engines);
             let ordered_now = plan.raised_to(kind);
@@ -216,8 +219,8 @@
         EngineKind::ALL.into_iter().map(of_kind).sum()
     }
 
-    /// Orders more where what serves is too little for the work: preemptible engines where there are
-    /// some, or else others.
+    /// Orders more where what serves is less than the work needs with its reserve: preemptible engines
+    /// where there are some, or else others. Halls with the fewest get them first.
     fn fill(
         &self,
         seen: &Observation<'_>,
@@ -226,18 +229,28 @@
         now: Instant,
     ) {
         let boot = seen.scaling.boot;
-        let present: u32 = plans
+        let mut present: BTreeMap<HallId, u32> = plans
             .iter()
-            .map(|(hall, plan)| self.present(hall, plan, boot, now))
-            .sum();
-        let mut lacking = needs.at_least.saturating_sub(present);
+            .map(|(hall, plan)| (hall.clone(), self.present(hall, plan, boot, now)))
+            .collect();
+        let all: u32 = present.values().sum();
+        let needed = needs.with_reserve.min(self.size.total());
+        let mut lacking = needed.saturating_sub(all);
         for kind in [EngineKind::Preemptible, EngineKind::OnDemand] {
             let is_offered = kind == EngineKind::OnDemand || seen.scaling.offers_preemptible();
-            for hall in halls_by_price(seen.scaling, plans, kind) {
-                let is_to_be_had = is_offered && self.is_to_be_had(&hall, kind, now);
-                if let Some(plan) = plans.get_mut(&hall).filter(|_| is_to_be_had) {
-                    lacking -= plan.fill(kind, lacking);
+            let mut halls = halls_by_price(seen.scaling, plans, kind);
+            halls.retain(|hall| is_offered && self.is_to_be_had(hall, kind, now));
+            while lacking > 0 {
+                halls.retain(|hall| plans.get(hall).is_some_and(|plan| plan.has_room_for(kind)));
+                let fewest = halls.iter().min_by_key(|hall| present.get(*hall).copied());
+                let Some(hall) = fewest else {
+                    break;
+                };
+                if let Some(plan) = plans.get_mut(hall) {
+                    plan.fill_one(kind);
                 }
+                *present.entry(hall.clone()).or_default() += 1;
+                lacking -= 1;
             }
         }
     }
@@ -283,8 +296,9 @@
                 }
             }
             for (kind, (engines, reason)) in plan.changes {
-                let asked = Asked { at: now, engines };
-                self.asked.insert((hall.clone(), kind), asked);
+                let subject = (hall.clone(), kind);
+                self.unavailable.remove(&subject);
+                self.asked.insert(subject, Asked { at: now, engines });
                 let order = EngineOrder {
                     service: seen.service.clone(),
                     hall: hall.clone(),
@@ -310,11 +324,12 @@
             return false;
         }
         let subject = (hall.clone(), kind);
+        let was_refused = self.unavailable.contains_key(&subject);
         let asked = self.asked.entry(subject).or_insert(Asked {
             at: now,
             engines: 0,
         });
-        !is_booting(asked, boot, now)
+        was_refused || !is_booting(asked, boot, now)
     }
 }
 
--- a/crates/capacity/src/planner/hall.rs
+++ b/crates/capacity/src/planner/hall.rs
@@ -76,10 +76,16 @@
         }
     }
 
-    /// Orders up to so many more engines of a kind; how many.
-    pub(super) fn fill(&mut self, kind: EngineKind, lacking: u32) -> u32 {
-        let target = self.planned(kind) + lacking;
-        self.raise(kind, target, Reason::Short)
+    /// Whether one more engine of a kind may be ordered to fill a gap. Not where engines of that kind
+    /// were ordered and are missing: more of them would not come either.
+    pub(super) fn has_room_for(&self, kind: EngineKind) -> bool {
+        self.room() > 0 && !self.lacks(kind)
+    }
+
+    /// Orders one more engine of a kind.
+    pub(super) fn fill_one(&mut self, kind: EngineKind) {
+        let target = self.planned(kind) + 1;
+        self.raise(kind, target, Reason::Short);
     }
 
     /// Lets engines go that are more than the hall is to have: those on demand first, which cost
@@ -110,13 +116,17 @@
     }
 
     /// Whether fewer engines are listed than were ordered.
-    pub(super) fn is_missing(&self, kind: EngineKind) -> bool {
+    fn lacks(&self, kind: EngineKind) -> bool {
         let was_ordered = match kind {
             EngineKind::OnDemand => self.ordered_on_demand.is_some(),
             EngineKind::Preemptible => self.ordered_preemptible.is_some(),
         };
-        let is_changed = self.changes.contains_key(&kind);
-        was_ordered && !is_changed && self.listed.of(kind).serving < self.ordered(kind)
+        was_ordered && self.listed.of(kind).serving < self.ordered(kind)
+    }
+
+    /// Whether engines are missing that were ordered, and no order of that kind is given now.
+    pub(super) fn is_missing(&self, kind: EngineKind) -> bool {
+        !self.changes.contains_key(&kind) && self.lacks(kind)
     }
 
     /// Says the last order of a kind again.
--- a/crates/capacity/src/planner/size.rs
+++ b/crates/capacity/src/planner/size.rs
@@ -1,7 +1,7 @@
 //! How many engines each hall is to have.
 
 use {
-    super::{Observation, Policy},
+    super::{Hold, Observation, Policy},
     crate::{
         demand::Needs,
         fleet::HallFleet,
@@ -32,7 +32,6 @@
 #[derive(Debug, Default)]
 pub(super) struct Size {
     halls: BTreeMap<HallId, u32>,
-    changed: Option<Instant>,
     is_settled: bool,
     surplus: Option<Surplus>,
 }
@@ -58,14 +57,17 @@
         policy: &Policy,
         now: Instant,
     ) -> bool {
-        self.learn(seen, policy, now);
+        self.learn(seen, policy);
         if !self.is_settled {
             return false;
         }
         match needs {
             Some(needs) if needs.with_reserve > self.total() => {
-                self.set_total(needs.with_reserve, seen);
                 self.surplus = None;
+                // Streams that move make copies anew, so for a moment memory seems to be short.
+                if seen.hold != Some(Hold::HallStruck) {
+                    self.set_total(needs.with_reserve, seen);
+                }
             }
             Some(needs) if seen.hold.is_none() => self.shrink(needs, seen, policy, now),
             Some(_) | None => self.surplus = None,
@@ -74,7 +76,7 @@
     }
 
     /// Learns the size from the last orders, or where there are none from what runs.
-    fn learn(&mut self, seen: &Observation<'_>, policy: &Policy, now: Instant) {
+    fn learn(&mut self, seen: &Observation<'_>, policy: &Policy) {
         for (hall, listed) in seen.fleet {
             let is_known = self.halls.contains_key(hall);
             let by_orders = size_by_orders(seen.ordered, hall, *listed, policy.least_on_demand);
@@ -88,15 +90,9 @@
                 .max(seen.scaling.least_engines)
                 .min(seen.scaling.most_engines);
             let known = self.halls.entry(hall.clone()).or_default();
-            if bounded > *known {
-                *known = bounded;
-                self.changed = Some(now);
-            }
+            *known = bounded.max(*known);
         }
-        let quiet_for = self
-            .changed
-            .map(|changed| now.saturating_duration_since(changed));
-        self.is_settled |= quiet_for.is_some_and(|quiet_for| quiet_for >= SETTLED_AFTER);
+        self.is_settled |= !self.halls.is_empty() && seen.listed_for >= SETTLED_AFTER;
     }
 
     /// Shrinks to the most that was needed for as long as the policy asks.
--- a/crates/capacity/tests/support.rs
+++ b/crates/capacity/tests/support.rs
@@ -1,4 +1,5 @@
 //! A platform that starts and ends engines as it is told, by a clock of its own.
+#![allow(missing_docs, reason = "a helper of tests")]
 
 use {
     std::time::{Duration, Instant},
@@ -115,6 +116,7 @@
             fleet: &self.fleet,
             ordered: &self.ordered,
             demand: self.demand,
+            listed_for: Duration::from_secs(1),
             hold: self.hold,
         };
         self.planner.decide(&seen, &self.policy, self.now)
--- a/crates/gateway/src/capacity.rs
+++ b/crates/gateway/src/capacity.rs
@@ -101,6 +101,7 @@
         fleet: &fleet,
         ordered: &ordered,
         demand: demand(state, service, work, engine_memory_tokens, now),
+        listed_for: listed_for(&listed, now),
         hold: hold(state, service, &listed, now),
     };
     let mut planners = state.capacity.planners.lock();
@@ -143,6 +144,14 @@
     fleet
 }
 
+/// How long no upstream was listed that was not before.
+fn listed_for(listed: &[Arc<Upstream>], now: Instant) -> Duration {
+    let newest = listed.iter().map(|upstream| upstream.listed()).max();
+    newest.map_or(Duration::ZERO, |newest| {
+        now.saturating_duration_since(newest)
+    })
+}
+
 fn work_at_all(listed: &[Arc<Upstream>], elsewhere: &HashMap<EngineId, Work>) -> Work {
     let mut sum = Work::default();
     for upstream in listed {
--- a/crates/gateway/src/view/upstream.rs
+++ b/crates/gateway/src/view/upstream.rs
@@ -135,6 +135,11 @@
         }
     }
 
+    /// When this host first saw it listed.
+    pub fn listed(&self) -> Instant {
+        self.listed
+    }
+
     /// What this host has there.
     pub fn own_work(&self) -> Work {
         self.opinion.lock().own
