Let the holder of the duties order engines

capacity::wanted answers the driver of duties with the planner's decisions; orders that were turned down are told apart from those in force, and what is still on its way is not said twice.

--- a/crates/capacity/src/planner.rs
+++ b/crates/capacity/src/planner.rs
@@ -69,6 +69,8 @@
     pub fleet: &'a Fleet,
     /// The last orders.
     pub ordered: &'a [EngineOrder],
+    /// Those that the platform turned down: there were no such engines, and nothing changed.
+    pub refused: &'a [EngineOrder],
     /// Its work.
     pub demand: Demand,
     /// How long no engine was listed that was not before.
@@ -135,12 +137,6 @@
 }
 
 impl Planner {
-    /// Notes that a kind of engine is not to be had in a hall.
-    pub fn note_unavailable(&mut self, hall: &HallId, kind: EngineKind, now: Instant) {
-        let subject = (hall.clone(), kind);
-        self.unavailable.insert(subject, now + UNAVAILABLE_FOR);
-    }
-
     /// How many engines each hall is to have.
     #[must_use]
     pub fn sizes(&self) -> &BTreeMap<HallId, u32> {
@@ -154,6 +150,11 @@
         policy: &Policy,
         now: Instant,
     ) -> Vec<Decision> {
+        for order in seen.refused {
+            let subject = (order.hall.clone(), order.kind);
+            let until = now + UNAVAILABLE_FOR;
+            self.unavailable.entry(subject).or_insert(until);
+        }
         let halls = seen.fleet.len();
         let needs = seen.demand.needs(policy.sizing, policy.reserve, halls);
         if !self.size.update(seen, needs, policy, now) {
--- a/crates/capacity/src/planner/size.rs
+++ b/crates/capacity/src/planner/size.rs
@@ -79,7 +79,8 @@
     fn learn(&mut self, seen: &Observation<'_>, policy: &Policy) {
         for (hall, listed) in seen.fleet {
             let is_known = self.halls.contains_key(hall);
-            let by_orders = size_by_orders(seen.ordered, hall, *listed, policy.least_on_demand);
+            let orders = [seen.ordered, seen.refused].concat();
+            let by_orders = size_by_orders(&orders, hall, *listed, policy.least_on_demand);
             let size = match by_orders {
                 Some(_) if is_known => continue,
                 Some(size) => size,
--- a/crates/capacity/tests/planner.rs
+++ b/crates/capacity/tests/planner.rs
@@ -107,9 +107,7 @@
     let mut platform = replaced();
     platform.demand = busy(60.0);
     platform.reclaim("b");
-    platform
-        .planner
-        .note_unavailable(&"b".to_owned(), CHEAP, platform.now);
+    platform.unavailable_in = Some("b");
     platform.run(1);
     let cheap = platform.decisions.iter().skip(6);
     assert!(cheap.clone().count() > 0);
--- a/crates/capacity/tests/support.rs
+++ b/crates/capacity/tests/support.rs
@@ -27,10 +27,13 @@
     pub now: Instant,
     pub fleet: Fleet,
     pub ordered: Vec<EngineOrder>,
+    pub refused: Vec<EngineOrder>,
     pub scaling: Scaling,
     pub demand: Demand,
     pub hold: Option<Hold>,
-    /// Preemptible engines are not to be had.
+    /// Preemptible engines are not to be had in this hall.
+    pub unavailable_in: Option<&'static str>,
+    /// Nor in any.
     pub is_dry: bool,
     /// Calls get no answer.
     pub is_silent: bool,
@@ -76,6 +79,7 @@
             now: Instant::now(),
             fleet: HALLS.map(|name| (name.to_owned(), hall)).into(),
             ordered: Vec::new(),
+            refused: Vec::new(),
             scaling: Scaling {
                 least_engines: 1,
                 most_engines: 152,
@@ -85,6 +89,7 @@
             },
             demand: Demand::default(),
             hold: None,
+            unavailable_in: None,
             is_dry: false,
             is_silent: false,
             is_barren: false,
@@ -115,6 +120,7 @@
             scaling: &self.scaling,
             fleet: &self.fleet,
             ordered: &self.ordered,
+            refused: &self.refused,
             demand: self.demand,
             listed_for: Duration::from_secs(1),
             hold: self.hold,
@@ -127,13 +133,14 @@
             return;
         }
         let present = self.listed(&order.hall, order.kind).serving + self.coming(order);
-        if order.engines > present && order.kind == EngineKind::Preemptible && self.is_dry {
-            self.planner
-                .note_unavailable(&order.hall, order.kind, self.now);
+        let is_dry = self.is_dry || self.unavailable_in == Some(order.hall.as_str());
+        for known in [&mut self.ordered, &mut self.refused] {
+            known.retain(|known| known.hall != order.hall || known.kind != order.kind);
+        }
+        if order.engines > present && order.kind == EngineKind::Preemptible && is_dry {
+            self.refused.push(order.clone());
             return;
         }
-        self.ordered
-            .retain(|known| known.hall != order.hall || known.kind != order.kind);
         self.ordered.push(order.clone());
         let starts = order.engines.saturating_sub(present);
         let ends = present.saturating_sub(order.engines);
--- a/crates/gateway/src/capacity.rs
+++ b/crates/gateway/src/capacity.rs
@@ -3,6 +3,7 @@
 
 use {
     crate::{
+        duties::{OrderState, PlacedOrder},
         peers::Peers,
         state::GatewayState,
         view::{Upstream, UpstreamState, Work},
@@ -43,20 +44,6 @@
         *average += (tokens - *average) * PROMPT_WEIGHT;
     }
 
-    /// Notes that what an order asks for is not to be had.
-    pub fn note_unavailable(&self, order: &EngineOrder, now: Instant) {
-        log::warn!(
-            "engines: not to be had service={} hall={} kind={} engines={}",
-            order.service,
-            order.hall,
-            order.kind.name(),
-            order.engines
-        );
-        let mut planners = self.planners.lock();
-        let planner = planners.entry(order.service.clone()).or_default();
-        planner.note_unavailable(&order.hall, order.kind, now);
-    }
-
     fn prompt_tokens(&self, service: &ServiceId) -> f64 {
         let averages = self.prompt_tokens.lock();
         averages.get(service).copied().unwrap_or_default()
@@ -64,7 +51,7 @@
 }
 
 /// The orders that are to change, from the last ones; empty where all is as it should be.
-pub fn wanted(state: &GatewayState, ordered: &[EngineOrder], now: Instant) -> Vec<EngineOrder> {
+pub fn wanted(state: &GatewayState, placed: &[PlacedOrder], now: Instant) -> Vec<EngineOrder> {
     let options = state.options.engine_orders;
     let Some(configuration) = state.view.configuration().filter(|_| options.is_on) else {
         return Vec::new();
@@ -73,9 +60,14 @@
     for (service, known) in &configuration.services {
         if let Some(scaling) = &known.scaling {
             let memory_tokens = known.engines.map_or(0, |engines| engines.memory_tokens);
-            orders.extend(decide(state, service, scaling, memory_tokens, ordered, now));
+            orders.extend(decide(state, service, scaling, memory_tokens, placed, now));
         }
     }
+    // What is still on its way is not said twice.
+    orders.retain(|order| {
+        let mut open = placed.iter().filter(|it| it.state == OrderState::Open);
+        !open.any(|it| it.order == *order)
+    });
     orders
 }
 
@@ -84,22 +76,24 @@
     service: &ServiceId,
     scaling: &Scaling,
     engine_memory_tokens: u64,
-    ordered: &[EngineOrder],
+    placed: &[PlacedOrder],
     now: Instant,
 ) -> Vec<EngineOrder> {
-    let ordered: Vec<EngineOrder> = ordered
-        .iter()
-        .filter(|order| order.service == *service)
-        .cloned()
-        .collect();
-    let listed = of_service(state, service);
-    let fleet = fleet(&listed, &ordered);
+    let of_service = placed.iter().filter(|it| it.order.service == *service);
+    let (refused, ordered): (Vec<&PlacedOrder>, Vec<&PlacedOrder>) =
+        of_service.partition(|it| it.state == OrderState::Unavailable);
+    let [ordered, refused] = [ordered, refused].map(|placed| -> Vec<EngineOrder> {
+        placed.into_iter().map(|it| it.order.clone()).collect()
+    });
+    let listed = engines_of(state, service);
+    let fleet = fleet(&listed, placed, service);
     let work = work_at_all(&listed, &state.peers.work(now));
     let seen = Observation {
         service,
         scaling,
         fleet: &fleet,
         ordered: &ordered,
+        refused: &refused,
         demand: demand(state, service, work, engine_memory_tokens, now),
         listed_for: listed_for(&listed, now),
         hold: hold(state, service, &listed, now),
@@ -118,7 +112,7 @@
         .collect()
 }
 
-fn of_service(state: &GatewayState, service: &ServiceId) -> Vec<Arc<Upstream>> {
+fn engines_of(state: &GatewayState, service: &ServiceId) -> Vec<Arc<Upstream>> {
     let mut listed = state.view.upstreams.all();
     listed.retain(|upstream| upstream.record.service == *service);
     // Of two incarnations at one address the younger one counts.
@@ -129,8 +123,9 @@
 }
 
 /// The engines by hall, with the halls for which engines were ordered.
-fn fleet(listed: &[Arc<Upstream>], ordered: &[EngineOrder]) -> Fleet {
-    let halls = ordered.iter().map(|order| order.hall.clone());
+fn fleet(listed: &[Arc<Upstream>], placed: &[PlacedOrder], service: &ServiceId) -> Fleet {
+    let of_service = placed.iter().filter(|it| it.order.service == *service);
+    let halls = of_service.map(|it| it.order.hall.clone());
     let mut fleet: Fleet = halls.map(|hall| (hall, Default::default())).collect();
     for upstream in listed {
         let record = &upstream.record;
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -1,10 +1,8 @@
 //! The settings, one struct a section.
 
 mod duties;
-
 mod engine_orders;
 
-pub use engine_orders::EngineOrderOptions;
 use {
     crate::budget::BudgetBounds,
     std::{
@@ -19,7 +17,10 @@
     },
 };
 
-pub use duties::{Duty, DutyOptions};
+pub use {
+    duties::{Duty, DutyOptions},
+    engine_orders::EngineOrderOptions,
+};
 
 /// The longest time that a setting may give, in milliseconds.
 const TIME_LIMIT_MS: u64 = 3_600_000;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,8 +5,8 @@
 use {
     crate::{
         budget::{BudgetUse, RetryBudget},
-        duties::Duties,
         capacity::Capacity,
+        duties::Duties,
         edge::Protocol,
         feed::{
             Contender, DEPUTY_BOUND, FED_BOUND, Feed, FeederChoice, choose_feeder, hosts_before,
