--- a/crates/gateway/src/forward/stream/relay.rs
+++ b/crates/gateway/src/forward/stream/relay.rs
@@ -222,7 +222,8 @@
             return;
         };
         let holder = self.state.view.upstreams.get(&copy.upstream);
-        let is_held = holder.is_some_and(|holder| !holder.is_suspected(now));
+        let is_held =
+            holder.is_some_and(|holder| !holder.is_suspected(now) && !holder.goes_with_its_hall());
         if !self.recopy.is_due(is_held, now) {
             return;
         }
--- a/crates/gateway/src/view/upstream.rs
+++ b/crates/gateway/src/view/upstream.rs
@@ -140,6 +140,13 @@
         self.listed
     }
 
+    /// Whether it leaves together with all others of its kind in its hall. Copies that lie there are lost
+    /// in a moment, with many others; an engine that leaves alone is not worth a second copy.
+    pub fn goes_with_its_hall(&self) -> bool {
+        let is_leaving = self.record.state == UpstreamState::Leaving;
+        is_leaving && self.record.kind == EngineKind::Preemptible
+    }
+
     /// What this host has there.
     pub fn own_work(&self) -> Work {
         self.opinion.lock().own
