Keep spare preemptible engines that bear the loss of a hall

As many cheap ones as one hall holds cost a fifth of it and serve at once. The size of a hall no longer contains the loss of one: that is what spare engines are for.

--- a/crates/capacity/src/demand.rs
+++ b/crates/capacity/src/demand.rs
@@ -24,15 +24,6 @@
     pub running: u32,
 }
 
-/// How many engines the work needs.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Needs {
-    /// Below this, prompts wait too long once a burst comes.
-    pub at_least: u32,
-    /// As many, and the engines of one hall may be lost.
-    pub with_reserve: u32,
-}
-
 /// How the number of engines follows from their load.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Sizing {
@@ -67,29 +58,17 @@
     /// How many engines the work needs; none where it was not measured. `reserve` is the part by which
     /// bursts exceed what was measured.
     #[must_use]
-    pub fn needs(&self, sizing: Sizing, reserve: f64, halls: usize) -> Option<Needs> {
+    pub fn engines_needed(&self, sizing: Sizing, reserve: f64) -> Option<u32> {
         if !self.is_measured() {
             return None;
         }
         let busy = self.busy_engines() * (1.0 + reserve);
-        let at_least = match sizing {
+        let needed = match sizing {
             Sizing::Utilisation => busy / MOST_BUSY,
             Sizing::QueueingDelay => busy + DELAY_RESERVE * busy.sqrt(),
         };
-        Some(Needs {
-            at_least: whole(at_least),
-            with_reserve: whole(at_least * loss_factor(halls)),
-        })
-    }
-}
-
-/// By how much a fleet is larger than what is left of it when one of its halls is lost.
-fn loss_factor(halls: usize) -> f64 {
-    let halls = f64::from(u32::try_from(halls).unwrap_or(u32::MAX));
-    if halls < 2.0 {
-        return 1.0;
+        Some(whole(needed))
     }
-    halls / (halls - 1.0)
 }
 
 #[expect(
--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -7,7 +7,7 @@
 mod planner;
 
 pub use {
-    demand::{Demand, Needs, Sizing},
+    demand::{Demand, Sizing},
     fleet::{Fleet, HallFleet, ListedEngines},
     order::{EngineKind, EngineOrder, Scaling},
     planner::{Decision, Hold, Observation, Planner, Policy, Reason},
--- a/crates/capacity/src/planner.rs
+++ b/crates/capacity/src/planner.rs
@@ -3,14 +3,15 @@
 //! The size of each hall is what runs there when nothing was ordered yet, until the work was measured
 //! for long enough to say that it is too much; it grows at once where the work needs more. Within the
 //! size, preemptible engines take the place of those on demand, above a floor: they are ordered first,
-//! and others let go only as far as those serve.
+//! and others let go only as far as those serve. Beyond it, cheap engines are kept that bear the loss of
+//! one hall's.
 
 mod hall;
 mod size;
 
 use {
     crate::{
-        demand::{Demand, Needs, Sizing},
+        demand::{Demand, Sizing},
         fleet::Fleet,
         order::{EngineKind, EngineOrder, Scaling, last_order},
     },
@@ -43,10 +44,19 @@
     pub reserve: f64,
     /// How the number follows from the load.
     pub sizing: Sizing,
+    /// Whether preemptible engines are kept that stand in for those of one hall.
+    pub spare_hall: bool,
     /// How long less work than the size is for must last before it shrinks.
     pub shrink_after: Duration,
 }
 
+impl Policy {
+    /// Whether a service has spare engines: cheap ones that bear the loss of a hall.
+    fn spares_hall(&self, scaling: &Scaling) -> bool {
+        self.spare_hall && scaling.offers_preemptible()
+    }
+}
+
 /// Why no engine is let go.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Hold {
@@ -155,19 +165,19 @@
             let until = now + UNAVAILABLE_FOR;
             self.unavailable.entry(subject).or_insert(until);
         }
-        let halls = seen.fleet.len();
-        let needs = seen.demand.needs(policy.sizing, policy.reserve, halls);
-        if !self.size.update(seen, needs, policy, now) {
+        let needed = seen.demand.engines_needed(policy.sizing, policy.reserve);
+        if !self.size.update(seen, needed, policy, now) {
             return Vec::new();
         }
         let mut plans = self.hall_plans(seen, policy, now);
+        // First, so that a hall has room for what takes their place.
+        self.let_go(seen, &mut plans, now);
         for plan in plans.values_mut() {
             plan.order_size();
         }
-        if let Some(needs) = needs {
-            self.fill(seen, needs, &mut plans, now);
+        if let Some(needed) = needed {
+            self.fill(seen, needed, &mut plans, now);
         }
-        self.let_go(seen, &mut plans, now);
         self.changes(seen, plans, now)
     }
 
@@ -179,9 +189,14 @@
     ) -> BTreeMap<HallId, HallPlan> {
         let offers_preemptible = seen.scaling.offers_preemptible();
         let halls = seen.fleet.iter().map(|(hall, listed)| {
-            let wanted = self.size.of(hall);
+            let size = self.size.of(hall);
+            let wanted = if policy.spares_hall(seen.scaling) {
+                self.size.with_spare(size)
+            } else {
+                size
+            };
             let floor = if offers_preemptible {
-                policy.least_on_demand.min(wanted)
+                policy.least_on_demand.min(size)
             } else {
                 wanted
             };
@@ -190,7 +205,8 @@
                 ordered_on_demand: last_order(seen.ordered, hall, EngineKind::OnDemand),
                 ordered_preemptible: last_order(seen.ordered, hall, EngineKind::Preemptible),
                 most: seen.scaling.most_engines,
-                wanted,
+                size,
+                wanted: wanted.min(seen.scaling.most_engines),
                 floor,
                 preemptible_to_be_had: self.is_to_be_had(hall, EngineKind::Preemptible, now),
                 changes: BTreeMap::new(),
@@ -220,12 +236,12 @@
         EngineKind::ALL.into_iter().map(of_kind).sum()
     }
 
-    /// Orders more where what serves is less than the work needs with its reserve: preemptible engines
-    /// where there are some, or else others. Halls with the fewest get them first.
+    /// Orders more where what serves is less than the work needs: preemptible engines where there are
+    /// some, or else others. Halls with the fewest get them first.
     fn fill(
         &self,
         seen: &Observation<'_>,
-        needs: Needs,
+        needed: u32,
         plans: &mut BTreeMap<HallId, HallPlan>,
         now: Instant,
     ) {
@@ -235,8 +251,7 @@
             .map(|(hall, plan)| (hall.clone(), self.present(hall, plan, boot, now)))
             .collect();
         let all: u32 = present.values().sum();
-        let needed = needs.with_reserve.min(self.size.total());
-        let mut lacking = needed.saturating_sub(all);
+        let mut lacking = needed.min(self.size.total()).saturating_sub(all);
         for kind in [EngineKind::Preemptible, EngineKind::OnDemand] {
             let is_offered = kind == EngineKind::OnDemand || seen.scaling.offers_preemptible();
             let mut halls = halls_by_price(seen.scaling, plans, kind);
@@ -270,15 +285,18 @@
         if seen.hold.is_some() || (waits && !is_idle) {
             return;
         }
+        let part = if is_idle { 1 } else { LET_GO_PART };
         let serving: u32 = plans.values().map(|plan| plan.listed.serving()).sum();
-        let mut excess = serving.saturating_sub(self.size.total());
+        let wanted: u32 = plans.values().map(|plan| plan.wanted).sum();
+        let mut left = serving;
         for plan in plans.values_mut() {
-            let part = if is_idle { 1 } else { LET_GO_PART };
-            let gone = plan.let_go(excess, part);
-            if gone > 0 {
-                self.let_go_at = Some(now);
-            }
-            excess -= gone;
+            left -= plan.let_go_on_demand(left.saturating_sub(self.size.total()), part);
+        }
+        for plan in plans.values_mut() {
+            left -= plan.let_go_preemptible(left.saturating_sub(wanted), part);
+        }
+        if left < serving {
+            self.let_go_at = Some(now);
         }
     }
 
--- a/crates/capacity/src/planner/hall.rs
+++ b/crates/capacity/src/planner/hall.rs
@@ -14,7 +14,9 @@
     pub ordered_preemptible: Option<u32>,
     /// The most engines that the hall holds.
     pub most: u32,
-    /// How many engines it is to have.
+    /// How many engines the work asks for.
+    pub size: u32,
+    /// How many it is to have, spare ones included.
     pub wanted: u32,
     /// How many of them are not preemptible.
     pub floor: u32,
@@ -52,7 +54,7 @@
     fn room(&self) -> u32 {
         let held: u32 = EngineKind::ALL
             .into_iter()
-            .map(|kind| self.planned(kind).max(self.listed.of(kind).serving))
+            .map(|kind| self.planned(kind))
             .sum();
         self.most.saturating_sub(held)
     }
@@ -88,31 +90,48 @@
         self.raise(kind, target, Reason::Short);
     }
 
-    /// Lets engines go that are more than the hall is to have: those on demand first, which cost
-    /// more. At most `excess`, and one part in `part` of a kind; how many go.
-    pub(super) fn let_go(&mut self, excess: u32, part: u32) -> u32 {
-        let here = self.listed.serving().saturating_sub(self.wanted);
-        let mut left = excess.min(here);
-        let least_preemptible = self.wanted.saturating_sub(self.floor);
-        let kinds = [
-            (EngineKind::OnDemand, self.floor, Reason::Replaced),
-            (
-                EngineKind::Preemptible,
-                least_preemptible,
-                Reason::NotNeeded,
-            ),
-        ];
-        for (kind, least, reason) in kinds {
-            let ordered = self.ordered(kind);
-            let is_raised = self.raised_to(kind) > 0;
-            let most = ordered.div_ceil(part);
-            let gone = ordered.saturating_sub(least).min(left).min(most);
-            if gone > 0 && !is_raised {
-                self.changes.insert(kind, (ordered - gone, reason));
-                left -= gone;
-            }
+    /// Lets engines on demand go that others stand in for: at most so many, and one part in `part` of
+    /// the hall's size; how many go.
+    pub(super) fn let_go_on_demand(&mut self, excess: u32, part: u32) -> u32 {
+        let excess = excess.min(self.listed.serving().saturating_sub(self.size));
+        self.lower(
+            EngineKind::OnDemand,
+            self.floor,
+            excess,
+            part,
+            Reason::Replaced,
+        )
+    }
+
+    /// Lets preemptible engines go that are more than the hall is to have, in the same way.
+    pub(super) fn let_go_preemptible(&mut self, excess: u32, part: u32) -> u32 {
+        let excess = excess.min(self.listed.serving().saturating_sub(self.wanted));
+        let least = self.wanted.saturating_sub(self.floor);
+        self.lower(
+            EngineKind::Preemptible,
+            least,
+            excess,
+            part,
+            Reason::NotNeeded,
+        )
+    }
+
+    fn lower(
+        &mut self,
+        kind: EngineKind,
+        least: u32,
+        excess: u32,
+        part: u32,
+        reason: Reason,
+    ) -> u32 {
+        let ordered = self.ordered(kind);
+        let most = self.size.div_ceil(part).max(1);
+        let most = if part == 1 { ordered } else { most };
+        let gone = ordered.saturating_sub(least).min(excess).min(most);
+        if gone > 0 {
+            self.changes.insert(kind, (ordered - gone, reason));
         }
-        excess.min(here) - left
+        gone
     }
 
     /// Whether fewer engines are listed than were ordered.
--- a/crates/capacity/src/planner/size.rs
+++ b/crates/capacity/src/planner/size.rs
@@ -1,9 +1,8 @@
-//! How many engines each hall is to have.
+//! How many engines each hall is to have, before any spare ones.
 
 use {
     super::{Hold, Observation, Policy},
     crate::{
-        demand::Needs,
         fleet::HallFleet,
         order::{EngineKind, EngineOrder, last_order},
     },
@@ -45,6 +44,16 @@
         self.halls.get(hall).copied().unwrap_or_default()
     }
 
+    /// How many engines a hall holds of a size, so that the size of all halls is still there when one
+    /// hall is taken away.
+    pub(super) fn with_spare(&self, size: u32) -> u32 {
+        let halls = u32::try_from(self.halls.len()).unwrap_or(u32::MAX);
+        if halls < 2 {
+            return size;
+        }
+        size.saturating_mul(halls).div_ceil(halls - 1)
+    }
+
     pub(super) fn total(&self) -> u32 {
         self.halls.values().sum()
     }
@@ -53,7 +62,7 @@
     pub(super) fn update(
         &mut self,
         seen: &Observation<'_>,
-        needs: Option<Needs>,
+        needed: Option<u32>,
         policy: &Policy,
         now: Instant,
     ) -> bool {
@@ -61,15 +70,15 @@
         if !self.is_settled {
             return false;
         }
-        match needs {
-            Some(needs) if needs.with_reserve > self.total() => {
+        match needed {
+            Some(needed) if needed > self.total() => {
                 self.surplus = None;
                 // Streams that move make copies anew, so for a moment memory seems to be short.
                 if seen.hold != Some(Hold::HallStruck) {
-                    self.set_total(needs.with_reserve, seen);
+                    self.set_total(needed, seen);
                 }
             }
-            Some(needs) if seen.hold.is_none() => self.shrink(needs, seen, policy, now),
+            Some(needed) if seen.hold.is_none() => self.shrink(needed, seen, policy, now),
             Some(_) | None => self.surplus = None,
         }
         true
@@ -80,7 +89,9 @@
         for (hall, listed) in seen.fleet {
             let is_known = self.halls.contains_key(hall);
             let orders = [seen.ordered, seen.refused].concat();
-            let by_orders = size_by_orders(&orders, hall, *listed, policy.least_on_demand);
+            let spares = policy.spares_hall(seen.scaling);
+            let halls = if spares { seen.fleet.len() } else { 1 };
+            let by_orders = size_by_orders(&orders, hall, *listed, policy.least_on_demand, halls);
             let size = match by_orders {
                 Some(_) if is_known => continue,
                 Some(size) => size,
@@ -97,8 +108,7 @@
     }
 
     /// Shrinks to the most that was needed for as long as the policy asks.
-    fn shrink(&mut self, needs: Needs, seen: &Observation<'_>, policy: &Policy, now: Instant) {
-        let needed = needs.with_reserve;
+    fn shrink(&mut self, needed: u32, seen: &Observation<'_>, policy: &Policy, now: Instant) {
         if f64::from(needed) > f64::from(self.total()) * SHRINK_BELOW {
             self.surplus = None;
             return;
@@ -135,12 +145,14 @@
 }
 
 /// The size that the last orders of a hall were for; none where it has none. While preemptible engines
-/// take the place of others both are ordered, so only the floor of those on demand is added.
+/// take the place of others both are ordered, so the larger of both counts; those of `halls` halls bear
+/// the loss of one.
 fn size_by_orders(
     orders: &[EngineOrder],
     hall: &HallId,
     listed: HallFleet,
     floor: u32,
+    halls: usize,
 ) -> Option<u32> {
     let on_demand = last_order(orders, hall, EngineKind::OnDemand);
     let preemptible = last_order(orders, hall, EngineKind::Preemptible);
@@ -149,5 +161,12 @@
     }
     let on_demand = on_demand.unwrap_or(listed.on_demand.serving);
     let preemptible = preemptible.unwrap_or(listed.preemptible.serving);
-    Some(on_demand.max(preemptible + on_demand.min(floor)))
+    let held = preemptible + on_demand.min(floor);
+    let halls = u32::try_from(halls).unwrap_or(u32::MAX);
+    let size = if halls < 2 {
+        held
+    } else {
+        held.saturating_mul(halls - 1) / halls
+    };
+    Some(on_demand.max(size))
 }
--- a/crates/capacity/tests/support.rs
+++ b/crates/capacity/tests/support.rs
@@ -50,6 +50,7 @@
         least_on_demand: 4,
         reserve: 0.5,
         sizing: Sizing::Utilisation,
+        spare_hall: false,
         shrink_after: Duration::from_secs(30),
     }
 }
--- a/crates/gateway/src/options/engine_orders.rs
+++ b/crates/gateway/src/options/engine_orders.rs
@@ -1,15 +1,16 @@
 //! `[engine_orders]`: whether engines are ordered, and how many are kept in reserve.
 
 use {
-    super::{TIME_LIMIT_MS, number},
+    super::{TIME_LIMIT_MS, flag, number},
     std::time::Duration,
     tealshore_capacity::{Policy, Sizing},
     tealshore_core::settings::{Section, SettingError},
 };
 
-/// Engines a hall that are never preemptible, unless the settings say. Four of a hall's 76 cost 0.04 of
-/// what the hall cost when all of them were on demand.
-const LEAST_ON_DEMAND: u64 = 4;
+/// Engines a hall that are never preemptible, unless the settings say, so that none is ever empty. More
+/// of them carry little: one costs as much as four or five preemptible ones, and those of the other
+/// halls bear the loss of a hall.
+const LEAST_ON_DEMAND: u64 = 1;
 /// The most that a setting may ask for in a hall.
 const MOST_ENGINES: u64 = 100_000;
 /// The part by which bursts exceed what was measured over ten seconds, unless the settings say: traffic
@@ -44,6 +45,7 @@
                 } else {
                     Sizing::Utilisation
                 },
+                spare_hall: flag(section, "spare_hall", true)?,
                 shrink_after: section.duration_ms("shrink_after_ms", SHRINK_AFTER, limit)?,
             },
         })
