--- a/crates/capacity/src/planner.rs
+++ b/crates/capacity/src/planner.rs
@@ -246,14 +246,17 @@
             let asked = self.asked.get(&subject).filter(|_| !was_refused);
             let booting = asked.filter(|asked| is_booting(asked, boot, now));
             let coming = booting.map_or(0, |asked| asked.engines);
-            let ordered_now = plan.raised_to(kind);
+            // What was refused is asked for again, and counts once it is accepted.
+            let ordered_now = if was_refused { 0 } else { plan.raised_to(kind) };
             serving.max(coming).max(ordered_now)
         };
         EngineKind::ALL.into_iter().map(of_kind).sum()
     }
 
-    /// Orders more where what serves is less than the work needs: preemptible engines where there are
-    /// some, or else others. Halls with the fewest get them first.
+    /// Orders more where what serves is less than the work needs, in the halls with the fewest first.
+    /// Preemptible engines and others are ordered at once: whether there are some of the former is known
+    /// only from the answer, and with the latter ordered a second later the gap lasts as much longer.
+    /// Those on demand go again as soon as the others serve.
     fn fill(
         &self,
         seen: &Observation<'_>,
@@ -262,13 +265,23 @@
         now: Instant,
     ) {
         let boot = seen.scaling.boot;
-        let mut present: BTreeMap<HallId, u32> = plans
+        let present: BTreeMap<HallId, u32> = plans
             .iter()
             .map(|(hall, plan)| (hall.clone(), self.present(hall, plan, boot, now)))
             .collect();
         let all: u32 = present.values().sum();
-        let mut lacking = needed.saturating_sub(all);
-        for kind in [EngineKind::Preemptible, EngineKind::OnDemand] {
+        let stand_ins: u32 = plans.values().map(HallPlan::stand_ins).sum();
+        let lacking = needed.saturating_sub(all);
+        for kind in EngineKind::ALL {
+            let mut lacking = match kind {
+                EngineKind::OnDemand => lacking,
+                // As many as let those go that stand in.
+                EngineKind::Preemptible if lacking + stand_ins > 0 => {
+                    (self.size.total() + stand_ins).saturating_sub(all)
+                }
+                EngineKind::Preemptible => 0,
+            };
+            let mut present = present.clone();
             let is_offered = kind == EngineKind::OnDemand || seen.scaling.offers_preemptible();
             let mut halls = halls_by_price(seen.scaling, plans, kind);
             halls.retain(|hall| is_offered && self.is_to_be_had(hall, kind, now));
@@ -304,12 +317,23 @@
         let part = if is_idle { 1 } else { LET_GO_PART };
         let serving: u32 = plans.values().map(|plan| plan.listed.serving()).sum();
         let wanted: u32 = plans.values().map(|plan| plan.wanted).sum();
+        let size = self.size.total();
         let mut left = serving;
         for plan in plans.values_mut() {
-            left -= plan.let_go_on_demand(left.saturating_sub(self.size.total()), part);
+            let excess = plan.excess_here().min(left.saturating_sub(size));
+            left -= plan.let_go_on_demand(excess, part);
+        }
+        if left == serving {
+            // What stands in for another hall, which has others by now or will not get them.
+            for plan in plans.values_mut() {
+                left -= plan.let_go_on_demand(left.saturating_sub(size), part);
+            }
         }
+        // Those on demand that stand in go first, though only some at once.
+        let stand_ins: u32 = plans.values().map(HallPlan::stand_ins).sum();
         for plan in plans.values_mut() {
-            left -= plan.let_go_preemptible(left.saturating_sub(wanted), part);
+            let excess = left.saturating_sub(wanted + stand_ins);
+            left -= plan.let_go_preemptible(excess, part);
         }
         if left < serving {
             self.let_go_at = Some(now);
--- a/crates/capacity/src/planner/hall.rs
+++ b/crates/capacity/src/planner/hall.rs
@@ -90,10 +90,20 @@
         self.raise(kind, target, Reason::Short);
     }
 
+    /// Engines on demand that stand in for others.
+    pub(super) fn stand_ins(&self) -> u32 {
+        self.planned(EngineKind::OnDemand)
+            .saturating_sub(self.floor)
+    }
+
+    /// How many more engines serve than the work asks for in this hall.
+    pub(super) fn excess_here(&self) -> u32 {
+        self.listed.serving().saturating_sub(self.size)
+    }
+
     /// Lets engines on demand go that others stand in for: at most so many, and one part in `part` of
     /// the hall's size; how many go.
     pub(super) fn let_go_on_demand(&mut self, excess: u32, part: u32) -> u32 {
-        let excess = excess.min(self.listed.serving().saturating_sub(self.size));
         self.lower(
             EngineKind::OnDemand,
             self.floor,
