Merge engines that are ordered

A pure planner decides how many engines each hall has and of which kind; the holder of the duties orders them.

--- /dev/null
+++ b/crates/capacity/src/planner.rs
@@ -0,0 +1,408 @@
+//! Decides which orders for the engines of one service change.
+//!
+//! The size of each hall is what runs there when nothing was ordered yet, until the work was measured
+//! for long enough to say that it is too much; it grows at once where the work needs more. Within the
+//! size, preemptible engines take the place of those on demand, above a floor: they are ordered first,
+//! and others let go only as far as those serve. Beyond it, cheap engines are kept that bear the loss of
+//! one hall's.
+
+mod hall;
+mod size;
+
+use {
+    crate::{
+        demand::{Demand, Sizing},
+        fleet::Fleet,
+        order::{EngineKind, EngineOrder, Scaling, last_order},
+    },
+    hall::HallPlan,
+    size::Size,
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
+    tealshore_core::ids::{HallId, ServiceId},
+};
+
+/// How long a kind of engine that was not to be had in a hall is not asked for again: a refusal costs a
+/// call, and such times last for some seconds.
+const UNAVAILABLE_FOR: Duration = Duration::from_secs(2);
+/// How much longer than their boot engines may take until they are listed; then they are ordered
+/// again. They tell of themselves about each second.
+const BOOT_GRACE: Duration = Duration::from_secs(2);
+/// How long work is measured before its need counts: requests are counted over a window of ten seconds,
+/// and datagrams tell of them within two. Counted sooner, the fleet is not filled up while work begins:
+/// with two of three halls taken away 5 and 8 s after traffic began, 82 of 224 engines were left until
+/// the 15th second, and a day earned 0.74 of its credit where it had earned 0.95.
+const MEASURED_AFTER: Duration = Duration::from_secs(12);
+/// How often engines are let go while streams run, so that those which lose theirs find room.
+const LET_GO_EVERY: Duration = Duration::from_secs(1);
+/// The part of a hall's engines of a kind that is let go at once while streams run.
+const LET_GO_PART: u32 = 8;
+
+/// What an operator sets.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Policy {
+    /// Engines a hall that are never preemptible.
+    pub least_on_demand: u32,
+    /// The part by which bursts exceed what was measured.
+    pub reserve: f64,
+    /// How the number follows from the load.
+    pub sizing: Sizing,
+    /// Whether preemptible engines are kept that stand in for those of one hall.
+    pub spare_hall: bool,
+    /// How long less work than the size is for must last before it shrinks.
+    pub shrink_after: Duration,
+}
+
+impl Policy {
+    /// Whether a service has spare engines: cheap ones that bear the loss of a hall.
+    fn spares_hall(&self, scaling: &Scaling) -> bool {
+        self.spare_hall && scaling.offers_preemptible()
+    }
+}
+
+/// Why no engine is let go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Hold {
+    /// A roll-out is open: its versions have to be compared under the same load.
+    RolloutOpen,
+    /// Few of the hosts are heard, so what is known of the work is not all.
+    FewHostsHeard,
+    /// Most engines of a hall seem dead.
+    HallStruck,
+}
+
+/// What is known at one moment.
+#[derive(Clone, Copy, Debug)]
+pub struct Observation<'a> {
+    /// The service.
+    pub service: &'a ServiceId,
+    /// What it allows.
+    pub scaling: &'a Scaling,
+    /// Its engines.
+    pub fleet: &'a Fleet,
+    /// The last orders.
+    pub ordered: &'a [EngineOrder],
+    /// Those that the platform turned down: there were no such engines, and nothing changed.
+    pub refused: &'a [EngineOrder],
+    /// Its work.
+    pub demand: Demand,
+    /// How long no engine was listed that was not before.
+    pub listed_for: Duration,
+    /// Why no engine is let go; none where some may be.
+    pub hold: Option<Hold>,
+}
+
+/// Why an order is given.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// Cheaper engines are to take the place of others, or the size of the hall changed.
+    Size,
+    /// Others serve in their place.
+    Replaced,
+    /// Engines that were ordered are missing.
+    Missing,
+    /// The engines that serve are too few for the work.
+    Short,
+    /// Engines that stood in for others are no longer needed.
+    NotNeeded,
+}
+
+impl Reason {
+    /// Its name in logs.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Size => "size",
+            Self::Replaced => "replaced",
+            Self::Missing => "missing",
+            Self::Short => "short",
+            Self::NotNeeded => "not-needed",
+        }
+    }
+}
+
+/// An order with its reason.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Decision {
+    /// The order.
+    pub order: EngineOrder,
+    /// Why it is given.
+    pub reason: Reason,
+}
+
+/// When a kind of engine was last ordered in a hall.
+#[derive(Clone, Copy, Debug)]
+struct Asked {
+    at: Instant,
+    engines: u32,
+}
+
+/// A hall and a kind.
+type Subject = (HallId, EngineKind);
+
+/// What the holder of the duty remembers of one service. A successor begins anew from the last orders.
+#[derive(Debug, Default)]
+pub struct Planner {
+    size: Size,
+    asked: BTreeMap<Subject, Asked>,
+    unavailable: BTreeMap<Subject, Instant>,
+    let_go_at: Option<Instant>,
+    /// Since when there is work.
+    worked_since: Option<Instant>,
+}
+
+impl Planner {
+    /// How many engines each hall is to have.
+    #[must_use]
+    pub fn sizes(&self) -> &BTreeMap<HallId, u32> {
+        self.size.halls()
+    }
+
+    /// The orders that change, or are to be said again.
+    pub fn decide(
+        &mut self,
+        seen: &Observation<'_>,
+        policy: &Policy,
+        now: Instant,
+    ) -> Vec<Decision> {
+        for order in seen.refused {
+            let subject = (order.hall.clone(), order.kind);
+            let until = now + UNAVAILABLE_FOR;
+            self.unavailable.entry(subject).or_insert(until);
+        }
+        let needed = seen.demand.engines_needed(policy.sizing, policy.reserve);
+        if !self.size.update(seen, needed, policy, now) {
+            return Vec::new();
+        }
+        let mut plans = self.hall_plans(seen, policy, now);
+        // First, so that a hall has room for what takes their place.
+        self.let_go(seen, &mut plans, now);
+        for plan in plans.values_mut() {
+            plan.order_size();
+        }
+        if let Some(needed) = needed {
+            let needed = self.needed_to_fill(needed, now);
+            self.fill(seen, needed, &mut plans, now);
+        }
+        self.changes(seen, plans, now)
+    }
+
+    fn hall_plans(
+        &self,
+        seen: &Observation<'_>,
+        policy: &Policy,
+        now: Instant,
+    ) -> BTreeMap<HallId, HallPlan> {
+        let offers_preemptible = seen.scaling.offers_preemptible();
+        let halls = seen.fleet.iter().map(|(hall, listed)| {
+            let size = self.size.of(hall);
+            let wanted = if policy.spares_hall(seen.scaling) {
+                self.size.with_spare(size)
+            } else {
+                size
+            };
+            let floor = if offers_preemptible {
+                policy.least_on_demand.min(size)
+            } else {
+                wanted
+            };
+            let plan = HallPlan {
+                listed: *listed,
+                ordered_on_demand: last_order(seen.ordered, hall, EngineKind::OnDemand),
+                ordered_preemptible: last_order(seen.ordered, hall, EngineKind::Preemptible),
+                most: seen.scaling.most_engines,
+                size,
+                wanted: wanted.min(seen.scaling.most_engines),
+                floor,
+                preemptible_to_be_had: self.is_to_be_had(hall, EngineKind::Preemptible, now),
+                changes: BTreeMap::new(),
+            };
+            (hall.clone(), plan)
+        });
+        halls.collect()
+    }
+
+    /// How many engines are to be there at least: as many as ran, until the work is known.
+    fn needed_to_fill(&mut self, needed: u32, now: Instant) -> u32 {
+        let since = *self.worked_since.get_or_insert(now);
+        let is_known = now.saturating_duration_since(since) >= MEASURED_AFTER;
+        let size = self.size.total();
+        if is_known { needed.min(size) } else { size }
+    }
+
+    fn is_to_be_had(&self, hall: &HallId, kind: EngineKind, now: Instant) -> bool {
+        let until = self.unavailable.get(&(hall.clone(), kind));
+        until.is_none_or(|until| *until <= now)
+    }
+
+    /// Engines of a hall that serve, or are on their way: ordered now or within the time of a boot.
+    fn present(&self, hall: &HallId, plan: &HallPlan, boot: Duration, now: Instant) -> u32 {
+        let of_kind = |kind: EngineKind| {
+            let serving = plan.listed.of(kind).serving;
+            let subject = (hall.clone(), kind);
+            let was_refused = self.unavailable.contains_key(&subject);
+            let asked = self.asked.get(&subject).filter(|_| !was_refused);
+            let booting = asked.filter(|asked| is_booting(asked, boot, now));
+            let coming = booting.map_or(0, |asked| asked.engines);
+            // What was refused is asked for again, and counts once it is accepted.
+            let ordered_now = if was_refused { 0 } else { plan.raised_to(kind) };
+            serving.max(coming).max(ordered_now)
+        };
+        EngineKind::ALL.into_iter().map(of_kind).sum()
+    }
+
+    /// Orders more where what serves is less than the work needs, in the halls with the fewest first.
+    /// Preemptible engines and others are ordered at once: whether there are some of the former is known
+    /// only from the answer, and with the latter ordered a second later the gap lasts as much longer.
+    /// Those on demand go again as soon as the others serve.
+    fn fill(
+        &self,
+        seen: &Observation<'_>,
+        needed: u32,
+        plans: &mut BTreeMap<HallId, HallPlan>,
+        now: Instant,
+    ) {
+        let boot = seen.scaling.boot;
+        let present: BTreeMap<HallId, u32> = plans
+            .iter()
+            .map(|(hall, plan)| (hall.clone(), self.present(hall, plan, boot, now)))
+            .collect();
+        let all: u32 = present.values().sum();
+        let stand_ins: u32 = plans.values().map(HallPlan::stand_ins).sum();
+        let lacking = needed.saturating_sub(all);
+        for kind in EngineKind::ALL {
+            let mut lacking = match kind {
+                EngineKind::OnDemand => lacking,
+                // As many as let those go that stand in.
+                EngineKind::Preemptible if lacking + stand_ins > 0 => {
+                    (self.size.total() + stand_ins).saturating_sub(all)
+                }
+                EngineKind::Preemptible => 0,
+            };
+            let mut present = present.clone();
+            let is_offered = kind == EngineKind::OnDemand || seen.scaling.offers_preemptible();
+            let mut halls = halls_by_price(seen.scaling, plans, kind);
+            halls.retain(|hall| is_offered && self.is_to_be_had(hall, kind, now));
+            while lacking > 0 {
+                halls.retain(|hall| plans.get(hall).is_some_and(|plan| plan.has_room_for(kind)));
+                let fewest = halls.iter().min_by_key(|hall| present.get(*hall).copied());
+                let Some(hall) = fewest else {
+                    break;
+                };
+                if let Some(plan) = plans.get_mut(hall) {
+                    plan.fill_one(kind);
+                }
+                *present.entry(hall.clone()).or_default() += 1;
+                lacking -= 1;
+            }
+        }
+    }
+
+    /// Lets engines go that others stand in for.
+    fn let_go(
+        &mut self,
+        seen: &Observation<'_>,
+        plans: &mut BTreeMap<HallId, HallPlan>,
+        now: Instant,
+    ) {
+        let is_idle = seen.demand.running == 0;
+        let waits = self
+            .let_go_at
+            .is_some_and(|at| now.saturating_duration_since(at) < LET_GO_EVERY);
+        if seen.hold.is_some() || (waits && !is_idle) {
+            return;
+        }
+        let part = if is_idle { 1 } else { LET_GO_PART };
+        let serving: u32 = plans.values().map(|plan| plan.listed.serving()).sum();
+        let wanted: u32 = plans.values().map(|plan| plan.wanted).sum();
+        let size = self.size.total();
+        let mut left = serving;
+        for plan in plans.values_mut() {
+            let excess = plan.excess_here().min(left.saturating_sub(size));
+            left -= plan.let_go_on_demand(excess, part);
+        }
+        if left == serving {
+            // What stands in for another hall, which has others by now or will not get them.
+            for plan in plans.values_mut() {
+                left -= plan.let_go_on_demand(left.saturating_sub(size), part);
+            }
+        }
+        // Those on demand that stand in go first, though only some at once.
+        let stand_ins: u32 = plans.values().map(HallPlan::stand_ins).sum();
+        for plan in plans.values_mut() {
+            let excess = left.saturating_sub(wanted + stand_ins);
+            left -= plan.let_go_preemptible(excess, part);
+        }
+        if left < serving {
+            self.let_go_at = Some(now);
+        }
+    }
+
+    /// The orders that differ from the last ones, and those whose engines are missing.
+    fn changes(
+        &mut self,
+        seen: &Observation<'_>,
+        plans: BTreeMap<HallId, HallPlan>,
+        now: Instant,
+    ) -> Vec<Decision> {
+        let mut decisions = Vec::new();
+        for (hall, mut plan) in plans {
+            for kind in EngineKind::ALL {
+                if plan.is_missing(kind) && self.may_repeat(&hall, kind, seen.scaling.boot, now) {
+                    plan.repeat(kind);
+                }
+            }
+            for (kind, (engines, reason)) in plan.changes {
+                let subject = (hall.clone(), kind);
+                self.unavailable.remove(&subject);
+                self.asked.insert(subject, Asked { at: now, engines });
+                let order = EngineOrder {
+                    service: seen.service.clone(),
+                    hall: hall.clone(),
+                    kind,
+                    engines,
+                };
+                decisions.push(Decision { order, reason });
+            }
+        }
+        decisions
+    }
+
+    /// Whether engines that are missing have had the time to come. Orders of an earlier holder count
+    /// from when this one first saw that their engines are missing.
+    fn may_repeat(
+        &mut self,
+        hall: &HallId,
+        kind: EngineKind,
+        boot: Duration,
+        now: Instant,
+    ) -> bool {
+        if !self.is_to_be_had(hall, kind, now) {
+            return false;
+        }
+        let subject = (hall.clone(), kind);
+        let was_refused = self.unavailable.contains_key(&subject);
+        let asked = self.asked.entry(subject).or_insert(Asked {
+            at: now,
+            engines: 0,
+        });
+        was_refused || !is_booting(asked, boot, now)
+    }
+}
+
+fn is_booting(asked: &Asked, boot: Duration, now: Instant) -> bool {
+    now.saturating_duration_since(asked.at) < boot + BOOT_GRACE
+}
+
+/// The halls, those first whose engines of a kind cost least.
+fn halls_by_price(
+    scaling: &Scaling,
+    plans: &BTreeMap<HallId, HallPlan>,
+    kind: EngineKind,
+) -> Vec<HallId> {
+    let mut halls: Vec<HallId> = plans.keys().cloned().collect();
+    halls.sort_by(|a, b| scaling.price(a, kind).total_cmp(&scaling.price(b, kind)));
+    halls
+}
--- /dev/null
+++ b/crates/capacity/src/planner/size.rs
@@ -0,0 +1,172 @@
+//! How many engines each hall is to have, before any spare ones.
+
+use {
+    super::{Hold, Observation, Policy},
+    crate::{
+        fleet::HallFleet,
+        order::{EngineKind, EngineOrder, last_order},
+    },
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
+    tealshore_core::ids::HallId,
+};
+
+/// How long the list of engines must not have grown before it counts as whole: after a start of
+/// everything, engines and hosts begin in the same second.
+const SETTLED_AFTER: Duration = Duration::from_millis(800);
+/// The part of the size below which less work shrinks it. Between that and the size nothing changes.
+const SHRINK_BELOW: f64 = 0.9;
+
+/// Less work than the size is for.
+#[derive(Clone, Copy, Debug)]
+struct Surplus {
+    since: Instant,
+    /// The most engines that were needed since.
+    most_needed: u32,
+}
+
+/// How many engines each hall is to have.
+#[derive(Debug, Default)]
+pub(super) struct Size {
+    halls: BTreeMap<HallId, u32>,
+    is_settled: bool,
+    surplus: Option<Surplus>,
+}
+
+impl Size {
+    pub(super) fn halls(&self) -> &BTreeMap<HallId, u32> {
+        &self.halls
+    }
+
+    pub(super) fn of(&self, hall: &HallId) -> u32 {
+        self.halls.get(hall).copied().unwrap_or_default()
+    }
+
+    /// How many engines a hall holds of a size, so that the size of all halls is still there when one
+    /// hall is taken away.
+    pub(super) fn with_spare(&self, size: u32) -> u32 {
+        let halls = u32::try_from(self.halls.len()).unwrap_or(u32::MAX);
+        if halls < 2 {
+            return size;
+        }
+        size.saturating_mul(halls).div_ceil(halls - 1)
+    }
+
+    pub(super) fn total(&self) -> u32 {
+        self.halls.values().sum()
+    }
+
+    /// Takes in what is known; whether the size is known by now.
+    pub(super) fn update(
+        &mut self,
+        seen: &Observation<'_>,
+        needed: Option<u32>,
+        policy: &Policy,
+        now: Instant,
+    ) -> bool {
+        self.learn(seen, policy);
+        if !self.is_settled {
+            return false;
+        }
+        match needed {
+            Some(needed) if needed > self.total() => {
+                self.surplus = None;
+                // Streams that move make copies anew, so for a moment memory seems to be short.
+                if seen.hold != Some(Hold::HallStruck) {
+                    self.set_total(needed, seen);
+                }
+            }
+            Some(needed) if seen.hold.is_none() => self.shrink(needed, seen, policy, now),
+            Some(_) | None => self.surplus = None,
+        }
+        true
+    }
+
+    /// Learns the size from the last orders, or where there are none from what runs.
+    fn learn(&mut self, seen: &Observation<'_>, policy: &Policy) {
+        for (hall, listed) in seen.fleet {
+            let is_known = self.halls.contains_key(hall);
+            let orders = [seen.ordered, seen.refused].concat();
+            let spares = policy.spares_hall(seen.scaling);
+            let halls = if spares { seen.fleet.len() } else { 1 };
+            let by_orders = size_by_orders(&orders, hall, *listed, policy.least_on_demand, halls);
+            let size = match by_orders {
+                Some(_) if is_known => continue,
+                Some(size) => size,
+                None if self.is_settled && is_known => continue,
+                None => listed.serving(),
+            };
+            let bounded = size
+                .max(seen.scaling.least_engines)
+                .min(seen.scaling.most_engines);
+            let known = self.halls.entry(hall.clone()).or_default();
+            *known = bounded.max(*known);
+        }
+        self.is_settled |= !self.halls.is_empty() && seen.listed_for >= SETTLED_AFTER;
+    }
+
+    /// Shrinks to the most that was needed for as long as the policy asks.
+    fn shrink(&mut self, needed: u32, seen: &Observation<'_>, policy: &Policy, now: Instant) {
+        if f64::from(needed) > f64::from(self.total()) * SHRINK_BELOW {
+            self.surplus = None;
+            return;
+        }
+        let surplus = self.surplus.get_or_insert(Surplus {
+            since: now,
+            most_needed: needed,
+        });
+        surplus.most_needed = surplus.most_needed.max(needed);
+        if now.saturating_duration_since(surplus.since) < policy.shrink_after {
+            return;
+        }
+        let needed = surplus.most_needed;
+        self.surplus = None;
+        self.set_total(needed, seen);
+    }
+
+    /// Shares a total between the halls, each like the others, so that the loss of one takes least.
+    fn set_total(&mut self, total: u32, seen: &Observation<'_>) {
+        let halls = u32::try_from(self.halls.len()).unwrap_or(u32::MAX).max(1);
+        let is_more = total > self.total();
+        let each = total.div_ceil(halls);
+        for size in self.halls.values_mut() {
+            let wanted = if is_more {
+                each.max(*size)
+            } else {
+                each.min(*size)
+            };
+            *size = wanted
+                .max(seen.scaling.least_engines)
+                .min(seen.scaling.most_engines);
+        }
+    }
+}
+
+/// The size that the last orders of a hall were for; none where it has none. While preemptible engines
+/// take the place of others both are ordered, so the larger of both counts; those of `halls` halls bear
+/// the loss of one.
+fn size_by_orders(
+    orders: &[EngineOrder],
+    hall: &HallId,
+    listed: HallFleet,
+    floor: u32,
+    halls: usize,
+) -> Option<u32> {
+    let on_demand = last_order(orders, hall, EngineKind::OnDemand);
+    let preemptible = last_order(orders, hall, EngineKind::Preemptible);
+    if on_demand.is_none() && preemptible.is_none() {
+        return None;
+    }
+    let on_demand = on_demand.unwrap_or(listed.on_demand.serving);
+    let preemptible = preemptible.unwrap_or(listed.preemptible.serving);
+    let held = preemptible + on_demand.min(floor);
+    let halls = u32::try_from(halls).unwrap_or(u32::MAX);
+    let size = if halls < 2 {
+        held
+    } else {
+        held.saturating_mul(halls - 1) / halls
+    };
+    Some(on_demand.max(size))
+}
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -7,6 +7,7 @@
         view::Work,
     },
     std::cmp::Ordering,
+    tealshore_capacity::EngineKind,
     tealshore_core::ids::{EngineId, EngineVersion, HallId},
 };
 
@@ -51,6 +52,8 @@
     pub id: EngineId,
     /// Its hall.
     pub hall: HallId,
+    /// Whether it may be taken away, together with all others of its kind in its hall.
+    pub kind: EngineKind,
     /// What all hosts have there.
     pub work: Work,
     /// How many requests it works on at once.
@@ -89,6 +92,8 @@
     Copy {
         /// The run's hall.
         away_from: &'a HallId,
+        /// The kind of the engine that runs it.
+        kind: EngineKind,
         /// The version of the engine that runs it.
         version: &'a EngineVersion,
         /// Tokens that it will hold.
@@ -196,11 +201,13 @@
             let preference = candidate.draw * AFFINITY_TOKENS;
             busy + way + failures * STREAM_COST_TOKENS + preference
         }
-        Need::Copy { away_from, .. } => {
-            let (fate, way) = match topology.distance(away_from, &candidate.hall) {
-                Distance::SameHall => (1.0, 0.0),
-                Distance::SameRegion => (0.0, 0.0),
-                Distance::OtherRegion => (0.0, OTHER_REGION_COPY_TOKENS),
+        Need::Copy {
+            away_from, kind, ..
+        } => {
+            let fate = shared_fate(candidate, away_from, kind);
+            let way = match topology.distance(away_from, &candidate.hall) {
+                Distance::SameHall | Distance::SameRegion => 0.0,
+                Distance::OtherRegion => OTHER_REGION_COPY_TOKENS,
             };
             let held = to_f64(candidate.work.memory_tokens) + candidate.draw * COPY_JITTER_TOKENS;
             fate + (held + way) / 1e6
@@ -208,6 +215,19 @@
     }
 }
 
+/// What it costs a copy that its holder may be lost in the instant in which the run's engine is: more
+/// than any difference in memory. Preemptible engines of a hall go together, others only may.
+fn shared_fate(candidate: &Candidate, hall: &HallId, kind: EngineKind) -> f64 {
+    let is_preemptible = |kind| kind == EngineKind::Preemptible;
+    if candidate.hall != *hall {
+        0.0
+    } else if is_preemptible(kind) && is_preemptible(candidate.kind) {
+        2.0
+    } else {
+        1.0
+    }
+}
+
 #[expect(
     clippy::cast_precision_loss,
     reason = "token counts are far below 2^52"
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -1,6 +1,7 @@
 //! The settings, one struct a section.
 
 mod duties;
+mod engine_orders;
 
 use {
     crate::{budget::BudgetBounds, topology::Topology},
@@ -16,12 +17,24 @@
     },
 };
 
-pub use duties::{Duty, DutyOptions};
+pub use {
+    duties::{Duty, DutyOptions},
+    engine_orders::EngineOrderOptions,
+};
 
 /// The longest time that a setting may give, in milliseconds.
 const TIME_LIMIT_MS: u64 = 3_600_000;
 /// The names of the sections.
-const SECTIONS: [&str; 7] = ["host", "halls", "store", "peers", "bounds", "duties", "log"];
+const SECTIONS: [&str; 8] = [
+    "host",
+    "halls",
+    "store",
+    "peers",
+    "bounds",
+    "duties",
+    "engine_orders",
+    "log",
+];
 
 /// All settings.
 #[derive(Clone, Debug)]
@@ -38,6 +51,8 @@
     pub bounds: BoundOptions,
     /// `[duties]`; none where the deployment has none.
     pub duties: Option<DutyOptions>,
+    /// `[engine_orders]`
+    pub engine_orders: EngineOrderOptions,
     /// `[log]`
     pub log: LogOptions,
 }
@@ -162,6 +177,7 @@
             peers: settings.read_section("peers", PeerOptions::read)?,
             bounds: settings.read_section("bounds", BoundOptions::read)?,
             duties: settings.read_section("duties", DutyOptions::read)?,
+            engine_orders: settings.read_section("engine_orders", EngineOrderOptions::read)?,
             log: settings.read_section("log", LogOptions::read)?,
         })
     }
--- a/crates/gateway/src/view/upstream.rs
+++ b/crates/gateway/src/view/upstream.rs
@@ -8,6 +8,7 @@
         net::SocketAddr,
         time::{Duration, Instant},
     },
+    tealshore_capacity::EngineKind,
     tealshore_core::ids::{EngineId, EngineVersion, HallId, ServiceId},
     tokio::sync::Notify,
 };
@@ -63,6 +64,8 @@
     pub version: EngineVersion,
     /// How many requests it works on at once.
     pub slots: u32,
+    /// How it is paid for, and whether it may be taken away.
+    pub kind: EngineKind,
     /// Whether it takes new work.
     pub state: UpstreamState,
 }
@@ -132,6 +135,18 @@
         }
     }
 
+    /// When this host first saw it listed.
+    pub fn listed(&self) -> Instant {
+        self.listed
+    }
+
+    /// Whether it leaves together with all others of its kind in its hall. Copies that lie there are lost
+    /// in a moment, with many others; an engine that leaves alone is not worth a second copy.
+    pub fn goes_with_its_hall(&self) -> bool {
+        let is_leaving = self.record.state == UpstreamState::Leaving;
+        is_leaving && self.record.kind == EngineKind::Preemptible
+    }
+
     /// What this host has there.
     pub fn own_work(&self) -> Work {
         self.opinion.lock().own
--- a/crates/gateway/tests/balance.rs
+++ b/crates/gateway/tests/balance.rs
@@ -2,6 +2,7 @@
 
 use {
     proptest::prelude::*,
+    tealshore_capacity::EngineKind,
     tealshore_gateway::{
         balance::{Candidate, Need, choose},
         topology::Topology,
@@ -13,6 +14,7 @@
     Candidate {
         id: id.into(),
         hall: hall.into(),
+        kind: EngineKind::OnDemand,
         work: Work::default(),
         slots: 6,
         failure_score: 0.0,
@@ -128,6 +130,7 @@
     let hall = "a".to_owned();
     let version = "v1".to_owned();
     let need = Need::Copy {
+        kind: EngineKind::OnDemand,
         version: &version,
         away_from: &hall,
         memory_tokens: 9_000,
@@ -164,6 +167,7 @@
     let hall = "a".to_owned();
     let version = "v1".to_owned();
     let need = Need::Copy {
+        kind: EngineKind::OnDemand,
         version: &version,
         away_from: &hall,
         memory_tokens: 9_000,
@@ -180,6 +184,7 @@
 fn copies_that_are_placed_in_one_instant_do_not_all_lie_at_the_emptiest_engine() {
     let version = "v1".to_owned();
     let need = Need::Copy {
+        kind: EngineKind::OnDemand,
         version: &version,
         away_from: &"a".to_owned(),
         memory_tokens: 8_000,
@@ -272,6 +277,7 @@
     let need = Need::Copy {
         version: &version,
         away_from: &run_at,
+        kind: EngineKind::OnDemand,
         memory_tokens: 9_000,
         engine_memory_tokens: 88_000,
     };
@@ -309,6 +315,7 @@
         let copy = Need::Copy {
             version: &version,
             away_from: &own_hall,
+            kind: EngineKind::OnDemand,
             memory_tokens: 9_000,
             engine_memory_tokens: 88_000,
         };
@@ -319,3 +326,25 @@
         }
     }
 }
+
+#[test]
+fn a_copy_lies_at_no_engine_that_goes_with_the_runs_where_another_has_room() {
+    let preemptible = |id: &str, hall: &str| Candidate {
+        kind: EngineKind::Preemptible,
+        ..candidate(id, hall)
+    };
+    let mut stays = candidate("stays", "a");
+    stays.work.memory_tokens = 30_000;
+    let goes = preemptible("goes", "a");
+    let need = Need::Copy {
+        away_from: &"a".to_owned(),
+        kind: EngineKind::Preemptible,
+        version: &"v1".to_owned(),
+        memory_tokens: 10_000,
+        engine_memory_tokens: 88_000,
+    };
+    let here = [goes.clone(), stays];
+    assert_eq!(chosen(&here, need, &[]).unwrap(), "stays");
+    let with_other_hall = [goes, here[1].clone(), preemptible("far", "b")];
+    assert_eq!(chosen(&with_other_hall, need, &[]).unwrap(), "far");
+}
