--- a/crates/gateway/src/duties/api.rs
+++ b/crates/gateway/src/duties/api.rs
@@ -82,11 +82,22 @@
     bound: Duration,
 ) -> Result<(StatusCode, Bytes), CallLoss> {
     let left = tenure.until.saturating_duration_since(Instant::now());
-    if left.is_zero() && enabled(Protection::DutyTenure) {
+    if !enabled(Protection::DutyTenure) {
+        return give_up_after(bound, exchange(address, request, tenure)).await;
+    }
+    if left.is_zero() {
         return Err(CallLoss::TenureOver);
     }
-    let exchange = timeout(bound.min(left), exchange(address, request, tenure)).await;
-    exchange.unwrap_or(Err(CallLoss::Silent))
+    give_up_after(bound.min(left), exchange(address, request, tenure)).await
+}
+
+async fn give_up_after(
+    bound: Duration,
+    exchange: impl Future<Output = Result<(StatusCode, Bytes), CallLoss>>,
+) -> Result<(StatusCode, Bytes), CallLoss> {
+    timeout(bound, exchange)
+        .await
+        .unwrap_or(Err(CallLoss::Silent))
 }
 
 async fn exchange(
