Give up a report of usage that nobody takes for a minute

Cause: a report that the platform never takes, as one that it refuses as bad, held up all later ones for good, and the row grew with each window, up to the store's bound for a row.

Ruled out: going on with later windows first, which would send them out of their order.

--- a/crates/duties/src/usage.rs
+++ b/crates/duties/src/usage.rs
@@ -266,6 +266,12 @@
     }
 }
 
+/// The oldest window of which counts are kept; the present one is one of those that are.
+fn oldest_kept(current: WindowIndex) -> WindowIndex {
+    let others_kept = u64::try_from(WINDOWS_KEPT - 1).unwrap_or(u64::MAX);
+    current.saturating_sub(others_kept)
+}
+
 /// Counts of one process only grow, so the greater one is the later one.
 fn merge_counts(known: &mut Counts, told: &Counts) {
     for (customer, count) in told {
@@ -344,10 +350,7 @@
             return Vec::new();
         };
         let current = bounds.window_at(since_epoch);
-        // The present window is one of those that are kept.
-        let others_kept = u64::try_from(WINDOWS_KEPT - 1).unwrap_or(u64::MAX);
-        let oldest = current.saturating_sub(others_kept);
-        (next.max(oldest)..current)
+        (next.max(oldest_kept(current))..current)
             .take_while(|window| bounds.end_of(*window) + settle <= since_epoch)
             .map(|window| UsageReport {
                 window,
@@ -362,6 +365,21 @@
         self.decided.extend(reports);
     }
 
+    /// Gives up reports that were not accepted for so long that the counts of their windows would no
+    /// longer be kept: one that is never taken must not hold up all others, and the row is bounded.
+    pub fn give_up_oldest(
+        &mut self,
+        bounds: UsageBounds,
+        since_epoch: Duration,
+    ) -> Vec<WindowIndex> {
+        let oldest = oldest_kept(bounds.window_at(since_epoch));
+        let is_old = |report: &UsageReport| report.window < oldest;
+        let windows = self.decided.iter().filter(|report| is_old(report));
+        let given_up = windows.map(|report| report.window).collect();
+        self.decided.retain(|report| !is_old(report));
+        given_up
+    }
+
     /// Notes that the report of a window was accepted, or given up.
     pub fn settle(&mut self, window: WindowIndex) {
         self.decided.retain(|report| report.window != window);
--- a/crates/duties/tests/usage.rs
+++ b/crates/duties/tests/usage.rs
@@ -461,6 +461,26 @@
     assert!(matches!(sent, UsageStep::Send(report) if report.window == FIRST));
 }
 
+/// The receiver is away, or never takes one report: the row would grow until the store refuses it, and
+/// no later window would ever be sent.
+#[test]
+fn reports_that_nobody_took_for_a_minute_are_given_up() {
+    let mut record = UsageRecord::default();
+    record.begin_at(FIRST);
+    let reports = (FIRST..FIRST + 20).map(|window| UsageReport {
+        window,
+        counts: Counts::new(),
+    });
+    record.decide(reports.collect());
+    let now = BOUNDS.end_of(FIRST + 19);
+    let given_up = record.give_up_oldest(BOUNDS, now);
+    let all: Vec<WindowIndex> = (FIRST..FIRST + 9).collect();
+    assert_eq!(given_up, all);
+    let step = record.step(&UsageLedger::default(), BOUNDS, SETTLE, now);
+    assert!(matches!(step, UsageStep::Send(report) if report.window == FIRST + 9));
+    assert!(record.give_up_oldest(BOUNDS, now).is_empty());
+}
+
 /// A window whose counts may be gone would be reported with none.
 #[test]
 fn a_window_that_is_not_kept_is_not_decided() {
