Take a lease whose row is gone only after an expiry, under a higher fence

Cause: where a host had heard of a newer row than the store gave, it read the row again at once, and so on without a pause; and a store that had lost the row would have begun at the first fence again.

Change: the store is believed, whoever held the lease by what was heard keeps it for an expiry, and the next fence is above the highest one that was read or heard. What was decided in a row that is lost stays lost.

--- a/crates/duties/src/lease.rs
+++ b/crates/duties/src/lease.rs
@@ -204,6 +204,8 @@
     serial: u64,
     /// The row has to be read before anything else is decided.
     must_read: bool,
+    /// The highest token that was read or heard. A store that lost the row does not know it.
+    highest_fence: Fence,
 }
 
 impl Lease {
@@ -220,6 +222,7 @@
             in_doubt: None,
             serial: 0,
             must_read: true,
+            highest_fence: 0,
         }
     }
 
@@ -248,6 +251,7 @@
 
     /// Notes what another host tells of the row.
     pub fn hear(&mut self, news: &LeaseNews, now: Instant) {
+        self.highest_fence = self.highest_fence.max(news.fence);
         self.note_version(news.version, news.holder.as_ref(), now);
     }
 
@@ -256,7 +260,9 @@
         self.must_read = false;
         let in_doubt = self.in_doubt.take();
         let (version, record) = row.unwrap_or_default();
+        self.highest_fence = self.highest_fence.max(record.fence);
         self.note_version(version, record.holder.as_ref(), now);
+        self.note_older(version, now);
         let is_own = record.holder.as_ref() == Some(&self.own);
         let done = in_doubt.filter(|write| is_own && write.serial == record.serial);
         let is_unchanged = self
@@ -428,7 +434,7 @@
         let rest = self.bounds.rest;
         record.former.retain(|it| store_time < it.left + rest);
         record.holder = Some(self.own.clone());
-        record.fence += 1;
+        record.fence = record.fence.max(self.highest_fence) + 1;
         record
     }
 
@@ -450,6 +456,17 @@
         self.renewed = None;
     }
 
+    /// Believes the store that has an older version than was known, or no row: else it would be read
+    /// again and again. Whoever held the lease may not know yet, and keeps it for an expiry.
+    fn note_older(&mut self, version: RowVersion, now: Instant) {
+        if let Some(newest) = &mut self.newest
+            && version < newest.version
+        {
+            newest.version = version;
+            newest.since = now;
+        }
+    }
+
     fn note_version(&mut self, version: RowVersion, holder: Option<&ProcessId>, now: Instant) {
         let newest = self.newest.as_ref();
         if newest.is_none_or(|newest| version > newest.version) {
--- a/crates/duties/tests/lease.rs
+++ b/crates/duties/tests/lease.rs
@@ -354,3 +354,32 @@
     let write = asked_write(&mut lease, seconds(100), FIRST, asked);
     assert_eq!(write.purpose, Purpose::Renew);
 }
+
+/// The store lost the row, or was put back to an earlier state.
+#[test]
+fn a_row_that_is_gone_is_taken_after_the_expiry_with_a_higher_fence() {
+    let now = Instant::now();
+    let mut lease = lease_of("b");
+    lease.note_read(Some((5, held_by("a"))), now);
+    let news = LeaseNews {
+        version: 6,
+        fence: 9,
+        holder: Some(process("a", 1)),
+    };
+    lease.hear(&news, now);
+    assert_eq!(
+        lease.next(Some(seconds(104)), FIRST, now + LENGTH),
+        Step::Read
+    );
+    let read = now + LENGTH;
+    lease.note_read(None, read);
+    // Its holder may not know yet.
+    let free = read + LENGTH;
+    assert_eq!(
+        lease.next(Some(seconds(104)), FIRST, read),
+        Step::Wait(free)
+    );
+    let write = asked_write(&mut lease, seconds(108), FIRST, free);
+    assert_eq!((write.expected, write.purpose), (0, Purpose::Take));
+    assert_eq!(write.record.fence, 10);
+}
