Keep a version to its share until it is completed

Ruled out: loading one canary until it fails. A shift by the clock, as late as the slack allows: the rate at the deadline isn't known.

Change: [bounds] bounded_shift. The deploy file sets it where it sets the share. Without it nothing changes, and no stream is cut.

--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -128,6 +128,9 @@
     pub needs_order: bool,
     /// The part of a service's requests that a version gets at most while it is tried.
     pub canary_share: f64,
+    /// Whether a version gets no more than that until its roll-out is completed, also once it seems
+    /// good: one that is bad only under a load that no canary had is never found.
+    pub is_shift_bounded: bool,
 }
 
 impl RolloutBounds {
@@ -135,6 +138,7 @@
         Ok(Self {
             needs_order: section.optional("canary_share").is_some(),
             canary_share: number(section, "canary_share", CANARY_SHARE)?,
+            is_shift_bounded: flag(section, "bounded_shift", false)?,
         })
     }
 }
--- a/crates/gateway/src/rollout/known.rs
+++ b/crates/gateway/src/rollout/known.rs
@@ -260,7 +260,7 @@
             let found = upstreams.filter(|upstream| upstream.record.version == *version);
             found.cloned().collect()
         };
-        match permit {
+        match within_bounds(permit, bounds) {
             Permit::Only(version) => vec![of(&version)],
             Permit::Prefer { target, from } => vec![of(&target), of(&from)],
             Permit::Canary { from, target }
@@ -274,17 +274,19 @@
 
     /// Whether an upstream may get a request that would rather go there than anywhere else.
     #[must_use]
-    pub fn may_get(&self, upstream: &UpstreamRecord, share: f64) -> bool {
+    pub fn may_get(&self, upstream: &UpstreamRecord, bounds: RolloutBounds) -> bool {
         let services = self.services.lock();
         let Some(known) = services.get(&upstream.service) else {
             return true;
         };
         let version = &upstream.version;
-        match known.permit_by_record() {
+        let permit = known.permit_by_record();
+        match permit.map(|permit| within_bounds(permit, bounds)) {
             Some(Permit::Only(only)) => only == *version,
             Some(Permit::Prefer { target, .. }) => target == *version,
             Some(Permit::Canary { from, target }) => {
-                from == *version || (target == *version && known.exposure.allows_canary(share))
+                let has_share = known.exposure.allows_canary(bounds.canary_share);
+                from == *version || (target == *version && has_share)
             }
             None => known.is_not_tried_unheard(version),
         }
@@ -365,6 +367,17 @@
     }
 }
 
+/// What a permit comes to where a version gets its share at most until its roll-out has ended. An
+/// order for the version that serves tries nothing.
+fn within_bounds(permit: Permit, bounds: RolloutBounds) -> Permit {
+    match permit {
+        Permit::Prefer { target, from } if bounds.is_shift_bounded && target != from => {
+            Permit::Canary { from, target }
+        }
+        Permit::Only(_) | Permit::Canary { .. } | Permit::Prefer { .. } => permit,
+    }
+}
+
 fn single_version(ready: &[Arc<Upstream>]) -> Option<&EngineVersion> {
     let first = &ready.first()?.record.version;
     ready
--- a/crates/gateway/src/state/choice.rs
+++ b/crates/gateway/src/state/choice.rs
@@ -68,8 +68,8 @@
 
     /// Whether an upstream, to which a request would rather go than to any other, may get it.
     pub fn may_get(&self, upstream: &Upstream) -> bool {
-        let share = self.options.bounds.rollouts.canary_share;
-        self.rollouts.may_get(&upstream.record, share)
+        let bounds = self.options.bounds.rollouts;
+        self.rollouts.may_get(&upstream.record, bounds)
     }
 
     fn choose_among(
--- a/crates/gateway/src/sync/rollouts.rs
+++ b/crates/gateway/src/sync/rollouts.rs
@@ -139,6 +139,7 @@
     record: Option<&RolloutRecord>,
 ) -> Option<(Sight, Judged)> {
     let now = Instant::now();
+    let bounds = state.options.bounds.rollouts;
     let evidence = all_evidence(state, &order.service, order.revision, now);
     let ready = state.view.upstreams.ready(&order.service);
     let targets = ready.iter().filter(|it| it.record.version == order.target);
@@ -151,7 +152,11 @@
         verdict: judged.verdict,
         is_doubted: judged.log_ratio > 0.0 || is_unseen,
         is_target_ready: targets > 0,
-        runs_on_old: record.is_some_and(|record| runs_on(state, record)),
+        runs_on_old: record.is_some_and(|record| {
+            let is_shared = record.from != record.target;
+            // The old version serves to the end; a moment in which it is idle says nothing.
+            (bounds.is_shift_bounded && is_shared) || runs_on(state, record)
+        }),
         longest_answer: state.longest_answer(&order.service),
     };
     Some((sight, judged))
