Don't take a few milliseconds more for a slow version

Cause: an answer was slow past 2.5 times the mean of its route.

Change: an answer is slow only if it comes 20 ms later than usual too.

--- a/crates/gateway/src/rollout/evidence.rs
+++ b/crates/gateway/src/rollout/evidence.rs
@@ -179,6 +179,9 @@
 
 /// An answer that takes this many times as long as usual counts as bad.
 const SLOW_FACTOR: f64 = 2.5;
+/// An answer that comes by less than this later than usual is not slow: hosts and upstreams that
+/// wait for a processor delay answers of a few ms so, of all versions, but not at the same moments.
+const SLOW_FLOOR_MS: f64 = 20.0;
 /// What one answer weighs in the average.
 const WEIGHT: f64 = 0.05;
 /// Answers that must have come before one counts as slow.
@@ -207,7 +210,7 @@
     #[must_use]
     pub fn is_slow(&self, route: &str, took: Duration) -> bool {
         self.0.get(route).is_some_and(|typical| {
-            let bound_ms = typical.mean_ms * SLOW_FACTOR;
+            let bound_ms = (typical.mean_ms * SLOW_FACTOR).max(typical.mean_ms + SLOW_FLOOR_MS);
             typical.answers >= LEAST_ANSWERS && took.as_secs_f64() * 1_000.0 > bound_ms
         })
     }
--- a/crates/gateway/tests/rollout.rs
+++ b/crates/gateway/tests/rollout.rs
@@ -189,6 +189,13 @@
     assert!(!typical.is_slow("crop", usual * 2));
     assert!(typical.is_slow("crop", usual * 4));
     assert!(!typical.is_slow("another", usual * 4));
+    // Some ms more are the machine's, not the version's.
+    let short = Duration::from_millis(3);
+    for _ in 0..20 {
+        typical.observe("short", short);
+    }
+    assert!(!typical.is_slow("short", short * 6));
+    assert!(typical.is_slow("short", short * 9));
 }
 
 fn sight(now_s: f64, verdict: Verdict) -> Sight {
