Give upstreams their turn together, as many as the share is for

Change: as many upstreams as the share is for have their turn at once, and a request goes to the one that suits it best; of few upstreams one at a time, as before.

--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -20,7 +20,7 @@
         Evidence, Outcome, ROUTES_BOUND, RouteKey, RouteTallies, Tally, TypicalTimes, route_key,
     },
     exposure::Exposure,
-    known::{MOST_TAKERS, RolloutNews, Rollouts, takers},
+    known::{MOST_TAKERS, RolloutNews, Rollouts, Turns},
     plan::{Sight, next_record},
     record::{Phase, RolloutOrder, RolloutRecord},
     verdict::{Judged, Verdict, judge},
