Take no version that is shifted to for the one that serves

With a bounded shift a version has its share until it is completed. A second order that came meanwhile took it for the version that serves, by the record's phase, so that it got all requests before any verdict. The record now counts as one that is tried wherever requests are let go and where an order begins.

--- a/crates/gateway/src/rollout/known.rs
+++ b/crates/gateway/src/rollout/known.rs
@@ -107,20 +107,29 @@
 }
 
 impl ServiceRollout {
-    fn permit(&self, listed: &[ListedVersion]) -> Option<Permit> {
+    fn permit(&self, listed: &[ListedVersion], bounds: RolloutBounds) -> Option<Permit> {
         permit(
             listed,
             self.order.as_ref().map(|known| &known.order),
-            self.record.as_ref().map(|(_, record)| record),
+            self.record_in_force(bounds).as_ref(),
             self.serving.as_ref(),
         )
     }
 
-    /// What the record says, unless a newer order than that of the record is known.
-    fn permit_by_record(&self) -> Option<Permit> {
+    fn record_in_force(&self, bounds: RolloutBounds) -> Option<RolloutRecord> {
         let (_, record) = self.record.as_ref()?;
+        Some(if bounds.is_shift_bounded {
+            record.with_bounded_shift()
+        } else {
+            record.clone()
+        })
+    }
+
+    /// What the record says, unless a newer order than that of the record is known.
+    fn permit_by_record(&self, bounds: RolloutBounds) -> Option<Permit> {
+        let record = self.record_in_force(bounds)?;
         let ordered = self.order.as_ref().map(|known| known.order.revision);
-        (ordered <= Some(record.order)).then(|| permit_of(record))
+        (ordered <= Some(record.order)).then(|| permit_of(&record))
     }
 
     /// That a version is not the target of an order whose record was not heard of.
@@ -216,9 +225,15 @@
 
     /// The version that serves a service besides any that is tried.
     #[must_use]
-    pub fn serving(&self, service: &ServiceId, ready: &[Arc<Upstream>]) -> Option<EngineVersion> {
+    pub fn serving(
+        &self,
+        service: &ServiceId,
+        ready: &[Arc<Upstream>],
+        bounds: RolloutBounds,
+    ) -> Option<EngineVersion> {
         let services = self.services.lock();
-        let permit = services.get(service)?.permit(&listed_versions(ready))?;
+        let listed = listed_versions(ready);
+        let permit = services.get(service)?.permit(&listed, bounds)?;
         Some(match permit {
             Permit::Only(version) => version,
             Permit::Canary { from, .. } => from,
@@ -282,7 +297,7 @@
         if !is_rolled_out && !bounds.needs_order {
             return vec![ready];
         }
-        let Some(permit) = known.permit(&listed_versions(&ready)) else {
+        let Some(permit) = known.permit(&listed_versions(&ready), bounds) else {
             return vec![ready];
         };
         let of = |version: &EngineVersion| -> Vec<Arc<Upstream>> {
@@ -290,7 +305,7 @@
             let found = upstreams.filter(|upstream| upstream.record.version == *version);
             found.cloned().collect()
         };
-        match within_bounds(permit, bounds) {
+        match permit {
             Permit::Only(version) => vec![of(&version)],
             Permit::Prefer { target, from } => vec![of(&target), of(&from)],
             Permit::Canary { from, target }
@@ -313,8 +328,7 @@
             return true;
         };
         let version = &upstream.version;
-        let permit = known.permit_by_record();
-        match permit.map(|permit| within_bounds(permit, bounds)) {
+        match known.permit_by_record(bounds) {
             Some(Permit::Only(only)) => only == *version,
             Some(Permit::Prefer { target, .. }) => target == *version,
             Some(Permit::Canary { from, target }) => {
@@ -400,17 +414,6 @@
     }
 }
 
-/// What a permit comes to where a version gets its share at most until its roll-out has ended. An
-/// order for the version that serves tries nothing.
-fn within_bounds(permit: Permit, bounds: RolloutBounds) -> Permit {
-    match permit {
-        Permit::Prefer { target, from } if bounds.is_shift_bounded && target != from => {
-            Permit::Canary { from, target }
-        }
-        Permit::Only(_) | Permit::Canary { .. } | Permit::Prefer { .. } => permit,
-    }
-}
-
 fn single_version(ready: &[Arc<Upstream>]) -> Option<&EngineVersion> {
     let first = &ready.first()?.record.version;
     ready
--- a/crates/gateway/src/rollout/record.rs
+++ b/crates/gateway/src/rollout/record.rs
@@ -84,6 +84,16 @@
         }
     }
 
+    /// What it lets get requests where a version gets its share at most until it is completed: as
+    /// long as it is shifted to it is still tried, also for an order that comes then. An order for
+    /// the version that serves tries nothing.
+    #[must_use]
+    pub fn with_bounded_shift(&self) -> Self {
+        let is_tried = self.phase == Phase::Shifting && self.from != self.target;
+        let phase = if is_tried { Phase::Canary } else { self.phase };
+        self.in_phase(phase, self.since)
+    }
+
     /// The same roll-out in another phase that begins now.
     #[must_use]
     pub fn in_phase(&self, phase: Phase, now: StoreTime) -> Self {
--- a/crates/gateway/src/sync/rollouts.rs
+++ b/crates/gateway/src/sync/rollouts.rs
@@ -98,7 +98,8 @@
     /// The version that serves the service of an order now.
     fn serving(&self, order: &RolloutOrder) -> Option<EngineVersion> {
         let ready = self.state.view.upstreams.ready(&order.service);
-        self.state.rollouts.serving(&order.service, &ready)
+        let bounds = self.state.options.bounds.rollouts;
+        self.state.rollouts.serving(&order.service, &ready, bounds)
     }
 
     async fn write_record(
--- a/crates/gateway/tests/rollout.rs
+++ b/crates/gateway/tests/rollout.rs
@@ -109,6 +109,27 @@
     );
 }
 
+/// With a bounded shift a version is tried until it is completed, also for an order that comes
+/// before that: its host must not take it for the version that serves.
+#[test]
+fn a_bounded_shift_lets_no_more_than_the_share_go_to_its_target() {
+    let both = [listed(OLD, 3), listed(NEW, 9)];
+    let shifting = record(5, Phase::Shifting).with_bounded_shift();
+    let canary = Permit::Canary {
+        from: OLD.to_owned(),
+        target: NEW.to_owned(),
+    };
+    let of = |revision| permit(&both, Some(&order(revision)), Some(&shifting), None);
+    assert_eq!(of(5), Some(canary));
+    assert_eq!(of(6), only(OLD));
+    for phase in [Phase::Canary, Phase::Completed, Phase::RolledBack] {
+        assert_eq!(record(5, phase).with_bounded_shift(), record(5, phase));
+    }
+    let mut back = record(5, Phase::Shifting);
+    back.target = OLD.to_owned();
+    assert_eq!(back.with_bounded_shift(), back);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(32), ..ProptestConfig::default() })]
 
