--- a/crates/gateway/src/rollout/known.rs
+++ b/crates/gateway/src/rollout/known.rs
@@ -25,11 +25,41 @@
     },
 };
 
-/// Upstreams of a version that is tried take all of its requests in turn, each for so long: then
-/// one has about the load that all will have, and faults under load show.
+/// Upstreams of a version that is tried take all of its requests in turn, as many at once as its
+/// share of the requests is for, each for so long: then they have about the load that all will
+/// have, and faults under load show.
 const TURN: Duration = Duration::from_millis(500);
-/// How many upstreams take turns: enough that one that is bad by itself is outvoted.
-pub const TURN_TAKERS: usize = 3;
+/// How many upstreams take turns at least: enough that one that is bad by itself is outvoted.
+const LEAST_TAKERS: usize = 3;
+/// The most that do: what answers told of each one travels between hosts.
+pub const MOST_TAKERS: usize = 12;
+
+/// Who gets the requests of a version that is tried.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Turns {
+    /// How many of its upstreams take turns.
+    pub takers: usize,
+    /// How many of these have their turn at once.
+    pub at_once: usize,
+}
+
+impl Turns {
+    /// Of so many upstreams, at the share of the requests that the version gets. Fewer would have a
+    /// load that none will have, so that a good version seems slow: where three of 224 engines took
+    /// turns, or twelve one after the other, prompts waited for each other at one of them, and of a
+    /// good version's answers 4 of 13 and 6 of 53 came late.
+    #[must_use]
+    pub fn of(upstreams: usize, share: f64) -> Self {
+        let all = f64::from(u32::try_from(upstreams).unwrap_or(u32::MAX));
+        let fits =
+            |count: &usize| f64::from(u32::try_from(*count).unwrap_or(u32::MAX)) <= all * share;
+        let share_of_all = (1..=MOST_TAKERS).take_while(fits).count();
+        Self {
+            takers: share_of_all.max(LEAST_TAKERS).min(upstreams),
+            at_once: share_of_all.max(1).min(upstreams),
+        }
+    }
+}
 
 /// What hosts tell each other of a roll-out.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -77,20 +107,29 @@
 }
 
 impl ServiceRollout {
-    fn permit(&self, listed: &[ListedVersion]) -> Option<Permit> {
+    fn permit(&self, listed: &[ListedVersion], bounds: RolloutBounds) -> Option<Permit> {
         permit(
             listed,
             self.order.as_ref().map(|known| &known.order),
-            self.record.as_ref().map(|(_, record)| record),
+            self.record_in_force(bounds).as_ref(),
             self.serving.as_ref(),
         )
     }
 
-    /// What the record says, unless a newer order than that of the record is known.
-    fn permit_by_record(&self) -> Option<Permit> {
+    fn record_in_force(&self, bounds: RolloutBounds) -> Option<RolloutRecord> {
         let (_, record) = self.record.as_ref()?;
+        Some(if bounds.is_shift_bounded {
+            record.with_bounded_shift()
+        } else {
+            record.clone()
+        })
+    }
+
+    /// What the record says, unless a newer order than that of the record is known.
+    fn permit_by_record(&self, bounds: RolloutBounds) -> Option<Permit> {
+        let record = self.record_in_force(bounds)?;
         let ordered = self.order.as_ref().map(|known| known.order.revision);
-        (ordered <= Some(record.order)).then(|| permit_of(record))
+        (ordered <= Some(record.order)).then(|| permit_of(&record))
     }
 
     /// That a version is not the target of an order whose record was not heard of.
@@ -186,9 +225,15 @@
 
     /// The version that serves a service besides any that is tried.
     #[must_use]
-    pub fn serving(&self, service: &ServiceId, ready: &[Arc<Upstream>]) -> Option<EngineVersion> {
+    pub fn serving(
+        &self,
+        service: &ServiceId,
+        ready: &[Arc<Upstream>],
+        bounds: RolloutBounds,
+    ) -> Option<EngineVersion> {
         let services = self.services.lock();
-        let permit = services.get(service)?.permit(&listed_versions(ready))?;
+        let listed = listed_versions(ready);
+        let permit = services.get(service)?.permit(&listed, bounds)?;
         Some(match permit {
             Permit::Only(version) => version,
             Permit::Canary { from, .. } => from,
@@ -252,7 +297,7 @@
         if !is_rolled_out && !bounds.needs_order {
             return vec![ready];
         }
-        let Some(permit) = known.permit(&listed_versions(&ready)) else {
+        let Some(permit) = known.permit(&listed_versions(&ready), bounds) else {
             return vec![ready];
         };
         let of = |version: &EngineVersion| -> Vec<Arc<Upstream>> {
@@ -266,7 +311,10 @@
             Permit::Canary { from, target }
                 if known.exposure.allows_canary(bounds.canary_share) =>
             {
-                vec![turn_takers(of(&target), now), of(&from)]
+                vec![
+                    turn_takers(of(&target), bounds.canary_share, now),
+                    of(&from),
+                ]
             }
             Permit::Canary { from, .. } => vec![of(&from)],
         }
@@ -274,17 +322,18 @@
 
     /// Whether an upstream may get a request that would rather go there than anywhere else.
     #[must_use]
-    pub fn may_get(&self, upstream: &UpstreamRecord, share: f64) -> bool {
+    pub fn may_get(&self, upstream: &UpstreamRecord, bounds: RolloutBounds) -> bool {
         let services = self.services.lock();
         let Some(known) = services.get(&upstream.service) else {
             return true;
         };
         let version = &upstream.version;
-        match known.permit_by_record() {
+        match known.permit_by_record(bounds) {
             Some(Permit::Only(only)) => only == *version,
             Some(Permit::Prefer { target, .. }) => target == *version,
             Some(Permit::Canary { from, target }) => {
-                from == *version || (target == *version && known.exposure.allows_canary(share))
+                let has_share = known.exposure.allows_canary(bounds.canary_share);
+                from == *version || (target == *version && has_share)
             }
             None => known.is_not_tried_unheard(version),
         }
@@ -389,15 +438,22 @@
     listed
 }
 
-/// Of the upstreams of a version that is tried, the one whose turn it is; all of them while the
-/// store's time is not known.
-fn turn_takers(mut upstreams: Vec<Arc<Upstream>>, now: Option<StoreTime>) -> Vec<Arc<Upstream>> {
+/// Of the upstreams of a version that is tried, those whose turn it is; all that take turns while
+/// the store's time is not known.
+fn turn_takers(
+    mut upstreams: Vec<Arc<Upstream>>,
+    share: f64,
+    now: Option<StoreTime>,
+) -> Vec<Arc<Upstream>> {
+    let turns = Turns::of(upstreams.len(), share);
     upstreams.sort_by(|a, b| a.record.id.cmp(&b.record.id));
-    upstreams.truncate(TURN_TAKERS);
+    upstreams.truncate(turns.takers);
     let (Some(now), false) = (now, upstreams.is_empty()) else {
         return upstreams;
     };
-    let turns = now.as_millis() / TURN.as_millis();
-    let taker = usize::try_from(turns % upstreams.len() as u128).unwrap_or_default();
-    vec![upstreams.swap_remove(taker)]
+    let turn = now.as_millis() / TURN.as_millis();
+    let first = usize::try_from(turn % upstreams.len() as u128).unwrap_or_default();
+    upstreams.rotate_left(first);
+    upstreams.truncate(turns.at_once);
+    upstreams
 }
--- a/crates/gateway/src/sync/rollouts.rs
+++ b/crates/gateway/src/sync/rollouts.rs
@@ -10,8 +10,7 @@
         edge::{Revision, Written},
         feed::FeederChoice,
         rollout::{
-            Evidence, Judged, Phase, RolloutOrder, RolloutRecord, Sight, TURN_TAKERS, judge,
-            next_record,
+            Evidence, Judged, Phase, RolloutOrder, RolloutRecord, Sight, judge, next_record,
         },
         state::GatewayState,
         view::Upstream,
@@ -99,7 +98,8 @@
     /// The version that serves the service of an order now.
     fn serving(&self, order: &RolloutOrder) -> Option<EngineVersion> {
         let ready = self.state.view.upstreams.ready(&order.service);
-        self.state.rollouts.serving(&order.service, &ready)
+        let bounds = self.state.options.bounds.rollouts;
+        self.state.rollouts.serving(&order.service, &ready, bounds)
     }
 
     async fn write_record(
@@ -139,11 +139,12 @@
     record: Option<&RolloutRecord>,
 ) -> Option<(Sight, Judged)> {
     let now = Instant::now();
+    let bounds = state.options.bounds.rollouts;
     let evidence = all_evidence(state, &order.service, order.revision, now);
     let ready = state.view.upstreams.ready(&order.service);
     let targets = ready.iter().filter(|it| it.record.version == order.target);
     let targets = targets.count();
-    let judged = judge(&evidence, targets.min(TURN_TAKERS));
+    let judged = judge(&evidence, targets);
     let is_unseen = judged.target.answers < LEAST_ANSWERS && judged.from.answers >= SERVED_ANSWERS;
     let sight = Sight {
         now: state.feed.store_time(now)?,
@@ -151,7 +152,11 @@
         verdict: judged.verdict,
         is_doubted: judged.log_ratio > 0.0 || is_unseen,
         is_target_ready: targets > 0,
-        runs_on_old: record.is_some_and(|record| runs_on(state, record)),
+        runs_on_old: record.is_some_and(|record| {
+            let is_shared = record.from != record.target;
+            // The old version serves to the end; a moment in which it is idle says nothing.
+            (bounds.is_shift_bounded && is_shared) || runs_on(state, record)
+        }),
         longest_answer: state.longest_answer(&order.service),
     };
     Some((sight, judged))
--- a/crates/gateway/tests/rollout.rs
+++ b/crates/gateway/tests/rollout.rs
@@ -9,8 +9,8 @@
     rand::{RngExt, SeedableRng, rngs::StdRng},
     std::time::Duration,
     tealshore_gateway::rollout::{
-        Exposure, ListedVersion, Permit, Phase, RolloutOrder, RolloutRecord, Sight, TypicalTimes,
-        Verdict, next_record, permit,
+        Exposure, ListedVersion, Permit, Phase, RolloutOrder, RolloutRecord, Sight, Turns,
+        TypicalTimes, Verdict, next_record, permit,
     },
 };
 
@@ -109,6 +109,27 @@
     );
 }
 
+/// With a bounded shift a version is tried until it is completed, also for an order that comes
+/// before that: its host must not take it for the version that serves.
+#[test]
+fn a_bounded_shift_lets_no_more_than_the_share_go_to_its_target() {
+    let both = [listed(OLD, 3), listed(NEW, 9)];
+    let shifting = record(5, Phase::Shifting).with_bounded_shift();
+    let canary = Permit::Canary {
+        from: OLD.to_owned(),
+        target: NEW.to_owned(),
+    };
+    let of = |revision| permit(&both, Some(&order(revision)), Some(&shifting), None);
+    assert_eq!(of(5), Some(canary));
+    assert_eq!(of(6), only(OLD));
+    for phase in [Phase::Canary, Phase::Completed, Phase::RolledBack] {
+        assert_eq!(record(5, phase).with_bounded_shift(), record(5, phase));
+    }
+    let mut back = record(5, Phase::Shifting);
+    back.target = OLD.to_owned();
+    assert_eq!(back.with_bounded_shift(), back);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(32), ..ProptestConfig::default() })]
 
@@ -170,6 +191,23 @@
     }
 }
 
+/// Upstreams that are tried have no more load than all will have, and one bad one is outvoted.
+#[test]
+fn as_many_upstreams_are_tried_as_the_share_of_the_requests_is_for() {
+    let tried = |upstreams| {
+        let turns = Turns::of(upstreams, 0.1);
+        (turns.takers, turns.at_once)
+    };
+    assert_eq!(
+        [0, 1, 2, 3, 19].map(tried),
+        [(0, 0), (1, 1), (2, 1), (3, 1), (3, 1)]
+    );
+    assert_eq!(
+        [25, 45, 224, 2_000].map(tried),
+        [(3, 2), (4, 4), (12, 12), (12, 12)]
+    );
+}
+
 #[test]
 fn answers_that_take_much_longer_than_usual_count_as_slow() {
     let mut typical = TypicalTimes::default();
@@ -181,6 +219,13 @@
     assert!(!typical.is_slow("crop", usual * 2));
     assert!(typical.is_slow("crop", usual * 4));
     assert!(!typical.is_slow("another", usual * 4));
+    // Some ms more are the machine's, not the version's.
+    let short = Duration::from_millis(3);
+    for _ in 0..20 {
+        typical.observe("short", short);
+    }
+    assert!(!typical.is_slow("short", short * 6));
+    assert!(typical.is_slow("short", short * 9));
 }
 
 fn sight(now_s: f64, verdict: Verdict) -> Sight {
