--- a/crates/capacity/src/planner.rs
+++ b/crates/capacity/src/planner.rs
@@ -181,8 +181,7 @@
         // Where nothing is to be done, nothing is to be filled up.
         let needed = needed.map_or(0, |needed| self.needed_to_fill(needed, spares_hall, now));
         let mut plans = self.hall_plans(seen, policy, now);
-        // Halls hold no more than they may.
-        let needed = needed.min(plans.values().map(|plan| plan.wanted).sum());
+        let needed = needed.min(plans.values().map(HallPlan::most_needed).sum());
         // First, so that a hall has room for what takes their place.
         self.let_go(seen, needed, &mut plans, now);
         for plan in plans.values_mut() {
--- a/crates/capacity/src/planner/hall.rs
+++ b/crates/capacity/src/planner/hall.rs
@@ -1,7 +1,7 @@
 //! What is ordered in one hall.
 
 use {
-    super::Reason,
+    super::{LET_GO_PART, Reason},
     crate::{fleet::HallFleet, order::EngineKind},
     std::collections::BTreeMap,
 };
@@ -96,6 +96,13 @@
             .saturating_sub(self.floor)
     }
 
+    /// How many engines may be asked of the hall, spare ones included. Where it is full, some may go, so
+    /// that there is room for what takes their place.
+    pub(super) fn most_needed(&self) -> u32 {
+        let step = self.size.div_ceil(LET_GO_PART);
+        self.wanted.min(self.most.saturating_sub(step))
+    }
+
     /// How many more engines serve than the work asks for in this hall.
     pub(super) fn excess_here(&self) -> u32 {
         self.listed.serving().saturating_sub(self.size)
