--- a/crates/capacity/src/planner.rs
+++ b/crates/capacity/src/planner.rs
@@ -36,6 +36,9 @@
 /// with two of three halls taken away 5 and 8 s after traffic began, 82 of 224 engines were left until
 /// the 15th second, and a day earned 0.74 of its credit where it had earned 0.95.
 const MEASURED_AFTER: Duration = Duration::from_secs(12);
+/// The part of the engines that served when others were ordered, below which some count as lost: a few
+/// come and go all the time.
+const STRUCK_BELOW: f64 = 0.8;
 /// How often engines are let go while streams run, so that those which lose theirs find room.
 const LET_GO_EVERY: Duration = Duration::from_secs(1);
 /// The part of a hall's engines of a kind that is let go at once while streams run.
@@ -138,6 +141,20 @@
 struct Asked {
     at: Instant,
     engines: u32,
+    /// How many served then.
+    serving: u32,
+}
+
+impl Asked {
+    /// How many engines it may still bring. None where some were lost since that served then: what was
+    /// asked for before a hall was taken away does not come.
+    fn expected(&self, serving: u32, boot: Duration, now: Instant) -> u32 {
+        let is_struck = f64::from(serving) < f64::from(self.serving) * STRUCK_BELOW;
+        if is_struck || !is_booting(self, boot, now) {
+            return 0;
+        }
+        self.engines
+    }
 }
 
 /// A hall and a kind.
@@ -305,7 +322,13 @@
             for (kind, (engines, reason)) in plan.changes {
                 let subject = (hall.clone(), kind);
                 self.unavailable.remove(&subject);
-                self.asked.insert(subject, Asked { at: now, engines });
+                let serving = plan.listed.of(kind).serving;
+                let asked = Asked {
+                    at: now,
+                    engines,
+                    serving,
+                };
+                self.asked.insert(subject, asked);
                 let order = EngineOrder {
                     service: seen.service.clone(),
                     hall: hall.clone(),
@@ -335,6 +358,7 @@
         let asked = self.asked.entry(subject).or_insert(Asked {
             at: now,
             engines: 0,
+            serving: 0,
         });
         was_refused || !is_booting(asked, boot, now)
     }
--- a/crates/capacity/src/planner/gap.rs
+++ b/crates/capacity/src/planner/gap.rs
@@ -1,7 +1,7 @@
 //! Fills the gap where fewer engines serve than the work needs.
 
 use {
-    super::{HallPlan, Observation, Planner, is_booting},
+    super::{HallPlan, Observation, Planner},
     crate::order::{EngineKind, Scaling},
     std::{
         collections::BTreeMap,
@@ -18,8 +18,7 @@
             let subject = (hall.clone(), kind);
             let was_refused = self.unavailable.contains_key(&subject);
             let asked = self.asked.get(&subject).filter(|_| !was_refused);
-            let booting = asked.filter(|asked| is_booting(asked, boot, now));
-            let coming = booting.map_or(0, |asked| asked.engines);
+            let coming = asked.map_or(0, |asked| asked.expected(serving, boot, now));
             // What was refused is asked for again, and counts once it is accepted.
             let ordered_now = if was_refused { 0 } else { plan.raised_to(kind) };
             serving.max(coming).max(ordered_now)
--- a/crates/capacity/tests/planner.rs
+++ b/crates/capacity/tests/planner.rs
@@ -186,6 +186,24 @@
     }
 }
 
+#[test]
+fn what_was_asked_for_before_a_hall_was_taken_away_does_not_count_as_coming() {
+    let mut platform = replaced();
+    platform.demand = busy(110.0);
+    platform.run(12);
+    // Some engines are lost, and ordered again; then all of them go.
+    platform.fleet.get_mut("b").unwrap().preemptible.serving = 60;
+    platform.is_barren = true;
+    platform.run(1);
+    platform.is_barren = false;
+    platform.is_dry = true;
+    platform.reclaim("b");
+    platform.run(1);
+    let mut orders = platform.ordered.iter();
+    let stand_in = orders.find(|it| it.hall == "b" && it.kind == SAFE).unwrap();
+    assert_eq!(stand_in.engines, 55);
+}
+
 #[test]
 fn where_halls_are_nearly_full_others_are_replaced_bit_by_bit() {
     let mut platform = Platform::new(76);
