--- a/crates/core/src/protection.rs
+++ b/crates/core/src/protection.rs
@@ -58,6 +58,8 @@
     CanaryShare,
     /// Nothing of a duty leaves a host after its tenure.
     DutyTenure,
+    /// A lease that is held is taken only after its expiry.
+    LeaseExpiry,
 }
 
 impl Protection {
@@ -91,6 +93,7 @@
             Self::VersionPermit => "version-permit",
             Self::CanaryShare => "canary-share",
             Self::DutyTenure => "duty-tenure",
+            Self::LeaseExpiry => "lease-expiry",
         }
     }
 }
--- a/crates/duties/src/lease.rs
+++ b/crates/duties/src/lease.rs
@@ -403,8 +403,8 @@
             return Step::Read;
         };
         let held_for = match newest.holder {
-            Some(_) => self.bounds.expiry,
-            None => Duration::ZERO,
+            Some(_) if enabled(Protection::LeaseExpiry) => self.bounds.expiry,
+            Some(_) | None => Duration::ZERO,
         };
         let free_from = newest.since + held_for + delay;
         if now < free_from {
--- a/crates/duties/tests/lease.rs
+++ b/crates/duties/tests/lease.rs
@@ -115,6 +115,7 @@
 
 #[test]
 fn a_contender_waits_for_the_expiry_of_what_it_saw() {
+    tealshore_core::protection::start();
     let now = Instant::now();
     let mut lease = lease_of("b");
     lease.note_read(Some((5, held_by("a"))), now);
--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -43,6 +43,7 @@
 canary-share tealshore-platform rollouts a_bad_version_is_rolled_back_within_its_share
 confirmed-refusal tealshore-platform refusals an_upstreams_own_unconfirmed_refusal_of_a_call_is_not_passed_on
 answer-identity tealshore-platform refusals a_refusal_of_another_request_says_nothing_of_this_one
+lease-expiry tealshore-duties lease a_contender_waits_for_the_expiry_of_what_it_saw
 duty-tenure tealshore-duties lease a_tenure_ends_at_its_moment_and_not_after_it
 duty-tenure tealshore-gateway duty_call no_call_begins_after_the_tenure
 duty-tenure tealshore-gateway duty_call a_process_that_froze_while_it_connected_sends_nothing
@@ -64,6 +65,7 @@
 retry-budget
 reserved-headers
 watch-timeout
+lease-expiry
 LIST
 }
 
