--- a/crates/capacity/src/planner.rs
+++ b/crates/capacity/src/planner.rs
@@ -246,7 +246,7 @@
     /// How many engines are to be there at least: as many as ran, until the work is known. Spare engines
     /// are part of it: where one hall was taken away, the next one may be. With those left out, two
     /// halls that were taken away within 3 s left 114 engines for 3 s, and a day earned 0.860 of its
-    /// credit where it had earned 0.953.
+    /// credit; with them it earned 0.959 (one play each).
     fn needed_to_fill(&mut self, needed: u32, spares_hall: bool, now: Instant) -> u32 {
         let since = *self.worked_since.get_or_insert(now);
         let is_known = now.saturating_duration_since(since) >= MEASURED_AFTER;
