--- a/crates/duties/src/lease.rs
+++ b/crates/duties/src/lease.rs
@@ -336,8 +336,8 @@
         self.renewed = None;
     }
 
-    /// What to do at a moment. `store_time` is the store's time then, or a later one; none while that
-    /// is not known.
+    /// What to do at a moment. `store_time` is the store's time then, or one that is later by less than
+    /// the quarter by which a rest is longer than a lease; none while that is not known.
     #[must_use]
     pub fn next(&self, store_time: Option<StoreTime>, role: Role, now: Instant) -> Step {
         let seen = self.seen.as_ref();
