Tell counts again that did not change, and take the lease higher after a refused token

A datagram with the last counts of a window was never repeated, so that one lost datagram took the window off; counts are told each second, and a window is decided 3.5 s after its end, three tellings, not 2.5. A holder whose token a receiver refused renewed under the same token and would have been refused for ever: it takes the lease under a higher one (after_a_refused_fence_the_lease_is_taken_under_a_higher_one).

--- a/crates/duties/src/lease.rs
+++ b/crates/duties/src/lease.rs
@@ -325,8 +325,12 @@
         self.must_read = true;
     }
 
-    /// Notes that the receiver of a call knows a higher token: this process holds nothing.
+    /// Notes that the receiver of a call refused this process's token, since it knows a higher one: this
+    /// process holds nothing, and takes the lease under a higher token if it takes it again.
     pub fn note_fenced(&mut self) {
+        if let Some(tenure) = self.tenure {
+            self.highest_fence = self.highest_fence.max(tenure.fence + 1);
+        }
         self.end_tenure();
         self.must_read = true;
     }
@@ -371,10 +375,17 @@
         {
             return Step::Wait(due);
         }
+        let mut record = seen.record.clone();
+        let purpose = if record.fence < self.highest_fence {
+            record.fence = self.highest_fence;
+            Purpose::Take
+        } else {
+            Purpose::Renew
+        };
         Step::Write {
-            record: seen.record.clone(),
+            record,
             expected: seen.version,
-            purpose: Purpose::Renew,
+            purpose,
         }
     }
 
--- a/crates/duties/tests/lease.rs
+++ b/crates/duties/tests/lease.rs
@@ -295,6 +295,24 @@
     assert_eq!(lease.next(Some(seconds(100)), FIRST, asked), Step::Read);
 }
 
+/// Renewed under the same token it would be refused for ever.
+#[test]
+fn after_a_refused_fence_the_lease_is_taken_under_a_higher_one() {
+    let asked = Instant::now();
+    let mut lease = taken_at(asked);
+    let row = asked_write(&mut lease, seconds(100), FIRST, asked + LENGTH).record;
+    lease.note_written(2, row.clone(), asked, asked);
+    lease.note_fenced();
+    lease.note_read(Some((2, row.clone())), asked);
+    let write = asked_write(&mut lease, seconds(101), FIRST, asked);
+    assert_eq!(write.purpose, Purpose::Take);
+    assert!(write.record.fence > row.fence);
+    assert_eq!(write.record.holder, row.holder);
+    let fence = write.record.fence;
+    lease.note_written(3, write.record, asked, asked);
+    assert_eq!(lease.tenure(asked).unwrap().fence, fence);
+}
+
 #[test]
 fn a_release_ends_the_tenure_before_it_is_sent() {
     let asked = Instant::now();
--- a/crates/gateway/src/peers/duties.rs
+++ b/crates/gateway/src/peers/duties.rs
@@ -24,7 +24,6 @@
     if !state.duties.has(Duty::ReportUsage) {
         return;
     }
-    let mut told = None;
     loop {
         sleep(USAGE_INTERVAL).await;
         let now = Instant::now();
@@ -35,12 +34,8 @@
         let receivers = state
             .peers
             .duty_candidates(state.duties.holder().as_ref(), now);
-        // Who may hold the duties changes, and so it is told to all of them once more.
-        let current = Some((news.clone(), receivers.clone()));
-        if told != current {
-            socket.send_to_all(&Datagram::Usage(news), &receivers).await;
-            told = current;
-        }
+        // Also what did not change: a datagram may have been lost, or a receiver be new.
+        socket.send_to_all(&Datagram::Usage(news), &receivers).await;
     }
 }
 
--- a/crates/gateway/src/sync/duties.rs
+++ b/crates/gateway/src/sync/duties.rs
@@ -47,9 +47,10 @@
 const STORE_PAUSE: Duration = Duration::from_millis(300);
 /// How often the pause doubles at most: a host that the store serves again is a candidate within 1.2 s.
 const MOST_DOUBLINGS: u32 = 2;
-/// How long after its end a window is decided. Hosts tell their counts once a second, and two such
-/// datagrams of one host are seldom lost in turn.
-const SETTLE: Duration = Duration::from_millis(2_500);
+/// How long after its end a window is decided. Hosts tell their counts once a second, and three such
+/// datagrams of one host are seldom lost in turn; a successor of a holder that dies then still reports
+/// within ten seconds.
+const SETTLE: Duration = Duration::from_millis(3_500);
 /// How often the holder looks which engines are needed.
 const CAPACITY_INTERVAL: Duration = Duration::from_secs(1);
 
