--- a/crates/capacity/tests/planner.rs
+++ b/crates/capacity/tests/planner.rs
@@ -371,9 +371,13 @@
     #[test]
     fn bounds_are_kept(
         each in 1_u32..150,
+        sizing in prop::sample::select(vec![Sizing::Utilisation, Sizing::QueueingDelay]),
+        spare_hall in any::<bool>(),
         steps in prop::collection::vec((0.0_f64..200.0, any::<bool>(), 0_usize..6), 1..30),
     ) {
         let mut platform = Platform::new(each);
+        platform.policy.sizing = sizing;
+        platform.policy.spare_hall = spare_hall;
         for (engines, is_dry, event) in steps {
             platform.demand = busy(engines);
             platform.is_dry = is_dry;
@@ -396,8 +400,15 @@
 
     /// Under steady work, and under a wave, orders come to rest.
     #[test]
-    fn steady_work_gives_no_orders(engines in 10.0_f64..100.0, swing in 0.0_f64..0.3) {
+    fn steady_work_gives_no_orders(
+        engines in 10.0_f64..100.0,
+        swing in 0.0_f64..0.3,
+        sizing in prop::sample::select(vec![Sizing::Utilisation, Sizing::QueueingDelay]),
+        spare_hall in any::<bool>(),
+    ) {
         let mut platform = replaced();
+        platform.policy.sizing = sizing;
+        platform.policy.spare_hall = spare_hall;
         let wave = |second: u32| {
             let phase = f64::from(second) / 11.0 * std::f64::consts::TAU;
             busy(engines * (1.0 + swing * phase.sin()))
