--- a/crates/gateway/src/forward/plain.rs
+++ b/crates/gateway/src/forward/plain.rs
@@ -1,20 +1,12 @@
 //! Runs a plain call: at most once where it may not be repeated; with repeats and a hedge
 //! where it may.
 
+mod attempt;
+
 use {
-    super::{
-        call::{Call, strip_connection_headers},
-        connect::{self, Answer},
-        reservation::Reservation,
-    },
-    crate::{
-        balance::Need,
-        edge::Order,
-        rollout::Outcome,
-        room,
-        state::GatewayState,
-        view::{Upstream, Work},
-    },
+    super::call::{Call, strip_connection_headers},
+    crate::{balance::Need, rollout::Outcome, room, state::GatewayState},
+    attempt::{Tried, TryEnd, try_once},
     bytes::Bytes,
     futures::{StreamExt, future::BoxFuture, stream::FuturesUnordered},
     http::{Response, response},
@@ -23,45 +15,19 @@
         time::{Duration, Instant},
     },
     tealshore_core::{
-        answer::{ErrorKind, Failure, promises_not_run},
-        http::{Body, full, read_limited},
+        answer::{ErrorKind, Failure},
+        http::{Body, full},
         ids::EngineId,
         protection::{Protection, enabled},
     },
     tokio::time::{sleep, sleep_until},
 };
 
-/// The largest answer to a plain call, in bytes.
-const ANSWER_BOUND_BYTES: usize = 8 * 1024 * 1024;
 /// A second upstream is asked after this part of the objective.
 const HEDGE_PART: u32 = 2;
 /// The pause before all upstreams are asked again after all turned a call away.
 const FULL_PAUSE: Duration = Duration::from_millis(5);
 
-/// How one try ended.
-enum TryEnd {
-    /// A whole answer.
-    Answered(response::Parts, Bytes),
-    /// The upstream did not run it.
-    NotRun,
-    /// The upstream can't be reached; nothing left.
-    Unreachable,
-    /// It may have run.
-    Unknown,
-    /// Nothing may be sent.
-    Forbidden(Failure),
-}
-
-struct Tried {
-    upstream: Arc<Upstream>,
-    end: TryEnd,
-    cause: &'static str,
-    /// The time from the send to its end.
-    took: Duration,
-    /// It has drawn on the retry budget.
-    draws_on_budget: bool,
-}
-
 struct PlainRun<'a> {
     state: &'a Arc<GatewayState>,
     call: &'a Call,
@@ -329,82 +295,6 @@
     }
 }
 
-async fn try_once(
-    state: &Arc<GatewayState>,
-    call: &Call,
-    upstream: Arc<Upstream>,
-    draws_on_budget: bool,
-) -> Tried {
-    let work = Work {
-        running: 1,
-        ..Work::default()
-    };
-    let reservation = Reservation::begin(state, &upstream, work);
-    let distance = state.distance_to(&upstream.record.hall);
-    state.metrics.count_send("call", distance);
-    let sent = Instant::now();
-    let (end, cause) = exchange(state, call, &upstream).await;
-    drop(reservation);
-    Tried {
-        upstream,
-        end,
-        cause,
-        took: sent.elapsed(),
-        draws_on_budget,
-    }
-}
-
-async fn exchange(
-    state: &GatewayState,
-    call: &Call,
-    upstream: &Upstream,
-) -> (TryEnd, &'static str) {
-    if let Err(failure) = call.check_before_send(state) {
-        return (TryEnd::Forbidden(failure), "forbidden");
-    }
-    let order = Order {
-        upstream: &upstream.record.id,
-        customer: call.customer.as_ref(),
-        deadline: call.left(Instant::now()),
-        last_event: None,
-        urgency: None,
-        copy_to: None,
-        go_on_from: None,
-    };
-    let request = call.request_for(state, upstream, &order);
-    match connect::send(state, upstream, request, call.id()).await {
-        Ok(answer) => read(answer).await,
-        Err(failure) if failure.may_have_run() => (TryEnd::Unknown, failure.name()),
-        Err(connect::SendFailure::Leaving) => (TryEnd::NotRun, "leaving"),
-        Err(failure) => (TryEnd::Unreachable, failure.name()),
-    }
-}
-
-async fn read(answer: Answer) -> (TryEnd, &'static str) {
-    if answer.facts.not_run {
-        return (TryEnd::NotRun, "turned-away");
-    }
-    let status = answer.head.status;
-    let is_encoded = answer
-        .head
-        .headers
-        .contains_key(http::header::CONTENT_ENCODING);
-    if !answer.facts.signed || is_encoded {
-        return (TryEnd::Unknown, "unsigned");
-    }
-    // Passed on, the status would promise that the call did not run, which the upstream did not say.
-    if promises_not_run(status) && enabled(Protection::ConfirmedRefusal) {
-        return (TryEnd::Unknown, "unconfirmed-refusal");
-    }
-    match read_limited(answer.body, ANSWER_BOUND_BYTES).await {
-        Ok(body) if status.is_server_error() => {
-            (TryEnd::Answered(answer.head, body), "server-error")
-        }
-        Ok(body) => (TryEnd::Answered(answer.head, body), "answered"),
-        Err(_) => (TryEnd::Unknown, "body-broken"),
-    }
-}
-
 fn passed_on(mut head: response::Parts, body: Bytes) -> Response<Body> {
     strip_connection_headers(&mut head.headers);
     head.extensions.clear();
--- /dev/null
+++ b/crates/gateway/src/forward/plain/attempt.rs
@@ -0,0 +1,129 @@
+//! One try of a plain call at one upstream.
+
+use {
+    crate::{
+        edge::Order,
+        forward::{
+            call::Call,
+            connect::{self, Answer},
+            reservation::Reservation,
+        },
+        state::GatewayState,
+        view::{Upstream, Work},
+    },
+    bytes::Bytes,
+    http::response,
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tealshore_core::{
+        answer::{Failure, promises_not_run},
+        http::read_limited,
+        protection::{Protection, enabled},
+    },
+};
+
+/// The largest answer to a plain call, in bytes.
+const ANSWER_BOUND_BYTES: usize = 8 * 1024 * 1024;
+/// How one try ended.
+pub(super) enum TryEnd {
+    /// A whole answer.
+    Answered(response::Parts, Bytes),
+    /// The upstream did not run it.
+    NotRun,
+    /// The upstream can't be reached; nothing left.
+    Unreachable,
+    /// It may have run.
+    Unknown,
+    /// Nothing may be sent.
+    Forbidden(Failure),
+}
+
+/// A try that ended.
+pub(super) struct Tried {
+    pub(super) upstream: Arc<Upstream>,
+    pub(super) end: TryEnd,
+    pub(super) cause: &'static str,
+    /// The time from the send to its end.
+    pub(super) took: Duration,
+    /// It has drawn on the retry budget.
+    pub(super) draws_on_budget: bool,
+}
+
+/// Sends a call to an upstream and reads the whole answer.
+pub(super) async fn try_once(
+    state: &Arc<GatewayState>,
+    call: &Call,
+    upstream: Arc<Upstream>,
+    draws_on_budget: bool,
+) -> Tried {
+    let work = Work {
+        running: 1,
+        ..Work::default()
+    };
+    let reservation = Reservation::begin(state, &upstream, work);
+    let distance = state.distance_to(&upstream.record.hall);
+    state.metrics.count_send("call", distance);
+    let sent = Instant::now();
+    let (end, cause) = exchange(state, call, &upstream).await;
+    drop(reservation);
+    Tried {
+        upstream,
+        end,
+        cause,
+        took: sent.elapsed(),
+        draws_on_budget,
+    }
+}
+
+async fn exchange(
+    state: &GatewayState,
+    call: &Call,
+    upstream: &Upstream,
+) -> (TryEnd, &'static str) {
+    if let Err(failure) = call.check_before_send(state) {
+        return (TryEnd::Forbidden(failure), "forbidden");
+    }
+    let order = Order {
+        upstream: &upstream.record.id,
+        customer: call.customer.as_ref(),
+        deadline: call.left(Instant::now()),
+        last_event: None,
+        urgency: None,
+        copy_to: None,
+        go_on_from: None,
+    };
+    let request = call.request_for(state, upstream, &order);
+    match connect::send(state, upstream, request, call.id()).await {
+        Ok(answer) => read(answer).await,
+        Err(failure) if failure.may_have_run() => (TryEnd::Unknown, failure.name()),
+        Err(connect::SendFailure::Leaving) => (TryEnd::NotRun, "leaving"),
+        Err(failure) => (TryEnd::Unreachable, failure.name()),
+    }
+}
+
+async fn read(answer: Answer) -> (TryEnd, &'static str) {
+    if answer.facts.not_run {
+        return (TryEnd::NotRun, "turned-away");
+    }
+    let status = answer.head.status;
+    let is_encoded = answer
+        .head
+        .headers
+        .contains_key(http::header::CONTENT_ENCODING);
+    if !answer.facts.signed || is_encoded {
+        return (TryEnd::Unknown, "unsigned");
+    }
+    // Passed on, the status would promise that the call did not run, which the upstream did not say.
+    if promises_not_run(status) && enabled(Protection::ConfirmedRefusal) {
+        return (TryEnd::Unknown, "unconfirmed-refusal");
+    }
+    match read_limited(answer.body, ANSWER_BOUND_BYTES).await {
+        Ok(body) if status.is_server_error() => {
+            (TryEnd::Answered(answer.head, body), "server-error")
+        }
+        Ok(body) => (TryEnd::Answered(answer.head, body), "answered"),
+        Err(_) => (TryEnd::Unknown, "body-broken"),
+    }
+}
--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -12,6 +12,7 @@
 mod known;
 mod plan;
 mod record;
+mod turns;
 mod verdict;
 mod versions;
 
@@ -20,9 +21,10 @@
         Evidence, Outcome, ROUTES_BOUND, RouteKey, RouteTallies, Tally, TypicalTimes, route_key,
     },
     exposure::Exposure,
-    known::{MOST_TAKERS, RolloutNews, Rollouts, Turns},
+    known::{RolloutNews, Rollouts},
     plan::{Sight, next_record},
     record::{Phase, RolloutOrder, RolloutRecord},
+    turns::{MOST_TAKERS, Turns},
     verdict::{Judged, Verdict, judge},
     versions::{ListedVersion, Permit, permit},
 };
