--- a/crates/capacity/src/planner.rs
+++ b/crates/capacity/src/planner.rs
@@ -282,11 +282,7 @@
         let part = if is_idle { 1 } else { LET_GO_PART };
         let serving: u32 = plans.values().map(|plan| plan.listed.serving()).sum();
         let wanted: u32 = plans.values().map(|plan| plan.wanted).sum();
-        let size = if needed > 0 && is_taken_away(plans) {
-            plans.values().map(HallPlan::most_needed).sum()
-        } else {
-            self.size.total().max(needed)
-        };
+        let size = self.size.total().max(needed);
         let mut left = serving;
         for plan in plans.values_mut() {
             let excess = plan.excess_here().min(left.saturating_sub(size));
@@ -368,18 +364,6 @@
     }
 }
 
-/// Whether many cheap engines are missing. What stands in for them stays until they are back: where it
-/// went once the work was known, the next hall was taken away 2 s later, and a day earned 0.951 of its
-/// credit.
-fn is_taken_away(plans: &BTreeMap<HallId, HallPlan>) -> bool {
-    let serving: u32 = plans
-        .values()
-        .map(|plan| plan.listed.preemptible.serving)
-        .sum();
-    let wanted: u32 = plans.values().map(HallPlan::preemptible_wanted).sum();
-    f64::from(serving) < f64::from(wanted) * STRUCK_BELOW
-}
-
 fn is_booting(asked: &Asked, boot: Duration, now: Instant) -> bool {
     now.saturating_duration_since(asked.at) < boot + BOOT_GRACE
 }
--- a/crates/capacity/src/planner/hall.rs
+++ b/crates/capacity/src/planner/hall.rs
@@ -73,7 +73,7 @@
     pub(super) fn order_size(&mut self) {
         self.raise(EngineKind::OnDemand, self.floor, Reason::Size);
         if self.preemptible_to_be_had {
-            let target = self.preemptible_wanted();
+            let target = self.wanted.saturating_sub(self.floor);
             self.raise(EngineKind::Preemptible, target, Reason::Size);
         }
     }
@@ -90,11 +90,6 @@
         self.raise(kind, target, Reason::Short);
     }
 
-    /// How many preemptible engines it is to have.
-    pub(super) fn preemptible_wanted(&self) -> u32 {
-        self.wanted.saturating_sub(self.floor)
-    }
-
     /// Engines on demand that stand in for others.
     pub(super) fn stand_ins(&self) -> u32 {
         self.planned(EngineKind::OnDemand)
@@ -128,7 +123,7 @@
     /// Lets preemptible engines go that are more than the hall is to have, in the same way.
     pub(super) fn let_go_preemptible(&mut self, excess: u32, part: u32) -> u32 {
         let excess = excess.min(self.listed.serving().saturating_sub(self.wanted));
-        let least = self.preemptible_wanted();
+        let least = self.wanted.saturating_sub(self.floor);
         self.lower(
             EngineKind::Preemptible,
             least,
