Tell in logs and metrics what upstreams say of themselves in answers

A host's logs could not tell a refusal of an upstream that is full for an instant from one that asks to be left alone, and for how long. The adapter reads both words (rest, leaving); the gateway logs and counts them. Nothing is decided by them yet.

--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -92,6 +92,22 @@
     pub not_run: bool,
     /// It carries the upstream's signature.
     pub signed: bool,
+    /// Whether the upstream, which turned the request away, wants nothing from this host for a time.
+    pub rest: RestAsked,
+    /// The upstream says that it is about to leave.
+    pub leaving: bool,
+}
+
+/// Whether an upstream that turned a request away asks to be left alone for a time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RestAsked {
+    /// It does not.
+    #[default]
+    No,
+    /// It does, for this long.
+    For(Duration),
+    /// It does; for how long can't be read.
+    Unreadable,
 }
 
 /// What an upstream reports of itself and of one request. The report is some hundred
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -19,6 +19,8 @@
     pub outcomes: IntCounterVec,
     /// Losses of attempts, by cause.
     pub losses: IntCounterVec,
+    /// What upstreams said of themselves in answers: `rest`, `rest-unreadable` or `leaving`.
+    pub notices: IntCounterVec,
     /// Runs of requests that ended with their upstreams.
     pub ended_runs: IntCounter,
     /// Requests that are in quarantine, as this host knows.
@@ -86,6 +88,11 @@
             registry: Registry::new(),
             outcomes: counter("tealshore_requests_total", "Ends of requests", &["outcome"])?,
             losses: counter("tealshore_losses_total", "Attempts lost", &["cause"])?,
+            notices: counter(
+                "tealshore_upstream_notices_total",
+                "What upstreams said of themselves in answers",
+                &["notice"],
+            )?,
             ended_runs: IntCounter::new(
                 "tealshore_ended_runs_total",
                 "Runs of requests that ended with their upstreams",
@@ -205,6 +212,7 @@
         let all: Vec<Box<dyn Collector>> = vec![
             Box::new(self.outcomes.clone()),
             Box::new(self.losses.clone()),
+            Box::new(self.notices.clone()),
             Box::new(self.ended_runs.clone()),
             Box::new(self.quarantined.clone()),
             Box::new(self.sends.clone()),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,6 +1,7 @@
 //! All that the parts of this host share.
 
 mod choice;
+mod notices;
 
 use {
     crate::{
