Send nothing to an upstream that asked for rest, or said that it leaves

A refusal counted neither as a failure nor as load, so the upstream that ran nothing was each host's cheapest choice.

Where all upstreams rest, a request is refused at once with the time to the first that is back, or waits where its patience reaches so far. A call that was chosen and not sent draws on no budget, which one that met a leaving upstream did.

--- a/crates/core/src/answer.rs
+++ b/crates/core/src/answer.rs
@@ -86,6 +86,8 @@
     RetriesSpent,
     /// All upstreams that could take the request turned it away.
     UpstreamsBusy,
+    /// All upstreams that could take the request asked for rest.
+    UpstreamsResting,
     /// This host has not heard from the platform's store for too long to trust its keys.
     StaleView,
     /// The time for the request is over and an upstream may have worked on it.
@@ -188,6 +190,13 @@
             Self::UpstreamLost => (StatusCode::BAD_GATEWAY, Yes, None, Level::Warn),
             Self::RetriesSpent => (StatusCode::GATEWAY_TIMEOUT, Yes, Some(2_000), Level::Warn),
             Self::UpstreamsBusy => (StatusCode::SERVICE_UNAVAILABLE, No, Some(50), Level::Warn),
+            // Most failures of this kind know the time; upstreams ask for whole seconds.
+            Self::UpstreamsResting => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                No,
+                Some(1_000),
+                Level::Warn,
+            ),
             Self::StaleView => (StatusCode::SERVICE_UNAVAILABLE, No, Some(20), Level::Warn),
             Self::DeadlineReached => (StatusCode::GATEWAY_TIMEOUT, Unknown, None, Level::Warn),
             Self::DeadlineUntried => (StatusCode::SERVICE_UNAVAILABLE, No, Some(50), Level::Warn),
@@ -251,6 +260,7 @@
             Self::UpstreamLost => "upstream-lost",
             Self::RetriesSpent => "retries-spent",
             Self::UpstreamsBusy => "upstreams-busy",
+            Self::UpstreamsResting => "upstreams-resting",
             Self::StaleView => "stale-view",
             Self::DeadlineReached => "deadline-reached",
             Self::DeadlineUntried => "deadline-untried",
@@ -277,6 +287,8 @@
     /// Whether the request ran: what the kind says, unless more is known. Private, so that the
     /// status can't contradict it.
     ran: Ran,
+    /// When to come back, where that is known better than by the kind.
+    back_after: Option<Duration>,
 }
 
 impl Failure {
@@ -286,9 +298,23 @@
             kind,
             detail: detail.into(),
             ran: kind.answer().ran,
+            back_after: None,
         }
     }
 
+    /// The same failure of which is known when a return can help.
+    #[must_use]
+    pub fn come_back_after(self, time: Duration) -> Self {
+        let back_after = Some(time);
+        Self { back_after, ..self }
+    }
+
+    /// The shortest time after which to come back, where coming back can help.
+    #[must_use]
+    pub fn retry_after(&self) -> Option<Duration> {
+        self.back_after.or(self.kind.answer().retry_after)
+    }
+
     /// Whether the request ran.
     #[must_use]
     pub fn ran(&self) -> Ran {
@@ -354,15 +380,14 @@
     /// The document for a failure, with its time to come back spread over callers.
     #[must_use]
     pub fn of(failure: &Failure) -> Self {
-        let answer = failure.kind.answer();
         Self {
             type_ref: format!("/problems/{}", failure.kind),
             title: failure.kind.name().replace('-', " "),
             status: failure.status().as_u16(),
             detail: failure.detail.clone(),
             ran: failure.ran(),
-            retry_after_ms: answer
-                .retry_after
+            retry_after_ms: failure
+                .retry_after()
                 .map(|base| u64::try_from(spread(base).as_millis()).unwrap_or(u64::MAX)),
         }
     }
--- a/crates/core/src/protection.rs
+++ b/crates/core/src/protection.rs
@@ -62,6 +62,8 @@
     LeaseExpiry,
     /// A request under which upstreams ended is sent to no further one.
     Quarantine,
+    /// An upstream that asked for rest, or said that it leaves, gets no new work.
+    UpstreamNotices,
 }
 
 impl Protection {
@@ -97,6 +99,7 @@
             Self::DutyTenure => "duty-tenure",
             Self::LeaseExpiry => "lease-expiry",
             Self::Quarantine => "quarantine",
+            Self::UpstreamNotices => "upstream-notices",
         }
     }
 }
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -19,6 +19,7 @@
     tealshore_capacity::EngineOrder,
     tealshore_core::ids::{CustomerId, EngineId, HallId, HostId, RequestId},
     tealshore_duties::usage::UsageReport,
+    tealshore_notices::RestAsked,
     tealshore_quarantine::news::CrashNews,
 };
 
@@ -98,18 +99,6 @@
     pub leaving: bool,
 }
 
-/// Whether an upstream that turned a request away asks to be left alone for a time.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum RestAsked {
-    /// It does not.
-    #[default]
-    No,
-    /// It does, for this long.
-    For(Duration),
-    /// It does; for how long can't be read.
-    Unreadable,
-}
-
 /// What an upstream reports of itself and of one request. The report is some hundred
 /// milliseconds old.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/gateway/src/forward/connect.rs
+++ b/crates/gateway/src/forward/connect.rs
@@ -11,8 +11,12 @@
     http_body_util::Full,
     hyper::{body::Incoming, client::conn::http1},
     hyper_util::rt::TokioIo,
-    std::{io::ErrorKind, time::Duration},
+    std::{
+        io::ErrorKind,
+        time::{Duration, Instant},
+    },
     tealshore_core::protection::{Protection, enabled},
+    tealshore_notices::Standing,
     tokio::{net::TcpStream, time::timeout},
 };
 
@@ -26,6 +30,8 @@
     Unreachable,
     /// No byte of it left, as the upstream takes no new work.
     Leaving,
+    /// No byte of it left, as the upstream asked for rest after it was chosen.
+    Resting,
     /// It left, and no whole answer head came.
     Unanswered,
     /// The answer is one to another request.
@@ -38,6 +44,7 @@
         match self {
             Self::Unreachable => "unreachable",
             Self::Leaving => "leaving",
+            Self::Resting => "resting",
             Self::Unanswered => "unanswered",
             Self::ForeignAnswer => "foreign-answer",
         }
@@ -46,7 +53,7 @@
     /// Whether the request may have run.
     pub fn may_have_run(self) -> bool {
         match self {
-            Self::Unreachable | Self::Leaving => false,
+            Self::Unreachable | Self::Leaving | Self::Resting => false,
             Self::Unanswered | Self::ForeignAnswer => true,
         }
     }
@@ -81,10 +88,7 @@
         // How the connection ended is seen by the one that reads the answer.
         let _ = driver.await;
     }));
-    let takes_work = state.view.upstreams.takes_work(&upstream.record.id);
-    if !takes_work || !state.rollouts.is_open(&upstream.record) {
-        return Err(SendFailure::Leaving);
-    }
+    check_still_wanted(state, upstream)?;
     let answer = sender.send_request(request).await;
     let (head, body) = answer.map_err(|_| SendFailure::Unanswered)?.into_parts();
     let facts = state.protocol.read_answer(&head);
@@ -100,6 +104,20 @@
     })
 }
 
+/// Looks once more, now that the connection is open, whether the upstream takes new work: it may have said
+/// otherwise since it was chosen, in its row or in the answer to another request.
+fn check_still_wanted(state: &GatewayState, upstream: &Upstream) -> Result<(), SendFailure> {
+    let takes_work = state.view.upstreams.takes_work(&upstream.record.id);
+    if !takes_work || !state.rollouts.is_open(&upstream.record) {
+        return Err(SendFailure::Leaving);
+    }
+    match state.standing(&upstream.record, Instant::now()) {
+        Standing::Open => Ok(()),
+        Standing::Resting { .. } => Err(SendFailure::Resting),
+        Standing::Leaving => Err(SendFailure::Leaving),
+    }
+}
+
 /// What becomes of a new connection to an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reach {
--- a/crates/gateway/src/forward/plain.rs
+++ b/crates/gateway/src/forward/plain.rs
@@ -132,7 +132,7 @@
         self.avoid.push(upstream.record.id.clone());
         let failed = match &tried.end {
             TryEnd::Answered(head, _) => head.status.is_server_error(),
-            TryEnd::NotRun | TryEnd::Forbidden(_) => false,
+            TryEnd::NotRun | TryEnd::NotWanted | TryEnd::Forbidden(_) => false,
             TryEnd::Unreachable | TryEnd::Unknown => true,
         };
         upstream.note_outcome(failed);
@@ -147,7 +147,7 @@
                 let (request, digest) = (self.call.request(), self.call.fingerprint);
                 self.state.note_completed(&request, digest);
             }
-            TryEnd::NotRun | TryEnd::Unreachable | TryEnd::Forbidden(_) => {}
+            TryEnd::NotRun | TryEnd::Unreachable | TryEnd::NotWanted | TryEnd::Forbidden(_) => {}
         }
         match tried.end {
             TryEnd::Answered(head, body) if !failed => Ok(Some(passed_on(head, body))),
@@ -160,21 +160,17 @@
                 Ok(None)
             }
             TryEnd::Unreachable => {
-                self.runs -= 1;
-                self.arrivals -= 1;
-                if tried.draws_on_budget {
-                    self.state.give_back_retry(&self.call.service);
-                }
+                self.reached_nobody(tried.draws_on_budget);
                 self.state.suspect(upstream, "unreachable");
                 Ok(None)
             }
+            TryEnd::NotWanted => {
+                self.reached_nobody(tried.draws_on_budget);
+                Ok(None)
+            }
             TryEnd::Unknown => Ok(None),
             TryEnd::Forbidden(failure) => {
-                self.runs -= 1;
-                self.arrivals -= 1;
-                if tried.draws_on_budget {
-                    self.state.give_back_retry(&self.call.service);
-                }
+                self.reached_nobody(tried.draws_on_budget);
                 // An earlier try may have run, and may still answer.
                 self.may_send = false;
                 if self.runs == 0 {
@@ -186,12 +182,23 @@
         }
     }
 
+    /// Notes that a try reached no upstream.
+    fn reached_nobody(&mut self, has_drawn: bool) {
+        self.runs -= 1;
+        self.arrivals -= 1;
+        if has_drawn {
+            self.state.give_back_retry(&self.call.service);
+        }
+    }
+
     /// Counts the call for its customer, once however often it is sent: one whose answer was lost has
     /// most likely run.
     fn count_begun(&mut self, end: &TryEnd) {
         let has_begun = match end {
             TryEnd::Answered(..) | TryEnd::Unknown => true,
-            TryEnd::NotRun | TryEnd::Unreachable | TryEnd::Forbidden(_) => false,
+            TryEnd::NotRun | TryEnd::Unreachable | TryEnd::NotWanted | TryEnd::Forbidden(_) => {
+                false
+            }
         };
         if has_begun && !self.is_counted {
             self.is_counted = true;
@@ -205,7 +212,9 @@
             TryEnd::Answered(head, _) if head.status.is_server_error() => Outcome::Failed,
             TryEnd::Answered(..) => Outcome::Answered(tried.took),
             TryEnd::Unknown => Outcome::Failed,
-            TryEnd::NotRun | TryEnd::Unreachable | TryEnd::Forbidden(_) => return,
+            TryEnd::NotRun | TryEnd::Unreachable | TryEnd::NotWanted | TryEnd::Forbidden(_) => {
+                return;
+            }
         };
         let record = &tried.upstream.record;
         let route = &self.call.route.name;
@@ -292,6 +301,7 @@
             if let Some(found) = self.state.choose_upstream(service, need, &avoid) {
                 break found;
             }
+            self.check_rest()?;
             if !self.may_wait_for_room() {
                 let detail = "all upstreams of the service turned the call away";
                 return Err(Failure::new(ErrorKind::UpstreamsBusy, detail));
@@ -320,9 +330,23 @@
         )))
     }
 
-    fn may_wait_for_room(&self) -> bool {
+    /// Refuses the call at once where all upstreams rest for longer than it may wait: nothing that is waited
+    /// for could take it.
+    fn check_rest(&self) -> Result<(), Failure> {
+        let first_back = self.state.all_rest_for(&self.call.service, Instant::now());
+        match first_back {
+            Some(left) if left > self.patience_left() => Err(room::all_rest(left)),
+            Some(_) | None => Ok(()),
+        }
+    }
+
+    fn patience_left(&self) -> Duration {
         let patience = room::patience(self.call.route.objective);
-        self.call.received.elapsed() < patience && self.runs == 0
+        patience.saturating_sub(self.call.received.elapsed())
+    }
+
+    fn may_wait_for_room(&self) -> bool {
+        !self.patience_left().is_zero() && self.runs == 0
     }
 }
 
--- a/crates/gateway/src/forward/plain/attempt.rs
+++ b/crates/gateway/src/forward/plain/attempt.rs
@@ -5,7 +5,7 @@
         edge::Order,
         forward::{
             call::Call,
-            connect::{self, Answer},
+            connect::{self, Answer, SendFailure},
             reservation::Reservation,
         },
         state::GatewayState,
@@ -34,6 +34,8 @@
     NotRun,
     /// The upstream can't be reached; nothing left.
     Unreachable,
+    /// The upstream takes no new work; nothing left.
+    NotWanted,
     /// It may have run.
     Unknown,
     /// Nothing may be sent.
@@ -101,8 +103,17 @@
     match connect::send(state, upstream, request, call.id()).await {
         Ok(answer) => read(answer).await,
         Err(failure) if failure.may_have_run() => (TryEnd::Unknown, failure.name()),
-        Err(connect::SendFailure::Leaving) => (TryEnd::NotRun, "leaving"),
-        Err(failure) => (TryEnd::Unreachable, failure.name()),
+        Err(failure) => (not_sent(failure), failure.name()),
+    }
+}
+
+/// How a try ended of which no byte left.
+fn not_sent(failure: SendFailure) -> TryEnd {
+    match failure {
+        SendFailure::Leaving | SendFailure::Resting => TryEnd::NotWanted,
+        SendFailure::Unreachable | SendFailure::Unanswered | SendFailure::ForeignAnswer => {
+            TryEnd::Unreachable
+        }
     }
 }
 
--- a/crates/gateway/src/forward/stream/place.rs
+++ b/crates/gateway/src/forward/stream/place.rs
@@ -15,7 +15,7 @@
         rollout::Outcome,
         room,
         run_trace::{MemoryCopy, RunTrace},
-        view::{Upstream, UpstreamRecord, UpstreamState, Work},
+        view::{Upstream, UpstreamRecord, Work},
     },
     http::{Response, response},
     std::{
@@ -67,7 +67,6 @@
     /// Places the stream at the engine with the copy, or else at the best one.
     pub async fn place(&mut self) -> Result<Opened, Failure> {
         let began = Instant::now();
-        let patience = room::patience(self.call.route.objective);
         loop {
             if !self.may_try_another() {
                 return Err(attempts_spent());
@@ -81,10 +80,7 @@
             }
             self.back_off().await;
             let Some(chosen) = self.choose() else {
-                if began.elapsed() > patience {
-                    let detail = "no engine has room for the stream";
-                    return Err(self.refusal(ErrorKind::NoEngine, detail));
-                }
+                self.check_wait(began)?;
                 sleep(FULL_PAUSE).await;
                 self.avoid.clear();
                 continue;
@@ -130,6 +126,29 @@
         }
     }
 
+    /// Refuses a stream for which no engine is there, where it is not worth a wait. Where all engines rest, the
+    /// time to the first that is back is known, so that it is refused at once or not at all; one that goes on
+    /// waits as long as it would for the retry budget, as its caller would rather have the rest late.
+    fn check_wait(&self, began: Instant) -> Result<(), Failure> {
+        let objective = self.call.route.objective;
+        let first_back = self.state.all_rest_for(&self.call.service, Instant::now());
+        let Some(left) = first_back else {
+            if began.elapsed() <= room::patience(objective) {
+                return Ok(());
+            }
+            let detail = "no engine has room for the stream";
+            return Err(self.refusal(ErrorKind::NoEngine, detail));
+        };
+        let patience = match self.ran_so_far() {
+            Ran::No => room::patience(objective),
+            Ran::Yes | Ran::Unknown => room::budget_patience(objective),
+        };
+        if began.elapsed() + left <= patience {
+            return Ok(());
+        }
+        Err(self.end_with(room::all_rest(left)))
+    }
+
     /// Waits a moment before a stream that lost its engine is placed anew, unless it goes on
     /// from a copy. All hosts lose streams in the instant in which a hall dies; without the
     /// pause they would all send them to the engines that are idle just then.
@@ -178,10 +197,15 @@
     /// A refusal. Of a stream that may have run at an earlier engine, it does not promise that
     /// it has not.
     fn refusal(&self, kind: ErrorKind, detail: &str) -> Failure {
+        self.end_with(Failure::new(kind, detail))
+    }
+
+    /// The same for a failure that knows more than its kind.
+    fn end_with(&self, failure: Failure) -> Failure {
         if self.tried.count() == 0 {
-            return Failure::new(kind, detail);
+            return failure;
         }
-        Failure::new(ErrorKind::RetriesSpent, format!("{kind}: {detail}"))
+        Failure::new(ErrorKind::RetriesSpent, failure.to_string())
     }
 
     fn choose(&mut self) -> Option<Chosen> {
@@ -196,7 +220,7 @@
             let holder = self.state.view.upstreams.get(&copy.upstream);
             let usable = holder.filter(|holder| {
                 !holder.is_suspected(now)
-                    && self.state.view.upstreams.takes_work(&copy.upstream)
+                    && self.state.takes_work(&copy.upstream)
                     && self.state.may_get(holder)
             });
             if let Some(holder) = usable {
@@ -210,7 +234,7 @@
         }
         if let Some(kept_at) = self.prompt_kept_at.take()
             && let Some(upstream) = self.state.view.upstreams.get(&kept_at)
-            && upstream.record.state == UpstreamState::Ready
+            && self.state.takes_work(&kept_at)
             && !upstream.is_suspected(now)
             && !self.avoid.contains(&kept_at)
             && self.state.may_get(&upstream)
--- a/crates/gateway/src/forward/stream/recopy.rs
+++ b/crates/gateway/src/forward/stream/recopy.rs
@@ -15,6 +15,7 @@
         time::{Duration, Instant},
     },
     tealshore_core::ids::RequestId,
+    tealshore_notices::Standing,
     tokio::sync::oneshot,
 };
 
@@ -77,7 +78,8 @@
     ) {
         let kept = self.target.take().filter(|target| {
             let is_listed = state.view.upstreams.takes_work(&target.record.id);
-            is_listed && !target.is_suspected(now)
+            let leaves = state.standing(&target.record, now) == Standing::Leaving;
+            is_listed && !leaves && !target.is_suspected(now)
         });
         let target = kept.unwrap_or(chosen);
         self.target = Some(target.clone());
--- a/crates/gateway/src/room.rs
+++ b/crates/gateway/src/room.rs
@@ -1,6 +1,9 @@
 //! How long a request waits for room at an upstream, and for the retry budget, before it is refused.
 
-use std::time::Duration;
+use {
+    std::time::Duration,
+    tealshore_core::answer::{ErrorKind, Failure},
+};
 
 /// A request waits for one part in this many of its objective. What comes to nothing is refused early,
 /// so that its caller may come back or go elsewhere while there is time; a place that is free within
@@ -26,3 +29,14 @@
 pub fn budget_patience(objective: Duration) -> Duration {
     patience(objective).max(BUDGET_PATIENCE)
 }
+
+/// The refusal of a request whose upstreams all rest, the first of them for this long. Its caller is told to
+/// come back then and not before.
+#[must_use]
+pub fn all_rest(first_back: Duration) -> Failure {
+    let detail = format!(
+        "all upstreams of the service asked for rest, the first of them for {} ms more",
+        first_back.as_millis()
+    );
+    Failure::new(ErrorKind::UpstreamsResting, detail).come_back_after(first_back)
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -23,7 +23,7 @@
         stop::Stop,
         view::{Upstream, View},
     },
-    parking_lot::Mutex,
+    parking_lot::{Mutex, RwLock},
     std::{
         collections::HashMap,
         sync::Arc,
@@ -33,6 +33,7 @@
         ids::{CustomerId, ServiceId},
         protection::{Protection, enabled},
     },
+    tealshore_notices::Notices,
     tokio::sync::Semaphore,
 };
 
@@ -64,6 +65,8 @@
     pub runs: Runs,
     /// Requests that crash upstreams.
     pub crashes: Crashes,
+    /// What upstreams said of themselves in their answers.
+    notices: RwLock<Notices>,
     /// Roll-outs of versions.
     pub rollouts: Rollouts,
     /// Duties that one host holds at a time.
@@ -97,6 +100,7 @@
             feed: Feed::default(),
             runs: Runs::default(),
             crashes: Crashes::default(),
+            notices: RwLock::default(),
             rollouts: Rollouts::new(rand::random()),
             capacity: Capacity::default(),
             metrics: GatewayMetrics::new()?,
--- a/crates/gateway/src/state/choice.rs
+++ b/crates/gateway/src/state/choice.rs
@@ -12,6 +12,7 @@
     rand::RngExt,
     std::{sync::Arc, time::Instant},
     tealshore_core::ids::{EngineId, HallId, ServiceId},
+    tealshore_notices::Standing,
     xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
@@ -91,8 +92,13 @@
         };
         let now = Instant::now();
         let elsewhere = self.peers.work(now);
+        let notices = self.notices.read();
+        let wants_work = |record: &UpstreamRecord| {
+            notices.standing(&record.id, record.born, now) == Standing::Open
+        };
         let candidates: Vec<Candidate> = ready
             .iter()
+            .filter(|upstream| wants_work(&upstream.record))
             .map(|upstream| {
                 let id = &upstream.record.id;
                 let mut work = upstream.own_work();
@@ -112,6 +118,7 @@
                 }
             })
             .collect();
+        drop(notices);
         let (hall, topology) = (&self.options.host.hall, &self.options.topology);
         let chosen = choose(&candidates, need, hall, topology, avoid)?;
         ready
--- a/crates/gateway/src/state/notices.rs
+++ b/crates/gateway/src/state/notices.rs
@@ -1,40 +1,98 @@
-//! What upstreams say of themselves in their answers.
+//! What upstreams say of themselves in their answers, and which of them want no new work for it.
 
 use {
     super::GatewayState,
     crate::{
-        edge::{AnswerFacts, RestAsked},
-        view::Upstream,
+        edge::AnswerFacts,
+        view::{Upstream, UpstreamRecord},
     },
+    std::time::{Duration, Instant},
+    tealshore_core::ids::{EngineId, ServiceId},
+    tealshore_notices::{RestAsked, Standing},
 };
 
 impl GatewayState {
-    /// Takes in what an upstream said of itself in the answer to a request.
+    /// Takes in what an upstream said of itself in the answer to a request. Each answer on the way to a caller
+    /// passes here, whatever became of its request.
     pub fn note_notices(&self, upstream: &Upstream, facts: &AnswerFacts, request: &str) {
-        match facts.rest {
-            RestAsked::No => {}
-            RestAsked::For(rest) => {
-                self.count_notice("rest");
-                log::info!(
-                    "upstream: asked for rest request={request} upstream={} rest_ms={}",
-                    upstream.record.id,
-                    rest.as_millis()
-                );
-            }
-            RestAsked::Unreadable => {
-                self.count_notice("rest-unreadable");
-                log::warn!(
-                    "upstream: asked for rest request={request} upstream={} rest_ms=unreadable",
-                    upstream.record.id
-                );
-            }
-        }
+        self.note_rest(&upstream.record, facts.rest, request);
         if facts.leaving {
-            self.count_notice("leaving");
+            self.note_leaving(&upstream.record, request);
+        }
+    }
+
+    fn note_rest(&self, record: &UpstreamRecord, asked: RestAsked, request: &str) {
+        let Some(rest) = asked.duration() else {
+            return;
+        };
+        self.count_notice(match asked {
+            RestAsked::No | RestAsked::For(_) => "rest",
+            RestAsked::Unreadable => "rest-unreadable",
+        });
+        let now = Instant::now();
+        let mut notices = self.notices.write();
+        let is_news = notices.note_rest(&record.id, record.born, rest, now);
+        drop(notices);
+        if is_news {
+            log::info!(
+                "upstream: asked for rest request={request} upstream={} asked={asked:?} rest_ms={}",
+                record.id,
+                rest.as_millis()
+            );
+        }
+    }
+
+    fn note_leaving(&self, record: &UpstreamRecord, request: &str) {
+        self.count_notice("leaving");
+        let now = Instant::now();
+        let mut notices = self.notices.write();
+        let is_news = notices.note_leaving(&record.id, record.born, now);
+        drop(notices);
+        if is_news {
+            log::info!(
+                "upstream: says that it leaves request={request} upstream={} row_state={:?}",
+                record.id,
+                record.state
+            );
         }
     }
 
     fn count_notice(&self, notice: &str) {
         self.metrics.notices.with_label_values(&[notice]).inc();
     }
+
+    /// Whether an upstream wants new work, by what it said in its answers.
+    pub fn standing(&self, record: &UpstreamRecord, now: Instant) -> Standing {
+        let notices = self.notices.read();
+        notices.standing(&record.id, record.born, now)
+    }
+
+    /// Whether an upstream may get new work at this instant, by its row and by its own word.
+    pub fn takes_work(&self, id: &EngineId) -> bool {
+        let upstream = self.view.upstreams.get(id);
+        self.view.upstreams.takes_work(id)
+            && upstream
+                .is_some_and(|it| self.standing(&it.record, Instant::now()) == Standing::Open)
+    }
+
+    /// The time to the end of the first rest, where all upstreams of a service that take work rest: until then
+    /// nothing can be sent, and nothing is worth waiting for.
+    pub fn all_rest_for(&self, service: &ServiceId, now: Instant) -> Option<Duration> {
+        let notices = self.notices.read();
+        if notices.is_empty() {
+            return None;
+        }
+        let mut first_back = None;
+        for upstream in self.view.upstreams.ready(service) {
+            let record = &upstream.record;
+            match notices.standing(&record.id, record.born, now) {
+                Standing::Open => return None,
+                Standing::Resting { left } => {
+                    first_back = Some(first_back.map_or(left, |first: Duration| first.min(left)));
+                }
+                Standing::Leaving => {}
+            }
+        }
+        first_back
+    }
 }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -8,7 +8,7 @@
 pub use {
     configuration::{Configuration, Customer, Engines, Limits, Route, RouteKind, Service, Target},
     freshness::Freshness,
-    upstream::{Born, Condition, Upstream, UpstreamRecord, UpstreamState, Work},
+    upstream::{Condition, Upstream, UpstreamRecord, UpstreamState, Work},
     upstreams::Upstreams,
 };
 use {
--- a/crates/gateway/src/view/upstream.rs
+++ b/crates/gateway/src/view/upstream.rs
@@ -10,6 +10,7 @@
     },
     tealshore_capacity::EngineKind,
     tealshore_core::ids::{EngineId, EngineVersion, HallId, ServiceId},
+    tealshore_notices::Born,
     tokio::sync::Notify,
 };
 
@@ -36,11 +37,6 @@
     Leaving,
 }
 
-/// When an upstream started, by its own clock, in milliseconds since 1970; none where it does not tell. With
-/// its id it names one life of it: it may start again under its id, and knows nothing then. Two lives are
-/// told apart by being different; the time may have gone back meanwhile.
-pub type Born = Option<u64>;
-
 /// What a host found of an upstream by itself; of one life of it, where it tells these apart.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Condition {
