--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -72,6 +72,7 @@
 watch-timeout
 lease-expiry
 quarantine
+upstream-notices
 LIST
 }
 
