--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod uncertain;
 
 mod completed;
+mod record;
--- a/crates/quarantine/src/log.rs
+++ b/crates/quarantine/src/log.rs
@@ -3,8 +3,9 @@
 use {
     crate::{
         completed::Completed,
-        crash::{Crash, Shift, against, count_against},
-        news::{CrashNews, ToldCrash, before, millis},
+        crash::{Crash, against, count_against},
+        news::{CrashNews, before},
+        record::{CRASHES_BOUND, Record},
     },
     std::{
         collections::HashMap,
@@ -24,18 +25,8 @@
 /// For how long a request is in quarantine after its last crash; then it is tried again. Long against the time after
 /// which callers come back, and one engine in this time is what a request costs that never stops coming.
 pub const QUARANTINE: Duration = Duration::from_secs(600);
-/// For how long crashes are kept: a request that comes back after its quarantine and crashes one more
-/// upstream goes back into it.
-const CRASHES_KEPT: Duration = Duration::from_secs(1_200);
-/// The most crashes that are kept of one request.
-const CRASHES_BOUND: usize = 8;
 /// The most requests of which crashes are kept: below 1 MB.
 const REQUESTS_BOUND: usize = 2_000;
-/// With so many crashes against it a request is told of in each whole state, and kept in the store.
-const SUSPECT_CRASHES: usize = 2;
-/// What changed within this time is told in each whole state, so that a lost datagram does no harm: whole
-/// states are sent each two seconds.
-const TOLD_WHILE_NEW: Duration = Duration::from_secs(5);
 /// The most requests that are told of at once: some 5 kB.
 const TOLD_BOUND: usize = 50;
 
@@ -96,110 +87,6 @@
     }
 }
 
-/// What is known of one request.
-#[derive(Debug)]
-struct Record {
-    /// The crashes since the last whole answer.
-    crashes: Vec<Crash>,
-    /// The last whole answer after crashes.
-    cleared: Option<Instant>,
-    /// When something new was learned.
-    changed: Instant,
-    /// Whether this host saw that, and was not told.
-    is_seen_here: bool,
-}
-
-impl Record {
-    fn new(now: Instant) -> Self {
-        Self {
-            crashes: Vec::new(),
-            cleared: None,
-            changed: now,
-            is_seen_here: false,
-        }
-    }
-
-    fn is_suspect(&self) -> bool {
-        count_against(&self.crashes) >= SUSPECT_CRASHES
-    }
-
-    /// Whether it is worth telling others before more speaks against the request. A hall's death is the
-    /// end of many streams that have got on, of which each host would tell all others: with that, and with what was
-    /// learned told on, 73 hosts sent each other twice as many bytes between halls, and two days' worth
-    /// was 0.844 and 0.664 in place of 0.876 and 0.743 (one play each, no processor time).
-    fn is_news(&self, now: Instant) -> bool {
-        let is_new = now.saturating_duration_since(self.changed) <= TOLD_WHILE_NEW;
-        is_new && self.tells_much()
-    }
-
-    fn tells_much(&self) -> bool {
-        self.cleared.is_some() || self.is_suspect() || self.crashes.iter().any(Crash::is_at_begin)
-    }
-
-    fn last_crash(&self) -> Option<Instant> {
-        self.crashes.iter().map(|crash| crash.ended).max()
-    }
-
-    fn is_kept(&self, now: Instant) -> bool {
-        let newest = self.last_crash().max(self.cleared);
-        newest.is_some_and(|at| now.saturating_duration_since(at) <= CRASHES_KEPT)
-    }
-
-    /// Takes in a crash; whether it is new.
-    fn add(&mut self, crash: Crash, now: Instant) -> bool {
-        if self.cleared.is_some_and(|cleared| crash.ended <= cleared) {
-            return false;
-        }
-        if self.crashes.iter().any(|known| known.is_same_end(&crash)) {
-            return false;
-        }
-        self.crashes.push(crash);
-        self.crashes.sort_by_key(|crash| crash.ended);
-        if self.crashes.len() > CRASHES_BOUND {
-            self.crashes.remove(0);
-        }
-        self.changed = now;
-        true
-    }
-
-    /// By how much crashes that another host tells are off from those of them that are known here. What
-    /// is told is taken for younger by as long as its datagram took; without this a slow datagram, and a
-    /// faster one after it, would make a run begin before the one before it had ended.
-    fn shift_of(&self, told: &[Crash]) -> Shift {
-        let mut shifts = told.iter().filter_map(|told| {
-            let mut known = self.crashes.iter();
-            let known = known.find(|known| known.is_same_end(told))?;
-            Some(Shift::between(told.ended, known.ended))
-        });
-        shifts.next_back().unwrap_or(Shift::Later(Duration::ZERO))
-    }
-
-    /// Takes in a whole answer; whether it is news.
-    fn clear(&mut self, answered: Instant, now: Instant) -> bool {
-        let had = self.crashes.len();
-        self.crashes.retain(|crash| crash.ended > answered);
-        let is_news = self.crashes.len() < had;
-        if is_news {
-            self.cleared = self.cleared.max(Some(answered));
-            self.changed = now;
-        }
-        is_news
-    }
-
-    fn news(&self, request: Fingerprint, now: Instant) -> CrashNews {
-        let crashes = self.crashes.iter();
-        let cleared_age = self
-            .cleared
-            .map(|cleared| now.saturating_duration_since(cleared));
-        CrashNews {
-            request,
-            crashes: crashes.map(|crash| ToldCrash::of(crash, now)).collect(),
-            cleared_age_ms: cleared_age.map(millis),
-            is_seen_here: self.is_seen_here,
-        }
-    }
-}
-
 /// The crashes that are known.
 #[derive(Debug, Default)]
 pub struct CrashLog {
