Tell in logs and metrics which limits upstreams name, and words that nobody reads

The hosts' logs could not tell a limit that is not read from one that each host keeps to alone. The adapter decodes the word now, a host logs when the limit of an upstream is first heard, changes or ends, and counts answers that name one. Nothing is decided by it yet.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -35,6 +35,10 @@
 /// The version of the declarations; it only grows.
 pub type ConfigVersion = u64;
 
+/// When a life of an upstream began, by its own clock, in milliseconds since 1970; none where it does not
+/// tell. Two lives are told apart by being different.
+pub type Born = Option<u64>;
+
 /// Builds the id under which an engine knows one attempt of a generation.
 #[must_use]
 pub fn stream_id(generation: GenerationId, attempt: AttemptNo) -> StreamId {
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -13,14 +13,15 @@
         view::{Configuration, UpstreamRecord},
     },
     bytes::Bytes,
-    http::{HeaderMap, Request, Response, StatusCode, request, response},
+    http::{HeaderMap, HeaderName, Request, Response, StatusCode, request, response},
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, time::Duration},
     tealshore_capacity::EngineOrder,
-    tealshore_core::ids::{CustomerId, EngineId, HallId, HostId, RequestId},
+    tealshore_core::ids::{Born, CustomerId, EngineId, HallId, HostId, RequestId},
     tealshore_duties::usage::UsageReport,
-    tealshore_notices::{Born, RestAsked},
+    tealshore_notices::RestAsked,
     tealshore_quarantine::news::CrashNews,
+    tealshore_rates::LimitNamed,
 };
 
 /// The id of one event of a stream; ids rise by one from 1.
@@ -85,7 +86,7 @@
 }
 
 /// What the head of an upstream's answer says.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct AnswerFacts {
     /// The request that it answers.
     pub request: Option<RequestId>,
@@ -97,6 +98,10 @@
     pub rest: RestAsked,
     /// The upstream says that it is about to leave.
     pub leaving: bool,
+    /// Whether the upstream names how many requests a second it takes from all hosts together.
+    pub limit: LimitNamed,
+    /// Names of headers that the adapter gives no meaning to: a new word of the protocol looks like this.
+    pub unknown_headers: Vec<HeaderName>,
 }
 
 /// What an upstream reports of itself and of one request. The report is some hundred
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,6 +1,7 @@
 //! All that the parts of this host share.
 
 mod choice;
+mod limits;
 mod notices;
 
 use {
@@ -33,7 +34,8 @@
         ids::{CustomerId, ServiceId},
         protection::{Protection, enabled},
     },
-    tealshore_notices::Notices,
+    tealshore_notices::{Notices, UnknownWords},
+    tealshore_rates::KnownLimits,
     tokio::sync::Semaphore,
 };
 
@@ -67,6 +69,10 @@
     pub crashes: Crashes,
     /// What upstreams said of themselves in their answers.
     notices: RwLock<Notices>,
+    /// The limits that upstreams name for all hosts together.
+    limits: RwLock<KnownLimits>,
+    /// Words of upstreams that the adapter does not know.
+    unknown_words: Mutex<UnknownWords>,
     /// Roll-outs of versions.
     pub rollouts: Rollouts,
     /// Duties that one host holds at a time.
@@ -101,6 +107,8 @@
             runs: Runs::default(),
             crashes: Crashes::default(),
             notices: RwLock::default(),
+            limits: RwLock::default(),
+            unknown_words: Mutex::default(),
             rollouts: Rollouts::new(rand::random()),
             capacity: Capacity::default(),
             metrics: GatewayMetrics::new()?,
--- a/crates/gateway/src/state/notices.rs
+++ b/crates/gateway/src/state/notices.rs
@@ -14,10 +14,37 @@
 impl GatewayState {
     /// Takes in what an upstream said of itself in the answer to a request. Each answer on the way to a caller
     /// passes here, whatever became of its request.
-    pub fn note_notices(&self, upstream: &Upstream, facts: &AnswerFacts, request: &str) {
-        self.note_rest(&upstream.record, facts.rest, request);
+    pub fn note_notices(
+        &self,
+        upstream: &Upstream,
+        facts: &AnswerFacts,
+        request: &str,
+        sent: Instant,
+    ) {
+        let record = &upstream.record;
+        self.note_rest(record, facts.rest, request);
         if facts.leaving {
-            self.note_leaving(&upstream.record, request);
+            self.note_leaving(record, request);
+        }
+        self.note_limit(record, facts, request, sent);
+        for header in &facts.unknown_headers {
+            self.note_unknown(record, header.as_str(), request);
+        }
+    }
+
+    /// Counts a header without a meaning, and logs it once for each life of an upstream: a new word of the
+    /// protocol that nothing reads is seen on the first day that it is said.
+    fn note_unknown(&self, record: &UpstreamRecord, header: &str, request: &str) {
+        self.count_notice("unknown");
+        let is_news = self
+            .unknown_words
+            .lock()
+            .note(&record.id, record.born, header);
+        if is_news {
+            log::warn!(
+                "upstream: unknown header request={request} upstream={} header={header}",
+                record.id
+            );
         }
     }
 
@@ -57,7 +84,7 @@
         }
     }
 
-    fn count_notice(&self, notice: &str) {
+    pub(super) fn count_notice(&self, notice: &str) {
         self.metrics.notices.with_label_values(&[notice]).inc();
     }
 
--- a/crates/gateway/src/view/upstream.rs
+++ b/crates/gateway/src/view/upstream.rs
@@ -9,8 +9,7 @@
         time::{Duration, Instant},
     },
     tealshore_capacity::EngineKind,
-    tealshore_core::ids::{EngineId, EngineVersion, HallId, ServiceId},
-    tealshore_notices::Born,
+    tealshore_core::ids::{Born, EngineId, EngineVersion, HallId, ServiceId},
     tokio::sync::Notify,
 };
 
--- a/crates/notices/src/lib.rs
+++ b/crates/notices/src/lib.rs
@@ -1,13 +1,16 @@
 //! Which upstreams want no new work from this host, by what they said of themselves in their answers.
 //! Pure decisions: the time and all that was heard come in as arguments.
 
+mod unknown;
+
+pub use unknown::{MOST_WORDS, UnknownWords};
 use {
     std::{
         collections::HashMap,
         time::{Duration, Instant},
     },
     tealshore_core::{
-        ids::EngineId,
+        ids::{Born, EngineId},
         protection::{Protection, enabled},
     },
 };
@@ -28,10 +31,6 @@
 /// heard longest ago is forgotten.
 pub const MOST_UPSTREAMS: usize = 8_192;
 
-/// When a life of an upstream began, by its own clock, in milliseconds since 1970; none where it does not
-/// tell. Two lives are told apart by being different.
-pub type Born = Option<u64>;
-
 /// Whether an upstream that turned a request away asks to be left alone for a time.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum RestAsked {
--- a/crates/notices/tests/notices.rs
+++ b/crates/notices/tests/notices.rs
@@ -3,10 +3,11 @@
 use {
     proptest::prelude::*,
     std::time::{Duration, Instant},
+    tealshore_core::ids::Born,
     tealshore_core::ids::EngineId,
     tealshore_notices::{
-        Born, KEPT_PAST_LIFE, LONGEST_REST, MOST_UPSTREAMS, Notices, RestAsked, Standing,
-        UNREADABLE_REST,
+        KEPT_PAST_LIFE, LONGEST_REST, MOST_UPSTREAMS, MOST_WORDS, Notices, RestAsked, Standing,
+        UNREADABLE_REST, UnknownWords,
     },
 };
 
@@ -118,3 +119,18 @@
         prop_assert_eq!(!is_open(&notices, FIRST, look), binds);
     }
 }
+
+/// A word that nobody reads is told on the first day that it is said, and not again for each answer.
+#[test]
+fn an_unknown_word_is_told_once_for_each_life_and_not_without_bound() {
+    let mut words = UnknownWords::default();
+    let id = "i-1".to_owned();
+    assert!(words.note(&id, Some(1), "server-mood"));
+    assert!(!words.note(&id, Some(1), "server-mood"));
+    assert!(words.note(&id, Some(2), "server-mood"));
+    assert!(words.note(&id, Some(2), "server-wish"));
+    let told = (0..MOST_WORDS * 2)
+        .filter(|number| words.note(&id, Some(3), &format!("word-{number}")))
+        .count();
+    assert_eq!(told, MOST_WORDS - 3);
+}
--- /dev/null
+++ b/crates/rates/src/known.rs
@@ -0,0 +1,184 @@
+//! Which limit each upstream names, by answers and by what other hosts tell of theirs.
+
+use {
+    crate::LimitNamed,
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::HashMap,
+        time::{Duration, Instant},
+    },
+    tealshore_core::ids::{Born, EngineId},
+};
+
+/// How long a limit binds also towards another life under the same id. An answer names no life, and the row
+/// of a new one comes later than its first answers.
+const KEPT_PAST_LIFE: Duration = Duration::from_secs(2);
+/// How long the end of a limit is remembered and told: past it no older word of another host travels.
+const END_KEPT: Duration = Duration::from_secs(10);
+/// How many upstreams are remembered: more than the largest fleet lists at once. Past it the word that was
+/// heard longest ago is forgotten.
+pub const MOST_UPSTREAMS: usize = 8_192;
+
+/// A limit, or its end, as one host tells it to others.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LimitNews {
+    /// The upstream.
+    pub upstream: EngineId,
+    /// Its life.
+    pub born: Born,
+    /// How many requests a second it takes from all hosts together; none where it no longer names a limit.
+    pub per_s: Option<f64>,
+    /// How long ago the answer came that said so, in milliseconds.
+    pub age_ms: u32,
+}
+
+/// What an answer changed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitChange {
+    /// The limit before, in requests a second.
+    pub before: Option<f64>,
+    /// The limit now.
+    pub now: Option<f64>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Known {
+    born: Born,
+    per_s: Option<f64>,
+    /// When the newest answer came that said so, here or at the host that told of it.
+    said: Instant,
+}
+
+/// The limits that upstreams name, as far as this host knows.
+#[derive(Debug, Default)]
+pub struct KnownLimits {
+    known: HashMap<EngineId, Known>,
+}
+
+impl KnownLimits {
+    /// Takes in what an answer says, to a request that was sent at `sent`; what it changed. An answer without
+    /// the word ends a limit only where its request was sent after the word was last heard: answers pass each
+    /// other on their way.
+    pub fn note_answer(
+        &mut self,
+        id: &EngineId,
+        born: Born,
+        named: LimitNamed,
+        sent: Instant,
+        now: Instant,
+    ) -> Option<LimitChange> {
+        let before = self.known.get(id).copied();
+        let per_s = match (named, before) {
+            (LimitNamed::Unreadable, _) | (LimitNamed::No, None) => return None,
+            (LimitNamed::No, Some(known)) if sent <= known.said => return None,
+            (LimitNamed::No, Some(Known { per_s: None, .. })) => return None,
+            (LimitNamed::No, Some(_)) => None,
+            (LimitNamed::PerSecond(per_s), _) => Some(per_s),
+        };
+        let same_life = before.filter(|known| known.born == born);
+        let per_s_before = same_life.and_then(|known| known.per_s);
+        self.put(
+            id,
+            Known {
+                born,
+                per_s,
+                said: now,
+            },
+            now,
+        );
+        (per_s_before != per_s).then_some(LimitChange {
+            before: per_s_before,
+            now: per_s,
+        })
+    }
+
+    /// Takes in what another host told; whether it is news.
+    pub fn hear(&mut self, news: &LimitNews, now: Instant) -> bool {
+        let age = Duration::from_millis(u64::from(news.age_ms));
+        let Some(said) = now.checked_sub(age) else {
+            return false;
+        };
+        let is_readable = news
+            .per_s
+            .is_none_or(|per_s| per_s.is_finite() && per_s >= 0.0);
+        let before = self.known.get(&news.upstream);
+        if !is_readable || before.is_some_and(|before| before.said >= said) {
+            return false;
+        }
+        let is_news = before.map_or(news.per_s.is_some(), |before| {
+            (before.born, before.per_s) != (news.born, news.per_s)
+        });
+        let known = Known {
+            born: news.born,
+            per_s: news.per_s,
+            said,
+        };
+        self.put(&news.upstream, known, now);
+        is_news
+    }
+
+    /// How many requests a second a life of an upstream takes from all hosts together; none where it
+    /// names no limit.
+    #[must_use]
+    pub fn per_s(&self, id: &EngineId, born: Born, now: Instant) -> Option<f64> {
+        let known = self.known.get(id)?;
+        let age = now.saturating_duration_since(known.said);
+        let binds = known.born == born || age < KEPT_PAST_LIFE;
+        known.per_s.filter(|_| binds)
+    }
+
+    /// All that is known, to tell others.
+    #[must_use]
+    pub fn news(&self, now: Instant) -> Vec<LimitNews> {
+        let all = self.known.iter();
+        let told = all.filter(|(_, known)| known.is_worth_telling(now));
+        told.map(|(id, known)| LimitNews {
+            upstream: id.clone(),
+            born: known.born,
+            per_s: known.per_s,
+            age_ms: known.age_ms(now),
+        })
+        .collect()
+    }
+
+    /// Whether no upstream names a limit, as far as is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+
+    /// Forgets upstreams that are no longer listed, and ends of limits that all have heard of.
+    pub fn retain(&mut self, is_listed: impl Fn(&EngineId) -> bool, now: Instant) {
+        self.known
+            .retain(|id, known| is_listed(id) && known.is_worth_telling(now));
+    }
+
+    fn put(&mut self, id: &EngineId, known: Known, now: Instant) {
+        if self.known.len() >= MOST_UPSTREAMS && !self.known.contains_key(id) {
+            self.make_room(now);
+        }
+        self.known.insert(id.clone(), known);
+    }
+
+    fn make_room(&mut self, now: Instant) {
+        self.known.retain(|_, known| known.is_worth_telling(now));
+        if self.known.len() < MOST_UPSTREAMS {
+            return;
+        }
+        let oldest = self.known.iter().min_by_key(|(_, known)| known.said);
+        if let Some(id) = oldest.map(|(id, _)| id.clone()) {
+            self.known.remove(&id);
+        }
+    }
+}
+
+impl Known {
+    fn is_worth_telling(&self, now: Instant) -> bool {
+        self.per_s.is_some() || now.saturating_duration_since(self.said) < END_KEPT
+    }
+
+    fn age_ms(&self, now: Instant) -> u32 {
+        let age = now.saturating_duration_since(self.said).as_millis();
+        u32::try_from(age).unwrap_or(u32::MAX)
+    }
+}
