--- a/crates/core/src/answer.rs
+++ b/crates/core/src/answer.rs
@@ -88,6 +88,8 @@
     UpstreamsBusy,
     /// All upstreams that could take the request asked for rest.
     UpstreamsResting,
+    /// The limits that the upstreams name leave nothing for the request now.
+    UpstreamsLimited,
     /// This host has not heard from the platform's store for too long to trust its keys.
     StaleView,
     /// The time for the request is over and an upstream may have worked on it.
@@ -197,6 +199,13 @@
                 Some(1_000),
                 Level::Warn,
             ),
+            // Longer than a permit takes to come: the rates are below what is asked for.
+            Self::UpstreamsLimited => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                No,
+                Some(1_000),
+                Level::Warn,
+            ),
             Self::StaleView => (StatusCode::SERVICE_UNAVAILABLE, No, Some(20), Level::Warn),
             Self::DeadlineReached => (StatusCode::GATEWAY_TIMEOUT, Unknown, None, Level::Warn),
             Self::DeadlineUntried => (StatusCode::SERVICE_UNAVAILABLE, No, Some(50), Level::Warn),
@@ -261,6 +270,7 @@
             Self::RetriesSpent => "retries-spent",
             Self::UpstreamsBusy => "upstreams-busy",
             Self::UpstreamsResting => "upstreams-resting",
+            Self::UpstreamsLimited => "upstreams-limited",
             Self::StaleView => "stale-view",
             Self::DeadlineReached => "deadline-reached",
             Self::DeadlineUntried => "deadline-untried",
--- a/crates/core/src/protection.rs
+++ b/crates/core/src/protection.rs
@@ -64,6 +64,8 @@
     Quarantine,
     /// An upstream that asked for rest, or said that it leaves, gets no new work.
     UpstreamNotices,
+    /// An upstream that names a limit gets no more than that from all hosts together.
+    SharedLimits,
 }
 
 impl Protection {
@@ -100,6 +102,7 @@
             Self::LeaseExpiry => "lease-expiry",
             Self::Quarantine => "quarantine",
             Self::UpstreamNotices => "upstream-notices",
+            Self::SharedLimits => "shared-limits",
         }
     }
 }
--- a/crates/gateway/src/forward/connect.rs
+++ b/crates/gateway/src/forward/connect.rs
@@ -32,6 +32,8 @@
     Leaving,
     /// No byte of it left, as the upstream asked for rest after it was chosen.
     Resting,
+    /// No byte of it left, as the limit that the upstream names is used up.
+    Limited,
     /// It left, and no whole answer head came.
     Unanswered,
     /// The answer is one to another request.
@@ -45,6 +47,7 @@
             Self::Unreachable => "unreachable",
             Self::Leaving => "leaving",
             Self::Resting => "resting",
+            Self::Limited => "limited",
             Self::Unanswered => "unanswered",
             Self::ForeignAnswer => "foreign-answer",
         }
@@ -53,7 +56,7 @@
     /// Whether the request may have run.
     pub fn may_have_run(self) -> bool {
         match self {
-            Self::Unreachable | Self::Leaving | Self::Resting => false,
+            Self::Unreachable | Self::Leaving | Self::Resting | Self::Limited => false,
             Self::Unanswered | Self::ForeignAnswer => true,
         }
     }
@@ -112,8 +115,11 @@
     if !takes_work || !state.rollouts.is_open(&upstream.record) {
         return Err(SendFailure::Leaving);
     }
-    match state.standing(&upstream.record, Instant::now()) {
-        Standing::Open => Ok(()),
+    let now = Instant::now();
+    match state.standing(&upstream.record, now) {
+        // Every request leaves here, whatever it is for, so that each takes its permit.
+        Standing::Open if state.take_permit(&upstream.record, now) => Ok(()),
+        Standing::Open => Err(SendFailure::Limited),
         Standing::Resting { .. } => Err(SendFailure::Resting),
         Standing::Leaving => Err(SendFailure::Leaving),
     }
--- a/crates/gateway/src/forward/plain.rs
+++ b/crates/gateway/src/forward/plain.rs
@@ -303,6 +303,9 @@
             }
             self.check_rest()?;
             if !self.may_wait_for_room() {
+                if self.state.is_limited(&self.call.service, Instant::now()) {
+                    return Err(room::all_limited(Duration::ZERO));
+                }
                 let detail = "all upstreams of the service turned the call away";
                 return Err(Failure::new(ErrorKind::UpstreamsBusy, detail));
             }
@@ -330,12 +333,12 @@
         )))
     }
 
-    /// Refuses the call at once where all upstreams rest for longer than it may wait: nothing that is waited
+    /// Refuses the call at once where all upstreams rest, or have no permit, for longer than it may wait: nothing that is waited
     /// for could take it.
     fn check_rest(&self) -> Result<(), Failure> {
-        let first_back = self.state.all_rest_for(&self.call.service, Instant::now());
-        match first_back {
-            Some(left) if left > self.patience_left() => Err(room::all_rest(left)),
+        let closed = self.state.all_closed(&self.call.service, Instant::now());
+        match closed {
+            Some(closed) if closed.left() > self.patience_left() => Err(room::all_closed(closed)),
             Some(_) | None => Ok(()),
         }
     }
--- a/crates/gateway/src/forward/plain/attempt.rs
+++ b/crates/gateway/src/forward/plain/attempt.rs
@@ -110,7 +110,7 @@
 /// How a try ended of which no byte left.
 fn not_sent(failure: SendFailure) -> TryEnd {
     match failure {
-        SendFailure::Leaving | SendFailure::Resting => TryEnd::NotWanted,
+        SendFailure::Leaving | SendFailure::Resting | SendFailure::Limited => TryEnd::NotWanted,
         SendFailure::Unreachable | SendFailure::Unanswered | SendFailure::ForeignAnswer => {
             TryEnd::Unreachable
         }
--- a/crates/gateway/src/forward/stream/place.rs
+++ b/crates/gateway/src/forward/stream/place.rs
@@ -42,6 +42,9 @@
 /// of it some times in a second.
 const BUDGET_PAUSE: Duration = Duration::from_millis(60);
 
+/// How long a stream waits for a permit of the engine that has its memory: less than a prompt takes to read.
+const PERMIT_PATIENCE: Duration = Duration::from_millis(250);
+
 /// What opening a stream gave.
 pub enum Opened {
     /// The head of a stream; its events follow.
@@ -79,6 +82,7 @@
                 return Err(self.refusal(failure.kind, &failure.detail));
             }
             self.back_off().await;
+            self.await_permit().await;
             let Some(chosen) = self.choose() else {
                 self.check_wait(began)?;
                 sleep(FULL_PAUSE).await;
@@ -126,16 +130,19 @@
         }
     }
 
-    /// Refuses a stream for which no engine is there, where it is not worth a wait. Where all engines rest, the
-    /// time to the first that is back is known, so that it is refused at once or not at all; one that goes on
+    /// Refuses a stream for which no engine is there, where it is not worth a wait. Where all engines rest, or
+    /// have no permit, the time to the first that is back is known, so that it is refused at once or not at all; one that goes on
     /// waits as long as it would for the retry budget, as its caller would rather have the rest late.
     fn check_wait(&self, began: Instant) -> Result<(), Failure> {
         let objective = self.call.route.objective;
-        let first_back = self.state.all_rest_for(&self.call.service, Instant::now());
-        let Some(left) = first_back else {
+        let closed = self.state.all_closed(&self.call.service, Instant::now());
+        let Some(closed) = closed else {
             if began.elapsed() <= room::patience(objective) {
                 return Ok(());
             }
+            if self.state.is_limited(&self.call.service, Instant::now()) {
+                return Err(self.end_with(room::all_limited(Duration::ZERO)));
+            }
             let detail = "no engine has room for the stream";
             return Err(self.refusal(ErrorKind::NoEngine, detail));
         };
@@ -143,10 +150,10 @@
             Ran::No => room::patience(objective),
             Ran::Yes | Ran::Unknown => room::budget_patience(objective),
         };
-        if began.elapsed() + left <= patience {
+        if began.elapsed() + closed.left() <= patience {
             return Ok(());
         }
-        Err(self.end_with(room::all_rest(left)))
+        Err(self.end_with(room::all_closed(closed)))
     }
 
     /// Waits a moment before a stream that lost its engine is placed anew, unless it goes on
@@ -159,6 +166,15 @@
         sleep(stagger(self.state.peers.most_hosts())).await;
     }
 
+    /// Waits a moment for a permit of the engine that has the stream's memory, where that names a limit:
+    /// elsewhere the prompt would be read anew.
+    async fn await_permit(&self) {
+        let copy_at = self.copy.as_ref().map(|copy| &copy.upstream);
+        if let Some(engine) = copy_at.or(self.prompt_kept_at.as_ref()) {
+            self.state.await_permit(engine, PERMIT_PATIENCE).await;
+        }
+    }
+
     /// Whether a further engine, or one that it goes back to, may have the stream.
     fn may_try_another(&self) -> bool {
         let back_to = self.prompt_kept_at.as_ref();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod feed;
 mod forward;
 mod lifecycle;
+pub mod limits;
 mod metrics;
 pub mod options;
 pub mod pace;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -21,6 +21,10 @@
     pub losses: IntCounterVec,
     /// What upstreams said of themselves in answers: `rest`, `rest-unreadable` or `leaving`.
     pub notices: IntCounterVec,
+    /// Requests to upstreams that name a limit: sent with a permit, without one, or not sent for want of one.
+    pub limited_sends: IntCounterVec,
+    /// Upstreams that name a limit.
+    pub limited_upstreams: IntGauge,
     /// Runs of requests that ended with their upstreams.
     pub ended_runs: IntCounter,
     /// Crashes that counted against requests and were taken back, as their upstreams live on.
@@ -95,6 +99,15 @@
                 "What upstreams said of themselves in answers",
                 &["notice"],
             )?,
+            limited_sends: counter(
+                "tealshore_limited_sends_total",
+                "Requests to upstreams that name a limit",
+                &["result"],
+            )?,
+            limited_upstreams: IntGauge::new(
+                "tealshore_limited_upstreams",
+                "Upstreams that name a limit",
+            )?,
             ended_runs: IntCounter::new(
                 "tealshore_ended_runs_total",
                 "Runs of requests that ended with their upstreams",
@@ -219,6 +232,8 @@
             Box::new(self.outcomes.clone()),
             Box::new(self.losses.clone()),
             Box::new(self.notices.clone()),
+            Box::new(self.limited_sends.clone()),
+            Box::new(self.limited_upstreams.clone()),
             Box::new(self.ended_runs.clone()),
             Box::new(self.taken_back.clone()),
             Box::new(self.quarantined.clone()),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -11,8 +11,11 @@
 mod digest;
 mod duties;
 mod exchange;
+mod extension;
 mod groups;
 mod last_state;
+mod lenders;
+mod limits;
 mod membership;
 mod message;
 mod outgoing;
@@ -30,6 +33,7 @@
         topology::Topology,
     },
     groups::Groups,
+    limits::Asks,
     parking_lot::Mutex,
     rand::RngExt,
     std::{
@@ -38,7 +42,7 @@
         sync::atomic::{AtomicU64, AtomicUsize, Ordering},
         time::{Duration, Instant},
     },
-    tealshore_core::ids::{HallId, HostId},
+    tealshore_core::ids::{EngineId, HallId, HostId},
     tealshore_duties::lease::ProcessId,
     tokio::sync::Notify,
 };
@@ -47,10 +51,12 @@
     digest::{DigestSource, GroupSums, LastDigest},
     duties::told_of_usage,
     exchange::start,
+    extension::{Extension, LIMITS_BOUND},
     last_state::LastState,
+    lenders::LenderOf,
     message::{
         Datagram, Finding, GroupDigest, GroupMember, HostAddress, HostPhase, PeerDelta, PeerState,
-        ServiceUse, Unreadable, UpstreamWork,
+        PermitAsk, PermitLoan, ServiceUse, Unreadable, UpstreamWork,
     },
     shares::{Share, divide},
     snapshot::{SetSnapshot, SnapshotRows, path_of},
@@ -87,6 +93,8 @@
 struct Peer {
     state: PeerState,
     heard: Instant,
+    /// It lends permits; the build before does not.
+    lends: bool,
 }
 
 /// A host that was named and not heard yet.
@@ -150,6 +158,11 @@
     waiting_digests: Mutex<Vec<GroupDigest>>,
     /// Changes of upstreams that wait to be sent on.
     waiting_deltas: Mutex<Vec<(UpstreamDelta, Audience)>>,
+    /// Upstreams of which a limit changed that is to be told.
+    waiting_limits: Mutex<HashMap<EngineId, Audience>>,
+    limits_changed: Notify,
+    /// Asks for permits that wait to be sent, with where they go.
+    asks: Asks,
     /// Who feeds this host, as far as it was chosen last.
     feeder: Mutex<Feeder>,
     most_hosts: AtomicUsize,
@@ -175,6 +188,9 @@
             group_runs: Mutex::default(),
             waiting_digests: Mutex::default(),
             waiting_deltas: Mutex::default(),
+            waiting_limits: Mutex::default(),
+            limits_changed: Notify::new(),
+            asks: Asks::default(),
             feeder: Mutex::default(),
             most_hosts: AtomicUsize::new(1),
         };
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -4,7 +4,9 @@
     super::{
         Audience, COALESCE, KNOWN_PEERS_TO_NEWCOMERS, Receivers,
         duties::tell_usage,
+        extension::Extension,
         last_state::LastState,
+        limits::{answer_ask, forget_limits, send_asks, take_limits, tell_limits},
         message::{
             Datagram, Finding, GroupDigest, HostPhase, PeerDelta, PeerState, ServiceUse, Unreadable,
         },
@@ -47,6 +49,9 @@
     tokio::spawn(send(state.clone(), socket.clone()));
     tokio::spawn(relay(state.clone(), socket.clone()));
     tokio::spawn(tell_usage(state.clone(), socket.clone()));
+    tokio::spawn(send_asks(state.clone(), socket.clone()));
+    tokio::spawn(tell_limits(state.clone(), socket.clone()));
+    tokio::spawn(forget_limits(state.clone()));
     tokio::spawn(receive(state.clone(), socket));
     let listener = TcpListener::bind(state.options.peers.address).await?;
     tokio::spawn(serve_snapshots(state.clone(), listener));
@@ -202,31 +207,11 @@
             sleep(COALESCE).await;
             continue;
         };
-        match Datagram::from_bytes(&buffer[..length]) {
-            Ok(Datagram::State(peer)) => apply_state(&state, *peer),
-            Ok(Datagram::Delta(change)) => apply_delta(&state, change),
-            Ok(Datagram::Upstreams {
-                delta,
-                is_for_group,
-            }) => {
-                if is_for_group {
-                    state.peers.send_on_to_group(delta.clone());
-                }
-                apply_upstream_delta(&state, delta);
+        match Extension::read(&buffer[..length]) {
+            Ok((datagram, extension)) => {
+                take_limits(&state, &extension.limits, false);
+                take_datagram(&state, &socket, datagram, extension, sender).await;
             }
-            Ok(Datagram::Digest {
-                digest,
-                is_passed_on,
-            }) => take_digest(&state, &socket, *digest, is_passed_on).await,
-            Ok(Datagram::Relayed { digests, share }) => {
-                if let Some(share) = share {
-                    forward_to_share(&state, &socket, digests.clone(), share, sender).await;
-                }
-                for digest in digests {
-                    apply_digest(&state, digest);
-                }
-            }
-            Ok(Datagram::Usage(news)) => state.duties.hear_usage(&news),
             Err(cause) => {
                 state.metrics.unreadable_datagrams.inc();
                 log::warn!(
@@ -240,12 +225,62 @@
     }
 }
 
+async fn take_datagram(
+    state: &Arc<GatewayState>,
+    socket: &PeerSocket,
+    datagram: Datagram,
+    extension: Extension,
+    sender: SocketAddr,
+) {
+    match datagram {
+        Datagram::State(peer) => {
+            let host = peer.host.clone();
+            apply_state(state, *peer);
+            state.peers.note_lends(&host, extension.lends);
+        }
+        Datagram::Delta(change) => apply_delta(state, change),
+        Datagram::Upstreams {
+            delta,
+            is_for_group,
+        } => {
+            if is_for_group {
+                state.peers.send_on_to_group(delta.clone());
+            }
+            apply_upstream_delta(state, delta);
+        }
+        Datagram::Digest {
+            digest,
+            is_passed_on,
+        } => {
+            let (group, lends) = (digest.group.clone(), extension.lends);
+            take_digest(state, socket, *digest, is_passed_on, extension).await;
+            state.peers.note_group_lends(&group, lends);
+        }
+        Datagram::Relayed { digests, share } => {
+            if let Some(share) = share {
+                forward_to_share(socket, digests.clone(), &extension, share, sender).await;
+            }
+            for digest in digests {
+                let group = digest.group.clone();
+                let lends = extension.lending_groups.contains(&group);
+                apply_digest(state, digest);
+                state.peers.note_group_lends(&group, lends);
+            }
+        }
+        Datagram::Usage(news) => state.duties.hear_usage(&news),
+        Datagram::Limits { news, is_for_group } => take_limits(state, &news, is_for_group),
+        Datagram::PermitAsk(ask) => answer_ask(state, socket, &ask, sender).await,
+        Datagram::PermitLoan(loan) => state.take_loan(&loan),
+    }
+}
+
 /// Takes in the digest of another group, and sees to it that the own group hears of it.
 async fn take_digest(
     state: &GatewayState,
     socket: &PeerSocket,
     digest: GroupDigest,
     is_passed_on: bool,
+    extension: Extension,
 ) {
     let relay = state.peers.relay(Instant::now());
     match relay {
@@ -255,7 +290,7 @@
                 digest: Box::new(digest.clone()),
                 is_passed_on: true,
             };
-            socket.send_to_all(&datagram, &[relay]).await;
+            socket.send_with(&datagram, &extension, &[relay]).await;
         }
         Some(_) => {}
     }
--- /dev/null
+++ b/crates/gateway/src/peers/extension.rs
@@ -0,0 +1,60 @@
+//! What datagrams carry behind the part that every build knows. A build that knows nothing of it skips it, and
+//! one that expects more than is there takes the default for what is missing.
+
+use {
+    super::message::{Datagram, Unreadable},
+    serde::de::DeserializeOwned,
+    tealshore_core::ids::HallId,
+    tealshore_rates::LimitNews,
+};
+
+/// The most limits that one datagram carries.
+pub const LIMITS_BOUND: usize = 400;
+
+/// What stands behind a datagram. Each field is written by itself, in this order; a new one goes last.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Extension {
+    /// The sender lends permits, and reads what is said of limits; in a digest, each host of the group.
+    pub lends: bool,
+    /// Limits of upstreams that the sender knows.
+    pub limits: Vec<LimitNews>,
+    /// Of the groups whose digests are passed on, those that said so.
+    pub lending_groups: Vec<HallId>,
+}
+
+impl Extension {
+    /// Adds what it holds to a datagram's bytes; nothing where it says nothing.
+    ///
+    /// # Errors
+    /// A value can't be written; none of these types has such.
+    pub fn write(&self, bytes: Vec<u8>) -> Result<Vec<u8>, postcard::Error> {
+        if *self == Self::default() {
+            return Ok(bytes);
+        }
+        let bytes = postcard::to_extend(&self.lends, bytes)?;
+        let bytes = postcard::to_extend(&self.limits, bytes)?;
+        postcard::to_extend(&self.lending_groups, bytes)
+    }
+
+    /// Reads a datagram and what stands behind it.
+    ///
+    /// # Errors
+    /// The datagram itself can't be read.
+    pub fn read(bytes: &[u8]) -> Result<(Datagram, Self), Unreadable> {
+        let (datagram, rest) = Datagram::split(bytes)?;
+        let (lends, rest) = next(rest);
+        let (limits, rest) = next(rest);
+        let (lending_groups, _) = next(rest);
+        let extension = Self {
+            lends,
+            limits,
+            lending_groups,
+        };
+        Ok((datagram, extension))
+    }
+}
+
+/// The next value, or its default where there is none that can be read.
+fn next<T: DeserializeOwned + Default>(bytes: &[u8]) -> (T, &[u8]) {
+    postcard::take_from_bytes(bytes).unwrap_or_else(|_| (T::default(), &[]))
+}
--- a/crates/gateway/src/peers/groups.rs
+++ b/crates/gateway/src/peers/groups.rs
@@ -1,7 +1,7 @@
 //! What this host heard of the other groups of hosts, by the digests of their relays.
 
 use {
-    super::message::{GroupDigest, GroupMember, HostAddress, ServiceUse},
+    super::message::{GroupDigest, GroupMember, HostAddress, HostPhase, ServiceUse},
     crate::{
         feed::Contender,
         view::{Condition, Work},
@@ -25,6 +25,8 @@
     sequence: u64,
     heard: Instant,
     members: Vec<GroupMember>,
+    /// Each of its hosts lends permits.
+    lends: bool,
     work: HashMap<EngineId, Work>,
     budgets: Vec<ServiceUse>,
 }
@@ -66,6 +68,42 @@
         true
     }
 
+    /// Notes whether each host of a group lends permits.
+    pub fn note_lends(&mut self, hall: &HallId, lends: bool) {
+        if let Some(group) = self.known.get_mut(hall) {
+            group.lends = lends;
+        }
+    }
+
+    /// Whether each host of a group lends permits.
+    pub fn lends(&self, hall: &HallId) -> bool {
+        self.known.get(hall).is_some_and(|group| group.lends)
+    }
+
+    /// The hosts that take traffic of all groups that were heard within a time and lend permits.
+    pub fn lenders(&self, silence: Duration, now: Instant) -> Vec<(HallId, GroupMember)> {
+        let lending = self.fresh(silence, now).filter(|(_, group)| group.lends);
+        lending
+            .flat_map(|(hall, group)| {
+                let serving = group.members.iter();
+                let serving = serving.filter(|member| member.phase != HostPhase::Leaving);
+                serving.map(|member| (hall.clone(), member.clone()))
+            })
+            .collect()
+    }
+
+    /// The relays that were heard within a time and whose hosts lend permits.
+    pub fn lending_relays(&self, silence: Duration, now: Instant) -> Vec<SocketAddr> {
+        let lending = self.fresh(silence, now).filter(|(_, group)| group.lends);
+        lending.map(|(_, group)| group.relay_address).collect()
+    }
+
+    /// How many hosts the groups have that were heard within a time.
+    pub fn fresh_hosts(&self, silence: Duration, now: Instant) -> usize {
+        let fresh = self.fresh(silence, now);
+        fresh.map(|(_, group)| group.members.len()).sum()
+    }
+
     /// Forgets groups that have been silent for long.
     pub fn forget(&mut self, bound: Duration, now: Instant) {
         self.known.retain(|hall, group| {
@@ -181,6 +219,7 @@
             sequence: digest.sequence,
             heard: now,
             members: Vec::new(),
+            lends: false,
             work: HashMap::new(),
             budgets: Vec::new(),
         }
--- a/crates/gateway/src/peers/membership.rs
+++ b/crates/gateway/src/peers/membership.rs
@@ -79,7 +79,13 @@
                 state.phase
             );
         }
-        known.insert(state.host.clone(), Peer { state, heard: now });
+        let lends = before.is_some_and(|before| before.lends);
+        let peer = Peer {
+            state,
+            heard: now,
+            lends,
+        };
+        known.insert(peer.state.host.clone(), peer);
         findings
     }
 
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -15,6 +15,7 @@
     tealshore_core::ids::{EngineId, HallId, HostId, ServiceId},
     tealshore_duties::{lease::LeaseNews, usage::WindowCounts},
     tealshore_quarantine::news::CrashNews,
+    tealshore_rates::LimitNews,
 };
 
 /// Whether a host takes traffic.
@@ -250,6 +251,51 @@
     },
     /// What the sender counted for customers, to the hosts that may hold the duties.
     Usage(UsageNews),
+    /// Limits that upstreams named, or ended, to hosts that lend permits.
+    Limits {
+        /// The limits.
+        news: Vec<LimitNews>,
+        /// The receiver is the relay of another group, and passes them on to it.
+        is_for_group: bool,
+    },
+    /// Asks the lender of an upstream for permits.
+    PermitAsk(PermitAsk),
+    /// The lender's answer.
+    PermitLoan(PermitLoan),
+}
+
+/// A host asks for permits to send to an upstream that names a limit.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PermitAsk {
+    /// Who asks.
+    pub host: HostId,
+    /// The upstream.
+    pub upstream: EngineId,
+    /// The number of the ask, which its answer repeats.
+    pub number: u32,
+    /// How many permits the host could use now.
+    pub wanted: u32,
+    /// How many requests it sent without one since it last asked.
+    pub owed: u32,
+    /// The limit that it knows.
+    pub limit: LimitNews,
+}
+
+/// Permits to send to an upstream.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PermitLoan {
+    /// The upstream.
+    pub upstream: EngineId,
+    /// The number of the ask.
+    pub number: u32,
+    /// How many permits there are; each is good for one request.
+    pub permits: u32,
+    /// How long they hold, in milliseconds.
+    pub valid_ms: u32,
+    /// After which time to ask again, in milliseconds.
+    pub wait_ms: u32,
+    /// The limit that the lender knows.
+    pub limit: Option<LimitNews>,
 }
 
 /// The version of the datagrams' layout, their first byte. Hosts of two versions run side by side
@@ -276,6 +322,9 @@
             Self::Digest { .. } => "digest",
             Self::Relayed { .. } => "relayed",
             Self::Usage(_) => "usage",
+            Self::Limits { .. } => "limits",
+            Self::PermitAsk(_) => "permit-ask",
+            Self::PermitLoan(_) => "permit-loan",
         }
     }
 
@@ -292,9 +341,17 @@
     /// # Errors
     /// The layout is another one, or the bytes are damaged.
     pub fn from_bytes(bytes: &[u8]) -> Result<Self, Unreadable> {
+        Self::split(bytes).map(|(datagram, _)| datagram)
+    }
+
+    /// Reads what was sent; the bytes that stand behind it, too.
+    ///
+    /// # Errors
+    /// The layout is another one, or the bytes are damaged.
+    pub(super) fn split(bytes: &[u8]) -> Result<(Self, &[u8]), Unreadable> {
         match bytes.split_first() {
             Some((&LAYOUT_VERSION, rest)) => {
-                postcard::from_bytes(rest).map_err(|_| Unreadable::Damaged)
+                postcard::take_from_bytes(rest).map_err(|_| Unreadable::Damaged)
             }
             other => Err(Unreadable::OtherVersion(other.map(|(version, _)| *version))),
         }
--- a/crates/gateway/src/peers/outgoing.rs
+++ b/crates/gateway/src/peers/outgoing.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         KNOWN_PEERS_TOLD, RUNS_BOUND, UPSTREAMS_BOUND,
+        extension::Extension,
         message::{Datagram, PeerState, ServiceUse, UpstreamWork},
     },
     crate::{budget::BudgetUse, state::GatewayState},
@@ -103,9 +104,56 @@
         self.socket.recv_from(buffer).await
     }
 
-    /// Sends a datagram to each of some hosts; one that is too large is logged and dropped.
+    /// Where the hosts of the own hall take datagrams.
+    pub(super) fn hall_addresses(&self) -> Vec<SocketAddr> {
+        let peers = &self.state.peers;
+        peers.group_addresses(Some(&peers.own.hall))
+    }
+
+    /// Sends a datagram of this host to each of some hosts, with what stands behind it.
     pub(super) async fn send_to_all(&self, datagram: &Datagram, receivers: &[SocketAddr]) {
-        let bytes = match datagram.to_bytes() {
+        let extension = self.extension_of(datagram);
+        self.send_with(datagram, &extension, receivers).await;
+    }
+
+    /// What stands behind a datagram of this host.
+    fn extension_of(&self, datagram: &Datagram) -> Extension {
+        let now = Instant::now();
+        let (state, peers) = (&self.state, &self.state.peers);
+        match datagram {
+            Datagram::State(_) => Extension {
+                lends: state.lends(now),
+                limits: state.limits_to_tell(now),
+                ..Extension::default()
+            },
+            Datagram::Digest { digest, .. } => Extension {
+                lends: state.lends(now) && peers.group_lends(now),
+                limits: if digest.is_whole {
+                    state.limits_to_tell(now)
+                } else {
+                    Vec::new()
+                },
+                ..Extension::default()
+            },
+            Datagram::Delta(_)
+            | Datagram::Upstreams { .. }
+            | Datagram::Relayed { .. }
+            | Datagram::Usage(_)
+            | Datagram::Limits { .. }
+            | Datagram::PermitAsk(_)
+            | Datagram::PermitLoan(_) => Extension::default(),
+        }
+    }
+
+    /// Sends a datagram to each of some hosts; one that is too large is logged and dropped.
+    pub(super) async fn send_with(
+        &self,
+        datagram: &Datagram,
+        extension: &Extension,
+        receivers: &[SocketAddr],
+    ) {
+        let written = datagram.to_bytes().and_then(|bytes| extension.write(bytes));
+        let bytes = match written {
             Ok(bytes) => bytes,
             Err(error) => {
                 log::error!("peers: datagram can't be written error={error}");
--- a/crates/gateway/src/peers/relay.rs
+++ b/crates/gateway/src/peers/relay.rs
@@ -8,6 +8,7 @@
     super::{
         Feeder, GROUP_RUNS_BOUND, Groups, HostAddress, Peers, RELAYED_BOUND,
         digest::{DigestSource, GroupSums, LastDigest},
+        extension::Extension,
         message::{Datagram, GroupDigest, GroupMember, HostPhase, PeerState},
         outgoing::{PeerSocket, own_state},
         shares::{Share, divide},
@@ -75,28 +76,33 @@
         .peers
         .live_in_group(state.options.peers.heartbeat * 2, now);
     let round = rand::rng().random();
+    let extension = Extension {
+        limits: state.limits_to_tell(now),
+        lending_groups: state.peers.lending_groups(&digests),
+        ..Extension::default()
+    };
     for (receiver, share) in divide(&group, &live, round) {
         let digests = digests.clone();
         let datagram = Datagram::Relayed { digests, share };
-        socket.send_to_all(&datagram, &[receiver]).await;
+        socket.send_with(&datagram, &extension, &[receiver]).await;
     }
 }
 
 /// Passes digests of other groups on to a share of the own one, but not back to their sender.
 pub(super) async fn forward_to_share(
-    state: &GatewayState,
     socket: &PeerSocket,
     digests: Vec<GroupDigest>,
+    extension: &Extension,
     share: Share,
     sender: SocketAddr,
 ) {
-    let mut receivers = state.peers.group_addresses(Some(&state.peers.own.hall));
+    let mut receivers = socket.hall_addresses();
     receivers.retain(|host| share.holds(*host) && *host != sender);
     let datagram = Datagram::Relayed {
         digests,
         share: None,
     };
-    socket.send_to_all(&datagram, &receivers).await;
+    socket.send_with(&datagram, extension, &receivers).await;
 }
 
 /// Divides digests into parts that one datagram carries.
--- a/crates/gateway/src/room.rs
+++ b/crates/gateway/src/room.rs
@@ -1,6 +1,7 @@
 //! How long a request waits for room at an upstream, and for the retry budget, before it is refused.
 
 use {
+    crate::state::Closed,
     std::time::Duration,
     tealshore_core::answer::{ErrorKind, Failure},
 };
@@ -30,10 +31,27 @@
     patience(objective).max(BUDGET_PATIENCE)
 }
 
-/// The refusal of a request whose upstreams all rest, the first of them for this long. Its caller is told to
-/// come back then and not before.
+/// The refusal of a request whose upstreams are all closed. Its caller is told to come back when the first is
+/// open, and not before.
 #[must_use]
-pub fn all_rest(first_back: Duration) -> Failure {
+pub fn all_closed(first: Closed) -> Failure {
+    match first {
+        Closed::Resting(left) => all_rest(left),
+        Closed::Limited(left) => all_limited(left),
+    }
+}
+
+/// The refusal of a request whose upstreams have no permit left, by the limits that they name. The next permit
+/// is not for this caller alone, so that it is told the time of the kind of refusal at least.
+#[must_use]
+pub fn all_limited(next_permit: Duration) -> Failure {
+    let kind = ErrorKind::UpstreamsLimited;
+    let usual = kind.answer().retry_after.unwrap_or_default();
+    let detail = "the upstreams of the service take no more requests, by the limits that they name";
+    Failure::new(kind, detail).come_back_after(next_permit.max(usual))
+}
+
+fn all_rest(first_back: Duration) -> Failure {
     let detail = format!(
         "all upstreams of the service asked for rest, the first of them for {} ms more",
         first_back.as_millis()
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -4,6 +4,8 @@
 mod limits;
 mod notices;
 
+pub use limits::Closed;
+
 use {
     crate::{
         budget::{BudgetUse, RetryBudget},
@@ -14,6 +16,7 @@
         feed::{
             Contender, DEPUTY_BOUND, FED_BOUND, Feed, FeederChoice, choose_feeder, hosts_before,
         },
+        limits::Limits,
         metrics::GatewayMetrics,
         options::{GatewayOptions, StaleKeys},
         pace::{Pace, RemainingWork},
@@ -35,7 +38,6 @@
         protection::{Protection, enabled},
     },
     tealshore_notices::{Notices, UnknownWords},
-    tealshore_rates::KnownLimits,
     tokio::sync::Semaphore,
 };
 
@@ -70,7 +72,7 @@
     /// What upstreams said of themselves in their answers.
     notices: RwLock<Notices>,
     /// The limits that upstreams name for all hosts together.
-    limits: RwLock<KnownLimits>,
+    pub limits: Limits,
     /// Words of upstreams that the adapter does not know.
     unknown_words: Mutex<UnknownWords>,
     /// Roll-outs of versions.
@@ -107,7 +109,7 @@
             runs: Runs::default(),
             crashes: Crashes::default(),
             notices: RwLock::default(),
-            limits: RwLock::default(),
+            limits: Limits::default(),
             unknown_words: Mutex::default(),
             rollouts: Rollouts::new(rand::random()),
             capacity: Capacity::default(),
--- a/crates/gateway/src/state/choice.rs
+++ b/crates/gateway/src/state/choice.rs
@@ -16,6 +16,9 @@
     xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
+/// How many limited upstreams are asked for at once where a request has nowhere else to go.
+const ASKS_OF_LAST: usize = 3;
+
 impl GatewayState {
     /// What all hosts have at an upstream.
     pub fn work_at(&self, upstream: &Upstream) -> Work {
@@ -96,7 +99,7 @@
         let wants_work = |record: &UpstreamRecord| {
             notices.standing(&record.id, record.born, now) == Standing::Open
         };
-        let candidates: Vec<Candidate> = ready
+        let candidates = ready
             .iter()
             .filter(|upstream| wants_work(&upstream.record))
             .map(|upstream| {
@@ -116,9 +119,10 @@
                         None => rand::rng().random::<f64>(),
                     },
                 }
-            })
-            .collect();
+            });
+        let mut candidates: Vec<Candidate> = candidates.collect();
         drop(notices);
+        self.see_to_limits(&mut candidates, ready, need, avoid, now);
         let (hall, topology) = (&self.options.host.hall, &self.options.topology);
         let chosen = choose(&candidates, need, hall, topology, avoid)?;
         ready
@@ -126,6 +130,55 @@
             .find(|upstream| upstream.record.id == chosen.id)
             .cloned()
     }
+
+    /// Takes out of the candidates for a request those whose limit leaves no permit, and asks for one where the
+    /// request would rather go. A copy goes to one that names a limit only where there is no other: what would
+    /// go on from it there may find no permit.
+    fn see_to_limits(
+        &self,
+        candidates: &mut Vec<Candidate>,
+        ready: &[Arc<Upstream>],
+        need: Need<'_>,
+        avoid: &[EngineId],
+        now: Instant,
+    ) {
+        if self.limits.is_empty() {
+            return;
+        }
+        let record_of = |id: &EngineId| {
+            let found = ready.iter().find(|upstream| upstream.record.id == *id);
+            found.map(|upstream| &upstream.record)
+        };
+        if let Need::Copy { .. } = need {
+            for candidate in candidates {
+                let limit = record_of(&candidate.id).and_then(|it| self.limit_of(it, now));
+                candidate.unsound |= limit.is_some();
+            }
+            return;
+        }
+        let is_short = |candidate: &mut Candidate| {
+            record_of(&candidate.id).is_some_and(|record| self.is_short(record, now))
+        };
+        let mut short: Vec<Candidate> = candidates.extract_if(.., is_short).collect();
+        short.retain(|candidate| self.limits.may_ask(&candidate.id, now));
+        let (hall, topology) = (&self.options.host.hall, &self.options.topology);
+        let most_asks = if candidates.is_empty() {
+            ASKS_OF_LAST
+        } else {
+            1
+        };
+        for _ in 0..most_asks {
+            let Some(best) = choose(&short, need, hall, topology, avoid) else {
+                return;
+            };
+            let best = best.id.clone();
+            let limit = record_of(&best).and_then(|it| Some((it, self.limit_of(it, now)?)));
+            if let Some((record, per_s)) = limit {
+                self.want_permit(record, per_s, now);
+            }
+            short.retain(|candidate| candidate.id != best);
+        }
+    }
 }
 
 /// A number from 0 to 1 that is the same on all hosts for a request and an upstream.
--- a/crates/gateway/src/state/notices.rs
+++ b/crates/gateway/src/state/notices.rs
@@ -1,12 +1,12 @@
 //! What upstreams say of themselves in their answers, and which of them want no new work for it.
 
 use {
-    super::GatewayState,
+    super::{Closed, GatewayState},
     crate::{
         edge::AnswerFacts,
         view::{Upstream, UpstreamRecord},
     },
-    std::time::{Duration, Instant},
+    std::time::Instant,
     tealshore_core::ids::{EngineId, ServiceId},
     tealshore_notices::{RestAsked, Standing},
 };
@@ -96,30 +96,40 @@
 
     /// Whether an upstream may get new work at this instant, by its row and by its own word.
     pub fn takes_work(&self, id: &EngineId) -> bool {
+        let now = Instant::now();
         let upstream = self.view.upstreams.get(id);
         self.view.upstreams.takes_work(id)
-            && upstream
-                .is_some_and(|it| self.standing(&it.record, Instant::now()) == Standing::Open)
+            && upstream.is_some_and(|it| {
+                self.standing(&it.record, now) == Standing::Open && !self.is_short(&it.record, now)
+            })
     }
 
-    /// The time to the end of the first rest, where all upstreams of a service that take work rest: until then
-    /// nothing can be sent, and nothing is worth waiting for.
-    pub fn all_rest_for(&self, service: &ServiceId, now: Instant) -> Option<Duration> {
-        let notices = self.notices.read();
-        if notices.is_empty() {
+    /// Why the first of the upstreams of a service that is open again is closed now, where all that take work
+    /// are: until then nothing can be sent, and nothing is worth waiting for.
+    pub fn all_closed(&self, service: &ServiceId, now: Instant) -> Option<Closed> {
+        let heard_nothing = self.notices.read().is_empty() && self.limits.is_empty();
+        if heard_nothing {
             return None;
         }
-        let mut first_back = None;
+        let mut first: Option<Closed> = None;
         for upstream in self.view.upstreams.ready(service) {
             let record = &upstream.record;
-            match notices.standing(&record.id, record.born, now) {
-                Standing::Open => return None,
-                Standing::Resting { left } => {
-                    first_back = Some(first_back.map_or(left, |first: Duration| first.min(left)));
-                }
-                Standing::Leaving => {}
+            let closed = match self.standing(record, now) {
+                Standing::Leaving => continue,
+                Standing::Resting { left } => Closed::Resting(left),
+                Standing::Open if !self.is_short(record, now) => return None,
+                Standing::Open => Closed::Limited(self.shortage_of(&record.id, now)?),
+            };
+            if first.is_none_or(|first| closed.left() < first.left()) {
+                first = Some(closed);
             }
         }
-        first_back
+        first
+    }
+
+    /// Whether limits, and nothing else, keep all upstreams of a service closed that take work.
+    pub fn is_limited(&self, service: &ServiceId, now: Instant) -> bool {
+        let mut ready = self.view.upstreams.ready(service).into_iter();
+        !self.limits.is_empty() && ready.any(|it| self.is_short(&it.record, now))
     }
 }
--- a/crates/gateway/tests/frames.rs
+++ b/crates/gateway/tests/frames.rs
@@ -21,13 +21,15 @@
         edge::UpstreamChange,
         feed::{SetWatermark, StoreWatermark, UpstreamDelta},
         peers::{
-            Datagram, GroupDigest, GroupMember, HostAddress, HostPhase, PeerDelta, PeerState,
-            ServiceUse, SetSnapshot, Share, SnapshotRows, UpstreamWork,
+            Datagram, Extension, GroupDigest, GroupMember, HostAddress, HostPhase, PeerDelta,
+            PeerState, PermitAsk, PermitLoan, ServiceUse, SetSnapshot, Share, SnapshotRows,
+            UpstreamWork,
         },
         run_trace::RunTrace,
         view::{Condition, UpstreamRecord, UpstreamState, Work},
     },
     tealshore_quarantine::news::{CrashNews, ToldCrash},
+    tealshore_rates::LimitNews,
 };
 
 fn address(port: u16) -> SocketAddr {
@@ -266,6 +268,52 @@
     }
 }
 
+fn limit() -> LimitNews {
+    LimitNews {
+        upstream: "i-1".to_owned(),
+        born: Some(1_700_000_000_000),
+        per_s: Some(3.5),
+        age_ms: 70,
+    }
+}
+
+fn limits() -> Datagram {
+    Datagram::Limits {
+        news: vec![limit()],
+        is_for_group: true,
+    }
+}
+
+fn permit_ask() -> Datagram {
+    Datagram::PermitAsk(PermitAsk {
+        host: "a-1".to_owned(),
+        upstream: "i-1".to_owned(),
+        number: 9,
+        wanted: 2,
+        owed: 1,
+        limit: limit(),
+    })
+}
+
+fn permit_loan() -> Datagram {
+    Datagram::PermitLoan(PermitLoan {
+        upstream: "i-1".to_owned(),
+        number: 9,
+        permits: 1,
+        valid_ms: 285,
+        wait_ms: 0,
+        limit: Some(limit()),
+    })
+}
+
+fn extension() -> Extension {
+    Extension {
+        lends: true,
+        limits: vec![limit()],
+        lending_groups: vec!["b".to_owned()],
+    }
+}
+
 fn hex(bytes: &[u8]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
 }
@@ -303,6 +351,48 @@
     check("digest", include_str!("frames/6-digest.hex"), &digest());
     check("relayed", include_str!("frames/6-relayed.hex"), &relayed());
     check("usage", include_str!("frames/6-usage.hex"), &usage_news());
+    check("limits", include_str!("frames/6-limits.hex"), &limits());
+    check(
+        "permit-ask",
+        include_str!("frames/6-permit-ask.hex"),
+        &permit_ask(),
+    );
+    check(
+        "permit-loan",
+        include_str!("frames/6-permit-loan.hex"),
+        &permit_loan(),
+    );
+}
+
+/// What stands behind a datagram is for those that know it: the build before reads what it always read, and
+/// what it does not say is its default here.
+#[test]
+fn what_stands_behind_a_datagram_hides_nothing_from_builds_that_do_not_know_it() {
+    let kept = include_str!("frames/6-usage-extended.hex");
+    let bytes = bytes_of(kept);
+    let (datagram, read) = Extension::read(&bytes).unwrap();
+    assert_eq!(read, extension());
+    assert_eq!(format!("{datagram:?}"), format!("{:?}", usage_news()));
+    let by_the_build_before = Datagram::from_bytes(&bytes).unwrap();
+    assert_eq!(
+        format!("{by_the_build_before:?}"),
+        format!("{:?}", usage_news())
+    );
+    let written = usage_news().to_bytes().unwrap();
+    let written = extension().write(written).unwrap();
+    assert_eq!(hex(&written), kept.trim());
+
+    let of_the_build_before = bytes_of(include_str!("frames/6-state.hex"));
+    let (_, read) = Extension::read(&of_the_build_before).unwrap();
+    assert_eq!(read, Extension::default());
+    // A build that adds a field writes it last, and one that was cut in the middle loses what is cut.
+    let mut longer = bytes.clone();
+    longer.extend([1, 2, 3]);
+    let (_, read) = Extension::read(&longer).unwrap();
+    assert_eq!(read, extension());
+    let (_, read) = Extension::read(&bytes[..bytes.len() - 2]).unwrap();
+    assert_eq!(read.limits, extension().limits);
+    assert!(read.lending_groups.is_empty());
 }
 
 #[test]
--- a/crates/rates/src/known.rs
+++ b/crates/rates/src/known.rs
@@ -127,18 +127,19 @@
         known.per_s.filter(|_| binds)
     }
 
+    /// What is known of one upstream, to tell others.
+    #[must_use]
+    pub fn news_of(&self, id: &EngineId, now: Instant) -> Option<LimitNews> {
+        let known = self.known.get(id)?;
+        Some(known.news(id, now))
+    }
+
     /// All that is known, to tell others.
     #[must_use]
     pub fn news(&self, now: Instant) -> Vec<LimitNews> {
         let all = self.known.iter();
         let told = all.filter(|(_, known)| known.is_worth_telling(now));
-        told.map(|(id, known)| LimitNews {
-            upstream: id.clone(),
-            born: known.born,
-            per_s: known.per_s,
-            age_ms: known.age_ms(now),
-        })
-        .collect()
+        told.map(|(id, known)| known.news(id, now)).collect()
     }
 
     /// Whether no upstream names a limit, as far as is known.
@@ -177,6 +178,15 @@
         self.per_s.is_some() || now.saturating_duration_since(self.said) < END_KEPT
     }
 
+    fn news(&self, id: &EngineId, now: Instant) -> LimitNews {
+        LimitNews {
+            upstream: id.clone(),
+            born: self.born,
+            per_s: self.per_s,
+            age_ms: self.age_ms(now),
+        }
+    }
+
     fn age_ms(&self, now: Instant) -> u32 {
         let age = now.saturating_duration_since(self.said).as_millis();
         u32::try_from(age).unwrap_or(u32::MAX)
--- /dev/null
+++ b/crates/rates/tests/permits.rs
@@ -0,0 +1,233 @@
+//! Permits: how many a lender gives, how long they hold, and when a host asks again.
+
+use {
+    proptest::prelude::*,
+    std::time::{Duration, Instant},
+    tealshore_core::ids::{EngineId, HostId},
+    tealshore_rates::{Borrower, Lender, Loan, Nearness, Request, Shortage, part_of_rate, rank},
+};
+
+const PATIENCE: Duration = Duration::from_millis(100);
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn upstream() -> EngineId {
+    "i-1".to_owned()
+}
+
+fn host(number: usize) -> HostId {
+    format!("host-{number}")
+}
+
+fn lend(lender: &mut Lender, per_s: f64, host: &HostId, wanted: u32, now: Instant) -> Loan {
+    let request = Request {
+        host,
+        wanted,
+        owed: 0,
+    };
+    lender.lend(&upstream(), per_s, request, 0.5, now)
+}
+
+/// The lender before this one may have lent a moment ago.
+#[test]
+fn a_new_bucket_is_empty_and_fills_at_the_rate() {
+    let (mut lender, start) = (Lender::default(), Instant::now());
+    let first = lend(&mut lender, 4.0, &host(0), 5, start);
+    assert_eq!((first.permits, first.wait), (0, ms(250)));
+    assert_eq!(
+        lend(&mut lender, 4.0, &host(0), 5, start + ms(250)).permits,
+        1
+    );
+    assert_eq!(
+        lend(&mut lender, 4.0, &host(0), 5, start + ms(750)).permits,
+        2
+    );
+    // What gathers while nobody asks is bounded.
+    let after_long = lend(&mut lender, 4.0, &host(0), 50, start + ms(60_000));
+    assert_eq!(after_long.permits, 3);
+}
+
+#[test]
+fn requests_that_left_without_a_permit_are_taken_off() {
+    let (mut lender, start) = (Lender::default(), Instant::now());
+    lend(&mut lender, 1.0, &host(0), 1, start);
+    let id = host(0);
+    let owing = Request {
+        host: &id,
+        wanted: 1,
+        owed: 2,
+    };
+    let now = start + ms(2_000);
+    assert_eq!(lender.lend(&upstream(), 1.0, owing, 0.5, now).permits, 0);
+    assert_eq!(lend(&mut lender, 1.0, &id, 1, now + ms(1_000)).permits, 1);
+}
+
+/// Only an answer tells that a limit ended.
+#[test]
+fn a_limit_of_nothing_is_asked_about_now_and_then() {
+    let (mut lender, start) = (Lender::default(), Instant::now());
+    lend(&mut lender, 0.0, &host(0), 1, start);
+    assert_eq!(
+        lend(&mut lender, 0.0, &host(0), 1, start + ms(4_900)).permits,
+        0
+    );
+    assert_eq!(
+        lend(&mut lender, 0.0, &host(0), 1, start + ms(5_100)).permits,
+        1
+    );
+}
+
+#[test]
+fn a_permit_is_good_for_one_request_and_lapses() {
+    let (mut borrower, start, id) = (Borrower::default(), Instant::now(), upstream());
+    let ask = borrower.want(&id, PATIENCE, start).unwrap();
+    assert_eq!((ask.wanted, ask.owed), (1, 0));
+    let loan = Loan {
+        permits: 2,
+        valid: ms(50),
+        wait: ms(0),
+    };
+    borrower.note_loan(&id, ask.number, loan, start);
+    assert!(borrower.take(&id, start + ms(10)));
+    assert!(borrower.has_permit(&id, start + ms(49)));
+    assert!(!borrower.has_permit(&id, start + ms(50)));
+    assert!(!borrower.take(&id, start + ms(50)));
+}
+
+#[test]
+fn a_lender_is_asked_again_when_it_said_so_or_did_not_answer() {
+    let (mut borrower, start, id) = (Borrower::default(), Instant::now(), upstream());
+    let first = borrower.want(&id, PATIENCE, start).unwrap();
+    assert!(borrower.want(&id, PATIENCE, start + ms(99)).is_none());
+    let second = borrower.want(&id, PATIENCE, start + ms(100)).unwrap();
+    let none = Loan {
+        permits: 0,
+        valid: ms(0),
+        wait: ms(300),
+    };
+    // The answer to the first ask is late; the second one's is still due.
+    borrower.note_loan(&id, first.number, none, start + ms(110));
+    assert_eq!(borrower.shortage(&id, start + ms(110)), Shortage::Open);
+    borrower.note_loan(&id, second.number, none, start + ms(120));
+    assert_eq!(
+        borrower.shortage(&id, start + ms(120)),
+        Shortage::For(ms(300))
+    );
+    assert!(borrower.want(&id, PATIENCE, start + ms(400)).is_none());
+    assert!(borrower.want(&id, PATIENCE, start + ms(420)).is_some());
+}
+
+#[test]
+fn what_left_without_a_permit_takes_the_next_one_or_is_told() {
+    let (mut borrower, start, id) = (Borrower::default(), Instant::now(), upstream());
+    borrower.note_unpermitted(&id, start);
+    let ask = borrower.want(&id, PATIENCE, start).unwrap();
+    assert_eq!(ask.owed, 1);
+    let loan = Loan {
+        permits: 1,
+        valid: ms(50),
+        wait: ms(0),
+    };
+    borrower.note_loan(&id, ask.number, loan, start);
+    borrower.note_unpermitted(&id, start + ms(1));
+    assert!(!borrower.has_permit(&id, start + ms(1)));
+}
+
+/// A host with much to send asks for what it needs until the next answer.
+#[test]
+fn a_busy_host_asks_for_more_at_once() {
+    let (mut borrower, start, id) = (Borrower::default(), Instant::now(), upstream());
+    let mut wanted = 0;
+    for number in 0..200 {
+        let now = start + ms(number * 4);
+        if let Some(ask) = borrower.want(&id, ms(1), now) {
+            wanted = ask.wanted;
+        }
+    }
+    assert!((2..=8).contains(&wanted), "{wanted}");
+}
+
+#[test]
+fn idle_buckets_and_accounts_are_forgotten() {
+    let (mut lender, mut borrower, start) =
+        (Lender::default(), Borrower::default(), Instant::now());
+    lend(&mut lender, 1.0, &host(0), 1, start);
+    borrower.want(&upstream(), PATIENCE, start);
+    lender.forget_idle(start + ms(59_000));
+    borrower.forget_idle(start + ms(59_000));
+    assert_eq!((lender.len(), borrower.len()), (1, 1));
+    lender.forget_idle(start + ms(61_000));
+    borrower.forget_idle(start + ms(61_000));
+    assert!(lender.is_empty() && borrower.is_empty());
+}
+
+/// Near hosts lend first, each upstream has a lender of its own, and the loss of one moves only its upstreams.
+#[test]
+fn lenders_are_near_and_spread_over_hosts() {
+    let lender_of = |upstream: &EngineId, without: Option<usize>| {
+        let hosts = (0..9).filter(|number| Some(*number) != without);
+        hosts.min_by_key(|number| {
+            let nearness = if number % 3 == 0 {
+                Nearness::SameHall
+            } else {
+                Nearness::SameRegion
+            };
+            rank(upstream, &host(*number), nearness)
+        })
+    };
+    let upstreams: Vec<EngineId> = (0..60).map(|number| format!("i-{number}")).collect();
+    let mut counts = [0; 9];
+    for upstream in &upstreams {
+        let lender = lender_of(upstream, None).unwrap();
+        assert_eq!(lender % 3, 0);
+        counts[lender] += 1;
+        let other = lender_of(upstream, Some((lender + 3) % 9));
+        assert_eq!(other, Some(lender));
+    }
+    assert!(
+        [0, 3, 6].iter().all(|number| counts[*number] >= 8),
+        "{counts:?}"
+    );
+}
+
+/// Both sides of a cut together lend little more than the whole.
+#[test]
+fn the_parts_of_a_fleet_that_is_cut_add_up_to_little_more_than_the_whole() {
+    for hosts in 1..=300_usize {
+        for side in 0..=hosts {
+            let sum = part_of_rate(side, hosts) + part_of_rate(hosts - side, hosts);
+            assert!(sum <= 1.26, "{side} of {hosts}: {sum}");
+        }
+        assert!((part_of_rate(hosts, hosts) - 1.0).abs() < f64::EPSILON);
+    }
+}
+
+proptest! {
+    /// Whoever asks, whenever, for however many: what is lent within any time is the rate and what had gathered.
+    #[test]
+    fn a_lender_never_lends_more_than_its_rate(
+        per_s in 0.0_f64..60.0,
+        asks in prop::collection::vec((0_usize..20, 1_u32..80, 0_u64..400), 1..300),
+    ) {
+        let (mut lender, start) = (Lender::default(), Instant::now());
+        let mut now = start;
+        let mut lent: Vec<(Instant, u32)> = Vec::new();
+        for (number, wanted, pause_ms) in asks {
+            now += ms(pause_ms);
+            let loan = lend(&mut lender, per_s, &host(number), wanted, now);
+            prop_assert!(loan.permits <= wanted);
+            prop_assert!(loan.permits > 0 || loan.wait > Duration::ZERO);
+            lent.push((now, loan.permits));
+        }
+        for (first, (from, _)) in lent.iter().enumerate() {
+            let mut sum = 0.0;
+            for (until, permits) in &lent[first..] {
+                sum += f64::from(*permits);
+                let allowed = (*until - *from).as_secs_f64() * per_s.max(0.2) + 3.0;
+                prop_assert!(sum <= allowed + 1e-6, "{sum} in {:?}, allowed {allowed}", *until - *from);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/rates/tests/support/fleet.rs
@@ -0,0 +1,395 @@
+//! Many hosts before one upstream that names a limit, step by step: each is an instance of the package, and
+//! what they tell each other comes late or is lost.
+
+use {
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+    std::{
+        collections::{BTreeMap, VecDeque},
+        time::{Duration, Instant},
+    },
+    tealshore_core::ids::{EngineId, HostId},
+    tealshore_rates::{Borrower, Lender, Loan, Nearness, Request, part_of_rate, rank},
+};
+
+/// The window in which requests are counted, in milliseconds.
+pub const WINDOW_MS: u64 = 4_000;
+/// How long a request waits for a permit, in milliseconds.
+const PATIENCE_MS: u64 = 50;
+/// When a host that fell silent counts as gone, in milliseconds.
+const SILENCE_MS: u64 = 1_600;
+/// For how long one that is gone counts as one of all, in milliseconds.
+const REMEMBERED_MS: u64 = 19_000;
+/// How long a host that starts lends nothing, in milliseconds.
+const QUIET_MS: u64 = 1_000;
+/// How late the others hear at most that it lends now, in milliseconds.
+const TOLD_MS: u64 = 400;
+/// The part of datagrams that are lost.
+const LOST: f64 = 0.01;
+/// How long an ask's answer is waited for.
+const ASK_PATIENCE: Duration = Duration::from_millis(100);
+/// Requests come as often as twice the limit allows.
+const DEMAND: f64 = 2.0;
+
+/// Where requests come to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Load {
+    /// To all hosts.
+    Even,
+    /// To one host alone.
+    OnOne,
+    /// To one host at a time, another each five seconds.
+    Moving,
+}
+
+/// What happens to hosts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trouble {
+    /// Nothing.
+    Calm,
+    /// Each three seconds one is killed, the lender first, and is back two seconds later.
+    Killed,
+    /// Half of them are cut off from the others for ten seconds.
+    Cut,
+    /// All start in the instant in which requests begin.
+    Started,
+}
+
+/// How hosts keep to the limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    /// One of them lends permits.
+    Lender,
+    /// Each has an equal part of the rate, and a request in hand.
+    EqualParts,
+}
+
+/// One run.
+#[derive(Clone, Copy, Debug)]
+pub struct Setting {
+    /// How many hosts there are.
+    pub hosts: usize,
+    /// The limit, in requests a second.
+    pub per_s: f64,
+    /// Where requests come to.
+    pub load: Load,
+    /// What happens to hosts.
+    pub trouble: Trouble,
+    /// How they keep to the limit.
+    pub way: Way,
+    /// How long it lasts, in milliseconds.
+    pub lasts_ms: u64,
+    /// Draws all that is left to chance.
+    pub seed: u64,
+}
+
+/// What came of it.
+#[derive(Clone, Copy, Debug)]
+pub struct Outcome {
+    /// The most requests that the upstream got in any window.
+    pub most: usize,
+    /// The part of what was both wanted and allowed that it got.
+    pub used: f64,
+}
+
+struct Host {
+    id: HostId,
+    borrower: Borrower,
+    lender: Lender,
+    /// When it started and when it was killed last, in milliseconds.
+    started_ms: i64,
+    killed_ms: Option<u64>,
+    waiting: VecDeque<u64>,
+    /// The tokens of its own part, for the baseline.
+    tokens: f64,
+}
+
+enum Message {
+    Ask {
+        from: usize,
+        number: u32,
+        wanted: u32,
+        owed: u32,
+    },
+    Loan {
+        number: u32,
+        loan: Loan,
+    },
+}
+
+struct Fleet {
+    setting: Setting,
+    upstream: EngineId,
+    began: Instant,
+    hosts: Vec<Host>,
+    messages: BTreeMap<(u64, u64), (usize, Message)>,
+    sent: u64,
+    random: StdRng,
+    arrivals_ms: Vec<u64>,
+}
+
+/// Plays one run.
+pub fn play(setting: Setting) -> Outcome {
+    let mut fleet = Fleet::new(setting);
+    for now_ms in 0..setting.lasts_ms {
+        fleet.strike(now_ms);
+        fleet.deliver(now_ms);
+        fleet.bring_requests(now_ms);
+        fleet.serve_waiting(now_ms);
+    }
+    fleet.outcome()
+}
+
+impl Fleet {
+    fn new(setting: Setting) -> Self {
+        let mut random = StdRng::seed_from_u64(setting.seed);
+        let started_ms = match setting.trouble {
+            Trouble::Started => 0,
+            Trouble::Calm | Trouble::Killed | Trouble::Cut => -60_000,
+        };
+        let hosts = (0..setting.hosts).map(|number| Host {
+            id: format!("host-{number}"),
+            borrower: Borrower::default(),
+            lender: Lender::default(),
+            started_ms,
+            killed_ms: None,
+            waiting: VecDeque::new(),
+            tokens: random.random(),
+        });
+        Self {
+            hosts: hosts.collect(),
+            setting,
+            upstream: "upstream".to_owned(),
+            began: Instant::now(),
+            messages: BTreeMap::new(),
+            sent: 0,
+            random,
+            arrivals_ms: Vec::new(),
+        }
+    }
+
+    fn at(&self, now_ms: u64) -> Instant {
+        self.began + Duration::from_millis(now_ms)
+    }
+
+    fn strike(&mut self, now_ms: u64) {
+        if self.setting.trouble != Trouble::Killed {
+            return;
+        }
+        if now_ms % 3_000 == 1_500 {
+            let lender = self.lender_seen_by(0, now_ms).unwrap_or_default();
+            let is_first = now_ms % 6_000 == 1_500;
+            let victim = if is_first {
+                lender
+            } else {
+                self.random.random_range(0..self.hosts.len())
+            };
+            self.hosts[victim].killed_ms.get_or_insert(now_ms);
+            self.hosts[victim].waiting.clear();
+        }
+        for host in &mut self.hosts {
+            if host
+                .killed_ms
+                .is_some_and(|killed| now_ms >= killed + 2_000)
+            {
+                host.killed_ms = None;
+                host.started_ms = i64::try_from(now_ms).unwrap();
+                host.borrower = Borrower::default();
+                host.lender = Lender::default();
+            }
+        }
+    }
+
+    fn is_cut(&self, one: usize, other: usize, now_ms: u64) -> bool {
+        let half = self.hosts.len() / 2;
+        let is_during = (8_000..18_000).contains(&now_ms);
+        self.setting.trouble == Trouble::Cut && is_during && (one < half) != (other < half)
+    }
+
+    /// Whether a host takes another one for alive and knows that it lends.
+    fn believes(&self, host: usize, other: usize, now_ms: u64) -> bool {
+        let peer = &self.hosts[other];
+        let age_ms = i64::try_from(now_ms).unwrap() - peer.started_ms;
+        let told_ms = if host == other { 0 } else { TOLD_MS };
+        let lends = age_ms >= i64::try_from(QUIET_MS + told_ms).unwrap();
+        let was_killed = peer
+            .killed_ms
+            .is_some_and(|killed| now_ms >= killed + SILENCE_MS || host == other);
+        let was_cut = self.is_cut(host, other, now_ms)
+            && self.is_cut(host, other, now_ms.saturating_sub(SILENCE_MS));
+        lends && !was_killed && !was_cut
+    }
+
+    fn lender_seen_by(&self, host: usize, now_ms: u64) -> Option<usize> {
+        let believed = (0..self.hosts.len()).filter(|other| self.believes(host, *other, now_ms));
+        believed.min_by_key(|other| {
+            let id = &self.hosts[*other].id;
+            rank(&self.upstream, id, Nearness::SameHall)
+        })
+    }
+
+    fn part_seen_by(&self, host: usize, now_ms: u64) -> f64 {
+        let hosts = self.hosts.len();
+        let is_unheard = |other: &usize| {
+            self.is_cut(host, *other, now_ms)
+                && self.is_cut(host, *other, now_ms.saturating_sub(SILENCE_MS))
+        };
+        let unheard = (0..hosts).filter(is_unheard).count();
+        // The cut lasts less long than hosts that fell silent are remembered.
+        const { assert!(REMEMBERED_MS > 10_000) };
+        part_of_rate(hosts - unheard, hosts)
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: Message, now_ms: u64) {
+        let is_lost = self.random.random::<f64>() < LOST;
+        if is_lost || self.is_cut(from, to, now_ms) {
+            return;
+        }
+        let due_ms = now_ms + self.random.random_range(1..4);
+        self.sent += 1;
+        self.messages.insert((due_ms, self.sent), (to, message));
+    }
+
+    fn deliver(&mut self, now_ms: u64) {
+        while let Some(entry) = self.messages.first_entry() {
+            if entry.key().0 > now_ms {
+                return;
+            }
+            let (to, message) = entry.remove();
+            if self.hosts[to].killed_ms.is_none() {
+                self.take_in(to, message, now_ms);
+            }
+        }
+    }
+
+    fn take_in(&mut self, to: usize, message: Message, now_ms: u64) {
+        let now = self.at(now_ms);
+        match message {
+            Message::Loan { number, loan } => {
+                let upstream = self.upstream.clone();
+                let borrower = &mut self.hosts[to].borrower;
+                borrower.note_loan(&upstream, number, loan, now);
+            }
+            Message::Ask {
+                from,
+                number,
+                wanted,
+                owed,
+            } => {
+                let is_lender = self.lender_seen_by(to, now_ms) == Some(to);
+                let loan = if is_lender {
+                    self.lend(to, from, wanted, owed, now_ms)
+                } else {
+                    Loan {
+                        permits: 0,
+                        valid: Duration::ZERO,
+                        wait: Duration::from_millis(50),
+                    }
+                };
+                self.send(to, from, Message::Loan { number, loan }, now_ms);
+            }
+        }
+    }
+
+    fn lend(&mut self, lender: usize, asker: usize, wanted: u32, owed: u32, now_ms: u64) -> Loan {
+        let now = self.at(now_ms);
+        let per_s = self.setting.per_s * self.part_seen_by(lender, now_ms);
+        let draw = self.random.random();
+        let host = self.hosts[asker].id.clone();
+        let request = Request {
+            host: &host,
+            wanted,
+            owed,
+        };
+        let upstream = self.upstream.clone();
+        let lender = &mut self.hosts[lender].lender;
+        lender.lend(&upstream, per_s, request, draw, now)
+    }
+
+    fn bring_requests(&mut self, now_ms: u64) {
+        let per_ms = self.setting.per_s * DEMAND / 1_000.0;
+        if self.random.random::<f64>() >= per_ms {
+            return;
+        }
+        let count = self.hosts.len();
+        let host = match self.setting.load {
+            Load::Even => self.random.random_range(0..count),
+            Load::OnOne => 0,
+            Load::Moving => usize::try_from(now_ms / 5_000).unwrap() % count,
+        };
+        if self.hosts[host].killed_ms.is_none() {
+            self.hosts[host].waiting.push_back(now_ms + PATIENCE_MS);
+        }
+    }
+
+    fn serve_waiting(&mut self, now_ms: u64) {
+        for host in 0..self.hosts.len() {
+            while self.hosts[host]
+                .waiting
+                .front()
+                .is_some_and(|until| *until < now_ms)
+            {
+                self.hosts[host].waiting.pop_front();
+            }
+            let part = self.setting.per_s / 1_000.0 / self.hosts.len() as f64;
+            self.hosts[host].tokens = (self.hosts[host].tokens + part).min(1.0);
+            while !self.hosts[host].waiting.is_empty() && self.may_send(host, now_ms) {
+                self.hosts[host].waiting.pop_front();
+                self.arrivals_ms.push(now_ms);
+            }
+        }
+    }
+
+    fn may_send(&mut self, host: usize, now_ms: u64) -> bool {
+        let now = self.at(now_ms);
+        if self.setting.way == Way::EqualParts {
+            let has_token = self.hosts[host].tokens >= 1.0;
+            if has_token {
+                self.hosts[host].tokens -= 1.0;
+            }
+            return has_token;
+        }
+        let upstream = self.upstream.clone();
+        if self.hosts[host].borrower.take(&upstream, now) {
+            return true;
+        }
+        let ask = self.hosts[host].borrower.want(&upstream, ASK_PATIENCE, now);
+        let Some(ask) = ask else {
+            return false;
+        };
+        match self.lender_seen_by(host, now_ms) {
+            Some(lender) if lender == host => {
+                let loan = self.lend(host, host, ask.wanted, ask.owed, now_ms);
+                let borrower = &mut self.hosts[host].borrower;
+                borrower.note_loan(&upstream, ask.number, loan, now);
+                self.hosts[host].borrower.take(&upstream, now)
+            }
+            Some(lender) => {
+                let message = Message::Ask {
+                    from: host,
+                    number: ask.number,
+                    wanted: ask.wanted,
+                    owed: ask.owed,
+                };
+                self.send(host, lender, message, now_ms);
+                false
+            }
+            None => false,
+        }
+    }
+
+    fn outcome(&self) -> Outcome {
+        let mut most = 0;
+        let mut first = 0;
+        for (last, at_ms) in self.arrivals_ms.iter().enumerate() {
+            while self.arrivals_ms[first] + WINDOW_MS <= *at_ms {
+                first += 1;
+            }
+            most = most.max(last - first + 1);
+        }
+        let allowed = self.setting.per_s * self.setting.lasts_ms as f64 / 1_000.0;
+        Outcome {
+            most,
+            used: self.arrivals_ms.len() as f64 / allowed,
+        }
+    }
+}
--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -52,6 +52,7 @@
 upstream-notices tealshore-notices notices a_rest_binds_to_its_end_and_not_longer
 upstream-notices tealshore-platform notices an_upstream_that_asks_for_rest_gets_no_calls_until_it_is_over
 upstream-notices tealshore-platform notices an_upstream_that_says_it_leaves_gets_no_new_work
+shared-limits tealshore-platform limits an_upstream_that_names_a_limit_gets_no_more_calls_of_all_hosts_than_that
 request-digest tealshore-platform returns another_request_never_goes_on_from_this_ones_memory
 LIST
 }
@@ -73,6 +74,7 @@
 lease-expiry
 quarantine
 upstream-notices
+shared-limits
 LIST
 }
 
