Hold no end against a request that the life which ran it did not have

Cause: an engine that had once answered as another incarnation, or whose report tells of another birth than its row, was taken for certain to have ended under each run that it lost. Both may be older than the run: the run was at the life that answers from its first byte. And a stream whose answer was spoilt had its engine looked at, though that still sent.

What proves an end now is a life that began after the run: by its birth and this host's time of day, which may differ by 2 s on some machines, so 3 s either way are left undecided (it counts, and is not certain). One that began before the run is the one that ran it, and takes back what counted. An answer of another incarnation says something only of runs that began before it. A spoilt answer speaks of no end at all.

--- a/crates/gateway/src/crashes/watch.rs
+++ b/crates/gateway/src/crashes/watch.rs
@@ -75,7 +75,8 @@
     }
 
     async fn look_again(&self, watched: &Watched, end: UncertainEnd<Arc<Upstream>>) {
-        let found = watched.kind.look(self, &end.upstream, &watched.request);
+        let (kind, request) = (watched.kind, &watched.request);
+        let found = kind.look(self, &end.upstream, request, end.crash.began);
         let found = found.await;
         let now = Instant::now();
         let age = now.saturating_duration_since(end.crash.ended);
--- a/crates/gateway/src/forward/ending.rs
+++ b/crates/gateway/src/forward/ending.rs
@@ -8,14 +8,17 @@
         probe,
     },
     crate::{connection::CallFailure, edge::ProbeReport, state::GatewayState, view::Upstream},
-    std::{sync::Arc, time::Instant},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    },
     tealshore_core::{
         answer::Failure,
         ids::{Fingerprint, RequestId},
     },
     tealshore_quarantine::{
         crash::Crash,
-        uncertain::{Evidence, Finding, UncertainEnd},
+        uncertain::{Finding, UncertainEnd},
     },
     tokio::task::JoinHandle,
 };
@@ -31,15 +34,17 @@
 }
 
 impl UpstreamKind {
-    /// Looks at an upstream that lost a run.
+    /// Looks at an upstream that lost a run which had begun there at `began`.
     pub async fn look(
         self,
         state: &GatewayState,
         upstream: &Upstream,
         request: &RequestId,
+        began: Instant,
     ) -> Finding {
-        if upstream.is_replaced() {
-            return Finding::AnotherLife;
+        // What it was taken for before the run began, it disproved by running it.
+        if upstream.was_replaced_after(began) {
+            return Finding::PerhapsAnotherLife;
         }
         match (connect::reach(upstream).await, self) {
             (Reach::Refused, Self::Engine | Self::PlainService) => Finding::Refused,
@@ -47,7 +52,7 @@
             (Reach::Taken, Self::Engine) => {
                 let report = probe::report(state, upstream, request).await;
                 match report {
-                    Ok(report) => found_in(&report, upstream),
+                    Ok(report) => found_in(&report, upstream, began),
                     Err(CallFailure::Closed) => Finding::Refused,
                     Err(CallFailure::TimedOut) => Finding::Silent,
                 }
@@ -60,15 +65,23 @@
 }
 
 /// What an engine's report tells of its life.
-fn found_in(report: &ProbeReport, upstream: &Upstream) -> Finding {
+fn found_in(report: &ProbeReport, upstream: &Upstream, began: Instant) -> Finding {
     match (report.born, upstream.record.born) {
-        (Some(reported), Some(listed)) if reported != listed => Finding::AnotherLife,
+        (Some(reported), Some(listed)) if reported != listed => {
+            Finding::of_birth(Duration::from_millis(reported), unix_time_of(began))
+        }
         (reported, listed) => Finding::Lives {
             is_same_life: reported.is_some() && listed.is_some(),
         },
     }
 }
 
+/// The time of day of an earlier moment, by this host's clock of now.
+fn unix_time_of(moment: Instant) -> Duration {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.unwrap_or_default().saturating_sub(moment.elapsed())
+}
+
 /// A run that was lost.
 pub struct LostRun {
     /// The upstream at which it was.
@@ -102,15 +115,14 @@
     ) {
         let (state, request, digest) = (state.clone(), call.request(), call.fingerprint);
         self.open = Some(tokio::spawn(async move {
-            let found = kind.look(&state, &run.upstream, &request).await;
+            let found = kind.look(&state, &run.upstream, &request, run.began).await;
+            let Some(evidence) = found.evidence() else {
+                return;
+            };
             let end = UncertainEnd {
                 crash: crash_of(&request, &run),
                 upstream: run.upstream.clone(),
-                evidence: match found {
-                    Finding::AnotherLife | Finding::Refused => Evidence::Refused,
-                    Finding::Silent => Evidence::Silent,
-                    Finding::Lives { .. } => return,
-                },
+                evidence,
             };
             note_ended(&state, &request, digest, &run, found);
             let is_certain = found == Finding::AnotherLife;
--- a/crates/gateway/src/forward/stream/attempt.rs
+++ b/crates/gateway/src/forward/stream/attempt.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         connection::Connection,
-        events::{Event, EventSplitter},
+        events::{Event, EventSplitter, StreamFault},
         forward::{
             probe::{Awaited, Patience, wait_while_alive},
             reservation::Reservation,
@@ -63,6 +63,8 @@
     End,
     /// Nothing more comes, for this cause.
     Lost(&'static str),
+    /// What comes is not what is due. The engine that sends it has not ended.
+    Spoilt(StreamFault),
 }
 
 impl Attempt {
@@ -72,7 +74,7 @@
             match self.events.next_event() {
                 Ok(Some(event)) => return Step::Event(event),
                 Ok(None) => {}
-                Err(fault) => return Step::Lost(fault.name()),
+                Err(fault) => return Step::Spoilt(fault),
             }
             if let Some(end) = self.read_more(state).await {
                 return end;
--- a/crates/gateway/src/forward/stream/relay.rs
+++ b/crates/gateway/src/forward/stream/relay.rs
@@ -71,11 +71,19 @@
                 }
                 Step::End => return RelayEnd::Complete,
                 Step::Lost(cause) => {
+                    self.examine_attempt(cause);
                     self.lose(cause);
                     if let Some(cause) = self.go_on().await {
                         return RelayEnd::BrokenOff(cause);
                     }
                 }
+                // No end is looked for: whatever answers there later, this engine still sent.
+                Step::Spoilt(fault) => {
+                    self.lose(fault.name());
+                    if let Some(cause) = self.go_on().await {
+                        return RelayEnd::BrokenOff(cause);
+                    }
+                }
             }
         }
     }
@@ -91,7 +99,7 @@
         };
         self.note_first_event(&event);
         if let Err(fault) = self.progress.accept(&event) {
-            return Step::Lost(fault.name());
+            return Step::Spoilt(fault);
         }
         if let Some(attempt) = self.attempt.as_mut() {
             attempt.events_had = self.progress.last().unwrap_or(self.progress.passed());
@@ -177,14 +185,22 @@
         }
     }
 
+    /// Finds out, aside, whether the engine of the current attempt has ended.
+    fn examine_attempt(&mut self, cause: &'static str) {
+        let Some(attempt) = &self.attempt else {
+            return;
+        };
+        let run_events = self.progress.passed() - attempt.passed_before;
+        let (upstream, began) = (attempt.upstream.clone(), attempt.began);
+        self.examine(upstream, began, run_events, cause);
+    }
+
     /// Ends the current attempt and notes why.
     fn lose(&mut self, cause: &'static str) {
         let Some(attempt) = self.attempt.take() else {
             return;
         };
         attempt.upstream.note_outcome(true);
-        let run_events = self.progress.passed() - attempt.passed_before;
-        self.examine(attempt.upstream.clone(), attempt.began, run_events, cause);
         let (record, route) = (&attempt.upstream.record, &self.call.route.name);
         self.state.note_outcome(record, route, Outcome::Failed);
         if let Some(copy) = self.recopy.take_made() {
--- a/crates/gateway/src/view/upstream.rs
+++ b/crates/gateway/src/view/upstream.rs
@@ -106,8 +106,8 @@
     suspected_until: Option<Instant>,
     /// The suspicion came from a peer.
     from_peer: bool,
-    /// Another incarnation answered at its address.
-    replaced: bool,
+    /// When it was found that another incarnation answered at its address.
+    replaced_at: Option<Instant>,
     /// Until when it counts as failing, by what this host found.
     failing_until: Option<Instant>,
     /// The same by what a peer found.
@@ -194,9 +194,15 @@
         self.suspicion.notify_waiters();
     }
 
-    /// Whether another incarnation has its address, or its id.
+    /// Whether another incarnation has its address.
     pub fn is_replaced(&self) -> bool {
-        self.opinion.lock().replaced
+        self.opinion.lock().replaced_at.is_some()
+    }
+
+    /// Whether that was found after a moment.
+    pub fn was_replaced_after(&self, moment: Instant) -> bool {
+        let found = self.opinion.lock().replaced_at;
+        found.is_some_and(|found| found > moment)
     }
 
     /// Takes over what a peer found, unless this host found the same; whether that is a change. What was
@@ -223,10 +229,10 @@
 
     fn replaced_as(&self, now: Instant, from_peer: bool) -> bool {
         let mut opinion = self.opinion.lock();
-        if opinion.replaced {
+        if opinion.replaced_at.is_some() {
             return false;
         }
-        opinion.replaced = true;
+        opinion.replaced_at = Some(now);
         opinion.from_peer = from_peer;
         opinion.suspected_until = Some(now + GONE_FOR_GOOD);
         drop(opinion);
@@ -244,7 +250,7 @@
         let is_change = opinion.suspected_until.is_none_or(|until| until <= now);
         let until = now + SUSPICION;
         opinion.suspected_until = opinion.suspected_until.max(Some(until));
-        if !opinion.replaced {
+        if opinion.replaced_at.is_none() {
             opinion.from_peer = from_peer;
         }
         drop(opinion);
@@ -287,7 +293,8 @@
         let opinion = self.opinion.lock();
         let is_suspected = opinion.suspected_until.is_some_and(|until| until > now);
         let is_failing = opinion.failing_until.is_some_and(|until| until > now);
-        match (is_suspected && !opinion.from_peer, opinion.replaced) {
+        let is_replaced = opinion.replaced_at.is_some();
+        match (is_suspected && !opinion.from_peer, is_replaced) {
             (false, _) if is_failing => Condition::Failing(self.record.born),
             (false, _) => Condition::Healthy,
             (true, false) => Condition::Suspected(self.record.born),
--- a/crates/quarantine/src/uncertain.rs
+++ b/crates/quarantine/src/uncertain.rs
@@ -12,6 +12,8 @@
 /// An upstream that has been silent for so long, while most others answer, has ended in all that matters: it
 /// hangs for good, or is cut off for good. Longer than hosts and engines are known to freeze (some seconds).
 pub const LONG_SILENCE: Duration = Duration::from_secs(10);
+/// The times of day of a host and an upstream may differ by so much: some machines' jump by two seconds.
+pub const CLOCKS_DIFFER: Duration = Duration::from_secs(3);
 /// How long an end that counts may still be taken back. An upstream that ended has started again by then.
 pub const OPEN_FOR: Duration = Duration::from_secs(60);
 /// The most requests of which such ends are kept, and the most of one: some 100 kB.
@@ -23,6 +25,9 @@
 pub enum Finding {
     /// Another life answers under its id: the one that ran the request has ended.
     AnotherLife,
+    /// Another life may answer than the one that ran the request; it may also have been there all the while,
+    /// behind a row of an earlier one.
+    PerhapsAnotherLife,
     /// Nothing listens at its address, or what listens there ends each connection at once. A way to it that
     /// is cut by resets looks the same.
     Refused,
@@ -35,6 +40,32 @@
     },
 }
 
+impl Finding {
+    /// What it tells that the life which answers was born at a time, by its own clock, under another row than
+    /// the one that the run was sent by. Rows may be older than the lives behind them: only a life that began
+    /// after the run proves that the one which ran it has ended. Both times count from 1970.
+    #[must_use]
+    pub fn of_birth(born: Duration, run_began: Duration) -> Self {
+        if born + CLOCKS_DIFFER <= run_began {
+            Self::Lives { is_same_life: true }
+        } else if born >= run_began + CLOCKS_DIFFER {
+            Self::AnotherLife
+        } else {
+            Self::PerhapsAnotherLife
+        }
+    }
+
+    /// How far it is evidence that the upstream ended; none where it lives.
+    #[must_use]
+    pub fn evidence(self) -> Option<Evidence> {
+        match self {
+            Self::AnotherLife | Self::PerhapsAnotherLife | Self::Refused => Some(Evidence::Refused),
+            Self::Silent => Some(Evidence::Silent),
+            Self::Lives { .. } => None,
+        }
+    }
+}
+
 /// How an end was found that is not certain yet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Evidence {
@@ -68,13 +99,18 @@
 pub fn next(evidence: Evidence, found: Finding, age: Duration, most_serve: bool) -> Next {
     match (evidence, found) {
         (Evidence::Silent, Finding::AnotherLife) => Next::Counts { stays_open: false },
-        (Evidence::Silent, Finding::Refused) => Next::Counts { stays_open: true },
+        (Evidence::Silent, Finding::Refused | Finding::PerhapsAnotherLife) => {
+            Next::Counts { stays_open: true }
+        }
         (Evidence::Silent, Finding::Lives { .. }) => Next::WasNone,
         (Evidence::Silent, Finding::Silent) if age < LONG_SILENCE => Next::Wait,
         (Evidence::Silent, Finding::Silent) if most_serve => Next::Counts { stays_open: true },
         (Evidence::Silent, Finding::Silent) => Next::WasNone,
         (Evidence::Refused, Finding::Lives { is_same_life: true }) => Next::TakeBack,
-        (Evidence::Refused, Finding::AnotherLife | Finding::Lives { .. }) => Next::Settled,
+        (
+            Evidence::Refused,
+            Finding::AnotherLife | Finding::PerhapsAnotherLife | Finding::Lives { .. },
+        ) => Next::Settled,
         (Evidence::Refused, Finding::Refused | Finding::Silent) if age < OPEN_FOR => Next::Wait,
         (Evidence::Refused, Finding::Refused | Finding::Silent) => Next::Settled,
     }
--- a/crates/quarantine/tests/uncertain.rs
+++ b/crates/quarantine/tests/uncertain.rs
@@ -6,7 +6,8 @@
         crash::Crash,
         log::{CrashLog, Verdict},
         uncertain::{
-            Evidence, Finding, LONG_SILENCE, Next, OPEN_FOR, UncertainEnd, UncertainEnds, next,
+            CLOCKS_DIFFER, Evidence, Finding, LONG_SILENCE, Next, OPEN_FOR, UncertainEnd,
+            UncertainEnds, next,
         },
     },
 };
@@ -42,6 +43,10 @@
     assert_eq!(silent(SOME_LIFE, SOON, true), Next::WasNone);
     assert_eq!(silent(Finding::AnotherLife, SOON, false), counts(false));
     assert_eq!(silent(Finding::Refused, SOON, false), counts(true));
+    assert_eq!(
+        silent(Finding::PerhapsAnotherLife, SOON, false),
+        counts(true)
+    );
     assert_eq!(silent(Finding::Silent, LONG_SILENCE, true), counts(true));
     assert_eq!(silent(Finding::Silent, LONG_SILENCE, false), Next::WasNone);
 }
@@ -52,6 +57,7 @@
     assert_eq!(counted(SAME_LIFE, SOON), Next::TakeBack);
     assert_eq!(counted(SOME_LIFE, SOON), Next::Settled);
     assert_eq!(counted(Finding::AnotherLife, SOON), Next::Settled);
+    assert_eq!(counted(Finding::PerhapsAnotherLife, SOON), Next::Settled);
     for found in [Finding::Refused, Finding::Silent] {
         assert_eq!(counted(found, SOON), Next::Wait);
         assert_eq!(counted(found, OPEN_FOR), Next::Settled);
@@ -111,3 +117,21 @@
     assert!(kept.iter().filter(|count| **count > 0).count() <= 512);
     assert_eq!(kept[1_999], 8, "the newest are kept");
 }
+
+/// Rows may be older than the lives behind them, and clocks differ: only a life that began well after a run
+/// proves that the one which ran it has ended, and only one that began well before it that it has not.
+#[test]
+fn a_life_that_answers_is_another_one_only_where_it_began_after_the_run() {
+    let ran = Duration::from_secs(1_700_000_000);
+    let little = Duration::from_millis(1);
+    let cases = [
+        (ran - CLOCKS_DIFFER, SAME_LIFE),
+        (ran - CLOCKS_DIFFER + little, Finding::PerhapsAnotherLife),
+        (ran, Finding::PerhapsAnotherLife),
+        (ran + CLOCKS_DIFFER - little, Finding::PerhapsAnotherLife),
+        (ran + CLOCKS_DIFFER, Finding::AnotherLife),
+    ];
+    for (born, expected) in cases {
+        assert_eq!(Finding::of_birth(born, ran), expected, "{born:?}");
+    }
+}
