Draw by lot what is left of the retry budget where hosts are many

Each host took its equal part of what was left, rounded down to nothing.

Where more than 100 hosts share less than one repeat each, a lot decides now, one for each half second and host, however often a stream asks. Among fewer hosts nothing changes.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -11,6 +11,7 @@
         time::{Duration, Instant},
     },
     tealshore_core::protection::{Protection, enabled},
+    xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
 /// How finely the window is counted.
@@ -39,6 +40,12 @@
 /// The part of all hosts that must have been heard before what they leave over is used.
 const HEARD_PART: f64 = 0.75;
 
+/// Where more hosts than this share what is left, less than one repeat for each is drawn by lot. Rounded down, a
+/// large fleet would leave some hundred repeats unused; among few hosts the lots would stray too far.
+const LOT_HOSTS: usize = 100;
+/// The part of what is left that is drawn in one cell: hosts hear of each other's use within two.
+const LOT_PART: f64 = 0.5;
+
 /// What was used of a budget within its window.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BudgetUse {
@@ -90,15 +97,26 @@
 pub struct RetryBudget {
     bounds: BudgetBounds,
     cells: VecDeque<Cell>,
+    /// Sets the lots of this host apart from those of others.
+    seed: u64,
+    cells_begun: u64,
 }
 
 impl RetryBudget {
     /// A budget that has seen nothing.
     #[must_use]
     pub fn new(bounds: BudgetBounds) -> Self {
+        Self::with_lots(bounds, 0)
+    }
+
+    /// The same, with a number that was drawn for this host.
+    #[must_use]
+    pub fn with_lots(bounds: BudgetBounds, seed: u64) -> Self {
         Self {
             bounds,
             cells: VecDeque::new(),
+            seed,
+            cells_begun: 0,
         }
     }
 
@@ -155,8 +173,21 @@
         whole.add(pool.used);
         let slack = self.bounds.slack * SLACK_PART * members / to_f64(pool.hosts);
         let left = self.allowed(whole.requests, slack) - f64::from(whole.repeats);
-        let equal_share = (left / to_f64(pool.hosts)).floor();
-        f64::from(self.repeats_since_update(now)) + 1.0 <= equal_share
+        let equal_share = left / to_f64(pool.hosts);
+        let share = if pool.hosts > LOT_HOSTS && equal_share < 1.0 {
+            f64::from(u8::from(self.lot(now) < equal_share * LOT_PART))
+        } else {
+            equal_share.floor()
+        };
+        f64::from(self.repeats_since_update(now)) + 1.0 <= share
+    }
+
+    /// A number from 0 to 1 that is drawn anew for each cell, however often it is asked for.
+    fn lot(&mut self, now: Instant) -> f64 {
+        self.cell(now);
+        let hash = xxh3_64_with_seed(&self.cells_begun.to_le_bytes(), self.seed);
+        let high = u32::try_from(hash >> 32).unwrap_or(u32::MAX);
+        f64::from(high) / f64::from(u32::MAX)
     }
 
     /// Repeats in the cell that runs and in the one before it: a cell is as long as a
@@ -194,6 +225,7 @@
             .is_some_and(|cell| now.saturating_duration_since(cell.began) < span);
         if !is_current {
             self.forget(now);
+            self.cells_begun += 1;
             self.cells.push_back(Cell {
                 began: now,
                 requests: 0,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -323,7 +323,7 @@
         let bounds = self.options.bounds.retries;
         budgets
             .entry(service.clone())
-            .or_insert_with(|| RetryBudget::new(bounds))
+            .or_insert_with(|| RetryBudget::with_lots(bounds, rand::random()))
     }
 
     /// Notes that an upstream seems dead, and tells the peers.
--- a/crates/gateway/tests/budget.rs
+++ b/crates/gateway/tests/budget.rs
@@ -260,3 +260,43 @@
     assert!(budget.take(now, &alone));
     assert!(!budget.take(now, &alone));
 }
+
+/// In a large fleet each host's equal part of what is left is less than one repeat. What callers saw: a hall
+/// died a few seconds after the first requests, and streams ended for want of a repeat while the whole slack
+/// lay unused, as each of 295 hosts rounded its part down to nothing.
+#[test]
+fn what_is_left_for_a_large_fleet_is_used_and_not_passed() {
+    const HOSTS: usize = 295;
+    let bounds = BudgetBounds {
+        ratio: 0.8,
+        slack: 150.0,
+        window: Duration::from_secs(10),
+    };
+    let start = Instant::now();
+    let mut budgets: Vec<RetryBudget> = (0..HOSTS)
+        .map(|host| RetryBudget::with_lots(bounds, host as u64))
+        .collect();
+    // Each host has a stream that lost its engine, and asks some times in a second.
+    let mut served = vec![false; HOSTS];
+    for step in 0..60_u64 {
+        let now = start + Duration::from_millis(step * 60);
+        // Hosts hear of each other's use each half second.
+        let heard = step - step % 8;
+        let heard_at = start + Duration::from_millis(heard * 60);
+        let known: Vec<BudgetUse> = budgets.iter_mut().map(|it| it.used(heard_at)).collect();
+        for host in 0..HOSTS {
+            if served[host] {
+                continue;
+            }
+            let mut pool = Pool::unheard(HOSTS);
+            pool.heard = HOSTS - 1;
+            for other in (0..HOSTS).filter(|other| *other != host) {
+                pool.used.add(known[other]);
+            }
+            served[host] = budgets[host].take(now, &pool);
+        }
+    }
+    let repeats = served.iter().filter(|served| **served).count();
+    assert!(repeats >= 40, "{repeats} of a slack of 150 were used");
+    assert!(repeats <= 110, "{repeats} leave too little for a restart");
+}
