Let all hosts find the same lender where some do not lend

Who lends was told by whether a host lends just now, which others hear up to 2 s late; and in a fleet of groups one host that did not lend kept its whole group from it, but for each host itself, which then lent to itself: many lenders of one upstream, each with the whole rate, after any restart in a large hall.

A host says that it is of a build that lends, and takes part by its phase, which all hear at once; one that started less than a second ago lends nothing when it is asked. Digests name the hosts of their group that are of another build, so that all groups leave the same ones out.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -93,7 +93,7 @@
 struct Peer {
     state: PeerState,
     heard: Instant,
-    /// It lends permits; the build before does not.
+    /// It is of a build that lends permits.
     lends: bool,
 }
 
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -252,9 +252,10 @@
             digest,
             is_passed_on,
         } => {
-            let (group, lends) = (digest.group.clone(), extension.lends);
-            take_digest(state, socket, *digest, is_passed_on, extension).await;
-            state.peers.note_group_lends(&group, lends);
+            let group = digest.group.clone();
+            take_digest(state, socket, *digest, is_passed_on, &extension).await;
+            let (lends, not_lending) = (extension.lends, &extension.not_lending);
+            state.peers.note_group_lends(&group, lends, not_lending);
         }
         Datagram::Relayed { digests, share } => {
             if let Some(share) = share {
@@ -264,7 +265,8 @@
                 let group = digest.group.clone();
                 let lends = extension.lending_groups.contains(&group);
                 apply_digest(state, digest);
-                state.peers.note_group_lends(&group, lends);
+                let not_lending = &extension.not_lending;
+                state.peers.note_group_lends(&group, lends, not_lending);
             }
         }
         Datagram::Usage(news) => state.duties.hear_usage(&news),
@@ -280,7 +282,7 @@
     socket: &PeerSocket,
     digest: GroupDigest,
     is_passed_on: bool,
-    extension: Extension,
+    extension: &Extension,
 ) {
     let relay = state.peers.relay(Instant::now());
     match relay {
@@ -290,7 +292,7 @@
                 digest: Box::new(digest.clone()),
                 is_passed_on: true,
             };
-            socket.send_with(&datagram, &extension, &[relay]).await;
+            socket.send_with(&datagram, extension, &[relay]).await;
         }
         Some(_) => {}
     }
--- a/crates/gateway/src/peers/extension.rs
+++ b/crates/gateway/src/peers/extension.rs
@@ -4,7 +4,7 @@
 use {
     super::message::{Datagram, Unreadable},
     serde::de::DeserializeOwned,
-    tealshore_core::ids::HallId,
+    tealshore_core::ids::{HallId, HostId},
     tealshore_rates::LimitNews,
 };
 
@@ -14,12 +14,14 @@
 /// What stands behind a datagram. Each field is written by itself, in this order; a new one goes last.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Extension {
-    /// The sender lends permits, and reads what is said of limits; in a digest, each host of the group.
+    /// The sender is of a build that lends permits, and reads what is said of limits.
     pub lends: bool,
     /// Limits of upstreams that the sender knows.
     pub limits: Vec<LimitNews>,
-    /// Of the groups whose digests are passed on, those that said so.
+    /// Of the groups whose digests are passed on, those whose relays are.
     pub lending_groups: Vec<HallId>,
+    /// Hosts of the group that is told of, or of those groups, that are not.
+    pub not_lending: Vec<HostId>,
 }
 
 impl Extension {
@@ -33,7 +35,8 @@
         }
         let bytes = postcard::to_extend(&self.lends, bytes)?;
         let bytes = postcard::to_extend(&self.limits, bytes)?;
-        postcard::to_extend(&self.lending_groups, bytes)
+        let bytes = postcard::to_extend(&self.lending_groups, bytes)?;
+        postcard::to_extend(&self.not_lending, bytes)
     }
 
     /// Reads a datagram and what stands behind it.
@@ -44,11 +47,13 @@
         let (datagram, rest) = Datagram::split(bytes)?;
         let (lends, rest) = next(rest);
         let (limits, rest) = next(rest);
-        let (lending_groups, _) = next(rest);
+        let (lending_groups, rest) = next(rest);
+        let (not_lending, _) = next(rest);
         let extension = Self {
             lends,
             limits,
             lending_groups,
+            not_lending,
         };
         Ok((datagram, extension))
     }
--- a/crates/gateway/src/peers/groups.rs
+++ b/crates/gateway/src/peers/groups.rs
@@ -1,7 +1,7 @@
 //! What this host heard of the other groups of hosts, by the digests of their relays.
 
 use {
-    super::message::{GroupDigest, GroupMember, HostAddress, HostPhase, ServiceUse},
+    super::message::{GroupDigest, GroupMember, HostAddress, ServiceUse},
     crate::{
         feed::Contender,
         view::{Condition, Work},
@@ -11,7 +11,7 @@
         net::SocketAddr,
         time::{Duration, Instant},
     },
-    tealshore_core::ids::{EngineId, HallId},
+    tealshore_core::ids::{EngineId, HallId, HostId},
 };
 
 /// How many hosts of a group whose relay is not known are told.
@@ -25,8 +25,10 @@
     sequence: u64,
     heard: Instant,
     members: Vec<GroupMember>,
-    /// Each of its hosts lends permits.
+    /// Its relay is of a build that lends permits.
     lends: bool,
+    /// Its hosts that are not.
+    not_lending: Vec<HostId>,
     work: HashMap<EngineId, Work>,
     budgets: Vec<ServiceUse>,
 }
@@ -68,31 +70,42 @@
         true
     }
 
-    /// Notes whether each host of a group lends permits.
-    pub fn note_lends(&mut self, hall: &HallId, lends: bool) {
+    /// Notes whether the relay of a group is of a build that lends permits, and which hosts of it are not.
+    pub fn note_lends(&mut self, hall: &HallId, lends: bool, not_lending: &[HostId]) {
         if let Some(group) = self.known.get_mut(hall) {
             group.lends = lends;
+            let members = group.members.iter();
+            let of_group = members.filter(|member| not_lending.contains(&member.host));
+            group.not_lending = of_group.map(|member| member.host.clone()).collect();
         }
     }
 
-    /// Whether each host of a group lends permits.
+    /// Whether the relay of a group is of a build that lends permits.
     pub fn lends(&self, hall: &HallId) -> bool {
         self.known.get(hall).is_some_and(|group| group.lends)
     }
 
-    /// The hosts that take traffic of all groups that were heard within a time and lend permits.
+    /// The hosts of a group that are not.
+    pub fn not_lending(&self, hall: &HallId) -> Vec<HostId> {
+        let group = self.known.get(hall);
+        group.map_or_else(Vec::new, |group| group.not_lending.clone())
+    }
+
+    /// The hosts of all groups that were heard within a time which take traffic and lend permits.
     pub fn lenders(&self, silence: Duration, now: Instant) -> Vec<(HallId, GroupMember)> {
         let lending = self.fresh(silence, now).filter(|(_, group)| group.lends);
         lending
             .flat_map(|(hall, group)| {
                 let serving = group.members.iter();
-                let serving = serving.filter(|member| member.phase != HostPhase::Leaving);
+                let serving = serving.filter(|member| {
+                    member.phase.takes_traffic() && !group.not_lending.contains(&member.host)
+                });
                 serving.map(|member| (hall.clone(), member.clone()))
             })
             .collect()
     }
 
-    /// The relays that were heard within a time and whose hosts lend permits.
+    /// The relays that were heard within a time and lend permits.
     pub fn lending_relays(&self, silence: Duration, now: Instant) -> Vec<SocketAddr> {
         let lending = self.fresh(silence, now).filter(|(_, group)| group.lends);
         lending.map(|(_, group)| group.relay_address).collect()
@@ -220,6 +233,7 @@
             heard: now,
             members: Vec::new(),
             lends: false,
+            not_lending: Vec::new(),
             work: HashMap::new(),
             budgets: Vec::new(),
         }
--- a/crates/gateway/src/peers/lenders.rs
+++ b/crates/gateway/src/peers/lenders.rs
@@ -23,34 +23,28 @@
 }
 
 impl Peers {
-    /// The lender of an upstream: of all hosts that lend, the first by its rank for that upstream. Hosts that
-    /// hear of the same hosts find the same. `lends_itself` tells whether this host lends now.
-    pub fn lender_of(
-        &self,
-        upstream: &UpstreamRecord,
-        lends_itself: bool,
-        now: Instant,
-    ) -> LenderOf {
+    /// The lender of an upstream: of all hosts that take traffic and are of a build that lends, the first by its
+    /// rank for that upstream. Hosts that hear of the same hosts find the same. This host takes part by its own
+    /// phase as the others see it; it may be the lender and not lend yet.
+    pub fn lender_of(&self, upstream: &UpstreamRecord, phase: HostPhase, now: Instant) -> LenderOf {
         let rank_of = |host: &HostId, hall: &HallId| {
-            rank(
-                &upstream.id,
-                host,
-                self.nearness_between(hall, &upstream.hall),
-            )
+            let nearness = self.nearness_between(hall, &upstream.hall);
+            rank(&upstream.id, host, nearness)
         };
-        let itself =
-            lends_itself.then(|| (rank_of(&self.own.id, &self.own.hall), LenderOf::Itself));
         let elsewhere = self.groups.lock().lenders(self.options.silence, now);
         let elsewhere = elsewhere.iter().map(|(hall, member)| {
             let rank = rank_of(&member.host, hall);
             (rank, LenderOf::Host(member.peers_address))
         });
-        let is_told_by_all = !self.is_grouped() || self.group_lends(now);
+        // Other groups hear of this one by its relay, and of no lender where that knows of none.
+        let is_told = self.relay_lends(now);
+        let itself = (phase.takes_traffic() && is_told)
+            .then(|| (rank_of(&self.own.id, &self.own.hall), LenderOf::Itself));
         let known = self.known.lock();
         let in_group = known.values().filter(|peer| {
-            peer.lends
-                && is_told_by_all
-                && peer.state.phase != HostPhase::Leaving
+            is_told
+                && peer.lends
+                && peer.state.phase.takes_traffic()
                 && self.is_believed(peer, now)
                 && self.is_in_group(&peer.state.hall)
         });
@@ -63,33 +57,48 @@
         first.map_or(LenderOf::Nobody, |(_, lender)| lender)
     }
 
-    /// Whether all other hosts of the own group that were heard a moment ago lend: hosts of other groups
-    /// are told no more than that of them.
-    pub(super) fn group_lends(&self, now: Instant) -> bool {
+    /// Whether the relay of the own group is of a build that lends; always so where there are no groups.
+    fn relay_lends(&self, now: Instant) -> bool {
+        if !self.is_grouped() {
+            return true;
+        }
+        let Some(relay) = self.relay(now) else {
+            return true;
+        };
+        let known = self.known.lock();
+        let mut peers = known.values();
+        peers.any(|peer| peer.state.peers_address == relay && peer.lends)
+    }
+
+    /// The hosts of the own group that were heard a moment ago and are of a build that does not lend.
+    pub(super) fn not_lending(&self, now: Instant) -> Vec<HostId> {
         let known = self.known.lock();
-        let mut in_group = known
-            .values()
-            .filter(|peer| self.is_believed(peer, now) && self.is_in_group(&peer.state.hall));
-        in_group.all(|peer| peer.lends)
+        let not_lending = known.values().filter(|peer| {
+            !peer.lends && self.is_believed(peer, now) && self.is_in_group(&peer.state.hall)
+        });
+        not_lending.map(|peer| peer.state.host.clone()).collect()
     }
 
-    /// Notes whether a host said that it lends.
-    pub(super) fn note_lends(&self, host: &HostId, lends: bool) {
+    /// Notes whether a host is of a build that lends.
+    pub fn note_lends(&self, host: &HostId, lends: bool) {
         if let Some(peer) = self.known.lock().get_mut(host) {
             peer.lends = lends;
         }
     }
 
-    /// The same of all hosts of another group.
-    pub(super) fn note_group_lends(&self, hall: &HallId, lends: bool) {
-        self.groups.lock().note_lends(hall, lends);
+    /// The same of another group: of its relay, and which of its hosts are not.
+    pub fn note_group_lends(&self, hall: &HallId, lends: bool, not_lending: &[HostId]) {
+        self.groups.lock().note_lends(hall, lends, not_lending);
     }
 
-    /// Those groups of some digests whose hosts all lend.
-    pub(super) fn lending_groups(&self, digests: &[GroupDigest]) -> Vec<HallId> {
+    /// What is known of the groups of some digests, for those that hear of them by this host.
+    pub(super) fn lending_in(&self, digests: &[GroupDigest]) -> (Vec<HallId>, Vec<HostId>) {
         let groups = self.groups.lock();
         let lending = digests.iter().filter(|digest| groups.lends(&digest.group));
-        lending.map(|digest| digest.group.clone()).collect()
+        let lending: Vec<HallId> = lending.map(|digest| digest.group.clone()).collect();
+        let not_lending = lending.iter().flat_map(|hall| groups.not_lending(hall));
+        let not_lending = not_lending.collect();
+        (lending, not_lending)
     }
 
     /// The part of a rate that this host may lend by the hosts that it hears.
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -31,6 +31,17 @@
     Leaving,
 }
 
+impl HostPhase {
+    /// Whether a host of this phase takes traffic.
+    #[must_use]
+    pub fn takes_traffic(self) -> bool {
+        match self {
+            Self::Serving | Self::Stale => true,
+            Self::Starting | Self::Leaving => false,
+        }
+    }
+}
+
 /// What a host has at one upstream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UpstreamWork {
--- a/crates/gateway/src/peers/outgoing.rs
+++ b/crates/gateway/src/peers/outgoing.rs
@@ -122,12 +122,13 @@
         let (state, peers) = (&self.state, &self.state.peers);
         match datagram {
             Datagram::State(_) => Extension {
-                lends: state.lends(now),
+                lends: true,
                 limits: state.limits_to_tell(now),
                 ..Extension::default()
             },
             Datagram::Digest { digest, .. } => Extension {
-                lends: state.lends(now) && peers.group_lends(now),
+                lends: true,
+                not_lending: peers.not_lending(now),
                 limits: if digest.is_whole {
                     state.limits_to_tell(now)
                 } else {
--- a/crates/gateway/src/state/limits.rs
+++ b/crates/gateway/src/state/limits.rs
@@ -4,7 +4,7 @@
     super::GatewayState,
     crate::{
         edge::AnswerFacts,
-        peers::{HostPhase, LIMITS_BOUND, LenderOf, PermitAsk, PermitLoan},
+        peers::{LIMITS_BOUND, LenderOf, PermitAsk, PermitLoan},
         topology::Distance,
         view::UpstreamRecord,
     },
@@ -21,7 +21,7 @@
 /// A host that starts lends nothing for this long: it does not know yet who else there is, and another one may
 /// lend for the same upstream.
 const QUIET_AFTER_START: Duration = Duration::from_secs(1);
-/// When a host asks again that was told that another one is the lender: by then it has heard the same.
+/// When a host asks again that was told that another one is the lender, or that this one does not lend yet.
 const NOT_THE_LENDER: Duration = Duration::from_millis(50);
 /// How often a request that waits for a permit looks for it.
 const PERMIT_LOOK: Duration = Duration::from_millis(4);
@@ -131,7 +131,8 @@
         let Some(ask) = self.limits.want(&record.id, patience, now) else {
             return;
         };
-        match self.peers.lender_of(record, self.lends(now), now) {
+        match self.peers.lender_of(record, self.phase(now), now) {
+            LenderOf::Itself if self.is_quiet(now) => {}
             LenderOf::Itself => {
                 let own = &self.options.host.id;
                 let part = per_s * self.peers.lent_part(now);
@@ -176,10 +177,9 @@
         }
     }
 
-    /// Whether this host lends permits.
-    pub fn lends(&self, now: Instant) -> bool {
-        let is_quiet = now.saturating_duration_since(self.started) < QUIET_AFTER_START;
-        !is_quiet && self.phase(now) != HostPhase::Leaving
+    /// Whether this host started so lately that it lends nothing.
+    fn is_quiet(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.started) < QUIET_AFTER_START
     }
 
     /// Lends permits to a host that asks for them, where this host is the lender and knows the limit.
@@ -205,8 +205,8 @@
     fn lend_of(&self, ask: &PermitAsk, now: Instant) -> Option<Loan> {
         let upstream = self.view.upstreams.get(&ask.upstream)?;
         let record = &upstream.record;
-        let lender = self.peers.lender_of(record, self.lends(now), now);
-        if lender != LenderOf::Itself {
+        let lender = self.peers.lender_of(record, self.phase(now), now);
+        if lender != LenderOf::Itself || self.is_quiet(now) {
             return None;
         }
         let per_s = self.limit_of(record, now)? * self.peers.lent_part(now);
--- a/crates/gateway/tests/frames.rs
+++ b/crates/gateway/tests/frames.rs
@@ -311,6 +311,7 @@
         lends: true,
         limits: vec![limit()],
         lending_groups: vec!["b".to_owned()],
+        not_lending: vec!["b-1".to_owned()],
     }
 }
 
@@ -391,8 +392,8 @@
     let (_, read) = Extension::read(&longer).unwrap();
     assert_eq!(read, extension());
     let (_, read) = Extension::read(&bytes[..bytes.len() - 2]).unwrap();
-    assert_eq!(read.limits, extension().limits);
-    assert!(read.lending_groups.is_empty());
+    assert_eq!(read.lending_groups, extension().lending_groups);
+    assert!(read.not_lending.is_empty());
 }
 
 #[test]
--- a/crates/gateway/tests/groups.rs
+++ b/crates/gateway/tests/groups.rs
@@ -11,15 +11,16 @@
         net::SocketAddr,
         time::{Duration, Instant},
     },
+    tealshore_capacity::EngineKind,
     tealshore_gateway::{
         budget::BudgetUse,
         options::GatewayOptions,
         peers::{
             Datagram, DigestSource, GroupDigest, GroupMember, GroupSums, HostAddress, HostPhase,
-            LastDigest, PeerState, Peers, ServiceUse, Unreadable, UpstreamWork,
+            LastDigest, LenderOf, PeerState, Peers, ServiceUse, Unreadable, UpstreamWork,
         },
         run_trace::RunTrace,
-        view::{Condition, Work},
+        view::{Condition, UpstreamRecord, UpstreamState, Work},
     },
 };
 
@@ -393,3 +394,101 @@
     let pool = peers.budget_pool(&"model".to_owned(), now);
     assert_eq!((pool.hosts, pool.heard), (6, 0));
 }
+
+fn upstream(number: u32, hall: &str) -> UpstreamRecord {
+    UpstreamRecord {
+        id: format!("i-{number}"),
+        born: None,
+        service: "tiles".to_owned(),
+        address: address("127.0.0.1:9"),
+        hall: hall.to_owned(),
+        version: "v1".to_owned(),
+        kind: EngineKind::OnDemand,
+        slots: 6,
+        state: UpstreamState::Ready,
+    }
+}
+
+/// The lenders of some upstreams of a hall, as a host sees them.
+fn lenders(peers: &Peers, hall: &str, phase: HostPhase, now: Instant) -> Vec<LenderOf> {
+    let upstreams = (0..40).map(|number| upstream(number, hall));
+    upstreams
+        .map(|upstream| peers.lender_of(&upstream, phase, now))
+        .collect()
+}
+
+fn address_of(hall: &str, index: u32) -> LenderOf {
+    LenderOf::Host(host(hall, index).peers_address)
+}
+
+#[test]
+fn the_lender_of_an_upstream_is_a_live_host_that_lends_and_those_of_its_hall_go_first() {
+    let now = Instant::now();
+    let peers = peers("lenders");
+    assert_eq!(
+        lenders(&peers, "a", HostPhase::Starting, now),
+        vec![LenderOf::Nobody; 40]
+    );
+    assert_eq!(
+        lenders(&peers, "a", HostPhase::Serving, now),
+        vec![LenderOf::Itself; 40]
+    );
+    for index in 0..2 {
+        peers.apply_state(host("a", index), now);
+        peers.apply_state(host("bb", index), now);
+    }
+    // Hosts of the build before don't say that they lend.
+    assert_eq!(
+        lenders(&peers, "bb", HostPhase::Serving, now),
+        vec![LenderOf::Itself; 40]
+    );
+    for (hall, index) in [("a", 0), ("a", 1), ("bb", 0), ("bb", 1)] {
+        peers.note_lends(&host(hall, index).host, true);
+    }
+    let of_hall = lenders(&peers, "bb", HostPhase::Serving, now);
+    let expected = [address_of("bb", 0), address_of("bb", 1)];
+    assert!(of_hall.iter().all(|lender| expected.contains(lender)));
+    assert!(expected.iter().all(|lender| of_hall.contains(lender)));
+    let own_hall = lenders(&peers, "a", HostPhase::Serving, now);
+    assert!(own_hall.contains(&LenderOf::Itself));
+    assert!(own_hall.contains(&address_of("a", 0)));
+
+    let mut leaving = host("bb", 0);
+    leaving.phase = HostPhase::Leaving;
+    leaving.sequence += 1;
+    peers.apply_state(leaving, now);
+    peers.note_lends(&host("bb", 0).host, true);
+    let left = lenders(&peers, "bb", HostPhase::Serving, now);
+    assert_eq!(left, vec![address_of("bb", 1); 40]);
+    // All fell silent.
+    let later = now + Duration::from_secs(3);
+    let alone = lenders(&peers, "bb", HostPhase::Serving, later);
+    assert_eq!(alone, vec![LenderOf::Itself; 40]);
+    assert!(peers.lent_part(now) > 0.99);
+    assert!(peers.lent_part(later) < 0.3, "it hears one of five hosts");
+}
+
+/// In a fleet of groups all hosts must find the same lender, also where some are of a build that does not lend:
+/// other groups hear by the relay which these are, and of none where the relay itself is such a host.
+#[test]
+fn hosts_of_a_group_that_do_not_lend_are_left_out_by_all() {
+    let now = Instant::now();
+    let peers = grouped_peers("group-lenders", now);
+    let bb = "bb".to_owned();
+    let serving = HostPhase::Serving;
+    peers.note_lends(&host("a", 200).host, true);
+    peers.apply_digest(&digest(3), now);
+    assert!(!lenders(&peers, "bb", serving, now).contains(&address_of("bb", 0)));
+    peers.note_group_lends(&bb, true, &[]);
+    let of_group = lenders(&peers, "bb", serving, now);
+    let expected: Vec<_> = (0..3).map(|index| address_of("bb", index)).collect();
+    assert!(of_group.iter().all(|lender| expected.contains(lender)));
+    assert!(expected.iter().all(|lender| of_group.contains(lender)));
+    peers.note_group_lends(&bb, true, &[host("bb", 1).host]);
+    assert!(!lenders(&peers, "bb", serving, now).contains(&address_of("bb", 1)));
+    // The own group: one of it that does not lend leaves the others eligible.
+    peers.apply_state(host("a", 0), now);
+    assert!(!lenders(&peers, "a", serving, now).contains(&address_of("a", 0)));
+    peers.note_lends(&host("a", 0).host, true);
+    assert!(lenders(&peers, "a", serving, now).contains(&address_of("a", 0)));
+}
