--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -3,10 +3,9 @@
 
 use {
     parking_lot::{Mutex, RwLock},
-    std::time::Duration,
     std::{
         sync::atomic::{AtomicU64, Ordering},
-        time::Instant,
+        time::{Duration, Instant},
     },
     tealshore_core::{
         ids::{Born, EngineId, HostId},
