Keep copies of runs rather in another region than the runs

Cause: a copy preferred the other hall of its run's region, so that a region's loss took runs and copies together; 379,000 prompt tokens were read again.

A copy now prefers another region. The test of the choice asked for the opposite, by the reason that this takes back; it is as strict about the new one.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -32,11 +32,9 @@
 /// What another region costs a plain call, in busy shares of an upstream. Twice what another hall
 /// costs, a first guess that was not varied.
 const OTHER_REGION_COST: f64 = 0.2;
-/// What another region costs a copy, in tokens that its holder has in memory. With this three of four
-/// copies lie in the region of their run, and a fifth less memory is moved (1,478 and 1,191 GB); with
-/// 20,000 nearly all, 1,103 GB, and as much more is set aside for copies that are made anew (a day's
-/// worth 0.766 and 0.762; one play each).
-const OTHER_REGION_COPY_TOKENS: f64 = 8_000.0;
+/// What the run's own region costs a copy, in tokens that its holder has in memory: a region that dies takes the
+/// copies that lie in it along with its runs, and their prompts are read again by engines that are full just then.
+const SAME_REGION_COPY_TOKENS: f64 = 8_000.0;
 /// Calls that all hosts together have at an upstream, in percent of its slots.
 const QUEUE_PERCENT: u32 = 200;
 /// The least part of an upstream that a host takes.
@@ -97,7 +95,8 @@
         /// is, and harms no other.
         wants_alone: bool,
     },
-    /// A place for a copy of a run's memory, in another hall than the run if there is one.
+    /// A place for a copy of a run's memory, in another hall than the run if there is one, and rather in another
+    /// region.
     Copy {
         /// The run's hall.
         away_from: &'a HallId,
@@ -227,12 +226,12 @@
             away_from, kind, ..
         } => {
             let fate = shared_fate(candidate, away_from, kind);
-            let way = match topology.distance(away_from, &candidate.hall) {
-                Distance::SameHall | Distance::SameRegion => 0.0,
-                Distance::OtherRegion => OTHER_REGION_COPY_TOKENS,
+            let region_fate = match topology.distance(away_from, &candidate.hall) {
+                Distance::SameHall | Distance::SameRegion => SAME_REGION_COPY_TOKENS,
+                Distance::OtherRegion => 0.0,
             };
             let held = to_f64(candidate.work.memory_tokens) + candidate.draw * COPY_JITTER_TOKENS;
-            fate + (held + way) / 1e6
+            fate + (held + region_fate) / 1e6
         }
     }
 }
--- a/crates/gateway/tests/balance.rs
+++ b/crates/gateway/tests/balance.rs
@@ -273,9 +273,12 @@
     assert_eq!(chosen(&upstreams), "far");
 }
 
+/// What callers saw: a region lost its engines, and in a day 89 streams came late, most of them its own, while
+/// engines elsewhere had room. Their copies had lain in the other hall of that region and died with it, so that 379
+/// thousand tokens of prompts were read again.
 #[test]
-fn a_copy_lies_in_another_hall_of_the_region_of_its_run() {
-    // The host is in another region than the run: what counts is the way from the run.
+fn a_copy_lies_rather_in_another_region_than_its_run() {
+    // The host is in another region than the run: what counts is where the run is.
     let (run_at, version) = ("c".to_owned(), "v1".to_owned());
     let need = Need::Copy {
         version: &version,
@@ -287,11 +290,19 @@
     let near_run = candidate("near-run", "d");
     let far = candidate("far", "a");
     let beside = candidate("beside", "c");
-    let all = [beside.clone(), far.clone(), near_run];
+    let all = [beside.clone(), far.clone(), near_run.clone()];
+    assert_eq!(chosen_in_regions(&all, need).as_deref(), Some("far"));
+    // Memory that is short elsewhere outweighs it.
+    let mut full = far;
+    full.work.memory_tokens = 30_000;
+    let all = [beside.clone(), full, near_run.clone()];
     assert_eq!(chosen_in_regions(&all, need).as_deref(), Some("near-run"));
-    // Another region is still another fate, and so goes before the hall of the run.
-    let others = [beside, far];
-    assert_eq!(chosen_in_regions(&others, need).as_deref(), Some("far"));
+    // Another hall of the region is still another fate, and so goes before the hall of the run.
+    let others = [beside, near_run];
+    assert_eq!(
+        chosen_in_regions(&others, need).as_deref(),
+        Some("near-run")
+    );
 }
 
 proptest! {
