Tell the whole fleet of a limit also where another group just told it

A limit that this host heard in an answer and, within ten milliseconds, from another group was told to the own group alone. Found by reading.

--- a/crates/gateway/src/forward/plain.rs
+++ b/crates/gateway/src/forward/plain.rs
@@ -301,7 +301,7 @@
             if let Some(found) = self.state.choose_upstream(service, need, &avoid) {
                 break found;
             }
-            self.check_rest()?;
+            self.check_open()?;
             if !self.may_wait_for_room() {
                 if self.state.is_limited(&self.call.service, Instant::now()) {
                     return Err(room::all_limited(Duration::ZERO));
@@ -335,7 +335,7 @@
 
     /// Refuses the call at once where all upstreams rest, or have no permit, for longer than it may wait: nothing that is waited
     /// for could take it.
-    fn check_rest(&self) -> Result<(), Failure> {
+    fn check_open(&self) -> Result<(), Failure> {
         let closed = self.state.all_closed(&self.call.service, Instant::now());
         match closed {
             Some(closed) if closed.left() > self.patience_left() => Err(room::all_closed(closed)),
--- a/crates/gateway/src/peers/limits.rs
+++ b/crates/gateway/src/peers/limits.rs
@@ -63,7 +63,11 @@
 
     fn let_limit_leave(&self, upstream: &EngineId, audience: Audience) {
         let mut waiting = self.waiting_limits.lock();
-        waiting.insert(upstream.clone(), audience);
+        let told = waiting.entry(upstream.clone()).or_insert(audience);
+        if audience == Audience::Fleet {
+            // What the whole fleet is to hear waits for no other group's word.
+            *told = audience;
+        }
         drop(waiting);
         self.limits_changed.notify_one();
     }
--- a/crates/gateway/src/state/notices.rs
+++ b/crates/gateway/src/state/notices.rs
@@ -127,7 +127,7 @@
         first
     }
 
-    /// Whether limits, and nothing else, keep all upstreams of a service closed that take work.
+    /// Whether a limit keeps an upstream of a service closed that takes work.
     pub fn is_limited(&self, service: &ServiceId, now: Instant) -> bool {
         let mut ready = self.view.upstreams.ready(service).into_iter();
         !self.limits.is_empty() && ready.any(|it| self.is_short(&it.record, now))
