--- a/crates/rates/src/lender.rs
+++ b/crates/rates/src/lender.rs
@@ -8,8 +8,8 @@
     tealshore_core::ids::{EngineId, HostId},
 };
 
-/// How many permits gather while nobody asks: with one, a third of them would be lost where twice as many are
-/// wanted, as the next host to ask comes a moment after each permit is there.
+/// How many permits gather while nobody asks: the next host to ask comes a moment after each permit is there,
+/// and what does not gather is lost.
 const DEPTH: f64 = 3.0;
 /// The least rate, in requests a second: whether a limit of nothing still stands is only said in answers.
 const LEAST_PER_S: f64 = 0.2;
