--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -2,6 +2,7 @@
 
 mod configuration;
 mod freshness;
+mod listing;
 mod upstream;
 mod upstreams;
 
--- a/crates/gateway/src/view/upstreams.rs
+++ b/crates/gateway/src/view/upstreams.rs
@@ -1,11 +1,14 @@
 //! The upstreams that the store lists.
 
 use {
-    super::upstream::{Upstream, UpstreamRecord, UpstreamState},
+    super::{
+        listing::{Listed, Listing},
+        upstream::{Upstream, UpstreamRecord, UpstreamState},
+    },
     crate::edge::Revision,
     parking_lot::RwLock,
     std::{
-        collections::HashMap,
+        collections::HashSet,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -18,25 +21,11 @@
 /// An incarnation counts as younger where it was listed this much later: of two that are
 /// read at once, nothing tells which one lives.
 const YOUNGER_BY: Duration = Duration::from_millis(500);
-struct Listed {
-    revision: Revision,
-    upstream: Option<Arc<Upstream>>,
-    /// Its row lapsed while the store was away; it counts as listed until then.
-    lapses: Option<Instant>,
-}
-
-impl Listed {
-    /// The upstream, while it counts as listed.
-    fn current(&self) -> Option<&Arc<Upstream>> {
-        let has_lapsed = self.lapses.is_some_and(|lapses| lapses <= Instant::now());
-        self.upstream.as_ref().filter(|_| !has_lapsed)
-    }
-}
 
 /// All upstreams by their ids. A row is never replaced by an older one.
 #[derive(Default)]
 pub struct Upstreams {
-    listed: RwLock<HashMap<EngineId, Listed>>,
+    listed: RwLock<Listing>,
 }
 
 impl Upstreams {
@@ -73,25 +62,17 @@
         }
         let upstream =
             same.unwrap_or_else(|| Arc::new(Upstream::new(record.clone(), revision, seen)));
-        let entry = Listed {
-            revision,
-            upstream: Some(upstream),
-            lapses: None,
-        };
-        listed.insert(record.id, entry);
+        listed.insert(revision, upstream);
         is_change
     }
 
     /// Takes in that a row went; whether it changed anything.
     pub fn remove(&self, revision: Revision, id: &EngineId) -> bool {
         let mut listed = self.listed.write();
-        match listed.get_mut(id) {
-            Some(known) if known.revision < revision => {
-                known.revision = revision;
-                known.upstream.take().is_some()
-            }
-            Some(_) | None => false,
-        }
+        let is_news = listed
+            .get(id)
+            .is_some_and(|known| known.revision < revision);
+        is_news && listed.clear(id, revision)
     }
 
     /// Takes in that a row can't be read, so that it names no upstream to use; whether that is news.
@@ -103,12 +84,7 @@
         {
             return false;
         }
-        let entry = Listed {
-            revision,
-            upstream: None,
-            lapses: None,
-        };
-        listed.insert(id.clone(), entry);
+        listed.insert_unreadable(id.clone(), revision);
         true
     }
 
@@ -125,22 +101,24 @@
         let missing = self.missing(present);
         let mut listed = self.listed.write();
         for id in &missing {
-            let Some(known) = listed.get_mut(id) else {
+            let Some(known) = listed.get(id) else {
                 continue;
             };
             let took_work = known
                 .upstream
                 .as_ref()
                 .is_some_and(|upstream| upstream.record.state == UpstreamState::Ready);
-            if !took_work && known.revision < revision {
-                known.upstream = None;
+            let row = known.revision;
+            if !took_work && row < revision {
+                listed.clear(id, row);
             }
-            known.lapses.get_or_insert(until);
+            listed.let_lapse(id, until);
         }
         missing.len()
     }
 
     fn missing(&self, present: &[EngineId]) -> Vec<EngineId> {
+        let present: HashSet<&EngineId> = present.iter().collect();
         let listed = self.listed.read();
         let known = listed.iter().filter(|(_, known)| known.upstream.is_some());
         let missing = known.filter(|(id, _)| !present.contains(id));
@@ -200,10 +178,9 @@
 }
 
 /// Gives up the older incarnations at the address of one that was not listed before.
-fn supersede(listed: &HashMap<EngineId, Listed>, newcomer: &UpstreamRecord, now: Instant) {
-    let upstreams = listed.values().filter_map(|known| known.upstream.as_ref());
-    let older = upstreams
-        .filter(|upstream| upstream.record.address == newcomer.address)
+fn supersede(listed: &Listing, newcomer: &UpstreamRecord, now: Instant) {
+    let older = listed
+        .at(newcomer.address)
         .filter(|upstream| now.saturating_duration_since(upstream.listed) >= YOUNGER_BY);
     for upstream in older {
         upstream.superseded(now);
