Give whole sets of upstreams in few bytes

Cause: a host that starts beside others asks one of them for all upstreams. Each row repeated its service, hall and version and full numbers: 10,000 rows are 0.7 to 0.9 MB, up to 360 ms on a link of 20 Mbit/s beside all that arrives at a start, and a call for them is given up after 400 ms; the host then reads the store by pages. It holds only while the fleet is small.

Change: `PackedUpstreams` writes shared names once and revisions and births as steps, under a path of its own. An earlier build answers 404 there, and is asked under the path that it knows; its own asks are answered as before. A host that does not know the set answers 503 under the new path.

--- a/crates/gateway/benches/fleet_size.rs
+++ b/crates/gateway/benches/fleet_size.rs
@@ -15,7 +15,7 @@
     tealshore_gateway::{
         balance::{Candidate, Need, choose},
         feed::SetWatermark,
-        peers::{GroupSums, SetSnapshot, SnapshotRows, UpstreamWork},
+        peers::{GroupSums, PackedUpstreams, SetSnapshot, SnapshotRows, UpstreamWork},
         topology::Topology,
         view::{Condition, UpstreamRecord, UpstreamState, Upstreams, Work},
     },
@@ -79,12 +79,7 @@
         group.throughput(Throughput::Elements(count as u64));
         group.bench_function(BenchmarkId::from_parameter(count), |bencher| {
             bencher.iter(|| {
-                let snapshot = SetSnapshot {
-                    watermark: SetWatermark::default(),
-                    store_time: Duration::from_secs(1),
-                    rows: SnapshotRows::Upstreams(upstreams.rows()),
-                };
-                let bytes = postcard::to_stdvec(&snapshot).unwrap();
+                let bytes = postcard::to_stdvec(&snapshot_of(&upstreams)).unwrap();
                 black_box(postcard::from_bytes::<SetSnapshot>(&bytes).unwrap())
             });
         });
@@ -92,6 +87,33 @@
     group.finish();
 }
 
+/// The same in few bytes.
+fn exchange_packed_snapshot(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("exchange_packed_snapshot");
+    group.sample_size(10);
+    for count in FLEET_SIZES {
+        let upstreams = listed(&records(count));
+        group.throughput(Throughput::Elements(count as u64));
+        group.bench_function(BenchmarkId::from_parameter(count), |bencher| {
+            bencher.iter(|| {
+                let packed = PackedUpstreams::pack(snapshot_of(&upstreams)).unwrap();
+                let bytes = postcard::to_stdvec(&packed).unwrap();
+                let read: PackedUpstreams = postcard::from_bytes(&bytes).unwrap();
+                black_box(read.unpack().unwrap())
+            });
+        });
+    }
+    group.finish();
+}
+
+fn snapshot_of(upstreams: &Upstreams) -> SetSnapshot {
+    SetSnapshot {
+        watermark: SetWatermark::default(),
+        store_time: Duration::from_secs(1),
+        rows: SnapshotRows::Upstreams(upstreams.rows()),
+    }
+}
+
 /// A host lists what a stream may go to.
 fn list_ready(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("list_ready");
@@ -177,6 +199,7 @@
     benches,
     apply_whole_set,
     exchange_snapshot,
+    exchange_packed_snapshot,
     list_ready,
     choose_upstream,
     sum_group
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -59,7 +59,9 @@
         PermitAsk, PermitLoan, ServiceUse, Unreadable, UpstreamWork,
     },
     shares::{Share, divide},
-    snapshot::{SetSnapshot, SnapshotRows, path_of},
+    snapshot::{
+        PACKED_UPSTREAMS_PATH, PackedUpstreams, SetSnapshot, SnapshotRows, UnknownName, path_of,
+    },
 };
 
 /// The most streams in a datagram, so that it stays well below what UDP carries.
--- a/crates/gateway/src/peers/snapshot.rs
+++ b/crates/gateway/src/peers/snapshot.rs
@@ -1,6 +1,9 @@
 //! Whole sets of rows, as one host gives them to another that can't read them from the store
 //! or need not.
 
+mod packed;
+
+pub use packed::{PackedUpstreams, UnknownName};
 use {
     crate::{
         edge::{Revision, RowSet, StoreTime},
@@ -106,6 +109,10 @@
     format!("/{}", set.name())
 }
 
+/// The path under which a host gives all upstreams in few bytes. A host of a build that does not know
+/// it answers 404, and gives them under [`path_of`].
+pub const PACKED_UPSTREAMS_PATH: &str = "/packed/upstreams";
+
 /// Gives sets to other hosts for as long as the process lives.
 pub async fn serve_snapshots(state: Arc<GatewayState>, listener: TcpListener) {
     let options = ServerOptions {
@@ -120,11 +127,27 @@
 }
 
 fn answer(state: &GatewayState, path: &str) -> Response<Body> {
+    if path == PACKED_UPSTREAMS_PATH {
+        let snapshot = SetSnapshot::of(state, RowSet::Upstreams, Instant::now());
+        let packed = snapshot.and_then(PackedUpstreams::pack);
+        // Not 404: that tells that the path is not known.
+        return answer_with(state, path, packed, StatusCode::SERVICE_UNAVAILABLE);
+    }
     let asked = [RowSet::Configuration, RowSet::Upstreams, RowSet::Runs]
         .into_iter()
         .find(|set| path_of(*set) == path);
     let snapshot = asked.and_then(|set| SetSnapshot::of(state, set, Instant::now()));
-    let bytes = snapshot.map(|snapshot| postcard::to_stdvec(&snapshot));
+    answer_with(state, path, snapshot, StatusCode::NOT_FOUND)
+}
+
+/// Answers with a set, or with a status where this host does not know it.
+fn answer_with(
+    state: &GatewayState,
+    path: &str,
+    set: Option<impl Serialize>,
+    unknown: StatusCode,
+) -> Response<Body> {
+    let bytes = set.map(|set| postcard::to_stdvec(&set));
     match bytes {
         Some(Ok(bytes)) => {
             state.metrics.count_sent_to_peers("snapshot", bytes.len());
@@ -134,7 +157,7 @@
             log::error!("peers: snapshot can't be written path={path} error={error}");
             with_status(StatusCode::INTERNAL_SERVER_ERROR)
         }
-        None => with_status(StatusCode::NOT_FOUND),
+        None => with_status(unknown),
     }
 }
 
--- /dev/null
+++ b/crates/gateway/src/peers/snapshot/packed.rs
@@ -0,0 +1,168 @@
+//! A whole set of upstreams in few bytes: what many rows share is written once, and numbers as the step
+//! from the row before.
+
+use {
+    crate::{
+        edge::{Revision, StoreTime},
+        feed::SetWatermark,
+        peers::snapshot::{SetSnapshot, SnapshotRows},
+        view::{UpstreamRecord, UpstreamState},
+    },
+    serde::{Deserialize, Serialize},
+    std::{collections::HashMap, net::SocketAddr},
+    tealshore_capacity::EngineKind,
+    tealshore_core::ids::EngineId,
+};
+
+/// The index of a name in [`PackedUpstreams::names`].
+type NameIndex = u32;
+
+/// All upstreams that a host lists, as it gives them to another one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PackedUpstreams {
+    watermark: SetWatermark,
+    store_time: StoreTime,
+    /// The names of services, halls and versions.
+    names: Vec<String>,
+    /// By revision, so that steps are small.
+    rows: Vec<PackedRow>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct PackedRow {
+    revision_step: i64,
+    id: EngineId,
+    born: PackedBirth,
+    service: NameIndex,
+    hall: NameIndex,
+    version: NameIndex,
+    address: SocketAddr,
+    slots: u32,
+    kind: EngineKind,
+    state: UpstreamState,
+}
+
+/// When a life of an upstream began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+enum PackedBirth {
+    /// It does not tell.
+    Untold,
+    /// So many milliseconds after that of the row before which tells it.
+    Step(i64),
+}
+
+/// A row names something that the set does not hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnknownName;
+
+impl PackedUpstreams {
+    /// Packs a snapshot; none of another set.
+    #[must_use]
+    pub fn pack(snapshot: SetSnapshot) -> Option<Self> {
+        let SnapshotRows::Upstreams(mut rows) = snapshot.rows else {
+            return None;
+        };
+        rows.sort_unstable_by_key(|(revision, _)| *revision);
+        let mut names = Names::default();
+        let mut steps = Steps::default();
+        let rows = rows.into_iter().map(|(revision, record)| PackedRow {
+            revision_step: steps.revision.step_to(revision),
+            id: record.id,
+            born: record.born.map_or(PackedBirth::Untold, |born| {
+                PackedBirth::Step(steps.born.step_to(born))
+            }),
+            service: names.index_of(record.service),
+            hall: names.index_of(record.hall),
+            version: names.index_of(record.version),
+            address: record.address,
+            slots: record.slots,
+            kind: record.kind,
+            state: record.state,
+        });
+        let rows = rows.collect();
+        Some(Self {
+            watermark: snapshot.watermark,
+            store_time: snapshot.store_time,
+            names: names.list,
+            rows,
+        })
+    }
+
+    /// The snapshot that was packed, its rows by revision.
+    ///
+    /// # Errors
+    /// The set is damaged.
+    pub fn unpack(self) -> Result<SetSnapshot, UnknownName> {
+        let names = self.names;
+        let name = |index: NameIndex| {
+            let index = usize::try_from(index).map_err(|_| UnknownName)?;
+            names.get(index).cloned().ok_or(UnknownName)
+        };
+        let mut steps = Steps::default();
+        let rows = self.rows.into_iter().map(|row| {
+            let record = UpstreamRecord {
+                id: row.id,
+                born: match row.born {
+                    PackedBirth::Untold => None,
+                    PackedBirth::Step(step) => Some(steps.born.after(step)),
+                },
+                service: name(row.service)?,
+                address: row.address,
+                hall: name(row.hall)?,
+                version: name(row.version)?,
+                slots: row.slots,
+                kind: row.kind,
+                state: row.state,
+            };
+            Ok((steps.revision.after(row.revision_step), record))
+        });
+        let rows: Result<Vec<(Revision, UpstreamRecord)>, UnknownName> = rows.collect();
+        Ok(SetSnapshot {
+            watermark: self.watermark,
+            store_time: self.store_time,
+            rows: SnapshotRows::Upstreams(rows?),
+        })
+    }
+}
+
+/// Names in the order in which they were first met.
+#[derive(Default)]
+struct Names {
+    list: Vec<String>,
+    indices: HashMap<String, NameIndex>,
+}
+
+impl Names {
+    fn index_of(&mut self, name: String) -> NameIndex {
+        if let Some(index) = self.indices.get(&name) {
+            return *index;
+        }
+        let index = NameIndex::try_from(self.list.len()).unwrap_or(NameIndex::MAX);
+        self.list.push(name.clone());
+        self.indices.insert(name, index);
+        index
+    }
+}
+
+/// The last number of each kind.
+#[derive(Default)]
+struct Steps {
+    revision: LastNumber,
+    born: LastNumber,
+}
+
+#[derive(Default)]
+struct LastNumber(u64);
+
+impl LastNumber {
+    fn step_to(&mut self, number: u64) -> i64 {
+        let step = number.wrapping_sub(self.0).cast_signed();
+        self.0 = number;
+        step
+    }
+
+    fn after(&mut self, step: i64) -> u64 {
+        self.0 = self.0.wrapping_add_signed(step);
+        self.0
+    }
+}
--- a/crates/gateway/src/sync/from_peers.rs
+++ b/crates/gateway/src/sync/from_peers.rs
@@ -11,10 +11,12 @@
     crate::{
         connection::{CallBounds, short_call},
         edge::{RowSet, UpstreamChange},
-        peers::{Reach, SetSnapshot, SnapshotRows, path_of},
+        peers::{
+            PACKED_UPSTREAMS_PATH, PackedUpstreams, Reach, SetSnapshot, SnapshotRows, path_of,
+        },
     },
     bytes::Bytes,
-    http::{Request, header},
+    http::{Request, StatusCode, header},
     std::{
         net::SocketAddr,
         time::{Duration, Instant},
@@ -203,11 +205,26 @@
 }
 
 async fn fetch(set: RowSet, source: SocketAddr) -> Option<SetSnapshot> {
-    let request = Request::get(path_of(set)).header(header::HOST, source.to_string());
-    let request = request.body(Bytes::new()).ok()?;
-    let (status, body) = short_call(source, request, SNAPSHOT_BOUNDS).await?;
+    if set == RowSet::Upstreams {
+        let (status, body) = get(PACKED_UPSTREAMS_PATH, source).await?;
+        if status.is_success() {
+            let packed: PackedUpstreams = postcard::from_bytes(&body).ok()?;
+            return packed.unpack().ok();
+        }
+        if status != StatusCode::NOT_FOUND {
+            return None;
+        }
+        // A host of an earlier build.
+    }
+    let (status, body) = get(&path_of(set), source).await?;
     if !status.is_success() {
         return None;
     }
     postcard::from_bytes(&body).ok()
 }
+
+async fn get(path: &str, source: SocketAddr) -> Option<(StatusCode, Bytes)> {
+    let request = Request::get(path).header(header::HOST, source.to_string());
+    let request = request.body(Bytes::new()).ok()?;
+    short_call(source, request, SNAPSHOT_BOUNDS).await
+}
--- a/crates/gateway/tests/frames.rs
+++ b/crates/gateway/tests/frames.rs
@@ -21,9 +21,9 @@
         edge::UpstreamChange,
         feed::{SetWatermark, StoreWatermark, UpstreamDelta},
         peers::{
-            Datagram, Extension, GroupDigest, GroupMember, HostAddress, HostPhase, PeerDelta,
-            PeerState, PermitAsk, PermitLoan, ServiceUse, SetSnapshot, Share, SnapshotRows,
-            UpstreamWork,
+            Datagram, Extension, GroupDigest, GroupMember, HostAddress, HostPhase, PackedUpstreams,
+            PeerDelta, PeerState, PermitAsk, PermitLoan, ServiceUse, SetSnapshot, Share,
+            SnapshotRows, UpstreamWork,
         },
         run_trace::RunTrace,
         view::{Condition, UpstreamRecord, UpstreamState, Work},
@@ -404,3 +404,14 @@
     let written = postcard::to_stdvec(&snapshot()).unwrap();
     assert_eq!(hex(&written), kept.trim());
 }
+
+#[test]
+fn packed_upstreams_are_read_and_written_as_the_build_before_did() {
+    let packed = PackedUpstreams::pack(snapshot()).unwrap();
+    let kept = include_str!("frames/packed-upstreams.hex");
+    assert_eq!(hex(&postcard::to_stdvec(&packed).unwrap()), kept.trim());
+    let read: PackedUpstreams = postcard::from_bytes(&bytes_of(kept)).unwrap();
+    assert_eq!(read, packed);
+    let unpacked = read.unpack().unwrap();
+    assert_eq!(format!("{unpacked:?}"), format!("{:?}", snapshot()));
+}
