Give up a set that is arriving only when it falls silent

Cause: a call for a set had 400 ms in all. What a set takes grows with the fleet and shrinks with the link: 370 kB in few bytes take 296 ms on 10 Mbit/s, those of twice the fleet 592 ms, beside the datagrams of a start. A set that is given up is asked for again, at another host and then at the store, and takes the link as long once more.

Change: `connection::transfer` bounds the silence before and within the answer (400 ms, as the call had in all before) and the whole call (2 s). A host that serves four others does not answer the fifth, which still goes on after 400 ms.

Tests: transfer (slow, silent, too large, too long).

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -1,10 +1,10 @@
 //! Connections of this host's own: each serves one exchange and closes when it is dropped.
 
 use {
-    bytes::Bytes,
-    http::{Request, StatusCode},
-    http_body_util::Full,
-    hyper::client::conn::http1,
+    bytes::{Bytes, BytesMut},
+    http::{Request, Response, StatusCode},
+    http_body_util::{BodyExt, Full},
+    hyper::{body::Incoming, client::conn::http1},
     hyper_util::rt::TokioIo,
     std::{net::SocketAddr, time::Duration},
     tealshore_core::http::read_limited,
@@ -36,6 +36,17 @@
     pub answer_bytes: usize,
 }
 
+/// The bounds of a call whose answer may be large.
+#[derive(Clone, Copy, Debug)]
+pub struct TransferBounds {
+    /// How long the other side may be silent, before its answer and within it.
+    pub silence: Duration,
+    /// How long the whole call may take.
+    pub timeout: Duration,
+    /// The largest answer, in bytes.
+    pub answer_bytes: usize,
+}
+
 /// Why a short call got no whole answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallFailure {
@@ -70,19 +81,61 @@
         .ok_or(CallFailure::Closed)
 }
 
+/// Makes a call whose answer takes as long as the link to this host needs for it: it is given up once
+/// nothing arrives for a while. None without a whole answer within the bounds.
+pub async fn transfer(
+    address: SocketAddr,
+    request: Request<Bytes>,
+    bounds: TransferBounds,
+) -> Option<(StatusCode, Bytes)> {
+    let transfer = async {
+        let (answer, _connection) = timeout(bounds.silence, send(address, request))
+            .await
+            .ok()??;
+        let status = answer.status();
+        let body = read_unless_silent(answer.into_body(), bounds).await?;
+        Some((status, body))
+    };
+    timeout(bounds.timeout, transfer).await.ok()?
+}
+
+async fn read_unless_silent(mut body: Incoming, bounds: TransferBounds) -> Option<Bytes> {
+    let mut whole = BytesMut::new();
+    loop {
+        let Some(frame) = timeout(bounds.silence, body.frame()).await.ok()? else {
+            return Some(whole.freeze());
+        };
+        let frame = frame.ok()?;
+        let data = frame.data_ref().map_or(&[][..], Bytes::as_ref);
+        if whole.len() + data.len() > bounds.answer_bytes {
+            return None;
+        }
+        whole.extend_from_slice(data);
+    }
+}
+
 async fn exchange(
     address: SocketAddr,
     request: Request<Bytes>,
     answer_bytes: usize,
 ) -> Option<(StatusCode, Bytes)> {
+    let (answer, _connection) = send(address, request).await?;
+    let status = answer.status();
+    let body = read_limited(answer.into_body(), answer_bytes).await;
+    Some((status, body.ok()?))
+}
+
+/// Sends a request on a connection of its own and waits for the head of its answer.
+async fn send(
+    address: SocketAddr,
+    request: Request<Bytes>,
+) -> Option<(Response<Incoming>, Connection)> {
     let stream = TcpStream::connect(address).await.ok()?;
     let (mut sender, driver) = http1::handshake(TokioIo::new(stream)).await.ok()?;
-    let _connection = Connection::driven_by(tokio::spawn(async move {
+    let connection = Connection::driven_by(tokio::spawn(async move {
         // How the connection ended is seen by the one that reads the answer.
         let _ = driver.await;
     }));
     let answer = sender.send_request(request.map(Full::new)).await.ok()?;
-    let status = answer.status();
-    let body = read_limited(answer.into_body(), answer_bytes).await;
-    Some((status, body.ok()?))
+    Some((answer, connection))
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,7 +8,7 @@
 pub mod balance;
 pub mod budget;
 mod capacity;
-mod connection;
+pub mod connection;
 mod crashes;
 pub mod duties;
 pub mod edge;
--- a/crates/gateway/src/sync/from_peers.rs
+++ b/crates/gateway/src/sync/from_peers.rs
@@ -9,7 +9,7 @@
         follow::Source,
     },
     crate::{
-        connection::{CallBounds, short_call},
+        connection::{TransferBounds, transfer},
         edge::{RowSet, UpstreamChange},
         peers::{
             PACKED_UPSTREAMS_PATH, PackedUpstreams, Reach, SetSnapshot, SnapshotRows, path_of,
@@ -24,10 +24,11 @@
     tealshore_core::{ids::EngineId, spread::spread},
 };
 
-/// The bounds of a call for a set: some times what the largest configurations take on a link
-/// of 10 Mbit/s.
-const SNAPSHOT_BOUNDS: CallBounds = CallBounds {
-    timeout: Duration::from_millis(400),
+/// The bounds of a call for a set. One that still arrives is not given up for its size: the same
+/// bytes from the store would take the link as long.
+const SNAPSHOT_BOUNDS: TransferBounds = TransferBounds {
+    silence: Duration::from_millis(400),
+    timeout: Duration::from_secs(2),
     answer_bytes: 16 * 1024 * 1024,
 };
 /// How many hosts are asked before the attempt is given up.
@@ -226,5 +227,5 @@
 async fn get(path: &str, source: SocketAddr) -> Option<(StatusCode, Bytes)> {
     let request = Request::get(path).header(header::HOST, source.to_string());
     let request = request.body(Bytes::new()).ok()?;
-    short_call(source, request, SNAPSHOT_BOUNDS).await
+    transfer(source, request, SNAPSHOT_BOUNDS).await
 }
--- /dev/null
+++ b/crates/gateway/tests/transfer.rs
@@ -0,0 +1,101 @@
+//! Calls whose answers may be large.
+#![allow(
+    clippy::unwrap_used,
+    reason = "helpers of tests fail as tests do, which clippy.toml allows"
+)]
+
+use {
+    bytes::Bytes,
+    http::{Request, StatusCode},
+    std::{net::SocketAddr, time::Duration},
+    tealshore_gateway::connection::{TransferBounds, transfer},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
+        time::sleep,
+    },
+};
+
+const BOUNDS: TransferBounds = TransferBounds {
+    silence: Duration::from_secs(2),
+    timeout: Duration::from_secs(60),
+    answer_bytes: 1_000,
+};
+const PIECES: usize = 8;
+const PIECE: &[u8] = b"0123456789";
+
+/// A peer that sends its answer in pieces with a pause before each, and after some of them no more.
+async fn slow_peer(pause: Duration, sent: usize, announced_bytes: usize) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        read_head(&mut stream).await;
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {announced_bytes}\r\n\r\n");
+        stream.write_all(head.as_bytes()).await.unwrap();
+        for _ in 0..sent {
+            sleep(pause).await;
+            if stream.write_all(PIECE).await.is_err() {
+                return;
+            }
+        }
+        // Keeps the connection open.
+        read_head(&mut stream).await;
+    });
+    address
+}
+
+async fn read_head(stream: &mut TcpStream) {
+    let mut bytes = [0; 1_024];
+    let _ = stream.read(&mut bytes).await;
+}
+
+async fn get(address: SocketAddr, bounds: TransferBounds) -> Option<(StatusCode, Bytes)> {
+    let request = Request::get("/set").header("host", "peer");
+    transfer(address, request.body(Bytes::new()).unwrap(), bounds).await
+}
+
+/// A set of 10,000 upstreams takes a link of 20 Mbit/s some 0.4 s, more than its call was given in all: hosts that
+/// started gave up calls that were arriving.
+#[tokio::test]
+async fn an_answer_that_arrives_slowly_is_not_given_up() {
+    let bounds = TransferBounds {
+        silence: Duration::from_secs(3),
+        ..BOUNDS
+    };
+    let pause = Duration::from_millis(500);
+    let address = slow_peer(pause, PIECES, PIECES * PIECE.len()).await;
+    let (status, body) = get(address, bounds).await.unwrap();
+    assert_eq!((status, body.len()), (StatusCode::OK, PIECES * PIECE.len()));
+}
+
+#[tokio::test]
+async fn an_answer_that_falls_silent_is_given_up() {
+    let bounds = TransferBounds {
+        silence: Duration::from_millis(100),
+        ..BOUNDS
+    };
+    let address = slow_peer(Duration::ZERO, 1, PIECES * PIECE.len()).await;
+    assert_eq!(get(address, bounds).await, None);
+}
+
+#[tokio::test]
+async fn an_answer_past_its_bound_of_bytes_is_given_up() {
+    let bounds = TransferBounds {
+        answer_bytes: PIECES * PIECE.len() - 1,
+        ..BOUNDS
+    };
+    let address = slow_peer(Duration::ZERO, PIECES, PIECES * PIECE.len()).await;
+    assert_eq!(get(address, bounds).await, None);
+}
+
+#[tokio::test]
+async fn an_answer_that_takes_longer_than_the_whole_call_may_is_given_up() {
+    let bounds = TransferBounds {
+        timeout: Duration::from_millis(200),
+        ..BOUNDS
+    };
+    let pause = Duration::from_millis(100);
+    let address = slow_peer(pause, PIECES, PIECES * PIECE.len()).await;
+    assert_eq!(get(address, bounds).await, None);
+}
