Name what hosts do with datagrams by the field's verbs

No behaviour changes.

| Old name | New name | | --- | --- | | take_datagram | apply_datagram | | take_digest | receive_digest | | take_lease | apply_lease_news | | take_rollouts | apply_rollout_news | | take_over | apply_finding | | take_limits | apply_limit_news | | take_loan | apply_loan | | take_record, take_order | apply_record, apply_order | | take_crashes, take_stored_crashes | apply_crash_news, apply_stored_crashes |

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -112,7 +112,7 @@
     }
 
     /// Takes in what another host tells of crashes.
-    pub fn take_crashes(&self, news: &[CrashNews], source: &str) {
+    pub fn apply_crash_news(&self, news: &[CrashNews], source: &str) {
         let now = Instant::now();
         let learned = self.crashes.log.lock().take(news, now);
         if learned.is_empty() {
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -1,4 +1,4 @@
-//! Sends this host's datagrams and takes in those of the others.
+//! Sends this host's datagrams and applies those of the others.
 
 use {
     super::{
@@ -6,7 +6,7 @@
         duties::tell_usage,
         extension::Extension,
         last_state::LastState,
-        limits::{answer_ask, forget_limits, send_asks, take_limits, tell_limits},
+        limits::{answer_ask, forget_limits, send_asks, apply_limit_news, tell_limits},
         message::{
             Datagram, Finding, GroupDigest, HostPhase, PeerDelta, PeerState, ServiceUse, Unreadable,
         },
@@ -209,8 +209,8 @@
         };
         match Extension::read(&buffer[..length]) {
             Ok((datagram, extension)) => {
-                take_limits(&state, &extension.limits, false);
-                take_datagram(&state, &socket, datagram, extension, sender).await;
+                apply_limit_news(&state, &extension.limits, false);
+                apply_datagram(&state, &socket, datagram, extension, sender).await;
             }
             Err(cause) => {
                 state.metrics.unreadable_datagrams.inc();
@@ -225,7 +225,7 @@
     }
 }
 
-async fn take_datagram(
+async fn apply_datagram(
     state: &Arc<GatewayState>,
     socket: &PeerSocket,
     datagram: Datagram,
@@ -253,7 +253,7 @@
             is_passed_on,
         } => {
             let group = digest.group.clone();
-            take_digest(state, socket, *digest, is_passed_on, &extension).await;
+            receive_digest(state, socket, *digest, is_passed_on, &extension).await;
             let (lends, not_lending) = (extension.lends, &extension.not_lending);
             state.peers.note_group_lends(&group, lends, not_lending);
         }
@@ -270,14 +270,14 @@
             }
         }
         Datagram::Usage(news) => state.duties.hear_usage(&news),
-        Datagram::Limits { news, is_for_group } => take_limits(state, &news, is_for_group),
+        Datagram::Limits { news, is_for_group } => apply_limit_news(state, &news, is_for_group),
         Datagram::PermitAsk(ask) => answer_ask(state, socket, &ask, sender).await,
-        Datagram::PermitLoan(loan) => state.take_loan(&loan),
+        Datagram::PermitLoan(loan) => state.apply_loan(&loan),
     }
 }
 
-/// Takes in the digest of another group, and sees to it that the own group hears of it.
-async fn take_digest(
+/// Applies the digest of another group, and lets it reach the own group.
+async fn receive_digest(
     state: &GatewayState,
     socket: &PeerSocket,
     digest: GroupDigest,
@@ -300,10 +300,10 @@
 }
 
 fn apply_digest(state: &GatewayState, mut digest: GroupDigest) {
-    take_rollouts(state, &digest.budgets);
-    take_lease(state, digest.lease.as_ref());
+    apply_rollout_news(state, &digest.budgets);
+    apply_lease_news(state, digest.lease.as_ref());
     state.duties.hear_hall(&digest.group, &digest.usage);
-    state.take_crashes(&digest.crashes, &digest.relay);
+    state.apply_crash_news(&digest.crashes, &digest.relay);
     let runs = std::mem::take(&mut digest.runs);
     let findings = state.peers.apply_digest(&digest, Instant::now());
     let sender = Sender {
@@ -315,10 +315,10 @@
 }
 
 fn apply_state(state: &GatewayState, mut peer: PeerState) {
-    take_rollouts(state, &peer.budgets);
-    take_lease(state, peer.lease.as_ref());
+    apply_rollout_news(state, &peer.budgets);
+    apply_lease_news(state, peer.lease.as_ref());
     if let Some(crashes) = peer.crashes.take() {
-        state.take_crashes(&crashes, &peer.host);
+        state.apply_crash_news(&crashes, &peer.host);
         state.crashes.note_restored();
     }
     if let Some(offset_ms) = peer.clock_offset_ms {
@@ -341,9 +341,9 @@
 }
 
 fn apply_delta(state: &GatewayState, mut delta: PeerDelta) {
-    take_rollouts(state, &delta.budgets);
-    take_lease(state, delta.lease.as_ref());
-    state.take_crashes(&delta.crashes, &delta.host);
+    apply_rollout_news(state, &delta.budgets);
+    apply_lease_news(state, delta.lease.as_ref());
+    state.apply_crash_news(&delta.crashes, &delta.host);
     let host = delta.host.clone();
     let sender = Sender {
         host: &host,
@@ -356,17 +356,17 @@
     apply_common(state, &sender, runs, &findings);
 }
 
-/// Takes in what the holder of the duties, or the one that gave them up, tells of the lease.
-fn take_lease(state: &GatewayState, news: Option<&LeaseNews>) {
+/// Applies what the holder of the duties, or the one that gave them up, says of the lease.
+fn apply_lease_news(state: &GatewayState, news: Option<&LeaseNews>) {
     if let Some(news) = news {
         state.duties.hear_lease(news, Instant::now());
     }
 }
 
-/// Takes in how far roll-outs are. What is new is told on at once: the sender may not reach all.
-fn take_rollouts(state: &GatewayState, entries: &[ServiceUse]) {
+/// Applies how far roll-outs are. What is new is sent on at once: the sender may not reach all hosts.
+fn apply_rollout_news(state: &GatewayState, entries: &[ServiceUse]) {
     for news in entries.iter().filter_map(|entry| entry.rollout.as_ref()) {
-        if state.rollouts.take_record(news.revision, &news.record) {
+        if state.rollouts.apply_record(news.revision, &news.record) {
             state.peers.wake_sender();
         }
     }
@@ -394,7 +394,7 @@
         state.runs.record_peer(run, sender.runs_on, now);
     }
     for finding in findings {
-        take_over(state, finding, sender.host);
+        apply_finding(state, finding, sender.host);
     }
     let may_feed = sender.reaches_store && state.peers.has_no_feeder();
     if may_feed || state.peers.is_fed_by(sender.host) {
@@ -402,8 +402,8 @@
     }
 }
 
-/// Takes over what a peer found. It is not told on: suspicions of suspicions would never end.
-fn take_over(state: &GatewayState, finding: &Finding, sender: &HostId) {
+/// Applies what a peer found of an upstream. It is not sent on: suspicions of suspicions would never end.
+fn apply_finding(state: &GatewayState, finding: &Finding, sender: &HostId) {
     let Some(upstream) = state.view.upstreams.get(&finding.upstream) else {
         return;
     };
--- a/crates/gateway/src/peers/limits.rs
+++ b/crates/gateway/src/peers/limits.rs
@@ -149,7 +149,7 @@
 }
 
 /// Takes in news of limits; those that another group told go on to the own one.
-pub(super) fn take_limits(state: &GatewayState, news: &[LimitNews], is_for_group: bool) {
+pub(super) fn apply_limit_news(state: &GatewayState, news: &[LimitNews], is_for_group: bool) {
     let now = Instant::now();
     for entry in news {
         let is_news = state.limits.hear(entry, now);
--- a/crates/gateway/src/rollout/known.rs
+++ b/crates/gateway/src/rollout/known.rs
@@ -136,7 +136,7 @@
     }
 
     /// Takes in an order; whether it is a new one.
-    pub fn take_order(&self, order: RolloutOrder, now: Instant) -> bool {
+    pub fn apply_order(&self, order: RolloutOrder, now: Instant) -> bool {
         let mut services = self.services.lock();
         let service = services.entry(order.service.clone()).or_default();
         let known = service.order.as_ref();
@@ -148,7 +148,7 @@
     }
 
     /// Takes in a record, unless a newer one is known; whether it was newer.
-    pub fn take_record(&self, revision: Revision, record: &RolloutRecord) -> bool {
+    pub fn apply_record(&self, revision: Revision, record: &RolloutRecord) -> bool {
         let mut services = self.services.lock();
         let service = services.entry(record.service.clone()).or_default();
         let known = service.record.as_ref();
--- a/crates/gateway/src/state/limits.rs
+++ b/crates/gateway/src/state/limits.rs
@@ -219,7 +219,7 @@
     }
 
     /// Takes in what a lender answered.
-    pub fn take_loan(&self, loan: &PermitLoan) {
+    pub fn apply_loan(&self, loan: &PermitLoan) {
         let now = Instant::now();
         if let Some(limit) = &loan.limit {
             self.limits.hear(limit, now);
--- a/crates/gateway/src/sync/apply.rs
+++ b/crates/gateway/src/sync/apply.rs
@@ -47,13 +47,13 @@
             }
             Change::RolloutOrder(order) => apply_rollout_order(&self.state, order),
             Change::Rollout(record) => {
-                if self.state.rollouts.take_record(revision, &record) {
+                if self.state.rollouts.apply_record(revision, &record) {
                     self.state.peers.wake_sender();
                 }
             }
             // Read and taken in by the one that may hold the duties.
             Change::Duties(_) => {}
-            Change::Crashes(stored) => self.take_stored_crashes(stored),
+            Change::Crashes(stored) => self.apply_stored_crashes(stored),
             Change::Unreadable(reason) => {
                 self.state.metrics.unreadable_rows.inc();
                 log::error!(
@@ -65,12 +65,12 @@
     }
 
     /// Takes in what a group of hosts knew of crashes; it has grown older since.
-    fn take_stored_crashes(&self, stored: StoredCrashes) {
+    fn apply_stored_crashes(&self, stored: StoredCrashes) {
         let store_time = self.state.feed.store_time(Instant::now());
         let age = store_time.map_or(Duration::ZERO, |now| now.saturating_sub(stored.written));
         let requests = stored.requests.into_iter();
         let news: Vec<CrashNews> = requests.map(|news| news.aged(age)).collect();
-        self.state.take_crashes(&news, "store");
+        self.state.apply_crash_news(&news, "store");
     }
 }
 
@@ -116,7 +116,7 @@
 pub(super) fn apply_rollout_order(state: &GatewayState, order: RolloutOrder) {
     let (service, target) = (order.service.clone(), order.target.clone());
     let (revision, duration_ms) = (order.revision, order.duration.as_millis());
-    if state.rollouts.take_order(order, Instant::now()) {
+    if state.rollouts.apply_order(order, Instant::now()) {
         log::info!(
             "rollout: ordered service={service} target={target} duration_ms={duration_ms}              order={revision}"
         );
--- a/crates/gateway/src/sync/rollouts.rs
+++ b/crates/gateway/src/sync/rollouts.rs
@@ -112,7 +112,7 @@
         let (status, body) = self.call(request, bound).await?;
         match self.state.protocol.read_written(status, &body) {
             Written::Done(revision) => {
-                if self.state.rollouts.take_record(revision, record) {
+                if self.state.rollouts.apply_record(revision, record) {
                     self.state.peers.wake_sender();
                 }
                 Ok(())
