Call whole states and whole reads full ones

No behaviour changes.

| Old name | New name | | --- | --- | | LastState::of_far_hosts | for_other_regions | | is_whole_due, note_whole, whole_at, whole_interval | is_full_due, record_full, full_sent_at, full_interval | | read_whole, finish_whole, note_whole, WholeRead | read_full_set, finish_full_read, record_full_read, FullRead | | whole_log | row_logging |

--- a/crates/gateway/src/peers/digest.rs
+++ b/crates/gateway/src/peers/digest.rs
@@ -20,7 +20,7 @@
 };
 
 /// How often all is sent: what a lost digest said is known again after this.
-const WHOLE_INTERVAL: Duration = Duration::from_secs(2);
+const FULL_INTERVAL: Duration = Duration::from_secs(2);
 /// How long a run that was sent is not sent again: as long as hosts count it as running.
 const RUN_REMEMBERED: Duration = Duration::from_secs(5);
 
@@ -94,7 +94,7 @@
 pub struct LastDigest {
     sequence: u64,
     sent_at: Option<Instant>,
-    whole_at: Option<Instant>,
+    full_sent_at: Option<Instant>,
     members: Vec<GroupMember>,
     work: BTreeMap<EngineId, (Work, Condition)>,
     repeats: u32,
@@ -113,7 +113,7 @@
         heartbeat: Duration,
         now: Instant,
     ) -> Option<GroupDigest> {
-        let is_whole = is_past(self.whole_at, WHOLE_INTERVAL, now);
+        let is_whole = is_past(self.full_sent_at, FULL_INTERVAL, now);
         sums.members.sort_by(|a, b| a.host.cmp(&b.host));
         let members_changed = sums.members != self.members;
         let runs = self.new_runs(sums.runs, now);
@@ -144,7 +144,7 @@
         }
         self.sent_at = Some(now);
         if is_whole {
-            self.whole_at = Some(now);
+            self.full_sent_at = Some(now);
         }
         self.sequence += 1;
         self.members.clone_from(&sums.members);
@@ -179,7 +179,7 @@
 
     /// Lets the next digest send all: this host was not the relay meanwhile.
     pub fn forget(&mut self) {
-        self.whole_at = None;
+        self.full_sent_at = None;
     }
 
     fn changed_work(&self, now: &BTreeMap<EngineId, (Work, Condition)>) -> Vec<UpstreamWork> {
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -6,7 +6,7 @@
         duties::tell_usage,
         extension::Extension,
         last_state::LastState,
-        limits::{answer_ask, forget_limits, send_asks, apply_limit_news, tell_limits},
+        limits::{answer_ask, apply_limit_news, forget_limits, send_asks, tell_limits},
         message::{
             Datagram, Finding, GroupDigest, HostPhase, PeerDelta, PeerState, ServiceUse, Unreadable,
         },
@@ -62,7 +62,7 @@
     let started = Instant::now();
     let heartbeat = state.options.peers.heartbeat;
     let mut last = LastState::new(started);
-    let mut last_far = LastState::of_far_hosts(started);
+    let mut last_far = LastState::for_other_regions(started);
     let mut far_due = started;
     loop {
         let now = Instant::now();
@@ -79,7 +79,7 @@
         // Hosts of other regions send little to the same engines, so that its load can wait for the
         // heartbeat; what a promise or a caller's return depends on can't, nor the store's time.
         let is_urgent = state.peers.is_feeder()
-            || last_far.is_whole_due(own.phase, now)
+            || last_far.is_full_due(own.phase, now)
             || last_far.has_news(&own);
         if heard_far.is_empty() {
             far_due = now + heartbeat;
@@ -101,8 +101,8 @@
     receivers: &[SocketAddr],
     now: Instant,
 ) {
-    let datagram = if last.is_whole_due(own.phase, now) {
-        last.note_whole(own, now);
+    let datagram = if last.is_full_due(own.phase, now) {
+        last.record_full(own, now);
         Datagram::State(Box::new(own.clone()))
     } else {
         Datagram::Delta(last.delta(own))
--- a/crates/gateway/src/peers/last_state.rs
+++ b/crates/gateway/src/peers/last_state.rs
@@ -15,11 +15,11 @@
 };
 
 /// How often the whole state is sent: what a lost datagram said is known again after this.
-const WHOLE_INTERVAL: Duration = Duration::from_secs(2);
+const FULL_INTERVAL: Duration = Duration::from_secs(2);
 /// How often it is sent to hosts of other regions. Whole states each 2 s are half of the bytes of
 /// datagrams there, and what a lost one said matters less where fewer requests go. With load told by
 /// the heartbeat, 0.059 GB between regions in a day, not 0.087 (59 hosts, one play each).
-const FAR_WHOLE_INTERVAL: Duration = Duration::from_secs(4);
+const FAR_FULL_INTERVAL: Duration = Duration::from_secs(4);
 /// A host that starts sends its whole state more often for this long.
 const INTRODUCTION: Duration = Duration::from_secs(3);
 /// How often it does so: about each heartbeat, and not at each of its streams' events.
@@ -28,9 +28,9 @@
 /// What a host last sent its peers.
 pub struct LastState {
     started: Instant,
-    whole_interval: Duration,
+    full_interval: Duration,
     phase: Option<HostPhase>,
-    whole_at: Option<Instant>,
+    full_sent_at: Option<Instant>,
     work: HashMap<EngineId, UpstreamWork>,
     budgets: HashMap<ServiceId, ServiceUse>,
     runs: HashMap<Fingerprint, RunTrace>,
@@ -41,21 +41,21 @@
     /// Of a host that starts now and sent nothing.
     #[must_use]
     pub fn new(now: Instant) -> Self {
-        Self::with_interval(now, WHOLE_INTERVAL)
+        Self::with_interval(now, FULL_INTERVAL)
     }
 
     /// The same, of what is sent to hosts of other regions.
     #[must_use]
-    pub fn of_far_hosts(now: Instant) -> Self {
-        Self::with_interval(now, FAR_WHOLE_INTERVAL)
+    pub fn for_other_regions(now: Instant) -> Self {
+        Self::with_interval(now, FAR_FULL_INTERVAL)
     }
 
-    fn with_interval(now: Instant, whole_interval: Duration) -> Self {
+    fn with_interval(now: Instant, full_interval: Duration) -> Self {
         Self {
             started: now,
-            whole_interval,
+            full_interval,
             phase: None,
-            whole_at: None,
+            full_sent_at: None,
             work: HashMap::new(),
             budgets: HashMap::new(),
             runs: HashMap::new(),
@@ -71,15 +71,15 @@
 
     /// Whether the whole state is to be sent.
     #[must_use]
-    pub fn is_whole_due(&self, phase: HostPhase, now: Instant) -> bool {
+    pub fn is_full_due(&self, phase: HostPhase, now: Instant) -> bool {
         let is_introduced = now.saturating_duration_since(self.started) > INTRODUCTION;
         let interval = if is_introduced {
-            self.whole_interval
+            self.full_interval
         } else {
             INTRODUCTION_INTERVAL
         };
         let is_old = self
-            .whole_at
+            .full_sent_at
             .is_none_or(|sent| now.saturating_duration_since(sent) >= interval);
         is_old || self.phase != Some(phase)
     }
@@ -100,8 +100,8 @@
     }
 
     /// Notes that the whole state was sent to all.
-    pub fn note_whole(&mut self, state: &PeerState, now: Instant) {
-        self.whole_at = Some(now);
+    pub fn record_full(&mut self, state: &PeerState, now: Instant) {
+        self.full_sent_at = Some(now);
         // What changed is of no interest: all of it was sent.
         let _ = self.delta(state);
     }
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -86,7 +86,7 @@
 }
 
 /// What reading a whole set gave.
-struct WholeRead {
+struct FullRead {
     /// The version as of which it was read.
     revision: Revision,
     /// A version at or after its newest change.
@@ -125,13 +125,13 @@
     }
 
     /// Reads the whole set and takes it in.
-    async fn read_whole(&mut self) -> Result<(), CallFailure> {
+    async fn read_full_set(&mut self) -> Result<(), CallFailure> {
         let mut after_key: Option<String> = None;
         let mut present: Vec<EngineId> = Vec::new();
         let mut first: Option<(Revision, Written)> = None;
         let mut newest_row: Revision = 0;
         let mut rows = 0;
-        let log = self.whole_log();
+        let log = self.row_logging();
         loop {
             let (page, written) = self.list(after_key.as_deref()).await?;
             rows += page.changes.len();
@@ -142,7 +142,7 @@
             self.apply_rows(page.changes, log);
             after_key = page.next_key;
             if after_key.is_none() {
-                let gone = self.finish_whole(revision, written, &present);
+                let gone = self.finish_full_read(revision, written, &present);
                 let changed = match self.set {
                     // Its one row is never dropped, so its version is that of the last change.
                     RowSet::Configuration => newest_row,
@@ -153,13 +153,13 @@
                     | RowSet::Duties
                     | RowSet::Crashes => revision,
                 };
-                let read = WholeRead {
+                let read = FullRead {
                     revision,
                     changed,
                     rows,
                     gone,
                 };
-                self.note_whole(&read, written);
+                self.record_full_read(&read, written);
                 return Ok(());
             }
         }
@@ -183,7 +183,12 @@
     }
 
     /// Takes in that the whole set was read; how many upstreams it lacked.
-    fn finish_whole(&self, revision: Revision, written: Written, present: &[EngineId]) -> usize {
+    fn finish_full_read(
+        &self,
+        revision: Revision,
+        written: Written,
+        present: &[EngineId],
+    ) -> usize {
         match self.set {
             RowSet::Configuration => {
                 self.confirm(written.moment);
@@ -195,7 +200,7 @@
     }
 
     /// Whether the rows of a whole set are logged one by one.
-    pub(super) fn whole_log(&self) -> LogRows {
+    pub(super) fn row_logging(&self) -> LogRows {
         if self.newest() == 0 {
             LogRows::Counted
         } else {
@@ -203,8 +208,8 @@
         }
     }
 
-    fn note_whole(&mut self, read: &WholeRead, written: Written) {
-        let WholeRead {
+    fn record_full_read(&mut self, read: &FullRead, written: Written) {
+        let FullRead {
             revision,
             changed,
             rows,
--- a/crates/gateway/src/sync/crashes.rs
+++ b/crates/gateway/src/sync/crashes.rs
@@ -67,7 +67,7 @@
             }
             sleep(CRASHES_LOOK_INTERVAL).await;
         }
-        while let Err(failure) = self.read_whole().await {
+        while let Err(failure) = self.read_full_set().await {
             if self.state.crashes.is_restored() {
                 return;
             }
--- a/crates/gateway/src/sync/follow.rs
+++ b/crates/gateway/src/sync/follow.rs
@@ -68,7 +68,7 @@
                     self.be_fed(watermark, moment).await;
                     continue;
                 }
-                Source::Store if !is_whole => self.read_whole().await,
+                Source::Store if !is_whole => self.read_full_set().await,
                 Source::Store => self.watch_and_gather().await,
                 Source::Late => self.look_for_feeder().await,
                 Source::Behind => self.catch_up(is_whole).await,
@@ -150,7 +150,7 @@
         }
         if let Source::Behind = self.source(Instant::now()) {
             if !is_whole {
-                return self.read_whole().await;
+                return self.read_full_set().await;
             }
             self.watch(Duration::ZERO).await?;
             // The other hosts of the hall wait for this one to know it.
--- a/crates/gateway/src/sync/from_peers.rs
+++ b/crates/gateway/src/sync/from_peers.rs
@@ -187,7 +187,7 @@
                 }
             }
             SnapshotRows::Upstreams(rows) => {
-                let log = self.whole_log();
+                let log = self.row_logging();
                 let present: Vec<EngineId> =
                     rows.iter().map(|(_, record)| record.id.clone()).collect();
                 for (revision, record) in rows {
--- a/crates/gateway/src/sync/hosts.rs
+++ b/crates/gateway/src/sync/hosts.rs
@@ -50,6 +50,6 @@
         let own = self.state.peers.own_record();
         self.write(self.state.protocol.write_host_call(&own))
             .await?;
-        self.read_whole().await
+        self.read_full_set().await
     }
 }
--- a/crates/gateway/src/sync/runs.rs
+++ b/crates/gateway/src/sync/runs.rs
@@ -79,7 +79,7 @@
             }
             sleep(RUNS_LOOK_INTERVAL).await;
         }
-        while let Err(failure) = self.read_whole().await {
+        while let Err(failure) = self.read_full_set().await {
             self.pause_after(&failure).await;
         }
     }
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -96,7 +96,7 @@
         let mut last = LastState::new(Instant::now());
         let mut work = BTreeMap::new();
         let mut heard = state(0, &work, 0);
-        last.note_whole(&heard, Instant::now());
+        last.record_full(&heard, Instant::now());
         for (index, (id, now)) in steps.into_iter().enumerate() {
             match now {
                 Some(now) => drop(work.insert(id, now)),
@@ -145,21 +145,21 @@
     let at = |ms| start + Duration::from_millis(ms);
     let mut last = LastState::new(start);
     let serving = state(1, &BTreeMap::new(), 0);
-    last.note_whole(&serving, at(100));
+    last.record_full(&serving, at(100));
     // Not at each event: all hosts that start tell all others.
-    assert!(!last.is_whole_due(HostPhase::Serving, at(110)));
-    assert!(last.is_whole_due(HostPhase::Serving, at(600)));
-    last.note_whole(&serving, at(4_000));
-    assert!(!last.is_whole_due(HostPhase::Serving, at(4_500)));
-    assert!(last.is_whole_due(HostPhase::Leaving, at(4_500)));
-    assert!(last.is_whole_due(HostPhase::Serving, at(6_500)));
+    assert!(!last.is_full_due(HostPhase::Serving, at(110)));
+    assert!(last.is_full_due(HostPhase::Serving, at(600)));
+    last.record_full(&serving, at(4_000));
+    assert!(!last.is_full_due(HostPhase::Serving, at(4_500)));
+    assert!(last.is_full_due(HostPhase::Leaving, at(4_500)));
+    assert!(last.is_full_due(HostPhase::Serving, at(6_500)));
 }
 
 /// Hosts of other regions hear at once of what a caller's return, a promise or a choice of all hosts
 /// depends on.
 #[test]
 fn a_run_a_repeat_and_an_unsound_upstream_are_news_and_load_is_not() {
-    let mut last = LastState::of_far_hosts(Instant::now());
+    let mut last = LastState::for_other_regions(Instant::now());
     let work = BTreeMap::from([(1, (8_000, false))]);
     let before = state(1, &work, 0);
     assert!(last.has_news(&before), "a run began");
@@ -186,17 +186,17 @@
 fn far_hosts_are_told_the_whole_state_less_often_but_not_at_a_change_of_phase() {
     let start = Instant::now();
     let at = |ms| start + Duration::from_millis(ms);
-    let (mut near, mut far) = (LastState::new(start), LastState::of_far_hosts(start));
+    let (mut near, mut far) = (LastState::new(start), LastState::for_other_regions(start));
     let serving = state(1, &BTreeMap::new(), 0);
     for last in [&mut near, &mut far] {
-        last.note_whole(&serving, at(100));
-        assert!(last.is_whole_due(HostPhase::Serving, at(600)));
-        last.note_whole(&serving, at(4_000));
-        assert!(last.is_whole_due(HostPhase::Leaving, at(4_500)));
+        last.record_full(&serving, at(100));
+        assert!(last.is_full_due(HostPhase::Serving, at(600)));
+        last.record_full(&serving, at(4_000));
+        assert!(last.is_full_due(HostPhase::Leaving, at(4_500)));
     }
-    assert!(near.is_whole_due(HostPhase::Serving, at(6_500)));
-    assert!(!far.is_whole_due(HostPhase::Serving, at(6_500)));
-    assert!(far.is_whole_due(HostPhase::Serving, at(8_500)));
+    assert!(near.is_full_due(HostPhase::Serving, at(6_500)));
+    assert!(!far.is_full_due(HostPhase::Serving, at(6_500)));
+    assert!(far.is_full_due(HostPhase::Serving, at(8_500)));
 }
 
 fn peers() -> Peers {
@@ -254,7 +254,7 @@
     // A hall has just died: many upstreams are suspected.
     let work = (0..40).map(|id| (id, (8_000, true))).collect();
     let own = state(1, &work, 3);
-    last.note_whole(&own, Instant::now());
+    last.record_full(&own, Instant::now());
     let whole = postcard::to_stdvec(&Datagram::State(Box::new(own))).unwrap();
     let change = Datagram::Delta(last.delta(&state(2, &work, 3)));
     let change = postcard::to_stdvec(&change).unwrap();
