Name draws, rechecks and exclusions by what they do

No behaviour changes.

| Old name | New name | | --- | --- | | lot, with_lots, LOT_HOSTS, LOT_PART | share_draw, with_draw_seed, DRAWN_SHARE_HOSTS, DRAWN_SHARE_PART | | look_again | recheck | | see_to_limits | exclude_limited | | put_back | restore_preference |

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -40,11 +40,11 @@
 /// The part of all hosts that must have been heard before what they leave over is used.
 const HEARD_PART: f64 = 0.75;
 
-/// Where more hosts than this share what is left, less than one repeat for each is drawn by lot. Rounded down, a
-/// large fleet would leave some hundred repeats unused; among few hosts the lots would stray too far.
-const LOT_HOSTS: usize = 100;
+/// Where more hosts than this share what is left, a share below one repeat is drawn at random. Rounded down, a
+/// large fleet would leave some hundred repeats unused; among few hosts the draws would stray too far.
+const DRAWN_SHARE_HOSTS: usize = 100;
 /// The part of what is left that is drawn in one cell: hosts hear of each other's use within two.
-const LOT_PART: f64 = 0.5;
+const DRAWN_SHARE_PART: f64 = 0.5;
 
 /// What was used of a budget within its window.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -97,7 +97,7 @@
 pub struct RetryBudget {
     bounds: BudgetBounds,
     cells: VecDeque<Cell>,
-    /// Sets the lots of this host apart from those of others.
+    /// Sets the draws of this host apart from those of others.
     seed: u64,
     cells_begun: u64,
 }
@@ -106,12 +106,12 @@
     /// A budget that has seen nothing.
     #[must_use]
     pub fn new(bounds: BudgetBounds) -> Self {
-        Self::with_lots(bounds, 0)
+        Self::with_draw_seed(bounds, 0)
     }
 
     /// The same, with a number that was drawn for this host.
     #[must_use]
-    pub fn with_lots(bounds: BudgetBounds, seed: u64) -> Self {
+    pub fn with_draw_seed(bounds: BudgetBounds, seed: u64) -> Self {
         Self {
             bounds,
             cells: VecDeque::new(),
@@ -174,8 +174,10 @@
         let slack = self.bounds.slack * SLACK_PART * members / to_f64(pool.hosts);
         let left = self.allowed(whole.requests, slack) - f64::from(whole.repeats);
         let equal_share = left / to_f64(pool.hosts);
-        let share = if pool.hosts > LOT_HOSTS && equal_share < 1.0 {
-            f64::from(u8::from(self.lot(now) < equal_share * LOT_PART))
+        let share = if pool.hosts > DRAWN_SHARE_HOSTS && equal_share < 1.0 {
+            f64::from(u8::from(
+                self.share_draw(now) < equal_share * DRAWN_SHARE_PART,
+            ))
         } else {
             equal_share.floor()
         };
@@ -183,7 +185,7 @@
     }
 
     /// A number from 0 to 1 that is drawn anew for each cell, however often it is asked for.
-    fn lot(&mut self, now: Instant) -> f64 {
+    fn share_draw(&mut self, now: Instant) -> f64 {
         self.cell(now);
         let hash = xxh3_64_with_seed(&self.cells_begun.to_le_bytes(), self.seed);
         let high = u32::try_from(hash >> 32).unwrap_or(u32::MAX);
--- a/crates/gateway/src/crashes/watch.rs
+++ b/crates/gateway/src/crashes/watch.rs
@@ -1,4 +1,4 @@
-//! Looks again at upstreams that seem to have ended under a request, once that begins to matter for it.
+//! Rechecks upstreams that seem to have ended under a request, once that begins to matter for it.
 
 use {
     crate::{forward::UpstreamKind, state::GatewayState, view::Upstream},
@@ -51,7 +51,7 @@
         }
     }
 
-    /// Looks again and again at the upstreams of a request, until all is certain.
+    /// Rechecks the upstreams of a request each second, until all is certain.
     fn watch(self: &Arc<Self>, watched: Watched) {
         let mut all = self.crashes.watched.lock();
         if all.len() >= WATCHED_BOUND || !all.insert(watched.digest) {
@@ -67,14 +67,14 @@
                     break;
                 }
                 for end in ends {
-                    state.look_again(&watched, end).await;
+                    state.recheck(&watched, end).await;
                 }
             }
             state.crashes.watched.lock().remove(&watched.digest);
         });
     }
 
-    async fn look_again(&self, watched: &Watched, end: UncertainEnd<Arc<Upstream>>) {
+    async fn recheck(&self, watched: &Watched, end: UncertainEnd<Arc<Upstream>>) {
         let (kind, request) = (watched.kind, &watched.request);
         let found = kind.look(self, &end.upstream, request, end.crash.began);
         let found = found.await;
--- a/crates/gateway/src/forward/stream/place.rs
+++ b/crates/gateway/src/forward/stream/place.rs
@@ -106,7 +106,7 @@
                     let detail = "the budget of repeated sends is spent";
                     return Err(self.refusal(ErrorKind::UpstreamsBusy, detail));
                 }
-                self.put_back(chosen);
+                self.restore_preference(chosen);
                 sleep(BUDGET_PAUSE).await;
                 continue;
             }
@@ -191,7 +191,7 @@
     }
 
     /// Keeps for the next try what speaks for an engine that was chosen and not asked.
-    fn put_back(&mut self, chosen: Chosen) {
+    fn restore_preference(&mut self, chosen: Chosen) {
         match chosen.go_on_from {
             Some(copy) => self.copy = Some(copy),
             None if chosen.keeps_prompt => {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -323,7 +323,7 @@
         let bounds = self.options.bounds.retries;
         budgets
             .entry(service.clone())
-            .or_insert_with(|| RetryBudget::with_lots(bounds, rand::random()))
+            .or_insert_with(|| RetryBudget::with_draw_seed(bounds, rand::random()))
     }
 
     /// Notes that an upstream seems dead, and tells the peers.
--- a/crates/gateway/src/state/choice.rs
+++ b/crates/gateway/src/state/choice.rs
@@ -122,7 +122,7 @@
             });
         let mut candidates: Vec<Candidate> = candidates.collect();
         drop(notices);
-        self.see_to_limits(&mut candidates, ready, need, avoid, now);
+        self.exclude_limited(&mut candidates, ready, need, avoid, now);
         let (hall, topology) = (&self.options.host.hall, &self.options.topology);
         let chosen = choose(&candidates, need, hall, topology, avoid)?;
         ready
@@ -134,7 +134,7 @@
     /// Takes out of the candidates for a request those whose limit leaves no permit, and asks for one where the
     /// request would rather go. A copy goes to one that names a limit only where there is no other: what would
     /// go on from it there may find no permit.
-    fn see_to_limits(
+    fn exclude_limited(
         &self,
         candidates: &mut Vec<Candidate>,
         ready: &[Arc<Upstream>],
--- a/crates/gateway/tests/budget.rs
+++ b/crates/gateway/tests/budget.rs
@@ -274,7 +274,7 @@
     };
     let start = Instant::now();
     let mut budgets: Vec<RetryBudget> = (0..HOSTS)
-        .map(|host| RetryBudget::with_lots(bounds, host as u64))
+        .map(|host| RetryBudget::with_draw_seed(bounds, host as u64))
         .collect();
     // Each host has a stream that lost its engine, and asks some times in a second.
     let mut served = vec![false; HOSTS];
