--- a/crates/gateway/src/forward/stream/relay.rs
+++ b/crates/gateway/src/forward/stream/relay.rs
@@ -3,20 +3,24 @@
 
 use {
     super::{StreamRun, attempt::Step, place::Opened, recopy::Recopy},
-    crate::{events::Event, lifecycle::InFlight, rollout::Outcome},
-    bytes::Bytes,
+    crate::{
+        events::Event,
+        lifecycle::InFlight,
+        read_ahead::{ReadAheadSender, read_ahead},
+        rollout::Outcome,
+    },
+    futures::TryStreamExt,
     http_body_util::{BodyExt, StreamBody},
     hyper::body::Frame,
     std::time::Instant,
     tealshore_core::http::{Body, BodyError},
-    tokio::{sync::mpsc, time::timeout_at},
-    tokio_stream::wrappers::ReceiverStream,
+    tokio::time::timeout_at,
 };
 
-/// Events that wait for a slow caller.
-const WAITING_EVENTS: usize = 8;
+/// How much of a stream waits for a slow caller, in bytes.
+const READ_AHEAD_BYTES: u32 = 32 * 1024;
 
-type EventSender = mpsc::Sender<Result<Frame<Bytes>, BodyError>>;
+type EventSender = ReadAheadSender<BodyError>;
 
 /// How a caller's answer ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,7 +44,7 @@
 impl StreamRun {
     /// The body of the answer; a task of its own fills it until the caller goes.
     pub fn into_body(mut self) -> Body {
-        let (sender, receiver) = mpsc::channel(WAITING_EVENTS);
+        let (sender, receiver) = read_ahead(READ_AHEAD_BYTES);
         let in_flight = InFlight::begin(&self.state);
         tokio::spawn(async move {
             let ends = self.call.ends.into();
@@ -51,10 +55,14 @@
                     end.unwrap_or(RelayEnd::BrokenOff("deadline-reached"))
                 }
             };
-            self.finish(end, &sender).await;
-            drop(in_flight);
+            self.finish(end, &sender);
         });
-        StreamBody::new(ReceiverStream::new(receiver)).boxed_unsync()
+        let frames = receiver.map_ok(move |bytes| {
+            // What waits for a slow caller is in flight: a planned stop waits until it is written.
+            let _ = &in_flight;
+            Frame::data(bytes)
+        });
+        StreamBody::new(frames).boxed_unsync()
     }
 
     /// Carries events until the stream is complete, or can't go on.
@@ -64,7 +72,7 @@
                 Step::Event(event) => {
                     self.observe_resume();
                     self.observe_pause();
-                    if sender.send(Ok(Frame::data(event.bytes))).await.is_err() {
+                    if sender.send(event.bytes).await.is_err() {
                         return RelayEnd::CallerGone;
                     }
                     self.tend_copy();
@@ -253,10 +261,10 @@
         }
     }
 
-    async fn finish(&mut self, end: RelayEnd, sender: &EventSender) {
+    fn finish(&mut self, end: RelayEnd, sender: &EventSender) {
         if let RelayEnd::BrokenOff(cause) = end {
             // An answer that ends early must look cut.
-            let _ = sender.send(Err(cause.into())).await;
+            let _ = sender.break_off(cause.into());
         }
         let is_whole = end == RelayEnd::Complete;
         let request = self.call.request();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod options;
 pub mod pace;
 pub mod peers;
+pub mod read_ahead;
 pub mod read_rate;
 pub mod rollout;
 pub mod room;
--- /dev/null
+++ b/crates/gateway/tests/read_ahead.rs
@@ -0,0 +1,88 @@
+//! What waits for a slow caller.
+#![allow(
+    clippy::unwrap_used,
+    reason = "helpers of tests fail as tests do, which clippy.toml allows"
+)]
+
+use {
+    bytes::Bytes,
+    futures::{FutureExt, StreamExt},
+    tealshore_gateway::read_ahead::{CallerGone, ReadAheadReceiver, read_ahead},
+    tokio::task::unconstrained,
+};
+
+const BOUND_BYTES: u32 = 32 * 1024;
+/// An event of a stream, in bytes, and how many a whole answer has.
+const EVENT: &[u8] = &[b'x'; 100];
+const EVENTS: usize = 140;
+
+async fn rest(receiver: ReadAheadReceiver<&'static str>) -> Vec<Result<Bytes, &'static str>> {
+    receiver.collect().await
+}
+
+/// The reading of an engine's answer stood still once eight events waited for a caller that read nothing. Engines end
+/// an answer that stays unread for some seconds: the stream was placed again, and its prompt read twice.
+#[tokio::test]
+async fn an_answer_is_read_whole_from_its_engine_while_its_caller_reads_nothing() {
+    let (sender, receiver) = read_ahead(BOUND_BYTES);
+    for _ in 0..EVENTS {
+        // Tasks that never wait are made to now and then; that is no wait for the caller.
+        let sent = unconstrained(sender.send(Bytes::from_static(EVENT))).now_or_never();
+        assert_eq!(sent, Some(Ok(())), "the engine waits for the caller");
+    }
+    drop(sender);
+    let received = rest(receiver).await;
+    assert_eq!(received.len(), EVENTS);
+    assert!(received.iter().all(|event| event.as_deref() == Ok(EVENT)));
+}
+
+#[tokio::test]
+async fn past_the_bound_the_engine_waits_until_the_caller_reads() {
+    let (sender, mut receiver) = read_ahead::<&str>(150);
+    sender.send(Bytes::from_static(EVENT)).await.unwrap();
+    assert!(
+        sender
+            .send(Bytes::from_static(EVENT))
+            .now_or_never()
+            .is_none()
+    );
+    assert!(receiver.next().await.is_some());
+    let sent = sender.send(Bytes::from_static(EVENT)).now_or_never();
+    assert_eq!(sent, Some(Ok(())));
+}
+
+#[tokio::test]
+async fn an_event_larger_than_the_bound_passes_alone() {
+    let (sender, mut receiver) = read_ahead::<&str>(50);
+    sender.send(Bytes::from_static(EVENT)).await.unwrap();
+    assert!(
+        sender
+            .send(Bytes::from_static(EVENT))
+            .now_or_never()
+            .is_none()
+    );
+    assert_eq!(receiver.next().await, Some(Ok(Bytes::from_static(EVENT))));
+    let sent = sender.send(Bytes::from_static(EVENT)).now_or_never();
+    assert_eq!(sent, Some(Ok(())));
+}
+
+#[tokio::test]
+async fn what_waits_arrives_before_the_answer_breaks_off() {
+    let (sender, receiver) = read_ahead(BOUND_BYTES);
+    sender.send(Bytes::from_static(EVENT)).await.unwrap();
+    sender.break_off("lost").unwrap();
+    drop(sender);
+    let received = rest(receiver).await;
+    assert_eq!(received, [Ok(Bytes::from_static(EVENT)), Err("lost")]);
+}
+
+#[tokio::test]
+async fn that_the_caller_has_gone_is_noticed() {
+    let (sender, receiver) = read_ahead::<&str>(BOUND_BYTES);
+    drop(receiver);
+    sender.closed().await;
+    assert_eq!(
+        sender.send(Bytes::from_static(EVENT)).await,
+        Err(CallerGone)
+    );
+}
