Send the digest of a busy hall in parts that datagrams carry

Cause: a relay tells the other halls the work of its own at each upstream, all of it each 2 s, and the streams that it has not told of yet. Both grow with the work of the hall. Past 60,000 bytes, by the sizes of the types at some 2,000 upstreams in use by one hall, or 800 streams that a new relay tells of, the datagram was logged and dropped as too large, with its list of members. At 984 hosts with 900 streams it is far off; at the work that 10,000 engines of 8 places carry it would have failed each time.

Change: work and streams are divided into pieces of 16 kB. What is passed on within a hall is divided by the same function.

Tests: groups, a hall of 400 hosts at 4,000 upstreams with 2,000 streams (each part within a datagram, all of it applied, a lost part made up for).

--- a/crates/gateway/src/peers/digest.rs
+++ b/crates/gateway/src/peers/digest.rs
@@ -10,6 +10,8 @@
         run_trace::{Fingerprint, RunTrace},
         view::{Condition, Work},
     },
+    postcard::experimental::serialized_size,
+    serde::Serialize,
     std::{
         collections::{BTreeMap, HashMap},
         time::{Duration, Instant},
@@ -21,6 +23,8 @@
 
 /// How often all is sent: what a lost digest said is known again after this.
 const FULL_INTERVAL: Duration = Duration::from_secs(2);
+/// The most bytes of work, and of streams, in one part of a digest: a large one would outgrow a datagram.
+pub(super) const PART_BYTES: usize = 16_000;
 /// How long a run that was sent is not sent again: as long as hosts count it as running.
 const RUN_REMEMBERED: Duration = Duration::from_secs(5);
 
@@ -177,6 +181,22 @@
         })
     }
 
+    /// The next digest in parts that a datagram carries each; none where none is due.
+    pub fn next_parts(
+        &mut self,
+        source: DigestSource,
+        sums: GroupSums,
+        heartbeat: Duration,
+        now: Instant,
+    ) -> Vec<GroupDigest> {
+        let Some(digest) = self.next(source, sums, heartbeat, now) else {
+            return Vec::new();
+        };
+        let parts = split(digest, PART_BYTES);
+        self.sequence = parts.last().map_or(self.sequence, |part| part.sequence);
+        parts
+    }
+
     /// Lets the next digest send all: this host was not the relay meanwhile.
     pub fn forget(&mut self) {
         self.full_sent_at = None;
@@ -207,6 +227,50 @@
     }
 }
 
+/// Divides a digest: the parts behind the first carry changes, so that a receiver applies each as a digest of
+/// its own. Only work and streams are divided; the first part keeps all else.
+fn split(mut digest: GroupDigest, part_bytes: usize) -> Vec<GroupDigest> {
+    let mut work = pieces(std::mem::take(&mut digest.work), part_bytes).into_iter();
+    let mut runs = pieces(std::mem::take(&mut digest.runs), part_bytes).into_iter();
+    let mut following = GroupDigest {
+        members: None,
+        is_whole: false,
+        crashes: Vec::new(),
+        usage: Vec::new(),
+        ..digest.clone()
+    };
+    digest.work = work.next().unwrap_or_default();
+    digest.runs = runs.next().unwrap_or_default();
+    let mut parts = vec![digest];
+    while work.len() > 0 || runs.len() > 0 {
+        following.sequence += 1;
+        parts.push(GroupDigest {
+            work: work.next().unwrap_or_default(),
+            runs: runs.next().unwrap_or_default(),
+            ..following.clone()
+        });
+    }
+    parts
+}
+
+/// Divides entries into pieces of at most so many bytes, or of one entry.
+pub(super) fn pieces<T: Serialize>(entries: Vec<T>, piece_bytes: usize) -> Vec<Vec<T>> {
+    let mut pieces: Vec<Vec<T>> = Vec::new();
+    let mut bytes = 0;
+    for entry in entries {
+        let size = serialized_size(&entry).unwrap_or(piece_bytes);
+        bytes += size;
+        match pieces.last_mut() {
+            Some(piece) if bytes <= piece_bytes => piece.push(entry),
+            Some(_) | None => {
+                bytes = size;
+                pieces.push(vec![entry]);
+            }
+        }
+    }
+    pieces
+}
+
 fn is_past(moment: Option<Instant>, interval: Duration, now: Instant) -> bool {
     moment.is_none_or(|moment| now.saturating_duration_since(moment) >= interval)
 }
--- a/crates/gateway/src/peers/relay.rs
+++ b/crates/gateway/src/peers/relay.rs
@@ -7,7 +7,7 @@
 use {
     super::{
         Feeder, GROUP_RUNS_BOUND, Groups, HostAddress, Peers, RELAYED_BOUND,
-        digest::{DigestSource, GroupSums, LastDigest},
+        digest::{DigestSource, GroupSums, LastDigest, PART_BYTES, pieces},
         extension::Extension,
         message::{Datagram, GroupDigest, GroupMember, HostPhase, PeerState},
         outgoing::{PeerSocket, own_state},
@@ -26,8 +26,6 @@
 /// How often a relay tells what changed, and passes on what it heard. What a stream's host tells
 /// reaches all halls within twice this; sums for 67 streams a second are then some 10 kB a second.
 const RELAY_INTERVAL: Duration = Duration::from_millis(100);
-/// The most bytes of digests that are passed on in one datagram.
-const RELAYED_BYTES: usize = 16_000;
 
 /// Relays for as long as the process lives, whenever this host is the relay of its group.
 pub(super) async fn relay(state: Arc<GatewayState>, socket: Arc<PeerSocket>) {
@@ -50,16 +48,21 @@
         source.crashes = state.crashes.news_of_group(now);
         source.usage = state.duties.hall_usage(state.feed.store_time(now), now);
         let heartbeat = state.options.peers.heartbeat;
-        if let Some(digest) = last.next(source, sums, heartbeat, now) {
-            let targets = peers.digest_targets(now);
+        let parts = last.next_parts(source, sums, heartbeat, now);
+        let targets = if parts.is_empty() {
+            Vec::new()
+        } else {
+            peers.digest_targets(now)
+        };
+        for digest in parts {
             let datagram = Datagram::Digest {
                 digest: Box::new(digest),
                 is_passed_on: false,
             };
             socket.send_to_all(&datagram, &targets).await;
         }
-        for part in parts(relayed) {
-            relay_to_group(&state, &socket, part, now).await;
+        for digests in pieces(relayed, PART_BYTES) {
+            relay_to_group(&state, &socket, digests, now).await;
         }
     }
 }
@@ -107,24 +110,6 @@
     socket.send_with(&datagram, extension, &receivers).await;
 }
 
-/// Divides digests into parts that one datagram carries.
-fn parts(digests: Vec<GroupDigest>) -> Vec<Vec<GroupDigest>> {
-    let mut parts: Vec<Vec<GroupDigest>> = Vec::new();
-    let mut bytes = 0;
-    for digest in digests {
-        let size = postcard::experimental::serialized_size(&digest).unwrap_or(RELAYED_BYTES);
-        bytes += size;
-        match parts.last_mut() {
-            Some(part) if bytes <= RELAYED_BYTES => part.push(digest),
-            Some(_) | None => {
-                bytes = size;
-                parts.push(vec![digest]);
-            }
-        }
-    }
-    parts
-}
-
 impl Peers {
     /// Where the relay of the own group takes datagrams; none where this host is the relay: the
     /// first by rank of all that take traffic, or of all where none does.
--- a/crates/gateway/tests/groups.rs
+++ b/crates/gateway/tests/groups.rs
@@ -60,8 +60,13 @@
     PeerState {
         host: format!("{hall}-{index}"),
         hall: hall.to_owned(),
-        callers_address: address(&format!("127.1.{index}.1:1")),
-        peers_address: address(&format!("127.1.{index}.{}:2", hall.len())),
+        callers_address: address(&format!("127.{}.{}.1:1", 1 + index / 250, index % 250)),
+        peers_address: address(&format!(
+            "127.{}.{}.{}:2",
+            1 + index / 250,
+            index % 250,
+            hall.len()
+        )),
         phase: HostPhase::Serving,
         incarnation: 1,
         sequence: 1,
@@ -492,3 +497,80 @@
     peers.note_lends(&host("a", 0).host, true);
     assert!(lenders(&peers, "a", serving, now).contains(&address_of("a", 0)));
 }
+
+/// The largest datagram that is sent, in bytes.
+const SENT_BOUND_BYTES: usize = 60_000;
+
+/// A hall of 400 hosts whose streams run at 4,000 upstreams, two for each host's ten streams.
+fn busy_hall() -> GroupSums {
+    let mut sums = GroupSums::default();
+    for index in 0..400 {
+        let work = (0..10).map(|number| {
+            let upstream = format!("summary-llm-{:08}", index * 10 + number);
+            at_upstream(&upstream, 1, Condition::Healthy)
+        });
+        sums.add_work(&work.collect::<Vec<_>>());
+        sums.members.push(member("bb", index));
+        sums.runs.extend((0..5).map(|number| RunTrace {
+            fingerprint: u64::from(index * 5 + number),
+            request: format!("attempt-{index}-{number}"),
+            engine: format!("summary-llm-{index:08}"),
+            copy: Some((
+                format!("summary-llm-{number:08}"),
+                address("127.3.0.1:8080"),
+            )),
+        }));
+    }
+    sums
+}
+
+/// A digest that outgrew a datagram was logged and dropped, each time that all was due: at 2,000 upstreams in use by one
+/// hall, or when a relay took over that told of all its hall's streams. Hosts of other halls then heard of no member
+/// that was new, and of no work that a lost datagram had left out.
+#[test]
+fn a_digest_of_a_busy_hall_comes_in_parts_that_datagrams_carry() {
+    let now = Instant::now();
+    let mut last = LastDigest::default();
+    let parts = last.next_parts(source("bb"), busy_hall(), HEARTBEAT, now);
+    assert!(parts.len() > 1);
+    let peers = peers("parts");
+    let mut runs = Vec::new();
+    for part in &parts {
+        let datagram = Datagram::Digest {
+            digest: Box::new(part.clone()),
+            is_passed_on: false,
+        };
+        let bytes = datagram.to_bytes().unwrap().len();
+        assert!(bytes <= SENT_BOUND_BYTES, "a part has {bytes} bytes");
+        peers.apply_digest(part, now);
+        runs.extend(part.runs.iter().map(|run| run.fingerprint));
+    }
+    assert_eq!(peers.work(now).len(), 4_000);
+    runs.sort_unstable();
+    assert_eq!(runs, (0..2_000).collect::<Vec<u64>>());
+    assert_eq!(peers.most_hosts(), 401);
+    // The next one is newer than all parts, and says only what changed.
+    let later = now + HEARTBEAT;
+    let next = last.next_parts(source("bb"), busy_hall(), HEARTBEAT, later);
+    assert_eq!(next.len(), 1);
+    assert!(next[0].sequence > parts.last().unwrap().sequence);
+    assert!(next[0].work.is_empty() && next[0].runs.is_empty());
+}
+
+/// A part that is lost leaves out what it says, and nothing else, until all is sent again.
+#[test]
+fn a_part_of_a_digest_that_is_lost_is_made_up_for_by_the_next_full_one() {
+    let now = Instant::now();
+    let mut last = LastDigest::default();
+    let peers = peers("lost-part");
+    let parts = last.next_parts(source("bb"), busy_hall(), HEARTBEAT, now);
+    for part in parts.iter().skip(1) {
+        peers.apply_digest(part, now);
+    }
+    assert!(peers.work(now).len() < 4_000);
+    let later = now + Duration::from_secs(2);
+    for part in last.next_parts(source("bb"), busy_hall(), HEARTBEAT, later) {
+        peers.apply_digest(&part, later);
+    }
+    assert_eq!(peers.work(later).len(), 4_000);
+}
