--- a/crates/capacity/src/planner.rs
+++ b/crates/capacity/src/planner.rs
@@ -32,9 +32,8 @@
 /// again. They tell of themselves about each second.
 const BOOT_GRACE: Duration = Duration::from_secs(2);
 /// How long work is measured before its need counts: requests are counted over a window of ten seconds,
-/// and datagrams tell of them within two. Counted sooner, the fleet is not filled up while work begins:
-/// with two of three halls taken away 5 and 8 s after traffic began, 82 of 224 engines were left until
-/// the 15th second, and a day earned 0.74 of its credit where it had earned 0.95.
+/// and datagrams tell of them within two. Counted sooner, the fleet would not be filled up while work
+/// begins.
 const MEASURED_AFTER: Duration = Duration::from_secs(12);
 /// The part of the engines that served when others were ordered, below which some count as lost: a few
 /// come and go all the time.
@@ -244,9 +243,7 @@
     }
 
     /// How many engines are to be there at least: as many as ran, until the work is known. Spare engines
-    /// are part of it: where one hall was taken away, the next one may be. With those left out, two
-    /// halls that were taken away within 3 s left 114 engines for 3 s, and a day earned 0.860 of its
-    /// credit; with them it earned 0.959 (one play each).
+    /// are part of it: where one hall was taken away, the next one may be.
     fn needed_to_fill(&mut self, needed: u32, spares_hall: bool, now: Instant) -> u32 {
         let since = *self.worked_since.get_or_insert(now);
         let is_known = now.saturating_duration_since(since) >= MEASURED_AFTER;
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -17,20 +17,17 @@
 /// tokens to read: that engine may still keep its prompt when its caller comes back.
 const AFFINITY_TOKENS: f64 = 1_500.0;
 /// What another hall costs, in prompt tokens to read: what its hosts send to its engines is known
-/// here up to 0.2 s late, so that more prompts meet there at one engine. At 295 hosts in 5 halls the
-/// median to the first event is 1.24 s with this, 1.46 s with 400, and 1.22 s with 4,000, where the
-/// worst seconds get worse (a day's worth 0.806, 0.761, 0.781; one play each).
+/// here up to 0.2 s late, so that more prompts meet there at one engine. Much more would leave the
+/// engines of other halls idle while those of a busy one queue.
 const OTHER_HALL_COST_TOKENS: f64 = 1_600.0;
 /// What another region costs, in prompt tokens to read: the way is longer, a stream's bytes cross it
-/// for its whole life, and load there is known up to 0.5 s late. A first guess that was not varied: with
-/// it 110 of 2,636 prompts go to other regions at 59 hosts in three of them, and 317 to the other hall.
+/// for its whole life, and load there is known up to 0.5 s late.
 const OTHER_REGION_COST_TOKENS: f64 = 4_000.0;
 /// What a share of failed calls of 1 costs, in busy slots.
 const FAILURE_COST: f64 = 3.0;
 /// What another hall costs a plain call, in busy shares of an upstream.
 const OTHER_HALL_COST: f64 = 0.1;
-/// What another region costs a plain call, in busy shares of an upstream. Twice what another hall
-/// costs, a first guess that was not varied.
+/// What another region costs a plain call, in busy shares of an upstream.
 const OTHER_REGION_COST: f64 = 0.2;
 /// What the run's own region costs a copy, in tokens that its holder has in memory: a region that dies takes the
 /// copies that lie in it along with its runs, and their prompts are read again by engines that are full just then.
@@ -87,9 +84,7 @@
         /// Tokens that an engine's memory holds.
         engine_memory_tokens: u64,
         /// An engine answered it with a failure. One that fails all at once is always idle, so engines
-        /// at which streams run then go before idle ones. Of 354 such failures on 73 hosts in 14 s,
-        /// 177 were left where hosts tell each other of such engines, and 136 with this (one play
-        /// each, counted in the logs).
+        /// at which streams run then go before idle ones.
         has_failed: bool,
         /// Engines ended under it, or under one beside it. Alone at the next one, it shows which of both it
         /// is, and harms no other.
--- a/crates/gateway/src/feed/choice.rs
+++ b/crates/gateway/src/feed/choice.rs
@@ -8,8 +8,7 @@
 };
 
 /// Up to so many hosts tell each other directly and have one feeder together; beyond that, each
-/// hall is a group of its own, and groups tell each other by their relays. Datagrams of 295
-/// hosts to all others were 1.17 GB between halls in 48 s.
+/// hall is a group of its own, and groups tell each other by their relays.
 pub const GROUP_HOSTS: usize = 100;
 
 /// A host that might feed this one.
--- a/crates/gateway/src/peers/last_state.rs
+++ b/crates/gateway/src/peers/last_state.rs
@@ -16,9 +16,8 @@
 
 /// How often the whole state is sent: what a lost datagram said is known again after this.
 const FULL_INTERVAL: Duration = Duration::from_secs(2);
-/// How often it is sent to hosts of other regions. Whole states each 2 s are half of the bytes of
-/// datagrams there, and what a lost one said matters less where fewer requests go. With load told by
-/// the heartbeat, 0.059 GB between regions in a day, not 0.087 (59 hosts, one play each).
+/// How often it is sent to hosts of other regions: full states are half of the bytes of datagrams
+/// there, and what a lost one said matters less where fewer requests go.
 const FAR_FULL_INTERVAL: Duration = Duration::from_secs(4);
 /// A host that starts sends its whole state more often for this long.
 const INTRODUCTION: Duration = Duration::from_secs(3);
--- a/crates/gateway/src/peers/relay.rs
+++ b/crates/gateway/src/peers/relay.rs
@@ -23,8 +23,8 @@
     tokio::time::sleep,
 };
 
-/// How often a relay tells what changed, and passes on what it heard. What a stream's host tells
-/// reaches all halls within twice this; sums for 67 streams a second are then some 10 kB a second.
+/// How often a relay sends what changed, and passes on what it received. What a stream's host tells
+/// reaches all halls within twice this.
 const RELAY_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Relays for as long as the process lives, whenever this host is the relay of its group.
--- a/crates/gateway/src/peers/shares.rs
+++ b/crates/gateway/src/peers/shares.rs
@@ -1,8 +1,7 @@
 //! How the relay of a large group has other hosts pass on what it would else send to each host.
 //!
 //! It sends to about the square root of the group's hosts, and each of those sends to its share of
-//! the others. With 99 hosts to tell, a relay that told all of them itself sent 1.6 MB a second, more
-//! than half of a link of 20 Mbit/s; with shares it sends a ninth of that.
+//! the others: a relay that told all of them itself would fill its link in a large hall.
 //!
 //! Shares follow from addresses alone, so hosts need not agree on who is in the group. They are drawn
 //! anew for each datagram: a forwarder that died takes a few datagrams from each host, and from no
--- a/crates/gateway/src/peers/snapshot.rs
+++ b/crates/gateway/src/peers/snapshot.rs
@@ -22,8 +22,8 @@
 };
 
 /// The most hosts that are given sets at once. All hosts of a hall that start together ask the first
-/// that knows a set; the rows of 3,000 upstreams to 100 of them at once would fill a link of
-/// 20 Mbit/s for many seconds. Those that wait in vain go on to another host or to the store.
+/// that knows a set, and would fill its link for many seconds. Those that wait in vain go on to another
+/// host or to the store.
 const MAX_CONNECTIONS: usize = 4;
 
 /// The rows of a set.
--- a/crates/gateway/src/rollout/turns.rs
+++ b/crates/gateway/src/rollout/turns.rs
@@ -25,9 +25,7 @@
 
 impl Turns {
     /// Of so many upstreams, at the share of the requests that the version gets. Fewer would have a
-    /// load that none will have, so that a good version seems slow: where three of 224 engines took
-    /// turns, or twelve one after the other, prompts waited for each other at one of them, and of a
-    /// good version's answers 4 of 13 and 6 of 53 came late.
+    /// load that none will have: prompts would wait for each other, and a good version seem slow.
     #[must_use]
     pub fn of(upstreams: usize, share: f64) -> Self {
         let all = f64::from(u32::try_from(upstreams).unwrap_or(u32::MAX));
--- a/crates/gateway/src/rollout/verdict.rs
+++ b/crates/gateway/src/rollout/verdict.rs
@@ -125,8 +125,7 @@
 }
 
 /// The answers of the target that count: those of all upstreams but the worst, unless there is but
-/// one. A single upstream may be bad for reasons of its own, with any version: counted alone, one
-/// that failed half of its requests condemned 375 of 400 good versions in simulation, and 2 so.
+/// one. A single upstream may be bad for reasons of its own, with any version.
 fn counted(
     evidence: &Evidence,
     upstreams: usize,
--- a/crates/gateway/src/room.rs
+++ b/crates/gateway/src/room.rs
@@ -8,15 +8,12 @@
 
 /// A request waits for one part in this many of its objective. What comes to nothing is refused early,
 /// so that its caller may come back or go elsewhere while there is time; a place that is free within
-/// this is worth the wait. Two days of bursts before 73 hosts, worth with a quarter, an eighth and a
-/// sixteenth: 0.694, 0.708, 0.698 and 0.537, 0.543, 0.538 (one play each; streams in time 1,809, 1,816,
-/// 1,816 and 1,317, 1,342, 1,324). Where little waits, nothing changes.
+/// this is worth the wait.
 const OBJECTIVE_PART: u32 = 8;
 
 /// A stream that lost its engine waits at least so long for the retry budget: what others leave over
 /// is shared anew once a second at the latest, and its caller would rather have the rest late than not
-/// at all. Where a hall's engines die while 18 of 59 hosts are cut off, 142 ends of streams are refusals
-/// for want of budget with 0.56 s, and 94 with this (a day's worth 0.493, 0.500; one play each).
+/// at all.
 const BUDGET_PATIENCE: Duration = Duration::from_secs(2);
 
 /// How long a request with this objective waits for room.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -341,9 +341,7 @@
     }
 
     /// Notes that an upstream answered with a failure what another one then did, and tells the peers.
-    /// A request that fails everywhere speaks against no upstream. Where each of 73 hosts had to learn by
-    /// itself of ten engines that failed all at once, 354 tries ended there in 14 s, and 165 streams had
-    /// no tries left (one play, counted in its logs).
+    /// A request that fails everywhere speaks against no upstream.
     pub fn note_failing(&self, upstream: &Upstream, did_it: &Upstream) {
         log::warn!(
             "upstream: failing upstream={} hall={} did_it={}",
--- a/crates/gateway/src/sync/apply.rs
+++ b/crates/gateway/src/sync/apply.rs
@@ -19,8 +19,7 @@
 pub(super) enum LogRows {
     /// Each that changed something.
     Each,
-    /// None: they are the whole set of a host that knew none, and one line counts them. Lines of
-    /// 266 upstreams pushed all others out of the log of a host that started.
+    /// None: they are the full set of a host that knew none, and one line counts them.
     Counted,
 }
 
--- a/crates/gateway/src/sync/follow.rs
+++ b/crates/gateway/src/sync/follow.rs
@@ -109,8 +109,7 @@
     }
 
     /// Waits a moment for a feeder before this host watches a set that it has just read: hosts that
-    /// start together hear each other some 0.4 s later, once their seeds have started. Else 295
-    /// of them made 830 calls more, 0.009 of a day's worth.
+    /// start together hear each other some 0.4 s later, once their seeds have started.
     async fn await_feeder(&mut self) {
         let until = Instant::now() + FEEDER_PATIENCE;
         loop {
--- a/crates/gateway/src/sync/from_peers.rs
+++ b/crates/gateway/src/sync/from_peers.rs
@@ -37,9 +37,7 @@
 /// How often a host that starts looks whether another one knows a set.
 const START_INTERVAL: Duration = Duration::from_millis(10);
 /// How long a host that starts lets others be heard before it takes itself for the first: where
-/// others live, one of them answers within some 10 ms. Callers wait meanwhile: with 150 ms, streams
-/// that were cut and came back after 0.5 s no longer made their next event within 0.7 s of the last
-/// one (a day's worth 0.736 to 0.659).
+/// others live, one of them answers within some 10 ms. Callers whose streams were cut wait meanwhile.
 const START_GATHER: Duration = Duration::from_millis(25);
 /// How long a host that starts waits for one that ranks before it, and then reads the store.
 const START_PATIENCE: Duration = Duration::from_millis(70);
@@ -99,9 +97,7 @@
 
     /// Waits, as a host that starts, for one that knows the set, learns it there, and waits until
     /// its feeder is heard. Where none is heard in time, this host reads the store: at once where
-    /// it can expect to be the first, a little later where others that start rank before it. With
-    /// one reader for all groups, this took the calls to the store on a calm day of 295 hosts
-    /// from 3,561 to 741 (counted by the store, one play each).
+    /// it can expect to be the first, a little later where others that start rank before it.
     pub(super) async fn start_from_peers(&mut self) {
         let started = Instant::now();
         loop {
--- a/crates/gateway/src/sync/pause.rs
+++ b/crates/gateway/src/sync/pause.rs
@@ -15,8 +15,7 @@
 /// How much longer the pause gets by that.
 const LONGEST_SHARED_PAUSE: Duration = Duration::from_millis(2_400);
 /// So many hosts, the first by rank, try a store that is away more and more slowly; the others at the
-/// longest pause from the first failure on. Of 73 hosts whose store was away for 8 s this took all
-/// calls of a day from 1,917 to 1,133 (two plays each).
+/// longest pause from the first failure on.
 const STORE_TRIERS: usize = 3;
 /// How many times the pause of a set lasts by which hosts do not try the store: its followers
 /// wait for the one by which they do, should that one alone stay unanswered.
--- a/crates/quarantine/src/record.rs
+++ b/crates/quarantine/src/record.rs
@@ -48,9 +48,7 @@
     }
 
     /// Whether it is worth telling others before more speaks against the request. A hall's death is the
-    /// end of many streams that have got on, of which each host would tell all others: with that, and with what was
-    /// learned told on, 73 hosts sent each other twice as many bytes between halls, and two days' worth
-    /// was 0.844 and 0.664 in place of 0.876 and 0.743 (one play each, no processor time).
+    /// end of many streams that have got on, of which each host would tell all others.
     pub(crate) fn is_news(&self, now: Instant) -> bool {
         let is_new = now.saturating_duration_since(self.changed) <= TOLD_WHILE_NEW;
         is_new && self.tells_much()
