Find what a host tells of upstreams without a look at all of them

Cause: for each datagram of its state, twice a second and at each begin and end of a stream, a host went through all listed upstreams to find the two or three at which it has work or of which it found something; a relay did so each 100 ms. That grows with upstreams, on every host.

Change: an upstream is marked when work begins there or something is found of it (view::active), and forgotten when a look finds neither.

Tests: view, by proptest, that the marks give what a look at all gives, whatever happened and however often they were looked at; fleet_size, three of 10,000.

--- a/crates/gateway/benches/fleet_size.rs
+++ b/crates/gateway/benches/fleet_size.rs
@@ -9,7 +9,10 @@
 
 use {
     criterion::{BenchmarkId, Criterion, Throughput, criterion_group, criterion_main},
-    std::{hint::black_box, time::Duration},
+    std::{
+        hint::black_box,
+        time::{Duration, Instant},
+    },
     tealshore_capacity::EngineKind,
     tealshore_core::ids::EngineId,
     tealshore_gateway::{
@@ -127,6 +130,27 @@
     group.finish();
 }
 
+/// A host finds what it has to tell others: work at three upstreams.
+fn list_active(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("list_active");
+    for count in FLEET_SIZES {
+        let upstreams = listed(&records(count));
+        let work = Work {
+            running: 1,
+            unread_tokens: 0,
+            memory_tokens: 9_000,
+        };
+        for record in records(3) {
+            upstreams.get(&record.id).unwrap().begin(work);
+        }
+        group.throughput(Throughput::Elements(count as u64));
+        group.bench_function(BenchmarkId::from_parameter(count), |bencher| {
+            bencher.iter(|| black_box(upstreams.active(Instant::now())));
+        });
+    }
+    group.finish();
+}
+
 /// A host chooses the upstream of a stream.
 fn choose_upstream(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("choose_upstream");
@@ -201,6 +225,7 @@
     exchange_snapshot,
     exchange_packed_snapshot,
     list_ready,
+    list_active,
     choose_upstream,
     sum_group
 );
--- a/crates/gateway/src/peers/outgoing.rs
+++ b/crates/gateway/src/peers/outgoing.rs
@@ -21,8 +21,8 @@
 /// The whole state of this host.
 pub(super) fn own_state(state: &GatewayState, now: Instant) -> PeerState {
     let peers = &state.peers;
-    let all = state.view.upstreams.all();
-    let work = all.iter().filter_map(|upstream| {
+    let active = state.view.upstreams.active(now);
+    let work = active.iter().filter_map(|upstream| {
         let own = upstream.own_work();
         let entry = UpstreamWork {
             upstream: upstream.record.id.clone(),
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -1,5 +1,6 @@
 //! What this host believes about the outside: one versioned view with an age.
 
+mod active;
 mod configuration;
 mod freshness;
 mod listing;
--- a/crates/gateway/src/view/upstream.rs
+++ b/crates/gateway/src/view/upstream.rs
@@ -1,11 +1,13 @@
 //! One upstream, with what this host has there and thinks of it.
 
 use {
+    super::active::ActiveUpstreams,
     crate::edge::Revision,
     parking_lot::Mutex,
     serde::{Deserialize, Serialize},
     std::{
         net::SocketAddr,
+        sync::Arc,
         time::{Duration, Instant},
     },
     tealshore_capacity::EngineKind,
@@ -124,19 +126,35 @@
     pub(super) listed: Instant,
     opinion: Mutex<Opinion>,
     suspicion: Notify,
+    active: Arc<ActiveUpstreams>,
 }
 
 impl Upstream {
-    pub(super) fn new(record: UpstreamRecord, row: Revision, listed: Instant) -> Self {
+    pub(super) fn new(
+        record: UpstreamRecord,
+        row: Revision,
+        listed: Instant,
+        active: Arc<ActiveUpstreams>,
+    ) -> Self {
         Self {
             record,
             row,
             listed,
             opinion: Mutex::default(),
             suspicion: Notify::new(),
+            active,
         }
     }
 
+    /// Whether there is something to tell other hosts of it.
+    pub(super) fn is_active(&self, now: Instant) -> bool {
+        self.own_work().memory_tokens > 0 || self.condition_here(now) != Condition::Healthy
+    }
+
+    pub(super) fn mark_active(&self) {
+        self.active.mark(&self.record.id);
+    }
+
     /// When this host first saw it listed.
     pub fn listed(&self) -> Instant {
         self.listed
@@ -157,6 +175,7 @@
     /// Notes work that begins there.
     pub fn begin(&self, work: Work) {
         self.opinion.lock().own.add(work);
+        self.mark_active();
     }
 
     /// Notes work that ended there.
@@ -191,6 +210,7 @@
         let mut opinion = self.opinion.lock();
         opinion.suspected_until = opinion.suspected_until.max(Some(now + SUPERSEDED));
         drop(opinion);
+        self.mark_active();
         self.suspicion.notify_waiters();
     }
 
@@ -236,6 +256,7 @@
         opinion.from_peer = from_peer;
         opinion.suspected_until = Some(now + GONE_FOR_GOOD);
         drop(opinion);
+        self.mark_active();
         self.suspicion.notify_waiters();
         true
     }
@@ -254,6 +275,7 @@
             opinion.from_peer = from_peer;
         }
         drop(opinion);
+        self.mark_active();
         if is_change {
             self.suspicion.notify_waiters();
         }
@@ -269,6 +291,7 @@
     /// Notes that another upstream did what failed at this one.
     pub fn note_failing(&self, now: Instant) {
         self.opinion.lock().failing_until = Some(now + FAILING);
+        self.mark_active();
     }
 
     /// Notes that a peer found so; whether that is a change.
--- a/crates/gateway/src/view/upstreams.rs
+++ b/crates/gateway/src/view/upstreams.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        active::ActiveUpstreams,
         listing::{Listed, Listing},
         upstream::{Upstream, UpstreamRecord, UpstreamState},
     },
@@ -40,6 +41,7 @@
     listed: RwLock<Listing>,
     /// The version of the first whole set: which rows went before it is not known.
     changes_known_after: Mutex<Option<Revision>>,
+    active: Arc<ActiveUpstreams>,
 }
 
 impl Upstreams {
@@ -74,8 +76,14 @@
             Some(_) => {}
             None => supersede(&listed, &record, seen),
         }
-        let upstream =
-            same.unwrap_or_else(|| Arc::new(Upstream::new(record.clone(), revision, seen)));
+        let upstream = same.unwrap_or_else(|| {
+            let active = self.active.clone();
+            Arc::new(Upstream::new(record.clone(), revision, seen, active))
+        });
+        if !is_change {
+            // It may have lapsed meanwhile, and what is known of it is told again.
+            upstream.mark_active();
+        }
         listed.insert(revision, upstream);
         is_change
     }
@@ -206,6 +214,20 @@
             .collect()
     }
 
+    /// The upstreams that are listed and of which there is something to tell other hosts: this host
+    /// has work there, or found something.
+    pub fn active(&self, now: Instant) -> Vec<Arc<Upstream>> {
+        let listed = self.listed.read();
+        let mut active = Vec::new();
+        self.active.retain(|id| {
+            let upstream = listed.get(id).and_then(Listed::current);
+            let upstream = upstream.filter(|upstream| upstream.is_active(now));
+            active.extend(upstream.cloned());
+            upstream.is_some()
+        });
+        active
+    }
+
     /// All upstreams that are listed, each with the version of its row.
     pub fn rows(&self) -> Vec<(Revision, UpstreamRecord)> {
         let listed = self.listed.read();
--- a/crates/gateway/tests/fleet_size.rs
+++ b/crates/gateway/tests/fleet_size.rs
@@ -81,6 +81,26 @@
     );
 }
 
+/// A host looked at each of 10,000 upstreams, 0.7 ms of a core and more, for each datagram that tells the others of
+/// the two or three at which it has work.
+#[test]
+fn what_a_host_tells_costs_as_much_as_it_has_to_tell() {
+    let upstreams = Upstreams::default();
+    for record in records(UPSTREAMS) {
+        upstreams.put(1, record);
+    }
+    let now = Instant::now();
+    for record in records(3) {
+        upstreams.get(&record.id).unwrap().suspect(now);
+    }
+    let all = least_time(|| drop(black_box(upstreams.all())));
+    let told = least_time(|| assert_eq!(upstreams.active(now).len(), 3));
+    assert!(
+        told * 20 < all,
+        "to find 3 took {told:?}, to list {UPSTREAMS} {all:?}"
+    );
+}
+
 /// The index by address follows rows that move, go and come back.
 #[test]
 fn an_incarnation_gives_way_at_the_address_that_it_moved_to() {
--- a/crates/gateway/tests/view.rs
+++ b/crates/gateway/tests/view.rs
@@ -234,6 +234,113 @@
     assert!(!takes_work("leaving"));
 }
 
+/// What happens to one of a few upstreams.
+#[derive(Clone, Copy, Debug)]
+enum Happens {
+    Begins,
+    Ends,
+    Suspected,
+    SuspectedByPeer,
+    Fails,
+    Replaced,
+    Listed(UpstreamState),
+    Gone,
+    Lapses,
+}
+
+fn any_happening() -> impl Strategy<Value = Happens> {
+    use Happens::{
+        Begins, Ends, Fails, Gone, Lapses, Listed, Replaced, Suspected, SuspectedByPeer,
+    };
+    prop::sample::select(vec![
+        Begins,
+        Ends,
+        Suspected,
+        SuspectedByPeer,
+        Fails,
+        Replaced,
+        Listed(UpstreamState::Ready),
+        Listed(UpstreamState::Leaving),
+        Gone,
+        Lapses,
+    ])
+}
+
+/// Lets it happen to the upstream with an id, at the given version of the store.
+fn happen(view: &View, id: &str, happens: Happens, revision: u64, now: Instant) {
+    let id = id.to_owned();
+    let work = Work {
+        running: 1,
+        unread_tokens: 0,
+        memory_tokens: 9_000,
+    };
+    match (happens, view.upstreams.get(&id)) {
+        (Happens::Listed(state), _) => {
+            view.upstreams.put(revision, record(&id, state));
+        }
+        (Happens::Gone, _) => {
+            view.upstreams.remove(revision, &id);
+        }
+        (Happens::Lapses, _) => {
+            view.upstreams.retain_lapsed(revision, &[], Instant::now());
+        }
+        (_, None) => {}
+        (Happens::Begins, Some(upstream)) => upstream.begin(work),
+        (Happens::Ends, Some(upstream)) => upstream.end(work),
+        (Happens::Suspected, Some(upstream)) => {
+            upstream.suspect(now);
+        }
+        (Happens::SuspectedByPeer, Some(upstream)) => {
+            upstream.suspect_for_peer(now);
+        }
+        (Happens::Fails, Some(upstream)) => upstream.note_failing(now),
+        (Happens::Replaced, Some(upstream)) => upstream.gone_for_good(now),
+    }
+}
+
+fn ids(
+    upstreams: impl IntoIterator<Item = std::sync::Arc<tealshore_gateway::view::Upstream>>,
+) -> Vec<String> {
+    let mut ids: Vec<String> = upstreams
+        .into_iter()
+        .map(|it| it.record.id.clone())
+        .collect();
+    ids.sort();
+    ids
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(13), ..ProptestConfig::with_cases(300) })]
+
+    /// Those of which there is something to tell are found without a look at all, whatever happened to them and
+    /// however often they were looked for meanwhile.
+    #[test]
+    fn all_upstreams_with_something_to_tell_are_found(
+        happenings in prop::collection::vec((0_usize..4, any_happening(), 0_u64..900, any::<bool>()), 0..60),
+    ) {
+        let view = View::default();
+        let names = ["e-0", "e-1", "e-2", "e-3"];
+        for name in names {
+            view.upstreams.put(1, record(name, UpstreamState::Ready));
+        }
+        let mut now = Instant::now();
+        let mut revision = 1;
+        for (which, happens, passes_ms, is_looked_for) in happenings {
+            revision += 1;
+            now += Duration::from_millis(passes_ms);
+            happen(&view, names[which], happens, revision, now);
+            if !is_looked_for {
+                continue;
+            }
+            let has_something = view.upstreams.all().into_iter().filter(|upstream| {
+                let has_work = upstream.own_work().memory_tokens > 0;
+                has_work || upstream.condition_here(now) != Condition::Healthy
+            });
+            prop_assert_eq!(ids(view.upstreams.active(now)), ids(has_something));
+        }
+    }
+}
+
 #[test]
 fn rows_that_are_not_back_in_time_have_gone() {
     let view = View::default();
