Let few of the hosts that start together read all pages of a large set

Cause: where all hosts start at once, each read every page of the upstreams from the store, as its seeds come later than its own start and no host can tell it. Before 10,000 upstreams these are 20 pages and some 2.5 MB each, 19,680 calls and 2.4 GB for 984 hosts by computation: five seconds at the store's link alone, in which none of them has all. It grows with hosts times upstreams.

Change: between two pages a host that does not know the set yet lets the three that rank first of those it hears go on, for four times as long as its page took, and learns the set from the first host that knows it. What it has read stays, so that one which hears of nobody goes on where it was. Sets of one page (500 rows) are read as before.

--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -133,6 +133,7 @@
         let mut rows = 0;
         let log = self.row_logging();
         loop {
+            let asked = Instant::now();
             let (page, written) = self.list(after_key.as_deref()).await?;
             rows += page.changes.len();
             let versions = page.changes.iter().map(|(revision, _)| *revision);
@@ -162,6 +163,9 @@
                 self.record_full_read(&read, written);
                 return Ok(());
             }
+            if self.learn_between_pages(asked.elapsed()).await {
+                return Ok(());
+            }
         }
     }
 
--- a/crates/gateway/src/sync/from_peers.rs
+++ b/crates/gateway/src/sync/from_peers.rs
@@ -34,6 +34,11 @@
 };
 /// How many hosts are asked before the attempt is given up.
 const HOSTS_ASKED: usize = 2;
+/// So many of the hosts that start together, the first by rank of those that hear each other, read
+/// a set of many pages without a pause.
+const FULL_READERS: usize = 3;
+/// How many times as long as a page took the others wait before the next one.
+const PAGE_WAIT_FACTOR: u32 = 4;
 /// How often a host that starts looks whether another one knows a set.
 const START_INTERVAL: Duration = Duration::from_millis(10);
 /// How long a host that starts lets others be heard before it takes itself for the first: where
@@ -125,6 +130,29 @@
         }
     }
 
+    /// Between two pages of a set that this host does not know yet: lets the hosts that rank before it
+    /// read, for some times as long as its last page took, and learns the set from the first that
+    /// knows it; whether it did. Where all hosts start at once, each would else read every page, and
+    /// all of them would wait for the store and their links that much longer.
+    pub(super) async fn learn_between_pages(&mut self, page_took: Duration) -> bool {
+        if self.newest() > 0 {
+            return false;
+        }
+        let until = Instant::now() + page_took * PAGE_WAIT_FACTOR;
+        loop {
+            if self.learn_from_peers(Reach::Everywhere).await {
+                self.state.peers.wake_sender();
+                return true;
+            }
+            let now = Instant::now();
+            if now >= until || self.state.peers.hosts_before(now) < FULL_READERS {
+                return false;
+            }
+            let look_again = until.min(now + spread(START_INTERVAL));
+            self.state.feed.wait_for_update(self.set, look_again).await;
+        }
+    }
+
     /// How long a host that starts waits for one that knows the set.
     pub(super) fn start_patience(&self, now: Instant) -> Duration {
         let peers = &self.state.peers;
