Let a large fleet call a store that is away no more often than a small one

Cause: the pause after a failed call grew by 20 ms for each host of the fleet, as any that reaches the store feeds the others, but by 2.4 s at most: from 121 hosts on, all of them together called the more often the more they were. 984 hosts whose store is away call it some 600 times a second, by computation, and each call is priced, refused ones as well. The bound was there for a host that is cut off from all others, which counted those it once knew.

Change: the hosts that were heard a moment ago count, without a bound. A host that hears nobody tries each 0.8 s at the longest; 984 that hear each other make some 100 calls a second, as 200 do.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -291,6 +291,14 @@
         before.count()
     }
 
+    /// How many other hosts were heard a moment ago, directly or by the relay of their group.
+    pub fn hosts_heard(&self, now: Instant) -> usize {
+        let elsewhere = self.groups.lock().fresh_hosts(self.options.silence, now);
+        let known = self.known.lock();
+        let direct = known.values().filter(|peer| self.is_counted(peer, now));
+        direct.count() + elsewhere
+    }
+
     /// Whether the hosts are so many that each hall is a group of its own.
     pub fn is_grouped(&self) -> bool {
         self.most_hosts.load(Ordering::Relaxed) > GROUP_HOSTS
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -327,7 +327,7 @@
             failures: self.failures,
             shows_loss: failure.shows_loss(),
             is_tried_set: self.set == TRIED_SET,
-            most_hosts: self.state.peers.most_hosts(),
+            hosts_heard: self.state.peers.hosts_heard(Instant::now()),
             hosts_before: self.state.peers.hosts_before(Instant::now()),
         };
         self.failures += 1;
--- a/crates/gateway/src/sync/pause.rs
+++ b/crates/gateway/src/sync/pause.rs
@@ -9,11 +9,9 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 /// The longest pause after a failed call of a host that is alone.
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
-/// The time by which each further host makes it longer: any of them that reaches the store
-/// feeds the others, so that each may ask less often.
+/// The time by which each further host that is heard makes it longer: any of them that reaches the
+/// store feeds the others. All hosts together then try as often in a large fleet as in a small one.
 const PAUSE_PER_HOST: Duration = Duration::from_millis(20);
-/// How much longer the pause gets by that.
-const LONGEST_SHARED_PAUSE: Duration = Duration::from_millis(2_400);
 /// So many hosts, the first by rank, try a store that is away more and more slowly; the others at the
 /// longest pause from the first failure on.
 const STORE_TRIERS: usize = 3;
@@ -32,8 +30,8 @@
     pub shows_loss: bool,
     /// Whether it was for the set by which hosts try a store that is away.
     pub is_tried_set: bool,
-    /// The most hosts that there ever were at once, this one included.
-    pub most_hosts: usize,
+    /// How many other hosts were heard a moment ago: one that hears nobody tries for itself alone.
+    pub hosts_heard: usize,
     /// How many hosts that were heard a moment ago rank before this one.
     pub hosts_before: usize,
 }
@@ -54,9 +52,8 @@
         if !self.shows_loss {
             return LONGEST_PAUSE;
         }
-        let others = u32::try_from(self.most_hosts).unwrap_or(u32::MAX) - 1;
-        let shared = PAUSE_PER_HOST.saturating_mul(others);
-        let longest = LONGEST_PAUSE + shared.min(LONGEST_SHARED_PAUSE);
+        let others = u32::try_from(self.hosts_heard).unwrap_or(u32::MAX);
+        let longest = LONGEST_PAUSE.saturating_add(PAUSE_PER_HOST.saturating_mul(others));
         if self.is_tried_set {
             longest
         } else {
