Choose among upstreams without a copy of each one's names

Cause: for each stream, copy and repeat the choice copied the id and the hall of every upstream of the service, 20,000 allocations and some 1.8 MB at 10,000 upstreams by computation, and worked out costs twice a comparison. Memory at its peak and the time of a choice grow with upstreams.

Change: candidates borrow the names, and each is ranked once. What is chosen is as before (balance, 17 passed; two tests name their ids from a list, as candidates no longer own them).

--- a/crates/gateway/benches/fleet_size.rs
+++ b/crates/gateway/benches/fleet_size.rs
@@ -163,7 +163,8 @@
     };
     let (own_hall, topology) = (HALLS[0].to_owned(), Topology::default());
     for count in FLEET_SIZES {
-        let candidates: Vec<Candidate> = records(count).into_iter().map(candidate).collect();
+        let records = records(count);
+        let candidates: Vec<Candidate<'_>> = records.iter().map(candidate).collect();
         group.throughput(Throughput::Elements(count as u64));
         group.bench_function(BenchmarkId::from_parameter(count), |bencher| {
             bencher.iter(|| black_box(choose(&candidates, need, &own_hall, &topology, &[])));
@@ -172,10 +173,10 @@
     group.finish();
 }
 
-fn candidate(record: UpstreamRecord) -> Candidate {
+fn candidate(record: &UpstreamRecord) -> Candidate<'_> {
     Candidate {
-        id: record.id,
-        hall: record.hall,
+        id: &record.id,
+        hall: &record.hall,
         kind: record.kind,
         work: Work::default(),
         slots: record.slots,
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -48,11 +48,11 @@
 
 /// What is known of an upstream when a choice is made.
 #[derive(Clone, Debug)]
-pub struct Candidate {
+pub struct Candidate<'a> {
     /// The upstream.
-    pub id: EngineId,
+    pub id: &'a str,
     /// Its hall.
-    pub hall: HallId,
+    pub hall: &'a str,
     /// Whether it may be taken away, together with all others of its kind in its hall.
     pub kind: EngineKind,
     /// What all hosts have there.
@@ -109,36 +109,51 @@
 /// The cheapest candidate that is not in `avoid`; unsound ones only where there is no
 /// other. None where nothing has room.
 #[must_use]
-pub fn choose<'a>(
-    candidates: &'a [Candidate],
+pub fn choose<'c, 'a>(
+    candidates: &'c [Candidate<'a>],
     need: Need<'_>,
     own_hall: &HallId,
     topology: &Topology,
     avoid: &[EngineId],
-) -> Option<&'a Candidate> {
+) -> Option<&'c Candidate<'a>> {
     let allowed = candidates
         .iter()
-        .filter(|candidate| !avoid.contains(&candidate.id))
+        .filter(|candidate| !avoid.iter().any(|id| id == candidate.id))
         .filter(|candidate| has_room(candidate, need));
-    allowed.min_by(|a, b| {
-        let by_cost = || {
-            let cost_of = |candidate| cost(candidate, need, own_hall, topology);
-            cost_of(a)
-                .partial_cmp(&cost_of(b))
-                .unwrap_or(Ordering::Equal)
+    // One cost a candidate: there may be many thousand.
+    let ranked = allowed.map(|candidate| {
+        let rank = Rank {
+            is_unsound: candidate.unsound,
+            has_company: has_company(candidate, need),
+            is_unproved: is_unproved(candidate, need),
+            cost: cost(candidate, need, own_hall, topology),
         };
-        let by_proof = is_unproved(a, need).cmp(&is_unproved(b, need));
-        let by_company = has_company(a, need).cmp(&has_company(b, need));
-        let by_soundness = a.unsound.cmp(&b.unsound);
-        by_soundness
-            .then(by_company)
-            .then(by_proof)
-            .then_with(by_cost)
-    })
+        (rank, candidate)
+    });
+    let best = ranked.min_by(|(a, _), (b, _)| a.cmp(b));
+    best.map(|(_, candidate)| candidate)
+}
+
+/// What decides between candidates, the most important first.
+struct Rank {
+    is_unsound: bool,
+    has_company: bool,
+    is_unproved: bool,
+    cost: f64,
+}
+
+impl Rank {
+    fn cmp(&self, other: &Self) -> Ordering {
+        let flags = |it: &Self| (it.is_unsound, it.has_company, it.is_unproved);
+        let by_cost = || self.cost.partial_cmp(&other.cost);
+        flags(self)
+            .cmp(&flags(other))
+            .then_with(|| by_cost().unwrap_or(Ordering::Equal))
+    }
 }
 
 /// Whether other work is where a prompt would rather be alone.
-fn has_company(candidate: &Candidate, need: Need<'_>) -> bool {
+fn has_company(candidate: &Candidate<'_>, need: Need<'_>) -> bool {
     match need {
         Need::Prompt { wants_alone, .. } => wants_alone && candidate.work.running > 0,
         Need::Call { .. } | Need::Copy { .. } => false,
@@ -146,14 +161,14 @@
 }
 
 /// Whether a candidate may fail a prompt that failed elsewhere: nothing runs there.
-fn is_unproved(candidate: &Candidate, need: Need<'_>) -> bool {
+fn is_unproved(candidate: &Candidate<'_>, need: Need<'_>) -> bool {
     match need {
         Need::Prompt { has_failed, .. } => has_failed && candidate.work.running == 0,
         Need::Call { .. } | Need::Copy { .. } => false,
     }
 }
 
-fn has_room(candidate: &Candidate, need: Need<'_>) -> bool {
+fn has_room(candidate: &Candidate<'_>, need: Need<'_>) -> bool {
     match need {
         Need::Call { hosts } => candidate.work.running < host_share(candidate.slots, hosts),
         Need::Prompt {
@@ -179,7 +194,7 @@
 
 /// Whether an engine holds more tokens within a part of its memory; 0 tells that its size is
 /// not known.
-fn fits(candidate: &Candidate, tokens: u64, engine_tokens: u64, part: f64) -> bool {
+fn fits(candidate: &Candidate<'_>, tokens: u64, engine_tokens: u64, part: f64) -> bool {
     let held = to_f64(candidate.work.memory_tokens + tokens);
     engine_tokens == 0 || held <= to_f64(engine_tokens) * part
 }
@@ -193,8 +208,8 @@
     queued.div_ceil(hosts).max(LEAST_PART)
 }
 
-fn cost(candidate: &Candidate, need: Need<'_>, own_hall: &HallId, topology: &Topology) -> f64 {
-    let distance = topology.distance(own_hall, &candidate.hall);
+fn cost(candidate: &Candidate<'_>, need: Need<'_>, own_hall: &HallId, topology: &Topology) -> f64 {
+    let distance = topology.distance(own_hall, candidate.hall);
     let running = f64::from(candidate.work.running);
     let failures = candidate.failure_score * FAILURE_COST;
     match need {
@@ -221,7 +236,7 @@
             away_from, kind, ..
         } => {
             let fate = shared_fate(candidate, away_from, kind);
-            let region_fate = match topology.distance(away_from, &candidate.hall) {
+            let region_fate = match topology.distance(away_from, candidate.hall) {
                 Distance::SameHall | Distance::SameRegion => SAME_REGION_COPY_TOKENS,
                 Distance::OtherRegion => 0.0,
             };
@@ -233,9 +248,9 @@
 
 /// What it costs a copy that its holder may be lost in the instant in which the run's engine is: more
 /// than any difference in memory. Preemptible engines of a hall go together, others only may.
-fn shared_fate(candidate: &Candidate, hall: &HallId, kind: EngineKind) -> f64 {
+fn shared_fate(candidate: &Candidate<'_>, hall: &HallId, kind: EngineKind) -> f64 {
     let is_preemptible = |kind| kind == EngineKind::Preemptible;
-    if candidate.hall != *hall {
+    if candidate.hall != hall {
         0.0
     } else if is_preemptible(kind) && is_preemptible(candidate.kind) {
         2.0
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -103,7 +103,7 @@
     }
 
     /// Whether the lender of an upstream may be asked now.
-    pub fn may_ask(&self, id: &EngineId, now: Instant) -> bool {
+    pub fn may_ask(&self, id: &str, now: Instant) -> bool {
         self.borrower.lock().may_ask(id, now)
     }
 
--- a/crates/gateway/src/state/choice.rs
+++ b/crates/gateway/src/state/choice.rs
@@ -107,8 +107,8 @@
                 let mut work = upstream.own_work();
                 work.add(elsewhere.get(id).copied().unwrap_or_default());
                 Candidate {
-                    id: id.clone(),
-                    hall: upstream.record.hall.clone(),
+                    id,
+                    hall: &upstream.record.hall,
                     kind: upstream.record.kind,
                     work,
                     slots: upstream.record.slots,
@@ -120,7 +120,7 @@
                     },
                 }
             });
-        let mut candidates: Vec<Candidate> = candidates.collect();
+        let mut candidates: Vec<Candidate<'_>> = candidates.collect();
         drop(notices);
         self.exclude_limited(&mut candidates, ready, need, avoid, now);
         let (hall, topology) = (&self.options.host.hall, &self.options.topology);
@@ -136,7 +136,7 @@
     /// go on from it there may find no permit.
     fn exclude_limited(
         &self,
-        candidates: &mut Vec<Candidate>,
+        candidates: &mut Vec<Candidate<'_>>,
         ready: &[Arc<Upstream>],
         need: Need<'_>,
         avoid: &[EngineId],
@@ -145,22 +145,22 @@
         if self.limits.is_empty() {
             return;
         }
-        let record_of = |id: &EngineId| {
+        let record_of = |id: &str| {
             let found = ready.iter().find(|upstream| upstream.record.id == *id);
             found.map(|upstream| &upstream.record)
         };
         if let Need::Copy { .. } = need {
             for candidate in candidates {
-                let limit = record_of(&candidate.id).and_then(|it| self.limit_of(it, now));
+                let limit = record_of(candidate.id).and_then(|it| self.limit_of(it, now));
                 candidate.unsound |= limit.is_some();
             }
             return;
         }
-        let is_short = |candidate: &mut Candidate| {
-            record_of(&candidate.id).is_some_and(|record| self.is_short(record, now))
+        let is_short = |candidate: &mut Candidate<'_>| {
+            record_of(candidate.id).is_some_and(|record| self.is_short(record, now))
         };
-        let mut short: Vec<Candidate> = candidates.extract_if(.., is_short).collect();
-        short.retain(|candidate| self.limits.may_ask(&candidate.id, now));
+        let mut short: Vec<Candidate<'_>> = candidates.extract_if(.., is_short).collect();
+        short.retain(|candidate| self.limits.may_ask(candidate.id, now));
         let (hall, topology) = (&self.options.host.hall, &self.options.topology);
         let most_asks = if candidates.is_empty() {
             ASKS_OF_LAST
@@ -171,8 +171,8 @@
             let Some(best) = choose(&short, need, hall, topology, avoid) else {
                 return;
             };
-            let best = best.id.clone();
-            let limit = record_of(&best).and_then(|it| Some((it, self.limit_of(it, now)?)));
+            let best = best.id;
+            let limit = record_of(best).and_then(|it| Some((it, self.limit_of(it, now)?)));
             if let Some((record, per_s)) = limit {
                 self.want_permit(record, per_s, now);
             }
--- a/crates/gateway/src/topology.rs
+++ b/crates/gateway/src/topology.rs
@@ -71,7 +71,7 @@
     /// How far two halls are from each other. One that is not known counts as one of the same
     /// region: all halls do where no regions are known, and a new hall is not shunned.
     #[must_use]
-    pub fn distance(&self, hall: &HallId, other: &HallId) -> Distance {
+    pub fn distance(&self, hall: &str, other: &str) -> Distance {
         if hall == other {
             return Distance::SameHall;
         }
--- a/crates/gateway/tests/balance.rs
+++ b/crates/gateway/tests/balance.rs
@@ -10,10 +10,10 @@
     },
 };
 
-fn candidate(id: &str, hall: &str) -> Candidate {
+fn candidate<'a>(id: &'a str, hall: &'a str) -> Candidate<'a> {
     Candidate {
-        id: id.into(),
-        hall: hall.into(),
+        id,
+        hall,
         kind: EngineKind::OnDemand,
         work: Work::default(),
         slots: 6,
@@ -23,6 +23,10 @@
     }
 }
 
+const IDS: [&str; 10] = [
+    "e-0", "e-1", "e-2", "e-3", "e-4", "e-5", "e-6", "e-7", "e-8", "e-9",
+];
+
 const CALL: Need<'_> = Need::Call { hosts: 1 };
 
 const PROMPT: Need<'_> = Need::Prompt {
@@ -33,10 +37,10 @@
     wants_alone: false,
 };
 
-fn chosen(candidates: &[Candidate], need: Need<'_>, avoid: &[String]) -> Option<String> {
+fn chosen(candidates: &[Candidate<'_>], need: Need<'_>, avoid: &[String]) -> Option<String> {
     let one_region = Topology::default();
     choose(candidates, need, &"a".to_owned(), &one_region, avoid)
-        .map(|candidate| candidate.id.clone())
+        .map(|candidate| candidate.id.to_owned())
 }
 
 #[test]
@@ -94,13 +98,12 @@
     let (own_hall, one_region) = ("a".to_owned(), Topology::default());
     let mut candidates = [candidate("idle", "a"), candidate("runs", "b")];
     candidates[1].work.running = 3;
-    let chosen =
-        |need| choose(&candidates, need, &own_hall, &one_region, &[]).map(|it| it.id.clone());
-    assert_eq!(chosen(PROMPT).as_deref(), Some("idle"));
-    assert_eq!(chosen(failed).as_deref(), Some("runs"));
+    let chosen = |need| choose(&candidates, need, &own_hall, &one_region, &[]).map(|it| it.id);
+    assert_eq!(chosen(PROMPT), Some("idle"));
+    assert_eq!(chosen(failed), Some("runs"));
     candidates[1].work.memory_tokens = 88_000;
     let chosen = choose(&candidates, failed, &own_hall, &one_region, &[]);
-    assert_eq!(chosen.map(|it| it.id.as_str()), Some("idle"));
+    assert_eq!(chosen.map(|it| it.id), Some("idle"));
 }
 
 #[test]
@@ -201,9 +204,11 @@
     };
     let mut at_emptiest = 0;
     for _ in 0..100 {
-        let candidates: Vec<Candidate> = (0..10)
-            .map(|index| {
-                let mut holder = candidate(&format!("e-{index}"), "b");
+        let candidates: Vec<Candidate<'_>> = IDS
+            .iter()
+            .enumerate()
+            .map(|(index, id)| {
+                let mut holder = candidate(id, "b");
                 holder.work.memory_tokens = if index == 0 { 0 } else { 8_000 };
                 holder.draw = draw();
                 holder
@@ -221,9 +226,9 @@
     Topology::new(halls.into_iter().map(named).collect())
 }
 
-fn chosen_in_regions(candidates: &[Candidate], need: Need<'_>) -> Option<String> {
+fn chosen_in_regions(candidates: &[Candidate<'_>], need: Need<'_>) -> Option<String> {
     let own_hall = "a".to_owned();
-    choose(candidates, need, &own_hall, &two_regions(), &[]).map(|it| it.id.clone())
+    choose(candidates, need, &own_hall, &two_regions(), &[]).map(|it| it.id.to_owned())
 }
 
 /// As their queues grow, the engines of the own hall, those of the region and those elsewhere get
@@ -232,7 +237,7 @@
 fn prompts_spill_to_the_region_and_then_elsewhere() {
     let idle = [("near", "a"), ("beside", "b"), ("far", "c")];
     let mut engines = idle.map(|(id, hall)| candidate(id, hall));
-    let chosen = |engines: &[Candidate]| chosen_in_regions(engines, PROMPT).unwrap();
+    let chosen = |engines: &[Candidate<'_>]| chosen_in_regions(engines, PROMPT).unwrap();
     assert_eq!(chosen(&engines), "near");
     engines[0].work.unread_tokens = 12_000;
     assert_eq!(chosen(&engines), "beside");
@@ -265,7 +270,7 @@
 fn calls_spill_to_the_region_and_then_elsewhere() {
     let idle = [("near", "a"), ("beside", "b"), ("far", "c")];
     let mut upstreams = idle.map(|(id, hall)| candidate(id, hall));
-    let chosen = |upstreams: &[Candidate]| chosen_in_regions(upstreams, CALL).unwrap();
+    let chosen = |upstreams: &[Candidate<'_>]| chosen_in_regions(upstreams, CALL).unwrap();
     assert_eq!(chosen(&upstreams), "near");
     upstreams[0].work.running = 4;
     assert_eq!(chosen(&upstreams), "beside");
@@ -314,11 +319,11 @@
         let halls = ["a", "b", "c", "d"];
         let named = halls.map(|hall| (hall.to_owned(), "one".to_owned()));
         let one_region = Topology::new(named.into_iter().collect());
-        let engines: Vec<Candidate> = engines
+        let engines: Vec<Candidate<'_>> = engines
             .into_iter()
-            .enumerate()
-            .map(|(index, (hall, running, unread_tokens, draw))| {
-                let mut engine = candidate(&format!("e-{index}"), halls[hall]);
+            .zip(IDS)
+            .map(|((hall, running, unread_tokens, draw), id)| {
+                let mut engine = candidate(id, halls[hall]);
                 engine.work.running = running;
                 engine.work.unread_tokens = unread_tokens;
                 engine.draw = draw;
@@ -336,14 +341,14 @@
         for need in [PROMPT, CALL, copy] {
             let with_map = choose(&engines, need, &own_hall, &one_region, &[]);
             let without = choose(&engines, need, &own_hall, &Topology::default(), &[]);
-            prop_assert_eq!(with_map.map(|it| &it.id), without.map(|it| &it.id));
+            prop_assert_eq!(with_map.map(|it| it.id), without.map(|it| it.id));
         }
     }
 }
 
 #[test]
 fn a_copy_lies_at_no_engine_that_goes_with_the_runs_where_another_has_room() {
-    let preemptible = |id: &str, hall: &str| Candidate {
+    let preemptible = |id: &'static str, hall: &'static str| Candidate {
         kind: EngineKind::Preemptible,
         ..candidate(id, hall)
     };
--- a/crates/rates/src/borrower.rs
+++ b/crates/rates/src/borrower.rs
@@ -94,7 +94,7 @@
 
     /// Whether the lender may be asked for an upstream.
     #[must_use]
-    pub fn may_ask(&self, upstream: &EngineId, now: Instant) -> bool {
+    pub fn may_ask(&self, upstream: &str, now: Instant) -> bool {
         self.accounts.get(upstream).is_none_or(|account| {
             let is_due = account.asked.is_some_and(|(_, until)| until > now);
             !is_due && account.not_before <= now
