--- a/crates/gateway/tests/topology.rs
+++ b/crates/gateway/tests/topology.rs
@@ -21,7 +21,7 @@
 }
 
 fn between(topology: &Topology, hall: &str, other: &str) -> Distance {
-    topology.distance(&hall.to_owned(), &other.to_owned())
+    topology.distance(hall, other)
 }
 
 fn places(halls: &[(&str, usize)]) -> Vec<(HallId, String)> {
