--- a/crates/gateway/src/peers/snapshot.rs
+++ b/crates/gateway/src/peers/snapshot.rs
@@ -54,6 +54,15 @@
         }
     }
 
+    /// How much of the set these rows are, in logs.
+    #[must_use]
+    pub fn extent(&self) -> &'static str {
+        match self {
+            Self::UpstreamChanges(_) => "changes",
+            Self::Configuration { .. } | Self::Upstreams(_) | Self::Runs(_) => "full",
+        }
+    }
+
     /// How many rows there are.
     #[must_use]
     pub fn count(&self) -> usize {
--- a/crates/gateway/src/sync/from_peers.rs
+++ b/crates/gateway/src/sync/from_peers.rs
@@ -90,8 +90,9 @@
             return false;
         }
         log::info!(
-            "feed: snapshot set={} peer={source} rows={} revision={} took_ms={}",
+            "feed: snapshot set={} peer={source} extent={} rows={} known={known} revision={} took_ms={}",
             self.set.name(),
+            snapshot.rows.extent(),
             snapshot.rows.count(),
             snapshot.watermark.revision,
             asked.elapsed().as_millis()
