Send changes of many upstreams in parts that datagrams carry

Cause: the changes that one watch brings were one datagram. Past 60,000 bytes, by the sizes of the types 760 rows that changed or 2,400 that went, it was logged and dropped as too large; each host saw a gap, and asked others or the store. 196 engines that leave stay below it; a hall of 2,000 that dies nearly reaches it, one of twice the size passes it.

Change: UpstreamDelta::into_parts, of 16 kB, each of which begins at the version where the one before ends, so that an earlier build reads each as a delta. Changes of one version stay together.

Tests: feed (3,900 rows that go, changes of one version, nothing).

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -12,6 +12,7 @@
 use {
     crate::edge::{Revision, RowSet, StoreTime, UpstreamChange},
     parking_lot::Mutex,
+    postcard::experimental::serialized_size,
     serde::{Deserialize, Serialize},
     std::{
         sync::atomic::{AtomicBool, Ordering},
@@ -90,6 +91,40 @@
     pub changes: Vec<(Revision, UpstreamChange)>,
 }
 
+impl UpstreamDelta {
+    /// The same changes in parts of at most so many bytes, each of which begins where the one before ends.
+    /// Changes of one version stay together.
+    #[must_use]
+    pub fn into_parts(mut self, part_bytes: usize) -> Vec<Self> {
+        self.changes.sort_by_key(|(revision, _)| *revision);
+        let mut parts: Vec<Self> = Vec::new();
+        let mut bytes = 0;
+        for change in self.changes {
+            let size = serialized_size(&change).unwrap_or(part_bytes);
+            bytes += size;
+            match parts.last_mut() {
+                Some(part) if bytes <= part_bytes || part.revision == change.0 => {
+                    part.revision = change.0;
+                    part.changes.push(change);
+                }
+                last => {
+                    bytes = size;
+                    let after = last.map_or(self.after, |last| last.revision);
+                    parts.push(Self {
+                        after,
+                        revision: change.0,
+                        changes: vec![change],
+                    });
+                }
+            }
+        }
+        if let Some(last) = parts.last_mut() {
+            last.revision = self.revision;
+        }
+        parts
+    }
+}
+
 /// What this host knows of the store, and since when.
 #[derive(Default)]
 pub struct Feed {
--- a/crates/gateway/src/peers/digest.rs
+++ b/crates/gateway/src/peers/digest.rs
@@ -23,7 +23,7 @@
 
 /// How often all is sent: what a lost digest said is known again after this.
 const FULL_INTERVAL: Duration = Duration::from_secs(2);
-/// The most bytes of work, and of streams, in one part of a digest: a large one would outgrow a datagram.
+/// The most bytes of entries of a kind in one part of what is sent: more could outgrow a datagram.
 pub(super) const PART_BYTES: usize = 16_000;
 /// How long a run that was sent is not sent again: as long as hosts count it as running.
 const RUN_REMEMBERED: Duration = Duration::from_secs(5);
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         Audience, COALESCE, KNOWN_PEERS_TO_NEWCOMERS, Receivers,
+        digest::PART_BYTES,
         duties::tell_usage,
         extension::Extension,
         last_state::LastState,
@@ -149,7 +150,12 @@
 
 /// Sends changes of upstreams on.
 async fn send_waiting_deltas(state: &GatewayState, socket: &PeerSocket) {
-    for (delta, audience) in state.peers.take_waiting_deltas() {
+    let waiting = state.peers.take_waiting_deltas().into_iter();
+    let parts = waiting.flat_map(|(delta, audience)| {
+        let parts = delta.into_parts(PART_BYTES).into_iter();
+        parts.map(move |part| (part, audience))
+    });
+    for (delta, audience) in parts {
         let group = state.peers.group_addresses(state.peers.group());
         if audience == Audience::Fleet && state.peers.is_grouped() {
             let relays = state.peers.digest_targets(Instant::now());
--- a/crates/gateway/tests/feed.rs
+++ b/crates/gateway/tests/feed.rs
@@ -11,11 +11,12 @@
         time::{Duration, Instant},
     },
     tealshore_gateway::{
-        edge::RowSet,
+        edge::{RowSet, UpstreamChange},
         feed::{
             Contender, FED_BOUND, Feed, FeederChoice, SetProgress, SetWatermark, StoreWatermark,
-            choose_feeder,
+            UpstreamDelta, choose_feeder,
         },
+        peers::Datagram,
     },
 };
 
@@ -41,6 +42,67 @@
     choose_feeder(&own.to_owned(), group, &[])
 }
 
+fn gone(revision: u64) -> (u64, UpstreamChange) {
+    (
+        revision,
+        UpstreamChange::Gone(format!("summary-llm-{revision:08}")),
+    )
+}
+
+/// A hall of 3,900 engines that died was one datagram of 98 kB, which was dropped as too large: every host saw a gap,
+/// and asked others or the store for what it had missed.
+#[test]
+fn changes_of_a_whole_hall_come_in_parts_that_datagrams_carry() {
+    let changes: Vec<_> = (0..3_900).map(|number| gone(50 + number)).collect();
+    let delta = UpstreamDelta {
+        after: 40,
+        revision: 9_000,
+        changes: changes.clone(),
+    };
+    let parts = delta.into_parts(16_000);
+    assert!(parts.len() > 1);
+    let mut after = 40;
+    let mut told = Vec::new();
+    for part in parts {
+        assert_eq!(part.after, after, "a part leaves a gap before it");
+        after = part.revision;
+        let datagram = Datagram::Upstreams {
+            delta: part.clone(),
+            is_for_group: true,
+        };
+        assert!(datagram.to_bytes().unwrap().len() < 20_000);
+        told.extend(part.changes);
+    }
+    assert_eq!(after, 9_000);
+    assert_eq!(format!("{told:?}"), format!("{changes:?}"));
+}
+
+/// Rows that one transaction wrote have one version: a host that knew the first half of them would take itself to
+/// know all.
+#[test]
+fn changes_of_one_version_stay_in_one_part() {
+    let changes: Vec<_> = (0..30).map(|number| gone(50 + number / 10)).collect();
+    let delta = UpstreamDelta {
+        after: 40,
+        revision: 52,
+        changes,
+    };
+    let parts = delta.into_parts(60);
+    let versions: Vec<u64> = parts.iter().map(|part| part.revision).collect();
+    assert_eq!(versions, [50, 51, 52]);
+    assert!(parts.iter().all(|part| part.changes.len() == 10));
+}
+
+#[test]
+fn nothing_that_changed_is_no_part() {
+    let delta = UpstreamDelta {
+        after: 40,
+        revision: 52,
+        changes: Vec::new(),
+    };
+    assert!(delta.into_parts(60).is_empty());
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::with_cases(200) })]
 
