Shorten the wait of a host that stops hearing the others

Cause: how many hosts are heard decides how long a host waits before it calls a store that gave it nothing. In the instant in which it is cut off from the others it still hears them all, and would have waited up to 20 s in a fleet of 984.

Change: the wait is worked out anew each 0.5 s, with the part of it that was drawn at the failure. Within 1.6 s a host that is cut off hears nobody, and waits 0.8 s at most.

--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -38,6 +38,8 @@
 /// How often one page is asked for while the store refuses calls.
 const PAGE_TRIES: u32 = 6;
 
+/// How often a host that waits to call the store again looks whom it still hears.
+const PAUSE_INTERVAL: Duration = Duration::from_millis(500);
 /// A store that was away for this long may have let rows lapse of upstreams that live.
 const LAPSE_AFTER: Duration = Duration::from_millis(2_500);
 /// Such rows are back within about two seconds, or their upstreams are gone.
@@ -323,17 +325,16 @@
             self.state.feed.note_failure();
             self.lost_at.get_or_insert_with(Instant::now);
         }
-        let failed = FailedCall {
-            failures: self.failures,
-            shows_loss: failure.shows_loss(),
-            is_tried_set: self.set == TRIED_SET,
-            hosts_heard: self.state.peers.hosts_heard(Instant::now()),
-            hosts_before: self.state.peers.hosts_before(Instant::now()),
-        };
+        let failures = self.failures;
         self.failures += 1;
-        let until = Instant::now() + spread(failed.pause() / 2);
+        let began = Instant::now();
+        let drawn_part = spread(Duration::from_secs(1) / 2).as_secs_f64();
         loop {
-            self.state.feed.wait_for_update(self.set, until).await;
+            // A host that is cut off from the others stops hearing them meanwhile, and waits less.
+            let pause = self.pause(failure, failures, Instant::now());
+            let until = began + pause.mul_f64(drawn_part);
+            let look_again = until.min(Instant::now() + PAUSE_INTERVAL);
+            self.state.feed.wait_for_update(self.set, look_again).await;
             let now = Instant::now();
             if self.is_helped(now).await || now >= until {
                 return;
@@ -341,6 +342,19 @@
         }
     }
 
+    /// The longest time until the next call after one that failed.
+    fn pause(&self, failure: &CallFailure, failures: u32, now: Instant) -> Duration {
+        let peers = &self.state.peers;
+        let failed = FailedCall {
+            failures,
+            shows_loss: failure.shows_loss(),
+            is_tried_set: self.set == TRIED_SET,
+            hosts_heard: peers.hosts_heard(now),
+            hosts_before: peers.hosts_before(now),
+        };
+        failed.pause()
+    }
+
     /// Whether other hosts make up for the store.
     async fn is_helped(&mut self, now: Instant) -> bool {
         match self.source(now) {
