--- a/crates/gateway/src/sync/from_peers.rs
+++ b/crates/gateway/src/sync/from_peers.rs
@@ -56,13 +56,7 @@
     /// Learns more of the set from another host than this one knows; whether it did.
     pub(super) async fn learn_from_peers(&mut self, reach: Reach) -> bool {
         let known = self.newest();
-        let is_given = match self.set {
-            RowSet::Configuration | RowSet::Upstreams => true,
-            RowSet::Hosts | RowSet::Runs | RowSet::Rollouts | RowSet::Duties | RowSet::Crashes => {
-                false
-            }
-        };
-        if !is_given {
+        if !self.is_given_by_peers() {
             return false;
         }
         let peers = &self.state.peers;
@@ -75,6 +69,16 @@
         false
     }
 
+    /// Whether hosts that follow the set give it to others.
+    fn is_given_by_peers(&self) -> bool {
+        match self.set {
+            RowSet::Configuration | RowSet::Upstreams => true,
+            RowSet::Hosts | RowSet::Runs | RowSet::Rollouts | RowSet::Duties | RowSet::Crashes => {
+                false
+            }
+        }
+    }
+
     async fn learn_from(&mut self, source: SocketAddr) -> bool {
         let asked = Instant::now();
         let Some(snapshot) = fetch(self.set, self.newest(), source).await else {
@@ -136,7 +140,7 @@
     /// knows it; whether it did. Where all hosts start at once, each would else read every page, and
     /// all of them would wait for the store and their links that much longer.
     pub(super) async fn learn_between_pages(&mut self, page_took: Duration) -> bool {
-        if self.newest() > 0 {
+        if self.newest() > 0 || !self.is_given_by_peers() {
             return false;
         }
         let until = Instant::now() + page_took * PAGE_WAIT_FACTOR;
