Add up all hosts' work once for a look at old engines

Cause: the host that leads a roll-out looks each 150 ms whether requests run on engines of another version. For each upstream of the service it added up the work of all hosts anew: upstreams times hosts, some 0.5 s of a core a look with 10,000 upstreams and 200 hosts a hall, by computation.

Change: the sum is taken once and looked up (view::are_in_use).

Found by reading; not measured. Test: view::engines_are_in_use_where_any_host_has_ work_there, of what it answers.

--- a/crates/gateway/src/sync/rollouts.rs
+++ b/crates/gateway/src/sync/rollouts.rs
@@ -13,12 +13,9 @@
             Evidence, Judged, Phase, RolloutOrder, RolloutRecord, Sight, judge, next_record,
         },
         state::GatewayState,
-        view::Upstream,
-    },
-    std::{
-        sync::Arc,
-        time::{Duration, Instant},
+        view::are_in_use,
     },
+    std::time::{Duration, Instant},
     tealshore_core::ids::{EngineVersion, ServiceId},
     tokio::time::sleep,
 };
@@ -176,13 +173,11 @@
 
 /// Whether requests run on upstreams of another version than the target, as far as hosts tell.
 fn runs_on(state: &GatewayState, record: &RolloutRecord) -> bool {
-    let all = state.view.upstreams.all();
-    let old = |upstream: &&Arc<Upstream>| {
+    let mut old = state.view.upstreams.all();
+    old.retain(|upstream| {
         upstream.record.service == record.service && upstream.record.version != record.target
-    };
-    all.iter()
-        .filter(old)
-        .any(|upstream| state.work_at(upstream).running > 0)
+    });
+    are_in_use(&old, &state.peers.work(Instant::now()))
 }
 
 fn log_decision(next: &RolloutRecord, sight: &Sight, judged: &Judged) {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -11,7 +11,7 @@
     configuration::{Configuration, Customer, Engines, Limits, Route, RouteKind, Service, Target},
     freshness::Freshness,
     upstream::{Condition, Upstream, UpstreamRecord, UpstreamState, Work},
-    upstreams::{UpstreamChanges, Upstreams},
+    upstreams::{UpstreamChanges, Upstreams, are_in_use},
 };
 use {
     parking_lot::RwLock,
--- a/crates/gateway/src/view/upstreams.rs
+++ b/crates/gateway/src/view/upstreams.rs
@@ -4,13 +4,13 @@
     super::{
         active::ActiveUpstreams,
         listing::{Listed, Listing},
-        upstream::{Upstream, UpstreamRecord, UpstreamState},
+        upstream::{Upstream, UpstreamRecord, UpstreamState, Work},
     },
     crate::edge::Revision,
     parking_lot::{Mutex, RwLock},
     serde::{Deserialize, Serialize},
     std::{
-        collections::HashSet,
+        collections::{HashMap, HashSet},
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -249,6 +249,15 @@
     }
 }
 
+/// Whether requests run on any of some upstreams: of this host, or by what the others told.
+#[must_use]
+pub fn are_in_use(upstreams: &[Arc<Upstream>], elsewhere: &HashMap<EngineId, Work>) -> bool {
+    upstreams.iter().any(|upstream| {
+        let of_others = elsewhere.get(&upstream.record.id);
+        upstream.own_work().running > 0 || of_others.is_some_and(|work| work.running > 0)
+    })
+}
+
 /// Gives up the older incarnations at the address of one that was not listed before.
 fn supersede(listed: &Listing, newcomer: &UpstreamRecord, now: Instant) {
     let older = listed
--- a/crates/gateway/tests/view.rs
+++ b/crates/gateway/tests/view.rs
@@ -6,11 +6,14 @@
 
 use {
     proptest::prelude::*,
-    std::time::{Duration, Instant},
+    std::{
+        collections::HashMap,
+        time::{Duration, Instant},
+    },
     tealshore_capacity::EngineKind,
     tealshore_gateway::view::{
         Condition, Configuration, Route, RouteKind, Target, UpstreamRecord, UpstreamState, View,
-        Work,
+        Work, are_in_use,
     },
 };
 
@@ -341,6 +344,32 @@
     }
 }
 
+/// The work of all hosts was added up anew for each of 10,000 upstreams, at each look of the leader of a roll-out; it
+/// is now taken as it was added up once.
+#[test]
+fn engines_are_in_use_where_any_host_has_work_there() {
+    let view = View::default();
+    for id in ["idle", "busy"] {
+        view.upstreams.put(1, record(id, UpstreamState::Ready));
+    }
+    let work = Work {
+        running: 1,
+        unread_tokens: 0,
+        memory_tokens: 0,
+    };
+    let all = view.upstreams.all();
+    let mut elsewhere = HashMap::new();
+    assert!(!are_in_use(&all, &elsewhere));
+    elsewhere.insert("another".to_owned(), work);
+    elsewhere.insert("idle".to_owned(), Work::default());
+    assert!(!are_in_use(&all, &elsewhere));
+    elsewhere.insert("idle".to_owned(), work);
+    assert!(are_in_use(&all, &elsewhere));
+    let busy = view.upstreams.get(&"busy".to_owned()).unwrap();
+    busy.begin(work);
+    assert!(are_in_use(&[busy], &HashMap::new()));
+}
+
 #[test]
 fn rows_that_are_not_back_in_time_have_gone() {
     let view = View::default();
