Tell in logs why answers of the store are not taken, and which era they name

A host logged the first cause for which it lost the store and no later one; an answer that it refused itself counted as answered, and no line held its version. So a store whose versions went back looked like one that shuns the hosts. Heads of the store's answers had no reader at all.

Now a line for each change of the cause, with the version that was answered; a count of failures by set and cause; a line and a gauge for the era that the store names; and a line for each header of the store that has no meaning here, once. Nothing is decided by it yet.

--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -30,6 +30,8 @@
 pub type Revision = u64;
 /// A time of the store's steady clock.
 pub type StoreTime = Duration;
+/// Counts how often the store came back from an older copy of its rows.
+pub type StoreEra = u32;
 
 /// What the head of a caller's request says.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -231,6 +233,27 @@
     pub next_key: Option<String>,
 }
 
+/// Which era of its rows the store names in an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum EraNamed {
+    /// It names none.
+    #[default]
+    No,
+    /// This one.
+    Era(StoreEra),
+    /// It names one that can't be read.
+    Unreadable,
+}
+
+/// What the head of the store's answer says, whatever the answer is.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StoreHead {
+    /// The era of its rows.
+    pub era: EraNamed,
+    /// Names of headers that the adapter gives no meaning to.
+    pub unknown_headers: Vec<HeaderName>,
+}
+
 /// Why the store gave no rows.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StoreRefusal {
@@ -300,6 +323,9 @@
     /// Waits for changes of a set after a version.
     fn watch_call(&self, set: RowSet, after: Revision, wait: Duration) -> Request<Bytes>;
 
+    /// Reads the head of any answer of the store.
+    fn read_store_head(&self, head: &HeaderMap) -> StoreHead;
+
     /// Reads the answer to a list or a watch.
     ///
     /// # Errors
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -42,6 +42,10 @@
     version_answers: IntCounterVec,
     /// Calls to the store, by set and result.
     pub store_calls: IntCounterVec,
+    /// Failed calls to the store, and answers of it that were not taken, by set and cause.
+    pub store_failures: IntCounterVec,
+    /// The era that the store last named; 0 while it names none.
+    pub store_era: IntGauge,
     /// Time of requests to their first byte, by kind.
     pub first_byte_seconds: HistogramVec,
     /// From noticing a loss to the next event.
@@ -145,6 +149,15 @@
                 "Calls to the platform's store",
                 &["set", "result"],
             )?,
+            store_failures: counter(
+                "tealshore_store_failures_total",
+                "Failed calls to the platform's store, and answers that were not taken",
+                &["set", "cause"],
+            )?,
+            store_era: IntGauge::new(
+                "tealshore_store_era",
+                "The era that the platform's store last named",
+            )?,
             first_byte_seconds: HistogramVec::new(
                 histogram(
                     "tealshore_first_byte_seconds",
@@ -242,6 +255,8 @@
             Box::new(self.version_requests.clone()),
             Box::new(self.version_answers.clone()),
             Box::new(self.store_calls.clone()),
+            Box::new(self.store_failures.clone()),
+            Box::new(self.store_era.clone()),
             Box::new(self.first_byte_seconds.clone()),
             Box::new(self.resume_seconds.clone()),
             Box::new(self.pause_seconds.clone()),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -3,6 +3,7 @@
 mod choice;
 mod limits;
 mod notices;
+mod store_heads;
 
 pub use limits::Closed;
 
@@ -33,6 +34,7 @@
         sync::Arc,
         time::{Duration, Instant},
     },
+    store_heads::StoreHeads,
     tealshore_core::{
         ids::{CustomerId, ServiceId},
         protection::{Protection, enabled},
@@ -75,6 +77,8 @@
     pub limits: Limits,
     /// Words of upstreams that the adapter does not know.
     unknown_words: Mutex<UnknownWords>,
+    /// What the heads of the store's answers said.
+    store_heads: StoreHeads,
     /// Roll-outs of versions.
     pub rollouts: Rollouts,
     /// Duties that one host holds at a time.
@@ -111,6 +115,7 @@
             notices: RwLock::default(),
             limits: Limits::default(),
             unknown_words: Mutex::default(),
+            store_heads: StoreHeads::default(),
             rollouts: Rollouts::new(rand::random()),
             capacity: Capacity::default(),
             metrics: GatewayMetrics::new()?,
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -24,7 +24,7 @@
     calls::{CallFailure, StoreCalls},
     duties::DutyKeeper,
     follow::Source,
-    http::{Request, StatusCode},
+    http::{HeaderMap, Request, Response},
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -51,6 +51,8 @@
     set: RowSet,
     calls: StoreCalls,
     failures: u32,
+    /// The cause of the last failure; none while the store answers.
+    cause: Option<&'static str>,
     /// Changes were let gather after the last watch.
     has_gathered: bool,
     /// When the store was lost; none while it answers.
@@ -106,6 +108,7 @@
             state,
             set,
             failures: 0,
+            cause: None,
             has_gathered: false,
             lost_at: None,
         }
@@ -119,11 +122,12 @@
 
     async fn write(&mut self, request: Request<Bytes>) -> Result<(), CallFailure> {
         let bound = self.state.options.store.timeout;
-        let (status, _) = self.call(request, bound).await?;
-        if status.is_success() {
+        let answer = self.call(request, bound).await?;
+        if answer.status().is_success() {
             return Ok(());
         }
-        Err(CallFailure::Refused(StoreRefusal::Busy(status)))
+        let refusal = StoreRefusal::Busy(answer.status());
+        Err(CallFailure::Refused(refusal))
     }
 
     /// Reads the whole set and takes it in.
@@ -266,14 +270,15 @@
     ) -> Result<(Page, Written), CallFailure> {
         let asked = Instant::now();
         let newest = self.newest();
-        let (status, body) = self.call(request, bound).await?;
+        let answer = self.call(request, bound).await?;
         let page = self
             .state
             .protocol
-            .read_page(self.set, status, &body)
+            .read_page(self.set, answer.status(), answer.body())
             .map_err(CallFailure::Refused)?;
         if page.revision < newest {
-            return Err(CallFailure::Stale);
+            let revision = page.revision;
+            return Err(CallFailure::Stale { revision });
         }
         let arrived = Instant::now();
         let feed = &self.state.feed;
@@ -290,10 +295,11 @@
         &mut self,
         request: Request<Bytes>,
         bound: Duration,
-    ) -> Result<(StatusCode, Bytes), CallFailure> {
+    ) -> Result<Response<Bytes>, CallFailure> {
         let asked = Instant::now();
         let result = self.calls.call(request, bound).await;
-        if result.is_ok() {
+        if let Ok(answer) = &result {
+            self.note_head(answer.headers());
             self.state
                 .metrics
                 .store_call_seconds
@@ -311,16 +317,39 @@
         result
     }
 
+    /// Notes what the head of an answer says, whatever the answer is.
+    fn note_head(&self, head: &HeaderMap) {
+        let head = self.state.protocol.read_store_head(head);
+        self.state.note_store_head(&head, self.set);
+    }
+
+    /// Logs a failure unless the one before it had the same cause.
+    fn log_failure(&mut self, failure: &CallFailure) {
+        let before = self.cause.replace(failure.name());
+        if before == self.cause {
+            return;
+        }
+        let answered = match failure {
+            CallFailure::Stale { revision } => Some(revision),
+            CallFailure::Unreachable | CallFailure::Silent | CallFailure::Refused(_) => None,
+        };
+        log::warn!(
+            "store: lost set={} cause={} before={} revision={} answered={answered:?}",
+            self.set.name(),
+            failure.name(),
+            before.unwrap_or("-"),
+            self.newest()
+        );
+    }
+
     /// Waits before the next call, unless another host feeds this one meanwhile.
     async fn pause_after(&mut self, failure: &CallFailure) {
-        if self.failures == 0 {
-            log::warn!(
-                "store: lost set={} cause={} revision={}",
-                self.set.name(),
-                failure.name(),
-                self.newest()
-            );
-        }
+        self.log_failure(failure);
+        self.state
+            .metrics
+            .store_failures
+            .with_label_values(&[self.set.name(), failure.name()])
+            .inc();
         if failure.shows_loss() {
             self.state.feed.note_failure();
             self.lost_at.get_or_insert_with(Instant::now);
@@ -381,6 +410,7 @@
             self.state.feed.notify();
         }
         self.failures = 0;
+        self.cause = None;
         self.lost_at = None;
     }
 }
--- a/crates/gateway/src/sync/calls.rs
+++ b/crates/gateway/src/sync/calls.rs
@@ -1,9 +1,9 @@
 //! Calls to the store, on one connection that is opened anew after any failure.
 
 use {
-    crate::edge::StoreRefusal,
+    crate::edge::{Revision, StoreRefusal},
     bytes::Bytes,
-    http::{Request, StatusCode},
+    http::{Request, Response, StatusCode},
     http_body_util::{BodyExt, Full, Limited},
     hyper::client::conn::http1::{SendRequest, handshake},
     hyper_util::rt::TokioIo,
@@ -24,7 +24,10 @@
     /// It refused the call, or its answer can't be understood.
     Refused(StoreRefusal),
     /// Its answer is older than what is known.
-    Stale,
+    Stale {
+        /// The version that the answer is of.
+        revision: Revision,
+    },
 }
 
 impl CallFailure {
@@ -32,7 +35,7 @@
     /// all hosts together call too often just now, does not.
     pub fn shows_loss(&self) -> bool {
         match self {
-            Self::Unreachable | Self::Silent | Self::Stale => true,
+            Self::Unreachable | Self::Silent | Self::Stale { .. } => true,
             Self::Refused(StoreRefusal::Busy(status)) => *status != StatusCode::TOO_MANY_REQUESTS,
             Self::Refused(StoreRefusal::Malformed(_)) => true,
             Self::Refused(StoreRefusal::HistoryGone) => false,
@@ -53,7 +56,7 @@
             Self::Refused(StoreRefusal::HistoryGone) => "history-gone",
             Self::Refused(StoreRefusal::Busy(_)) => "busy",
             Self::Refused(StoreRefusal::Malformed(_)) => "malformed",
-            Self::Stale => "stale",
+            Self::Stale { .. } => "stale",
         }
     }
 }
@@ -92,7 +95,7 @@
         &mut self,
         request: Request<Bytes>,
         bound: Duration,
-    ) -> Result<(StatusCode, Bytes), CallFailure> {
+    ) -> Result<Response<Bytes>, CallFailure> {
         let result = timeout(bound, self.exchange(request.map(Full::new))).await;
         let result = result.unwrap_or(Err(CallFailure::Silent));
         if result.is_err() {
@@ -105,7 +108,7 @@
     async fn exchange(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> Result<(StatusCode, Bytes), CallFailure> {
+    ) -> Result<Response<Bytes>, CallFailure> {
         let connection = match self.connection.take() {
             Some(connection) if connection.sender.is_ready() => connection,
             Some(_) | None => connect(self.address).await?,
@@ -113,11 +116,10 @@
         let connection = self.connection.insert(connection);
         let answer = connection.sender.send_request(request).await;
         let answer = answer.map_err(|_| CallFailure::Unreachable)?;
-        let status = answer.status();
-        let body = Limited::new(answer.into_body(), ANSWER_BOUND_BYTES);
-        let body = body.collect().await;
+        let (head, body) = answer.into_parts();
+        let body = Limited::new(body, ANSWER_BOUND_BYTES).collect().await;
         let body = body.map_err(|_| CallFailure::Unreachable)?.to_bytes();
-        Ok((status, body))
+        Ok(Response::from_parts(head, body))
     }
 }
 
--- a/crates/gateway/src/sync/duties.rs
+++ b/crates/gateway/src/sync/duties.rs
@@ -207,7 +207,7 @@
         let asked = Instant::now();
         let answer = self.follower.call(request, STORE_BOUND).await;
         let written = match &answer {
-            Ok((status, body)) => state.protocol.read_written(*status, body),
+            Ok(answer) => state.protocol.read_written(answer.status(), answer.body()),
             Err(_) => Written::Unknown,
         };
         match written {
--- a/crates/gateway/src/sync/rollouts.rs
+++ b/crates/gateway/src/sync/rollouts.rs
@@ -106,8 +106,9 @@
     ) -> Result<(), CallFailure> {
         let request = self.state.protocol.write_rollout_call(record, expected);
         let bound = self.state.options.store.timeout;
-        let (status, body) = self.call(request, bound).await?;
-        match self.state.protocol.read_written(status, &body) {
+        let answer = self.call(request, bound).await?;
+        let protocol = &self.state.protocol;
+        match protocol.read_written(answer.status(), answer.body()) {
             Written::Done(revision) => {
                 if self.state.rollouts.apply_record(revision, record) {
                     self.state.peers.wake_sender();
