Order the store's rows by its era, and read all anew when that changes

Callers saw: requests handled as configuration 21 said two seconds after 27 was acknowledged, requests to an upstream more than two seconds after it had said that it leaves, and 8 to 20 seconds without any service.

Cause: after it had been away the store went on with an older copy, and its versions with it. A host takes no answer of a lower version than it knows, so each of them refused every answer until the versions had risen above the last one known; then it went on from there by a watch or by its feeder, and missed all that was written below.

Class of fault: an order that is only valid within one life of its source, taken for valid across lives.

Mend: a revision has the store's era in its high bits, so that what is of a later era goes before all of an earlier one, wherever revisions are compared: rows, watermarks of other hosts, changes that are sent on, whole sets. Each answer of the store is looked at for its era, refusals and writes too. A set that is of an earlier era is read whole again, from a host that has it or from the store; no host feeds another with one, and changes of an earlier era are not taken in. The era 0, before any copy, leaves revisions and all that hosts say to each other as they were.

Not mended here: what the copy says against what hosts knew, and rows that hosts wrote themselves.

--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -2,6 +2,9 @@
 //!
 //! A [`Protocol`] only translates. It chooses, retries, remembers and waits for nothing.
 
+mod revision;
+
+pub use revision::{LAST_ERA, Revision, RowNumber, StoreEra, era_of, number_of, revision_in};
 use {
     crate::{
         duties::{
@@ -26,12 +29,8 @@
 
 /// The id of one event of a stream; ids rise by one from 1.
 pub type EventId = u64;
-/// A version of the store's rows; it rises with each change.
-pub type Revision = u64;
 /// A time of the store's steady clock.
 pub type StoreTime = Duration;
-/// Counts how often the store came back from an older copy of its rows.
-pub type StoreEra = u32;
 
 /// What the head of a caller's request says.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -320,18 +319,23 @@
     /// Reads a set of rows, or goes on with it after a key.
     fn list_call(&self, set: RowSet, after_key: Option<&str>) -> Request<Bytes>;
 
-    /// Waits for changes of a set after a version.
-    fn watch_call(&self, set: RowSet, after: Revision, wait: Duration) -> Request<Bytes>;
+    /// Waits for changes of a set after a version of the store.
+    fn watch_call(&self, set: RowSet, after: RowNumber, wait: Duration) -> Request<Bytes>;
 
     /// Reads the head of any answer of the store.
     fn read_store_head(&self, head: &HeaderMap) -> StoreHead;
 
-    /// Reads the answer to a list or a watch.
+    /// Reads the answer to a list or a watch, made in an era of the store.
     ///
     /// # Errors
     /// The store gave no rows.
-    fn read_page(&self, set: RowSet, status: StatusCode, body: &[u8])
-    -> Result<Page, StoreRefusal>;
+    fn read_page(
+        &self,
+        set: RowSet,
+        era: StoreEra,
+        status: StatusCode,
+        body: &[u8],
+    ) -> Result<Page, StoreRefusal>;
 
     /// Writes this host's row.
     fn write_host_call(&self, host: &HostRecord) -> Request<Bytes>;
@@ -349,14 +353,14 @@
 
     /// Writes how far a roll-out is, for hosts and for the operator, where the version of its row is
     /// still this one; 0 where there was none.
-    fn write_rollout_call(&self, record: &RolloutRecord, expected: Revision) -> Request<Bytes>;
+    fn write_rollout_call(&self, record: &RolloutRecord, expected: RowNumber) -> Request<Bytes>;
 
-    /// Reads the answer to such a write.
-    fn read_written(&self, status: StatusCode, body: &[u8]) -> Written;
+    /// Reads the answer to such a write, made in an era of the store.
+    fn read_written(&self, era: StoreEra, status: StatusCode, body: &[u8]) -> Written;
 
     /// Writes the lease of the duties and what was decided, where the version of its row is still this
     /// one; 0 where there was none.
-    fn write_duties_call(&self, record: &DutyRecord, expected: Revision) -> Request<Bytes>;
+    fn write_duties_call(&self, record: &DutyRecord, expected: RowNumber) -> Request<Bytes>;
 
     /// Reports what customers used in a window.
     fn usage_call(&self, report: &UsageReport, caller: &DutyCaller) -> Request<Bytes>;
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -7,10 +7,11 @@
 
 mod choice;
 mod clock;
+mod era;
 mod progress;
 
 use {
-    crate::edge::{Revision, RowSet, StoreTime, UpstreamChange},
+    crate::edge::{EraNamed, Revision, RowSet, StoreEra, StoreTime, UpstreamChange, era_of},
     parking_lot::Mutex,
     postcard::experimental::serialized_size,
     serde::{Deserialize, Serialize},
@@ -27,6 +28,7 @@
 pub use {
     choice::{Contender, FeederChoice, GROUP_HOSTS, choose_feeder, hosts_before, rank},
     clock::StoreClockFloor,
+    era::{COPY_DOUBTED, KnownEra},
     progress::SetProgress,
 };
 
@@ -78,6 +80,13 @@
     pub fn written(&self) -> StoreTime {
         self.configuration.written.min(self.upstreams.written)
     }
+
+    /// The era of the store in which both sets are known.
+    #[must_use]
+    pub fn era(&self) -> StoreEra {
+        let configuration = era_of(self.configuration.revision);
+        configuration.min(era_of(self.upstreams.revision))
+    }
 }
 
 /// Changed upstreams, as a feeder sends them on.
@@ -131,6 +140,7 @@
     configuration: Mutex<SetProgress>,
     upstreams: Mutex<SetProgress>,
     clock: Mutex<StoreClockFloor>,
+    era: Mutex<KnownEra>,
     /// The last call of this host to the store failed.
     is_cut_off: AtomicBool,
     configuration_updates: Notify,
@@ -172,11 +182,32 @@
         }
     }
 
-    /// Whether changes after a version would leave no gap.
+    /// Whether changes after a version would leave no gap. Those of an earlier era are none.
     pub fn knows(&self, set: RowSet, revision: Revision) -> bool {
-        self.progress(set)
-            .watermark()
-            .is_some_and(|watermark| watermark.revision >= revision)
+        self.progress(set).watermark().is_some_and(|watermark| {
+            let is_same_era = era_of(watermark.revision) == era_of(revision);
+            is_same_era && watermark.revision >= revision
+        })
+    }
+
+    /// The latest era of the store that this host knows of.
+    pub fn era(&self) -> StoreEra {
+        self.era.lock().era()
+    }
+
+    /// Notes an era of the store; whether it is later than the one that was known.
+    pub fn note_era(&self, era: StoreEra) -> bool {
+        self.era.lock().note(era, Instant::now())
+    }
+
+    /// The era of an answer of the store; none where it is of an earlier era than is known.
+    pub fn era_of_answer(&self, named: EraNamed) -> Option<StoreEra> {
+        self.era.lock().of_answer(named)
+    }
+
+    /// Whether rows may be those of a copy, older than what was known before.
+    pub fn is_copy_doubted(&self, now: Instant) -> bool {
+        self.era.lock().is_copy_doubted(now)
     }
 
     /// How far this host's knowledge goes; none before both sets were read.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -186,8 +186,15 @@
         let mut group = self.peers.contenders(now);
         group.extend(self.own_contender(now));
         let mut relays = self.peers.relays(now);
+        let eras = group.iter().chain(&relays).map(|it| it.watermark.era());
+        self.note_era(eras.max().unwrap_or_default(), "peer");
+        let era = self.feed.era();
         for contenders in [&mut group, &mut relays] {
-            contenders.retain(|contender| self.feed.is_young(contender.watermark.written(), now));
+            contenders.retain(|contender| {
+                let watermark = contender.watermark;
+                // What is known in an earlier era may be lost.
+                watermark.era() >= era && self.feed.is_young(watermark.written(), now)
+            });
         }
         let chosen = choose_feeder(&self.options.host.id, &group, &relays);
         self.peers.note_feeder(&chosen);
--- a/crates/gateway/src/state/store_heads.rs
+++ b/crates/gateway/src/state/store_heads.rs
@@ -2,7 +2,7 @@
 
 use {
     super::GatewayState,
-    crate::edge::{EraNamed, RowSet, StoreHead},
+    crate::edge::{EraNamed, RowSet, StoreEra, StoreHead},
     parking_lot::Mutex,
     std::collections::HashSet,
 };
@@ -18,25 +18,40 @@
 }
 
 impl GatewayState {
-    /// Notes the head of an answer of the store to a call about a set.
-    pub fn note_store_head(&self, head: &StoreHead, set: RowSet) {
-        self.log_era(head.era, set);
+    /// Notes the head of an answer of the store to a call about a set. Tells the era of the answer; none where
+    /// it is of an earlier one than is known.
+    pub fn note_store_head(&self, head: &StoreHead, set: RowSet) -> Option<StoreEra> {
+        self.log_named(head.era, set);
         for header in &head.unknown_headers {
             self.log_unknown_header(header.as_str(), set);
         }
+        let era = self.feed.era_of_answer(head.era)?;
+        self.note_era(era, set.name());
+        Some(era)
     }
 
-    fn log_era(&self, named: EraNamed, set: RowSet) {
-        let mut known = self.store_heads.era.lock();
-        if *known == named {
-            return;
-        }
-        let before = std::mem::replace(&mut *known, named);
-        drop(known);
-        if let EraNamed::Era(era) = named {
+    /// Notes an era of the store, and from whom it was heard.
+    pub(super) fn note_era(&self, era: StoreEra, heard_from: &str) {
+        let before = self.feed.era();
+        if self.feed.note_era(era) {
+            log::warn!(
+                "store: back from an older copy era={era} before={before} heard_from={heard_from} known={:?}",
+                self.feed.watermark()
+            );
             self.metrics.store_era.set(i64::from(era));
+            self.feed.notify();
+        }
+    }
+
+    /// Logs what answers say of the era, where that is not what the last one said.
+    fn log_named(&self, named: EraNamed, set: RowSet) {
+        let before = std::mem::replace(&mut *self.store_heads.era.lock(), named);
+        if before != named {
+            log::info!(
+                "store: era named={named:?} before={before:?} set={}",
+                set.name()
+            );
         }
-        log::info!("store: era={named:?} before={before:?} set={}", set.name());
     }
 
     fn log_unknown_header(&self, header: &str, set: RowSet) {
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -14,17 +14,17 @@
 
 use {
     crate::{
-        edge::{Page, Revision, RowSet, StoreRefusal, StoreTime},
+        edge::{Page, Revision, RowSet, StoreRefusal, StoreTime, era_of},
         feed::SetWatermark,
         peers::Reach,
         state::GatewayState,
     },
     apply::LogRows,
     bytes::Bytes,
-    calls::{CallFailure, StoreCalls},
+    calls::{CallFailure, StoreAnswer, StoreCalls},
     duties::DutyKeeper,
     follow::Source,
-    http::{HeaderMap, Request, Response},
+    http::{Request, Response},
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -120,13 +120,19 @@
         watermark.map_or(0, |watermark| watermark.revision)
     }
 
+    /// Whether the store came back from an older copy since the set was read.
+    fn is_of_earlier_era(&self) -> bool {
+        let newest = self.newest();
+        newest > 0 && era_of(newest) < self.state.feed.era()
+    }
+
     async fn write(&mut self, request: Request<Bytes>) -> Result<(), CallFailure> {
         let bound = self.state.options.store.timeout;
         let answer = self.call(request, bound).await?;
-        if answer.status().is_success() {
+        if answer.status.is_success() {
             return Ok(());
         }
-        let refusal = StoreRefusal::Busy(answer.status());
+        let refusal = StoreRefusal::Busy(answer.status);
         Err(CallFailure::Refused(refusal))
     }
 
@@ -145,6 +151,9 @@
             let versions = page.changes.iter().map(|(revision, _)| *revision);
             newest_row = versions.max().unwrap_or_default().max(newest_row);
             let (revision, written) = *first.get_or_insert((page.revision, written));
+            if era_of(page.revision) != era_of(revision) {
+                return Err(CallFailure::NewEra);
+            }
             present.extend(page.changes.iter().filter_map(apply::upstream_of));
             self.apply_rows(page.changes, log);
             after_key = page.next_key;
@@ -274,7 +283,7 @@
         let page = self
             .state
             .protocol
-            .read_page(self.set, answer.status(), answer.body())
+            .read_page(self.set, answer.era, answer.status, &answer.body)
             .map_err(CallFailure::Refused)?;
         if page.revision < newest {
             let revision = page.revision;
@@ -295,11 +304,11 @@
         &mut self,
         request: Request<Bytes>,
         bound: Duration,
-    ) -> Result<Response<Bytes>, CallFailure> {
+    ) -> Result<StoreAnswer, CallFailure> {
         let asked = Instant::now();
         let result = self.calls.call(request, bound).await;
-        if let Ok(answer) = &result {
-            self.note_head(answer.headers());
+        let result = result.and_then(|answer| self.read_head(answer));
+        if result.is_ok() {
             self.state
                 .metrics
                 .store_call_seconds
@@ -317,10 +326,19 @@
         result
     }
 
-    /// Notes what the head of an answer says, whatever the answer is.
-    fn note_head(&self, head: &HeaderMap) {
-        let head = self.state.protocol.read_store_head(head);
-        self.state.note_store_head(&head, self.set);
+    /// Reads the head of an answer, whatever the answer is.
+    fn read_head(&mut self, answer: Response<Bytes>) -> Result<StoreAnswer, CallFailure> {
+        let (head, body) = answer.into_parts();
+        let read = self.state.protocol.read_store_head(&head.headers);
+        let Some(era) = self.state.note_store_head(&read, self.set) else {
+            self.calls.disconnect();
+            return Err(CallFailure::EarlierEra);
+        };
+        Ok(StoreAnswer {
+            era,
+            status: head.status,
+            body,
+        })
     }
 
     /// Logs a failure unless the one before it had the same cause.
@@ -331,7 +349,11 @@
         }
         let answered = match failure {
             CallFailure::Stale { revision } => Some(revision),
-            CallFailure::Unreachable | CallFailure::Silent | CallFailure::Refused(_) => None,
+            CallFailure::Unreachable
+            | CallFailure::Silent
+            | CallFailure::Refused(_)
+            | CallFailure::EarlierEra
+            | CallFailure::NewEra => None,
         };
         log::warn!(
             "store: lost set={} cause={} before={} revision={} answered={answered:?}",
--- a/crates/gateway/src/sync/calls.rs
+++ b/crates/gateway/src/sync/calls.rs
@@ -1,7 +1,7 @@
 //! Calls to the store, on one connection that is opened anew after any failure.
 
 use {
-    crate::edge::{Revision, StoreRefusal},
+    crate::edge::{Revision, StoreEra, StoreRefusal},
     bytes::Bytes,
     http::{Request, Response, StatusCode},
     http_body_util::{BodyExt, Full, Limited},
@@ -28,6 +28,10 @@
         /// The version that the answer is of.
         revision: Revision,
     },
+    /// Its answer is of an earlier era than is known.
+    EarlierEra,
+    /// It came back from an older copy since this set was read.
+    NewEra,
 }
 
 impl CallFailure {
@@ -35,17 +39,24 @@
     /// all hosts together call too often just now, does not.
     pub fn shows_loss(&self) -> bool {
         match self {
-            Self::Unreachable | Self::Silent | Self::Stale { .. } => true,
+            Self::Unreachable | Self::Silent | Self::Stale { .. } | Self::EarlierEra => true,
             Self::Refused(StoreRefusal::Busy(status)) => *status != StatusCode::TOO_MANY_REQUESTS,
             Self::Refused(StoreRefusal::Malformed(_)) => true,
-            Self::Refused(StoreRefusal::HistoryGone) => false,
+            Self::Refused(StoreRefusal::HistoryGone) | Self::NewEra => false,
         }
     }
 
     /// Whether the set is to be read whole after it. A store that refuses calls for their
     /// number gets fewer of them, not more.
     pub fn needs_whole(&self) -> bool {
-        self.shows_loss() || matches!(self, Self::Refused(StoreRefusal::HistoryGone))
+        match self {
+            Self::Refused(StoreRefusal::HistoryGone) | Self::NewEra => true,
+            Self::Unreachable
+            | Self::Silent
+            | Self::Refused(_)
+            | Self::Stale { .. }
+            | Self::EarlierEra => self.shows_loss(),
+        }
     }
 
     /// The failure's name in logs and metrics.
@@ -57,6 +68,8 @@
             Self::Refused(StoreRefusal::Busy(_)) => "busy",
             Self::Refused(StoreRefusal::Malformed(_)) => "malformed",
             Self::Stale { .. } => "stale",
+            Self::EarlierEra => "earlier-era",
+            Self::NewEra => "new-era",
         }
     }
 }
@@ -72,6 +85,16 @@
     }
 }
 
+/// An answer of the store.
+pub struct StoreAnswer {
+    /// The era of its rows.
+    pub era: StoreEra,
+    /// The status.
+    pub status: StatusCode,
+    /// The body.
+    pub body: Bytes,
+}
+
 /// One after the other on one connection.
 pub struct StoreCalls {
     address: SocketAddr,
@@ -87,6 +110,11 @@
         }
     }
 
+    /// Closes the connection.
+    pub fn disconnect(&mut self) {
+        self.connection = None;
+    }
+
     /// Makes a call.
     ///
     /// # Errors
--- a/crates/gateway/src/sync/duties.rs
+++ b/crates/gateway/src/sync/duties.rs
@@ -10,7 +10,7 @@
     crate::{
         capacity,
         duties::{CANDIDATES, DutyRecord, PlacedOrder},
-        edge::{Change, Revision, Written},
+        edge::{Change, Revision, Written, number_of},
         feed::{Contender, hosts_before},
         options::{Duty, DutyOptions},
         peers::HostPhase,
@@ -203,11 +203,15 @@
         let mut record = self.draft.clone();
         record.lease = lease;
         self.gather_counts(&mut record);
-        let request = state.protocol.write_duties_call(&record, expected);
+        let protocol = &state.protocol;
+        let request = protocol.write_duties_call(&record, number_of(expected));
         let asked = Instant::now();
         let answer = self.follower.call(request, STORE_BOUND).await;
         let written = match &answer {
-            Ok(answer) => state.protocol.read_written(answer.status(), answer.body()),
+            Ok(answer) => {
+                let protocol = &state.protocol;
+                protocol.read_written(answer.era, answer.status, &answer.body)
+            }
             Err(_) => Written::Unknown,
         };
         match written {
--- a/crates/gateway/src/sync/follow.rs
+++ b/crates/gateway/src/sync/follow.rs
@@ -3,7 +3,7 @@
 use {
     super::{CallFailure, Follower, apply::LogRows},
     crate::{
-        edge::{Change, Revision, RowSet},
+        edge::{Change, Revision, RowSet, era_of, number_of},
         feed::{FeederChoice, SetWatermark, UpstreamDelta},
         peers::Reach,
     },
@@ -64,6 +64,8 @@
         // What another host gave is all as of a version: the store is asked for what is newer.
         let mut is_whole = self.newest() > 0;
         loop {
+            // A set of an earlier era says nothing of what the store has now.
+            is_whole = is_whole && !self.is_of_earlier_era();
             let result = match self.source(Instant::now()) {
                 Source::Fed { watermark, moment } => {
                     self.be_fed(watermark, moment).await;
@@ -172,10 +174,12 @@
         loop {
             let now = Instant::now();
             let is_over = now >= until || !matches!(self.source(now), Source::Behind);
-            if is_over || self.state.reads_for_hall(now) {
+            // A whole set is read by one host of all, and not by one of each hall.
+            let needs_full_set = self.is_of_earlier_era();
+            if is_over || (self.state.reads_for_hall(now) && !needs_full_set) {
                 return false;
             }
-            let reach = if self.state.feed.reaches_store() {
+            let reach = if self.state.feed.reaches_store() && !needs_full_set {
                 Reach::OwnHall
             } else {
                 Reach::Everywhere
@@ -242,8 +246,15 @@
             Duration::MAX / 4
         };
         let after = self.newest();
-        let request = self.state.protocol.watch_call(self.set, after, wait);
+        if self.is_of_earlier_era() {
+            return Err(CallFailure::NewEra);
+        }
+        let protocol = &self.state.protocol;
+        let request = protocol.watch_call(self.set, number_of(after), wait);
         let (page, written) = self.page(request, bound).await?;
+        if era_of(page.revision) != era_of(after) {
+            return Err(CallFailure::NewEra);
+        }
         let is_change = !page.changes.is_empty();
         let watermark = SetWatermark {
             revision: page.revision,
--- a/crates/gateway/src/sync/from_peers.rs
+++ b/crates/gateway/src/sync/from_peers.rs
@@ -140,7 +140,8 @@
     /// knows it; whether it did. Where all hosts start at once, each would else read every page, and
     /// all of them would wait for the store and their links that much longer.
     pub(super) async fn learn_between_pages(&mut self, page_took: Duration) -> bool {
-        if self.newest() > 0 || !self.is_given_by_peers() {
+        let is_known = self.newest() > 0 && !self.is_of_earlier_era();
+        if is_known || !self.is_given_by_peers() {
             return false;
         }
         let until = Instant::now() + page_took * PAGE_WAIT_FACTOR;
--- a/crates/gateway/src/sync/rollouts.rs
+++ b/crates/gateway/src/sync/rollouts.rs
@@ -7,7 +7,7 @@
 use {
     super::{CallFailure, Follower, apply::LogRows},
     crate::{
-        edge::{Revision, Written},
+        edge::{Revision, Written, number_of},
         feed::FeederChoice,
         rollout::{
             Evidence, Judged, Phase, RolloutOrder, RolloutRecord, Sight, judge, next_record,
@@ -104,11 +104,12 @@
         record: &RolloutRecord,
         expected: Revision,
     ) -> Result<(), CallFailure> {
-        let request = self.state.protocol.write_rollout_call(record, expected);
+        let protocol = &self.state.protocol;
+        let request = protocol.write_rollout_call(record, number_of(expected));
         let bound = self.state.options.store.timeout;
         let answer = self.call(request, bound).await?;
         let protocol = &self.state.protocol;
-        match protocol.read_written(answer.status(), answer.body()) {
+        match protocol.read_written(answer.era, answer.status, &answer.body) {
             Written::Done(revision) => {
                 if self.state.rollouts.apply_record(revision, record) {
                     self.state.peers.wake_sender();
--- /dev/null
+++ b/crates/gateway/tests/store_era.rs
@@ -0,0 +1,77 @@
+//! A store that came back from an older copy: what is of a later era goes before all of an earlier one.
+
+use {
+    proptest::prelude::*,
+    std::time::{Duration, Instant},
+    tealshore_gateway::{
+        edge::{EraNamed, LAST_ERA, RowSet, era_of, number_of, revision_in},
+        feed::{COPY_DOUBTED, Feed, KnownEra, SetWatermark},
+    },
+};
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::with_cases(500) })]
+
+    #[test]
+    fn revisions_are_ordered_by_era_and_then_by_the_stores_version(
+        one in (0..=LAST_ERA, 0_u64..1 << 40),
+        other in (0..=LAST_ERA, 0_u64..1 << 40),
+    ) {
+        let revision = |(era, number)| revision_in(era, number).unwrap_or_default();
+        prop_assert_eq!(revision(one).cmp(&revision(other)), one.cmp(&other));
+        prop_assert_eq!((era_of(revision(one)), number_of(revision(one))), one);
+    }
+}
+
+#[test]
+fn before_the_first_copy_a_revision_is_the_stores_version() {
+    assert_eq!(revision_in(0, 4_711), Some(4_711));
+}
+
+#[test]
+fn a_version_that_does_not_fit_is_none() {
+    assert_eq!(revision_in(1, 1 << 40), None);
+    assert_eq!(revision_in(LAST_ERA + 1, 1), None);
+}
+
+#[test]
+fn an_answer_of_an_earlier_era_is_told_from_one_that_names_none() {
+    let now = Instant::now();
+    let mut known = KnownEra::default();
+    assert!(!known.note(0, now));
+    assert!(known.note(2, now));
+    assert!(!known.note(1, now));
+    assert_eq!(known.of_answer(EraNamed::Era(1)), None);
+    assert_eq!(known.of_answer(EraNamed::Era(2)), Some(2));
+    assert_eq!(known.of_answer(EraNamed::Era(5)), Some(5));
+    assert_eq!(known.of_answer(EraNamed::No), Some(2));
+    assert_eq!(known.of_answer(EraNamed::Unreadable), Some(2));
+}
+
+#[test]
+fn a_copy_is_doubted_for_a_while_after_each_era_began() {
+    let now = Instant::now();
+    let mut known = KnownEra::default();
+    assert!(!known.is_copy_doubted(now));
+    known.note(1, now);
+    let last = now + COPY_DOUBTED - Duration::from_millis(1);
+    assert!(known.is_copy_doubted(last));
+    assert!(!known.is_copy_doubted(now + COPY_DOUBTED));
+    known.note(2, last);
+    assert!(known.is_copy_doubted(now + COPY_DOUBTED));
+}
+
+#[test]
+fn changes_of_an_earlier_era_are_no_continuation_of_what_is_known() {
+    tealshore_core::protection::start();
+    let feed = Feed::default();
+    let revision = revision_in(1, 30).unwrap_or_default();
+    let watermark = SetWatermark {
+        revision,
+        ..SetWatermark::default()
+    };
+    feed.advance(RowSet::Upstreams, watermark);
+    assert!(feed.knows(RowSet::Upstreams, revision));
+    assert!(!feed.knows(RowSet::Upstreams, 29));
+    assert!(!feed.knows(RowSet::Upstreams, revision + 1));
+}
