Keep what was known of upstreams and configurations against an older copy

Callers would see: requests at an upstream that had said it leaves, as the store's copy lists it as ready again; no service where the copy lacks upstreams that work, until these have written their rows again.

Cause: in a later era each row replaced what was known, and each missing row took it away. A copy is older than what hosts know, so both are the wrong way round.

Mend: an upstream that leaves in this life, or is gone, stays so until its row is written anew, for ten seconds at most; one that the copy lacks counts as lapsed, as after a long absence of the store. A configuration goes by the operator's version as before; one version that is written again in a later era replaces its content, and a lower one follows a higher one that was lost only if it was written since, and the other was not written again in ten seconds. For that, hosts tell each other the version of the configuration's row, behind what earlier builds read.

On the way: rows that lapsed and never came back kept a host from telling others only what changed, for as long as it lived; they are forgotten now once their time is over.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -11,7 +11,10 @@
 mod progress;
 
 use {
-    crate::edge::{EraNamed, Revision, RowSet, StoreEra, StoreTime, UpstreamChange, era_of},
+    crate::{
+        edge::{EraNamed, Revision, RowSet, StoreEra, StoreTime, UpstreamChange, era_of},
+        view::RowAge,
+    },
     parking_lot::Mutex,
     postcard::experimental::serialized_size,
     serde::{Deserialize, Serialize},
@@ -190,6 +193,15 @@
         })
     }
 
+    /// Whether a row of a set may be one of the store's copy.
+    pub fn age_of(&self, set: RowSet, revision: Revision) -> RowAge {
+        if self.progress(set).is_written_since(revision) {
+            RowAge::WrittenSince
+        } else {
+            RowAge::MayBeCopied
+        }
+    }
+
     /// The latest era of the store that this host knows of.
     pub fn era(&self) -> StoreEra {
         self.era.lock().era()
--- a/crates/gateway/src/peers/snapshot.rs
+++ b/crates/gateway/src/peers/snapshot.rs
@@ -228,7 +228,19 @@
         let mut sets = [RowSet::Configuration, RowSet::Upstreams, RowSet::Runs].into_iter();
         let set = sets.find(|set| path_of(*set) == path)?;
         let snapshot = SetSnapshot::of(state, set, now)?;
-        postcard::to_stdvec(&snapshot.given_until(SHARED_FOR))
+        let written = postcard::to_stdvec(&snapshot.given_until(SHARED_FOR));
+        written.and_then(|bytes| match set {
+            // Hosts of an earlier build pass over what stands behind a set.
+            RowSet::Configuration => {
+                postcard::to_extend(&state.view.configuration_revision(), bytes)
+            }
+            RowSet::Upstreams
+            | RowSet::Hosts
+            | RowSet::Runs
+            | RowSet::Rollouts
+            | RowSet::Duties
+            | RowSet::Crashes => Ok(bytes),
+        })
     };
     match written {
         Ok(bytes) => Some(bytes.into()),
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -14,10 +14,11 @@
 
 use {
     crate::{
-        edge::{Page, Revision, RowSet, StoreRefusal, StoreTime, era_of},
+        edge::{Page, Revision, RowSet, StoreEra, StoreRefusal, StoreTime, era_of},
         feed::SetWatermark,
         peers::Reach,
         state::GatewayState,
+        view::MISSING_ROWS_BACK,
     },
     apply::LogRows,
     bytes::Bytes,
@@ -42,8 +43,6 @@
 const PAUSE_INTERVAL: Duration = Duration::from_millis(500);
 /// A store that was away for this long may have let rows lapse of upstreams that live.
 const LAPSE_AFTER: Duration = Duration::from_millis(2_500);
-/// Such rows are back within about two seconds, or their upstreams are gone.
-const LAPSED_ROWS_BACK: Duration = Duration::from_millis(1_800);
 
 /// Follows one set of rows.
 struct Follower {
@@ -55,6 +54,8 @@
     cause: Option<&'static str>,
     /// Changes were let gather after the last watch.
     has_gathered: bool,
+    /// The era in which the store was last asked for a configuration that it may have lost.
+    confirmed_in: StoreEra,
     /// When the store was lost; none while it answers.
     lost_at: Option<Instant>,
 }
@@ -110,6 +111,7 @@
             failures: 0,
             cause: None,
             has_gathered: false,
+            confirmed_in: 0,
             lost_at: None,
         }
     }
@@ -259,7 +261,7 @@
             .lost_at
             .is_some_and(|lost_at| lost_at.elapsed() >= LAPSE_AFTER);
         if was_away {
-            let until = Instant::now() + LAPSED_ROWS_BACK;
+            let until = Instant::now() + MISSING_ROWS_BACK;
             return upstreams.retain_lapsed(revision, present, until);
         }
         upstreams.retain(revision, present)
--- a/crates/gateway/src/sync/apply.rs
+++ b/crates/gateway/src/sync/apply.rs
@@ -7,7 +7,7 @@
         feed::{SetWatermark, UpstreamDelta},
         rollout::RolloutOrder,
         state::GatewayState,
-        view::Configuration,
+        view::{Applied, Configuration, RowAge},
     },
     std::time::{Duration, Instant},
     tealshore_core::ids::EngineId,
@@ -34,7 +34,8 @@
     fn apply_row(&self, revision: Revision, change: Change, log: LogRows) {
         match change {
             Change::Configuration(configuration) => {
-                apply_configuration(&self.state, revision, *configuration);
+                let age = self.state.feed.age_of(self.set, revision);
+                apply_configuration(&self.state, revision, *configuration, age);
             }
             Change::Upstream(change) => apply_upstream(&self.state, revision, change, log),
             Change::Host(host) => self.state.peers.add(&host),
@@ -122,18 +123,25 @@
     }
 }
 
-pub(super) fn apply_configuration(state: &GatewayState, revision: Revision, new: Configuration) {
+pub(super) fn apply_configuration(
+    state: &GatewayState,
+    revision: Revision,
+    new: Configuration,
+    age: RowAge,
+) -> Applied {
     let version = new.version;
     let routes = new.route_count();
     let keys = new.customers.len();
-    let is_applied = state.view.apply(new);
-    let outcome = if is_applied { "in-force" } else { "older" };
+    let is_copy_doubted = state.feed.is_copy_doubted(Instant::now());
+    let applied = state.view.apply(new, revision, age, is_copy_doubted);
     let in_force = i64::try_from(state.view.version()).unwrap_or(i64::MAX);
     state.metrics.config_version.set(in_force);
     log::info!(
         "view: configuration version={version} revision={revision} routes={routes} keys={keys} \
-         outcome={outcome}"
+         outcome={}",
+        applied.name()
     );
+    applied
 }
 
 pub(super) fn apply_upstream(
--- a/crates/gateway/src/sync/follow.rs
+++ b/crates/gateway/src/sync/follow.rs
@@ -66,7 +66,12 @@
         loop {
             // A set of an earlier era says nothing of what the store has now.
             is_whole = is_whole && !self.is_of_earlier_era();
-            let result = match self.source(Instant::now()) {
+            let now = Instant::now();
+            if self.set == RowSet::Upstreams {
+                self.state.view.upstreams.settle(now);
+            }
+            let result = match self.source(now) {
+                _ if self.must_confirm(now) => self.confirm_configuration().await,
                 Source::Fed { watermark, moment } => {
                     self.be_fed(watermark, moment).await;
                     continue;
@@ -90,6 +95,29 @@
         }
     }
 
+    /// Whether the configuration in force is still one of an earlier era, though operators have had the time
+    /// to write it again: it may be lost, and a lower one in its place.
+    fn must_confirm(&self, now: Instant) -> bool {
+        let feed = &self.state.feed;
+        let is_known = self.set == RowSet::Configuration && self.state.view.version() > 0;
+        is_known
+            && era_of(self.state.view.configuration_revision()) < feed.era()
+            && self.confirmed_in != feed.era()
+            && !feed.is_copy_doubted(now)
+    }
+
+    /// Reads what the store has in place of a configuration of an earlier era.
+    async fn confirm_configuration(&mut self) -> Result<(), CallFailure> {
+        self.read_full_set().await?;
+        self.confirmed_in = self.state.feed.era();
+        log::info!(
+            "view: configuration of an earlier era version={} era={}",
+            self.state.view.version(),
+            self.confirmed_in
+        );
+        Ok(())
+    }
+
     /// Where the set is learned from now.
     pub(super) fn source(&self, now: Instant) -> Source {
         let feed = &self.state.feed;
--- a/crates/gateway/src/sync/from_peers.rs
+++ b/crates/gateway/src/sync/from_peers.rs
@@ -14,7 +14,7 @@
         peers::{
             PackedUpstreams, Reach, SetSnapshot, SnapshotRows, packed_upstreams_path, path_of,
         },
-        view::UpstreamChanges,
+        view::{Applied, RowAge, UpstreamChanges},
     },
     bytes::Bytes,
     http::{Request, StatusCode, header},
@@ -81,7 +81,8 @@
 
     async fn learn_from(&mut self, source: SocketAddr) -> bool {
         let asked = Instant::now();
-        let Some(snapshot) = fetch(self.set, self.newest(), source).await else {
+        let Some((snapshot, configuration_row)) = fetch(self.set, self.newest(), source).await
+        else {
             log::info!(
                 "feed: no snapshot set={} peer={source} took_ms={}",
                 self.set.name(),
@@ -101,7 +102,7 @@
             snapshot.watermark.revision,
             asked.elapsed().as_millis()
         );
-        self.apply_snapshot(snapshot, asked);
+        self.apply_snapshot(snapshot, configuration_row, asked);
         true
     }
 
@@ -186,7 +187,7 @@
             .snapshot_sources(RowSet::Runs, 0, Reach::Everywhere, now);
         for source in sources.into_iter().take(HOSTS_ASKED) {
             let snapshot = fetch(RowSet::Runs, 0, source).await;
-            if let Some(SnapshotRows::Runs(runs)) = snapshot.map(|snapshot| snapshot.rows) {
+            if let Some(SnapshotRows::Runs(runs)) = snapshot.map(|(snapshot, _)| snapshot.rows) {
                 log::info!("feed: runs peer={source} runs={}", runs.len());
                 let now = Instant::now();
                 for run in runs {
@@ -198,13 +199,20 @@
         false
     }
 
-    fn apply_snapshot(&self, snapshot: SetSnapshot, asked: Instant) {
+    /// Takes in what another host knows; `configuration_row` is the version of the configuration's row.
+    fn apply_snapshot(
+        &mut self,
+        snapshot: SetSnapshot,
+        configuration_row: Revision,
+        asked: Instant,
+    ) {
         let SetSnapshot {
             watermark,
             store_time,
             rows,
         } = snapshot;
-        let feed = &self.state.feed;
+        let state = self.state.clone();
+        let feed = &state.feed;
         feed.observe_peer(store_time, asked, Instant::now());
         match rows {
             SnapshotRows::Configuration {
@@ -212,7 +220,13 @@
                 rollout_orders,
             } => {
                 if let Some(configuration) = configuration {
-                    apply_configuration(&self.state, watermark.revision, configuration);
+                    let age = RowAge::MayBeCopied;
+                    let applied =
+                        apply_configuration(&state, configuration_row, configuration, age);
+                    if applied == Applied::Doubted {
+                        // The store tells whether it was written since.
+                        self.confirmed_in = 0;
+                    }
                 }
                 for order in rollout_orders {
                     apply_rollout_order(&self.state, order);
@@ -249,14 +263,19 @@
     }
 }
 
-/// Fetches a set from another host, or of the upstreams what changed after a version that is known.
-async fn fetch(set: RowSet, known: Revision, source: SocketAddr) -> Option<SetSnapshot> {
+/// Fetches a set from another host, or of the upstreams what changed after a version that is known. With it
+/// comes the version of the configuration's row; 0 from a host of an earlier build, and of another set.
+async fn fetch(
+    set: RowSet,
+    known: Revision,
+    source: SocketAddr,
+) -> Option<(SetSnapshot, Revision)> {
     if set == RowSet::Upstreams {
         let after = (known > 0).then_some(known);
         let (status, body) = get(&packed_upstreams_path(after), source).await?;
         if status.is_success() {
             let packed: PackedUpstreams = postcard::from_bytes(&body).ok()?;
-            return packed.unpack().ok();
+            return packed.unpack().ok().map(|snapshot| (snapshot, 0));
         }
         if status != StatusCode::NOT_FOUND {
             return None;
@@ -267,7 +286,9 @@
     if !status.is_success() {
         return None;
     }
-    postcard::from_bytes(&body).ok()
+    let (snapshot, rest) = postcard::take_from_bytes(&body).ok()?;
+    let (configuration_row, _) = postcard::take_from_bytes(rest).unwrap_or_default();
+    Some((snapshot, configuration_row))
 }
 
 async fn get(path: &str, source: SocketAddr) -> Option<(StatusCode, Bytes)> {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -3,32 +3,32 @@
 mod active;
 mod configuration;
 mod freshness;
+mod in_force;
 mod listing;
 mod upstream;
 mod upstreams;
 
-pub use {
-    configuration::{Configuration, Customer, Engines, Limits, Route, RouteKind, Service, Target},
-    freshness::Freshness,
-    upstream::{Condition, Upstream, UpstreamRecord, UpstreamState, Work},
-    upstreams::{UpstreamChanges, Upstreams, are_in_use},
-};
 use {
+    crate::edge::Revision,
     parking_lot::RwLock,
     std::{
         sync::Arc,
         time::{Duration, Instant},
     },
-    tealshore_core::{
-        ids::ConfigVersion,
-        protection::{Protection, enabled},
-    },
+    tealshore_core::ids::ConfigVersion,
+};
+pub use {
+    configuration::{Configuration, Customer, Engines, Limits, Route, RouteKind, Service, Target},
+    freshness::Freshness,
+    in_force::{Applied, InForce, RowAge},
+    upstream::{Condition, Upstream, UpstreamRecord, UpstreamState, Work},
+    upstreams::{MISSING_ROWS_BACK, UpstreamChanges, Upstreams, are_in_use},
 };
 
 /// What this host believes about the outside.
 #[derive(Default)]
 pub struct View {
-    configuration: RwLock<Option<Arc<Configuration>>>,
+    configuration: RwLock<InForce>,
     freshness: RwLock<Freshness>,
     /// The upstreams.
     pub upstreams: Upstreams,
@@ -37,27 +37,30 @@
 impl View {
     /// The configuration in force; none before the first.
     pub fn configuration(&self) -> Option<Arc<Configuration>> {
-        self.configuration.read().clone()
+        self.configuration.read().configuration().cloned()
     }
 
     /// The version in force; 0 before the first.
     pub fn version(&self) -> ConfigVersion {
-        let configuration = self.configuration.read();
-        configuration.as_ref().map_or(0, |known| known.version)
+        let in_force = self.configuration.read();
+        in_force.configuration().map_or(0, |known| known.version)
+    }
+
+    /// The version of the row of the configuration in force; 0 before the first.
+    pub fn configuration_revision(&self) -> Revision {
+        self.configuration.read().revision()
     }
 
-    /// Puts a configuration in force unless it is older than what is; whether it did.
-    pub fn apply(&self, new: Configuration) -> bool {
-        let mut current = self.configuration.write();
-        if current
-            .as_ref()
-            .is_some_and(|known| new.version <= known.version)
-            && enabled(Protection::MonotonicVersion)
-        {
-            return false;
-        }
-        *current = Some(Arc::new(new));
-        true
+    /// Takes in a configuration that was read, with the version of its row.
+    pub fn apply(
+        &self,
+        new: Configuration,
+        revision: Revision,
+        age: RowAge,
+        is_copy_doubted: bool,
+    ) -> Applied {
+        let mut in_force = self.configuration.write();
+        in_force.apply(new, revision, age, is_copy_doubted)
     }
 
     /// Notes that the configuration in force was the newest one at `moment`.
--- a/crates/gateway/src/view/listing.rs
+++ b/crates/gateway/src/view/listing.rs
@@ -1,10 +1,10 @@
 //! Rows of upstreams by id, and which upstreams are listed at an address.
 
 use {
-    super::upstream::Upstream,
-    crate::edge::Revision,
+    super::upstream::{Upstream, UpstreamRecord, UpstreamState},
+    crate::edge::{Revision, era_of},
     std::{
-        collections::{HashMap, hash_map},
+        collections::{HashMap, HashSet, hash_map},
         net::SocketAddr,
         sync::Arc,
         time::Instant,
@@ -20,6 +20,15 @@
     pub(super) upstream: Option<Arc<Upstream>>,
     /// Its row lapsed while the store was away; it counts as listed until then.
     lapses: Option<Instant>,
+    /// What the store lists since it came back from a copy, where that is not believed yet.
+    doubted: Option<Doubted>,
+}
+
+/// A row of a copy that contradicts what was known before.
+struct Doubted {
+    record: UpstreamRecord,
+    /// It is believed from then on.
+    until: Instant,
 }
 
 impl Listed {
@@ -28,6 +37,27 @@
         self.lapses.is_some()
     }
 
+    fn is_unsettled(&self) -> bool {
+        self.lapses.is_some() || self.doubted.is_some()
+    }
+
+    /// Whether a row of a later era says that an upstream takes work which was known to leave, in
+    /// the same life, or to be gone: a copy may be older than what was known.
+    pub(super) fn contradicts(&self, revision: Revision, record: &UpstreamRecord) -> bool {
+        if era_of(self.revision) == era_of(revision) || record.state != UpstreamState::Ready {
+            return false;
+        }
+        self.upstream.as_ref().is_none_or(|known| {
+            known.record.state == UpstreamState::Leaving && known.record.born == record.born
+        })
+    }
+
+    /// The row as it is given to other hosts: what was known, or for one that was gone what the store lists.
+    pub(super) fn record_to_give(&self) -> Option<&UpstreamRecord> {
+        let known = self.current().map(|upstream| &upstream.record);
+        known.or_else(|| self.doubted.as_ref().map(|doubted| &doubted.record))
+    }
+
     /// The upstream, while it counts as listed.
     pub(super) fn current(&self) -> Option<&Arc<Upstream>> {
         let has_lapsed = self.lapses.is_some_and(|lapses| lapses <= Instant::now());
@@ -41,6 +71,8 @@
 pub(super) struct Listing {
     rows: HashMap<EngineId, Listed>,
     by_address: HashMap<SocketAddr, Vec<Arc<Upstream>>>,
+    /// Ids whose rows are doubted, or missing for a while.
+    unsettled: HashSet<EngineId>,
 }
 
 impl Listing {
@@ -78,6 +110,7 @@
             revision,
             upstream: Some(upstream),
             lapses: None,
+            doubted: None,
         };
         self.rows.insert(id, entry);
     }
@@ -89,6 +122,7 @@
             revision,
             upstream: None,
             lapses: None,
+            doubted: None,
         };
         self.rows.insert(id, entry);
     }
@@ -97,16 +131,72 @@
     pub(super) fn clear(&mut self, id: &EngineId, revision: Revision) -> bool {
         let was_listed = self.unlist(id);
         if let Some(known) = self.rows.get_mut(id) {
-            known.revision = revision;
+            known.revision = known.revision.max(revision);
+            known.lapses = None;
+            known.doubted = None;
         }
         was_listed
     }
 
-    /// Lets a row count as listed until a moment, unless an earlier one was set.
-    pub(super) fn let_lapse(&mut self, id: &EngineId, until: Instant) {
-        if let Some(known) = self.rows.get_mut(id) {
+    /// Lets an upstream that a whole set lacks, as of a version, count as listed until a moment, unless an
+    /// earlier one was set, if it took work; else it is gone.
+    pub(super) fn let_missing_lapse(&mut self, id: &EngineId, full_set: Revision, until: Instant) {
+        let Some(known) = self.rows.get_mut(id) else {
+            return;
+        };
+        let upstream = known.upstream.as_ref();
+        let took_work = upstream.is_some_and(|it| it.record.state == UpstreamState::Ready);
+        if took_work {
             known.lapses.get_or_insert(until);
+            self.unsettled.insert(id.clone());
+        } else {
+            self.clear(id, full_set);
+        }
+    }
+
+    /// Whether some rows are doubted, or missing for a while.
+    pub(super) fn is_unsettled(&self) -> bool {
+        !self.unsettled.is_empty()
+    }
+
+    /// Keeps what is known of an id against a row that the store lists, until a moment.
+    pub(super) fn doubt(&mut self, revision: Revision, record: UpstreamRecord, until: Instant) {
+        if let Some(known) = self.rows.get_mut(&record.id) {
+            self.unsettled.insert(record.id.clone());
+            known.revision = revision;
+            known.doubted = Some(Doubted { record, until });
+        }
+    }
+
+    /// Takes out the rows that are to be believed at a moment, each with its version; what a whole set
+    /// lacked, as of a version, and was not listed again in time is gone.
+    pub(super) fn settle(
+        &mut self,
+        full_set: Revision,
+        now: Instant,
+    ) -> Vec<(Revision, UpstreamRecord)> {
+        let mut believed = Vec::new();
+        let mut gone = Vec::new();
+        let rows = &mut self.rows;
+        self.unsettled.retain(|id| {
+            // A row that was written since has taken its place.
+            let Some(known) = rows.get_mut(id).filter(|known| known.is_unsettled()) else {
+                return false;
+            };
+            if known.lapses.is_some_and(|lapses| lapses <= now) {
+                gone.push(id.clone());
+                return false;
+            }
+            let is_over = |doubted: &mut Doubted| doubted.until <= now;
+            if let Some(doubted) = known.doubted.take_if(is_over) {
+                believed.push((known.revision, doubted.record));
+            }
+            known.is_unsettled()
+        });
+        for id in gone {
+            self.clear(&id, full_set);
         }
+        believed
     }
 
     /// Takes the upstream of an id out of its row and out of the index; whether there was one.
--- a/crates/gateway/src/view/upstreams.rs
+++ b/crates/gateway/src/view/upstreams.rs
@@ -6,7 +6,10 @@
         listing::{Listed, Listing},
         upstream::{Upstream, UpstreamRecord, UpstreamState, Work},
     },
-    crate::edge::Revision,
+    crate::{
+        edge::{Revision, era_of},
+        feed::COPY_DOUBTED,
+    },
     parking_lot::{Mutex, RwLock},
     serde::{Deserialize, Serialize},
     std::{
@@ -23,6 +26,9 @@
 /// An incarnation counts as younger where it was listed this much later: of two that are
 /// read at once, nothing tells which one lives.
 const YOUNGER_BY: Duration = Duration::from_millis(500);
+/// Rows that lapsed while the store was away, or that its copy lacks, are back within about two
+/// seconds, or their upstreams are gone.
+pub const MISSING_ROWS_BACK: Duration = Duration::from_millis(1_800);
 
 /// What changed of the upstreams after a version.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -57,35 +63,38 @@
         if known.is_some_and(|known| known.revision >= revision) {
             return false;
         }
-        let same = known
-            .and_then(|known| known.upstream.as_ref())
-            .filter(|upstream| upstream.record == record)
-            .cloned();
-        let is_change = same.is_none();
-        match known.and_then(|known| known.upstream.as_ref()) {
-            Some(earlier) if earlier.record.born != record.born => {
-                log::info!(
-                    "view: upstream started again upstream={} born={:?} before={:?} revision={revision}",
-                    record.id,
-                    record.born,
-                    earlier.record.born
-                );
-                // Wakes what still waits for the earlier life.
-                earlier.gone_for_good(seen);
-            }
-            Some(_) => {}
-            None => supersede(&listed, &record, seen),
+        if known.is_some_and(|known| known.contradicts(revision, &record)) {
+            let known = known.and_then(|known| known.upstream.as_ref());
+            log::info!(
+                "view: row of a copy not believed upstream={} revision={revision} known={:?}",
+                record.id,
+                known.map(|upstream| upstream.record.state)
+            );
+            listed.doubt(revision, record, seen + COPY_DOUBTED);
+            return false;
         }
-        let upstream = same.unwrap_or_else(|| {
-            let active = self.active.clone();
-            Arc::new(Upstream::new(record.clone(), revision, seen, active))
-        });
-        if !is_change {
-            // It may have lapsed meanwhile, and what is known of it is told again.
-            upstream.mark_active();
+        list(&mut listed, &self.active, revision, record, seen)
+    }
+
+    /// Believes the rows of a copy that were doubted for long enough, and forgets the upstreams whose missing
+    /// rows did not come back; how many rows are believed.
+    pub fn settle(&self, now: Instant) -> usize {
+        if !self.listed.read().is_unsettled() {
+            return 0;
         }
-        listed.insert(revision, upstream);
-        is_change
+        let full_set = self.changes_known_after.lock().unwrap_or_default();
+        let mut listed = self.listed.write();
+        let believed = listed.settle(full_set, now);
+        let count = believed.len();
+        for (revision, record) in believed {
+            log::info!(
+                "view: row of a copy believed upstream={} state={:?} revision={revision}",
+                record.id,
+                record.state
+            );
+            list(&mut listed, &self.active, revision, record, now);
+        }
+        count
     }
 
     /// Takes in that a row went; whether it changed anything.
@@ -115,11 +124,26 @@
         true
     }
 
-    /// Takes in a whole set as of a version: what it lacks has gone. Tells how many went.
+    /// Takes in a whole set as of a version: what it lacks has gone, but for what was listed in an earlier
+    /// era, which may only be missing in the store's copy and counts as lapsed. Tells how many it lacks.
     pub fn retain(&self, revision: Revision, present: &[EngineId]) -> usize {
         self.note_full_set(revision);
-        let gone = self.missing(present);
-        gone.iter().filter(|id| self.remove(revision, id)).count()
+        let missing = self.missing(present);
+        let mut listed = self.listed.write();
+        let until = Instant::now() + MISSING_ROWS_BACK;
+        let mut lacked = 0;
+        for id in &missing {
+            let Some(row) = listed.get(id).map(|known| known.revision) else {
+                continue;
+            };
+            lacked += usize::from(row < revision);
+            if era_of(row) < era_of(revision) {
+                listed.let_missing_lapse(id, revision, until);
+            } else if row < revision {
+                listed.clear(id, revision);
+            }
+        }
+        lacked
     }
 
     /// Takes in the first whole set after the store was away for long. What it lacks may have
@@ -130,18 +154,10 @@
         let missing = self.missing(present);
         let mut listed = self.listed.write();
         for id in &missing {
-            let Some(known) = listed.get(id) else {
-                continue;
-            };
-            let took_work = known
-                .upstream
-                .as_ref()
-                .is_some_and(|upstream| upstream.record.state == UpstreamState::Ready);
-            let row = known.revision;
-            if !took_work && row < revision {
-                listed.clear(id, row);
+            let row = listed.get(id).map(|known| known.revision);
+            if row.is_some_and(|row| row < revision) {
+                listed.let_missing_lapse(id, revision, until);
             }
-            listed.let_lapse(id, until);
         }
         missing.len()
     }
@@ -165,11 +181,8 @@
             if known.revision <= after {
                 continue;
             }
-            match known.current() {
-                Some(upstream) => {
-                    let row = (known.revision, upstream.record.clone());
-                    changes.listed.push(row);
-                }
+            match known.record_to_give() {
+                Some(record) => changes.listed.push((known.revision, record.clone())),
                 None => changes.gone.push((known.revision, id.clone())),
             }
         }
@@ -234,15 +247,18 @@
         active
     }
 
-    /// All upstreams that are listed, each with the version of its row.
+    /// All upstreams that are listed, each with the version of its row. One that only an earlier era listed
+    /// may be gone: other hosts go by what they knew of it.
     pub fn rows(&self) -> Vec<(Revision, UpstreamRecord)> {
+        let full_set = *self.changes_known_after.lock();
+        let era = full_set.map_or(0, era_of);
         let listed = self.listed.read();
-        let current = listed
+        let of_era = listed
             .values()
-            .filter_map(|known| Some((known.revision, known.current()?)));
-        current
-            .map(|(revision, upstream)| (revision, upstream.record.clone()))
-            .collect()
+            .filter(|known| era_of(known.revision) >= era);
+        let rows =
+            of_era.filter_map(|known| Some((known.revision, known.record_to_give()?.clone())));
+        rows.collect()
     }
 
     /// Whether an upstream is listed and takes new work at this instant.
@@ -273,3 +289,47 @@
         upstream.superseded(now);
     }
 }
+
+/// Lists an upstream in place of what was known of its id; whether that changed anything.
+fn list(
+    listed: &mut Listing,
+    active: &Arc<ActiveUpstreams>,
+    revision: Revision,
+    record: UpstreamRecord,
+    seen: Instant,
+) -> bool {
+    let known = listed.get(&record.id);
+    let same = known
+        .and_then(|known| known.upstream.as_ref())
+        .filter(|upstream| upstream.record == record)
+        .cloned();
+    let is_change = same.is_none();
+    match known.and_then(|known| known.upstream.as_ref()) {
+        Some(earlier) if earlier.record.born != record.born => {
+            log::info!(
+                "view: upstream started again upstream={} born={:?} before={:?} revision={revision}",
+                record.id,
+                record.born,
+                earlier.record.born
+            );
+            // Wakes what still waits for the earlier life.
+            earlier.gone_for_good(seen);
+        }
+        Some(_) => {}
+        None => supersede(listed, &record, seen),
+    }
+    let upstream = same.unwrap_or_else(|| {
+        Arc::new(Upstream::new(
+            record.clone(),
+            revision,
+            seen,
+            active.clone(),
+        ))
+    });
+    if !is_change {
+        // It may have lapsed meanwhile, and what is known of it is told again.
+        upstream.mark_active();
+    }
+    listed.insert(revision, upstream);
+    is_change
+}
--- a/crates/gateway/tests/view.rs
+++ b/crates/gateway/tests/view.rs
@@ -12,8 +12,8 @@
     },
     tealshore_capacity::EngineKind,
     tealshore_gateway::view::{
-        Condition, Configuration, Route, RouteKind, Target, UpstreamRecord, UpstreamState, View,
-        Work, are_in_use,
+        Applied, Condition, Configuration, Route, RouteKind, RowAge, Target, UpstreamRecord,
+        UpstreamState, View, Work, are_in_use,
     },
 };
 
@@ -66,7 +66,8 @@
         let mut highest = None;
         for version in versions {
             let is_news = highest.is_none_or(|highest| version > highest);
-            prop_assert_eq!(view.apply(configuration(version)), is_news);
+            let applied = view.apply(configuration(version), 1, RowAge::WrittenSince, false);
+            prop_assert_eq!(applied == Applied::InForce, is_news);
             highest = highest.max(Some(version));
             prop_assert_eq!(Some(view.version()), highest);
         }
