Write again the rows of hosts that the store lost with an older copy

Callers would see: a request that ends engines, and is refused for that, ends three more once all hosts are lost, as the row that kept it is gone; streams that are not taken up after such a loss; a host that starts and finds nobody by the list.

Cause: the rows of crashes, of streams' places and of hosts are written when they change, and a store that came back from a copy lacks them until then.

Mend: each that keeps such a row writes it again once it knows of another era of the store.

--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -54,6 +54,8 @@
     cause: Option<&'static str>,
     /// Changes were let gather after the last watch.
     has_gathered: bool,
+    /// The era in which this host last wrote rows of the set, or was about to.
+    written_in: StoreEra,
     /// The era in which the store was last asked for a configuration that it may have lost.
     confirmed_in: StoreEra,
     /// When the store was lost; none while it answers.
@@ -111,6 +113,7 @@
             failures: 0,
             cause: None,
             has_gathered: false,
+            written_in: 0,
             confirmed_in: 0,
             lost_at: None,
         }
@@ -128,6 +131,13 @@
         newest > 0 && era_of(newest) < self.state.feed.era()
     }
 
+    /// Whether the store came back from an older copy since this was last asked, so that it may lack rows that
+    /// this host wrote.
+    fn may_lack_own_rows(&mut self) -> bool {
+        let era = self.state.feed.era();
+        std::mem::replace(&mut self.written_in, era) < era
+    }
+
     async fn write(&mut self, request: Request<Bytes>) -> Result<(), CallFailure> {
         let bound = self.state.options.store.timeout;
         let answer = self.call(request, bound).await?;
--- a/crates/gateway/src/sync/crashes.rs
+++ b/crates/gateway/src/sync/crashes.rs
@@ -21,6 +21,9 @@
         let mut written: Vec<(u64, NewsSize)> = Vec::new();
         loop {
             sleep(CRASHES_INTERVAL).await;
+            if self.may_lack_own_rows() {
+                written.clear();
+            }
             let now = Instant::now();
             let suspects = self.state.crashes.suspects(now);
             let sizes = sizes_of(&suspects);
--- a/crates/gateway/src/sync/hosts.rs
+++ b/crates/gateway/src/sync/hosts.rs
@@ -24,6 +24,9 @@
         let mut looks_alone = 0;
         loop {
             sleep(spread(HOSTS_INTERVAL * (1 << looks_alone))).await;
+            if self.may_lack_own_rows() {
+                is_listed = false;
+            }
             let now = Instant::now();
             let is_alone = self.state.peers.is_alone(now);
             let feeds = self.state.feeder(now) == FeederChoice::Itself;
--- a/crates/gateway/src/sync/runs.rs
+++ b/crates/gateway/src/sync/runs.rs
@@ -24,6 +24,9 @@
         let mut written: Vec<RunTrace> = Vec::new();
         loop {
             sleep(RUNS_INTERVAL).await;
+            if self.may_lack_own_rows() {
+                written.clear();
+            }
             let now = Instant::now();
             if !self.writes_for_group(now) {
                 continue;
