Hold no duty on the word of an older copy of the store

Operators would see: two hosts that act at once in one duty, under one fencing token, and windows of usage that are reported twice.

Cause: a lease that was acknowledged may be gone when the store comes back from a copy. Its holder acts on until its time is over; the one before it, whose row the copy has, renews at once; and a token that the lost row gave out is given out again. A write under a condition may be done by accident, since versions are given out twice.

Mend: a process that learns of another era holds nothing, and takes or renews nothing for the time of one lease, in which any holder that does not know of it has stopped; its first token is a thousand above all that it knows. An answer to a write of the lease or of a roll-out that names another era than the one in which the row was read counts as unknown. A host that reads a row older than the one it wrote itself keeps what it had decided.

Without it the new tests of lease fail to build (the event did not exist); before, a process whose row the copy has renewed it at once.

--- a/crates/duties/src/lease.rs
+++ b/crates/duties/src/lease.rs
@@ -22,6 +22,10 @@
     },
 };
 
+/// How much higher the first token is that a process takes after the store came back from an older copy:
+/// more than are taken within the seconds that such a store loses.
+const LOST_FENCES: Fence = 1_000;
+
 /// What a host may do about the lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Role {
@@ -127,6 +131,9 @@
     must_read: bool,
     /// The highest token that was read or heard. A store that lost the row does not know it.
     highest_fence: Fence,
+    /// The store came back from an older copy, and this process has not written the row since: a row that was lost
+    /// may have let another process act until then.
+    copy_in_doubt_until: Option<Instant>,
 }
 
 impl Lease {
@@ -144,6 +151,7 @@
             serial: 0,
             must_read: true,
             highest_fence: 0,
+            copy_in_doubt_until: None,
         }
     }
 
@@ -220,6 +228,7 @@
         now: Instant,
     ) {
         self.note_version(version, record.holder.as_ref(), now);
+        self.copy_in_doubt_until = None;
         if record.holder.as_ref() == Some(&self.own) {
             self.begin_tenure(record.fence, asked);
         } else {
@@ -253,6 +262,17 @@
         self.must_read = true;
     }
 
+    /// Notes that the store came back from an older copy. The row that gave the lease may be lost, and whoever
+    /// holds it may not know that yet: nobody takes it for the time that it lasts.
+    pub fn note_store_copied(&mut self, now: Instant) {
+        self.end_tenure();
+        self.seen = None;
+        self.newest = None;
+        self.in_doubt = None;
+        self.must_read = true;
+        self.copy_in_doubt_until = Some(now + self.bounds.expiry);
+    }
+
     /// Asks for a renewal now, so that what the row carries beside the lease is written at once.
     pub fn renew_now(&mut self) {
         self.renewed = None;
@@ -276,6 +296,8 @@
         let Some(seen) = seen else {
             return Step::Wait(now + self.bounds.renew);
         };
+        // What the copy says of this process was written before it last ceased to hold the lease.
+        let is_own = is_own && self.copy_in_doubt_until.is_none();
         match role {
             Role::Leaving if is_own => self.release(seen, store_time, now),
             Role::Candidate { .. } | Role::Bystander if is_own => self.renew(seen, now),
@@ -335,7 +357,10 @@
             Some(_) if enabled(Protection::LeaseExpiry) => self.bounds.expiry,
             Some(_) | None => Duration::ZERO,
         };
-        let free_from = newest.since + held_for + delay;
+        let mut free_from = newest.since + held_for + delay;
+        if let Some(until) = self.copy_in_doubt_until {
+            free_from = free_from.max(until + delay);
+        }
         if now < free_from {
             return Step::Wait(free_from);
         }
@@ -367,7 +392,11 @@
         let rest = self.bounds.rest;
         record.former.retain(|it| store_time < it.left + rest);
         record.holder = Some(self.own.clone());
-        record.fence = record.fence.max(self.highest_fence) + 1;
+        let step = match self.copy_in_doubt_until {
+            Some(_) => LOST_FENCES,
+            None => 1,
+        };
+        record.fence = record.fence.max(self.highest_fence) + step;
         record
     }
 
--- a/crates/duties/src/lease/record.rs
+++ b/crates/duties/src/lease/record.rs
@@ -45,6 +45,15 @@
     pub serial: u64,
 }
 
+impl LeaseRecord {
+    /// Whether it was written before another one, as far as both tell.
+    #[must_use]
+    pub fn is_older_than(&self, other: &Self) -> bool {
+        let is_of_one_tenure = self.fence == other.fence && self.holder == other.holder;
+        self.fence < other.fence || (is_of_one_tenure && self.serial < other.serial)
+    }
+}
+
 /// What a holder tells other hosts of the row, so that they need not read it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseNews {
--- a/crates/duties/tests/lease.rs
+++ b/crates/duties/tests/lease.rs
@@ -403,3 +403,79 @@
     assert_eq!((write.expected, write.purpose), (0, Purpose::Take));
     assert_eq!(write.record.fence, 10);
 }
+
+#[test]
+fn a_holder_gives_up_what_it_holds_when_the_store_came_back_from_a_copy() {
+    tealshore_core::protection::start();
+    let now = Instant::now();
+    let mut lease = taken_at(now);
+    lease.note_store_copied(now);
+    assert_eq!(lease.tenure(now), None);
+    assert_eq!(lease.next(Some(seconds(100)), FIRST, now), Step::Read);
+}
+
+/// The row that gave it to another process may be lost.
+#[test]
+fn nobody_takes_or_renews_a_lease_before_one_that_was_lost_is_over() {
+    tealshore_core::protection::start();
+    let now = Instant::now();
+    let rows = [
+        None,
+        Some((9, held_by("a"))),
+        Some((
+            9,
+            LeaseRecord {
+                holder: None,
+                ..held_by("a")
+            },
+        )),
+    ];
+    for row in rows {
+        let mut lease = lease_of("a");
+        lease.note_store_copied(now);
+        lease.note_read(row, now);
+        let free = now + LENGTH;
+        assert_eq!(lease.next(Some(seconds(100)), FIRST, now), Step::Wait(free));
+        let write = asked_write(&mut lease, seconds(104), FIRST, free);
+        assert_eq!(write.purpose, Purpose::Take);
+    }
+}
+
+#[test]
+fn the_first_token_after_a_copy_is_above_all_that_were_lost() {
+    let now = Instant::now();
+    let mut lost = taken_at(now);
+    for taken in 2..10 {
+        lost.hear(
+            &LeaseNews {
+                version: taken,
+                fence: taken,
+                holder: None,
+            },
+            now,
+        );
+    }
+    let mut lease = lease_of("b");
+    lease.note_store_copied(now);
+    // The copy knows the first of these tokens, and this process heard of none.
+    lease.note_read(Some((1, taken_record())), now);
+    let write = asked_write(&mut lease, seconds(104), FIRST, now + LENGTH);
+    assert!(write.record.fence > 100, "{}", write.record.fence);
+    lease.note_written(12, write.record.clone(), now + LENGTH, now + LENGTH);
+    let due = now + LENGTH + seconds(2);
+    let renewed = asked_write(&mut lease, seconds(106), FIRST, due);
+    assert_eq!(renewed.purpose, Purpose::Renew);
+    assert_eq!(renewed.record.fence, write.record.fence);
+}
+
+#[test]
+fn a_write_before_the_copy_gives_no_tenure_after_it() {
+    let asked = Instant::now();
+    let mut lease = taken_at(asked);
+    let due = asked + seconds(2);
+    let write = asked_write(&mut lease, seconds(102), FIRST, due);
+    lease.note_unknown(&write.record, due);
+    lease.note_store_copied(due);
+    lease.note_read(Some((2, write.record)), due);
+    assert_eq!(lease.tenure(due), None);
+}
--- a/crates/gateway/src/sync/duties.rs
+++ b/crates/gateway/src/sync/duties.rs
@@ -10,7 +10,7 @@
     crate::{
         capacity,
         duties::{CANDIDATES, DutyRecord, PlacedOrder},
-        edge::{Change, Revision, Written, number_of},
+        edge::{Change, Revision, StoreEra, Written, number_of},
         feed::{Contender, hosts_before},
         options::{Duty, DutyOptions},
         peers::HostPhase,
@@ -69,6 +69,8 @@
     capacity_seen: Option<Instant>,
     /// When this host last took the lease.
     taken: Option<Instant>,
+    /// The era of the store in which the lease is known.
+    era: StoreEra,
 }
 
 impl DutyKeeper {
@@ -85,6 +87,7 @@
             store_failures: 0,
             capacity_seen: None,
             taken: None,
+            era: 0,
         })
     }
 
@@ -96,6 +99,7 @@
     pub(super) async fn keep(&mut self) {
         loop {
             let now = Instant::now();
+            self.note_era(now);
             let role = self.role(now);
             let store_time = self.state().feed.store_time(now);
             let step = self
@@ -122,6 +126,23 @@
         }
     }
 
+    /// Gives up what is known of the lease where the store came back from an older copy.
+    fn note_era(&mut self, now: Instant) {
+        let era = self.state().feed.era();
+        if era <= self.era {
+            return;
+        }
+        let was_held = self.state().duties.tenure(now).is_some();
+        log::warn!(
+            "duties: lease in doubt cause=new-era era={era} before={} held={was_held} fence={}",
+            self.era,
+            self.record.lease.fence
+        );
+        self.era = era;
+        let duties = &self.state().duties;
+        duties.with_lease(|lease| lease.note_store_copied(now));
+    }
+
     /// What this host may do about the lease.
     fn role(&self, now: Instant) -> Role {
         let state = self.state();
@@ -182,7 +203,17 @@
 
     fn take_in(&mut self, row: Option<(Revision, DutyRecord)>) {
         self.store_failures = 0;
-        let (revision, record) = row.unwrap_or_default();
+        let (revision, mut record) = row.unwrap_or_default();
+        if record.lease.is_older_than(&self.record.lease) {
+            log::warn!(
+                "duties: row older than written here revision={revision} fence={} written_fence={}",
+                record.lease.fence,
+                self.record.lease.fence
+            );
+            // What was decided under the lost lease stays decided.
+            record.usage.clone_from(&self.record.usage);
+            record.orders.clone_from(&self.record.orders);
+        }
         let duties = &self.state().duties;
         log::info!(
             "duties: row read revision={revision} fence={} holder={}",
@@ -208,6 +239,8 @@
         let asked = Instant::now();
         let answer = self.follower.call(request, STORE_BOUND).await;
         let written = match &answer {
+            // The version that the row had to have was of another era, and matched by accident.
+            Ok(answer) if answer.era != self.era => Written::Unknown,
             Ok(answer) => {
                 let protocol = &state.protocol;
                 protocol.read_written(answer.era, answer.status, &answer.body)
--- a/crates/gateway/src/sync/rollouts.rs
+++ b/crates/gateway/src/sync/rollouts.rs
@@ -131,10 +131,15 @@
         record: &RolloutRecord,
         expected: Revision,
     ) -> Result<(), CallFailure> {
+        let era = self.state.feed.era();
         let protocol = &self.state.protocol;
         let request = protocol.write_rollout_call(record, number_of(expected));
         let bound = self.state.options.store.timeout;
         let answer = self.call(request, bound).await?;
+        if answer.era != era {
+            // The version that the row had to have was of another era.
+            return Err(CallFailure::NewEra);
+        }
         let protocol = &self.state.protocol;
         match protocol.read_written(answer.era, answer.status, &answer.body) {
             Written::Done(revision) => {
