Give out no token in two eras of the store, and decide no window twice

Cause of the first: the first token after a copy was a thousand above all that was heard, and so was that of a host which had taken the lease in the era before and whose row and word were lost. Of the second: a holder's decisions stand in the row alone; another host that takes the lease after a copy decides them again.

Mend: the tokens of an era begin at a number of their own, so none is given out in two eras. A holder tells the hosts that may follow it how far windows are decided and what it decided that is not accepted yet, behind the counts that hosts tell each second; who takes the lease adds that to the row it read. Earlier builds pass over it; a kept frame shows that.

--- a/crates/duties/src/lease.rs
+++ b/crates/duties/src/lease.rs
@@ -22,9 +22,8 @@
     },
 };
 
-/// How much higher the first token is that a process takes after the store came back from an older copy:
-/// more than are taken within the seconds that such a store loses.
-const LOST_FENCES: Fence = 1_000;
+/// The tokens of one era of the store: none is given out in two of them, though rows are lost between them.
+const FENCES_OF_AN_ERA: Fence = 1 << 32;
 
 /// What a host may do about the lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -134,6 +133,8 @@
     /// The store came back from an older copy, and this process has not written the row since: a row that was lost
     /// may have let another process act until then.
     copy_in_doubt_until: Option<Instant>,
+    /// The first token of the era of the store that this process knows of.
+    first_fence: Fence,
 }
 
 impl Lease {
@@ -152,6 +153,7 @@
             must_read: true,
             highest_fence: 0,
             copy_in_doubt_until: None,
+            first_fence: 0,
         }
     }
 
@@ -262,9 +264,10 @@
         self.must_read = true;
     }
 
-    /// Notes that the store came back from an older copy. The row that gave the lease may be lost, and whoever
-    /// holds it may not know that yet: nobody takes it for the time that it lasts.
-    pub fn note_store_copied(&mut self, now: Instant) {
+    /// Notes that the store came back from an older copy, for the `era`th time. The row that gave the lease may be
+    /// lost, and whoever holds it may not know that yet: nobody takes it for the time that it lasts.
+    pub fn note_store_copied(&mut self, era: u32, now: Instant) {
+        self.first_fence = Fence::from(era) * FENCES_OF_AN_ERA;
         self.end_tenure();
         self.seen = None;
         self.newest = None;
@@ -392,11 +395,8 @@
         let rest = self.bounds.rest;
         record.former.retain(|it| store_time < it.left + rest);
         record.holder = Some(self.own.clone());
-        let step = match self.copy_in_doubt_until {
-            Some(_) => LOST_FENCES,
-            None => 1,
-        };
-        record.fence = record.fence.max(self.highest_fence) + step;
+        let highest = record.fence.max(self.highest_fence);
+        record.fence = (highest + 1).max(self.first_fence);
         record
     }
 
--- a/crates/duties/src/usage.rs
+++ b/crates/duties/src/usage.rs
@@ -300,6 +300,16 @@
     pub counted: Vec<HallCounts>,
 }
 
+/// How far the windows are reported, as a holder tells the hosts that may follow it: a store that comes back
+/// from an older copy lacks what was written last.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DecidedUsage {
+    /// The first window that is not decided.
+    pub next: WindowIndex,
+    /// What was decided and is not settled yet.
+    pub open: Vec<UsageReport>,
+}
+
 /// How long a new holder lets hosts tell it their counts before it decides a window: they hear of it
 /// within half a second and tell once a second. One that decided sooner reported 23 requests of some 800.
 const HEARD_AFTER: Duration = Duration::from_millis(1_800);
@@ -328,6 +338,27 @@
 }
 
 impl UsageRecord {
+    /// What to tell the hosts that may follow; none before a first window was chosen.
+    #[must_use]
+    pub fn decided_so_far(&self) -> Option<DecidedUsage> {
+        Some(DecidedUsage {
+            next: self.next?,
+            open: self.decided.clone(),
+        })
+    }
+
+    /// Takes in decisions that a holder told and that this record lacks; whether there were any.
+    pub fn join(&mut self, told: &DecidedUsage) -> bool {
+        let next = self.next.unwrap_or_default();
+        if told.next <= next {
+            return false;
+        }
+        let missing = told.open.iter().filter(|report| report.window >= next);
+        self.decided.extend(missing.cloned());
+        self.next = Some(told.next);
+        true
+    }
+
     /// Begins with a window, where none was chosen yet.
     pub fn begin_at(&mut self, window: WindowIndex) {
         self.next.get_or_insert(window);
--- a/crates/duties/tests/lease.rs
+++ b/crates/duties/tests/lease.rs
@@ -409,7 +409,7 @@
     tealshore_core::protection::start();
     let now = Instant::now();
     let mut lease = taken_at(now);
-    lease.note_store_copied(now);
+    lease.note_store_copied(1, now);
     assert_eq!(lease.tenure(now), None);
     assert_eq!(lease.next(Some(seconds(100)), FIRST, now), Step::Read);
 }
@@ -432,7 +432,7 @@
     ];
     for row in rows {
         let mut lease = lease_of("a");
-        lease.note_store_copied(now);
+        lease.note_store_copied(1, now);
         lease.note_read(row, now);
         let free = now + LENGTH;
         assert_eq!(lease.next(Some(seconds(100)), FIRST, now), Step::Wait(free));
@@ -441,31 +441,26 @@
     }
 }
 
+/// Tokens of rows that were lost between two copies were never heard by the next holder.
 #[test]
-fn the_first_token_after_a_copy_is_above_all_that_were_lost() {
+fn no_token_is_given_out_in_two_eras_of_the_store() {
     let now = Instant::now();
-    let mut lost = taken_at(now);
-    for taken in 2..10 {
-        lost.hear(
-            &LeaseNews {
-                version: taken,
-                fence: taken,
-                holder: None,
-            },
-            now,
-        );
+    let free = now + LENGTH;
+    let mut tokens = Vec::new();
+    for era in 1..4 {
+        let mut lease = lease_of("b");
+        lease.note_store_copied(era, now);
+        lease.note_read(Some((1, taken_record())), now);
+        let write = asked_write(&mut lease, seconds(104), FIRST, free);
+        tokens.push(write.record.fence);
+        lease.note_written(12, write.record.clone(), free, free);
+        let due = free + seconds(2);
+        let renewed = asked_write(&mut lease, seconds(106), FIRST, due);
+        assert_eq!(renewed.purpose, Purpose::Renew);
+        assert_eq!(renewed.record.fence, write.record.fence);
     }
-    let mut lease = lease_of("b");
-    lease.note_store_copied(now);
-    // The copy knows the first of these tokens, and this process heard of none.
-    lease.note_read(Some((1, taken_record())), now);
-    let write = asked_write(&mut lease, seconds(104), FIRST, now + LENGTH);
-    assert!(write.record.fence > 100, "{}", write.record.fence);
-    lease.note_written(12, write.record.clone(), now + LENGTH, now + LENGTH);
-    let due = now + LENGTH + seconds(2);
-    let renewed = asked_write(&mut lease, seconds(106), FIRST, due);
-    assert_eq!(renewed.purpose, Purpose::Renew);
-    assert_eq!(renewed.record.fence, write.record.fence);
+    let far = |pair: &[u64]| pair[1] > pair[0] + 1_000_000;
+    assert!(tokens.windows(2).all(far), "{tokens:?}");
 }
 
 #[test]
@@ -475,7 +470,7 @@
     let due = asked + seconds(2);
     let write = asked_write(&mut lease, seconds(102), FIRST, due);
     lease.note_unknown(&write.record, due);
-    lease.note_store_copied(due);
+    lease.note_store_copied(1, due);
     lease.note_read(Some((2, write.record)), due);
     assert_eq!(lease.tenure(due), None);
 }
--- a/crates/duties/tests/usage.rs
+++ b/crates/duties/tests/usage.rs
@@ -537,3 +537,43 @@
     };
     assert_eq!(settle_after(SETTLE, short, seconds(0)), SETTLE);
 }
+
+fn report(window: WindowIndex, requests: u64) -> UsageReport {
+    UsageReport {
+        window,
+        counts: [("atlas".to_owned(), requests)].into(),
+    }
+}
+
+/// The store came back from a copy made before the last windows were decided.
+#[test]
+fn a_window_whose_decision_the_store_lost_is_not_decided_again() {
+    let mut holder = UsageRecord::default();
+    holder.begin_at(FIRST);
+    let copied = holder.clone();
+    holder.decide(vec![report(FIRST, 5), report(FIRST + 1, 6)]);
+    holder.settle(FIRST);
+    let told = holder.decided_so_far().unwrap_or_default();
+    let mut next_holder = copied;
+    assert!(next_holder.join(&told));
+    assert_eq!(next_holder.next, Some(FIRST + 2));
+    // One that was accepted is not sent again, one that may not have been is sent as it was decided.
+    assert_eq!(next_holder.decided, [report(FIRST + 1, 6)]);
+    assert!(!next_holder.join(&told));
+    assert_eq!(next_holder.decided.len(), 1);
+}
+
+#[test]
+fn decisions_of_the_row_are_not_doubled_by_what_was_told_before() {
+    let mut row = UsageRecord::default();
+    row.begin_at(FIRST);
+    row.decide(vec![report(FIRST, 5)]);
+    let told = row.decided_so_far().unwrap_or_default();
+    row.decide(vec![report(FIRST + 1, 6)]);
+    let later = row.decided_so_far().unwrap_or_default();
+    let mut copied = UsageRecord::default();
+    copied.begin_at(FIRST);
+    assert!(copied.join(&told));
+    assert!(copied.join(&later));
+    assert_eq!(copied.decided, row.decided);
+}
--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -15,7 +15,7 @@
     tealshore_core::ids::{CustomerId, HallId, HostId},
     tealshore_duties::{
         lease::{Lease, LeaseNews, ProcessId, StoreTime, Tenure},
-        usage::{UsageLedger, WindowCounts, WindowIndex},
+        usage::{DecidedUsage, UsageLedger, UsageRecord, WindowCounts, WindowIndex},
     },
 };
 pub use {
@@ -52,6 +52,10 @@
     offsets: Mutex<ClockOffsets>,
     lease: Mutex<Lease>,
     ledger: Mutex<UsageLedger>,
+    /// How far windows are reported, by the last holder that was heard.
+    decided: Mutex<DecidedUsage>,
+    /// The same, as this host wrote it.
+    decided_here: Mutex<Option<DecidedUsage>>,
 }
 
 impl Duties {
@@ -67,6 +71,8 @@
             clock: OwnClock::start(),
             offsets: Mutex::default(),
             ledger: Mutex::default(),
+            decided: Mutex::default(),
+            decided_here: Mutex::default(),
         }
     }
 
@@ -179,6 +185,33 @@
         self.lease.lock().tenure(now)
     }
 
+    /// Notes how far windows are reported, as this host wrote it.
+    pub fn note_decided(&self, usage: &UsageRecord) {
+        let decided = usage.decided_so_far();
+        if let Some(decided) = &decided {
+            self.hear_decided(decided);
+        }
+        *self.decided_here.lock() = decided;
+    }
+
+    /// Takes in how far another host wrote that windows are reported.
+    pub fn hear_decided(&self, told: &DecidedUsage) {
+        let mut known = self.decided.lock();
+        if told.next >= known.next {
+            known.clone_from(told);
+        }
+    }
+
+    /// How far windows are reported, as this host wrote it, for those that may follow it.
+    pub fn decided_to_tell(&self) -> Option<DecidedUsage> {
+        self.decided_here.lock().clone()
+    }
+
+    /// Adds to a row that was read what holders told since it was written; whether there was any.
+    pub fn join_decided(&self, usage: &mut UsageRecord) -> bool {
+        usage.join(&self.decided.lock())
+    }
+
     /// What other hosts are told of the lease: by its holder, and for a while by the one that gave it up.
     pub fn lease_to_tell(&self, now: Instant) -> Option<LeaseNews> {
         self.options.as_ref()?;
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -219,6 +219,9 @@
         match Extension::read(&buffer[..length]) {
             Ok((datagram, extension)) => {
                 apply_limit_news(&state, &extension.limits, false);
+                if let Some(decided) = &extension.decided_usage {
+                    state.duties.hear_decided(decided);
+                }
                 apply_datagram(&state, &socket, datagram, extension, sender).await;
             }
             Err(cause) => {
--- a/crates/gateway/src/peers/extension.rs
+++ b/crates/gateway/src/peers/extension.rs
@@ -5,6 +5,7 @@
     super::message::{Datagram, Unreadable},
     serde::de::DeserializeOwned,
     tealshore_core::ids::{HallId, HostId},
+    tealshore_duties::usage::DecidedUsage,
     tealshore_rates::LimitNews,
 };
 
@@ -22,6 +23,8 @@
     pub lending_groups: Vec<HallId>,
     /// Hosts of the group that is told of, or of those groups, that are not.
     pub not_lending: Vec<HostId>,
+    /// How far windows of usage are reported, as the sender wrote it while it held the duties.
+    pub decided_usage: Option<DecidedUsage>,
 }
 
 impl Extension {
@@ -36,7 +39,12 @@
         let bytes = postcard::to_extend(&self.lends, bytes)?;
         let bytes = postcard::to_extend(&self.limits, bytes)?;
         let bytes = postcard::to_extend(&self.lending_groups, bytes)?;
-        postcard::to_extend(&self.not_lending, bytes)
+        let bytes = postcard::to_extend(&self.not_lending, bytes)?;
+        match &self.decided_usage {
+            Some(_) => postcard::to_extend(&self.decided_usage, bytes),
+            // What is missing at the end is read as none.
+            None => Ok(bytes),
+        }
     }
 
     /// Reads a datagram and what stands behind it.
@@ -48,12 +56,14 @@
         let (lends, rest) = next(rest);
         let (limits, rest) = next(rest);
         let (lending_groups, rest) = next(rest);
-        let (not_lending, _) = next(rest);
+        let (not_lending, rest) = next(rest);
+        let (decided_usage, _) = next(rest);
         let extension = Self {
             lends,
             limits,
             lending_groups,
             not_lending,
+            decided_usage,
         };
         Ok((datagram, extension))
     }
--- a/crates/gateway/src/peers/outgoing.rs
+++ b/crates/gateway/src/peers/outgoing.rs
@@ -134,12 +134,16 @@
                 } else {
                     Vec::new()
                 },
+                decided_usage: state.duties.decided_to_tell(),
+                ..Extension::default()
+            },
+            Datagram::Usage(_) => Extension {
+                decided_usage: state.duties.decided_to_tell(),
                 ..Extension::default()
             },
             Datagram::Delta(_)
             | Datagram::Upstreams { .. }
             | Datagram::Relayed { .. }
-            | Datagram::Usage(_)
             | Datagram::Limits { .. }
             | Datagram::PermitAsk(_)
             | Datagram::PermitLoan(_) => Extension::default(),
--- a/crates/gateway/src/sync/duties.rs
+++ b/crates/gateway/src/sync/duties.rs
@@ -140,7 +140,7 @@
         );
         self.era = era;
         let duties = &self.state().duties;
-        duties.with_lease(|lease| lease.note_store_copied(now));
+        duties.with_lease(|lease| lease.note_store_copied(era, now));
     }
 
     /// What this host may do about the lease.
@@ -215,6 +215,13 @@
             record.orders.clone_from(&self.record.orders);
         }
         let duties = &self.state().duties;
+        if duties.join_decided(&mut record.usage) {
+            log::info!(
+                "duties: decisions lost by the store usage_next={:?} open={}",
+                record.usage.next,
+                record.usage.decided.len()
+            );
+        }
         log::info!(
             "duties: row read revision={revision} fence={} holder={}",
             record.lease.fence,
@@ -309,6 +316,7 @@
             ),
         }
         state.metrics.count_lease(purpose.name(), "done");
+        state.duties.note_decided(&record.usage);
         let lease = record.lease.clone();
         let now = Instant::now();
         state
--- a/crates/gateway/tests/frames.rs
+++ b/crates/gateway/tests/frames.rs
@@ -13,7 +13,7 @@
     tealshore_capacity::EngineKind,
     tealshore_duties::{
         lease::{LeaseNews, ProcessId},
-        usage::WindowCounts,
+        usage::{DecidedUsage, UsageReport, WindowCounts},
     },
     tealshore_gateway::{
         budget::BudgetUse,
@@ -312,6 +312,20 @@
         limits: vec![limit()],
         lending_groups: vec!["b".to_owned()],
         not_lending: vec!["b-1".to_owned()],
+        decided_usage: None,
+    }
+}
+
+fn extension_of_a_holder() -> Extension {
+    Extension {
+        decided_usage: Some(DecidedUsage {
+            next: 350_000_002,
+            open: vec![UsageReport {
+                window: 350_000_001,
+                counts: [("atlas".to_owned(), 7)].into(),
+            }],
+        }),
+        ..extension()
     }
 }
 
@@ -396,6 +410,21 @@
     assert!(read.not_lending.is_empty());
 }
 
+#[test]
+fn what_a_holder_of_duties_decided_is_read_and_written_the_same_by_later_builds() {
+    let kept = include_str!("frames/6-usage-decided.hex");
+    let written = usage_news().to_bytes().unwrap();
+    let written = extension_of_a_holder().write(written).unwrap();
+    assert_eq!(hex(&written), kept.trim());
+    let (_, read) = Extension::read(&bytes_of(kept)).unwrap();
+    assert_eq!(read, extension_of_a_holder());
+    let by_the_build_before = Datagram::from_bytes(&bytes_of(kept)).unwrap();
+    assert_eq!(
+        format!("{by_the_build_before:?}"),
+        format!("{:?}", usage_news())
+    );
+}
+
 #[test]
 fn a_snapshot_is_read_and_written_as_the_build_before_did() {
     let kept = include_str!("frames/snapshot-upstreams.hex");
