--- a/crates/core/src/protection.rs
+++ b/crates/core/src/protection.rs
@@ -66,6 +66,10 @@
     UpstreamNotices,
     /// An upstream that names a limit gets no more than that from all hosts together.
     SharedLimits,
+    /// What a store says is told by its era from what it said before it came back from an older copy.
+    StoreEra,
+    /// What was known of an upstream stands for a while against a row of the store's copy.
+    DoubtedCopy,
 }
 
 impl Protection {
@@ -103,6 +107,8 @@
             Self::Quarantine => "quarantine",
             Self::UpstreamNotices => "upstream-notices",
             Self::SharedLimits => "shared-limits",
+            Self::StoreEra => "store-era",
+            Self::DoubtedCopy => "doubted-copy",
         }
     }
 }
--- a/crates/gateway/src/feed/era.rs
+++ b/crates/gateway/src/feed/era.rs
@@ -3,6 +3,7 @@
 use {
     crate::edge::{EraNamed, StoreEra},
     std::time::{Duration, Instant},
+    tealshore_core::protection::{Protection, enabled},
 };
 
 /// For how long after a host learned of an era what it knew before stands against rows of the copy
@@ -42,6 +43,7 @@
     pub fn of_answer(&self, named: EraNamed) -> Option<StoreEra> {
         match named {
             EraNamed::No | EraNamed::Unreadable => Some(self.era),
+            EraNamed::Era(_) if !enabled(Protection::StoreEra) => Some(self.era),
             EraNamed::Era(era) => (era >= self.era).then_some(era),
         }
     }
--- a/crates/gateway/src/view/listing.rs
+++ b/crates/gateway/src/view/listing.rs
@@ -9,7 +9,10 @@
         sync::Arc,
         time::Instant,
     },
-    tealshore_core::ids::EngineId,
+    tealshore_core::{
+        ids::EngineId,
+        protection::{Protection, enabled},
+    },
 };
 
 /// What the store last said of an id.
@@ -44,7 +47,11 @@
     /// Whether a row of a later era says that an upstream takes work which was known to leave, in
     /// the same life, or to be gone: a copy may be older than what was known.
     pub(super) fn contradicts(&self, revision: Revision, record: &UpstreamRecord) -> bool {
-        if era_of(self.revision) == era_of(revision) || record.state != UpstreamState::Ready {
+        let is_of_later_era = era_of(self.revision) < era_of(revision);
+        if !is_of_later_era || record.state != UpstreamState::Ready {
+            return false;
+        }
+        if !enabled(Protection::DoubtedCopy) {
             return false;
         }
         self.upstream.as_ref().is_none_or(|known| {
