Tell what a holder of duties decided from every host that heard it

The holder had stopped and started again, knew nothing, read the older row and took the lease; the two hosts that had heard its decisions did not tell them, as only the one that wrote them did.

Every host now tells what it wrote or heard, behind its counts, once a second; of two tellings of the same windows the one with fewer open reports stands.

--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -52,10 +52,8 @@
     offsets: Mutex<ClockOffsets>,
     lease: Mutex<Lease>,
     ledger: Mutex<UsageLedger>,
-    /// How far windows are reported, by the last holder that was heard.
+    /// How far windows are reported, as far as this host wrote or heard it.
     decided: Mutex<DecidedUsage>,
-    /// The same, as this host wrote it.
-    decided_here: Mutex<Option<DecidedUsage>>,
 }
 
 impl Duties {
@@ -72,7 +70,6 @@
             offsets: Mutex::default(),
             ledger: Mutex::default(),
             decided: Mutex::default(),
-            decided_here: Mutex::default(),
         }
     }
 
@@ -185,26 +182,20 @@
         self.lease.lock().tenure(now)
     }
 
-    /// Notes how far windows are reported, as this host wrote it.
-    pub fn note_decided(&self, usage: &UsageRecord) {
-        let decided = usage.decided_so_far();
-        if let Some(decided) = &decided {
-            self.hear_decided(decided);
-        }
-        *self.decided_here.lock() = decided;
-    }
-
-    /// Takes in how far another host wrote that windows are reported.
+    /// Takes in how far windows are reported, as this host wrote it or another one tells.
     pub fn hear_decided(&self, told: &DecidedUsage) {
         let mut known = self.decided.lock();
-        if told.next >= known.next {
+        let is_settled = told.next == known.next && told.open.len() < known.open.len();
+        if told.next > known.next || is_settled {
             known.clone_from(told);
         }
     }
 
-    /// How far windows are reported, as this host wrote it, for those that may follow it.
+    /// How far windows are reported, for those that may hold the duties next. Who heard it tells it as well: the
+    /// one that wrote it may start again, and take the lease from a row that is older.
     pub fn decided_to_tell(&self) -> Option<DecidedUsage> {
-        self.decided_here.lock().clone()
+        let known = self.decided.lock().clone();
+        (known != DecidedUsage::default()).then_some(known)
     }
 
     /// Adds to a row that was read what holders told since it was written; whether there was any.
--- a/crates/gateway/src/peers/extension.rs
+++ b/crates/gateway/src/peers/extension.rs
@@ -23,7 +23,7 @@
     pub lending_groups: Vec<HallId>,
     /// Hosts of the group that is told of, or of those groups, that are not.
     pub not_lending: Vec<HostId>,
-    /// How far windows of usage are reported, as the sender wrote it while it held the duties.
+    /// How far windows of usage are reported, as the sender wrote or heard it.
     pub decided_usage: Option<DecidedUsage>,
 }
 
--- a/crates/gateway/src/sync/duties.rs
+++ b/crates/gateway/src/sync/duties.rs
@@ -316,7 +316,9 @@
             ),
         }
         state.metrics.count_lease(purpose.name(), "done");
-        state.duties.note_decided(&record.usage);
+        if let Some(decided) = record.usage.decided_so_far() {
+            state.duties.hear_decided(&decided);
+        }
         let lease = record.lease.clone();
         let now = Instant::now();
         state
--- a/crates/gateway/tests/duties.rs
+++ b/crates/gateway/tests/duties.rs
@@ -6,9 +6,9 @@
     tealshore_capacity::{EngineKind, EngineOrder},
     tealshore_duties::{
         lease::{LeaseRecord, ProcessId},
-        usage::{UsageRecord, UsageReport},
+        usage::{DecidedUsage, UsageRecord, UsageReport},
     },
-    tealshore_gateway::duties::{ClockOffsets, DutyRecord, OrderState},
+    tealshore_gateway::duties::{ClockOffsets, Duties, DutyRecord, OrderState},
 };
 
 const STORE_TIME: Duration = Duration::from_secs(500);
@@ -111,3 +111,39 @@
         prop_assert_eq!(DutyRecord::from_bytes(&bytes), Ok(record));
     }
 }
+
+fn duties_of(host: &str) -> Duties {
+    let process = ProcessId {
+        host: host.to_owned(),
+        incarnation: 1,
+    };
+    Duties::new(None, process, &"a".to_owned())
+}
+
+/// The holder that decided them may start again, and take the lease from an older row.
+#[test]
+fn decisions_that_a_host_heard_it_tells_others() {
+    let report = UsageReport {
+        window: 7,
+        counts: [("atlas".to_owned(), 3)].into(),
+    };
+    let decided = DecidedUsage {
+        next: 8,
+        open: vec![report],
+    };
+    let settled = DecidedUsage {
+        next: 8,
+        open: Vec::new(),
+    };
+    let heard = duties_of("b");
+    assert_eq!(heard.decided_to_tell(), None);
+    heard.hear_decided(&decided);
+    assert_eq!(heard.decided_to_tell(), Some(decided.clone()));
+    heard.hear_decided(&settled);
+    heard.hear_decided(&decided);
+    assert_eq!(heard.decided_to_tell(), Some(settled));
+    let mut copied = UsageRecord::default();
+    copied.begin_at(5);
+    assert!(heard.join_decided(&mut copied));
+    assert_eq!(copied.next, Some(8));
+}
