Log an unknown era of the store once, not at each change of what answers say

Answers that name an era and answers that name none may alternate, and each change was a line. A line now tells once that an era is missing though others named one, and once that one can't be read; a new era has a line of its own as before.

--- a/crates/gateway/src/state/store_heads.rs
+++ b/crates/gateway/src/state/store_heads.rs
@@ -4,7 +4,10 @@
     super::GatewayState,
     crate::edge::{EraNamed, RowSet, StoreEra, StoreHead},
     parking_lot::Mutex,
-    std::collections::HashSet,
+    std::{
+        collections::HashSet,
+        sync::atomic::{AtomicBool, Ordering},
+    },
 };
 
 /// The most names of headers that are remembered, so that each is logged once.
@@ -13,7 +16,8 @@
 /// What the heads of the store's answers said so far.
 #[derive(Default)]
 pub(super) struct StoreHeads {
-    era: Mutex<EraNamed>,
+    has_told_missing: AtomicBool,
+    has_told_unreadable: AtomicBool,
     unknown_headers: Mutex<HashSet<String>>,
 }
 
@@ -21,7 +25,7 @@
     /// Notes the head of an answer of the store to a call about a set. Tells the era of the answer; none where
     /// it is of an earlier one than is known.
     pub fn note_store_head(&self, head: &StoreHead, set: RowSet) -> Option<StoreEra> {
-        self.log_named(head.era, set);
+        self.log_unknown_era(head.era, set);
         for header in &head.unknown_headers {
             self.log_unknown_header(header.as_str(), set);
         }
@@ -43,12 +47,19 @@
         }
     }
 
-    /// Logs what answers say of the era, where that is not what the last one said.
-    fn log_named(&self, named: EraNamed, set: RowSet) {
-        let before = std::mem::replace(&mut *self.store_heads.era.lock(), named);
-        if before != named {
-            log::info!(
-                "store: era named={named:?} before={before:?} set={}",
+    /// Logs once that an answer names no era though others did, and once that it names one that can't be read.
+    fn log_unknown_era(&self, named: EraNamed, set: RowSet) {
+        let heads = &self.store_heads;
+        let has_told = match named {
+            EraNamed::Era(_) => return,
+            EraNamed::No if self.feed.era() == 0 => return,
+            EraNamed::No => &heads.has_told_missing,
+            EraNamed::Unreadable => &heads.has_told_unreadable,
+        };
+        if !has_told.swap(true, Ordering::Relaxed) {
+            log::warn!(
+                "store: era not known named={named:?} counted_as={} set={}",
+                self.feed.era(),
                 set.name()
             );
         }
--- a/crates/gateway/src/sync/duties.rs
+++ b/crates/gateway/src/sync/duties.rs
@@ -246,7 +246,7 @@
         let asked = Instant::now();
         let answer = self.follower.call(request, STORE_BOUND).await;
         let written = match &answer {
-            // The version that the row had to have was of another era, and matched by accident.
+            // Versions of two eras may match by accident.
             Ok(answer) if answer.era != self.era => Written::Unknown,
             Ok(answer) => {
                 let protocol = &state.protocol;
--- a/crates/gateway/src/sync/rollouts.rs
+++ b/crates/gateway/src/sync/rollouts.rs
@@ -137,7 +137,7 @@
         let bound = self.state.options.store.timeout;
         let answer = self.call(request, bound).await?;
         if answer.era != era {
-            // The version that the row had to have was of another era.
+            // Versions of two eras may match by accident.
             return Err(CallFailure::NewEra);
         }
         let protocol = &self.state.protocol;
