Name what follows a restore of the store by the terms of the field

A store that goes on from an older copy was restored; the time in which hosts hold rows that contradict what they knew is a grace period; such a row is held, and applied when that is over.

| Before | Now | | --- | --- | | COPY_DOUBTED, is_copy_doubted | RESTORE_GRACE, is_in_restore_grace | | Doubted (row), doubt, settle | HeldRow, hold, end_grace | | Applied::Doubted, outcome=doubted | Applied::Unconfirmed, outcome=unconfirmed | | RowAge: MayBeCopied, WrittenSince | RowOrigin: MayPredateRestore, WrittenSinceRestore | | MISSING_ROWS_BACK | MISSING_ROW_GRACE | | note_store_copied | note_store_restored | | hear_decided, decided_to_tell, join | merge_decided, decided_to_gossip, add_lost | | store: back from an older copy | store: restored from an older copy | | view: row of a copy not believed, believed | view: restored row held, applied | | duties: lease in doubt | duties: lease suspended | | doubted-copy (protection) | restore-grace |

--- a/crates/core/src/protection.rs
+++ b/crates/core/src/protection.rs
@@ -69,7 +69,7 @@
     /// What a store says is told by its era from what it said before it came back from an older copy.
     StoreEra,
     /// What was known of an upstream stands for a while against a row of the store's copy.
-    DoubtedCopy,
+    RestoreGrace,
 }
 
 impl Protection {
@@ -108,7 +108,7 @@
             Self::UpstreamNotices => "upstream-notices",
             Self::SharedLimits => "shared-limits",
             Self::StoreEra => "store-era",
-            Self::DoubtedCopy => "doubted-copy",
+            Self::RestoreGrace => "restore-grace",
         }
     }
 }
--- a/crates/duties/src/lease.rs
+++ b/crates/duties/src/lease.rs
@@ -130,9 +130,9 @@
     must_read: bool,
     /// The highest token that was read or heard. A store that lost the row does not know it.
     highest_fence: Fence,
-    /// The store came back from an older copy, and this process has not written the row since: a row that was lost
-    /// may have let another process act until then.
-    copy_in_doubt_until: Option<Instant>,
+    /// The store was restored from an older copy, and this process has not written the row since: a row that was
+    /// lost may have let another process act until then.
+    restore_grace_until: Option<Instant>,
     /// The first token of the era of the store that this process knows of.
     first_fence: Fence,
 }
@@ -152,7 +152,7 @@
             serial: 0,
             must_read: true,
             highest_fence: 0,
-            copy_in_doubt_until: None,
+            restore_grace_until: None,
             first_fence: 0,
         }
     }
@@ -230,7 +230,7 @@
         now: Instant,
     ) {
         self.note_version(version, record.holder.as_ref(), now);
-        self.copy_in_doubt_until = None;
+        self.restore_grace_until = None;
         if record.holder.as_ref() == Some(&self.own) {
             self.begin_tenure(record.fence, asked);
         } else {
@@ -266,14 +266,14 @@
 
     /// Notes that the store came back from an older copy, for the `era`th time. The row that gave the lease may be
     /// lost, and whoever holds it may not know that yet: nobody takes it for the time that it lasts.
-    pub fn note_store_copied(&mut self, era: u32, now: Instant) {
+    pub fn note_store_restored(&mut self, era: u32, now: Instant) {
         self.first_fence = Fence::from(era) * FENCES_OF_AN_ERA;
         self.end_tenure();
         self.seen = None;
         self.newest = None;
         self.in_doubt = None;
         self.must_read = true;
-        self.copy_in_doubt_until = Some(now + self.bounds.expiry);
+        self.restore_grace_until = Some(now + self.bounds.expiry);
     }
 
     /// Asks for a renewal now, so that what the row carries beside the lease is written at once.
@@ -299,8 +299,8 @@
         let Some(seen) = seen else {
             return Step::Wait(now + self.bounds.renew);
         };
-        // What the copy says of this process was written before it last ceased to hold the lease.
-        let is_own = is_own && self.copy_in_doubt_until.is_none();
+        // A row of the restored store may be older than another holder's, which is lost.
+        let is_own = is_own && self.restore_grace_until.is_none();
         match role {
             Role::Leaving if is_own => self.release(seen, store_time, now),
             Role::Candidate { .. } | Role::Bystander if is_own => self.renew(seen, now),
@@ -361,7 +361,7 @@
             Some(_) | None => Duration::ZERO,
         };
         let mut free_from = newest.since + held_for + delay;
-        if let Some(until) = self.copy_in_doubt_until {
+        if let Some(until) = self.restore_grace_until {
             free_from = free_from.max(until + delay);
         }
         if now < free_from {
--- a/crates/duties/src/usage.rs
+++ b/crates/duties/src/usage.rs
@@ -347,15 +347,15 @@
         })
     }
 
-    /// Takes in decisions that a holder told and that this record lacks; whether there were any.
-    pub fn join(&mut self, told: &DecidedUsage) -> bool {
+    /// Adds decisions that the store lost, so that this record lacks them; whether there were any.
+    pub fn add_lost(&mut self, known: &DecidedUsage) -> bool {
         let next = self.next.unwrap_or_default();
-        if told.next <= next {
+        if known.next <= next {
             return false;
         }
-        let missing = told.open.iter().filter(|report| report.window >= next);
+        let missing = known.open.iter().filter(|report| report.window >= next);
         self.decided.extend(missing.cloned());
-        self.next = Some(told.next);
+        self.next = Some(known.next);
         true
     }
 
--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -183,24 +183,24 @@
     }
 
     /// Takes in how far windows are reported, as this host wrote it or another one tells.
-    pub fn hear_decided(&self, told: &DecidedUsage) {
+    pub fn merge_decided(&self, other: &DecidedUsage) {
         let mut known = self.decided.lock();
-        let is_settled = told.next == known.next && told.open.len() < known.open.len();
-        if told.next > known.next || is_settled {
-            known.clone_from(told);
+        let is_settled = other.next == known.next && other.open.len() < known.open.len();
+        if other.next > known.next || is_settled {
+            known.clone_from(other);
         }
     }
 
     /// How far windows are reported, for those that may hold the duties next. Who heard it tells it as well: the
     /// one that wrote it may start again, and take the lease from a row that is older.
-    pub fn decided_to_tell(&self) -> Option<DecidedUsage> {
+    pub fn decided_to_gossip(&self) -> Option<DecidedUsage> {
         let known = self.decided.lock().clone();
         (known != DecidedUsage::default()).then_some(known)
     }
 
-    /// Adds to a row that was read what holders told since it was written; whether there was any.
-    pub fn join_decided(&self, usage: &mut UsageRecord) -> bool {
-        usage.join(&self.decided.lock())
+    /// Adds to a row that was read the decisions that the store lost; whether there were any.
+    pub fn add_lost_decisions(&self, usage: &mut UsageRecord) -> bool {
+        usage.add_lost(&self.decided.lock())
     }
 
     /// What other hosts are told of the lease: by its holder, and for a while by the one that gave it up.
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -13,7 +13,7 @@
 use {
     crate::{
         edge::{EraNamed, Revision, RowSet, StoreEra, StoreTime, UpstreamChange, era_of},
-        view::RowAge,
+        view::RowOrigin,
     },
     parking_lot::Mutex,
     postcard::experimental::serialized_size,
@@ -31,7 +31,7 @@
 pub use {
     choice::{Contender, FeederChoice, GROUP_HOSTS, choose_feeder, hosts_before, rank},
     clock::StoreClockFloor,
-    era::{COPY_DOUBTED, KnownEra},
+    era::{KnownEra, RESTORE_GRACE},
     progress::SetProgress,
 };
 
@@ -193,12 +193,12 @@
         })
     }
 
-    /// Whether a row of a set may be one of the store's copy.
-    pub fn age_of(&self, set: RowSet, revision: Revision) -> RowAge {
-        if self.progress(set).is_written_since(revision) {
-            RowAge::WrittenSince
+    /// Whether a row of a set may be older than a restore of the store.
+    pub fn origin_of(&self, set: RowSet, revision: Revision) -> RowOrigin {
+        if self.progress(set).is_written_since_restore(revision) {
+            RowOrigin::WrittenSinceRestore
         } else {
-            RowAge::MayBeCopied
+            RowOrigin::MayPredateRestore
         }
     }
 
@@ -217,9 +217,9 @@
         self.era.lock().of_answer(named)
     }
 
-    /// Whether rows may be those of a copy, older than what was known before.
-    pub fn is_copy_doubted(&self, now: Instant) -> bool {
-        self.era.lock().is_copy_doubted(now)
+    /// Whether rows of the store may be older than what was known before.
+    pub fn is_in_restore_grace(&self, now: Instant) -> bool {
+        self.era.lock().is_in_restore_grace(now)
     }
 
     /// How far this host's knowledge goes; none before both sets were read.
--- a/crates/gateway/src/feed/era.rs
+++ b/crates/gateway/src/feed/era.rs
@@ -6,15 +6,15 @@
     tealshore_core::protection::{Protection, enabled},
 };
 
-/// For how long after a host learned of an era what it knew before stands against rows of the copy
-/// that contradict it. By then upstreams and operators have written again what the copy lacks.
-pub const COPY_DOUBTED: Duration = Duration::from_secs(10);
+/// For how long after a host learned of an era what it knew before stands against rows of the restored store
+/// that contradict it. By then upstreams and operators have written again what was lost.
+pub const RESTORE_GRACE: Duration = Duration::from_secs(10);
 
 /// The latest era that this host knows of.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct KnownEra {
     era: StoreEra,
-    /// When it was learned of; none while the store never came back from a copy.
+    /// When it was learned of; none while the store was never restored.
     since: Option<Instant>,
 }
 
@@ -48,10 +48,10 @@
         }
     }
 
-    /// Whether rows may be those of a copy, older than what was known before.
+    /// Whether rows of the store may be older than what was known before.
     #[must_use]
-    pub fn is_copy_doubted(&self, now: Instant) -> bool {
+    pub fn is_in_restore_grace(&self, now: Instant) -> bool {
         let age = self.since.map(|since| now.saturating_duration_since(since));
-        age.is_some_and(|age| age < COPY_DOUBTED)
+        age.is_some_and(|age| age < RESTORE_GRACE)
     }
 }
--- a/crates/gateway/src/feed/progress.rs
+++ b/crates/gateway/src/feed/progress.rs
@@ -22,7 +22,7 @@
 
     /// Whether a row was written since the set was first known in the row's era.
     #[must_use]
-    pub fn is_written_since(&self, revision: Revision) -> bool {
+    pub fn is_written_since_restore(&self, revision: Revision) -> bool {
         let first = self.first_of_era;
         era_of(first) == era_of(revision) && revision > first
     }
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -220,7 +220,7 @@
             Ok((datagram, extension)) => {
                 apply_limit_news(&state, &extension.limits, false);
                 if let Some(decided) = &extension.decided_usage {
-                    state.duties.hear_decided(decided);
+                    state.duties.merge_decided(decided);
                 }
                 apply_datagram(&state, &socket, datagram, extension, sender).await;
             }
--- a/crates/gateway/src/peers/outgoing.rs
+++ b/crates/gateway/src/peers/outgoing.rs
@@ -134,11 +134,11 @@
                 } else {
                     Vec::new()
                 },
-                decided_usage: state.duties.decided_to_tell(),
+                decided_usage: state.duties.decided_to_gossip(),
                 ..Extension::default()
             },
             Datagram::Usage(_) => Extension {
-                decided_usage: state.duties.decided_to_tell(),
+                decided_usage: state.duties.decided_to_gossip(),
                 ..Extension::default()
             },
             Datagram::Delta(_)
--- a/crates/gateway/src/rollout/known.rs
+++ b/crates/gateway/src/rollout/known.rs
@@ -138,21 +138,28 @@
         }
     }
 
-    /// Takes in an order; whether it is a new one. `is_copy_doubted` tells that rows may be those of a copy.
-    pub fn apply_order(&self, order: RolloutOrder, is_copy_doubted: bool, now: Instant) -> bool {
+    /// Takes in an order; whether it is a new one. `is_in_restore_grace` tells that rows may predate a restore of the store.
+    pub fn apply_order(
+        &self,
+        order: RolloutOrder,
+        is_in_restore_grace: bool,
+        now: Instant,
+    ) -> bool {
         let mut services = self.services.lock();
         let service = services.entry(order.service.clone()).or_default();
-        service.progress.apply_order(order, is_copy_doubted, now)
+        service
+            .progress
+            .apply_order(order, is_in_restore_grace, now)
     }
 
-    /// Believes orders of the store's copy that were doubted; the services of these.
-    pub fn settle(&self, now: Instant) -> Vec<ServiceId> {
+    /// Applies orders of a restored store that were held; the services of these.
+    pub fn end_grace(&self, now: Instant) -> Vec<ServiceId> {
         let mut services = self.services.lock();
-        let settled = services.iter_mut().filter_map(|(id, service)| {
-            let is_settled = service.progress.settle(now);
-            is_settled.then(|| id.clone())
+        let applied = services.iter_mut().filter_map(|(id, service)| {
+            let is_applied = service.progress.end_grace(now);
+            is_applied.then(|| id.clone())
         });
-        settled.collect()
+        applied.collect()
     }
 
     /// The record of a service that the store of an era may have lost, with the version that its row must have.
@@ -170,7 +177,7 @@
         &self,
         revision: Revision,
         record: &RolloutRecord,
-        is_copy_doubted: bool,
+        is_in_restore_grace: bool,
     ) -> bool {
         let mut services = self.services.lock();
         let service = services.entry(record.service.clone()).or_default();
@@ -178,7 +185,7 @@
         let before = known.map_or("-", |(_, record)| record.phase.name());
         if !service
             .progress
-            .apply_record(revision, record, is_copy_doubted)
+            .apply_record(revision, record, is_in_restore_grace)
         {
             return false;
         }
--- a/crates/gateway/src/rollout/known/service.rs
+++ b/crates/gateway/src/rollout/known/service.rs
@@ -25,46 +25,46 @@
     pub(super) order: Option<KnownOrder>,
     /// The record, with the version of its row.
     pub(super) record: Option<(Revision, RolloutRecord)>,
-    /// An order of the store's copy that differs from the one that was known before.
-    doubted: Option<RolloutOrder>,
+    /// An order of a restored store that differs from the one that was known before.
+    held: Option<RolloutOrder>,
     /// The row in the store says less than the record.
     is_unwritten: bool,
 }
 
 impl Progress {
-    /// Takes in an order; whether it is a new one. `is_copy_doubted` tells that rows may be those of a copy.
+    /// Takes in an order; whether it is a new one. `is_in_restore_grace` tells that rows may predate a restore of the store.
     pub(super) fn apply_order(
         &mut self,
         order: RolloutOrder,
-        is_copy_doubted: bool,
+        is_in_restore_grace: bool,
         now: Instant,
     ) -> bool {
         let Some(known) = &mut self.order else {
             self.replace_order(order, now);
-            self.join_record(is_copy_doubted);
+            self.join_record(is_in_restore_grace);
             return true;
         };
         let before = known.order.revision;
         if before >= order.revision {
             return false;
         }
-        if era_of(before) == era_of(order.revision) || !is_copy_doubted {
+        if era_of(before) == era_of(order.revision) || !is_in_restore_grace {
             self.replace_order(order, now);
             return true;
         }
         if known.order.asks_the_same_as(&order) {
             known.order.revision = order.revision;
-            self.doubted = None;
-            self.join_record(is_copy_doubted);
+            self.held = None;
+            self.join_record(is_in_restore_grace);
         } else {
-            self.doubted = Some(order);
+            self.held = Some(order);
         }
         false
     }
 
-    /// Believes an order that was doubted; whether there was one.
-    pub(super) fn settle(&mut self, now: Instant) -> bool {
-        let Some(order) = self.doubted.take() else {
+    /// Applies an order that was held; whether there was one.
+    pub(super) fn end_grace(&mut self, now: Instant) -> bool {
+        let Some(order) = self.held.take() else {
             return false;
         };
         self.replace_order(order, now);
@@ -76,15 +76,15 @@
         &mut self,
         revision: Revision,
         record: &RolloutRecord,
-        is_copy_doubted: bool,
+        is_in_restore_grace: bool,
     ) -> bool {
         let Some((known_revision, known)) = &mut self.record else {
             self.record = Some((revision, record.clone()));
-            self.join_record(is_copy_doubted);
+            self.join_record(is_in_restore_grace);
             return true;
         };
         if *known_revision >= revision {
-            // Known from the copy; another host knows what the store lost.
+            // Another host knows what the store lost.
             let is_of_earlier_era = era_of(revision) < era_of(*known_revision);
             let is_behind = if known.moves_the_same_as(record) {
                 known.is_earlier_phase_of(record)
@@ -101,20 +101,20 @@
             return is_lost;
         }
         let is_of_later_era = era_of(revision) > era_of(*known_revision);
-        let is_copied = if record.moves_the_same_as(known) {
+        let is_older = if record.moves_the_same_as(known) {
             // A later order may ask for the same move once more.
             record.order <= known.order && record.is_earlier_phase_of(known)
         } else {
             record.order < known.order
         };
-        if is_of_later_era && is_copied {
+        if is_of_later_era && is_older {
             *known_revision = revision;
             self.is_unwritten = true;
             return false;
         }
         self.record = Some((revision, record.clone()));
         self.is_unwritten = false;
-        self.join_record(is_copy_doubted);
+        self.join_record(is_in_restore_grace);
         true
     }
 
@@ -127,18 +127,18 @@
     }
 
     fn replace_order(&mut self, order: RolloutOrder, now: Instant) {
-        self.doubted = None;
+        self.held = None;
         self.order = Some(KnownOrder { order, heard: now });
     }
 
     /// Lets a record of an earlier era belong to the order that is written again in another row.
-    fn join_record(&mut self, is_copy_doubted: bool) {
+    fn join_record(&mut self, is_in_restore_grace: bool) {
         let (Some(known), Some((_, record))) = (&self.order, &mut self.record) else {
             return;
         };
         let order = &known.order;
         let is_of_earlier_era = era_of(record.order) < era_of(order.revision);
-        if is_copy_doubted && is_of_earlier_era && record.target == order.target {
+        if is_in_restore_grace && is_of_earlier_era && record.target == order.target {
             record.order = order.revision;
             self.is_unwritten = true;
         }
--- a/crates/gateway/src/state/store_heads.rs
+++ b/crates/gateway/src/state/store_heads.rs
@@ -39,7 +39,7 @@
         let before = self.feed.era();
         if self.feed.note_era(era) {
             log::warn!(
-                "store: back from an older copy era={era} before={before} heard_from={heard_from} known={:?}",
+                "store: restored from an older copy era={era} before={before} heard_from={heard_from} known={:?}",
                 self.feed.watermark()
             );
             self.metrics.store_era.set(i64::from(era));
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -18,7 +18,7 @@
         feed::SetWatermark,
         peers::Reach,
         state::GatewayState,
-        view::MISSING_ROWS_BACK,
+        view::MISSING_ROW_GRACE,
     },
     apply::LogRows,
     bytes::Bytes,
@@ -274,7 +274,7 @@
             .lost_at
             .is_some_and(|lost_at| lost_at.elapsed() >= LAPSE_AFTER);
         if was_away {
-            let until = Instant::now() + MISSING_ROWS_BACK;
+            let until = Instant::now() + MISSING_ROW_GRACE;
             return upstreams.retain_lapsed(revision, present, until);
         }
         upstreams.retain(revision, present)
--- a/crates/gateway/src/sync/apply.rs
+++ b/crates/gateway/src/sync/apply.rs
@@ -7,7 +7,7 @@
         feed::{SetWatermark, UpstreamDelta},
         rollout::{RolloutOrder, RolloutRecord},
         state::GatewayState,
-        view::{Applied, Configuration, RowAge},
+        view::{Applied, Configuration, RowOrigin},
     },
     std::time::{Duration, Instant},
     tealshore_core::ids::EngineId,
@@ -34,7 +34,7 @@
     fn apply_row(&self, revision: Revision, change: Change, log: LogRows) {
         match change {
             Change::Configuration(configuration) => {
-                let age = self.state.feed.age_of(self.set, revision);
+                let age = self.state.feed.origin_of(self.set, revision);
                 apply_configuration(&self.state, revision, *configuration, age);
             }
             Change::Upstream(change) => apply_upstream(&self.state, revision, change, log),
@@ -119,17 +119,17 @@
     revision: Revision,
     record: &RolloutRecord,
 ) -> bool {
-    let is_copy_doubted = state.feed.is_copy_doubted(Instant::now());
+    let is_in_restore_grace = state.feed.is_in_restore_grace(Instant::now());
     let rollouts = &state.rollouts;
-    rollouts.apply_record(revision, record, is_copy_doubted)
+    rollouts.apply_record(revision, record, is_in_restore_grace)
 }
 
 pub(super) fn apply_rollout_order(state: &GatewayState, order: RolloutOrder) {
     let (service, target) = (order.service.clone(), order.target.clone());
     let (revision, duration_ms) = (order.revision, order.duration.as_millis());
     let now = Instant::now();
-    let is_copy_doubted = state.feed.is_copy_doubted(now);
-    if state.rollouts.apply_order(order, is_copy_doubted, now) {
+    let is_in_restore_grace = state.feed.is_in_restore_grace(now);
+    if state.rollouts.apply_order(order, is_in_restore_grace, now) {
         log::info!(
             "rollout: ordered service={service} target={target} duration_ms={duration_ms}              order={revision}"
         );
@@ -140,13 +140,13 @@
     state: &GatewayState,
     revision: Revision,
     new: Configuration,
-    age: RowAge,
+    age: RowOrigin,
 ) -> Applied {
     let version = new.version;
     let routes = new.route_count();
     let keys = new.customers.len();
-    let is_copy_doubted = state.feed.is_copy_doubted(Instant::now());
-    let applied = state.view.apply(new, revision, age, is_copy_doubted);
+    let is_in_restore_grace = state.feed.is_in_restore_grace(Instant::now());
+    let applied = state.view.apply(new, revision, age, is_in_restore_grace);
     let in_force = i64::try_from(state.view.version()).unwrap_or(i64::MAX);
     state.metrics.config_version.set(in_force);
     log::info!(
--- a/crates/gateway/src/sync/duties.rs
+++ b/crates/gateway/src/sync/duties.rs
@@ -134,13 +134,13 @@
         }
         let was_held = self.state().duties.tenure(now).is_some();
         log::warn!(
-            "duties: lease in doubt cause=new-era era={era} before={} held={was_held} fence={}",
+            "duties: lease suspended cause=new-era era={era} before={} held={was_held} fence={}",
             self.era,
             self.record.lease.fence
         );
         self.era = era;
         let duties = &self.state().duties;
-        duties.with_lease(|lease| lease.note_store_copied(era, now));
+        duties.with_lease(|lease| lease.note_store_restored(era, now));
     }
 
     /// What this host may do about the lease.
@@ -215,7 +215,7 @@
             record.orders.clone_from(&self.record.orders);
         }
         let duties = &self.state().duties;
-        if duties.join_decided(&mut record.usage) {
+        if duties.add_lost_decisions(&mut record.usage) {
             log::info!(
                 "duties: decisions lost by the store usage_next={:?} open={}",
                 record.usage.next,
@@ -317,7 +317,7 @@
         }
         state.metrics.count_lease(purpose.name(), "done");
         if let Some(decided) = record.usage.decided_so_far() {
-            state.duties.hear_decided(&decided);
+            state.duties.merge_decided(&decided);
         }
         let lease = record.lease.clone();
         let now = Instant::now();
--- a/crates/gateway/src/sync/follow.rs
+++ b/crates/gateway/src/sync/follow.rs
@@ -68,7 +68,7 @@
             is_whole = is_whole && !self.is_of_earlier_era();
             let now = Instant::now();
             if self.set == RowSet::Upstreams {
-                self.state.view.upstreams.settle(now);
+                self.state.view.upstreams.end_grace(now);
             }
             let result = match self.source(now) {
                 _ if self.must_confirm(now) => self.confirm_configuration().await,
@@ -103,7 +103,7 @@
         is_known
             && era_of(self.state.view.configuration_revision()) < feed.era()
             && self.confirmed_in != feed.era()
-            && !feed.is_copy_doubted(now)
+            && !feed.is_in_restore_grace(now)
     }
 
     /// Reads what the store has in place of a configuration of an earlier era.
--- a/crates/gateway/src/sync/from_peers.rs
+++ b/crates/gateway/src/sync/from_peers.rs
@@ -14,7 +14,7 @@
         peers::{
             PackedUpstreams, Reach, SetSnapshot, SnapshotRows, packed_upstreams_path, path_of,
         },
-        view::{Applied, RowAge, UpstreamChanges},
+        view::{Applied, RowOrigin, UpstreamChanges},
     },
     bytes::Bytes,
     http::{Request, StatusCode, header},
@@ -220,10 +220,10 @@
                 rollout_orders,
             } => {
                 if let Some(configuration) = configuration {
-                    let age = RowAge::MayBeCopied;
+                    let age = RowOrigin::MayPredateRestore;
                     let applied =
                         apply_configuration(&state, configuration_row, configuration, age);
-                    if applied == Applied::Doubted {
+                    if applied == Applied::Unconfirmed {
                         // The store tells whether it was written since.
                         self.confirmed_in = 0;
                     }
--- a/crates/gateway/src/sync/rollouts.rs
+++ b/crates/gateway/src/sync/rollouts.rs
@@ -41,7 +41,7 @@
         loop {
             sleep(LEAD_INTERVAL).await;
             let now = Instant::now();
-            self.settle_orders(now);
+            self.apply_held_orders(now);
             let orders = self.state.rollouts.orders();
             let is_fed = matches!(self.state.feeder(now), FeederChoice::Peer(..));
             let is_idle = orders.is_empty() || is_fed || !self.state.feed.reaches_store();
@@ -71,13 +71,13 @@
         }
     }
 
-    /// Believes orders of the store's copy once it is not doubted any more.
-    fn settle_orders(&self, now: Instant) {
-        if self.state.feed.is_copy_doubted(now) {
+    /// Applies orders that were held since the store was restored, once its grace period is over.
+    fn apply_held_orders(&self, now: Instant) {
+        if self.state.feed.is_in_restore_grace(now) {
             return;
         }
-        for service in self.state.rollouts.settle(now) {
-            log::warn!("rollout: order of a copy believed service={service}");
+        for service in self.state.rollouts.end_grace(now) {
+            log::warn!("rollout: restored order applied service={service}");
         }
     }
 
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -20,9 +20,9 @@
 pub use {
     configuration::{Configuration, Customer, Engines, Limits, Route, RouteKind, Service, Target},
     freshness::Freshness,
-    in_force::{Applied, InForce, RowAge},
+    in_force::{Applied, InForce, RowOrigin},
     upstream::{Condition, Upstream, UpstreamRecord, UpstreamState, Work},
-    upstreams::{MISSING_ROWS_BACK, UpstreamChanges, Upstreams, are_in_use},
+    upstreams::{MISSING_ROW_GRACE, UpstreamChanges, Upstreams, are_in_use},
 };
 
 /// What this host believes about the outside.
@@ -56,11 +56,11 @@
         &self,
         new: Configuration,
         revision: Revision,
-        age: RowAge,
-        is_copy_doubted: bool,
+        age: RowOrigin,
+        is_in_restore_grace: bool,
     ) -> Applied {
         let mut in_force = self.configuration.write();
-        in_force.apply(new, revision, age, is_copy_doubted)
+        in_force.apply(new, revision, age, is_in_restore_grace)
     }
 
     /// Notes that the configuration in force was the newest one at `moment`.
--- a/crates/gateway/src/view/in_force.rs
+++ b/crates/gateway/src/view/in_force.rs
@@ -12,11 +12,11 @@
 
 /// Since when a row says what it says.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RowAge {
-    /// It may be older than what was known before: the store's copy may have held it.
-    MayBeCopied,
+pub enum RowOrigin {
+    /// It may be older than what was known before the store was restored.
+    MayPredateRestore,
     /// It was written since this host first read the set in the store's present era.
-    WrittenSince,
+    WrittenSinceRestore,
 }
 
 /// What became of a configuration that was read.
@@ -27,7 +27,7 @@
     /// One of a higher version, or the same one, is in force.
     Older,
     /// One of a higher version is in force, which the store may have lost.
-    Doubted,
+    Unconfirmed,
 }
 
 impl Applied {
@@ -37,7 +37,7 @@
         match self {
             Self::InForce => "in-force",
             Self::Older => "older",
-            Self::Doubted => "doubted",
+            Self::Unconfirmed => "unconfirmed",
         }
     }
 }
@@ -66,16 +66,16 @@
         self.0.as_ref().map_or(0, |known| known.revision)
     }
 
-    /// Takes in a configuration that was read, with the version of its row. While the store's copy is
-    /// doubted, one of a higher version that it may have lost is expected to be written again.
+    /// Takes in a configuration that was read, with the version of its row. In the grace
+    /// period after a restore, one of a higher version that was lost is expected to be written again.
     pub fn apply(
         &mut self,
         configuration: Configuration,
         revision: Revision,
-        age: RowAge,
-        is_copy_doubted: bool,
+        age: RowOrigin,
+        is_in_restore_grace: bool,
     ) -> Applied {
-        let applied = self.judge(configuration.version, revision, age, is_copy_doubted);
+        let applied = self.judge(configuration.version, revision, age, is_in_restore_grace);
         match applied {
             Applied::InForce => {
                 let configuration = Arc::new(configuration);
@@ -84,7 +84,7 @@
                     revision,
                 });
             }
-            Applied::Older | Applied::Doubted => {}
+            Applied::Older | Applied::Unconfirmed => {}
         }
         applied
     }
@@ -93,8 +93,8 @@
         &self,
         version: ConfigVersion,
         revision: Revision,
-        age: RowAge,
-        is_copy_doubted: bool,
+        age: RowOrigin,
+        is_in_restore_grace: bool,
     ) -> Applied {
         let Some(known) = &self.0 else {
             return Applied::InForce;
@@ -107,10 +107,12 @@
             (Ordering::Greater, _) => Applied::InForce,
             // It may have been written again with other content.
             (Ordering::Equal, _) if is_later_era => Applied::InForce,
-            (Ordering::Less, RowAge::WrittenSince) if is_later_era && !is_copy_doubted => {
+            (Ordering::Less, RowOrigin::WrittenSinceRestore)
+                if is_later_era && !is_in_restore_grace =>
+            {
                 Applied::InForce
             }
-            (Ordering::Less, _) if is_later_era => Applied::Doubted,
+            (Ordering::Less, _) if is_later_era => Applied::Unconfirmed,
             (Ordering::Equal | Ordering::Less, _) => Applied::Older,
         }
     }
--- a/crates/gateway/src/view/listing.rs
+++ b/crates/gateway/src/view/listing.rs
@@ -23,14 +23,14 @@
     pub(super) upstream: Option<Arc<Upstream>>,
     /// Its row lapsed while the store was away; it counts as listed until then.
     lapses: Option<Instant>,
-    /// What the store lists since it came back from a copy, where that is not believed yet.
-    doubted: Option<Doubted>,
+    /// What the store lists since it was restored, where that is not applied yet.
+    held: Option<HeldRow>,
 }
 
-/// A row of a copy that contradicts what was known before.
-struct Doubted {
+/// A row of a restored store that contradicts what was known before.
+struct HeldRow {
     record: UpstreamRecord,
-    /// It is believed from then on.
+    /// It is applied then.
     until: Instant,
 }
 
@@ -40,18 +40,18 @@
         self.lapses.is_some()
     }
 
-    fn is_unsettled(&self) -> bool {
-        self.lapses.is_some() || self.doubted.is_some()
+    fn is_in_grace(&self) -> bool {
+        self.lapses.is_some() || self.held.is_some()
     }
 
     /// Whether a row of a later era says that an upstream takes work which was known to leave, in
-    /// the same life, or to be gone: a copy may be older than what was known.
+    /// the same life, or to be gone: a backup may be older than what was known.
     pub(super) fn contradicts(&self, revision: Revision, record: &UpstreamRecord) -> bool {
         let is_of_later_era = era_of(self.revision) < era_of(revision);
         if !is_of_later_era || record.state != UpstreamState::Ready {
             return false;
         }
-        if !enabled(Protection::DoubtedCopy) {
+        if !enabled(Protection::RestoreGrace) {
             return false;
         }
         self.upstream.as_ref().is_none_or(|known| {
@@ -60,9 +60,9 @@
     }
 
     /// The row as it is given to other hosts: what was known, or for one that was gone what the store lists.
-    pub(super) fn record_to_give(&self) -> Option<&UpstreamRecord> {
+    pub(super) fn record_to_share(&self) -> Option<&UpstreamRecord> {
         let known = self.current().map(|upstream| &upstream.record);
-        known.or_else(|| self.doubted.as_ref().map(|doubted| &doubted.record))
+        known.or_else(|| self.held.as_ref().map(|held| &held.record))
     }
 
     /// The upstream, while it counts as listed.
@@ -78,8 +78,8 @@
 pub(super) struct Listing {
     rows: HashMap<EngineId, Listed>,
     by_address: HashMap<SocketAddr, Vec<Arc<Upstream>>>,
-    /// Ids whose rows are doubted, or missing for a while.
-    unsettled: HashSet<EngineId>,
+    /// Ids whose rows are held, or missing for a while.
+    in_grace: HashSet<EngineId>,
 }
 
 impl Listing {
@@ -117,7 +117,7 @@
             revision,
             upstream: Some(upstream),
             lapses: None,
-            doubted: None,
+            held: None,
         };
         self.rows.insert(id, entry);
     }
@@ -129,7 +129,7 @@
             revision,
             upstream: None,
             lapses: None,
-            doubted: None,
+            held: None,
         };
         self.rows.insert(id, entry);
     }
@@ -140,7 +140,7 @@
         if let Some(known) = self.rows.get_mut(id) {
             known.revision = known.revision.max(revision);
             known.lapses = None;
-            known.doubted = None;
+            known.held = None;
         }
         was_listed
     }
@@ -155,55 +155,55 @@
         let took_work = upstream.is_some_and(|it| it.record.state == UpstreamState::Ready);
         if took_work {
             known.lapses.get_or_insert(until);
-            self.unsettled.insert(id.clone());
+            self.in_grace.insert(id.clone());
         } else {
             self.clear(id, full_set);
         }
     }
 
-    /// Whether some rows are doubted, or missing for a while.
-    pub(super) fn is_unsettled(&self) -> bool {
-        !self.unsettled.is_empty()
+    /// Whether some rows are held, or missing for a while.
+    pub(super) fn is_in_grace(&self) -> bool {
+        !self.in_grace.is_empty()
     }
 
     /// Keeps what is known of an id against a row that the store lists, until a moment.
-    pub(super) fn doubt(&mut self, revision: Revision, record: UpstreamRecord, until: Instant) {
+    pub(super) fn hold(&mut self, revision: Revision, record: UpstreamRecord, until: Instant) {
         if let Some(known) = self.rows.get_mut(&record.id) {
-            self.unsettled.insert(record.id.clone());
+            self.in_grace.insert(record.id.clone());
             known.revision = revision;
-            known.doubted = Some(Doubted { record, until });
+            known.held = Some(HeldRow { record, until });
         }
     }
 
-    /// Takes out the rows that are to be believed at a moment, each with its version; what a whole set
-    /// lacked, as of a version, and was not listed again in time is gone.
-    pub(super) fn settle(
+    /// Takes out the held rows whose grace period is over, each with its version. What a full set lacked, as of
+    /// a version, and was not listed again in time is gone.
+    pub(super) fn end_grace(
         &mut self,
         full_set: Revision,
         now: Instant,
     ) -> Vec<(Revision, UpstreamRecord)> {
-        let mut believed = Vec::new();
+        let mut overdue = Vec::new();
         let mut gone = Vec::new();
         let rows = &mut self.rows;
-        self.unsettled.retain(|id| {
+        self.in_grace.retain(|id| {
             // A row that was written since has taken its place.
-            let Some(known) = rows.get_mut(id).filter(|known| known.is_unsettled()) else {
+            let Some(known) = rows.get_mut(id).filter(|known| known.is_in_grace()) else {
                 return false;
             };
             if known.lapses.is_some_and(|lapses| lapses <= now) {
                 gone.push(id.clone());
                 return false;
             }
-            let is_over = |doubted: &mut Doubted| doubted.until <= now;
-            if let Some(doubted) = known.doubted.take_if(is_over) {
-                believed.push((known.revision, doubted.record));
+            let is_over = |held: &mut HeldRow| held.until <= now;
+            if let Some(held) = known.held.take_if(is_over) {
+                overdue.push((known.revision, held.record));
             }
-            known.is_unsettled()
+            known.is_in_grace()
         });
         for id in gone {
             self.clear(&id, full_set);
         }
-        believed
+        overdue
     }
 
     /// Takes the upstream of an id out of its row and out of the index; whether there was one.
--- a/crates/gateway/src/view/upstreams.rs
+++ b/crates/gateway/src/view/upstreams.rs
@@ -8,7 +8,7 @@
     },
     crate::{
         edge::{Revision, era_of},
-        feed::COPY_DOUBTED,
+        feed::RESTORE_GRACE,
     },
     parking_lot::{Mutex, RwLock},
     serde::{Deserialize, Serialize},
@@ -26,9 +26,9 @@
 /// An incarnation counts as younger where it was listed this much later: of two that are
 /// read at once, nothing tells which one lives.
 const YOUNGER_BY: Duration = Duration::from_millis(500);
-/// Rows that lapsed while the store was away, or that its copy lacks, are back within about two
-/// seconds, or their upstreams are gone.
-pub const MISSING_ROWS_BACK: Duration = Duration::from_millis(1_800);
+/// Rows that lapsed while the store was away, or that it lost, are back within about two seconds, or
+/// their upstreams are gone.
+pub const MISSING_ROW_GRACE: Duration = Duration::from_millis(1_800);
 
 /// What changed of the upstreams after a version.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -66,29 +66,29 @@
         if known.is_some_and(|known| known.contradicts(revision, &record)) {
             let known = known.and_then(|known| known.upstream.as_ref());
             log::info!(
-                "view: row of a copy not believed upstream={} revision={revision} known={:?}",
+                "view: restored row held upstream={} revision={revision} known={:?}",
                 record.id,
                 known.map(|upstream| upstream.record.state)
             );
-            listed.doubt(revision, record, seen + COPY_DOUBTED);
+            listed.hold(revision, record, seen + RESTORE_GRACE);
             return false;
         }
         list(&mut listed, &self.active, revision, record, seen)
     }
 
-    /// Believes the rows of a copy that were doubted for long enough, and forgets the upstreams whose missing
-    /// rows did not come back; how many rows are believed.
-    pub fn settle(&self, now: Instant) -> usize {
-        if !self.listed.read().is_unsettled() {
+    /// Applies the rows of a restored store that were held for long enough, and forgets the upstreams whose missing
+    /// rows did not come back; how many rows were applied.
+    pub fn end_grace(&self, now: Instant) -> usize {
+        if !self.listed.read().is_in_grace() {
             return 0;
         }
         let full_set = self.changes_known_after.lock().unwrap_or_default();
         let mut listed = self.listed.write();
-        let believed = listed.settle(full_set, now);
-        let count = believed.len();
-        for (revision, record) in believed {
+        let overdue = listed.end_grace(full_set, now);
+        let count = overdue.len();
+        for (revision, record) in overdue {
             log::info!(
-                "view: row of a copy believed upstream={} state={:?} revision={revision}",
+                "view: restored row applied upstream={} state={:?} revision={revision}",
                 record.id,
                 record.state
             );
@@ -125,12 +125,12 @@
     }
 
     /// Takes in a whole set as of a version: what it lacks has gone, but for what was listed in an earlier
-    /// era, which may only be missing in the store's copy and counts as lapsed. Tells how many it lacks.
+    /// era, whose row may only be lost and counts as lapsed. Tells how many it lacks.
     pub fn retain(&self, revision: Revision, present: &[EngineId]) -> usize {
         self.note_full_set(revision);
         let missing = self.missing(present);
         let mut listed = self.listed.write();
-        let until = Instant::now() + MISSING_ROWS_BACK;
+        let until = Instant::now() + MISSING_ROW_GRACE;
         let mut lacked = 0;
         for id in &missing {
             let Some(row) = listed.get(id).map(|known| known.revision) else {
@@ -181,7 +181,7 @@
             if known.revision <= after {
                 continue;
             }
-            match known.record_to_give() {
+            match known.record_to_share() {
                 Some(record) => changes.listed.push((known.revision, record.clone())),
                 None => changes.gone.push((known.revision, id.clone())),
             }
@@ -257,7 +257,7 @@
             .values()
             .filter(|known| era_of(known.revision) >= era);
         let rows =
-            of_era.filter_map(|known| Some((known.revision, known.record_to_give()?.clone())));
+            of_era.filter_map(|known| Some((known.revision, known.record_to_share()?.clone())));
         rows.collect()
     }
 
--- a/crates/gateway/tests/duties.rs
+++ b/crates/gateway/tests/duties.rs
@@ -136,14 +136,14 @@
         open: Vec::new(),
     };
     let heard = duties_of("b");
-    assert_eq!(heard.decided_to_tell(), None);
-    heard.hear_decided(&decided);
-    assert_eq!(heard.decided_to_tell(), Some(decided.clone()));
-    heard.hear_decided(&settled);
-    heard.hear_decided(&decided);
-    assert_eq!(heard.decided_to_tell(), Some(settled));
+    assert_eq!(heard.decided_to_gossip(), None);
+    heard.merge_decided(&decided);
+    assert_eq!(heard.decided_to_gossip(), Some(decided.clone()));
+    heard.merge_decided(&settled);
+    heard.merge_decided(&decided);
+    assert_eq!(heard.decided_to_gossip(), Some(settled));
     let mut copied = UsageRecord::default();
     copied.begin_at(5);
-    assert!(heard.join_decided(&mut copied));
+    assert!(heard.add_lost_decisions(&mut copied));
     assert_eq!(copied.next, Some(8));
 }
--- a/crates/gateway/tests/rollout_copy.rs
+++ b/crates/gateway/tests/rollout_restore.rs
@@ -77,7 +77,7 @@
     assert_eq!(ordered.target, "v2");
     // Written again in time, it is the one that stands.
     rollouts.apply_order(order(after_copy(41), "v2"), true, now);
-    assert!(rollouts.settle(now).is_empty());
+    assert!(rollouts.end_grace(now).is_empty());
     let (ordered, _) = rollouts.orders().pop().unwrap();
     assert_eq!(
         (ordered.target.as_str(), ordered.revision),
@@ -90,7 +90,7 @@
     let rollouts = in_phase(Phase::Canary);
     let now = Instant::now();
     rollouts.apply_order(order(after_copy(30), "v0"), true, now);
-    assert_eq!(rollouts.settle(now), [SERVICE]);
+    assert_eq!(rollouts.end_grace(now), [SERVICE]);
     let (ordered, _) = rollouts.orders().pop().unwrap();
     assert_eq!(ordered.target, "v0");
 }
--- a/crates/gateway/tests/store_era.rs
+++ b/crates/gateway/tests/store_era.rs
@@ -5,7 +5,7 @@
     std::time::{Duration, Instant},
     tealshore_gateway::{
         edge::{EraNamed, LAST_ERA, RowSet, era_of, number_of, revision_in},
-        feed::{COPY_DOUBTED, Feed, KnownEra, SetWatermark},
+        feed::{Feed, KnownEra, RESTORE_GRACE, SetWatermark},
     },
 };
 
@@ -52,13 +52,13 @@
 fn a_copy_is_doubted_for_a_while_after_each_era_began() {
     let now = Instant::now();
     let mut known = KnownEra::default();
-    assert!(!known.is_copy_doubted(now));
+    assert!(!known.is_in_restore_grace(now));
     known.note(1, now);
-    let last = now + COPY_DOUBTED - Duration::from_millis(1);
-    assert!(known.is_copy_doubted(last));
-    assert!(!known.is_copy_doubted(now + COPY_DOUBTED));
+    let last = now + RESTORE_GRACE - Duration::from_millis(1);
+    assert!(known.is_in_restore_grace(last));
+    assert!(!known.is_in_restore_grace(now + RESTORE_GRACE));
     known.note(2, last);
-    assert!(known.is_copy_doubted(now + COPY_DOUBTED));
+    assert!(known.is_in_restore_grace(now + RESTORE_GRACE));
 }
 
 #[test]
--- a/crates/gateway/tests/store_copy.rs
+++ b/crates/gateway/tests/store_restore.rs
@@ -6,9 +6,9 @@
     tealshore_capacity::EngineKind,
     tealshore_gateway::{
         edge::{Revision, revision_in},
-        feed::COPY_DOUBTED,
+        feed::RESTORE_GRACE,
         view::{
-            Applied, Configuration, MISSING_ROWS_BACK, RowAge, UpstreamRecord, UpstreamState,
+            Applied, Configuration, MISSING_ROW_GRACE, RowOrigin, UpstreamRecord, UpstreamState,
             Upstreams, View,
         },
     },
@@ -80,9 +80,9 @@
     upstreams.put(11, record("one", UpstreamState::Leaving));
     let now = Instant::now();
     upstreams.put_seen(after_copy(10), record("one", UpstreamState::Ready), now);
-    assert_eq!(upstreams.settle(now + COPY_DOUBTED / 2), 0);
+    assert_eq!(upstreams.end_grace(now + RESTORE_GRACE / 2), 0);
     assert!(!takes_work(&upstreams, "one"));
-    assert_eq!(upstreams.settle(now + COPY_DOUBTED), 1);
+    assert_eq!(upstreams.end_grace(now + RESTORE_GRACE), 1);
     assert!(takes_work(&upstreams, "one"));
 }
 
@@ -93,7 +93,7 @@
     let now = Instant::now();
     upstreams.put_seen(after_copy(10), record("one", UpstreamState::Ready), now);
     upstreams.remove(after_copy(12), &"one".to_owned());
-    assert_eq!(upstreams.settle(now + COPY_DOUBTED), 0);
+    assert_eq!(upstreams.end_grace(now + RESTORE_GRACE), 0);
     assert!(!takes_work(&upstreams, "one"));
 }
 
@@ -105,7 +105,7 @@
     assert!(takes_work(&upstreams, "one"));
     // Another host that goes by the same copy is not told to list it.
     assert!(upstreams.rows().is_empty());
-    upstreams.settle(now + MISSING_ROWS_BACK + Duration::from_secs(1));
+    upstreams.end_grace(now + MISSING_ROW_GRACE + Duration::from_secs(1));
     assert!(!takes_work(&upstreams, "one"));
 }
 
@@ -114,7 +114,7 @@
     let upstreams = upstreams_before();
     upstreams.retain(after_copy(5), &[]);
     assert!(upstreams.changes_after(after_copy(5)).is_none());
-    upstreams.settle(Instant::now() + MISSING_ROWS_BACK);
+    upstreams.end_grace(Instant::now() + MISSING_ROW_GRACE);
     assert!(upstreams.changes_after(after_copy(5)).is_some());
 }
 
@@ -166,17 +166,27 @@
 fn view_before() -> View {
     tealshore_core::protection::start();
     let view = View::default();
-    view.apply(configuration(27, 1), 51, RowAge::WrittenSince, false);
+    view.apply(
+        configuration(27, 1),
+        51,
+        RowOrigin::WrittenSinceRestore,
+        false,
+    );
     view
 }
 
 #[test]
 fn a_configuration_of_a_copy_does_not_replace_a_newer_one() {
     let view = view_before();
-    for is_copy_doubted in [true, false] {
+    for is_in_restore_grace in [true, false] {
         let older = configuration(21, 0);
-        let applied = view.apply(older, after_copy(48), RowAge::MayBeCopied, is_copy_doubted);
-        assert_eq!(applied, Applied::Doubted);
+        let applied = view.apply(
+            older,
+            after_copy(48),
+            RowOrigin::MayPredateRestore,
+            is_in_restore_grace,
+        );
+        assert_eq!(applied, Applied::Unconfirmed);
     }
     assert_eq!(in_force(&view), (27, 1));
 }
@@ -185,12 +195,12 @@
 fn a_configuration_written_again_with_other_content_is_in_force() {
     let view = view_before();
     let again = configuration(27, 2);
-    let applied = view.apply(again, after_copy(49), RowAge::WrittenSince, true);
+    let applied = view.apply(again, after_copy(49), RowOrigin::WrittenSinceRestore, true);
     assert_eq!(applied, Applied::InForce);
     assert_eq!(in_force(&view), (27, 2));
     // In one era a version has one content.
     let other = configuration(27, 3);
-    let applied = view.apply(other, after_copy(50), RowAge::WrittenSince, true);
+    let applied = view.apply(other, after_copy(50), RowOrigin::WrittenSinceRestore, true);
     assert_eq!(applied, Applied::Older);
 }
 
@@ -198,15 +208,25 @@
 fn a_lower_version_is_in_force_once_the_higher_one_was_not_written_again_in_time() {
     let view = view_before();
     let lower = || configuration(25, 0);
-    let applied = view.apply(lower(), after_copy(49), RowAge::WrittenSince, true);
-    assert_eq!(applied, Applied::Doubted);
-    let applied = view.apply(lower(), after_copy(49), RowAge::WrittenSince, false);
+    let applied = view.apply(
+        lower(),
+        after_copy(49),
+        RowOrigin::WrittenSinceRestore,
+        true,
+    );
+    assert_eq!(applied, Applied::Unconfirmed);
+    let applied = view.apply(
+        lower(),
+        after_copy(49),
+        RowOrigin::WrittenSinceRestore,
+        false,
+    );
     assert_eq!(applied, Applied::InForce);
     // From then on it does not go back.
     let applied = view.apply(
         configuration(23, 0),
         after_copy(60),
-        RowAge::WrittenSince,
+        RowOrigin::WrittenSinceRestore,
         false,
     );
     assert_eq!(applied, Applied::Older);
@@ -218,13 +238,13 @@
     view.apply(
         configuration(27, 1),
         after_copy(49),
-        RowAge::WrittenSince,
+        RowOrigin::WrittenSinceRestore,
         true,
     );
     let applied = view.apply(
         configuration(25, 0),
         after_copy(50),
-        RowAge::WrittenSince,
+        RowOrigin::WrittenSinceRestore,
         false,
     );
     assert_eq!(applied, Applied::Older);
--- a/crates/gateway/tests/view.rs
+++ b/crates/gateway/tests/view.rs
@@ -12,7 +12,7 @@
     },
     tealshore_capacity::EngineKind,
     tealshore_gateway::view::{
-        Applied, Condition, Configuration, Route, RouteKind, RowAge, Target, UpstreamRecord,
+        Applied, Condition, Configuration, Route, RouteKind, RowOrigin, Target, UpstreamRecord,
         UpstreamState, View, Work, are_in_use,
     },
 };
@@ -66,7 +66,7 @@
         let mut highest = None;
         for version in versions {
             let is_news = highest.is_none_or(|highest| version > highest);
-            let applied = view.apply(configuration(version), 1, RowAge::WrittenSince, false);
+            let applied = view.apply(configuration(version), 1, RowOrigin::WrittenSinceRestore, false);
             prop_assert_eq!(applied == Applied::InForce, is_news);
             highest = highest.max(Some(version));
             prop_assert_eq!(Some(view.version()), highest);
--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -55,8 +55,8 @@
 shared-limits tealshore-platform limits an_upstream_that_names_a_limit_gets_no_more_calls_of_all_hosts_than_that
 store-era tealshore-platform store_era a_configuration_written_after_the_store_came_back_is_in_force
 store-era tealshore-platform store_era no_change_is_missed_where_versions_are_given_out_again
-doubted-copy tealshore-gateway store_copy an_upstream_that_leaves_does_so_whatever_a_copy_says
-doubted-copy tealshore-platform store_era an_upstream_that_left_gets_no_new_work_though_the_copy_lists_it
+restore-grace tealshore-gateway store_restore an_upstream_that_leaves_does_so_whatever_a_copy_says
+restore-grace tealshore-platform store_era an_upstream_that_left_gets_no_new_work_though_the_copy_lists_it
 request-digest tealshore-platform returns another_request_never_goes_on_from_this_ones_memory
 LIST
 }
@@ -80,7 +80,7 @@
 upstream-notices
 shared-limits
 store-era
-doubted-copy
+restore-grace
 LIST
 }
 
