Split what is known of one service's roll-out from that of all

One service stands in known/service.rs, its order and record in known/progress.rs; the code is moved, not changed.

--- a/crates/gateway/src/rollout/known.rs
+++ b/crates/gateway/src/rollout/known.rs
@@ -1,14 +1,14 @@
 //! What this host knows of the roll-outs of all services.
 
+mod progress;
 mod service;
 
 use {
     super::{
-        evidence::{Evidence, Outcome, Tally, TypicalTimes, route_key},
-        exposure::Exposure,
+        evidence::{Evidence, Outcome, Tally, route_key},
         record::{Phase, RolloutOrder, RolloutRecord},
         turns::turn_takers,
-        versions::{ListedVersion, Permit, permit, permit_of},
+        versions::{ListedVersion, Permit},
     },
     crate::{
         edge::{Revision, StoreEra, StoreTime},
@@ -17,7 +17,7 @@
     },
     parking_lot::Mutex,
     serde::{Deserialize, Serialize},
-    service::Progress,
+    service::ServiceRollout,
     std::{
         collections::HashMap,
         sync::Arc,
@@ -55,72 +55,6 @@
     }
 }
 
-/// What is known of one service.
-#[derive(Debug, Default)]
-struct ServiceRollout {
-    progress: Progress,
-    /// The version that was seen to serve while no order was known.
-    serving: Option<EngineVersion>,
-    exposure: Exposure,
-    evidence: Evidence,
-    typical: TypicalTimes,
-}
-
-impl ServiceRollout {
-    fn permit(&self, listed: &[ListedVersion], bounds: RolloutBounds) -> Option<Permit> {
-        permit(
-            listed,
-            self.progress.order.as_ref().map(|known| &known.order),
-            self.record_in_force(bounds).as_ref(),
-            self.serving.as_ref(),
-        )
-    }
-
-    fn record_in_force(&self, bounds: RolloutBounds) -> Option<RolloutRecord> {
-        let (_, record) = self.progress.record.as_ref()?;
-        Some(if bounds.is_shift_bounded {
-            record.with_bounded_shift()
-        } else {
-            record.clone()
-        })
-    }
-
-    /// What the record says, unless a newer order than that of the record is known.
-    fn permit_by_record(&self, bounds: RolloutBounds) -> Option<Permit> {
-        let record = self.record_in_force(bounds)?;
-        let ordered = self
-            .progress
-            .order
-            .as_ref()
-            .map(|known| known.order.revision);
-        (ordered <= Some(record.order)).then(|| permit_of(&record))
-    }
-
-    /// That a version is not the target of an order whose record was not heard of.
-    fn is_not_tried_unheard(&self, version: &EngineVersion) -> bool {
-        let target = self
-            .progress
-            .order
-            .as_ref()
-            .map(|known| &known.order.target);
-        target != Some(version) || self.serving.as_ref() == Some(version)
-    }
-
-    /// Counts anew where the order is another one than was counted for.
-    fn count_for(&mut self, order: Revision, first_part: f64) {
-        if self.evidence.order != order {
-            self.evidence = Evidence::none(order);
-            self.exposure = Exposure::beginning_with(first_part);
-        }
-    }
-
-    /// The roll-out that is under way.
-    fn current(&self) -> Option<&RolloutRecord> {
-        let (_, record) = self.progress.record.as_ref()?;
-        (!record.phase.is_over()).then_some(record)
-    }
-}
-
 /// What this host knows of the roll-outs of all services.
 pub struct Rollouts {
     services: Mutex<HashMap<ServiceId, ServiceRollout>>,
--- a/crates/gateway/src/rollout/known/service.rs
+++ b/crates/gateway/src/rollout/known/service.rs
@@ -1,146 +1,82 @@
-//! The order and the record of one service, also across the eras of the store.
-//!
-//! A store that came back from an older copy may hold an order that was replaced, or none, or an earlier
-//! phase; and the same order in another row once it is written again. A roll-out neither begins again nor
-//! goes back for that.
+//! What is known of the roll-out of one service.
 
 use {
+    super::progress::Progress,
     crate::{
-        edge::{Revision, StoreEra, era_of},
-        rollout::record::{RolloutOrder, RolloutRecord},
+        edge::Revision,
+        options::RolloutBounds,
+        rollout::{
+            evidence::{Evidence, TypicalTimes},
+            exposure::Exposure,
+            record::RolloutRecord,
+            versions::{ListedVersion, Permit, permit, permit_of},
+        },
     },
-    std::time::Instant,
+    tealshore_core::ids::EngineVersion,
 };
 
-/// An order with the moment at which this host heard of it.
-#[derive(Clone, Debug)]
-pub(super) struct KnownOrder {
-    pub(super) order: RolloutOrder,
-    pub(super) heard: Instant,
-}
-
-/// The order and the record of one service.
+/// What is known of one service.
 #[derive(Debug, Default)]
-pub(super) struct Progress {
-    pub(super) order: Option<KnownOrder>,
-    /// The record, with the version of its row.
-    pub(super) record: Option<(Revision, RolloutRecord)>,
-    /// An order of a restored store that differs from the one that was known before.
-    held: Option<RolloutOrder>,
-    /// The row in the store says less than the record.
-    is_unwritten: bool,
+pub(super) struct ServiceRollout {
+    pub(super) progress: Progress,
+    /// The version that was seen to serve while no order was known.
+    pub(super) serving: Option<EngineVersion>,
+    pub(super) exposure: Exposure,
+    pub(super) evidence: Evidence,
+    pub(super) typical: TypicalTimes,
 }
 
-impl Progress {
-    /// Takes in an order; whether it is a new one. `is_in_restore_grace` tells that rows may predate a restore of the store.
-    pub(super) fn apply_order(
-        &mut self,
-        order: RolloutOrder,
-        is_in_restore_grace: bool,
-        now: Instant,
-    ) -> bool {
-        let Some(known) = &mut self.order else {
-            self.replace_order(order, now);
-            self.join_record(is_in_restore_grace);
-            return true;
-        };
-        let before = known.order.revision;
-        if before >= order.revision {
-            return false;
-        }
-        if era_of(before) == era_of(order.revision) || !is_in_restore_grace {
-            self.replace_order(order, now);
-            return true;
-        }
-        if known.order.asks_the_same_as(&order) {
-            known.order.revision = order.revision;
-            self.held = None;
-            self.join_record(is_in_restore_grace);
-        } else {
-            self.held = Some(order);
-        }
-        false
-    }
-
-    /// Applies an order that was held; whether there was one.
-    pub(super) fn end_grace(&mut self, now: Instant) -> bool {
-        let Some(order) = self.held.take() else {
-            return false;
-        };
-        self.replace_order(order, now);
-        true
+impl ServiceRollout {
+    pub(super) fn permit(&self, listed: &[ListedVersion], bounds: RolloutBounds) -> Option<Permit> {
+        permit(
+            listed,
+            self.progress.order.as_ref().map(|known| &known.order),
+            self.record_in_force(bounds).as_ref(),
+            self.serving.as_ref(),
+        )
     }
 
-    /// Takes in a record, unless a newer one is known, or one that is further; whether it did.
-    pub(super) fn apply_record(
-        &mut self,
-        revision: Revision,
-        record: &RolloutRecord,
-        is_in_restore_grace: bool,
-    ) -> bool {
-        let Some((known_revision, known)) = &mut self.record else {
-            self.record = Some((revision, record.clone()));
-            self.join_record(is_in_restore_grace);
-            return true;
-        };
-        if *known_revision >= revision {
-            // Another host knows what the store lost.
-            let is_of_earlier_era = era_of(revision) < era_of(*known_revision);
-            let is_behind = if known.moves_the_same_as(record) {
-                known.is_earlier_phase_of(record)
-            } else {
-                known.order < record.order
-            };
-            let is_lost = is_of_earlier_era && is_behind;
-            if is_lost {
-                let order = known.order.max(record.order);
-                *known = record.clone();
-                known.order = order;
-                self.is_unwritten = true;
-            }
-            return is_lost;
-        }
-        let is_of_later_era = era_of(revision) > era_of(*known_revision);
-        let is_older = if record.moves_the_same_as(known) {
-            // A later order may ask for the same move once more.
-            record.order <= known.order && record.is_earlier_phase_of(known)
+    fn record_in_force(&self, bounds: RolloutBounds) -> Option<RolloutRecord> {
+        let (_, record) = self.progress.record.as_ref()?;
+        Some(if bounds.is_shift_bounded {
+            record.with_bounded_shift()
         } else {
-            record.order < known.order
-        };
-        if is_of_later_era && is_older {
-            *known_revision = revision;
-            self.is_unwritten = true;
-            return false;
-        }
-        self.record = Some((revision, record.clone()));
-        self.is_unwritten = false;
-        self.join_record(is_in_restore_grace);
-        true
+            record.clone()
+        })
     }
 
-    /// The record, and the version that its row must have, where the store of an era may have lost it.
-    pub(super) fn unwritten(&self, era: StoreEra) -> Option<(Revision, RolloutRecord)> {
-        let (revision, record) = self.record.as_ref()?;
-        let has_row = era_of(*revision) == era;
-        let expected = if has_row { *revision } else { 0 };
-        (self.is_unwritten || !has_row).then(|| (expected, record.clone()))
+    /// What the record says, unless a newer order than that of the record is known.
+    pub(super) fn permit_by_record(&self, bounds: RolloutBounds) -> Option<Permit> {
+        let record = self.record_in_force(bounds)?;
+        let ordered = self
+            .progress
+            .order
+            .as_ref()
+            .map(|known| known.order.revision);
+        (ordered <= Some(record.order)).then(|| permit_of(&record))
     }
 
-    fn replace_order(&mut self, order: RolloutOrder, now: Instant) {
-        self.held = None;
-        self.order = Some(KnownOrder { order, heard: now });
+    /// That a version is not the target of an order whose record was not heard of.
+    pub(super) fn is_not_tried_unheard(&self, version: &EngineVersion) -> bool {
+        let target = self
+            .progress
+            .order
+            .as_ref()
+            .map(|known| &known.order.target);
+        target != Some(version) || self.serving.as_ref() == Some(version)
     }
 
-    /// Lets a record of an earlier era belong to the order that is written again in another row.
-    fn join_record(&mut self, is_in_restore_grace: bool) {
-        let (Some(known), Some((_, record))) = (&self.order, &mut self.record) else {
-            return;
-        };
-        let order = &known.order;
-        let is_of_earlier_era = era_of(record.order) < era_of(order.revision);
-        if is_in_restore_grace && is_of_earlier_era && record.target == order.target {
-            record.order = order.revision;
-            self.is_unwritten = true;
+    /// Counts anew where the order is another one than was counted for.
+    pub(super) fn count_for(&mut self, order: Revision, first_part: f64) {
+        if self.evidence.order != order {
+            self.evidence = Evidence::none(order);
+            self.exposure = Exposure::beginning_with(first_part);
         }
     }
+
+    /// The roll-out that is under way.
+    pub(super) fn current(&self) -> Option<&RolloutRecord> {
+        let (_, record) = self.progress.record.as_ref()?;
+        (!record.phase.is_over()).then_some(record)
+    }
 }
