--- a/crates/gateway/src/sync/duties.rs
+++ b/crates/gateway/src/sync/duties.rs
@@ -4,15 +4,15 @@
 //! written with the next renewal, and only what the store has confirmed leaves for the platform.
 
 mod calls;
+mod decisions;
 
 use {
     super::Follower,
     crate::{
-        capacity,
-        duties::{CANDIDATES, DutyRecord, PlacedOrder},
+        duties::{CANDIDATES, DutyRecord},
         edge::{Change, Revision, StoreEra, Written, number_of},
         feed::{Contender, hosts_before},
-        options::{Duty, DutyOptions},
+        options::DutyOptions,
         peers::HostPhase,
         state::GatewayState,
     },
@@ -22,10 +22,7 @@
         time::{Duration, Instant},
     },
     tealshore_core::spread::spread,
-    tealshore_duties::{
-        lease::{LeaseRecord, Purpose, Role, Step},
-        usage::{UsageStep, settle_after},
-    },
+    tealshore_duties::lease::{LeaseRecord, Purpose, Role, Step},
     tokio::time::{sleep, sleep_until},
 };
 
@@ -42,17 +39,10 @@
 /// How long the store may take for a call about the lease: a lost answer has to be read again, and the
 /// row be renewed, within one tenure.
 const STORE_BOUND: Duration = Duration::from_millis(600);
-/// The pause after the store did not take a call; it doubles with each failure in turn. A store that
-/// shuns the holder for nine seconds was else called 30 times by it.
+/// The pause after the store did not take a call; it doubles with each failure in turn.
 const STORE_PAUSE: Duration = Duration::from_millis(300);
 /// How often the pause doubles at most: a host that the store serves again is a candidate within 1.2 s.
 const MOST_DOUBLINGS: u32 = 2;
-/// How long after its end a window is decided. Hosts tell their counts once a second, and three such
-/// datagrams of one host are seldom lost in turn; a successor of a holder that dies then still reports
-/// within ten seconds.
-const SETTLE: Duration = Duration::from_millis(3_500);
-/// How often the holder looks which engines are needed.
-const CAPACITY_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The one that holds, or may hold, the duties.
 pub(super) struct DutyKeeper {
@@ -362,73 +352,6 @@
         }
         self.call_platform(now).await
     }
-
-    /// Whether something was decided that the store has not confirmed.
-    fn has_unwritten_decision(&self) -> bool {
-        let (draft, record) = (&self.draft, &self.record);
-        let is_written = |placed: &PlacedOrder| {
-            let mut known = record.orders.iter();
-            known.any(|it| it.order == placed.order)
-        };
-        draft.usage.next != record.usage.next || !draft.orders.iter().all(is_written)
-    }
-
-    /// Decides what is due, in the draft.
-    fn decide(&mut self, now: Instant) {
-        let state = self.state().clone();
-        if state.duties.has(Duty::ReportUsage) {
-            self.decide_usage(&state, now);
-        }
-        let is_looked_at = self
-            .capacity_seen
-            .is_some_and(|seen| now.saturating_duration_since(seen) < CAPACITY_INTERVAL);
-        if state.duties.has(Duty::OrderEngines) && !is_looked_at {
-            self.capacity_seen = Some(now);
-            for order in capacity::wanted(&state, &self.draft.orders, now) {
-                self.draft.place(order);
-            }
-        }
-    }
-
-    fn decide_usage(&mut self, state: &GatewayState, now: Instant) {
-        let bounds = self.options.usage;
-        let since_epoch = state.duties.since_epoch(state.feed.store_time(now), now);
-        let usage = &mut self.draft.usage;
-        usage.begin_at(bounds.window_at(since_epoch));
-        for window in usage.give_up_oldest(bounds, since_epoch) {
-            log::warn!("duties: usage given up window={window} cause=not-taken");
-        }
-        let settle = SETTLE.min(bounds.due / 2);
-        let held_for = self.taken.map(|taken| now.saturating_duration_since(taken));
-        let settle = settle_after(settle, bounds, held_for.unwrap_or_default());
-        let step = state
-            .duties
-            .with_ledger(|ledger| usage.step(ledger, bounds, settle, since_epoch));
-        if let UsageStep::Decide(reports) = step {
-            let first = reports.first().map(|report| report.window);
-            if let (Some(next), Some(first)) = (usage.next, first)
-                && first > next
-            {
-                log::warn!("duties: usage given up windows={next}..{first} cause=too-old");
-            }
-            for report in &reports {
-                let processes = state
-                    .duties
-                    .with_ledger(|ledger| ledger.processes(report.window));
-                let late = since_epoch.saturating_sub(bounds.end_of(report.window));
-                log::info!(
-                    "duties: usage decided window={} requests={} customers={} processes={processes} \
-                     hosts={} after_ms={}",
-                    report.window,
-                    report.counts.values().sum::<u64>(),
-                    report.counts.len(),
-                    state.peers.most_hosts(),
-                    late.as_millis()
-                );
-            }
-            usage.decide(reports);
-        }
-    }
 }
 
 fn holder_name(lease: &LeaseRecord) -> &str {
