Add what another holder decided before each decision, not only when the row is read

Its logs: a holder decided and reported them 0.2 s before the store lost its row; the next holder read the older row at 650.525, heard those decisions some 0.7 s later, as they are told once a second, took the lease at 652.533 and decided by what it had read.

Decisions that were heard are added before a holder decides anything, so that it knows all that was told up to then; a holder that dies within a second of a decision which the store then loses stays open, as listed.

--- a/crates/gateway/src/sync/duties/decisions.rs
+++ b/crates/gateway/src/sync/duties/decisions.rs
@@ -43,6 +43,8 @@
     }
 
     fn decide_usage(&mut self, state: &GatewayState, now: Instant) {
+        // Another holder's decisions may be heard of only after the row was read.
+        state.duties.add_lost_decisions(&mut self.draft.usage);
         let bounds = self.options.usage;
         let since_epoch = state.duties.since_epoch(state.feed.store_time(now), now);
         let usage = &mut self.draft.usage;
