Tell failed, slow and lost answers of a version apart, and what each host knows

The hypotheses on a bad version that was kept could not be told apart by logs: one count held failures, slow answers and streams lost with their upstreams, and no host logged how many bad answers it knew of before something was decided.

An outcome now says whether an answer failed or was lost. A counter has the bad answers of each version by cause, and each host logs the bad answers that it knows of each time their number has doubled, with its own part, the hosts that it hears and the likelihood ratio. What is decided is the same: lost and failed answers count alike.

--- a/crates/gateway/src/forward/connect.rs
+++ b/crates/gateway/src/forward/connect.rs
@@ -5,7 +5,10 @@
 //! is closing.
 
 use {
-    crate::{connection::Connection, edge::AnswerFacts, state::GatewayState, view::Upstream},
+    crate::{
+        connection::Connection, edge::AnswerFacts, rollout::Outcome, state::GatewayState,
+        view::Upstream,
+    },
     bytes::Bytes,
     http::{Request, response},
     http_body_util::Full,
@@ -53,11 +56,12 @@
         }
     }
 
-    /// Whether the request may have run.
-    pub fn may_have_run(self) -> bool {
+    /// What it says of the upstream's version; none where no byte of the request left, so that it did not run.
+    pub fn outcome(self) -> Option<Outcome> {
         match self {
-            Self::Unreachable | Self::Leaving | Self::Resting | Self::Limited => false,
-            Self::Unanswered | Self::ForeignAnswer => true,
+            Self::Unreachable | Self::Leaving | Self::Resting | Self::Limited => None,
+            Self::Unanswered => Some(Outcome::Lost),
+            Self::ForeignAnswer => Some(Outcome::Failed),
         }
     }
 }
--- a/crates/gateway/src/forward/plain.rs
+++ b/crates/gateway/src/forward/plain.rs
@@ -133,7 +133,7 @@
         let failed = match &tried.end {
             TryEnd::Answered(head, _) => head.status.is_server_error(),
             TryEnd::NotRun | TryEnd::NotWanted | TryEnd::Forbidden(_) => false,
-            TryEnd::Unreachable | TryEnd::Unknown => true,
+            TryEnd::Unreachable | TryEnd::Unknown(_) => true,
         };
         upstream.note_outcome(failed);
         self.note_outcome(&tried);
@@ -142,7 +142,7 @@
             self.log_loss(&tried);
         }
         match &tried.end {
-            TryEnd::Unknown => self.examine(&tried),
+            TryEnd::Unknown(_) => self.examine(&tried),
             TryEnd::Answered(..) => {
                 let (request, digest) = (self.call.request(), self.call.fingerprint);
                 self.state.note_completed(&request, digest);
@@ -168,7 +168,7 @@
                 self.reached_nobody(tried.draws_on_budget);
                 Ok(None)
             }
-            TryEnd::Unknown => Ok(None),
+            TryEnd::Unknown(_) => Ok(None),
             TryEnd::Forbidden(failure) => {
                 self.reached_nobody(tried.draws_on_budget);
                 // An earlier try may have run, and may still answer.
@@ -195,7 +195,7 @@
     /// most likely run.
     fn count_begun(&mut self, end: &TryEnd) {
         let has_begun = match end {
-            TryEnd::Answered(..) | TryEnd::Unknown => true,
+            TryEnd::Answered(..) | TryEnd::Unknown(_) => true,
             TryEnd::NotRun | TryEnd::Unreachable | TryEnd::NotWanted | TryEnd::Forbidden(_) => {
                 false
             }
@@ -211,7 +211,7 @@
         let outcome = match &tried.end {
             TryEnd::Answered(head, _) if head.status.is_server_error() => Outcome::Failed,
             TryEnd::Answered(..) => Outcome::Answered(tried.took),
-            TryEnd::Unknown => Outcome::Failed,
+            TryEnd::Unknown(outcome) => *outcome,
             TryEnd::NotRun | TryEnd::Unreachable | TryEnd::NotWanted | TryEnd::Forbidden(_) => {
                 return;
             }
--- a/crates/gateway/src/forward/plain/attempt.rs
+++ b/crates/gateway/src/forward/plain/attempt.rs
@@ -8,6 +8,7 @@
             connect::{self, Answer, SendFailure},
             reservation::Reservation,
         },
+        rollout::Outcome,
         state::GatewayState,
         view::{Upstream, Work},
     },
@@ -36,8 +37,8 @@
     Unreachable,
     /// The upstream takes no new work; nothing left.
     NotWanted,
-    /// It may have run.
-    Unknown,
+    /// It may have run; what that says of the upstream's version.
+    Unknown(Outcome),
     /// Nothing may be sent.
     Forbidden(Failure),
 }
@@ -102,16 +103,18 @@
     let request = call.request_for(state, upstream, &order);
     match connect::send(state, upstream, request, call.id()).await {
         Ok(answer) => read(answer).await,
-        Err(failure) if failure.may_have_run() => (TryEnd::Unknown, failure.name()),
-        Err(failure) => (not_sent(failure), failure.name()),
+        Err(failure) => (end_of(failure), failure.name()),
     }
 }
 
-/// How a try ended of which no byte left.
-fn not_sent(failure: SendFailure) -> TryEnd {
-    match failure {
-        SendFailure::Leaving | SendFailure::Resting | SendFailure::Limited => TryEnd::NotWanted,
-        SendFailure::Unreachable | SendFailure::Unanswered | SendFailure::ForeignAnswer => {
+/// How a try ended that got no answer.
+fn end_of(failure: SendFailure) -> TryEnd {
+    match (failure, failure.outcome()) {
+        (_, Some(outcome)) => TryEnd::Unknown(outcome),
+        (SendFailure::Leaving | SendFailure::Resting | SendFailure::Limited, None) => {
+            TryEnd::NotWanted
+        }
+        (SendFailure::Unreachable | SendFailure::Unanswered | SendFailure::ForeignAnswer, None) => {
             TryEnd::Unreachable
         }
     }
@@ -127,17 +130,17 @@
         .headers
         .contains_key(http::header::CONTENT_ENCODING);
     if !answer.facts.signed || is_encoded {
-        return (TryEnd::Unknown, "unsigned");
+        return (TryEnd::Unknown(Outcome::Failed), "unsigned");
     }
     // Passed on, the status would promise that the call did not run, which the upstream did not say.
     if promises_not_run(status) && enabled(Protection::ConfirmedRefusal) {
-        return (TryEnd::Unknown, "unconfirmed-refusal");
+        return (TryEnd::Unknown(Outcome::Failed), "unconfirmed-refusal");
     }
     match read_limited(answer.body, ANSWER_BOUND_BYTES).await {
         Ok(body) if status.is_server_error() => {
             (TryEnd::Answered(answer.head, body), "server-error")
         }
         Ok(body) => (TryEnd::Answered(answer.head, body), "answered"),
-        Err(_) => (TryEnd::Unknown, "body-broken"),
+        Err(_) => (TryEnd::Unknown(Outcome::Lost), "body-broken"),
     }
 }
--- a/crates/gateway/src/forward/probe.rs
+++ b/crates/gateway/src/forward/probe.rs
@@ -4,6 +4,7 @@
     crate::{
         connection::{CallBounds, CallFailure, try_call},
         edge::ProbeReport,
+        rollout::Outcome,
         state::GatewayState,
         view::Upstream,
     },
@@ -98,6 +99,14 @@
         }
     }
 
+    /// What it says of the upstream's version.
+    pub fn outcome(self) -> Outcome {
+        match self {
+            Self::Dead | Self::FoundDead | Self::NotHeld | Self::AnswerLost => Outcome::Lost,
+            Self::TooLong => Outcome::Failed,
+        }
+    }
+
     /// The silence's name in logs.
     pub fn name(self) -> &'static str {
         match self {
--- a/crates/gateway/src/forward/stream/attempt.rs
+++ b/crates/gateway/src/forward/stream/attempt.rs
@@ -8,6 +8,7 @@
             probe::{Awaited, Patience, wait_while_alive},
             reservation::Reservation,
         },
+        rollout::Outcome,
         state::GatewayState,
         view::Upstream,
     },
@@ -61,12 +62,31 @@
     Event(Event),
     /// The engine ended the stream as complete.
     End,
-    /// Nothing more comes, for this cause.
-    Lost(&'static str),
+    /// Nothing more comes.
+    Lost(Loss),
     /// What comes is not what is due. The engine that sends it has not ended.
     Spoilt(StreamFault),
 }
 
+/// Why nothing more comes of an attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct Loss {
+    /// The cause, for logs and metrics.
+    pub cause: &'static str,
+    /// What it says of the engine's version.
+    pub outcome: Outcome,
+}
+
+impl Loss {
+    /// The engine or its link may have ended.
+    pub fn of_connection(cause: &'static str) -> Self {
+        Self {
+            cause,
+            outcome: Outcome::Lost,
+        }
+    }
+}
+
 impl Attempt {
     /// The next whole event, or how the attempt ends.
     pub async fn next_step(&mut self, state: &GatewayState) -> Step {
@@ -102,10 +122,15 @@
                 }
                 None
             }
-            Ok(Some(Err(_))) => Some(Step::Lost("broken-off")),
-            Ok(None) if self.events.is_within_event() => Some(Step::Lost("cut-event")),
+            Ok(Some(Err(_))) => Some(Step::Lost(Loss::of_connection("broken-off"))),
+            Ok(None) if self.events.is_within_event() => {
+                Some(Step::Lost(Loss::of_connection("cut-event")))
+            }
             Ok(None) => Some(Step::End),
-            Err(silence) => Some(Step::Lost(silence.name())),
+            Err(silence) => Some(Step::Lost(Loss {
+                cause: silence.name(),
+                outcome: silence.outcome(),
+            })),
         }
     }
 }
--- a/crates/gateway/src/forward/stream/order.rs
+++ b/crates/gateway/src/forward/stream/order.rs
@@ -99,7 +99,7 @@
                 if silence.leaves_prompt_read() {
                     self.go_back_to(upstream, asked.elapsed());
                 }
-                Err(self.note_try(upstream, silence.name(), TryEnd::Unknown))
+                Err(self.note_unknown(upstream, silence.name(), silence.outcome()))
             }
         }
     }
@@ -138,17 +138,25 @@
         if failure == SendFailure::Unreachable {
             self.state.suspect(upstream, "unreachable");
         }
-        if failure.may_have_run() {
-            return self.note_try(upstream, failure.name(), TryEnd::Unknown);
+        if let Some(outcome) = failure.outcome() {
+            return self.note_unknown(upstream, failure.name(), outcome);
         }
         self.reached_nobody(upstream);
         self.note_try(upstream, failure.name(), TryEnd::TryNext)
     }
 
+    /// Notes a try that may have run, with what its end says of the engine's version.
+    fn note_unknown(
+        &mut self,
+        upstream: &Upstream,
+        cause: &'static str,
+        outcome: Outcome,
+    ) -> TryEnd {
+        self.note_outcome(&upstream.record, outcome);
+        self.note_try(upstream, cause, TryEnd::Unknown)
+    }
+
     fn note_try(&mut self, upstream: &Upstream, cause: &'static str, end: TryEnd) -> TryEnd {
-        if matches!(end, TryEnd::Unknown) {
-            self.note_outcome(&upstream.record, Outcome::Failed);
-        }
         if self.prompt_kept_at.as_ref() != Some(&upstream.record.id) {
             self.avoid.push(upstream.record.id.clone());
         }
@@ -190,11 +198,11 @@
             .headers
             .contains_key(http::header::CONTENT_ENCODING);
         if !answer.facts.signed || is_encoded {
-            return Err(self.note_try(upstream, "unsigned", TryEnd::Unknown));
+            return Err(self.note_unknown(upstream, "unsigned", Outcome::Failed));
         }
         // Passed on, the status would promise that the stream did not run.
         if promises_not_run(status) {
-            return Err(self.note_try(upstream, "unconfirmed-refusal", TryEnd::Unknown));
+            return Err(self.note_unknown(upstream, "unconfirmed-refusal", Outcome::Failed));
         }
         if status.is_success() {
             return Ok(Some(answer.head.clone()));
--- a/crates/gateway/src/forward/stream/relay.rs
+++ b/crates/gateway/src/forward/stream/relay.rs
@@ -2,7 +2,12 @@
 //! takes.
 
 use {
-    super::{StreamRun, attempt::Step, place::Opened, recopy::Recopy},
+    super::{
+        StreamRun,
+        attempt::{Loss, Step},
+        place::Opened,
+        recopy::Recopy,
+    },
     crate::{
         events::Event,
         lifecycle::InFlight,
@@ -78,16 +83,19 @@
                     self.tend_copy();
                 }
                 Step::End => return RelayEnd::Complete,
-                Step::Lost(cause) => {
-                    self.examine_attempt(cause);
-                    self.lose(cause);
+                Step::Lost(loss) => {
+                    self.examine_attempt(loss.cause);
+                    self.lose(loss);
                     if let Some(cause) = self.go_on().await {
                         return RelayEnd::BrokenOff(cause);
                     }
                 }
                 // No end is looked for: whatever answers there later, this engine still sent.
                 Step::Spoilt(fault) => {
-                    self.lose(fault.name());
+                    self.lose(Loss {
+                        cause: fault.name(),
+                        outcome: Outcome::Failed,
+                    });
                     if let Some(cause) = self.go_on().await {
                         return RelayEnd::BrokenOff(cause);
                     }
@@ -99,7 +107,7 @@
     /// The next event that is due, or how the attempt ends.
     async fn next_step(&mut self) -> Step {
         let Some(attempt) = self.attempt.as_mut() else {
-            return Step::Lost("no-attempt");
+            return Step::Lost(Loss::of_connection("no-attempt"));
         };
         let step = attempt.next_step(&self.state).await;
         let Step::Event(event) = step else {
@@ -204,19 +212,20 @@
     }
 
     /// Ends the current attempt and notes why.
-    fn lose(&mut self, cause: &'static str) {
+    fn lose(&mut self, loss: Loss) {
         let Some(attempt) = self.attempt.take() else {
             return;
         };
         attempt.upstream.note_outcome(true);
         let (record, route) = (&attempt.upstream.record, &self.call.route.name);
-        self.state.note_outcome(record, route, Outcome::Failed);
+        self.state.note_outcome(record, route, loss.outcome);
         if let Some(copy) = self.recopy.take_made() {
             self.copy = Some(copy);
         }
         self.recopy = Recopy::default();
         self.lost_at = Some(Instant::now());
         self.avoid.push(attempt.upstream.record.id.clone());
+        let cause = loss.cause;
         self.state.metrics.losses.with_label_values(&[cause]).inc();
         log::warn!(
             "stream: lost request={} digest={} upstream={} cause={cause} last={:?} copy={} run={} age_ms={}",
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -3,7 +3,7 @@
 mod engines;
 
 use {
-    crate::{topology::Distance, view::UpstreamRecord},
+    crate::{rollout::Quality, topology::Distance, view::UpstreamRecord},
     engines::EngineMetrics,
     prometheus::{
         Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
@@ -40,6 +40,8 @@
     pub version_requests: IntCounterVec,
     /// Answers that speak for or against a version, by service, version and result.
     version_answers: IntCounterVec,
+    /// Answers that speak against a version, by service, version and cause.
+    version_bad_answers: IntCounterVec,
     /// Calls to the store, by set and result.
     pub store_calls: IntCounterVec,
     /// Failed calls to the store, and answers of it that were not taken, by set and cause.
@@ -144,6 +146,11 @@
                 "Answers of upstreams of a version, bad ones are failures, losses and slow answers",
                 &["service", "version", "result"],
             )?,
+            version_bad_answers: counter(
+                "tealshore_version_bad_answers_total",
+                "Answers that speak against a version: failures, losses and slow answers",
+                &["service", "version", "cause"],
+            )?,
             store_calls: counter(
                 "tealshore_store_calls_total",
                 "Calls to the platform's store",
@@ -254,6 +261,7 @@
             Box::new(self.failing.clone()),
             Box::new(self.version_requests.clone()),
             Box::new(self.version_answers.clone()),
+            Box::new(self.version_bad_answers.clone()),
             Box::new(self.store_calls.clone()),
             Box::new(self.store_failures.clone()),
             Box::new(self.store_era.clone()),
@@ -294,10 +302,15 @@
     }
 
     /// Notes an answer of an upstream of some version.
-    pub fn count_answer(&self, upstream: &UpstreamRecord, is_bad: bool) {
-        let result = if is_bad { "bad" } else { "good" };
-        let labels = [upstream.service.as_str(), &upstream.version, result];
+    pub fn count_answer(&self, upstream: &UpstreamRecord, quality: Quality) {
+        let (service, version) = (upstream.service.as_str(), upstream.version.as_str());
+        let result = if quality.is_bad() { "bad" } else { "good" };
+        let labels = [service, version, result];
         self.version_answers.with_label_values(&labels).inc();
+        if quality.is_bad() {
+            let labels = [service, version, quality.name()];
+            self.version_bad_answers.with_label_values(&labels).inc();
+        }
     }
 
     /// Notes bytes that were sent to other hosts.
--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -18,7 +18,8 @@
 
 pub use {
     evidence::{
-        Evidence, Outcome, ROUTES_BOUND, RouteKey, RouteTallies, Tally, TypicalTimes, route_key,
+        Evidence, Outcome, Quality, ROUTES_BOUND, RouteKey, RouteTallies, Tally, TypicalTimes,
+        route_key,
     },
     exposure::Exposure,
     known::{RolloutNews, Rollouts},
--- a/crates/gateway/src/rollout/evidence.rs
+++ b/crates/gateway/src/rollout/evidence.rs
@@ -173,8 +173,45 @@
 pub enum Outcome {
     /// It was answered well, or a stream's first event came, after so long.
     Answered(Duration),
-    /// The answer was a failure, or did not come whole.
+    /// The answer was a failure of the upstream's own, or not what was asked for.
     Failed,
+    /// The answer did not come, or did not come whole: the upstream may have ended, or its link.
+    Lost,
+}
+
+/// What an outcome says of a version, held against what is usual on the route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Quality {
+    /// It speaks for the version.
+    Good,
+    /// The answer took much longer than usual.
+    Slow,
+    /// The answer was a failure.
+    Failed,
+    /// The answer was lost.
+    Lost,
+}
+
+impl Quality {
+    /// Whether it speaks against the version.
+    #[must_use]
+    pub fn is_bad(self) -> bool {
+        match self {
+            Self::Good => false,
+            Self::Slow | Self::Failed | Self::Lost => true,
+        }
+    }
+
+    /// Its name in metrics.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Good => "good",
+            Self::Slow => "slow",
+            Self::Failed => "failed",
+            Self::Lost => "lost",
+        }
+    }
 }
 
 /// An answer that takes this many times as long as usual counts as bad.
--- a/crates/gateway/src/rollout/known.rs
+++ b/crates/gateway/src/rollout/known.rs
@@ -5,7 +5,7 @@
 
 use {
     super::{
-        evidence::{Evidence, Outcome, Tally, route_key},
+        evidence::{Evidence, Outcome, Quality, Tally, route_key},
         record::{Phase, RolloutOrder, RolloutRecord},
         turns::turn_takers,
         versions::{ListedVersion, Permit},
@@ -158,6 +158,14 @@
         self.services.lock().get(service)?.progress.record.clone()
     }
 
+    /// The records of all roll-outs that are under way.
+    #[must_use]
+    pub fn open_records(&self) -> Vec<RolloutRecord> {
+        let services = self.services.lock();
+        let open = services.values().filter_map(ServiceRollout::current);
+        open.cloned().collect()
+    }
+
     /// The version that serves a service besides any that is tried.
     #[must_use]
     pub fn serving(
@@ -302,19 +310,29 @@
         }
     }
 
-    /// Notes how a send ended; whether that was bad for what is usual on the route.
-    pub fn note_outcome(&self, upstream: &UpstreamRecord, route: &str, outcome: Outcome) -> bool {
+    /// Notes how a send ended; what that says of its version, for what is usual on the route.
+    pub fn note_outcome(
+        &self,
+        upstream: &UpstreamRecord,
+        route: &str,
+        outcome: Outcome,
+    ) -> Quality {
         let mut services = self.services.lock();
-        let Some(known) = services.get_mut(&upstream.service) else {
-            return outcome == Outcome::Failed;
+        let known = services.get_mut(&upstream.service);
+        let quality = match (outcome, &known) {
+            (Outcome::Failed, _) => Quality::Failed,
+            (Outcome::Lost, _) => Quality::Lost,
+            (Outcome::Answered(took), Some(known)) if known.typical.is_slow(route, took) => {
+                Quality::Slow
+            }
+            (Outcome::Answered(_), _) => Quality::Good,
         };
-        let is_bad = match outcome {
-            Outcome::Failed => true,
-            Outcome::Answered(took) => known.typical.is_slow(route, took),
+        let Some(known) = known else {
+            return quality;
         };
         let one = Tally {
             answers: 1,
-            bad: u32::from(is_bad),
+            bad: u32::from(quality.is_bad()),
         };
         let is_target = known
             .current()
@@ -323,7 +341,7 @@
             known
                 .evidence
                 .note_target(&upstream.id, route_key(route), one);
-            return is_bad;
+            return quality;
         }
         if let Outcome::Answered(took) = outcome {
             known.typical.observe(route, took);
@@ -334,7 +352,7 @@
         if is_from {
             known.evidence.note_serving(route_key(route), one);
         }
-        is_bad
+        quality
     }
 
     /// Whether a roll-out of any service is under way, or one was ordered and has no record yet.
--- a/crates/gateway/src/state/choice.rs
+++ b/crates/gateway/src/state/choice.rs
@@ -67,8 +67,8 @@
 
     /// Notes what a send said of its upstream's version.
     pub fn note_outcome(&self, upstream: &UpstreamRecord, route: &str, outcome: Outcome) {
-        let is_bad = self.rollouts.note_outcome(upstream, route, outcome);
-        self.metrics.count_answer(upstream, is_bad);
+        let quality = self.rollouts.note_outcome(upstream, route, outcome);
+        self.metrics.count_answer(upstream, quality);
     }
 
     /// How far a hall is from this host.
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -75,6 +75,7 @@
     tokio::spawn(async move { runs.keep_runs().await });
     let mut rollouts = Follower::new(state.clone(), RowSet::Rollouts);
     tokio::spawn(async move { rollouts.lead_rollouts().await });
+    tokio::spawn(rollouts::review::review_rollouts(state.clone()));
     let mut crashes = Follower::new(state.clone(), RowSet::Crashes);
     tokio::spawn(async move { crashes.keep_crashes().await });
     let duties = Follower::new(state.clone(), RowSet::Duties);
--- a/crates/gateway/src/sync/rollouts.rs
+++ b/crates/gateway/src/sync/rollouts.rs
@@ -4,6 +4,8 @@
 //! Several hosts may take themselves for the leader. Each write holds only while the row is as it
 //! was read, so one of them decides; the others read what it wrote.
 
+pub(super) mod review;
+
 use {
     super::{
         CallFailure, Follower,
@@ -172,9 +174,7 @@
     let now = Instant::now();
     let bounds = state.options.bounds.rollouts;
     let evidence = all_evidence(state, &order.service, order.revision, now);
-    let ready = state.view.upstreams.ready(&order.service);
-    let targets = ready.iter().filter(|it| it.record.version == order.target);
-    let targets = targets.count();
+    let targets = ready_targets(state, &order.service, &order.target);
     let judged = judge(&evidence, targets);
     let is_unseen = judged.target.answers < LEAST_ANSWERS && judged.from.answers >= SERVED_ANSWERS;
     let sight = Sight {
@@ -193,6 +193,13 @@
     Some((sight, judged))
 }
 
+/// How many upstreams of a version take work.
+fn ready_targets(state: &GatewayState, service: &ServiceId, target: &EngineVersion) -> usize {
+    let ready = state.view.upstreams.ready(service);
+    let targets = ready.iter().filter(|it| it.record.version == *target);
+    targets.count()
+}
+
 /// What answers told all hosts that are heard.
 fn all_evidence(
     state: &GatewayState,
