Show with failing tests how a bad version is kept

- Streams lost with dying upstreams stand in the old version's rate of bad answers, so that up to 150 bad answers come before the verdict (50 allowed).
- A version that seemed good is completed though its later answers speak against it.

--- a/crates/gateway/tests/rollout.rs
+++ b/crates/gateway/tests/rollout.rs
@@ -297,6 +297,21 @@
     }
 }
 
+/// A version may seem good early on and be doubted by the answers that come while it is shifted to.
+#[test]
+fn a_version_that_is_doubted_while_it_is_shifted_to_is_not_completed() {
+    let doubted = sight(111.5, Verdict::Undecided);
+    assert_eq!(
+        next_phase(Phase::Shifting, &doubted),
+        Some(Phase::RolledBack)
+    );
+    let drained = Sight {
+        runs_on_old: false,
+        ..sight(108.0, Verdict::Undecided)
+    };
+    assert_eq!(next_phase(Phase::Shifting, &drained), None);
+}
+
 #[test]
 fn what_is_not_proved_in_time_goes_back_unless_nothing_speaks_against_it() {
     assert_eq!(
--- a/crates/gateway/tests/rollout_verdict.rs
+++ b/crates/gateway/tests/rollout_verdict.rs
@@ -6,8 +6,17 @@
 
 use {
     rand::{RngExt, SeedableRng, rngs::StdRng},
-    tealshore_gateway::rollout::{
-        Evidence, MOST_TAKERS, ROUTES_BOUND, Tally, Verdict, judge, route_key,
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+    tealshore_capacity::EngineKind,
+    tealshore_gateway::{
+        rollout::{
+            Evidence, MOST_TAKERS, Outcome, Phase, ROUTES_BOUND, RolloutOrder, RolloutRecord,
+            Rollouts, Tally, Verdict, judge, route_key,
+        },
+        view::{UpstreamRecord, UpstreamState},
     },
 };
 
@@ -279,3 +288,122 @@
     evidence.note_target(&"i-2".to_owned(), small, bad);
     assert_eq!(judge(&evidence, 3).verdict, Verdict::Bad);
 }
+
+const SERVICE: &str = "model";
+const ORDER: u64 = 5;
+/// Upstreams of each version that answer.
+const UPSTREAMS: usize = 12;
+
+/// A host that knows a roll-out whose target is tried.
+fn trying() -> Rollouts {
+    let rollouts = Rollouts::new(0.5);
+    let order = RolloutOrder {
+        revision: ORDER,
+        service: SERVICE.to_owned(),
+        target: "v2".to_owned(),
+        duration: Duration::from_secs(16),
+    };
+    let record = RolloutRecord {
+        service: SERVICE.to_owned(),
+        order: ORDER,
+        from: "v1".to_owned(),
+        target: "v2".to_owned(),
+        phase: Phase::Canary,
+        since: Duration::from_secs(100),
+        deadline: Duration::from_secs(116),
+    };
+    rollouts.apply_order(order, false, Instant::now());
+    rollouts.apply_record(ORDER + 1, &record, false);
+    rollouts
+}
+
+fn upstream(version: &str, index: usize) -> UpstreamRecord {
+    UpstreamRecord {
+        id: format!("i-{version}-{index}"),
+        born: None,
+        service: SERVICE.to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        hall: "a".to_owned(),
+        version: version.to_owned(),
+        slots: 12,
+        kind: EngineKind::OnDemand,
+        state: UpstreamState::Ready,
+    }
+}
+
+/// How answers of a version fail, and how they are lost while a hall dies.
+#[derive(Clone, Copy)]
+struct Trouble {
+    failed: f64,
+    lost: f64,
+}
+
+impl Trouble {
+    fn outcome(self, is_hall_dying: bool, random: &mut StdRng) -> Outcome {
+        if is_hall_dying && random.random::<f64>() < self.lost {
+            return Outcome::Lost;
+        }
+        if random.random::<f64>() < self.failed {
+            return Outcome::Failed;
+        }
+        Outcome::Answered(Duration::from_millis(900))
+    }
+}
+
+/// Plays 200 roll-outs of 300 canaries, each with 13 answers of the old version beside it, while halls die
+/// for 20 canaries out of 30; how many were condemned, and the most bad answers that it took.
+fn play_while_halls_die(old: Trouble, target: Trouble, seed: u64) -> (u32, u32) {
+    let mut random = StdRng::seed_from_u64(seed);
+    let (mut condemned, mut most_bad) = (0, 0);
+    for _ in 0..200 {
+        let rollouts = trying();
+        for canary in 0..300_usize {
+            let is_dying = canary % 30 < 20;
+            let route = if random.random::<f64>() < 0.44 {
+                "cue"
+            } else {
+                "brief"
+            };
+            for index in 0..13 {
+                let outcome = old.outcome(is_dying, &mut random);
+                rollouts.note_outcome(&upstream("v1", index % UPSTREAMS), route, outcome);
+            }
+            let outcome = target.outcome(is_dying, &mut random);
+            rollouts.note_outcome(&upstream("v2", canary % UPSTREAMS), route, outcome);
+            let evidence = rollouts.evidence(&SERVICE.to_owned(), ORDER);
+            if judge(&evidence, UPSTREAMS).verdict == Verdict::Bad {
+                condemned += 1;
+                most_bad = most_bad.max(evidence.target_sum().bad);
+                break;
+            }
+        }
+    }
+    (condemned, most_bad)
+}
+
+/// Answers lost with dying upstreams of the old version are no measure of its failures.
+#[test]
+fn a_bad_version_is_condemned_before_fifty_bad_answers_while_halls_die() {
+    let old = Trouble {
+        failed: 0.004,
+        lost: 0.6,
+    };
+    for (index, failed) in [0.39, 0.5].into_iter().enumerate() {
+        let target = Trouble { failed, ..old };
+        let (condemned, most_bad) = play_while_halls_die(old, target, 300 + index as u64);
+        println!("{failed} fail: {condemned} of 200 condemned, most bad {most_bad}");
+        assert_eq!(condemned, 200, "{failed} fail");
+        assert!(most_bad < 50, "{failed} fail: {most_bad} bad");
+    }
+}
+
+#[test]
+fn a_good_version_is_rarely_condemned_while_halls_die() {
+    let alike = Trouble {
+        failed: 0.004,
+        lost: 0.6,
+    };
+    let (condemned, _) = play_while_halls_die(alike, alike, 400);
+    println!("{condemned} of 200 condemned");
+    assert!(condemned <= 2, "{condemned} of 200");
+}
