Judge a version by its answers apart from those lost with upstreams

Callers saw: a version that failed 0.39 to 0.5 of its streams was kept for ten seconds and more, or until the deadline of its roll-out, where it was rolled back or completed by chance.

Cause: an answer that was lost counted as a bad one. These stand in its rate of bad answers, which is a sum since the order, long after the hall is back; beside a rate of 0.4 a version that fails 0.4 more is hardly told from it.

Lost answers are now a tally of their own, of all sends, held against that of the old version with a weight of 0.05; answers of routes and of all keep theirs to 0.45 and 0.5.

--- a/crates/gateway/src/rollout/evidence.rs
+++ b/crates/gateway/src/rollout/evidence.rs
@@ -30,6 +30,9 @@
 
 /// All routes that are not told apart.
 const OTHER_ROUTES: RouteKey = 0;
+/// The sends of all routes, of which the lost ones are bad. Losses are told apart from answers: those of
+/// upstreams that die would hide how often a version fails.
+const LOSSES: RouteKey = RouteKey::MAX;
 /// Routes that are told apart, and all others together: a datagram has room for few, and a service
 /// with more of them is judged by those that were seen first.
 pub const ROUTES_BOUND: usize = 6;
@@ -38,7 +41,8 @@
 #[must_use]
 pub fn route_key(name: &str) -> RouteKey {
     let short = xxh3_64(name.as_bytes()) & u64::from(RouteKey::MAX);
-    RouteKey::try_from(short).map_or(OTHER_ROUTES + 1, |key| key.max(OTHER_ROUTES + 1))
+    let key = RouteKey::try_from(short).unwrap_or_default();
+    key.clamp(OTHER_ROUTES + 1, LOSSES - 1)
 }
 
 /// Tallies by route.
@@ -61,15 +65,44 @@
         found.map(|(_, tally)| *tally).unwrap_or_default()
     }
 
-    /// The sum over all routes.
+    /// The sum over all routes, without answers that were lost.
     #[must_use]
     pub fn sum(&self) -> Tally {
         let mut sum = Tally::default();
-        for (_, tally) in &self.0 {
+        for (_, tally) in self.0.iter().filter(|(key, _)| *key != LOSSES) {
             sum.add(*tally);
         }
         sum
     }
+
+    /// All sends, of which the lost ones are bad.
+    #[must_use]
+    pub fn losses(&self) -> Tally {
+        self.of(LOSSES)
+    }
+
+    /// The sum over all routes, with answers that were lost.
+    #[must_use]
+    pub fn sum_with_losses(&self) -> Tally {
+        let lost = self.losses().bad;
+        let mut sum = self.sum();
+        sum.add(Tally {
+            answers: lost,
+            bad: lost,
+        });
+        sum
+    }
+}
+
+/// What one send adds to the tallies: to that of its route, where it was answered, and to losses.
+fn entries_of(route: RouteKey, quality: Quality) -> impl Iterator<Item = (RouteKey, Tally)> {
+    let one = |is_bad: bool| Tally {
+        answers: 1,
+        bad: u32::from(is_bad),
+    };
+    let is_lost = quality == Quality::Lost;
+    let answer = (!is_lost).then(|| (route, one(quality.is_bad())));
+    answer.into_iter().chain([(LOSSES, one(is_lost))])
 }
 
 /// What answers told since an order, on one host or on several.
@@ -93,6 +126,20 @@
         }
     }
 
+    /// Adds one send to the version that serves.
+    pub fn record_serving(&mut self, route: RouteKey, quality: Quality) {
+        for (key, one) in entries_of(route, quality) {
+            self.note_serving(key, one);
+        }
+    }
+
+    /// Adds one send to an upstream of the version that is tried.
+    pub fn record_target(&mut self, upstream: &EngineId, route: RouteKey, quality: Quality) {
+        for (key, one) in entries_of(route, quality) {
+            self.note_target(upstream, key, one);
+        }
+    }
+
     /// Adds answers of the version that serves.
     pub fn note_serving(&mut self, route: RouteKey, answers: Tally) {
         let route = self.told_apart(route);
@@ -127,7 +174,8 @@
 
     /// The routes that are told apart, and the key of all others if there are any.
     pub fn routes(&self) -> impl Iterator<Item = RouteKey> + '_ {
-        self.from.0.iter().map(|(route, _)| *route)
+        let keys = self.from.0.iter().map(|(route, _)| *route);
+        keys.filter(|key| *key != LOSSES)
     }
 
     /// The answers of the version that serves.
@@ -141,18 +189,21 @@
         self.target.iter().map(|(_, tallies)| tallies)
     }
 
-    /// The sum over the upstreams of the version that is tried.
+    /// The sum over the upstreams of the version that is tried, with answers that were lost.
     #[must_use]
     pub fn target_sum(&self) -> Tally {
         let mut sum = Tally::default();
         for tallies in self.target() {
-            sum.add(tallies.sum());
+            sum.add(tallies.sum_with_losses());
         }
         sum
     }
 
     /// The key under which a route is counted, for both versions alike.
     fn told_apart(&mut self, route: RouteKey) -> RouteKey {
+        if route == LOSSES {
+            return LOSSES;
+        }
         let is_told_apart = |key: RouteKey| key != OTHER_ROUTES;
         let has_room = self.routes().filter(|key| is_told_apart(*key)).count() < ROUTES_BOUND;
         let key = if has_room || self.routes().any(|known| known == route) {
--- a/crates/gateway/src/rollout/known.rs
+++ b/crates/gateway/src/rollout/known.rs
@@ -5,7 +5,7 @@
 
 use {
     super::{
-        evidence::{Evidence, Outcome, Quality, Tally, route_key},
+        evidence::{Evidence, Outcome, Quality, route_key},
         record::{Phase, RolloutOrder, RolloutRecord},
         turns::turn_takers,
         versions::{ListedVersion, Permit},
@@ -330,17 +330,13 @@
         let Some(known) = known else {
             return quality;
         };
-        let one = Tally {
-            answers: 1,
-            bad: u32::from(quality.is_bad()),
-        };
         let is_target = known
             .current()
             .is_some_and(|record| record.target == upstream.version);
         if is_target {
             known
                 .evidence
-                .note_target(&upstream.id, route_key(route), one);
+                .record_target(&upstream.id, route_key(route), quality);
             return quality;
         }
         if let Outcome::Answered(took) = outcome {
@@ -350,7 +346,7 @@
             .current()
             .is_some_and(|record| record.from == upstream.version);
         if is_from {
-            known.evidence.note_serving(route_key(route), one);
+            known.evidence.record_serving(route_key(route), quality);
         }
         quality
     }
--- a/crates/gateway/src/rollout/verdict.rs
+++ b/crates/gateway/src/rollout/verdict.rs
@@ -5,8 +5,11 @@
 //! two may be looked at after each answer: the chance that it ever passes 1/a where the version
 //! is no worse is at most a (Ville's inequality), as far as the serving version's rate is known.
 //!
-//! A version may be bad on one route only. So half of the weight is on a ratio over all answers,
-//! half is shared by a ratio of each route. A mean of such ratios has the same bound.
+//! A version may be bad on one route only. So half of the weight is shared by a ratio of each route, and the other
+//! half is on a ratio over all answers, but for a small part on one of the losses. A mean of such ratios has the same bound.
+//!
+//! Lost answers are no part of the rates of bad answers. They come in bursts, as upstreams of both versions die; in the
+//! rate of the serving version, which is a sum since the order, they would make a bad version look usual long after.
 
 use super::evidence::{Evidence, RouteKey, RouteTallies, Tally};
 
@@ -32,6 +35,13 @@
 /// among so many.
 const PRIOR_ANSWERS: f64 = 10.0;
 
+/// The weight of the ratio over all answers,
+const ALL_WEIGHT: f64 = 0.45;
+/// that of those of the routes together,
+const ROUTES_WEIGHT: f64 = 0.5;
+/// and that of the losses.
+const LOSSES_WEIGHT: f64 = 1.0 - ALL_WEIGHT - ROUTES_WEIGHT;
+
 /// What is known of a version.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -52,9 +62,13 @@
     pub from: Tally,
     /// The answers of the target that were counted.
     pub target: Tally,
+    /// The sends to the serving version, and how many were lost.
+    pub from_losses: Tally,
+    /// The same of the target, as far as they were counted.
+    pub target_losses: Tally,
     /// The natural logarithm of the likelihood ratio of "worse" against "no worse".
     pub log_ratio: f64,
-    /// The highest such logarithm of a single route.
+    /// The highest such logarithm of a single route, or of the losses.
     pub worst_route_log_ratio: f64,
 }
 
@@ -67,15 +81,25 @@
         .routes()
         .map(|route| RouteEvidence::of(evidence, route, upstreams))
         .collect();
+    let losses = RouteEvidence {
+        serving: evidence.serving().losses(),
+        target: counted(evidence, upstreams, RouteTallies::losses),
+    };
     let of_routes: Vec<f64> = routes.iter().map(RouteEvidence::log_ratio_worse).collect();
+    let of_losses = losses.log_ratio_worse();
     let of_all = log_ratio_worse(target, from);
     let is_tolerable = is_below(target, from, TOLERATED_EXCESS)
         && routes.iter().all(|route| route.is_tolerable(from));
-    let log_ratio = if of_routes.is_empty() {
+    let of_routes_together = if of_routes.is_empty() {
         of_all
     } else {
-        log_mean(&[of_all, log_mean(&of_routes)])
+        log_mean(&of_routes)
     };
+    let log_ratio = log_weighted_sum(&[
+        (ALL_WEIGHT, of_all),
+        (ROUTES_WEIGHT, of_routes_together),
+        (LOSSES_WEIGHT, of_losses),
+    ]);
     let verdict = if log_ratio >= CONDEMNING_RATIO.ln() {
         Verdict::Bad
     } else if is_tolerable && log_ratio <= 0.0 {
@@ -87,8 +111,10 @@
         verdict,
         from,
         target,
+        from_losses: losses.serving,
+        target_losses: losses.target,
         log_ratio,
-        worst_route_log_ratio: of_routes.into_iter().fold(0.0, f64::max),
+        worst_route_log_ratio: of_routes.into_iter().fold(of_losses.max(0.0), f64::max),
     }
 }
 
@@ -168,7 +194,16 @@
     reason = "it is a count of routes or of excesses"
 )]
 fn log_mean(logarithms: &[f64]) -> f64 {
-    let largest = logarithms.iter().copied().fold(f64::MIN, f64::max);
-    let shifted = logarithms.iter().map(|it| (it - largest).exp());
-    largest + (shifted.sum::<f64>() / logarithms.len() as f64).ln()
+    let weight = 1.0 / logarithms.len() as f64;
+    let weighted: Vec<(f64, f64)> = logarithms.iter().map(|it| (weight, *it)).collect();
+    log_weighted_sum(&weighted)
+}
+
+/// The logarithm of the sum of the exponentials of some logarithms, each with its weight.
+fn log_weighted_sum(weighted: &[(f64, f64)]) -> f64 {
+    let largest = weighted.iter().map(|(_, it)| *it).fold(f64::MIN, f64::max);
+    let shifted = weighted
+        .iter()
+        .map(|(weight, it)| weight * (it - largest).exp());
+    largest + shifted.sum::<f64>().ln()
 }
--- a/crates/gateway/src/sync/rollouts.rs
+++ b/crates/gateway/src/sync/rollouts.rs
@@ -230,7 +230,8 @@
         level,
         "rollout: decided service={} order={} phase={} verdict={:?} log_ratio={:.2} \
          worst_route_log_ratio={:.2} \
-         from_answers={} from_bad={} target_answers={} target_bad={} target_ready={} \
+         from_answers={} from_bad={} from_sends={} from_lost={} \
+         target_answers={} target_bad={} target_sends={} target_lost={} target_ready={} \
          runs_on_old={} longest_answer_ms={} left_ms={}",
         next.service,
         next.order,
@@ -240,8 +241,12 @@
         judged.worst_route_log_ratio,
         judged.from.answers,
         judged.from.bad,
+        judged.from_losses.answers,
+        judged.from_losses.bad,
         judged.target.answers,
         judged.target.bad,
+        judged.target_losses.answers,
+        judged.target_losses.bad,
         sight.is_target_ready,
         sight.runs_on_old,
         sight.longest_answer.as_millis(),
--- a/crates/gateway/src/sync/rollouts/review.rs
+++ b/crates/gateway/src/sync/rollouts/review.rs
@@ -64,7 +64,7 @@
     log::info!(
         "rollout: bad answers service={} order={} phase={} known_bad={known_bad} own_bad={} \
          hosts_heard={} verdict={:?} log_ratio={:.2} from_answers={} from_bad={} \
-         target_answers={} target_bad={}",
+         target_answers={} target_bad={} from_lost={} target_lost={}",
         record.service,
         record.order,
         record.phase.name(),
@@ -76,5 +76,7 @@
         judged.from.bad,
         judged.target.answers,
         judged.target.bad,
+        judged.from_losses.bad,
+        judged.target_losses.bad,
     );
 }
--- a/crates/gateway/tests/rollout_verdict.rs
+++ b/crates/gateway/tests/rollout_verdict.rs
@@ -13,8 +13,8 @@
     tealshore_capacity::EngineKind,
     tealshore_gateway::{
         rollout::{
-            Evidence, MOST_TAKERS, Outcome, Phase, ROUTES_BOUND, RolloutOrder, RolloutRecord,
-            Rollouts, Tally, Verdict, judge, route_key,
+            Evidence, MOST_TAKERS, Outcome, Phase, Quality, ROUTES_BOUND, RolloutOrder,
+            RolloutRecord, Rollouts, Tally, Verdict, judge, route_key,
         },
         view::{UpstreamRecord, UpstreamState},
     },
@@ -247,6 +247,12 @@
             evidence.note_target(&format!("i-000000{upstream:04}"), key, many);
         }
     }
+    for upstream in 0..MOST_TAKERS {
+        let id = format!("i-000000{upstream:04}");
+        for _ in 0..20_000 {
+            evidence.record_target(&id, route_key("route-0"), Quality::Lost);
+        }
+    }
     let told_apart = evidence.routes().count();
     assert_eq!(told_apart, ROUTES_BOUND + 1);
     let all = evidence.serving().sum();
