Complete no version that its later answers speak against

Callers saw: a bad version got all requests, and the old upstreams were stopped.

Cause: a version that seemed good before the old upstreams had to drain was shifted to, and from then on only a verdict against it (a likelihood ratio of 500) could stop its completion.

At the end it is completed only if no more speaks against it than for it, as in the canary phase; a service drained of old requests waits. An order back to the version that serves is not judged at all: the same ratio could have rolled it back.

The test failed before (completed). The search through the protocol holds.

--- a/crates/gateway/src/rollout/plan.rs
+++ b/crates/gateway/src/rollout/plan.rs
@@ -85,17 +85,27 @@
     let end = record.deadline.saturating_sub(DEADLINE_MARGIN);
     match record.phase {
         Phase::Canary => next_of_canary(record, sight, end),
-        Phase::Shifting if sight.verdict == Verdict::Bad => Some(Phase::RolledBack),
-        Phase::Shifting => {
-            let is_settled = sight.now >= record.since + LEAST_SHIFT;
-            let is_drained = is_settled && !sight.runs_on_old;
-            let is_due = sight.now >= end;
-            (sight.is_target_ready && (is_drained || is_due)).then_some(Phase::Completed)
-        }
+        Phase::Shifting => next_of_shift(record, sight, end),
         Phase::Completed | Phase::RolledBack => None,
     }
 }
 
+/// A target that was trusted may turn bad, or be doubted by the answers that come while it is shifted to. Nothing
+/// is doubted of the version that serves, which is shifted to by an order back to it.
+fn next_of_shift(record: &RolloutRecord, sight: &Sight, end: StoreTime) -> Option<Phase> {
+    let is_tried = record.from != record.target;
+    let is_due = sight.now >= end;
+    if is_tried && (sight.verdict == Verdict::Bad || (sight.is_doubted && is_due)) {
+        return Some(Phase::RolledBack);
+    }
+    if !sight.is_target_ready || (is_tried && sight.is_doubted) {
+        return None;
+    }
+    let is_settled = sight.now >= record.since + LEAST_SHIFT;
+    let is_drained = is_settled && !sight.runs_on_old;
+    (is_drained || is_due).then_some(Phase::Completed)
+}
+
 /// The canary lasts as long as it can, since a version may turn bad late: until what runs on the
 /// old version has just time to end.
 fn next_of_canary(record: &RolloutRecord, sight: &Sight, end: StoreTime) -> Option<Phase> {
