Stop sending to a tried version on each host once enough speaks against it

Callers saw: a bad version got its share of the requests for as long as no host could write the roll-back, more than 5 s after its 50th bad answer.

Cause: to stop took one host's verdict and its write to the store, then word to all; each of these has no bound while the leader is frozen, cut off, waits after a failed call, or the store is away. And the verdict is a likelihood, which has no bound in bad answers at all.

Each host now reviews all 150 ms what all hosts told, in a task that waits for no call. Where the verdict is against the version it sends nothing more to it. So it does, without a verdict, once it knows of half of the 50 bad answers of [bounds] most_bad_answers, unless the answers show the version to be no worse. The leader rolls back by the same rule. A roll-out that ends otherwise, or another order, lifts it.

The way from a bad answer to the last host: the next datagram (a heartbeat), the relay's digest, 150 ms until the review, the look at the instant of the send. No store, no leader.

A version that fails as often as the old one is not stopped by its count.

--- a/crates/core/src/protection.rs
+++ b/crates/core/src/protection.rs
@@ -56,6 +56,8 @@
     VersionPermit,
     /// A version that is tried gets a bounded share of the requests.
     CanaryShare,
+    /// Each host stops sending to a version that is tried once enough speaks against it.
+    TrialStop,
     /// Nothing of a duty leaves a host after its tenure.
     DutyTenure,
     /// A lease that is held is taken only after its expiry.
@@ -102,6 +104,7 @@
             Self::TrueStatus => "true-status",
             Self::VersionPermit => "version-permit",
             Self::CanaryShare => "canary-share",
+            Self::TrialStop => "trial-stop",
             Self::DutyTenure => "duty-tenure",
             Self::LeaseExpiry => "lease-expiry",
             Self::Quarantine => "quarantine",
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -42,6 +42,8 @@
     version_answers: IntCounterVec,
     /// Answers that speak against a version, by service, version and cause.
     version_bad_answers: IntCounterVec,
+    /// Versions that were tried and to which this host stopped sending before the roll-out ended.
+    pub stopped_trials: IntCounter,
     /// Calls to the store, by set and result.
     pub store_calls: IntCounterVec,
     /// Failed calls to the store, and answers of it that were not taken, by set and cause.
@@ -151,6 +153,10 @@
                 "Answers that speak against a version: failures, losses and slow answers",
                 &["service", "version", "cause"],
             )?,
+            stopped_trials: IntCounter::new(
+                "tealshore_stopped_trials_total",
+                "Versions that were tried and to which this host stopped sending",
+            )?,
             store_calls: counter(
                 "tealshore_store_calls_total",
                 "Calls to the platform's store",
@@ -262,6 +268,7 @@
             Box::new(self.version_requests.clone()),
             Box::new(self.version_answers.clone()),
             Box::new(self.version_bad_answers.clone()),
+            Box::new(self.stopped_trials.clone()),
             Box::new(self.store_calls.clone()),
             Box::new(self.store_failures.clone()),
             Box::new(self.store_era.clone()),
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -143,6 +143,9 @@
 /// The part of a service's requests that a version gets while it is tried, unless the settings say.
 const CANARY_SHARE: f64 = 0.1;
 
+/// The bad answers of all hosts after which a version that is tried gets nothing more, unless the settings say.
+const MOST_BAD_ANSWERS: u64 = 50;
+
 /// What an upstream's version means for the requests that it gets.
 #[derive(Clone, Copy, Debug)]
 pub struct RolloutBounds {
@@ -154,6 +157,9 @@
     /// Whether a version gets no more than that until its roll-out is completed, also once it seems
     /// good: one that is bad only under a load that no canary had is never found.
     pub is_shift_bounded: bool,
+    /// The bad answers of all hosts after which a version that is tried gets nothing more, unless it is shown to be
+    /// no worse than what serves.
+    pub most_bad_answers: u64,
 }
 
 impl RolloutBounds {
@@ -162,6 +168,11 @@
             needs_order: section.optional("canary_share").is_some(),
             canary_share: number(section, "canary_share", CANARY_SHARE)?,
             is_shift_bounded: flag(section, "bounded_shift", false)?,
+            most_bad_answers: section.integer(
+                "most_bad_answers",
+                MOST_BAD_ANSWERS,
+                1..=1_000_000,
+            )?,
         })
     }
 }
--- a/crates/gateway/src/rollout/known.rs
+++ b/crates/gateway/src/rollout/known.rs
@@ -158,12 +158,29 @@
         self.services.lock().get(service)?.progress.record.clone()
     }
 
-    /// The records of all roll-outs that are under way.
+    /// The records of all roll-outs that are under way and try a version.
     #[must_use]
-    pub fn open_records(&self) -> Vec<RolloutRecord> {
+    pub fn trials(&self) -> Vec<RolloutRecord> {
         let services = self.services.lock();
         let open = services.values().filter_map(ServiceRollout::current);
-        open.cloned().collect()
+        let trials = open.filter(|record| record.from != record.target);
+        trials.cloned().collect()
+    }
+
+    /// Lets this host send nothing more to the version that an order tries; whether it did until now. It
+    /// needs no leader for that, and holds until the roll-out ends.
+    pub fn stop_trial(&self, record: &RolloutRecord) -> bool {
+        let mut services = self.services.lock();
+        let service = services.entry(record.service.clone()).or_default();
+        service.stopped.replace(record.order) != Some(record.order)
+    }
+
+    /// Whether this host stopped sending to the version that an order tries.
+    #[must_use]
+    pub fn is_trial_stopped(&self, service: &ServiceId, order: Revision) -> bool {
+        let services = self.services.lock();
+        let known = services.get(service);
+        known.is_some_and(|known| known.stopped == Some(order))
     }
 
     /// The version that serves a service besides any that is tried.
@@ -288,8 +305,8 @@
     pub fn is_open(&self, upstream: &UpstreamRecord) -> bool {
         let services = self.services.lock();
         let known = services.get(&upstream.service);
-        let record = known.and_then(|known| known.progress.record.as_ref());
-        record.is_none_or(|(_, record)| match record.phase {
+        let record = known.and_then(ServiceRollout::record_unless_stopped);
+        record.is_none_or(|record| match record.phase {
             Phase::Canary | Phase::Shifting => true,
             Phase::Completed => upstream.version == record.target,
             Phase::RolledBack => upstream.version != record.target,
--- a/crates/gateway/src/rollout/known/service.rs
+++ b/crates/gateway/src/rollout/known/service.rs
@@ -8,7 +8,7 @@
         rollout::{
             evidence::{Evidence, TypicalTimes},
             exposure::Exposure,
-            record::RolloutRecord,
+            record::{Phase, RolloutRecord},
             versions::{ListedVersion, Permit, permit, permit_of},
         },
     },
@@ -24,6 +24,8 @@
     pub(super) exposure: Exposure,
     pub(super) evidence: Evidence,
     pub(super) typical: TypicalTimes,
+    /// The order whose target gets nothing more from this host.
+    pub(super) stopped: Option<Revision>,
 }
 
 impl ServiceRollout {
@@ -37,9 +39,20 @@
     }
 
     fn record_in_force(&self, bounds: RolloutBounds) -> Option<RolloutRecord> {
-        let (_, record) = self.progress.record.as_ref()?;
+        let record = self.record_unless_stopped()?;
         Some(if bounds.is_shift_bounded {
             record.with_bounded_shift()
+        } else {
+            record
+        })
+    }
+
+    /// The record; as one that was rolled back, where this host stopped sending to the target.
+    pub(super) fn record_unless_stopped(&self) -> Option<RolloutRecord> {
+        let (_, record) = self.progress.record.as_ref()?;
+        let is_stopped = self.stopped == Some(record.order) && !record.phase.is_over();
+        Some(if is_stopped {
+            record.in_phase(Phase::RolledBack, record.since)
         } else {
             record.clone()
         })
--- a/crates/gateway/src/rollout/verdict.rs
+++ b/crates/gateway/src/rollout/verdict.rs
@@ -42,6 +42,10 @@
 /// and that of the losses.
 const LOSSES_WEIGHT: f64 = 1.0 - ALL_WEIGHT - ROUTES_WEIGHT;
 
+/// How many bad answers there may be for each one that a host knows of: some are still to be told, and
+/// others went with the hosts that saw them.
+const UNHEARD_FACTOR: u64 = 2;
+
 /// What is known of a version.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -70,6 +74,19 @@
     pub log_ratio: f64,
     /// The highest such logarithm of a single route, or of the losses.
     pub worst_route_log_ratio: f64,
+    /// Whether the target's answers, over all routes, show it to be no worse.
+    pub is_no_worse: bool,
+}
+
+impl Judged {
+    /// Whether the target gets nothing more. It needs no verdict for that: after many bad answers the
+    /// benefit of the doubt is over. `known_bad` are its bad answers that this host knows of, `most_bad` how many it may
+    /// give to all hosts.
+    #[must_use]
+    pub fn ends_trial(&self, known_bad: u32, most_bad: u64) -> bool {
+        let is_doubted = u64::from(known_bad) * UNHEARD_FACTOR >= most_bad && !self.is_no_worse;
+        self.verdict == Verdict::Bad || is_doubted
+    }
 }
 
 /// Judges the version that is tried; `upstreams` of it are tried in turn.
@@ -88,8 +105,8 @@
     let of_routes: Vec<f64> = routes.iter().map(RouteEvidence::log_ratio_worse).collect();
     let of_losses = losses.log_ratio_worse();
     let of_all = log_ratio_worse(target, from);
-    let is_tolerable = is_below(target, from, TOLERATED_EXCESS)
-        && routes.iter().all(|route| route.is_tolerable(from));
+    let is_below_bound = is_below(target, from, TOLERATED_EXCESS);
+    let is_tolerable = is_below_bound && routes.iter().all(|route| route.is_tolerable(from));
     let of_routes_together = if of_routes.is_empty() {
         of_all
     } else {
@@ -114,6 +131,7 @@
         from_losses: losses.serving,
         target_losses: losses.target,
         log_ratio,
+        is_no_worse: is_below_bound && log_ratio <= 0.0,
         worst_route_log_ratio: of_routes.into_iter().fold(of_losses.max(0.0), f64::max),
     }
 }
--- a/crates/gateway/src/sync/rollouts.rs
+++ b/crates/gateway/src/sync/rollouts.rs
@@ -15,7 +15,8 @@
         edge::{Revision, Written, number_of},
         feed::FeederChoice,
         rollout::{
-            Evidence, Judged, Phase, RolloutOrder, RolloutRecord, Sight, judge, next_record,
+            Evidence, Judged, Phase, RolloutOrder, RolloutRecord, Sight, Verdict, judge,
+            next_record,
         },
         state::GatewayState,
         view::are_in_use,
@@ -177,10 +178,19 @@
     let targets = ready_targets(state, &order.service, &order.target);
     let judged = judge(&evidence, targets);
     let is_unseen = judged.target.answers < LEAST_ANSWERS && judged.from.answers >= SERVED_ANSWERS;
+    let known_bad = evidence.target_sum().bad;
+    let ends_trial = judged.ends_trial(known_bad, bounds.most_bad_answers)
+        || state
+            .rollouts
+            .is_trial_stopped(&order.service, order.revision);
     let sight = Sight {
         now: state.feed.store_time(now)?,
         order_age,
-        verdict: judged.verdict,
+        verdict: if ends_trial {
+            Verdict::Bad
+        } else {
+            judged.verdict
+        },
         is_doubted: judged.log_ratio > 0.0 || is_unseen,
         is_target_ready: targets > 0,
         runs_on_old: record.is_some_and(|record| {
@@ -236,7 +246,7 @@
         next.service,
         next.order,
         next.phase.name(),
-        judged.verdict,
+        sight.verdict,
         judged.log_ratio,
         judged.worst_route_log_ratio,
         judged.from.answers,
--- a/crates/gateway/src/sync/rollouts/review.rs
+++ b/crates/gateway/src/sync/rollouts/review.rs
@@ -1,4 +1,6 @@
-//! Reviews on each host what all hosts told of the roll-outs that are under way.
+//! Reviews on each host what all hosts told of the roll-outs that are under way, and stops sending to a version
+//! once enough speaks against it. Only the leader ends a roll-out, by a write to the store; not to send needs no
+//! leader, no store and no other host.
 
 use {
     super::{LEAD_INTERVAL, all_evidence, ready_targets},
@@ -8,49 +10,76 @@
         state::GatewayState,
     },
     std::{collections::HashMap, sync::Arc, time::Instant},
-    tealshore_core::ids::ServiceId,
+    tealshore_core::{
+        ids::ServiceId,
+        protection::{Protection, enabled},
+    },
     tokio::time::sleep,
 };
 
-/// How many bad answers of a target were last logged, for which order.
+/// What the last reviews of a service's roll-out saw.
 #[derive(Clone, Copy, Debug, Default)]
-struct Logged {
+struct Reviewed {
     order: Revision,
-    bad: u32,
+    /// The bad answers of the target that were last logged.
+    logged_bad: u32,
 }
 
 /// Reviews roll-outs for as long as the process lives. It waits for no call, so that it goes on
 /// while the store is away.
 pub async fn review_rollouts(state: Arc<GatewayState>) {
-    let mut logged: HashMap<ServiceId, Logged> = HashMap::new();
+    let mut reviewed: HashMap<ServiceId, Reviewed> = HashMap::new();
     loop {
         sleep(LEAD_INTERVAL).await;
-        for record in state.rollouts.open_records() {
-            let last = logged.entry(record.service.clone()).or_default();
+        for record in state.rollouts.trials() {
+            let last = reviewed.entry(record.service.clone()).or_default();
             review(&state, &record, last);
         }
     }
 }
 
-fn review(state: &GatewayState, record: &RolloutRecord, last: &mut Logged) {
+fn review(state: &GatewayState, record: &RolloutRecord, last: &mut Reviewed) {
     let now = Instant::now();
     let evidence = all_evidence(state, &record.service, record.order, now);
     let known_bad = evidence.target_sum().bad;
     if last.order != record.order {
-        *last = Logged {
+        *last = Reviewed {
             order: record.order,
-            bad: 0,
+            ..Reviewed::default()
         };
     }
+    // Only bad answers speak against a version.
+    if known_bad == 0 {
+        return;
+    }
+    let targets = ready_targets(state, &record.service, &record.target);
+    let judged = judge(&evidence, targets);
     // A line each time that the count has doubled bounds their number.
-    if known_bad > last.bad.saturating_mul(2) {
-        last.bad = known_bad;
-        let judged = judge(
-            &evidence,
-            ready_targets(state, &record.service, &record.target),
-        );
+    if known_bad > last.logged_bad.saturating_mul(2) {
+        last.logged_bad = known_bad;
         log_evidence(state, record, &judged, known_bad, now);
     }
+    let most_bad = state.options.bounds.rollouts.most_bad_answers;
+    if judged.ends_trial(known_bad, most_bad) && enabled(Protection::TrialStop) {
+        stop(state, record, &judged, known_bad);
+    }
+}
+
+fn stop(state: &GatewayState, record: &RolloutRecord, judged: &Judged, known_bad: u32) {
+    if !state.rollouts.stop_trial(record) {
+        return;
+    }
+    state.metrics.stopped_trials.inc();
+    log::warn!(
+        "rollout: stopped sending service={} order={} phase={} target={} known_bad={known_bad} verdict={:?} \
+         log_ratio={:.2}",
+        record.service,
+        record.order,
+        record.phase.name(),
+        record.target,
+        judged.verdict,
+        judged.log_ratio
+    );
 }
 
 fn log_evidence(
--- a/crates/gateway/tests/rollout_verdict.rs
+++ b/crates/gateway/tests/rollout_verdict.rs
@@ -413,3 +413,61 @@
     println!("{condemned} of 200 condemned");
     assert!(condemned <= 2, "{condemned} of 200");
 }
+
+fn evidence_of(serving: Tally, target: Tally) -> Evidence {
+    let route = route_key("cue");
+    let mut evidence = Evidence::none(ORDER);
+    evidence.note_serving(route, serving);
+    let by_upstream = Tally {
+        answers: target.answers / 5,
+        bad: target.bad / 5,
+    };
+    for index in 0..5 {
+        evidence.note_target(&format!("i-{index}"), route, by_upstream);
+    }
+    evidence
+}
+
+fn tally(answers: u32, bad: u32) -> Tally {
+    Tally { answers, bad }
+}
+
+#[test]
+fn a_version_without_a_verdict_gets_nothing_more_after_its_bad_answers() {
+    const MOST_BAD: u64 = 50;
+    let undecided = judge(&evidence_of(tally(500, 200), tally(50, 25)), 5);
+    assert_eq!(undecided.verdict, Verdict::Undecided);
+    assert!(!undecided.ends_trial(24, MOST_BAD));
+    assert!(undecided.ends_trial(25, MOST_BAD));
+    // Many answers that fail as often as those of the old version show it to be no worse.
+    let alike = judge(&evidence_of(tally(5_000, 250), tally(500, 25)), 5);
+    assert!(!alike.ends_trial(25, MOST_BAD));
+    assert!(!alike.ends_trial(1_000, MOST_BAD));
+}
+
+#[test]
+fn a_host_that_stopped_sending_to_a_version_sends_nothing_until_another_order() {
+    let rollouts = trying();
+    let (old, new) = (upstream("v1", 0), upstream("v2", 0));
+    assert!(rollouts.is_open(&new));
+    let [record] = &rollouts.trials()[..] else {
+        panic!("one version is tried");
+    };
+    assert!(rollouts.stop_trial(record));
+    assert!(!rollouts.stop_trial(record));
+    assert!(rollouts.is_trial_stopped(&SERVICE.to_owned(), ORDER));
+    assert!(!rollouts.is_open(&new) && rollouts.is_open(&old));
+    // The leader may have decided otherwise.
+    let completed = RolloutRecord {
+        phase: Phase::Completed,
+        ..record.clone()
+    };
+    rollouts.apply_record(ORDER + 2, &completed, false);
+    assert!(rollouts.is_open(&new));
+    let again = RolloutRecord {
+        order: ORDER + 3,
+        ..record.clone()
+    };
+    rollouts.apply_record(ORDER + 4, &again, false);
+    assert!(rollouts.is_open(&new));
+}
