Count what hosts saw of a roll-out after they restarted or fell silent

Callers saw: a bad version went on getting requests while hosts that saw it fail were killed, restarted or cut off in turn; fewer bad answers were known than had been given.

Cause: evidence was summed over the hosts that were heard a moment ago, each by its last state. A restart, 1.2 s of silence or another relay that had heard less took it away.

What each process, and the digest of each group, told is now kept until the roll-out ends, the larger where a source is told twice; for the hosts of a hall the larger of their sum and their digest counts, so that none is counted twice. A relay tells what processes of its hall saw that are gone. Bounded by the processes of a hall and the halls during one roll-out. Nothing new is said between hosts.

Tests: 0 of 30 bad answers known after a restart before, now all; a second relay that knows of fewer takes none away.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -10,6 +10,7 @@
 mod addresses;
 mod digest;
 mod duties;
+mod evidence;
 mod exchange;
 mod extension;
 mod groups;
@@ -32,6 +33,7 @@
         run_trace::RunTrace,
         topology::Topology,
     },
+    evidence::EvidenceLedger,
     groups::Groups,
     limits::Asks,
     parking_lot::Mutex,
@@ -150,6 +152,8 @@
     unreadable: Mutex<HashMap<IpAddr, Instant>>,
     /// The other groups, where the fleet has some.
     groups: Mutex<Groups>,
+    /// What the other hosts saw of roll-outs that are under way.
+    evidence: Mutex<EvidenceLedger>,
     /// Something changed that is to leave at once.
     updates: Notify,
     /// Hosts that have just started, to be told the whole state.
@@ -185,6 +189,7 @@
             named: Mutex::default(),
             unreadable: Mutex::default(),
             groups: Mutex::default(),
+            evidence: Mutex::default(),
             updates: Notify::new(),
             newcomers: Mutex::default(),
             newcomer_came: Notify::new(),
--- a/crates/gateway/src/peers/membership.rs
+++ b/crates/gateway/src/peers/membership.rs
@@ -13,6 +13,7 @@
         time::{Duration, Instant},
     },
     tealshore_core::ids::HallId,
+    tealshore_duties::lease::ProcessId,
 };
 
 impl Peers {
@@ -80,6 +81,7 @@
             );
         }
         let lends = before.is_some_and(|before| before.lends);
+        self.record_evidence(&state);
         let peer = Peer {
             state,
             heard: now,
@@ -103,14 +105,27 @@
         let findings = findings(&change.work);
         peer.heard = now;
         peer.state.apply(change);
+        self.record_evidence(&peer.state);
         findings
     }
 
+    fn record_evidence(&self, state: &PeerState) {
+        let process = ProcessId {
+            host: state.host.clone(),
+            incarnation: state.incarnation,
+        };
+        let mut evidence = self.evidence.lock();
+        evidence.record_process(&process, &state.hall, &state.budgets);
+    }
+
     /// Takes in a digest of another group; what its hosts found of upstreams that are not sound.
     pub fn apply_digest(&self, digest: &GroupDigest, now: Instant) -> Vec<Finding> {
         if digest.group == self.own.hall || !self.groups.lock().apply(digest, now) {
             return Vec::new();
         }
+        let mut evidence = self.evidence.lock();
+        evidence.record_group(&digest.group, &digest.budgets);
+        drop(evidence);
         if let Some(members) = &digest.members {
             let mut named = self.named.lock();
             for member in members {
--- a/crates/gateway/src/peers/relay.rs
+++ b/crates/gateway/src/peers/relay.rs
@@ -165,9 +165,28 @@
             });
         }
         sums.runs.extend(own.runs.iter().cloned());
+        drop(known);
+        self.add_gone_evidence(&mut sums, own);
         sums
     }
 
+    /// Lets the sums tell what all processes of the hall saw of roll-outs, also those that are gone.
+    fn add_gone_evidence(&self, sums: &mut GroupSums, own: &PeerState) {
+        let ledger = self.evidence.lock();
+        for entry in &mut sums.budgets {
+            let Some(news) = &mut entry.rollout else {
+                continue;
+            };
+            let order = news.evidence.order;
+            let mut evidence = ledger.sum_of_hall(&entry.service, order, &own.hall);
+            let of_service = own.budgets.iter().find(|it| it.service == entry.service);
+            if let Some(own_news) = of_service.and_then(|it| it.rollout.as_ref()) {
+                evidence.add(&own_news.evidence);
+            }
+            news.evidence = evidence;
+        }
+    }
+
     fn source(&self, own: &PeerState, now: Instant) -> DigestSource {
         DigestSource {
             host: own.host.clone(),
--- a/crates/gateway/src/peers/sums.rs
+++ b/crates/gateway/src/peers/sums.rs
@@ -47,23 +47,9 @@
         pool
     }
 
-    /// What answers told the other hosts of a service's roll-out, as far as they were heard.
-    pub fn rollout_evidence(&self, service: &ServiceId, order: Revision, now: Instant) -> Evidence {
-        let mut sum = Evidence::none(order);
-        let mut add = |entries: &[ServiceUse]| {
-            let of_service = entries.iter().filter(|entry| entry.service == *service);
-            for news in of_service.filter_map(|entry| entry.rollout.as_ref()) {
-                sum.add(&news.evidence);
-            }
-        };
-        for (_, entries) in self.groups.lock().budgets(self.options.silence, now) {
-            add(&entries);
-        }
-        let known = self.known.lock();
-        for peer in known.values().filter(|peer| self.is_counted(peer, now)) {
-            add(&peer.state.budgets);
-        }
-        sum
+    /// What answers told the other hosts of a service's roll-out, also those that were not heard for long.
+    pub fn rollout_evidence(&self, service: &ServiceId, order: Revision) -> Evidence {
+        self.evidence.lock().sum(service, order)
     }
 
     /// Whether what a peer told of itself is counted: not where the digest of its group counts it.
--- a/crates/gateway/src/rollout/evidence.rs
+++ b/crates/gateway/src/rollout/evidence.rs
@@ -189,6 +189,13 @@
         self.target.iter().map(|(_, tallies)| tallies)
     }
 
+    /// How many sends it tells of, answered or lost.
+    #[must_use]
+    pub fn sends(&self) -> u32 {
+        let serving = self.from.sum_with_losses().answers;
+        serving.saturating_add(self.target_sum().answers)
+    }
+
     /// The sum over the upstreams of the version that is tried, with answers that were lost.
     #[must_use]
     pub fn target_sum(&self) -> Tally {
--- a/crates/gateway/src/sync/rollouts.rs
+++ b/crates/gateway/src/sync/rollouts.rs
@@ -174,7 +174,7 @@
 ) -> Option<(Sight, Judged)> {
     let now = Instant::now();
     let bounds = state.options.bounds.rollouts;
-    let evidence = all_evidence(state, &order.service, order.revision, now);
+    let evidence = all_evidence(state, &order.service, order.revision);
     let targets = ready_targets(state, &order.service, &order.target);
     let judged = judge(&evidence, targets);
     let is_unseen = judged.target.answers < LEAST_ANSWERS && judged.from.answers >= SERVED_ANSWERS;
@@ -210,15 +210,10 @@
     targets.count()
 }
 
-/// What answers told all hosts that are heard.
-fn all_evidence(
-    state: &GatewayState,
-    service: &ServiceId,
-    order: Revision,
-    now: Instant,
-) -> Evidence {
+/// What answers told all hosts that were heard since an order.
+fn all_evidence(state: &GatewayState, service: &ServiceId, order: Revision) -> Evidence {
     let mut evidence = state.rollouts.evidence(service, order);
-    evidence.add(&state.peers.rollout_evidence(service, order, now));
+    evidence.add(&state.peers.rollout_evidence(service, order));
     evidence
 }
 
--- a/crates/gateway/src/sync/rollouts/review.rs
+++ b/crates/gateway/src/sync/rollouts/review.rs
@@ -39,8 +39,7 @@
 }
 
 fn review(state: &GatewayState, record: &RolloutRecord, last: &mut Reviewed) {
-    let now = Instant::now();
-    let evidence = all_evidence(state, &record.service, record.order, now);
+    let evidence = all_evidence(state, &record.service, record.order);
     let known_bad = evidence.target_sum().bad;
     if last.order != record.order {
         *last = Reviewed {
@@ -57,7 +56,7 @@
     // A line each time that the count has doubled bounds their number.
     if known_bad > last.logged_bad.saturating_mul(2) {
         last.logged_bad = known_bad;
-        log_evidence(state, record, &judged, known_bad, now);
+        log_evidence(state, record, &judged, known_bad);
     }
     let most_bad = state.options.bounds.rollouts.most_bad_answers;
     if judged.ends_trial(known_bad, most_bad) && enabled(Protection::TrialStop) {
@@ -82,13 +81,7 @@
     );
 }
 
-fn log_evidence(
-    state: &GatewayState,
-    record: &RolloutRecord,
-    judged: &Judged,
-    known_bad: u32,
-    now: Instant,
-) {
+fn log_evidence(state: &GatewayState, record: &RolloutRecord, judged: &Judged, known_bad: u32) {
     let own = state.rollouts.evidence(&record.service, record.order);
     log::info!(
         "rollout: bad answers service={} order={} phase={} known_bad={known_bad} own_bad={} \
@@ -98,7 +91,7 @@
         record.order,
         record.phase.name(),
         own.target_sum().bad,
-        state.peers.hosts_heard(now),
+        state.peers.hosts_heard(Instant::now()),
         judged.verdict,
         judged.log_ratio,
         judged.from.answers,
--- a/crates/gateway/tests/groups.rs
+++ b/crates/gateway/tests/groups.rs
@@ -19,6 +19,7 @@
             Datagram, DigestSource, GroupDigest, GroupMember, GroupSums, HostAddress, HostPhase,
             LastDigest, LenderOf, PeerState, Peers, ServiceUse, Unreadable, UpstreamWork,
         },
+        rollout::{Evidence, Phase, RolloutNews, RolloutRecord, Tally, route_key},
         run_trace::RunTrace,
         view::{Condition, UpstreamRecord, UpstreamState, Work},
     },
@@ -256,6 +257,55 @@
     assert_eq!(relays, ["bb-1"]);
 }
 
+const ORDER: u64 = 5;
+
+/// A digest whose hosts saw so many bad answers of a version that is tried.
+fn digest_with_bad_answers(relay: &str, bad: u32) -> GroupDigest {
+    let mut evidence = Evidence::none(ORDER);
+    let tally = Tally { answers: bad, bad };
+    evidence.note_target(&"i-new".to_owned(), route_key("cue"), tally);
+    let record = RolloutRecord {
+        service: "model".to_owned(),
+        order: ORDER,
+        from: "v1".to_owned(),
+        target: "v2".to_owned(),
+        phase: Phase::Canary,
+        since: Duration::from_secs(100),
+        deadline: Duration::from_secs(116),
+    };
+    let mut digest = digest(4);
+    digest.relay = relay.to_owned();
+    digest.budgets[0].service = "model".to_owned();
+    digest.budgets[0].rollout = Some(RolloutNews {
+        revision: ORDER + 1,
+        record,
+        evidence,
+    });
+    digest
+}
+
+/// A relay that has just started has not heard what hosts saw that are gone.
+#[test]
+fn bad_answers_that_a_relay_told_count_after_one_that_knows_of_fewer() {
+    let now = Instant::now();
+    let peers = grouped_peers("bad-answers", now);
+    let known_bad = || {
+        let evidence = peers.rollout_evidence(&"model".to_owned(), ORDER);
+        evidence.target_sum().bad
+    };
+    peers.apply_digest(&digest_with_bad_answers("bb-0", 20), now);
+    assert_eq!(known_bad(), 20);
+    let mut successor = digest_with_bad_answers("bb-1", 7);
+    successor.incarnation = 9;
+    peers.apply_digest(&successor, now);
+    assert_eq!(known_bad(), 20);
+    successor = digest_with_bad_answers("bb-1", 24);
+    successor.incarnation = 9;
+    successor.sequence += 1;
+    peers.apply_digest(&successor, now);
+    assert_eq!(known_bad(), 24);
+}
+
 #[test]
 fn a_late_digest_changes_nothing() {
     let now = Instant::now();
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -381,17 +381,18 @@
 /// A version goes on answering while hosts that saw it fail restart, fall silent or are gone.
 #[test]
 fn bad_answers_that_a_host_saw_count_after_it_restarted_or_fell_silent() {
-    let peers = peers();
+    let peers = peers_with_halls("bad-answers", "");
     let now = Instant::now();
-    let known_bad = |at: Instant| {
-        let evidence = peers.rollout_evidence(&"model".to_owned(), ORDER, at);
+    let known_bad = || {
+        let evidence = peers.rollout_evidence(&"model".to_owned(), ORDER);
         evidence.target_sum().bad
     };
     peers.apply_state(state_with_bad_answers(4, 30), now);
-    assert_eq!(known_bad(now), 30);
+    assert_eq!(known_bad(), 30);
     peers.apply_state(state_with_bad_answers(5, 0), now);
-    assert_eq!(known_bad(now), 30);
+    assert_eq!(known_bad(), 30);
     peers.apply_state(state_with_bad_answers(6, 12), now);
-    assert_eq!(known_bad(now), 42);
-    assert_eq!(known_bad(now + Duration::from_secs(8)), 42);
+    assert_eq!(known_bad(), 42);
+    let later = now + Duration::from_secs(8);
+    assert_eq!((peers.hosts_heard(later), known_bad()), (0, 42));
 }
