Tell hosts that start how many bad answers of a tried version are known

A host that starts knows nothing of what a tried version answered before, and what its own earlier process saw is kept by others only: with most hosts restarted in turn, each knows of few bad answers.

States and digests now carry, behind what every build reads, the most bad answers that any host was heard to know of since the order. The largest counts, so it may be told by anybody, in any order, twice, or late. A build that does not know it skips it.

A frame of it is kept; frames without it are written as before.

--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -213,6 +213,9 @@
         match Extension::read(&buffer[..length]) {
             Ok((datagram, extension)) => {
                 apply_limit_news(&state, &extension.limits, false);
+                for known in &extension.bad_answers {
+                    state.rollouts.record_bad_answers(known);
+                }
                 if let Some(decided) = &extension.decided_usage {
                     state.duties.merge_decided(decided);
                 }
--- a/crates/gateway/src/peers/extension.rs
+++ b/crates/gateway/src/peers/extension.rs
@@ -3,6 +3,7 @@
 
 use {
     super::message::{Datagram, Unreadable},
+    crate::rollout::BadAnswers,
     serde::de::DeserializeOwned,
     tealshore_core::ids::{HallId, HostId},
     tealshore_duties::usage::DecidedUsage,
@@ -25,6 +26,8 @@
     pub not_lending: Vec<HostId>,
     /// How far windows of usage are reported, as the sender wrote or heard it.
     pub decided_usage: Option<DecidedUsage>,
+    /// The most bad answers of each version that is tried which the sender heard of.
+    pub bad_answers: Vec<BadAnswers>,
 }
 
 impl Extension {
@@ -40,11 +43,15 @@
         let bytes = postcard::to_extend(&self.limits, bytes)?;
         let bytes = postcard::to_extend(&self.lending_groups, bytes)?;
         let bytes = postcard::to_extend(&self.not_lending, bytes)?;
-        match &self.decided_usage {
-            Some(_) => postcard::to_extend(&self.decided_usage, bytes),
-            // What is missing at the end is read as none.
-            None => Ok(bytes),
+        // What is missing at the end is read as none.
+        if self.decided_usage.is_none() && self.bad_answers.is_empty() {
+            return Ok(bytes);
+        }
+        let bytes = postcard::to_extend(&self.decided_usage, bytes)?;
+        if self.bad_answers.is_empty() {
+            return Ok(bytes);
         }
+        postcard::to_extend(&self.bad_answers, bytes)
     }
 
     /// Reads a datagram and what stands behind it.
@@ -57,13 +64,15 @@
         let (limits, rest) = next(rest);
         let (lending_groups, rest) = next(rest);
         let (not_lending, rest) = next(rest);
-        let (decided_usage, _) = next(rest);
+        let (decided_usage, rest) = next(rest);
+        let (bad_answers, _) = next(rest);
         let extension = Self {
             lends,
             limits,
             lending_groups,
             not_lending,
             decided_usage,
+            bad_answers,
         };
         Ok((datagram, extension))
     }
--- a/crates/gateway/src/peers/outgoing.rs
+++ b/crates/gateway/src/peers/outgoing.rs
@@ -124,6 +124,7 @@
             Datagram::State(_) => Extension {
                 lends: true,
                 limits: state.limits_to_tell(now),
+                bad_answers: state.rollouts.bad_answers(),
                 ..Extension::default()
             },
             Datagram::Digest { digest, .. } => Extension {
@@ -135,6 +136,7 @@
                     Vec::new()
                 },
                 decided_usage: state.duties.decided_to_gossip(),
+                bad_answers: state.rollouts.bad_answers(),
                 ..Extension::default()
             },
             Datagram::Usage(_) => Extension {
--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -18,8 +18,8 @@
 
 pub use {
     evidence::{
-        Evidence, Outcome, Quality, ROUTES_BOUND, RouteKey, RouteTallies, Tally, TypicalTimes,
-        route_key,
+        BadAnswers, Evidence, Outcome, Quality, ROUTES_BOUND, RouteKey, RouteTallies, Tally,
+        TypicalTimes, route_key,
     },
     exposure::Exposure,
     known::{RolloutNews, Rollouts},
--- a/crates/gateway/src/rollout/evidence.rs
+++ b/crates/gateway/src/rollout/evidence.rs
@@ -4,7 +4,7 @@
     crate::edge::Revision,
     serde::{Deserialize, Serialize},
     std::{collections::HashMap, time::Duration},
-    tealshore_core::ids::EngineId,
+    tealshore_core::ids::{EngineId, ServiceId},
     xxhash_rust::xxh3::xxh3_64,
 };
 
@@ -225,6 +225,18 @@
     }
 }
 
+/// How many bad answers of the version that an order tries a host knows of. The largest that any host
+/// knows counts: a host that starts has not heard what processes saw that are gone.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BadAnswers {
+    /// The service.
+    pub service: ServiceId,
+    /// The version of the order's row.
+    pub order: Revision,
+    /// The bad answers of all hosts.
+    pub count: u32,
+}
+
 /// How a send ended, as far as it speaks for or against a version. Sends that reached nobody or
 /// were turned away are none: engines of all versions die and are full.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/gateway/src/rollout/known.rs
+++ b/crates/gateway/src/rollout/known.rs
@@ -5,7 +5,7 @@
 
 use {
     super::{
-        evidence::{Evidence, Outcome, Quality, route_key},
+        evidence::{BadAnswers, Evidence, Outcome, Quality, route_key},
         record::{Phase, RolloutOrder, RolloutRecord},
         turns::turn_takers,
         versions::{ListedVersion, Permit},
@@ -167,6 +167,29 @@
         trials.cloned().collect()
     }
 
+    /// Records how many bad answers of a version that is tried a host knows of; the most that any does.
+    pub fn record_bad_answers(&self, known: &BadAnswers) -> u32 {
+        let mut services = self.services.lock();
+        let service = services.entry(known.service.clone()).or_default();
+        service.record_bad_answers(known.order, known.count)
+    }
+
+    /// How many bad answers of each version that is tried any host knows of, as far as that was told.
+    #[must_use]
+    pub fn bad_answers(&self) -> Vec<BadAnswers> {
+        let services = self.services.lock();
+        let known = services.values().filter_map(|service| {
+            let record = service.current()?;
+            let count = service.most_bad_of(record.order);
+            (count > 0).then(|| BadAnswers {
+                service: record.service.clone(),
+                order: record.order,
+                count,
+            })
+        });
+        known.collect()
+    }
+
     /// Lets this host send nothing more to the version that an order tries; whether it did until now. It
     /// needs no leader for that, and holds until the roll-out ends.
     pub fn stop_trial(&self, record: &RolloutRecord) -> bool {
--- a/crates/gateway/src/rollout/known/service.rs
+++ b/crates/gateway/src/rollout/known/service.rs
@@ -12,6 +12,7 @@
             versions::{ListedVersion, Permit, permit, permit_of},
         },
     },
+    std::cmp::Ordering,
     tealshore_core::ids::EngineVersion,
 };
 
@@ -24,6 +25,8 @@
     pub(super) exposure: Exposure,
     pub(super) evidence: Evidence,
     pub(super) typical: TypicalTimes,
+    /// The most bad answers of the target that any host knows of, and since which order.
+    most_bad: (Revision, u32),
     /// The order whose target gets nothing more from this host.
     pub(super) stopped: Option<Revision>,
 }
@@ -79,6 +82,23 @@
         target != Some(version) || self.serving.as_ref() == Some(version)
     }
 
+    /// Records how many bad answers of an order's target a host knows of; the most that any does.
+    pub(super) fn record_bad_answers(&mut self, order: Revision, count: u32) -> u32 {
+        let most = match order.cmp(&self.most_bad.0) {
+            Ordering::Less => return count,
+            Ordering::Equal => self.most_bad.1.max(count),
+            Ordering::Greater => count,
+        };
+        self.most_bad = (order, most);
+        most
+    }
+
+    /// The most bad answers of the roll-out's target that any host knows of.
+    pub(super) fn most_bad_of(&self, order: Revision) -> u32 {
+        let (of, count) = self.most_bad;
+        if of == order { count } else { 0 }
+    }
+
     /// Counts anew where the order is another one than was counted for.
     pub(super) fn count_for(&mut self, order: Revision, first_part: f64) {
         if self.evidence.order != order {
--- a/crates/gateway/src/sync/rollouts.rs
+++ b/crates/gateway/src/sync/rollouts.rs
@@ -15,8 +15,8 @@
         edge::{Revision, Written, number_of},
         feed::FeederChoice,
         rollout::{
-            Evidence, Judged, Phase, RolloutOrder, RolloutRecord, Sight, Verdict, judge,
-            next_record,
+            BadAnswers, Evidence, Judged, Phase, RolloutOrder, RolloutRecord, Sight, Verdict,
+            judge, next_record,
         },
         state::GatewayState,
         view::are_in_use,
@@ -178,7 +178,7 @@
     let targets = ready_targets(state, &order.service, &order.target);
     let judged = judge(&evidence, targets);
     let is_unseen = judged.target.answers < LEAST_ANSWERS && judged.from.answers >= SERVED_ANSWERS;
-    let known_bad = evidence.target_sum().bad;
+    let known_bad = most_bad_answers(state, &order.service, &evidence);
     let ends_trial = judged.ends_trial(known_bad, bounds.most_bad_answers)
         || state
             .rollouts
@@ -217,6 +217,15 @@
     evidence
 }
 
+/// The bad answers of a version that is tried, as the best informed host knows.
+fn most_bad_answers(state: &GatewayState, service: &ServiceId, evidence: &Evidence) -> u32 {
+    state.rollouts.record_bad_answers(&BadAnswers {
+        service: service.clone(),
+        order: evidence.order,
+        count: evidence.target_sum().bad,
+    })
+}
+
 /// Whether requests run on upstreams of another version than the target, as far as hosts tell.
 fn runs_on(state: &GatewayState, record: &RolloutRecord) -> bool {
     let mut old = state.view.upstreams.all();
--- a/crates/gateway/src/sync/rollouts/review.rs
+++ b/crates/gateway/src/sync/rollouts/review.rs
@@ -3,7 +3,7 @@
 //! leader, no store and no other host.
 
 use {
-    super::{LEAD_INTERVAL, all_evidence, ready_targets},
+    super::{LEAD_INTERVAL, all_evidence, most_bad_answers, ready_targets},
     crate::{
         edge::Revision,
         rollout::{Judged, RolloutRecord, judge},
@@ -40,7 +40,7 @@
 
 fn review(state: &GatewayState, record: &RolloutRecord, last: &mut Reviewed) {
     let evidence = all_evidence(state, &record.service, record.order);
-    let known_bad = evidence.target_sum().bad;
+    let known_bad = most_bad_answers(state, &record.service, &evidence);
     if last.order != record.order {
         *last = Reviewed {
             order: record.order,
--- a/crates/gateway/tests/frames.rs
+++ b/crates/gateway/tests/frames.rs
@@ -25,6 +25,7 @@
             PeerDelta, PeerState, PermitAsk, PermitLoan, ServiceUse, SetSnapshot, Share,
             SnapshotRows, UpstreamWork,
         },
+        rollout::BadAnswers,
         run_trace::RunTrace,
         view::{Condition, UpstreamChanges, UpstreamRecord, UpstreamState, Work},
     },
@@ -313,6 +314,18 @@
         lending_groups: vec!["b".to_owned()],
         not_lending: vec!["b-1".to_owned()],
         decided_usage: None,
+        bad_answers: Vec::new(),
+    }
+}
+
+fn extension_of_a_host_that_tries_a_version() -> Extension {
+    Extension {
+        bad_answers: vec![BadAnswers {
+            service: "model".to_owned(),
+            order: 70_000,
+            count: 31,
+        }],
+        ..extension()
     }
 }
 
@@ -410,6 +423,23 @@
     assert!(read.not_lending.is_empty());
 }
 
+#[test]
+fn known_bad_answers_are_read_and_written_the_same_by_later_builds() {
+    let kept = include_str!("frames/6-usage-bad-answers.hex");
+    let written = usage_news().to_bytes().unwrap();
+    let written = extension_of_a_host_that_tries_a_version()
+        .write(written)
+        .unwrap();
+    assert_eq!(hex(&written), kept.trim());
+    let (_, read) = Extension::read(&bytes_of(kept)).unwrap();
+    assert_eq!(read, extension_of_a_host_that_tries_a_version());
+    let by_the_build_before = Datagram::from_bytes(&bytes_of(kept)).unwrap();
+    assert_eq!(
+        format!("{by_the_build_before:?}"),
+        format!("{:?}", usage_news())
+    );
+}
+
 #[test]
 fn what_a_holder_of_duties_decided_is_read_and_written_the_same_by_later_builds() {
     let kept = include_str!("frames/6-usage-decided.hex");
--- a/crates/gateway/tests/rollout_verdict.rs
+++ b/crates/gateway/tests/rollout_verdict.rs
@@ -13,7 +13,7 @@
     tealshore_capacity::EngineKind,
     tealshore_gateway::{
         rollout::{
-            Evidence, MOST_TAKERS, Outcome, Phase, Quality, ROUTES_BOUND, RolloutOrder,
+            BadAnswers, Evidence, MOST_TAKERS, Outcome, Phase, Quality, ROUTES_BOUND, RolloutOrder,
             RolloutRecord, Rollouts, Tally, Verdict, judge, route_key,
         },
         view::{UpstreamRecord, UpstreamState},
@@ -471,3 +471,20 @@
     rollouts.apply_record(ORDER + 4, &again, false);
     assert!(rollouts.is_open(&new));
 }
+
+/// A host that starts has seen nothing of what the version gave before.
+#[test]
+fn the_most_bad_answers_that_any_host_knows_of_count_since_their_order() {
+    let rollouts = trying();
+    let known = |order, count| BadAnswers {
+        service: SERVICE.to_owned(),
+        order,
+        count,
+    };
+    assert!(rollouts.bad_answers().is_empty());
+    assert_eq!(rollouts.record_bad_answers(&known(ORDER, 31)), 31);
+    assert_eq!(rollouts.record_bad_answers(&known(ORDER, 4)), 31);
+    rollouts.record_bad_answers(&known(ORDER - 1, 90));
+    assert_eq!(rollouts.bad_answers(), [known(ORDER, 31)]);
+    assert_eq!(rollouts.record_bad_answers(&known(ORDER + 9, 2)), 2);
+}
