Bound the upstreams of a tried version that evidence tells apart

A tried version's requests go to 12 upstreams in turns. While its upstreams die or leave, others take their places, and evidence kept an entry for each that ever answered: 300 of them on six routes took 18,647 bytes, where a part of a digest carries 16,000. Such a state would not leave its host, and with it goes all that the host tells.

24 upstreams are told apart, all others are one entry, which is never left out as the worst. 300 upstreams: 1,597 bytes. The sum stays the same.

--- a/crates/gateway/src/rollout/evidence.rs
+++ b/crates/gateway/src/rollout/evidence.rs
@@ -1,6 +1,7 @@
 //! What answers told of two versions of a service.
 
 use {
+    super::turns::MOST_TAKERS,
     crate::edge::Revision,
     serde::{Deserialize, Serialize},
     std::{collections::HashMap, time::Duration},
@@ -37,6 +38,10 @@
 /// with more of them is judged by those that were seen first.
 pub const ROUTES_BOUND: usize = 6;
 
+/// Upstreams of a tried version that are told apart, twice as many as take its requests in turns: some die and
+/// others take their place.
+const TARGETS_BOUND: usize = 2 * MOST_TAKERS;
+
 /// The key of a route.
 #[must_use]
 pub fn route_key(name: &str) -> RouteKey {
@@ -113,9 +118,13 @@
     /// Of the version that serves. It lists each route that is told apart.
     from: RouteTallies,
     /// Of the version that is tried, by upstream: one bad upstream does not make a bad version.
+    /// All that are not told apart go by an empty name.
     target: Vec<(EngineId, RouteTallies)>,
 }
 
+/// Stands for the upstreams that are not told apart.
+const OTHER_TARGETS: &str = "";
+
 impl Evidence {
     /// No evidence yet.
     #[must_use]
@@ -149,11 +158,18 @@
     /// Adds answers of the version that is tried.
     pub fn note_target(&mut self, upstream: &EngineId, route: RouteKey, answers: Tally) {
         let route = self.told_apart(route);
-        match self.target.iter_mut().find(|(id, _)| id == upstream) {
+        let is_known = self.target.iter().any(|(id, _)| id == upstream);
+        let name = if is_known || self.target.len() < TARGETS_BOUND {
+            upstream
+        } else {
+            OTHER_TARGETS
+        };
+        match self.target.iter_mut().find(|(id, _)| id == name) {
             Some((_, tallies)) => tallies.note(route, answers),
-            None => self
-                .target
-                .push((upstream.clone(), RouteTallies(vec![(route, answers)]))),
+            None => {
+                let tallies = RouteTallies(vec![(route, answers)]);
+                self.target.push((name.to_owned(), tallies));
+            }
         }
     }
 
@@ -184,9 +200,16 @@
         &self.from
     }
 
-    /// The answers of each upstream of the version that is tried.
+    /// The answers of each upstream of the version that is tried which is told apart.
     pub fn target(&self) -> impl Iterator<Item = &RouteTallies> {
-        self.target.iter().map(|(_, tallies)| tallies)
+        let told_apart = self.target.iter().filter(|(id, _)| id != OTHER_TARGETS);
+        told_apart.map(|(_, tallies)| tallies)
+    }
+
+    /// The answers of all other upstreams of that version.
+    pub fn other_targets(&self) -> impl Iterator<Item = &RouteTallies> {
+        let others = self.target.iter().filter(|(id, _)| id == OTHER_TARGETS);
+        others.map(|(_, tallies)| tallies)
     }
 
     /// How many sends it tells of, answered or lost.
@@ -200,7 +223,7 @@
     #[must_use]
     pub fn target_sum(&self) -> Tally {
         let mut sum = Tally::default();
-        for tallies in self.target() {
+        for (_, tallies) in &self.target {
             sum.add(tallies.sum_with_losses());
         }
         sum
--- a/crates/gateway/src/rollout/verdict.rs
+++ b/crates/gateway/src/rollout/verdict.rs
@@ -175,13 +175,16 @@
     upstreams: usize,
     answers: impl Fn(&RouteTallies) -> Tally,
 ) -> Tally {
-    let mut tallies: Vec<Tally> = evidence.target().map(answers).collect();
+    let mut tallies: Vec<Tally> = evidence.target().map(&answers).collect();
     if upstreams > 1 {
         tallies.sort_by_key(|tally| tally.bad);
         tallies.pop();
     }
     let mut sum = Tally::default();
-    for tally in tallies {
+    for tally in tallies
+        .into_iter()
+        .chain(evidence.other_targets().map(answers))
+    {
         sum.add(tally);
     }
     sum
--- a/crates/gateway/tests/rollout_verdict.rs
+++ b/crates/gateway/tests/rollout_verdict.rs
@@ -268,6 +268,25 @@
     assert!(bytes <= 1_200, "{bytes} bytes");
 }
 
+/// Upstreams of a tried version die and others take their place.
+#[test]
+fn evidence_stays_small_while_upstreams_of_the_version_are_replaced() {
+    let mut evidence = Evidence::none(70_000);
+    for upstream in 0..300 {
+        for route in 0..ROUTES_BOUND {
+            let key = route_key(&format!("route-{route}"));
+            evidence.record_target(&format!("i-000000{upstream:04}"), key, Quality::Failed);
+        }
+    }
+    let of_one = u32::try_from(ROUTES_BOUND).unwrap();
+    assert_eq!(evidence.target_sum(), tally(300 * of_one, 300 * of_one));
+    // One upstream is left out of the verdict, and not all that are not told apart.
+    assert_eq!(judge(&evidence, 300).target.answers, 299 * of_one);
+    let bytes = postcard::to_stdvec(&evidence).unwrap().len();
+    println!("{bytes} bytes");
+    assert!(bytes <= 2_400, "{bytes} bytes");
+}
+
 /// The worst upstream of a route is left out there, and bad answers of two are not.
 #[test]
 fn answers_are_judged_by_route_for_both_versions() {
