Let no host that is cut off from most others complete a roll-out

A leader that is cut off from the others, and not from the store, sees its own canaries only: a few answers, of which none may be bad, and too few of the old version to notice that the target got none.

A host that hears less than half of the hosts that it knows of, itself included, shifts to and completes no version that is tried; it still rolls back. An order back to the version that serves is not held up.

--- a/crates/gateway/src/peers/membership.rs
+++ b/crates/gateway/src/peers/membership.rs
@@ -32,6 +32,11 @@
         others + elsewhere + unheard + unreadable + 1
     }
 
+    /// Whether this host hears at least half of all hosts that it knows of, itself included.
+    pub fn hears_most(&self, now: Instant) -> bool {
+        (self.hosts_heard(now) + 1) * 2 >= self.hosts_known()
+    }
+
     /// Notes a host whose datagrams can't be read as they have another layout.
     pub fn note_unreadable(&self, address: SocketAddr, now: Instant) {
         self.named.lock().remove(&address);
--- a/crates/gateway/src/rollout/plan.rs
+++ b/crates/gateway/src/rollout/plan.rs
@@ -32,6 +32,8 @@
     pub verdict: Verdict,
     /// Whether more speaks against the target than for it.
     pub is_doubted: bool,
+    /// Whether this host hears less than half of the hosts that it knows of: what it sees of the target is a small part.
+    pub is_isolated: bool,
     /// Whether an upstream of the target takes work.
     pub is_target_ready: bool,
     /// Whether requests run on the old version.
@@ -98,7 +100,7 @@
     if is_tried && (sight.verdict == Verdict::Bad || (sight.is_doubted && is_due)) {
         return Some(Phase::RolledBack);
     }
-    if !sight.is_target_ready || (is_tried && sight.is_doubted) {
+    if !sight.is_target_ready || (is_tried && (sight.is_doubted || sight.is_isolated)) {
         return None;
     }
     let is_settled = sight.now >= record.since + LEAST_SHIFT;
@@ -112,7 +114,7 @@
     if sight.verdict == Verdict::Bad || sight.now >= end {
         return Some(Phase::RolledBack);
     }
-    if !sight.is_target_ready {
+    if !sight.is_target_ready || sight.is_isolated {
         return None;
     }
     let whole = record.deadline.saturating_sub(record.since);
--- a/crates/gateway/tests/rollout.rs
+++ b/crates/gateway/tests/rollout.rs
@@ -234,6 +234,7 @@
         order_age: Duration::ZERO,
         verdict,
         is_doubted: verdict != Verdict::Good,
+        is_isolated: false,
         is_target_ready: true,
         runs_on_old: true,
         longest_answer: Duration::from_secs(5),
@@ -312,6 +313,27 @@
     assert_eq!(next_phase(Phase::Shifting, &drained), None);
 }
 
+/// A host that is cut off from most others, and not from the store, has seen a small part of the answers.
+#[test]
+fn a_host_that_hears_few_others_completes_no_version() {
+    let isolated = |now_s| Sight {
+        is_isolated: true,
+        ..sight(now_s, Verdict::Good)
+    };
+    assert_eq!(next_phase(Phase::Canary, &isolated(109.0)), None);
+    assert_eq!(
+        next_phase(Phase::Canary, &isolated(111.5)),
+        Some(Phase::RolledBack)
+    );
+    assert_eq!(next_phase(Phase::Shifting, &isolated(111.5)), None);
+    let mut back = order(6);
+    back.target = OLD.to_owned();
+    let mut returning = record(6, Phase::Shifting);
+    returning.target = OLD.to_owned();
+    let next = next_record(Some(&returning), &back, &OLD.to_owned(), &isolated(111.5));
+    assert_eq!(next.map(|record| record.phase), Some(Phase::Completed));
+}
+
 #[test]
 fn what_is_not_proved_in_time_goes_back_unless_nothing_speaks_against_it() {
     assert_eq!(
--- a/crates/gateway/tests/rollout_protocol.rs
+++ b/crates/gateway/tests/rollout_protocol.rs
@@ -116,6 +116,7 @@
             order_age: Duration::from_secs(MOMENTS_S[self.moment]),
             verdict,
             is_doubted: verdict != Verdict::Good,
+            is_isolated: false,
             is_target_ready: true,
             runs_on_old: true,
             longest_answer: Duration::from_secs(5),
