--- a/crates/gateway/src/forward/plain/attempt.rs
+++ b/crates/gateway/src/forward/plain/attempt.rs
@@ -109,12 +109,12 @@
 
 /// How a try ended that got no answer.
 fn end_of(failure: SendFailure) -> TryEnd {
-    match (failure, failure.outcome()) {
-        (_, Some(outcome)) => TryEnd::Unknown(outcome),
-        (SendFailure::Leaving | SendFailure::Resting | SendFailure::Limited, None) => {
-            TryEnd::NotWanted
-        }
-        (SendFailure::Unreachable | SendFailure::Unanswered | SendFailure::ForeignAnswer, None) => {
+    if let Some(outcome) = failure.outcome() {
+        return TryEnd::Unknown(outcome);
+    }
+    match failure {
+        SendFailure::Leaving | SendFailure::Resting | SendFailure::Limited => TryEnd::NotWanted,
+        SendFailure::Unreachable | SendFailure::Unanswered | SendFailure::ForeignAnswer => {
             TryEnd::Unreachable
         }
     }
--- a/crates/gateway/src/rollout/known.rs
+++ b/crates/gateway/src/rollout/known.rs
@@ -2,10 +2,11 @@
 
 mod progress;
 mod service;
+mod trial;
 
 use {
     super::{
-        evidence::{BadAnswers, Evidence, Outcome, Quality, route_key},
+        evidence::{Evidence, Outcome, Quality, route_key},
         record::{Phase, RolloutOrder, RolloutRecord},
         turns::turn_takers,
         versions::{ListedVersion, Permit},
@@ -158,54 +159,6 @@
         self.services.lock().get(service)?.progress.record.clone()
     }
 
-    /// The records of all roll-outs that are under way and try a version.
-    #[must_use]
-    pub fn trials(&self) -> Vec<RolloutRecord> {
-        let services = self.services.lock();
-        let open = services.values().filter_map(ServiceRollout::current);
-        let trials = open.filter(|record| record.from != record.target);
-        trials.cloned().collect()
-    }
-
-    /// Records how many bad answers of a version that is tried a host knows of; the most that any does.
-    pub fn record_bad_answers(&self, known: &BadAnswers) -> u32 {
-        let mut services = self.services.lock();
-        let service = services.entry(known.service.clone()).or_default();
-        service.record_bad_answers(known.order, known.count)
-    }
-
-    /// How many bad answers of each version that is tried any host knows of, as far as that was told.
-    #[must_use]
-    pub fn bad_answers(&self) -> Vec<BadAnswers> {
-        let services = self.services.lock();
-        let known = services.values().filter_map(|service| {
-            let record = service.current()?;
-            let count = service.most_bad_of(record.order);
-            (count > 0).then(|| BadAnswers {
-                service: record.service.clone(),
-                order: record.order,
-                count,
-            })
-        });
-        known.collect()
-    }
-
-    /// Lets this host send nothing more to the version that an order tries; whether it did until now. It
-    /// needs no leader for that, and holds until the roll-out ends.
-    pub fn stop_trial(&self, record: &RolloutRecord) -> bool {
-        let mut services = self.services.lock();
-        let service = services.entry(record.service.clone()).or_default();
-        service.stopped.replace(record.order) != Some(record.order)
-    }
-
-    /// Whether this host stopped sending to the version that an order tries.
-    #[must_use]
-    pub fn is_trial_stopped(&self, service: &ServiceId, order: Revision) -> bool {
-        let services = self.services.lock();
-        let known = services.get(service);
-        known.is_some_and(|known| known.stopped == Some(order))
-    }
-
     /// The version that serves a service besides any that is tried.
     #[must_use]
     pub fn serving(
