--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -10,6 +10,7 @@
 mod evidence;
 mod exposure;
 mod known;
+mod outcome;
 mod plan;
 mod record;
 mod turns;
@@ -17,12 +18,10 @@
 mod versions;
 
 pub use {
-    evidence::{
-        BadAnswers, Evidence, Outcome, Quality, ROUTES_BOUND, RouteKey, RouteTallies, Tally,
-        TypicalTimes, route_key,
-    },
+    evidence::{BadAnswers, Evidence, ROUTES_BOUND, RouteKey, RouteTallies, Tally, route_key},
     exposure::Exposure,
     known::{RolloutNews, Rollouts},
+    outcome::{Outcome, Quality, TypicalTimes},
     plan::{Sight, next_record},
     record::{Phase, RolloutOrder, RolloutRecord},
     turns::{MOST_TAKERS, Turns},
--- a/crates/gateway/src/rollout/known.rs
+++ b/crates/gateway/src/rollout/known.rs
@@ -6,7 +6,8 @@
 
 use {
     super::{
-        evidence::{Evidence, Outcome, Quality, route_key},
+        evidence::{Evidence, route_key},
+        outcome::{Outcome, Quality},
         record::{Phase, RolloutOrder, RolloutRecord},
         turns::turn_takers,
         versions::{ListedVersion, Permit},
--- a/crates/gateway/src/rollout/known/service.rs
+++ b/crates/gateway/src/rollout/known/service.rs
@@ -6,8 +6,9 @@
         edge::Revision,
         options::RolloutBounds,
         rollout::{
-            evidence::{Evidence, TypicalTimes},
+            evidence::Evidence,
             exposure::Exposure,
+            outcome::TypicalTimes,
             record::{Phase, RolloutRecord},
             versions::{ListedVersion, Permit, permit, permit_of},
         },
