Use the field's verbs for what hosts record, and for what a leader goes by

| Before | Now | | --- | --- | | Sight, sight (of a roll-out) | RolloutFacts, facts | | see | observe_rollout | | told_of_usage | usage_receivers | | hear_offset, hear_usage, hear_hall, hear_lease | record_clock_offset, record_usage, record_hall_usage, record_lease_news | | take_in (a try that ended; a duty's row) | handle_end; accept_record | | whole (an answer that is no stream) | read_whole | | look_again (an instant) | wake_at |

--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -120,12 +120,12 @@
     }
 
     /// Notes how far another host's time of day is ahead of the store's time.
-    pub fn hear_offset(&self, host: &HostId, offset_ms: i64, now: Instant) {
+    pub fn record_clock_offset(&self, host: &HostId, offset_ms: i64, now: Instant) {
         self.offsets.lock().hear(host, offset_ms, now);
     }
 
     /// Takes in what another process counted.
-    pub fn hear_usage(&self, news: &UsageNews) {
+    pub fn record_usage(&self, news: &UsageNews) {
         let mut ledger = self.ledger.lock();
         for window in &news.windows {
             ledger.merge(&news.hall, &news.process, window);
@@ -133,7 +133,7 @@
     }
 
     /// Takes in the sums of another hall.
-    pub fn hear_hall(&self, hall: &HallId, windows: &[WindowCounts]) {
+    pub fn record_hall_usage(&self, hall: &HallId, windows: &[WindowCounts]) {
         let mut ledger = self.ledger.lock();
         for window in windows {
             ledger.merge_hall(hall, window);
@@ -141,7 +141,7 @@
     }
 
     /// Takes in what another host tells of the lease.
-    pub fn hear_lease(&self, news: &LeaseNews, now: Instant) {
+    pub fn record_lease_news(&self, news: &LeaseNews, now: Instant) {
         self.lease.lock().hear(news, now);
     }
 
--- a/crates/gateway/src/forward/plain.rs
+++ b/crates/gateway/src/forward/plain.rs
@@ -86,7 +86,7 @@
             let may_hedge = self.may_run_again() && !tries.is_empty();
             tokio::select! {
                 Some(tried) = tries.next() => {
-                    if let Some(answer) = self.take_in(tried)? {
+                    if let Some(answer) = self.handle_end(tried)? {
                         return Ok(answer);
                     }
                 }
@@ -126,7 +126,7 @@
     }
 
     /// Takes in how a try ended; the answer, where it is one.
-    fn take_in(&mut self, tried: Tried) -> Result<Option<Response<Body>>, Failure> {
+    fn handle_end(&mut self, tried: Tried) -> Result<Option<Response<Body>>, Failure> {
         let upstream = &tried.upstream;
         self.open.retain(|id| *id != upstream.record.id);
         self.avoid.push(upstream.record.id.clone());
--- a/crates/gateway/src/forward/stream/order.rs
+++ b/crates/gateway/src/forward/stream/order.rs
@@ -216,7 +216,7 @@
     }
 
     /// An answer that is no stream, whole.
-    pub async fn whole(&self, answer: Answer) -> TryEnd {
+    pub async fn read_whole(&self, answer: Answer) -> TryEnd {
         let mut head = answer.head;
         match read_limited(answer.body, ANSWER_BOUND_BYTES).await {
             Ok(body) => {
--- a/crates/gateway/src/forward/stream/place.rs
+++ b/crates/gateway/src/forward/stream/place.rs
@@ -304,7 +304,7 @@
         let asked = Instant::now();
         let answer = self.order(&upstream, &try_here).await?;
         let Some(head) = self.check_head(&upstream, &answer, try_here.go_on_from.is_some())? else {
-            return Err(self.whole(answer).await);
+            return Err(self.read_whole(answer).await);
         };
         if try_here.go_on_from.is_none() {
             self.note_outcome(&upstream.record, Outcome::Answered(asked.elapsed()));
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -51,7 +51,7 @@
 pub use {
     addresses::Reach,
     digest::{DigestSource, GroupSums, LastDigest},
-    duties::told_of_usage,
+    duties::usage_receivers,
     exchange::start,
     extension::{Extension, LIMITS_BOUND},
     last_state::LastState,
--- a/crates/gateway/src/peers/duties.rs
+++ b/crates/gateway/src/peers/duties.rs
@@ -48,7 +48,7 @@
             .filter(|peer| self.is_believed(peer, now) && self.is_in_group(&peer.state.hall))
             .filter(|peer| peer.state.phase != HostPhase::Leaving)
             .map(|peer| &peer.state);
-        told_of_usage(staying.collect(), holder)
+        usage_receivers(staying.collect(), holder)
     }
 }
 
@@ -56,7 +56,7 @@
 /// Those that reach the store go first, since only they can: where a store shunned the first hosts by
 /// rank, one that nobody had told took the lease, and a window had the counts of one of 59 processes.
 #[must_use]
-pub fn told_of_usage(mut hosts: Vec<&PeerState>, holder: Option<&HostId>) -> Vec<SocketAddr> {
+pub fn usage_receivers(mut hosts: Vec<&PeerState>, holder: Option<&HostId>) -> Vec<SocketAddr> {
     hosts.sort_by_key(|state| (!state.reaches_store, rank(&state.host, state.link_mbps)));
     let is_holder = |host: &HostId| Some(host) == holder;
     let told = hosts
--- a/crates/gateway/src/peers/exchange/apply.rs
+++ b/crates/gateway/src/peers/exchange/apply.rs
@@ -65,7 +65,7 @@
                 state.peers.note_group_lends(&group, lends, not_lending);
             }
         }
-        Datagram::Usage(news) => state.duties.hear_usage(&news),
+        Datagram::Usage(news) => state.duties.record_usage(&news),
         Datagram::Limits { news, is_for_group } => apply_limit_news(state, &news, is_for_group),
         Datagram::PermitAsk(ask) => answer_ask(state, socket, &ask, sender).await,
         Datagram::PermitLoan(loan) => state.apply_loan(&loan),
@@ -98,7 +98,7 @@
 fn apply_digest(state: &GatewayState, mut digest: GroupDigest) {
     apply_rollout_news(state, &digest.budgets);
     apply_lease_news(state, digest.lease.as_ref());
-    state.duties.hear_hall(&digest.group, &digest.usage);
+    state.duties.record_hall_usage(&digest.group, &digest.usage);
     state.apply_crash_news(&digest.crashes, &digest.relay);
     let runs = std::mem::take(&mut digest.runs);
     let findings = state.peers.apply_digest(&digest, Instant::now());
@@ -120,7 +120,7 @@
     if let Some(offset_ms) = peer.clock_offset_ms {
         state
             .duties
-            .hear_offset(&peer.host, offset_ms, Instant::now());
+            .record_clock_offset(&peer.host, offset_ms, Instant::now());
     }
     let host = peer.host.clone();
     let sender = Sender {
@@ -155,7 +155,7 @@
 /// Applies what the holder of the duties, or the one that gave them up, says of the lease.
 fn apply_lease_news(state: &GatewayState, news: Option<&LeaseNews>) {
     if let Some(news) = news {
-        state.duties.hear_lease(news, Instant::now());
+        state.duties.record_lease_news(news, Instant::now());
     }
 }
 
--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -22,7 +22,7 @@
     exposure::Exposure,
     known::{RolloutNews, Rollouts},
     outcome::{Outcome, Quality, TypicalTimes},
-    plan::{Sight, next_record},
+    plan::{RolloutFacts, next_record},
     record::{Phase, RolloutOrder, RolloutRecord},
     turns::{MOST_TAKERS, Turns},
     verdict::{Judged, Verdict, judge},
--- a/crates/gateway/src/rollout/plan.rs
+++ b/crates/gateway/src/rollout/plan.rs
@@ -23,7 +23,7 @@
 
 /// What a leader sees.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Sight {
+pub struct RolloutFacts {
     /// The store's time.
     pub now: StoreTime,
     /// How long the order is known.
@@ -51,21 +51,21 @@
     current: Option<&RolloutRecord>,
     order: &RolloutOrder,
     serving: &EngineVersion,
-    sight: &Sight,
+    facts: &RolloutFacts,
 ) -> Option<RolloutRecord> {
     match current {
         Some(record) if record.order == order.revision => {
-            let phase = next_phase(record, sight)?;
-            Some(record.in_phase(phase, sight.now))
+            let phase = next_phase(record, facts)?;
+            Some(record.in_phase(phase, facts.now))
         }
         // An order of which only an older version was heard.
         Some(record) if record.order > order.revision => None,
-        Some(_) | None => Some(begin(order, serving, sight)),
+        Some(_) | None => Some(begin(order, serving, facts)),
     }
 }
 
-fn begin(order: &RolloutOrder, serving: &EngineVersion, sight: &Sight) -> RolloutRecord {
-    let ordered = sight.now.saturating_sub(sight.order_age);
+fn begin(order: &RolloutOrder, serving: &EngineVersion, facts: &RolloutFacts) -> RolloutRecord {
+    let ordered = facts.now.saturating_sub(facts.order_age);
     // Nothing is to be tried of the version that serves: only what is left elsewhere ends.
     let phase = if order.target == *serving {
         Phase::Shifting
@@ -78,51 +78,51 @@
         from: serving.clone(),
         target: order.target.clone(),
         phase,
-        since: sight.now,
+        since: facts.now,
         deadline: ordered + order.duration,
     }
 }
 
-fn next_phase(record: &RolloutRecord, sight: &Sight) -> Option<Phase> {
+fn next_phase(record: &RolloutRecord, facts: &RolloutFacts) -> Option<Phase> {
     let end = record.deadline.saturating_sub(DEADLINE_MARGIN);
     match record.phase {
-        Phase::Canary => next_of_canary(record, sight, end),
-        Phase::Shifting => next_of_shift(record, sight, end),
+        Phase::Canary => next_of_canary(record, facts, end),
+        Phase::Shifting => next_of_shift(record, facts, end),
         Phase::Completed | Phase::RolledBack => None,
     }
 }
 
 /// A target that was trusted may turn bad, or be doubted by the answers that come while it is shifted to. Nothing
 /// is doubted of the version that serves, which is shifted to by an order back to it.
-fn next_of_shift(record: &RolloutRecord, sight: &Sight, end: StoreTime) -> Option<Phase> {
+fn next_of_shift(record: &RolloutRecord, facts: &RolloutFacts, end: StoreTime) -> Option<Phase> {
     let is_tried = record.from != record.target;
-    let is_due = sight.now >= end;
-    if is_tried && (sight.verdict == Verdict::Bad || (sight.is_doubted && is_due)) {
+    let is_due = facts.now >= end;
+    if is_tried && (facts.verdict == Verdict::Bad || (facts.is_doubted && is_due)) {
         return Some(Phase::RolledBack);
     }
-    if !sight.is_target_ready || (is_tried && (sight.is_doubted || sight.is_isolated)) {
+    if !facts.is_target_ready || (is_tried && (facts.is_doubted || facts.is_isolated)) {
         return None;
     }
-    let is_settled = sight.now >= record.since + LEAST_SHIFT;
-    let is_drained = is_settled && !sight.runs_on_old;
+    let is_settled = facts.now >= record.since + LEAST_SHIFT;
+    let is_drained = is_settled && !facts.runs_on_old;
     (is_drained || is_due).then_some(Phase::Completed)
 }
 
 /// The canary lasts as long as it can, since a version may turn bad late: until what runs on the
 /// old version has just time to end.
-fn next_of_canary(record: &RolloutRecord, sight: &Sight, end: StoreTime) -> Option<Phase> {
-    if sight.verdict == Verdict::Bad || sight.now >= end {
+fn next_of_canary(record: &RolloutRecord, facts: &RolloutFacts, end: StoreTime) -> Option<Phase> {
+    if facts.verdict == Verdict::Bad || facts.now >= end {
         return Some(Phase::RolledBack);
     }
-    if !sight.is_target_ready || sight.is_isolated {
+    if !facts.is_target_ready || facts.is_isolated {
         return None;
     }
     let whole = record.deadline.saturating_sub(record.since);
-    let drain = sight
+    let drain = facts
         .longest_answer
         .max(LEAST_SHIFT)
         .min(whole.mul_f64(MOST_DRAIN_PART));
-    let is_proved = sight.verdict == Verdict::Good && sight.now + drain >= end;
-    let is_trusted = !sight.is_doubted && sight.now + LAST_TRUST >= end;
+    let is_proved = facts.verdict == Verdict::Good && facts.now + drain >= end;
+    let is_trusted = !facts.is_doubted && facts.now + LAST_TRUST >= end;
     (is_proved || is_trusted).then_some(Phase::Shifting)
 }
--- a/crates/gateway/src/sync/duties.rs
+++ b/crates/gateway/src/sync/duties.rs
@@ -188,10 +188,10 @@
                 | Change::Rollout(_) => {}
             }
         }
-        self.take_in(row);
+        self.accept_record(row);
     }
 
-    fn take_in(&mut self, row: Option<(Revision, DutyRecord)>) {
+    fn accept_record(&mut self, row: Option<(Revision, DutyRecord)>) {
         self.store_failures = 0;
         let (revision, mut record) = row.unwrap_or_default();
         if record.lease.is_older_than(&self.record.lease) {
--- a/crates/gateway/src/sync/follow.rs
+++ b/crates/gateway/src/sync/follow.rs
@@ -150,8 +150,8 @@
             if now >= until || is_fed || feeds {
                 return;
             }
-            let look_again = until.min(now + HALL_INTERVAL);
-            self.state.feed.wait_for_update(self.set, look_again).await;
+            let wake_at = until.min(now + HALL_INTERVAL);
+            self.state.feed.wait_for_update(self.set, wake_at).await;
         }
     }
 
--- a/crates/gateway/src/sync/from_peers.rs
+++ b/crates/gateway/src/sync/from_peers.rs
@@ -155,8 +155,8 @@
             if now >= until || self.state.peers.hosts_before(now) < FULL_READERS {
                 return false;
             }
-            let look_again = until.min(now + spread(START_INTERVAL));
-            self.state.feed.wait_for_update(self.set, look_again).await;
+            let wake_at = until.min(now + spread(START_INTERVAL));
+            self.state.feed.wait_for_update(self.set, wake_at).await;
         }
     }
 
--- a/crates/gateway/src/sync/outage.rs
+++ b/crates/gateway/src/sync/outage.rs
@@ -55,8 +55,8 @@
             // A host that is cut off from the others stops hearing them meanwhile, and waits less.
             let pause = self.pause(failure, failures, Instant::now());
             let until = began + pause.mul_f64(drawn_part);
-            let look_again = until.min(Instant::now() + PAUSE_INTERVAL);
-            self.state.feed.wait_for_update(self.set, look_again).await;
+            let wake_at = until.min(Instant::now() + PAUSE_INTERVAL);
+            self.state.feed.wait_for_update(self.set, wake_at).await;
             let now = Instant::now();
             if self.is_helped(now).await || now >= until {
                 return;
--- a/crates/gateway/src/sync/rollouts.rs
+++ b/crates/gateway/src/sync/rollouts.rs
@@ -15,8 +15,8 @@
         edge::{Revision, Written, number_of},
         feed::FeederChoice,
         rollout::{
-            BadAnswers, Evidence, Judged, Phase, RolloutOrder, RolloutRecord, Sight, Verdict,
-            judge, next_record,
+            BadAnswers, Evidence, Judged, Phase, RolloutFacts, RolloutOrder, RolloutRecord,
+            Verdict, judge, next_record,
         },
         state::GatewayState,
         view::are_in_use,
@@ -109,16 +109,16 @@
             Some((revision, record)) => (*revision, Some(record)),
             None => (0, None),
         };
-        let Some((sight, judged)) = see(&self.state, order, order_age, record) else {
+        let Some((facts, judged)) = observe_rollout(&self.state, order, order_age, record) else {
             return Ok(());
         };
         let Some(serving) = self.serving(order) else {
             return Ok(());
         };
-        let Some(next) = next_record(record, order, &serving, &sight) else {
+        let Some(next) = next_record(record, order, &serving, &facts) else {
             return Ok(());
         };
-        log_decision(&next, &sight, &judged);
+        log_decision(&next, &facts, &judged);
         self.write_record(&next, revision).await
     }
 
@@ -166,12 +166,12 @@
 }
 
 /// What the leader sees of a roll-out; none before the store's time is known.
-fn see(
+fn observe_rollout(
     state: &GatewayState,
     order: &RolloutOrder,
     order_age: Duration,
     record: Option<&RolloutRecord>,
-) -> Option<(Sight, Judged)> {
+) -> Option<(RolloutFacts, Judged)> {
     let now = Instant::now();
     let bounds = state.options.bounds.rollouts;
     let evidence = all_evidence(state, &order.service, order.revision);
@@ -183,7 +183,7 @@
         || state
             .rollouts
             .is_trial_stopped(&order.service, order.revision);
-    let sight = Sight {
+    let facts = RolloutFacts {
         now: state.feed.store_time(now)?,
         order_age,
         verdict: if ends_trial {
@@ -201,7 +201,7 @@
         }),
         longest_answer: state.longest_answer(&order.service),
     };
-    Some((sight, judged))
+    Some((facts, judged))
 }
 
 /// How many upstreams of a version take work.
@@ -236,7 +236,7 @@
     are_in_use(&old, &state.peers.work(Instant::now()))
 }
 
-fn log_decision(next: &RolloutRecord, sight: &Sight, judged: &Judged) {
+fn log_decision(next: &RolloutRecord, facts: &RolloutFacts, judged: &Judged) {
     let level = match next.phase {
         Phase::Canary | Phase::Shifting | Phase::Completed => log::Level::Info,
         Phase::RolledBack => log::Level::Warn,
@@ -251,7 +251,7 @@
         next.service,
         next.order,
         next.phase.name(),
-        sight.verdict,
+        facts.verdict,
         judged.log_ratio,
         judged.worst_route_log_ratio,
         judged.from.answers,
@@ -262,9 +262,9 @@
         judged.target.bad,
         judged.target_losses.answers,
         judged.target_losses.bad,
-        sight.is_target_ready,
-        sight.runs_on_old,
-        sight.longest_answer.as_millis(),
-        next.deadline.saturating_sub(sight.now).as_millis()
+        facts.is_target_ready,
+        facts.runs_on_old,
+        facts.longest_answer.as_millis(),
+        next.deadline.saturating_sub(facts.now).as_millis()
     );
 }
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -16,7 +16,7 @@
         options::GatewayOptions,
         peers::{
             Datagram, HostPhase, LastState, PeerState, Peers, ServiceUse, UpstreamWork,
-            told_of_usage,
+            usage_receivers,
         },
         rollout::{Evidence, Phase, RolloutNews, RolloutRecord, Tally, route_key},
         run_trace::RunTrace,
@@ -342,11 +342,11 @@
         })
         .collect();
     let port_of_last_shunned = 105;
-    let told = told_of_usage(hosts.iter().collect(), None);
+    let told = usage_receivers(hosts.iter().collect(), None);
     assert_eq!(told.len(), 4);
     assert!(told.iter().all(|host| host.port() > port_of_last_shunned));
     let holder = "host-2".to_owned();
-    let told = told_of_usage(hosts.iter().collect(), Some(&holder));
+    let told = usage_receivers(hosts.iter().collect(), Some(&holder));
     assert!(told.contains(&hosts[2].peers_address));
 }
 
--- a/crates/gateway/tests/rollout.rs
+++ b/crates/gateway/tests/rollout.rs
@@ -9,7 +9,7 @@
     rand::{RngExt, SeedableRng, rngs::StdRng},
     std::time::Duration,
     tealshore_gateway::rollout::{
-        Exposure, ListedVersion, Permit, Phase, RolloutOrder, RolloutRecord, Sight, Turns,
+        Exposure, ListedVersion, Permit, Phase, RolloutFacts, RolloutOrder, RolloutRecord, Turns,
         TypicalTimes, Verdict, next_record, permit,
     },
 };
@@ -228,8 +228,8 @@
     assert!(typical.is_slow("short", short * 9));
 }
 
-fn sight(now_s: f64, verdict: Verdict) -> Sight {
-    Sight {
+fn facts(now_s: f64, verdict: Verdict) -> RolloutFacts {
+    RolloutFacts {
         now: Duration::from_secs_f64(now_s),
         order_age: Duration::ZERO,
         verdict,
@@ -241,9 +241,9 @@
     }
 }
 
-fn next_phase(current: Phase, sight: &Sight) -> Option<Phase> {
+fn next_phase(current: Phase, facts: &RolloutFacts) -> Option<Phase> {
     let current = record(5, current);
-    let next = next_record(Some(&current), &order(5), &OLD.to_owned(), sight);
+    let next = next_record(Some(&current), &order(5), &OLD.to_owned(), facts);
     next.map(|record| record.phase)
 }
 
@@ -253,32 +253,32 @@
         None,
         &order(5),
         &OLD.to_owned(),
-        &sight(100.0, Verdict::Undecided),
+        &facts(100.0, Verdict::Undecided),
     );
     assert_eq!(begun, Some(record(5, Phase::Canary)));
     // It is tried for as long as the end of what runs on the old version allows.
     assert_eq!(
-        next_phase(Phase::Canary, &sight(103.0, Verdict::Good)),
+        next_phase(Phase::Canary, &facts(103.0, Verdict::Good)),
         None
     );
     assert_eq!(
-        next_phase(Phase::Canary, &sight(107.0, Verdict::Good)),
+        next_phase(Phase::Canary, &facts(107.0, Verdict::Good)),
         Some(Phase::Shifting)
     );
     assert_eq!(
-        next_phase(Phase::Shifting, &sight(108.0, Verdict::Good)),
+        next_phase(Phase::Shifting, &facts(108.0, Verdict::Good)),
         None
     );
-    let drained = Sight {
+    let drained = RolloutFacts {
         runs_on_old: false,
-        ..sight(108.0, Verdict::Good)
+        ..facts(108.0, Verdict::Good)
     };
     assert_eq!(
         next_phase(Phase::Shifting, &drained),
         Some(Phase::Completed)
     );
     assert_eq!(
-        next_phase(Phase::Shifting, &sight(111.5, Verdict::Good)),
+        next_phase(Phase::Shifting, &facts(111.5, Verdict::Good)),
         Some(Phase::Completed)
     );
 }
@@ -287,13 +287,13 @@
 fn a_bad_version_goes_back_from_each_phase_that_runs() {
     for phase in [Phase::Canary, Phase::Shifting] {
         assert_eq!(
-            next_phase(phase, &sight(102.0, Verdict::Bad)),
+            next_phase(phase, &facts(102.0, Verdict::Bad)),
             Some(Phase::RolledBack)
         );
     }
     for phase in [Phase::Completed, Phase::RolledBack] {
         for verdict in [Verdict::Bad, Verdict::Good, Verdict::Undecided] {
-            assert_eq!(next_phase(phase, &sight(111.9, verdict)), None);
+            assert_eq!(next_phase(phase, &facts(111.9, verdict)), None);
         }
     }
 }
@@ -301,14 +301,14 @@
 /// A version may seem good early on and be doubted by the answers that come while it is shifted to.
 #[test]
 fn a_version_that_is_doubted_while_it_is_shifted_to_is_not_completed() {
-    let doubted = sight(111.5, Verdict::Undecided);
+    let doubted = facts(111.5, Verdict::Undecided);
     assert_eq!(
         next_phase(Phase::Shifting, &doubted),
         Some(Phase::RolledBack)
     );
-    let drained = Sight {
+    let drained = RolloutFacts {
         runs_on_old: false,
-        ..sight(108.0, Verdict::Undecided)
+        ..facts(108.0, Verdict::Undecided)
     };
     assert_eq!(next_phase(Phase::Shifting, &drained), None);
 }
@@ -316,9 +316,9 @@
 /// A host that is cut off from most others, and not from the store, has seen a small part of the answers.
 #[test]
 fn a_host_that_hears_few_others_completes_no_version() {
-    let isolated = |now_s| Sight {
+    let isolated = |now_s| RolloutFacts {
         is_isolated: true,
-        ..sight(now_s, Verdict::Good)
+        ..facts(now_s, Verdict::Good)
     };
     assert_eq!(next_phase(Phase::Canary, &isolated(109.0)), None);
     assert_eq!(
@@ -337,19 +337,19 @@
 #[test]
 fn what_is_not_proved_in_time_goes_back_unless_nothing_speaks_against_it() {
     assert_eq!(
-        next_phase(Phase::Canary, &sight(109.0, Verdict::Undecided)),
+        next_phase(Phase::Canary, &facts(109.0, Verdict::Undecided)),
         None
     );
     assert_eq!(
-        next_phase(Phase::Canary, &sight(111.5, Verdict::Undecided)),
+        next_phase(Phase::Canary, &facts(111.5, Verdict::Undecided)),
         Some(Phase::RolledBack)
     );
-    let undoubted = Sight {
+    let undoubted = RolloutFacts {
         is_doubted: false,
-        ..sight(109.0, Verdict::Undecided)
+        ..facts(109.0, Verdict::Undecided)
     };
     assert_eq!(next_phase(Phase::Canary, &undoubted), Some(Phase::Shifting));
-    let missing = Sight {
+    let missing = RolloutFacts {
         is_target_ready: false,
         ..undoubted
     };
@@ -365,7 +365,7 @@
         Some(&earlier),
         &back,
         &OLD.to_owned(),
-        &sight(120.0, Verdict::Undecided),
+        &facts(120.0, Verdict::Undecided),
     );
     assert_eq!(next.map(|record| record.phase), Some(Phase::Shifting));
     // An order that is older than the record is not begun again.
@@ -374,7 +374,7 @@
             Some(&earlier),
             &order(4),
             &OLD.to_owned(),
-            &sight(120.0, Verdict::Good)
+            &facts(120.0, Verdict::Good)
         ),
         None
     );
--- a/crates/gateway/tests/rollout_protocol.rs
+++ b/crates/gateway/tests/rollout_protocol.rs
@@ -9,8 +9,8 @@
         time::Duration,
     },
     tealshore_gateway::rollout::{
-        ListedVersion, Permit, Phase, RolloutOrder, RolloutRecord, Sight, Verdict, next_record,
-        permit,
+        ListedVersion, Permit, Phase, RolloutFacts, RolloutOrder, RolloutRecord, Verdict,
+        next_record, permit,
     },
 };
 
@@ -110,8 +110,8 @@
 }
 
 impl World {
-    fn sight(&self, verdict: Verdict) -> Sight {
-        Sight {
+    fn facts(&self, verdict: Verdict) -> RolloutFacts {
+        RolloutFacts {
             now: Duration::from_secs(MOMENTS_S[self.moment]),
             order_age: Duration::from_secs(MOMENTS_S[self.moment]),
             verdict,
@@ -130,7 +130,7 @@
             known.map(|(_, record)| record),
             &order(leader.order),
             &serving(leader),
-            &self.sight(verdict),
+            &self.facts(verdict),
         )?;
         Some((known.map_or(0, |(revision, _)| *revision), next))
     }
