Count losses against a tried version only beyond those of the old one

A good version (one answer in 10,000 fails) was rolled back 11.5 s after its order, while one hall after the other died: of 123 sends 67 were lost, 651 of 1,244 of the old version, and 4 of 54 answers were slow. The bound of bad answers took all 71 for the version's own, as its 54 answers were too few to show it to be no worse.

A version whose upstreams end while the old one's do not is still to blame for each.

--- a/crates/gateway/src/rollout/evidence.rs
+++ b/crates/gateway/src/rollout/evidence.rs
@@ -23,6 +23,14 @@
         self.answers = self.answers.saturating_add(other.answers);
         self.bad = self.bad.saturating_add(other.bad);
     }
+
+    /// How many more are bad than there would be at the rate of another tally.
+    fn excess_over(self, other: Self) -> u32 {
+        let (answers, bad) = (u64::from(other.answers), u64::from(other.bad));
+        let expected = (u64::from(self.answers) * bad).div_ceil(answers.max(1));
+        self.bad
+            .saturating_sub(u32::try_from(expected).unwrap_or(u32::MAX))
+    }
 }
 
 /// Stands for a route's name in what hosts tell each other: names may be long.
@@ -211,6 +219,20 @@
         others.map(|(_, tallies)| tallies)
     }
 
+    /// The bad answers of the version that is tried, with the losses that are more than those of the version that serves
+    /// explain: where a hall dies, upstreams of both end.
+    #[must_use]
+    pub fn bad_answers(&self) -> u32 {
+        let mut answers = Tally::default();
+        let mut losses = Tally::default();
+        for (_, tallies) in &self.target {
+            answers.add(tallies.sum());
+            losses.add(tallies.losses());
+        }
+        let excess = losses.excess_over(self.from.losses());
+        answers.bad.saturating_add(excess)
+    }
+
     /// How many sends it tells of, answered or lost.
     #[must_use]
     pub fn sends(&self) -> u32 {
--- a/crates/gateway/src/sync/rollouts.rs
+++ b/crates/gateway/src/sync/rollouts.rs
@@ -223,7 +223,7 @@
     state.rollouts.record_bad_answers(&BadAnswers {
         service: service.clone(),
         order: evidence.order,
-        count: evidence.target_sum().bad,
+        count: evidence.bad_answers(),
     })
 }
 
--- a/crates/gateway/tests/rollout_verdict.rs
+++ b/crates/gateway/tests/rollout_verdict.rs
@@ -433,6 +433,40 @@
     assert!(condemned <= 2, "{condemned} of 200");
 }
 
+/// The old version's losses tell how many of the target's are none of its own.
+#[test]
+fn losses_that_strike_both_versions_do_not_stop_a_good_one() {
+    let mut evidence = evidence_of(tally(593, 0), tally(55, 5));
+    for index in 0..12 {
+        let upstream = format!("i-{index}");
+        for send in 0..1_300 {
+            let quality = if send % 2 == 0 {
+                Quality::Lost
+            } else {
+                Quality::Good
+            };
+            if send < 11 {
+                evidence.record_target(&upstream, route_key("brief"), quality);
+            }
+            evidence.record_serving(route_key("brief"), quality);
+        }
+    }
+    assert!(evidence.target_sum().bad > 70);
+    let known_bad = evidence.bad_answers();
+    assert!(known_bad <= 12, "{known_bad}");
+    assert!(!judge(&evidence, 12).ends_trial(known_bad, 50));
+    // A version whose upstreams end more often than those of the old one is to blame for that.
+    let mut crashing = evidence_of(tally(593, 0), tally(55, 5));
+    for index in 0..60 {
+        crashing.record_target(
+            &format!("i-{}", index % 12),
+            route_key("brief"),
+            Quality::Lost,
+        );
+    }
+    assert_eq!(crashing.bad_answers(), 65);
+}
+
 fn evidence_of(serving: Tally, target: Tally) -> Evidence {
     let route = route_key("cue");
     let mut evidence = Evidence::none(ORDER);
