Count requests by their first send before a version gets its share of them

Cause: a host counted a request each time that it chose an upstream for it. A stream that waits for the retry budget looks each 60 ms whether it has room, and chooses each time; and each repeat counted as one more request. Each such request earned a part of a canary.

A request counts when it is first sent; a canary counts at each send, repeats too.

--- a/crates/gateway/src/forward/plain.rs
+++ b/crates/gateway/src/forward/plain.rs
@@ -8,7 +8,12 @@
         call::{Call, strip_connection_headers},
         ending::{Examination, LostRun, UpstreamKind},
     },
-    crate::{balance::Need, rollout::Outcome, room, state::GatewayState},
+    crate::{
+        balance::Need,
+        rollout::{Outcome, SendKind},
+        room,
+        state::GatewayState,
+    },
     attempt::{Tried, TryEnd, try_once},
     bytes::Bytes,
     futures::{StreamExt, future::BoxFuture, stream::FuturesUnordered},
@@ -321,6 +326,8 @@
             let waited = self.call.received.elapsed();
             self.state.metrics.observe_queue("call", waited);
         }
+        self.state
+            .note_send(&upstream.record, SendKind::after(self.sends));
         self.sends += 1;
         self.arrivals += 1;
         self.runs += 1;
--- a/crates/gateway/src/forward/stream/place.rs
+++ b/crates/gateway/src/forward/stream/place.rs
@@ -12,7 +12,7 @@
         balance::Need,
         events::EventSplitter,
         forward::{probe::Patience, reservation::Reservation},
-        rollout::Outcome,
+        rollout::{Outcome, SendKind},
         room,
         run_trace::{MemoryCopy, RunTrace},
         view::{Upstream, UpstreamRecord, Work},
@@ -116,6 +116,8 @@
                 let tokens = self.input_tokens();
                 self.state.capacity.note_prompt(&self.call.service, tokens);
             }
+            self.state
+                .note_send(&chosen.upstream.record, SendKind::after(self.sends));
             self.sends += 1;
             match self.try_place(chosen).await {
                 Ok(head) => return Ok(Opened::Stream(head)),
@@ -240,7 +242,6 @@
                     && self.state.may_get(holder)
             });
             if let Some(holder) = usable {
-                self.state.note_chosen(&holder.record);
                 return Some(Chosen {
                     upstream: holder,
                     go_on_from: Some(copy),
@@ -255,7 +256,6 @@
             && !self.avoid.contains(&kept_at)
             && self.state.may_get(&upstream)
         {
-            self.state.note_chosen(&upstream.record);
             return Some(Chosen {
                 upstream,
                 go_on_from: None,
--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -19,7 +19,7 @@
 
 pub use {
     evidence::{BadAnswers, Evidence, ROUTES_BOUND, RouteKey, RouteTallies, Tally, route_key},
-    exposure::Exposure,
+    exposure::{Exposure, SendKind},
     known::{RolloutNews, Rollouts},
     outcome::{Outcome, Quality, TypicalTimes},
     plan::{RolloutFacts, next_record},
--- a/crates/gateway/src/rollout/exposure.rs
+++ b/crates/gateway/src/rollout/exposure.rs
@@ -2,10 +2,30 @@
 
 use tealshore_core::protection::{Protection, enabled};
 
-/// The part of the allowed share that hosts use. A host counts what it chose upstreams for, and of
-/// these up to a quarter may be repeats, which are no requests of callers.
+/// The part of the allowed share that hosts use: what a host counts may not reach an upstream.
 const SHARE_PART: f64 = 0.75;
 
+/// Whether a request is sent for the first time on this host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendKind {
+    /// It is.
+    First,
+    /// It was sent before: a retry, a hedge, or a stream that goes on.
+    Repeat,
+}
+
+impl SendKind {
+    /// Of a request that was sent so many times before.
+    #[must_use]
+    pub fn after(sends: u32) -> Self {
+        if sends == 0 {
+            Self::First
+        } else {
+            Self::Repeat
+        }
+    }
+}
+
 /// One host's count of requests since it knows of an order.
 ///
 /// Each host keeps to the share by its own count, whatever it hears of the others. A count from
@@ -31,14 +51,17 @@
         }
     }
 
-    /// Notes a request that was sent to the version that serves.
-    pub fn note_request(&mut self) {
-        self.requests += 1;
+    /// Notes a send to the version that serves. Repeats are no requests of callers, and earn no canaries.
+    pub fn note_request(&mut self, send: SendKind) {
+        match send {
+            SendKind::First => self.requests += 1,
+            SendKind::Repeat => {}
+        }
     }
 
-    /// Notes a request that was sent to the version that is tried.
-    pub fn note_canary(&mut self) {
-        self.requests += 1;
+    /// Notes a send to the version that is tried; each of them counts.
+    pub fn note_canary(&mut self, send: SendKind) {
+        self.note_request(send);
         self.canaries += 1;
     }
 
--- a/crates/gateway/src/rollout/known.rs
+++ b/crates/gateway/src/rollout/known.rs
@@ -7,6 +7,7 @@
 use {
     super::{
         evidence::{Evidence, route_key},
+        exposure::SendKind,
         outcome::{Outcome, Quality},
         record::{Phase, RolloutOrder, RolloutRecord},
         turns::turn_takers,
@@ -290,17 +291,17 @@
         })
     }
 
-    /// Notes that an upstream was chosen for a request.
-    pub fn note_chosen(&self, upstream: &UpstreamRecord) {
+    /// Notes that a request is sent to an upstream.
+    pub fn note_send(&self, upstream: &UpstreamRecord, send: SendKind) {
         let mut services = self.services.lock();
         let Some(known) = services.get_mut(&upstream.service) else {
             return;
         };
         let target = known.current().map(|record| &record.target);
         if target.is_some_and(|target| *target == upstream.version) {
-            known.exposure.note_canary();
+            known.exposure.note_canary(send);
         } else {
-            known.exposure.note_request();
+            known.exposure.note_request(send);
         }
     }
 
--- a/crates/gateway/src/state/choice.rs
+++ b/crates/gateway/src/state/choice.rs
@@ -4,7 +4,7 @@
     super::GatewayState,
     crate::{
         balance::{Candidate, Need, choose},
-        rollout::Outcome,
+        rollout::{Outcome, SendKind},
         run_trace::Fingerprint,
         topology::Distance,
         view::{Upstream, UpstreamRecord, Work},
@@ -52,14 +52,13 @@
         let store_time = self.feed.store_time(Instant::now());
         let sets = self.rollouts.admitted(service, ready, bounds, store_time);
         let mut chosen = sets.iter().map(|set| self.choose_among(set, need, avoid));
-        let chosen = chosen.find_map(|chosen| chosen)?;
-        self.note_chosen(&chosen.record);
-        Some(chosen)
+        chosen.find_map(|chosen| chosen)
     }
 
-    /// Notes that an upstream was chosen for a request.
-    pub fn note_chosen(&self, upstream: &UpstreamRecord) {
-        self.rollouts.note_chosen(upstream);
+    /// Notes that a request is sent to an upstream. It may be chosen many times before, while it waits for the
+    /// retry budget.
+    pub fn note_send(&self, upstream: &UpstreamRecord, send: SendKind) {
+        self.rollouts.note_send(upstream, send);
         let requests = &self.metrics.version_requests;
         let labels = [upstream.service.as_str(), &upstream.version];
         requests.with_label_values(&labels).inc();
--- a/crates/gateway/tests/rollout.rs
+++ b/crates/gateway/tests/rollout.rs
@@ -9,8 +9,8 @@
     rand::{RngExt, SeedableRng, rngs::StdRng},
     std::time::Duration,
     tealshore_gateway::rollout::{
-        Exposure, ListedVersion, Permit, Phase, RolloutFacts, RolloutOrder, RolloutRecord, Turns,
-        TypicalTimes, Verdict, next_record, permit,
+        Exposure, ListedVersion, Permit, Phase, RolloutFacts, RolloutOrder, RolloutRecord,
+        SendKind, Turns, TypicalTimes, Verdict, next_record, permit,
     },
 };
 
@@ -162,9 +162,9 @@
 fn note_request(host: &mut Exposure, share: f64) -> bool {
     let is_canary = host.allows_canary(share);
     if is_canary {
-        host.note_canary();
+        host.note_canary(SendKind::First);
     } else {
-        host.note_request();
+        host.note_request(SendKind::First);
     }
     is_canary
 }
@@ -228,6 +228,26 @@
     assert!(typical.is_slow("short", short * 9));
 }
 
+/// Streams of a hall that dies are sent again and again; that lets no more of them go to a version that is tried.
+#[test]
+fn repeats_of_a_request_earn_no_canaries() {
+    let mut exposure = Exposure::beginning_with(0.5);
+    for _ in 0..4 {
+        exposure.note_request(SendKind::First);
+    }
+    for _ in 0..1_000 {
+        exposure.note_request(SendKind::Repeat);
+    }
+    assert!(!exposure.allows_canary(0.1));
+    for _ in 0..4 {
+        exposure.note_request(SendKind::First);
+    }
+    assert!(exposure.allows_canary(0.1));
+    // A repeat that goes to the version is a canary all the same.
+    exposure.note_canary(SendKind::Repeat);
+    assert!(!exposure.allows_canary(0.1));
+}
+
 fn facts(now_s: f64, verdict: Verdict) -> RolloutFacts {
     RolloutFacts {
         now: Duration::from_secs_f64(now_s),
