--- a/crates/gateway/tests/groups.rs
+++ b/crates/gateway/tests/groups.rs
@@ -4,8 +4,12 @@
     reason = "helpers of tests fail as tests do, which clippy.toml allows"
 )]
 
+#[path = "support/rollouts.rs"]
+mod rollouts;
+
 use {
     proptest::prelude::*,
+    rollouts::{ORDER, SERVICE, news_of_bad_answers},
     std::{
         collections::BTreeMap,
         net::SocketAddr,
@@ -19,7 +23,6 @@
             Datagram, DigestSource, GroupDigest, GroupMember, GroupSums, HostAddress, HostPhase,
             LastDigest, LenderOf, PeerState, Peers, ServiceUse, Unreadable, UpstreamWork,
         },
-        rollout::{Evidence, Phase, RolloutNews, RolloutRecord, Tally, route_key},
         run_trace::RunTrace,
         view::{Condition, UpstreamRecord, UpstreamState, Work},
     },
@@ -257,30 +260,12 @@
     assert_eq!(relays, ["bb-1"]);
 }
 
-const ORDER: u64 = 5;
-
 /// A digest whose hosts saw so many bad answers of a version that is tried.
 fn digest_with_bad_answers(relay: &str, bad: u32) -> GroupDigest {
-    let mut evidence = Evidence::none(ORDER);
-    let tally = Tally { answers: bad, bad };
-    evidence.note_target(&"i-new".to_owned(), route_key("cue"), tally);
-    let record = RolloutRecord {
-        service: "model".to_owned(),
-        order: ORDER,
-        from: "v1".to_owned(),
-        target: "v2".to_owned(),
-        phase: Phase::Canary,
-        since: Duration::from_secs(100),
-        deadline: Duration::from_secs(116),
-    };
     let mut digest = digest(4);
     digest.relay = relay.to_owned();
-    digest.budgets[0].service = "model".to_owned();
-    digest.budgets[0].rollout = Some(RolloutNews {
-        revision: ORDER + 1,
-        record,
-        evidence,
-    });
+    digest.budgets[0].service = SERVICE.to_owned();
+    digest.budgets[0].rollout = Some(news_of_bad_answers(bad));
     digest
 }
 
@@ -290,7 +275,7 @@
     let now = Instant::now();
     let peers = grouped_peers("bad-answers", now);
     let known_bad = || {
-        let evidence = peers.rollout_evidence(&"model".to_owned(), ORDER);
+        let evidence = peers.rollout_evidence(&SERVICE.to_owned(), ORDER);
         evidence.target_sum().bad
     };
     peers.apply_digest(&digest_with_bad_answers("bb-0", 20), now);
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -4,8 +4,12 @@
     reason = "helpers of tests fail as tests do, which clippy.toml allows"
 )]
 
+#[path = "support/rollouts.rs"]
+mod rollouts;
+
 use {
     proptest::prelude::*,
+    rollouts::{ORDER, SERVICE, news_of_bad_answers},
     std::{
         collections::BTreeMap,
         net::SocketAddr,
@@ -18,7 +22,6 @@
             Datagram, HostPhase, LastState, PeerState, Peers, ServiceUse, UpstreamWork,
             usage_receivers,
         },
-        rollout::{Evidence, Phase, RolloutNews, RolloutRecord, Tally, route_key},
         run_trace::RunTrace,
         view::{Condition, Work},
     },
@@ -350,31 +353,11 @@
     assert!(told.contains(&hosts[2].peers_address));
 }
 
-const ORDER: u64 = 5;
-
 /// The state of a process that knows a roll-out and saw so many bad answers of its target.
 fn state_with_bad_answers(incarnation: u64, bad: u32) -> PeerState {
-    let mut evidence = Evidence::none(ORDER);
-    if bad > 0 {
-        let tally = Tally { answers: bad, bad };
-        evidence.note_target(&"i-new".to_owned(), route_key("cue"), tally);
-    }
-    let record = RolloutRecord {
-        service: "model".to_owned(),
-        order: ORDER,
-        from: "v1".to_owned(),
-        target: "v2".to_owned(),
-        phase: Phase::Canary,
-        since: Duration::from_secs(100),
-        deadline: Duration::from_secs(116),
-    };
     let mut state = state(1, &BTreeMap::new(), 0);
     state.incarnation = incarnation;
-    state.budgets[0].rollout = Some(RolloutNews {
-        revision: ORDER + 1,
-        record,
-        evidence,
-    });
+    state.budgets[0].rollout = Some(news_of_bad_answers(bad));
     state
 }
 
@@ -384,7 +367,7 @@
     let peers = peers_with_halls("bad-answers", "");
     let now = Instant::now();
     let known_bad = || {
-        let evidence = peers.rollout_evidence(&"model".to_owned(), ORDER);
+        let evidence = peers.rollout_evidence(&SERVICE.to_owned(), ORDER);
         evidence.target_sum().bad
     };
     peers.apply_state(state_with_bad_answers(4, 30), now);
--- /dev/null
+++ b/crates/gateway/tests/rollout_trial.rs
@@ -0,0 +1,242 @@
+//! When a version that is tried gets nothing more: in simulated roll-outs while halls die, and on one host.
+#![allow(
+    clippy::unwrap_used,
+    reason = "helpers of tests fail as tests do, which clippy.toml allows"
+)]
+
+#[path = "support/rollouts.rs"]
+mod rollouts;
+
+use {
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+    rollouts::{ORDER, SERVICE, trial},
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+    tealshore_capacity::EngineKind,
+    tealshore_gateway::{
+        rollout::{
+            BadAnswers, Evidence, Outcome, Phase, Quality, RolloutOrder, RolloutRecord, Rollouts,
+            Tally, Verdict, judge, route_key,
+        },
+        view::{UpstreamRecord, UpstreamState},
+    },
+};
+
+/// Upstreams of each version that answer.
+const UPSTREAMS: usize = 12;
+
+/// A host that knows a roll-out whose target is tried.
+fn trying() -> Rollouts {
+    let rollouts = Rollouts::new(0.5);
+    let order = RolloutOrder {
+        revision: ORDER,
+        service: SERVICE.to_owned(),
+        target: "v2".to_owned(),
+        duration: Duration::from_secs(16),
+    };
+    rollouts.apply_order(order, false, Instant::now());
+    rollouts.apply_record(ORDER + 1, &trial(), false);
+    rollouts
+}
+
+fn upstream(version: &str, index: usize) -> UpstreamRecord {
+    UpstreamRecord {
+        id: format!("i-{version}-{index}"),
+        born: None,
+        service: SERVICE.to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        hall: "a".to_owned(),
+        version: version.to_owned(),
+        slots: 12,
+        kind: EngineKind::OnDemand,
+        state: UpstreamState::Ready,
+    }
+}
+
+/// How answers of a version fail, and how they are lost while a hall dies.
+#[derive(Clone, Copy)]
+struct Trouble {
+    failed: f64,
+    lost: f64,
+}
+
+impl Trouble {
+    fn outcome(self, is_hall_dying: bool, random: &mut StdRng) -> Outcome {
+        if is_hall_dying && random.random::<f64>() < self.lost {
+            return Outcome::Lost;
+        }
+        if random.random::<f64>() < self.failed {
+            return Outcome::Failed;
+        }
+        Outcome::Answered(Duration::from_millis(900))
+    }
+}
+
+/// Plays 200 roll-outs of 300 canaries, each with 13 answers of the old version beside it, while halls die
+/// for 20 canaries out of 30; how many were condemned, and the most bad answers that it took.
+fn play_while_halls_die(old: Trouble, target: Trouble, seed: u64) -> (u32, u32) {
+    let mut random = StdRng::seed_from_u64(seed);
+    let (mut condemned, mut most_bad) = (0, 0);
+    for _ in 0..200 {
+        let rollouts = trying();
+        for canary in 0..300_usize {
+            let is_dying = canary % 30 < 20;
+            let route = if random.random::<f64>() < 0.44 {
+                "cue"
+            } else {
+                "brief"
+            };
+            for index in 0..13 {
+                let outcome = old.outcome(is_dying, &mut random);
+                rollouts.note_outcome(&upstream("v1", index % UPSTREAMS), route, outcome);
+            }
+            let outcome = target.outcome(is_dying, &mut random);
+            rollouts.note_outcome(&upstream("v2", canary % UPSTREAMS), route, outcome);
+            let evidence = rollouts.evidence(&SERVICE.to_owned(), ORDER);
+            if judge(&evidence, UPSTREAMS).verdict == Verdict::Bad {
+                condemned += 1;
+                most_bad = most_bad.max(evidence.target_sum().bad);
+                break;
+            }
+        }
+    }
+    (condemned, most_bad)
+}
+
+/// Answers lost with dying upstreams of the old version are no measure of its failures.
+#[test]
+fn a_bad_version_is_condemned_before_fifty_bad_answers_while_halls_die() {
+    let old = Trouble {
+        failed: 0.004,
+        lost: 0.6,
+    };
+    for (index, failed) in [0.39, 0.5].into_iter().enumerate() {
+        let target = Trouble { failed, ..old };
+        let (condemned, most_bad) = play_while_halls_die(old, target, 300 + index as u64);
+        println!("{failed} fail: {condemned} of 200 condemned, most bad {most_bad}");
+        assert_eq!(condemned, 200, "{failed} fail");
+        assert!(most_bad < 50, "{failed} fail: {most_bad} bad");
+    }
+}
+
+#[test]
+fn a_good_version_is_rarely_condemned_while_halls_die() {
+    let alike = Trouble {
+        failed: 0.004,
+        lost: 0.6,
+    };
+    let (condemned, _) = play_while_halls_die(alike, alike, 400);
+    println!("{condemned} of 200 condemned");
+    assert!(condemned <= 2, "{condemned} of 200");
+}
+
+/// The old version's losses tell how many of the target's are none of its own.
+#[test]
+fn losses_that_strike_both_versions_do_not_stop_a_good_one() {
+    let mut evidence = evidence_of(tally(593, 0), tally(55, 5));
+    for index in 0..12 {
+        let upstream = format!("i-{index}");
+        for send in 0..1_300 {
+            let quality = if send % 2 == 0 {
+                Quality::Lost
+            } else {
+                Quality::Good
+            };
+            if send < 11 {
+                evidence.record_target(&upstream, route_key("brief"), quality);
+            }
+            evidence.record_serving(route_key("brief"), quality);
+        }
+    }
+    assert!(evidence.target_sum().bad > 70);
+    let known_bad = evidence.bad_answers();
+    assert!(known_bad <= 12, "{known_bad}");
+    assert!(!judge(&evidence, 12).ends_trial(known_bad, 50));
+    // A version whose upstreams end more often than those of the old one is to blame for that.
+    let mut crashing = evidence_of(tally(593, 0), tally(55, 5));
+    for index in 0..60 {
+        crashing.record_target(
+            &format!("i-{}", index % 12),
+            route_key("brief"),
+            Quality::Lost,
+        );
+    }
+    assert_eq!(crashing.bad_answers(), 65);
+}
+
+fn evidence_of(serving: Tally, target: Tally) -> Evidence {
+    let route = route_key("cue");
+    let mut evidence = Evidence::none(ORDER);
+    evidence.note_serving(route, serving);
+    let by_upstream = Tally {
+        answers: target.answers / 5,
+        bad: target.bad / 5,
+    };
+    for index in 0..5 {
+        evidence.note_target(&format!("i-{index}"), route, by_upstream);
+    }
+    evidence
+}
+
+fn tally(answers: u32, bad: u32) -> Tally {
+    Tally { answers, bad }
+}
+
+#[test]
+fn a_version_without_a_verdict_gets_nothing_more_after_its_bad_answers() {
+    const MOST_BAD: u64 = 50;
+    let undecided = judge(&evidence_of(tally(500, 200), tally(50, 25)), 5);
+    assert_eq!(undecided.verdict, Verdict::Undecided);
+    assert!(!undecided.ends_trial(24, MOST_BAD));
+    assert!(undecided.ends_trial(25, MOST_BAD));
+    // Many answers that fail as often as those of the old version show it to be no worse.
+    let alike = judge(&evidence_of(tally(5_000, 250), tally(500, 25)), 5);
+    assert!(!alike.ends_trial(25, MOST_BAD));
+    assert!(!alike.ends_trial(1_000, MOST_BAD));
+}
+
+#[test]
+fn a_host_that_stopped_sending_to_a_version_sends_nothing_until_another_order() {
+    let rollouts = trying();
+    let (old, new) = (upstream("v1", 0), upstream("v2", 0));
+    assert!(rollouts.is_open(&new));
+    let [record] = &rollouts.trials()[..] else {
+        panic!("one version is tried");
+    };
+    assert!(rollouts.stop_trial(record));
+    assert!(!rollouts.stop_trial(record));
+    assert!(rollouts.is_trial_stopped(&SERVICE.to_owned(), ORDER));
+    assert!(!rollouts.is_open(&new) && rollouts.is_open(&old));
+    // The leader may have decided otherwise.
+    let completed = RolloutRecord {
+        phase: Phase::Completed,
+        ..record.clone()
+    };
+    rollouts.apply_record(ORDER + 2, &completed, false);
+    assert!(rollouts.is_open(&new));
+    let again = RolloutRecord {
+        order: ORDER + 3,
+        ..record.clone()
+    };
+    rollouts.apply_record(ORDER + 4, &again, false);
+    assert!(rollouts.is_open(&new));
+}
+
+/// A host that starts has seen nothing of what the version gave before.
+#[test]
+fn the_most_bad_answers_that_any_host_knows_of_count_since_their_order() {
+    let rollouts = trying();
+    let known = |order, count| BadAnswers {
+        service: SERVICE.to_owned(),
+        order,
+        count,
+    };
+    assert!(rollouts.bad_answers().is_empty());
+    assert_eq!(rollouts.record_bad_answers(&known(ORDER, 31)), 31);
+    assert_eq!(rollouts.record_bad_answers(&known(ORDER, 4)), 31);
+    rollouts.record_bad_answers(&known(ORDER - 1, 90));
+    assert_eq!(rollouts.bad_answers(), [known(ORDER, 31)]);
+    assert_eq!(rollouts.record_bad_answers(&known(ORDER + 9, 2)), 2);
+}
--- /dev/null
+++ b/crates/gateway/tests/support/rollouts.rs
@@ -0,0 +1,45 @@
+//! A roll-out whose target is tried.
+#![allow(
+    dead_code,
+    reason = "each test that includes this file uses a part of it"
+)]
+
+use {
+    std::time::Duration,
+    tealshore_gateway::{
+        edge::Revision,
+        rollout::{Evidence, Phase, RolloutNews, RolloutRecord, Tally, route_key},
+    },
+};
+
+/// The service that is rolled out.
+pub const SERVICE: &str = "model";
+/// The version of the order's row.
+pub const ORDER: Revision = 5;
+
+/// The record while the target is tried.
+pub fn trial() -> RolloutRecord {
+    RolloutRecord {
+        service: SERVICE.to_owned(),
+        order: ORDER,
+        from: "v1".to_owned(),
+        target: "v2".to_owned(),
+        phase: Phase::Canary,
+        since: Duration::from_secs(100),
+        deadline: Duration::from_secs(116),
+    }
+}
+
+/// What a host says that saw so many bad answers of the target.
+pub fn news_of_bad_answers(bad: u32) -> RolloutNews {
+    let mut evidence = Evidence::none(ORDER);
+    if bad > 0 {
+        let tally = Tally { answers: bad, bad };
+        evidence.note_target(&"i-new".to_owned(), route_key("cue"), tally);
+    }
+    RolloutNews {
+        revision: ORDER + 1,
+        record: trial(),
+        evidence,
+    }
+}
