--- a/crates/gateway/src/rollout/exposure.rs
+++ b/crates/gateway/src/rollout/exposure.rs
@@ -8,9 +8,9 @@
 /// Whether a request is sent for the first time on this host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SendKind {
-    /// It is.
+    /// No upstream was sent it from this host before.
     First,
-    /// It was sent before: a retry, a hedge, or a stream that goes on.
+    /// It was sent from this host before: a retry, a hedge, or a stream that goes on.
     Repeat,
 }
 
--- a/crates/gateway/src/rollout/verdict.rs
+++ b/crates/gateway/src/rollout/verdict.rs
@@ -35,11 +35,11 @@
 /// among so many.
 const PRIOR_ANSWERS: f64 = 10.0;
 
-/// The weight of the ratio over all answers,
+/// The weight of the ratio over all answers.
 const ALL_WEIGHT: f64 = 0.45;
-/// that of those of the routes together,
+/// The weight that the ratios of the routes share.
 const ROUTES_WEIGHT: f64 = 0.5;
-/// and that of the losses.
+/// The weight of the ratio of the losses: small, since losses come in bursts.
 const LOSSES_WEIGHT: f64 = 1.0 - ALL_WEIGHT - ROUTES_WEIGHT;
 
 /// How many bad answers there may be for each one that a host knows of: some are still to be told, and
