Log what keeps a refused request from each upstream of its service

A refusal by upstreams-busy or no-engine did not say whether upstreams were suspected, full by the host's own calls, or full by the work that other hosts reported.

The detail now counts the service's upstreams by each of these. Decisions are unchanged: has_room takes the work and slots in place of a candidate.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -122,7 +122,7 @@
     let allowed = candidates
         .iter()
         .filter(|candidate| !avoid.iter().any(|id| id == candidate.id))
-        .filter(|candidate| has_room(candidate, need));
+        .filter(|candidate| has_room(candidate.work, candidate.slots, need));
     // Computes the cost once per candidate, as there may be many thousands.
     let ranked = allowed.map(|candidate| {
         let rank = Rank {
@@ -174,29 +174,25 @@
     }
 }
 
-fn has_room(candidate: &Candidate<'_>, need: Need<'_>) -> bool {
+/// Whether an upstream with this work and number of slots has room for a request.
+#[must_use]
+pub fn has_room(work: Work, slots: u32, need: Need<'_>) -> bool {
     match need {
-        Need::Call { hosts } => candidate.work.running < host_share(candidate.slots, hosts),
+        Need::Call { hosts } => work.running < host_share(slots, hosts),
         Need::Prompt {
             memory_tokens,
             engine_memory_tokens,
             ..
         } => {
-            let is_idle = candidate.work.running == 0;
-            is_idle
-                || fits(
-                    candidate,
-                    memory_tokens,
-                    engine_memory_tokens,
-                    MEMORY_FRACTION,
-                )
+            let is_idle = work.running == 0;
+            is_idle || fits(work, memory_tokens, engine_memory_tokens, MEMORY_FRACTION)
         }
         Need::Copy {
             memory_tokens,
             engine_memory_tokens,
             ..
         } => fits(
-            candidate,
+            work,
             memory_tokens,
             engine_memory_tokens,
             COPY_MEMORY_FRACTION,
@@ -206,8 +202,8 @@
 
 /// Whether an engine can hold these tokens in addition within a fraction of its memory. An engine size of 0
 /// means that it is unknown.
-fn fits(candidate: &Candidate<'_>, tokens: u64, engine_tokens: u64, fraction: f64) -> bool {
-    let held = to_f64(candidate.work.memory_tokens + tokens);
+fn fits(work: Work, tokens: u64, engine_tokens: u64, fraction: f64) -> bool {
+    let held = to_f64(work.memory_tokens + tokens);
     engine_tokens == 0 || held <= to_f64(engine_tokens) * fraction
 }
 
--- a/crates/gateway/src/forward/plain.rs
+++ b/crates/gateway/src/forward/plain.rs
@@ -319,7 +319,8 @@
                 if self.state.is_limited(&self.call.service, Instant::now()) {
                     return Err(room::limited_failure(Duration::ZERO));
                 }
-                let detail = "all upstreams of the service turned the call away";
+                let counts = self.state.count_upstreams(service, need, &avoid);
+                let detail = format!("all upstreams of the service turned the call away: {counts}");
                 return Err(Failure::new(ErrorKind::UpstreamsBusy, detail));
             }
             sleep(ALL_BUSY_PAUSE).await;
--- a/crates/gateway/src/forward/stream/place.rs
+++ b/crates/gateway/src/forward/stream/place.rs
@@ -153,8 +153,12 @@
             if self.state.is_limited(&self.call.service, Instant::now()) {
                 return Err(self.failure_after_attempts(room::limited_failure(Duration::ZERO)));
             }
-            let detail = "no engine has room for the stream";
-            return Err(self.refusal(ErrorKind::NoEngine, detail));
+            let service = &self.call.service;
+            let counts = self
+                .state
+                .count_upstreams(service, self.need(), &self.avoid);
+            let detail = format!("no engine has room for the stream: {counts}");
+            return Err(self.refusal(ErrorKind::NoEngine, &detail));
         };
         let max_wait = match self.ran_so_far() {
             Ran::No => room::room_wait(objective),
@@ -273,15 +277,10 @@
                 has_prompt_cached: true,
             });
         }
-        let need = Need::Prompt {
-            fingerprint: self.call.fingerprint,
-            memory_tokens: self.memory_tokens(),
-            engine_memory_tokens: self.engines().memory_tokens,
-            has_failed: !self.failed_at.is_empty(),
-            prefers_isolation,
-        };
         let service = &self.call.service;
-        let chosen = self.state.choose_upstream(service, need, &self.avoid)?;
+        let chosen = self
+            .state
+            .choose_upstream(service, self.need(), &self.avoid)?;
         Some(Chosen {
             upstream: chosen,
             resume_from: None,
@@ -289,6 +288,18 @@
         })
     }
 
+    /// What the whole prompt needs from an engine.
+    fn need(&self) -> Need<'static> {
+        let fingerprint = self.call.fingerprint;
+        Need::Prompt {
+            fingerprint,
+            memory_tokens: self.memory_tokens(),
+            engine_memory_tokens: self.engines().memory_tokens,
+            has_failed: !self.failed_at.is_empty(),
+            prefers_isolation: self.state.crashes.is_near_quarantine(fingerprint),
+        }
+    }
+
     async fn try_place(&mut self, chosen: Chosen) -> Result<response::Parts, PlaceFailure> {
         let Chosen {
             upstream,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -4,6 +4,7 @@
 mod limits;
 mod notices;
 mod store_heads;
+mod upstream_counts;
 
 pub use limits::ClosedReason;
 
