Let a host connect to upstreams from a configured address

A host with several addresses may have to use one of them towards its upstreams. Tests need it as well: stand-ins can tell hosts in one process apart only by the address that connections come from, and a packet filter on their sockets then cuts off one host, as a partition does.

Where source_address is not set, nothing changes.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -6,9 +6,14 @@
     http_body_util::{BodyExt, Full},
     hyper::{body::Incoming, client::conn::http1},
     hyper_util::rt::TokioIo,
-    std::{net::SocketAddr, time::Duration},
+    std::{future::Future, io, net::SocketAddr, time::Duration},
     tealshore_core::http::read_limited,
-    tokio::{net::TcpStream, task::JoinHandle, time::timeout},
+    tokio::{
+        io::{AsyncRead, AsyncWrite},
+        net::TcpStream,
+        task::JoinHandle,
+        time::timeout,
+    },
 };
 
 /// The task that drives a connection. Dropping it closes the connection.
@@ -56,26 +61,19 @@
     TimedOut,
 }
 
-/// Makes a short call on a connection of its own. Returns `None` unless a complete answer arrives
-/// within the bounds.
-pub async fn short_call(
-    address: SocketAddr,
-    request: Request<Bytes>,
-    bounds: CallBounds,
-) -> Option<(StatusCode, Bytes)> {
-    try_call(address, request, bounds).await.ok()
-}
-
-/// Like [`short_call`], but returns the reason if there is no answer.
+/// Makes a short call on a connection of its own, which `opening` opens.
 ///
 /// # Errors
 /// No complete answer arrived within the bounds.
-pub async fn try_call(
-    address: SocketAddr,
+pub async fn short_call<S>(
+    opening: impl Future<Output = io::Result<S>>,
     request: Request<Bytes>,
     bounds: CallBounds,
-) -> Result<(StatusCode, Bytes), CallFailure> {
-    let exchange = exchange(address, request, bounds.answer_bytes);
+) -> Result<(StatusCode, Bytes), CallFailure>
+where
+    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+{
+    let exchange = exchange(opening, request, bounds.answer_bytes);
     let answer = timeout(bounds.timeout, exchange).await;
     answer
         .map_err(|_| CallFailure::TimedOut)?
@@ -91,9 +89,8 @@
     bounds: TransferBounds,
 ) -> Option<(StatusCode, Bytes)> {
     let transfer = async {
-        let (answer, _connection) = timeout(bounds.idle_timeout, send(address, request))
-            .await
-            .ok()??;
+        let sending = send(TcpStream::connect(address), request);
+        let (answer, _connection) = timeout(bounds.idle_timeout, sending).await.ok()??;
         let status = answer.status();
         let body = read_with_idle_timeout(answer.into_body(), bounds).await?;
         Some((status, body))
@@ -116,23 +113,29 @@
     }
 }
 
-async fn exchange(
-    address: SocketAddr,
+async fn exchange<S>(
+    opening: impl Future<Output = io::Result<S>>,
     request: Request<Bytes>,
     answer_bytes: usize,
-) -> Option<(StatusCode, Bytes)> {
-    let (answer, _connection) = send(address, request).await?;
+) -> Option<(StatusCode, Bytes)>
+where
+    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+{
+    let (answer, _connection) = send(opening, request).await?;
     let status = answer.status();
     let body = read_limited(answer.into_body(), answer_bytes).await;
     Some((status, body.ok()?))
 }
 
 /// Sends a request on a connection of its own and waits for the head of its answer.
-async fn send(
-    address: SocketAddr,
+async fn send<S>(
+    opening: impl Future<Output = io::Result<S>>,
     request: Request<Bytes>,
-) -> Option<(Response<Incoming>, Connection)> {
-    let stream = TcpStream::connect(address).await.ok()?;
+) -> Option<(Response<Incoming>, Connection)>
+where
+    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+{
+    let stream = opening.await.ok()?;
     let (mut sender, driver) = http1::handshake(TokioIo::new(stream)).await.ok()?;
     let connection = Connection::driven_by(tokio::spawn(async move {
         // Whoever reads the answer sees how the connection ended.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -2,6 +2,7 @@
 
 mod call;
 mod connect;
+mod dial;
 mod ending;
 mod plain;
 mod probe;
--- a/crates/gateway/src/forward/connect.rs
+++ b/crates/gateway/src/forward/connect.rs
@@ -4,6 +4,7 @@
 //! another request, and no request is sent on a connection that the upstream is closing.
 
 use {
+    super::dial::dial,
     crate::{
         connection::Connection, edge::AnswerFacts, rollout::Outcome, state::GatewayState,
         view::Upstream,
@@ -88,7 +89,7 @@
     request: Request<Full<Bytes>>,
     id: &str,
 ) -> Result<Answer, SendFailure> {
-    let stream = open_connection(upstream).await?;
+    let stream = open_connection(state, upstream).await?;
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (mut sender, driver) = handshake.map_err(|_| SendFailure::Unreachable)?;
     let connection = Connection::driven_by(tokio::spawn(async move {
@@ -142,9 +143,8 @@
 }
 
 /// Tests whether an upstream accepts a new connection, and closes it.
-pub async fn probe_connection(upstream: &Upstream) -> ConnectProbe {
-    let opening = TcpStream::connect(upstream.record.address);
-    match timeout(CONNECT_TIMEOUT, opening).await {
+pub async fn probe_connection(state: &GatewayState, upstream: &Upstream) -> ConnectProbe {
+    match timeout(CONNECT_TIMEOUT, dial(state, upstream)).await {
         Ok(Ok(_)) => ConnectProbe::Accepted,
         Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => ConnectProbe::Refused,
         Ok(Err(_)) | Err(_) => ConnectProbe::Unanswered,
@@ -160,9 +160,11 @@
     }
 }
 
-async fn open_connection(upstream: &Upstream) -> Result<TcpStream, SendFailure> {
-    let opening = TcpStream::connect(upstream.record.address);
-    let opened = timeout(CONNECT_TIMEOUT, opening).await;
+async fn open_connection(
+    state: &GatewayState,
+    upstream: &Upstream,
+) -> Result<TcpStream, SendFailure> {
+    let opened = timeout(CONNECT_TIMEOUT, dial(state, upstream)).await;
     let stream = opened
         .map_err(|_| SendFailure::Unreachable)?
         .map_err(|_| SendFailure::Unreachable)?;
--- a/crates/gateway/src/forward/ending.rs
+++ b/crates/gateway/src/forward/ending.rs
@@ -48,7 +48,7 @@
         if upstream.was_replaced_after(began) {
             return ProbeResult::PerhapsAnotherLife;
         }
-        match (connect::probe_connection(upstream).await, self) {
+        match (connect::probe_connection(state, upstream).await, self) {
             (ConnectProbe::Refused, Self::Engine | Self::PlainService) => ProbeResult::Refused,
             (ConnectProbe::Unanswered, Self::Engine) => ProbeResult::Silent,
             (ConnectProbe::Accepted, Self::Engine) => {
--- a/crates/gateway/src/forward/probe.rs
+++ b/crates/gateway/src/forward/probe.rs
@@ -1,8 +1,9 @@
 //! Distinguishes a dead upstream from one that is silent because it is still working.
 
 use {
+    super::dial::dial,
     crate::{
-        connection::{CallBounds, CallFailure, try_call},
+        connection::{CallBounds, CallFailure, short_call},
         edge::ProbeReport,
         rollout::Outcome,
         state::GatewayState,
@@ -258,6 +259,6 @@
 ) -> Result<ProbeReport, CallFailure> {
     state.record_unpermitted(&upstream.record);
     let call = state.protocol.probe_call(&upstream.record);
-    let (status, body) = try_call(upstream.record.address, call, PROBE_BOUNDS).await?;
+    let (status, body) = short_call(dial(state, upstream), call, PROBE_BOUNDS).await?;
     Ok(state.protocol.read_probe(status, &body, request))
 }
--- a/crates/gateway/src/forward/stream/recopy.rs
+++ b/crates/gateway/src/forward/stream/recopy.rs
@@ -6,6 +6,7 @@
 use {
     crate::{
         connection::{CallBounds, short_call},
+        forward::dial::dial,
         run_trace::MemoryCopy,
         state::GatewayState,
         view::Upstream,
@@ -108,8 +109,10 @@
         .protocol
         .copy_call(&source.record, run, target.record.address);
     state.record_unpermitted(&source.record);
-    let answer = short_call(source.record.address, request, COPY_CALL_BOUNDS).await;
-    let name = answer.and_then(|(status, body)| state.protocol.read_copied(status, &body));
+    let answer = short_call(dial(state, source), request, COPY_CALL_BOUNDS).await;
+    let name = answer
+        .ok()
+        .and_then(|(status, body)| state.protocol.read_copied(status, &body));
     log::info!(
         "stream: memory copy ended request={run} upstream={} copy_to={} outcome={}",
         source.record.id,
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -72,6 +72,8 @@
     pub readiness_address: SocketAddr,
     /// Listen address for metrics.
     pub metrics_address: SocketAddr,
+    /// Local address of connections to upstreams; `None` if the system chooses it.
+    pub source_address: Option<IpAddr>,
     /// Most bytes of request bodies held in memory at once.
     pub body_bytes: usize,
     /// Most connections of callers open at once.
@@ -215,6 +217,7 @@
             directory_address: section.address("directory_address")?,
             readiness_address: section.address("readiness_address")?,
             metrics_address: section.address("metrics_address")?,
+            source_address: read_source_address(section)?,
             body_bytes: to_usize(memory_mb * 1024 * 1024 / BODY_MEMORY_DIVISOR),
             max_connections: to_usize(max_files / CONNECTION_FILES_DIVISOR),
             link_mbps: number(section, "link_mbps", 1_000.0)?.round() as u32,
@@ -223,6 +226,17 @@
     }
 }
 
+fn read_source_address(section: &mut Section<'_>) -> Result<Option<IpAddr>, SettingError> {
+    const KEY: &str = "source_address";
+    let Some(value) = section.optional(KEY) else {
+        return Ok(None);
+    };
+    let address = value.parse();
+    address
+        .map(Some)
+        .map_err(|_| section.bad_value(KEY, value, "an IP address without a port"))
+}
+
 /// Request bodies may take up the host's memory divided by this number.
 const BODY_MEMORY_DIVISOR: u64 = 4;
 /// Callers' connections may take up the host's file descriptors divided by this number.
