Do not count another host's plain calls at an upstream

Cause: each host limits its own plain calls at an upstream, and reports them to no other host, unless it reports the upstream as suspected: then the entry carried its plain calls too. Calls that wait 300 ms for a connection that hangs were thus added to the own calls of a host that is not cut off, and filled its share of an upstream's slots (a third of 12 with 4 hosts).

Evidence: in the failing test a host with three cut-off hosts beside it refused 5 of 12 calls, each with full=2 full_by_peers=2 of ready=2.

Change: work without memory, which is that of plain calls, is neither sent nor counted. What earlier builds send is left out by the receiver, directly and in the digests of groups.

The two new tests of the peers' sums fail without the change.

--- a/crates/gateway/src/peers/digest.rs
+++ b/crates/gateway/src/peers/digest.rs
@@ -49,7 +49,7 @@
                 .work
                 .entry(entry.upstream.clone())
                 .or_insert((Work::default(), Condition::Healthy));
-            sum.0.add(entry.work);
+            sum.0.add(entry.shared_work());
             sum.1 = worse(sum.1, entry.condition);
         }
     }
--- a/crates/gateway/src/peers/groups.rs
+++ b/crates/gateway/src/peers/groups.rs
@@ -258,10 +258,11 @@
             self.work.clear();
         }
         for entry in &digest.work {
-            if entry.work == Work::default() {
+            let work = entry.shared_work();
+            if work == Work::default() {
                 self.work.remove(&entry.upstream);
             } else {
-                self.work.insert(entry.upstream.clone(), entry.work);
+                self.work.insert(entry.upstream.clone(), work);
             }
         }
         self.budgets.clone_from(&digest.budgets);
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -64,6 +64,17 @@
         }
     }
 
+    /// Returns the work that counts on other hosts. Each host limits its own plain calls, so they count there only;
+    /// hosts of earlier builds report them for upstreams that they found unhealthy.
+    #[must_use]
+    pub fn shared_work(&self) -> Work {
+        if self.work.memory_tokens > 0 {
+            self.work
+        } else {
+            Work::default()
+        }
+    }
+
     /// Returns whether the entry differs from a healthy upstream without work.
     #[must_use]
     pub fn is_significant(&self) -> bool {
--- a/crates/gateway/src/peers/outgoing.rs
+++ b/crates/gateway/src/peers/outgoing.rs
@@ -23,13 +23,15 @@
     let peers = &state.peers;
     let active = state.view.upstreams.active(now);
     let work = active.iter().filter_map(|upstream| {
-        let own = upstream.own_work();
         let entry = UpstreamWork {
             upstream: upstream.record.id.clone(),
-            work: own,
+            work: upstream.own_work(),
             condition: upstream.local_condition(now),
         };
-        entry.is_significant().then_some(entry)
+        let work = entry.shared_work();
+        entry
+            .is_significant()
+            .then_some(UpstreamWork { work, ..entry })
     });
     let budgets = service_uses(state, now);
     PeerState {
--- a/crates/gateway/src/peers/sums.rs
+++ b/crates/gateway/src/peers/sums.rs
@@ -18,7 +18,7 @@
         for peer in known.values().filter(|peer| self.is_counted(peer, now)) {
             for entry in &peer.state.work {
                 let sum = sums.entry(entry.upstream.clone()).or_default();
-                sum.add(entry.work);
+                sum.add(entry.shared_work());
             }
         }
         sums
--- a/crates/gateway/tests/groups.rs
+++ b/crates/gateway/tests/groups.rs
@@ -225,6 +225,23 @@
     assert_eq!(pool.live_peers, 4);
 }
 
+#[test]
+fn plain_calls_in_a_digest_of_an_earlier_build_do_not_fill_an_upstream() {
+    let now = Instant::now();
+    let peers = grouped_peers("plain-calls", now);
+    let mut digest = digest(1);
+    let calls = Work {
+        running: 4,
+        ..Work::default()
+    };
+    digest.work = vec![UpstreamWork {
+        work: calls,
+        ..at_upstream("i-plain", 0, Condition::Suspected(None))
+    }];
+    peers.apply_digest(&digest, now);
+    assert_eq!(received(&peers, now).get("i-plain"), None);
+}
+
 #[test]
 fn a_group_with_a_silent_relay_is_not_live() {
     let now = Instant::now();
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -221,6 +221,18 @@
     Peers::new(&options.host, &options.peers, &options.topology)
 }
 
+#[test]
+fn plain_calls_that_a_host_reports_at_a_suspected_upstream_do_not_fill_it_for_others() {
+    tealshore_core::protection::start();
+    let peers = peers();
+    let now = Instant::now();
+    let calls_and_streams = BTreeMap::from([(1, (0, true)), (2, (8_000, true))]);
+    peers.apply_state(state(1, &calls_and_streams, 0), now);
+    let work = peers.work(now);
+    let running = |id: &str| work.get(id).map_or(0, |work| work.running);
+    assert_eq!((running("i-1"), running("i-2")), (0, 1));
+}
+
 #[test]
 fn callers_are_sent_to_stale_hosts_only_where_no_host_has_a_fresh_view() {
     tealshore_core::protection::start();
