Connect through another host where the direct path to an upstream is lost

Callers saw: hosts that had lost their paths to all upstreams answered every request with 503 for as long as that lasted (0 of 163 first tries served, 224 of 232 at the hosts beside them).

Cause: a host sent from its own address only, so that its promise to its callers hung on its own path. A connection that failed or hung was taken for a fault of the upstream, was reported to all other hosts as such, and was tried at the next upstream, until the request was refused.

Hosts tell each other from which services they are cut off, behind all that datagrams carried before. An upstream is reported as suspected only if the host that was asked reaches another upstream of the service and not this one. Everything that is decided about a request stays where it was.

--- a/crates/core/src/http/server.rs
+++ b/crates/core/src/http/server.rs
@@ -72,7 +72,7 @@
             async move { Ok::<_, Infallible>(response.await) }
         });
         let connection = builder
-            .serve_connection(TokioIo::new(stream), service)
+            .serve_connection_with_upgrades(TokioIo::new(stream), service)
             .into_owned();
         let watched = graceful.watch(connection);
         tokio::spawn(async move {
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -6,14 +6,9 @@
     http_body_util::{BodyExt, Full},
     hyper::{body::Incoming, client::conn::http1},
     hyper_util::rt::TokioIo,
-    std::{future::Future, io, net::SocketAddr, time::Duration},
+    std::{future::Future, net::SocketAddr, time::Duration},
     tealshore_core::http::read_limited,
-    tokio::{
-        io::{AsyncRead, AsyncWrite},
-        net::TcpStream,
-        task::JoinHandle,
-        time::timeout,
-    },
+    tokio::{net::TcpStream, task::JoinHandle, time::timeout},
 };
 
 /// The task that drives a connection. Dropping it closes the connection.
@@ -65,14 +60,11 @@
 ///
 /// # Errors
 /// No complete answer arrived within the bounds.
-pub async fn short_call<S>(
-    opening: impl Future<Output = io::Result<S>>,
+pub async fn short_call<E>(
+    opening: impl Future<Output = Result<TcpStream, E>>,
     request: Request<Bytes>,
     bounds: CallBounds,
-) -> Result<(StatusCode, Bytes), CallFailure>
-where
-    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
-{
+) -> Result<(StatusCode, Bytes), CallFailure> {
     let exchange = exchange(opening, request, bounds.answer_bytes);
     let answer = timeout(bounds.timeout, exchange).await;
     answer
@@ -113,14 +105,11 @@
     }
 }
 
-async fn exchange<S>(
-    opening: impl Future<Output = io::Result<S>>,
+async fn exchange<E>(
+    opening: impl Future<Output = Result<TcpStream, E>>,
     request: Request<Bytes>,
     answer_bytes: usize,
-) -> Option<(StatusCode, Bytes)>
-where
-    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
-{
+) -> Option<(StatusCode, Bytes)> {
     let (answer, _connection) = send(opening, request).await?;
     let status = answer.status();
     let body = read_limited(answer.into_body(), answer_bytes).await;
@@ -128,13 +117,10 @@
 }
 
 /// Sends a request on a connection of its own and waits for the head of its answer.
-async fn send<S>(
-    opening: impl Future<Output = io::Result<S>>,
+async fn send<E>(
+    opening: impl Future<Output = Result<TcpStream, E>>,
     request: Request<Bytes>,
-) -> Option<(Response<Incoming>, Connection)>
-where
-    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
-{
+) -> Option<(Response<Incoming>, Connection)> {
     let stream = opening.await.ok()?;
     let (mut sender, driver) = http1::handshake(TokioIo::new(stream)).await.ok()?;
     let connection = Connection::driven_by(tokio::spawn(async move {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -11,6 +11,7 @@
 
 pub use {
     call::{Call, fingerprint_of, strip_connection_headers},
+    dial::{DialFailure, dial_directly},
     ending::UpstreamKind,
     plain::run as run_plain,
     stream::run as run_stream,
--- a/crates/gateway/src/forward/connect.rs
+++ b/crates/gateway/src/forward/connect.rs
@@ -4,7 +4,7 @@
 //! another request, and no request is sent on a connection that the upstream is closing.
 
 use {
-    super::dial::dial,
+    super::dial::{DialFailure, Dialed, dial},
     crate::{
         connection::Connection, edge::AnswerFacts, rollout::Outcome, state::GatewayState,
         view::Upstream,
@@ -14,18 +14,11 @@
     http_body_util::Full,
     hyper::{body::Incoming, client::conn::http1},
     hyper_util::rt::TokioIo,
-    std::{
-        io::ErrorKind,
-        time::{Duration, Instant},
-    },
+    std::time::Instant,
     tealshore_core::protection::{Protection, enabled},
     tealshore_notices::Availability,
-    tokio::{net::TcpStream, time::timeout},
 };
 
-/// How long connecting may take.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// Why a request got no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SendFailure {
@@ -89,7 +82,14 @@
     request: Request<Full<Bytes>>,
     id: &str,
 ) -> Result<Answer, SendFailure> {
-    let stream = open_connection(state, upstream).await?;
+    let dialed = dial(state, upstream).await;
+    let Dialed { stream, through } = dialed.map_err(|_| SendFailure::Unreachable)?;
+    if let Some(host) = through {
+        log::info!(
+            "path: request sent through another host request={id} upstream={} through={host}",
+            upstream.record.id
+        );
+    }
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (mut sender, driver) = handshake.map_err(|_| SendFailure::Unreachable)?;
     let connection = Connection::driven_by(tokio::spawn(async move {
@@ -144,10 +144,10 @@
 
 /// Tests whether an upstream accepts a new connection, and closes it.
 pub async fn probe_connection(state: &GatewayState, upstream: &Upstream) -> ConnectProbe {
-    match timeout(CONNECT_TIMEOUT, dial(state, upstream)).await {
-        Ok(Ok(_)) => ConnectProbe::Accepted,
-        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => ConnectProbe::Refused,
-        Ok(Err(_)) | Err(_) => ConnectProbe::Unanswered,
+    match dial(state, upstream).await {
+        Ok(_) => ConnectProbe::Accepted,
+        Err(DialFailure::Refused) => ConnectProbe::Refused,
+        Err(DialFailure::Unanswered) => ConnectProbe::Unanswered,
     }
 }
 
@@ -159,15 +159,3 @@
         None => !facts.not_run,
     }
 }
-
-async fn open_connection(
-    state: &GatewayState,
-    upstream: &Upstream,
-) -> Result<TcpStream, SendFailure> {
-    let opened = timeout(CONNECT_TIMEOUT, dial(state, upstream)).await;
-    let stream = opened
-        .map_err(|_| SendFailure::Unreachable)?
-        .map_err(|_| SendFailure::Unreachable)?;
-    let _ = stream.set_nodelay(true);
-    Ok(stream)
-}
--- /dev/null
+++ b/crates/gateway/src/forward/dial/tunnel.rs
@@ -0,0 +1,85 @@
+//! Asks another host for a tunnel: a connection to an upstream that passes through that host.
+
+use {
+    super::DialFailure,
+    crate::{
+        connection::Connection,
+        peers::{FOUND_HEADER, FOUND_REFUSED, UPSTREAM_HEADER},
+        view::UpstreamRecord,
+    },
+    bytes::Bytes,
+    http::{HeaderMap, Request, StatusCode},
+    http_body_util::Empty,
+    hyper::{client::conn::http1, upgrade},
+    hyper_util::rt::TokioIo,
+    std::net::SocketAddr,
+    tokio::net::TcpStream,
+};
+
+/// Why a host opened no tunnel.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum TunnelFailure {
+    /// The host reaches other upstreams of the service, but not this one.
+    Unreachable(DialFailure),
+    /// The host can't help: it can't be reached, does not know the upstream, or has no path or no capacity.
+    Unavailable,
+}
+
+/// Opens a tunnel to an upstream through the host with this address.
+///
+/// # Errors
+/// The host opened no tunnel.
+pub(super) async fn open_tunnel(
+    host: SocketAddr,
+    record: &UpstreamRecord,
+) -> Result<TcpStream, TunnelFailure> {
+    let upgraded = connect(host, record).await?;
+    let parts = upgraded.downcast::<TokioIo<TcpStream>>();
+    let parts = parts.map_err(|_| TunnelFailure::Unavailable)?;
+    // An upstream sends nothing before it is asked.
+    if !parts.read_buf.is_empty() {
+        return Err(TunnelFailure::Unavailable);
+    }
+    Ok(parts.io.into_inner())
+}
+
+async fn connect(
+    host: SocketAddr,
+    record: &UpstreamRecord,
+) -> Result<upgrade::Upgraded, TunnelFailure> {
+    let request = connect_request(record).map_err(|_| TunnelFailure::Unavailable)?;
+    let stream = TcpStream::connect(host)
+        .await
+        .map_err(|_| TunnelFailure::Unavailable)?;
+    // Without this option a tunnel works as well, only more slowly.
+    let _ = stream.set_nodelay(true);
+    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let (mut sender, driver) = handshake.map_err(|_| TunnelFailure::Unavailable)?;
+    let _connection = Connection::driven_by(tokio::spawn(async move {
+        // The answer, or its absence, shows how the connection ended.
+        let _ = driver.with_upgrades().await;
+    }));
+    let answer = sender.send_request(request).await;
+    let answer = answer.map_err(|_| TunnelFailure::Unavailable)?;
+    match answer.status() {
+        StatusCode::OK => upgrade::on(answer)
+            .await
+            .map_err(|_| TunnelFailure::Unavailable),
+        StatusCode::BAD_GATEWAY => Err(TunnelFailure::Unreachable(found(answer.headers()))),
+        _ => Err(TunnelFailure::Unavailable),
+    }
+}
+
+fn connect_request(record: &UpstreamRecord) -> http::Result<Request<Empty<Bytes>>> {
+    Request::connect(record.address.to_string())
+        .header(UPSTREAM_HEADER, &record.id)
+        .body(Empty::new())
+}
+
+/// Reads how the host's own connection to the upstream failed.
+fn found(headers: &HeaderMap) -> DialFailure {
+    match headers.get(FOUND_HEADER) {
+        Some(found) if found == FOUND_REFUSED => DialFailure::Refused,
+        Some(_) | None => DialFailure::Unanswered,
+    }
+}
--- a/crates/gateway/src/forward/probe.rs
+++ b/crates/gateway/src/forward/probe.rs
@@ -9,6 +9,7 @@
         state::GatewayState,
         view::Upstream,
     },
+    futures::TryFutureExt,
     std::{future::Future, pin::pin, time::Duration},
     tealshore_core::ids::RequestId,
     tokio::time::{sleep, timeout},
@@ -259,6 +260,7 @@
 ) -> Result<ProbeReport, CallFailure> {
     state.record_unpermitted(&upstream.record);
     let call = state.protocol.probe_call(&upstream.record);
-    let (status, body) = short_call(dial(state, upstream), call, PROBE_BOUNDS).await?;
+    let opening = dial(state, upstream).map_ok(|dialed| dialed.stream);
+    let (status, body) = short_call(opening, call, PROBE_BOUNDS).await?;
     Ok(state.protocol.read_probe(status, &body, request))
 }
--- a/crates/gateway/src/forward/stream/recopy.rs
+++ b/crates/gateway/src/forward/stream/recopy.rs
@@ -11,6 +11,7 @@
         state::GatewayState,
         view::Upstream,
     },
+    futures::TryFutureExt,
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -109,7 +110,8 @@
         .protocol
         .copy_call(&source.record, run, target.record.address);
     state.record_unpermitted(&source.record);
-    let answer = short_call(dial(state, source), request, COPY_CALL_BOUNDS).await;
+    let opening = dial(state, source).map_ok(|dialed| dialed.stream);
+    let answer = short_call(opening, request, COPY_CALL_BOUNDS).await;
     let name = answer
         .ok()
         .and_then(|(status, body)| state.protocol.read_copied(status, &body));
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -35,6 +35,8 @@
     /// Sends to upstreams, by what is sent (`call`, `prompt`, `copy`) and by distance: from this
     /// host, or for a copy from the engine that runs the request.
     pub sends: IntCounterVec,
+    /// Requests for tunnels, by side (`used` by this host, `lent` to others) and result.
+    tunnels: IntCounterVec,
     /// Upstreams found to fail requests that others served, by who found it: `here` or `peer`.
     pub failing_upstreams: IntCounterVec,
     /// Sends of requests to upstreams, by service and version; each send of a request counts.
@@ -134,6 +136,11 @@
                 "Sends to upstreams, and copies",
                 &["what", "distance"],
             )?,
+            tunnels: counter(
+                "tealshore_tunnels_total",
+                "Connections to upstreams through another host, used by this host or lent to others",
+                &["side", "result"],
+            )?,
             failing_upstreams: counter(
                 "tealshore_failing_upstreams_total",
                 "Upstreams that failed what others did",
@@ -265,6 +272,7 @@
             Box::new(self.retracted_crashes.clone()),
             Box::new(self.quarantined.clone()),
             Box::new(self.sends.clone()),
+            Box::new(self.tunnels.clone()),
             Box::new(self.failing_upstreams.clone()),
             Box::new(self.version_requests.clone()),
             Box::new(self.version_answers.clone()),
@@ -321,6 +329,11 @@
         }
     }
 
+    /// Counts a request for a tunnel.
+    pub fn count_tunnel(&self, side: &str, result: &str) {
+        self.tunnels.with_label_values(&[side, result]).inc();
+    }
+
     /// Counts payload bytes sent to other hosts.
     pub fn count_peer_bytes(&self, message: &str, bytes: usize) {
         self.peer_sent_bytes
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -78,6 +78,8 @@
     pub body_bytes: usize,
     /// Most connections of callers open at once.
     pub max_connections: usize,
+    /// Most tunnels that are open for other hosts at once.
+    pub max_tunnels: usize,
     /// Bandwidth of the host's link in Mbit/s. Hosts with faster links are preferred for sending
     /// data on behalf of others.
     pub link_mbps: u32,
@@ -106,6 +108,9 @@
     pub address: SocketAddr,
     /// Hosts that are contacted at startup.
     pub seeds: Vec<IpAddr>,
+    /// Address on which this host opens tunnels to upstreams for its peers. All hosts use the same port. `None` if it
+    /// opens none and uses none.
+    pub tunnel_address: Option<SocketAddr>,
     /// How often this host sends its state to its peers.
     pub heartbeat: Duration,
     /// Time without a message after which a peer is removed from the addresses given to callers.
@@ -220,6 +225,7 @@
             source_address: read_source_address(section)?,
             body_bytes: to_usize(memory_mb * 1024 * 1024 / BODY_MEMORY_DIVISOR),
             max_connections: to_usize(max_files / CONNECTION_FILES_DIVISOR),
+            max_tunnels: to_usize(max_files / TUNNEL_FILES_DIVISOR),
             link_mbps: number(section, "link_mbps", 1_000.0)?.round() as u32,
             is_first_start: flag(section, "first_start", false)?,
         })
@@ -241,6 +247,8 @@
 const BODY_MEMORY_DIVISOR: u64 = 4;
 /// Callers' connections may take up the host's file descriptors divided by this number.
 const CONNECTION_FILES_DIVISOR: u64 = 2;
+/// As many tunnels may be open as the host has file descriptors divided by this number; each takes two.
+const TUNNEL_FILES_DIVISOR: u64 = 8;
 
 impl StoreOptions {
     fn read(section: &mut Section<'_>) -> Result<Self, SettingError> {
@@ -259,6 +267,7 @@
         Ok(Self {
             address: section.address("address")?,
             seeds: read_seeds(section)?,
+            tunnel_address: read_tunnel_address(section)?,
             heartbeat: section.duration_ms(
                 "heartbeat_ms",
                 Duration::from_millis(500),
@@ -269,6 +278,14 @@
     }
 }
 
+fn read_tunnel_address(section: &mut Section<'_>) -> Result<Option<SocketAddr>, SettingError> {
+    const KEY: &str = "tunnel_address";
+    match section.optional(KEY) {
+        None => Ok(None),
+        Some(_) => section.address(KEY).map(Some),
+    }
+}
+
 fn read_seeds(section: &mut Section<'_>) -> Result<Vec<IpAddr>, SettingError> {
     const ALLOWED: &str = "comma-separated addresses, each IP:PORT or IP";
     let text = section.text("seeds", "");
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -24,6 +24,7 @@
 mod shares;
 mod snapshot;
 mod sums;
+mod tunnels;
 
 use {
     crate::{
@@ -44,7 +45,7 @@
         sync::atomic::{AtomicU64, AtomicUsize, Ordering},
         time::{Duration, Instant},
     },
-    tealshore_core::ids::{EngineId, HallId, HostId},
+    tealshore_core::ids::{EngineId, HallId, HostId, ServiceId},
     tealshore_duties::lease::ProcessId,
     tokio::sync::Notify,
 };
@@ -65,6 +66,7 @@
         InvalidNameIndex, PackedUpstreams, SNAPSHOT_CACHE_TIME, SetSnapshot, SnapshotCache,
         SnapshotRows, max_snapshot_connections, packed_upstreams_path, snapshot_path,
     },
+    tunnels::{FOUND_HEADER, FOUND_REFUSED, FOUND_UNANSWERED, TunnelHost, UPSTREAM_HEADER},
 };
 
 /// Maximum number of streams in a datagram, which keeps it well below the UDP size limit.
@@ -100,6 +102,8 @@
     last_seen: Instant,
     /// Whether the peer runs a build that lends permits.
     lends: bool,
+    /// The services from whose upstreams the peer is cut off; `None` if it offers no tunnels.
+    cut_off_services: Option<Vec<ServiceId>>,
 }
 
 /// A host that was advertised or configured, but has not sent a datagram yet.
@@ -173,6 +177,8 @@
     asks: PermitAskQueue,
     /// The feeder chosen most recently.
     feeder: Mutex<Feeder>,
+    /// The services from whose upstreams this host is cut off, as its last datagram reported them.
+    cut_off_sent: Mutex<Vec<ServiceId>>,
     max_known_hosts: AtomicUsize,
 }
 
@@ -201,6 +207,7 @@
             limits_changed: Notify::new(),
             asks: PermitAskQueue::default(),
             feeder: Mutex::default(),
+            cut_off_sent: Mutex::default(),
             max_known_hosts: AtomicUsize::new(1),
         };
         for seed in &options.seeds {
--- a/crates/gateway/src/peers/exchange/apply.rs
+++ b/crates/gateway/src/peers/exchange/apply.rs
@@ -33,8 +33,16 @@
             let host = peer.host.clone();
             apply_state(state, *peer);
             state.peers.set_lends_permits(&host, extension.lends);
+            let cut_off = extension.cut_off_services;
+            state.peers.set_cut_off_services(&host, cut_off);
+        }
+        Datagram::Delta(change) => {
+            if let Some(cut_off) = extension.cut_off_services {
+                let host = &change.host;
+                state.peers.set_cut_off_services(host, Some(cut_off));
+            }
+            apply_delta(state, change);
         }
-        Datagram::Delta(change) => apply_delta(state, change),
         Datagram::Upstreams {
             delta,
             is_for_group,
--- a/crates/gateway/src/peers/extension.rs
+++ b/crates/gateway/src/peers/extension.rs
@@ -6,7 +6,7 @@
     super::message::{Datagram, Unreadable},
     crate::rollout::BadAnswers,
     serde::de::DeserializeOwned,
-    tealshore_core::ids::{HallId, HostId},
+    tealshore_core::ids::{HallId, HostId, ServiceId},
     tealshore_duties::usage::DecidedUsage,
     tealshore_rates::LimitUpdate,
 };
@@ -30,6 +30,8 @@
     pub decided_usage: Option<DecidedUsage>,
     /// The highest number of bad answers known to the sender, for each version under trial.
     pub bad_answers: Vec<BadAnswers>,
+    /// The services from whose upstreams the sender is cut off; `None` if it offers no tunnels, or if nothing changed.
+    pub cut_off_services: Option<Vec<ServiceId>>,
 }
 
 impl Extension {
@@ -46,14 +48,20 @@
         let bytes = postcard::to_extend(&self.lending_groups, bytes)?;
         let bytes = postcard::to_extend(&self.not_lending, bytes)?;
         // Missing trailing fields are decoded as their defaults.
-        if self.decided_usage.is_none() && self.bad_answers.is_empty() {
+        let has_paths = self.cut_off_services.is_some();
+        let has_bad_answers = has_paths || !self.bad_answers.is_empty();
+        if self.decided_usage.is_none() && !has_bad_answers {
             return Ok(bytes);
         }
         let bytes = postcard::to_extend(&self.decided_usage, bytes)?;
-        if self.bad_answers.is_empty() {
+        if !has_bad_answers {
             return Ok(bytes);
         }
-        postcard::to_extend(&self.bad_answers, bytes)
+        let bytes = postcard::to_extend(&self.bad_answers, bytes)?;
+        if !has_paths {
+            return Ok(bytes);
+        }
+        postcard::to_extend(&self.cut_off_services, bytes)
     }
 
     /// Decodes a datagram and its extension.
@@ -67,7 +75,8 @@
         let (lending_groups, rest) = next(rest);
         let (not_lending, rest) = next(rest);
         let (decided_usage, rest) = next(rest);
-        let (bad_answers, _) = next(rest);
+        let (bad_answers, rest) = next(rest);
+        let (cut_off_services, _) = next(rest);
         let extension = Self {
             lends,
             limits,
@@ -75,6 +84,7 @@
             not_lending,
             decided_usage,
             bad_answers,
+            cut_off_services,
         };
         Ok((datagram, extension))
     }
--- a/crates/gateway/src/peers/membership.rs
+++ b/crates/gateway/src/peers/membership.rs
@@ -91,11 +91,13 @@
             );
         }
         let lends = before.is_some_and(|before| before.lends);
+        let cut_off_services = before.and_then(|before| before.cut_off_services.clone());
         self.record_evidence(&state);
         let peer = Peer {
             state,
             last_seen: now,
             lends,
+            cut_off_services,
         };
         known.insert(peer.state.host.clone(), peer);
         findings
--- a/crates/gateway/src/peers/outgoing.rs
+++ b/crates/gateway/src/peers/outgoing.rs
@@ -12,6 +12,7 @@
         sync::{Arc, atomic::Ordering},
         time::Instant,
     },
+    tealshore_core::ids::ServiceId,
     tokio::net::UdpSocket,
 };
 
@@ -133,6 +134,7 @@
                 lends: true,
                 limits: state.limits_to_report(now),
                 bad_answers: state.rollouts.bad_answers(),
+                cut_off_services: state.cut_off_services(now),
                 ..Extension::default()
             },
             Datagram::Digest { digest, .. } => Extension {
@@ -151,8 +153,11 @@
                 decided_usage: state.duties.decided_to_report(),
                 ..Extension::default()
             },
-            Datagram::Delta(_)
-            | Datagram::Upstreams { .. }
+            Datagram::Delta(_) => Extension {
+                cut_off_services: self.changed_cut_off_services(now),
+                ..Extension::default()
+            },
+            Datagram::Upstreams { .. }
             | Datagram::Relayed { .. }
             | Datagram::Limits { .. }
             | Datagram::PermitAsk(_)
@@ -160,6 +165,16 @@
         }
     }
 
+    /// Returns the services from whose upstreams this host is cut off, if there are any or the last datagram reported
+    /// others.
+    fn changed_cut_off_services(&self, now: Instant) -> Option<Vec<ServiceId>> {
+        let services = self.state.cut_off_services(now)?;
+        let mut sent = self.state.peers.cut_off_sent.lock();
+        let is_due = !services.is_empty() || *sent != services;
+        sent.clone_from(&services);
+        is_due.then_some(services)
+    }
+
     /// Sends a datagram to each receiver; one that is too large is logged and dropped.
     pub(super) async fn send_with_extension(
         &self,
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -6,7 +6,7 @@
         lifecycle::{log_reload_signals, wait_for_shutdown},
         options::GatewayOptions,
         peers,
-        serve::{answer_caller, answer_host_call},
+        serve::{answer_caller, answer_host_call, serve_tunnels},
         state::GatewayState,
         sync,
     },
@@ -49,6 +49,12 @@
             state.options.peers.address
         )
     })?;
+    if let Some(address) = state.options.peers.tunnel_address {
+        let (listener, _) = bind(address)
+            .await
+            .wrap_err_with(|| format!("cannot listen on [peers] tunnel_address = {address}"))?;
+        tokio::spawn(serve_tunnels(state.clone(), listener));
+    }
     sync::start(&state);
     tokio::spawn(log_reload_signals());
     log::info!(
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -3,5 +3,6 @@
 mod host_calls;
 mod ingress;
 mod refusal;
+mod tunnel;
 
-pub use {host_calls::answer_host_call, ingress::answer_caller};
+pub use {host_calls::answer_host_call, ingress::answer_caller, tunnel::serve_tunnels};
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -3,6 +3,7 @@
 mod choice;
 mod limits;
 mod notices;
+mod paths;
 mod store_heads;
 mod upstream_counts;
 
@@ -42,6 +43,7 @@
         protection::{Protection, enabled},
     },
     tealshore_notices::{Notices, UnknownHeaders},
+    tealshore_paths::Paths,
     tokio::sync::Semaphore,
 };
 
@@ -86,6 +88,8 @@
     pub rollouts: Rollouts,
     /// The duties that one host at a time holds.
     pub duties: Duties,
+    /// Which upstreams this host reaches directly.
+    pub paths: Mutex<Paths>,
     /// The state for ordering engines.
     pub capacity: Capacity,
     /// The metrics of this host.
@@ -94,6 +98,8 @@
     pub stop: Stop,
     /// The memory available for request bodies, one permit for each byte.
     pub body_memory: Arc<Semaphore>,
+    /// One permit for each further tunnel that this host may open for others.
+    pub tunnel_permits: Arc<Semaphore>,
     budgets: Mutex<HashMap<ServiceId, RetryBudget>>,
     read_rates: Mutex<HashMap<ServiceId, ReadRate>>,
     paces: Mutex<HashMap<ServiceId, Pace>>,
@@ -120,10 +126,12 @@
             unknown_headers_seen: Mutex::default(),
             store_heads: StoreHeads::default(),
             rollouts: Rollouts::new(rand::random()),
+            paths: Mutex::default(),
             capacity: Capacity::default(),
             metrics: GatewayMetrics::new()?,
             stop: Stop::default(),
             body_memory: Arc::new(Semaphore::new(options.host.body_bytes)),
+            tunnel_permits: Arc::new(Semaphore::new(options.host.max_tunnels)),
             budgets: Mutex::default(),
             read_rates: Mutex::default(),
             paces: Mutex::default(),
@@ -358,15 +366,23 @@
         }
     }
 
-    /// Marks an upstream as suspected, and reports it to the peers.
+    /// Marks an upstream as suspected. Reports it to the peers, unless this host's own path may be at fault.
     pub fn suspect(&self, upstream: &Upstream, cause: &str) {
-        if upstream.suspect(Instant::now()) {
-            let record = &upstream.record;
+        let now = Instant::now();
+        let record = &upstream.record;
+        let is_doubtful = self.paths.lock().is_doubtful(&record.id, now);
+        let is_change = if is_doubtful {
+            upstream.suspect_unreported(now)
+        } else {
+            upstream.suspect(now)
+        };
+        if is_change {
             log::warn!(
-                "upstream: suspected upstream={} address={} hall={} cause={cause}",
+                "upstream: suspected upstream={} address={} hall={} cause={cause} is_reported={}",
                 record.id,
                 record.address,
-                record.hall
+                record.hall,
+                !is_doubtful
             );
             self.peers.wake_sender();
         }
--- a/crates/gateway/src/view/upstream.rs
+++ b/crates/gateway/src/view/upstream.rs
@@ -107,8 +107,9 @@
     local_work: Work,
     failure_score: f64,
     suspected_until: Option<Instant>,
-    /// Whether the last suspicion or replacement was reported by a peer.
-    from_peer: bool,
+    /// Whether the last suspicion or replacement is not reported to peers, because it came from one of them or may be
+    /// due to this host's own path.
+    is_unreported: bool,
     /// When another incarnation was found at the address.
     replaced_at: Option<Instant>,
     /// Until when the upstream counts as failing because of failures that this host saw.
@@ -240,7 +241,7 @@
                 !self.is_failing(now) && self.record_failing_from_peer(now)
             }
             Condition::Suspected(born) if born == own_born => {
-                !self.is_suspected(now) && self.suspect_from_peer(now)
+                !self.is_suspected(now) && self.suspect_unreported(now)
             }
             Condition::Replaced(born) if born == own_born => self.mark_replaced_from_peer(now),
             Condition::Failing(_) | Condition::Suspected(_) | Condition::Replaced(_) => false,
@@ -252,13 +253,13 @@
         self.mark_replaced_as(now, true)
     }
 
-    fn mark_replaced_as(&self, now: Instant, from_peer: bool) -> bool {
+    fn mark_replaced_as(&self, now: Instant, is_unreported: bool) -> bool {
         let mut local_state = self.local_state.lock();
         if local_state.replaced_at.is_some() {
             return false;
         }
         local_state.replaced_at = Some(now);
-        local_state.from_peer = from_peer;
+        local_state.is_unreported = is_unreported;
         local_state.suspected_until = Some(now + REPLACED_AVOIDANCE);
         drop(local_state);
         self.mark_active();
@@ -266,18 +267,19 @@
         true
     }
 
-    /// Marks the upstream as suspected by a peer. Returns whether it was not suspected before.
-    pub fn suspect_from_peer(&self, now: Instant) -> bool {
+    /// Marks the upstream as suspected without reporting it to peers, because one of them suspects it or this host's
+    /// own path may be at fault. Returns whether it was not suspected before.
+    pub fn suspect_unreported(&self, now: Instant) -> bool {
         self.suspect_as(now, true)
     }
 
-    fn suspect_as(&self, now: Instant, from_peer: bool) -> bool {
+    fn suspect_as(&self, now: Instant, is_unreported: bool) -> bool {
         let mut local_state = self.local_state.lock();
         let is_change = local_state.suspected_until.is_none_or(|until| until <= now);
         let until = now + SUSPICION_DURATION;
         local_state.suspected_until = local_state.suspected_until.max(Some(until));
         if local_state.replaced_at.is_none() {
-            local_state.from_peer = from_peer;
+            local_state.is_unreported = is_unreported;
         }
         drop(local_state);
         self.mark_active();
@@ -324,7 +326,7 @@
         let is_suspected = local_state.suspected_until.is_some_and(|until| until > now);
         let is_failing = local_state.failing_until.is_some_and(|until| until > now);
         let is_replaced = local_state.replaced_at.is_some();
-        match (is_suspected && !local_state.from_peer, is_replaced) {
+        match (is_suspected && !local_state.is_unreported, is_replaced) {
             (false, _) if is_failing => Condition::Failing(self.record.born),
             (false, _) => Condition::Healthy,
             (true, false) => Condition::Suspected(self.record.born),
--- a/crates/gateway/tests/frames.rs
+++ b/crates/gateway/tests/frames.rs
@@ -315,6 +315,7 @@
         not_lending: vec!["b-1".to_owned()],
         decided_usage: None,
         bad_answers: Vec::new(),
+        cut_off_services: None,
     }
 }
 
@@ -342,6 +343,13 @@
     }
 }
 
+fn extension_with_cut_off_services() -> Extension {
+    Extension {
+        cut_off_services: Some(vec!["model".to_owned()]),
+        ..Extension::default()
+    }
+}
+
 fn hex(bytes: &[u8]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
 }
@@ -453,6 +461,21 @@
     );
 }
 
+#[test]
+fn cut_off_services_are_compatible_with_later_builds() {
+    let frame = include_str!("frames/6-delta-cut-off.hex");
+    let written = delta().to_bytes().unwrap();
+    let written = extension_with_cut_off_services().write(written).unwrap();
+    assert_eq!(hex(&written), frame.trim());
+    let (_, read) = Extension::read(&bytes_of(frame)).unwrap();
+    assert_eq!(read, extension_with_cut_off_services());
+    let decoded_by_previous_build = Datagram::from_bytes(&bytes_of(frame)).unwrap();
+    assert_eq!(
+        format!("{decoded_by_previous_build:?}"),
+        format!("{:?}", delta())
+    );
+}
+
 #[test]
 fn a_snapshot_is_compatible_with_the_previous_build() {
     let frame = include_str!("frames/snapshot-upstreams.hex");
--- a/crates/gateway/tests/view.rs
+++ b/crates/gateway/tests/view.rs
@@ -175,7 +175,7 @@
     view.upstreams.put(1, record("e", UpstreamState::Ready));
     let upstream = view.upstreams.get(&"e".to_owned()).unwrap();
     let now = Instant::now();
-    assert!(upstream.suspect_from_peer(now));
+    assert!(upstream.suspect_unreported(now));
     assert!(upstream.is_suspected(now));
     assert_eq!(upstream.local_condition(now), Condition::Healthy);
 }
@@ -296,7 +296,7 @@
             upstream.suspect(now);
         }
         (UpstreamEvent::SuspectedByPeer, Some(upstream)) => {
-            upstream.suspect_from_peer(now);
+            upstream.suspect_unreported(now);
         }
         (UpstreamEvent::Fails, Some(upstream)) => upstream.record_failing(now),
         (UpstreamEvent::Replaced, Some(upstream)) => upstream.mark_replaced(now),
