--- a/crates/core/src/protection.rs
+++ b/crates/core/src/protection.rs
@@ -77,6 +77,10 @@
     /// After the store was restored, recent knowledge about an upstream takes precedence for a
     /// while over the row in the restored copy.
     RestoreGrace,
+    /// A host without a direct path to an upstream connects through another host.
+    Tunnels,
+    /// An upstream that only this host found unreachable is not reported to other hosts.
+    ConfirmedSuspicion,
 }
 
 impl Protection {
@@ -117,6 +121,8 @@
             Self::SharedLimits => "shared-limits",
             Self::StoreEra => "store-era",
             Self::RestoreGrace => "restore-grace",
+            Self::Tunnels => "tunnels",
+            Self::ConfirmedSuspicion => "confirmed-suspicion",
         }
     }
 }
--- a/crates/gateway/src/forward/dial.rs
+++ b/crates/gateway/src/forward/dial.rs
@@ -14,7 +14,10 @@
         net::{IpAddr, SocketAddr},
         time::{Duration, Instant},
     },
-    tealshore_core::ids::HostId,
+    tealshore_core::{
+        ids::HostId,
+        protection::{Protection, enabled},
+    },
     tealshore_paths::DialOrder,
     tokio::{
         net::{TcpSocket, TcpStream},
@@ -177,6 +180,9 @@
         if !state.peers.is_alone(now) {
             state.paths.lock().record_unreachable(&record.id, now);
         }
+        if !enabled(Protection::Tunnels) {
+            return Vec::new();
+        }
         state.peers.tunnel_hosts(record, MAX_TUNNEL_HOSTS, now)
     }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -370,7 +370,8 @@
     pub fn suspect(&self, upstream: &Upstream, cause: &str) {
         let now = Instant::now();
         let record = &upstream.record;
-        let is_doubtful = self.paths.lock().is_doubtful(&record.id, now);
+        let is_doubtful = self.paths.lock().is_doubtful(&record.id, now)
+            && enabled(Protection::ConfirmedSuspicion);
         let is_change = if is_doubtful {
             upstream.suspect_unreported(now)
         } else {
--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -58,6 +58,8 @@
 store-era tealshore-platform store_era no_change_is_missed_where_versions_are_reused
 restore-grace tealshore-gateway store_restore an_upstream_that_leaves_does_so_whatever_a_copy_says
 restore-grace tealshore-platform store_era a_draining_upstream_gets_no_new_requests_though_the_backup_lists_it_as_ready
+tunnels tealshore-platform partitions calls_at_a_host_cut_off_from_all_upstreams_are_served
+confirmed-suspicion tealshore-platform partitions an_upstream_that_only_a_cut_off_host_suspects_keeps_its_calls
 request-digest tealshore-platform returns a_request_never_resumes_from_another_requests_kv_copy
 LIST
 }
@@ -82,6 +84,7 @@
 shared-limits
 store-era
 restore-grace
+tunnels
 LIST
 }
 
