Refuse at once what no host can reach

Callers saw: where all hosts are cut off from a service, a call waited 300 ms for each upstream's connection, a stream for each of its engines in turn, and was refused then, though the host knew.

Cause: each request found out for itself that no connection opens.

Change: connections that could be opened neither directly nor through another host, and that nobody confirmed as the upstream's fault, are counted by service. Once they cover most of its upstreams (8 at most) without a success between, a new request is refused with 'not run' and a second to wait, but for one each 250 ms. One connection that opens ends it. Streams that ran before go on waiting.

--- a/crates/gateway/src/forward/dial.rs
+++ b/crates/gateway/src/forward/dial.rs
@@ -80,7 +80,11 @@
         failure: DialFailure::Unanswered,
     };
     let dialed = timeout(DIAL_TIMEOUT, dialing.run(order)).await;
-    dialed.unwrap_or(Err(DialFailure::Unanswered))
+    let dialed = dialed.unwrap_or(Err(DialFailure::Unanswered));
+    if dialed.is_err() {
+        state.record_dial_failure(record);
+    }
+    dialed
 }
 
 /// Opens a direct connection to an upstream, from the configured source address if there is one.
--- a/crates/gateway/src/forward/plain.rs
+++ b/crates/gateway/src/forward/plain.rs
@@ -304,6 +304,9 @@
     async fn next_attempt(&mut self) -> Result<BoxFuture<'a, FinishedAttempt>, Failure> {
         let checked = self.crash_check.check_before_send(self.state, self.call);
         checked.await?;
+        if self.runs == 0 {
+            self.state.check_in_reach(&self.call.service)?;
+        }
         let upstream = loop {
             let service = &self.call.service;
             let need = Need::Call {
--- a/crates/gateway/src/forward/stream/place.rs
+++ b/crates/gateway/src/forward/stream/place.rs
@@ -85,6 +85,9 @@
             if let Err(failure) = self.check_time_left() {
                 return Err(self.refusal(failure.kind, &failure.detail));
             }
+            if self.ran_so_far() == Ran::No && self.ran_before == Ran::No {
+                self.state.check_in_reach(&self.call.service)?;
+            }
             self.back_off().await;
             self.await_permit().await;
             let Some(chosen) = self.choose() else {
--- a/crates/gateway/src/state/paths.rs
+++ b/crates/gateway/src/state/paths.rs
@@ -3,11 +3,17 @@
 use {
     super::GatewayState,
     crate::view::UpstreamRecord,
-    std::time::Instant,
-    tealshore_core::ids::{HostId, ServiceId},
+    std::time::{Duration, Instant},
+    tealshore_core::{
+        answer::{ErrorKind, Failure},
+        ids::{HostId, ServiceId},
+    },
     tealshore_paths::PathChange,
 };
 
+/// When callers may come back if no host reaches a service.
+const OUT_OF_REACH_RETRY: Duration = Duration::from_secs(1);
+
 impl GatewayState {
     /// Records a direct connection to an upstream.
     pub fn record_direct_connection(&self, upstream: &UpstreamRecord) {
@@ -29,6 +35,34 @@
         self.report_path_change(change, upstream, through);
     }
 
+    /// Records that no connection to an upstream could be opened. If a host that reaches the service confirmed that, the
+    /// fault is the upstream's alone.
+    pub fn record_dial_failure(&self, upstream: &UpstreamRecord) {
+        let now = Instant::now();
+        let mut paths = self.paths.lock();
+        if paths.is_doubtful(&upstream.id, now) {
+            paths.record_out_of_reach(&upstream.service, &upstream.id, now);
+        }
+    }
+
+    /// Checks that this host reaches a service, as far as is known: directly or through another host.
+    ///
+    /// # Errors
+    /// Most upstreams of the service are out of reach.
+    pub fn check_in_reach(&self, service: &ServiceId) -> Result<(), Failure> {
+        let upstreams = self.view.upstreams.ready(service).len();
+        let refuses = self
+            .paths
+            .lock()
+            .refuses(service, upstreams, Instant::now());
+        if !refuses {
+            return Ok(());
+        }
+        let detail = "neither this host nor another one reaches an upstream of the service";
+        let failure = Failure::new(ErrorKind::UpstreamsBusy, detail);
+        Err(failure.with_retry_after(OUT_OF_REACH_RETRY))
+    }
+
     /// The services from whose upstreams this host is cut off, to report them to its peers; `None` if this host offers
     /// no tunnels.
     pub fn cut_off_services(&self, now: Instant) -> Option<Vec<ServiceId>> {
--- a/crates/paths/src/lib.rs
+++ b/crates/paths/src/lib.rs
@@ -2,11 +2,12 @@
 //! decisions are pure: results of connection attempts and the time are arguments.
 
 mod doubt;
+mod outage;
 mod path;
 
-pub use path::{CHECK_INTERVAL, DialOrder, PathChange, SERVICE_CHECK_INTERVAL};
 use {
     doubt::Doubts,
+    outage::Outage,
     path::{MIN_TUNNELS, Path},
     std::{
         collections::HashMap,
@@ -14,6 +15,10 @@
     },
     tealshore_core::ids::{EngineId, ServiceId},
 };
+pub use {
+    outage::OUTAGE_CHECK_INTERVAL,
+    path::{CHECK_INTERVAL, DialOrder, PathChange, SERVICE_CHECK_INTERVAL},
+};
 
 /// How long a lost path is remembered without use.
 pub const PATH_LIFETIME: Duration = Duration::from_secs(10);
@@ -28,6 +33,8 @@
     /// Services of such upstreams. A direct connection to any upstream of a service restores its path.
     services: HashMap<ServiceId, Path>,
     doubts: Doubts,
+    /// Services to which no connection can be opened at the moment.
+    outages: HashMap<ServiceId, Outage>,
 }
 
 impl Paths {
@@ -57,6 +64,7 @@
         upstream: &EngineId,
     ) -> Option<PathChange> {
         self.doubts.remove(upstream);
+        self.outages.remove(service);
         self.upstreams.remove(upstream);
         let path = self.services.remove(service)?;
         (path.tunnels >= MIN_TUNNELS).then_some(PathChange::Restored)
@@ -71,6 +79,7 @@
         now: Instant,
     ) -> Option<PathChange> {
         self.doubts.remove(upstream);
+        self.outages.remove(service);
         self.prune(now);
         let by_upstream = self.upstreams.entry(upstream.clone());
         by_upstream
@@ -103,6 +112,21 @@
         self.doubts.add(upstream, now);
     }
 
+    /// Records that no connection to an upstream could be opened, neither directly nor through another host, and that
+    /// no other host reaches the service.
+    pub fn record_out_of_reach(&mut self, service: &ServiceId, upstream: &EngineId, now: Instant) {
+        let outage = self.outages.entry(service.clone());
+        let outage = outage.or_insert_with(|| Outage::new(now));
+        outage.record_failure(upstream, now);
+    }
+
+    /// Whether a request for a service with this number of upstreams should be refused at once, since most of them are
+    /// out of reach. One request in each check interval should not.
+    pub fn refuses(&mut self, service: &ServiceId, upstreams: usize, now: Instant) -> bool {
+        let outage = self.outages.get_mut(service);
+        outage.is_some_and(|outage| outage.refuses(upstreams, now))
+    }
+
     /// Records that a host whose own path works can't reach the upstream either.
     pub fn record_confirmed_unreachable(&mut self, upstream: &EngineId) {
         self.doubts.remove(upstream);
--- a/crates/paths/tests/paths.rs
+++ b/crates/paths/tests/paths.rs
@@ -5,7 +5,8 @@
     std::time::{Duration, Instant},
     tealshore_core::ids::{EngineId, ServiceId},
     tealshore_paths::{
-        CHECK_INTERVAL, DialOrder, PATH_LIFETIME, PathChange, Paths, SERVICE_CHECK_INTERVAL,
+        CHECK_INTERVAL, DialOrder, OUTAGE_CHECK_INTERVAL, PATH_LIFETIME, PathChange, Paths,
+        SERVICE_CHECK_INTERVAL,
     },
 };
 
@@ -135,6 +136,35 @@
     assert!(!paths.is_doubtful(&upstream(2), now + Duration::from_secs(2)));
 }
 
+#[test]
+fn requests_are_refused_while_most_upstreams_are_out_of_reach_but_for_one_in_each_interval() {
+    let start = Instant::now();
+    let mut paths = Paths::default();
+    paths.record_out_of_reach(&service(), &upstream(1), start);
+    paths.record_out_of_reach(&service(), &upstream(1), start);
+    assert!(!paths.refuses(&service(), 3, start));
+    paths.record_out_of_reach(&service(), &upstream(2), start);
+    let step = OUTAGE_CHECK_INTERVAL / 10;
+    let refused = (0..30).map(|at| {
+        let now = start + step * at;
+        paths.record_out_of_reach(&service(), &upstream(2), now);
+        paths.refuses(&service(), 3, now)
+    });
+    assert_eq!(refused.filter(|refused| !refused).count(), 3);
+    let _ = paths.record_tunnel(&service(), &upstream(3), start);
+    assert!(!paths.refuses(&service(), 3, start));
+}
+
+#[test]
+fn an_outage_is_forgotten_without_further_failures() {
+    let start = Instant::now();
+    let mut paths = Paths::default();
+    paths.record_out_of_reach(&service(), &upstream(1), start);
+    assert!(!paths.refuses(&service(), 1, start));
+    assert!(paths.refuses(&service(), 1, start));
+    assert!(!paths.refuses(&service(), 1, start + Duration::from_secs(1)));
+}
+
 #[derive(Clone, Copy, Debug)]
 enum Connection {
     Direct(u32),
