Keep to the slots of upstreams that fall over when they reject too much

An upstream may say in all its answers how many requests it can turn away within a second before it falls over (Server-Brittle). Nothing read that: hosts let as many calls wait at an upstream as it has slots, and came again after each rejection: 44 of 6 calls' tries reached the stand-in.

Change: while the answers of an upstream say so, each host keeps to its part of the slots for plain calls, and to the slots by the work that all told for streams; a host that was turned away sends nothing there for hosts / number seconds, so that all together stay below the number. Of more hosts than slots, those without a slot may have one call. The word holds ten seconds for the next life under the id.

With the mechanism switched off by hand, 9 of 18 calls are refused in place of 14 (4 slots), and 44 arrivals come in place of 1; both tests fail.

--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -22,7 +22,7 @@
     tealshore_capacity::EngineOrder,
     tealshore_core::ids::{CustomerId, EngineId, HallId, HostId, RequestId, StartTime},
     tealshore_duties::usage::UsageReport,
-    tealshore_notices::RestRequest,
+    tealshore_notices::{Brittleness, RestRequest},
     tealshore_quarantine::news::CrashUpdate,
     tealshore_rates::AdvertisedLimit,
 };
@@ -101,6 +101,10 @@
     pub leaving: bool,
     /// The rate limit of the upstream, in requests per second from all hosts together, if it names one.
     pub limit: AdvertisedLimit,
+    /// Whether the upstream rejected the request, most likely for lack of room.
+    pub rejected: bool,
+    /// Whether the upstream announces that it fails if it has to reject too many requests.
+    pub brittleness: Brittleness,
     /// The names of headers that the adapter does not know, which may be extensions of the protocol.
     pub unknown_headers: Vec<HeaderName>,
 }
--- a/crates/gateway/src/peers/lenders.rs
+++ b/crates/gateway/src/peers/lenders.rs
@@ -7,8 +7,9 @@
     },
     crate::{topology::Distance, view::UpstreamRecord},
     std::{net::SocketAddr, time::Instant},
-    tealshore_core::ids::{HallId, HostId},
+    tealshore_core::ids::{EngineId, HallId, HostId},
     tealshore_rates::{Proximity, lendable_fraction, rank},
+    xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed},
 };
 
 /// The lender of an upstream, from this host's point of view.
@@ -23,6 +24,29 @@
 }
 
 impl Peers {
+    /// Returns this host's position among all live hosts that take traffic, in an order that depends on the upstream,
+    /// and their number, this host included.
+    pub fn position_for(&self, upstream: &EngineId, now: Instant) -> (usize, usize) {
+        let seed = xxh3_64(upstream.as_bytes());
+        let own = xxh3_64_with_seed(self.own.id.as_bytes(), seed);
+        let in_other_groups = self.groups.lock().members(self.options.silence, now);
+        let known = self.known.lock();
+        let direct = known
+            .values()
+            .filter(|peer| self.is_counted(peer, now) && peer.state.phase.takes_traffic());
+        let direct = direct.map(|peer| &peer.state.host);
+        let others = in_other_groups
+            .iter()
+            .filter(|(_, member)| member.phase.takes_traffic())
+            .map(|(_, member)| &member.host);
+        let (mut position, mut hosts) = (0, 1);
+        for host in direct.chain(others) {
+            hosts += 1;
+            position += usize::from(xxh3_64_with_seed(host.as_bytes(), seed) < own);
+        }
+        (position, hosts)
+    }
+
     /// Returns the lender of an upstream: the host that ranks first for it, of all hosts that take traffic and run a
     /// build that lends. Hosts that know of the same hosts choose the same lender.
     ///
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,5 +1,6 @@
 //! The state that all components of this host share.
 
+mod brittle;
 mod choice;
 mod limits;
 mod notices;
@@ -42,7 +43,7 @@
         ids::{CustomerId, ServiceId},
         protection::{Protection, enabled},
     },
-    tealshore_notices::{Notices, UnknownHeaders},
+    tealshore_notices::{BrittleUpstreams, Notices, UnknownHeaders},
     tealshore_paths::Paths,
     tokio::sync::Semaphore,
 };
@@ -78,6 +79,8 @@
     pub crashes: Crashes,
     /// Notices that upstreams gave in their answers: that they want no requests for a time, or that they are leaving.
     notices: RwLock<Notices>,
+    /// The upstreams that fail if they have to reject too many requests.
+    brittle: RwLock<BrittleUpstreams>,
     /// The rate limits that upstreams set for all hosts together.
     pub limits: UpstreamLimits,
     /// Response headers of upstreams that the adapter does not know.
@@ -122,6 +125,7 @@
             runs: Runs::default(),
             crashes: Crashes::default(),
             notices: RwLock::default(),
+            brittle: RwLock::default(),
             limits: UpstreamLimits::default(),
             unknown_headers_seen: Mutex::default(),
             store_heads: StoreHeads::default(),
--- a/crates/gateway/src/state/choice.rs
+++ b/crates/gateway/src/state/choice.rs
@@ -101,9 +101,18 @@
         let accepts_work = |record: &UpstreamRecord| {
             notices.availability(&record.id, record.born, now) == Availability::Open
         };
+        let min_places = match need {
+            Need::Call { .. } => self.min_call_places(ready, now),
+            Need::Prompt { .. } | Need::Copy { .. } => 0,
+        };
         let candidates = ready
             .iter()
             .filter(|upstream| accepts_work(&upstream.record))
+            .filter(|upstream| {
+                let elsewhere = elsewhere.get(&upstream.record.id);
+                let elsewhere = elsewhere.copied().unwrap_or_default();
+                self.has_free_slot(upstream, elsewhere, need, min_places, now)
+            })
             .map(|upstream| {
                 let id = &upstream.record.id;
                 let mut work = upstream.own_work();
--- a/crates/gateway/src/state/notices.rs
+++ b/crates/gateway/src/state/notices.rs
@@ -27,6 +27,7 @@
             self.record_leaving(record, request);
         }
         self.record_limit(record, facts, request, sent);
+        self.record_brittleness(record, facts, request, sent);
         for header in &facts.unknown_headers {
             self.record_unknown_header(record, header.as_str(), request);
         }
--- a/crates/notices/src/lib.rs
+++ b/crates/notices/src/lib.rs
@@ -1,9 +1,16 @@
 //! Tracks which upstreams want no new work from this host, according to notices in their answers. The
 //! decisions are pure functions of their input: the time and all notices are arguments.
 
+mod brittle;
 mod unknown;
 
-pub use unknown::{MAX_UNKNOWN_HEADERS, UnknownHeaders};
+pub use {
+    brittle::{
+        BRITTLE_AFTER_RESTART, BRITTLE_RETENTION, BrittleUpstreams, Brittleness,
+        MAX_REJECTION_PAUSE, host_places,
+    },
+    unknown::{MAX_UNKNOWN_HEADERS, UnknownHeaders},
+};
 use {
     std::{
         collections::HashMap,
