Ask another host after one that could not open a tunnel

Cause: what a refused tunnel shows was forgotten with the connection, so each connection drew its three hosts anew; and a service counted as out of reach though a host was left that had not been asked.

Change: a host that opened no tunnel to a service is not asked again for a second, so that each connection asks further hosts; a service is out of reach only if none is left to ask.

--- a/crates/gateway/src/forward/dial.rs
+++ b/crates/gateway/src/forward/dial.rs
@@ -14,10 +14,7 @@
         net::{IpAddr, SocketAddr},
         time::{Duration, Instant},
     },
-    tealshore_core::{
-        ids::HostId,
-        protection::{Protection, enabled},
-    },
+    tealshore_core::ids::HostId,
     tealshore_paths::DialOrder,
     tokio::{
         net::{TcpSocket, TcpStream},
@@ -184,10 +181,7 @@
         if !state.peers.is_alone(now) {
             state.paths.lock().record_unreachable(&record.id, now);
         }
-        if !enabled(Protection::Tunnels) {
-            return Vec::new();
-        }
-        state.peers.tunnel_hosts(record, MAX_TUNNEL_HOSTS, now)
+        state.tunnel_hosts(record, MAX_TUNNEL_HOSTS, now)
     }
 
     /// Records how a way to connect ended. Returns the result if it decides the whole attempt.
@@ -217,10 +211,9 @@
                 Some(Err(failure))
             }
             Ended::Tunnel(host, Err(TunnelFailure::Unavailable)) => {
-                log::debug!(
-                    "path: tunnel unavailable host={host} upstream={}",
-                    self.record.id
-                );
+                let now = Instant::now();
+                let mut paths = self.state.paths.lock();
+                paths.record_refused_tunnel(&self.record.service, &host, now);
                 None
             }
         }
--- a/crates/gateway/src/peers/tunnels.rs
+++ b/crates/gateway/src/peers/tunnels.rs
@@ -33,7 +33,7 @@
 }
 
 impl Peers {
-    /// Returns up to `count` hosts to ask for a tunnel to an upstream, in this order. Each is the nearer one of two
+    /// Returns up to `count` hosts to ask for a tunnel to an upstream, in this order, without those in `excluded`. Each is the nearer one of two
     /// random hosts, so that the nearest host does not get all tunnels of a hall that is cut off. Hosts of other
     /// groups come last, since it is not known which of them offer tunnels. Returns none if this host offers no tunnels,
     /// as all hosts offer them at the same port.
@@ -41,6 +41,7 @@
     pub fn tunnel_hosts(
         &self,
         upstream: &UpstreamRecord,
+        excluded: &[HostId],
         count: usize,
         now: Instant,
     ) -> Vec<TunnelHost> {
@@ -49,6 +50,7 @@
         };
         let mut pool = self.offering_hosts(upstream, own_address.port(), now);
         let mut hosts = Vec::with_capacity(count);
+        pool.retain(|ranked| !excluded.contains(&ranked.host.host));
         pool.shuffle(&mut rand::rng());
         while hosts.len() < count
             && let Some(first) = pool.pop()
@@ -68,7 +70,9 @@
             pool.shuffle(&mut rand::rng());
         }
         let mut in_other_groups = self.groups.lock().members(self.options.silence, now);
-        in_other_groups.retain(|(_, member)| member.phase == HostPhase::Serving);
+        in_other_groups.retain(|(_, member)| {
+            member.phase == HostPhase::Serving && !excluded.contains(&member.host)
+        });
         in_other_groups.shuffle(&mut rand::rng());
         let in_other_groups = in_other_groups.into_iter().map(|(_, member)| TunnelHost {
             host: member.host,
--- a/crates/gateway/src/state/paths.rs
+++ b/crates/gateway/src/state/paths.rs
@@ -2,11 +2,12 @@
 
 use {
     super::GatewayState,
-    crate::view::UpstreamRecord,
+    crate::{peers::TunnelHost, view::UpstreamRecord},
     std::time::{Duration, Instant},
     tealshore_core::{
         answer::{ErrorKind, Failure},
         ids::{HostId, ServiceId},
+        protection::{Protection, enabled},
     },
     tealshore_paths::PathChange,
 };
@@ -35,12 +36,30 @@
         self.report_path_change(change, upstream, through);
     }
 
-    /// Records that no connection to an upstream could be opened. If a host that reaches the service confirmed that, the
-    /// fault is the upstream's alone.
+    /// Returns up to `count` hosts to ask for a tunnel to an upstream: none that recently could not open one.
+    pub fn tunnel_hosts(
+        &self,
+        upstream: &UpstreamRecord,
+        count: usize,
+        now: Instant,
+    ) -> Vec<TunnelHost> {
+        if !enabled(Protection::Tunnels) {
+            return Vec::new();
+        }
+        let excluded = self
+            .paths
+            .lock()
+            .hosts_without_tunnels(&upstream.service, now);
+        self.peers.tunnel_hosts(upstream, &excluded, count, now)
+    }
+
+    /// Records that no connection to an upstream could be opened. The service is out of reach only if no host is left
+    /// to ask. If a host that reaches the service confirmed the failure, the fault is the upstream's alone.
     pub fn record_dial_failure(&self, upstream: &UpstreamRecord) {
         let now = Instant::now();
+        let is_host_left = !self.tunnel_hosts(upstream, 1, now).is_empty();
         let mut paths = self.paths.lock();
-        if paths.is_doubtful(&upstream.id, now) {
+        if !is_host_left && paths.is_doubtful(&upstream.id, now) {
             paths.record_out_of_reach(&upstream.service, &upstream.id, now);
         }
     }
--- a/crates/paths/src/lib.rs
+++ b/crates/paths/src/lib.rs
@@ -4,20 +4,23 @@
 mod doubt;
 mod outage;
 mod path;
+mod refusals;
 
 use {
     doubt::Doubts,
     outage::Outage,
     path::{MIN_TUNNELS, Path},
+    refusals::Refusals,
     std::{
         collections::HashMap,
         time::{Duration, Instant},
     },
-    tealshore_core::ids::{EngineId, ServiceId},
+    tealshore_core::ids::{EngineId, HostId, ServiceId},
 };
 pub use {
     outage::OUTAGE_CHECK_INTERVAL,
     path::{CHECK_INTERVAL, DialOrder, PathChange, SERVICE_CHECK_INTERVAL},
+    refusals::REFUSAL_LIFETIME,
 };
 
 /// How long a lost path is remembered without use.
@@ -33,6 +36,7 @@
     /// Services of such upstreams. A direct connection to any upstream of a service restores its path.
     services: HashMap<ServiceId, Path>,
     doubts: Doubts,
+    refusals: Refusals,
     /// Services to which no connection can be opened at the moment.
     outages: HashMap<ServiceId, Outage>,
 }
@@ -112,6 +116,17 @@
         self.doubts.add(upstream, now);
     }
 
+    /// Records that a host could not open a tunnel to an upstream of the service.
+    pub fn record_refused_tunnel(&mut self, service: &ServiceId, host: &HostId, now: Instant) {
+        self.refusals.add(service, host, now);
+    }
+
+    /// Returns the hosts that recently could not open a tunnel to an upstream of the service.
+    #[must_use]
+    pub fn hosts_without_tunnels(&self, service: &ServiceId, now: Instant) -> Vec<HostId> {
+        self.refusals.hosts(service, now)
+    }
+
     /// Records that no connection to an upstream could be opened, neither directly nor through another host, and that
     /// no other host reaches the service.
     pub fn record_out_of_reach(&mut self, service: &ServiceId, upstream: &EngineId, now: Instant) {
--- a/crates/paths/tests/paths.rs
+++ b/crates/paths/tests/paths.rs
@@ -6,7 +6,7 @@
     tealshore_core::ids::{EngineId, ServiceId},
     tealshore_paths::{
         CHECK_INTERVAL, DialOrder, OUTAGE_CHECK_INTERVAL, PATH_LIFETIME, PathChange, Paths,
-        SERVICE_CHECK_INTERVAL,
+        REFUSAL_LIFETIME, SERVICE_CHECK_INTERVAL,
     },
 };
 
@@ -155,6 +155,23 @@
     assert!(!paths.refuses(&service(), 3, start));
 }
 
+#[test]
+fn a_host_that_opened_no_tunnel_is_not_asked_again_for_a_while() {
+    let start = Instant::now();
+    let mut paths = Paths::default();
+    let host = "host-1".to_owned();
+    paths.record_refused_tunnel(&service(), &host, start);
+    assert_eq!(paths.hosts_without_tunnels(&service(), start), [host]);
+    let other_service = "tiles".to_owned();
+    assert!(
+        paths
+            .hosts_without_tunnels(&other_service, start)
+            .is_empty()
+    );
+    let later = start + REFUSAL_LIFETIME;
+    assert!(paths.hosts_without_tunnels(&service(), later).is_empty());
+}
+
 #[test]
 fn an_outage_is_forgotten_without_further_failures() {
     let start = Instant::now();
