--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -5,6 +5,7 @@
 //! again.
 
 mod attempt;
+mod choose;
 mod copy_holder;
 mod engines_tried;
 mod order;
--- a/crates/gateway/src/forward/stream/place.rs
+++ b/crates/gateway/src/forward/stream/place.rs
@@ -5,11 +5,11 @@
     super::{
         StreamRun,
         attempt::Attempt,
+        choose::Chosen,
         order::{AttemptPlan, PlaceFailure},
         stagger::stagger,
     },
     crate::{
-        balance::Need,
         events::EventSplitter,
         forward::{probe::SilenceLimits, reservation::Reservation},
         rollout::{Outcome, SendKind},
@@ -18,10 +18,7 @@
         view::{Upstream, UpstreamRecord, Work},
     },
     http::{Response, response},
-    std::{
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::time::{Duration, Instant},
     tealshore_core::{
         answer::{ErrorKind, Failure, Ran},
         http::Body,
@@ -55,15 +52,6 @@
     NonStream(Response<Body>),
 }
 
-/// A chosen engine, with the copy to resume from if it holds one.
-struct Chosen {
-    upstream: Arc<Upstream>,
-    resume_from: Option<MemoryCopy>,
-    /// Whether the engine probably holds the prompt already, from a copy or from reading it before,
-    /// so that it has nothing to read.
-    has_prompt_cached: bool,
-}
-
 fn engine_limit_reached() -> Failure {
     let detail = "the stream ran at as many engines as its route allows";
     Failure::new(ErrorKind::RetriesSpent, detail)
@@ -243,66 +231,6 @@
         Failure::new(ErrorKind::RetriesSpent, failure.to_string())
     }
 
-    fn choose(&mut self) -> Option<Chosen> {
-        let now = Instant::now();
-        let prefers_isolation = self.state.crashes.is_near_quarantine(self.call.fingerprint);
-        if prefers_isolation {
-            // The engine that holds the copy may also hold copies of the streams that ran beside
-            // this one.
-            self.copy = None;
-            self.prompt_cached_at = None;
-        }
-        if let Some(copy) = self.copy.take() {
-            let holder = self.state.view.upstreams.get(&copy.upstream);
-            let usable = holder.filter(|holder| {
-                !holder.is_suspected(now)
-                    && self.state.accepts_work(&copy.upstream)
-                    && self.state.may_receive(holder)
-            });
-            if let Some(holder) = usable {
-                return Some(Chosen {
-                    upstream: holder,
-                    resume_from: Some(copy),
-                    has_prompt_cached: true,
-                });
-            }
-        }
-        if let Some(cached_at) = self.prompt_cached_at.take()
-            && let Some(upstream) = self.state.view.upstreams.get(&cached_at)
-            && self.state.accepts_work(&cached_at)
-            && !upstream.is_suspected(now)
-            && !self.avoid.contains(&cached_at)
-            && self.state.may_receive(&upstream)
-        {
-            return Some(Chosen {
-                upstream,
-                resume_from: None,
-                has_prompt_cached: true,
-            });
-        }
-        let service = &self.call.service;
-        let chosen = self
-            .state
-            .choose_upstream(service, self.need(), &self.avoid)?;
-        Some(Chosen {
-            upstream: chosen,
-            resume_from: None,
-            has_prompt_cached: false,
-        })
-    }
-
-    /// What the whole prompt needs from an engine.
-    fn need(&self) -> Need<'static> {
-        let fingerprint = self.call.fingerprint;
-        Need::Prompt {
-            fingerprint,
-            memory_tokens: self.memory_tokens(),
-            engine_memory_tokens: self.engines().memory_tokens,
-            has_failed: !self.failed_at.is_empty(),
-            prefers_isolation: self.state.crashes.is_near_quarantine(fingerprint),
-        }
-    }
-
     async fn try_place(&mut self, chosen: Chosen) -> Result<response::Parts, PlaceFailure> {
         let Chosen {
             upstream,
