--- a/crates/core/src/protection.rs
+++ b/crates/core/src/protection.rs
@@ -81,6 +81,8 @@
     Tunnels,
     /// An upstream that only this host found unreachable is not reported to other hosts.
     ConfirmedSuspicion,
+    /// All hosts together have no more calls at an upstream that fails when it rejects too many than it has slots.
+    BrittleSlots,
 }
 
 impl Protection {
@@ -123,6 +125,7 @@
             Self::RestoreGrace => "restore-grace",
             Self::Tunnels => "tunnels",
             Self::ConfirmedSuspicion => "confirmed-suspicion",
+            Self::BrittleSlots => "brittle-slots",
         }
     }
 }
--- a/crates/gateway/src/forward/connect.rs
+++ b/crates/gateway/src/forward/connect.rs
@@ -131,24 +131,15 @@
     }
 }
 
-/// The result of opening a connection to an upstream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ConnectProbe {
-    /// The upstream accepted the connection.
-    Accepted,
-    /// Nothing listens at the address.
-    Refused,
-    /// No answer in time, or the address cannot be reached.
-    Unanswered,
-}
-
 /// Tests whether an upstream accepts a new connection, and closes it.
-pub async fn probe_connection(state: &GatewayState, upstream: &Upstream) -> ConnectProbe {
-    match dial(state, upstream).await {
-        Ok(_) => ConnectProbe::Accepted,
-        Err(DialFailure::Refused) => ConnectProbe::Refused,
-        Err(DialFailure::Unanswered) => ConnectProbe::Unanswered,
-    }
+///
+/// # Errors
+/// The upstream can't be reached.
+pub async fn probe_connection(
+    state: &GatewayState,
+    upstream: &Upstream,
+) -> Result<(), DialFailure> {
+    dial(state, upstream).await.map(drop)
 }
 
 /// Whether an answer belongs to another request. A refusal need not name its request, but a refusal that
--- a/crates/gateway/src/forward/dial.rs
+++ b/crates/gateway/src/forward/dial.rs
@@ -210,7 +210,11 @@
                 paths.record_confirmed_unreachable(&self.record.id);
                 Some(Err(failure))
             }
-            Ended::Tunnel(host, Err(TunnelFailure::Unavailable)) => {
+            Ended::Tunnel(host, Err(TunnelFailure::Unavailable(cause))) => {
+                log::info!(
+                    "path: tunnel not opened upstream={} host={host} cause={cause:?}",
+                    self.record.id
+                );
                 let now = Instant::now();
                 let mut paths = self.state.paths.lock();
                 paths.record_refused_tunnel(&self.record.service, &host, now);
--- a/crates/gateway/src/forward/dial/tunnel.rs
+++ b/crates/gateway/src/forward/dial/tunnel.rs
@@ -17,12 +17,19 @@
 };
 
 /// Why a host opened no tunnel.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum TunnelFailure {
     /// The host reaches other upstreams of the service, but not this one.
     Unreachable(DialFailure),
-    /// The host can't help: it can't be reached, does not know the upstream, or has no path or no capacity.
-    Unavailable,
+    /// The host can't help, for this reason: it can't be reached, does not know the upstream, or has no path or no
+    /// capacity.
+    Unavailable(String),
+}
+
+impl TunnelFailure {
+    fn unavailable(cause: impl ToString) -> Self {
+        Self::Unavailable(cause.to_string())
+    }
 }
 
 /// Opens a tunnel to an upstream through the host with this address.
@@ -35,10 +42,10 @@
 ) -> Result<TcpStream, TunnelFailure> {
     let upgraded = connect(host, record).await?;
     let parts = upgraded.downcast::<TokioIo<TcpStream>>();
-    let parts = parts.map_err(|_| TunnelFailure::Unavailable)?;
-    // An upstream sends nothing before it is asked.
+    let parts =
+        parts.map_err(|_| TunnelFailure::unavailable("unexpected type of the connection"))?;
     if !parts.read_buf.is_empty() {
-        return Err(TunnelFailure::Unavailable);
+        return Err(TunnelFailure::unavailable("bytes before the request"));
     }
     Ok(parts.io.into_inner())
 }
@@ -47,26 +54,26 @@
     host: SocketAddr,
     record: &UpstreamRecord,
 ) -> Result<upgrade::Upgraded, TunnelFailure> {
-    let request = connect_request(record).map_err(|_| TunnelFailure::Unavailable)?;
+    let request = connect_request(record).map_err(TunnelFailure::unavailable)?;
     let stream = TcpStream::connect(host)
         .await
-        .map_err(|_| TunnelFailure::Unavailable)?;
+        .map_err(TunnelFailure::unavailable)?;
     // Without this option a tunnel works as well, only more slowly.
     let _ = stream.set_nodelay(true);
     let handshake = http1::handshake(TokioIo::new(stream)).await;
-    let (mut sender, driver) = handshake.map_err(|_| TunnelFailure::Unavailable)?;
+    let (mut sender, driver) = handshake.map_err(TunnelFailure::unavailable)?;
     let _connection = Connection::driven_by(tokio::spawn(async move {
         // The answer, or its absence, shows how the connection ended.
         let _ = driver.with_upgrades().await;
     }));
     let answer = sender.send_request(request).await;
-    let answer = answer.map_err(|_| TunnelFailure::Unavailable)?;
+    let answer = answer.map_err(TunnelFailure::unavailable)?;
     match answer.status() {
         StatusCode::OK => upgrade::on(answer)
             .await
-            .map_err(|_| TunnelFailure::Unavailable),
+            .map_err(TunnelFailure::unavailable),
         StatusCode::BAD_GATEWAY => Err(TunnelFailure::Unreachable(found(answer.headers()))),
-        _ => Err(TunnelFailure::Unavailable),
+        status => Err(TunnelFailure::unavailable(status)),
     }
 }
 
--- a/crates/gateway/src/forward/ending.rs
+++ b/crates/gateway/src/forward/ending.rs
@@ -2,11 +2,7 @@
 //! that make upstreams end (crash) from being sent to further ones.
 
 use {
-    super::{
-        call::Call,
-        connect::{self, ConnectProbe},
-        probe,
-    },
+    super::{call::Call, connect, dial::DialFailure, probe},
     crate::{connection::CallFailure, edge::ProbeReport, state::GatewayState, view::Upstream},
     std::{
         sync::Arc,
@@ -49,9 +45,9 @@
             return ProbeResult::PerhapsAnotherLife;
         }
         match (connect::probe_connection(state, upstream).await, self) {
-            (ConnectProbe::Refused, Self::Engine | Self::PlainService) => ProbeResult::Refused,
-            (ConnectProbe::Unanswered, Self::Engine) => ProbeResult::Silent,
-            (ConnectProbe::Accepted, Self::Engine) => {
+            (Err(DialFailure::Refused), Self::Engine | Self::PlainService) => ProbeResult::Refused,
+            (Err(DialFailure::Unanswered), Self::Engine) => ProbeResult::Silent,
+            (Ok(()), Self::Engine) => {
                 let report = probe::report(state, upstream, request).await;
                 match report {
                     Ok(report) => finding_from_report(&report, upstream, began),
@@ -59,11 +55,9 @@
                     Err(CallFailure::TimedOut) => ProbeResult::Silent,
                 }
             }
-            (ConnectProbe::Accepted | ConnectProbe::Unanswered, Self::PlainService) => {
-                ProbeResult::Lives {
-                    is_same_life: false,
-                }
-            }
+            (Ok(()) | Err(DialFailure::Unanswered), Self::PlainService) => ProbeResult::Lives {
+                is_same_life: false,
+            },
         }
     }
 }
--- a/crates/gateway/src/serve/tunnel.rs
+++ b/crates/gateway/src/serve/tunnel.rs
@@ -198,11 +198,15 @@
 ) {
     // A planned stop waits for tunnels as for requests.
     let _in_flight = InFlightGuard::begin(&state);
-    let Ok(upgraded) = upgrade::on(request).await else {
-        return;
+    let upgraded = match upgrade::on(request).await {
+        Ok(upgraded) => upgraded,
+        Err(error) => {
+            log::info!("path: tunnel ended before it was used cause={error:?}");
+            return;
+        }
     };
     let Ok(parts) = downcast::<TokioIo<TcpStream>>(upgraded) else {
-        log::error!("path: tunnel not opened cause=unexpected-connection-type");
+        log::error!("path: tunnel ended before it was used cause=unexpected-connection-type");
         return;
     };
     let mut peer = parts.io.into_inner();
--- a/crates/gateway/src/state/brittle.rs
+++ b/crates/gateway/src/state/brittle.rs
@@ -7,7 +7,12 @@
         edge::AnswerFacts,
         view::{Upstream, UpstreamRecord, Work},
     },
-    std::{sync::Arc, time::Instant},
+    std::{
+        collections::{HashMap, HashSet},
+        sync::Arc,
+        time::Instant,
+    },
+    tealshore_core::ids::EngineId,
     tealshore_notices::host_places,
 };
 
@@ -53,44 +58,50 @@
         );
     }
 
-    /// Whether a brittle upstream has a slot left for a request of this host, given the work of the other hosts there.
-    /// Always true for other upstreams, which may let requests wait.
-    pub(super) fn has_free_slot(
+    /// Returns the brittle upstreams that have no slot left for a request of this host, given the work of the other hosts.
+    /// Other upstreams may let requests wait.
+    pub(super) fn full_brittle_upstreams(
         &self,
-        upstream: &Upstream,
-        elsewhere: Work,
+        ready: &[Arc<Upstream>],
+        elsewhere: &HashMap<EngineId, Work>,
         need: Need<'_>,
-        min_places: u32,
         now: Instant,
-    ) -> bool {
-        let record = &upstream.record;
-        if !self.is_brittle(record, now) {
-            return true;
-        }
-        let own = upstream.own_work().running;
-        match need {
-            Need::Call { .. } => own < self.places_at(record, now).max(min_places),
-            Need::Prompt { .. } | Need::Copy { .. } => own + elsewhere.running < record.slots,
+    ) -> HashSet<EngineId> {
+        let brittle = self.brittle.read();
+        if brittle.is_empty() {
+            return HashSet::new();
         }
-    }
-
-    /// The minimum number of calls that this host may have at a brittle upstream: one if there are more hosts than slots
-    /// at all of these upstreams, and none of the slots is this host's. Pauses after rejections bound what that costs.
-    pub(super) fn min_call_places(&self, ready: &[Arc<Upstream>], now: Instant) -> u32 {
-        let is_open = |upstream: &Arc<Upstream>| {
-            let record = &upstream.record;
-            !self.is_brittle(record, now) || self.places_at(record, now) > 0
+        let is_brittle = |record: &UpstreamRecord| brittle.is_brittle(&record.id, record.born, now);
+        let (brittle, other): (Vec<_>, Vec<_>) =
+            ready.iter().partition(|it| is_brittle(&it.record));
+        let places = match need {
+            Need::Call { .. } => self.call_places(&brittle, !other.is_empty(), now),
+            // All hosts tell their streams, so each of them may use any slot.
+            Need::Prompt { .. } | Need::Copy { .. } => {
+                brittle.iter().map(|it| it.record.slots).collect()
+            }
         };
-        u32::from(!self.brittle.read().is_empty() && !ready.iter().any(is_open))
-    }
-
-    fn is_brittle(&self, record: &UpstreamRecord, now: Instant) -> bool {
-        let brittle = self.brittle.read();
-        brittle.is_brittle(&record.id, record.born, now)
+        let running = |it: &Upstream| {
+            let elsewhere = elsewhere.get(&it.record.id).map_or(0, |work| work.running);
+            it.own_work().running + elsewhere
+        };
+        let with_places = brittle.into_iter().zip(places);
+        let full = with_places.filter(|(it, places)| running(it) >= *places);
+        full.map(|(it, _)| it.record.id.clone()).collect()
     }
 
-    fn places_at(&self, record: &UpstreamRecord, now: Instant) -> u32 {
-        let (position, hosts) = self.peers.position_for(&record.id, now);
-        host_places(record.slots, hosts, position)
+    /// Returns how many calls this host may have at each of these upstreams of a service. If none of the slots is this
+    /// host's, and the service has no other upstream, it may have one call at each; pauses after rejections bound what
+    /// that costs.
+    fn call_places(&self, brittle: &[&Arc<Upstream>], has_other: bool, now: Instant) -> Vec<u32> {
+        let places = brittle.iter().map(|upstream| {
+            let record = &upstream.record;
+            let (position, hosts) = self.peers.position_for(&record.id, now);
+            host_places(record.slots, hosts, position)
+        });
+        let places: Vec<u32> = places.collect();
+        let has_place = has_other || places.iter().any(|places| *places > 0);
+        let least = u32::from(!has_place);
+        places.into_iter().map(|places| places.max(least)).collect()
     }
 }
--- a/crates/gateway/src/state/choice.rs
+++ b/crates/gateway/src/state/choice.rs
@@ -101,18 +101,11 @@
         let accepts_work = |record: &UpstreamRecord| {
             notices.availability(&record.id, record.born, now) == Availability::Open
         };
-        let min_places = match need {
-            Need::Call { .. } => self.min_call_places(ready, now),
-            Need::Prompt { .. } | Need::Copy { .. } => 0,
-        };
+        let full = self.full_brittle_upstreams(ready, &elsewhere, need, now);
         let candidates = ready
             .iter()
             .filter(|upstream| accepts_work(&upstream.record))
-            .filter(|upstream| {
-                let elsewhere = elsewhere.get(&upstream.record.id);
-                let elsewhere = elsewhere.copied().unwrap_or_default();
-                self.has_free_slot(upstream, elsewhere, need, min_places, now)
-            })
+            .filter(|upstream| !full.contains(&upstream.record.id))
             .map(|upstream| {
                 let id = &upstream.record.id;
                 let mut work = upstream.own_work();
--- a/crates/gateway/tests/groups.rs
+++ b/crates/gateway/tests/groups.rs
@@ -137,7 +137,7 @@
     let options = "[host]\nid = own\nhall = a\ncallers_address = 127.0.0.1:9\n\
         directory_address = 127.0.0.1:10\nreadiness_address = 127.0.0.1:11\n\
         metrics_address = 127.0.0.1:12\nlink_mbps = 20\n[store]\naddress = 127.0.0.1:13\n\
-        [peers]\naddress = 127.0.0.1:14\n";
+        [peers]\naddress = 127.0.0.1:14\ntunnel_address = 127.0.0.1:15\n";
     let name = format!("tealshore-groups-{test}-{}.ini", std::process::id());
     let file = std::env::temp_dir().join(name);
     std::fs::write(&file, options).unwrap();
@@ -634,3 +634,43 @@
     }
     assert_eq!(peers.work(later).len(), 4_000);
 }
+
+/// The names of the hosts that are asked for a tunnel to an upstream, without the excluded ones.
+fn asked_for_tunnel(peers: &Peers, excluded: &[&str], count: usize, now: Instant) -> Vec<String> {
+    let excluded: Vec<String> = excluded.iter().map(|host| (*host).to_owned()).collect();
+    let hosts = peers.tunnel_hosts(&upstream(1, "bb"), &excluded, count, now);
+    assert!(hosts.iter().all(|host| host.address.port() == 15));
+    let mut names: Vec<String> = hosts.into_iter().map(|host| host.host).collect();
+    names.sort();
+    names
+}
+
+#[test]
+fn only_hosts_that_offer_tunnels_and_reach_the_service_are_asked() {
+    let now = Instant::now();
+    let peers = peers("tunnels");
+    for index in 0..5 {
+        peers.apply_state(host("a", index), now);
+    }
+    let service = upstream(1, "bb").service;
+    peers.set_cut_off_services(&"a-0".to_owned(), Some(Vec::new()));
+    peers.set_cut_off_services(&"a-1".to_owned(), Some(vec![service]));
+    peers.set_cut_off_services(&"a-2".to_owned(), Some(vec!["other".to_owned()]));
+    peers.set_cut_off_services(&"a-3".to_owned(), Some(Vec::new()));
+    assert_eq!(asked_for_tunnel(&peers, &[], 9, now), ["a-0", "a-2", "a-3"]);
+    assert_eq!(asked_for_tunnel(&peers, &["a-0"], 9, now), ["a-2", "a-3"]);
+    assert_eq!(asked_for_tunnel(&peers, &[], 2, now).len(), 2);
+}
+
+#[test]
+fn hosts_of_other_groups_are_asked_if_no_host_of_the_group_can_help() {
+    let now = Instant::now();
+    let peers = grouped_peers("tunnels-of-groups", now);
+    peers.apply_digest(&digest(3), now);
+    let service = upstream(1, "bb").service;
+    peers.set_cut_off_services(&"a-200".to_owned(), Some(vec![service]));
+    let asked = asked_for_tunnel(&peers, &[], 9, now);
+    assert_eq!(asked, ["bb-0", "bb-1", "bb-2"]);
+    peers.set_cut_off_services(&"a-200".to_owned(), Some(Vec::new()));
+    assert_eq!(asked_for_tunnel(&peers, &[], 1, now), ["a-200"]);
+}
--- a/crates/notices/src/brittle.rs
+++ b/crates/notices/src/brittle.rs
@@ -5,7 +5,10 @@
         collections::HashMap,
         time::{Duration, Instant},
     },
-    tealshore_core::ids::{EngineId, StartTime},
+    tealshore_core::{
+        ids::{EngineId, StartTime},
+        protection::{Protection, enabled},
+    },
 };
 
 /// How long a notice is kept without a further answer of the upstream.
@@ -116,6 +119,9 @@
     }
 
     fn current(&self, id: &EngineId, born: StartTime, now: Instant) -> Option<&BrittleNotice> {
+        if !enabled(Protection::BrittleSlots) {
+            return None;
+        }
         let notice = self.notices.get(id)?;
         let retention = if notice.born == born {
             BRITTLE_RETENTION
