Name the refusal of what no host can reach upstreams-out-of-reach

It went by upstreams-busy, which callers and on-call read as upstreams that turn requests away. The kind is new in the table of answers: 503, not run, a second to wait, as before.

--- a/crates/core/src/answer.rs
+++ b/crates/core/src/answer.rs
@@ -92,6 +92,8 @@
     UpstreamsResting,
     /// The limits that the upstreams advertise leave no capacity for the request now.
     UpstreamsLimited,
+    /// No entry host reaches the upstreams over the network.
+    UpstreamsOutOfReach,
     /// The host's view of the platform's store is too old for its API keys to be trusted.
     StaleView,
     /// The deadline passed and an upstream may have worked on the request.
@@ -211,6 +213,12 @@
                 Some(1_000),
                 Level::Warn,
             ),
+            Self::UpstreamsOutOfReach => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                No,
+                Some(1_000),
+                Level::Warn,
+            ),
             Self::StaleView => (StatusCode::SERVICE_UNAVAILABLE, No, Some(20), Level::Warn),
             Self::DeadlineReached => (StatusCode::GATEWAY_TIMEOUT, Unknown, None, Level::Warn),
             Self::DeadlineUntried => (StatusCode::SERVICE_UNAVAILABLE, No, Some(50), Level::Warn),
@@ -276,6 +284,7 @@
             Self::UpstreamsBusy => "upstreams-busy",
             Self::UpstreamsResting => "upstreams-resting",
             Self::UpstreamsLimited => "upstreams-limited",
+            Self::UpstreamsOutOfReach => "upstreams-out-of-reach",
             Self::StaleView => "stale-view",
             Self::DeadlineReached => "deadline-reached",
             Self::DeadlineUntried => "deadline-untried",
--- a/crates/gateway/src/state/paths.rs
+++ b/crates/gateway/src/state/paths.rs
@@ -3,7 +3,7 @@
 use {
     super::GatewayState,
     crate::{peers::TunnelHost, view::UpstreamRecord},
-    std::time::{Duration, Instant},
+    std::time::Instant,
     tealshore_core::{
         answer::{ErrorKind, Failure},
         ids::{HostId, ServiceId},
@@ -12,9 +12,6 @@
     tealshore_paths::PathChange,
 };
 
-/// When callers may come back if no host reaches a service.
-const OUT_OF_REACH_RETRY: Duration = Duration::from_secs(1);
-
 impl GatewayState {
     /// Records a direct connection to an upstream.
     pub fn record_direct_connection(&self, upstream: &UpstreamRecord) {
@@ -78,8 +75,7 @@
             return Ok(());
         }
         let detail = "neither this host nor another one reaches an upstream of the service";
-        let failure = Failure::new(ErrorKind::UpstreamsBusy, detail);
-        Err(failure.with_retry_after(OUT_OF_REACH_RETRY))
+        Err(Failure::new(ErrorKind::UpstreamsOutOfReach, detail))
     }
 
     /// The services from whose upstreams this host is cut off, to report them to its peers; `None` if this host offers
