Store lost decisions of the duties again without waiting for the lease

Cause: only a holder writes the row, and nobody takes the lease for its length after a restore. What the restore lost lived in the memory of hosts until then, and each further restore began the wait again: three restores kept a reported window out of the store for ten seconds.

Evidence: both hosts logged "restored decisions lost by the store" 0.5 s after the first restore, and neither wrote them; both were killed 10 s later. Ruled out: hosts that had not heard of the decision, and two holders at once.

Change: a candidate that knows decisions which the restored row lacks writes them back at once, on the row's version, with the lease in the row as it is. It does so only until somebody has taken the lease in the store's era; from then on the holder merges what others tell it. The former holder no longer replaces the row's progress by its own older one, and a host that reads the row remembers what was decided.

--- a/crates/core/src/protection.rs
+++ b/crates/core/src/protection.rs
@@ -65,6 +65,8 @@
     DutyTenure,
     /// A lease held by another host is taken only after it has expired.
     LeaseExpiry,
+    /// Decisions of a duty that the store lost are stored again before the lease can be taken.
+    DecisionWriteBack,
     /// A request during which upstreams crashed is sent to no other one.
     Quarantine,
     /// An upstream that asked for a pause, or announced that it leaves, gets no new requests.
@@ -118,6 +120,7 @@
             Self::TrialStop => "trial-stop",
             Self::DutyTenure => "duty-tenure",
             Self::LeaseExpiry => "lease-expiry",
+            Self::DecisionWriteBack => "decision-write-back",
             Self::Quarantine => "quarantine",
             Self::UpstreamNotices => "upstream-notices",
             Self::SharedLimits => "shared-limits",
--- a/crates/duties/src/lease.rs
+++ b/crates/duties/src/lease.rs
@@ -150,6 +150,37 @@
         self.known_row = Some(KnownRow { version, record });
     }
 
+    /// Returns the step that stores data again which the store lost when it was restored from an older copy, or
+    /// `None` if that is not possible now. The lease in the row stays as it is, so the write needs no tenure and
+    /// gives none; it is sent without [`Self::prepare_write`].
+    ///
+    /// Once a process has taken the lease in the store's current era, only the holder writes: it knows what the
+    /// others reported to it.
+    #[must_use]
+    pub fn write_back_step(&self) -> Option<Step> {
+        let known_row = self.known_row.as_ref().filter(|_| !self.needs_read)?;
+        let is_taken_in_era = known_row.record.fence >= self.era_min_fence;
+        if is_taken_in_era || !enabled(Protection::DecisionWriteBack) {
+            return None;
+        }
+        Some(Step::Write {
+            record: known_row.record.clone(),
+            expected: known_row.version,
+            purpose: Purpose::WriteBack,
+        })
+    }
+
+    /// Records that a write-back succeeded.
+    pub fn record_written_back(&mut self, version: RowVersion, record: LeaseRecord, now: Instant) {
+        self.record_version(version, record.holder.as_ref(), now);
+        self.known_row = Some(KnownRow { version, record });
+    }
+
+    /// Records that the outcome of a write-back is unknown.
+    pub fn record_unknown_write_back(&mut self) {
+        self.needs_read = true;
+    }
+
     /// Prepares a record returned by [`Self::next_step`] for writing, and gives it a new serial number. For a
     /// release, this ends the tenure before the write is sent: another host may take the lease before this
     /// process receives the answer.
--- a/crates/duties/src/lease/step.rs
+++ b/crates/duties/src/lease/step.rs
@@ -46,6 +46,8 @@
     Renew,
     /// Releases the lease.
     Release,
+    /// Stores decisions again that a restore of the store lost, and leaves the lease as it is.
+    WriteBack,
 }
 
 impl Purpose {
@@ -56,6 +58,7 @@
             Self::Take => "take",
             Self::Renew => "renew",
             Self::Release => "release",
+            Self::WriteBack => "write-back",
         }
     }
 }
--- a/crates/duties/tests/lease.rs
+++ b/crates/duties/tests/lease.rs
@@ -511,3 +511,68 @@
     lease.record_read(Some((2, write.record)), due);
     assert_eq!(lease.tenure(due), None);
 }
+
+/// Returns a lease whose row was read again after the store was restored to an older copy.
+fn lease_after_restore(record: LeaseRecord, now: Instant) -> Lease {
+    let mut lease = lease_of("a");
+    lease.record_read(Some((5, record.clone())), now);
+    assert_eq!(lease.write_back_step(), None, "the store was not restored");
+    lease.record_store_restored(1, now);
+    assert_eq!(lease.write_back_step(), None, "the row is not known");
+    lease.record_read(Some((1_004, record)), now);
+    lease
+}
+
+/// Decisions that a restored store lost are stored again before the lease can be taken.
+#[test]
+fn a_write_back_changes_neither_the_lease_nor_the_time_until_it_is_free() {
+    tealshore_core::protection::start();
+    let now = Instant::now();
+    let mut lease = lease_after_restore(record_held_by("b"), now);
+    let expected = Step::Write {
+        record: record_held_by("b"),
+        expected: 1_004,
+        purpose: Purpose::WriteBack,
+    };
+    assert_eq!(lease.write_back_step(), Some(expected));
+    lease.record_written_back(1_005, record_held_by("b"), now + seconds(1));
+    assert_eq!(lease.tenure(now + seconds(1)), None);
+    let free_from = now + seconds(1) + LENGTH;
+    let next = lease.next_step(Some(seconds(100)), CANDIDATE, now + seconds(1));
+    assert_eq!(next, Step::Wait(free_from));
+    let write = expect_write(&mut lease, seconds(104), CANDIDATE, free_from);
+    assert_eq!((write.expected, write.purpose), (1_005, Purpose::Take));
+}
+
+#[test]
+fn a_write_back_by_the_former_holder_gives_no_tenure() {
+    let now = Instant::now();
+    let mut lease = lease_after_restore(record_held_by("a"), now);
+    lease.record_written_back(1_005, record_held_by("a"), now);
+    assert_eq!(lease.tenure(now), None);
+    let next = lease.next_step(Some(seconds(100)), CANDIDATE, now);
+    assert_eq!(next, Step::Wait(now + LENGTH));
+}
+
+#[test]
+fn a_write_back_whose_outcome_is_unknown_is_read_back() {
+    let now = Instant::now();
+    let mut lease = lease_after_restore(record_held_by("b"), now);
+    lease.record_unknown_write_back();
+    assert_eq!(lease.write_back_step(), None);
+    let next = lease.next_step(Some(seconds(100)), CANDIDATE, now);
+    assert_eq!(next, Step::Read);
+}
+
+/// The holder of the current era adds lost decisions itself; another writer would only make its renewal fail.
+#[test]
+fn nothing_is_written_back_once_the_lease_is_taken_in_the_era() {
+    let now = Instant::now();
+    let mut lease = lease_after_restore(record_held_by("b"), now);
+    let taken = LeaseRecord {
+        fence: 1 << 32,
+        ..record_held_by("b")
+    };
+    lease.record_read(Some((1_005, taken)), now);
+    assert_eq!(lease.write_back_step(), None);
+}
--- a/crates/gateway/src/sync/duties.rs
+++ b/crates/gateway/src/sync/duties.rs
@@ -51,10 +51,12 @@
     follower: Follower,
     options: DutyOptions,
     started: Instant,
-    /// The last known content of the row in the store.
+    /// The row as last read or written.
     record: DutyRecord,
     /// The content of the row for the next write.
     draft: DutyRecord,
+    /// The row as last written under a lease of this host.
+    held_record: DutyRecord,
     backoff: ApiBackoff,
     /// Number of consecutive failed calls to the store.
     store_failures: u32,
@@ -75,6 +77,7 @@
             started: Instant::now(),
             record: DutyRecord::default(),
             draft: DutyRecord::default(),
+            held_record: DutyRecord::default(),
             backoff: ApiBackoff::default(),
             store_failures: 0,
             capacity_checked_at: None,
@@ -107,7 +110,7 @@
                     purpose,
                 } => self.write(record, expected, purpose).await,
                 Step::Wait(until) => {
-                    if !self.perform_due(now).await {
+                    if !self.write_back().await && !self.perform_due(now).await {
                         let interval = match role {
                             Role::Candidate { .. } | Role::Leaving => CANDIDATE_INTERVAL,
                             Role::NonCandidate => NON_CANDIDATE_INTERVAL,
@@ -197,24 +200,22 @@
 
     fn accept_record(&mut self, row: Option<(Revision, DutyRecord)>) {
         self.store_failures = 0;
-        let (revision, mut record) = row.unwrap_or_default();
-        if record.lease.is_older_than(&self.record.lease) {
+        let (revision, record) = row.unwrap_or_default();
+        let mut draft = record.clone();
+        if record.lease.is_older_than(&self.held_record.lease) {
             log::warn!(
                 "duties: row older than the last write revision={revision} fence={} written_fence={}",
                 record.lease.fence,
-                self.record.lease.fence
+                self.held_record.lease.fence
             );
-            // Decisions made under the lost lease remain valid.
-            record.usage.clone_from(&self.record.usage);
-            record.orders.clone_from(&self.record.orders);
+            // Orders made under the lost lease remain valid.
+            draft.orders.clone_from(&self.held_record.orders);
         }
+        self.draft = draft;
+        self.add_lost_decisions();
         let duties = &self.state().duties;
-        if duties.add_lost_decisions(&mut record.usage) {
-            log::info!(
-                "duties: restored decisions lost by the store usage_next={:?} open={}",
-                record.usage.next,
-                record.usage.decided.len()
-            );
+        if let Some(decided) = record.usage.decided_usage() {
+            duties.merge_decided(&decided);
         }
         log::info!(
             "duties: row read revision={revision} fence={} holder={}",
@@ -224,14 +225,53 @@
         duties.with_ledger(|ledger| ledger.restore(&record.usage.counted));
         let lease = (revision > 0).then(|| (revision, record.lease.clone()));
         duties.with_lease(|lease_state| lease_state.record_read(lease, Instant::now()));
-        self.draft.clone_from(&record);
         self.record = record;
     }
 
+    /// Adds decisions to the draft that this host knows of and the row lacks.
+    fn add_lost_decisions(&mut self) {
+        let usage = &mut self.draft.usage;
+        if self.follower.state.duties.add_lost_decisions(usage) {
+            log::info!(
+                "duties: restored decisions lost by the store usage_next={:?} open={}",
+                usage.next,
+                usage.decided.len()
+            );
+        }
+    }
+
+    /// Stores decisions again that the store lost. This does not wait for the lease, since all hosts that know of
+    /// the decisions may be lost before it can be taken. Returns whether there was anything to write.
+    async fn write_back(&mut self) -> bool {
+        let step = self
+            .state()
+            .duties
+            .with_lease(|lease| lease.write_back_step());
+        let Some(Step::Write {
+            record,
+            expected,
+            purpose,
+        }) = step
+        else {
+            return false;
+        };
+        self.add_lost_decisions();
+        if !self.has_unwritten_decision() {
+            return false;
+        }
+        self.write(record, expected, purpose).await;
+        true
+    }
+
     /// Writes the draft with a new state of the lease.
     async fn write(&mut self, lease: LeaseRecord, expected: Revision, purpose: Purpose) {
         let state = self.state().clone();
-        let lease = state.duties.with_lease(|known| known.prepare_write(lease));
+        let lease = match purpose {
+            Purpose::Take | Purpose::Renew | Purpose::Release => {
+                state.duties.with_lease(|known| known.prepare_write(lease))
+            }
+            Purpose::WriteBack => lease,
+        };
         let mut record = self.draft.clone();
         record.lease = lease;
         self.include_counts(&mut record);
@@ -266,9 +306,12 @@
                     record.lease.fence
                 );
                 state.metrics.count_lease_write(purpose.name(), "unknown");
-                state
-                    .duties
-                    .with_lease(|known| known.record_unknown_outcome(&record.lease, sent_at));
+                state.duties.with_lease(|known| match purpose {
+                    Purpose::Take | Purpose::Renew | Purpose::Release => {
+                        known.record_unknown_outcome(&record.lease, sent_at);
+                    }
+                    Purpose::WriteBack => known.record_unknown_write_back(),
+                });
                 self.pause_for_store().await;
             }
         }
@@ -308,6 +351,14 @@
                 "duties: lease released fence={} revision={revision}",
                 record.lease.fence
             ),
+            Purpose::WriteBack => log::info!(
+                "duties: lost decisions stored again fence={} revision={revision} era={} usage_next={:?} \
+                 orders={}",
+                record.lease.fence,
+                self.era,
+                record.usage.next,
+                record.orders.len()
+            ),
         }
         state.metrics.count_lease_write(purpose.name(), "done");
         if let Some(decided) = record.usage.decided_usage() {
@@ -315,9 +366,12 @@
         }
         let lease = record.lease.clone();
         let now = Instant::now();
-        state
-            .duties
-            .with_lease(|known| known.record_written(revision, lease, sent_at, now));
+        state.duties.with_lease(|known| match purpose {
+            Purpose::Take | Purpose::Renew | Purpose::Release => {
+                known.record_written(revision, lease, sent_at, now);
+            }
+            Purpose::WriteBack => known.record_written_back(revision, lease, now),
+        });
         state.metrics.duty_fence.set(
             state
                 .duties
@@ -325,11 +379,14 @@
                 .map_or(0, |tenure| i64::try_from(tenure.fence).unwrap_or(i64::MAX)),
         );
         self.draft.clone_from(&record);
+        if purpose != Purpose::WriteBack {
+            self.held_record.clone_from(&record);
+        }
         self.record = record;
         match purpose {
             Purpose::Take | Purpose::Release => state.peers.wake_sender(),
             // The next heartbeat reports it early enough.
-            Purpose::Renew => {}
+            Purpose::Renew | Purpose::WriteBack => {}
         }
     }
 
