Tell other hosts what is decided before it is reported

Cause: decisions went to other hosts with the counts, once a second, while the report was accepted some milliseconds after the decision. The holder was killed 0.55 s after it, so that nobody was left who knew. A holder without counts of its own told nobody at all.

Evidence: no host logged that it restored what the store had lost, and the successor decided the window from the counts that it had. Ruled out: a datagram that was lost; none had been sent.

Change: the holder sends what it decided to all hosts that may hold the duties next, relays of other groups included, as soon as the store has accepted it and before it calls the platform. It uses the datagram that carries the counts, so hosts of the build before read it.

--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -146,22 +146,25 @@
     }
 
     /// The counts of this process in the current window and in earlier ones that may still be reported.
-    pub fn own_usage(&self, store_time: Option<StoreTime>, now: Instant) -> Option<UsageUpdate> {
-        let windows = self.recent_windows(store_time, now, |ledger, from| {
-            ledger.process_counts(&self.hall, &self.process, from)
-        })?;
-        Some(UsageUpdate {
+    pub fn own_usage(&self, store_time: Option<StoreTime>, now: Instant) -> UsageUpdate {
+        let process_counts =
+            |ledger: &UsageLedger, from| ledger.process_counts(&self.hall, &self.process, from);
+        self.usage_update(self.recent_windows(store_time, now, process_counts))
+    }
+
+    /// An update of this process with the counts of these windows.
+    pub fn usage_update(&self, windows: Vec<WindowCounts>) -> UsageUpdate {
+        UsageUpdate {
             process: self.process.clone(),
             hall: self.hall.clone(),
             windows,
-        })
+        }
     }
 
     /// The counts of this hall's processes in the same windows.
     pub fn hall_usage(&self, store_time: Option<StoreTime>, now: Instant) -> Vec<WindowCounts> {
         let hall_counts = |ledger: &UsageLedger, from| ledger.hall_counts(&self.hall, from);
         self.recent_windows(store_time, now, hall_counts)
-            .unwrap_or_default()
     }
 
     fn recent_windows(
@@ -169,14 +172,15 @@
         store_time: Option<StoreTime>,
         now: Instant,
         read: impl Fn(&UsageLedger, WindowIndex) -> Vec<WindowCounts>,
-    ) -> Option<Vec<WindowCounts>> {
-        let options = self.options.as_ref()?;
+    ) -> Vec<WindowCounts> {
+        let Some(options) = &self.options else {
+            return Vec::new();
+        };
         let current = options.usage.window_at(self.since_epoch(store_time, now));
-        let windows = read(
+        read(
             &self.ledger.lock(),
             current.saturating_sub(PAST_WINDOWS_SHARED),
-        );
-        (!windows.is_empty()).then_some(windows)
+        )
     }
 
     /// The right to perform the duties at `now`; `None` if this host does not hold the lease.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -53,7 +53,6 @@
     addresses::SourceScope,
     digest::{DigestSource, GroupSums, LastDigest},
     duties::usage_receivers,
-    exchange::start,
     extension::{Extension, MAX_DATAGRAM_LIMITS},
     last_state::SentState,
     lenders::UpstreamLender,
@@ -68,6 +67,7 @@
     },
     tunnels::{FOUND_HEADER, FOUND_REFUSED, FOUND_UNANSWERED, TunnelHost, UPSTREAM_HEADER},
 };
+pub(crate) use {exchange::start, outgoing::PeerSocket};
 
 /// Maximum number of streams in a datagram, which keeps it well below the UDP size limit.
 const MAX_DATAGRAM_RUNS: usize = 200;
--- a/crates/gateway/src/peers/duties.rs
+++ b/crates/gateway/src/peers/duties.rs
@@ -1,4 +1,5 @@
-//! Sends this host's usage counts to the hosts that hold the duties or may hold them next.
+//! Sends this host's usage counts, and what it knows of decided reports, to the hosts that hold the duties or may hold
+//! them next.
 
 use {
     super::{
@@ -26,18 +27,34 @@
     }
     loop {
         sleep(USAGE_INTERVAL).await;
-        let now = Instant::now();
-        let usage = state.duties.own_usage(state.feed.store_time(now), now);
-        let Some(usage) = usage else {
-            continue;
-        };
-        let receivers = state
-            .peers
-            .duty_candidates(state.duties.holder().as_ref(), now);
         // Unchanged counts are sent as well, since a datagram may have been lost, or a receiver may be new.
-        socket
-            .send_to_all(&Datagram::Usage(usage), &receivers)
-            .await;
+        socket.send_own_usage(&state, Instant::now()).await;
+    }
+}
+
+impl PeerSocket {
+    /// Sends the usage counts of this host, with the reports that it knows to be decided.
+    async fn send_own_usage(&self, state: &GatewayState, now: Instant) {
+        let usage = state.duties.own_usage(state.feed.store_time(now), now);
+        if usage.windows.is_empty() && state.duties.decided_to_report().is_none() {
+            return;
+        }
+        let holder = state.duties.holder();
+        let receivers = state.peers.duty_candidates(holder.as_ref(), now);
+        self.send_to_all(&Datagram::Usage(usage), &receivers).await;
+    }
+
+    /// Sends the reports that this host has just decided to all hosts that may hold the duties next, including the
+    /// relays of other groups.
+    pub(crate) async fn announce_decisions(&self, state: &GatewayState) {
+        let now = Instant::now();
+        self.send_own_usage(state, now).await;
+        if state.peers.is_grouped() {
+            // The counts of this host reach other groups in the sums of its hall.
+            let usage = state.duties.usage_update(Vec::new());
+            let relays = state.peers.digest_targets(now);
+            self.send_to_all(&Datagram::Usage(usage), &relays).await;
+        }
     }
 }
 
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -40,11 +40,11 @@
 /// Time for which a host collects other starting hosts, to answer them together.
 const NEWCOMER_BATCH_DELAY: Duration = Duration::from_millis(4);
 
-/// Starts the tasks that send and receive for the lifetime of the process.
+/// Starts the tasks that send and receive for the lifetime of the process, and returns their socket.
 ///
 /// # Errors
 /// Returns an error if the address can't be bound.
-pub async fn start(state: &Arc<GatewayState>) -> std::io::Result<()> {
+pub(crate) async fn start(state: &Arc<GatewayState>) -> std::io::Result<Arc<PeerSocket>> {
     let socket = Arc::new(PeerSocket::bind(state).await?);
     tokio::spawn(send(state.clone(), socket.clone()));
     tokio::spawn(relay(state.clone(), socket.clone()));
@@ -52,10 +52,10 @@
     tokio::spawn(send_permit_asks(state.clone(), socket.clone()));
     tokio::spawn(send_changed_limits(state.clone(), socket.clone()));
     tokio::spawn(remove_unused_limits(state.clone()));
-    tokio::spawn(receive(state.clone(), socket));
+    tokio::spawn(receive(state.clone(), socket.clone()));
     let listener = TcpListener::bind(state.options.peers.address).await?;
     tokio::spawn(serve_snapshots(state.clone(), listener));
-    Ok(())
+    Ok(socket)
 }
 
 async fn send(state: Arc<GatewayState>, socket: Arc<PeerSocket>) {
--- a/crates/gateway/src/peers/outgoing.rs
+++ b/crates/gateway/src/peers/outgoing.rs
@@ -87,7 +87,7 @@
 }
 
 /// The socket for datagrams between hosts, which counts the bytes sent.
-pub(super) struct PeerSocket {
+pub(crate) struct PeerSocket {
     socket: UdpSocket,
     state: Arc<GatewayState>,
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -43,7 +43,7 @@
             bound_addresses.push(address);
         }
     }
-    peers::start(&state).await.wrap_err_with(|| {
+    let peer_socket = peers::start(&state).await.wrap_err_with(|| {
         format!(
             "cannot listen on [peers] address = {}",
             state.options.peers.address
@@ -55,7 +55,7 @@
             .wrap_err_with(|| format!("cannot listen on [peers] tunnel_address = {address}"))?;
         tokio::spawn(serve_tunnels(state.clone(), listener));
     }
-    sync::start(&state);
+    sync::start(&state, &peer_socket);
     tokio::spawn(log_reload_signals());
     log::info!(
         "start: host={} hall={} callers={} version={}",
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -18,6 +18,7 @@
     crate::{
         edge::{Page, Revision, RowSet, StoreEra, StoreRefusal, StoreTime, era_of},
         feed::SetWatermark,
+        peers::PeerSocket,
         state::GatewayState,
         view::MISSING_ROW_GRACE,
     },
@@ -65,7 +66,7 @@
 
 /// Starts the tasks that follow the configuration and the upstreams, store the hosts, runs and crash reports,
 /// lead rollouts and perform duties. They run until the process ends.
-pub fn start(state: &Arc<GatewayState>) {
+pub(crate) fn start(state: &Arc<GatewayState>, peer_socket: &Arc<PeerSocket>) {
     for set in [RowSet::Configuration, RowSet::Upstreams] {
         let mut follower = Follower::new(state.clone(), set);
         tokio::spawn(async move { follower.follow().await });
@@ -80,7 +81,7 @@
     let mut crashes = Follower::new(state.clone(), RowSet::Crashes);
     tokio::spawn(async move { crashes.maintain_crashes().await });
     let duties = Follower::new(state.clone(), RowSet::Duties);
-    if let Some(mut runner) = DutyRunner::new(duties) {
+    if let Some(mut runner) = DutyRunner::new(duties, peer_socket.clone()) {
         tokio::spawn(async move { runner.run().await });
     }
 }
--- a/crates/gateway/src/sync/duties.rs
+++ b/crates/gateway/src/sync/duties.rs
@@ -13,7 +13,7 @@
         edge::{Change, Revision, StoreEra, WriteOutcome, row_number_of},
         feed::{FeederCandidate, hosts_before},
         options::DutyOptions,
-        peers::HostPhase,
+        peers::{HostPhase, PeerSocket},
         state::GatewayState,
     },
     calls::ApiBackoff,
@@ -49,6 +49,8 @@
 /// Runs the duties on a host that holds the lease or may acquire it.
 pub(super) struct DutyRunner {
     follower: Follower,
+    /// Tells other hosts what was decided.
+    peer_socket: Arc<PeerSocket>,
     options: DutyOptions,
     started: Instant,
     /// The row as last read or written.
@@ -69,10 +71,11 @@
 
 impl DutyRunner {
     /// Creates the state of a host that has just started; `None` if the deployment has no duties.
-    pub(super) fn new(follower: Follower) -> Option<Self> {
+    pub(super) fn new(follower: Follower, peer_socket: Arc<PeerSocket>) -> Option<Self> {
         let options = follower.state.duties.options()?.clone();
         Some(Self {
             follower,
+            peer_socket,
             options,
             started: Instant::now(),
             record: DutyRecord::default(),
@@ -289,7 +292,14 @@
             Err(_) => WriteOutcome::Unknown,
         };
         match written {
-            WriteOutcome::Done(revision) => self.record_write(revision, record, sent_at, purpose),
+            WriteOutcome::Done(revision) => {
+                let has_decided = record.usage.next != self.record.usage.next;
+                self.record_write(revision, record, sent_at, purpose);
+                if has_decided {
+                    // Before the report is sent: the store may lose the row, and this host may be lost with it.
+                    self.peer_socket.announce_decisions(&state).await;
+                }
+            }
             WriteOutcome::Changed => {
                 log::info!(
                     "duties: lease write rejected purpose={} fence={} cause=changed",
