Log the parts of prompts that other requests may share

`upstream: ended under` and `stream: first event received` name the parts of the prompt but the last, as digests, eight at most; `ended under` also how many events came from the upstream that ended. Decisions are unchanged.

--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -56,6 +56,10 @@
     pub output_tokens: u32,
     /// The id of the last part of the prompt, which belongs to this request only.
     pub own_part: String,
+    /// The ids of the parts before it, in order. Other requests may share them.
+    pub shared_parts: Vec<String>,
+    /// The model that is asked for; empty if none is named.
+    pub model: String,
 }
 
 /// The urgency with which an upstream should handle a request.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -6,6 +6,7 @@
 mod ending;
 mod plain;
 mod probe;
+mod prompt_parts;
 mod reservation;
 mod stream;
 
@@ -14,5 +15,6 @@
     dial::{DialFailure, dial_directly},
     ending::UpstreamKind,
     plain::run as run_plain,
+    prompt_parts::shared_part_ids,
     stream::run as run_stream,
 };
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -1,6 +1,7 @@
 //! A caller's request while it is being served.
 
 use {
+    super::prompt_parts::parts_hex,
     crate::{
         edge::{RequestFacts, UpstreamOrder},
         run_trace::Fingerprint,
@@ -19,6 +20,7 @@
         ids::{CustomerId, RequestId, ServiceId},
         protection::{Protection, enabled},
     },
+    tealshore_quarantine::parts::PartId,
     xxhash_rust::xxh3::Xxh3,
 };
 
@@ -46,6 +48,8 @@
     pub priority: u8,
     /// Digest of the request.
     pub fingerprint: Fingerprint,
+    /// The parts of the prompt that other requests may share.
+    pub shared_parts: Vec<PartId>,
     /// When its head was received.
     pub received: Instant,
     /// When its final answer is due.
@@ -68,6 +72,11 @@
         format!("{:016x}", self.fingerprint)
     }
 
+    /// The parts of the prompt that other requests may share, for logs.
+    pub fn parts_hex(&self) -> String {
+        parts_hex(&self.shared_parts)
+    }
+
     /// Time left until the final answer is due.
     pub fn left(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
--- a/crates/gateway/src/forward/ending.rs
+++ b/crates/gateway/src/forward/ending.rs
@@ -113,6 +113,7 @@
         run: LostRun,
     ) {
         let (state, request, fingerprint) = (state.clone(), call.request(), call.fingerprint);
+        let parts = call.parts_hex();
         self.pending = Some(tokio::spawn(async move {
             let found = kind
                 .find_state(&state, &run.upstream, &request, run.began)
@@ -125,7 +126,9 @@
                 upstream: run.upstream.clone(),
                 evidence,
             };
-            suspect_ended(&state, &request, fingerprint, &run, found);
+            log_ended(&state, &request, fingerprint, &parts, &run, found);
+            // It gets no new work for now.
+            state.suspect(&run.upstream, "ended");
             let is_certain = found == ProbeResult::AnotherLife;
             state.record_end(&request, fingerprint, end, kind, is_certain);
         }));
@@ -151,24 +154,24 @@
     }
 }
 
-/// Logs the end of a lost run's upstream and marks it as suspected, so that it gets no new work for now.
-fn suspect_ended(
+fn log_ended(
     state: &GatewayState,
     request: &RequestId,
     fingerprint: Fingerprint,
+    parts: &str,
     run: &LostRun,
     found: ProbeResult,
 ) {
     state.metrics.ended_runs.inc();
     log::warn!(
-        "upstream: ended under request={request} digest={fingerprint:016x} upstream={} found={found:?} cause={} \
-         position={} ran_ms={}",
+        "upstream: ended under request={request} digest={fingerprint:016x} parts={parts} upstream={} \
+         found={found:?} cause={} position={} run_events={} ran_ms={}",
         run.upstream.record.id,
         run.cause,
         run.position,
+        run.run_events,
         run.lost.saturating_duration_since(run.began).as_millis()
     );
-    state.suspect(&run.upstream, "ended");
 }
 
 fn crash_record(request: &RequestId, run: &LostRun) -> Crash {
--- a/crates/gateway/src/forward/stream/relay.rs
+++ b/crates/gateway/src/forward/stream/relay.rs
@@ -152,8 +152,9 @@
         };
         self.state.metrics.observe_first_byte(kind, waited);
         log::info!(
-            "stream: first event received request={} upstream={} id={:?} age_ms={}",
+            "stream: first event received request={} parts={} upstream={} id={:?} age_ms={}",
             self.call.id(),
+            self.call.parts_hex(),
             attempt.upstream.record.id,
             event.id,
             waited.as_millis()
--- a/crates/gateway/src/serve/ingress.rs
+++ b/crates/gateway/src/serve/ingress.rs
@@ -4,7 +4,9 @@
     super::refusal::refuse,
     crate::{
         edge::RequestFacts,
-        forward::{Call, fingerprint_of, run_plain, run_stream, strip_connection_headers},
+        forward::{
+            Call, fingerprint_of, run_plain, run_stream, shared_part_ids, strip_connection_headers,
+        },
         lifecycle::InFlightGuard,
         state::GatewayState,
         view::{Configuration, Customer, Route, RouteKind},
@@ -271,6 +273,7 @@
         .unwrap_or(route.priority);
     Call {
         fingerprint: fingerprint_of(&head.uri, &facts, &body),
+        shared_parts: shared_part_ids(facts.prompt.as_ref()),
         method: head.method,
         uri: head.uri,
         headers,
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod crash;
 pub mod log;
 pub mod news;
+pub mod parts;
 pub mod uncertain;
 
 mod completed;
