Quarantine parts of prompts that crash upstreams in different requests

Cause: crashes were counted by the digest of the whole request, and each new request with the part ended up to three more engines.

Hosts now also keep each crash of an engine that had just begun an answer, with the parts of the prompt that may have caused it. A part on which an answer begins afterwards, at any host, is excluded from the crash; crashes are merged by the smaller set, so hosts agree in any order of messages. A part is quarantined after three crashes in a row with a weight of four, of which one request adds two at most, so that the fifth crash is enough whatever the requests. Parts that were always seen together are refused only together. A part that a more specific or more often incriminated one explains is not suspected. After a quarantine one host after the other may try one request.

Changes go to all hosts at once as an extension of a datagram that all builds read, again with full states and digests, and to the row of crashes in the store, at once when a part is quarantined.

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -1,9 +1,14 @@
 //! Tracks requests that crash upstreams, and keeps them from further upstreams.
 
+mod parts;
 mod watch;
 
 use {
-    crate::{state::GatewayState, view::Upstream},
+    crate::{
+        forward::{Call, LostRequest},
+        state::GatewayState,
+        view::Upstream,
+    },
     parking_lot::Mutex,
     std::{
         collections::HashSet,
@@ -21,8 +26,10 @@
         crash::Crash,
         log::{CrashLog, QUARANTINE_THRESHOLD, RecordOutcome, UpdateScope, Verdict},
         news::CrashUpdate,
+        parts::{PartId, log::PartLog},
         uncertain::UncertainCrashes,
     },
+    tokio::sync::Notify,
 };
 
 /// A stream with this many crashes against it that lost one more upstream is not resumed on the next one
@@ -30,9 +37,12 @@
 const NEAR_QUARANTINE_CRASHES: usize = QUARANTINE_THRESHOLD - 1;
 
 /// Crashes that are known to this host.
-#[derive(Default)]
 pub struct Crashes {
     log: Mutex<CrashLog>,
+    /// Crashes by the parts of prompts that may have caused them.
+    parts: Mutex<PartLog>,
+    /// Notified when one more part is quarantined.
+    pub part_quarantined: Notify,
     /// Suspected ends of upstreams that may turn out not to have happened.
     uncertain: Mutex<UncertainCrashes<Arc<Upstream>>>,
     /// Requests whose uncertain ends are being rechecked.
@@ -43,6 +53,18 @@
 }
 
 impl Crashes {
+    /// Creates the state of a host that starts now.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            log: Mutex::default(),
+            parts: Mutex::new(PartLog::new(now)),
+            part_quarantined: Notify::new(),
+            uncertain: Mutex::default(),
+            watched: Mutex::default(),
+            is_restored: AtomicBool::default(),
+        }
+    }
+
     /// Records that the crashes from before this host's start were learned, or that there were none.
     pub fn mark_restored(&self) {
         self.is_restored.store(true, Ordering::Relaxed);
@@ -72,17 +94,24 @@
 
     /// Whether one more crash may put the request in quarantine, if ends that are still uncertain are
     /// counted. Such a request waits until they are certain before its next send.
-    pub fn is_near_quarantine(&self, request: Fingerprint) -> bool {
+    pub fn is_near_quarantine(&self, call: &Call) -> bool {
+        self.is_near(call.fingerprint, &call.shared_parts)
+    }
+
+    fn is_near(&self, request: Fingerprint, shared_parts: &[PartId]) -> bool {
         let silent = self.uncertain.lock().silent(request);
         self.log.lock().against_with(request, silent) >= NEAR_QUARANTINE_CRASHES
+            || self.parts.lock().is_suspected(shared_parts)
     }
 }
 
 impl GatewayState {
     /// Records that an upstream crashed while it ran a request that this host had sent, and wakes the sender
     /// of updates to peers.
-    pub fn record_crash(&self, request: &RequestId, fingerprint: Fingerprint, crash: Crash) {
+    pub fn record_crash(&self, lost: &LostRequest, crash: Crash) {
         let now = Instant::now();
+        let (request, fingerprint) = (&lost.request, lost.fingerprint);
+        self.record_part_crash(lost, &crash, now);
         let upstream = crash.upstream.clone();
         let recorded = self.crashes.log.lock().record(fingerprint, crash, now);
         let against = match recorded {
@@ -145,12 +174,13 @@
     ///
     /// # Errors
     /// The request is in quarantine and may not be sent to any upstream.
-    pub fn check_quarantine(&self, request: &str, fingerprint: Fingerprint) -> Result<(), Failure> {
-        let verdict = self.crashes.log.lock().verdict(fingerprint, Instant::now());
+    pub fn check_quarantine(&self, call: &Call) -> Result<(), Failure> {
+        let now = Instant::now();
+        let verdict = self.crashes.log.lock().verdict(call.fingerprint, now);
         match verdict {
-            Verdict::Allowed => Ok(()),
+            Verdict::Allowed => self.check_parts(call, now),
             Verdict::Quarantined { crashes, left } => {
-                Err(refusal(request, fingerprint, crashes, left))
+                Err(refusal(call.id(), call.fingerprint, crashes, left))
             }
         }
     }
--- a/crates/gateway/src/crashes/watch.rs
+++ b/crates/gateway/src/crashes/watch.rs
@@ -1,12 +1,15 @@
 //! Rechecks upstreams that seem to have ended under a request, once the result matters for that request.
 
 use {
-    crate::{forward::UpstreamKind, state::GatewayState, view::Upstream},
+    crate::{
+        forward::{LostRequest, UpstreamKind},
+        state::GatewayState,
+        view::Upstream,
+    },
     std::{
         sync::Arc,
         time::{Duration, Instant},
     },
-    tealshore_core::ids::{Fingerprint, RequestId},
     tealshore_quarantine::uncertain::{CrashEvidence, NextStep, UncertainCrash, next_step},
     tokio::time::sleep,
 };
@@ -19,8 +22,7 @@
 
 /// A request whose upstreams are being rechecked.
 struct WatchedRequest {
-    request: RequestId,
-    fingerprint: Fingerprint,
+    lost: LostRequest,
     kind: UpstreamKind,
 }
 
@@ -28,12 +30,12 @@
     /// Records that an upstream seems to have ended while it ran a request that this host had sent.
     pub fn record_end(
         self: &Arc<Self>,
-        request: &RequestId,
-        fingerprint: Fingerprint,
+        lost: LostRequest,
         end: UncertainCrash<Arc<Upstream>>,
         kind: UpstreamKind,
         is_certain: bool,
     ) {
+        let fingerprint = lost.fingerprint;
         let crash = end.crash.clone();
         let counts_at_once = end.evidence == CrashEvidence::Refused;
         if !is_certain {
@@ -41,23 +43,19 @@
             uncertain.record(fingerprint, end, Instant::now());
         }
         if counts_at_once {
-            self.record_crash(request, fingerprint, crash);
+            self.record_crash(&lost, crash);
         }
-        if self.crashes.is_near_quarantine(fingerprint) {
-            self.watch(WatchedRequest {
-                request: request.clone(),
-                fingerprint,
-                kind,
-            });
+        let is_near = self.crashes.is_near(fingerprint, &lost.shared_parts);
+        if is_near {
+            self.watch(WatchedRequest { lost, kind });
         }
     }
 
     /// Rechecks the upstreams of a request every second until none of them is uncertain.
     fn watch(self: &Arc<Self>, watched: WatchedRequest) {
+        let fingerprint = watched.lost.fingerprint;
         let mut watched_requests = self.crashes.watched.lock();
-        if watched_requests.len() >= MAX_WATCHED_REQUESTS
-            || !watched_requests.insert(watched.fingerprint)
-        {
+        if watched_requests.len() >= MAX_WATCHED_REQUESTS || !watched_requests.insert(fingerprint) {
             return;
         }
         drop(watched_requests);
@@ -65,7 +63,7 @@
         tokio::spawn(async move {
             loop {
                 sleep(RECHECK_INTERVAL).await;
-                let ends = state.crashes.uncertain.lock().of(watched.fingerprint);
+                let ends = state.crashes.uncertain.lock().of(fingerprint);
                 if ends.is_empty() {
                     break;
                 }
@@ -73,12 +71,12 @@
                     state.recheck(&watched, end).await;
                 }
             }
-            state.crashes.watched.lock().remove(&watched.fingerprint);
+            state.crashes.watched.lock().remove(&fingerprint);
         });
     }
 
     async fn recheck(&self, watched: &WatchedRequest, end: UncertainCrash<Arc<Upstream>>) {
-        let (kind, request) = (watched.kind, &watched.request);
+        let (kind, request) = (watched.kind, &watched.lost.request);
         let found = kind.find_state(self, &end.upstream, request, end.crash.began);
         let found = found.await;
         let now = Instant::now();
@@ -91,8 +89,8 @@
         log::info!(
             "quarantine: upstream rechecked request={} digest={:016x} upstream={} evidence={:?} found={found:?} \
              age_ms={} most_serve={most_serve} outcome={outcome:?}",
-            watched.request,
-            watched.fingerprint,
+            watched.lost.request,
+            watched.lost.fingerprint,
             end.upstream.record.id,
             end.evidence,
             age.as_millis()
@@ -107,7 +105,7 @@
         outcome: NextStep,
         now: Instant,
     ) {
-        let fingerprint = watched.fingerprint;
+        let fingerprint = watched.lost.fingerprint;
         let crash = end.crash.clone();
         self.crashes.uncertain.lock().settle(fingerprint, &crash);
         match outcome {
@@ -118,13 +116,14 @@
                     let mut uncertain = self.crashes.uncertain.lock();
                     uncertain.record(fingerprint, UncertainCrash { evidence, ..end }, now);
                 }
-                self.record_crash(&watched.request, fingerprint, crash);
+                self.record_crash(&watched.lost, crash);
             }
             NextStep::TakeBack => {
                 let mut log = self.crashes.log.lock();
                 let has_cleared = log.retract(fingerprint, &crash, now);
                 drop(log);
-                if has_cleared {
+                let was_counted = self.retract_part_crash(&crash, now);
+                if has_cleared || was_counted {
                     self.metrics.retracted_crashes.inc();
                     self.count_quarantined(now);
                     self.peers.wake_sender();
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -23,7 +23,7 @@
     tealshore_core::ids::{CustomerId, EngineId, HallId, HostId, RequestId, StartTime},
     tealshore_duties::usage::UsageReport,
     tealshore_notices::{Brittleness, RestRequest},
-    tealshore_quarantine::news::CrashUpdate,
+    tealshore_quarantine::{news::CrashUpdate, parts::news::PartCrashReport},
     tealshore_rates::AdvertisedLimit,
 };
 
@@ -195,10 +195,12 @@
 /// The requests that crash upstreams, as a group of hosts stored them.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StoredCrashes {
-    /// The store's time of the write, to which the ages in `requests` refer.
+    /// The store's time of the write, to which the ages refer.
     pub written: StoreTime,
     /// The requests, with their ages at the time of the write.
     pub requests: Vec<CrashUpdate>,
+    /// Crashes that parts of prompts may have caused.
+    pub parts: Vec<PartCrashReport>,
 }
 
 /// A change of an upstream's row.
@@ -350,14 +352,9 @@
     /// Builds the call that writes the locations of the streams of a group of hosts.
     fn write_runs_call(&self, group: &str, runs: &[RunTrace]) -> Request<Bytes>;
 
-    /// Builds the call that writes the requests that are known to a group of hosts to crash upstreams, with ages as
-    /// of a time of the store.
-    fn write_crashes_call(
-        &self,
-        group: &str,
-        updates: &[CrashUpdate],
-        written: StoreTime,
-    ) -> Request<Bytes>;
+    /// Builds the call that writes what is known to a group of hosts of requests and parts of prompts that crash
+    /// upstreams.
+    fn write_crashes_call(&self, group: &str, crashes: &StoredCrashes) -> Request<Bytes>;
 
     /// Builds the call that writes the progress of a roll-out, for hosts and for the operator. The write is applied
     /// only if the row still has the expected version, or does not exist if that is 0.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -13,7 +13,7 @@
 pub use {
     call::{Call, fingerprint_of, strip_connection_headers},
     dial::{DialFailure, dial_directly},
-    ending::UpstreamKind,
+    ending::{LostRequest, UpstreamKind},
     plain::run as run_plain,
     prompt_parts::shared_part_ids,
     stream::run as run_stream,
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -1,12 +1,15 @@
 //! A caller's request while it is being served.
 
 use {
-    super::prompt_parts::parts_hex,
+    super::{
+        ending::LostRequest,
+        prompt_parts::{parts_hex, runtime_id},
+    },
     crate::{
         edge::{RequestFacts, UpstreamOrder},
         run_trace::Fingerprint,
         state::GatewayState,
-        view::{Configuration, Route, Upstream},
+        view::{Configuration, Route, Upstream, UpstreamRecord},
     },
     bytes::Bytes,
     http::{HeaderMap, HeaderName, Method, Request, Uri, header},
@@ -77,6 +80,16 @@
         parts_hex(&self.shared_parts)
     }
 
+    /// Identifies the request for the detection of crashes, with what ran it at an upstream.
+    pub fn lost_request(&self, upstream: &UpstreamRecord) -> LostRequest {
+        LostRequest {
+            request: self.request(),
+            fingerprint: self.fingerprint,
+            shared_parts: self.shared_parts.clone(),
+            runtime: runtime_id(self.facts.prompt.as_ref(), upstream),
+        }
+    }
+
     /// Time left until the final answer is due.
     pub fn left(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
@@ -90,8 +103,9 @@
     /// Checks just before a send what may have changed since the request was admitted.
     ///
     /// # Errors
-    /// Its key can no longer be trusted.
+    /// Its key can no longer be trusted, or it is in quarantine.
     pub fn check_before_send(&self, state: &GatewayState) -> Result<(), Failure> {
+        state.check_quarantine(self)?;
         if self.customer.is_some() && !state.accepts_keys(Instant::now()) {
             let detail = "this host has not heard from the store in time";
             return Err(Failure::new(ErrorKind::StaleView, detail));
@@ -104,8 +118,9 @@
     /// requests. With that check, 43 streams ended when a hall failed during an outage of 8 s.
     ///
     /// # Errors
-    /// Its key was withdrawn.
+    /// Its key was withdrawn, or it is in quarantine.
     pub fn check_before_resend(&self, state: &GatewayState) -> Result<(), Failure> {
+        state.check_quarantine(self)?;
         self.check_key(state)
     }
 
--- a/crates/gateway/src/forward/ending.rs
+++ b/crates/gateway/src/forward/ending.rs
@@ -2,7 +2,7 @@
 //! that make upstreams end (crash) from being sent to further ones.
 
 use {
-    super::{call::Call, connect, dial::DialFailure, probe},
+    super::{call::Call, connect, dial::DialFailure, probe, prompt_parts::parts_hex},
     crate::{connection::CallFailure, edge::ProbeReport, state::GatewayState, view::Upstream},
     std::{
         sync::Arc,
@@ -14,6 +14,7 @@
     },
     tealshore_quarantine::{
         crash::Crash,
+        parts::{PartId, RuntimeId},
         uncertain::{ProbeResult, UncertainCrash},
     },
     tokio::task::JoinHandle,
@@ -80,6 +81,19 @@
     now.unwrap_or_default().saturating_sub(moment.elapsed())
 }
 
+/// The request of a lost run, as the detection of crashes identifies it.
+#[derive(Clone, Debug)]
+pub struct LostRequest {
+    /// The id of the caller's attempt.
+    pub request: RequestId,
+    /// The digest of the request.
+    pub fingerprint: Fingerprint,
+    /// The parts of its prompt that other requests may share.
+    pub shared_parts: Vec<PartId>,
+    /// What ran it.
+    pub runtime: RuntimeId,
+}
+
 /// A run that was lost.
 pub struct LostRun {
     /// The upstream that ran it.
@@ -112,25 +126,24 @@
         kind: UpstreamKind,
         run: LostRun,
     ) {
-        let (state, request, fingerprint) = (state.clone(), call.request(), call.fingerprint);
-        let parts = call.parts_hex();
+        let (state, lost) = (state.clone(), call.lost_request(&run.upstream.record));
         self.pending = Some(tokio::spawn(async move {
             let found = kind
-                .find_state(&state, &run.upstream, &request, run.began)
+                .find_state(&state, &run.upstream, &lost.request, run.began)
                 .await;
             let Some(evidence) = found.evidence() else {
                 return;
             };
             let end = UncertainCrash {
-                crash: crash_record(&request, &run),
+                crash: crash_record(&lost.request, &run),
                 upstream: run.upstream.clone(),
                 evidence,
             };
-            log_ended(&state, &request, fingerprint, &parts, &run, found);
+            log_ended(&state, &lost, &run, found);
             // It gets no new work for now.
             state.suspect(&run.upstream, "ended");
             let is_certain = found == ProbeResult::AnotherLife;
-            state.record_end(&request, fingerprint, end, kind, is_certain);
+            state.record_end(lost, end, kind, is_certain);
         }));
     }
 
@@ -144,28 +157,24 @@
         state: &GatewayState,
         call: &Call,
     ) -> Result<(), Failure> {
-        if state.crashes.is_near_quarantine(call.fingerprint)
+        if state.crashes.is_near_quarantine(call)
             && let Some(pending) = self.pending.take()
         {
             // If the check was aborted, what is known so far applies.
             let _ = pending.await;
         }
-        state.check_quarantine(call.id(), call.fingerprint)
+        state.check_quarantine(call)
     }
 }
 
-fn log_ended(
-    state: &GatewayState,
-    request: &RequestId,
-    fingerprint: Fingerprint,
-    parts: &str,
-    run: &LostRun,
-    found: ProbeResult,
-) {
+fn log_ended(state: &GatewayState, lost: &LostRequest, run: &LostRun, found: ProbeResult) {
     state.metrics.ended_runs.inc();
     log::warn!(
-        "upstream: ended under request={request} digest={fingerprint:016x} parts={parts} upstream={} \
-         found={found:?} cause={} position={} run_events={} ran_ms={}",
+        "upstream: ended under request={} digest={:016x} parts={} upstream={} found={found:?} cause={} position={} \
+         run_events={} ran_ms={}",
+        lost.request,
+        lost.fingerprint,
+        parts_hex(&lost.shared_parts),
         run.upstream.record.id,
         run.cause,
         run.position,
--- a/crates/gateway/src/forward/stream/attempt.rs
+++ b/crates/gateway/src/forward/stream/attempt.rs
@@ -48,6 +48,8 @@
     pub delivered_before: u64,
     /// Whether an event of this attempt has arrived.
     pub has_received_event: bool,
+    /// Whether enough events of this attempt have arrived to tell that the engine does not crash under it.
+    pub has_begun: bool,
     /// How many events the caller has, including those of earlier engines.
     pub events_delivered: u64,
     /// The work reserved at the engine.
--- a/crates/gateway/src/forward/stream/choose.rs
+++ b/crates/gateway/src/forward/stream/choose.rs
@@ -22,7 +22,7 @@
     /// whole prompt.
     pub fn choose(&mut self) -> Option<Chosen> {
         let now = Instant::now();
-        let prefers_isolation = self.state.crashes.is_near_quarantine(self.call.fingerprint);
+        let prefers_isolation = self.state.crashes.is_near_quarantine(&self.call);
         if prefers_isolation {
             // The engine that holds the copy may also hold copies of the streams that ran beside
             // this one.
@@ -76,7 +76,7 @@
             memory_tokens: self.memory_tokens(),
             engine_memory_tokens: self.engines().memory_tokens,
             has_failed: !self.failed_at.is_empty(),
-            prefers_isolation: self.state.crashes.is_near_quarantine(fingerprint),
+            prefers_isolation: self.state.crashes.is_near_quarantine(&self.call),
         }
     }
 }
--- a/crates/gateway/src/forward/stream/place.rs
+++ b/crates/gateway/src/forward/stream/place.rs
@@ -287,6 +287,7 @@
             began: Instant::now(),
             delivered_before: self.progress.delivered(),
             has_received_event: false,
+            has_begun: false,
             events_delivered: 0,
             reservation,
             _copy_reservation: copy_reservation,
--- a/crates/gateway/src/forward/stream/relay.rs
+++ b/crates/gateway/src/forward/stream/relay.rs
@@ -19,6 +19,7 @@
     hyper::body::Frame,
     std::time::Instant,
     tealshore_core::http::{Body, BodyError},
+    tealshore_quarantine::crash::is_at_start,
     tokio::time::timeout_at,
 };
 
@@ -123,6 +124,7 @@
         if let Some(attempt) = self.attempt.as_mut() {
             attempt.events_delivered = self.progress.last().unwrap_or(self.progress.delivered());
         }
+        self.record_begin();
         Step::Event(event)
     }
 
@@ -161,6 +163,20 @@
         );
     }
 
+    /// Records that the engine began to answer, once a crash would no longer count as one at the start of the run.
+    fn record_begin(&mut self) {
+        let delivered = self.progress.delivered();
+        let Some(attempt) = &mut self.attempt else {
+            return;
+        };
+        let run_events = delivered - attempt.delivered_before;
+        if !attempt.has_begun && !is_at_start(run_events) {
+            attempt.has_begun = true;
+            let lost = self.call.lost_request(&attempt.upstream.record);
+            self.state.record_begin(&lost);
+        }
+    }
+
     /// Records the pace of the stream, unless it was resumed by its caller and so began in the
     /// middle.
     fn record_pace(&self) {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -32,6 +32,8 @@
     pub retracted_crashes: IntCounter,
     /// Requests in quarantine, as far as this host knows.
     pub quarantined: IntGauge,
+    /// Parts of prompts in quarantine, as far as this host knows.
+    pub quarantined_parts: IntGauge,
     /// Sends to upstreams, by what is sent (`call`, `prompt`, `copy`) and by distance: from this
     /// host, or for a copy from the engine that runs the request.
     pub sends: IntCounterVec,
@@ -131,6 +133,10 @@
                 "tealshore_quarantined_requests",
                 "Requests that are in quarantine, as they crash upstreams",
             )?,
+            quarantined_parts: IntGauge::new(
+                "tealshore_quarantined_prompt_parts",
+                "Parts of prompts that are in quarantine, as they crash upstreams",
+            )?,
             sends: counter(
                 "tealshore_sends_total",
                 "Sends to upstreams, and copies",
@@ -271,6 +277,7 @@
             Box::new(self.ended_runs.clone()),
             Box::new(self.retracted_crashes.clone()),
             Box::new(self.quarantined.clone()),
+            Box::new(self.quarantined_parts.clone()),
             Box::new(self.sends.clone()),
             Box::new(self.tunnels.clone()),
             Box::new(self.failing_upstreams.clone()),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -20,6 +20,7 @@
 mod membership;
 mod message;
 mod outgoing;
+mod prompt_parts;
 mod relay;
 mod shares;
 mod snapshot;
@@ -173,6 +174,8 @@
     /// Upstreams with a changed limit that has not been sent yet.
     pending_limits: Mutex<HashMap<EngineId, Audience>>,
     limits_changed: Notify,
+    /// Notified when this host knows more of the parts of prompts that crash upstreams.
+    pub parts_changed: Notify,
     /// Permit requests that have not been sent yet, with their destinations.
     asks: PermitAskQueue,
     /// The feeder chosen most recently.
@@ -205,6 +208,7 @@
             waiting_deltas: Mutex::default(),
             pending_limits: Mutex::default(),
             limits_changed: Notify::new(),
+            parts_changed: Notify::new(),
             asks: PermitAskQueue::default(),
             feeder: Mutex::default(),
             cut_off_sent: Mutex::default(),
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -14,6 +14,7 @@
         },
         message::{Datagram, HostPhase, PeerState, Unreadable},
         outgoing::{PeerSocket, own_state},
+        prompt_parts::{apply_part_reports, send_part_changes},
         relay::relay,
         snapshot::serve_snapshots,
     },
@@ -52,6 +53,7 @@
     tokio::spawn(send_permit_asks(state.clone(), socket.clone()));
     tokio::spawn(send_changed_limits(state.clone(), socket.clone()));
     tokio::spawn(remove_unused_limits(state.clone()));
+    tokio::spawn(send_part_changes(state.clone(), socket.clone()));
     tokio::spawn(receive(state.clone(), socket.clone()));
     let listener = TcpListener::bind(state.options.peers.address).await?;
     tokio::spawn(serve_snapshots(state.clone(), listener));
@@ -224,6 +226,8 @@
                 if let Some(decided) = &extension.decided_usage {
                     state.duties.merge_decided(decided);
                 }
+                let reports = &extension.part_crashes;
+                apply_part_reports(&state, &datagram, reports, sender);
                 apply_datagram(&state, &socket, datagram, extension, sender).await;
             }
             Err(cause) => {
--- a/crates/gateway/src/peers/extension.rs
+++ b/crates/gateway/src/peers/extension.rs
@@ -8,6 +8,7 @@
     serde::de::DeserializeOwned,
     tealshore_core::ids::{HallId, HostId, ServiceId},
     tealshore_duties::usage::DecidedUsage,
+    tealshore_quarantine::parts::news::PartCrashReport,
     tealshore_rates::LimitUpdate,
 };
 
@@ -32,6 +33,8 @@
     pub bad_answers: Vec<BadAnswers>,
     /// The services from whose upstreams the sender is cut off; `None` if it offers no tunnels, or if nothing changed.
     pub cut_off_services: Option<Vec<ServiceId>>,
+    /// Crashes that parts of prompts may have caused, as known to the sender.
+    pub part_crashes: Vec<PartCrashReport>,
 }
 
 impl Extension {
@@ -48,7 +51,8 @@
         let bytes = postcard::to_extend(&self.lending_groups, bytes)?;
         let bytes = postcard::to_extend(&self.not_lending, bytes)?;
         // Missing trailing fields are decoded as their defaults.
-        let has_paths = self.cut_off_services.is_some();
+        let has_part_crashes = !self.part_crashes.is_empty();
+        let has_paths = has_part_crashes || self.cut_off_services.is_some();
         let has_bad_answers = has_paths || !self.bad_answers.is_empty();
         if self.decided_usage.is_none() && !has_bad_answers {
             return Ok(bytes);
@@ -61,7 +65,11 @@
         if !has_paths {
             return Ok(bytes);
         }
-        postcard::to_extend(&self.cut_off_services, bytes)
+        let bytes = postcard::to_extend(&self.cut_off_services, bytes)?;
+        if !has_part_crashes {
+            return Ok(bytes);
+        }
+        postcard::to_extend(&self.part_crashes, bytes)
     }
 
     /// Decodes a datagram and its extension.
@@ -76,7 +84,8 @@
         let (not_lending, rest) = next(rest);
         let (decided_usage, rest) = next(rest);
         let (bad_answers, rest) = next(rest);
-        let (cut_off_services, _) = next(rest);
+        let (cut_off_services, rest) = next(rest);
+        let (part_crashes, _) = next(rest);
         let extension = Self {
             lends,
             limits,
@@ -85,6 +94,7 @@
             decided_usage,
             bad_answers,
             cut_off_services,
+            part_crashes,
         };
         Ok((datagram, extension))
     }
--- a/crates/gateway/src/peers/lenders.rs
+++ b/crates/gateway/src/peers/lenders.rs
@@ -7,7 +7,7 @@
     },
     crate::{topology::Distance, view::UpstreamRecord},
     std::{net::SocketAddr, time::Instant},
-    tealshore_core::ids::{EngineId, HallId, HostId},
+    tealshore_core::ids::{HallId, HostId},
     tealshore_rates::{Proximity, lendable_fraction, rank},
     xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed},
 };
@@ -24,10 +24,10 @@
 }
 
 impl Peers {
-    /// Returns this host's position among all live hosts that take traffic, in an order that depends on the upstream,
-    /// and their number, this host included.
-    pub fn position_for(&self, upstream: &EngineId, now: Instant) -> (usize, usize) {
-        let seed = xxh3_64(upstream.as_bytes());
+    /// Returns this host's position among all live hosts that take traffic, in an order that depends on `key`, such as
+    /// an upstream's id, and their number, this host included.
+    pub fn position_for(&self, key: &str, now: Instant) -> (usize, usize) {
+        let seed = xxh3_64(key.as_bytes());
         let own = xxh3_64_with_seed(self.own.id.as_bytes(), seed);
         let in_other_groups = self.groups.lock().members(self.options.silence, now);
         let known = self.known.lock();
--- a/crates/gateway/src/peers/limits.rs
+++ b/crates/gateway/src/peers/limits.rs
@@ -78,7 +78,7 @@
     }
 
     /// Returns the addresses of the hosts of the group whose build reads limit datagrams.
-    fn lending_addresses(&self) -> Vec<SocketAddr> {
+    pub(super) fn lending_addresses(&self) -> Vec<SocketAddr> {
         let known = self.known.lock();
         let lending = known
             .values()
@@ -86,7 +86,7 @@
         lending.map(|peer| peer.state.peers_address).collect()
     }
 
-    fn lending_relays(&self, now: Instant) -> Vec<SocketAddr> {
+    pub(super) fn lending_relays(&self, now: Instant) -> Vec<SocketAddr> {
         let groups = self.groups.lock();
         groups.lending_relays(self.options.silence, now)
     }
--- a/crates/gateway/src/peers/outgoing.rs
+++ b/crates/gateway/src/peers/outgoing.rs
@@ -135,6 +135,7 @@
                 limits: state.limits_to_report(now),
                 bad_answers: state.rollouts.bad_answers(),
                 cut_off_services: state.cut_off_services(now),
+                part_crashes: state.crashes.part_reports(now),
                 ..Extension::default()
             },
             Datagram::Digest { digest, .. } => Extension {
@@ -147,6 +148,11 @@
                 },
                 decided_usage: state.duties.decided_to_report(),
                 bad_answers: state.rollouts.bad_answers(),
+                part_crashes: if digest.is_whole {
+                    state.crashes.part_reports(now)
+                } else {
+                    Vec::new()
+                },
                 ..Extension::default()
             },
             Datagram::Usage(_) => Extension {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -124,7 +124,7 @@
             view: View::default(),
             feed: Feed::default(),
             runs: Runs::default(),
-            crashes: Crashes::default(),
+            crashes: Crashes::new(Instant::now()),
             notices: RwLock::default(),
             brittle: RwLock::default(),
             limits: UpstreamLimits::default(),
--- a/crates/gateway/src/sync/apply.rs
+++ b/crates/gateway/src/sync/apply.rs
@@ -11,7 +11,10 @@
     },
     std::time::{Duration, Instant},
     tealshore_core::ids::EngineId,
-    tealshore_quarantine::news::CrashUpdate,
+    tealshore_quarantine::{
+        news::CrashUpdate,
+        parts::{log::Audience, news::PartCrashReport},
+    },
 };
 
 /// Whether rows are logged one by one.
@@ -73,6 +76,10 @@
         let requests = stored.requests.into_iter();
         let updates: Vec<CrashUpdate> = requests.map(|update| update.aged(age)).collect();
         self.state.apply_crash_updates(&updates, "store");
+        let parts = stored.parts.into_iter();
+        let parts: Vec<PartCrashReport> = parts.map(|report| report.aged(age)).collect();
+        self.state
+            .apply_part_reports(&parts, Audience::Nobody, "store");
     }
 }
 
--- a/crates/gateway/src/sync/crashes.rs
+++ b/crates/gateway/src/sync/crashes.rs
@@ -1,15 +1,22 @@
-//! Stores which requests crash upstreams, so that the information survives the loss of all hosts. In each group the
+//! Stores which requests and parts of prompts crash upstreams, so that the information survives the loss of all hosts. In each group the
 //! host that feeds the others writes the row.
 
 use {
     super::Follower,
+    crate::edge::StoredCrashes,
     std::time::{Duration, Instant},
-    tealshore_quarantine::news::{CrashUpdate, UpdateSize},
-    tokio::time::sleep,
+    tealshore_core::ids::Fingerprint,
+    tealshore_quarantine::{
+        news::{CrashUpdate, UpdateSize},
+        parts::{RunId, news::PartCrashReport},
+    },
+    tokio::time::{sleep, timeout},
 };
 
 /// Interval between writes while the reports change. A request that crashes upstreams does so about once a second.
 const CRASHES_WRITE_INTERVAL: Duration = Duration::from_millis(700);
+/// Minimum interval between writes.
+const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(100);
 /// How often a starting host checks whether another host has sent the reports.
 const CRASHES_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -18,15 +25,16 @@
     /// its group.
     pub(super) async fn maintain_crashes(&mut self) {
         self.restore_crashes().await;
-        let mut written: Vec<(u64, UpdateSize)> = Vec::new();
+        let mut written = WrittenSizes::default();
         loop {
-            sleep(CRASHES_WRITE_INTERVAL).await;
+            self.wait_for_write().await;
             if self.may_lack_own_rows() {
-                written.clear();
+                written = WrittenSizes::default();
             }
             let now = Instant::now();
-            let suspects = self.state.crashes.suspects(now);
-            let sizes = report_sizes(&suspects);
+            let crashes = &self.state.crashes;
+            let (requests, parts) = (crashes.suspects(now), crashes.suspicious_part_reports(now));
+            let sizes = WrittenSizes::of(&requests, &parts);
             let store_time = self.state.feed.store_time(now);
             let (Some(store_time), true) = (store_time, sizes != written) else {
                 continue;
@@ -34,15 +42,20 @@
             if !self.writes_for_group(now) {
                 continue;
             }
+            let stored = StoredCrashes {
+                written: store_time,
+                requests,
+                parts,
+            };
             let group = self.group_row_key();
-            let protocol = &self.state.protocol;
-            let request = protocol.write_crashes_call(&group, &suspects, store_time);
+            let request = self.state.protocol.write_crashes_call(&group, &stored);
             match self.write(request).await {
                 Ok(()) => {
                     self.record_recovery();
                     log::info!(
-                        "quarantine: crash reports stored requests={}",
-                        suspects.len()
+                        "quarantine: crash reports stored requests={} parts={}",
+                        stored.requests.len(),
+                        stored.parts.len()
                     );
                     written = sizes;
                 }
@@ -51,6 +64,14 @@
         }
     }
 
+    /// Waits until reports may be written again: less long if a part of prompts was quarantined, which hosts that all
+    /// restart must not forget.
+    async fn wait_for_write(&self) {
+        sleep(MIN_WRITE_INTERVAL).await;
+        let quarantined = self.state.crashes.part_quarantined.notified();
+        let _ = timeout(CRASHES_WRITE_INTERVAL - MIN_WRITE_INTERVAL, quarantined).await;
+    }
+
     /// Restores the reports from before this host started: from another host or, if no host has them, from the
     /// store. At the first start of the whole system there are none.
     async fn restore_crashes(&mut self) {
@@ -82,11 +103,26 @@
     }
 }
 
-fn report_sizes(suspects: &[CrashUpdate]) -> Vec<(u64, UpdateSize)> {
-    let mut sizes: Vec<_> = suspects
-        .iter()
-        .map(|update| (update.request, update.size()))
-        .collect();
-    sizes.sort_unstable();
-    sizes
+/// How much the written reports hold, to detect whether there is more.
+#[derive(Default, PartialEq, Eq)]
+struct WrittenSizes {
+    requests: Vec<(Fingerprint, UpdateSize)>,
+    /// The number of possible causes of each crash.
+    parts: Vec<(RunId, usize)>,
+}
+
+impl WrittenSizes {
+    fn of(requests: &[CrashUpdate], parts: &[PartCrashReport]) -> Self {
+        let requests = requests.iter();
+        let requests = requests.map(|update| (update.request, update.size()));
+        let parts = parts.iter();
+        let parts = parts.map(|report| (report.run, report.causes.len()));
+        let mut sizes = Self {
+            requests: requests.collect(),
+            parts: parts.collect(),
+        };
+        sizes.requests.sort_unstable();
+        sizes.parts.sort_unstable();
+        sizes
+    }
 }
--- a/crates/quarantine/src/crash.rs
+++ b/crates/quarantine/src/crash.rs
@@ -10,17 +10,17 @@
 /// requests, none lost three engines within one event, and one did within two events.
 const POSITION_TOLERANCE: u64 = 1;
 /// The minimum time after which a crashed upstream can run requests again.
-const MIN_RESTART_TIME: Duration = Duration::from_millis(200);
+pub(crate) const MIN_RESTART_TIME: Duration = Duration::from_millis(200);
 /// How long before the end of one run the next run may seem to begin and still count as following it. Hosts
 /// send ages in whole milliseconds, and the delays of their datagrams differ by some milliseconds. Runs that
 /// end together overlap by tens of milliseconds.
-const OVERLAP_TOLERANCE: Duration = Duration::from_millis(5);
+pub(crate) const OVERLAP_TOLERANCE: Duration = Duration::from_millis(5);
 
 /// Crashes under one request that are less than this apart count as one. It takes about 15 ms to detect a
 /// crash, connect to the next upstream, send the request and start it there, and a request that crashed engines
 /// needed at least 48 ms. When two such requests crashed three engines within 25 ms, an innocent stream had
 /// been on all three, for 4 to 11 ms each.
-const MIN_CRASH_INTERVAL: Duration = Duration::from_millis(15);
+pub(crate) const MIN_CRASH_INTERVAL: Duration = Duration::from_millis(15);
 
 /// The crash of an upstream while it ran a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -67,7 +67,7 @@
     /// ended them shortly before.
     #[must_use]
     pub fn is_at_start(&self) -> bool {
-        self.run_events <= POSITION_TOLERANCE
+        is_at_start(self.run_events)
     }
 
     fn is_at_position(&self, position: u64) -> bool {
@@ -75,6 +75,12 @@
     }
 }
 
+/// Returns whether a run that has sent this many events may still crash its upstream because it began there.
+#[must_use]
+pub fn is_at_start(run_events: u64) -> bool {
+    run_events <= POSITION_TOLERANCE
+}
+
 /// The correction from reported times to local times.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Shift {
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -3,7 +3,8 @@
 //!
 //! [`crash`] determines which crashes incriminate a request, [`log`] stores a bounded number of crashes and
 //! gives the verdict on a request, [`news`] defines the updates that hosts exchange and store, and
-//! [`uncertain`] tracks suspected crashes that may turn out to be false.
+//! [`uncertain`] tracks suspected crashes that may turn out to be false. [`parts`] does the same for parts of
+//! prompts that many requests share.
 
 pub mod crash;
 pub mod log;
@@ -13,3 +14,4 @@
 
 mod completed;
 mod record;
+mod trial;
--- /dev/null
+++ b/crates/quarantine/src/parts/log.rs
@@ -0,0 +1,314 @@
+//! The bounded log of crashes with their possible causes, and the verdict on each request.
+
+use {
+    super::{
+        PartId, RunId, RuntimeId,
+        begins::Begins,
+        crash::{MAX_PARTS, PartCrash, PossibleCause},
+        news::PartCrashReport,
+        suspects::{Suspect, find_suspects},
+    },
+    crate::{
+        log::{QUARANTINE_PERIOD, Verdict},
+        trial::{TRIAL_INTERVAL, Trials},
+    },
+    std::time::{Duration, Instant},
+    tealshore_core::{
+        ids::Fingerprint,
+        protection::{Protection, enabled},
+    },
+};
+
+/// How long crashes are kept. It exceeds the quarantine period, so that a part is quarantined again after one crash
+/// in its trial.
+const CRASH_RETENTION: Duration = Duration::from_secs(1_200);
+/// The maximum number of stored crashes; with a few parts each they take about 50 kB.
+const MAX_CRASHES: usize = 256;
+/// The maximum number of crashes in one message, and the maximum number that are stored.
+pub const MAX_REPORTS: usize = 32;
+/// Changes within this time are included in every full state, so that the loss of a datagram does no harm.
+const RECENT_CHANGE: Duration = Duration::from_secs(5);
+
+/// The hosts that a change has not been sent to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Audience {
+    /// None.
+    Nobody,
+    /// The hosts of the own group.
+    Group,
+    /// All hosts.
+    Fleet,
+}
+
+/// Changes that were not sent yet.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct UnsentReports {
+    /// Those for the hosts of the own group only.
+    pub for_group: Vec<PartCrashReport>,
+    /// Those for all hosts.
+    pub for_fleet: Vec<PartCrashReport>,
+}
+
+/// A crash that this host knows of.
+#[derive(Debug)]
+struct Entry {
+    crash: PartCrash,
+    changed: Instant,
+    unsent: Audience,
+}
+
+/// The crashes known to this host.
+#[derive(Debug)]
+pub struct PartLog {
+    /// Ordered by the time of the crash.
+    entries: Vec<Entry>,
+    begins: Begins,
+    suspects: Vec<Suspect>,
+    trials: Trials,
+}
+
+impl PartLog {
+    /// Returns the log of a host that starts now.
+    #[must_use]
+    pub fn new(now: Instant) -> Self {
+        Self {
+            entries: Vec::new(),
+            begins: Begins::default(),
+            suspects: Vec::new(),
+            trials: Trials::new(now),
+        }
+    }
+
+    /// Records a crash that this host observed. Returns the suspects among its parts, the strongest first.
+    pub fn record_crash(&mut self, mut crash: PartCrash, now: Instant) -> Vec<Suspect> {
+        crash.causes.truncate(MAX_PARTS);
+        for cause in &mut crash.causes {
+            let begins = &self.begins;
+            cause.began_before |= begins.is_begun_before(cause.part, crash.runtime, crash.ended);
+        }
+        let parts: Vec<PartId> = crash.causes.iter().map(|cause| cause.part).collect();
+        self.insert(crash, Audience::Fleet, now);
+        self.refresh(now);
+        self.suspects_in(&parts).cloned().collect()
+    }
+
+    /// Records that an answer began. Returns whether that excludes parts as causes of known crashes.
+    pub fn record_begin(&mut self, parts: &[PartId], runtime: RuntimeId, now: Instant) -> bool {
+        for part in parts {
+            self.begins.record(*part, runtime, now);
+        }
+        let mut has_changed = false;
+        for entry in &mut self.entries {
+            has_changed |= entry.exclude(&self.begins, now);
+        }
+        if has_changed {
+            self.refresh(now);
+        }
+        has_changed
+    }
+
+    /// Records that an upstream which seemed to crash is alive. Returns whether the crash was known.
+    pub fn retract(&mut self, run: RunId, now: Instant) -> bool {
+        let mut entries = self.entries.iter_mut();
+        let known = entries.find(|entry| entry.crash.run == run);
+        let Some(entry) = known.filter(|entry| !entry.crash.causes.is_empty()) else {
+            return false;
+        };
+        entry.crash.causes.clear();
+        entry.mark_changed(Audience::Fleet, now);
+        self.refresh(now);
+        true
+    }
+
+    /// Merges what another host knows. `audience` are the hosts to which this host sends on what is new. Returns
+    /// whether anything changed.
+    pub fn merge(&mut self, reports: &[PartCrashReport], audience: Audience, now: Instant) -> bool {
+        let mut has_changed = false;
+        for report in reports.iter().take(MAX_REPORTS) {
+            has_changed |= self.merge_one(report, audience, now);
+        }
+        if has_changed {
+            self.refresh(now);
+        }
+        has_changed
+    }
+
+    fn merge_one(&mut self, report: &PartCrashReport, audience: Audience, now: Instant) -> bool {
+        let mut entries = self.entries.iter_mut();
+        if let Some(entry) = entries.find(|entry| entry.crash.run == report.run) {
+            let has_changed = entry.crash.merge(&report.causes);
+            if has_changed {
+                entry.mark_changed(audience, now);
+            }
+            return has_changed;
+        }
+        let crash = report.at(now);
+        if now.saturating_duration_since(crash.ended) > CRASH_RETENTION {
+            return false;
+        }
+        self.insert(crash, audience, now);
+        true
+    }
+
+    fn insert(&mut self, crash: PartCrash, audience: Audience, now: Instant) {
+        if self
+            .entries
+            .iter()
+            .any(|entry| entry.crash.run == crash.run)
+        {
+            return;
+        }
+        let mut entry = Entry {
+            crash,
+            changed: now,
+            unsent: audience,
+        };
+        // Other hosts do not know yet what this host excludes.
+        if entry.exclude(&self.begins, now) {
+            entry.unsent = Audience::Fleet;
+        }
+        let at = self
+            .entries
+            .partition_point(|known| known.crash.ended <= entry.crash.ended);
+        self.entries.insert(at, entry);
+    }
+
+    /// Drops old crashes, determines the suspects, and drops the least useful crashes if there are too many.
+    fn refresh(&mut self, now: Instant) {
+        self.entries
+            .retain(|entry| now.saturating_duration_since(entry.crash.ended) <= CRASH_RETENTION);
+        let crashes: Vec<&PartCrash> = self.entries.iter().map(|entry| &entry.crash).collect();
+        self.suspects = find_suspects(&crashes);
+        while self.entries.len() > MAX_CRASHES {
+            let entries = self.entries.iter().enumerate();
+            let weakest = entries.min_by_key(|(index, entry)| (self.support(&entry.crash), *index));
+            let Some((weakest, _)) = weakest else {
+                return;
+            };
+            self.entries.remove(weakest);
+        }
+    }
+
+    /// Returns the weight of the strongest suspect that may have caused the crash.
+    fn support(&self, crash: &PartCrash) -> usize {
+        let suspects = self.suspects.iter();
+        let causes = suspects.filter(|suspect| crash.may_be_caused_by(suspect.part));
+        causes
+            .map(|suspect| suspect.strength.weight)
+            .max()
+            .unwrap_or(0)
+    }
+
+    /// Returns the suspects whose whole group is among these parts.
+    fn suspects_in<'a>(&'a self, parts: &'a [PartId]) -> impl Iterator<Item = &'a Suspect> {
+        self.suspects.iter().filter(|suspect| suspect.is_in(parts))
+    }
+
+    /// Returns whether a request with these parts is suspected to crash upstreams.
+    #[must_use]
+    pub fn is_suspected(&self, parts: &[PartId]) -> bool {
+        self.suspects_in(parts).next().is_some()
+    }
+
+    /// Returns whether a request may be sent to an upstream. After a quarantine one host after the other may try one
+    /// request; `rank_of` returns this host's position in that order.
+    pub fn verdict(
+        &mut self,
+        request: Fingerprint,
+        parts: &[PartId],
+        rank_of: impl Fn(PartId) -> usize,
+        now: Instant,
+    ) -> Verdict {
+        if !enabled(Protection::Quarantine) {
+            return Verdict::Allowed;
+        }
+        let suspects = self.suspects.iter();
+        let quarantined = suspects.filter(|it| it.strength.is_enough() && it.is_in(parts));
+        for suspect in quarantined {
+            let due = suspect.last + QUARANTINE_PERIOD;
+            let crashes = suspect.strength.weight;
+            if let Some(left) = due
+                .checked_duration_since(now)
+                .filter(|left| !left.is_zero())
+            {
+                return Verdict::Quarantined { crashes, left };
+            }
+            let rank = rank_of(suspect.part);
+            if !self.trials.admit(suspect.part, request, due, rank, now) {
+                let left = TRIAL_INTERVAL;
+                return Verdict::Quarantined { crashes, left };
+            }
+        }
+        Verdict::Allowed
+    }
+
+    /// Returns the number of parts in quarantine.
+    #[must_use]
+    pub fn quarantined(&self) -> usize {
+        let suspects = self.suspects.iter();
+        suspects
+            .filter(|suspect| suspect.strength.is_enough())
+            .count()
+    }
+
+    /// Returns what has changed and was not sent yet, and records it as sent.
+    pub fn take_unsent(&mut self, now: Instant) -> UnsentReports {
+        let mut unsent = UnsentReports::default();
+        for entry in &mut self.entries {
+            let reports = match std::mem::replace(&mut entry.unsent, Audience::Nobody) {
+                Audience::Nobody => continue,
+                Audience::Group => &mut unsent.for_group,
+                Audience::Fleet => &mut unsent.for_fleet,
+            };
+            reports.push(PartCrashReport::of(&entry.crash, now));
+        }
+        unsent
+    }
+
+    /// Returns what a full state includes: crashes that suspects may have caused, and recent changes.
+    #[must_use]
+    pub fn reports(&self, now: Instant) -> Vec<PartCrashReport> {
+        self.collect(now, |entry| {
+            let is_recent = now.saturating_duration_since(entry.changed) <= RECENT_CHANGE;
+            is_recent || self.support(&entry.crash) > 0
+        })
+    }
+
+    /// Returns what to keep in the store: crashes that suspects may have caused.
+    #[must_use]
+    pub fn suspicious(&self, now: Instant) -> Vec<PartCrashReport> {
+        self.collect(now, |entry| self.support(&entry.crash) > 0)
+    }
+
+    fn collect(&self, now: Instant, is_included: impl Fn(&Entry) -> bool) -> Vec<PartCrashReport> {
+        let mut included: Vec<&Entry> = self.entries.iter().filter(|it| is_included(it)).collect();
+        included.sort_by_key(|entry| {
+            std::cmp::Reverse((self.support(&entry.crash), entry.crash.ended))
+        });
+        let included = included.into_iter().take(MAX_REPORTS);
+        included
+            .map(|entry| PartCrashReport::of(&entry.crash, now))
+            .collect()
+    }
+}
+
+impl Entry {
+    /// Excludes the parts on which an answer began after the crash. Returns whether there were any.
+    fn exclude(&mut self, begins: &Begins, now: Instant) -> bool {
+        let (runtime, ended) = (self.crash.runtime, self.crash.ended);
+        let count_before = self.crash.causes.len();
+        self.crash
+            .causes
+            .retain(|cause: &PossibleCause| !begins.is_begun_since(cause.part, runtime, ended));
+        let has_changed = self.crash.causes.len() < count_before;
+        if has_changed {
+            self.mark_changed(Audience::Fleet, now);
+        }
+        has_changed
+    }
+
+    fn mark_changed(&mut self, audience: Audience, now: Instant) {
+        self.changed = now;
+        self.unsent = self.unsent.max(audience);
+    }
+}
