Take an unframed answer for complete only if its upstream still lives

Callers got a cut answer as a whole one: an answer with neither length nor chunks ends with its connection, and so does one whose engine crashes before its first event or between two. A stream without an event was passed on as complete, and cleared what was counted against its request and the parts of its prompt.

An unframed stream without any event counts as lost. One that ends after a whole event, and an unframed plain answer, is complete only if the upstream is found alive afterwards, by the probe that also tells crashes; otherwise the stream goes on elsewhere, and the call counts as one that may have run. Framed answers are as before, and cost no probe.

What stays: a tunnel whose host dies ends such an answer as well, while the upstream lives.

--- a/crates/gateway/src/forward/connect.rs
+++ b/crates/gateway/src/forward/connect.rs
@@ -10,9 +10,12 @@
         view::Upstream,
     },
     bytes::Bytes,
-    http::{Request, response},
+    http::{Request, header, response},
     http_body_util::Full,
-    hyper::{body::Incoming, client::conn::http1},
+    hyper::{
+        body::{Body, Incoming},
+        client::conn::http1,
+    },
     hyper_util::rt::TokioIo,
     std::time::Instant,
     tealshore_core::protection::{Protection, enabled},
@@ -60,6 +63,26 @@
     }
 }
 
+/// How the end of a body is recognised.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyEnd {
+    /// By its length, or by the last chunk.
+    Marked,
+    /// By the end of the connection, which looks the same when the upstream crashes.
+    ConnectionClose,
+}
+
+impl BodyEnd {
+    fn of(head: &response::Parts, body: &Incoming) -> Self {
+        let is_chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
+        if is_chunked || body.size_hint().exact().is_some() {
+            Self::Marked
+        } else {
+            Self::ConnectionClose
+        }
+    }
+}
+
 /// An answer whose body has not been read yet. Dropping it closes the connection at once.
 pub struct Answer {
     /// The head of the answer.
@@ -68,6 +91,8 @@
     pub facts: AnswerFacts,
     /// The body of the answer.
     pub body: Incoming,
+    /// How the end of the body is recognised.
+    pub body_end: BodyEnd,
     /// The connection, which must be kept while the body is read.
     pub connection: Connection,
 }
@@ -106,6 +131,7 @@
         return Err(SendFailure::ForeignAnswer);
     }
     Ok(Answer {
+        body_end: BodyEnd::of(&head, &body),
         head,
         facts,
         body,
--- a/crates/gateway/src/forward/plain/attempt.rs
+++ b/crates/gateway/src/forward/plain/attempt.rs
@@ -5,7 +5,8 @@
         edge::UpstreamOrder,
         forward::{
             call::Call,
-            connect::{self, Answer, SendFailure},
+            connect::{self, Answer, BodyEnd, SendFailure},
+            dial::DialFailure,
             reservation::Reservation,
         },
         rollout::Outcome,
@@ -103,11 +104,30 @@
     };
     let request = call.request_for(state, upstream, &order);
     match connect::send(state, upstream, request, call.id()).await {
-        Ok(answer) => read(answer).await,
+        Ok(answer) => {
+            let body_end = answer.body_end;
+            let (end, cause) = read(answer).await;
+            match (&end, body_end) {
+                (AttemptEnd::Answered(..), BodyEnd::ConnectionClose)
+                    if has_crashed(state, upstream).await =>
+                {
+                    (AttemptEnd::Unknown(Outcome::Lost), "ended-with-upstream")
+                }
+                _ => (end, cause),
+            }
+        }
         Err(failure) => (end_of_failure(failure), failure.name()),
     }
 }
 
+/// Whether an upstream crashed while it answered, so that the end of its connection may not be the end of the answer.
+async fn has_crashed(state: &GatewayState, upstream: &Upstream) -> bool {
+    matches!(
+        connect::probe_connection(state, upstream).await,
+        Err(DialFailure::Refused)
+    )
+}
+
 /// How an attempt ended that got no answer.
 fn end_of_failure(failure: SendFailure) -> AttemptEnd {
     if let Some(outcome) = failure.outcome() {
--- a/crates/gateway/src/forward/stream/attempt.rs
+++ b/crates/gateway/src/forward/stream/attempt.rs
@@ -5,6 +5,8 @@
         connection::Connection,
         events::{Event, EventSplitter, StreamFault},
         forward::{
+            connect::BodyEnd,
+            ending::UpstreamKind,
             probe::{PendingRequest, SilenceLimits, wait_while_alive},
             reservation::Reservation,
         },
@@ -38,6 +40,8 @@
     pub silence_limits: SilenceLimits,
     /// The body of the engine's answer.
     pub body: Incoming,
+    /// How the end of the body is recognised.
+    pub body_end: BodyEnd,
     /// The connection to the engine, held open until the attempt is dropped.
     pub _connection: Connection,
     /// Splits the received bytes into events.
@@ -132,11 +136,28 @@
             Ok(None) if self.events.has_partial_event() => {
                 Some(Step::Lost(Loss::connection_failed("cut-event")))
             }
-            Ok(None) => Some(Step::End),
+            Ok(None) => Some(self.end_of_body(state).await),
             Err(wait_failure) => Some(Step::Lost(Loss {
                 cause: wait_failure.name(),
                 outcome: wait_failure.outcome(),
             })),
         }
     }
+
+    /// Returns what follows from a body that ended after a whole event. Without a marked end, the stream is complete
+    /// only if the engine still lives, and has sent an event if the caller has none.
+    async fn end_of_body(&self, state: &GatewayState) -> Step {
+        if self.body_end == BodyEnd::Marked {
+            return Step::End;
+        }
+        if self.events_delivered == 0 {
+            return Step::Lost(Loss::connection_failed("no-event"));
+        }
+        let kind = UpstreamKind::Engine;
+        let found = kind.find_state(state, &self.upstream, &self.request, self.began);
+        match found.await.evidence() {
+            None => Step::End,
+            Some(_) => Step::Lost(Loss::connection_failed("ended-with-upstream")),
+        }
+    }
 }
