--- a/crates/quarantine/src/parts/log.rs
+++ b/crates/quarantine/src/parts/log.rs
@@ -12,7 +12,11 @@
         log::{QUARANTINE_PERIOD, Verdict},
         trial::{TRIAL_INTERVAL, Trials},
     },
-    std::time::{Duration, Instant},
+    std::{
+        cmp::Reverse,
+        collections::HashMap,
+        time::{Duration, Instant},
+    },
     tealshore_core::{
         ids::Fingerprint,
         protection::{Protection, enabled},
@@ -26,6 +30,8 @@
 const MAX_CRASHES: usize = 256;
 /// The maximum number of crashes in one message, and the maximum number that are stored.
 pub const MAX_REPORTS: usize = 32;
+/// The maximum number of older crashes in a full state, and in the store, for each suspect.
+const MAX_REPORTS_PER_SUSPECT: usize = 6;
 /// Changes within this time are included in every full state, so that the loss of a datagram does no harm.
 const RECENT_CHANGE: Duration = Duration::from_secs(5);
 
@@ -204,14 +210,16 @@
         }
     }
 
-    /// Returns the weight of the strongest suspect that may have caused the crash.
+    /// Returns the strongest suspect that may have caused the crash.
+    fn main_suspect(&self, crash: &PartCrash) -> Option<&Suspect> {
+        let mut suspects = self.suspects.iter();
+        suspects.find(|suspect| crash.may_be_caused_by(suspect.part))
+    }
+
+    /// Returns how strongly the main suspect of the crash is incriminated.
     fn support(&self, crash: &PartCrash) -> usize {
-        let suspects = self.suspects.iter();
-        let causes = suspects.filter(|suspect| crash.may_be_caused_by(suspect.part));
-        causes
-            .map(|suspect| suspect.strength.weight)
-            .max()
-            .unwrap_or(0)
+        let suspect = self.main_suspect(crash);
+        suspect.map_or(0, |suspect| suspect.strength.weight)
     }
 
     /// Returns the suspected parts, the most strongly incriminated first.
@@ -286,33 +294,59 @@
         unsent
     }
 
-    /// Returns what a full state includes: crashes that suspects may have caused, and recent changes.
+    /// Returns what a full state includes: recent changes, and what incriminates suspects.
     #[must_use]
     pub fn reports(&self, now: Instant) -> Vec<PartCrashReport> {
-        self.collect(now, |entry| {
-            let is_recent = now.saturating_duration_since(entry.changed) <= RECENT_CHANGE;
-            is_recent || self.support(&entry.crash) > 0
-        })
+        let is_recent =
+            |entry: &&Entry| now.saturating_duration_since(entry.changed) <= RECENT_CHANGE;
+        let mut included: Vec<&Entry> = self.entries.iter().filter(is_recent).collect();
+        included.reverse();
+        for entry in self.incriminating() {
+            if !included.iter().any(|it| it.crash.run == entry.crash.run) {
+                included.push(entry);
+            }
+        }
+        report(&included, now)
     }
 
-    /// Returns what to keep in the store: crashes that suspects may have caused.
+    /// Returns what to keep in the store: what incriminates suspects.
     #[must_use]
     pub fn suspicious(&self, now: Instant) -> Vec<PartCrashReport> {
-        self.collect(now, |entry| self.support(&entry.crash) > 0)
+        report(&self.incriminating(), now)
     }
 
-    fn collect(&self, now: Instant, is_included: impl Fn(&Entry) -> bool) -> Vec<PartCrashReport> {
-        let mut included: Vec<&Entry> = self.entries.iter().filter(|it| is_included(it)).collect();
-        included.sort_by_key(|entry| {
-            std::cmp::Reverse((self.support(&entry.crash), entry.crash.ended))
+    /// Returns a few crashes for each suspect, those with the fewest possible causes first.
+    fn incriminating(&self) -> Vec<&Entry> {
+        let mut counts: HashMap<PartId, usize> = HashMap::new();
+        let mut entries: Vec<(&Entry, &Suspect)> = self
+            .entries
+            .iter()
+            .filter_map(|entry| Some((entry, self.main_suspect(&entry.crash)?)))
+            .collect();
+        entries.sort_by_key(|(entry, suspect)| {
+            let causes = entry.crash.causes.len();
+            (
+                Reverse(suspect.strength),
+                causes,
+                Reverse(entry.crash.ended),
+            )
+        });
+        entries.retain(|(_, suspect)| {
+            let count = counts.entry(suspect.part).or_default();
+            *count += 1;
+            *count <= MAX_REPORTS_PER_SUSPECT
         });
-        let included = included.into_iter().take(MAX_REPORTS);
-        included
-            .map(|entry| PartCrashReport::of(&entry.crash, now))
-            .collect()
+        entries.into_iter().map(|(entry, _)| entry).collect()
     }
 }
 
+fn report(entries: &[&Entry], now: Instant) -> Vec<PartCrashReport> {
+    let entries = entries.iter().take(MAX_REPORTS);
+    entries
+        .map(|entry| PartCrashReport::of(&entry.crash, now))
+        .collect()
+}
+
 impl Entry {
     /// Excludes the parts on which an answer began after the crash. Returns whether there were any.
     fn exclude(&mut self, begins: &Begins, now: Instant) -> bool {
