Let one host after the other try a request after its quarantine

The class of the prompt parts' fault, looked for elsewhere: a guard that each host applies by itself. As the quarantine of a whole request ended, every host was free to send it at the same moment: up to one engine for each host, 984 in the largest fleet, before the first crash was told.

Hosts now take turns of 10 s in an order by the request's digest, as for parts, and wait for 30 s after their start. No test with real processes waits for ten minutes.

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -27,6 +27,7 @@
         log::{CrashLog, QUARANTINE_THRESHOLD, RecordOutcome, UpdateScope, Verdict},
         news::CrashUpdate,
         parts::{PartId, log::PartLog},
+        trial::{TRIAL_INTERVAL, Trials},
         uncertain::UncertainCrashes,
     },
     tokio::sync::Notify,
@@ -47,6 +48,8 @@
     uncertain: Mutex<UncertainCrashes<Arc<Upstream>>>,
     /// Requests whose uncertain ends are being rechecked.
     watched: Mutex<HashSet<Fingerprint>>,
+    /// Requests that this host tries again after their quarantine.
+    trials: Mutex<Trials>,
     /// Whether the crashes from before this host's start are known, as far as any host or the store knows
     /// them.
     is_restored: AtomicBool,
@@ -60,6 +63,7 @@
             parts: Mutex::new(PartLog::new(now)),
             parts_changed: Notify::new(),
             uncertain: Mutex::default(),
+            trials: Mutex::new(Trials::new(now)),
             watched: Mutex::default(),
             is_restored: AtomicBool::default(),
         }
@@ -176,7 +180,7 @@
     /// The request is in quarantine and may not be sent to any upstream.
     pub fn check_quarantine(&self, call: &Call) -> Result<(), Failure> {
         let now = Instant::now();
-        let verdict = self.crashes.log.lock().verdict(call.fingerprint, now);
+        let verdict = self.request_verdict(call.fingerprint, now);
         match verdict {
             Verdict::Allowed => self.check_parts(call, now),
             Verdict::Quarantined { crashes, left } => {
@@ -184,6 +188,25 @@
             }
         }
     }
+
+    /// Returns the verdict on a whole request. After a quarantine one host after the other may try it.
+    fn request_verdict(&self, request: Fingerprint, now: Instant) -> Verdict {
+        let log = self.crashes.log.lock();
+        let verdict = log.verdict(request, now);
+        let due = log.on_trial_since(request, now);
+        let crashes = log.against(request);
+        drop(log);
+        let Some(due) = due else {
+            return verdict;
+        };
+        let (rank, _) = self.peers.position_for(&format!("{request:016x}"), now);
+        let mut trials = self.crashes.trials.lock();
+        if trials.admit(request, request, due, rank, now) {
+            return Verdict::Allowed;
+        }
+        let left = TRIAL_INTERVAL;
+        Verdict::Quarantined { crashes, left }
+    }
 }
 
 fn refusal(request: &str, fingerprint: Fingerprint, crashes: usize, left: Duration) -> Failure {
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -4,14 +4,14 @@
 //! [`crash`] determines which crashes incriminate a request, [`log`] stores a bounded number of crashes and
 //! gives the verdict on a request, [`news`] defines the updates that hosts exchange and store, and
 //! [`uncertain`] tracks suspected crashes that may turn out to be false. [`parts`] does the same for parts of
-//! prompts that many requests share.
+//! prompts that many requests share, and [`trial`] schedules who tries again after a quarantine.
 
 pub mod crash;
 pub mod log;
 pub mod news;
 pub mod parts;
+pub mod trial;
 pub mod uncertain;
 
 mod completed;
 mod record;
-mod trial;
--- a/crates/quarantine/src/log.rs
+++ b/crates/quarantine/src/log.rs
@@ -199,21 +199,31 @@
     /// Returns whether a request may be sent to an upstream.
     #[must_use]
     pub fn verdict(&self, request: Fingerprint, now: Instant) -> Verdict {
-        let Some(record) = self.records.get(&request) else {
+        let Some((crashes, ends)) = self.quarantine_of(request) else {
             return Verdict::Allowed;
         };
+        match ends.checked_duration_since(now) {
+            Some(left) if !left.is_zero() => Verdict::Quarantined { crashes, left },
+            Some(_) | None => Verdict::Allowed,
+        }
+    }
+
+    /// Returns since when a request may be tried again after its quarantine.
+    #[must_use]
+    pub fn on_trial_since(&self, request: Fingerprint, now: Instant) -> Option<Instant> {
+        let (_, ends) = self.quarantine_of(request)?;
+        (ends <= now).then_some(ends)
+    }
+
+    /// Returns the number of crashes that quarantine a request, and when the quarantine ends.
+    fn quarantine_of(&self, request: Fingerprint) -> Option<(usize, Instant)> {
+        let record = self.records.get(&request)?;
         let crashes = incriminating_count(&record.crashes);
-        let since = record
-            .last_crash()
-            .map(|last| now.saturating_duration_since(last));
-        let left = since.and_then(|since| QUARANTINE_PERIOD.checked_sub(since));
         let is_enough = crashes >= QUARANTINE_THRESHOLD && enabled(Protection::Quarantine);
-        match left {
-            Some(left) if is_enough && !self.has_alternative_cause(request, &record.crashes) => {
-                Verdict::Quarantined { crashes, left }
-            }
-            Some(_) | None => Verdict::Allowed,
+        if !is_enough || self.has_alternative_cause(request, &record.crashes) {
+            return None;
         }
+        Some((crashes, record.last_crash()? + QUARANTINE_PERIOD))
     }
 
     /// Returns whether another request was present at each of the crashes and is incriminated by at least as
--- a/crates/quarantine/src/trial.rs
+++ b/crates/quarantine/src/trial.rs
@@ -27,13 +27,15 @@
 
 /// This host's trials by what they try: a request or a part of prompts.
 #[derive(Debug)]
-pub(crate) struct Trials {
+pub struct Trials {
     host_started: Instant,
     began: HashMap<u64, Trial>,
 }
 
 impl Trials {
-    pub(crate) fn new(host_started: Instant) -> Self {
+    /// Returns the trials of a host that started at this moment.
+    #[must_use]
+    pub fn new(host_started: Instant) -> Self {
         Self {
             host_started,
             began: HashMap::new(),
@@ -42,7 +44,7 @@
 
     /// Returns whether this host may now send a request whose quarantine, for `key`, ended at `due`, and records that
     /// it does. `rank` is the host's position in the order in which hosts try.
-    pub(crate) fn admit(
+    pub fn admit(
         &mut self,
         key: u64,
         request: Fingerprint,
--- a/crates/quarantine/tests/log.rs
+++ b/crates/quarantine/tests/log.rs
@@ -283,3 +283,15 @@
         }
     }
 }
+
+/// Hosts take turns after a quarantine, so they must know when it ended.
+#[test]
+fn a_request_is_on_trial_from_the_end_of_its_quarantine_until_it_is_completed() {
+    let (mut log, last) = log_with_crashes(3);
+    let ends = last + QUARANTINE_PERIOD;
+    assert_eq!(log.on_trial_since(REQUEST, last), None);
+    assert_eq!(log.on_trial_since(REQUEST, ends), Some(ends));
+    assert_eq!(log.on_trial_since(REQUEST + 1, ends), None);
+    log.record_completed(REQUEST, ends);
+    assert_eq!(log.on_trial_since(REQUEST, ends), None);
+}
