Tell the own group only what this host observed of prompt parts

A full state repeated recent crashes that other hosts had told, so their number grew with the square of the hosts. Digests between groups still hold all recent ones.

--- a/crates/gateway/src/crashes/parts.rs
+++ b/crates/gateway/src/crashes/parts.rs
@@ -9,7 +9,7 @@
     tealshore_core::answer::{ErrorKind, Failure},
     tealshore_quarantine::{
         crash::Crash,
-        log::Verdict,
+        log::{UpdateScope, Verdict},
         parts::{
             RunId,
             crash::{PartCrash, PossibleCause},
@@ -21,9 +21,9 @@
 };
 
 impl super::Crashes {
-    /// Crashes that parts of prompts may have caused, for a full state.
-    pub fn part_reports(&self, now: Instant) -> Vec<PartCrashReport> {
-        self.parts.lock().reports(now)
+    /// Crashes that parts of prompts may have caused, for a full state or a digest.
+    pub fn part_reports(&self, now: Instant, scope: UpdateScope) -> Vec<PartCrashReport> {
+        self.parts.lock().reports(now, scope)
     }
 
     /// Changes about parts of prompts that were not sent yet.
--- a/crates/gateway/src/peers/outgoing.rs
+++ b/crates/gateway/src/peers/outgoing.rs
@@ -13,6 +13,7 @@
         time::Instant,
     },
     tealshore_core::ids::ServiceId,
+    tealshore_quarantine::log::UpdateScope,
     tokio::net::UdpSocket,
 };
 
@@ -135,7 +136,7 @@
                 limits: state.limits_to_report(now),
                 bad_answers: state.rollouts.bad_answers(),
                 cut_off_services: state.cut_off_services(now),
-                part_crashes: state.crashes.part_reports(now),
+                part_crashes: state.crashes.part_reports(now, UpdateScope::Group),
                 ..Extension::default()
             },
             Datagram::Digest { digest, .. } => Extension {
@@ -149,7 +150,7 @@
                 decided_usage: state.duties.decided_to_report(),
                 bad_answers: state.rollouts.bad_answers(),
                 part_crashes: if digest.is_whole {
-                    state.crashes.part_reports(now)
+                    state.crashes.part_reports(now, UpdateScope::OtherGroups)
                 } else {
                     Vec::new()
                 },
--- a/crates/quarantine/src/parts/log.rs
+++ b/crates/quarantine/src/parts/log.rs
@@ -9,7 +9,7 @@
         suspects::{Suspect, find_suspects},
     },
     crate::{
-        log::{QUARANTINE_PERIOD, Verdict},
+        log::{QUARANTINE_PERIOD, UpdateScope, Verdict},
         trial::{TRIAL_INTERVAL, Trials},
     },
     std::{
@@ -76,6 +76,8 @@
     crash: PartCrash,
     changed: Instant,
     unsent: Audience,
+    /// Whether this host observed the last change itself rather than learning it from another host.
+    is_observed_locally: bool,
 }
 
 /// The crashes known to this host.
@@ -183,11 +185,10 @@
             crash,
             changed: now,
             unsent: audience,
+            is_observed_locally: audience == Audience::Fleet,
         };
         // Other hosts do not know yet what this host excludes.
-        if entry.exclude(&self.begins, now) {
-            entry.unsent = Audience::Fleet;
-        }
+        entry.exclude(&self.begins, now);
         let at = self
             .entries
             .partition_point(|known| known.crash.ended <= entry.crash.ended);
@@ -294,12 +295,19 @@
         unsent
     }
 
-    /// Returns what a full state includes: recent changes, and what incriminates suspects.
+    /// Returns what a full state includes: recent changes, those that this host saw itself if it is for the own group,
+    /// and what incriminates suspects.
     #[must_use]
-    pub fn reports(&self, now: Instant) -> Vec<PartCrashReport> {
-        let is_recent =
-            |entry: &&Entry| now.saturating_duration_since(entry.changed) <= RECENT_CHANGE;
-        let mut included: Vec<&Entry> = self.entries.iter().filter(is_recent).collect();
+    pub fn reports(&self, now: Instant, scope: UpdateScope) -> Vec<PartCrashReport> {
+        let is_included = |entry: &&Entry| {
+            let is_recent = now.saturating_duration_since(entry.changed) <= RECENT_CHANGE;
+            let is_in_scope = match scope {
+                UpdateScope::Group => entry.is_observed_locally,
+                UpdateScope::OtherGroups => true,
+            };
+            is_recent && is_in_scope
+        };
+        let mut included: Vec<&Entry> = self.entries.iter().filter(is_included).collect();
         included.reverse();
         for entry in self.incriminating() {
             if !included.iter().any(|it| it.crash.run == entry.crash.run) {
@@ -365,5 +373,6 @@
     fn mark_changed(&mut self, audience: Audience, now: Instant) {
         self.changed = now;
         self.unsent = self.unsent.max(audience);
+        self.is_observed_locally = audience == Audience::Fleet;
     }
 }
--- a/crates/quarantine/tests/parts.rs
+++ b/crates/quarantine/tests/parts.rs
@@ -3,7 +3,7 @@
 use {
     std::time::{Duration, Instant},
     tealshore_quarantine::{
-        log::{QUARANTINE_PERIOD, Verdict},
+        log::{QUARANTINE_PERIOD, UpdateScope, Verdict},
         parts::{
             PartId,
             crash::{PartCrash, PossibleCause},
@@ -202,7 +202,7 @@
     let mut log = log_of(start, &[BAD_PART], 3);
     let now = at(start, 1_000);
     let mut other = PartLog::new(start);
-    other.merge(&log.reports(now), Audience::Nobody, now);
+    other.merge(&log.reports(now, UpdateScope::Group), Audience::Nobody, now);
     assert!(is_refused(&mut other, &[BAD_PART], now));
     let run = crash(start, 2, &[BAD_PART], 2 * CRASH_INTERVAL_MS).run;
     assert!(log.retract(run, now));
@@ -218,9 +218,9 @@
     let now = at(start, 1_000);
     let parts: &[PartId] = &[FIRST_PART, BAD_PART];
     let mut one = log_of(start, parts, 4);
-    let before = one.reports(now);
+    let before = one.reports(now, UpdateScope::Group);
     one.record_begin(&[FIRST_PART], RUNTIME, now);
-    let after = one.reports(now);
+    let after = one.reports(now, UpdateScope::Group);
     for order in [[&before, &after], [&after, &before]] {
         let mut other = PartLog::new(start);
         for reports in order {
@@ -272,7 +272,7 @@
 fn a_host_that_just_started_tries_nothing() {
     let start = base_instant();
     let now = at(start, 700_000);
-    let reports = log_of(start, &[BAD_PART], 3).reports(now);
+    let reports = log_of(start, &[BAD_PART], 3).reports(now, UpdateScope::Group);
     let mut log = PartLog::new(now);
     log.merge(&reports, Audience::Nobody, now);
     assert!(is_refused(&mut log, &[BAD_PART], now));
@@ -296,7 +296,7 @@
     }
     let now = at(start, 100_000);
     assert!(is_refused(&mut log, &[FIRST_PART, BAD_PART], now));
-    assert!(log.reports(now).len() <= MAX_REPORTS);
+    assert!(log.reports(now, UpdateScope::Group).len() <= MAX_REPORTS);
     let crashes = log.take_unsent(now).for_fleet;
     assert!(crashes.len() <= 256, "{}", crashes.len());
 }
--- a/crates/quarantine/tests/parts_model.rs
+++ b/crates/quarantine/tests/parts_model.rs
@@ -10,7 +10,7 @@
         time::{Duration, Instant},
     },
     tealshore_quarantine::{
-        log::Verdict,
+        log::{UpdateScope, Verdict},
         parts::{
             PartId,
             crash::{PartCrash, PossibleCause},
@@ -249,7 +249,7 @@
             }
             Event::SendFullStates => {
                 for host in 0..self.hosts.len() {
-                    let reports = self.hosts[host].log.reports(now);
+                    let reports = self.hosts[host].log.reports(now, UpdateScope::Group);
                     self.tell(now_ms, host, reports);
                 }
                 self.schedule(now_ms + FULL_STATE_INTERVAL_MS, Event::SendFullStates);
