Ask the store at once after a standstill instead of watching it

Callers were refused as stale-view 1.4 to 2.5 s after all hosts had stood still for 2.6 s: on waking each host found all others silent, took itself for alone and began a watch of 2.5 s, in which it heard neither its feeder nor the store. Evidence: the logs of six suspended processes, docs/incidents/stale-after-standstill.md.

--- a/crates/gateway/src/sync/follow.rs
+++ b/crates/gateway/src/sync/follow.rs
@@ -240,9 +240,13 @@
 
     /// Watches the set. After changes, delays the next watch so that further ones are batched.
     async fn watch_and_batch(&mut self) -> Result<(), StoreCallFailure> {
-        // The delay counts towards the watch time, so that other hosts get updates of a changing set as
-        // often as of any other.
-        let wait = if self.has_batched {
+        // A host that lost its feeder, or that stood still, learns at once what it missed. It may take itself for alone
+        // then, and a watch of that length would keep it from hearing its feeder.
+        let wait = if !self.is_recent(Instant::now()) {
+            Duration::ZERO
+        } else if self.has_batched {
+            // The delay counts towards the watch time, so that other hosts get updates of a changing set as
+            // often as of any other.
             self.watch_time().saturating_sub(BATCH_DELAY)
         } else {
             self.watch_time()
@@ -254,6 +258,13 @@
         Ok(())
     }
 
+    /// Whether the set is known as of a recent time.
+    fn is_recent(&self, now: Instant) -> bool {
+        let feed = &self.state.feed;
+        let watermark = feed.progress(self.set).watermark();
+        watermark.is_none_or(|watermark| feed.is_recent(watermark.written, now))
+    }
+
     /// Reads the set's current revision from the store without waiting for a change: the feeder may return
     /// at any time, and the group waits if this host is its relay.
     async fn poll_store(&mut self) -> Result<(), StoreCallFailure> {
