Let requests wait for a fresh view just after the host stood still

Callers that arrived at a host which had stood still for longer than its keys may be relied on were refused as stale-view, until the store answered some milliseconds later.

A host now notices that it did not run for a second or more, logs and counts it, and a request that arrives in the second after that waits up to half a second for a fresh view. A host whose view is stale for any other reason refuses at once as before.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod run_trace;
 pub mod runs;
 mod serve;
+pub mod standstill;
 mod state;
 mod stop;
 pub mod sync;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -34,6 +34,8 @@
     pub quarantined: IntGauge,
     /// Parts of prompts in quarantine, as far as this host knows.
     pub quarantined_parts: IntGauge,
+    /// How often this process stood still for a second or more.
+    pub standstills: IntCounter,
     /// Sends to upstreams, by what is sent (`call`, `prompt`, `copy`) and by distance: from this
     /// host, or for a copy from the engine that runs the request.
     pub sends: IntCounterVec,
@@ -137,6 +139,10 @@
                 "tealshore_quarantined_prompt_parts",
                 "Parts of prompts that are in quarantine, as they crash upstreams",
             )?,
+            standstills: IntCounter::new(
+                "tealshore_standstills_total",
+                "Times that this process stood still for a second or more",
+            )?,
             sends: counter(
                 "tealshore_sends_total",
                 "Sends to upstreams, and copies",
@@ -278,6 +284,7 @@
             Box::new(self.retracted_crashes.clone()),
             Box::new(self.quarantined.clone()),
             Box::new(self.quarantined_parts.clone()),
+            Box::new(self.standstills.clone()),
             Box::new(self.sends.clone()),
             Box::new(self.tunnels.clone()),
             Box::new(self.failing_upstreams.clone()),
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -7,6 +7,7 @@
         options::GatewayOptions,
         peers,
         serve::{answer_caller, answer_host_call, serve_tunnels},
+        standstill,
         state::GatewayState,
         sync,
     },
@@ -56,6 +57,7 @@
         tokio::spawn(serve_tunnels(state.clone(), listener));
     }
     sync::start(&state, &peer_socket);
+    tokio::spawn(standstill::watch(state.clone()));
     tokio::spawn(log_reload_signals());
     log::info!(
         "start: host={} hall={} callers={} version={}",
--- a/crates/gateway/src/serve/ingress.rs
+++ b/crates/gateway/src/serve/ingress.rs
@@ -76,6 +76,7 @@
     body: Incoming,
 ) -> Result<Response<Body>, Failure> {
     state.wait_for_first_view().await;
+    state.wait_for_view_after_standstill().await;
     let admitted = admit(state, &head, &facts)?;
     if facts.request.is_none() {
         let detail = "the request has no id";
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -30,6 +30,7 @@
         read_rate::ReadRate,
         rollout::Rollouts,
         runs::Runs,
+        standstill::Standstill,
         stop::Stop,
         view::View,
     },
@@ -46,7 +47,7 @@
     },
     tealshore_notices::{BrittleUpstreams, Notices, UnknownHeaders},
     tealshore_paths::Paths,
-    tokio::sync::Semaphore,
+    tokio::{sync::Semaphore, time::sleep},
 };
 
 /// The part of the bound on the age of keys that is reserved for a request in transit: a request is sent on only
@@ -57,6 +58,10 @@
 /// after the start. Callers reconnect at the moment at which hosts that crashed are up again.
 const FIRST_VIEW_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// How long a request waits for a fresh view after this process stood still.
+const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(500);
+/// How often such a request checks the view.
+const CATCH_UP_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// The factor by which the longest answer time decays with each answer, so that values from a few hundred answers
 /// ago no longer count.
 const LONGEST_ANSWER_DECAY: f64 = 0.99;
@@ -96,6 +101,8 @@
     pub paths: Mutex<Paths>,
     /// The state for ordering engines.
     pub capacity: Capacity,
+    /// When this process last stood still.
+    pub standstill: Mutex<Standstill>,
     /// The metrics of this host.
     pub metrics: GatewayMetrics,
     /// The state of a planned stop.
@@ -133,6 +140,7 @@
             rollouts: Rollouts::new(rand::random()),
             paths: Mutex::default(),
             capacity: Capacity::default(),
+            standstill: Mutex::new(Standstill::new(Instant::now())),
             metrics: GatewayMetrics::new()?,
             stop: Stop::default(),
             body_memory: Arc::new(Semaphore::new(options.host.body_bytes)),
@@ -153,6 +161,19 @@
         self.feed.wait_until_known(until).await;
     }
 
+    /// Waits for a fresh view if this process has just stood still, until `CATCH_UP_TIMEOUT` at the latest: all that it
+    /// lacks is an answer of the store or a word of its feeder.
+    pub async fn wait_for_view_after_standstill(&self) {
+        let began = Instant::now();
+        let is_known = self.view.configuration().is_some();
+        if !is_known || !self.standstill.lock().has_just_ended(began) {
+            return;
+        }
+        while !self.is_view_fresh(Instant::now()) && began.elapsed() < CATCH_UP_TIMEOUT {
+            sleep(CATCH_UP_POLL_INTERVAL).await;
+        }
+    }
+
     /// Whether requests with a key may be sent on, given the age of the known keys and the settings for stale keys.
     pub fn accepts_keys(&self, now: Instant) -> bool {
         match self.options.bounds.stale_keys {
--- /dev/null
+++ b/crates/gateway/tests/standstill.rs
@@ -0,0 +1,25 @@
+//! Tests of the detection of a process that stood still.
+
+use {
+    std::time::{Duration, Instant},
+    tealshore_gateway::standstill::Standstill,
+};
+
+#[test]
+fn a_process_that_ticks_late_stood_still_and_is_known_to_for_a_second() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut standstill = Standstill::new(start);
+    assert_eq!(standstill.tick(at(100)), None);
+    assert_eq!(standstill.tick(at(900)), None);
+    assert!(!standstill.has_just_ended(at(950)));
+    // Before the next tick, the time since the last one shows it.
+    assert!(standstill.has_just_ended(at(3_500)));
+    assert_eq!(
+        standstill.tick(at(3_500)),
+        Some(Duration::from_millis(2_600))
+    );
+    assert!(standstill.has_just_ended(at(4_400)));
+    assert_eq!(standstill.tick(at(4_400)), None);
+    assert!(!standstill.has_just_ended(at(4_600)));
+}
