--- a/crates/quarantine/src/completed.rs
+++ b/crates/quarantine/src/completed.rs
@@ -1,10 +1,8 @@
 //! Requests that were completed recently, and therefore are not the cause of a crash.
 
 use {
-    std::{
-        collections::{HashMap, VecDeque},
-        time::{Duration, Instant},
-    },
+    crate::recent::RecentMoments,
+    std::time::{Duration, Instant},
     tealshore_core::ids::Fingerprint,
 };
 
@@ -16,34 +14,18 @@
 
 /// The requests that were completed recently.
 #[derive(Debug, Default)]
-pub struct Completed {
-    newest: HashMap<Fingerprint, Instant>,
-    order: VecDeque<(Fingerprint, Instant)>,
-}
+pub struct Completed(RecentMoments<Fingerprint, MAX_COMPLETED>);
 
 impl Completed {
     /// Records that a request was completed.
     pub fn record(&mut self, request: Fingerprint, now: Instant) {
-        self.newest.insert(request, now);
-        self.order.push_back((request, now));
-        while self.order.len() > MAX_COMPLETED {
-            self.drop_oldest();
-        }
-    }
-
-    fn drop_oldest(&mut self) {
-        let Some((request, at)) = self.order.pop_front() else {
-            return;
-        };
-        if self.newest.get(&request) == Some(&at) {
-            self.newest.remove(&request);
-        }
+        self.0.record(request, now);
     }
 
     /// Returns whether a request was completed shortly before a moment, or since then.
     #[must_use]
     pub fn outweighs_crash_at(&self, request: Fingerprint, moment: Instant) -> bool {
-        let answered = self.newest.get(&request);
-        answered.is_some_and(|at| moment.saturating_duration_since(*at) < EXONERATION_PERIOD)
+        let answered = self.0.last(request);
+        answered.is_some_and(|at| moment.saturating_duration_since(at) < EXONERATION_PERIOD)
     }
 }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod uncertain;
 
 mod completed;
+mod recent;
 mod record;
