--- a/crates/quarantine/src/parts/log.rs
+++ b/crates/quarantine/src/parts/log.rs
@@ -295,8 +295,8 @@
         unsent
     }
 
-    /// Returns what a full state includes: recent changes, those that this host saw itself if it is for the own group,
-    /// and what incriminates suspects.
+    /// Returns what a full state includes: what incriminates suspects, and recent changes; for the own group only those
+    /// that this host saw itself.
     #[must_use]
     pub fn reports(&self, now: Instant, scope: UpdateScope) -> Vec<PartCrashReport> {
         let is_included = |entry: &&Entry| {
@@ -307,9 +307,8 @@
             };
             is_recent && is_in_scope
         };
-        let mut included: Vec<&Entry> = self.entries.iter().filter(is_included).collect();
-        included.reverse();
-        for entry in self.incriminating() {
+        let mut included = self.incriminating();
+        for entry in self.entries.iter().rev().filter(is_included) {
             if !included.iter().any(|it| it.crash.run == entry.crash.run) {
                 included.push(entry);
             }
