--- a/crates/quarantine/src/parts/log.rs
+++ b/crates/quarantine/src/parts/log.rs
@@ -223,12 +223,6 @@
         suspect.map_or(0, |suspect| suspect.strength.weight)
     }
 
-    /// Returns the suspected parts, the most strongly incriminated first.
-    #[must_use]
-    pub fn suspects(&self) -> &[Suspect] {
-        &self.suspects
-    }
-
     /// Returns the suspects whose whole group is among these parts.
     fn suspects_in<'a>(&'a self, parts: &'a [PartId]) -> impl Iterator<Item = &'a Suspect> {
         self.suspects.iter().filter(|suspect| suspect.is_in(parts))
