--- a/review/standins.py
+++ b/review/standins.py
@@ -462,7 +462,7 @@
             run["end"] = "its connection ended after event %d" % run["sent"]
             writer.transport.abort()
         finally:
-            closed.cancel()
+            await self._end(closed)
             self.running.pop(run["id"], None)
 
     async def _plain(self, run, reader, writer, base):
@@ -483,7 +483,12 @@
             run["end"] = "its connection ended after byte %d" % run["sent"]
             writer.transport.abort()
         finally:
-            closed.cancel()
+            await self._end(closed)
+
+    async def _end(self, closed):
+        """Ends the wait for the caller's end, so that its next request can be read."""
+        closed.cancel()
+        await asyncio.wait([closed])
 
     plain_pause = 0.0
 
