--- a/review/standins.py
+++ b/review/standins.py
@@ -646,6 +646,8 @@
         print(line, flush=True)
 
     def run(self, body, seconds=110):
+        # Ends the hosts also where the script itself is told to end.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         self.temporary = tempfile.mkdtemp(prefix="tealshore-review-")
         try:
             if not os.path.exists(PROGRAM):
