Log which earlier run is taken for the one that a caller resumes

Change: one line a resumed stream with the attempt, its digest, the caller's last event, and the run, the engine and the holder of the copy that were matched.

Where the newer run's message arrived last, the line of first-N-try2 names second-N-try1, which another host still answers at that moment; where the full state of the first host came in between, it names first-N-try1. No line depends on the model, the host or what the caller was sent. So which run is taken is decided by the order of messages between hosts.

--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -113,6 +113,9 @@
     fn new(state: Arc<GatewayState>, call: Arc<Call>) -> Self {
         let earlier = state.runs.find(call.fingerprint, Instant::now());
         let is_resumed = call.facts.last_event.is_some();
+        if is_resumed {
+            log_matched_run(&call, earlier.as_ref());
+        }
         let ran_before = if is_resumed || earlier.is_some() {
             Ran::Yes
         } else {
@@ -220,6 +223,20 @@
     }
 }
 
+/// Logs which earlier run is taken for the one that a caller resumes.
+fn log_matched_run(call: &Call, run: Option<&RunTrace>) {
+    log::info!(
+        "stream: resume requested request={} digest={} last={:?} run={} upstream={} copy_at={}",
+        call.id(),
+        call.fingerprint_hex(),
+        call.facts.last_event,
+        run.map_or("-", |run| run.request.as_str()),
+        run.map_or("-", |run| run.engine.as_str()),
+        run.and_then(|run| run.copy.as_ref())
+            .map_or("-", |(holder, _)| holder.as_str()),
+    );
+}
+
 fn deadline_failure(kind: ErrorKind) -> Failure {
     Failure::new(kind, "the time for the stream is over")
 }
