Move run traces to a package below the gateway

Cause: what is decided about earlier runs grows, and the pure parts belong below the gateway.

Change: RunTrace and MemoryCopy move to crates/runs, and ProcessId to tealshore_core::ids, where other packages than the duties can use it (re-exported by tealshore_duties::lease). No behaviour changes, and the encoding of both stays: the recorded frames of gateway/tests/frames read and write as before.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -1,4 +1,6 @@
-//! Type aliases for the ids and counters that several packages use.
+//! The ids and counters that several packages use.
+
+use serde::{Deserialize, Serialize};
 
 /// Identifies a request of a customer; the caller chooses it (`Idempotency-Key`).
 pub type RequestId = String;
@@ -25,6 +27,15 @@
 pub type EngineId = String;
 /// Identifies an entry host.
 pub type HostId = String;
+/// Identifies one process of a host.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct ProcessId {
+    /// The host.
+    pub host: HostId,
+    /// Chosen when the process starts; differs after a restart.
+    pub incarnation: u64,
+}
+
 /// Identifies a hall.
 pub type HallId = String;
 /// Identifies a region: a set of halls that are close to each other.
--- a/crates/duties/src/lease.rs
+++ b/crates/duties/src/lease.rs
@@ -14,10 +14,10 @@
 mod step;
 
 pub use record::{
-    FencingToken, FormerHolder, LeaseRecord, LeaseSummary, LeaseTiming, ProcessId, RowVersion,
-    StoreTime,
+    FencingToken, FormerHolder, LeaseRecord, LeaseSummary, LeaseTiming, RowVersion, StoreTime,
 };
 pub use step::{Purpose, Role, Step, Tenure};
+pub use tealshore_core::ids::ProcessId;
 use {
     std::time::{Duration, Instant},
     tealshore_core::{
--- a/crates/duties/src/lease/record.rs
+++ b/crates/duties/src/lease/record.rs
@@ -3,7 +3,7 @@
 use {
     serde::{Deserialize, Serialize},
     std::time::Duration,
-    tealshore_core::ids::HostId,
+    tealshore_core::ids::{HostId, ProcessId},
 };
 
 /// A fencing token. It increases with each acquisition and never decreases.
@@ -13,15 +13,6 @@
 /// A time of the store's monotonic clock.
 pub type StoreTime = Duration;
 
-/// Identifies one process of a host.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct ProcessId {
-    /// The host.
-    pub host: HostId,
-    /// Chosen when the process starts; differs after a restart.
-    pub incarnation: u64,
-}
-
 /// A host that held the lease.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct FormerHolder {
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -2,13 +2,12 @@
 
 use {
     crate::{
-        run_trace::Fingerprint,
         topology::{Distance, Topology},
         view::Work,
     },
     std::cmp::Ordering,
     tealshore_capacity::EngineKind,
-    tealshore_core::ids::{EngineId, EngineVersion, HallId},
+    tealshore_core::ids::{EngineId, EngineVersion, Fingerprint, HallId},
 };
 
 /// Cost for a new prompt of each stream that already runs on the engine, in equivalent prompt tokens to read.
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -12,7 +12,6 @@
             api::{DutyAnswer, DutyCaller},
         },
         rollout::{RolloutOrder, RolloutRecord},
-        run_trace::{MemoryCopy, RunTrace},
         view::{Configuration, UpstreamRecord},
     },
     bytes::Bytes,
@@ -25,6 +24,7 @@
     tealshore_notices::{Brittleness, RestRequest},
     tealshore_quarantine::{news::CrashUpdate, parts::news::PartCrashReport},
     tealshore_rates::AdvertisedLimit,
+    tealshore_runs::{MemoryCopy, RunTrace},
 };
 
 /// The id of an event of a stream; ids are consecutive and start at 1.
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -7,7 +7,6 @@
     },
     crate::{
         edge::{RequestFacts, UpstreamOrder},
-        run_trace::Fingerprint,
         state::GatewayState,
         view::{Configuration, Route, Upstream, UpstreamRecord},
     },
@@ -20,7 +19,7 @@
     },
     tealshore_core::{
         answer::{ErrorKind, Failure},
-        ids::{CustomerId, RequestId, ServiceId},
+        ids::{CustomerId, Fingerprint, RequestId, ServiceId},
         protection::{Protection, enabled},
     },
     tealshore_quarantine::parts::PartId,
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -22,7 +22,6 @@
     crate::{
         events::Progress,
         pace::RemainingWork,
-        run_trace::{MemoryCopy, RunTrace},
         state::GatewayState,
         view::{Engines, Upstream},
     },
@@ -40,6 +39,7 @@
         http::Body,
         ids::EngineId,
     },
+    tealshore_runs::{MemoryCopy, RunTrace},
     tokio::time::timeout_at,
 };
 
--- a/crates/gateway/src/forward/stream/choose.rs
+++ b/crates/gateway/src/forward/stream/choose.rs
@@ -2,8 +2,9 @@
 
 use {
     super::StreamRun,
-    crate::{balance::Need, run_trace::MemoryCopy, view::Upstream},
+    crate::{balance::Need, view::Upstream},
     std::{sync::Arc, time::Instant},
+    tealshore_runs::MemoryCopy,
 };
 
 /// A chosen engine, with the copy to resume from if it holds one.
--- a/crates/gateway/src/forward/stream/order.rs
+++ b/crates/gateway/src/forward/stream/order.rs
@@ -10,7 +10,6 @@
             probe::{PendingRequest, SilenceLimits, wait_while_alive},
         },
         rollout::Outcome,
-        run_trace::MemoryCopy,
         view::Upstream,
     },
     http::{Response, StatusCode, response},
@@ -22,6 +21,7 @@
         answer::implies_not_executed,
         http::{Body, full, read_limited},
     },
+    tealshore_runs::MemoryCopy,
 };
 
 /// The largest answer, in bytes, that is read whole because it is not a stream.
--- a/crates/gateway/src/forward/stream/place.rs
+++ b/crates/gateway/src/forward/stream/place.rs
@@ -14,7 +14,6 @@
         forward::{probe::SilenceLimits, reservation::Reservation},
         rollout::{Outcome, SendKind},
         room,
-        run_trace::{MemoryCopy, RunTrace},
         view::{Upstream, UpstreamRecord, Work},
     },
     http::{Response, response},
@@ -23,6 +22,7 @@
         answer::{ErrorKind, Failure, Ran},
         http::Body,
     },
+    tealshore_runs::{MemoryCopy, RunTrace},
     tokio::time::sleep,
 };
 
--- a/crates/gateway/src/forward/stream/recopy.rs
+++ b/crates/gateway/src/forward/stream/recopy.rs
@@ -7,7 +7,6 @@
     crate::{
         connection::{CallBounds, short_call},
         forward::dial::dial,
-        run_trace::MemoryCopy,
         state::GatewayState,
         view::Upstream,
     },
@@ -18,6 +17,7 @@
     },
     tealshore_core::ids::RequestId,
     tealshore_notices::Availability,
+    tealshore_runs::MemoryCopy,
     tokio::sync::oneshot,
 };
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,7 +27,6 @@
 pub mod rollout;
 pub mod room;
 mod run;
-pub mod run_trace;
 pub mod runs;
 mod serve;
 pub mod standstill;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -32,7 +32,6 @@
         edge::HostRecord,
         feed::{FeederCandidate, FeederChoice, MAX_GROUP_HOSTS, UpstreamDelta, rank},
         options::{HostOptions, PeerOptions},
-        run_trace::RunTrace,
         topology::Topology,
     },
     evidence::EvidenceLedger,
@@ -48,6 +47,7 @@
     },
     tealshore_core::ids::{EngineId, HallId, HostId, ServiceId},
     tealshore_duties::lease::ProcessId,
+    tealshore_runs::RunTrace,
     tokio::sync::Notify,
 };
 pub use {
--- a/crates/gateway/src/peers/digest.rs
+++ b/crates/gateway/src/peers/digest.rs
@@ -7,7 +7,6 @@
     },
     crate::{
         feed::StoreWatermark,
-        run_trace::{Fingerprint, RunTrace},
         view::{Condition, Work},
     },
     postcard::experimental::serialized_size,
@@ -16,9 +15,10 @@
         collections::{BTreeMap, HashMap},
         time::{Duration, Instant},
     },
-    tealshore_core::ids::{EngineId, HostId},
+    tealshore_core::ids::{EngineId, Fingerprint, HostId},
     tealshore_duties::{lease::LeaseSummary, usage::WindowCounts},
     tealshore_quarantine::news::{CrashUpdate, UpdateSize},
+    tealshore_runs::RunTrace,
 };
 
 /// Interval between full digests, and so the time until the content of a lost digest is repaired.
--- a/crates/gateway/src/peers/exchange/apply.rs
+++ b/crates/gateway/src/peers/exchange/apply.rs
@@ -9,7 +9,6 @@
             outgoing::PeerSocket,
             relay::forward_to_share,
         },
-        run_trace::RunTrace,
         runs::RunHost,
         state::GatewayState,
         sync::{apply_rollout_record, apply_upstream_delta},
@@ -18,6 +17,7 @@
     std::{net::SocketAddr, sync::Arc, time::Instant},
     tealshore_core::ids::HostId,
     tealshore_duties::lease::LeaseSummary,
+    tealshore_runs::RunTrace,
 };
 
 /// Applies a datagram of another host and its extension.
--- a/crates/gateway/src/peers/last_state.rs
+++ b/crates/gateway/src/peers/last_state.rs
@@ -2,16 +2,14 @@
 
 use {
     super::message::{HostPhase, PeerDelta, PeerState, ServiceUse, UpstreamWork},
-    crate::{
-        run_trace::{Fingerprint, RunTrace},
-        view::Condition,
-    },
+    crate::view::Condition,
     std::{
         collections::HashMap,
         time::{Duration, Instant},
     },
-    tealshore_core::ids::{EngineId, ServiceId},
+    tealshore_core::ids::{EngineId, Fingerprint, ServiceId},
     tealshore_quarantine::news::{CrashUpdate, UpdateSize},
+    tealshore_runs::RunTrace,
 };
 
 /// Interval at which the whole state is sent, to repair the loss of a datagram.
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -7,7 +7,6 @@
         duties::UsageUpdate,
         feed::{StoreWatermark, UpstreamDelta},
         rollout::RolloutReport,
-        run_trace::RunTrace,
         view::{Condition, Work},
     },
     serde::{Deserialize, Serialize},
@@ -16,6 +15,7 @@
     tealshore_duties::{lease::LeaseSummary, usage::WindowCounts},
     tealshore_quarantine::news::CrashUpdate,
     tealshore_rates::LimitUpdate,
+    tealshore_runs::RunTrace,
 };
 
 /// Whether a host takes traffic.
--- a/crates/gateway/src/peers/relay.rs
+++ b/crates/gateway/src/peers/relay.rs
@@ -13,13 +13,14 @@
         outgoing::{PeerSocket, own_state},
         shares::{Share, divide_into_shares},
     },
-    crate::{feed::rank, run_trace::RunTrace, state::GatewayState},
+    crate::{feed::rank, state::GatewayState},
     rand::RngExt,
     std::{
         net::SocketAddr,
         sync::Arc,
         time::{Duration, Instant},
     },
+    tealshore_runs::RunTrace,
     tokio::time::sleep,
 };
 
--- a/crates/gateway/src/peers/snapshot.rs
+++ b/crates/gateway/src/peers/snapshot.rs
@@ -8,7 +8,6 @@
         edge::{Revision, RowSet, StoreTime},
         feed::SetWatermark,
         rollout::RolloutOrder,
-        run_trace::RunTrace,
         state::GatewayState,
         view::{Configuration, UpstreamChanges, UpstreamRecord},
     },
@@ -22,6 +21,7 @@
         time::{Duration, Instant},
     },
     tealshore_core::http::{Body, ServerOptions, empty, full, serve},
+    tealshore_runs::RunTrace,
     tokio::net::TcpListener,
 };
 pub use {
--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -4,14 +4,14 @@
 //! behind: the copy, or else the prompt that the engine still holds.
 
 use {
-    crate::run_trace::{Fingerprint, RunTrace},
     parking_lot::Mutex,
     std::{
         collections::HashMap,
         sync::atomic::{AtomicBool, Ordering},
         time::{Duration, Instant},
     },
-    tealshore_core::ids::RequestId,
+    tealshore_core::ids::{Fingerprint, RequestId},
+    tealshore_runs::RunTrace,
     tokio::{sync::Notify, time::timeout},
 };
 
--- a/crates/gateway/src/state/choice.rs
+++ b/crates/gateway/src/state/choice.rs
@@ -5,13 +5,12 @@
     crate::{
         balance::{Candidate, Need, choose},
         rollout::{Outcome, SendKind},
-        run_trace::Fingerprint,
         topology::Distance,
         view::{Upstream, UpstreamRecord, Work},
     },
     rand::RngExt,
     std::{sync::Arc, time::Instant},
-    tealshore_core::ids::{EngineId, HallId, ServiceId},
+    tealshore_core::ids::{EngineId, Fingerprint, HallId, ServiceId},
     tealshore_notices::Availability,
     xxhash_rust::xxh3::xxh3_64_with_seed,
 };
--- a/crates/gateway/src/sync/runs.rs
+++ b/crates/gateway/src/sync/runs.rs
@@ -3,8 +3,9 @@
 
 use {
     super::Follower,
-    crate::{feed::FeederChoice, run_trace::RunTrace},
+    crate::feed::FeederChoice,
     std::time::{Duration, Instant},
+    tealshore_runs::RunTrace,
     tokio::time::sleep,
 };
 
--- a/crates/gateway/tests/frames.rs
+++ b/crates/gateway/tests/frames.rs
@@ -26,7 +26,6 @@
             SnapshotRows, UpstreamWork,
         },
         rollout::BadAnswers,
-        run_trace::RunTrace,
         view::{Condition, UpstreamChanges, UpstreamRecord, UpstreamState, Work},
     },
     tealshore_quarantine::{
@@ -34,6 +33,7 @@
         parts::{crash::PossibleCause, news::PartCrashReport},
     },
     tealshore_rates::LimitUpdate,
+    tealshore_runs::RunTrace,
 };
 
 fn address(port: u16) -> SocketAddr {
--- a/crates/gateway/tests/groups.rs
+++ b/crates/gateway/tests/groups.rs
@@ -23,9 +23,9 @@
             Datagram, DigestSource, GroupDigest, GroupMember, GroupSums, HostAddress, HostPhase,
             LastDigest, PeerState, Peers, ServiceUse, Unreadable, UpstreamLender, UpstreamWork,
         },
-        run_trace::RunTrace,
         view::{Condition, UpstreamRecord, UpstreamState, Work},
     },
+    tealshore_runs::RunTrace,
 };
 
 /// Heartbeat interval of the relays in these tests.
--- a/crates/gateway/tests/message_sizes.rs
+++ b/crates/gateway/tests/message_sizes.rs
@@ -16,9 +16,9 @@
             Datagram, GroupDigest, GroupMember, HostAddress, HostPhase, PeerDelta, PeerState,
             ServiceUse, UpstreamWork,
         },
-        run_trace::RunTrace,
         view::{Condition, UpstreamRecord, UpstreamState, Work},
     },
+    tealshore_runs::RunTrace,
 };
 
 fn address() -> SocketAddr {
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -22,9 +22,9 @@
             Datagram, HostPhase, PeerState, Peers, SentState, ServiceUse, UpstreamWork,
             usage_receivers,
         },
-        run_trace::RunTrace,
         view::{Condition, Work},
     },
+    tealshore_runs::RunTrace,
 };
 
 fn state(sequence: u64, work: &BTreeMap<u8, (u64, bool)>, repeats: u32) -> PeerState {
--- a/crates/gateway/tests/runs.rs
+++ b/crates/gateway/tests/runs.rs
@@ -8,9 +8,9 @@
     std::time::{Duration, Instant},
     tealshore_gateway::{
         read_rate::ReadRate,
-        run_trace::RunTrace,
         runs::{RunHost, Runs},
     },
+    tealshore_runs::RunTrace,
 };
 
 fn trace(fingerprint: u64, request: &str, engine: &str) -> RunTrace {
--- a/crates/gateway/src/run_trace.rs
+++ b/crates/runs/src/trace.rs
@@ -1,10 +1,9 @@
-//! Where a request last ran, and which engine holds a copy of the run's memory.
+//! Where a request ran, and which engine holds a copy of the run's memory.
 
-pub use tealshore_core::ids::Fingerprint;
 use {
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
-    tealshore_core::ids::{EngineId, RequestId},
+    tealshore_core::ids::{EngineId, Fingerprint, RequestId},
 };
 
 /// A copy of a run's memory.
