--- a/crates/core/src/protection.rs
+++ b/crates/core/src/protection.rs
@@ -36,6 +36,8 @@
     AnswerIdentity,
     /// A returning caller is matched by a digest of the complete request, including the body.
     RequestDigest,
+    /// A stream continues only from a run that is proven to be that of the caller who resumes it.
+    OwnRun,
     /// A watch on the store is closed after a time without data.
     WatchTimeout,
     /// A request is reported as not executed only if the upstream confirmed that.
@@ -106,6 +108,7 @@
             Self::KeyAge => "key-age",
             Self::AnswerIdentity => "answer-identity",
             Self::RequestDigest => "request-digest",
+            Self::OwnRun => "own-run",
             Self::WatchTimeout => "watch-timeout",
             Self::ConfirmedRefusal => "confirmed-refusal",
             Self::Withdrawal => "withdrawal",
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -24,11 +24,9 @@
     tealshore_notices::{Brittleness, RestRequest},
     tealshore_quarantine::{news::CrashUpdate, parts::news::PartCrashReport},
     tealshore_rates::AdvertisedLimit,
-    tealshore_runs::{MemoryCopy, RunTrace},
+    tealshore_runs::{EventId, KnownRun, MemoryCopy},
 };
 
-/// The id of an event of a stream; ids are consecutive and start at 1.
-pub type EventId = u64;
 /// A time on the store's monotonic clock.
 pub type StoreTime = Duration;
 
@@ -179,7 +177,7 @@
     /// A host of this system.
     Host(HostRecord),
     /// The locations of the streams of a group of hosts.
-    Runs(Vec<RunTrace>),
+    Runs(Vec<KnownRun>),
     /// An operator's order to roll out a version.
     RolloutOrder(RolloutOrder),
     /// The progress of a roll-out.
@@ -350,7 +348,7 @@
     fn write_host_call(&self, host: &HostRecord) -> Request<Bytes>;
 
     /// Builds the call that writes the locations of the streams of a group of hosts.
-    fn write_runs_call(&self, group: &str, runs: &[RunTrace]) -> Request<Bytes>;
+    fn write_runs_call(&self, group: &str, runs: &[KnownRun]) -> Request<Bytes>;
 
     /// Builds the call that writes what is known to a group of hosts of requests and parts of prompts that crash
     /// upstreams.
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -1,9 +1,9 @@
 //! Splits an upstream's bytes into complete events and accepts each position exactly once.
 
 use {
-    crate::edge::EventId,
     bytes::{Bytes, BytesMut},
     tealshore_core::protection::{Protection, enabled},
+    tealshore_runs::EventId,
 };
 
 /// The largest event, in bytes. If more bytes arrive without the end of an event, the stream is
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -11,7 +11,7 @@
 mod stream;
 
 pub use {
-    call::{Call, fingerprint_of, strip_connection_headers},
+    call::{Call, MAX_HOLD, content_digest_of, fingerprint_of, strip_connection_headers},
     dial::{DialFailure, dial_directly},
     ending::{LostRequest, UpstreamKind},
     plain::run as run_plain,
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -11,7 +11,7 @@
         view::{Configuration, Route, Upstream, UpstreamRecord},
     },
     bytes::Bytes,
-    http::{HeaderMap, HeaderName, Method, Request, Uri, header},
+    http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Uri, header},
     http_body_util::Full,
     std::{
         sync::Arc,
@@ -23,9 +23,13 @@
         protection::{Protection, enabled},
     },
     tealshore_quarantine::parts::PartId,
+    tealshore_runs::{ContentDigest, ContentMatch},
     xxhash_rust::xxh3::Xxh3,
 };
 
+/// Maximum time for which a request is held whose caller sets no deadline, if the route's timeout is longer.
+pub const MAX_HOLD: Duration = Duration::from_secs(600);
+
 /// A caller's request while it is being served.
 pub struct Call {
     /// What its head says.
@@ -50,6 +54,8 @@
     pub priority: u8,
     /// Digest of the request.
     pub fingerprint: Fingerprint,
+    /// Digest of all that the request asks for.
+    pub content: ContentDigest,
     /// The parts of the prompt that other requests may share.
     pub shared_parts: Vec<PartId>,
     /// When its head was received.
@@ -69,6 +75,14 @@
         self.facts.request.clone().unwrap_or_default()
     }
 
+    /// Which runs were made for the same content.
+    pub fn content_match(&self) -> ContentMatch {
+        ContentMatch {
+            fingerprint: self.fingerprint,
+            content: self.content,
+        }
+    }
+
     /// The fingerprint of the request, for logs. It is the same for all attempts of the caller, at any host.
     pub fn fingerprint_hex(&self) -> String {
         format!("{:016x}", self.fingerprint)
@@ -94,6 +108,13 @@
         self.deadline.saturating_duration_since(now)
     }
 
+    /// How long the caller still waits, in milliseconds.
+    pub fn caller_waits_ms(&self, now: Instant) -> u64 {
+        let waits = self.facts.deadline.unwrap_or(MAX_HOLD);
+        let left = (self.received + waits).saturating_duration_since(now);
+        u64::try_from(left.as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// Time since the request was received, in milliseconds, for logs.
     pub fn age_ms(&self) -> u128 {
         self.received.elapsed().as_millis()
@@ -185,6 +206,41 @@
     headers.remove(header::CONTENT_LENGTH);
 }
 
+/// Digest of all that a request asks for, by which its answers may differ: unlike the fingerprint, it tells models,
+/// host names and shared parts of prompts apart.
+pub fn content_digest_of(
+    method: &Method,
+    uri: &Uri,
+    host: Option<&HeaderValue>,
+    facts: &RequestFacts,
+    body: &Bytes,
+) -> ContentDigest {
+    let uri = uri.to_string();
+    let mut fields: Vec<&[u8]> = vec![
+        method.as_str().as_bytes(),
+        uri.as_bytes(),
+        host.map_or(&[], HeaderValue::as_bytes),
+        facts.key.as_deref().unwrap_or_default().as_bytes(),
+    ];
+    if enabled(Protection::RequestDigest) {
+        fields.push(body);
+    }
+    let mut digest = Xxh3::new();
+    if let Some(prompt) = &facts.prompt {
+        digest.update(&prompt.input_tokens.to_le_bytes());
+        digest.update(&prompt.output_tokens.to_le_bytes());
+        fields.push(prompt.model.as_bytes());
+        fields.push(prompt.own_part.as_bytes());
+        fields.extend(prompt.shared_parts.iter().map(String::as_bytes));
+    }
+    for field in fields {
+        // With their lengths, fields can't be shifted into each other.
+        digest.update(&field.len().to_le_bytes());
+        digest.update(field);
+    }
+    digest.digest()
+}
+
 /// Digest of everything that identifies a request, except the id of the caller's attempt.
 pub fn fingerprint_of(uri: &Uri, facts: &RequestFacts, body: &Bytes) -> Fingerprint {
     let mut digest = Xxh3::new();
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -9,6 +9,7 @@
 mod copy_holder;
 mod engines_tried;
 mod order;
+mod own_run;
 mod place;
 mod recopy;
 mod relay;
@@ -28,6 +29,7 @@
     attempt::Attempt,
     engines_tried::EnginesTried,
     http::Response,
+    own_run::find_own_run,
     place::Opened,
     recopy::Recopy,
     std::{
@@ -37,9 +39,9 @@
     tealshore_core::{
         answer::{ErrorKind, Failure, Ran},
         http::Body,
-        ids::EngineId,
+        ids::{EngineId, RequestId},
     },
-    tealshore_runs::{MemoryCopy, RunTrace},
+    tealshore_runs::{KnownRun, MemoryCopy},
     tokio::time::timeout_at,
 };
 
@@ -68,6 +70,8 @@
     /// Whether an earlier attempt of the caller ran this stream, as far as this host knows.
     ran_before: Ran,
     copy: Option<MemoryCopy>,
+    /// The attempt of the same caller whose run this stream continues.
+    continues: Option<RequestId>,
     attempt: Option<Attempt>,
     lost_at: Option<Instant>,
     /// Whether the stream has been counted for its customer.
@@ -93,10 +97,14 @@
 /// # Errors
 /// No engine gave an answer that may be passed on.
 pub async fn run(state: &Arc<GatewayState>, call: Arc<Call>) -> Result<Response<Body>, Failure> {
-    if call.facts.last_event.is_some() {
-        state.runs.wait_restored(RESTORE_TIMEOUT).await;
-    }
-    let mut run = StreamRun::new(state.clone(), call);
+    let own_run = match call.facts.last_event {
+        Some(last_event) => {
+            state.runs.wait_restored(RESTORE_TIMEOUT).await;
+            find_own_run(state, &call, last_event).await
+        }
+        None => None,
+    };
+    let mut run = StreamRun::new(state.clone(), call, own_run);
     let opened = run.open().await;
     match opened.map_err(|failure| failure.after_earlier_attempt(run.ran_before))? {
         Opened::Stream(mut head) => {
@@ -109,14 +117,15 @@
 }
 
 impl StreamRun {
-    /// Creates a stream that has not been sent to any engine.
-    fn new(state: Arc<GatewayState>, call: Arc<Call>) -> Self {
-        let earlier = state.runs.find(call.fingerprint, Instant::now());
+    /// Creates a stream that has not been sent to any engine. `own_run` is the run that its caller left, if one is
+    /// proven to be the caller's.
+    fn new(state: Arc<GatewayState>, call: Arc<Call>, own_run: Option<KnownRun>) -> Self {
+        let last_engine = {
+            let log = state.runs.log.lock();
+            log.last_engine(call.content_match(), Instant::now())
+        };
         let is_resumed = call.facts.last_event.is_some();
-        if is_resumed {
-            log_matched_run(&call, earlier.as_ref());
-        }
-        let ran_before = if is_resumed || earlier.is_some() {
+        let ran_before = if is_resumed || last_engine.is_some() {
             Ran::Yes
         } else {
             Ran::No
@@ -124,11 +133,12 @@
         Self {
             ran_before,
             progress: Progress::after(call.facts.last_event),
-            copy: earlier
-                .as_ref()
-                .filter(|_| is_resumed)
-                .and_then(RunTrace::memory_copy),
-            prompt_cached_at: earlier.map(|trace| trace.engine),
+            copy: own_run.as_ref().and_then(|run| run.trace.memory_copy()),
+            prompt_cached_at: match &own_run {
+                Some(run) => Some(run.trace.engine.clone()),
+                None => last_engine,
+            },
+            continues: own_run.map(|run| run.trace.request),
             retried_same_engine: false,
             state,
             call,
@@ -223,20 +233,6 @@
     }
 }
 
-/// Logs which earlier run is taken for the one that a caller resumes.
-fn log_matched_run(call: &Call, run: Option<&RunTrace>) {
-    log::info!(
-        "stream: resume requested request={} digest={} last={:?} run={} upstream={} copy_at={}",
-        call.id(),
-        call.fingerprint_hex(),
-        call.facts.last_event,
-        run.map_or("-", |run| run.request.as_str()),
-        run.map_or("-", |run| run.engine.as_str()),
-        run.and_then(|run| run.copy.as_ref())
-            .map_or("-", |(holder, _)| holder.as_str()),
-    );
-}
-
 fn deadline_failure(kind: ErrorKind) -> Failure {
     Failure::new(kind, "the time for the stream is over")
 }
--- /dev/null
+++ b/crates/gateway/src/forward/stream/own_run.rs
@@ -0,0 +1,79 @@
+//! Finds the run that a caller left who resumes a stream.
+
+use {
+    crate::{forward::call::Call, peers::ask_about_runs, state::GatewayState},
+    std::time::Instant,
+    tealshore_core::protection::{Protection, enabled},
+    tealshore_runs::{Doubt, EventId, KnownRun, Proof, RunReport, prove_own_run, sole_run},
+};
+
+/// Maximum number of runs in a log line.
+const MAX_LISTED_RUNS: usize = 4;
+
+/// Returns the run that the caller left after `last_event`, or `None` if none is proven to be the caller's: the copy
+/// of another caller's run must not be used.
+pub async fn find_own_run(
+    state: &GatewayState,
+    call: &Call,
+    last_event: EventId,
+) -> Option<KnownRun> {
+    let began = Instant::now();
+    let known = state.runs.log.lock().recent(call.content_match(), began);
+    let found = match &known {
+        Some(known) => prove(state, call, known, last_event).await,
+        None => Err(Doubt::LogFull),
+    };
+    if !enabled(Protection::OwnRun) {
+        return Some(known?.pop()?.run);
+    }
+    let evidence = match &found {
+        Ok((_, proof)) => proof.name(),
+        Err(doubt) => doubt.name(),
+    };
+    let run = found.ok().map(|(run, _)| run);
+    state.metrics.resumes.with_label_values(&[evidence]).inc();
+    log::info!(
+        "stream: resume requested request={} digest={} content={:016x} last={last_event} evidence={evidence} run={} \
+         known={} took_ms={}",
+        call.id(),
+        call.fingerprint_hex(),
+        call.content,
+        run.as_ref().map_or("-", |run| run.trace.request.as_str()),
+        list(known.as_deref().unwrap_or_default()),
+        began.elapsed().as_millis()
+    );
+    run
+}
+
+async fn prove(
+    state: &GatewayState,
+    call: &Call,
+    known: &[RunReport],
+    last_event: EventId,
+) -> Result<(KnownRun, Proof), Doubt> {
+    let (_, origin) = sole_run(known)?;
+    let inquiry = ask_about_runs(state, call.content_match(), origin).await;
+    // This host may have been told of another run meanwhile.
+    let known = state
+        .runs
+        .log
+        .lock()
+        .recent(call.content_match(), Instant::now());
+    let known = known.ok_or(Doubt::LogFull)?;
+    prove_own_run(&known, &inquiry, last_event)
+}
+
+/// Lists runs for logs: attempt, host and age of each.
+fn list(known: &[RunReport]) -> String {
+    let entries = known.iter().map(|report| {
+        let origin = report.run.origin.as_ref();
+        let host = origin.map_or("?", |origin| origin.process.host.as_str());
+        let request = &report.run.trace.request;
+        format!("{request}@{host}/{}ms", report.age.as_millis())
+    });
+    let entries: Vec<String> = entries.take(MAX_LISTED_RUNS).collect();
+    if entries.is_empty() {
+        return "-".to_owned();
+    }
+    entries.join(",")
+}
--- a/crates/gateway/src/forward/stream/place.rs
+++ b/crates/gateway/src/forward/stream/place.rs
@@ -22,7 +22,7 @@
         answer::{ErrorKind, Failure, Ran},
         http::Body,
     },
-    tealshore_runs::{MemoryCopy, RunTrace},
+    tealshore_runs::{KnownRun, MemoryCopy, RunOrigin, RunTrace},
     tokio::time::sleep,
 };
 
@@ -324,11 +324,22 @@
             name: self.call.request(),
         });
         let copy = self.copy.as_ref();
-        self.state.runs.begin(RunTrace {
+        let trace = RunTrace {
             fingerprint: self.call.fingerprint,
             request: self.call.request(),
             engine: upstream.record.id.clone(),
             copy: copy.map(|copy| (copy.upstream.clone(), copy.address)),
+        };
+        let origin = RunOrigin {
+            process: self.state.peers.process(),
+            address: self.state.options.peers.address,
+            content: self.call.content,
+            continues: self.continues.clone(),
+            waits_ms: self.call.caller_waits_ms(Instant::now()),
+        };
+        self.state.begin_run(KnownRun {
+            trace,
+            origin: Some(origin),
         });
     }
 
--- a/crates/gateway/src/forward/stream/relay.rs
+++ b/crates/gateway/src/forward/stream/relay.rs
@@ -305,9 +305,13 @@
         }
         let is_complete = end == RelayEnd::Complete;
         let request = self.call.request();
-        self.state
-            .runs
-            .end(self.call.fingerprint, &request, is_complete, Instant::now());
+        self.state.runs.log.lock().end(
+            self.call.fingerprint,
+            &request,
+            self.progress.last(),
+            is_complete,
+            Instant::now(),
+        );
         // Dropping the attempt ends the run at the engine.
         let attempt = self.attempt.take();
         let upstream = attempt.map(|attempt| attempt.upstream.record.id.clone());
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -19,6 +19,8 @@
     pub outcomes: IntCounterVec,
     /// Lost attempts, by cause.
     pub losses: IntCounterVec,
+    /// Streams that callers resumed, by what proved an earlier run to be the caller's, or why none was proven to be.
+    pub resumes: IntCounterVec,
     /// Notices in answers of upstreams, by kind: `rest`, `rest-unreadable` or `leaving`.
     pub notices: IntCounterVec,
     /// Requests to upstreams that advertise a rate limit, by result: sent with a permit
@@ -109,6 +111,11 @@
             registry: Registry::new(),
             outcomes: counter("tealshore_requests_total", "Ends of requests", &["outcome"])?,
             losses: counter("tealshore_losses_total", "Attempts lost", &["cause"])?,
+            resumes: counter(
+                "tealshore_caller_resumes_total",
+                "Streams that callers resumed",
+                &["evidence"],
+            )?,
             notices: counter(
                 "tealshore_upstream_notices_total",
                 "What upstreams said of themselves in answers",
@@ -277,6 +284,7 @@
         let all: Vec<Box<dyn Collector>> = vec![
             Box::new(self.outcomes.clone()),
             Box::new(self.losses.clone()),
+            Box::new(self.resumes.clone()),
             Box::new(self.notices.clone()),
             Box::new(self.limited_sends.clone()),
             Box::new(self.limited_upstreams.clone()),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -22,6 +22,7 @@
 mod outgoing;
 mod prompt_parts;
 mod relay;
+mod run_inquiry;
 mod shares;
 mod snapshot;
 mod sums;
@@ -68,7 +69,7 @@
     },
     tunnels::{FOUND_HEADER, FOUND_REFUSED, FOUND_UNANSWERED, TunnelHost, UPSTREAM_HEADER},
 };
-pub(crate) use {exchange::start, outgoing::PeerSocket};
+pub(crate) use {exchange::start, outgoing::PeerSocket, run_inquiry::ask_about_runs};
 
 /// Maximum number of streams in a datagram, which keeps it well below the UDP size limit.
 const MAX_DATAGRAM_RUNS: usize = 200;
@@ -162,6 +163,8 @@
     evidence: Mutex<EvidenceLedger>,
     /// Signals a change that must be sent immediately.
     updates: Notify,
+    /// Signals a new run, which is reported without waiting for further changes.
+    run_began: Notify,
     /// Hosts that have just started and need the full state.
     newcomers: Mutex<Vec<HostAddress>>,
     newcomer_arrived: Notify,
@@ -201,6 +204,7 @@
             groups: Mutex::default(),
             evidence: Mutex::default(),
             updates: Notify::new(),
+            run_began: Notify::new(),
             newcomers: Mutex::default(),
             newcomer_arrived: Notify::new(),
             group_runs: Mutex::default(),
@@ -248,6 +252,11 @@
         self.updates.notify_one();
     }
 
+    /// Wakes the sender to report a new run.
+    pub fn announce_run(&self) {
+        self.run_began.notify_one();
+    }
+
     /// Queues upstream changes for the fleet, and wakes the sender so that they are sent
     /// immediately, followed by this host's store watermark.
     pub fn publish_store_progress(&self, delta: Option<UpstreamDelta>) {
--- a/crates/gateway/src/peers/digest.rs
+++ b/crates/gateway/src/peers/digest.rs
@@ -15,7 +15,7 @@
         collections::{BTreeMap, HashMap},
         time::{Duration, Instant},
     },
-    tealshore_core::ids::{EngineId, Fingerprint, HostId},
+    tealshore_core::ids::{EngineId, Fingerprint, HostId, RequestId},
     tealshore_duties::{lease::LeaseSummary, usage::WindowCounts},
     tealshore_quarantine::news::{CrashUpdate, UpdateSize},
     tealshore_runs::RunTrace,
@@ -103,7 +103,7 @@
     work: BTreeMap<EngineId, (Work, Condition)>,
     repeats: u32,
     watermark: Option<StoreWatermark>,
-    runs: HashMap<Fingerprint, (RunTrace, Instant)>,
+    runs: HashMap<RequestId, (RunTrace, Instant)>,
     crashes: Vec<(Fingerprint, UpdateSize)>,
 }
 
@@ -216,9 +216,9 @@
             .retain(|_, (_, sent)| now.saturating_duration_since(*sent) <= RUN_DEDUP_INTERVAL);
         let mut new = Vec::new();
         for run in runs {
-            let sent = self.runs.get(&run.fingerprint);
+            let sent = self.runs.get(&run.request);
             if sent.is_none_or(|(sent, _)| *sent != run) {
-                self.runs.insert(run.fingerprint, (run.clone(), now));
+                self.runs.insert(run.request.clone(), (run.clone(), now));
                 new.push(run);
             }
         }
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -92,8 +92,13 @@
             other_regions_due = now + heartbeat;
         }
         let until = other_regions_due.min(Instant::now() + heartbeat);
-        wait_for_update(&state, &socket, started, until).await;
-        sleep(COALESCE_DELAY).await;
+        let wake = wait_for_update(&state, &socket, started, until).await;
+        if wake == Wake::Change {
+            tokio::select! {
+                () = sleep(COALESCE_DELAY) => {}
+                () = state.peers.run_began.notified() => {}
+            }
+        }
     }
 }
 
@@ -114,13 +119,22 @@
     socket.send_to_all(&datagram, receivers).await;
 }
 
+/// Why the sender stopped waiting.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Wake {
+    /// A run began.
+    Run,
+    /// Something else changed, or the next heartbeat is due.
+    Change,
+}
+
 /// Waits for an update or the next heartbeat, and answers starting hosts in the meantime.
 async fn wait_for_update(
     state: &GatewayState,
     socket: &PeerSocket,
     started: Instant,
     until: Instant,
-) {
+) -> Wake {
     let peers = &state.peers;
     loop {
         let left = until.saturating_duration_since(Instant::now());
@@ -132,7 +146,9 @@
             left.min(INTRODUCE_INTERVAL)
         };
         tokio::select! {
-            () = peers.updates.notified() => return,
+            biased;
+            () = peers.run_began.notified() => return Wake::Run,
+            () = peers.updates.notified() => return Wake::Change,
             () = peers.newcomer_arrived.notified() => {
                 sleep(NEWCOMER_BATCH_DELAY).await;
                 let own = own_state(state, Instant::now());
@@ -141,7 +157,7 @@
             }
             () = sleep(wait) => {
                 if is_introduced {
-                    return;
+                    return Wake::Change;
                 }
                 let own = own_state(state, Instant::now());
                 let Receivers { needs_full_state, .. } = peers.receivers(Instant::now());
--- a/crates/gateway/src/peers/exchange/apply.rs
+++ b/crates/gateway/src/peers/exchange/apply.rs
@@ -9,15 +9,18 @@
             outgoing::PeerSocket,
             relay::forward_to_share,
         },
-        runs::RunHost,
         state::GatewayState,
         sync::{apply_rollout_record, apply_upstream_delta},
         view::Condition,
     },
-    std::{net::SocketAddr, sync::Arc, time::Instant},
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     tealshore_core::ids::HostId,
     tealshore_duties::lease::LeaseSummary,
-    tealshore_runs::RunTrace,
+    tealshore_runs::{KnownRun, RunLocation, RunOrigin, RunTrace},
 };
 
 /// Applies a datagram of another host and its extension.
@@ -31,7 +34,7 @@
     match datagram {
         Datagram::State(peer) => {
             let host = peer.host.clone();
-            apply_state(state, *peer);
+            apply_state(state, *peer, extension.run_origins);
             state.peers.set_lends_permits(&host, extension.lends);
             let cut_off = extension.cut_off_services;
             state.peers.set_cut_off_services(&host, cut_off);
@@ -41,7 +44,7 @@
                 let host = &change.host;
                 state.peers.set_cut_off_services(host, Some(cut_off));
             }
-            apply_delta(state, change);
+            apply_delta(state, change, extension.run_origins);
         }
         Datagram::Upstreams {
             delta,
@@ -67,10 +70,22 @@
             if let Some(share) = share {
                 forward_to_share(socket, digests.clone(), &extension, share, sender).await;
             }
+            let mut run_origins = extension.run_origins;
+            if digests
+                .iter()
+                .map(|digest| digest.runs.len())
+                .sum::<usize>()
+                != run_origins.len()
+            {
+                run_origins.clear();
+            }
             for digest in digests {
                 let group = digest.group.clone();
                 let lends = extension.lending_groups.contains(&group);
-                apply_digest(state, digest);
+                let of_next = digest.runs.len().min(run_origins.len());
+                let of_others = run_origins.split_off(of_next);
+                apply_digest(state, digest, run_origins);
+                run_origins = of_others;
                 let not_lending = &extension.not_lending;
                 state
                     .peers
@@ -110,25 +125,29 @@
         }
         Some(_) => {}
     }
-    apply_digest(state, digest);
+    apply_digest(state, digest, extension.run_origins.clone());
 }
 
-fn apply_digest(state: &GatewayState, mut digest: GroupDigest) {
+fn apply_digest(
+    state: &GatewayState,
+    mut digest: GroupDigest,
+    run_origins: Vec<Option<RunOrigin>>,
+) {
     apply_rollout_reports(state, &digest.budgets);
     apply_lease_summary(state, digest.lease.as_ref());
     state.duties.record_hall_usage(&digest.group, &digest.usage);
     state.apply_crash_updates(&digest.crashes, &digest.relay);
-    let runs = std::mem::take(&mut digest.runs);
+    let runs = with_origins(std::mem::take(&mut digest.runs), run_origins);
     let findings = state.peers.apply_digest(&digest, Instant::now());
     let sender = Sender {
         host: &digest.relay,
-        runs_on: RunHost::OtherGroup,
+        runs_on: RunLocation::OtherGroup,
         reaches_store: digest.reaches_store,
     };
     apply_reports(state, &sender, runs, &findings);
 }
 
-fn apply_state(state: &GatewayState, mut peer: PeerState) {
+fn apply_state(state: &GatewayState, mut peer: PeerState, run_origins: Vec<Option<RunOrigin>>) {
     apply_rollout_reports(state, &peer.budgets);
     apply_lease_summary(state, peer.lease.as_ref());
     if let Some(crashes) = peer.crashes.take() {
@@ -143,7 +162,7 @@
     let host = peer.host.clone();
     let sender = Sender {
         host: &host,
-        runs_on: RunHost::InGroup,
+        runs_on: RunLocation::InGroup,
         reaches_store: peer.reaches_store,
     };
     let runs = std::mem::take(&mut peer.runs);
@@ -151,23 +170,34 @@
         state.peers.queue_group_runs(&runs);
     }
     let findings = state.peers.apply_state(peer, Instant::now());
-    apply_reports(state, &sender, runs, &findings);
+    apply_reports(state, &sender, with_origins(runs, run_origins), &findings);
 }
 
-fn apply_delta(state: &GatewayState, mut delta: PeerDelta) {
+fn apply_delta(state: &GatewayState, mut delta: PeerDelta, run_origins: Vec<Option<RunOrigin>>) {
     apply_rollout_reports(state, &delta.budgets);
     apply_lease_summary(state, delta.lease.as_ref());
     state.apply_crash_updates(&delta.crashes, &delta.host);
     let host = delta.host.clone();
     let sender = Sender {
         host: &host,
-        runs_on: RunHost::InGroup,
+        runs_on: RunLocation::InGroup,
         reaches_store: delta.reaches_store,
     };
     let runs = std::mem::take(&mut delta.runs);
     state.peers.queue_group_runs(&runs);
     let findings = state.peers.apply_delta(delta, Instant::now());
-    apply_reports(state, &sender, runs, &findings);
+    apply_reports(state, &sender, with_origins(runs, run_origins), &findings);
+}
+
+/// Adds their origins to the runs of a datagram. Hosts of an earlier build send none.
+fn with_origins(runs: Vec<RunTrace>, mut origins: Vec<Option<RunOrigin>>) -> Vec<KnownRun> {
+    if origins.len() != runs.len() {
+        origins.clear();
+    }
+    let origins = origins.into_iter().chain(std::iter::repeat(None));
+    let runs = runs.into_iter().zip(origins);
+    runs.map(|(trace, origin)| KnownRun { trace, origin })
+        .collect()
 }
 
 /// Applies the lease summary of the host that holds the duties or has released them.
@@ -191,7 +221,7 @@
 struct Sender<'a> {
     host: &'a HostId,
     /// Location of the reported runs.
-    runs_on: RunHost,
+    runs_on: RunLocation,
     /// Whether the sender's last store call was answered.
     reaches_store: bool,
 }
@@ -202,13 +232,15 @@
 fn apply_reports(
     state: &GatewayState,
     sender: &Sender<'_>,
-    runs: Vec<RunTrace>,
+    runs: Vec<KnownRun>,
     findings: &[Finding],
 ) {
     let now = Instant::now();
+    let mut log = state.runs.log.lock();
     for run in runs {
-        state.runs.record_peer(run, sender.runs_on, now);
+        log.record_peer(run, sender.runs_on, Duration::ZERO, now);
     }
+    drop(log);
     for finding in findings {
         apply_finding(state, finding, sender.host);
     }
--- a/crates/gateway/src/peers/extension.rs
+++ b/crates/gateway/src/peers/extension.rs
@@ -10,6 +10,7 @@
     tealshore_duties::usage::DecidedUsage,
     tealshore_quarantine::parts::news::PartCrashReport,
     tealshore_rates::LimitUpdate,
+    tealshore_runs::RunOrigin,
 };
 
 /// Maximum number of limits in a datagram.
@@ -35,6 +36,8 @@
     pub cut_off_services: Option<Vec<ServiceId>>,
     /// Crashes that parts of prompts may have caused, as known to the sender.
     pub part_crashes: Vec<PartCrashReport>,
+    /// The origins of the runs in the datagram, in the same order.
+    pub run_origins: Vec<Option<RunOrigin>>,
 }
 
 impl Extension {
@@ -51,7 +54,8 @@
         let bytes = postcard::to_extend(&self.lending_groups, bytes)?;
         let bytes = postcard::to_extend(&self.not_lending, bytes)?;
         // Missing trailing fields are decoded as their defaults.
-        let has_part_crashes = !self.part_crashes.is_empty();
+        let has_run_origins = !self.run_origins.is_empty();
+        let has_part_crashes = has_run_origins || !self.part_crashes.is_empty();
         let has_paths = has_part_crashes || self.cut_off_services.is_some();
         let has_bad_answers = has_paths || !self.bad_answers.is_empty();
         if self.decided_usage.is_none() && !has_bad_answers {
@@ -69,7 +73,11 @@
         if !has_part_crashes {
             return Ok(bytes);
         }
-        postcard::to_extend(&self.part_crashes, bytes)
+        let bytes = postcard::to_extend(&self.part_crashes, bytes)?;
+        if !has_run_origins {
+            return Ok(bytes);
+        }
+        postcard::to_extend(&self.run_origins, bytes)
     }
 
     /// Decodes a datagram and its extension.
@@ -85,7 +93,8 @@
         let (decided_usage, rest) = next(rest);
         let (bad_answers, rest) = next(rest);
         let (cut_off_services, rest) = next(rest);
-        let (part_crashes, _) = next(rest);
+        let (part_crashes, rest) = next(rest);
+        let (run_origins, _) = next(rest);
         let extension = Self {
             lends,
             limits,
@@ -95,6 +104,7 @@
             bad_answers,
             cut_off_services,
             part_crashes,
+            run_origins,
         };
         Ok((datagram, extension))
     }
--- a/crates/gateway/src/peers/last_state.rs
+++ b/crates/gateway/src/peers/last_state.rs
@@ -7,7 +7,7 @@
         collections::HashMap,
         time::{Duration, Instant},
     },
-    tealshore_core::ids::{EngineId, Fingerprint, ServiceId},
+    tealshore_core::ids::{EngineId, Fingerprint, RequestId, ServiceId},
     tealshore_quarantine::news::{CrashUpdate, UpdateSize},
     tealshore_runs::RunTrace,
 };
@@ -31,7 +31,7 @@
     full_sent_at: Option<Instant>,
     work: HashMap<EngineId, UpstreamWork>,
     budgets: HashMap<ServiceId, ServiceUse>,
-    runs: HashMap<Fingerprint, RunTrace>,
+    runs: HashMap<RequestId, RunTrace>,
     crashes: HashMap<Fingerprint, UpdateSize>,
 }
 
@@ -161,7 +161,7 @@
     fn new_runs(&mut self, now: &[RunTrace]) -> Vec<RunTrace> {
         let new = now.iter().filter(|run| self.is_new_run(run));
         let new = new.cloned().collect();
-        let current = now.iter().map(|run| (run.fingerprint, run.clone()));
+        let current = now.iter().map(|run| (run.request.clone(), run.clone()));
         self.runs = current.collect();
         new
     }
@@ -179,7 +179,7 @@
     }
 
     fn is_new_run(&self, run: &RunTrace) -> bool {
-        self.runs.get(&run.fingerprint) != Some(run)
+        self.runs.get(&run.request) != Some(run)
     }
 }
 
--- a/crates/gateway/src/peers/outgoing.rs
+++ b/crates/gateway/src/peers/outgoing.rs
@@ -14,6 +14,7 @@
     },
     tealshore_core::ids::ServiceId,
     tealshore_quarantine::log::UpdateScope,
+    tealshore_runs::{RunOrigin, RunTrace},
     tokio::net::UdpSocket,
 };
 
@@ -50,12 +51,7 @@
         link_mbps: peers.own.link_mbps,
         fleet_hosts: u32::try_from(peers.hosts_known()).unwrap_or(u32::MAX),
         budgets,
-        runs: state
-            .runs
-            .own(now)
-            .into_iter()
-            .take(MAX_DATAGRAM_RUNS)
-            .collect(),
+        runs: own_runs(state, now),
         named: peers.sample_peers(Some(&peers.own.hall), MAX_ADVERTISED_PEERS),
         clock_offset_ms: state.duties.own_offset_ms(state.feed.store_time(now), now),
         lease: state.duties.lease_to_report(now),
@@ -63,6 +59,13 @@
     }
 }
 
+/// Returns the newest streams that this host answers.
+fn own_runs(state: &GatewayState, now: Instant) -> Vec<RunTrace> {
+    let own = state.runs.log.lock().own(now).into_iter();
+    let newest = own.take(MAX_DATAGRAM_RUNS);
+    newest.map(|run| run.trace).collect()
+}
+
 /// Returns this host's retry budget use and roll-out reports by service.
 fn service_uses(state: &GatewayState, now: Instant) -> Vec<ServiceUse> {
     let used = state.budget_use(now).into_iter();
@@ -131,12 +134,13 @@
         let now = Instant::now();
         let (state, peers) = (&self.state, &self.state.peers);
         match datagram {
-            Datagram::State(_) => Extension {
+            Datagram::State(peer) => Extension {
                 lends: true,
                 limits: state.limits_to_report(now),
                 bad_answers: state.rollouts.bad_answers(),
                 cut_off_services: state.cut_off_services(now),
                 part_crashes: state.crashes.part_reports(now, UpdateScope::Group),
+                run_origins: self.run_origins(&peer.runs),
                 ..Extension::default()
             },
             Datagram::Digest { digest, .. } => Extension {
@@ -154,14 +158,16 @@
                 } else {
                     Vec::new()
                 },
+                run_origins: self.run_origins(&digest.runs),
                 ..Extension::default()
             },
             Datagram::Usage(_) => Extension {
                 decided_usage: state.duties.decided_to_report(),
                 ..Extension::default()
             },
-            Datagram::Delta(_) => Extension {
+            Datagram::Delta(delta) => Extension {
                 cut_off_services: self.changed_cut_off_services(now),
+                run_origins: self.run_origins(&delta.runs),
                 ..Extension::default()
             },
             Datagram::Upstreams { .. }
@@ -172,6 +178,12 @@
         }
     }
 
+    /// Returns the origins of the runs in a datagram.
+    pub(super) fn run_origins(&self, runs: &[RunTrace]) -> Vec<Option<RunOrigin>> {
+        let log = self.state.runs.log.lock();
+        log.origins(runs, Instant::now())
+    }
+
     /// Returns the services from whose upstreams this host is cut off, if there are any or the last datagram reported
     /// others.
     fn changed_cut_off_services(&self, now: Instant) -> Option<Vec<ServiceId>> {
--- a/crates/gateway/src/peers/relay.rs
+++ b/crates/gateway/src/peers/relay.rs
@@ -81,10 +81,15 @@
         .live_in_group(state.options.peers.heartbeat * 2, now);
     let round = rand::rng().random();
     let (lending_groups, not_lending) = state.peers.lending_groups_of(&digests);
+    let runs = digests
+        .iter()
+        .flat_map(|digest| digest.runs.iter().cloned());
+    let run_origins = socket.run_origins(&runs.collect::<Vec<RunTrace>>());
     let extension = Extension {
         limits: state.limits_to_report(now),
         lending_groups,
         not_lending,
+        run_origins,
         ..Extension::default()
     };
     for (receiver, share) in divide_into_shares(&group, &live, round) {
--- /dev/null
+++ b/crates/gateway/src/peers/run_inquiry.rs
@@ -0,0 +1,217 @@
+//! Asks other hosts which runs of a request they know, before a copy of a run's memory is used for a caller who
+//! resumes a stream.
+
+use {
+    super::{HostPhase, Peer, Peers, snapshot::with_status},
+    crate::{
+        connection::{CallBounds, CallFailure, short_call},
+        state::GatewayState,
+    },
+    bytes::Bytes,
+    futures::future::join_all,
+    http::{Request, Response, StatusCode, Uri, header},
+    rand::seq::{IndexedRandom, SliceRandom},
+    serde::{Deserialize, Serialize},
+    std::{
+        convert::Infallible,
+        future::ready,
+        io::ErrorKind,
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+    tealshore_core::{
+        http::{Body, full},
+        ids::{HostId, ProcessId},
+    },
+    tealshore_runs::{ContentMatch, HostReply, Inquiry, RunOrigin, RunReport},
+    tokio::{net::TcpStream, time::timeout},
+};
+
+/// Path of an inquiry; the two digests follow. A new layout of the answer needs a new path.
+const INQUIRY_PATH: &str = "/run-reports/";
+/// How long a host may take to reply. The caller waits meanwhile; most take less than two round trips.
+const INQUIRY_TIMEOUT: Duration = Duration::from_millis(100);
+/// Maximum size of a reply, in bytes.
+const MAX_REPLY_BYTES: usize = 256 * 1024;
+/// Number of hosts that are asked besides that of the run. One datagram that reports a run may be lost, two rarely are.
+const WITNESSES: usize = 2;
+
+/// The reply to an inquiry.
+#[derive(Serialize, Deserialize)]
+struct Reply {
+    process: ProcessId,
+    /// The runs that the process knows; `None` if others may be missing.
+    runs: Option<Vec<RunReport>>,
+}
+
+/// A host that is asked.
+struct Asked {
+    host: HostId,
+    address: SocketAddr,
+}
+
+impl Asked {
+    fn of(peer: &Peer) -> Self {
+        Self {
+            host: peer.state.host.clone(),
+            address: peer.state.peers_address,
+        }
+    }
+}
+
+/// Asks the host of a run, a few others, and all that were not heard lately, which runs of a request they know.
+pub async fn ask_about_runs(
+    state: &GatewayState,
+    wanted: ContentMatch,
+    run: &RunOrigin,
+) -> Inquiry {
+    let peers = &state.peers;
+    let now = Instant::now();
+    let run_host = &run.process.host;
+    let mut asked = peers.witnesses(run_host, now);
+    let has_witnesses = !asked.is_empty();
+    let unheard = peers.unheard_hosts(now);
+    let unheard_names = unheard.iter().map(|asked| asked.host.clone()).collect();
+    asked.extend(unheard.into_iter().filter(|asked| asked.host != *run_host));
+    let is_own_host = *run_host == peers.own.id;
+    if !is_own_host {
+        asked.push(Asked {
+            host: run_host.clone(),
+            address: run.address,
+        });
+    }
+    let mut replies = ask_all(asked, wanted).await;
+    if is_own_host {
+        // Only an earlier process of this host can be meant: this one knows its own runs.
+        replies.push(HostReply::Runs {
+            process: peers.process(),
+            runs: Vec::new(),
+        });
+    }
+    Inquiry {
+        replies,
+        has_witnesses,
+        unheard: unheard_names,
+    }
+}
+
+async fn ask_all(hosts: Vec<Asked>, wanted: ContentMatch) -> Vec<HostReply> {
+    join_all(hosts.into_iter().map(|asked| ask(asked, wanted))).await
+}
+
+async fn ask(asked: Asked, wanted: ContentMatch) -> HostReply {
+    let Asked { host, address } = asked;
+    let path = format!(
+        "{INQUIRY_PATH}{:016x}/{:016x}",
+        wanted.fingerprint, wanted.content
+    );
+    let request = Request::get(path).header(header::HOST, address.to_string());
+    let Ok(request) = request.body(Bytes::new()) else {
+        return HostReply::Silent(host);
+    };
+    let connecting = timeout(INQUIRY_TIMEOUT, TcpStream::connect(address));
+    let stream = match connecting.await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+            return HostReply::NotListening(host);
+        }
+        Ok(Err(_)) | Err(_) => return HostReply::Silent(host),
+    };
+    let bounds = CallBounds {
+        timeout: INQUIRY_TIMEOUT,
+        answer_bytes: MAX_REPLY_BYTES,
+    };
+    match short_call(ready(Ok::<_, Infallible>(stream)), request, bounds).await {
+        Ok((StatusCode::OK, body)) => read_reply(host, &body),
+        Ok(_) => HostReply::Unreadable(host),
+        Err(CallFailure::Closed | CallFailure::TimedOut) => HostReply::Silent(host),
+    }
+}
+
+fn read_reply(host: HostId, body: &[u8]) -> HostReply {
+    match postcard::from_bytes::<Reply>(body) {
+        Ok(Reply { process, runs }) if process.host == host => match runs {
+            Some(runs) => HostReply::Runs { process, runs },
+            None => HostReply::Incomplete(process),
+        },
+        // Another host has the address now.
+        Ok(_) | Err(_) => HostReply::Unreadable(host),
+    }
+}
+
+/// Answers an inquiry. Returns `None` for requests of other kinds.
+pub(super) fn answer_inquiry(state: &GatewayState, uri: &Uri) -> Option<Response<Body>> {
+    let wanted = parse_path(uri.path())?;
+    let recent = state.runs.log.lock().recent(wanted, Instant::now());
+    let runs = recent.filter(|_| state.runs.is_restored());
+    let process = state.peers.process();
+    match postcard::to_stdvec(&Reply { process, runs }) {
+        Ok(bytes) => {
+            state.metrics.count_peer_bytes("run-reports", bytes.len());
+            Some(Response::new(full(bytes)))
+        }
+        Err(error) => {
+            log::error!("peers: failed to encode run reports error={error}");
+            Some(with_status(StatusCode::INTERNAL_SERVER_ERROR))
+        }
+    }
+}
+
+fn parse_path(path: &str) -> Option<ContentMatch> {
+    let (fingerprint, content) = path.strip_prefix(INQUIRY_PATH)?.split_once('/')?;
+    Some(ContentMatch {
+        fingerprint: u64::from_str_radix(fingerprint, 16).ok()?,
+        content: u64::from_str_radix(content, 16).ok()?,
+    })
+}
+
+impl Peers {
+    /// Returns a few hosts besides that of a run that were heard lately. In a fleet of groups one of them is of the run's
+    /// group, which learned of the run first.
+    fn witnesses(&self, run_host: &HostId, now: Instant) -> Vec<Asked> {
+        let near_run = self.random_host_of_group(run_host, now).into_iter();
+        let near_here = self.heard_hosts(run_host, now);
+        near_run.chain(near_here).take(WITNESSES).collect()
+    }
+
+    /// Returns a random other host of the group of a host, if that is not this host's group.
+    fn random_host_of_group(&self, of_host: &HostId, now: Instant) -> Option<Asked> {
+        let members = self.groups.lock().members(self.options.silence, now);
+        let mut with_host = members.iter().filter(|(_, member)| member.host == *of_host);
+        let (hall, _) = with_host.next()?;
+        let others: Vec<_> = members
+            .iter()
+            .filter(|(of_hall, member)| of_hall == hall && member.host != *of_host)
+            .collect();
+        let (_, member) = others.choose(&mut rand::rng())?;
+        Some(Asked {
+            host: member.host.clone(),
+            address: member.peers_address,
+        })
+    }
+
+    /// Returns the hosts that were heard lately, except one and those that are starting, the nearest first.
+    fn heard_hosts(&self, except: &HostId, now: Instant) -> Vec<Asked> {
+        let known = self.known.lock();
+        let mut heard: Vec<&Peer> = known
+            .values()
+            .filter(|peer| !self.is_unheard(peer, now) && peer.state.host != *except)
+            .filter(|peer| peer.state.phase != HostPhase::Starting)
+            .collect();
+        heard.shuffle(&mut rand::rng());
+        heard.sort_by_key(|peer| self.topology.distance(&self.own.hall, &peer.state.hall));
+        heard.into_iter().map(Asked::of).collect()
+    }
+
+    /// Returns the hosts that were not heard lately.
+    fn unheard_hosts(&self, now: Instant) -> Vec<Asked> {
+        let known = self.known.lock();
+        let unheard = known.values().filter(|peer| self.is_unheard(peer, now));
+        unheard.map(Asked::of).collect()
+    }
+
+    /// Whether two heartbeats of a host or more are missing.
+    fn is_unheard(&self, peer: &Peer, now: Instant) -> bool {
+        now.saturating_duration_since(peer.last_seen) > self.options.heartbeat * 2
+    }
+}
--- a/crates/gateway/src/peers/snapshot.rs
+++ b/crates/gateway/src/peers/snapshot.rs
@@ -4,6 +4,7 @@
 mod packed;
 
 use {
+    super::run_inquiry::answer_inquiry,
     crate::{
         edge::{Revision, RowSet, StoreTime},
         feed::SetWatermark,
@@ -151,7 +152,7 @@
             RowSet::Upstreams => return Self::of_upstreams(state, None, now),
             RowSet::Runs if !state.runs.is_restored() => return None,
             RowSet::Runs => {
-                let runs = SnapshotRows::Runs(state.runs.running(now));
+                let runs = SnapshotRows::Runs(state.runs.log.lock().running(now));
                 (SetWatermark::default(), runs)
             }
             RowSet::Hosts | RowSet::Rollouts | RowSet::Duties | RowSet::Crashes => return None,
@@ -203,6 +204,9 @@
 
 fn respond(state: &GatewayState, encoded: &SnapshotCache, uri: &Uri) -> Response<Body> {
     let path_and_query = uri.path_and_query().map_or("", PathAndQuery::as_str);
+    if let Some(answer) = answer_inquiry(state, uri) {
+        return answer;
+    }
     let now = Instant::now();
     match encoded.get_or_encode(path_and_query, now, || encode(state, uri, now)) {
         Some(bytes) => {
@@ -233,9 +237,9 @@
             RowSet::Configuration => {
                 postcard::to_extend(&state.view.configuration_revision(), bytes)
             }
+            RowSet::Runs => postcard::to_extend(&state.runs.log.lock().all(now), bytes),
             RowSet::Upstreams
             | RowSet::Hosts
-            | RowSet::Runs
             | RowSet::Rollouts
             | RowSet::Duties
             | RowSet::Crashes => Ok(bytes),
@@ -250,7 +254,8 @@
     }
 }
 
-fn with_status(status: StatusCode) -> Response<Body> {
+/// Returns an empty response.
+pub(super) fn with_status(status: StatusCode) -> Response<Body> {
     let mut response = Response::new(empty());
     *response.status_mut() = status;
     response
--- a/crates/gateway/src/serve/ingress.rs
+++ b/crates/gateway/src/serve/ingress.rs
@@ -5,7 +5,8 @@
     crate::{
         edge::RequestFacts,
         forward::{
-            Call, fingerprint_of, run_plain, run_stream, shared_part_ids, strip_connection_headers,
+            Call, MAX_HOLD, content_digest_of, fingerprint_of, run_plain, run_stream,
+            shared_part_ids, strip_connection_headers,
         },
         lifecycle::InFlightGuard,
         state::GatewayState,
@@ -30,8 +31,6 @@
 
 /// How much more of a body that is too large is read before the answer.
 const MAX_DRAIN_BYTES: usize = 1024 * 1024;
-/// Maximum time for which a request is held whose caller sets no deadline, if the route's timeout is longer.
-const MAX_HOLD: Duration = Duration::from_secs(600);
 /// A final answer is sent this long before the caller or the operator stops waiting for it.
 const ANSWER_MARGIN: Duration = Duration::from_millis(20);
 /// Once a planned stop has lasted this long, new streams are refused, as they might not end in time.
@@ -272,8 +271,11 @@
         .as_ref()
         .and_then(|customer| customer.priority)
         .unwrap_or(route.priority);
+    let host = headers.get(header::HOST);
+    let content = content_digest_of(&head.method, &head.uri, host, &facts, &body);
     Call {
         fingerprint: fingerprint_of(&head.uri, &facts, &body),
+        content,
         shared_parts: shared_part_ids(facts.prompt.as_ref()),
         method: head.method,
         uri: head.uri,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,6 +5,7 @@
 mod limits;
 mod notices;
 mod paths;
+mod runs;
 mod store_heads;
 mod suspicion;
 mod upstream_counts;
--- a/crates/gateway/src/sync/apply.rs
+++ b/crates/gateway/src/sync/apply.rs
@@ -43,12 +43,7 @@
             }
             Change::Upstream(change) => apply_upstream(&self.state, revision, change, log),
             Change::Host(host) => self.state.peers.add(&host),
-            Change::Runs(runs) => {
-                let now = Instant::now();
-                for run in runs {
-                    self.state.runs.restore(run, now);
-                }
-            }
+            Change::Runs(runs) => self.state.restore_stored_runs(runs),
             Change::RolloutOrder(order) => apply_rollout_order(&self.state, order),
             Change::Rollout(record) => {
                 if apply_rollout_record(&self.state, revision, &record) {
--- a/crates/gateway/src/sync/from_peers.rs
+++ b/crates/gateway/src/sync/from_peers.rs
@@ -23,6 +23,7 @@
         time::{Duration, Instant},
     },
     tealshore_core::{ids::EngineId, spread::with_jitter},
+    tealshore_runs::{KnownRun, RunReport},
 };
 
 /// Limits of a call for a set. The limit of the whole call is much longer than the idle timeout, so that a
@@ -189,13 +190,9 @@
                 .peers
                 .snapshot_sources(RowSet::Runs, 0, SourceScope::AllHalls, now);
         for source in sources.into_iter().take(MAX_PEERS_ASKED) {
-            let snapshot = fetch(RowSet::Runs, 0, source).await;
-            if let Some(SnapshotRows::Runs(runs)) = snapshot.map(|(snapshot, _)| snapshot.rows) {
+            if let Some(runs) = fetch_runs(source).await {
                 log::info!("feed: received runs peer={source} runs={}", runs.len());
-                let now = Instant::now();
-                for run in runs {
-                    self.state.runs.restore(run, now);
-                }
+                self.state.restore_runs(runs);
                 return true;
             }
         }
@@ -295,6 +292,31 @@
     Some((snapshot, configuration_row))
 }
 
+/// Fetches the recent runs from another host. A host of an earlier build tells only which ones run, without their
+/// origins.
+async fn fetch_runs(source: SocketAddr) -> Option<Vec<RunReport>> {
+    let (status, body) = get(&snapshot_path(RowSet::Runs), source).await?;
+    if !status.is_success() {
+        return None;
+    }
+    let (snapshot, rest) = postcard::take_from_bytes::<SetSnapshot>(&body).ok()?;
+    let SnapshotRows::Runs(running) = snapshot.rows else {
+        return None;
+    };
+    if let Ok((reports, _)) = postcard::take_from_bytes(rest) {
+        return Some(reports);
+    }
+    let reports = running.into_iter().map(|trace| RunReport {
+        run: KnownRun {
+            trace,
+            origin: None,
+        },
+        state: None,
+        age: Duration::ZERO,
+    });
+    Some(reports.collect())
+}
+
 async fn get(path: &str, source: SocketAddr) -> Option<(StatusCode, Bytes)> {
     let request = Request::get(path).header(header::HOST, source.to_string());
     let request = request.body(Bytes::new()).ok()?;
--- a/crates/gateway/src/sync/runs.rs
+++ b/crates/gateway/src/sync/runs.rs
@@ -32,8 +32,8 @@
             if !self.writes_for_group(now) {
                 continue;
             }
-            let running = self.state.runs.running_in_group(now);
-            let has_change = running.iter().any(|run| !written.contains(run));
+            let running = self.state.runs.log.lock().running_in_group(now);
+            let has_change = running.iter().any(|run| !written.contains(&run.trace));
             if !has_change {
                 continue;
             }
@@ -42,7 +42,7 @@
             match self.write(request).await {
                 Ok(()) => {
                     self.record_recovery();
-                    written = running;
+                    written = running.into_iter().map(|run| run.trace).collect();
                 }
                 Err(failure) => self.pause_after(&failure).await,
             }
--- a/crates/gateway/tests/frames.rs
+++ b/crates/gateway/tests/frames.rs
@@ -33,7 +33,7 @@
         parts::{crash::PossibleCause, news::PartCrashReport},
     },
     tealshore_rates::LimitUpdate,
-    tealshore_runs::RunTrace,
+    tealshore_runs::{KnownRun, RunOrigin, RunReport, RunState, RunTrace},
 };
 
 fn address(port: u16) -> SocketAddr {
@@ -320,6 +320,7 @@
         bad_answers: Vec::new(),
         cut_off_services: None,
         part_crashes: Vec::new(),
+        run_origins: Vec::new(),
     }
 }
 
@@ -422,6 +423,20 @@
     }
 }
 
+fn extension_with_run_origins() -> Extension {
+    let origin = RunOrigin {
+        process: process(),
+        address: address(7_200),
+        content: 0x0123_4567_89ab_cdef,
+        continues: Some("r-0".to_owned()),
+        waits_ms: 24_000,
+    };
+    Extension {
+        run_origins: vec![Some(origin), None],
+        ..Extension::default()
+    }
+}
+
 /// The extension of a datagram is optional: the previous build decodes the datagram without it, and a field that is
 /// missing gets its default here.
 #[test]
@@ -498,6 +513,21 @@
     );
 }
 
+#[test]
+fn run_origins_are_compatible_with_earlier_and_later_builds() {
+    let frame = include_str!("frames/6-delta-run-origins.hex");
+    let written = delta().to_bytes().unwrap();
+    let written = extension_with_run_origins().write(written).unwrap();
+    assert_eq!(hex(&written), frame.trim());
+    let (_, read) = Extension::read(&bytes_of(frame)).unwrap();
+    assert_eq!(read, extension_with_run_origins());
+    let decoded_by_previous_build = Datagram::from_bytes(&bytes_of(frame)).unwrap();
+    assert_eq!(
+        format!("{decoded_by_previous_build:?}"),
+        format!("{:?}", delta())
+    );
+}
+
 #[test]
 fn part_crashes_are_compatible_with_earlier_and_later_builds() {
     let frame = include_str!("frames/6-limits-part-crashes.hex");
@@ -526,6 +556,38 @@
     assert_eq!(hex(&written), frame.trim());
 }
 
+/// The reports follow the set, which is all that the previous build reads.
+#[test]
+fn a_snapshot_of_runs_is_compatible_with_earlier_and_later_builds() {
+    let frame = include_str!("frames/snapshot-runs.hex");
+    let set = SetSnapshot {
+        watermark: SetWatermark::default(),
+        rows: SnapshotRows::Runs(runs()),
+        ..snapshot()
+    };
+    let ended = RunState::Ended {
+        last_event: Some(9),
+        is_complete: true,
+    };
+    let states = [None, Some(RunState::Answering), Some(ended)];
+    let reports = states.map(|state| RunReport {
+        run: KnownRun {
+            trace: runs().remove(0),
+            origin: extension_with_run_origins().run_origins[0].clone(),
+        },
+        state,
+        age: Duration::from_millis(1_500),
+    });
+    let written = postcard::to_stdvec(&set).unwrap();
+    let written = postcard::to_extend(&reports.to_vec(), written).unwrap();
+    assert_eq!(hex(&written), frame.trim());
+    let bytes = bytes_of(frame);
+    let (read, rest) = postcard::take_from_bytes::<SetSnapshot>(&bytes).unwrap();
+    assert_eq!(format!("{read:?}"), format!("{set:?}"));
+    let read: Vec<RunReport> = postcard::from_bytes(rest).unwrap();
+    assert_eq!(read, reports);
+}
+
 fn upstream_changes() -> SetSnapshot {
     SetSnapshot {
         rows: SnapshotRows::UpstreamChanges(UpstreamChanges {
--- /dev/null
+++ b/crates/runs/src/log.rs
@@ -0,0 +1,337 @@
+//! The recent runs that a host knows, its own and those of other hosts.
+
+use {
+    crate::{
+        inquiry::{RunReport, RunState},
+        trace::{ContentDigest, EventId, KnownRun, RunOrigin, RunTrace},
+    },
+    std::{
+        collections::HashMap,
+        time::{Duration, Instant},
+    },
+    tealshore_core::ids::{EngineId, Fingerprint, RequestId},
+};
+
+/// How long the copy of a run that ended is used: engines keep copies for some seconds.
+const COPY_RETENTION: Duration = Duration::from_secs(6);
+/// How long an engine may keep a prompt that it has read.
+const PROMPT_RETENTION: Duration = Duration::from_secs(30);
+/// How long a run is kept at least after it was last known to be answered. It is kept for longer while its caller waits:
+/// once it is forgotten, its caller could be taken for that of another run.
+const MIN_RUN_RETENTION: Duration = Duration::from_secs(30);
+/// How long a run of another host counts as running after it was last reported.
+const RUNNING_TIMEOUT: Duration = Duration::from_secs(5);
+/// Maximum number of runs of other hosts.
+const MAX_PEER_RUNS: usize = 20_000;
+
+/// The host on which a run is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunLocation {
+    /// This host, or another one of its group.
+    InGroup,
+    /// A host of another group, which keeps the run in the store.
+    OtherGroup,
+}
+
+/// Whose runs a lookup returns.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ContentMatch {
+    /// The digest under which runs are kept.
+    pub fingerprint: Fingerprint,
+    /// Digest of all that the request asks for. Runs without a known content match as well.
+    pub content: ContentDigest,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum EntryState {
+    /// This process answers the caller.
+    Answering { begun: Instant },
+    /// This process answered the caller until then.
+    Ended {
+        at: Instant,
+        last_event: Option<EventId>,
+        is_complete: bool,
+    },
+    /// Another host reported the run, then for the last time.
+    Reported { at: Instant },
+}
+
+struct Entry {
+    run: KnownRun,
+    location: RunLocation,
+    state: EntryState,
+    /// Until when its caller may resume, if that is known.
+    waits_until: Option<Instant>,
+}
+
+impl Entry {
+    fn new(run: KnownRun, location: RunLocation, state: EntryState, now: Instant) -> Self {
+        let waits_until = run.caller_waits().and_then(|waits| now.checked_add(waits));
+        Self {
+            run,
+            location,
+            state,
+            waits_until,
+        }
+    }
+
+    fn is_expired(&self, now: Instant) -> bool {
+        let may_resume = self.waits_until.is_some_and(|until| now <= until);
+        self.age(now) > MIN_RUN_RETENTION && !may_resume
+    }
+
+    /// The run, with the time for which its caller waits from now on.
+    fn run_at(&self, now: Instant) -> KnownRun {
+        let mut run = self.run.clone();
+        if let (Some(origin), Some(until)) = (&mut run.origin, self.waits_until) {
+            let left = until.saturating_duration_since(now).as_millis();
+            origin.waits_ms = u64::try_from(left).unwrap_or(u64::MAX);
+        }
+        run
+    }
+
+    /// Time since the run was last known to be answered.
+    fn age(&self, now: Instant) -> Duration {
+        match self.state {
+            EntryState::Answering { .. } => Duration::ZERO,
+            EntryState::Ended { at, .. } | EntryState::Reported { at } => {
+                now.saturating_duration_since(at)
+            }
+        }
+    }
+
+    /// The state of the answer, if this process gives it.
+    fn own_state(&self) -> Option<RunState> {
+        match self.state {
+            EntryState::Answering { .. } => Some(RunState::Answering),
+            EntryState::Ended {
+                last_event,
+                is_complete,
+                ..
+            } => Some(RunState::Ended {
+                last_event,
+                is_complete,
+            }),
+            EntryState::Reported { .. } => None,
+        }
+    }
+
+    fn is_complete(&self) -> bool {
+        match self.state {
+            EntryState::Ended { is_complete, .. } => is_complete,
+            EntryState::Answering { .. } | EntryState::Reported { .. } => false,
+        }
+    }
+
+    fn is_running(&self, now: Instant) -> bool {
+        !self.is_complete() && self.age(now) <= RUNNING_TIMEOUT
+    }
+
+    /// The run, without a copy that engines no longer keep.
+    fn report(&self, now: Instant) -> RunReport {
+        let mut run = self.run_at(now);
+        let age = self.age(now);
+        if age > COPY_RETENTION {
+            run.trace.copy = None;
+        }
+        RunReport {
+            run,
+            state: self.own_state(),
+            age,
+        }
+    }
+}
+
+/// Recent runs, by the fingerprint of their request and the attempt for which they ran.
+#[derive(Default)]
+pub struct RunLog {
+    entries: HashMap<Fingerprint, Vec<Entry>>,
+    /// Number of runs of other hosts.
+    peer_runs: usize,
+    /// When a run was last left out for lack of room.
+    left_out: Option<Instant>,
+}
+
+impl RunLog {
+    /// Records that this process answers a request. Replaces what is known of the same attempt, which moved to another
+    /// engine.
+    pub fn begin(&mut self, run: KnownRun, now: Instant) {
+        let state = EntryState::Answering { begun: now };
+        let entry = Entry::new(run, RunLocation::InGroup, state, now);
+        self.remove(entry.run.trace.fingerprint, &entry.run.trace.request);
+        self.push(entry);
+    }
+
+    /// Records that this process ended an answer, with the last event that was passed on to the caller.
+    pub fn end(
+        &mut self,
+        fingerprint: Fingerprint,
+        request: &RequestId,
+        last_event: Option<EventId>,
+        is_complete: bool,
+        now: Instant,
+    ) {
+        if let Some(entry) = self.find(fingerprint, request)
+            && entry.own_state().is_some()
+        {
+            entry.state = EntryState::Ended {
+                at: now,
+                last_event,
+                is_complete,
+            };
+        }
+    }
+
+    /// Records a run of another host that was answered `age` ago.
+    pub fn record_peer(
+        &mut self,
+        run: KnownRun,
+        location: RunLocation,
+        age: Duration,
+        now: Instant,
+    ) {
+        let at = now.checked_sub(age).unwrap_or(now);
+        let (fingerprint, request) = (run.trace.fingerprint, run.trace.request.clone());
+        if let Some(known) = self.find(fingerprint, &request) {
+            let EntryState::Reported { at: known_at } = known.state else {
+                return;
+            };
+            if at < known_at {
+                return;
+            }
+            let (origin, waits_until) = (known.run.origin.take(), known.waits_until);
+            *known = Entry::new(run, location, EntryState::Reported { at }, now);
+            known.run.origin = known.run.origin.take().or(origin);
+            known.waits_until = known.waits_until.or(waits_until);
+            return;
+        }
+        if self.peer_runs >= MAX_PEER_RUNS {
+            self.left_out = Some(now);
+            return;
+        }
+        self.push(Entry::new(run, location, EntryState::Reported { at }, now));
+    }
+
+    /// Returns the engine that ran a request of this content last and may still have its prompt cached.
+    #[must_use]
+    pub fn last_engine(&self, wanted: ContentMatch, now: Instant) -> Option<EngineId> {
+        let mut matching = self.matching(wanted, now).rev();
+        let entry =
+            matching.find(|entry| !entry.is_complete() && entry.age(now) <= PROMPT_RETENTION)?;
+        Some(entry.run.trace.engine.clone())
+    }
+
+    /// Returns the recent runs of requests of this content, or none if some may be missing.
+    #[must_use]
+    pub fn recent(&self, wanted: ContentMatch, now: Instant) -> Option<Vec<RunReport>> {
+        let is_lacking = self
+            .left_out
+            .is_some_and(|at| now.saturating_duration_since(at) <= MIN_RUN_RETENTION);
+        let reports = self.matching(wanted, now).map(|entry| entry.report(now));
+        (!is_lacking).then(|| reports.collect())
+    }
+
+    /// Returns all recent runs, for a host that starts.
+    #[must_use]
+    pub fn all(&self, now: Instant) -> Vec<RunReport> {
+        let entries = self.entries.values().flatten();
+        let recent = entries.filter(|entry| !entry.is_expired(now));
+        recent.map(|entry| entry.report(now)).collect()
+    }
+
+    /// Returns the runs that this process answers, the newest first. Removes entries that have expired.
+    pub fn own(&mut self, now: Instant) -> Vec<KnownRun> {
+        self.remove_expired(now);
+        let mut own: Vec<(Instant, KnownRun)> = self
+            .entries
+            .values()
+            .flatten()
+            .filter_map(|entry| match entry.state {
+                EntryState::Answering { begun } => Some((begun, entry.run_at(now))),
+                EntryState::Ended { .. } | EntryState::Reported { .. } => None,
+            })
+            .collect();
+        own.sort_by_key(|(begun, run)| (std::cmp::Reverse(*begun), run.trace.fingerprint));
+        own.into_iter().map(|(_, run)| run).collect()
+    }
+
+    /// Returns where streams run, according to recent reports, ordered by fingerprint.
+    #[must_use]
+    pub fn running(&self, now: Instant) -> Vec<RunTrace> {
+        let running = self.running_where(now, |_| true);
+        running.into_iter().map(|run| run.trace).collect()
+    }
+
+    /// Returns the running streams of this host's group, for the store, ordered by fingerprint.
+    #[must_use]
+    pub fn running_in_group(&self, now: Instant) -> Vec<KnownRun> {
+        self.running_where(now, |location| location == RunLocation::InGroup)
+    }
+
+    /// Returns the origins of runs, in the same order.
+    #[must_use]
+    pub fn origins(&self, runs: &[RunTrace], now: Instant) -> Vec<Option<RunOrigin>> {
+        let origin_of = |run: &RunTrace| {
+            let mut entries = self.entries.get(&run.fingerprint)?.iter();
+            let entry = entries.find(|entry| entry.run.trace.request == run.request)?;
+            entry.run_at(now).origin
+        };
+        runs.iter().map(origin_of).collect()
+    }
+
+    fn running_where(&self, now: Instant, matches: impl Fn(RunLocation) -> bool) -> Vec<KnownRun> {
+        let entries = self.entries.values().flatten();
+        let running = entries.filter(|entry| matches(entry.location) && entry.is_running(now));
+        let mut runs: Vec<KnownRun> = running.map(|entry| entry.run_at(now)).collect();
+        runs.sort_by(|a, b| {
+            let key = |run: &KnownRun| (run.trace.fingerprint, run.trace.request.clone());
+            key(a).cmp(&key(b))
+        });
+        runs
+    }
+
+    /// The recent runs of requests of this content, in the order in which they were recorded first.
+    fn matching(
+        &self,
+        wanted: ContentMatch,
+        now: Instant,
+    ) -> impl DoubleEndedIterator<Item = &Entry> {
+        let entries = self.entries.get(&wanted.fingerprint).into_iter().flatten();
+        entries.filter(move |entry| {
+            entry.run.may_have_content(wanted.content) && !entry.is_expired(now)
+        })
+    }
+
+    fn find(&mut self, fingerprint: Fingerprint, request: &RequestId) -> Option<&mut Entry> {
+        let mut entries = self.entries.get_mut(&fingerprint)?.iter_mut();
+        entries.find(|entry| entry.run.trace.request == *request)
+    }
+
+    fn push(&mut self, entry: Entry) {
+        if entry.own_state().is_none() {
+            self.peer_runs += 1;
+        }
+        let entries = self.entries.entry(entry.run.trace.fingerprint);
+        entries.or_default().push(entry);
+    }
+
+    fn remove(&mut self, fingerprint: Fingerprint, request: &RequestId) {
+        let Some(entries) = self.entries.get_mut(&fingerprint) else {
+            return;
+        };
+        let removed = entries.extract_if(.., |entry| entry.run.trace.request == *request);
+        let of_peers = removed.filter(|entry| entry.own_state().is_none());
+        self.peer_runs -= of_peers.count();
+    }
+
+    fn remove_expired(&mut self, now: Instant) {
+        let mut peer_runs = 0;
+        self.entries.retain(|_, entries| {
+            entries.retain(|entry| !entry.is_expired(now));
+            let of_peers = entries.iter().filter(|entry| entry.own_state().is_none());
+            peer_runs += of_peers.count();
+            !entries.is_empty()
+        });
+        self.peer_runs = peer_runs;
+    }
+}
