Send no stream to a service that the configuration does not give it to

Cause: the holder of a copy and the engine with the prompt cached are preferred to the usual choice, and were checked for a row, notices, suspicion and roll-outs, but not for their service; only the usual choice looked among the upstreams of the service. The check just before the send did not ask it either.

Change: one function, check_send, asks service, row, version, leaving and rest, and each send passes it on its open connection. The two preferring ways ask it too, in place of checks of their own.

Conclusion: of the ways that exist, retry, hedge, tunnel and the usual choice pass the same function and were not at fault; a request that was sent before the change may stay at its service, as the rule says.

--- a/crates/core/src/protection.rs
+++ b/crates/core/src/protection.rs
@@ -27,6 +27,8 @@
     PinnedVersion,
     /// An upstream that the host list marks as leaving gets no new requests.
     LeavingCheck,
+    /// A request is sent only to an upstream of the service that the configuration gives it to.
+    ServiceCheck,
     /// A stream event is forwarded only at the next expected position.
     EventPosition,
     /// Requests that are authenticated by API key are not forwarded while the view of the store is
@@ -104,6 +106,7 @@
             Self::TokenSignature => "token-signature",
             Self::PinnedVersion => "pinned-version",
             Self::LeavingCheck => "leaving-check",
+            Self::ServiceCheck => "service-check",
             Self::EventPosition => "event-position",
             Self::KeyAge => "key-age",
             Self::AnswerIdentity => "answer-identity",
--- a/crates/gateway/src/forward/connect.rs
+++ b/crates/gateway/src/forward/connect.rs
@@ -4,9 +4,15 @@
 //! another request, and no request is sent on a connection that the upstream is closing.
 
 use {
-    super::dial::{DialFailure, Dialed, dial},
+    super::{
+        call::Call,
+        dial::{DialFailure, Dialed, dial},
+    },
     crate::{
-        connection::Connection, edge::AnswerFacts, rollout::Outcome, state::GatewayState,
+        connection::Connection,
+        edge::AnswerFacts,
+        rollout::Outcome,
+        state::{GatewayState, SendBarrier},
         view::Upstream,
     },
     bytes::Bytes,
@@ -19,7 +25,6 @@
     hyper_util::rt::TokioIo,
     std::time::Instant,
     tealshore_core::protection::{Protection, enabled},
-    tealshore_notices::Availability,
 };
 
 /// Why a request got no answer.
@@ -27,10 +32,8 @@
 pub enum SendFailure {
     /// No byte of the request was sent: the upstream cannot be reached.
     Unreachable,
-    /// No byte of the request was sent: the upstream takes no new work.
-    Leaving,
-    /// No byte of the request was sent: after it was chosen, the upstream asked for rest.
-    Resting,
+    /// No byte of the request was sent: the upstream may not get it.
+    Barred(SendBarrier),
     /// No byte of the request was sent: the limit that the upstream sets is used up.
     Limited,
     /// The request was sent, but no complete answer head arrived.
@@ -44,8 +47,11 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::Unreachable => "unreachable",
-            Self::Leaving => "leaving",
-            Self::Resting => "resting",
+            Self::Barred(SendBarrier::OtherService) => "other-service",
+            Self::Barred(
+                SendBarrier::Leaving | SendBarrier::VersionStopped | SendBarrier::AnnouncedLeaving,
+            ) => "leaving",
+            Self::Barred(SendBarrier::Resting) => "resting",
             Self::Limited => "limited",
             Self::Unanswered => "unanswered",
             Self::ForeignAnswer => "foreign-answer",
@@ -56,7 +62,7 @@
     /// did not run.
     pub fn outcome(self) -> Option<Outcome> {
         match self {
-            Self::Unreachable | Self::Leaving | Self::Resting | Self::Limited => None,
+            Self::Unreachable | Self::Barred(_) | Self::Limited => None,
             Self::Unanswered => Some(Outcome::Lost),
             Self::ForeignAnswer => Some(Outcome::Failed),
         }
@@ -97,16 +103,17 @@
     pub connection: Connection,
 }
 
-/// Sends a request and waits for the head of its answer.
+/// Sends a call's request and waits for the head of its answer.
 ///
 /// # Errors
 /// No answer to this request arrived.
 pub async fn send(
     state: &GatewayState,
+    call: &Call,
     upstream: &Upstream,
     request: Request<Full<Bytes>>,
-    id: &str,
 ) -> Result<Answer, SendFailure> {
+    let id = call.id();
     let dialed = dial(state, upstream).await;
     let Dialed { stream, through } = dialed.map_err(|_| SendFailure::Unreachable)?;
     if let Some(host) = through {
@@ -121,7 +128,7 @@
         // Whoever reads the answer sees how the connection ended.
         let _ = driver.await;
     }));
-    check_takes_work(state, upstream)?;
+    begin_send(state, call, upstream)?;
     let sent = Instant::now();
     let answer = sender.send_request(request).await;
     let (head, body) = answer.map_err(|_| SendFailure::Unanswered)?.into_parts();
@@ -139,22 +146,17 @@
     })
 }
 
-/// Checks again, now that the connection is open, whether the upstream takes new work. Its row or its answer
-/// to another request may have changed that since it was chosen.
-fn check_takes_work(state: &GatewayState, upstream: &Upstream) -> Result<(), SendFailure> {
-    let accepts_work = state.view.upstreams.accepts_work(&upstream.record.id);
-    if !accepts_work || !state.rollouts.accepts_requests(&upstream.record) {
-        return Err(SendFailure::Leaving);
-    }
-    let now = Instant::now();
-    match state.availability(&upstream.record, now) {
-        // Every send of a caller's request passes here, also a retry, a hedge or a resumed stream, so each one
-        // takes its permit here. Probes and copy calls don't pass here and are sent without a permit.
-        Availability::Open if state.take_permit(&upstream.record, now) => Ok(()),
-        Availability::Open => Err(SendFailure::Limited),
-        Availability::Resting { .. } => Err(SendFailure::Resting),
-        Availability::Leaving => Err(SendFailure::Leaving),
+/// Checks, now that the connection is open, whether the upstream may get the request, and takes a permit for it. Its
+/// row or its answer to another request may have changed since it was chosen. Probes and copy calls don't pass here
+/// and are sent without a permit.
+fn begin_send(state: &GatewayState, call: &Call, upstream: &Upstream) -> Result<(), SendFailure> {
+    let (record, now) = (&upstream.record, Instant::now());
+    let checked = state.check_send(&call.service, record, now);
+    checked.map_err(SendFailure::Barred)?;
+    if !state.take_permit(record, now) {
+        return Err(SendFailure::Limited);
     }
+    Ok(())
 }
 
 /// Tests whether an upstream accepts a new connection, and closes it.
--- a/crates/gateway/src/forward/plain/attempt.rs
+++ b/crates/gateway/src/forward/plain/attempt.rs
@@ -103,7 +103,7 @@
         resume_from: None,
     };
     let request = call.request_for(state, upstream, &order);
-    match connect::send(state, upstream, request, call.id()).await {
+    match connect::send(state, call, upstream, request).await {
         Ok(answer) => {
             let body_end = answer.body_end;
             let (end, cause) = read(answer).await;
@@ -134,7 +134,7 @@
         return AttemptEnd::Unknown(outcome);
     }
     match failure {
-        SendFailure::Leaving | SendFailure::Resting | SendFailure::Limited => AttemptEnd::Declined,
+        SendFailure::Barred(_) | SendFailure::Limited => AttemptEnd::Declined,
         SendFailure::Unreachable | SendFailure::Unanswered | SendFailure::ForeignAnswer => {
             AttemptEnd::Unreachable
         }
--- a/crates/gateway/src/forward/stream/choose.rs
+++ b/crates/gateway/src/forward/stream/choose.rs
@@ -4,6 +4,7 @@
     super::StreamRun,
     crate::{balance::Need, view::Upstream},
     std::{sync::Arc, time::Instant},
+    tealshore_core::ids::EngineId,
     tealshore_runs::MemoryCopy,
 };
 
@@ -30,27 +31,24 @@
             self.copy = None;
             self.prompt_cached_at = None;
         }
-        if let Some(copy) = self.copy.take() {
-            let holder = self.state.view.upstreams.get(&copy.upstream);
-            let usable = holder.filter(|holder| {
-                !holder.is_suspected(now)
-                    && self.state.accepts_work(&copy.upstream)
-                    && self.state.may_receive(holder)
+        let service = &self.call.service;
+        let preferable = |id: &EngineId| {
+            let upstream = self.state.view.upstreams.get(id)?;
+            let may_prefer = self.state.may_prefer(service, &upstream, now);
+            may_prefer.then_some(upstream)
+        };
+        if let Some(copy) = self.copy.take()
+            && let Some(holder) = preferable(&copy.upstream)
+        {
+            return Some(Chosen {
+                upstream: holder,
+                resume_from: Some(copy),
+                has_prompt_cached: true,
             });
-            if let Some(holder) = usable {
-                return Some(Chosen {
-                    upstream: holder,
-                    resume_from: Some(copy),
-                    has_prompt_cached: true,
-                });
-            }
         }
         if let Some(cached_at) = self.prompt_cached_at.take()
-            && let Some(upstream) = self.state.view.upstreams.get(&cached_at)
-            && self.state.accepts_work(&cached_at)
-            && !upstream.is_suspected(now)
             && !self.avoid.contains(&cached_at)
-            && self.state.may_receive(&upstream)
+            && let Some(upstream) = preferable(&cached_at)
         {
             return Some(Chosen {
                 upstream,
@@ -58,7 +56,6 @@
                 has_prompt_cached: true,
             });
         }
-        let service = &self.call.service;
         let chosen = self
             .state
             .choose_upstream(service, self.need(), &self.avoid)?;
--- a/crates/gateway/src/forward/stream/order.rs
+++ b/crates/gateway/src/forward/stream/order.rs
@@ -73,10 +73,9 @@
             resume_from: plan.resume_from.as_ref(),
         };
         let request = self.call.request_for(&self.state, upstream, &order);
-        let id = self.call.id();
         self.tried.begin(&upstream.record.id);
         self.deliveries += 1;
-        let sending = connect::send(&self.state, upstream, request, id);
+        let sending = connect::send(&self.state, &self.call, upstream, request);
         let pending_request = PendingRequest {
             request: &self.call.request(),
             silence_limits: plan.silence_limits,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,11 +6,12 @@
 mod notices;
 mod paths;
 mod runs;
+mod send_gate;
 mod store_heads;
 mod suspicion;
 mod upstream_counts;
 
-pub use limits::ClosedReason;
+pub use {limits::ClosedReason, send_gate::SendBarrier};
 
 use {
     crate::{
--- a/crates/gateway/src/state/choice.rs
+++ b/crates/gateway/src/state/choice.rs
@@ -78,12 +78,6 @@
         options.topology.distance(&options.host.hall, hall)
     }
 
-    /// Whether a request may be sent to the upstream that it prefers, under the limits of roll-outs.
-    pub fn may_receive(&self, upstream: &Upstream) -> bool {
-        let bounds = self.options.bounds.rollouts;
-        self.rollouts.accepts_affinity(&upstream.record, bounds)
-    }
-
     fn choose_among(
         &self,
         ready: &[Arc<Upstream>],
--- a/crates/gateway/src/state/notices.rs
+++ b/crates/gateway/src/state/notices.rs
@@ -7,7 +7,7 @@
         view::{Upstream, UpstreamRecord},
     },
     std::time::Instant,
-    tealshore_core::ids::{EngineId, ServiceId},
+    tealshore_core::ids::ServiceId,
     tealshore_notices::{Availability, RestRequest},
 };
 
@@ -95,17 +95,6 @@
         notices.availability(&record.id, record.born, now)
     }
 
-    /// Whether an upstream may currently get new work, according to its row, its notices and its rate limit.
-    pub fn accepts_work(&self, id: &EngineId) -> bool {
-        let now = Instant::now();
-        let upstream = self.view.upstreams.get(id);
-        self.view.upstreams.accepts_work(id)
-            && upstream.is_some_and(|it| {
-                self.availability(&it.record, now) == Availability::Open
-                    && !self.lacks_permit(&it.record, now)
-            })
-    }
-
     /// If all ready upstreams of a service are closed: why the one that opens first is closed, and for how long. Until
     /// then no request can be sent, and waiting is of no use. Upstreams that announced that they are leaving don't count.
     /// `None` if one is open or may open at any moment, or if there are no others.
