Count an unframed end through another host as whole only if that host confirms it

What callers saw: a host without paths of its own reaches upstreams through another host.

Cause: the kernel ends the connections of a killed process in order, which looks like the end of such an answer. The reading host asked only whether the upstream still lived.

Change: the host that asks for a tunnel gives it an id; the lending host remembers which tunnels their upstream ended in order, and is asked for an unframed end. What it does not confirm counts as cut: streams resume, safe calls are repeated, others end with 502. Hosts of the build before confirm nothing and open tunnels as before.

Conclusion: whole unframed answers through living hosts, also through one that stops as planned, are forwarded whole as before, at the price of one question.

--- a/crates/core/src/protection.rs
+++ b/crates/core/src/protection.rs
@@ -85,6 +85,8 @@
     RestoreGrace,
     /// A host without a direct path to an upstream connects through another host.
     Tunnels,
+    /// The end of a connection through another host ends an answer only if that host confirms that the upstream made it.
+    TunnelEnd,
     /// An upstream that only this host found unreachable is not reported to other hosts.
     ConfirmedSuspicion,
     /// All hosts together have no more calls at an upstream that fails when it rejects too many than it has slots.
@@ -133,6 +135,7 @@
             Self::StoreEra => "store-era",
             Self::RestoreGrace => "restore-grace",
             Self::Tunnels => "tunnels",
+            Self::TunnelEnd => "tunnel-end",
             Self::ConfirmedSuspicion => "confirmed-suspicion",
             Self::BrittleSlots => "brittle-slots",
         }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -9,6 +9,7 @@
 mod prompt_parts;
 mod reservation;
 mod stream;
+mod unframed_end;
 
 pub use {
     call::{Call, MAX_HOLD, content_digest_of, fingerprint_of, strip_connection_headers},
--- a/crates/gateway/src/forward/connect.rs
+++ b/crates/gateway/src/forward/connect.rs
@@ -6,7 +6,7 @@
 use {
     super::{
         call::Call,
-        dial::{DialFailure, Dialed, dial},
+        dial::{DialFailure, Dialed, Tunnel, dial},
     },
     crate::{
         connection::Connection,
@@ -99,6 +99,8 @@
     pub body: Incoming,
     /// How the end of the body is recognised.
     pub body_end: BodyEnd,
+    /// The tunnel through which the answer comes; `None` if the connection is direct.
+    pub through: Option<Tunnel>,
     /// The connection, which must be kept while the body is read.
     pub connection: Connection,
 }
@@ -116,10 +118,12 @@
     let id = call.id();
     let dialed = dial(state, upstream).await;
     let Dialed { stream, through } = dialed.map_err(|_| SendFailure::Unreachable)?;
-    if let Some(host) = through {
+    if let Some(tunnel) = &through {
         log::info!(
-            "path: request sent through another host request={id} upstream={} through={host}",
-            upstream.record.id
+            "path: request sent through another host request={id} upstream={} through={} tunnel={:016x}",
+            upstream.record.id,
+            tunnel.host,
+            tunnel.id
         );
     }
     let handshake = http1::handshake(TokioIo::new(stream)).await;
@@ -142,6 +146,7 @@
         head,
         facts,
         body,
+        through,
         connection,
     })
 }
--- a/crates/gateway/src/forward/dial.rs
+++ b/crates/gateway/src/forward/dial.rs
@@ -15,7 +15,7 @@
         time::{Duration, Instant},
     },
     tealshore_core::ids::HostId,
-    tealshore_paths::DialOrder,
+    tealshore_paths::{DialOrder, TunnelId},
     tokio::{
         net::{TcpSocket, TcpStream},
         time::{sleep, timeout},
@@ -50,12 +50,23 @@
     }
 }
 
+/// A tunnel that another host opened for this one.
+#[derive(Clone, Debug)]
+pub struct Tunnel {
+    /// The host.
+    pub host: HostId,
+    /// The address at which it opens tunnels.
+    pub address: SocketAddr,
+    /// The id that this host gave to the tunnel.
+    pub id: TunnelId,
+}
+
 /// An open connection to an upstream.
 pub struct Dialed {
     /// The connection.
     pub stream: TcpStream,
-    /// The host through which it passes; `None` if it is direct.
-    pub through: Option<HostId>,
+    /// The tunnel through which it passes; `None` if it is direct.
+    pub through: Option<Tunnel>,
 }
 
 /// Opens a connection to an upstream.
@@ -107,7 +118,7 @@
 /// The end of one way to connect.
 enum Ended {
     Direct(io::Result<TcpStream>),
-    Tunnel(HostId, Result<TcpStream, TunnelFailure>),
+    Tunnel(Tunnel, Result<TcpStream, TunnelFailure>),
 }
 
 /// The ways to connect to one upstream that are tried at the same time.
@@ -167,9 +178,14 @@
             return;
         };
         let record = self.record;
+        let tunnel = Tunnel {
+            host: host.host,
+            address: host.address,
+            id: rand::random(),
+        };
         let asking = async move {
-            let opened = open_tunnel(host.address, record).await;
-            Ended::Tunnel(host.host, opened)
+            let opened = open_tunnel(tunnel.address, tunnel.id, record).await;
+            Ended::Tunnel(tunnel, opened)
         };
         self.attempts.push(asking.boxed());
     }
@@ -198,11 +214,11 @@
                 self.failure = DialFailure::of(&error);
                 None
             }
-            Ended::Tunnel(host, Ok(stream)) => {
-                self.state.record_tunnel(self.record, &host);
+            Ended::Tunnel(tunnel, Ok(stream)) => {
+                self.state.record_tunnel(self.record, &tunnel.host);
                 Some(Ok(Dialed {
                     stream,
-                    through: Some(host),
+                    through: Some(tunnel),
                 }))
             }
             Ended::Tunnel(_, Err(TunnelFailure::Unreachable(failure))) => {
@@ -210,14 +226,15 @@
                 paths.record_confirmed_unreachable(&self.record.id);
                 Some(Err(failure))
             }
-            Ended::Tunnel(host, Err(TunnelFailure::Unavailable(cause))) => {
+            Ended::Tunnel(tunnel, Err(TunnelFailure::Unavailable(cause))) => {
+                let host = &tunnel.host;
                 log::info!(
                     "path: tunnel not opened upstream={} host={host} cause={cause:?}",
                     self.record.id
                 );
                 let now = Instant::now();
                 let mut paths = self.state.paths.lock();
-                paths.record_refused_tunnel(&self.record.service, &host, now);
+                paths.record_refused_tunnel(&self.record.service, host, now);
                 None
             }
         }
--- a/crates/gateway/src/forward/dial/tunnel.rs
+++ b/crates/gateway/src/forward/dial/tunnel.rs
@@ -4,7 +4,7 @@
     super::DialFailure,
     crate::{
         connection::Connection,
-        peers::{FOUND_HEADER, FOUND_REFUSED, UPSTREAM_HEADER},
+        peers::{FOUND_HEADER, FOUND_REFUSED, TUNNEL_ID_HEADER, UPSTREAM_HEADER},
         view::UpstreamRecord,
     },
     bytes::Bytes,
@@ -13,6 +13,7 @@
     hyper::{client::conn::http1, upgrade},
     hyper_util::rt::TokioIo,
     std::net::SocketAddr,
+    tealshore_paths::TunnelId,
     tokio::net::TcpStream,
 };
 
@@ -32,15 +33,16 @@
     }
 }
 
-/// Opens a tunnel to an upstream through the host with this address.
+/// Opens a tunnel to an upstream through the host with this address, and gives it an id.
 ///
 /// # Errors
 /// The host opened no tunnel.
 pub(super) async fn open_tunnel(
     host: SocketAddr,
+    id: TunnelId,
     record: &UpstreamRecord,
 ) -> Result<TcpStream, TunnelFailure> {
-    let upgraded = connect(host, record).await?;
+    let upgraded = connect(host, id, record).await?;
     let parts = upgraded.downcast::<TokioIo<TcpStream>>();
     let parts =
         parts.map_err(|_| TunnelFailure::unavailable("unexpected type of the connection"))?;
@@ -52,9 +54,10 @@
 
 async fn connect(
     host: SocketAddr,
+    id: TunnelId,
     record: &UpstreamRecord,
 ) -> Result<upgrade::Upgraded, TunnelFailure> {
-    let request = connect_request(record).map_err(TunnelFailure::unavailable)?;
+    let request = connect_request(id, record).map_err(TunnelFailure::unavailable)?;
     let stream = TcpStream::connect(host)
         .await
         .map_err(TunnelFailure::unavailable)?;
@@ -77,9 +80,10 @@
     }
 }
 
-fn connect_request(record: &UpstreamRecord) -> http::Result<Request<Empty<Bytes>>> {
+fn connect_request(id: TunnelId, record: &UpstreamRecord) -> http::Result<Request<Empty<Bytes>>> {
     Request::connect(record.address.to_string())
         .header(UPSTREAM_HEADER, &record.id)
+        .header(TUNNEL_ID_HEADER, format!("{id:016x}"))
         .body(Empty::new())
 }
 
--- a/crates/gateway/src/forward/plain/attempt.rs
+++ b/crates/gateway/src/forward/plain/attempt.rs
@@ -6,8 +6,9 @@
         forward::{
             call::Call,
             connect::{self, Answer, BodyEnd, SendFailure},
-            dial::DialFailure,
+            dial::{DialFailure, Tunnel},
             reservation::Reservation,
+            unframed_end::is_tunnel_end_confirmed,
         },
         rollout::Outcome,
         state::GatewayState,
@@ -105,13 +106,14 @@
     let request = call.request_for(state, upstream, &order);
     match connect::send(state, call, upstream, request).await {
         Ok(answer) => {
-            let body_end = answer.body_end;
+            let (body_end, through) = (answer.body_end, answer.through.clone());
             let (end, cause) = read(answer).await;
             match (&end, body_end) {
-                (AttemptEnd::Answered(..), BodyEnd::ConnectionClose)
-                    if has_crashed(state, upstream).await =>
-                {
-                    (AttemptEnd::Unknown(Outcome::Lost), "ended-with-upstream")
+                (AttemptEnd::Answered(..), BodyEnd::ConnectionClose) => {
+                    match find_cut(state, call, upstream, through.as_ref()).await {
+                        Some(cut) => (AttemptEnd::Unknown(Outcome::Lost), cut),
+                        None => (end, cause),
+                    }
                 }
                 _ => (end, cause),
             }
@@ -120,6 +122,23 @@
     }
 }
 
+/// Returns why the end of an answer's connection may not be the end of the answer, if there is a reason.
+async fn find_cut(
+    state: &GatewayState,
+    call: &Call,
+    upstream: &Upstream,
+    through: Option<&Tunnel>,
+) -> Option<&'static str> {
+    if let Some(tunnel) = through
+        && !is_tunnel_end_confirmed(tunnel, call.id()).await
+    {
+        return Some("ended-with-tunnel");
+    }
+    has_crashed(state, upstream)
+        .await
+        .then_some("ended-with-upstream")
+}
+
 /// Whether an upstream crashed while it answered, so that the end of its connection may not be the end of the answer.
 async fn has_crashed(state: &GatewayState, upstream: &Upstream) -> bool {
     matches!(
--- a/crates/gateway/src/forward/stream/attempt.rs
+++ b/crates/gateway/src/forward/stream/attempt.rs
@@ -6,9 +6,11 @@
         events::{Event, EventSplitter, StreamFault},
         forward::{
             connect::BodyEnd,
+            dial::Tunnel,
             ending::UpstreamKind,
             probe::{PendingRequest, SilenceLimits, wait_while_alive},
             reservation::Reservation,
+            unframed_end::is_tunnel_end_confirmed,
         },
         rollout::Outcome,
         state::GatewayState,
@@ -42,6 +44,8 @@
     pub body: Incoming,
     /// How the end of the body is recognised.
     pub body_end: BodyEnd,
+    /// The tunnel through which the answer comes; `None` if the connection is direct.
+    pub through: Option<Tunnel>,
     /// The connection to the engine, held open until the attempt is dropped.
     pub _connection: Connection,
     /// Splits the received bytes into events.
@@ -145,7 +149,7 @@
     }
 
     /// Returns what follows from a body that ended after a whole event. Without a marked end, the stream is complete
-    /// only if the engine still lives, and has sent an event if the caller has none.
+    /// only if the engine ended it and still lives, and has sent an event if the caller has none.
     async fn end_of_body(&self, state: &GatewayState) -> Step {
         if self.body_end == BodyEnd::Marked {
             return Step::End;
@@ -153,6 +157,11 @@
         if self.events_delivered == 0 {
             return Step::Lost(Loss::connection_failed("no-event"));
         }
+        if let Some(tunnel) = &self.through
+            && !is_tunnel_end_confirmed(tunnel, &self.request).await
+        {
+            return Step::Lost(Loss::connection_failed("ended-with-tunnel"));
+        }
         let kind = UpstreamKind::Engine;
         let found = kind.find_state(state, &self.upstream, &self.request, self.began);
         match found.await.evidence() {
--- a/crates/gateway/src/forward/stream/place.rs
+++ b/crates/gateway/src/forward/stream/place.rs
@@ -283,6 +283,7 @@
             silence_limits: plan.silence_limits,
             body: answer.body,
             body_end: answer.body_end,
+            through: answer.through,
             _connection: answer.connection,
             events: EventSplitter::default(),
             began: Instant::now(),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -67,7 +67,10 @@
         InvalidNameIndex, PackedUpstreams, SNAPSHOT_CACHE_TIME, SetSnapshot, SnapshotCache,
         SnapshotRows, max_snapshot_connections, packed_upstreams_path, snapshot_path,
     },
-    tunnels::{FOUND_HEADER, FOUND_REFUSED, FOUND_UNANSWERED, TunnelHost, UPSTREAM_HEADER},
+    tunnels::{
+        FOUND_HEADER, FOUND_REFUSED, FOUND_UNANSWERED, TUNNEL_ID_HEADER, TunnelHost,
+        UPSTREAM_HEADER, parse_tunnel_end_path, parse_tunnel_id, tunnel_end_path,
+    },
 };
 pub(crate) use {exchange::start, outgoing::PeerSocket, run_inquiry::ask_about_runs};
 
--- a/crates/gateway/src/peers/tunnels.rs
+++ b/crates/gateway/src/peers/tunnels.rs
@@ -6,10 +6,15 @@
     rand::seq::SliceRandom,
     std::{net::SocketAddr, time::Instant},
     tealshore_core::ids::{HallId, HostId, ServiceId},
+    tealshore_paths::TunnelId,
 };
 
 /// Header with the id of the upstream to which a tunnel is requested.
 pub const UPSTREAM_HEADER: &str = "tealshore-upstream";
+/// Header with the id that the requesting host gives to the tunnel, by which it asks later how the tunnel ended.
+pub const TUNNEL_ID_HEADER: &str = "tealshore-tunnel-id";
+/// Path, followed by the id of a tunnel, that a host answers with 200 if the upstream ended the tunnel.
+const TUNNEL_END_PATH: &str = "/tunnel-ends/";
 /// Header that tells how the connection to an upstream failed that can't be reached.
 pub const FOUND_HEADER: &str = "tealshore-found";
 /// The value for an upstream that refuses connections.
@@ -17,6 +22,24 @@
 /// The value for an upstream that does not answer.
 pub const FOUND_UNANSWERED: &str = "unanswered";
 
+/// Returns the path at which a host tells whether the upstream ended a tunnel.
+#[must_use]
+pub fn tunnel_end_path(tunnel: TunnelId) -> String {
+    format!("{TUNNEL_END_PATH}{tunnel:016x}")
+}
+
+/// Parses the id of the tunnel from such a path.
+#[must_use]
+pub fn parse_tunnel_end_path(path: &str) -> Option<TunnelId> {
+    parse_tunnel_id(path.strip_prefix(TUNNEL_END_PATH)?)
+}
+
+/// Parses the id of a tunnel.
+#[must_use]
+pub fn parse_tunnel_id(text: &str) -> Option<TunnelId> {
+    TunnelId::from_str_radix(text, 16).ok()
+}
+
 /// A host that may open tunnels for this one.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TunnelHost {
--- a/crates/gateway/src/serve/tunnel.rs
+++ b/crates/gateway/src/serve/tunnel.rs
@@ -4,7 +4,10 @@
     crate::{
         forward::{DialFailure, dial_directly},
         lifecycle::InFlightGuard,
-        peers::{FOUND_HEADER, FOUND_REFUSED, FOUND_UNANSWERED, UPSTREAM_HEADER},
+        peers::{
+            FOUND_HEADER, FOUND_REFUSED, FOUND_UNANSWERED, TUNNEL_ID_HEADER, UPSTREAM_HEADER,
+            parse_tunnel_end_path, parse_tunnel_id,
+        },
         state::GatewayState,
         view::Upstream,
     },
@@ -21,11 +24,12 @@
         time::{Duration, Instant},
     },
     tealshore_core::http::{Body, ServerOptions, empty, serve},
+    tealshore_paths::TunnelId,
     tokio::{
         io::{AsyncWriteExt, copy},
         net::{TcpListener, TcpStream},
         sync::OwnedSemaphorePermit,
-        time::timeout,
+        time::{sleep, timeout},
     },
 };
 
@@ -39,6 +43,9 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(2);
 const KEEPALIVE_RETRIES: u32 = 3;
 
+/// How long the other host may take to ask how a tunnel ended, once it has read the end.
+const END_QUERY_TIME: Duration = Duration::from_millis(250);
+
 /// Why no tunnel was opened.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Refusal {
@@ -93,6 +100,9 @@
 }
 
 async fn answer(state: Arc<GatewayState>, request: Request<Incoming>) -> Response<Body> {
+    if let Some(tunnel) = parse_tunnel_end_path(request.uri().path()) {
+        return answer_end(&state, tunnel);
+    }
     let opened = open(&state, &request).await;
     let result = match &opened {
         Ok(_) => "opened",
@@ -115,6 +125,22 @@
     }
 }
 
+/// Answers whether the upstream ended a tunnel.
+fn answer_end(state: &GatewayState, tunnel: TunnelId) -> Response<Body> {
+    let mut response = Response::new(empty());
+    let ends = state.tunnel_ends.lock();
+    if !ends.was_ended_by_upstream(tunnel, Instant::now()) {
+        *response.status_mut() = StatusCode::NOT_FOUND;
+    }
+    response
+}
+
+/// Returns the id that the requesting host gave to its tunnel. Hosts of an earlier build give none.
+fn tunnel_id(request: &Request<Incoming>) -> Option<TunnelId> {
+    let id = request.headers().get(TUNNEL_ID_HEADER)?;
+    parse_tunnel_id(id.to_str().ok()?)
+}
+
 /// Connects to the upstream of a request for a tunnel. The permit counts the tunnel until it is dropped.
 async fn open(
     state: &Arc<GatewayState>,
@@ -194,10 +220,11 @@
     state: Arc<GatewayState>,
     request: Request<Incoming>,
     mut upstream: TcpStream,
-    _permit: OwnedSemaphorePermit,
+    permit: OwnedSemaphorePermit,
 ) {
     // A planned stop waits for tunnels as for requests.
     let _in_flight = InFlightGuard::begin(&state);
+    let id = tunnel_id(&request);
     let upgraded = match upgrade::on(request).await {
         Ok(upgraded) => upgraded,
         Err(error) => {
@@ -215,25 +242,50 @@
             log::warn!("path: no keepalive probes for tunnel error={error}");
         }
     }
-    if upstream.write_all(&parts.read_buf).await.is_ok() {
-        pass(&mut peer, &mut upstream).await;
+    if upstream.write_all(&parts.read_buf).await.is_err() {
+        return;
+    }
+    let end = pass(&mut peer, &mut upstream).await;
+    drop(permit);
+    match (end, id) {
+        (TunnelEnd::ByUpstream, Some(id)) => {
+            state.tunnel_ends.lock().record(id, Instant::now());
+            drop(peer);
+            // A planned stop waits until the other host has asked how the tunnel ended.
+            sleep(END_QUERY_TIME).await;
+        }
+        // An answer without a length ends with its connection, so an orderly close would make a broken one look whole.
+        (TunnelEnd::Reset, _) => {
+            if let Err(error) = peer.set_zero_linger() {
+                log::error!("path: tunnel not reset error={error}");
+            }
+        }
+        (TunnelEnd::ByUpstream, None) | (TunnelEnd::ByPeer, _) => {}
     }
 }
 
+/// How a tunnel ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum TunnelEnd {
+    /// The upstream closed its connection, and all that it sent was passed on.
+    ByUpstream,
+    /// The other host closed its connection.
+    ByPeer,
+    /// A connection broke.
+    Reset,
+}
+
 /// Passes bytes until one side ends.
-async fn pass(peer: &mut TcpStream, upstream: &mut TcpStream) {
-    let is_reset = {
-        let (mut from_peer, mut to_peer) = peer.split();
-        let (mut from_upstream, mut to_upstream) = upstream.split();
-        tokio::select! {
-            // The peer never closes only its sending side, so its end ends both directions.
-            _ = copy(&mut from_peer, &mut to_upstream) => false,
-            copied = copy(&mut from_upstream, &mut to_peer) => copied.is_err(),
-        }
-    };
-    // An answer without a length ends with its connection, so an orderly close would make a broken one look whole.
-    if is_reset && let Err(error) = peer.set_zero_linger() {
-        log::error!("path: tunnel not reset error={error}");
+async fn pass(peer: &mut TcpStream, upstream: &mut TcpStream) -> TunnelEnd {
+    let (mut from_peer, mut to_peer) = peer.split();
+    let (mut from_upstream, mut to_upstream) = upstream.split();
+    tokio::select! {
+        // The peer never closes only its sending side, so its end ends both directions.
+        _ = copy(&mut from_peer, &mut to_upstream) => TunnelEnd::ByPeer,
+        copied = copy(&mut from_upstream, &mut to_peer) => match copied {
+            Ok(_) => TunnelEnd::ByUpstream,
+            Err(_) => TunnelEnd::Reset,
+        },
     }
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -48,7 +48,7 @@
         protection::{Protection, enabled},
     },
     tealshore_notices::{BrittleUpstreams, Notices, UnknownHeaders},
-    tealshore_paths::Paths,
+    tealshore_paths::{Paths, TunnelEnds},
     tokio::{sync::Semaphore, time::sleep},
 };
 
@@ -101,6 +101,8 @@
     pub duties: Duties,
     /// Which upstreams this host reaches directly.
     pub paths: Mutex<Paths>,
+    /// The tunnels opened for other hosts that their upstream ended.
+    pub tunnel_ends: Mutex<TunnelEnds>,
     /// The state for ordering engines.
     pub capacity: Capacity,
     /// When this process last stood still.
@@ -141,6 +143,7 @@
             store_heads: StoreHeads::default(),
             rollouts: Rollouts::new(rand::random()),
             paths: Mutex::default(),
+            tunnel_ends: Mutex::default(),
             capacity: Capacity::default(),
             standstill: Mutex::new(Standstill::new(Instant::now())),
             metrics: GatewayMetrics::new()?,
--- a/crates/paths/src/lib.rs
+++ b/crates/paths/src/lib.rs
@@ -5,6 +5,7 @@
 mod outage;
 mod path;
 mod refusals;
+mod tunnel_ends;
 
 use {
     doubt::Doubts,
@@ -21,6 +22,7 @@
     outage::OUTAGE_CHECK_INTERVAL,
     path::{CHECK_INTERVAL, DialOrder, PathChange, SERVICE_CHECK_INTERVAL},
     refusals::REFUSAL_LIFETIME,
+    tunnel_ends::{TUNNEL_END_RETENTION, TunnelEnds, TunnelId},
 };
 
 /// How long a lost path is remembered without use.
