--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -76,6 +76,7 @@
 soak_mutants() {
   cat <<'LIST'
 event-position
+own-run
 monotonic-version
 key-age
 answer-identity
