Keep the proof of runs off for as long as a run that was left out would be kept

Change: it proves nothing until the last of the runs that it left out would have been forgotten. The origins of runs in forwarded digests are divided by a function of their own.

--- a/crates/gateway/src/peers/exchange/apply.rs
+++ b/crates/gateway/src/peers/exchange/apply.rs
@@ -70,22 +70,11 @@
             if let Some(share) = share {
                 forward_to_share(socket, digests.clone(), &extension, share, sender).await;
             }
-            let mut run_origins = extension.run_origins;
-            if digests
-                .iter()
-                .map(|digest| digest.runs.len())
-                .sum::<usize>()
-                != run_origins.len()
-            {
-                run_origins.clear();
-            }
-            for digest in digests {
+            let run_origins = origins_by_digest(&digests, extension.run_origins);
+            for (digest, run_origins) in digests.into_iter().zip(run_origins) {
                 let group = digest.group.clone();
                 let lends = extension.lending_groups.contains(&group);
-                let of_next = digest.runs.len().min(run_origins.len());
-                let of_others = run_origins.split_off(of_next);
                 apply_digest(state, digest, run_origins);
-                run_origins = of_others;
                 let not_lending = &extension.not_lending;
                 state
                     .peers
@@ -189,6 +178,19 @@
     apply_reports(state, &sender, with_origins(runs, run_origins), &findings);
 }
 
+/// Divides the origins of all runs in several digests among these digests.
+fn origins_by_digest(
+    digests: &[GroupDigest],
+    origins: Vec<Option<RunOrigin>>,
+) -> Vec<Vec<Option<RunOrigin>>> {
+    let mut origins = origins.into_iter();
+    let by_digest = digests.iter().map(|digest| {
+        let of_digest = origins.by_ref().take(digest.runs.len());
+        of_digest.collect()
+    });
+    by_digest.collect()
+}
+
 /// Adds their origins to the runs of a datagram. Hosts of an earlier build send none.
 fn with_origins(runs: Vec<RunTrace>, mut origins: Vec<Option<RunOrigin>>) -> Vec<KnownRun> {
     if origins.len() != runs.len() {
--- a/crates/runs/src/log.rs
+++ b/crates/runs/src/log.rs
@@ -148,8 +148,8 @@
     entries: HashMap<Fingerprint, Vec<Entry>>,
     /// Number of runs of other hosts.
     peer_runs: usize,
-    /// When a run was last left out for lack of room.
-    left_out: Option<Instant>,
+    /// Until when runs may be missing, since some were left out for lack of room.
+    incomplete_until: Option<Instant>,
 }
 
 impl RunLog {
@@ -205,11 +205,13 @@
             known.waits_until = known.waits_until.or(waits_until);
             return;
         }
-        if self.peer_runs >= MAX_PEER_RUNS {
-            self.left_out = Some(now);
-            return;
+        let entry = Entry::new(run, location, EntryState::Reported { at }, now);
+        if self.peer_runs < MAX_PEER_RUNS {
+            self.push(entry);
+        } else {
+            let kept_until = entry.waits_until.max(Some(now + MIN_RUN_RETENTION));
+            self.incomplete_until = self.incomplete_until.max(kept_until);
         }
-        self.push(Entry::new(run, location, EntryState::Reported { at }, now));
     }
 
     /// Returns the engine that ran a request of this content last and may still have its prompt cached.
@@ -224,11 +226,9 @@
     /// Returns the recent runs of requests of this content, or none if some may be missing.
     #[must_use]
     pub fn recent(&self, wanted: ContentMatch, now: Instant) -> Option<Vec<RunReport>> {
-        let is_lacking = self
-            .left_out
-            .is_some_and(|at| now.saturating_duration_since(at) <= MIN_RUN_RETENTION);
+        let is_incomplete = self.incomplete_until.is_some_and(|until| now <= until);
         let reports = self.matching(wanted, now).map(|entry| entry.report(now));
-        (!is_lacking).then(|| reports.collect())
+        (!is_incomplete).then(|| reports.collect())
     }
 
     /// Returns all recent runs, for a host that starts.
