Give each test of peers a settings file of its own

Cause: two tests of one process call peers() and wrote, read and removed the same file, named after the process alone. One removed it before the other had read it. The product is not concerned.

Change: a number for each call in the name. No check changes.

--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -13,6 +13,7 @@
     std::{
         collections::BTreeMap,
         net::SocketAddr,
+        sync::atomic::{AtomicUsize, Ordering},
         time::{Duration, Instant},
     },
     tealshore_gateway::{
@@ -213,7 +214,10 @@
         directory_address = 127.0.0.1:10\nreadiness_address = 127.0.0.1:11\n\
         metrics_address = 127.0.0.1:12\n[store]\naddress = 127.0.0.1:13\n\
         [peers]\naddress = 127.0.0.1:14\n";
-    let name = format!("tealshore-peers-{test}-{}.ini", std::process::id());
+    // Tests of one process run beside each other.
+    static NEXT_FILE: AtomicUsize = AtomicUsize::new(0);
+    let number = NEXT_FILE.fetch_add(1, Ordering::Relaxed);
+    let name = format!("tealshore-peers-{test}-{}-{number}.ini", std::process::id());
     let file = std::env::temp_dir().join(name);
     std::fs::write(&file, format!("{options}{halls}")).unwrap();
     let options = GatewayOptions::load(&file).unwrap();
