Let a host that lacks some runs still report those that it answers

Cause: a host that had just started, or had no room for some runs of others, replied to an inquiry with its name alone.

Change: such a reply has all runs that the host knows, its own always among them, and says that it is partial. It confirms nothing, and two runs show as two.

Shown: proof::no_run_is_proven_while_another_host_can_not_be_heard has the case (SeveralRuns); the reply of the code before could not express it.

--- a/crates/gateway/src/forward/stream/own_run.rs
+++ b/crates/gateway/src/forward/stream/own_run.rs
@@ -18,14 +18,11 @@
     last_event: EventId,
 ) -> Option<KnownRun> {
     let began = Instant::now();
-    let known = state.runs.log.lock().recent(call.content_match(), began);
-    let found = match &known {
-        Some(known) => prove(state, call, known, last_event).await,
-        None => Err(Doubt::LogFull),
-    };
+    let mut known = state.runs.log.lock().recent(call.content_match(), began);
     if !enabled(Protection::OwnRun) {
-        return Some(known?.pop()?.run);
+        return Some(known.pop()?.run);
     }
+    let found = prove(state, call, &known, last_event).await;
     let evidence = match &found {
         Ok((_, proof)) => proof.name(),
         Err(doubt) => doubt.name(),
@@ -39,7 +36,7 @@
         call.fingerprint_hex(),
         call.content,
         run.as_ref().map_or("-", |run| run.trace.request.as_str()),
-        list(known.as_deref().unwrap_or_default()),
+        list(&known),
         began.elapsed().as_millis()
     );
     run
@@ -53,13 +50,14 @@
 ) -> Result<(KnownRun, Proof), Doubt> {
     let (_, origin) = sole_run(known)?;
     let inquiry = ask_about_runs(state, call.content_match(), origin).await;
-    // This host may have been told of another run meanwhile.
-    let known = state
-        .runs
-        .log
-        .lock()
-        .recent(call.content_match(), Instant::now());
-    let known = known.ok_or(Doubt::LogFull)?;
+    let now = Instant::now();
+    let log = state.runs.log.lock();
+    if log.is_partial(now) {
+        return Err(Doubt::LogFull);
+    }
+    // Another host may have reported another run meanwhile.
+    let known = log.recent(call.content_match(), now);
+    drop(log);
     prove_own_run(&known, &inquiry, last_event)
 }
 
--- a/crates/gateway/src/peers/run_inquiry.rs
+++ b/crates/gateway/src/peers/run_inquiry.rs
@@ -40,8 +40,9 @@
 #[derive(Serialize, Deserialize)]
 struct Reply {
     process: ProcessId,
-    /// The runs that the process knows; `None` if others may be missing.
-    runs: Option<Vec<RunReport>>,
+    runs: Vec<RunReport>,
+    /// Whether runs of other hosts may be missing.
+    is_partial: bool,
 }
 
 /// A host that is asked.
@@ -86,6 +87,7 @@
         replies.push(HostReply::Runs {
             process: peers.process(),
             runs: Vec::new(),
+            is_partial: false,
         });
     }
     Inquiry {
@@ -130,9 +132,14 @@
 
 fn read_reply(host: HostId, body: &[u8]) -> HostReply {
     match postcard::from_bytes::<Reply>(body) {
-        Ok(Reply { process, runs }) if process.host == host => match runs {
-            Some(runs) => HostReply::Runs { process, runs },
-            None => HostReply::Incomplete(process),
+        Ok(Reply {
+            process,
+            runs,
+            is_partial,
+        }) if process.host == host => HostReply::Runs {
+            process,
+            runs,
+            is_partial,
         },
         // Another host has the address now.
         Ok(_) | Err(_) => HostReply::Unreadable(host),
@@ -142,10 +149,15 @@
 /// Answers an inquiry. Returns `None` for requests of other kinds.
 pub(super) fn answer_inquiry(state: &GatewayState, uri: &Uri) -> Option<Response<Body>> {
     let wanted = parse_path(uri.path())?;
-    let recent = state.runs.log.lock().recent(wanted, Instant::now());
-    let runs = recent.filter(|_| state.runs.is_restored());
-    let process = state.peers.process();
-    match postcard::to_stdvec(&Reply { process, runs }) {
+    let now = Instant::now();
+    let log = state.runs.log.lock();
+    let reply = Reply {
+        process: state.peers.process(),
+        runs: log.recent(wanted, now),
+        is_partial: log.is_partial(now) || !state.runs.is_restored(),
+    };
+    drop(log);
+    match postcard::to_stdvec(&reply) {
         Ok(bytes) => {
             state.metrics.count_peer_bytes("run-reports", bytes.len());
             Some(Response::new(full(bytes)))
--- a/crates/runs/src/inquiry.rs
+++ b/crates/runs/src/inquiry.rs
@@ -35,16 +35,16 @@
 /// What a host that was asked about the runs of a request replied.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum HostReply {
-    /// All runs that it knows.
+    /// The runs that it knows, always including those that it answers itself.
     Runs {
         /// The process that replied.
         process: ProcessId,
         /// The runs, those of other hosts included.
         runs: Vec<RunReport>,
+        /// Whether some runs of other hosts may be missing: it has not learned yet which there were before its start,
+        /// or had no room for all.
+        is_partial: bool,
     },
-    /// The process that replied does not know all runs: it has not learned of those before its start yet, or had no
-    /// room for some.
-    Incomplete(ProcessId),
     /// Nothing listens at the address of this host: its process has ended.
     NotListening(HostId),
     /// No reply arrived in time.
@@ -78,7 +78,7 @@
     #[must_use]
     pub fn host(&self) -> &HostId {
         match self {
-            Self::Runs { process, .. } | Self::Incomplete(process) => &process.host,
+            Self::Runs { process, .. } => &process.host,
             Self::NotListening(host) | Self::Silent(host) | Self::Unreadable(host) => host,
         }
     }
--- a/crates/runs/src/log.rs
+++ b/crates/runs/src/log.rs
@@ -6,6 +6,7 @@
         trace::{ContentDigest, EventId, KnownRun, RunOrigin, RunTrace},
     },
     std::{
+        cmp::Reverse,
         collections::HashMap,
         time::{Duration, Instant},
     },
@@ -149,7 +150,7 @@
     /// Number of runs of other hosts.
     peer_runs: usize,
     /// Until when runs may be missing, since some were left out for lack of room.
-    incomplete_until: Option<Instant>,
+    partial_until: Option<Instant>,
 }
 
 impl RunLog {
@@ -210,7 +211,7 @@
             self.push(entry);
         } else {
             let kept_until = entry.waits_until.max(Some(now + MIN_RUN_RETENTION));
-            self.incomplete_until = self.incomplete_until.max(kept_until);
+            self.partial_until = self.partial_until.max(kept_until);
         }
     }
 
@@ -223,12 +224,17 @@
         Some(entry.run.trace.engine.clone())
     }
 
-    /// Returns the recent runs of requests of this content, or none if some may be missing.
+    /// Returns the recent runs of requests of this content.
     #[must_use]
-    pub fn recent(&self, wanted: ContentMatch, now: Instant) -> Option<Vec<RunReport>> {
-        let is_incomplete = self.incomplete_until.is_some_and(|until| now <= until);
-        let reports = self.matching(wanted, now).map(|entry| entry.report(now));
-        (!is_incomplete).then(|| reports.collect())
+    pub fn recent(&self, wanted: ContentMatch, now: Instant) -> Vec<RunReport> {
+        let matching = self.matching(wanted, now);
+        matching.map(|entry| entry.report(now)).collect()
+    }
+
+    /// Whether runs of other hosts may be missing, since there was no room for them.
+    #[must_use]
+    pub fn is_partial(&self, now: Instant) -> bool {
+        self.partial_until.is_some_and(|until| now <= until)
     }
 
     /// Returns all recent runs, for a host that starts.
@@ -251,7 +257,7 @@
                 EntryState::Ended { .. } | EntryState::Reported { .. } => None,
             })
             .collect();
-        own.sort_by_key(|(begun, run)| (std::cmp::Reverse(*begun), run.trace.fingerprint));
+        own.sort_by_key(|(begun, run)| (Reverse(*begun), run.trace.fingerprint));
         own.into_iter().map(|(_, run)| run).collect()
     }
 
@@ -283,10 +289,7 @@
         let entries = self.entries.values().flatten();
         let running = entries.filter(|entry| matches(entry.location) && entry.is_running(now));
         let mut runs: Vec<KnownRun> = running.map(|entry| entry.run_at(now)).collect();
-        runs.sort_by(|a, b| {
-            let key = |run: &KnownRun| (run.trace.fingerprint, run.trace.request.clone());
-            key(a).cmp(&key(b))
-        });
+        runs.sort_by_cached_key(|run| (run.trace.fingerprint, run.trace.request.clone()));
         runs
     }
 
--- a/crates/runs/src/proof.rs
+++ b/crates/runs/src/proof.rs
@@ -6,7 +6,7 @@
         trace::{EventId, KnownRun, RunOrigin},
     },
     std::collections::HashSet,
-    tealshore_core::ids::RequestId,
+    tealshore_core::ids::{HostId, RequestId},
 };
 
 /// What shows that the answer to the only known run has ended.
@@ -117,9 +117,7 @@
     let merged = merge(known, replies);
     let (sole, origin) = sole_run(&merged)?;
     let run_host = &origin.process.host;
-    let is_confirmed = replies
-        .iter()
-        .any(|reply| matches!(reply, HostReply::Runs { process, .. } if process.host != *run_host));
+    let is_confirmed = replies.iter().any(|reply| confirms(reply, run_host));
     if inquiry.has_witnesses && !is_confirmed {
         return Err(Doubt::Unconfirmed);
     }
@@ -134,11 +132,23 @@
     Ok((sole.run.clone(), proof))
 }
 
+/// Whether a host other than that of the run replied with all runs that there are, as far as it was told.
+fn confirms(reply: &HostReply, run_host: &HostId) -> bool {
+    match reply {
+        HostReply::Runs {
+            process,
+            is_partial,
+            ..
+        } => !is_partial && process.host != *run_host,
+        HostReply::NotListening(_) | HostReply::Silent(_) | HostReply::Unreadable(_) => false,
+    }
+}
+
 /// Whether the host that replied so may answer callers of whom no other host knows.
 fn may_hide_runs(reply: &HostReply) -> bool {
     match reply {
         HostReply::Silent(_) | HostReply::Unreadable(_) => true,
-        HostReply::Runs { .. } | HostReply::Incomplete(_) | HostReply::NotListening(_) => false,
+        HostReply::Runs { .. } | HostReply::NotListening(_) => false,
     }
 }
 
@@ -183,13 +193,10 @@
 /// Decides by the reply of the process that gave the answer, which names no state of it.
 fn check_process(origin: &RunOrigin, reply: Option<&HostReply>) -> Result<Proof, Doubt> {
     match reply {
-        Some(HostReply::Runs { process, .. } | HostReply::Incomplete(process)) => {
-            if *process == origin.process {
-                Err(Doubt::Forgotten)
-            } else {
-                Ok(Proof::ProcessReplaced)
-            }
+        Some(HostReply::Runs { process, .. }) if *process == origin.process => {
+            Err(Doubt::Forgotten)
         }
+        Some(HostReply::Runs { .. }) => Ok(Proof::ProcessReplaced),
         Some(HostReply::NotListening(_)) => Ok(Proof::ProcessGone),
         Some(HostReply::Silent(_)) => Err(Doubt::ProcessSilent),
         Some(HostReply::Unreadable(_)) => Err(Doubt::Unreadable),
--- a/crates/runs/tests/log.rs
+++ b/crates/runs/tests/log.rs
@@ -22,7 +22,7 @@
 }
 
 fn recent(log: &RunLog, now: Instant) -> Vec<RunReport> {
-    log.recent(wanted(), now).unwrap()
+    log.recent(wanted(), now)
 }
 
 fn end(log: &mut RunLog, request: &str, is_complete: bool, now: Instant) {
@@ -233,7 +233,7 @@
 }
 
 #[test]
-fn a_log_that_left_runs_out_reports_none() {
+fn a_log_that_left_runs_out_is_partial_and_keeps_its_own_runs() {
     let mut log = RunLog::default();
     let now = Instant::now();
     for number in 0..20_001_u64 {
@@ -241,12 +241,12 @@
         other.trace.fingerprint = 10 + number;
         log.record_peer(other, RunLocation::InGroup, NO_AGE, now);
     }
-    assert!(log.recent(wanted(), now).is_none());
-    // The host's own runs are recorded all the same.
+    assert!(log.is_partial(now));
     log.begin(run("own", "here"), now);
+    assert_eq!(attempts(&recent(&log, now)), ["own"]);
     let later = now + Duration::from_secs(31);
+    assert!(!log.is_partial(later));
     assert_eq!(log.own(later).len(), 1);
-    assert_eq!(attempts(&recent(&log, later)), ["own"]);
 }
 
 #[test]
--- a/crates/runs/tests/proof.rs
+++ b/crates/runs/tests/proof.rs
@@ -31,7 +31,20 @@
 }
 
 fn reply(process: ProcessId, runs: Vec<RunReport>) -> HostReply {
-    HostReply::Runs { process, runs }
+    HostReply::Runs {
+        process,
+        runs,
+        is_partial: false,
+    }
+}
+
+/// A reply without some runs of other hosts.
+fn partial_reply(process: ProcessId, runs: Vec<RunReport>) -> HostReply {
+    HostReply::Runs {
+        process,
+        runs,
+        is_partial: true,
+    }
 }
 
 /// A host besides that of the run, which knows of the same run.
@@ -72,11 +85,11 @@
             Ok(Proof::ProcessReplaced),
         ),
         (
-            HostReply::Incomplete(process("a", 1)),
+            partial_reply(process("a", 1), Vec::new()),
             Err(Doubt::Forgotten),
         ),
         (
-            HostReply::Incomplete(process("a", 2)),
+            partial_reply(process("a", 2), Vec::new()),
             Ok(Proof::ProcessReplaced),
         ),
         (HostReply::NotListening(host()), Ok(Proof::ProcessGone)),
@@ -201,8 +214,8 @@
     let gone = HostReply::NotListening("a".to_owned());
     let silent = HostReply::Silent("w".to_owned());
     let unreadable = HostReply::Unreadable("w".to_owned());
-    let incomplete = HostReply::Incomplete(process("w", 1));
-    for other in [silent, unreadable, incomplete] {
+    let partial = partial_reply(process("w", 1), Vec::new());
+    for other in [silent, unreadable, partial] {
         let replies = [other, gone.clone()];
         let proven = prove_own_run(&known, &inquiry(&replies), LAST_EVENT);
         assert_eq!(proven.unwrap_err(), Doubt::Unconfirmed);
@@ -227,9 +240,14 @@
         (HostReply::NotListening(host()), Ok(Proof::ProcessGone)),
         (reply(process("x", 1), Vec::new()), Ok(Proof::ProcessGone)),
         (
-            HostReply::Incomplete(process("x", 2)),
+            partial_reply(process("x", 2), Vec::new()),
             Ok(Proof::ProcessGone),
         ),
+        // It answers another caller who asked for the same.
+        (
+            partial_reply(process("x", 2), vec![reported(run("other", "x"))]),
+            Err(Doubt::SeveralRuns),
+        ),
     ];
     for (of_unheard, expected) in cases {
         let mut asked = inquiry(&[witness(), gone.clone(), of_unheard.clone()]);
--- a/crates/runs/tests/resume_model.rs
+++ b/crates/runs/tests/resume_model.rs
@@ -269,6 +269,7 @@
             replies.push(HostReply::Runs {
                 process: process(run_host, self.hosts[by].incarnation),
                 runs: Vec::new(),
+                is_partial: false,
             });
         }
         Inquiry {
@@ -288,7 +289,8 @@
         }
         HostReply::Runs {
             process: process(&name(host), asked.incarnation),
-            runs: asked.log.recent(wanted(), self.now).unwrap(),
+            runs: asked.log.recent(wanted(), self.now),
+            is_partial: false,
         }
     }
 
@@ -302,7 +304,7 @@
             self.attempts[caller] = None;
             return None;
         }
-        let known = self.hosts[host].log.recent(wanted(), self.now).unwrap();
+        let known = self.hosts[host].log.recent(wanted(), self.now);
         let proven = sole_run(&known).and_then(|(_, origin)| {
             let inquiry = self.inquire(host, &origin.process.host);
             prove_own_run(&known, &inquiry, attempt.last_event)
