Let settings decide how long hosts wait for each other's replies

Cause: a host waited 100 ms for what others know of a run, and 500 ms for the end of a tunnel, and a planned stop left 250 ms for that question. On a busy machine tests of resumes could pass that time, with another verdict: the prompt is read anew, a whole answer counts as cut.

Change: [peers] run_inquiry_ms and tunnel_end_ms, with the former times as defaults; a planned stop leaves as long as the other host may wait. Barriers of sends have names of their own (a stopped version is told from a leaving upstream), and the line of a suspected part has the two figures that decide on it now.

--- a/crates/gateway/src/crashes/parts.rs
+++ b/crates/gateway/src/crashes/parts.rs
@@ -60,13 +60,15 @@
         for suspect in suspects {
             log::warn!(
                 "quarantine: prompt part suspected request={} digest={:016x} part={:016x} group={} sequence={} \
-                 weight={} quarantined={}",
+                 weight={} requests={} began_before={} quarantined={}",
                 lost.request,
                 lost.fingerprint,
                 suspect.part,
                 suspect.group.len(),
                 suspect.strength.sequence,
                 suspect.strength.weight,
+                suspect.strength.requests,
+                suspect.strength.began_before,
                 suspect.strength.is_enough()
             );
         }
--- a/crates/gateway/src/forward/connect.rs
+++ b/crates/gateway/src/forward/connect.rs
@@ -47,11 +47,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::Unreachable => "unreachable",
-            Self::Barred(SendBarrier::OtherService) => "other-service",
-            Self::Barred(
-                SendBarrier::Leaving | SendBarrier::VersionStopped | SendBarrier::AnnouncedLeaving,
-            ) => "leaving",
-            Self::Barred(SendBarrier::Resting) => "resting",
+            Self::Barred(barrier) => barrier.name(),
             Self::Limited => "limited",
             Self::Unanswered => "unanswered",
             Self::ForeignAnswer => "foreign-answer",
--- a/crates/gateway/src/forward/plain/attempt.rs
+++ b/crates/gateway/src/forward/plain/attempt.rs
@@ -130,7 +130,7 @@
     through: Option<&Tunnel>,
 ) -> Option<&'static str> {
     if let Some(tunnel) = through
-        && !is_tunnel_end_confirmed(tunnel, call.id()).await
+        && !is_tunnel_end_confirmed(state, tunnel, call.id()).await
     {
         return Some("ended-with-tunnel");
     }
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -120,10 +120,8 @@
     /// Creates a stream that has not been sent to any engine. `own_run` is the run that its caller left, if one is
     /// proven to be the caller's.
     fn new(state: Arc<GatewayState>, call: Arc<Call>, own_run: Option<KnownRun>) -> Self {
-        let last_engine = {
-            let log = state.runs.log.lock();
-            log.last_engine(call.content_match(), Instant::now())
-        };
+        let (wanted, now) = (call.content_match(), Instant::now());
+        let last_engine = state.runs.log.lock().last_engine(wanted, now);
         let is_resumed = call.facts.last_event.is_some();
         let ran_before = if is_resumed || last_engine.is_some() {
             Ran::Yes
--- a/crates/gateway/src/forward/stream/attempt.rs
+++ b/crates/gateway/src/forward/stream/attempt.rs
@@ -158,7 +158,7 @@
             return Step::Lost(Loss::connection_failed("no-event"));
         }
         if let Some(tunnel) = &self.through
-            && !is_tunnel_end_confirmed(tunnel, &self.request).await
+            && !is_tunnel_end_confirmed(state, tunnel, &self.request).await
         {
             return Step::Lost(Loss::connection_failed("ended-with-tunnel"));
         }
--- a/crates/gateway/src/forward/unframed_end.rs
+++ b/crates/gateway/src/forward/unframed_end.rs
@@ -5,23 +5,20 @@
     crate::{
         connection::{CallBounds, short_call},
         peers::tunnel_end_path,
+        state::GatewayState,
     },
     bytes::Bytes,
     http::{Request, StatusCode, header},
-    std::time::Duration,
     tealshore_core::protection::{Protection, enabled},
     tokio::net::TcpStream,
 };
 
-/// The bounds of the question to the host of a tunnel. The answer is complete but for its end, so it can wait.
-const TUNNEL_END_BOUNDS: CallBounds = CallBounds {
-    timeout: Duration::from_millis(500),
-    answer_bytes: 1_024,
-};
+/// Maximum size of the answer, which is in its status, in bytes.
+const MAX_ANSWER_BYTES: usize = 1_024;
 
 /// Whether the host of a tunnel confirms that the upstream ended it. If that host has ended itself, its end closed the
 /// connection, possibly in the middle of the answer.
-pub async fn is_tunnel_end_confirmed(tunnel: &Tunnel, request: &str) -> bool {
+pub async fn is_tunnel_end_confirmed(state: &GatewayState, tunnel: &Tunnel, request: &str) -> bool {
     if !enabled(Protection::TunnelEnd) {
         return true;
     }
@@ -30,8 +27,12 @@
     let Ok(asked) = asked.body(Bytes::new()) else {
         return false;
     };
+    let bounds = CallBounds {
+        timeout: state.options.peers.tunnel_end,
+        answer_bytes: MAX_ANSWER_BYTES,
+    };
     let opening = TcpStream::connect(tunnel.address);
-    let answer = short_call(opening, asked, TUNNEL_END_BOUNDS).await;
+    let answer = short_call(opening, asked, bounds).await;
     let is_confirmed = matches!(answer, Ok((StatusCode::OK, _)));
     log::info!(
         "path: end of tunnel checked request={request} through={} tunnel={:016x} confirmed={is_confirmed} \
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -115,6 +115,11 @@
     pub heartbeat: Duration,
     /// Time without a message after which a peer is removed from the addresses given to callers.
     pub silence: Duration,
+    /// How long a peer may take to tell which runs it knows. A caller that resumes a stream waits meanwhile.
+    pub run_inquiry: Duration,
+    /// How long a peer may take to tell whether an upstream ended a tunnel. A caller waits for the end of its answer
+    /// meanwhile.
+    pub tunnel_end: Duration,
 }
 
 /// Policy for requests with API keys while a host's set of keys is stale.
@@ -273,7 +278,17 @@
                 Duration::from_millis(500),
                 range.clone(),
             )?,
-            silence: section.duration_ms("silence_ms", Duration::from_millis(1_600), range)?,
+            silence: section.duration_ms(
+                "silence_ms",
+                Duration::from_millis(1_600),
+                range.clone(),
+            )?,
+            run_inquiry: section.duration_ms(
+                "run_inquiry_ms",
+                Duration::from_millis(100),
+                range.clone(),
+            )?,
+            tunnel_end: section.duration_ms("tunnel_end_ms", Duration::from_millis(500), range)?,
         })
     }
 }
--- a/crates/gateway/src/peers/run_inquiry.rs
+++ b/crates/gateway/src/peers/run_inquiry.rs
@@ -2,7 +2,7 @@
 //! resumes a stream.
 
 use {
-    super::{HostPhase, Peer, Peers, snapshot::with_status},
+    super::{GroupMember, HostPhase, Peer, Peers, snapshot::with_status},
     crate::{
         connection::{CallBounds, CallFailure, short_call},
         state::GatewayState,
@@ -29,8 +29,6 @@
 
 /// Path of an inquiry; the two digests follow. A new layout of the answer needs a new path.
 const INQUIRY_PATH: &str = "/run-reports/";
-/// How long a host may take to reply. The caller waits meanwhile; most take less than two round trips.
-const INQUIRY_TIMEOUT: Duration = Duration::from_millis(100);
 /// Maximum size of a reply, in bytes.
 const MAX_REPLY_BYTES: usize = 256 * 1024;
 /// Number of hosts that are asked besides that of the run. One datagram that reports a run may be lost, two rarely are.
@@ -45,19 +43,29 @@
     is_partial: bool,
 }
 
-/// A host that is asked.
-struct Asked {
-    host: HostId,
-    address: SocketAddr,
+/// A host that is asked which runs it knows.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AskedHost {
+    /// The name of the host.
+    pub host: HostId,
+    /// The address at which it replies.
+    pub address: SocketAddr,
 }
 
-impl Asked {
+impl AskedHost {
     fn of(peer: &Peer) -> Self {
         Self {
             host: peer.state.host.clone(),
             address: peer.state.peers_address,
         }
     }
+
+    fn of_member(member: &GroupMember) -> Self {
+        Self {
+            host: member.host.clone(),
+            address: member.peers_address,
+        }
+    }
 }
 
 /// Asks the host of a run, a few others, and all that were not heard lately, which runs of a request they know.
@@ -76,12 +84,14 @@
     asked.extend(unheard.into_iter().filter(|asked| asked.host != *run_host));
     let is_own_host = *run_host == peers.own.id;
     if !is_own_host {
-        asked.push(Asked {
+        asked.push(AskedHost {
             host: run_host.clone(),
             address: run.address,
         });
     }
-    let mut replies = ask_all(asked, wanted).await;
+    let max_wait = peers.options.run_inquiry;
+    let asking = asked.into_iter().map(|asked| ask(asked, wanted, max_wait));
+    let mut replies = join_all(asking).await;
     if is_own_host {
         // Only an earlier process of this host can be meant: this one knows its own runs.
         replies.push(HostReply::Runs {
@@ -97,12 +107,8 @@
     }
 }
 
-async fn ask_all(hosts: Vec<Asked>, wanted: ContentMatch) -> Vec<HostReply> {
-    join_all(hosts.into_iter().map(|asked| ask(asked, wanted))).await
-}
-
-async fn ask(asked: Asked, wanted: ContentMatch) -> HostReply {
-    let Asked { host, address } = asked;
+async fn ask(asked: AskedHost, wanted: ContentMatch, max_wait: Duration) -> HostReply {
+    let AskedHost { host, address } = asked;
     let path = format!(
         "{INQUIRY_PATH}{:016x}/{:016x}",
         wanted.fingerprint, wanted.content
@@ -111,8 +117,7 @@
     let Ok(request) = request.body(Bytes::new()) else {
         return HostReply::Silent(host);
     };
-    let connecting = timeout(INQUIRY_TIMEOUT, TcpStream::connect(address));
-    let stream = match connecting.await {
+    let stream = match timeout(max_wait, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
             return HostReply::NotListening(host);
@@ -120,7 +125,7 @@
         Ok(Err(_)) | Err(_) => return HostReply::Silent(host),
     };
     let bounds = CallBounds {
-        timeout: INQUIRY_TIMEOUT,
+        timeout: max_wait,
         answer_bytes: MAX_REPLY_BYTES,
     };
     match short_call(ready(Ok::<_, Infallible>(stream)), request, bounds).await {
@@ -180,14 +185,15 @@
 impl Peers {
     /// Returns a few hosts besides that of a run that were heard lately. In a fleet of groups one of them is of the run's
     /// group, which learned of the run first.
-    fn witnesses(&self, run_host: &HostId, now: Instant) -> Vec<Asked> {
+    #[must_use]
+    pub fn witnesses(&self, run_host: &HostId, now: Instant) -> Vec<AskedHost> {
         let near_run = self.random_host_of_group(run_host, now).into_iter();
         let near_here = self.heard_hosts(run_host, now);
         near_run.chain(near_here).take(WITNESSES).collect()
     }
 
     /// Returns a random other host of the group of a host, if that is not this host's group.
-    fn random_host_of_group(&self, of_host: &HostId, now: Instant) -> Option<Asked> {
+    fn random_host_of_group(&self, of_host: &HostId, now: Instant) -> Option<AskedHost> {
         let members = self.groups.lock().members(self.options.silence, now);
         let mut with_host = members.iter().filter(|(_, member)| member.host == *of_host);
         let (hall, _) = with_host.next()?;
@@ -196,14 +202,11 @@
             .filter(|(of_hall, member)| of_hall == hall && member.host != *of_host)
             .collect();
         let (_, member) = others.choose(&mut rand::rng())?;
-        Some(Asked {
-            host: member.host.clone(),
-            address: member.peers_address,
-        })
+        Some(AskedHost::of_member(member))
     }
 
     /// Returns the hosts that were heard lately, except one and those that are starting, the nearest first.
-    fn heard_hosts(&self, except: &HostId, now: Instant) -> Vec<Asked> {
+    fn heard_hosts(&self, except: &HostId, now: Instant) -> Vec<AskedHost> {
         let known = self.known.lock();
         let mut heard: Vec<&Peer> = known
             .values()
@@ -212,14 +215,14 @@
             .collect();
         heard.shuffle(&mut rand::rng());
         heard.sort_by_key(|peer| self.topology.distance(&self.own.hall, &peer.state.hall));
-        heard.into_iter().map(Asked::of).collect()
+        heard.into_iter().map(AskedHost::of).collect()
     }
 
     /// Returns the hosts that were not heard lately.
-    fn unheard_hosts(&self, now: Instant) -> Vec<Asked> {
+    fn unheard_hosts(&self, now: Instant) -> Vec<AskedHost> {
         let known = self.known.lock();
         let unheard = known.values().filter(|peer| self.is_unheard(peer, now));
-        unheard.map(Asked::of).collect()
+        unheard.map(AskedHost::of).collect()
     }
 
     /// Whether two heartbeats of a host or more are missing.
--- a/crates/gateway/src/serve/tunnel.rs
+++ b/crates/gateway/src/serve/tunnel.rs
@@ -43,9 +43,6 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(2);
 const KEEPALIVE_RETRIES: u32 = 3;
 
-/// How long the other host may take to ask how a tunnel ended, once it has read the end.
-const END_QUERY_TIME: Duration = Duration::from_millis(250);
-
 /// Why no tunnel was opened.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Refusal {
@@ -252,7 +249,7 @@
             state.tunnel_ends.lock().record(id, Instant::now());
             drop(peer);
             // A planned stop waits until the other host has asked how the tunnel ended.
-            sleep(END_QUERY_TIME).await;
+            sleep(state.options.peers.tunnel_end).await;
         }
         // An answer without a length ends with its connection, so an orderly close would make a broken one look whole.
         (TunnelEnd::Reset, _) => {
--- a/crates/gateway/src/state/send_gate.rs
+++ b/crates/gateway/src/state/send_gate.rs
@@ -26,6 +26,18 @@
     Resting,
 }
 
+impl SendBarrier {
+    /// The name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::OtherService => "other-service",
+            Self::Leaving | Self::AnnouncedLeaving => "leaving",
+            Self::VersionStopped => "version-stopped",
+            Self::Resting => "resting",
+        }
+    }
+}
+
 impl GatewayState {
     /// Checks whether an upstream may get a request for a service now. Every send of a caller's request passes here
     /// immediately before its bytes leave, whichever way led to the upstream.
