Ask silent groups before a run is taken for the caller's

Cause: in a fleet of groups only hosts of the own group were asked where nothing was heard of them lately. A hall that is cut off from the others may hide a run of the same content, and its relay's silence went unnoticed.

Change: a random host of each group of which no digest came in time is asked as well; it knows the runs of its group. Without a reply nothing is proven.

Shown: groups::a_host_of_the_runs_group_confirms_it_and_silent_groups_are_asked and groups::two_hosts_that_were_heard_lately_confirm_a_run are new and test who is asked; the first fails without the change, as no host of the silent group is among them.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -62,6 +62,7 @@
         Datagram, Finding, GroupDigest, GroupMember, HostAddress, HostPhase, PeerDelta, PeerState,
         PermitAsk, PermitLoan, ServiceUse, Unreadable, UpstreamWork,
     },
+    run_inquiry::AskedHost,
     shares::{Share, divide_into_shares},
     snapshot::{
         InvalidNameIndex, PackedUpstreams, SNAPSHOT_CACHE_TIME, SetSnapshot, SnapshotCache,
--- a/crates/gateway/src/peers/groups.rs
+++ b/crates/gateway/src/peers/groups.rs
@@ -146,6 +146,13 @@
         members.any(|member| member.peers_address == address)
     }
 
+    /// Returns the hosts of each group of which no digest arrived within the `silence` timeout.
+    pub fn silent_groups(&self, silence: Duration, now: Instant) -> Vec<Vec<GroupMember>> {
+        let silent = self.known.values();
+        let silent = silent.filter(|group| !group.is_fresh(silence, now));
+        silent.map(|group| group.members.clone()).collect()
+    }
+
     /// Returns the hosts of all live groups.
     pub fn members(&self, silence: Duration, now: Instant) -> Vec<(HallId, GroupMember)> {
         let fresh = self.fresh(silence, now);
--- a/crates/gateway/src/peers/run_inquiry.rs
+++ b/crates/gateway/src/peers/run_inquiry.rs
@@ -218,11 +218,18 @@
         heard.into_iter().map(AskedHost::of).collect()
     }
 
-    /// Returns the hosts that were not heard lately.
-    fn unheard_hosts(&self, now: Instant) -> Vec<AskedHost> {
+    /// Returns the hosts that were not heard lately, and a random one of each group that was not, which knows of the
+    /// runs of its group.
+    #[must_use]
+    pub fn unheard_hosts(&self, now: Instant) -> Vec<AskedHost> {
+        let silent_groups = self.groups.lock().silent_groups(self.options.silence, now);
+        let of_groups = silent_groups.iter().filter_map(|members| {
+            let member = members.choose(&mut rand::rng())?;
+            Some(AskedHost::of_member(member))
+        });
         let known = self.known.lock();
         let unheard = known.values().filter(|peer| self.is_unheard(peer, now));
-        unheard.map(AskedHost::of).collect()
+        of_groups.chain(unheard.map(AskedHost::of)).collect()
     }
 
     /// Whether two heartbeats of a host or more are missing.
--- a/crates/gateway/tests/groups.rs
+++ b/crates/gateway/tests/groups.rs
@@ -20,8 +20,9 @@
         budget::BudgetUse,
         options::GatewayOptions,
         peers::{
-            Datagram, DigestSource, GroupDigest, GroupMember, GroupSums, HostAddress, HostPhase,
-            LastDigest, PeerState, Peers, ServiceUse, Unreadable, UpstreamLender, UpstreamWork,
+            AskedHost, Datagram, DigestSource, GroupDigest, GroupMember, GroupSums, HostAddress,
+            HostPhase, LastDigest, PeerState, Peers, ServiceUse, Unreadable, UpstreamLender,
+            UpstreamWork,
         },
         view::{Condition, UpstreamRecord, UpstreamState, Work},
     },
@@ -30,6 +31,8 @@
 
 /// Heartbeat interval of the relays in these tests.
 const HEARTBEAT: Duration = Duration::from_millis(500);
+/// Longer than a host or a group may be silent.
+const LONG_SILENCE: Duration = Duration::from_secs(4);
 
 fn address(text: &str) -> SocketAddr {
     text.parse().unwrap()
@@ -674,3 +677,49 @@
     peers.set_cut_off_services(&"a-200".to_owned(), Some(Vec::new()));
     assert_eq!(asked_for_tunnel(&peers, &[], 1, now), ["a-200"]);
 }
+
+fn names(hosts: Vec<AskedHost>) -> Vec<String> {
+    let mut names: Vec<String> = hosts.into_iter().map(|asked| asked.host).collect();
+    names.sort();
+    names
+}
+
+#[test]
+fn two_hosts_that_were_heard_lately_confirm_a_run() {
+    let start = Instant::now();
+    let peers = peers("witnesses");
+    for index in 0..2 {
+        peers.apply_state(host("a", index), start);
+    }
+    let now = start + HEARTBEAT * 3;
+    let mut starting = host("a", 2);
+    starting.phase = HostPhase::Starting;
+    peers.apply_state(starting, now);
+    for index in 3..6 {
+        peers.apply_state(host("a", index), now);
+    }
+    let run_host = "a-3".to_owned();
+    assert_eq!(names(peers.witnesses(&run_host, now)), ["a-4", "a-5"]);
+    assert_eq!(peers.witnesses(&"a-0".to_owned(), now).len(), 2);
+    // What the others answer may be unknown here.
+    assert_eq!(names(peers.unheard_hosts(now)), ["a-0", "a-1"]);
+}
+
+#[test]
+fn a_host_of_the_runs_group_confirms_it_and_silent_groups_are_asked() {
+    let start = Instant::now();
+    let peers = grouped_peers("witnesses-of-groups", start);
+    peers.apply_digest(&digest(2), start);
+    let run_host = "bb-0".to_owned();
+    assert_eq!(names(peers.witnesses(&run_host, start)), ["a-200", "bb-1"]);
+    assert!(peers.unheard_hosts(start).is_empty());
+    let now = start + LONG_SILENCE;
+    peers.apply_state(host("a", 201), now);
+    let asked = names(peers.unheard_hosts(now));
+    assert_eq!(asked.len(), 2, "{asked:?}");
+    assert!(
+        asked.contains(&"a-200".to_owned()) && asked[1].starts_with("bb-"),
+        "{asked:?}"
+    );
+    assert_eq!(names(peers.witnesses(&run_host, now)), ["a-201"]);
+}
