--- a/crates/runs/src/log.rs
+++ b/crates/runs/src/log.rs
@@ -34,7 +34,7 @@
     OtherGroup,
 }
 
-/// Whose runs a lookup returns.
+/// Which runs a lookup returns: those of requests for one content.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ContentMatch {
     /// The digest under which runs are kept.
@@ -47,13 +47,13 @@
 enum EntryState {
     /// This process answers the caller.
     Answering { begun: Instant },
-    /// This process answered the caller until then.
+    /// This process ended the answer then.
     Ended {
         at: Instant,
         last_event: Option<EventId>,
         is_complete: bool,
     },
-    /// Another host reported the run, then for the last time.
+    /// Another host reports the run; the latest report says that it was answered then.
     Reported { at: Instant },
 }
 
