Read the row of the duties before a lease is renewed on waking

Cause: a holder that was suspended renewed on waking and relied on the condition of the write to find out whether its lease had been taken. The store had come back from a copy meanwhile, which gave out the row's version again, so the condition held by accident (logs in the postmortem).

Change: a holder whose last read or write of the row was requested longer ago than a tenure lasts reads the row first. Within a tenure of such a request nobody else can take the lease, so nothing changes there.

Evidence: a_holder_whose_tenure_expired_reads_the_row_and_may_then_renew_it fails on the code before (it got a write). It replaces a_holder_whose_tenure_expired_may_renew_it and asks more. Two other tests only moved their moments inside a tenure. The test of a row requested before the suspension fails if a read counts from its answer.

Open: a renewal on its way for that long can still match by accident.

--- a/crates/duties/src/lease.rs
+++ b/crates/duties/src/lease.rs
@@ -34,6 +34,8 @@
 struct KnownRow {
     version: RowVersion,
     record: LeaseRecord,
+    /// When the read or write was requested.
+    requested_at: Instant,
 }
 
 /// The highest version of the row that this process knows of, from the store or from other hosts.
@@ -129,7 +131,12 @@
     }
 
     /// Records the result of a read; `None` if the row does not exist.
-    pub fn record_read(&mut self, row: Option<(RowVersion, LeaseRecord)>, now: Instant) {
+    pub fn record_read(
+        &mut self,
+        row: Option<(RowVersion, LeaseRecord)>,
+        requested_at: Instant,
+        now: Instant,
+    ) {
         self.needs_read = false;
         let unconfirmed_write = self.unconfirmed_write.take();
         let (version, record) = row.unwrap_or_default();
@@ -147,7 +154,11 @@
         } else if !is_unchanged {
             self.end_tenure();
         }
-        self.known_row = Some(KnownRow { version, record });
+        self.known_row = Some(KnownRow {
+            version,
+            record,
+            requested_at,
+        });
     }
 
     /// Returns the step that stores data again which the store lost when it was restored from an older copy, or
@@ -171,9 +182,19 @@
     }
 
     /// Records that a write-back succeeded.
-    pub fn record_written_back(&mut self, version: RowVersion, record: LeaseRecord, now: Instant) {
+    pub fn record_written_back(
+        &mut self,
+        version: RowVersion,
+        record: LeaseRecord,
+        requested_at: Instant,
+        now: Instant,
+    ) {
         self.record_version(version, record.holder.as_ref(), now);
-        self.known_row = Some(KnownRow { version, record });
+        self.known_row = Some(KnownRow {
+            version,
+            record,
+            requested_at,
+        });
     }
 
     /// Records that the outcome of a write-back is unknown.
@@ -209,7 +230,11 @@
         } else {
             self.end_tenure();
         }
-        self.known_row = Some(KnownRow { version, record });
+        self.known_row = Some(KnownRow {
+            version,
+            record,
+            requested_at,
+        });
     }
 
     /// Records that a write failed because the row's version had changed.
@@ -288,8 +313,13 @@
     }
 
     /// Renews the lease, even after the tenure has ended: the conditional write fails if another process
-    /// has taken it.
+    /// has taken it. A row that was last read or written longer ago than a tenure lasts is read again first.
+    /// Another process may have taken the lease since then and a restore of the store may have lost its write, so
+    /// that the condition would hold although the lease was taken.
     fn renewal_step(&self, known_row: &KnownRow, now: Instant) -> Step {
+        if now >= known_row.requested_at + self.timing.hold {
+            return Step::Read;
+        }
         let due = self
             .last_renewal
             .map(|last_renewal| last_renewal + self.timing.renew_interval);
--- a/crates/duties/tests/decision_model/world.rs
+++ b/crates/duties/tests/decision_model/world.rs
@@ -395,7 +395,8 @@
         let revision = self.revision();
         let row = (revision > 0).then(|| (revision, self.row.lease.clone()));
         let process = &mut self.processes[index];
-        process.lease.record_read(row, instant(self.now));
+        let now = instant(self.now);
+        process.lease.record_read(row, now, now);
         process.record_row(&self.row);
     }
 
@@ -446,7 +447,9 @@
             if takes_lease {
                 process.lease.record_written(revision, record, now, now);
             } else {
-                process.lease.record_written_back(revision, record, now);
+                process
+                    .lease
+                    .record_written_back(revision, record, now, now);
             }
             process.record_row(&self.row);
         }
--- a/crates/duties/tests/lease.rs
+++ b/crates/duties/tests/lease.rs
@@ -64,7 +64,7 @@
 /// Returns a lease that this process took at `requested_at`.
 fn lease_taken_at(requested_at: Instant) -> Lease {
     let mut lease = lease_of("a");
-    lease.record_read(None, requested_at);
+    lease.record_read(None, requested_at, requested_at);
     let write = expect_write(&mut lease, seconds(100), CANDIDATE, requested_at);
     lease.record_written(1, write.record, requested_at, requested_at);
     lease
@@ -75,7 +75,7 @@
     let now = Instant::now();
     let mut lease = lease_of("a");
     assert_eq!(lease.next_step(None, CANDIDATE, now), Step::Read);
-    lease.record_read(None, now);
+    lease.record_read(None, now, now);
     let write = expect_write(&mut lease, seconds(100), CANDIDATE, now);
     assert_eq!((write.expected, write.purpose), (0, Purpose::Take));
     assert_eq!(lease.tenure(now), None);
@@ -118,7 +118,7 @@
     tealshore_core::protection::start();
     let now = Instant::now();
     let mut lease = lease_of("b");
-    lease.record_read(Some((5, record_held_by("a"))), now);
+    lease.record_read(Some((5, record_held_by("a"))), now, now);
     let expiry = now + LENGTH;
     assert_eq!(
         lease.next_step(Some(seconds(100)), CANDIDATE, now),
@@ -139,7 +139,7 @@
 fn a_candidate_with_a_delay_waits_longer() {
     let now = Instant::now();
     let mut lease = lease_of("c");
-    lease.record_read(Some((5, record_held_by("a"))), now);
+    lease.record_read(Some((5, record_held_by("a"))), now, now);
     let delay = Duration::from_millis(300);
     let step = lease.next_step(Some(seconds(104)), Role::Candidate { delay }, now + LENGTH);
     assert_eq!(step, Step::Wait(now + LENGTH + delay));
@@ -149,7 +149,7 @@
 fn a_summary_of_a_renewal_postpones_the_expiry() {
     let now = Instant::now();
     let mut lease = lease_of("b");
-    lease.record_read(Some((5, record_held_by("a"))), now);
+    lease.record_read(Some((5, record_held_by("a"))), now, now);
     let summary = LeaseSummary {
         version: 6,
         fence: 7,
@@ -175,7 +175,7 @@
 fn a_released_lease_is_taken_at_once() {
     let now = Instant::now();
     let mut lease = lease_of("b");
-    lease.record_read(Some((5, record_held_by("a"))), now);
+    lease.record_read(Some((5, record_held_by("a"))), now, now);
     let summary = LeaseSummary {
         version: 6,
         fence: 7,
@@ -190,7 +190,7 @@
         holder: None,
         ..record_held_by("a")
     };
-    lease.record_read(Some((6, released)), now);
+    lease.record_read(Some((6, released)), now, now);
     let write = expect_write(&mut lease, seconds(100), CANDIDATE, now);
     assert_eq!((write.expected, write.purpose), (6, Purpose::Take));
 }
@@ -207,7 +207,7 @@
         }],
         ..record_held_by("b")
     };
-    lease.record_read(Some((6, released)), now);
+    lease.record_read(Some((6, released)), now, now);
     let cooldown_end = now + seconds(3);
     assert_eq!(
         lease.next_step(Some(seconds(102)), CANDIDATE, now),
@@ -222,7 +222,7 @@
 fn a_restarted_holder_waits_for_the_expiry_and_takes_a_new_token() {
     let now = Instant::now();
     let mut lease = Lease::new(process("a", 2), LeaseTiming::of(LENGTH));
-    lease.record_read(Some((5, record_held_by("a"))), now);
+    lease.record_read(Some((5, record_held_by("a"))), now, now);
     assert_eq!(
         lease.next_step(Some(seconds(100)), CANDIDATE, now),
         Step::Wait(now + LENGTH)
@@ -243,7 +243,7 @@
         lease.next_step(Some(seconds(102)), CANDIDATE, due),
         Step::Read
     );
-    lease.record_read(Some((2, write.record)), due + seconds(1));
+    lease.record_read(Some((2, write.record)), due + seconds(1), due + seconds(1));
     assert_eq!(lease.tenure(due).unwrap().until, due + seconds(3));
 }
 
@@ -262,16 +262,21 @@
     lease.record_read(
         Some((row.version, record_taken())),
         requested_at + seconds(2),
+        requested_at + seconds(2),
     );
     let second = expect_write(
         &mut lease,
-        seconds(105),
+        seconds(104),
         CANDIDATE,
-        requested_at + seconds(5),
+        requested_at + seconds(4),
+    );
+    lease.record_unknown_outcome(&second.record, requested_at + seconds(4));
+    lease.record_read(
+        Some((2, first.record)),
+        requested_at + seconds(4),
+        requested_at + seconds(4),
     );
-    lease.record_unknown_outcome(&second.record, requested_at + seconds(5));
-    lease.record_read(Some((2, first.record)), requested_at + seconds(5));
-    assert_eq!(lease.tenure(requested_at + seconds(5)), None);
+    assert_eq!(lease.tenure(requested_at + seconds(4)), None);
 }
 
 /// Returns the record that [`lease_taken_at`] wrote.
@@ -294,7 +299,7 @@
         lease.next_step(Some(seconds(100)), CANDIDATE, requested_at),
         Step::Read
     );
-    lease.record_read(Some((2, record_held_by("b"))), requested_at);
+    lease.record_read(Some((2, record_held_by("b"))), requested_at, requested_at);
     assert_eq!(lease.tenure(requested_at), None);
     assert_eq!(
         lease.next_step(Some(seconds(100)), CANDIDATE, requested_at),
@@ -302,18 +307,34 @@
     );
 }
 
+/// Another process took the lease while the holder was suspended, and a restore of the store gave out the version of the
+/// holder's row again: its renewal was accepted, and the token of the other process went back to a lower one.
 #[test]
-fn a_holder_whose_tenure_expired_may_renew_it() {
+fn a_holder_whose_tenure_expired_reads_the_row_and_may_then_renew_it() {
     let requested_at = Instant::now();
     let mut lease = lease_taken_at(requested_at);
     let resumed = requested_at + seconds(60);
     assert_eq!(lease.tenure(resumed), None);
+    let step = lease.next_step(Some(seconds(160)), CANDIDATE, resumed);
+    assert_eq!(step, Step::Read);
+    lease.record_read(Some((1, record_taken())), resumed, resumed);
     let write = expect_write(&mut lease, seconds(160), CANDIDATE, resumed);
     assert_eq!(write.purpose, Purpose::Renew);
     lease.record_written(2, write.record, resumed, resumed);
     assert_eq!(lease.tenure(resumed).unwrap().fence, 1);
 }
 
+/// The holder was suspended while the answer to its read was on its way.
+#[test]
+fn a_row_that_was_requested_before_the_holder_was_suspended_is_read_again() {
+    let requested_at = Instant::now();
+    let mut lease = lease_taken_at(requested_at);
+    let resumed = requested_at + seconds(60);
+    lease.record_read(Some((1, record_taken())), requested_at, resumed);
+    let step = lease.next_step(Some(seconds(160)), CANDIDATE, resumed);
+    assert_eq!(step, Step::Read);
+}
+
 #[test]
 fn a_rejected_token_ends_the_tenure() {
     let requested_at = Instant::now();
@@ -331,10 +352,11 @@
 fn after_a_rejected_token_the_lease_is_taken_with_a_higher_one() {
     let requested_at = Instant::now();
     let mut lease = lease_taken_at(requested_at);
-    let row = expect_write(&mut lease, seconds(100), CANDIDATE, requested_at + LENGTH).record;
+    let renewed_at = requested_at + seconds(2);
+    let row = expect_write(&mut lease, seconds(102), CANDIDATE, renewed_at).record;
     lease.record_written(2, row.clone(), requested_at, requested_at);
     lease.record_fenced();
-    lease.record_read(Some((2, row.clone())), requested_at);
+    lease.record_read(Some((2, row.clone())), requested_at, requested_at);
     let write = expect_write(&mut lease, seconds(101), CANDIDATE, requested_at);
     assert_eq!(write.purpose, Purpose::Take);
     assert!(write.record.fence > row.fence);
@@ -359,7 +381,7 @@
         lease.next_step(Some(seconds(101)), Role::Leaving, requested_at),
         Step::Read
     );
-    lease.record_read(Some((1, record_taken())), requested_at);
+    lease.record_read(Some((1, record_taken())), requested_at, requested_at);
     assert_eq!(lease.tenure(requested_at), None);
     let again = expect_write(&mut lease, seconds(101), Role::Leaving, requested_at);
     assert_eq!((again.expected, again.purpose), (1, Purpose::Release));
@@ -391,7 +413,11 @@
     );
     assert_eq!(write.purpose, Purpose::Renew);
     let mut other = lease_of("b");
-    other.record_read(Some((5, LeaseRecord::default())), requested_at);
+    other.record_read(
+        Some((5, LeaseRecord::default())),
+        requested_at,
+        requested_at,
+    );
     let step = other.next_step(Some(seconds(100)), Role::NonCandidate, requested_at);
     assert!(matches!(step, Step::Wait(_)));
 }
@@ -411,7 +437,7 @@
 fn a_missing_row_is_taken_after_the_expiry_with_a_higher_token() {
     let now = Instant::now();
     let mut lease = lease_of("b");
-    lease.record_read(Some((5, record_held_by("a"))), now);
+    lease.record_read(Some((5, record_held_by("a"))), now, now);
     let summary = LeaseSummary {
         version: 6,
         fence: 9,
@@ -423,7 +449,7 @@
         Step::Read
     );
     let read = now + LENGTH;
-    lease.record_read(None, read);
+    lease.record_read(None, read, read);
     // The holder may not know yet that the row is missing.
     let expiry = read + LENGTH;
     assert_eq!(
@@ -467,7 +493,7 @@
     for row in rows {
         let mut lease = lease_of("a");
         lease.record_store_restored(1, now);
-        lease.record_read(row, now);
+        lease.record_read(row, now, now);
         let expiry = now + LENGTH;
         assert_eq!(
             lease.next_step(Some(seconds(100)), CANDIDATE, now),
@@ -487,7 +513,7 @@
     for era in 1..4 {
         let mut lease = lease_of("b");
         lease.record_store_restored(era, now);
-        lease.record_read(Some((1, record_taken())), now);
+        lease.record_read(Some((1, record_taken())), now, now);
         let write = expect_write(&mut lease, seconds(104), CANDIDATE, expiry);
         tokens.push(write.record.fence);
         lease.record_written(12, write.record.clone(), expiry, expiry);
@@ -508,18 +534,18 @@
     let write = expect_write(&mut lease, seconds(102), CANDIDATE, due);
     lease.record_unknown_outcome(&write.record, due);
     lease.record_store_restored(1, due);
-    lease.record_read(Some((2, write.record)), due);
+    lease.record_read(Some((2, write.record)), due, due);
     assert_eq!(lease.tenure(due), None);
 }
 
 /// Returns a lease whose row was read again after the store was restored to an older copy.
 fn lease_after_restore(record: LeaseRecord, now: Instant) -> Lease {
     let mut lease = lease_of("a");
-    lease.record_read(Some((5, record.clone())), now);
+    lease.record_read(Some((5, record.clone())), now, now);
     assert_eq!(lease.write_back_step(), None, "the store was not restored");
     lease.record_store_restored(1, now);
     assert_eq!(lease.write_back_step(), None, "the row is not known");
-    lease.record_read(Some((1_004, record)), now);
+    lease.record_read(Some((1_004, record)), now, now);
     lease
 }
 
@@ -535,7 +561,7 @@
         purpose: Purpose::WriteBack,
     };
     assert_eq!(lease.write_back_step(), Some(expected));
-    lease.record_written_back(1_005, record_held_by("b"), now + seconds(1));
+    lease.record_written_back(1_005, record_held_by("b"), now, now + seconds(1));
     assert_eq!(lease.tenure(now + seconds(1)), None);
     let free_from = now + seconds(1) + LENGTH;
     let next = lease.next_step(Some(seconds(100)), CANDIDATE, now + seconds(1));
@@ -548,7 +574,7 @@
 fn a_write_back_by_the_former_holder_gives_no_tenure() {
     let now = Instant::now();
     let mut lease = lease_after_restore(record_held_by("a"), now);
-    lease.record_written_back(1_005, record_held_by("a"), now);
+    lease.record_written_back(1_005, record_held_by("a"), now, now);
     assert_eq!(lease.tenure(now), None);
     let next = lease.next_step(Some(seconds(100)), CANDIDATE, now);
     assert_eq!(next, Step::Wait(now + LENGTH));
@@ -573,6 +599,6 @@
         fence: 1 << 32,
         ..record_held_by("b")
     };
-    lease.record_read(Some((1_005, taken)), now);
+    lease.record_read(Some((1_005, taken)), now, now);
     assert_eq!(lease.write_back_step(), None);
 }
--- a/crates/duties/tests/lease_model/world.rs
+++ b/crates/duties/tests/lease_model/world.rs
@@ -26,8 +26,8 @@
     Nothing,
     /// It decided on a write and froze before it sent the write.
     Decided(LeaseRecord, RowVersion),
-    /// The answer to a read.
-    Row(RowVersion, LeaseRecord),
+    /// The answer to a read, and when the read was requested.
+    Row(RowVersion, LeaseRecord, Tick),
     /// A write that the store has not received yet.
     Write(SentWrite),
     /// The answer to a write; `None` if the row had changed.
@@ -246,8 +246,9 @@
             Step::Wait(_) => return None,
             Step::Read if freezes => return None,
             Step::Read => {
+                let now = instant(self.now);
                 let lease = &mut self.processes[process].lease;
-                lease.record_read(self.row.clone(), instant(self.now));
+                lease.record_read(self.row.clone(), now, now);
             }
             Step::Write {
                 record, expected, ..
@@ -291,18 +292,18 @@
         }
         self.faults_left.delays -= 1;
         let (version, record) = self.row.clone().unwrap_or_default();
-        self.processes[process].pending = Pending::Row(version, record);
+        self.processes[process].pending = Pending::Row(version, record, self.now);
         Some(())
     }
 
     fn record_row(&mut self, process: usize) -> Option<()> {
         let now = instant(self.now);
         let process = &mut self.processes[process];
-        let Pending::Row(version, record) = process.pending.clone() else {
+        let Pending::Row(version, record, requested_at) = process.pending.clone() else {
             return None;
         };
         let row = (version > 0).then_some((version, record));
-        process.lease.record_read(row, now);
+        process.lease.record_read(row, instant(requested_at), now);
         process.pending = Pending::Nothing;
         Some(())
     }
--- a/crates/gateway/src/sync/duties/row.rs
+++ b/crates/gateway/src/sync/duties/row.rs
@@ -25,6 +25,7 @@
     /// Reads the row and applies it.
     pub(super) async fn read(&mut self) {
         let request = self.state().protocol.list_call(self.follower.set, None);
+        let sent_at = Instant::now();
         let page = match self.follower.page(request, STORE_TIMEOUT).await {
             Ok((page, _)) => page,
             Err(failure) => {
@@ -49,10 +50,10 @@
                 | Change::Rollout(_) => {}
             }
         }
-        self.accept_record(row);
+        self.accept_record(row, sent_at);
     }
 
-    fn accept_record(&mut self, row: Option<(Revision, DutyRecord)>) {
+    fn accept_record(&mut self, row: Option<(Revision, DutyRecord)>, sent_at: Instant) {
         self.store_failures = 0;
         let (revision, record) = row.unwrap_or_default();
         let mut draft = record.clone();
@@ -78,7 +79,7 @@
         );
         duties.with_ledger(|ledger| ledger.restore(&record.usage.counted));
         let lease = (revision > 0).then(|| (revision, record.lease.clone()));
-        duties.with_lease(|lease_state| lease_state.record_read(lease, Instant::now()));
+        duties.with_lease(|known| known.record_read(lease, sent_at, Instant::now()));
         self.record = record;
     }
 
@@ -231,7 +232,7 @@
             Purpose::Take | Purpose::Renew | Purpose::Release => {
                 known.record_written(revision, lease, sent_at, now);
             }
-            Purpose::WriteBack => known.record_written_back(revision, lease, now),
+            Purpose::WriteBack => known.record_written_back(revision, lease, sent_at, now),
         });
         state.metrics.duty_fence.set(
             state
