Log what a view's age counts from, the store's era, and suspensions

Cause: the logs of the reported cases can't tell a suspended host from one that believes a restored store. A served call logged no age of its view, no line named who gave the answer from which the age counts, the store's era of the configuration in force stood in no line, and a machine that was suspended shows no gap on the steady clock.

The new clock module is used by this line only. No decision changes.

Ruled out: a field for each request in debug lines, which on-call does not have.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod answer;
 pub mod chain;
+pub mod clock;
 pub mod exit;
 pub mod http;
 pub mod ids;
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -8,7 +8,7 @@
     crate::{
         edge::{RequestFacts, UpstreamOrder},
         state::GatewayState,
-        view::{Configuration, Route, Upstream, UpstreamRecord},
+        view::{Configuration, Route, Upstream, UpstreamRecord, ViewFacts},
     },
     bytes::Bytes,
     http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Uri, header},
@@ -50,6 +50,8 @@
     pub service: ServiceId,
     /// The customer whose key it carries.
     pub customer: Option<CustomerId>,
+    /// What its admission relied on.
+    pub view: ViewFacts,
     /// Its priority; 0 is the highest.
     pub priority: u8,
     /// Digest of the request.
--- a/crates/gateway/src/forward/stream/relay.rs
+++ b/crates/gateway/src/forward/stream/relay.rs
@@ -336,7 +336,7 @@
         log::log!(
             level,
             "stream: ended request={} digest={} outcome={outcome} upstream={} runs={} events={} last={:?} \
-             age_ms={} configuration={}",
+             age_ms={} {}",
             self.call.id(),
             self.call.fingerprint_hex(),
             upstream.as_deref().unwrap_or("-"),
@@ -344,7 +344,7 @@
             self.progress.delivered(),
             self.progress.last(),
             self.call.age_ms(),
-            self.call.configuration.version
+            self.call.view
         );
     }
 }
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -18,7 +18,7 @@
         relay::relay,
         snapshot::serve_snapshots,
     },
-    crate::state::GatewayState,
+    crate::{state::GatewayState, view::ViewFacts},
     apply::apply_datagram,
     std::{
         collections::HashMap,
@@ -220,9 +220,8 @@
         return;
     }
     log::info!(
-        "peers: own phase changed phase={phase:?} before={before:?} configuration={} view_age_ms={:?}",
-        state.view.version(),
-        state.view.age(now).map(|age| age.as_millis())
+        "peers: own phase changed phase={phase:?} before={before:?} {}",
+        ViewFacts::of(&state.view, now)
     );
 }
 
--- a/crates/gateway/src/serve/ingress.rs
+++ b/crates/gateway/src/serve/ingress.rs
@@ -10,7 +10,7 @@
         },
         lifecycle::InFlightGuard,
         state::GatewayState,
-        view::{Configuration, Customer, Route, RouteKind},
+        view::{Configuration, Customer, Route, RouteKind, ViewFacts},
     },
     bytes::{Bytes, BytesMut},
     http::{Request, Response, header, request},
@@ -42,6 +42,7 @@
     route: Route,
     service: ServiceId,
     customer: Option<Customer>,
+    view: ViewFacts,
 }
 
 /// Answers one request of a caller.
@@ -99,10 +100,10 @@
         .map_err(|_| Failure::new(ErrorKind::RequestTooSlow, "the body took too long"))??;
     let call = Arc::new(prepare(received, head, facts, body, admitted));
     log::debug!(
-        "call: admitted request={} route={} configuration={} customer={}",
+        "call: admitted request={} route={} {} customer={}",
         call.id(),
         call.route.name,
-        call.configuration.version,
+        call.view,
         call.customer.as_deref().unwrap_or("-")
     );
     match call.route.kind {
@@ -152,6 +153,7 @@
         route,
         service,
         customer,
+        view: ViewFacts::of(&state.view, Instant::now()),
     })
 }
 
@@ -167,10 +169,9 @@
     if !state.is_view_fresh(now) {
         state.metrics.stale_requests.inc();
         log::info!(
-            "call: admitted with a stale view request={} configuration={} view_age_ms={:?}",
+            "call: admitted with a stale view request={} {}",
             facts.request.as_deref().unwrap_or("-"),
-            state.view.version(),
-            state.view.age(now).map(|age| age.as_millis())
+            ViewFacts::of(&state.view, now)
         );
     }
     Ok(())
@@ -263,6 +264,7 @@
         route,
         service,
         customer,
+        view,
     } = admitted;
     let mut headers = head.headers;
     strip_connection_headers(&mut headers);
@@ -287,6 +289,7 @@
         route,
         service,
         customer: customer.map(|customer| customer.name),
+        view,
         priority,
         received,
     }
@@ -311,13 +314,13 @@
     state.metrics.observe_first_byte("call", took);
     state.metrics.observe_duration("call", took);
     log::info!(
-        "call: ended request={} digest={} route={} outcome={outcome} status={} age_ms={} configuration={}",
+        "call: ended request={} digest={} route={} outcome={outcome} status={} age_ms={} {}",
         call.id(),
         call.fingerprint_hex(),
         call.route.name,
         response.status().as_u16(),
         call.age_ms(),
-        call.configuration.version
+        call.view
     );
 }
 
@@ -327,13 +330,11 @@
     state.metrics.outcomes.with_label_values(&[name]).inc();
     log::log!(
         failure.kind.answer().level,
-        "call: ended request={} outcome={name} ran={:?} age_ms={} configuration={} \
-         view_age_ms={:?} detail={:?}",
+        "call: ended request={} outcome={name} ran={:?} age_ms={} {} detail={:?}",
         facts.request.as_deref().unwrap_or("-"),
         failure.ran(),
         now.saturating_duration_since(received).as_millis(),
-        state.view.version(),
-        state.view.age(now).map(|age| age.as_millis()),
+        ViewFacts::of(&state.view, now),
         failure.detail
     );
 }
--- a/crates/gateway/src/standstill.rs
+++ b/crates/gateway/src/standstill.rs
@@ -2,11 +2,12 @@
 //! the host knew before is older than the last datagrams make it seem.
 
 use {
-    crate::state::GatewayState,
+    crate::{state::GatewayState, view::ViewFacts},
     std::{
         sync::Arc,
         time::{Duration, Instant},
     },
+    tealshore_core::clock,
     tokio::time::sleep,
 };
 
@@ -14,6 +15,8 @@
 const TICK: Duration = Duration::from_millis(100);
 /// The time without a tick from which the process stood still.
 const MIN_STANDSTILL: Duration = Duration::from_secs(1);
+/// The difference between the clocks from which the machine was suspended.
+const MIN_SUSPENSION: Duration = Duration::from_millis(100);
 /// The time after a standstill in which the host is learning again what it missed.
 const CATCH_UP_TIME: Duration = Duration::from_secs(1);
 
@@ -55,16 +58,50 @@
     }
 }
 
+/// The time on the steady clock and on the clock that counts suspensions, read together.
+#[derive(Clone, Copy)]
+struct ClockPair {
+    steady: Instant,
+    counting: Instant,
+}
+
+impl ClockPair {
+    fn read() -> Self {
+        Self {
+            steady: clock::steady_now(),
+            counting: clock::now(),
+        }
+    }
+
+    /// For how long the machine was suspended between an earlier reading and this one.
+    fn suspended_since(self, earlier: Self) -> Duration {
+        let steady = self.steady.saturating_duration_since(earlier.steady);
+        let counting = self.counting.saturating_duration_since(earlier.counting);
+        counting.saturating_sub(steady)
+    }
+}
+
 /// Watches for standstills for as long as the process lives.
 pub(crate) async fn watch(state: Arc<GatewayState>) {
+    let mut clocks = ClockPair::read();
     loop {
+        let read = ClockPair::read();
+        let suspended = read.suspended_since(clocks);
+        clocks = read;
+        if suspended >= MIN_SUSPENSION {
+            log::warn!(
+                "host: this machine was suspended suspended_ms={} {}",
+                suspended.as_millis(),
+                ViewFacts::of(&state.view, Instant::now())
+            );
+        }
         let gap = state.standstill.lock().tick(Instant::now());
         if let Some(gap) = gap {
             state.metrics.standstills.inc();
             log::warn!(
-                "host: this process stood still gap_ms={} view_age_ms={:?}",
+                "host: this process stood still gap_ms={} {}",
                 gap.as_millis(),
-                state.view.age(Instant::now()).map(|age| age.as_millis())
+                ViewFacts::of(&state.view, Instant::now())
             );
         }
         sleep(TICK).await;
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -20,9 +20,9 @@
         feed::SetWatermark,
         peers::PeerSocket,
         state::GatewayState,
-        view::MISSING_ROW_GRACE,
+        view::{MISSING_ROW_GRACE, ViewFacts, ViewSource},
     },
-    apply::LogRows,
+    apply::{ConfigurationSource, LogRows},
     bytes::Bytes,
     calls::{StoreAnswer, StoreCallFailure, StoreClient},
     duties::DutyRunner,
@@ -170,7 +170,7 @@
                 return Err(StoreCallFailure::NewEra);
             }
             present.extend(page.changes.iter().filter_map(apply::listed_upstream));
-            self.apply_rows(page.changes, log);
+            self.apply_rows(page.changes, log, ConfigurationSource::FullRead);
             after_key = page.next_key;
             if after_key.is_none() {
                 let gone = self.finish_full_read(revision, written, &present);
@@ -228,7 +228,7 @@
     ) -> usize {
         match self.set {
             RowSet::Configuration => {
-                self.confirm(written.moment);
+                self.confirm(written.moment, &ViewSource::Store);
                 0
             }
             RowSet::Upstreams => self.retain(revision, present),
@@ -284,9 +284,15 @@
         upstreams.retain(revision, present)
     }
 
-    fn confirm(&self, moment: Instant) {
-        if self.set == RowSet::Configuration && self.state.view.version() > 0 {
-            self.state.view.confirm(moment);
+    fn confirm(&self, moment: Instant, source: &ViewSource) {
+        let view = &self.state.view;
+        if self.set != RowSet::Configuration || view.version() == 0 {
+            return;
+        }
+        view.confirm(moment);
+        if let Some(before) = view.set_source(source) {
+            let facts = ViewFacts::of(view, Instant::now());
+            log::info!("view: source changed {facts} before={before}");
         }
     }
 
--- a/crates/gateway/src/sync/apply.rs
+++ b/crates/gateway/src/sync/apply.rs
@@ -3,13 +3,17 @@
 use {
     super::Follower,
     crate::{
-        edge::{Change, Revision, RowSet, StoredCrashes, UpstreamChange},
+        edge::{Change, Revision, RowSet, StoredCrashes, UpstreamChange, era_of},
         feed::{SetWatermark, UpstreamDelta},
         rollout::{RolloutOrder, RolloutRecord},
         state::GatewayState,
-        view::{Applied, Configuration, RowOrigin},
+        view::{Applied, Configuration, RowOrigin, ViewFacts},
+    },
+    std::{
+        fmt::{Display, Formatter},
+        net::SocketAddr,
+        time::{Duration, Instant},
     },
-    std::time::{Duration, Instant},
     tealshore_core::ids::EngineId,
     tealshore_quarantine::{
         news::CrashUpdate,
@@ -27,19 +31,51 @@
     Counted,
 }
 
+/// How this host received a configuration, for logs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ConfigurationSource {
+    /// It read the full set from the store.
+    FullRead,
+    /// The store reported it as a change.
+    Watch,
+    /// The host at this address served it.
+    Snapshot(SocketAddr),
+}
+
+impl Display for ConfigurationSource {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::FullRead => formatter.write_str("full-read"),
+            Self::Watch => formatter.write_str("watch"),
+            Self::Snapshot(address) => write!(formatter, "snapshot:{address}"),
+        }
+    }
+}
+
 impl Follower {
     /// Applies rows. `log` selects whether each changed row is logged.
-    pub(super) fn apply_rows(&self, changes: Vec<(Revision, Change)>, log: LogRows) {
+    pub(super) fn apply_rows(
+        &self,
+        changes: Vec<(Revision, Change)>,
+        log: LogRows,
+        source: ConfigurationSource,
+    ) {
         for (revision, change) in changes {
-            self.apply_row(revision, change, log);
+            self.apply_row(revision, change, log, source);
         }
     }
 
-    fn apply_row(&self, revision: Revision, change: Change, log: LogRows) {
+    fn apply_row(
+        &self,
+        revision: Revision,
+        change: Change,
+        log: LogRows,
+        source: ConfigurationSource,
+    ) {
         match change {
             Change::Configuration(configuration) => {
                 let origin = self.state.feed.origin_of(self.set, revision);
-                apply_configuration(&self.state, revision, *configuration, origin);
+                apply_configuration(&self.state, revision, *configuration, origin, source);
             }
             Change::Upstream(change) => apply_upstream(&self.state, revision, change, log),
             Change::Host(host) => self.state.peers.add(&host),
@@ -145,18 +181,23 @@
     revision: Revision,
     new: Configuration,
     origin: RowOrigin,
+    source: ConfigurationSource,
 ) -> Applied {
     let version = new.version;
     let routes = new.route_count();
     let keys = new.customers.len();
-    let is_in_restore_grace = state.feed.is_in_restore_grace(Instant::now());
+    let now = Instant::now();
+    let is_in_restore_grace = state.feed.is_in_restore_grace(now);
     let applied = state.view.apply(new, revision, origin, is_in_restore_grace);
     let current_version = i64::try_from(state.view.version()).unwrap_or(i64::MAX);
     state.metrics.config_version.set(current_version);
     log::info!(
-        "view: configuration received version={version} revision={revision} routes={routes} keys={keys} \
-         outcome={}",
-        applied.name()
+        "view: configuration received version={version} revision={revision} era={} origin={} source={source} \
+         routes={routes} keys={keys} outcome={} {}",
+        era_of(revision),
+        origin.name(),
+        applied.name(),
+        ViewFacts::of(&state.view, now)
     );
     applied
 }
--- a/crates/gateway/src/sync/follow.rs
+++ b/crates/gateway/src/sync/follow.rs
@@ -1,14 +1,19 @@
 //! Follows a set of rows, either by the watermark of the host that feeds this one or by watching the store.
 
 use {
-    super::{Follower, StoreCallFailure, apply::LogRows},
+    super::{
+        Follower, StoreCallFailure,
+        apply::{ConfigurationSource, LogRows},
+    },
     crate::{
         edge::{Change, Revision, RowSet, era_of, row_number_of},
         feed::{FeederChoice, SetWatermark, UpstreamDelta},
         peers::SourceScope,
+        view::ViewSource,
     },
     std::time::{Duration, Instant},
     tealshore_core::{
+        ids::HostId,
         protection::{Protection, enabled},
         spread::with_jitter,
     },
@@ -49,6 +54,8 @@
     FeederSilent,
     /// A feeder, without missed changes.
     Fed {
+        /// The feeder.
+        feeder: HostId,
         /// The feeder's watermark.
         watermark: SetWatermark,
         /// A time at which the watermark was current.
@@ -72,8 +79,12 @@
             }
             let result = match self.source(now) {
                 _ if self.must_confirm(now) => self.confirm_configuration().await,
-                Source::Fed { watermark, moment } => {
-                    self.follow_feeder(watermark, moment).await;
+                Source::Fed {
+                    feeder,
+                    watermark,
+                    moment,
+                } => {
+                    self.follow_feeder(feeder, watermark, moment).await;
                     continue;
                 }
                 Source::Store if !is_fully_read => self.read_full_set().await,
@@ -124,7 +135,7 @@
         let Some(known) = feed.progress(self.set).watermark() else {
             return Source::Store;
         };
-        let FeederChoice::Peer(_, watermark) = self.state.feeder(now) else {
+        let FeederChoice::Peer(feeder, watermark) = self.state.feeder(now) else {
             return Source::Store;
         };
         let Some(watermark) = watermark.of(self.set) else {
@@ -133,7 +144,11 @@
         match feed.to_local_instant(watermark.written, now) {
             Some(moment) if now > moment + self.state.fed_bound(now) => Source::FeederSilent,
             Some(_) if known.revision < watermark.changed => Source::Behind,
-            Some(moment) => Source::Fed { watermark, moment },
+            Some(moment) => Source::Fed {
+                feeder,
+                watermark,
+                moment,
+            },
             None => Source::Store,
         }
     }
@@ -155,10 +170,10 @@
         }
     }
 
-    async fn follow_feeder(&mut self, watermark: SetWatermark, moment: Instant) {
+    async fn follow_feeder(&mut self, feeder: HostId, watermark: SetWatermark, moment: Instant) {
         let now = Instant::now();
         let is_change = self.state.feed.advance(self.set, watermark);
-        self.confirm(moment);
+        self.confirm(moment, &ViewSource::Feeder(feeder));
         if self.failures > 0 {
             self.record_recovery();
         }
@@ -302,9 +317,9 @@
             written: written.store_time,
         };
         let delta = self.upstream_delta(after, page.revision, &page.changes);
-        self.apply_rows(page.changes, LogRows::Each);
+        self.apply_rows(page.changes, LogRows::Each, ConfigurationSource::Watch);
         self.state.feed.advance(self.set, watermark);
-        self.confirm(written.moment);
+        self.confirm(written.moment, &ViewSource::Store);
         self.record_recovery();
         if self.state.feeder(Instant::now()) == FeederChoice::ThisHost {
             self.state.peers.publish_store_progress(delta);
--- a/crates/gateway/src/sync/from_peers.rs
+++ b/crates/gateway/src/sync/from_peers.rs
@@ -4,7 +4,9 @@
 use {
     super::{
         Follower,
-        apply::{LogRows, apply_configuration, apply_rollout_order, apply_upstream},
+        apply::{
+            ConfigurationSource, LogRows, apply_configuration, apply_rollout_order, apply_upstream,
+        },
         follow::Source,
     },
     crate::{
@@ -14,7 +16,7 @@
             PackedUpstreams, SetSnapshot, SnapshotRows, SourceScope, packed_upstreams_path,
             snapshot_path,
         },
-        view::{Applied, RowOrigin, UpstreamChanges},
+        view::{Applied, RowOrigin, UpstreamChanges, ViewSource},
     },
     bytes::Bytes,
     http::{Request, StatusCode, header},
@@ -106,7 +108,7 @@
             snapshot.watermark.revision,
             sent_at.elapsed().as_millis()
         );
-        self.apply_snapshot(snapshot, configuration_row, sent_at);
+        self.apply_snapshot(snapshot, configuration_row, source, sent_at);
         true
     }
 
@@ -205,6 +207,7 @@
         &mut self,
         snapshot: SetSnapshot,
         configuration_row: Revision,
+        source: SocketAddr,
         sent_at: Instant,
     ) {
         let SetSnapshot {
@@ -222,8 +225,13 @@
             } => {
                 if let Some(configuration) = configuration {
                     let origin = RowOrigin::MayPredateRestore;
-                    let applied =
-                        apply_configuration(&state, configuration_row, configuration, origin);
+                    let applied = apply_configuration(
+                        &state,
+                        configuration_row,
+                        configuration,
+                        origin,
+                        ConfigurationSource::Snapshot(source),
+                    );
                     if applied == Applied::Unconfirmed {
                         // The store has to show whether it was written since.
                         self.confirmed_era = 0;
@@ -248,7 +256,7 @@
         }
         feed.advance(self.set, watermark);
         if let Some(moment) = feed.to_local_instant(watermark.written, Instant::now()) {
-            self.confirm(moment);
+            self.confirm(moment, &ViewSource::Snapshot(source));
         }
     }
 
--- a/crates/gateway/src/sync/rollouts.rs
+++ b/crates/gateway/src/sync/rollouts.rs
@@ -9,7 +9,7 @@
 use {
     super::{
         Follower, StoreCallFailure,
-        apply::{LogRows, apply_rollout_record},
+        apply::{ConfigurationSource, LogRows, apply_rollout_record},
     },
     crate::{
         edge::{Revision, WriteOutcome, row_number_of},
@@ -91,7 +91,7 @@
     /// Reads the records of all roll-outs.
     async fn read_rollouts(&mut self) -> Result<(), StoreCallFailure> {
         let (page, _) = self.list(None).await?;
-        self.apply_rows(page.changes, LogRows::Each);
+        self.apply_rows(page.changes, LogRows::Each, ConfigurationSource::Watch);
         self.record_recovery();
         Ok(())
     }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -5,6 +5,7 @@
 mod freshness;
 mod in_force;
 mod listing;
+mod source;
 mod upstream;
 mod upstreams;
 
@@ -21,6 +22,7 @@
     configuration::{Configuration, Customer, Engines, Limits, Route, RouteKind, Service, Target},
     freshness::Freshness,
     in_force::{Applied, InForce, RowOrigin},
+    source::{ViewFacts, ViewSource},
     upstream::{Condition, Upstream, UpstreamRecord, UpstreamState, Work},
     upstreams::{MISSING_ROW_GRACE, UpstreamChanges, Upstreams, are_in_use},
 };
@@ -30,6 +32,7 @@
 pub struct View {
     configuration: RwLock<InForce>,
     freshness: RwLock<Freshness>,
+    source: RwLock<Arc<ViewSource>>,
     /// The upstreams and their state.
     pub upstreams: Upstreams,
 }
@@ -68,6 +71,20 @@
         self.freshness.write().confirm(moment);
     }
 
+    /// From whose answer the age counts.
+    pub fn source(&self) -> Arc<ViewSource> {
+        self.source.read().clone()
+    }
+
+    /// Records from whose answer the age counts. Returns the previous source if it was another one.
+    pub fn set_source(&self, source: &ViewSource) -> Option<Arc<ViewSource>> {
+        let mut known = self.source.write();
+        if **known == *source {
+            return None;
+        }
+        Some(std::mem::replace(&mut known, Arc::new(source.clone())))
+    }
+
     /// The time since the configuration in force was last known to be the newest; `None` if it never was.
     pub fn age(&self, now: Instant) -> Option<Duration> {
         self.freshness.read().age(now)
--- a/crates/gateway/src/view/in_force.rs
+++ b/crates/gateway/src/view/in_force.rs
@@ -19,6 +19,17 @@
     WrittenSinceRestore,
 }
 
+impl RowOrigin {
+    /// The name of the origin in logs.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::MayPredateRestore => "may-predate-restore",
+            Self::WrittenSinceRestore => "written-since",
+        }
+    }
+}
+
 /// The result of applying a configuration that was read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Applied {
