--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -2,6 +2,8 @@
 //! hosts measure. The decisions are pure functions of their input: the time and all measurements are
 //! arguments.
 
+#![deny(clippy::disallowed_methods)]
+
 mod demand;
 mod fleet;
 mod order;
--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -5,6 +5,7 @@
 //! own: its instants must not be mixed with those of `Instant::now`.
 
 use {
+    crate::protection::{Protection, enabled},
     rustix::time::{ClockId, clock_gettime},
     std::{
         future::Future,
@@ -36,6 +37,9 @@
 /// Returns the current time of the clock that counts suspensions.
 #[must_use]
 pub fn now() -> Instant {
+    if !enabled(Protection::SuspendedTime) {
+        return steady_now();
+    }
     let origin = ORIGIN.get_or_init(|| Origin {
         instant: steady_now(),
         since_boot: since_boot(),
@@ -49,9 +53,13 @@
     now().saturating_duration_since(since)
 }
 
-/// Returns the current time of the steady clock, which stands still while the machine is suspended. No decision may
-/// depend on ages measured with it.
+/// Returns the current time of the steady clock, which stands still while the machine is suspended, for comparison with
+/// [`now`]. No decision may depend on ages measured with it.
 #[must_use]
+#[expect(
+    clippy::disallowed_methods,
+    reason = "the one place that reads the steady clock"
+)]
 pub fn steady_now() -> Instant {
     Instant::now()
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,6 +1,8 @@
 //! Code shared by all parts of tealshore: ids, the closed list of error kinds, settings, logging,
 //! and helpers over the HTTP library.
 
+#![deny(clippy::disallowed_methods)]
+
 pub mod answer;
 pub mod chain;
 pub mod clock;
--- a/crates/core/src/logs/bounded.rs
+++ b/crates/core/src/logs/bounded.rs
@@ -4,6 +4,7 @@
 //! level or finds the queue full is dropped and counted; the count is logged later.
 
 use {
+    crate::clock,
     logforth::{
         Append, Diagnostic, Error,
         record::{Level, Record},
@@ -67,7 +68,7 @@
             queue,
             budget,
             window: Mutex::new(BudgetWindow {
-                started_at: Instant::now(),
+                started_at: clock::now(),
                 info: 0,
                 warn: 0,
             }),
@@ -91,9 +92,9 @@
         let Ok(mut window) = self.window.lock() else {
             return false;
         };
-        if window.started_at.elapsed() >= BUDGET_WINDOW {
+        if clock::elapsed(window.started_at) >= BUDGET_WINDOW {
             *window = BudgetWindow {
-                started_at: Instant::now(),
+                started_at: clock::now(),
                 info: 0,
                 warn: 0,
             };
--- a/crates/core/src/protection.rs
+++ b/crates/core/src/protection.rs
@@ -80,6 +80,8 @@
     /// The store's era distinguishes its current data from what it reported before it was restored
     /// from an older copy.
     StoreEra,
+    /// Ages count the time for which the machine was suspended.
+    SuspendedTime,
     /// After the store was restored, recent knowledge about an upstream takes precedence for a
     /// while over the row in the restored copy.
     RestoreGrace,
@@ -133,6 +135,7 @@
             Self::UpstreamNotices => "upstream-notices",
             Self::SharedLimits => "shared-limits",
             Self::StoreEra => "store-era",
+            Self::SuspendedTime => "suspended-time",
             Self::RestoreGrace => "restore-grace",
             Self::Tunnels => "tunnels",
             Self::TunnelEnd => "tunnel-end",
--- a/crates/duties/src/lib.rs
+++ b/crates/duties/src/lib.rs
@@ -4,5 +4,7 @@
 //! [`lease`] decides which host holds the duties and until when. [`usage`] adds up the request counts of
 //! all hosts and tracks which of them were reported.
 
+#![deny(clippy::disallowed_methods)]
+
 pub mod lease;
 pub mod usage;
--- a/crates/gateway/benches/fleet_size.rs
+++ b/crates/gateway/benches/fleet_size.rs
@@ -9,12 +9,9 @@
 
 use {
     criterion::{BenchmarkId, Criterion, Throughput, criterion_group, criterion_main},
-    std::{
-        hint::black_box,
-        time::{Duration, Instant},
-    },
+    std::{hint::black_box, time::Duration},
     tealshore_capacity::EngineKind,
-    tealshore_core::ids::EngineId,
+    tealshore_core::{clock, ids::EngineId},
     tealshore_gateway::{
         balance::{Candidate, Need, choose},
         feed::SetWatermark,
@@ -145,7 +142,7 @@
         }
         group.throughput(Throughput::Elements(count as u64));
         group.bench_function(BenchmarkId::from_parameter(count), |bencher| {
-            bencher.iter(|| black_box(upstreams.active(Instant::now())));
+            bencher.iter(|| black_box(upstreams.active(clock::now())));
         });
     }
     group.finish();
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -20,6 +20,7 @@
     },
     tealshore_core::{
         answer::{ErrorKind, Failure},
+        clock,
         ids::{Fingerprint, RequestId},
     },
     tealshore_quarantine::{
@@ -113,7 +114,7 @@
     /// Records that an upstream crashed while it ran a request that this host had sent, and wakes the sender
     /// of updates to peers.
     pub fn record_crash(&self, lost: &LostRequest, crash: Crash) {
-        let now = Instant::now();
+        let now = clock::now();
         let (request, fingerprint) = (&lost.request, lost.fingerprint);
         self.record_part_crash(lost, &crash, now);
         let upstream = crash.upstream.clone();
@@ -139,7 +140,7 @@
     /// Records that a request was answered in full. Wakes the sender of updates to peers if that clears
     /// crashes against the request.
     pub fn record_completed(&self, request: &RequestId, fingerprint: Fingerprint) {
-        let now = Instant::now();
+        let now = clock::now();
         self.crashes.uncertain.lock().clear(fingerprint);
         let has_cleared = self.crashes.log.lock().record_completed(fingerprint, now);
         if has_cleared {
@@ -151,7 +152,7 @@
 
     /// Applies the crashes that another host or the store reports.
     pub fn apply_crash_updates(&self, updates: &[CrashUpdate], source: &str) {
-        let now = Instant::now();
+        let now = clock::now();
         let learned = self.crashes.log.lock().merge(updates, now);
         if learned.is_empty() {
             return;
@@ -179,7 +180,7 @@
     /// # Errors
     /// The request is in quarantine and may not be sent to any upstream.
     pub fn check_quarantine(&self, call: &Call) -> Result<(), Failure> {
-        let now = Instant::now();
+        let now = clock::now();
         let verdict = self.request_verdict(call.fingerprint, now);
         match verdict {
             Verdict::Allowed => self.check_parts(call, now),
--- a/crates/gateway/src/crashes/parts.rs
+++ b/crates/gateway/src/crashes/parts.rs
@@ -7,6 +7,7 @@
     },
     std::time::{Duration, Instant},
     tealshore_core::answer::{ErrorKind, Failure},
+    tealshore_core::clock,
     tealshore_quarantine::{
         crash::Crash,
         log::{UpdateScope, Verdict},
@@ -80,7 +81,7 @@
         if lost.shared_parts.is_empty() {
             return;
         }
-        let now = Instant::now();
+        let now = clock::now();
         let mut parts = self.crashes.parts.lock();
         let has_excluded = parts.record_begin(&lost.shared_parts, lost.runtime, now);
         drop(parts);
@@ -116,7 +117,7 @@
         }
         let mut parts = self.crashes.parts.lock();
         let before = parts.quarantined();
-        let has_changed = parts.merge(reports, audience, Instant::now());
+        let has_changed = parts.merge(reports, audience, clock::now());
         let quarantined = parts.quarantined();
         drop(parts);
         if !has_changed {
--- a/crates/gateway/src/crashes/watch.rs
+++ b/crates/gateway/src/crashes/watch.rs
@@ -10,6 +10,7 @@
         sync::Arc,
         time::{Duration, Instant},
     },
+    tealshore_core::clock,
     tealshore_quarantine::uncertain::{CrashEvidence, NextStep, UncertainCrash, next_step},
     tokio::time::sleep,
 };
@@ -40,7 +41,7 @@
         let counts_at_once = end.evidence == CrashEvidence::Refused;
         if !is_certain {
             let mut uncertain = self.crashes.uncertain.lock();
-            uncertain.record(fingerprint, end, Instant::now());
+            uncertain.record(fingerprint, end, clock::now());
         }
         if counts_at_once {
             self.record_crash(&lost, crash);
@@ -79,7 +80,7 @@
         let (kind, request) = (watched.kind, &watched.lost.request);
         let found = kind.find_state(self, &end.upstream, request, end.crash.began);
         let found = found.await;
-        let now = Instant::now();
+        let now = clock::now();
         let age = now.saturating_duration_since(end.crash.ended);
         let most_serve = self.most_others_serve(&end.upstream, now);
         let outcome = next_step(end.evidence, found, age, most_serve);
--- a/crates/gateway/src/duties/api.rs
+++ b/crates/gateway/src/duties/api.rs
@@ -7,11 +7,9 @@
     http_body_util::Full,
     hyper::client::conn::http1,
     hyper_util::rt::TokioIo,
-    std::{
-        net::SocketAddr,
-        time::{Duration, Instant},
-    },
+    std::{net::SocketAddr, time::Duration},
     tealshore_core::{
+        clock,
         http::read_limited,
         protection::{Protection, enabled},
     },
@@ -82,7 +80,7 @@
     tenure: Tenure,
     time_limit: Duration,
 ) -> Result<(StatusCode, Bytes), DutyCallError> {
-    let remaining = tenure.until.saturating_duration_since(Instant::now());
+    let remaining = tenure.until.saturating_duration_since(clock::now());
     if !enabled(Protection::DutyTenure) {
         return with_time_limit(time_limit, exchange(address, request, tenure)).await;
     }
@@ -121,7 +119,7 @@
         // The reader of the answer sees how the connection ended.
         let _ = driver.await;
     }));
-    if Instant::now() >= tenure.until && enabled(Protection::DutyTenure) {
+    if clock::now() >= tenure.until && enabled(Protection::DutyTenure) {
         return Err(DutyCallError::TenureOver);
     }
     let answer = sender.send_request(request.map(Full::new)).await;
--- a/crates/gateway/src/duties/clock.rs
+++ b/crates/gateway/src/duties/clock.rs
@@ -5,7 +5,7 @@
         collections::HashMap,
         time::{Duration, Instant, SystemTime},
     },
-    tealshore_core::ids::HostId,
+    tealshore_core::{clock, ids::HostId},
     tealshore_duties::lease::StoreTime,
 };
 
@@ -13,8 +13,8 @@
 /// a host that has ended remains as valid as others.
 const OFFSET_LIFETIME: Duration = Duration::from_secs(60);
 
-/// The wall-clock time at the start of the process, advanced by the monotonic clock. Later jumps of
-/// the wall clock have no effect.
+/// The wall-clock time at the start of the process, advanced by the clock that counts suspensions. Later jumps
+/// of the wall clock have no effect.
 #[derive(Clone, Copy, Debug)]
 pub struct OwnClock {
     started: Instant,
@@ -24,10 +24,14 @@
 impl OwnClock {
     /// Reads both clocks.
     #[must_use]
+    #[expect(
+        clippy::disallowed_methods,
+        reason = "reads the time of day, not an age"
+    )]
     pub fn start() -> Self {
         let time_of_day = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
         Self {
-            started: Instant::now(),
+            started: clock::now(),
             // With a wall clock before 1970, this host counts into a window that nobody reports.
             since_epoch: time_of_day.unwrap_or_default(),
         }
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -6,9 +6,9 @@
 //! own versions and times, so a delayed or lost datagram never makes old data look new.
 
 mod choice;
-mod clock;
 mod era;
 mod progress;
+mod store_clock;
 
 use {
     crate::{
@@ -22,7 +22,10 @@
         sync::atomic::{AtomicBool, Ordering},
         time::{Duration, Instant},
     },
-    tealshore_core::protection::{Protection, enabled},
+    tealshore_core::{
+        clock,
+        protection::{Protection, enabled},
+    },
     tokio::{
         sync::Notify,
         time::{sleep, timeout},
@@ -30,9 +33,9 @@
 };
 pub use {
     choice::{FeederCandidate, FeederChoice, MAX_GROUP_HOSTS, choose_feeder, hosts_before, rank},
-    clock::StoreClockOffset,
     era::{KnownEra, RESTORE_GRACE},
     progress::SetProgress,
+    store_clock::StoreClockOffset,
 };
 
 /// Maximum age of a feeder's watermark. A host whose feeder exceeds it reads the store itself.
@@ -181,7 +184,7 @@
     /// Waits until both sets are known, or until the given instant.
     pub async fn wait_until_known(&self, until: Instant) {
         let notified = self.sets_known.notified();
-        let remaining = until.saturating_duration_since(Instant::now());
+        let remaining = until.saturating_duration_since(clock::now());
         if self.watermark().is_none() && !remaining.is_zero() {
             // The result is the same whether the notification or the timeout ends the wait.
             let _ = timeout(remaining, notified).await;
@@ -213,7 +216,7 @@
 
     /// Records a store era. Returns whether it is later than the one known so far.
     pub fn record_era(&self, era: StoreEra) -> bool {
-        self.era.lock().record(era, Instant::now())
+        self.era.lock().record(era, clock::now())
     }
 
     /// Returns the era to which a store answer belongs, or `None` if that era is earlier than the known one.
@@ -290,7 +293,7 @@
     /// Waits for an update of a set, or until the given instant. Sets that feeders do not distribute have no updates,
     /// so the wait lasts until then.
     pub async fn wait_for_update(&self, set: RowSet, until: Instant) {
-        let remaining = until.saturating_duration_since(Instant::now());
+        let remaining = until.saturating_duration_since(clock::now());
         let updates = match set {
             RowSet::Configuration => &self.configuration_updates,
             RowSet::Upstreams => &self.upstreams_updates,
--- a/crates/gateway/src/feed/clock.rs
+++ b/crates/gateway/src/feed/store_clock.rs
@@ -1,5 +1,5 @@
-//! Conversion of store times to this host's monotonic clock, such that data never appears younger
-//! than it is.
+//! Conversion of store times to this host's clock, which counts suspensions, such that data never
+//! appears younger than it is.
 
 use {crate::edge::StoreTime, std::time::Instant};
 
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -19,6 +19,7 @@
     },
     tealshore_core::{
         answer::{ErrorKind, Failure},
+        clock,
         ids::{CustomerId, Fingerprint, RequestId, ServiceId},
         protection::{Protection, enabled},
     },
@@ -119,7 +120,7 @@
 
     /// Time since the request was received, in milliseconds, for logs.
     pub fn age_ms(&self) -> u128 {
-        self.received.elapsed().as_millis()
+        clock::elapsed(self.received).as_millis()
     }
 
     /// Checks just before a send what may have changed since the request was admitted.
@@ -128,7 +129,7 @@
     /// Its key can no longer be trusted, or it is in quarantine.
     pub fn check_before_send(&self, state: &GatewayState) -> Result<(), Failure> {
         state.check_quarantine(self)?;
-        if self.customer.is_some() && !state.accepts_keys(Instant::now()) {
+        if self.customer.is_some() && !state.accepts_keys(clock::now()) {
             let detail = "this host has not heard from the store in time";
             return Err(Failure::new(ErrorKind::StaleView, detail));
         }
--- a/crates/gateway/src/forward/connect.rs
+++ b/crates/gateway/src/forward/connect.rs
@@ -23,7 +23,7 @@
         client::conn::http1,
     },
     hyper_util::rt::TokioIo,
-    std::time::Instant,
+    tealshore_core::clock,
     tealshore_core::protection::{Protection, enabled},
 };
 
@@ -129,7 +129,7 @@
         let _ = driver.await;
     }));
     begin_send(state, call, upstream)?;
-    let sent = Instant::now();
+    let sent = clock::now();
     let answer = sender.send_request(request).await;
     let (head, body) = answer.map_err(|_| SendFailure::Unanswered)?.into_parts();
     let facts = state.protocol.read_answer(&head);
@@ -151,7 +151,7 @@
 /// row or its answer to another request may have changed since it was chosen. Probes and copy calls don't pass here
 /// and are sent without a permit.
 fn begin_send(state: &GatewayState, call: &Call, upstream: &Upstream) -> Result<(), SendFailure> {
-    let (record, now) = (&upstream.record, Instant::now());
+    let (record, now) = (&upstream.record, clock::now());
     let checked = state.check_send(&call.service, record, now);
     checked.map_err(SendFailure::Barred)?;
     if !state.take_permit(record, now) {
--- a/crates/gateway/src/forward/dial.rs
+++ b/crates/gateway/src/forward/dial.rs
@@ -12,9 +12,9 @@
     std::{
         io,
         net::{IpAddr, SocketAddr},
-        time::{Duration, Instant},
+        time::Duration,
     },
-    tealshore_core::ids::HostId,
+    tealshore_core::{clock, ids::HostId},
     tealshore_paths::{DialOrder, TunnelId},
     tokio::{
         net::{TcpSocket, TcpStream},
@@ -78,7 +78,7 @@
     let order = state
         .paths
         .lock()
-        .dial_order(&record.service, &record.id, Instant::now());
+        .dial_order(&record.service, &record.id, clock::now());
     let dialing = Dialing {
         state,
         record,
@@ -191,7 +191,7 @@
     }
 
     fn find_hosts(&self) -> Vec<TunnelHost> {
-        let now = Instant::now();
+        let now = clock::now();
         let (state, record) = (self.state, self.record);
         // A host without live peers has nobody who could confirm what it finds.
         if !state.peers.is_alone(now) {
@@ -232,7 +232,7 @@
                     "path: tunnel not opened upstream={} host={host} cause={cause:?}",
                     self.record.id
                 );
-                let now = Instant::now();
+                let now = clock::now();
                 let mut paths = self.state.paths.lock();
                 paths.record_refused_tunnel(&self.record.service, host, now);
                 None
--- a/crates/gateway/src/forward/ending.rs
+++ b/crates/gateway/src/forward/ending.rs
@@ -10,6 +10,7 @@
     },
     tealshore_core::{
         answer::Failure,
+        clock,
         ids::{Fingerprint, RequestId},
     },
     tealshore_quarantine::{
@@ -76,9 +77,14 @@
 }
 
 /// Converts an earlier instant to time since the Unix epoch, by this host's current clock.
+#[expect(
+    clippy::disallowed_methods,
+    reason = "reads the time of day, not an age"
+)]
 fn unix_time_of(moment: Instant) -> Duration {
     let now = SystemTime::now().duration_since(UNIX_EPOCH);
-    now.unwrap_or_default().saturating_sub(moment.elapsed())
+    now.unwrap_or_default()
+        .saturating_sub(clock::elapsed(moment))
 }
 
 /// The request of a lost run, as the detection of crashes identifies it.
--- a/crates/gateway/src/forward/plain.rs
+++ b/crates/gateway/src/forward/plain.rs
@@ -17,17 +17,15 @@
     bytes::Bytes,
     futures::{StreamExt, future::BoxFuture, stream::FuturesUnordered},
     http::{Response, response},
-    std::{
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::{sync::Arc, time::Duration},
     tealshore_core::{
         answer::{ErrorKind, Failure},
+        clock,
         http::{Body, full},
         ids::EngineId,
         protection::{Protection, enabled},
     },
-    tokio::time::{sleep, sleep_until},
+    tokio::time::sleep,
 };
 
 /// A second upstream is asked after the objective divided by this.
@@ -85,7 +83,7 @@
         let first = self.next_attempt().await?;
         attempts.push(first);
         let hedge_after = self.call.route.objective / HEDGE_DIVISOR;
-        let mut hedge_at = Instant::now() + hedge_after;
+        let mut hedge_at = clock::now() + hedge_after;
         let deadline = self.call.deadline;
         loop {
             let may_hedge = self.may_run_again() && !attempts.is_empty();
@@ -95,15 +93,15 @@
                         return Ok(answer);
                     }
                 }
-                () = sleep_until(hedge_at.into()), if may_hedge => {
+                () = clock::sleep_until(hedge_at), if may_hedge => {
                     // If no upstream has room for the hedge, it is tried again after the same interval.
-                    hedge_at = Instant::now() + hedge_after;
+                    hedge_at = clock::now() + hedge_after;
                     if let Ok(hedge) = self.next_attempt().await {
                         attempts.push(hedge);
                     }
                     continue;
                 }
-                () = sleep_until(deadline.into()) => return self.out_of_time(attempts.is_empty()),
+                () = clock::sleep_until(deadline) => return self.out_of_time(attempts.is_empty()),
             }
             if attempts.is_empty() {
                 if !self.may_run_again() {
@@ -263,7 +261,7 @@
             self.sends,
             attempt.cause,
             self.call.age_ms(),
-            self.call.left(Instant::now()).as_millis()
+            self.call.left(clock::now()).as_millis()
         );
     }
 
@@ -319,7 +317,7 @@
             }
             self.check_not_all_closed()?;
             if !self.may_wait_for_room() {
-                if self.state.is_limited(&self.call.service, Instant::now()) {
+                if self.state.is_limited(&self.call.service, clock::now()) {
                     return Err(room::limited_failure(Duration::ZERO));
                 }
                 let counts = self.state.count_upstreams(service, need, &avoid);
@@ -335,7 +333,7 @@
             return Err(Failure::new(ErrorKind::UpstreamsBusy, detail));
         }
         if self.sends == 0 {
-            let waited = self.call.received.elapsed();
+            let waited = clock::elapsed(self.call.received);
             self.state.metrics.observe_queue_time("call", waited);
         }
         self.state
@@ -355,7 +353,7 @@
     /// Refuses the call at once if all upstreams are resting or have no permit for longer than the call may
     /// wait, as none of them could take it in that time.
     fn check_not_all_closed(&self) -> Result<(), Failure> {
-        let closed = self.state.first_to_open(&self.call.service, Instant::now());
+        let closed = self.state.first_to_open(&self.call.service, clock::now());
         match closed {
             Some(closed) if closed.left() > self.room_wait_left() => {
                 Err(room::closed_failure(closed))
@@ -366,7 +364,7 @@
 
     fn room_wait_left(&self) -> Duration {
         let max_wait = room::room_wait(self.call.route.objective);
-        max_wait.saturating_sub(self.call.received.elapsed())
+        max_wait.saturating_sub(clock::elapsed(self.call.received))
     }
 
     fn may_wait_for_room(&self) -> bool {
--- a/crates/gateway/src/forward/plain/attempt.rs
+++ b/crates/gateway/src/forward/plain/attempt.rs
@@ -22,6 +22,7 @@
     },
     tealshore_core::{
         answer::{Failure, implies_not_executed},
+        clock,
         http::read_limited,
         protection::{Protection, enabled},
     },
@@ -73,7 +74,7 @@
     let reservation = Reservation::begin(state, &upstream, work);
     let distance = state.distance_to(&upstream.record.hall);
     state.metrics.count_send("call", distance);
-    let sent = Instant::now();
+    let sent = clock::now();
     let (end, cause) = exchange(state, call, &upstream).await;
     drop(reservation);
     FinishedAttempt {
@@ -81,7 +82,7 @@
         end,
         cause,
         sent,
-        took: sent.elapsed(),
+        took: clock::elapsed(sent),
         draws_on_budget,
     }
 }
@@ -97,7 +98,7 @@
     let order = UpstreamOrder {
         upstream: &upstream.record.id,
         customer: call.customer.as_ref(),
-        deadline: call.left(Instant::now()),
+        deadline: call.left(clock::now()),
         last_event: None,
         urgency: None,
         copy_to: None,
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -38,11 +38,11 @@
     },
     tealshore_core::{
         answer::{ErrorKind, Failure, Ran},
+        clock,
         http::Body,
         ids::{EngineId, RequestId},
     },
     tealshore_runs::{KnownRun, MemoryCopy},
-    tokio::time::timeout_at,
 };
 
 /// How long a resumed stream waits, at a host that has just started, until the host has restored
@@ -120,7 +120,7 @@
     /// Creates a stream that has not been sent to any engine. `own_run` is the run that its caller left, if one is
     /// proven to be the caller's.
     fn new(state: Arc<GatewayState>, call: Arc<Call>, own_run: Option<KnownRun>) -> Self {
-        let (wanted, now) = (call.content_match(), Instant::now());
+        let (wanted, now) = (call.content_match(), clock::now());
         let last_engine = state.runs.log.lock().last_engine(wanted, now);
         let is_resumed = call.facts.last_event.is_some();
         let ran_before = if is_resumed || last_engine.is_some() {
@@ -158,8 +158,8 @@
 
     /// Places the stream at its first engine, within its deadline.
     async fn open(&mut self) -> Result<Opened, Failure> {
-        let ends = self.call.deadline.into();
-        match timeout_at(ends, self.place()).await {
+        let ends = self.call.deadline;
+        match clock::timeout_at(ends, self.place()).await {
             Ok(placed) => placed,
             Err(_) if self.tried.count() == 0 => Err(deadline_failure(ErrorKind::DeadlineUntried)),
             Err(_) => Err(deadline_failure(ErrorKind::DeadlineReached)),
@@ -200,7 +200,7 @@
             position: self.progress.last().unwrap_or_default(),
             run_events,
             began,
-            lost: Instant::now(),
+            lost: clock::now(),
             cause,
         };
         self.crash_check
@@ -216,7 +216,7 @@
             output_tokens: self.output_tokens(),
             events_delivered: self.progress.last().unwrap_or_default(),
         };
-        let left = self.call.left(Instant::now());
+        let left = self.call.left(clock::now());
         match self.state.min_duration(&self.call.service, work) {
             Some(required) if required > left => {
                 let detail = format!(
--- a/crates/gateway/src/forward/stream/choose.rs
+++ b/crates/gateway/src/forward/stream/choose.rs
@@ -3,8 +3,8 @@
 use {
     super::StreamRun,
     crate::{balance::Need, view::Upstream},
-    std::{sync::Arc, time::Instant},
-    tealshore_core::ids::EngineId,
+    std::sync::Arc,
+    tealshore_core::{clock, ids::EngineId},
     tealshore_runs::MemoryCopy,
 };
 
@@ -23,7 +23,7 @@
     /// Chooses the engine that holds the copy, or else the one that has the prompt cached, or else the best one for the
     /// whole prompt.
     pub fn choose(&mut self) -> Option<Chosen> {
-        let now = Instant::now();
+        let now = clock::now();
         let prefers_isolation = self.state.crashes.is_near_quarantine(&self.call);
         if prefers_isolation {
             // The engine that holds the copy may also hold copies of the streams that ran beside
--- a/crates/gateway/src/forward/stream/order.rs
+++ b/crates/gateway/src/forward/stream/order.rs
@@ -19,6 +19,7 @@
     },
     tealshore_core::{
         answer::implies_not_executed,
+        clock,
         http::{Body, full, read_limited},
     },
     tealshore_runs::MemoryCopy,
@@ -66,7 +67,7 @@
         let order = UpstreamOrder {
             upstream: &upstream.record.id,
             customer: self.call.customer.as_ref(),
-            deadline: self.call.left(Instant::now()),
+            deadline: self.call.left(clock::now()),
             last_event: self.progress.last(),
             urgency: Some(urgency),
             copy_to: plan.copy_to.as_ref().map(|holder| holder.record.address),
@@ -81,20 +82,20 @@
             silence_limits: plan.silence_limits,
             events_delivered: 0,
         };
-        let sent_at = Instant::now();
+        let sent_at = clock::now();
         let waited = wait_while_alive(&self.state, upstream, pending_request, sending).await;
         match waited {
             Ok(Ok(answer)) => Ok(answer),
             Ok(Err(failure)) => {
                 if failure == SendFailure::Unanswered {
                     self.check_for_crash_if_alone(upstream, sent_at, failure.name());
-                    self.allow_retry_at(upstream, sent_at.elapsed());
+                    self.allow_retry_at(upstream, clock::elapsed(sent_at));
                 }
                 Err(self.send_failed(upstream, failure))
             }
             Err(wait_failure) => {
                 if wait_failure.has_read_prompt() {
-                    self.allow_retry_at(upstream, sent_at.elapsed());
+                    self.allow_retry_at(upstream, clock::elapsed(sent_at));
                 }
                 Err(self.record_unknown_outcome(
                     upstream,
@@ -116,7 +117,7 @@
         sent_at: Instant,
         cause: &'static str,
     ) {
-        let had_work = sent_at.elapsed() >= MIN_PROMPT_READ;
+        let had_work = clock::elapsed(sent_at) >= MIN_PROMPT_READ;
         if had_work && self.state.work_at(upstream).running <= 1 {
             self.check_for_crash(upstream.clone(), sent_at, 0, cause);
         }
--- a/crates/gateway/src/forward/stream/own_run.rs
+++ b/crates/gateway/src/forward/stream/own_run.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{forward::call::Call, peers::ask_about_runs, state::GatewayState},
-    std::time::Instant,
+    tealshore_core::clock,
     tealshore_core::protection::{Protection, enabled},
     tealshore_runs::{Doubt, EventId, KnownRun, Proof, RunReport, prove_own_run, sole_run},
 };
@@ -17,7 +17,7 @@
     call: &Call,
     last_event: EventId,
 ) -> Option<KnownRun> {
-    let began = Instant::now();
+    let began = clock::now();
     let mut known = state.runs.log.lock().recent(call.content_match(), began);
     if !enabled(Protection::OwnRun) {
         return Some(known.pop()?.run);
@@ -37,7 +37,7 @@
         call.content,
         run.as_ref().map_or("-", |run| run.trace.request.as_str()),
         list(&known),
-        began.elapsed().as_millis()
+        clock::elapsed(began).as_millis()
     );
     run
 }
@@ -50,7 +50,7 @@
 ) -> Result<(KnownRun, Proof), Doubt> {
     let (_, origin) = sole_run(known)?;
     let inquiry = ask_about_runs(state, call.content_match(), origin).await;
-    let now = Instant::now();
+    let now = clock::now();
     let log = state.runs.log.lock();
     if log.is_partial(now) {
         return Err(Doubt::LogFull);
--- a/crates/gateway/src/forward/stream/place.rs
+++ b/crates/gateway/src/forward/stream/place.rs
@@ -20,6 +20,7 @@
     std::time::{Duration, Instant},
     tealshore_core::{
         answer::{ErrorKind, Failure, Ran},
+        clock,
         http::Body,
     },
     tealshore_runs::{KnownRun, MemoryCopy, RunOrigin, RunTrace},
@@ -61,7 +62,7 @@
     /// Places the stream at the engine that holds its copy, or else at the best one, and retries
     /// until an engine accepts it or it has to be refused.
     pub async fn place(&mut self) -> Result<Opened, Failure> {
-        let began = Instant::now();
+        let began = clock::now();
         loop {
             if !self.may_send_again() {
                 return Err(engine_limit_reached());
@@ -97,7 +98,7 @@
                 return Err(self.refusal(failure.kind, &failure.detail));
             }
             if !self.take_from_retry_budget() {
-                if began.elapsed() > room::budget_wait(self.call.route.objective) {
+                if clock::elapsed(began) > room::budget_wait(self.call.route.objective) {
                     let detail = "the budget of repeated sends is spent";
                     return Err(self.refusal(ErrorKind::UpstreamsBusy, detail));
                 }
@@ -106,7 +107,7 @@
                 continue;
             }
             if self.sends == 0 {
-                let waited = self.call.received.elapsed();
+                let waited = clock::elapsed(self.call.received);
                 self.state.metrics.observe_queue_time("stream", waited);
                 let tokens = self.input_tokens();
                 self.state
@@ -136,12 +137,12 @@
     /// remainder to none.
     fn check_may_wait(&self, began: Instant) -> Result<(), Failure> {
         let objective = self.call.route.objective;
-        let closed = self.state.first_to_open(&self.call.service, Instant::now());
+        let closed = self.state.first_to_open(&self.call.service, clock::now());
         let Some(closed) = closed else {
-            if began.elapsed() <= room::room_wait(objective) {
+            if clock::elapsed(began) <= room::room_wait(objective) {
                 return Ok(());
             }
-            if self.state.is_limited(&self.call.service, Instant::now()) {
+            if self.state.is_limited(&self.call.service, clock::now()) {
                 return Err(self.failure_after_attempts(room::limited_failure(Duration::ZERO)));
             }
             let service = &self.call.service;
@@ -155,7 +156,7 @@
             Ran::No => room::room_wait(objective),
             Ran::Yes | Ran::Unknown => room::budget_wait(objective),
         };
-        if began.elapsed() + closed.left() <= max_wait {
+        if clock::elapsed(began) + closed.left() <= max_wait {
             return Ok(());
         }
         Err(self.failure_after_attempts(room::closed_failure(closed)))
@@ -265,16 +266,16 @@
             copy_to,
             resume_from,
         };
-        let sent_at = Instant::now();
+        let sent_at = clock::now();
         let answer = self.send_request(&upstream, &plan).await?;
         let Some(head) = self.check_head(&upstream, &answer, plan.resume_from.is_some())? else {
             return Err(self.read_whole(answer).await);
         };
         if plan.resume_from.is_none() {
-            self.record_outcome(&upstream.record, Outcome::Answered(sent_at.elapsed()));
+            self.record_outcome(&upstream.record, Outcome::Answered(clock::elapsed(sent_at)));
             let service = &self.call.service;
             self.state
-                .observe_prompt_rate(service, to_read, sent_at.elapsed());
+                .observe_prompt_rate(service, to_read, clock::elapsed(sent_at));
         }
         self.record_run_location(&upstream, plan.copy_to.as_deref());
         self.attempt = Some(Attempt {
@@ -286,7 +287,7 @@
             through: answer.through,
             _connection: answer.connection,
             events: EventSplitter::default(),
-            began: Instant::now(),
+            began: clock::now(),
             delivered_before: self.progress.delivered(),
             has_received_event: false,
             has_begun: false,
@@ -336,7 +337,7 @@
             address: self.state.options.peers.address,
             content: self.call.content,
             continues: self.continues.clone(),
-            waits_ms: self.call.caller_waits_ms(Instant::now()),
+            waits_ms: self.call.caller_waits_ms(clock::now()),
         };
         self.state.begin_run(KnownRun {
             trace,
--- a/crates/gateway/src/forward/stream/relay.rs
+++ b/crates/gateway/src/forward/stream/relay.rs
@@ -17,10 +17,9 @@
     futures::TryStreamExt,
     http_body_util::{BodyExt, StreamBody},
     hyper::body::Frame,
-    std::time::Instant,
+    tealshore_core::clock,
     tealshore_core::http::{Body, BodyError},
     tealshore_quarantine::crash::is_at_start,
-    tokio::time::timeout_at,
 };
 
 /// How many bytes of a stream may be queued for a slow caller.
@@ -54,11 +53,11 @@
         let (sender, receiver) = read_ahead(MAX_READ_AHEAD_BYTES);
         let in_flight = InFlightGuard::begin(&self.state);
         tokio::spawn(async move {
-            let ends = self.call.deadline.into();
+            let ends = self.call.deadline;
             let end = tokio::select! {
                 biased;
                 () = sender.closed() => RelayEnd::CallerGone,
-                end = timeout_at(ends, self.relay_events(&sender)) => {
+                end = clock::timeout_at(ends, self.relay_events(&sender)) => {
                     end.unwrap_or(RelayEnd::BrokenOff("deadline-reached"))
                 }
             };
@@ -146,7 +145,7 @@
         for failed in self.failed_at.drain(..) {
             self.state.record_failing(&failed, &attempt.upstream);
         }
-        let waited = self.call.received.elapsed();
+        let waited = clock::elapsed(self.call.received);
         let kind = if self.sends > 1 {
             "resumed-stream"
         } else {
@@ -196,7 +195,7 @@
 
     /// Records how long the caller waited since the previous event.
     fn observe_pause(&mut self) {
-        let now = Instant::now();
+        let now = clock::now();
         self.first_event_sent_at.get_or_insert(now);
         if let Some(before) = self.last_event_sent_at.replace(now) {
             let pause = now.saturating_duration_since(before);
@@ -209,7 +208,7 @@
 
     fn observe_resume(&mut self) {
         if let Some(lost) = self.lost_at.take() {
-            let waited = lost.elapsed().as_secs_f64();
+            let waited = clock::elapsed(lost).as_secs_f64();
             self.state.metrics.resume_seconds.observe(waited);
         }
     }
@@ -251,7 +250,7 @@
             self.copy = Some(copy);
         }
         self.recopy = Recopy::default();
-        self.lost_at = Some(Instant::now());
+        self.lost_at = Some(clock::now());
         self.avoid.push(attempt.upstream.record.id.clone());
         let cause = loss.cause;
         self.state.metrics.losses.with_label_values(&[cause]).inc();
@@ -280,7 +279,7 @@
         if let Some(copy) = self.recopy.take_finished() {
             self.copy = Some(copy);
         }
-        let now = Instant::now();
+        let now = clock::now();
         // If no engine had room for the first copy, there is nothing to replace.
         let Some(copy) = &self.copy else {
             return;
@@ -310,7 +309,7 @@
             &request,
             self.progress.last(),
             is_complete,
-            Instant::now(),
+            clock::now(),
         );
         // Dropping the attempt ends the run at the engine.
         let attempt = self.attempt.take();
@@ -318,7 +317,7 @@
         let outcome = end.name();
         if is_complete {
             self.state.record_completed(&request, self.call.fingerprint);
-            let took = self.call.received.elapsed();
+            let took = clock::elapsed(self.call.received);
             self.state.metrics.observe_duration("stream", took);
             self.state.record_answer_time(&self.call.service, took);
             self.record_pace();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,8 @@
 //! hosts, and `options` holds the settings. The wire protocol of the deployment is implemented
 //! by an [`edge::Protocol`]; this crate contains none of its header, path or field names.
 
+#![deny(clippy::disallowed_methods)]
+
 pub mod balance;
 pub mod budget;
 mod capacity;
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -3,10 +3,8 @@
 
 use {
     crate::state::GatewayState,
-    std::{
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::{sync::Arc, time::Duration},
+    tealshore_core::clock,
     tokio::{
         signal::unix::{SignalKind, signal},
         time::sleep,
@@ -52,7 +50,7 @@
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
-    let began = Instant::now();
+    let began = clock::now();
     state.stop.initiate(began);
     state.peers.wake_sender();
     log::info!(
@@ -61,7 +59,7 @@
     );
     let end = state.options.bounds.stop.saturating_sub(EXIT_MARGIN);
     loop {
-        let age = began.elapsed();
+        let age = clock::elapsed(began);
         let in_flight = state.stop.in_flight();
         if age >= end || (age >= MIN_DRAIN_TIME && in_flight == 0) {
             log::info!(
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -8,6 +8,7 @@
         time::{Duration, Instant},
     },
     tealshore_core::{
+        clock,
         ids::{EngineId, HostId, StartTime},
         protection::{Protection, enabled},
     },
@@ -63,7 +64,7 @@
         sent: Instant,
     ) -> Option<LimitChange> {
         let mut known = self.known.write();
-        known.record_answer(id, born, named, sent, Instant::now())
+        known.record_answer(id, born, named, sent, clock::now())
     }
 
     /// Merges a limit that another host reported. Returns whether it was new.
--- a/crates/gateway/src/peers/duties.rs
+++ b/crates/gateway/src/peers/duties.rs
@@ -13,7 +13,7 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    tealshore_core::ids::HostId,
+    tealshore_core::{clock, ids::HostId},
     tokio::time::sleep,
 };
 
@@ -28,7 +28,7 @@
     loop {
         sleep(USAGE_INTERVAL).await;
         // Unchanged counts are sent as well, since a datagram may have been lost, or a receiver may be new.
-        socket.send_own_usage(&state, Instant::now()).await;
+        socket.send_own_usage(&state, clock::now()).await;
     }
 }
 
@@ -47,7 +47,7 @@
     /// Sends the reports that this host has just decided to all hosts that may hold the duties next, including the
     /// relays of other groups.
     pub(crate) async fn announce_decisions(&self, state: &GatewayState) {
-        let now = Instant::now();
+        let now = clock::now();
         self.send_own_usage(state, now).await;
         if state.peers.is_grouped() {
             // The counts of this host reach other groups in the sums of its hall.
--- a/crates/gateway/src/peers/exchange.rs
+++ b/crates/gateway/src/peers/exchange.rs
@@ -26,7 +26,7 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    tealshore_core::ids::HallId,
+    tealshore_core::{clock, ids::HallId},
     tokio::{net::TcpListener, time::sleep},
 };
 
@@ -61,13 +61,13 @@
 }
 
 async fn send(state: Arc<GatewayState>, socket: Arc<PeerSocket>) {
-    let started = Instant::now();
+    let started = clock::now();
     let heartbeat = state.options.peers.heartbeat;
     let mut last = SentState::new(started);
     let mut last_other_regions = SentState::for_other_regions(started);
     let mut other_regions_due = started;
     loop {
-        let now = Instant::now();
+        let now = clock::now();
         send_waiting_deltas(&state, &socket).await;
         let Receivers {
             same_region,
@@ -91,7 +91,7 @@
             send_state(&socket, &mut last_other_regions, &own, &other_regions, now).await;
             other_regions_due = now + heartbeat;
         }
-        let until = other_regions_due.min(Instant::now() + heartbeat);
+        let until = other_regions_due.min(clock::now() + heartbeat);
         let wake = wait_for_update(&state, &socket, started, until).await;
         if wake == Wake::Change {
             tokio::select! {
@@ -137,9 +137,9 @@
 ) -> Wake {
     let peers = &state.peers;
     loop {
-        let left = until.saturating_duration_since(Instant::now());
+        let left = until.saturating_duration_since(clock::now());
         let has_seen_hall = peers.has_seen_own_hall();
-        let is_introduced = has_seen_hall || started.elapsed() > INTRODUCTION_PERIOD;
+        let is_introduced = has_seen_hall || clock::elapsed(started) > INTRODUCTION_PERIOD;
         let wait = if is_introduced {
             left
         } else {
@@ -151,7 +151,7 @@
             () = peers.updates.notified() => return Wake::Change,
             () = peers.newcomer_arrived.notified() => {
                 sleep(NEWCOMER_BATCH_DELAY).await;
-                let own = own_state(state, Instant::now());
+                let own = own_state(state, clock::now());
                 let newcomers = peers.take_newcomers().collect();
                 introduce(state, socket, &own, newcomers).await;
             }
@@ -159,8 +159,8 @@
                 if is_introduced {
                     return Wake::Change;
                 }
-                let own = own_state(state, Instant::now());
-                let Receivers { needs_full_state, .. } = peers.receivers(Instant::now());
+                let own = own_state(state, clock::now());
+                let Receivers { needs_full_state, .. } = peers.receivers(clock::now());
                 introduce(state, socket, &own, needs_full_state).await;
             }
         }
@@ -177,7 +177,7 @@
     for (delta, audience) in parts {
         let group = state.peers.group_addresses(state.peers.group());
         if audience == Audience::Fleet && state.peers.is_grouped() {
-            let relays = state.peers.digest_targets(Instant::now());
+            let relays = state.peers.digest_targets(clock::now());
             let datagram = Datagram::Upstreams {
                 delta: delta.clone(),
                 is_for_group: true,
@@ -251,7 +251,7 @@
                     "peers: datagram unreadable peer={sender} cause={cause:?} bytes={length}"
                 );
                 if let Unreadable::OtherVersion(_) = cause {
-                    state.peers.record_unreadable(sender, Instant::now());
+                    state.peers.record_unreadable(sender, clock::now());
                 }
             }
         }
--- a/crates/gateway/src/peers/exchange/apply.rs
+++ b/crates/gateway/src/peers/exchange/apply.rs
@@ -13,12 +13,8 @@
         sync::{apply_rollout_record, apply_upstream_delta},
         view::Condition,
     },
-    std::{
-        net::SocketAddr,
-        sync::Arc,
-        time::{Duration, Instant},
-    },
-    tealshore_core::ids::HostId,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tealshore_core::{clock, ids::HostId},
     tealshore_duties::lease::LeaseSummary,
     tealshore_runs::{KnownRun, RunLocation, RunOrigin, RunTrace},
 };
@@ -100,7 +96,7 @@
     is_passed_on: bool,
     extension: &Extension,
 ) {
-    let relay = state.peers.relay(Instant::now());
+    let relay = state.peers.relay(clock::now());
     match relay {
         None => state.peers.queue_digest(digest.clone()),
         Some(relay) if !is_passed_on => {
@@ -127,7 +123,7 @@
     state.duties.record_hall_usage(&digest.group, &digest.usage);
     state.apply_crash_updates(&digest.crashes, &digest.relay);
     let runs = with_origins(std::mem::take(&mut digest.runs), run_origins);
-    let findings = state.peers.apply_digest(&digest, Instant::now());
+    let findings = state.peers.apply_digest(&digest, clock::now());
     let sender = Sender {
         host: &digest.relay,
         runs_on: RunLocation::OtherGroup,
@@ -146,7 +142,7 @@
     if let Some(offset_ms) = peer.clock_offset_ms {
         state
             .duties
-            .record_clock_offset(&peer.host, offset_ms, Instant::now());
+            .record_clock_offset(&peer.host, offset_ms, clock::now());
     }
     let host = peer.host.clone();
     let sender = Sender {
@@ -158,7 +154,7 @@
     if state.peers.is_in_group(&peer.hall) {
         state.peers.queue_group_runs(&runs);
     }
-    let findings = state.peers.apply_state(peer, Instant::now());
+    let findings = state.peers.apply_state(peer, clock::now());
     apply_reports(state, &sender, with_origins(runs, run_origins), &findings);
 }
 
@@ -174,7 +170,7 @@
     };
     let runs = std::mem::take(&mut delta.runs);
     state.peers.queue_group_runs(&runs);
-    let findings = state.peers.apply_delta(delta, Instant::now());
+    let findings = state.peers.apply_delta(delta, clock::now());
     apply_reports(state, &sender, with_origins(runs, run_origins), &findings);
 }
 
@@ -205,7 +201,7 @@
 /// Applies the lease summary of the host that holds the duties or has released them.
 fn apply_lease_summary(state: &GatewayState, summary: Option<&LeaseSummary>) {
     if let Some(summary) = summary {
-        state.duties.record_lease_summary(summary, Instant::now());
+        state.duties.record_lease_summary(summary, clock::now());
     }
 }
 
@@ -237,7 +233,7 @@
     runs: Vec<KnownRun>,
     findings: &[Finding],
 ) {
-    let now = Instant::now();
+    let now = clock::now();
     let mut log = state.runs.log.lock();
     for run in runs {
         log.record_peer(run, sender.runs_on, Duration::ZERO, now);
@@ -258,7 +254,7 @@
     let Some(upstream) = state.view.upstreams.get(&finding.upstream) else {
         return;
     };
-    if !upstream.apply_peer_condition(finding.condition, Instant::now()) {
+    if !upstream.apply_peer_condition(finding.condition, clock::now()) {
         return;
     }
     if matches!(finding.condition, Condition::Failing(_)) {
--- a/crates/gateway/src/peers/limits.rs
+++ b/crates/gateway/src/peers/limits.rs
@@ -15,7 +15,7 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    tealshore_core::ids::EngineId,
+    tealshore_core::{clock, ids::EngineId},
     tealshore_rates::LimitUpdate,
     tokio::{
         sync::mpsc::{Receiver, Sender, channel},
@@ -112,7 +112,7 @@
         // causes few datagrams.
         sleep(COALESCE_DELAY).await;
         let changed = peers.take_pending_limits();
-        let now = Instant::now();
+        let now = clock::now();
         let of_fleet = changed
             .iter()
             .filter(|(_, audience)| **audience == Audience::Fleet);
@@ -144,7 +144,7 @@
     loop {
         sleep(CLEANUP_INTERVAL).await;
         let is_listed = |id: &EngineId| state.view.upstreams.get(id).is_some();
-        state.limits.remove_unused(is_listed, Instant::now());
+        state.limits.remove_unused(is_listed, clock::now());
         state.log_limits();
     }
 }
@@ -155,7 +155,7 @@
     updates: &[LimitUpdate],
     is_for_group: bool,
 ) {
-    let now = Instant::now();
+    let now = clock::now();
     for update in updates {
         let is_new = state.limits.merge(update, now);
         if is_new {
--- a/crates/gateway/src/peers/membership.rs
+++ b/crates/gateway/src/peers/membership.rs
@@ -13,7 +13,7 @@
         sync::atomic::Ordering,
         time::{Duration, Instant},
     },
-    tealshore_core::ids::HallId,
+    tealshore_core::{clock, ids::HallId},
     tealshore_duties::lease::ProcessId,
 };
 
@@ -167,7 +167,7 @@
         }
         let candidate = CandidateHost {
             hall: hall.cloned(),
-            expires_at: Instant::now() + self.options.silence * REMOVAL_FACTOR,
+            expires_at: clock::now() + self.options.silence * REMOVAL_FACTOR,
         };
         self.candidates.lock().entry(address).or_insert(candidate);
     }
@@ -271,7 +271,7 @@
     }
 
     pub(super) fn known_addresses(&self) -> Vec<HostAddress> {
-        let now = Instant::now();
+        let now = clock::now();
         let elsewhere = self.groups.lock().members(self.options.silence, now);
         let elsewhere = elsewhere.into_iter().map(|(hall, member)| HostAddress {
             hall,
--- a/crates/gateway/src/peers/outgoing.rs
+++ b/crates/gateway/src/peers/outgoing.rs
@@ -12,7 +12,7 @@
         sync::{Arc, atomic::Ordering},
         time::Instant,
     },
-    tealshore_core::ids::ServiceId,
+    tealshore_core::{clock, ids::ServiceId},
     tealshore_quarantine::log::UpdateScope,
     tealshore_runs::{RunOrigin, RunTrace},
     tokio::net::UdpSocket,
@@ -131,7 +131,7 @@
 
     /// Returns the extension for a datagram of this host.
     fn extension_of(&self, datagram: &Datagram) -> Extension {
-        let now = Instant::now();
+        let now = clock::now();
         let (state, peers) = (&self.state, &self.state.peers);
         match datagram {
             Datagram::State(peer) => Extension {
@@ -181,7 +181,7 @@
     /// Returns the origins of the runs in a datagram.
     pub(super) fn run_origins(&self, runs: &[RunTrace]) -> Vec<Option<RunOrigin>> {
         let log = self.state.runs.log.lock();
-        log.origins(runs, Instant::now())
+        log.origins(runs, clock::now())
     }
 
     /// Returns the services from whose upstreams this host is cut off, if there are any or the last datagram reported
--- a/crates/gateway/src/peers/prompt_parts.rs
+++ b/crates/gateway/src/peers/prompt_parts.rs
@@ -3,11 +3,8 @@
 use {
     super::{COALESCE_DELAY, extension::Extension, message::Datagram, outgoing::PeerSocket},
     crate::state::GatewayState,
-    std::{
-        net::SocketAddr,
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tealshore_core::clock,
     tealshore_quarantine::parts::{
         log::{Audience, MAX_REPORTS, UnsentReports},
         news::PartCrashReport,
@@ -25,7 +22,7 @@
         peers.parts_changed.notified().await;
         // A crash and what excludes some of its parts are often learned together.
         sleep(COALESCE_DELAY).await;
-        let unsent = state.crashes.take_unsent_part_reports(Instant::now());
+        let unsent = state.crashes.take_unsent_part_reports(clock::now());
         send_unsent(&state, &socket, &unsent).await;
         // Repairs the loss of a datagram sooner than the next full state.
         let (state, socket) = (state.clone(), socket.clone());
@@ -39,7 +36,7 @@
 async fn send_unsent(state: &GatewayState, socket: &PeerSocket, unsent: &UnsentReports) {
     let peers = &state.peers;
     let to_hosts = peers.lending_addresses();
-    let to_relays = peers.lending_relays(Instant::now());
+    let to_relays = peers.lending_relays(clock::now());
     send_reports(socket, &unsent.for_fleet, &to_hosts, false).await;
     send_reports(socket, &unsent.for_fleet, &to_relays, true).await;
     send_reports(socket, &unsent.for_group, &to_hosts, false).await;
--- a/crates/gateway/src/peers/relay.rs
+++ b/crates/gateway/src/peers/relay.rs
@@ -20,6 +20,7 @@
         sync::Arc,
         time::{Duration, Instant},
     },
+    tealshore_core::clock,
     tealshore_runs::RunTrace,
     tokio::time::sleep,
 };
@@ -33,7 +34,7 @@
     let mut last = LastDigest::default();
     loop {
         sleep(RELAY_INTERVAL).await;
-        let now = Instant::now();
+        let now = clock::now();
         let peers = &state.peers;
         // Updates the largest known fleet size, so that a growing fleet is divided into groups.
         peers.max_known_hosts();
--- a/crates/gateway/src/peers/run_inquiry.rs
+++ b/crates/gateway/src/peers/run_inquiry.rs
@@ -20,6 +20,7 @@
         time::{Duration, Instant},
     },
     tealshore_core::{
+        clock,
         http::{Body, full},
         ids::{HostId, ProcessId},
     },
@@ -75,7 +76,7 @@
     run: &RunOrigin,
 ) -> Inquiry {
     let peers = &state.peers;
-    let now = Instant::now();
+    let now = clock::now();
     let run_host = &run.process.host;
     let mut asked = peers.witnesses(run_host, now);
     let has_witnesses = !asked.is_empty();
@@ -154,7 +155,7 @@
 /// Answers an inquiry. Returns `None` for requests of other kinds.
 pub(super) fn answer_inquiry(state: &GatewayState, uri: &Uri) -> Option<Response<Body>> {
     let wanted = parse_path(uri.path())?;
-    let now = Instant::now();
+    let now = clock::now();
     let log = state.runs.log.lock();
     let reply = Reply {
         process: state.peers.process(),
--- a/crates/gateway/src/peers/snapshot.rs
+++ b/crates/gateway/src/peers/snapshot.rs
@@ -21,7 +21,10 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    tealshore_core::http::{Body, ServerOptions, empty, full, serve},
+    tealshore_core::{
+        clock,
+        http::{Body, ServerOptions, empty, full, serve},
+    },
     tealshore_runs::RunTrace,
     tokio::net::TcpListener,
 };
@@ -207,7 +210,7 @@
     if let Some(answer) = answer_inquiry(state, uri) {
         return answer;
     }
-    let now = Instant::now();
+    let now = clock::now();
     match encoded.get_or_encode(path_and_query, now, || encode(state, uri, now)) {
         Some(bytes) => {
             state.metrics.count_peer_bytes("snapshot", bytes.len());
--- a/crates/gateway/src/rollout/known.rs
+++ b/crates/gateway/src/rollout/known.rs
@@ -27,6 +27,7 @@
         time::{Duration, Instant},
     },
     tealshore_core::{
+        clock,
         ids::{EngineVersion, ServiceId},
         protection::{Protection, enabled},
     },
@@ -158,7 +159,7 @@
             .values()
             .filter_map(|it| it.progress.order.as_ref());
         known
-            .map(|known| (known.order.clone(), known.received_at.elapsed()))
+            .map(|known| (known.order.clone(), clock::elapsed(known.received_at)))
             .collect()
     }
 
--- a/crates/gateway/src/serve/host_calls.rs
+++ b/crates/gateway/src/serve/host_calls.rs
@@ -6,11 +6,9 @@
     http_body_util::BodyExt,
     hyper::body::Incoming,
     rand::seq::SliceRandom,
-    std::{
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::{sync::Arc, time::Duration},
     tealshore_core::{
+        clock,
         http::{Body, empty, full},
         ids::HallId,
     },
@@ -49,7 +47,7 @@
 }
 
 fn answer_addresses(state: &GatewayState, caller_hall: Option<&HallId>) -> Response<Body> {
-    let now = Instant::now();
+    let now = clock::now();
     let phase = state.phase(now);
     let mut addresses = state.peers.callers_addresses(caller_hall, phase, now);
     if addresses.is_empty() {
--- a/crates/gateway/src/serve/ingress.rs
+++ b/crates/gateway/src/serve/ingress.rs
@@ -22,11 +22,12 @@
     },
     tealshore_core::{
         answer::{ErrorKind, Failure, Ran},
+        clock,
         http::Body,
         ids::ServiceId,
         protection::{Protection, enabled},
     },
-    tokio::{sync::OwnedSemaphorePermit, time::timeout_at},
+    tokio::sync::OwnedSemaphorePermit,
 };
 
 /// How much more of a body that is too large is read before the answer.
@@ -47,7 +48,7 @@
 
 /// Answers one request of a caller.
 pub async fn answer_caller(state: Arc<GatewayState>, request: Request<Incoming>) -> Response<Body> {
-    let received = Instant::now();
+    let received = clock::now();
     let in_flight = InFlightGuard::begin(&state);
     let (head, body) = request.into_parts();
     let facts = state.protocol.read_request(&head);
@@ -91,10 +92,7 @@
     if !enabled(Protection::BodyTimeout) {
         deadline += MAX_HOLD;
     }
-    let reading = timeout_at(
-        deadline.into(),
-        read_body(state, &admitted.configuration, body),
-    );
+    let reading = clock::timeout_at(deadline, read_body(state, &admitted.configuration, body));
     let (body, _room) = reading
         .await
         .map_err(|_| Failure::new(ErrorKind::RequestTooSlow, "the body took too long"))??;
@@ -153,14 +151,14 @@
         route,
         service,
         customer,
-        view: ViewFacts::of(&state.view, Instant::now()),
+        view: ViewFacts::of(&state.view, clock::now()),
     })
 }
 
 /// Checks that this host may authenticate requests by the keys that it knows: they must be recent, unless the
 /// settings allow stale keys. A request that is admitted by stale keys is counted and logged.
 fn check_view_age(state: &GatewayState, facts: &RequestFacts) -> Result<(), Failure> {
-    let now = Instant::now();
+    let now = clock::now();
     if !state.accepts_keys(now) {
         // A missing route is not reported either: it may have been added in the meantime.
         let detail = "this host has not heard from the store in time";
@@ -310,7 +308,7 @@
     };
     state.metrics.outcomes.with_label_values(&[outcome]).inc();
     // A plain answer is received in full before it is passed on.
-    let took = call.received.elapsed();
+    let took = clock::elapsed(call.received);
     state.metrics.observe_first_byte("call", took);
     state.metrics.observe_duration("call", took);
     log::info!(
@@ -325,7 +323,7 @@
 }
 
 fn log_failure(state: &GatewayState, facts: &RequestFacts, failure: &Failure, received: Instant) {
-    let now = Instant::now();
+    let now = clock::now();
     let name = failure.kind.name();
     state.metrics.outcomes.with_label_values(&[name]).inc();
     log::log!(
--- a/crates/gateway/src/serve/tunnel.rs
+++ b/crates/gateway/src/serve/tunnel.rs
@@ -17,13 +17,11 @@
     hyper_util::{rt::TokioIo, server::conn::auto::upgrade::downcast},
     rand::seq::SliceRandom,
     socket2::{SockRef, TcpKeepalive},
-    std::{
-        future::pending,
-        io,
-        sync::Arc,
-        time::{Duration, Instant},
+    std::{future::pending, io, sync::Arc, time::Duration},
+    tealshore_core::{
+        clock,
+        http::{Body, ServerOptions, empty, serve},
     },
-    tealshore_core::http::{Body, ServerOptions, empty, serve},
     tealshore_paths::TunnelId,
     tokio::{
         io::{AsyncWriteExt, copy},
@@ -126,7 +124,7 @@
 fn answer_end(state: &GatewayState, tunnel: TunnelId) -> Response<Body> {
     let mut response = Response::new(empty());
     let ends = state.tunnel_ends.lock();
-    if !ends.was_ended_by_upstream(tunnel, Instant::now()) {
+    if !ends.was_ended_by_upstream(tunnel, clock::now()) {
         *response.status_mut() = StatusCode::NOT_FOUND;
     }
     response
@@ -151,11 +149,7 @@
     if state.stop.is_requested() {
         return Err(Refusal::Stopping);
     }
-    if state
-        .paths
-        .lock()
-        .is_cut_off(&record.service, Instant::now())
-    {
+    if state.paths.lock().is_cut_off(&record.service, clock::now()) {
         return Err(Refusal::CutOff);
     }
     let connected = timeout(CONNECT_TIMEOUT, dial_directly(state, record)).await;
@@ -187,7 +181,7 @@
 
 /// Whether this host reaches another upstream of the service at this moment.
 async fn reaches_another(state: &GatewayState, unreachable: &Upstream) -> bool {
-    let now = Instant::now();
+    let now = clock::now();
     let mut others = state.view.upstreams.ready(&unreachable.record.service);
     others.retain(|other| other.record.id != unreachable.record.id);
     others.shuffle(&mut rand::rng());
@@ -246,7 +240,7 @@
     drop(permit);
     match (end, id) {
         (TunnelEnd::ByUpstream, Some(id)) => {
-            state.tunnel_ends.lock().record(id, Instant::now());
+            state.tunnel_ends.lock().record(id, clock::now());
             drop(peer);
             // A planned stop waits until the other host has asked how the tunnel ended.
             sleep(state.options.peers.tunnel_end).await;
--- a/crates/gateway/src/standstill.rs
+++ b/crates/gateway/src/standstill.rs
@@ -92,16 +92,16 @@
             log::warn!(
                 "host: this machine was suspended suspended_ms={} {}",
                 suspended.as_millis(),
-                ViewFacts::of(&state.view, Instant::now())
+                ViewFacts::of(&state.view, clock::now())
             );
         }
-        let gap = state.standstill.lock().tick(Instant::now());
+        let gap = state.standstill.lock().tick(clock::now());
         if let Some(gap) = gap {
             state.metrics.standstills.inc();
             log::warn!(
                 "host: this process stood still gap_ms={} {}",
                 gap.as_millis(),
-                ViewFacts::of(&state.view, Instant::now())
+                ViewFacts::of(&state.view, clock::now())
             );
         }
         sleep(TICK).await;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -44,6 +44,7 @@
     },
     store_heads::StoreHeads,
     tealshore_core::{
+        clock,
         ids::{CustomerId, ServiceId},
         protection::{Protection, enabled},
     },
@@ -129,13 +130,13 @@
     pub fn new(options: GatewayOptions, protocol: Arc<dyn Protocol>) -> eyre::Result<Self> {
         let peers = Peers::new(&options.host, &options.peers, &options.topology);
         Ok(Self {
-            started: Instant::now(),
+            started: clock::now(),
             duties: Duties::new(options.duties.clone(), peers.process(), &options.host.hall),
             peers,
             view: View::default(),
             feed: Feed::default(),
             runs: Runs::default(),
-            crashes: Crashes::new(Instant::now()),
+            crashes: Crashes::new(clock::now()),
             notices: RwLock::default(),
             brittle: RwLock::default(),
             limits: UpstreamLimits::default(),
@@ -145,7 +146,7 @@
             paths: Mutex::default(),
             tunnel_ends: Mutex::default(),
             capacity: Capacity::default(),
-            standstill: Mutex::new(Standstill::new(Instant::now())),
+            standstill: Mutex::new(Standstill::new(clock::now())),
             metrics: GatewayMetrics::new()?,
             stop: Stop::default(),
             body_memory: Arc::new(Semaphore::new(options.host.body_bytes)),
@@ -169,12 +170,12 @@
     /// Waits for a fresh view if this process has just stood still, until `CATCH_UP_TIMEOUT` at the latest: all that it
     /// lacks is an answer of the store or a word of its feeder.
     pub async fn wait_for_view_after_standstill(&self) {
-        let began = Instant::now();
+        let began = clock::now();
         let is_known = self.view.configuration().is_some();
         if !is_known || !self.standstill.lock().has_just_ended(began) {
             return;
         }
-        while !self.is_view_fresh(Instant::now()) && began.elapsed() < CATCH_UP_TIMEOUT {
+        while !self.is_view_fresh(clock::now()) && clock::elapsed(began) < CATCH_UP_TIMEOUT {
             sleep(CATCH_UP_POLL_INTERVAL).await;
         }
     }
@@ -286,7 +287,7 @@
         let Some(customer) = customer else {
             return;
         };
-        let now = Instant::now();
+        let now = clock::now();
         self.duties.count(customer, self.feed.store_time(now), now);
     }
 
@@ -294,7 +295,7 @@
     pub fn record_request(&self, service: &ServiceId) {
         let mut budgets = self.budgets.lock();
         self.budget(&mut budgets, service)
-            .record_request(Instant::now());
+            .record_request(clock::now());
     }
 
     /// The rate at which the engines of a service process prompts.
@@ -344,7 +345,7 @@
 
     /// Takes one retry from the budget of a service. Returns whether one was left.
     pub fn take_retry(&self, service: &ServiceId) -> bool {
-        let now = Instant::now();
+        let now = clock::now();
         let pool = self.peers.budget_pool(service, now);
         let mut budgets = self.budgets.lock();
         let taken = self.budget(&mut budgets, service).take(now, &pool);
--- a/crates/gateway/src/state/brittle.rs
+++ b/crates/gateway/src/state/brittle.rs
@@ -12,7 +12,7 @@
         sync::Arc,
         time::Instant,
     },
-    tealshore_core::ids::EngineId,
+    tealshore_core::{clock, ids::EngineId},
     tealshore_notices::host_places,
 };
 
@@ -26,7 +26,7 @@
         request: &str,
         sent: Instant,
     ) {
-        let now = Instant::now();
+        let now = clock::now();
         let (id, born) = (&record.id, record.born);
         let announced = facts.brittleness;
         let is_change = self.brittle.write().record(id, born, announced, sent, now);
--- a/crates/gateway/src/state/choice.rs
+++ b/crates/gateway/src/state/choice.rs
@@ -10,6 +10,7 @@
     },
     rand::RngExt,
     std::{sync::Arc, time::Instant},
+    tealshore_core::clock,
     tealshore_core::ids::{EngineId, Fingerprint, HallId, ServiceId},
     tealshore_notices::Availability,
     xxhash_rust::xxh3::xxh3_64_with_seed,
@@ -22,7 +23,7 @@
 impl GatewayState {
     /// The work that all hosts have at an upstream.
     pub fn work_at(&self, upstream: &Upstream) -> Work {
-        let elsewhere = self.peers.work(Instant::now());
+        let elsewhere = self.peers.work(clock::now());
         let mut work = upstream.own_work();
         work.add(
             elsewhere
@@ -49,7 +50,7 @@
             let same_version: Vec<_> = ready.into_iter().filter(has_same_version).collect();
             return self.choose_among(&same_version, need, avoid);
         }
-        let store_time = self.feed.store_time(Instant::now());
+        let store_time = self.feed.store_time(clock::now());
         let sets = self
             .rollouts
             .eligible_upstreams(service, ready, bounds, store_time);
@@ -88,7 +89,7 @@
             Need::Prompt { fingerprint, .. } => Some(fingerprint),
             Need::Call { .. } | Need::Copy { .. } => None,
         };
-        let now = Instant::now();
+        let now = clock::now();
         let elsewhere = self.peers.work(now);
         let notices = self.notices.read();
         let accepts_work = |record: &UpstreamRecord| {
--- a/crates/gateway/src/state/limits.rs
+++ b/crates/gateway/src/state/limits.rs
@@ -9,7 +9,7 @@
         view::UpstreamRecord,
     },
     std::time::{Duration, Instant},
-    tealshore_core::ids::EngineId,
+    tealshore_core::{clock, ids::EngineId},
     tealshore_rates::{AdvertisedLimit, Ask, LimitUpdate, Loan, NextPermit},
     tokio::time::sleep,
 };
@@ -115,7 +115,7 @@
 
     /// Records a call that is sent without a permit because it can't wait for one: the next request waits instead.
     pub fn record_unpermitted(&self, record: &UpstreamRecord) {
-        let now = Instant::now();
+        let now = clock::now();
         if self.limit_of(record, now).is_some() {
             self.limits.record_unpermitted(&record.id, now);
             let sends = &self.metrics.limited_sends;
@@ -164,9 +164,9 @@
         let Some(upstream) = self.view.upstreams.get(id) else {
             return;
         };
-        let until = Instant::now() + max_wait;
+        let until = clock::now() + max_wait;
         loop {
-            let now = Instant::now();
+            let now = clock::now();
             let Some(per_s) = self.limit_of(&upstream.record, now) else {
                 return;
             };
@@ -185,7 +185,7 @@
 
     /// Lends permits to a host that asks for them, if this host is the lender and knows the limit.
     pub fn lend(&self, ask: &PermitAsk) -> PermitLoan {
-        let now = Instant::now();
+        let now = clock::now();
         self.limits.merge(&ask.limit, now);
         let loan = self.lend_to(ask, now).unwrap_or(Loan {
             permits: 0,
@@ -221,7 +221,7 @@
 
     /// Applies the answer of a lender.
     pub fn apply_loan(&self, loan: &PermitLoan) {
-        let now = Instant::now();
+        let now = clock::now();
         if let Some(limit) = &loan.limit {
             self.limits.merge(limit, now);
         }
@@ -245,7 +245,7 @@
 
     /// Logs what happened at limited upstreams since the last such line, and updates their gauge.
     pub fn log_limits(&self) {
-        let limits = self.limits.updates(Instant::now());
+        let limits = self.limits.updates(clock::now());
         let in_force = limits.iter().filter(|update| update.per_s.is_some());
         let count = in_force.clone().count();
         self.metrics
--- a/crates/gateway/src/state/notices.rs
+++ b/crates/gateway/src/state/notices.rs
@@ -7,7 +7,7 @@
         view::{Upstream, UpstreamRecord},
     },
     std::time::Instant,
-    tealshore_core::ids::ServiceId,
+    tealshore_core::{clock, ids::ServiceId},
     tealshore_notices::{Availability, RestRequest},
 };
 
@@ -57,7 +57,7 @@
             RestRequest::No | RestRequest::For(_) => "rest",
             RestRequest::Unreadable => "rest-unreadable",
         });
-        let now = Instant::now();
+        let now = clock::now();
         let mut notices = self.notices.write();
         let is_new = notices.record_rest(&record.id, record.born, rest, now);
         drop(notices);
@@ -72,7 +72,7 @@
 
     fn record_leaving(&self, record: &UpstreamRecord, request: &str) {
         self.count_notice("leaving");
-        let now = Instant::now();
+        let now = clock::now();
         let mut notices = self.notices.write();
         let is_new = notices.record_leaving(&record.id, record.born, now);
         drop(notices);
--- a/crates/gateway/src/state/paths.rs
+++ b/crates/gateway/src/state/paths.rs
@@ -6,6 +6,7 @@
     std::time::Instant,
     tealshore_core::{
         answer::{ErrorKind, Failure},
+        clock,
         ids::{HostId, ServiceId},
         protection::{Protection, enabled},
     },
@@ -25,7 +26,7 @@
     /// Records a connection to an upstream that passes through another host.
     pub fn record_tunnel(&self, upstream: &UpstreamRecord, through: &HostId) {
         self.metrics.count_tunnel("used", "opened");
-        let now = Instant::now();
+        let now = clock::now();
         let change = self
             .paths
             .lock()
@@ -53,7 +54,7 @@
     /// Records that no connection to an upstream could be opened. The service is out of reach only if no host is left
     /// to ask. If a host that reaches the service confirmed the failure, the fault is the upstream's alone.
     pub fn record_dial_failure(&self, upstream: &UpstreamRecord) {
-        let now = Instant::now();
+        let now = clock::now();
         let is_host_left = !self.tunnel_hosts(upstream, 1, now).is_empty();
         let mut paths = self.paths.lock();
         if !is_host_left && paths.is_doubtful(&upstream.id, now) {
@@ -67,10 +68,7 @@
     /// Most upstreams of the service are out of reach.
     pub fn check_in_reach(&self, service: &ServiceId) -> Result<(), Failure> {
         let upstreams = self.view.upstreams.ready(service).len();
-        let refuses = self
-            .paths
-            .lock()
-            .refuses(service, upstreams, Instant::now());
+        let refuses = self.paths.lock().refuses(service, upstreams, clock::now());
         if !refuses {
             return Ok(());
         }
--- a/crates/gateway/src/state/runs.rs
+++ b/crates/gateway/src/state/runs.rs
@@ -2,7 +2,8 @@
 
 use {
     super::GatewayState,
-    std::time::{Duration, Instant},
+    std::time::Duration,
+    tealshore_core::clock,
     tealshore_runs::{KnownRun, RunLocation, RunReport},
 };
 
@@ -10,13 +11,13 @@
     /// Records that this host answers a request, and reports it to the peers at once: they must know of the run before
     /// its caller can have an event of it.
     pub fn begin_run(&self, run: KnownRun) {
-        self.runs.log.lock().begin(run, Instant::now());
+        self.runs.log.lock().begin(run, clock::now());
         self.peers.announce_run();
     }
 
     /// Records runs that this host learned of at its start.
     pub fn restore_runs(&self, runs: Vec<RunReport>) {
-        let now = Instant::now();
+        let now = clock::now();
         let mut log = self.runs.log.lock();
         for report in runs {
             log.record_peer(report.run, RunLocation::OtherGroup, report.age, now);
--- a/crates/gateway/src/state/suspicion.rs
+++ b/crates/gateway/src/state/suspicion.rs
@@ -3,14 +3,14 @@
 use {
     super::GatewayState,
     crate::view::Upstream,
-    std::time::Instant,
+    tealshore_core::clock,
     tealshore_core::protection::{Protection, enabled},
 };
 
 impl GatewayState {
     /// Marks an upstream as suspected. Reports it to the peers, unless this host's own path may be at fault.
     pub fn suspect(&self, upstream: &Upstream, cause: &str) {
-        let now = Instant::now();
+        let now = clock::now();
         let record = &upstream.record;
         let is_doubtful = self.paths.lock().is_doubtful(&record.id, now)
             && enabled(Protection::ConfirmedSuspicion);
@@ -40,7 +40,7 @@
             upstream.record.hall,
             succeeded_at.record.id
         );
-        upstream.record_failing(Instant::now());
+        upstream.record_failing(clock::now());
         self.metrics
             .failing_upstreams
             .with_label_values(&["here"])
@@ -50,7 +50,7 @@
 
     /// Records that another incarnation has taken over an upstream's address, and reports it to the peers.
     pub fn record_replaced(&self, upstream: &Upstream) {
-        let now = Instant::now();
+        let now = clock::now();
         if !upstream.is_suspected(now) {
             log::warn!(
                 "upstream: replaced by another incarnation upstream={}",
--- a/crates/gateway/src/state/upstream_counts.rs
+++ b/crates/gateway/src/state/upstream_counts.rs
@@ -3,7 +3,8 @@
 use {
     super::GatewayState,
     crate::balance::{Need, has_room},
-    std::{fmt, time::Instant},
+    std::fmt,
+    tealshore_core::clock,
     tealshore_core::ids::{EngineId, ServiceId},
 };
 
@@ -41,7 +42,7 @@
         need: Need<'_>,
         tried: &[EngineId],
     ) -> UpstreamCounts {
-        let now = Instant::now();
+        let now = clock::now();
         let elsewhere = self.peers.work(now);
         let mut counts = UpstreamCounts::default();
         for upstream in self.view.upstreams.ready(service) {
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -5,7 +5,10 @@
         sync::atomic::{AtomicUsize, Ordering},
         time::{Duration, Instant},
     },
-    tealshore_core::protection::{Protection, enabled},
+    tealshore_core::{
+        clock,
+        protection::{Protection, enabled},
+    },
     tokio::sync::watch,
 };
 
@@ -47,9 +50,7 @@
 
     /// Time since a stop was requested; `None` if none was.
     pub fn age(&self) -> Option<Duration> {
-        self.requested_at
-            .borrow()
-            .map(|requested_at| requested_at.elapsed())
+        self.requested_at.borrow().map(clock::elapsed)
     }
 
     /// The number of requests in flight.
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -31,7 +31,7 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    tealshore_core::ids::EngineId,
+    tealshore_core::{clock, ids::EngineId},
 };
 pub use {
     apply::{apply_rollout_record, apply_upstream_delta},
@@ -160,7 +160,7 @@
         let mut rows = 0;
         let log = self.row_logging();
         loop {
-            let sent_at = Instant::now();
+            let sent_at = clock::now();
             let (page, written) = self.list(after_key.as_deref()).await?;
             rows += page.changes.len();
             let revisions = page.changes.iter().map(|(revision, _)| *revision);
@@ -193,7 +193,10 @@
                 self.record_full_read(&read, written);
                 return Ok(());
             }
-            if self.read_from_peers_between_pages(sent_at.elapsed()).await {
+            if self
+                .read_from_peers_between_pages(clock::elapsed(sent_at))
+                .await
+            {
                 return Ok(());
             }
         }
@@ -274,11 +277,11 @@
     /// are given a grace period first.
     fn retain(&self, revision: Revision, present: &[EngineId]) -> usize {
         let upstreams = &self.state.view.upstreams;
-        let was_unavailable = self
-            .unavailable_since
-            .is_some_and(|unavailable_since| unavailable_since.elapsed() >= ROW_EXPIRY_OUTAGE);
+        let was_unavailable = self.unavailable_since.is_some_and(|unavailable_since| {
+            clock::elapsed(unavailable_since) >= ROW_EXPIRY_OUTAGE
+        });
         if was_unavailable {
-            let until = Instant::now() + MISSING_ROW_GRACE;
+            let until = clock::now() + MISSING_ROW_GRACE;
             return upstreams.retain_after_outage(revision, present, until);
         }
         upstreams.retain(revision, present)
@@ -291,7 +294,7 @@
         }
         view.confirm(moment);
         if let Some(before) = view.set_source(source) {
-            let facts = ViewFacts::of(view, Instant::now());
+            let facts = ViewFacts::of(view, clock::now());
             log::info!("view: source changed {facts} before={before}");
         }
     }
@@ -302,7 +305,7 @@
         request: Request<Bytes>,
         time_limit: Duration,
     ) -> Result<(Page, AnswerTime), StoreCallFailure> {
-        let sent_at = Instant::now();
+        let sent_at = clock::now();
         let known_revision = self.known_revision();
         let answer = self.call(request, time_limit).await?;
         let page = self
@@ -314,7 +317,7 @@
             let revision = page.revision;
             return Err(StoreCallFailure::Stale { revision });
         }
-        let arrived = Instant::now();
+        let arrived = clock::now();
         let feed = &self.state.feed;
         feed.record_answer(page.store_time, sent_at, arrived);
         let moment = feed.to_local_instant(page.store_time, arrived);
@@ -330,7 +333,7 @@
         request: Request<Bytes>,
         time_limit: Duration,
     ) -> Result<StoreAnswer, StoreCallFailure> {
-        let sent_at = Instant::now();
+        let sent_at = clock::now();
         let result = self.client.call(request, time_limit).await;
         let result = result.and_then(|answer| self.read_head(answer));
         if result.is_ok() {
@@ -338,7 +341,7 @@
                 .metrics
                 .store_call_seconds
                 .with_label_values(&[self.set.name()])
-                .observe(sent_at.elapsed().as_secs_f64());
+                .observe(clock::elapsed(sent_at).as_secs_f64());
         }
         let name = result
             .as_ref()
--- a/crates/gateway/src/sync/apply.rs
+++ b/crates/gateway/src/sync/apply.rs
@@ -12,9 +12,9 @@
     std::{
         fmt::{Display, Formatter},
         net::SocketAddr,
-        time::{Duration, Instant},
+        time::Duration,
     },
-    tealshore_core::ids::EngineId,
+    tealshore_core::{clock, ids::EngineId},
     tealshore_quarantine::{
         news::CrashUpdate,
         parts::{log::Audience, news::PartCrashReport},
@@ -102,7 +102,7 @@
     /// Applies the crash reports that a group of hosts stored, aged by the time since they were
     /// written.
     fn apply_stored_crashes(&self, stored: StoredCrashes) {
-        let store_time = self.state.feed.store_time(Instant::now());
+        let store_time = self.state.feed.store_time(clock::now());
         let age = store_time.map_or(Duration::ZERO, |now| now.saturating_sub(stored.written));
         let requests = stored.requests.into_iter();
         let updates: Vec<CrashUpdate> = requests.map(|update| update.aged(age)).collect();
@@ -159,7 +159,7 @@
     revision: Revision,
     record: &RolloutRecord,
 ) -> bool {
-    let is_in_restore_grace = state.feed.is_in_restore_grace(Instant::now());
+    let is_in_restore_grace = state.feed.is_in_restore_grace(clock::now());
     let rollouts = &state.rollouts;
     rollouts.apply_record(revision, record, is_in_restore_grace)
 }
@@ -167,7 +167,7 @@
 pub(super) fn apply_rollout_order(state: &GatewayState, order: RolloutOrder) {
     let (service, target) = (order.service.clone(), order.target.clone());
     let (revision, duration_ms) = (order.revision, order.duration.as_millis());
-    let now = Instant::now();
+    let now = clock::now();
     let is_in_restore_grace = state.feed.is_in_restore_grace(now);
     if state.rollouts.apply_order(order, is_in_restore_grace, now) {
         log::info!(
@@ -186,7 +186,7 @@
     let version = new.version;
     let routes = new.route_count();
     let keys = new.customers.len();
-    let now = Instant::now();
+    let now = clock::now();
     let is_in_restore_grace = state.feed.is_in_restore_grace(now);
     let applied = state.view.apply(new, revision, origin, is_in_restore_grace);
     let current_version = i64::try_from(state.view.version()).unwrap_or(i64::MAX);
--- a/crates/gateway/src/sync/crashes.rs
+++ b/crates/gateway/src/sync/crashes.rs
@@ -4,8 +4,8 @@
 use {
     super::Follower,
     crate::edge::StoredCrashes,
-    std::time::{Duration, Instant},
-    tealshore_core::ids::Fingerprint,
+    std::time::Duration,
+    tealshore_core::{clock, ids::Fingerprint},
     tealshore_quarantine::{
         news::{CrashUpdate, UpdateSize},
         parts::{RunId, news::PartCrashReport},
@@ -31,7 +31,7 @@
             if self.may_lack_own_rows() {
                 written = WrittenSizes::default();
             }
-            let now = Instant::now();
+            let now = clock::now();
             let crashes = &self.state.crashes;
             let (requests, parts) = (crashes.suspects(now), crashes.suspicious_part_reports(now));
             let sizes = WrittenSizes::of(&requests, &parts);
@@ -86,8 +86,8 @@
     }
 
     async fn load_earlier_crashes(&mut self) {
-        let started = Instant::now();
-        while started.elapsed() < self.start_timeout(Instant::now()) {
+        let started = clock::now();
+        while clock::elapsed(started) < self.start_timeout(clock::now()) {
             // A host that has the reports sends them with its state.
             if self.state.crashes.is_restored() {
                 return;
--- a/crates/gateway/src/sync/duties.rs
+++ b/crates/gateway/src/sync/duties.rs
@@ -22,8 +22,8 @@
         sync::Arc,
         time::{Duration, Instant},
     },
+    tealshore_core::clock,
     tealshore_duties::lease::{Role, Step},
-    tokio::time::sleep_until,
 };
 
 /// How often a host that may acquire the lease checks it: a small part of the time within which a
@@ -69,7 +69,7 @@
             follower,
             peer_socket,
             options,
-            started: Instant::now(),
+            started: clock::now(),
             record: DutyRecord::default(),
             draft: DutyRecord::default(),
             held_record: DutyRecord::default(),
@@ -89,7 +89,7 @@
     /// Returns only when the process ends.
     pub(super) async fn run(&mut self) {
         loop {
-            let now = Instant::now();
+            let now = clock::now();
             self.handle_new_era(now);
             let role = self.role(now);
             let store_time = self.state().feed.store_time(now);
@@ -110,7 +110,7 @@
                             Role::Candidate { .. } | Role::Leaving => CANDIDATE_INTERVAL,
                             Role::NonCandidate => NON_CANDIDATE_INTERVAL,
                         };
-                        sleep_until(until.min(now + interval).into()).await;
+                        clock::sleep_until(until.min(now + interval)).await;
                     }
                 }
             }
--- a/crates/gateway/src/sync/duties/calls.rs
+++ b/crates/gateway/src/sync/duties/calls.rs
@@ -10,6 +10,7 @@
     http::Request,
     std::time::{Duration, Instant},
     tealshore_capacity::EngineOrder,
+    tealshore_core::clock,
     tealshore_duties::usage::UsageReport,
 };
 
@@ -85,7 +86,7 @@
         let request = self.request(&due, &caller);
         let time_limit = API_TIMEOUT.min(self.options.lease.hold / 2);
         let answer = api::call(self.options.address, request, tenure, time_limit).await;
-        let took = now.elapsed();
+        let took = clock::elapsed(now);
         match answer {
             Ok((status, _)) => {
                 let answer = self.state().protocol.read_duty_answer(status);
@@ -93,7 +94,7 @@
             }
             Err(error) => {
                 self.record_call(&due, error.name(), caller.fence, took);
-                self.backoff.record_failure(Instant::now());
+                self.backoff.record_failure(clock::now());
             }
         }
         true
@@ -121,7 +122,7 @@
     }
 
     fn handle_answer(&mut self, due: &DueCall, answer: DutyAnswer, fence: u64, took: Duration) {
-        let now = Instant::now();
+        let now = clock::now();
         match answer {
             DutyAnswer::Accepted => {
                 self.record_call(due, "accepted", fence, took);
--- a/crates/gateway/src/sync/duties/row.rs
+++ b/crates/gateway/src/sync/duties/row.rs
@@ -7,7 +7,7 @@
         edge::{Change, Revision, WriteOutcome, row_number_of},
     },
     std::time::{Duration, Instant},
-    tealshore_core::spread::with_jitter,
+    tealshore_core::{clock, spread::with_jitter},
     tealshore_duties::lease::{LeaseRecord, Purpose, Step},
     tokio::time::sleep,
 };
@@ -25,7 +25,7 @@
     /// Reads the row and applies it.
     pub(super) async fn read(&mut self) {
         let request = self.state().protocol.list_call(self.follower.set, None);
-        let sent_at = Instant::now();
+        let sent_at = clock::now();
         let page = match self.follower.page(request, STORE_TIMEOUT).await {
             Ok((page, _)) => page,
             Err(failure) => {
@@ -79,7 +79,7 @@
         );
         duties.with_ledger(|ledger| ledger.restore(&record.usage.counted));
         let lease = (revision > 0).then(|| (revision, record.lease.clone()));
-        duties.with_lease(|known| known.record_read(lease, sent_at, Instant::now()));
+        duties.with_lease(|known| known.record_read(lease, sent_at, clock::now()));
         self.record = record;
     }
 
@@ -132,7 +132,7 @@
         self.include_counts(&mut record);
         let protocol = &state.protocol;
         let request = protocol.write_duties_call(&record, row_number_of(expected));
-        let sent_at = Instant::now();
+        let sent_at = clock::now();
         let answer = self.follower.call(request, STORE_TIMEOUT).await;
         let written = match &answer {
             // Revisions of two eras may be equal by coincidence.
@@ -198,7 +198,7 @@
         let before = &self.record.lease;
         match purpose {
             Purpose::Take => {
-                self.lease_taken_at = Some(Instant::now());
+                self.lease_taken_at = Some(clock::now());
                 log::info!(
                     "duties: lease taken fence={} revision={revision} before={} undecided={} \
                      orders={}",
@@ -227,7 +227,7 @@
             state.duties.merge_decided(&decided);
         }
         let lease = record.lease.clone();
-        let now = Instant::now();
+        let now = clock::now();
         state.duties.with_lease(|known| match purpose {
             Purpose::Take | Purpose::Renew | Purpose::Release => {
                 known.record_written(revision, lease, sent_at, now);
--- a/crates/gateway/src/sync/follow.rs
+++ b/crates/gateway/src/sync/follow.rs
@@ -13,6 +13,7 @@
     },
     std::time::{Duration, Instant},
     tealshore_core::{
+        clock,
         ids::HostId,
         protection::{Protection, enabled},
         spread::with_jitter,
@@ -73,7 +74,7 @@
         loop {
             // A set from an earlier era does not show what the store contains now.
             is_fully_read = is_fully_read && !self.is_from_earlier_era();
-            let now = Instant::now();
+            let now = clock::now();
             if self.set == RowSet::Upstreams {
                 self.state.view.upstreams.end_grace(now);
             }
@@ -156,9 +157,9 @@
     /// Waits for a feeder before this host starts to watch a set that it has just read. Hosts that start
     /// together receive each other's messages about 0.4 s later, once their seeds are running.
     async fn await_feeder(&mut self) {
-        let until = Instant::now() + FEEDER_TIMEOUT;
+        let until = clock::now() + FEEDER_TIMEOUT;
         loop {
-            let now = Instant::now();
+            let now = clock::now();
             let is_fed = !matches!(self.source(now), Source::Store);
             let is_feeder =
                 self.state.feeder(now) == FeederChoice::ThisHost && !self.state.peers.is_alone(now);
@@ -171,7 +172,7 @@
     }
 
     async fn follow_feeder(&mut self, feeder: HostId, watermark: SetWatermark, moment: Instant) {
-        let now = Instant::now();
+        let now = clock::now();
         let is_change = self.state.feed.advance(self.set, watermark);
         self.confirm(moment, &ViewSource::Feeder(feeder));
         if self.failures > 0 {
@@ -192,15 +193,14 @@
             sleep(SHARED_BATCH_DELAY).await;
             return Ok(());
         }
-        if let Source::Behind = self.source(Instant::now()) {
+        if let Source::Behind = self.source(clock::now()) {
             if !is_fully_read {
                 return self.read_full_set().await;
             }
             self.watch(Duration::ZERO).await?;
             // The other hosts of the hall wait for this one to have the changes.
             self.state.peers.wake_sender();
-            let is_relay =
-                self.state.peers.is_grouped() && self.state.peers.is_relay(Instant::now());
+            let is_relay = self.state.peers.is_grouped() && self.state.peers.is_relay(clock::now());
             if !is_relay {
                 // A relay does not delay, since its group would receive nothing in the meantime.
                 sleep(SHARED_BATCH_DELAY).await;
@@ -213,9 +213,9 @@
     /// hall, or any host if this one can't reach the store or needs the full set. The host that reads
     /// changes for its hall does not wait for others.
     async fn catch_up_from_hall(&mut self) -> bool {
-        let until = Instant::now() + HALL_READER_TIMEOUT;
+        let until = clock::now() + HALL_READER_TIMEOUT;
         loop {
-            let now = Instant::now();
+            let now = clock::now();
             let is_finished = now >= until || !matches!(self.source(now), Source::Behind);
             // A full set is read by one host in total, rather than by one in each hall.
             let needs_full_set = self.is_from_earlier_era();
@@ -246,7 +246,7 @@
 
     /// The configured time limit, or the shorter one if other hosts may rely on this host.
     fn shorter_if_shared(&self, shared: Duration, from_settings: Duration) -> Duration {
-        if self.state.peers.is_alone(Instant::now()) {
+        if self.state.peers.is_alone(clock::now()) {
             from_settings
         } else {
             shared.min(from_settings)
@@ -257,7 +257,7 @@
     async fn watch_and_batch(&mut self) -> Result<(), StoreCallFailure> {
         // A host that lost its feeder, or that stood still, learns at once what it missed. It may take itself for alone
         // then, and a watch of that length would keep it from hearing its feeder.
-        let wait = if !self.is_recent(Instant::now()) {
+        let wait = if !self.is_recent(clock::now()) {
             Duration::ZERO
         } else if self.has_batched {
             // The delay counts towards the watch time, so that other hosts get updates of a changing set as
@@ -284,7 +284,7 @@
     /// at any time, and the group waits if this host is its relay.
     async fn poll_store(&mut self) -> Result<(), StoreCallFailure> {
         self.watch(Duration::ZERO).await?;
-        let now = Instant::now();
+        let now = clock::now();
         if self.state.peers.is_grouped() && self.state.peers.is_relay(now) {
             self.state.peers.publish_store_progress(None);
         }
@@ -321,7 +321,7 @@
         self.state.feed.advance(self.set, watermark);
         self.confirm(written.moment, &ViewSource::Store);
         self.record_recovery();
-        if self.state.feeder(Instant::now()) == FeederChoice::ThisHost {
+        if self.state.feeder(clock::now()) == FeederChoice::ThisHost {
             self.state.peers.publish_store_progress(delta);
         }
         Ok(is_change)
--- a/crates/gateway/src/sync/from_peers.rs
+++ b/crates/gateway/src/sync/from_peers.rs
@@ -24,7 +24,7 @@
         net::SocketAddr,
         time::{Duration, Instant},
     },
-    tealshore_core::{ids::EngineId, spread::with_jitter},
+    tealshore_core::{clock, ids::EngineId, spread::with_jitter},
     tealshore_runs::{KnownRun, RunReport},
 };
 
@@ -65,7 +65,7 @@
             return false;
         }
         let peers = &self.state.peers;
-        let sources = peers.snapshot_sources(self.set, known, scope, Instant::now());
+        let sources = peers.snapshot_sources(self.set, known, scope, clock::now());
         for source in sources.into_iter().take(MAX_PEERS_ASKED) {
             if self.read_from_peer(source).await {
                 return true;
@@ -85,14 +85,14 @@
     }
 
     async fn read_from_peer(&mut self, source: SocketAddr) -> bool {
-        let sent_at = Instant::now();
+        let sent_at = clock::now();
         let Some((snapshot, configuration_row)) =
             fetch(self.set, self.known_revision(), source).await
         else {
             log::info!(
                 "feed: failed to fetch snapshot set={} peer={source} took_ms={}",
                 self.set.name(),
-                sent_at.elapsed().as_millis()
+                clock::elapsed(sent_at).as_millis()
             );
             return false;
         };
@@ -106,7 +106,7 @@
             snapshot.rows.extent(),
             snapshot.rows.count(),
             snapshot.watermark.revision,
-            sent_at.elapsed().as_millis()
+            clock::elapsed(sent_at).as_millis()
         );
         self.apply_snapshot(snapshot, configuration_row, source, sent_at);
         true
@@ -116,13 +116,13 @@
     /// until its feeder is known. If there is none in time, this host reads the store: at once if it
     /// appears to be the first, or a little later if other starting hosts rank before it.
     pub(super) async fn start_from_peers(&mut self) {
-        let started = Instant::now();
+        let started = clock::now();
         loop {
             if self.known_revision() == 0 && self.read_from_peers(SourceScope::AllHalls).await {
                 // Other starting hosts wait for a host that has the set.
                 self.state.peers.wake_sender();
             }
-            let now = Instant::now();
+            let now = clock::now();
             let is_fed = match self.source(now) {
                 Source::Fed { .. } | Source::Behind | Source::FeederSilent => true,
                 Source::Store => false,
@@ -151,13 +151,13 @@
         if is_known || !self.is_served_by_peers() {
             return false;
         }
-        let until = Instant::now() + page_duration * PAGE_WAIT_FACTOR;
+        let until = clock::now() + page_duration * PAGE_WAIT_FACTOR;
         loop {
             if self.read_from_peers(SourceScope::AllHalls).await {
                 self.state.peers.wake_sender();
                 return true;
             }
-            let now = Instant::now();
+            let now = clock::now();
             if now >= until || self.state.peers.hosts_before(now) < FULL_READERS {
                 return false;
             }
@@ -186,7 +186,7 @@
 
     /// Reads from another host where streams run. Returns whether one answered.
     pub(super) async fn read_runs_from_peers(&self) -> bool {
-        let now = Instant::now();
+        let now = clock::now();
         let sources =
             self.state
                 .peers
@@ -217,7 +217,7 @@
         } = snapshot;
         let state = self.state.clone();
         let feed = &state.feed;
-        feed.observe_peer_time(store_time, sent_at, Instant::now());
+        feed.observe_peer_time(store_time, sent_at, clock::now());
         match rows {
             SnapshotRows::Configuration {
                 configuration,
@@ -255,7 +255,7 @@
             SnapshotRows::Runs(_) => {}
         }
         feed.advance(self.set, watermark);
-        if let Some(moment) = feed.to_local_instant(watermark.written, Instant::now()) {
+        if let Some(moment) = feed.to_local_instant(watermark.written, clock::now()) {
             self.confirm(moment, &ViewSource::Snapshot(source));
         }
     }
--- a/crates/gateway/src/sync/hosts.rs
+++ b/crates/gateway/src/sync/hosts.rs
@@ -5,8 +5,8 @@
 use {
     super::{Follower, StoreCallFailure},
     crate::feed::FeederChoice,
-    std::time::{Duration, Instant},
-    tealshore_core::spread::with_jitter,
+    std::time::Duration,
+    tealshore_core::{clock, spread::with_jitter},
     tokio::time::sleep,
 };
 
@@ -27,7 +27,7 @@
             if self.may_lack_own_rows() {
                 is_listed = false;
             }
-            let now = Instant::now();
+            let now = clock::now();
             let is_alone = self.state.peers.is_alone(now);
             let is_feeder = self.state.feeder(now) == FeederChoice::ThisHost;
             let is_due = is_alone || (is_feeder && !is_listed);
--- a/crates/gateway/src/sync/outage.rs
+++ b/crates/gateway/src/sync/outage.rs
@@ -5,7 +5,7 @@
     super::{Follower, PROBE_SET, StoreCallFailure, follow::Source, pause::FailedCall},
     crate::peers::SourceScope,
     std::time::{Duration, Instant},
-    tealshore_core::spread::with_jitter,
+    tealshore_core::{clock, spread::with_jitter},
 };
 
 /// How often a host that waits before its next call re-evaluates the pause and its other sources.
@@ -45,19 +45,19 @@
             .inc();
         if failure.is_outage() {
             self.state.feed.record_failure();
-            self.unavailable_since.get_or_insert_with(Instant::now);
+            self.unavailable_since.get_or_insert_with(clock::now);
         }
         let failures = self.failures;
         self.failures += 1;
-        let started_at = Instant::now();
+        let started_at = clock::now();
         let jitter = with_jitter(Duration::from_secs(1) / 2).as_secs_f64();
         loop {
             // A host that becomes disconnected from the others while it waits gets a shorter pause.
-            let pause = self.pause(failure, failures, Instant::now());
+            let pause = self.pause(failure, failures, clock::now());
             let until = started_at + pause.mul_f64(jitter);
-            let wake_at = until.min(Instant::now() + RECHECK_INTERVAL);
+            let wake_at = until.min(clock::now() + RECHECK_INTERVAL);
             self.state.feed.wait_for_update(self.set, wake_at).await;
-            let now = Instant::now();
+            let now = clock::now();
             if self.has_other_source(now).await || now >= until {
                 return;
             }
--- a/crates/gateway/src/sync/rollouts.rs
+++ b/crates/gateway/src/sync/rollouts.rs
@@ -22,6 +22,7 @@
         view::are_in_use,
     },
     std::time::{Duration, Instant},
+    tealshore_core::clock,
     tealshore_core::ids::{EngineVersion, ServiceId},
     tokio::time::sleep,
 };
@@ -45,7 +46,7 @@
         let mut read_at: Option<Instant> = None;
         loop {
             sleep(REVIEW_INTERVAL).await;
-            let now = Instant::now();
+            let now = clock::now();
             self.apply_deferred_orders(now);
             let orders = self.state.rollouts.orders();
             let is_fed = matches!(self.state.feeder(now), FeederChoice::Peer(..));
@@ -183,7 +184,7 @@
     order_age: Duration,
     record: Option<&RolloutRecord>,
 ) -> Option<(RolloutObservation, Evaluation)> {
-    let now = Instant::now();
+    let now = clock::now();
     let bounds = state.options.bounds.rollouts;
     let evidence = merged_evidence(state, &order.service, order.revision);
     let targets = count_ready_targets(state, &order.service, &order.target);
@@ -247,7 +248,7 @@
     old.retain(|upstream| {
         upstream.record.service == record.service && upstream.record.version != record.target
     });
-    are_in_use(&old, &state.peers.work(Instant::now()))
+    are_in_use(&old, &state.peers.work(clock::now()))
 }
 
 fn log_decision(next: &RolloutRecord, observation: &RolloutObservation, evaluation: &Evaluation) {
--- a/crates/gateway/src/sync/runs.rs
+++ b/crates/gateway/src/sync/runs.rs
@@ -5,6 +5,7 @@
     super::Follower,
     crate::feed::FeederChoice,
     std::time::{Duration, Instant},
+    tealshore_core::clock,
     tealshore_runs::RunTrace,
     tokio::time::sleep,
 };
@@ -28,7 +29,7 @@
             if self.may_lack_own_rows() {
                 written.clear();
             }
-            let now = Instant::now();
+            let now = clock::now();
             if !self.writes_for_group(now) {
                 continue;
             }
@@ -76,8 +77,8 @@
     }
 
     async fn load_earlier_runs(&mut self) {
-        let started = Instant::now();
-        while started.elapsed() < self.start_timeout(Instant::now()) {
+        let started = clock::now();
+        while clock::elapsed(started) < self.start_timeout(clock::now()) {
             if self.read_runs_from_peers().await {
                 return;
             }
--- a/crates/gateway/src/view/freshness.rs
+++ b/crates/gateway/src/view/freshness.rs
@@ -1,4 +1,4 @@
-//! The age of data from the store, measured with this host's monotonic clock.
+//! The age of data from the store, measured with this host's clock that counts suspensions.
 
 use std::time::{Duration, Instant};
 
--- a/crates/gateway/src/view/listing.rs
+++ b/crates/gateway/src/view/listing.rs
@@ -10,6 +10,7 @@
         time::Instant,
     },
     tealshore_core::{
+        clock,
         ids::EngineId,
         protection::{Protection, enabled},
     },
@@ -70,7 +71,7 @@
     pub(super) fn current(&self) -> Option<&Arc<Upstream>> {
         let has_expired = self
             .expires_at
-            .is_some_and(|expires_at| expires_at <= Instant::now());
+            .is_some_and(|expires_at| expires_at <= clock::now());
         self.upstream.as_ref().filter(|_| !has_expired)
     }
 }
--- a/crates/gateway/src/view/upstreams.rs
+++ b/crates/gateway/src/view/upstreams.rs
@@ -18,6 +18,7 @@
         time::{Duration, Instant},
     },
     tealshore_core::{
+        clock,
         ids::{EngineId, ServiceId},
         protection::{Protection, enabled},
     },
@@ -53,7 +54,7 @@
 impl Upstreams {
     /// Applies a row. Returns whether anything changed.
     pub fn put(&self, revision: Revision, record: UpstreamRecord) -> bool {
-        self.put_seen(revision, record, Instant::now())
+        self.put_seen(revision, record, clock::now())
     }
 
     /// Applies a row that was read at `seen`. Returns whether anything changed.
@@ -131,7 +132,7 @@
         self.record_full_set(revision);
         let missing = self.missing(present);
         let mut listed = self.listed.write();
-        let until = Instant::now() + MISSING_ROW_GRACE;
+        let until = clock::now() + MISSING_ROW_GRACE;
         let mut missing_count = 0;
         for id in &missing {
             let Some(row) = listed.get(id).map(|known| known.revision) else {
--- a/crates/gateway/tests/budget.rs
+++ b/crates/gateway/tests/budget.rs
@@ -4,6 +4,7 @@
 use {
     proptest::prelude::*,
     std::time::{Duration, Instant},
+    tealshore_core::clock,
     tealshore_gateway::budget::{BudgetBounds, BudgetUse, Pool, RetryBudget},
 };
 
@@ -35,7 +36,7 @@
     fn the_sum_over_hosts_keeps_to_the_whole_in_each_window(
         steps in prop::collection::vec(step(9), 1..3_000)
     ) {
-        let start = Instant::now();
+        let start = clock::now();
         let mut now = start;
         let mut budgets: Vec<RetryBudget> = (0..9).map(|_| RetryBudget::new(BOUNDS)).collect();
         let mut requests = Vec::new();
@@ -66,7 +67,7 @@
 #[test]
 fn a_host_alone_has_half_of_the_slack_and_one_of_many_its_part() {
     tealshore_core::protection::start();
-    let now = Instant::now();
+    let now = clock::now();
     let taken = |hosts| {
         let mut budget = RetryBudget::new(BOUNDS);
         (0..1_000)
@@ -80,7 +81,7 @@
 
 #[test]
 fn repeats_are_available_again_after_the_window() {
-    let now = Instant::now();
+    let now = clock::now();
     let mut budget = RetryBudget::new(BOUNDS);
     while budget.take(now, &Pool::without_peers(1)) {}
     assert!(!budget.take(now + Duration::from_secs(9), &Pool::without_peers(1)));
@@ -91,7 +92,7 @@
 #[test]
 fn hosts_that_are_all_killed_do_not_use_the_slack_twice() {
     const HOSTS: usize = 9;
-    let start = Instant::now();
+    let start = clock::now();
     let take_all = |now: Instant| {
         let mut budgets: Vec<RetryBudget> = (0..HOSTS).map(|_| RetryBudget::new(BOUNDS)).collect();
         let mut taken = 0;
@@ -119,7 +120,7 @@
     const STEP: Duration = Duration::from_millis(100);
     const WINDOW: Duration = Duration::from_secs(10);
     const REQUESTS_PER_STEP: u32 = 8;
-    let start = Instant::now();
+    let start = clock::now();
     let mut budget = RetryBudget::new(BOUNDS);
     let mut repeated_at: Vec<Duration> = Vec::new();
     for step in 0..400 {
@@ -207,7 +208,7 @@
         /// More than any host may take at one instant.
         const TRIES_PER_TICK: usize = 400;
         tealshore_core::protection::start();
-        let start = Instant::now();
+        let start = clock::now();
         let mut hosts = Hosts::new(HOSTS);
         let mut draws = draws.into_iter().cycle();
         let mut repeats: Vec<Instant> = Vec::new();
@@ -243,7 +244,7 @@
 
 #[test]
 fn a_host_that_needs_more_takes_unused_budget_of_others() {
-    let now = Instant::now();
+    let now = clock::now();
     let mut hosts = Hosts::new(88);
     for host in 0..88 {
         for _ in 0..5 {
@@ -264,7 +265,7 @@
 
 #[test]
 fn a_host_with_too_few_live_peers_keeps_to_its_own_share() {
-    let now = Instant::now();
+    let now = clock::now();
     let mut hosts = Hosts::new(9);
     for host in 0..9 {
         for _ in 0..20 {
@@ -281,7 +282,7 @@
 
 #[test]
 fn a_repeat_that_reached_nobody_can_be_taken_again() {
-    let now = Instant::now();
+    let now = clock::now();
     let bounds = BudgetBounds {
         ratio: 0.0,
         slack: 4.0,
@@ -309,7 +310,7 @@
         slack: 150.0,
         window: Duration::from_secs(10),
     };
-    let start = Instant::now();
+    let start = clock::now();
     let mut budgets: Vec<RetryBudget> = (0..HOSTS)
         .map(|host| RetryBudget::with_draw_seed(bounds, host as u64))
         .collect();
--- a/crates/gateway/tests/duties.rs
+++ b/crates/gateway/tests/duties.rs
@@ -2,8 +2,9 @@
 
 use {
     proptest::prelude::*,
-    std::time::{Duration, Instant},
+    std::time::Duration,
     tealshore_capacity::{EngineKind, EngineOrder},
+    tealshore_core::clock,
     tealshore_duties::{
         lease::{LeaseRecord, ProcessId},
         usage::{DecidedUsage, UsageRecord, UsageReport},
@@ -29,7 +30,7 @@
 
 #[test]
 fn a_minority_of_wrong_clocks_has_no_effect() {
-    let now = Instant::now();
+    let now = clock::now();
     let mut offsets = ClockOffsets::default();
     for host in 0..6_i64 {
         let jump_ms = if host < 3 { 60_000 } else { 0 };
@@ -40,7 +41,7 @@
 
 #[test]
 fn a_wrong_local_clock_is_outvoted() {
-    let now = Instant::now();
+    let now = clock::now();
     let mut offsets = ClockOffsets::default();
     for host in 0..2 {
         offsets.record(&format!("host-{host}"), offset_ms(), now);
@@ -53,7 +54,7 @@
 
 #[test]
 fn a_host_without_peers_uses_its_own_clock() {
-    let now = Instant::now();
+    let now = clock::now();
     let offsets = ClockOffsets::default();
     assert_eq!(offsets.since_epoch(TRUE_TIME, STORE_TIME, now), TRUE_TIME);
 }
--- a/crates/gateway/tests/duty_call.rs
+++ b/crates/gateway/tests/duty_call.rs
@@ -10,6 +10,7 @@
         thread,
         time::{Duration, Instant},
     },
+    tealshore_core::clock,
     tealshore_duties::lease::Tenure,
     tealshore_gateway::duties::api::{DutyCallError, call},
 };
@@ -64,7 +65,7 @@
 async fn a_call_within_the_tenure_is_answered() {
     tealshore_core::protection::start();
     let (address, lengths) = start_server();
-    let until = Instant::now() + TIME_LIMIT;
+    let until = clock::now() + TIME_LIMIT;
     let answer = call(address, request(), tenure(until), TIME_LIMIT).await;
     assert_eq!(answer, Ok((StatusCode::OK, Bytes::new())));
     assert!(next_length(lengths).await > 0);
@@ -74,7 +75,7 @@
 async fn no_call_begins_after_the_tenure() {
     tealshore_core::protection::start();
     let (address, lengths) = start_server();
-    let answer = call(address, request(), tenure(Instant::now()), TIME_LIMIT).await;
+    let answer = call(address, request(), tenure(clock::now()), TIME_LIMIT).await;
     assert_eq!(answer, Err(DutyCallError::TenureOver));
     // Not even a connection was made.
     assert!(lengths.try_recv().is_err());
@@ -86,7 +87,7 @@
 async fn a_process_that_froze_while_it_connected_sends_nothing() {
     tealshore_core::protection::start();
     let (address, lengths) = start_server();
-    let until = Instant::now() + REMAINING_TENURE;
+    let until = clock::now() + REMAINING_TENURE;
     let frozen = async {
         thread::sleep(REMAINING_TENURE * 2);
     };
--- a/crates/gateway/tests/feed.rs
+++ b/crates/gateway/tests/feed.rs
@@ -6,10 +6,8 @@
 
 use {
     proptest::prelude::*,
-    std::{
-        collections::BTreeMap,
-        time::{Duration, Instant},
-    },
+    std::{collections::BTreeMap, time::Duration},
+    tealshore_core::clock,
     tealshore_gateway::{
         edge::{RowSet, UpstreamChange},
         feed::{
@@ -114,7 +112,7 @@
         received_age_ms in 0_u64..9_000,
     ) {
         tealshore_core::protection::start();
-        let start = Instant::now();
+        let start = clock::now();
         let store_start_ms = 777_000;
         let feed = Feed::default();
         let mut now_ms = 10_000;
@@ -144,7 +142,7 @@
         calls in prop::collection::vec((0_u64..3_000, 1_u64..400, 1_u64..400), 1..40)
     ) {
         tealshore_core::protection::start();
-        let start = Instant::now();
+        let start = clock::now();
         let store_start = Duration::from_secs(777);
         let feed = Feed::default();
         let mut now_ms = 0;
@@ -182,7 +180,7 @@
 #[test]
 fn a_time_in_the_future_is_rejected() {
     let feed = Feed::default();
-    let now = Instant::now();
+    let now = clock::now();
     assert_eq!(feed.to_local_instant(Duration::from_secs(3), now), None);
     feed.record_answer(Duration::from_secs(5), now, now);
     assert!(feed.to_local_instant(Duration::from_secs(5), now).is_some());
@@ -199,7 +197,7 @@
 #[test]
 fn a_store_clock_that_went_back_counts_as_a_new_clock() {
     let feed = Feed::default();
-    let start = Instant::now();
+    let start = clock::now();
     let at = |ms| start + Duration::from_millis(ms);
     feed.record_answer(Duration::from_secs(100), at(0), at(10));
     feed.record_answer(Duration::from_secs(1), at(20), at(2_020));
@@ -337,7 +335,7 @@
 async fn waiting_for_a_set_without_updates_consumes_no_notification() {
     let feed = Feed::default();
     feed.notify();
-    let now = Instant::now();
+    let now = clock::now();
     feed.wait_for_update(RowSet::Runs, now + Duration::from_millis(1))
         .await;
     feed.wait_for_update(RowSet::Hosts, now + Duration::from_millis(1))
--- a/crates/gateway/tests/fleet_size.rs
+++ b/crates/gateway/tests/fleet_size.rs
@@ -8,13 +8,9 @@
 )]
 
 use {
-    std::{
-        collections::HashMap,
-        hint::black_box,
-        time::{Duration, Instant},
-    },
+    std::{collections::HashMap, hint::black_box, time::Duration},
     tealshore_capacity::EngineKind,
-    tealshore_core::ids::EngineId,
+    tealshore_core::{clock, ids::EngineId},
     tealshore_gateway::view::{UpstreamRecord, UpstreamState, Upstreams},
 };
 
@@ -44,9 +40,9 @@
 
 fn least_time(mut work: impl FnMut()) -> Duration {
     let times = (0..MEASUREMENT_RUNS).map(|_| {
-        let started = Instant::now();
+        let started = clock::now();
         work();
-        started.elapsed()
+        clock::elapsed(started)
     });
     times.min().unwrap()
 }
@@ -90,7 +86,7 @@
     for record in records(UPSTREAMS) {
         upstreams.put(1, record);
     }
-    let now = Instant::now();
+    let now = clock::now();
     for record in records(3) {
         upstreams.get(&record.id).unwrap().suspect(now);
     }
@@ -108,7 +104,7 @@
     let upstreams = Upstreams::default();
     let [mut old, mut young, mut other] = <[_; 3]>::try_from(records(3)).unwrap();
     let (first, second) = (old.address, young.address);
-    let start = Instant::now();
+    let start = clock::now();
     upstreams.put_seen(1, old.clone(), start);
     old.address = second;
     upstreams.put_seen(2, old.clone(), start);
--- a/crates/gateway/tests/groups.rs
+++ b/crates/gateway/tests/groups.rs
@@ -16,6 +16,7 @@
         time::{Duration, Instant},
     },
     tealshore_capacity::EngineKind,
+    tealshore_core::clock,
     tealshore_gateway::{
         budget::BudgetUse,
         options::GatewayOptions,
@@ -131,7 +132,7 @@
 
 fn digest(hosts: u32) -> GroupDigest {
     let mut last = LastDigest::default();
-    last.next(source("bb"), sums(hosts), HEARTBEAT, Instant::now())
+    last.next(source("bb"), sums(hosts), HEARTBEAT, clock::now())
         .unwrap()
 }
 
@@ -176,7 +177,7 @@
         steps in prop::collection::vec((0_u8..5, 0_u32..4, any::<bool>()), 1..40),
         order in prop::collection::vec(any::<prop::sample::Index>(), 0..20),
     ) {
-        let start = Instant::now();
+        let start = clock::now();
         let peers = grouped_peers("mends", start);
         let mut last = LastDigest::default();
         let mut now = start;
@@ -216,7 +217,7 @@
 
 #[test]
 fn a_host_seen_directly_and_in_a_digest_is_counted_once() {
-    let now = Instant::now();
+    let now = clock::now();
     let peers = grouped_peers("once", now);
     peers.apply_state(host("bb", 0), now);
     assert_eq!(peers.work(now)["i-1"], work(1));
@@ -230,7 +231,7 @@
 
 #[test]
 fn plain_calls_in_a_digest_of_an_earlier_build_do_not_fill_an_upstream() {
-    let now = Instant::now();
+    let now = clock::now();
     let peers = grouped_peers("plain-calls", now);
     let mut digest = digest(1);
     let calls = Work {
@@ -247,7 +248,7 @@
 
 #[test]
 fn a_group_with_a_silent_relay_is_not_live() {
-    let now = Instant::now();
+    let now = clock::now();
     let peers = grouped_peers("silent", now);
     peers.apply_digest(&digest(60), now);
     assert_eq!(
@@ -268,7 +269,7 @@
 
 #[test]
 fn another_relay_of_a_group_replaces_the_first() {
-    let now = Instant::now();
+    let now = clock::now();
     let peers = grouped_peers("successor", now);
     peers.apply_digest(&digest(5), now);
     let mut successor = digest(4);
@@ -292,7 +293,7 @@
 /// Bad answers must not be forgotten when the relay changes: a new relay has not received what departed hosts saw.
 #[test]
 fn bad_answers_still_count_after_a_new_relay_reports_fewer() {
-    let now = Instant::now();
+    let now = clock::now();
     let peers = grouped_peers("bad-answers", now);
     let known_bad = || {
         let evidence = peers.rollout_evidence(&SERVICE.to_owned(), ORDER);
@@ -313,7 +314,7 @@
 
 #[test]
 fn a_late_digest_changes_nothing() {
-    let now = Instant::now();
+    let now = clock::now();
     let peers = grouped_peers("late", now);
     let mut last = LastDigest::default();
     let early = last.next(source("bb"), sums(2), HEARTBEAT, now).unwrap();
@@ -327,7 +328,7 @@
 
 #[test]
 fn the_host_with_the_best_link_is_the_relay_until_it_is_silent() {
-    let now = Instant::now();
+    let now = clock::now();
     let peers = peers("relay");
     assert!(peers.is_relay(now), "a host without live peers");
     let mut strong = host("a", 1);
@@ -340,7 +341,7 @@
 
 #[test]
 fn in_a_small_fleet_all_hosts_exchange_state() {
-    let now = Instant::now();
+    let now = clock::now();
     let peers = peers("small");
     for index in 0..9 {
         peers.apply_state(host(if index < 3 { "a" } else { "bb" }, index), now);
@@ -352,7 +353,7 @@
 
 #[test]
 fn a_digest_contains_changes_and_none_is_sent_without_changes() {
-    let start = Instant::now();
+    let start = clock::now();
     let at = |ms| start + Duration::from_millis(ms);
     let mut last = LastDigest::default();
     let mut next_digest =
@@ -389,7 +390,7 @@
 #[test]
 fn digest_size_depends_on_changes_and_not_on_the_number_of_hosts() {
     let changed_bytes = |hosts: u32| {
-        let start = Instant::now();
+        let start = clock::now();
         let mut last = LastDigest::default();
         let mut now = sums(hosts);
         last.next(source("bb"), now.clone(), HEARTBEAT, start);
@@ -403,7 +404,7 @@
 
 #[test]
 fn an_advertised_host_of_another_hall_is_not_counted() {
-    let now = Instant::now();
+    let now = clock::now();
     let peers = grouped_peers("names", now);
     let mut seed = host("bb", 1);
     seed.named = vec![
@@ -448,7 +449,7 @@
 
 #[test]
 fn a_host_of_another_version_keeps_its_share_of_the_budget() {
-    let now = Instant::now();
+    let now = clock::now();
     let peers = peers("versions");
     for index in 0..5 {
         let sender = address(&format!("127.4.0.{index}:2"));
@@ -487,7 +488,7 @@
 
 #[test]
 fn the_lender_of_an_upstream_is_a_live_lending_host_preferably_of_its_hall() {
-    let now = Instant::now();
+    let now = clock::now();
     let peers = peers("lenders");
     assert_eq!(
         lenders(&peers, "a", HostPhase::Starting, now),
@@ -540,7 +541,7 @@
 /// lend.
 #[test]
 fn all_hosts_exclude_group_members_that_do_not_lend() {
-    let now = Instant::now();
+    let now = clock::now();
     let peers = grouped_peers("group-lenders", now);
     let bb = "bb".to_owned();
     let serving = HostPhase::Serving;
@@ -592,7 +593,7 @@
 /// Hosts of other halls then missed new members, and any work left out by a lost datagram.
 #[test]
 fn a_digest_of_a_busy_hall_comes_in_parts_that_datagrams_carry() {
-    let now = Instant::now();
+    let now = clock::now();
     let mut last = LastDigest::default();
     let parts = last.next_parts(source("bb"), busy_hall(), HEARTBEAT, now);
     assert!(parts.len() > 1);
@@ -623,7 +624,7 @@
 /// A lost part hides only its own content, and only until the next full digest.
 #[test]
 fn the_next_full_digest_repairs_a_lost_part() {
-    let now = Instant::now();
+    let now = clock::now();
     let mut last = LastDigest::default();
     let peers = peers("lost-part");
     let parts = last.next_parts(source("bb"), busy_hall(), HEARTBEAT, now);
@@ -650,7 +651,7 @@
 
 #[test]
 fn only_hosts_that_offer_tunnels_and_reach_the_service_are_asked() {
-    let now = Instant::now();
+    let now = clock::now();
     let peers = peers("tunnels");
     for index in 0..5 {
         peers.apply_state(host("a", index), now);
@@ -667,7 +668,7 @@
 
 #[test]
 fn hosts_of_other_groups_are_asked_if_no_host_of_the_group_can_help() {
-    let now = Instant::now();
+    let now = clock::now();
     let peers = grouped_peers("tunnels-of-groups", now);
     peers.apply_digest(&digest(3), now);
     let service = upstream(1, "bb").service;
@@ -686,7 +687,7 @@
 
 #[test]
 fn two_hosts_that_were_heard_lately_confirm_a_run() {
-    let start = Instant::now();
+    let start = clock::now();
     let peers = peers("witnesses");
     for index in 0..2 {
         peers.apply_state(host("a", index), start);
@@ -707,7 +708,7 @@
 
 #[test]
 fn a_host_of_the_runs_group_confirms_it_and_silent_groups_are_asked() {
-    let start = Instant::now();
+    let start = clock::now();
     let peers = grouped_peers("witnesses-of-groups", start);
     peers.apply_digest(&digest(2), start);
     let run_host = "bb-0".to_owned();
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -14,8 +14,9 @@
         collections::BTreeMap,
         net::SocketAddr,
         sync::atomic::{AtomicUsize, Ordering},
-        time::{Duration, Instant},
+        time::Duration,
     },
+    tealshore_core::clock,
     tealshore_gateway::{
         budget::BudgetUse,
         options::GatewayOptions,
@@ -98,10 +99,10 @@
 
     #[test]
     fn deltas_add_up_to_the_full_state(steps in prop::collection::vec(step(), 1..60)) {
-        let mut last = SentState::new(Instant::now());
+        let mut last = SentState::new(clock::now());
         let mut work = BTreeMap::new();
         let mut received = state(0, &work, 0);
-        last.record_full(&received, Instant::now());
+        last.record_full(&received, clock::now());
         for (index, (id, now)) in steps.into_iter().enumerate() {
             match now {
                 Some(now) => drop(work.insert(id, now)),
@@ -119,7 +120,7 @@
 
 #[test]
 fn unchanged_entries_are_not_sent_again() {
-    let mut last = SentState::new(Instant::now());
+    let mut last = SentState::new(clock::now());
     let work = BTreeMap::from([(1, (8_000, false)), (2, (500, true))]);
     let first = last.delta(&state(1, &work, 0));
     assert_eq!(first.work.len(), 2);
@@ -135,7 +136,7 @@
 
 #[test]
 fn a_run_that_moves_to_another_engine_is_sent_again() {
-    let mut last = SentState::new(Instant::now());
+    let mut last = SentState::new(clock::now());
     let work = BTreeMap::from([(1, (8_000, false))]);
     let mut own = state(1, &work, 0);
     assert_eq!(last.delta(&own).runs.len(), 1);
@@ -146,7 +147,7 @@
 
 #[test]
 fn the_full_state_is_sent_initially_periodically_and_on_a_phase_change() {
-    let start = Instant::now();
+    let start = clock::now();
     let at = |ms| start + Duration::from_millis(ms);
     let mut last = SentState::new(start);
     let serving = state(1, &BTreeMap::new(), 0);
@@ -164,7 +165,7 @@
 /// whole fleet depends.
 #[test]
 fn runs_repeats_and_unhealthy_upstreams_are_urgent_and_load_is_not() {
-    let mut last = SentState::for_other_regions(Instant::now());
+    let mut last = SentState::for_other_regions(clock::now());
     let work = BTreeMap::from([(1, (8_000, false))]);
     let before = state(1, &work, 0);
     assert!(last.has_urgent_change(&before), "a run began");
@@ -189,7 +190,7 @@
 
 #[test]
 fn other_regions_get_the_full_state_less_often_except_on_a_phase_change() {
-    let start = Instant::now();
+    let start = clock::now();
     let at = |ms| start + Duration::from_millis(ms);
     let (mut near, mut far) = (SentState::new(start), SentState::for_other_regions(start));
     let serving = state(1, &BTreeMap::new(), 0);
@@ -229,7 +230,7 @@
 fn plain_calls_that_a_host_reports_at_a_suspected_upstream_do_not_fill_it_for_others() {
     tealshore_core::protection::start();
     let peers = peers();
-    let now = Instant::now();
+    let now = clock::now();
     let calls_and_streams = BTreeMap::from([(1, (0, true)), (2, (8_000, true))]);
     peers.apply_state(state(1, &calls_and_streams, 0), now);
     let work = peers.work(now);
@@ -241,7 +242,7 @@
 fn callers_are_sent_to_stale_hosts_only_where_no_host_has_a_fresh_view() {
     tealshore_core::protection::start();
     let peers = peers();
-    let now = Instant::now();
+    let now = clock::now();
     let mut peer = state(1, &BTreeMap::new(), 0);
     let own = vec!["127.0.0.1:9".parse().unwrap()];
     assert_eq!(peers.callers_addresses(None, HostPhase::Stale, now), own);
@@ -270,11 +271,11 @@
 
 #[test]
 fn a_heartbeat_without_changes_is_much_smaller_than_the_full_state() {
-    let mut last = SentState::new(Instant::now());
+    let mut last = SentState::new(clock::now());
     // A hall has just failed, so many upstreams are suspected.
     let work = (0..40).map(|id| (id, (8_000, true))).collect();
     let own = state(1, &work, 3);
-    last.record_full(&own, Instant::now());
+    last.record_full(&own, clock::now());
     let whole = postcard::to_stdvec(&Datagram::State(Box::new(own))).unwrap();
     let change = Datagram::Delta(last.delta(&state(2, &work, 3)));
     let change = postcard::to_stdvec(&change).unwrap();
@@ -300,7 +301,7 @@
 fn callers_get_the_hosts_of_their_region_while_enough_of_them_serve() {
     tealshore_core::protection::start();
     let peers = peers_with_halls("regions", "[halls]\na = east\nb = east\nc = west\n");
-    let now = Instant::now();
+    let now = clock::now();
     for (hall, port) in [("b", 101), ("c", 102), ("c", 103), ("c", 104)] {
         peers.apply_state(serving_in(hall, port), now);
     }
@@ -332,7 +333,7 @@
 fn a_partitioned_region_returns_its_own_hosts() {
     tealshore_core::protection::start();
     let peers = peers_with_halls("cut", "[halls]\na = east\nb = east\nc = west\n");
-    let now = Instant::now();
+    let now = clock::now();
     for (hall, port) in [("b", 101), ("c", 102), ("c", 103)] {
         peers.apply_state(serving_in(hall, port), now);
     }
@@ -386,7 +387,7 @@
 #[test]
 fn bad_answers_that_a_host_saw_count_after_it_restarted_or_fell_silent() {
     let peers = peers_with_halls("bad-answers", "");
-    let now = Instant::now();
+    let now = clock::now();
     let known_bad = || {
         let evidence = peers.rollout_evidence(&SERVICE.to_owned(), ORDER);
         evidence.target_sum().bad
--- a/crates/gateway/tests/rollout_restore.rs
+++ b/crates/gateway/tests/rollout_restore.rs
@@ -6,7 +6,8 @@
 )]
 
 use {
-    std::time::{Duration, Instant},
+    std::time::Duration,
+    tealshore_core::clock,
     tealshore_gateway::{
         edge::{Revision, revision_in},
         rollout::{Phase, RolloutOrder, RolloutRecord, Rollouts},
@@ -50,7 +51,7 @@
 /// Creates the state of a host that knows a roll-out in this phase.
 fn rollouts_in_phase(phase: Phase) -> Rollouts {
     let rollouts = Rollouts::new(0.5);
-    assert!(rollouts.apply_order(order(ORDER, "v2"), false, Instant::now()));
+    assert!(rollouts.apply_order(order(ORDER, "v2"), false, clock::now()));
     assert!(rollouts.apply_record(60, &record(ORDER, phase), false));
     rollouts
 }
@@ -59,7 +60,7 @@
 fn rewritten_order_does_not_restart_rollout() {
     let rollouts = rollouts_in_phase(Phase::Completed);
     let again = order(after_restore(40), "v2");
-    assert!(!rollouts.apply_order(again, true, Instant::now()));
+    assert!(!rollouts.apply_order(again, true, clock::now()));
     assert!(!rollouts.has_open_rollout());
     let (_, record) = known(&rollouts);
     assert_eq!(
@@ -72,7 +73,7 @@
 fn restored_order_does_not_replace_newer_one() {
     let rollouts = rollouts_in_phase(Phase::Canary);
     let restored = order(after_restore(30), "v0");
-    let now = Instant::now();
+    let now = clock::now();
     assert!(!rollouts.apply_order(restored, true, now));
     let (ordered, _) = rollouts.orders().pop().unwrap();
     assert_eq!(ordered.target, "v2");
@@ -89,7 +90,7 @@
 #[test]
 fn restored_order_is_applied_after_grace_period() {
     let rollouts = rollouts_in_phase(Phase::Canary);
-    let now = Instant::now();
+    let now = clock::now();
     rollouts.apply_order(order(after_restore(30), "v0"), true, now);
     assert_eq!(rollouts.apply_deferred_orders(now), [SERVICE]);
     let (ordered, _) = rollouts.orders().pop().unwrap();
@@ -100,7 +101,7 @@
 fn order_for_same_version_after_grace_period_is_new() {
     let rollouts = rollouts_in_phase(Phase::RolledBack);
     let later = order(after_restore(300), "v2");
-    assert!(rollouts.apply_order(later, false, Instant::now()));
+    assert!(rollouts.apply_order(later, false, clock::now()));
     assert!(rollouts.has_open_rollout());
 }
 
@@ -134,7 +135,7 @@
 #[test]
 fn host_started_after_restore_adopts_later_phase() {
     let new_host = Rollouts::new(0.5);
-    new_host.apply_order(order(after_restore(50), "v2"), true, Instant::now());
+    new_host.apply_order(order(after_restore(50), "v2"), true, clock::now());
     new_host.apply_record(after_restore(55), &record(ORDER, Phase::Shifting), true);
     assert!(new_host.apply_record(60, &record(ORDER, Phase::Completed), true));
     let (revision, record) = known(&new_host);
@@ -148,7 +149,7 @@
 #[test]
 fn host_started_after_restore_does_not_restart_ended_rollout() {
     let new_host = Rollouts::new(0.5);
-    new_host.apply_order(order(after_restore(58), "v2"), true, Instant::now());
+    new_host.apply_order(order(after_restore(58), "v2"), true, clock::now());
     new_host.apply_record(after_restore(55), &record(ORDER, Phase::RolledBack), true);
     assert!(!new_host.has_open_rollout());
 }
--- a/crates/gateway/tests/rollout_trial.rs
+++ b/crates/gateway/tests/rollout_trial.rs
@@ -11,11 +11,9 @@
 use {
     rand::{RngExt, SeedableRng, rngs::StdRng},
     rollouts::{ORDER, SERVICE, trial},
-    std::{
-        net::SocketAddr,
-        time::{Duration, Instant},
-    },
+    std::{net::SocketAddr, time::Duration},
     tealshore_capacity::EngineKind,
+    tealshore_core::clock,
     tealshore_gateway::{
         rollout::{
             BadAnswers, Evidence, Outcome, Phase, Quality, RolloutOrder, RolloutRecord, Rollouts,
@@ -37,7 +35,7 @@
         target: "v2".to_owned(),
         duration: Duration::from_secs(16),
     };
-    rollouts.apply_order(order, false, Instant::now());
+    rollouts.apply_order(order, false, clock::now());
     rollouts.apply_record(ORDER + 1, &trial(), false);
     rollouts
 }
--- a/crates/gateway/tests/snapshot.rs
+++ b/crates/gateway/tests/snapshot.rs
@@ -7,8 +7,9 @@
 use {
     bytes::Bytes,
     proptest::prelude::*,
-    std::time::{Duration, Instant},
+    std::time::Duration,
     tealshore_capacity::EngineKind,
+    tealshore_core::clock,
     tealshore_gateway::{
         feed::SetWatermark,
         peers::{
@@ -275,7 +276,7 @@
 fn changes_are_unavailable_while_rows_may_expire() {
     let source = host_with_full_set(1, &[(1, record(1)), (1, record(2))]);
     assert!(source.changes_after(1).is_some());
-    let until = Instant::now() + Duration::from_secs(60);
+    let until = clock::now() + Duration::from_secs(60);
     source.retain_after_outage(2, &[record(1).id], until);
     assert!(source.changes_after(1).is_none());
 }
@@ -342,7 +343,7 @@
 #[test]
 fn simultaneous_requests_share_one_encoded_snapshot() {
     let sets = SnapshotCache::default();
-    let now = Instant::now();
+    let now = clock::now();
     let mut encoded = 0;
     let mut responses = Vec::new();
     for _ in 0..197 {
@@ -366,7 +367,7 @@
 #[test]
 fn different_or_missing_snapshots_are_not_shared() {
     let sets = SnapshotCache::default();
-    let now = Instant::now();
+    let now = clock::now();
     assert_eq!(sets.get_or_encode("/runs", now, || None), None);
     let runs = sets.get_or_encode("/runs", now, || Some(Bytes::from_static(b"runs")));
     let others = sets.get_or_encode("/packed/upstreams?after=3", now, || {
--- a/crates/gateway/tests/standstill.rs
+++ b/crates/gateway/tests/standstill.rs
@@ -1,13 +1,10 @@
 //! Tests of the detection of a process that stood still.
 
-use {
-    std::time::{Duration, Instant},
-    tealshore_gateway::standstill::Standstill,
-};
+use {std::time::Duration, tealshore_core::clock, tealshore_gateway::standstill::Standstill};
 
 #[test]
 fn a_process_that_ticks_late_stood_still_and_is_known_to_for_a_second() {
-    let start = Instant::now();
+    let start = clock::now();
     let at = |ms| start + Duration::from_millis(ms);
     let mut standstill = Standstill::new(start);
     assert_eq!(standstill.tick(at(100)), None);
--- a/crates/gateway/tests/store_era.rs
+++ b/crates/gateway/tests/store_era.rs
@@ -2,7 +2,8 @@
 
 use {
     proptest::prelude::*,
-    std::time::{Duration, Instant},
+    std::time::Duration,
+    tealshore_core::clock,
     tealshore_gateway::{
         edge::{EraNamed, MAX_ERA, RowSet, era_of, revision_in, row_number_of},
         feed::{Feed, KnownEra, RESTORE_GRACE, SetWatermark},
@@ -36,7 +37,7 @@
 
 #[test]
 fn an_answer_of_an_earlier_era_differs_from_one_without_an_era() {
-    let now = Instant::now();
+    let now = clock::now();
     let mut known = KnownEra::default();
     assert!(!known.record(0, now));
     assert!(known.record(2, now));
@@ -50,7 +51,7 @@
 
 #[test]
 fn a_restore_grace_period_follows_each_new_era() {
-    let now = Instant::now();
+    let now = clock::now();
     let mut known = KnownEra::default();
     assert!(!known.is_in_restore_grace(now));
     known.record(1, now);
--- a/crates/gateway/tests/store_restore.rs
+++ b/crates/gateway/tests/store_restore.rs
@@ -2,8 +2,9 @@
 
 use {
     proptest::prelude::*,
-    std::time::{Duration, Instant},
+    std::time::Duration,
     tealshore_capacity::EngineKind,
+    tealshore_core::clock,
     tealshore_gateway::{
         edge::{Revision, revision_in},
         feed::RESTORE_GRACE,
@@ -78,7 +79,7 @@
 fn a_held_row_is_applied_after_the_grace_period() {
     let upstreams = upstreams_before_restore();
     upstreams.put(11, record("one", UpstreamState::Leaving));
-    let now = Instant::now();
+    let now = clock::now();
     upstreams.put_seen(after_restore(10), record("one", UpstreamState::Ready), now);
     assert_eq!(upstreams.end_grace(now + RESTORE_GRACE / 2), 0);
     assert!(!accepts_work(&upstreams, "one"));
@@ -90,7 +91,7 @@
 fn a_held_row_that_is_deleted_is_never_applied() {
     let upstreams = upstreams_before_restore();
     upstreams.put(11, record("one", UpstreamState::Leaving));
-    let now = Instant::now();
+    let now = clock::now();
     upstreams.put_seen(after_restore(10), record("one", UpstreamState::Ready), now);
     upstreams.remove(after_restore(12), &"one".to_owned());
     assert_eq!(upstreams.end_grace(now + RESTORE_GRACE), 0);
@@ -100,7 +101,7 @@
 #[test]
 fn an_upstream_missing_from_a_restored_store_accepts_work_for_a_grace_period() {
     let upstreams = upstreams_before_restore();
-    let now = Instant::now();
+    let now = clock::now();
     assert_eq!(upstreams.retain(after_restore(5), &[]), 1);
     assert!(accepts_work(&upstreams, "one"));
     // It is not reported to other hosts, which may use the same copy.
@@ -114,7 +115,7 @@
     let upstreams = upstreams_before_restore();
     upstreams.retain(after_restore(5), &[]);
     assert!(upstreams.changes_after(after_restore(5)).is_none());
-    upstreams.end_grace(Instant::now() + MISSING_ROW_GRACE);
+    upstreams.end_grace(clock::now() + MISSING_ROW_GRACE);
     assert!(upstreams.changes_after(after_restore(5)).is_some());
 }
 
--- a/crates/gateway/tests/view.rs
+++ b/crates/gateway/tests/view.rs
@@ -11,6 +11,7 @@
         time::{Duration, Instant},
     },
     tealshore_capacity::EngineKind,
+    tealshore_core::clock,
     tealshore_gateway::view::{
         Applied, Condition, Configuration, Route, RouteKind, RowOrigin, Target, UpstreamRecord,
         UpstreamState, View, Work, are_in_use,
@@ -77,7 +78,7 @@
 #[test]
 fn the_age_counts_from_the_last_confirmation() {
     let view = View::default();
-    let start = Instant::now();
+    let start = clock::now();
     assert_eq!(view.age(start), None);
     view.confirm(start);
     view.confirm(start - Duration::from_millis(1));
@@ -159,7 +160,7 @@
     let view = View::default();
     view.upstreams.put(1, record("e", UpstreamState::Ready));
     let upstream = view.upstreams.get(&"e".to_owned()).unwrap();
-    let now = Instant::now();
+    let now = clock::now();
     assert!(upstream.suspect(now));
     assert!(!upstream.suspect(now));
     assert!(upstream.is_suspected(now));
@@ -174,7 +175,7 @@
     let view = View::default();
     view.upstreams.put(1, record("e", UpstreamState::Ready));
     let upstream = view.upstreams.get(&"e".to_owned()).unwrap();
-    let now = Instant::now();
+    let now = clock::now();
     assert!(upstream.suspect_unreported(now));
     assert!(upstream.is_suspected(now));
     assert_eq!(upstream.local_condition(now), Condition::Healthy);
@@ -185,7 +186,7 @@
     let view = View::default();
     view.upstreams.put(1, record("e", UpstreamState::Ready));
     let upstream = view.upstreams.get(&"e".to_owned()).unwrap();
-    let now = Instant::now();
+    let now = clock::now();
     assert!(upstream.mark_replaced_from_peer(now));
     assert!(!upstream.mark_replaced_from_peer(now));
     // Unlike a suspicion, a replacement does not expire after a short time.
@@ -202,7 +203,7 @@
 fn a_younger_incarnation_supersedes_an_older_one_at_its_address() {
     let view = View::default();
     let ready = |id: &str| record(id, UpstreamState::Ready);
-    let start = Instant::now();
+    let start = clock::now();
     view.upstreams.put_seen(1, ready("old"), start);
     view.upstreams.put_seen(2, ready("twin"), start);
     let get = |id: &str| view.upstreams.get(&id.to_owned()).unwrap();
@@ -231,7 +232,7 @@
         view.upstreams.put(1, record.clone());
     }
     let accepts_work = |id: &str| view.upstreams.accepts_work(&id.to_owned());
-    let far = Instant::now() + Duration::from_secs(86_400);
+    let far = clock::now() + Duration::from_secs(86_400);
     assert_eq!(view.upstreams.retain_after_outage(9, &[], far), 3);
     assert!(accepts_work("back") && accepts_work("lost"));
     // One that was leaving is removed at once.
@@ -287,7 +288,7 @@
         }
         (UpstreamEvent::Expires, _) => {
             view.upstreams
-                .retain_after_outage(revision, &[], Instant::now());
+                .retain_after_outage(revision, &[], clock::now());
         }
         (_, None) => {}
         (UpstreamEvent::Begins, Some(upstream)) => upstream.begin(work),
@@ -328,7 +329,7 @@
         for name in names {
             view.upstreams.put(1, record(name, UpstreamState::Ready));
         }
-        let mut now = Instant::now();
+        let mut now = clock::now();
         let mut revision = 1;
         for (which, event, elapsed_ms, checks_active) in upstream_events {
             revision += 1;
@@ -377,7 +378,7 @@
     let view = View::default();
     view.upstreams.put(1, record("back", UpstreamState::Ready));
     view.upstreams.put(1, record("lost", UpstreamState::Ready));
-    let over = Instant::now();
+    let over = clock::now();
     assert_eq!(view.upstreams.retain_after_outage(9, &[], over), 2);
     view.upstreams.put(10, record("back", UpstreamState::Ready));
     assert!(view.upstreams.accepts_work(&"back".to_owned()));
@@ -395,7 +396,7 @@
         born: Some(born),
         ..record("e", UpstreamState::Ready)
     };
-    let now = Instant::now();
+    let now = clock::now();
     view.upstreams.put(1, born(5_000));
     let before = view.upstreams.get(&"e".to_owned()).unwrap();
     before.suspect(now);
--- a/crates/notices/src/lib.rs
+++ b/crates/notices/src/lib.rs
@@ -1,6 +1,8 @@
 //! Tracks which upstreams want no new work from this host, according to notices in their answers. The
 //! decisions are pure functions of their input: the time and all notices are arguments.
 
+#![deny(clippy::disallowed_methods)]
+
 mod brittle;
 mod unknown;
 
--- a/crates/paths/src/lib.rs
+++ b/crates/paths/src/lib.rs
@@ -1,6 +1,8 @@
 //! Which upstreams a host reaches over its own network path, and which only through a tunnel of another host. The
 //! decisions are pure: results of connection attempts and the time are arguments.
 
+#![deny(clippy::disallowed_methods)]
+
 mod doubt;
 mod outage;
 mod path;
--- a/crates/peers/src/client.rs
+++ b/crates/peers/src/client.rs
@@ -13,6 +13,7 @@
         time::{Duration, Instant},
     },
     tarpc::{client, client::RpcError, context, tokio_serde::formats::Bincode},
+    tealshore_core::clock,
     tokio::time::timeout,
 };
 
@@ -112,7 +113,7 @@
             Ok(Err(_)) | Err(_) => {
                 self.connections
                     .lock()
-                    .insert(peer, Connection::Failed(Instant::now()));
+                    .insert(peer, Connection::Failed(clock::now()));
                 None
             }
         }
@@ -121,7 +122,7 @@
     async fn connection(&self, peer: SocketAddr) -> Option<PeerClient> {
         match self.connections.lock().get(&peer) {
             Some(Connection::Open(client)) => return Some(client.clone()),
-            Some(Connection::Failed(at)) if at.elapsed() < RECONNECT_DELAY => return None,
+            Some(Connection::Failed(at)) if clock::elapsed(*at) < RECONNECT_DELAY => return None,
             Some(Connection::Failed(_)) | None => {}
         }
         let connecting = tarpc::serde_transport::tcp::connect(peer, Bincode::default);
@@ -130,7 +131,7 @@
                 let client = PeerClient::new(client::Config::default(), transport).spawn();
                 Connection::Open(client)
             }
-            Ok(Err(_)) | Err(_) => Connection::Failed(Instant::now()),
+            Ok(Err(_)) | Err(_) => Connection::Failed(clock::now()),
         };
         let mut connections = self.connections.lock();
         let client = match &connection {
@@ -144,6 +145,6 @@
 
 fn call_context() -> context::Context {
     let mut context = context::current();
-    context.deadline = Instant::now() + CALL_TIMEOUT;
+    context.deadline = clock::steady_now() + CALL_TIMEOUT;
     context
 }
--- a/crates/peers/src/places.rs
+++ b/crates/peers/src/places.rs
@@ -8,6 +8,7 @@
         hash::{BuildHasher, RandomState},
         time::{Duration, Instant},
     },
+    tealshore_core::clock,
 };
 
 /// Number of shards; each has its own lock.
@@ -68,7 +69,7 @@
                 if !is_full {
                     free.insert(LocationEntry {
                         location,
-                        updated_at: Instant::now(),
+                        updated_at: clock::now(),
                     });
                 }
                 Reservation::Reserved
@@ -110,7 +111,7 @@
             key,
             LocationEntry {
                 location,
-                updated_at: Instant::now(),
+                updated_at: clock::now(),
             },
         );
     }
@@ -136,7 +137,7 @@
     fn evict_expired(&self, shard: &mut Shard) {
         let lifetime = self.options.lifetime;
         let is_large = shard.len() >= self.options.max_locations / SHARDS / 2;
-        let is_expired = |stored: &LocationEntry| stored.updated_at.elapsed() >= lifetime;
+        let is_expired = |stored: &LocationEntry| clock::elapsed(stored.updated_at) >= lifetime;
         if is_large {
             shard.retain(|_, stored| !is_expired(stored));
         }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -6,6 +6,8 @@
 //! [`uncertain`] tracks suspected crashes that may turn out to be false. [`parts`] does the same for parts of
 //! prompts that many requests share, and [`trial`] schedules who tries again after a quarantine.
 
+#![deny(clippy::disallowed_methods)]
+
 pub mod crash;
 pub mod log;
 pub mod news;
--- a/crates/rates/src/lib.rs
+++ b/crates/rates/src/lib.rs
@@ -6,6 +6,8 @@
 //! hosts ask it for permits, one for each request. The hosts run no agreement protocol: while they disagree on
 //! the lender, or after its loss, an upstream may get somewhat more or fewer requests.
 
+#![deny(clippy::disallowed_methods)]
+
 mod borrower;
 mod known;
 mod lender;
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -14,6 +14,7 @@
         time::{Duration, Instant},
     },
     tealshore_core::{
+        clock,
         ids::{EngineId, HallId, HostId, ServiceId},
         protection::{Protection, enabled},
     },
@@ -52,7 +53,7 @@
     fn is_available(&self) -> bool {
         let has_failed = self
             .failed_at
-            .is_some_and(|at| at.elapsed() < FAILURE_COOLDOWN);
+            .is_some_and(|at| clock::elapsed(at) < FAILURE_COOLDOWN);
         let reports_leaving = self
             .report
             .as_ref()
@@ -67,7 +68,7 @@
             engine: self.host.id.clone(),
             slots: report.map_or(DEFAULT_SLOTS, |(report, _)| report.slots),
             reported: report.map_or(0, |(report, _)| report.running + report.waiting),
-            report_age: report.map_or(Duration::MAX, |(_, at)| at.elapsed()),
+            report_age: report.map_or(Duration::MAX, |(_, at)| clock::elapsed(*at)),
             sent_since: self.sent_since,
             own: self.own_attempts.load(Ordering::Relaxed),
             same_hall: self.host.hall == *hall,
@@ -251,7 +252,7 @@
             return;
         };
         if let Some(known) = shard.lock().get_mut(engine) {
-            known.report = Some((report, Instant::now()));
+            known.report = Some((report, clock::now()));
             known.sent_since = 0;
         }
     }
@@ -262,7 +263,7 @@
             return;
         };
         if let Some(known) = shard.lock().get_mut(engine) {
-            known.failed_at = Some(Instant::now());
+            known.failed_at = Some(clock::now());
         }
     }
 
--- a/crates/runs/src/lib.rs
+++ b/crates/runs/src/lib.rs
@@ -5,6 +5,8 @@
 //! callers who asked for the same. So [`RunLog`] keeps every recent run, and [`prove_own_run`] accepts one only if no
 //! other run of the same content is known and its answer has ended.
 
+#![deny(clippy::disallowed_methods)]
+
 mod inquiry;
 mod log;
 mod proof;
