Rely on a restored configuration only once it is complete

What callers saw: a key that had been taken away ran requests again after the store came back from a copy which still held it, for as long as it took the operator to write again: at hosts that started on the copy (108 requests in 2 s at three hosts), and at a running host that had missed the removal, as the store was away (22 in 0.5 s).

Cause: any answer of the store made the view young, also one whose content may be older than what the store had acknowledged. The class: an age whose source tells less than has passed.

Change: after a restore, answers confirm the configuration in force only from a recovery point on: a configuration written since, the word of another host, of a host's row in the store, a first start, or the time for rewriting. Until then the view grows older.

Why it holds: what may be missing was acknowledged after the last confirmation in the earlier era, so a view that isn't confirmed ends before such a removal is five seconds old. A host that knows only the copy has no confirmation at all.

Ruled out: ten seconds for every host (refuses good keys at running hosts for five to eight seconds in each restore); believing the copy at running hosts.

Without a restore nothing changes, and no byte is sent.

--- a/crates/core/src/protection.rs
+++ b/crates/core/src/protection.rs
@@ -80,6 +80,9 @@
     /// The store's era distinguishes its current data from what it reported before it was restored
     /// from an older copy.
     StoreEra,
+    /// After the store was restored, its configuration confirms keys only once operators have written again what was
+    /// lost.
+    RecoveryPoint,
     /// Ages count the time for which the machine was suspended.
     SuspendedTime,
     /// After the store was restored, recent knowledge about an upstream takes precedence for a
@@ -135,6 +138,7 @@
             Self::UpstreamNotices => "upstream-notices",
             Self::SharedLimits => "shared-limits",
             Self::StoreEra => "store-era",
+            Self::RecoveryPoint => "recovery-point",
             Self::SuspendedTime => "suspended-time",
             Self::RestoreGrace => "restore-grace",
             Self::Tunnels => "tunnels",
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -224,6 +224,9 @@
     pub host: HostId,
     /// The address at which its peers reach it.
     pub peers_address: SocketAddr,
+    /// The revision from which on the configuration of a restored store is complete, as far as the host knew; 0 if it
+    /// knew of none.
+    pub recovery_point: Revision,
 }
 
 /// One page of rows from the store.
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -8,6 +8,7 @@
 mod choice;
 mod era;
 mod progress;
+mod recovery;
 mod store_clock;
 
 use {
@@ -35,6 +36,7 @@
     choice::{FeederCandidate, FeederChoice, MAX_GROUP_HOSTS, choose_feeder, hosts_before, rank},
     era::{KnownEra, RESTORE_GRACE},
     progress::SetProgress,
+    recovery::{Recovery, RecoveryEvidence},
     store_clock::StoreClockOffset,
 };
 
@@ -148,6 +150,7 @@
     upstreams: Mutex<SetProgress>,
     clock: Mutex<StoreClockOffset>,
     era: Mutex<KnownEra>,
+    recovery: Mutex<Recovery>,
     /// Set when a store call of this host fails because the store is unavailable to it; cleared when the store answers
     /// with rows. Other failures leave it unchanged, such as a refusal because of too many calls or a failed call about
     /// the lease of the duties.
@@ -209,6 +212,14 @@
         }
     }
 
+    /// Whether a row of the configuration was written after this host first knew the set in the store's current era, to
+    /// which a restore led.
+    pub fn is_written_since_restore(&self, revision: Revision) -> bool {
+        let era = era_of(revision);
+        let progress = self.progress(RowSet::Configuration);
+        era > 0 && era == self.era() && progress.is_written_since_restore(revision)
+    }
+
     /// The latest store era that this host knows of.
     pub fn era(&self) -> StoreEra {
         self.era.lock().era()
@@ -229,6 +240,46 @@
         self.era.lock().is_in_restore_grace(now)
     }
 
+    /// The revision from which on the store's configuration is known to be complete.
+    pub fn recovery_point(&self) -> Revision {
+        self.recovery.lock().point()
+    }
+
+    /// Records from which revision on the store's configuration is complete. Returns whether that tells more than was
+    /// known.
+    pub fn record_recovery_point(&self, point: Revision) -> bool {
+        self.recovery.lock().record(point)
+    }
+
+    /// Records until when operators may write again what the store lost.
+    pub fn expect_rewrites(&self, until: Instant) {
+        self.recovery.lock().expect_rewrites(until);
+    }
+
+    /// Whether the known configuration lacks nothing that operators wrote up to then.
+    pub fn is_configuration_complete(&self) -> bool {
+        if !enabled(Protection::RecoveryPoint) {
+            return true;
+        }
+        let known = self.configuration.lock().watermark();
+        known.is_some_and(|known| {
+            let is_of_known_era = era_of(known.revision) == self.era();
+            is_of_known_era && self.recovery.lock().covers(known.revision)
+        })
+    }
+
+    /// The revision as of which the configuration is known, if that was not complete before and an answer given at
+    /// `moment` shows that it is now, as operators have had the time to write again what was lost.
+    pub fn revision_complete_by_time(&self, moment: Instant) -> Option<Revision> {
+        if self.is_configuration_complete() {
+            return None;
+        }
+        let known = self.configuration.lock().watermark()?;
+        let is_complete =
+            era_of(known.revision) == self.era() && self.recovery.lock().is_rewritten_by(moment);
+        is_complete.then_some(known.revision)
+    }
+
     /// The watermark of both sets, or `None` until both have been read.
     pub fn watermark(&self) -> Option<StoreWatermark> {
         Some(StoreWatermark {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -30,7 +30,7 @@
 
 use {
     crate::{
-        edge::HostRecord,
+        edge::{HostRecord, Revision},
         feed::{FeederCandidate, FeederChoice, MAX_GROUP_HOSTS, UpstreamDelta, rank},
         options::{HostOptions, PeerOptions},
         topology::Topology,
@@ -55,7 +55,7 @@
     addresses::SourceScope,
     digest::{DigestSource, GroupSums, LastDigest},
     duties::usage_receivers,
-    extension::{Extension, MAX_DATAGRAM_LIMITS},
+    extension::{ConfigurationReport, Extension, MAX_DATAGRAM_LIMITS},
     last_state::SentState,
     lenders::UpstreamLender,
     message::{
@@ -244,10 +244,11 @@
 
     /// Returns this host's entry for the store.
     #[must_use]
-    pub fn own_record(&self) -> HostRecord {
+    pub fn own_record(&self, recovery_point: Revision) -> HostRecord {
         HostRecord {
             host: self.own.id.clone(),
             peers_address: self.options.address,
+            recovery_point,
         }
     }
 
--- a/crates/gateway/src/peers/exchange/apply.rs
+++ b/crates/gateway/src/peers/exchange/apply.rs
@@ -2,10 +2,13 @@
 
 use {
     crate::{
+        feed::RecoveryEvidence,
         peers::{
             extension::Extension,
             limits::{answer_permit_ask, apply_limit_updates},
-            message::{Datagram, Finding, GroupDigest, PeerDelta, PeerState, ServiceUse},
+            message::{
+                Datagram, Finding, GroupDigest, HostPhase, PeerDelta, PeerState, ServiceUse,
+            },
             outgoing::PeerSocket,
             relay::forward_to_share,
         },
@@ -30,6 +33,10 @@
     match datagram {
         Datagram::State(peer) => {
             let host = peer.host.clone();
+            match &extension.configuration {
+                Some(report) => state.apply_configuration_report(report, peer.peers_address),
+                None => apply_unreported_configuration(state, &peer),
+            }
             apply_state(state, *peer, extension.run_origins);
             state.peers.set_lends_permits(&host, extension.lends);
             let cut_off = extension.cut_off_services;
@@ -40,6 +47,9 @@
                 let host = &change.host;
                 state.peers.set_cut_off_services(host, Some(cut_off));
             }
+            if let Some(report) = &extension.configuration {
+                state.apply_configuration_report(report, sender);
+            }
             apply_delta(state, change, extension.run_origins);
         }
         Datagram::Upstreams {
@@ -56,6 +66,9 @@
             is_passed_on,
         } => {
             let group = digest.group.clone();
+            if let Some(report) = &extension.configuration {
+                state.apply_configuration_report(report, digest.relay_address);
+            }
             receive_digest(state, socket, *digest, is_passed_on, &extension).await;
             let (lends, not_lending) = (extension.lends, &extension.not_lending);
             state
@@ -87,6 +100,18 @@
     }
 }
 
+/// Applies the state of a host of an earlier build, which says nothing of its configuration: if it serves by the store's
+/// current era, it takes the restored configuration for complete.
+fn apply_unreported_configuration(state: &GatewayState, peer: &PeerState) {
+    let Some(watermark) = peer.watermark.filter(|_| peer.phase == HostPhase::Serving) else {
+        return;
+    };
+    if watermark.era() > 0 && watermark.era() == state.feed.era() {
+        let point = watermark.configuration.revision;
+        state.record_recovery_point(point, RecoveryEvidence::Peer);
+    }
+}
+
 /// Applies the digest of another group and forwards it: as the relay to the group, otherwise once
 /// to the relay.
 async fn receive_digest(
--- a/crates/gateway/src/peers/extension.rs
+++ b/crates/gateway/src/peers/extension.rs
@@ -4,9 +4,12 @@
 
 use {
     super::message::{Datagram, Unreadable},
-    crate::rollout::BadAnswers,
-    serde::de::DeserializeOwned,
-    tealshore_core::ids::{HallId, HostId, ServiceId},
+    crate::{
+        edge::{Revision, StoreTime},
+        rollout::BadAnswers,
+    },
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
+    tealshore_core::ids::{ConfigVersion, HallId, HostId, ServiceId},
     tealshore_duties::usage::DecidedUsage,
     tealshore_quarantine::parts::news::PartCrashReport,
     tealshore_rates::LimitUpdate,
@@ -16,6 +19,17 @@
 /// Maximum number of limits in a datagram.
 pub const MAX_DATAGRAM_LIMITS: usize = 400;
 
+/// What a host tells of its configuration after the store was restored from an older copy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigurationReport {
+    /// The version in force.
+    pub version: ConfigVersion,
+    /// The revision from which on the store's configuration is complete, as far as the sender knows.
+    pub recovery_point: Revision,
+    /// The store time as of which the version in force was known to be the newest; `None` if it never was.
+    pub confirmed: Option<StoreTime>,
+}
+
 /// The data appended to a datagram. Each field is encoded separately, in this order; new fields are added at
 /// the end.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -38,6 +52,8 @@
     pub part_crashes: Vec<PartCrashReport>,
     /// The origins of the runs in the datagram, in the same order.
     pub run_origins: Vec<Option<RunOrigin>>,
+    /// The sender's configuration; `None` if the store was never restored.
+    pub configuration: Option<ConfigurationReport>,
 }
 
 impl Extension {
@@ -54,7 +70,8 @@
         let bytes = postcard::to_extend(&self.lending_groups, bytes)?;
         let bytes = postcard::to_extend(&self.not_lending, bytes)?;
         // Missing trailing fields are decoded as their defaults.
-        let has_run_origins = !self.run_origins.is_empty();
+        let has_configuration = self.configuration.is_some();
+        let has_run_origins = has_configuration || !self.run_origins.is_empty();
         let has_part_crashes = has_run_origins || !self.part_crashes.is_empty();
         let has_paths = has_part_crashes || self.cut_off_services.is_some();
         let has_bad_answers = has_paths || !self.bad_answers.is_empty();
@@ -77,7 +94,11 @@
         if !has_run_origins {
             return Ok(bytes);
         }
-        postcard::to_extend(&self.run_origins, bytes)
+        let bytes = postcard::to_extend(&self.run_origins, bytes)?;
+        if !has_configuration {
+            return Ok(bytes);
+        }
+        postcard::to_extend(&self.configuration, bytes)
     }
 
     /// Decodes a datagram and its extension.
@@ -94,7 +115,8 @@
         let (bad_answers, rest) = next(rest);
         let (cut_off_services, rest) = next(rest);
         let (part_crashes, rest) = next(rest);
-        let (run_origins, _) = next(rest);
+        let (run_origins, rest) = next(rest);
+        let (configuration, _) = next(rest);
         let extension = Self {
             lends,
             limits,
@@ -105,6 +127,7 @@
             cut_off_services,
             part_crashes,
             run_origins,
+            configuration,
         };
         Ok((datagram, extension))
     }
--- a/crates/gateway/src/peers/outgoing.rs
+++ b/crates/gateway/src/peers/outgoing.rs
@@ -141,6 +141,7 @@
                 cut_off_services: state.cut_off_services(now),
                 part_crashes: state.crashes.part_reports(now, UpdateScope::Group),
                 run_origins: self.run_origins(&peer.runs),
+                configuration: state.configuration_report(now),
                 ..Extension::default()
             },
             Datagram::Digest { digest, .. } => Extension {
@@ -159,6 +160,7 @@
                     Vec::new()
                 },
                 run_origins: self.run_origins(&digest.runs),
+                configuration: state.configuration_report(now),
                 ..Extension::default()
             },
             Datagram::Usage(_) => Extension {
@@ -168,6 +170,7 @@
             Datagram::Delta(delta) => Extension {
                 cut_off_services: self.changed_cut_off_services(now),
                 run_origins: self.run_origins(&delta.runs),
+                configuration: state.configuration_report(now),
                 ..Extension::default()
             },
             Datagram::Upstreams { .. }
--- a/crates/gateway/src/peers/snapshot.rs
+++ b/crates/gateway/src/peers/snapshot.rs
@@ -239,6 +239,7 @@
             // Hosts of an earlier build ignore what follows the set.
             RowSet::Configuration => {
                 postcard::to_extend(&state.view.configuration_revision(), bytes)
+                    .and_then(|bytes| postcard::to_extend(&state.configuration_report(now), bytes))
             }
             RowSet::Runs => postcard::to_extend(&state.runs.log.lock().all(now), bytes),
             RowSet::Upstreams
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,6 +5,7 @@
 mod limits;
 mod notices;
 mod paths;
+mod recovery;
 mod runs;
 mod send_gate;
 mod store_heads;
@@ -37,6 +38,7 @@
         view::View,
     },
     parking_lot::{Mutex, RwLock},
+    recovery::HeardConfiguration,
     std::{
         collections::HashMap,
         sync::Arc,
@@ -96,6 +98,8 @@
     unknown_headers_seen: Mutex<UnknownHeaders>,
     /// What was logged about headers of the store's answers.
     store_heads: StoreHeads,
+    /// The newest configuration that other hosts reported after a restore of the store.
+    heard_configuration: Mutex<HeardConfiguration>,
     /// The roll-outs of new versions.
     pub rollouts: Rollouts,
     /// The duties that one host at a time holds.
@@ -142,6 +146,7 @@
             limits: UpstreamLimits::default(),
             unknown_headers_seen: Mutex::default(),
             store_heads: StoreHeads::default(),
+            heard_configuration: Mutex::default(),
             rollouts: Rollouts::new(rand::random()),
             paths: Mutex::default(),
             tunnel_ends: Mutex::default(),
@@ -160,11 +165,14 @@
         })
     }
 
-    /// Waits for the first view of a host that has just started, until `FIRST_VIEW_TIMEOUT` after its start at the
+    /// Waits for the first fresh view of a host that has just started, until `FIRST_VIEW_TIMEOUT` after its start at the
     /// latest, which is long enough to get one from the store or from another host.
     pub async fn wait_for_first_view(&self) {
         let until = self.started + FIRST_VIEW_TIMEOUT;
         self.feed.wait_until_known(until).await;
+        while clock::now() < until && !self.is_view_fresh(clock::now()) {
+            sleep(CATCH_UP_POLL_INTERVAL).await;
+        }
     }
 
     /// Waits for a fresh view if this process has just stood still, until `CATCH_UP_TIMEOUT` at the latest: all that it
--- /dev/null
+++ b/crates/gateway/src/state/recovery.rs
@@ -0,0 +1,123 @@
+//! What this host relies on after the store was restored from an older copy: whether its configuration is complete, and
+//! what other hosts tell of theirs.
+
+use {
+    super::GatewayState,
+    crate::{
+        edge::{Revision, RowSet, StoreEra, era_of, revision_in},
+        feed::{RESTORE_GRACE, RecoveryEvidence},
+        peers::ConfigurationReport,
+        view::ViewFacts,
+    },
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+    tealshore_core::{clock, ids::ConfigVersion},
+};
+
+/// How long operators have to write again what was lost, at a host that followed the store until shortly before. Such a
+/// host can lack only what was acknowledged in the last moments.
+const FOLLOWER_REWRITE_TIME: Duration = Duration::from_secs(3);
+
+/// The highest version of the configuration that other hosts have in force.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct HeardConfiguration {
+    version: ConfigVersion,
+    /// The host to fetch it from; `None` if that was tried.
+    source: Option<SocketAddr>,
+}
+
+impl GatewayState {
+    /// Prepares for the time in which operators write again what the store lost. Call it before the new era is recorded.
+    pub(super) fn expect_rewrites(&self, era: StoreEra, now: Instant) {
+        let is_first_start = self.options.host.is_first_start && self.view.version() == 0;
+        if let Some(start_of_era) = revision_in(era, 0).filter(|_| is_first_start) {
+            self.record_recovery_point(start_of_era, RecoveryEvidence::FirstStart);
+            return;
+        }
+        let rewrite_time = if self.is_view_fresh(now) {
+            FOLLOWER_REWRITE_TIME
+        } else {
+            RESTORE_GRACE
+        };
+        log::warn!(
+            "view: restored configuration not relied on yet era={era} rewrite_time_ms={} {}",
+            rewrite_time.as_millis(),
+            ViewFacts::of(&self.view, now)
+        );
+        self.feed.expect_rewrites(now + rewrite_time);
+    }
+
+    /// Records that the store's configuration is complete from a revision on.
+    pub fn record_recovery_point(&self, point: Revision, evidence: RecoveryEvidence) {
+        let is_outdated = era_of(point) < self.feed.era();
+        if is_outdated || !self.feed.record_recovery_point(point) {
+            return;
+        }
+        log::info!(
+            "view: restored configuration complete point={point} evidence={} era={} known={:?}",
+            evidence.name(),
+            self.feed.era(),
+            self.feed.progress(RowSet::Configuration).watermark()
+        );
+        self.feed.notify();
+        self.peers.wake_sender();
+    }
+
+    /// Whether an answer of the store, given at `moment`, shows that the configuration in force is the newest.
+    pub fn confirms_configuration(&self, moment: Instant) -> bool {
+        let now = clock::now();
+        let is_superseded = self.feed.is_in_restore_grace(now)
+            && self.heard_configuration.lock().version > self.view.version();
+        if is_superseded || self.view.has_unconfirmed_change() {
+            return false;
+        }
+        if let Some(revision) = self.feed.revision_complete_by_time(moment) {
+            self.record_recovery_point(revision, RecoveryEvidence::TimePassed);
+        }
+        self.feed.is_configuration_complete()
+    }
+
+    /// What this host tells others of its configuration; `None` if the store was never restored.
+    pub fn configuration_report(&self, now: Instant) -> Option<ConfigurationReport> {
+        if self.feed.era() == 0 {
+            return None;
+        }
+        let store_time = self.feed.store_time(now);
+        let confirmed = store_time
+            .zip(self.view.age(now))
+            .and_then(|(store_time, age)| store_time.checked_sub(age));
+        Some(ConfigurationReport {
+            version: self.view.version(),
+            recovery_point: self.feed.recovery_point(),
+            confirmed,
+        })
+    }
+
+    /// Applies what another host tells of its configuration.
+    pub fn apply_configuration_report(&self, report: &ConfigurationReport, source: SocketAddr) {
+        self.record_heard_version(report.version, source);
+        self.record_recovery_point(report.recovery_point, RecoveryEvidence::Peer);
+    }
+
+    fn record_heard_version(&self, version: ConfigVersion, source: SocketAddr) {
+        if version <= self.view.version() || !self.feed.is_in_restore_grace(clock::now()) {
+            return;
+        }
+        let mut heard = self.heard_configuration.lock();
+        if version >= heard.version {
+            let source = Some(source);
+            *heard = HeardConfiguration { version, source };
+            drop(heard);
+            self.feed.notify();
+        }
+    }
+
+    /// The host from which a newer configuration than the one in force can be fetched. Each report is used once.
+    pub fn take_newer_configuration_source(&self) -> Option<SocketAddr> {
+        let mut heard = self.heard_configuration.lock();
+        let source = heard.source.take();
+        source.filter(|_| heard.version > self.view.version())
+    }
+}
--- a/crates/gateway/src/state/store_heads.rs
+++ b/crates/gateway/src/state/store_heads.rs
@@ -8,6 +8,7 @@
         collections::HashSet,
         sync::atomic::{AtomicBool, Ordering},
     },
+    tealshore_core::clock,
 };
 
 /// The maximum number of header names that are remembered so that each is logged only once.
@@ -37,6 +38,9 @@
     /// Records an era of the store, with its source for the log.
     pub(super) fn record_era(&self, era: StoreEra, era_source: &str) {
         let before = self.feed.era();
+        if era > before {
+            self.expect_rewrites(era, clock::now());
+        }
         if self.feed.record_era(era) {
             log::warn!(
                 "store: restored from an older copy era={era} before={before} heard_from={era_source} known={:?}",
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -173,7 +173,7 @@
             self.apply_rows(page.changes, log, ConfigurationSource::FullRead);
             after_key = page.next_key;
             if after_key.is_none() {
-                let gone = self.finish_full_read(revision, written, &present);
+                let gone = self.remove_missing(revision, &present);
                 let changed = match self.set {
                     // The only row is never deleted, so its revision is that of the last change.
                     RowSet::Configuration => newest_row_revision,
@@ -222,20 +222,16 @@
         self.page(request, time_limit).await
     }
 
-    /// Completes a full read of the set. Returns the number of known upstreams that it does not contain.
-    fn finish_full_read(
-        &self,
-        revision: Revision,
-        written: AnswerTime,
-        present: &[EngineId],
-    ) -> usize {
+    /// Removes known upstreams that a full set does not contain. Returns their number.
+    fn remove_missing(&self, revision: Revision, present: &[EngineId]) -> usize {
         match self.set {
-            RowSet::Configuration => {
-                self.confirm(written.moment, &ViewSource::Store);
-                0
-            }
             RowSet::Upstreams => self.retain(revision, present),
-            RowSet::Hosts | RowSet::Runs | RowSet::Rollouts | RowSet::Duties | RowSet::Crashes => 0,
+            RowSet::Configuration
+            | RowSet::Hosts
+            | RowSet::Runs
+            | RowSet::Rollouts
+            | RowSet::Duties
+            | RowSet::Crashes => 0,
         }
     }
 
@@ -266,6 +262,7 @@
         };
         let is_first = self.known_revision() == 0;
         self.state.feed.advance(self.set, watermark);
+        self.confirm(written.moment, &ViewSource::Store);
         if is_first {
             // Starting hosts wait for a host that has the set.
             self.state.peers.wake_sender();
@@ -287,11 +284,17 @@
         upstreams.retain(revision, present)
     }
 
+    /// Records that an answer of the store, given at `moment`, showed what is known to be the newest. After a restore of
+    /// the store it does so only once the store's configuration is complete.
     fn confirm(&self, moment: Instant, source: &ViewSource) {
-        let view = &self.state.view;
-        if self.set != RowSet::Configuration || view.version() == 0 {
-            return;
+        let is_known = self.set == RowSet::Configuration && self.state.view.version() > 0;
+        if is_known && self.state.confirms_configuration(moment) {
+            self.confirm_view(moment, source);
         }
+    }
+
+    fn confirm_view(&self, moment: Instant, source: &ViewSource) {
+        let view = &self.state.view;
         view.confirm(moment);
         if let Some(before) = view.set_source(source) {
             let facts = ViewFacts::of(view, clock::now());
--- a/crates/gateway/src/sync/apply.rs
+++ b/crates/gateway/src/sync/apply.rs
@@ -4,7 +4,7 @@
     super::Follower,
     crate::{
         edge::{Change, Revision, RowSet, StoredCrashes, UpstreamChange, era_of},
-        feed::{SetWatermark, UpstreamDelta},
+        feed::{RecoveryEvidence, SetWatermark, UpstreamDelta},
         rollout::{RolloutOrder, RolloutRecord},
         state::GatewayState,
         view::{Applied, Configuration, RowOrigin, ViewFacts},
@@ -78,7 +78,12 @@
                 apply_configuration(&self.state, revision, *configuration, origin, source);
             }
             Change::Upstream(change) => apply_upstream(&self.state, revision, change, log),
-            Change::Host(host) => self.state.peers.add(&host),
+            Change::Host(host) => {
+                self.state.peers.add(&host);
+                let point = host.recovery_point;
+                self.state
+                    .record_recovery_point(point, RecoveryEvidence::Stored);
+            }
             Change::Runs(runs) => self.state.restore_stored_runs(runs),
             Change::RolloutOrder(order) => apply_rollout_order(&self.state, order),
             Change::Rollout(record) => {
@@ -189,6 +194,10 @@
     let now = clock::now();
     let is_in_restore_grace = state.feed.is_in_restore_grace(now);
     let applied = state.view.apply(new, revision, origin, is_in_restore_grace);
+    let is_in_force = applied == Applied::InForce || version == state.view.version();
+    if is_in_force && state.feed.is_written_since_restore(revision) {
+        state.record_recovery_point(revision, RecoveryEvidence::Rewritten);
+    }
     let current_version = i64::try_from(state.view.version()).unwrap_or(i64::MAX);
     state.metrics.config_version.set(current_version);
     log::info!(
--- a/crates/gateway/src/sync/follow.rs
+++ b/crates/gateway/src/sync/follow.rs
@@ -78,6 +78,9 @@
             if self.set == RowSet::Upstreams {
                 self.state.view.upstreams.end_grace(now);
             }
+            if self.set == RowSet::Configuration {
+                self.adopt_reported_configuration().await;
+            }
             let result = match self.source(now) {
                 _ if self.must_confirm(now) => self.confirm_configuration().await,
                 Source::Fed {
@@ -107,6 +110,13 @@
         }
     }
 
+    /// Fetches the configuration of a host that reported a newer one than this host has.
+    async fn adopt_reported_configuration(&mut self) {
+        if let Some(source) = self.state.take_newer_configuration_source() {
+            self.adopt_newer_configuration(source).await;
+        }
+    }
+
     /// Whether the configuration in force is still from an earlier era after the time that operators have to
     /// rewrite it. The store may have lost it and contain a lower version.
     fn must_confirm(&self, now: Instant) -> bool {
--- a/crates/gateway/src/sync/from_peers.rs
+++ b/crates/gateway/src/sync/from_peers.rs
@@ -13,8 +13,8 @@
         connection::{TransferBounds, transfer},
         edge::{Revision, RowSet, UpstreamChange},
         peers::{
-            PackedUpstreams, SetSnapshot, SnapshotRows, SourceScope, packed_upstreams_path,
-            snapshot_path,
+            ConfigurationReport, PackedUpstreams, SetSnapshot, SnapshotRows, SourceScope,
+            packed_upstreams_path, snapshot_path,
         },
         view::{Applied, RowOrigin, UpstreamChanges, ViewSource},
     },
@@ -86,16 +86,13 @@
 
     async fn read_from_peer(&mut self, source: SocketAddr) -> bool {
         let sent_at = clock::now();
-        let Some((snapshot, configuration_row)) =
-            fetch(self.set, self.known_revision(), source).await
-        else {
-            log::info!(
-                "feed: failed to fetch snapshot set={} peer={source} took_ms={}",
-                self.set.name(),
-                clock::elapsed(sent_at).as_millis()
-            );
+        let Some(fetched) = self.fetch_from(source, sent_at).await else {
             return false;
         };
+        let FetchedSet {
+            snapshot,
+            configuration,
+        } = fetched;
         let known = self.known_revision();
         if snapshot.watermark.revision <= known || snapshot.rows.leaves_gap_after(known) {
             return false;
@@ -108,10 +105,62 @@
             snapshot.watermark.revision,
             clock::elapsed(sent_at).as_millis()
         );
-        self.apply_snapshot(snapshot, configuration_row, source, sent_at);
+        self.apply_snapshot(snapshot, &configuration, source, sent_at);
         true
     }
 
+    /// Fetches the set from another host, and logs a failure.
+    async fn fetch_from(&self, source: SocketAddr, sent_at: Instant) -> Option<FetchedSet> {
+        let fetched = fetch(self.set, self.known_revision(), source).await;
+        if fetched.is_none() {
+            log::info!(
+                "feed: failed to fetch snapshot set={} peer={source} took_ms={}",
+                self.set.name(),
+                clock::elapsed(sent_at).as_millis()
+            );
+        }
+        fetched
+    }
+
+    /// Adopts the configuration of a host that has a newer one in force, after the store lost it in a restore. What is
+    /// known of the store stays as it is.
+    pub(super) async fn adopt_newer_configuration(&mut self, source: SocketAddr) {
+        let Some(fetched) = self.fetch_from(source, clock::now()).await else {
+            return;
+        };
+        let SnapshotRows::Configuration {
+            configuration: Some(configuration),
+            ..
+        } = fetched.snapshot.rows
+        else {
+            return;
+        };
+        apply_configuration(
+            &self.state,
+            fetched.configuration.row,
+            configuration,
+            RowOrigin::MayPredateRestore,
+            ConfigurationSource::Snapshot(source),
+        );
+        self.apply_confirmation(&fetched.configuration, source);
+    }
+
+    /// Takes over as of when the host from which the configuration came knew it to be the newest.
+    fn apply_confirmation(&self, fetched: &FetchedConfiguration, source: SocketAddr) {
+        let Some(report) = &fetched.report else {
+            return;
+        };
+        let state = &self.state;
+        state.apply_configuration_report(report, source);
+        let moment = report
+            .confirmed
+            .filter(|_| state.view.version() == report.version)
+            .and_then(|confirmed| state.feed.to_local_instant(confirmed, clock::now()));
+        if let Some(moment) = moment {
+            self.confirm_view(moment, &ViewSource::Snapshot(source));
+        }
+    }
+
     /// At the start of this host, waits for a host that has the set, reads the set from it, and then waits
     /// until its feeder is known. If there is none in time, this host reads the store: at once if it
     /// appears to be the first, or a little later if other starting hosts rank before it.
@@ -201,12 +250,11 @@
         false
     }
 
-    /// Applies a snapshot from another host. `configuration_row` is the revision of the configuration's
-    /// row.
+    /// Applies a snapshot from another host.
     fn apply_snapshot(
         &mut self,
         snapshot: SetSnapshot,
-        configuration_row: Revision,
+        fetched: &FetchedConfiguration,
         source: SocketAddr,
         sent_at: Instant,
     ) {
@@ -227,7 +275,7 @@
                     let origin = RowOrigin::MayPredateRestore;
                     let applied = apply_configuration(
                         &state,
-                        configuration_row,
+                        fetched.row,
                         configuration,
                         origin,
                         ConfigurationSource::Snapshot(source),
@@ -255,6 +303,7 @@
             SnapshotRows::Runs(_) => {}
         }
         feed.advance(self.set, watermark);
+        self.apply_confirmation(fetched, source);
         if let Some(moment) = feed.to_local_instant(watermark.written, clock::now()) {
             self.confirm(moment, &ViewSource::Snapshot(source));
         }
@@ -272,19 +321,34 @@
     }
 }
 
-/// Fetches a set from another host; for upstreams, only what changed after the known revision. Also returns
-/// the revision of the configuration's row, which is 0 for other sets and for hosts of an earlier build.
-async fn fetch(
-    set: RowSet,
-    known: Revision,
-    source: SocketAddr,
-) -> Option<(SetSnapshot, Revision)> {
+/// A set that another host served.
+struct FetchedSet {
+    snapshot: SetSnapshot,
+    configuration: FetchedConfiguration,
+}
+
+/// What a host told beside the configuration; all defaults for other sets and for hosts of an earlier build.
+#[derive(Default)]
+struct FetchedConfiguration {
+    /// The revision of its row.
+    row: Revision,
+    /// What the host takes it for.
+    report: Option<ConfigurationReport>,
+}
+
+/// Fetches a set from another host; for upstreams, only what changed after the known revision.
+async fn fetch(set: RowSet, known: Revision, source: SocketAddr) -> Option<FetchedSet> {
     if set == RowSet::Upstreams {
         let after = (known > 0).then_some(known);
         let (status, body) = get(&packed_upstreams_path(after), source).await?;
         if status.is_success() {
             let packed: PackedUpstreams = postcard::from_bytes(&body).ok()?;
-            return packed.unpack().ok().map(|snapshot| (snapshot, 0));
+            let snapshot = packed.unpack().ok()?;
+            let configuration = FetchedConfiguration::default();
+            return Some(FetchedSet {
+                snapshot,
+                configuration,
+            });
         }
         if status != StatusCode::NOT_FOUND {
             return None;
@@ -296,8 +360,12 @@
         return None;
     }
     let (snapshot, rest) = postcard::take_from_bytes(&body).ok()?;
-    let (configuration_row, _) = postcard::take_from_bytes(rest).unwrap_or_default();
-    Some((snapshot, configuration_row))
+    let (row, rest): (Revision, &[u8]) = postcard::take_from_bytes(rest).unwrap_or_default();
+    let (report, _) = postcard::take_from_bytes(rest).unwrap_or_default();
+    Some(FetchedSet {
+        snapshot,
+        configuration: FetchedConfiguration { row, report },
+    })
 }
 
 /// Fetches the recent runs from another host. A host of an earlier build tells only which ones run, without their
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -66,6 +66,11 @@
         in_force.apply(new, revision, origin, is_in_restore_grace)
     }
 
+    /// Whether the store has a change, written since its restore, that is not in force yet.
+    pub fn has_unconfirmed_change(&self) -> bool {
+        self.configuration.read().has_unconfirmed_change()
+    }
+
     /// Records that the configuration in force was the newest one at `moment`.
     pub fn confirm(&self, moment: Instant) {
         self.freshness.write().confirm(moment);
--- a/crates/gateway/src/view/in_force.rs
+++ b/crates/gateway/src/view/in_force.rs
@@ -63,19 +63,29 @@
 /// The configuration in force. Its version never decreases, except after a restore of the store: if the
 /// version in force was lost, the operator may continue from a lower one.
 #[derive(Default)]
-pub struct InForce(Option<VersionedConfiguration>);
+pub struct InForce {
+    known: Option<VersionedConfiguration>,
+    /// Whether the store has a lower version, written since its restore, that may not replace this one yet.
+    has_unconfirmed_change: bool,
+}
 
 impl InForce {
     /// The configuration in force; `None` before the first one.
     #[must_use]
     pub fn configuration(&self) -> Option<&Arc<Configuration>> {
-        self.0.as_ref().map(|known| &known.configuration)
+        self.known.as_ref().map(|known| &known.configuration)
     }
 
     /// The revision of the row of the configuration in force; 0 before the first one.
     #[must_use]
     pub fn revision(&self) -> Revision {
-        self.0.as_ref().map_or(0, |known| known.revision)
+        self.known.as_ref().map_or(0, |known| known.revision)
+    }
+
+    /// Whether the store has a change, written since its restore, that is not in force yet.
+    #[must_use]
+    pub fn has_unconfirmed_change(&self) -> bool {
+        self.has_unconfirmed_change
     }
 
     /// Applies a configuration that was read, with the revision of its row, if it may replace the one in force.
@@ -92,12 +102,16 @@
         match applied {
             Applied::InForce => {
                 let configuration = Arc::new(configuration);
-                self.0 = Some(VersionedConfiguration {
+                self.known = Some(VersionedConfiguration {
                     configuration,
                     revision,
                 });
+                self.has_unconfirmed_change = false;
+            }
+            Applied::Unconfirmed => {
+                self.has_unconfirmed_change |= origin == RowOrigin::WrittenSinceRestore;
             }
-            Applied::Older | Applied::Unconfirmed => {}
+            Applied::Older => {}
         }
         applied
     }
@@ -109,7 +123,7 @@
         origin: RowOrigin,
         is_in_restore_grace: bool,
     ) -> Applied {
-        let Some(known) = &self.0 else {
+        let Some(known) = &self.known else {
             return Applied::InForce;
         };
         if !enabled(Protection::MonotonicVersion) {
--- a/crates/gateway/tests/frames.rs
+++ b/crates/gateway/tests/frames.rs
@@ -21,9 +21,9 @@
         edge::UpstreamChange,
         feed::{SetWatermark, StoreWatermark, UpstreamDelta},
         peers::{
-            Datagram, Extension, GroupDigest, GroupMember, HostAddress, HostPhase, PackedUpstreams,
-            PeerDelta, PeerState, PermitAsk, PermitLoan, ServiceUse, SetSnapshot, Share,
-            SnapshotRows, UpstreamWork,
+            ConfigurationReport, Datagram, Extension, GroupDigest, GroupMember, HostAddress,
+            HostPhase, PackedUpstreams, PeerDelta, PeerState, PermitAsk, PermitLoan, ServiceUse,
+            SetSnapshot, Share, SnapshotRows, UpstreamWork,
         },
         rollout::BadAnswers,
         view::{Condition, UpstreamChanges, UpstreamRecord, UpstreamState, Work},
@@ -321,6 +321,7 @@
         cut_off_services: None,
         part_crashes: Vec::new(),
         run_origins: Vec::new(),
+        configuration: None,
     }
 }
 
@@ -528,6 +529,27 @@
     );
 }
 
+#[test]
+fn a_configuration_report_is_compatible_with_earlier_builds() {
+    let reported = Extension {
+        configuration: Some(ConfigurationReport {
+            version: 27,
+            recovery_point: (1 << 40) + 49,
+            confirmed: Some(Duration::from_millis(51_250)),
+        }),
+        ..extension_with_run_origins()
+    };
+    let written = delta().to_bytes().unwrap();
+    let written = reported.write(written).unwrap();
+    let (_, read) = Extension::read(&written).unwrap();
+    assert_eq!(read, reported);
+    // A frame of the build before has no report; this one's frame begins with it.
+    let frame = bytes_of(include_str!("frames/6-delta-run-origins.hex"));
+    assert_eq!(written[..frame.len()], frame);
+    let (_, read) = Extension::read(&frame).unwrap();
+    assert_eq!(read.configuration, None);
+}
+
 #[test]
 fn part_crashes_are_compatible_with_earlier_and_later_builds() {
     let frame = include_str!("frames/6-limits-part-crashes.hex");
--- a/crates/gateway/tests/store_restore.rs
+++ b/crates/gateway/tests/store_restore.rs
@@ -243,6 +243,32 @@
     assert_eq!(applied, Applied::Older);
 }
 
+#[test]
+fn a_lower_version_written_after_a_restore_is_an_unconfirmed_change_until_one_is_in_force() {
+    let view = view_before_restore();
+    view.apply(
+        configuration(21, 0),
+        after_restore(48),
+        RowOrigin::MayPredateRestore,
+        true,
+    );
+    assert!(!view.has_unconfirmed_change());
+    view.apply(
+        configuration(25, 0),
+        after_restore(49),
+        RowOrigin::WrittenSinceRestore,
+        true,
+    );
+    assert!(view.has_unconfirmed_change());
+    view.apply(
+        configuration(28, 0),
+        after_restore(50),
+        RowOrigin::WrittenSinceRestore,
+        true,
+    );
+    assert!(!view.has_unconfirmed_change());
+}
+
 #[test]
 fn a_lower_version_does_not_follow_one_that_was_written_again() {
     let view = view_before_restore();
