Wait for all lost configurations at hosts that know only a restored copy

What callers saw: nothing yet; found on rereading. An operator who writes two lost configurations again, one after the other, takes a key away with the second one.

Cause: a configuration written after the restore counted as proof that nothing is missing. A host that followed the store knows all versions but the last, so there one that is not below its own is the last. One that knows only the copy can't tell.

Change: what a host knew when it learned of the restore is kept. If that was nothing recent, a configuration written again starts a pause of one second, and the next one starts it anew; after it the store's configuration is complete.

Good keys are served a second later than before in this case alone.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -36,7 +36,7 @@
     choice::{FeederCandidate, FeederChoice, MAX_GROUP_HOSTS, choose_feeder, hosts_before, rank},
     era::{KnownEra, RESTORE_GRACE},
     progress::SetProgress,
-    recovery::{Recovery, RecoveryEvidence},
+    recovery::{KnowledgeAtRestore, Recovery, RecoveryEvidence},
     store_clock::StoreClockOffset,
 };
 
@@ -251,9 +251,14 @@
         self.recovery.lock().record(point)
     }
 
-    /// Records until when operators may write again what the store lost.
-    pub fn expect_rewrites(&self, until: Instant) {
-        self.recovery.lock().expect_rewrites(until);
+    /// Records until when operators may write again what the store lost, and what this host knew before.
+    pub fn expect_rewrites(&self, until: Instant, knowledge: KnowledgeAtRestore) {
+        self.recovery.lock().expect_rewrites(until, knowledge);
+    }
+
+    /// What this host knew of the configuration when it learned of the store's last restore.
+    pub fn knowledge_at_restore(&self) -> KnowledgeAtRestore {
+        self.recovery.lock().knowledge()
     }
 
     /// Whether the known configuration lacks nothing that operators wrote up to then.
--- a/crates/gateway/src/feed/recovery.rs
+++ b/crates/gateway/src/feed/recovery.rs
@@ -48,6 +48,17 @@
     point: Revision,
     /// Until when operators may still write again what the last restore lost.
     rewrites_until: Option<Instant>,
+    knowledge: KnowledgeAtRestore,
+}
+
+/// What a host knew of the configuration when it learned of the last restore.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum KnowledgeAtRestore {
+    /// It followed the store until shortly before.
+    #[default]
+    Recent,
+    /// It knew nothing recent, so it relies on what the restored store holds.
+    Outdated,
 }
 
 impl Recovery {
@@ -70,9 +81,16 @@
         is_news
     }
 
-    /// Records that the store was restored, and until when operators may write again what it lost.
-    pub fn expect_rewrites(&mut self, until: Instant) {
+    /// Records that the store was restored, until when operators may write again what it lost, and what this host knew.
+    pub fn expect_rewrites(&mut self, until: Instant, knowledge: KnowledgeAtRestore) {
         self.rewrites_until = Some(until);
+        self.knowledge = knowledge;
+    }
+
+    /// What this host knew when it learned of the last restore.
+    #[must_use]
+    pub fn knowledge(&self) -> KnowledgeAtRestore {
+        self.knowledge
     }
 
     /// Whether operators have had the time to write again what was lost, by an answer given at `moment`.
--- a/crates/gateway/src/state/recovery.rs
+++ b/crates/gateway/src/state/recovery.rs
@@ -5,7 +5,7 @@
     super::GatewayState,
     crate::{
         edge::{Revision, RowSet, StoreEra, era_of, revision_in},
-        feed::{RESTORE_GRACE, RecoveryEvidence},
+        feed::{KnowledgeAtRestore, RESTORE_GRACE, RecoveryEvidence},
         peers::ConfigurationReport,
         view::ViewFacts,
     },
@@ -20,6 +20,9 @@
 /// host can lack only what was acknowledged in the last moments.
 const FOLLOWER_REWRITE_TIME: Duration = Duration::from_secs(3);
 
+/// The longest pause between two configurations that an operator writes again one after the other.
+const REWRITE_PAUSE: Duration = Duration::from_secs(1);
+
 /// The highest version of the configuration that other hosts have in force.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct HeardConfiguration {
@@ -36,17 +39,32 @@
             self.record_recovery_point(start_of_era, RecoveryEvidence::FirstStart);
             return;
         }
-        let rewrite_time = if self.is_view_fresh(now) {
-            FOLLOWER_REWRITE_TIME
+        let (rewrite_time, knowledge) = if self.is_view_fresh(now) {
+            (FOLLOWER_REWRITE_TIME, KnowledgeAtRestore::Recent)
         } else {
-            RESTORE_GRACE
+            (RESTORE_GRACE, KnowledgeAtRestore::Outdated)
         };
         log::warn!(
             "view: restored configuration not relied on yet era={era} rewrite_time_ms={} {}",
             rewrite_time.as_millis(),
             ViewFacts::of(&self.view, now)
         );
-        self.feed.expect_rewrites(now + rewrite_time);
+        self.feed.expect_rewrites(now + rewrite_time, knowledge);
+    }
+
+    /// Records that an operator wrote a configuration after the restore, in the row of this revision. A host that knew
+    /// nothing recent can't tell whether it is the last of several that were lost, so it waits for further ones.
+    pub fn record_rewrite(&self, revision: Revision, now: Instant) {
+        match self.feed.knowledge_at_restore() {
+            KnowledgeAtRestore::Recent => {
+                self.record_recovery_point(revision, RecoveryEvidence::Rewritten);
+            }
+            KnowledgeAtRestore::Outdated => {
+                let until = now + REWRITE_PAUSE;
+                self.feed
+                    .expect_rewrites(until, KnowledgeAtRestore::Outdated);
+            }
+        }
     }
 
     /// Records that the store's configuration is complete from a revision on.
--- a/crates/gateway/src/sync/apply.rs
+++ b/crates/gateway/src/sync/apply.rs
@@ -196,7 +196,7 @@
     let applied = state.view.apply(new, revision, origin, is_in_restore_grace);
     let is_in_force = applied == Applied::InForce || version == state.view.version();
     if is_in_force && state.feed.is_written_since_restore(revision) {
-        state.record_recovery_point(revision, RecoveryEvidence::Rewritten);
+        state.record_rewrite(revision, now);
     }
     let current_version = i64::try_from(state.view.version()).unwrap_or(i64::MAX);
     state.metrics.config_version.set(current_version);
--- a/crates/gateway/tests/recovery.rs
+++ b/crates/gateway/tests/recovery.rs
@@ -5,7 +5,7 @@
     tealshore_core::clock,
     tealshore_gateway::{
         edge::{Revision, RowSet, StoreEra, revision_in},
-        feed::{Feed, Recovery, SetWatermark},
+        feed::{Feed, KnowledgeAtRestore, Recovery, SetWatermark},
     },
 };
 
@@ -80,7 +80,7 @@
     let until = now + Duration::from_secs(3);
     let feed = feed_at(1, revision(1, 7));
     assert_eq!(feed.revision_complete_by_time(now), None);
-    feed.expect_rewrites(until);
+    feed.expect_rewrites(until, KnowledgeAtRestore::Recent);
     let just_before = until - Duration::from_millis(1);
     assert_eq!(feed.revision_complete_by_time(just_before), None);
     assert_eq!(feed.revision_complete_by_time(until), Some(revision(1, 7)));
@@ -92,9 +92,9 @@
 fn the_time_for_rewriting_begins_anew_with_each_restore() {
     let now = clock::now();
     let feed = feed_at(1, revision(1, 7));
-    feed.expect_rewrites(now);
+    feed.expect_rewrites(now, KnowledgeAtRestore::Recent);
     feed.record_era(2);
-    feed.expect_rewrites(now + Duration::from_secs(3));
+    feed.expect_rewrites(now + Duration::from_secs(3), KnowledgeAtRestore::Outdated);
     feed.advance(RowSet::Configuration, watermark(revision(2, 5)));
     assert_eq!(feed.revision_complete_by_time(now), None);
 }
