Name a check for what it tells, and drop a figure from a comment

Cause: on rereading, is_newest_if_complete also checks that the store's configuration is complete, which its name and comment left to the caller, and a comment on resumed streams told a measured figure.

Change: the method is is_known_newest, and both comments say what holds. No behaviour changes.

--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -138,7 +138,7 @@
 
     /// Runs these checks for a request that was already sent to an upstream, without the check of the view's
     /// age. The request was admitted by a fresh view, so what this host learns late only stops later
-    /// requests. With that check, 43 streams ended when a hall failed during an outage of 8 s.
+    /// requests. With that check, streams would end when they lose their upstream during an outage of the store.
     ///
     /// # Errors
     /// Its key was withdrawn, or it is in quarantine.
--- a/crates/gateway/src/state/recovery.rs
+++ b/crates/gateway/src/state/recovery.rs
@@ -89,13 +89,14 @@
         let now = clock::now();
         let known = self.feed.progress(RowSet::Configuration).watermark();
         let answered = known.and_then(|known| self.feed.to_local_instant(known.written, now));
-        if let Some(moment) = answered.filter(|_| self.is_newest_if_complete(now)) {
+        if let Some(moment) = answered.filter(|_| self.is_known_newest(now)) {
             self.view.confirm(moment);
         }
     }
 
-    /// Whether the configuration in force is the newest one, provided that the store's is complete.
-    fn is_newest_if_complete(&self, now: Instant) -> bool {
+    /// Whether the store's configuration is complete and the one in force is not known to be behind it or behind that of
+    /// another host.
+    fn is_known_newest(&self, now: Instant) -> bool {
         let is_superseded = self.feed.is_in_restore_grace(now)
             && self.heard_configuration.lock().version > self.view.version();
         let is_known = self.view.version() > 0 && self.feed.is_configuration_complete();
@@ -107,7 +108,7 @@
         if let Some(revision) = self.feed.revision_complete_by_time(moment) {
             self.record_recovery_point(revision, RecoveryEvidence::TimePassed);
         }
-        self.is_newest_if_complete(clock::now())
+        self.is_known_newest(clock::now())
     }
 
     /// What this host tells others of its configuration; `None` if the store was never restored.
