--- a/crates/gateway/src/forward/probe.rs
+++ b/crates/gateway/src/forward/probe.rs
@@ -103,6 +103,14 @@
         }
     }
 
+    /// Whether the upstream was only silent, so that it may still go on with the request.
+    pub fn is_silence(self) -> bool {
+        match self {
+            Self::ProbeUnanswered | Self::FoundDeadElsewhere | Self::SilentTooLong => true,
+            Self::RequestMissing | Self::AnswerLost => false,
+        }
+    }
+
     /// The outcome recorded for the upstream's version.
     pub fn outcome(self) -> Outcome {
         match self {
--- a/crates/gateway/src/forward/stream/attempt.rs
+++ b/crates/gateway/src/forward/stream/attempt.rs
@@ -85,6 +85,8 @@
     pub cause: &'static str,
     /// The outcome recorded for the engine's version.
     pub outcome: Outcome,
+    /// Whether the engine was only silent, so that it may still go on with the run.
+    pub is_silence: bool,
 }
 
 impl Loss {
@@ -93,6 +95,7 @@
         Self {
             cause,
             outcome: Outcome::Lost,
+            is_silence: false,
         }
     }
 }
@@ -144,6 +147,7 @@
             Err(wait_failure) => Some(Step::Lost(Loss {
                 cause: wait_failure.name(),
                 outcome: wait_failure.outcome(),
+                is_silence: wait_failure.is_silence(),
             })),
         }
     }
--- a/crates/gateway/src/forward/stream/order.rs
+++ b/crates/gateway/src/forward/stream/order.rs
@@ -175,12 +175,13 @@
         }
         self.state.metrics.losses.with_label_values(&[cause]).inc();
         log::warn!(
-            "stream: attempt failed request={} digest={} upstream={} try={} cause={cause} age_ms={}",
+            "stream: attempt failed request={} digest={} upstream={} try={} cause={cause} age_ms={} left_ms={}",
             self.call.id(),
             self.call.fingerprint_hex(),
             upstream.record.id,
             self.sends,
-            self.call.age_ms()
+            self.call.age_ms(),
+            self.call.left(clock::now()).as_millis()
         );
         end
     }
--- a/crates/gateway/src/forward/stream/relay.rs
+++ b/crates/gateway/src/forward/stream/relay.rs
@@ -28,20 +28,45 @@
 type EventSender = ReadAheadSender<BodyError>;
 
 /// How a caller's answer ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 enum RelayEnd {
     Complete,
     CallerGone,
-    /// Ended early, for this cause.
-    BrokenOff(&'static str),
+    /// Ended early.
+    BrokenOff(BreakOff),
+}
+
+/// Why an answer ended early.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct BreakOff {
+    /// The cause, as logs and metrics name it.
+    cause: &'static str,
+    /// What led to it, for logs.
+    detail: String,
+}
+
+impl BreakOff {
+    fn new(cause: &'static str) -> Self {
+        Self {
+            cause,
+            detail: String::new(),
+        }
+    }
 }
 
 impl RelayEnd {
-    fn name(self) -> &'static str {
+    fn name(&self) -> &'static str {
         match self {
             Self::Complete => "complete",
             Self::CallerGone => "caller-gone",
-            Self::BrokenOff(cause) => cause,
+            Self::BrokenOff(break_off) => break_off.cause,
+        }
+    }
+
+    fn detail(&self) -> &str {
+        match self {
+            Self::Complete | Self::CallerGone => "",
+            Self::BrokenOff(break_off) => &break_off.detail,
         }
     }
 }
@@ -58,7 +83,7 @@
                 biased;
                 () = sender.closed() => RelayEnd::CallerGone,
                 end = clock::timeout_at(ends, self.relay_events(&sender)) => {
-                    end.unwrap_or(RelayEnd::BrokenOff("deadline-reached"))
+                    end.unwrap_or_else(|_| RelayEnd::BrokenOff(BreakOff::new("deadline-reached")))
                 }
             };
             self.finish(end, &sender);
@@ -98,6 +123,7 @@
                     self.end_attempt(Loss {
                         cause: fault.name(),
                         outcome: Outcome::Failed,
+                        is_silence: false,
                     });
                     if let Some(cause) = self.resume().await {
                         return RelayEnd::BrokenOff(cause);
@@ -214,17 +240,20 @@
     }
 
     /// Places the stream at another engine. Returns the cause if that is not possible.
-    async fn resume(&mut self) -> Option<&'static str> {
+    async fn resume(&mut self) -> Option<BreakOff> {
         if !self.call.route.may_repeat() {
-            return Some("upstream-lost");
+            return Some(BreakOff::new("upstream-lost"));
         }
         if self.progress.delivered() > 0 && self.progress.last().is_none() {
-            return Some("no-position");
+            return Some(BreakOff::new("no-position"));
         }
         match self.place().await {
             Ok(Opened::Stream(_)) => None,
-            Ok(Opened::NonStream(_)) => Some("resume-refused"),
-            Err(failure) => Some(failure.kind.name()),
+            Ok(Opened::NonStream(_)) => Some(BreakOff::new("resume-refused")),
+            Err(failure) => Some(BreakOff {
+                cause: failure.kind.name(),
+                detail: failure.detail,
+            }),
         }
     }
 
@@ -255,16 +284,19 @@
         let cause = loss.cause;
         self.state.metrics.losses.with_label_values(&[cause]).inc();
         log::warn!(
-            "stream: run lost request={} digest={} upstream={} cause={cause} last={:?} copy={} run={} age_ms={}",
+            "stream: run lost request={} digest={} upstream={} cause={cause} silent={} last={:?} copy={} run={} \
+             age_ms={} left_ms={}",
             self.call.id(),
             self.call.fingerprint_hex(),
             attempt.upstream.record.id,
+            loss.is_silence,
             self.progress.last(),
             self.copy
                 .as_ref()
                 .map_or("-", |copy| copy.upstream.as_str()),
             self.tried.count(),
-            self.call.age_ms()
+            self.call.age_ms(),
+            self.call.left(clock::now()).as_millis()
         );
     }
 
@@ -298,9 +330,9 @@
     }
 
     fn finish(&mut self, end: RelayEnd, sender: &EventSender) {
-        if let RelayEnd::BrokenOff(cause) = end {
+        if let RelayEnd::BrokenOff(break_off) = &end {
             // The caller must be able to see that the answer is incomplete.
-            let _ = sender.abort(cause.into());
+            let _ = sender.abort(break_off.cause.into());
         }
         let is_complete = end == RelayEnd::Complete;
         let request = self.call.request();
@@ -335,7 +367,7 @@
         log::log!(
             level,
             "stream: ended request={} digest={} outcome={outcome} upstream={} runs={} events={} last={:?} \
-             age_ms={} {}",
+             age_ms={} left_ms={} in_force={} {} detail={:?}",
             self.call.id(),
             self.call.fingerprint_hex(),
             upstream.as_deref().unwrap_or("-"),
@@ -343,7 +375,10 @@
             self.progress.delivered(),
             self.progress.last(),
             self.call.age_ms(),
-            self.call.view
+            self.call.left(clock::now()).as_millis(),
+            self.state.view.version(),
+            self.call.view,
+            end.detail()
         );
     }
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -4,5 +4,6 @@
 mod ingress;
 mod refusal;
 mod tunnel;
+mod unanswered;
 
 pub use {host_calls::answer_host_call, ingress::answer_caller, tunnel::serve_tunnels};
--- a/crates/gateway/src/serve/ingress.rs
+++ b/crates/gateway/src/serve/ingress.rs
@@ -1,7 +1,7 @@
 //! Serves a caller's request: finds its route and customer, reads its body and runs it.
 
 use {
-    super::refusal::refuse,
+    super::{refusal::refuse, unanswered::UnansweredGuard},
     crate::{
         edge::RequestFacts,
         forward::{
@@ -52,6 +52,7 @@
     let in_flight = InFlightGuard::begin(&state);
     let (head, body) = request.into_parts();
     let facts = state.protocol.read_request(&head);
+    let unanswered = UnansweredGuard::begin(&state, &facts, received);
     let result = serve(&state, received, head, facts.clone(), body).await;
     let response = match result {
         Ok(response) => response,
@@ -65,6 +66,7 @@
             refuse(&state, &facts, &failure)
         }
     };
+    unanswered.answered();
     drop(in_flight);
     response
 }
