Wait for a silent engine where a stream can't go on elsewhere

What callers saw: streams broken off with 19 s of their time left, though all engines lived.

Cause: an engine that was silent for 260 ms and left a probe unanswered was given up whatever that led to, and counted against the number of engines of the route.

Change: a silent engine is given up only if the stream can go on elsewhere at that moment (route, position, quarantine, engines, budget). A stream that ran at as many engines as its route allows may return to those that were merely silent, which the number does not count twice. An answer that has begun waits for an engine or for the budget during seven tenths of its time; the rest is left to its caller for resuming elsewhere. Before, it waited for 0.6 to 2 s.

Resumes from engines that are gone are as fast as before: the decision to move is unchanged where an alternative exists.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -139,12 +139,18 @@
     /// Takes one repeat if this host's own share allows it, or else from what the others leave unused.
     /// Returns whether it was taken.
     pub fn take(&mut self, now: Instant, pool: &Pool) -> bool {
-        let is_allowed = self.host_share_allows(now, pool) || self.pool_allows(now, pool);
-        if !is_allowed && enabled(Protection::RetryBudget) {
-            return false;
+        let is_allowed = self.allows(now, pool);
+        if is_allowed {
+            self.bucket(now).repeats += 1;
         }
-        self.bucket(now).repeats += 1;
-        true
+        is_allowed
+    }
+
+    /// Whether a repeat could be taken now.
+    pub fn allows(&mut self, now: Instant, pool: &Pool) -> bool {
+        self.host_share_allows(now, pool)
+            || self.pool_allows(now, pool)
+            || !enabled(Protection::RetryBudget)
     }
 
     /// Returns a repeat that was taken but reached no upstream.
--- a/crates/gateway/src/forward/probe.rs
+++ b/crates/gateway/src/forward/probe.rs
@@ -66,6 +66,8 @@
     /// How many events of the request have arrived, including those of earlier upstreams; 0 until
     /// this upstream has sent its first one.
     pub events_delivered: u64,
+    /// Whether the request has nowhere else to go. Then what others found of the upstream does not end the wait.
+    pub has_no_alternative: bool,
 }
 
 /// How long an upstream may be silent.
@@ -82,9 +84,10 @@
 pub enum WaitFailure {
     /// The upstream does not answer probes.
     ProbeUnanswered,
-    /// Another request or host found the upstream dead, and a probe was not answered or another
-    /// incarnation has its address.
+    /// Another request or host found the upstream dead, and a probe was not answered.
     FoundDeadElsewhere,
+    /// Another incarnation has the upstream's address.
+    Replaced,
     /// The upstream reports that it does not have the request, so it has lost it.
     RequestMissing,
     /// The upstream reports events for the request that do not arrive: a connection can fall silent
@@ -99,7 +102,10 @@
     pub fn has_read_prompt(self) -> bool {
         match self {
             Self::RequestMissing | Self::AnswerLost => true,
-            Self::ProbeUnanswered | Self::FoundDeadElsewhere | Self::SilentTooLong => false,
+            Self::ProbeUnanswered
+            | Self::FoundDeadElsewhere
+            | Self::Replaced
+            | Self::SilentTooLong => false,
         }
     }
 
@@ -107,7 +113,7 @@
     pub fn is_silence(self) -> bool {
         match self {
             Self::ProbeUnanswered | Self::FoundDeadElsewhere | Self::SilentTooLong => true,
-            Self::RequestMissing | Self::AnswerLost => false,
+            Self::Replaced | Self::RequestMissing | Self::AnswerLost => false,
         }
     }
 
@@ -116,6 +122,7 @@
         match self {
             Self::ProbeUnanswered
             | Self::FoundDeadElsewhere
+            | Self::Replaced
             | Self::RequestMissing
             | Self::AnswerLost => Outcome::Lost,
             Self::SilentTooLong => Outcome::Failed,
@@ -126,7 +133,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::ProbeUnanswered => "probe-unanswered",
-            Self::FoundDeadElsewhere => "found-dead",
+            Self::FoundDeadElsewhere | Self::Replaced => "found-dead",
             Self::RequestMissing => "not-held",
             Self::AnswerLost => "answer-lost",
             Self::SilentTooLong => "silent-too-long",
@@ -161,7 +168,10 @@
     let found_dead = async {
         upstream.wait_until_suspected().await;
         if upstream.is_replaced() {
-            return WaitFailure::FoundDeadElsewhere;
+            return WaitFailure::Replaced;
+        }
+        if pending_request.has_no_alternative {
+            return std::future::pending().await;
         }
         // A finding of other hosts or requests is verified, since the fault may be in their own
         // connection.
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -50,6 +50,9 @@
 /// takes a second or more.
 const RESTORE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// The fraction of a caller's time for which an answer that has begun is continued by all means.
+const CONTINUATION_FRACTION: f64 = 0.7;
+
 /// The state of one caller's stream.
 struct StreamRun {
     state: Arc<GatewayState>,
@@ -173,6 +176,16 @@
             .unwrap_or_default()
     }
 
+    /// Whether the caller's answer has begun.
+    fn has_begun(&self) -> bool {
+        self.progress.delivered() > 0
+    }
+
+    /// Whether it is known after which event another engine has to continue.
+    fn has_position(&self) -> bool {
+        !self.has_begun() || self.progress.last().is_some()
+    }
+
     fn input_tokens(&self) -> u64 {
         let prompt = self.call.facts.prompt.as_ref();
         prompt.map_or(0, |prompt| u64::from(prompt.input_tokens))
@@ -207,6 +220,17 @@
             .begin(&self.state, &self.call, UpstreamKind::Engine, run);
     }
 
+    /// Whether the stream may be ended although its caller still waits. An answer that has begun can't be refused any
+    /// more, so it is continued for most of its time; the rest is left to its caller for resuming it elsewhere.
+    fn may_break_off(&self) -> bool {
+        let time = self
+            .call
+            .deadline
+            .saturating_duration_since(self.call.received);
+        !self.has_begun()
+            || clock::elapsed(self.call.received) >= time.mul_f64(CONTINUATION_FRACTION)
+    }
+
     /// Checks that the stream can still finish before its deadline, judged by the pace of earlier
     /// streams.
     fn check_time_left(&self) -> Result<(), Failure> {
@@ -218,7 +242,7 @@
         };
         let left = self.call.left(clock::now());
         match self.state.min_duration(&self.call.service, work) {
-            Some(required) if required > left => {
+            Some(required) if required > left && self.may_break_off() => {
                 let detail = format!(
                     "the stream needs {} ms at least and has {} ms left; {work:?}",
                     required.as_millis(),
--- a/crates/gateway/src/forward/stream/attempt.rs
+++ b/crates/gateway/src/forward/stream/attempt.rs
@@ -60,6 +60,8 @@
     pub has_begun: bool,
     /// How many events the caller has, including those of earlier engines.
     pub events_delivered: u64,
+    /// Whether the stream had nowhere else to go when the engine was found silent.
+    pub has_no_alternative: bool,
     /// The work reserved at the engine.
     pub reservation: Reservation,
     /// The memory reserved at the engine that receives the copy of the run's memory.
@@ -130,6 +132,7 @@
             } else {
                 0
             },
+            has_no_alternative: self.has_no_alternative,
         };
         let frame = self.body.frame();
         match wait_while_alive(state, &self.upstream, pending_request, frame).await {
--- a/crates/gateway/src/forward/stream/choose.rs
+++ b/crates/gateway/src/forward/stream/choose.rs
@@ -21,9 +21,11 @@
 
 impl StreamRun {
     /// Chooses the engine that holds the copy, or else the one that has the prompt cached, or else the best one for the
-    /// whole prompt.
+    /// whole prompt. Once the stream ran at as many engines as its route allows, only those of them are chosen that were
+    /// merely silent.
     pub fn choose(&mut self) -> Option<Chosen> {
         let now = clock::now();
+        let max_engines = self.call.route.max_attempts;
         let prefers_isolation = self.state.crashes.is_near_quarantine(&self.call);
         if prefers_isolation {
             // The engine that holds the copy may also hold copies of the streams that ran beside
@@ -38,6 +40,7 @@
             may_prefer.then_some(upstream)
         };
         if let Some(copy) = self.copy.take()
+            && self.tried.allows(&copy.upstream, max_engines)
             && let Some(holder) = preferable(&copy.upstream)
         {
             return Some(Chosen {
@@ -48,6 +51,7 @@
         }
         if let Some(cached_at) = self.prompt_cached_at.take()
             && !self.avoid.contains(&cached_at)
+            && self.tried.allows(&cached_at, max_engines)
             && let Some(upstream) = preferable(&cached_at)
         {
             return Some(Chosen {
@@ -56,9 +60,14 @@
                 has_prompt_cached: true,
             });
         }
-        let chosen = self
-            .state
-            .choose_upstream(service, self.need(), &self.avoid)?;
+        let chosen = if self.tried.has_room(max_engines) {
+            self.state
+                .choose_upstream(service, self.need(), &self.avoid)?
+        } else {
+            let silent = self.tried.silent().iter();
+            let mut returnable = silent.filter(|id| !self.avoid.contains(id));
+            returnable.find_map(preferable)?
+        };
         Some(Chosen {
             upstream: chosen,
             resume_from: None,
@@ -66,6 +75,41 @@
         })
     }
 
+    /// Whether to go on waiting for a silent engine, as the stream can't go on elsewhere now. An engine may be silent
+    /// for a while and then continue.
+    pub fn must_wait_for(&mut self, upstream: &Upstream) -> bool {
+        let engine = &upstream.record.id;
+        let is_listed = self.state.view.upstreams.get(engine).is_some();
+        let must_wait = is_listed && !self.may_move_from(engine);
+        if must_wait {
+            log::info!(
+                "stream: waiting for a silent engine request={} upstream={engine} run={} last={:?} left_ms={}",
+                self.call.id(),
+                self.tried.count(),
+                self.progress.last(),
+                self.call.left(clock::now()).as_millis()
+            );
+        }
+        must_wait
+    }
+
+    /// Whether the stream could now go on elsewhere than at `engine`.
+    fn may_move_from(&mut self, engine: &EngineId) -> bool {
+        if !self.call.route.may_repeat()
+            || !self.has_position()
+            || self.state.check_quarantine(&self.call).is_err()
+        {
+            return false;
+        }
+        let preferences = (self.copy.clone(), self.prompt_cached_at.clone());
+        self.avoid.push(engine.clone());
+        let chosen = self.choose();
+        self.avoid.pop();
+        (self.copy, self.prompt_cached_at) = preferences;
+        let is_elsewhere = chosen.is_some_and(|chosen| chosen.upstream.record.id != *engine);
+        is_elsewhere && self.state.may_retry(&self.call.service)
+    }
+
     /// What the whole prompt needs from an engine.
     pub fn need(&self) -> Need<'static> {
         let fingerprint = self.call.fingerprint;
--- a/crates/gateway/src/forward/stream/order.rs
+++ b/crates/gateway/src/forward/stream/order.rs
@@ -7,13 +7,16 @@
         forward::{
             call::strip_connection_headers,
             connect::{self, Answer, SendFailure},
-            probe::{PendingRequest, SilenceLimits, wait_while_alive},
+            probe::{PendingRequest, SilenceLimits, WaitFailure, wait_while_alive},
         },
         rollout::Outcome,
         view::Upstream,
     },
-    http::{Response, StatusCode, response},
+    bytes::Bytes,
+    http::{Request, Response, StatusCode, response},
+    http_body_util::Full,
     std::{
+        pin::pin,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -76,14 +79,8 @@
         let request = self.call.request_for(&self.state, upstream, &order);
         self.tried.begin(&upstream.record.id);
         self.deliveries += 1;
-        let sending = connect::send(&self.state, &self.call, upstream, request);
-        let pending_request = PendingRequest {
-            request: &self.call.request(),
-            silence_limits: plan.silence_limits,
-            events_delivered: 0,
-        };
         let sent_at = clock::now();
-        let waited = wait_while_alive(&self.state, upstream, pending_request, sending).await;
+        let waited = self.send_and_wait(upstream, plan, request).await;
         match waited {
             Ok(Ok(answer)) => Ok(answer),
             Ok(Err(failure)) => {
@@ -97,6 +94,9 @@
                 if wait_failure.has_read_prompt() {
                     self.allow_retry_at(upstream, clock::elapsed(sent_at));
                 }
+                if wait_failure.is_silence() {
+                    self.tried.record_silence(&upstream.record.id);
+                }
                 Err(self.record_unknown_outcome(
                     upstream,
                     wait_failure.name(),
@@ -106,6 +106,34 @@
         }
     }
 
+    /// Sends the request and waits for the head of the answer. Gives up a silent engine only if the stream can go
+    /// elsewhere.
+    async fn send_and_wait(
+        &mut self,
+        upstream: &Upstream,
+        plan: &AttemptPlan,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Result<Answer, SendFailure>, WaitFailure> {
+        let (state, call) = (self.state.clone(), self.call.clone());
+        let id = call.request();
+        let mut pending_request = PendingRequest {
+            request: &id,
+            silence_limits: plan.silence_limits,
+            events_delivered: 0,
+            has_no_alternative: false,
+        };
+        let mut sending = pin!(connect::send(&state, &call, upstream, request));
+        loop {
+            let waited = wait_while_alive(&state, upstream, pending_request, sending.as_mut());
+            match waited.await {
+                Err(failure) if failure.is_silence() && self.must_wait_for(upstream) => {
+                    pending_request.has_no_alternative = true;
+                }
+                waited => return waited,
+            }
+        }
+    }
+
     /// Starts a background check whether the engine ended before the answer began, but only if it
     /// had no other work: with several requests, it is unknown which of them it had begun. A
     /// connection that closes within [`MIN_PROMPT_READ`] shows that the engine had ended before.
--- a/crates/gateway/src/forward/stream/place.rs
+++ b/crates/gateway/src/forward/stream/place.rs
@@ -64,9 +64,6 @@
     pub async fn place(&mut self) -> Result<Opened, Failure> {
         let began = clock::now();
         loop {
-            if !self.may_send_again() {
-                return Err(engine_limit_reached());
-            }
             let checked = self.crash_check.check_before_send(&self.state, &self.call);
             if let Err(failure) = checked.await {
                 return Err(failure.after_earlier_attempt(self.ran_so_far()));
@@ -85,10 +82,6 @@
                 self.avoid.clear();
                 continue;
             };
-            let engine = &chosen.upstream.record.id;
-            if !self.tried.allows(engine, self.call.route.max_attempts) {
-                return Err(engine_limit_reached());
-            }
             let checked = if self.deliveries == 0 {
                 self.call.check_before_send(&self.state)
             } else {
@@ -98,7 +91,8 @@
                 return Err(self.refusal(failure.kind, &failure.detail));
             }
             if !self.take_from_retry_budget() {
-                if clock::elapsed(began) > room::budget_wait(self.call.route.objective) {
+                let max_wait = room::budget_wait(self.call.route.objective);
+                if clock::elapsed(began) > max_wait && self.may_break_off() {
                     let detail = "the budget of repeated sends is spent";
                     return Err(self.refusal(ErrorKind::UpstreamsBusy, detail));
                 }
@@ -134,9 +128,20 @@
     /// rest or have no permit left, the time until the first one is open again is known: the stream
     /// is refused at once if that time exceeds its limit, and otherwise waits. A stream that has
     /// run waits as long as it would for the retry budget, since its caller prefers a late
-    /// remainder to none.
+    /// remainder to none. So does one that may only return to engines that were silent.
     fn check_may_wait(&self, began: Instant) -> Result<(), Failure> {
+        let has_room = self.tried.has_room(self.call.route.max_attempts);
+        if !has_room && self.tried.silent().is_empty() {
+            return Err(engine_limit_reached());
+        }
+        if !self.may_break_off() {
+            return Ok(());
+        }
         let objective = self.call.route.objective;
+        if !has_room {
+            let may_wait = clock::elapsed(began) <= room::budget_wait(objective);
+            return may_wait.then_some(()).ok_or_else(engine_limit_reached);
+        }
         let closed = self.state.first_to_open(&self.call.service, clock::now());
         let Some(closed) = closed else {
             if clock::elapsed(began) <= room::room_wait(objective) {
@@ -181,15 +186,6 @@
         }
     }
 
-    /// Whether the stream may be sent again: to one more engine, or back to one where it may have
-    /// run already.
-    fn may_send_again(&self) -> bool {
-        let cached_engine = self.prompt_cached_at.as_ref();
-        let may_return = cached_engine.is_some_and(|engine| self.tried.contains(engine));
-        let max_engines = self.call.route.max_attempts.max(1);
-        may_return || self.tried.count() < usize::try_from(max_engines).unwrap_or(usize::MAX)
-    }
-
     /// Takes from the retry budget, unless this is the first send to reach an engine. Returns
     /// whether the send is allowed.
     fn take_from_retry_budget(&mut self) -> bool {
@@ -292,6 +288,7 @@
             has_received_event: false,
             has_begun: false,
             events_delivered: self.progress.last().unwrap_or_default(),
+            has_no_alternative: false,
             reservation,
             _copy_reservation: copy_reservation,
         });
--- a/crates/gateway/src/forward/stream/relay.rs
+++ b/crates/gateway/src/forward/stream/relay.rs
@@ -110,6 +110,7 @@
                     self.maintain_copy();
                 }
                 Step::End => return RelayEnd::Complete,
+                Step::Lost(loss) if self.must_wait_out(loss) => {}
                 Step::Lost(loss) => {
                     self.check_attempt_for_crash(loss.cause);
                     self.end_attempt(loss);
@@ -133,6 +134,19 @@
         }
     }
 
+    /// Whether to go on waiting after a loss.
+    fn must_wait_out(&mut self, loss: Loss) -> bool {
+        let Some(attempt) = self.attempt.as_ref().filter(|_| loss.is_silence) else {
+            return false;
+        };
+        let upstream = attempt.upstream.clone();
+        let must_wait = self.must_wait_for(&upstream);
+        if let Some(attempt) = &mut self.attempt {
+            attempt.has_no_alternative = must_wait;
+        }
+        must_wait
+    }
+
     /// Returns the next event in order, or how the attempt ended.
     async fn next_step(&mut self) -> Step {
         let Some(attempt) = self.attempt.as_mut() else {
@@ -244,7 +258,7 @@
         if !self.call.route.may_repeat() {
             return Some(BreakOff::new("upstream-lost"));
         }
-        if self.progress.delivered() > 0 && self.progress.last().is_none() {
+        if !self.has_position() {
             return Some(BreakOff::new("no-position"));
         }
         match self.place().await {
@@ -281,6 +295,9 @@
         self.recopy = Recopy::default();
         self.lost_at = Some(clock::now());
         self.avoid.push(attempt.upstream.record.id.clone());
+        if loss.is_silence {
+            self.tried.record_silence(&attempt.upstream.record.id);
+        }
         let cause = loss.cause;
         self.state.metrics.losses.with_label_values(&[cause]).inc();
         log::warn!(
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -364,6 +364,14 @@
         taken
     }
 
+    /// Whether the budget has a retry left.
+    pub fn may_retry(&self, service: &ServiceId) -> bool {
+        let now = clock::now();
+        let pool = self.peers.budget_pool(service, now);
+        let mut budgets = self.budgets.lock();
+        self.budget(&mut budgets, service).allows(now, &pool)
+    }
+
     /// Returns a retry to the budget because it reached no upstream: upstreams that count arrivals do not see it.
     pub fn refund_retry(&self, service: &ServiceId) {
         let mut budgets = self.budgets.lock();
