Continue a begun stream although its key was taken away since

What callers saw: a stream whose caller's key was taken away by a change of the configuration was broken off as soon as its engine paused, while streams beside it whose engines did not pause went on to their end.

Cause: the key was checked again before each send of a stream, also where the send continues an answer that has begun. The rule on keys that are taken away speaks of requests that are sent after the change.

Change: an answer that has begun is continued by its admission; a stream that has shown nothing to its caller yet is still refused.

--- a/crates/gateway/src/forward/stream/place.rs
+++ b/crates/gateway/src/forward/stream/place.rs
@@ -82,12 +82,7 @@
                 self.avoid.clear();
                 continue;
             };
-            let checked = if self.deliveries == 0 {
-                self.call.check_before_send(&self.state)
-            } else {
-                self.call.check_before_resend(&self.state)
-            };
-            if let Err(failure) = checked {
+            if let Err(failure) = self.check_send() {
                 return Err(self.refusal(failure.kind, &failure.detail));
             }
             if !self.take_from_retry_budget() {
@@ -186,6 +181,18 @@
         }
     }
 
+    /// Checks what may have changed since the stream was admitted. An answer that has begun is continued also if its key
+    /// was taken away since.
+    fn check_send(&self) -> Result<(), Failure> {
+        if self.deliveries == 0 {
+            self.call.check_before_send(&self.state)
+        } else if self.has_begun() {
+            self.state.check_quarantine(&self.call)
+        } else {
+            self.call.check_before_resend(&self.state)
+        }
+    }
+
     /// Takes from the retry budget, unless this is the first send to reach an engine. Returns
     /// whether the send is allowed.
     fn take_from_retry_budget(&mut self) -> bool {
