Pass on a stream's head only with its first event

What callers saw: a status 200 and no event, or a connection that closed with neither an answer nor a refusal, where the engines of a stream failed or paused between their heads and their first events until the stream could not be placed again.

Cause: the head of the first engine was passed on at once. From then on nothing truthful could be said but the answer itself: the only way to fail was to break off, and a connection that breaks off before its head was written shows no answer at all.

Change: opening a stream includes the wait for its first event, within the same deadline. Losses before it lead to another engine as before, and, if there is none, to a refusal (504, or 502 where the route may not be repeated). The head is that of the engine which sent the event.

Events reach callers at the same moment as before, since no event is held back.

--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -21,17 +21,18 @@
         ending::{CrashCheck, LostRun, UpstreamKind},
     },
     crate::{
-        events::Progress,
+        events::{Event, Progress},
         pace::RemainingWork,
         state::GatewayState,
         view::{Engines, Upstream},
     },
     attempt::Attempt,
     engines_tried::EnginesTried,
-    http::Response,
+    http::{Response, response},
     own_run::find_own_run,
-    place::Opened,
+    place::Placed,
     recopy::Recopy,
+    relay::NextStep,
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -53,6 +54,17 @@
 /// The fraction of a caller's time for which an answer that has begun is continued by all means.
 const CONTINUATION_FRACTION: f64 = 0.7;
 
+/// The result of opening a stream.
+enum Opened {
+    /// The head of a stream and its first event; `None` if the engine ended it without one.
+    Stream {
+        head: response::Parts,
+        first: Option<Event>,
+    },
+    /// A complete answer that is not a stream.
+    NonStream(Response<Body>),
+}
+
 /// The state of one caller's stream.
 struct StreamRun {
     state: Arc<GatewayState>,
@@ -94,7 +106,7 @@
     recopy: Recopy,
 }
 
-/// Opens a stream. Returns the head of the first engine's answer; the body carries the events of
+/// Opens a stream. Returns the head of the engine that sent the first event; the body carries the events of
 /// all engines that run the stream in turn.
 ///
 /// # Errors
@@ -110,10 +122,10 @@
     let mut run = StreamRun::new(state.clone(), call, own_run);
     let opened = run.open().await;
     match opened.map_err(|failure| failure.after_earlier_attempt(run.ran_before))? {
-        Opened::Stream(mut head) => {
+        Opened::Stream { mut head, first } => {
             strip_connection_headers(&mut head.headers);
             head.extensions.clear();
-            Ok(Response::from_parts(head, run.into_body()))
+            Ok(Response::from_parts(head, run.into_body(first)))
         }
         Opened::NonStream(response) => Ok(response),
     }
@@ -159,16 +171,36 @@
         }
     }
 
-    /// Places the stream at its first engine, within its deadline.
+    /// Places the stream and waits for its first event, within its deadline. Without the event a head is not passed on:
+    /// after it, the stream could no longer be refused.
     async fn open(&mut self) -> Result<Opened, Failure> {
         let ends = self.call.deadline;
-        match clock::timeout_at(ends, self.place()).await {
-            Ok(placed) => placed,
+        match clock::timeout_at(ends, self.place_until_event()).await {
+            Ok(opened) => opened,
             Err(_) if self.tried.count() == 0 => Err(deadline_failure(ErrorKind::DeadlineUntried)),
             Err(_) => Err(deadline_failure(ErrorKind::DeadlineReached)),
         }
     }
 
+    async fn place_until_event(&mut self) -> Result<Opened, Failure> {
+        loop {
+            let head = match self.place().await? {
+                Placed::Stream(head) => head,
+                Placed::NonStream(response) => return Ok(Opened::NonStream(response)),
+            };
+            let first = match self.next_step_or_loss().await {
+                NextStep::Event(event) => Some(event),
+                NextStep::End => None,
+                NextStep::Lost if self.call.route.may_repeat() => continue,
+                NextStep::Lost => {
+                    let detail = "the engine sent no event";
+                    return Err(Failure::new(ErrorKind::UpstreamLost, detail));
+                }
+            };
+            return Ok(Opened::Stream { head, first });
+        }
+    }
+
     fn engines(&self) -> Engines {
         let service = self.call.configuration.services.get(&self.call.service);
         service
--- a/crates/gateway/src/forward/stream/place.rs
+++ b/crates/gateway/src/forward/stream/place.rs
@@ -45,8 +45,8 @@
 /// reading the prompt elsewhere.
 const PERMIT_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// The result of opening a stream.
-pub enum Opened {
+/// The result of placing a stream.
+pub enum Placed {
     /// The head of a stream; its events follow.
     Stream(response::Parts),
     /// A complete answer that is not a stream.
@@ -61,7 +61,7 @@
 impl StreamRun {
     /// Places the stream at the engine that holds its copy, or else at the best one, and retries
     /// until an engine accepts it or it has to be refused.
-    pub async fn place(&mut self) -> Result<Opened, Failure> {
+    pub async fn place(&mut self) -> Result<Placed, Failure> {
         let began = clock::now();
         loop {
             let checked = self.crash_check.check_before_send(&self.state, &self.call);
@@ -107,9 +107,9 @@
                 .record_send(&chosen.upstream.record, SendKind::after(self.sends));
             self.sends += 1;
             match self.try_place(chosen).await {
-                Ok(head) => return Ok(Opened::Stream(head)),
+                Ok(head) => return Ok(Placed::Stream(head)),
                 Err(PlaceFailure::TryNext) => {}
-                Err(PlaceFailure::NonStream(response)) => return Ok(Opened::NonStream(*response)),
+                Err(PlaceFailure::NonStream(response)) => return Ok(Placed::NonStream(*response)),
                 Err(PlaceFailure::Unknown) if self.call.route.may_repeat() => {}
                 Err(PlaceFailure::Unknown) => {
                     let detail = "the engine gave no answer";
--- a/crates/gateway/src/forward/stream/relay.rs
+++ b/crates/gateway/src/forward/stream/relay.rs
@@ -5,7 +5,7 @@
     super::{
         StreamRun,
         attempt::{Loss, Step},
-        place::Opened,
+        place::Placed,
         recopy::Recopy,
     },
     crate::{
@@ -25,6 +25,16 @@
 /// How many bytes of a stream may be queued for a slow caller.
 const MAX_READ_AHEAD_BYTES: u32 = 32 * 1024;
 
+/// The next step of a stream.
+pub enum NextStep {
+    /// An event in order.
+    Event(Event),
+    /// The stream is complete.
+    End,
+    /// The engine was lost. The stream has no engine now.
+    Lost,
+}
+
 type EventSender = ReadAheadSender<BodyError>;
 
 /// How a caller's answer ended.
@@ -74,7 +84,7 @@
 impl StreamRun {
     /// Returns the body of the answer. A separate task fills it until the stream ends or the caller
     /// disconnects.
-    pub fn into_body(mut self) -> Body {
+    pub fn into_body(mut self, first: Option<Event>) -> Body {
         let (sender, receiver) = read_ahead(MAX_READ_AHEAD_BYTES);
         let in_flight = InFlightGuard::begin(&self.state);
         tokio::spawn(async move {
@@ -82,7 +92,7 @@
             let end = tokio::select! {
                 biased;
                 () = sender.closed() => RelayEnd::CallerGone,
-                end = clock::timeout_at(ends, self.relay_events(&sender)) => {
+                end = clock::timeout_at(ends, self.relay_events(first, &sender)) => {
                     end.unwrap_or_else(|_| RelayEnd::BrokenOff(BreakOff::new("deadline-reached")))
                 }
             };
@@ -97,11 +107,12 @@
         StreamBody::new(frames).boxed_unsync()
     }
 
-    /// Relays events until the stream is complete or cannot continue.
-    async fn relay_events(&mut self, sender: &EventSender) -> RelayEnd {
+    /// Relays events, from the first one on, until the stream is complete or cannot continue.
+    async fn relay_events(&mut self, first: Option<Event>, sender: &EventSender) -> RelayEnd {
+        let mut next = first.map_or(NextStep::End, NextStep::Event);
         loop {
-            match self.next_step().await {
-                Step::Event(event) => {
+            match next {
+                NextStep::Event(event) => {
                     self.observe_resume();
                     self.observe_pause();
                     if sender.send(event.bytes).await.is_err() {
@@ -109,14 +120,29 @@
                     }
                     self.maintain_copy();
                 }
-                Step::End => return RelayEnd::Complete,
+                NextStep::End => return RelayEnd::Complete,
+                NextStep::Lost => {
+                    if let Some(break_off) = self.resume().await {
+                        return RelayEnd::BrokenOff(break_off);
+                    }
+                }
+            }
+            next = self.next_step_or_loss().await;
+        }
+    }
+
+    /// Returns the next event, or the end of the stream or of the attempt. Waits on for a silent engine if the stream
+    /// can't go on elsewhere.
+    pub async fn next_step_or_loss(&mut self) -> NextStep {
+        loop {
+            match self.next_step().await {
+                Step::Event(event) => return NextStep::Event(event),
+                Step::End => return NextStep::End,
                 Step::Lost(loss) if self.must_wait_out(loss) => {}
                 Step::Lost(loss) => {
                     self.check_attempt_for_crash(loss.cause);
                     self.end_attempt(loss);
-                    if let Some(cause) = self.resume().await {
-                        return RelayEnd::BrokenOff(cause);
-                    }
+                    return NextStep::Lost;
                 }
                 // No crash check: the engine sent this data, so it had not ended, whatever answers
                 // at its address later.
@@ -126,9 +152,7 @@
                         outcome: Outcome::Failed,
                         is_silence: false,
                     });
-                    if let Some(cause) = self.resume().await {
-                        return RelayEnd::BrokenOff(cause);
-                    }
+                    return NextStep::Lost;
                 }
             }
         }
@@ -262,8 +286,8 @@
             return Some(BreakOff::new("no-position"));
         }
         match self.place().await {
-            Ok(Opened::Stream(_)) => None,
-            Ok(Opened::NonStream(_)) => Some(BreakOff::new("resume-refused")),
+            Ok(Placed::Stream(_)) => None,
+            Ok(Placed::NonStream(_)) => Some(BreakOff::new("resume-refused")),
             Err(failure) => Some(BreakOff {
                 cause: failure.kind.name(),
                 detail: failure.detail,
