Answer a request whose handler panics

What callers would see: a connection that closes with neither an answer nor a refusal, and every later request on it lost. No panic was seen; it was found in the list of the ways on which a connection can end without an answer.

Cause: a panic in a handler ended the task of its connection.

Change: the server answers 500 (may have run), logs it and keeps the connection.

--- a/crates/core/src/http/server.rs
+++ b/crates/core/src/http/server.rs
@@ -1,14 +1,19 @@
 //! An HTTP server with resource limits, for HTTP/1.1 and HTTP/2 with prior knowledge.
 
 use {
-    super::body::Body,
+    super::body::{Body, json_body},
+    crate::answer::{ErrorKind, Failure, Problem},
+    futures::FutureExt,
     http::{Request, Response},
     hyper::{body::Incoming, service::service_fn},
     hyper_util::{
         rt::{TokioExecutor, TokioIo, TokioTimer},
         server::{conn::auto::Builder, graceful::GracefulShutdown},
     },
-    std::{convert::Infallible, future::Future, io, net::SocketAddr, sync::Arc, time::Duration},
+    std::{
+        convert::Infallible, future::Future, io, net::SocketAddr, panic::AssertUnwindSafe,
+        sync::Arc, time::Duration,
+    },
     tokio::{net::TcpListener, sync::Semaphore},
 };
 
@@ -68,8 +73,8 @@
         };
         let handler = handler.clone();
         let service = service_fn(move |request| {
-            let response = handler(request);
-            async move { Ok::<_, Infallible>(response.await) }
+            let response = AssertUnwindSafe(handler(request)).catch_unwind();
+            async move { Ok::<_, Infallible>(response.await.unwrap_or_else(|_| internal_error())) }
         });
         let connection = builder
             .serve_connection_with_upgrades(TokioIo::new(stream), service)
@@ -86,6 +91,15 @@
     graceful.shutdown().await;
 }
 
+/// The answer to a request whose handler panicked. The connection would otherwise close without one.
+fn internal_error() -> Response<Body> {
+    let failure = Failure::new(ErrorKind::Internal, "the handler of the request panicked");
+    log::error!("server: a request's handler panicked");
+    let mut response = Response::new(json_body(&Problem::of(&failure)));
+    *response.status_mut() = failure.status();
+    response
+}
+
 async fn accept(
     listener: &TcpListener,
     permits: &Arc<Semaphore>,
