Break an answer off if its relay ends without a verdict

What callers would see: a stream that ends early and looks complete. No such end was seen; it was found in the list of the ways on which an answer can end.

Cause: the body of a stream ended as complete whenever the side that reads from the engine was dropped, be it by a panic or because its task was ended. Only the ends that the relay itself decides were told apart.

Change: an answer is complete only if its relay says so; a sender that is dropped without it ends the body with an error.

Evidence: an_answer_whose_sender_is_dropped_does_not_look_complete; before, dropping the sender was the way to end an answer as complete.

--- a/crates/gateway/src/forward/stream/relay.rs
+++ b/crates/gateway/src/forward/stream/relay.rs
@@ -371,10 +371,13 @@
     }
 
     fn finish(&mut self, end: RelayEnd, sender: &EventSender) {
-        if let RelayEnd::BrokenOff(break_off) = &end {
+        // If the caller has disconnected, nobody needs to know how the answer ended.
+        let _ = match &end {
+            RelayEnd::Complete => sender.complete(),
+            RelayEnd::CallerGone => Ok(()),
             // The caller must be able to see that the answer is incomplete.
-            let _ = sender.abort(break_off.cause.into());
-        }
+            RelayEnd::BrokenOff(break_off) => sender.abort(break_off.cause.into()),
+        };
         let is_complete = end == RelayEnd::Complete;
         let request = self.call.request();
         self.state.runs.log.lock().end(
--- a/crates/gateway/src/read_ahead.rs
+++ b/crates/gateway/src/read_ahead.rs
@@ -15,10 +15,16 @@
 };
 
 /// One item in the queue.
-struct QueuedItem<E> {
-    item: Result<Bytes, E>,
-    /// The capacity that the item takes until the caller's connection has taken it.
-    _permit: Option<OwnedSemaphorePermit>,
+enum QueuedItem<E> {
+    Bytes {
+        bytes: Bytes,
+        /// The capacity that the bytes take until the caller's connection has taken them.
+        _permit: OwnedSemaphorePermit,
+    },
+    /// The answer is complete.
+    End,
+    /// The answer ends early.
+    Failed(E),
 }
 
 /// The side that reads from the engine.
@@ -31,6 +37,7 @@
 /// The side that writes to the caller.
 pub struct ReadAheadReceiver<E> {
     items: mpsc::UnboundedReceiver<QueuedItem<E>>,
+    has_ended: bool,
 }
 
 /// The caller has disconnected.
@@ -46,7 +53,11 @@
         capacity: Arc::new(Semaphore::new(max_bytes as usize)),
         max_bytes,
     };
-    (sender, ReadAheadReceiver { items: receiver })
+    let receiver = ReadAheadReceiver {
+        items: receiver,
+        has_ended: false,
+    };
+    (sender, receiver)
 }
 
 impl<E> ReadAheadSender<E> {
@@ -61,7 +72,19 @@
             .clone()
             .acquire_many_owned(wanted.min(self.max_bytes));
         let permit = permit.await.map_err(|_| CallerGone)?;
-        self.queue(Ok(bytes), Some(permit))
+        self.queue(QueuedItem::Bytes {
+            bytes,
+            _permit: permit,
+        })
+    }
+
+    /// Ends the answer as complete, after what is already queued. An answer whose sender is dropped without this ends
+    /// with an error.
+    ///
+    /// # Errors
+    /// The caller has disconnected.
+    pub fn complete(&self) -> Result<(), CallerGone> {
+        self.queue(QueuedItem::End)
     }
 
     /// Ends the answer with an error, after what is already queued.
@@ -69,7 +92,7 @@
     /// # Errors
     /// The caller has disconnected.
     pub fn abort(&self, error: E) -> Result<(), CallerGone> {
-        self.queue(Err(error), None)
+        self.queue(QueuedItem::Failed(error))
     }
 
     /// Completes when the caller has disconnected.
@@ -77,24 +100,30 @@
         self.items.closed().await;
     }
 
-    fn queue(
-        &self,
-        item: Result<Bytes, E>,
-        permit: Option<OwnedSemaphorePermit>,
-    ) -> Result<(), CallerGone> {
-        let queued = QueuedItem {
-            item,
-            _permit: permit,
-        };
-        self.items.send(queued).map_err(|_| CallerGone)
+    fn queue(&self, item: QueuedItem<E>) -> Result<(), CallerGone> {
+        self.items.send(item).map_err(|_| CallerGone)
     }
 }
 
-impl<E> Stream for ReadAheadReceiver<E> {
+impl<E: From<&'static str>> Stream for ReadAheadReceiver<E> {
     type Item = Result<Bytes, E>;
 
     fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
-        let next = self.items.poll_recv(context);
-        next.map(|queued| queued.map(|queued| queued.item))
+        if self.has_ended {
+            return Poll::Ready(None);
+        }
+        let Poll::Ready(next) = self.items.poll_recv(context) else {
+            return Poll::Pending;
+        };
+        let item = match next {
+            Some(QueuedItem::Bytes { bytes, .. }) => return Poll::Ready(Some(Ok(bytes))),
+            Some(QueuedItem::End) => None,
+            Some(QueuedItem::Failed(error)) => Some(Err(error)),
+            None => Some(Err(E::from(
+                "the sender ended before the answer was complete",
+            ))),
+        };
+        self.has_ended = true;
+        Poll::Ready(item)
     }
 }
--- a/crates/gateway/tests/read_ahead.rs
+++ b/crates/gateway/tests/read_ahead.rs
@@ -33,6 +33,7 @@
         let sent = unconstrained(sender.send(Bytes::from_static(EVENT))).now_or_never();
         assert_eq!(sent, Some(Ok(())), "the engine waits for the caller");
     }
+    sender.complete().unwrap();
     drop(sender);
     let received = collect_rest(receiver).await;
     assert_eq!(received.len(), EVENT_COUNT);
@@ -79,6 +80,16 @@
     assert_eq!(received, [Ok(Bytes::from_static(EVENT)), Err("lost")]);
 }
 
+#[tokio::test]
+async fn an_answer_whose_sender_is_dropped_does_not_look_complete() {
+    let (sender, receiver) = read_ahead(MAX_BYTES);
+    sender.send(Bytes::from_static(EVENT)).await.unwrap();
+    drop(sender);
+    let received = collect_rest(receiver).await;
+    assert_eq!(received.len(), 2);
+    assert!(received[1].is_err());
+}
+
 #[tokio::test]
 async fn sending_fails_after_the_caller_disconnects() {
     let (sender, receiver) = read_ahead::<&str>(MAX_BYTES);
