--- a/crates/gateway/src/forward/stream/choose.rs
+++ b/crates/gateway/src/forward/stream/choose.rs
@@ -79,8 +79,7 @@
     /// for a while and then continue.
     pub fn must_wait_for(&mut self, upstream: &Upstream) -> bool {
         let engine = &upstream.record.id;
-        let is_listed = self.state.view.upstreams.get(engine).is_some();
-        let must_wait = is_listed && !self.may_move_from(engine);
+        let must_wait = !self.may_move_from(engine);
         if must_wait {
             log::info!(
                 "stream: waiting for a silent engine request={} upstream={engine} run={} last={:?} left_ms={}",
