Ask a host that does not know one upstream for tunnels to the others

Cause: in its log each such second begins with 'path: tunnel not opened upstream=i-model8 ... 503': a probe of an engine whose row was gone.

Hosts of the build before do not say so, and their 503 counts as before; to them the header is of no meaning.

Waiting for silent engines sends more such probes.

--- a/crates/gateway/src/forward/dial.rs
+++ b/crates/gateway/src/forward/dial.rs
@@ -190,6 +190,13 @@
         self.attempts.push(asking.boxed());
     }
 
+    fn log_not_opened(&self, host: &HostId, cause: &str) {
+        log::info!(
+            "path: tunnel not opened upstream={} host={host} cause={cause:?}",
+            self.record.id
+        );
+    }
+
     fn find_hosts(&self) -> Vec<TunnelHost> {
         let now = clock::now();
         let (state, record) = (self.state, self.record);
@@ -226,15 +233,16 @@
                 paths.record_confirmed_unreachable(&self.record.id);
                 Some(Err(failure))
             }
+            Ended::Tunnel(tunnel, Err(TunnelFailure::UnknownUpstream)) => {
+                self.log_not_opened(&tunnel.host, "unknown-upstream");
+                let mut paths = self.state.paths.lock();
+                paths.record_unknown_upstream(&self.record.id, &tunnel.host, clock::now());
+                None
+            }
             Ended::Tunnel(tunnel, Err(TunnelFailure::Unavailable(cause))) => {
-                let host = &tunnel.host;
-                log::info!(
-                    "path: tunnel not opened upstream={} host={host} cause={cause:?}",
-                    self.record.id
-                );
-                let now = clock::now();
+                self.log_not_opened(&tunnel.host, &cause);
                 let mut paths = self.state.paths.lock();
-                paths.record_refused_tunnel(&self.record.service, host, now);
+                paths.record_refused_tunnel(&self.record.service, &tunnel.host, clock::now());
                 None
             }
         }
--- a/crates/gateway/src/forward/dial/tunnel.rs
+++ b/crates/gateway/src/forward/dial/tunnel.rs
@@ -4,7 +4,7 @@
     super::DialFailure,
     crate::{
         connection::Connection,
-        peers::{FOUND_HEADER, FOUND_REFUSED, TUNNEL_ID_HEADER, UPSTREAM_HEADER},
+        peers::{FOUND_HEADER, FOUND_REFUSED, FOUND_UNKNOWN, TUNNEL_ID_HEADER, UPSTREAM_HEADER},
         view::UpstreamRecord,
     },
     bytes::Bytes,
@@ -22,8 +22,9 @@
 pub(super) enum TunnelFailure {
     /// The host reaches other upstreams of the service, but not this one.
     Unreachable(DialFailure),
-    /// The host can't help, for this reason: it can't be reached, does not know the upstream, or has no path or no
-    /// capacity.
+    /// The host does not know the upstream.
+    UnknownUpstream,
+    /// The host can't help, for this reason: it can't be reached, or has no path or no capacity.
     Unavailable(String),
 }
 
@@ -76,6 +77,9 @@
             .await
             .map_err(TunnelFailure::unavailable),
         StatusCode::BAD_GATEWAY => Err(TunnelFailure::Unreachable(found(answer.headers()))),
+        StatusCode::SERVICE_UNAVAILABLE if is_unknown(answer.headers()) => {
+            Err(TunnelFailure::UnknownUpstream)
+        }
         status => Err(TunnelFailure::unavailable(status)),
     }
 }
@@ -87,6 +91,13 @@
         .body(Empty::new())
 }
 
+/// Whether the host does not know the upstream.
+fn is_unknown(headers: &HeaderMap) -> bool {
+    headers
+        .get(FOUND_HEADER)
+        .is_some_and(|found| found == FOUND_UNKNOWN)
+}
+
 /// Reads how the host's own connection to the upstream failed.
 fn found(headers: &HeaderMap) -> DialFailure {
     match headers.get(FOUND_HEADER) {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -69,7 +69,7 @@
         SnapshotRows, max_snapshot_connections, packed_upstreams_path, snapshot_path,
     },
     tunnels::{
-        FOUND_HEADER, FOUND_REFUSED, FOUND_UNANSWERED, TUNNEL_ID_HEADER, TunnelHost,
+        FOUND_HEADER, FOUND_REFUSED, FOUND_UNANSWERED, FOUND_UNKNOWN, TUNNEL_ID_HEADER, TunnelHost,
         UPSTREAM_HEADER, parse_tunnel_end_path, parse_tunnel_id, tunnel_end_path,
     },
 };
--- a/crates/gateway/src/peers/tunnels.rs
+++ b/crates/gateway/src/peers/tunnels.rs
@@ -15,10 +15,12 @@
 pub const TUNNEL_ID_HEADER: &str = "tealshore-tunnel-id";
 /// Path, followed by the id of a tunnel, that a host answers with 200 if the upstream ended the tunnel.
 const TUNNEL_END_PATH: &str = "/tunnel-ends/";
-/// Header that tells how the connection to an upstream failed that can't be reached.
+/// Header that tells what the asked host found of an upstream to which it opens no tunnel.
 pub const FOUND_HEADER: &str = "tealshore-found";
 /// The value for an upstream that refuses connections.
 pub const FOUND_REFUSED: &str = "refused";
+/// The value for an upstream that the asked host does not know. Hosts of earlier builds do not tell it.
+pub const FOUND_UNKNOWN: &str = "unknown";
 /// The value for an upstream that does not answer.
 pub const FOUND_UNANSWERED: &str = "unanswered";
 
--- a/crates/gateway/src/serve/tunnel.rs
+++ b/crates/gateway/src/serve/tunnel.rs
@@ -5,8 +5,8 @@
         forward::{DialFailure, dial_directly},
         lifecycle::InFlightGuard,
         peers::{
-            FOUND_HEADER, FOUND_REFUSED, FOUND_UNANSWERED, TUNNEL_ID_HEADER, UPSTREAM_HEADER,
-            parse_tunnel_end_path, parse_tunnel_id,
+            FOUND_HEADER, FOUND_REFUSED, FOUND_UNANSWERED, FOUND_UNKNOWN, TUNNEL_ID_HEADER,
+            UPSTREAM_HEADER, parse_tunnel_end_path, parse_tunnel_id,
         },
         state::GatewayState,
         view::Upstream,
@@ -70,13 +70,20 @@
 
     fn into_response(self) -> Response<Body> {
         let mut response = Response::new(empty());
-        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-        if let Self::Unreachable(failure) = self {
-            *response.status_mut() = StatusCode::BAD_GATEWAY;
-            let found = match failure {
-                DialFailure::Refused => FOUND_REFUSED,
-                DialFailure::Unanswered => FOUND_UNANSWERED,
-            };
+        let (status, found) = match self {
+            Self::Unreachable(DialFailure::Refused) => {
+                (StatusCode::BAD_GATEWAY, Some(FOUND_REFUSED))
+            }
+            Self::Unreachable(DialFailure::Unanswered) => {
+                (StatusCode::BAD_GATEWAY, Some(FOUND_UNANSWERED))
+            }
+            Self::UnknownUpstream => (StatusCode::SERVICE_UNAVAILABLE, Some(FOUND_UNKNOWN)),
+            Self::Stopping | Self::AtCapacity | Self::CutOff => {
+                (StatusCode::SERVICE_UNAVAILABLE, None)
+            }
+        };
+        *response.status_mut() = status;
+        if let Some(found) = found {
             let found = HeaderValue::from_static(found);
             response.headers_mut().insert(FOUND_HEADER, found);
         }
--- a/crates/gateway/src/state/paths.rs
+++ b/crates/gateway/src/state/paths.rs
@@ -44,10 +44,10 @@
         if !enabled(Protection::Tunnels) {
             return Vec::new();
         }
-        let excluded = self
-            .paths
-            .lock()
-            .hosts_without_tunnels(&upstream.service, now);
+        let excluded =
+            self.paths
+                .lock()
+                .hosts_without_tunnels(&upstream.service, &upstream.id, now);
         self.peers.tunnel_hosts(upstream, &excluded, count, now)
     }
 
--- a/crates/paths/src/lib.rs
+++ b/crates/paths/src/lib.rs
@@ -13,7 +13,7 @@
     doubt::Doubts,
     outage::Outage,
     path::{MIN_TUNNELS, Path},
-    refusals::Refusals,
+    refusals::{Refusals, RefusedTarget},
     std::{
         collections::HashMap,
         time::{Duration, Instant},
@@ -122,13 +122,25 @@
 
     /// Records that a host could not open a tunnel to an upstream of the service.
     pub fn record_refused_tunnel(&mut self, service: &ServiceId, host: &HostId, now: Instant) {
-        self.refusals.add(service, host, now);
+        let target = RefusedTarget::Service(service.clone());
+        self.refusals.add(target, host, now);
     }
 
-    /// Returns the hosts that recently could not open a tunnel to an upstream of the service.
+    /// Records that a host does not know an upstream, which says nothing of the other upstreams of its service.
+    pub fn record_unknown_upstream(&mut self, upstream: &EngineId, host: &HostId, now: Instant) {
+        let target = RefusedTarget::Upstream(upstream.clone());
+        self.refusals.add(target, host, now);
+    }
+
+    /// Returns the hosts that recently could not open a tunnel to an upstream of the service, or to this one.
     #[must_use]
-    pub fn hosts_without_tunnels(&self, service: &ServiceId, now: Instant) -> Vec<HostId> {
-        self.refusals.hosts(service, now)
+    pub fn hosts_without_tunnels(
+        &self,
+        service: &ServiceId,
+        upstream: &EngineId,
+        now: Instant,
+    ) -> Vec<HostId> {
+        self.refusals.hosts(service, upstream, now)
     }
 
     /// Records that no connection to an upstream could be opened, neither directly nor through another host, and that
--- a/crates/paths/tests/paths.rs
+++ b/crates/paths/tests/paths.rs
@@ -161,15 +161,33 @@
     let mut paths = Paths::default();
     let host = "host-1".to_owned();
     paths.record_refused_tunnel(&service(), &host, start);
-    assert_eq!(paths.hosts_without_tunnels(&service(), start), [host]);
+    assert_eq!(
+        paths.hosts_without_tunnels(&service(), &upstream(1), start),
+        [host]
+    );
     let other_service = "tiles".to_owned();
     assert!(
         paths
-            .hosts_without_tunnels(&other_service, start)
+            .hosts_without_tunnels(&other_service, &upstream(2), start)
             .is_empty()
     );
     let later = start + REFUSAL_LIFETIME;
-    assert!(paths.hosts_without_tunnels(&service(), later).is_empty());
+    assert!(
+        paths
+            .hosts_without_tunnels(&service(), &upstream(1), later)
+            .is_empty()
+    );
+}
+
+#[test]
+fn a_host_that_does_not_know_one_upstream_is_still_asked_for_the_others() {
+    let now = Instant::now();
+    let mut paths = Paths::default();
+    let host = "host-1".to_owned();
+    paths.record_unknown_upstream(&upstream(1), &host, now);
+    let hosts_without = |number| paths.hosts_without_tunnels(&service(), &upstream(number), now);
+    assert_eq!(hosts_without(1), [host]);
+    assert!(hosts_without(2).is_empty());
 }
 
 #[test]
