Refuse a stream without an event once its last engine stays silent

Since streams wait for a silent engine, one that had shown nothing to its caller waited for its whole deadline where all engines were dark, though its caller could have tried again by then. A stream that may not be repeated, or that has begun, waits as before.

--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -88,6 +88,8 @@
     /// The attempt of the same caller whose run this stream continues.
     continues: Option<RequestId>,
     attempt: Option<Attempt>,
+    /// The engine that was last found silent, and since when.
+    silent_since: Option<(EngineId, Instant)>,
     lost_at: Option<Instant>,
     /// Whether the stream has been counted for its customer.
     is_counted: bool,
@@ -162,6 +164,7 @@
             deliveries: 0,
             draws_on_budget: false,
             attempt: None,
+            silent_since: None,
             lost_at: None,
             is_counted: false,
             first_event_sent_at: None,
--- a/crates/gateway/src/forward/stream/choose.rs
+++ b/crates/gateway/src/forward/stream/choose.rs
@@ -2,8 +2,8 @@
 
 use {
     super::StreamRun,
-    crate::{balance::Need, view::Upstream},
-    std::sync::Arc,
+    crate::{balance::Need, room, view::Upstream},
+    std::{sync::Arc, time::Duration},
     tealshore_core::{clock, ids::EngineId},
     tealshore_runs::MemoryCopy,
 };
@@ -76,10 +76,14 @@
     }
 
     /// Whether to go on waiting for a silent engine, as the stream can't go on elsewhere now. An engine may be silent
-    /// for a while and then continue.
+    /// for a while and then continue. A stream that its caller may repeat and has seen nothing of waits for a limited
+    /// time only: after it, the caller's next attempt is the better chance.
     pub fn must_wait_for(&mut self, upstream: &Upstream) -> bool {
         let engine = &upstream.record.id;
-        let must_wait = !self.may_move_from(engine);
+        let may_refuse = !self.has_begun() && self.call.route.may_repeat();
+        let is_too_long = self.silence_of(engine) >= room::budget_wait(self.call.route.objective);
+        let gives_up = may_refuse && is_too_long;
+        let must_wait = !gives_up && !self.may_move_from(engine);
         if must_wait {
             log::info!(
                 "stream: waiting for a silent engine request={} upstream={engine} run={} last={:?} left_ms={}",
@@ -92,6 +96,17 @@
         must_wait
     }
 
+    /// How long ago an engine was first found silent, if it is the one that was found so last.
+    fn silence_of(&mut self, engine: &EngineId) -> Duration {
+        let now = clock::now();
+        let since = match &self.silent_since {
+            Some((id, since)) if id == engine => *since,
+            Some(_) | None => now,
+        };
+        self.silent_since = Some((engine.clone(), since));
+        now.saturating_duration_since(since)
+    }
+
     /// Whether the stream could now go on elsewhere than at `engine`.
     fn may_move_from(&mut self, engine: &EngineId) -> bool {
         if !self.call.route.may_repeat()
--- a/crates/gateway/src/forward/stream/order.rs
+++ b/crates/gateway/src/forward/stream/order.rs
@@ -79,6 +79,7 @@
         let request = self.call.request_for(&self.state, upstream, &order);
         self.tried.begin(&upstream.record.id);
         self.deliveries += 1;
+        self.silent_since = None;
         let sent_at = clock::now();
         let waited = self.send_and_wait(upstream, plan, request).await;
         match waited {
--- a/crates/gateway/src/forward/stream/relay.rs
+++ b/crates/gateway/src/forward/stream/relay.rs
@@ -187,6 +187,7 @@
         if let Some(attempt) = self.attempt.as_mut() {
             attempt.events_delivered = self.progress.last().unwrap_or(self.progress.delivered());
         }
+        self.silent_since = None;
         self.record_begin();
         Step::Event(event)
     }
