Go on elsewhere when an engine refuses to resume a begun stream

What callers saw: a stream broken off with time left, after its engine was lost, because the next engine answered its resume with a signed 4xx, though other engines could go on with it.

Cause: an answer that is no stream ended the placing of the stream as if it could be passed on. After the first event it can't, so the caller's answer was broken off.

Change: once an answer has begun, an answer that is no stream counts as a failed attempt at that engine (resume-refused in the losses), like an unsigned one, and the stream goes on at another engine within the number of engines of its route. Before the first event such an answer is passed on as before.

--- a/crates/gateway/src/forward/stream/order.rs
+++ b/crates/gateway/src/forward/stream/order.rs
@@ -262,6 +262,10 @@
                 PlaceFailure::TryNext,
             ));
         }
+        // Only a stream continues an answer that has begun. Another engine may still send one.
+        if self.has_begun() {
+            return Err(self.record_unknown_outcome(upstream, "resume-refused", Outcome::Failed));
+        }
         Ok(None)
     }
 
