Write a stream's events before its connection is broken off

What callers saw: status 200 and no event, though an event had reached the host. Where an engine sent an event and its end together, the caller got the head alone and then the end of the connection; a caller that resumes would ask again for events that the host had.

Cause: the server drops a connection whose body fails together with the bytes that it has buffered. An event and the error after it were taken in one go, so the event was never written.

Change: the body is pending once between the last event and the error, and the server writes its buffer then.

A caller that reads so slowly that its socket is full may still lose what is queued.

--- a/crates/gateway/src/forward/stream/relay.rs
+++ b/crates/gateway/src/forward/stream/relay.rs
@@ -20,6 +20,7 @@
     tealshore_core::clock,
     tealshore_core::http::{Body, BodyError},
     tealshore_quarantine::crash::is_at_start,
+    tokio::task::yield_now,
 };
 
 /// How many bytes of a stream may be queued for a slow caller.
@@ -104,6 +105,12 @@
             let _ = &in_flight;
             Frame::data(bytes)
         });
+        // An error closes the connection without writing what it has buffered. While the body is pending, the buffer
+        // is written.
+        let frames = frames.or_else(|error| async move {
+            yield_now().await;
+            Err(error)
+        });
         StreamBody::new(frames).boxed_unsync()
     }
 
