Wait for a silent engine that is no longer listed

What callers saw: a stream broken off although its engine only paused, because the engine's row had gone meanwhile. A stream of a route that may not be repeated ended 0.4 s after the pause began; one that may be resumed, but had no other engine, gave its engine up and was broken off at seven tenths of its time, though the engine went on after 1.1 s.

Cause: a silent engine was waited for only while it was listed. Rows go also when an engine is taken out on purpose, serves on what it has, and pauses; and while the store is away.

Change: an engine that is not listed is waited for as well, if the stream can't go on elsewhere, unless the stream has shown nothing and may be repeated: that one may still be refused.

Where another engine can take the stream, it moves as before.

--- a/crates/gateway/src/forward/stream/choose.rs
+++ b/crates/gateway/src/forward/stream/choose.rs
@@ -76,11 +76,13 @@
     }
 
     /// Whether to go on waiting for a silent engine, as the stream can't go on elsewhere now. An engine may be silent
-    /// for a while and then continue.
+    /// for a while and then continue. One that is no longer listed may still be serving what it has begun, so only a
+    /// stream that may be refused and repeated is not left to it.
     pub fn must_wait_for(&mut self, upstream: &Upstream) -> bool {
         let engine = &upstream.record.id;
         let is_listed = self.state.view.upstreams.get(engine).is_some();
-        let must_wait = is_listed && !self.may_move_from(engine);
+        let may_refuse = !self.has_begun() && self.call.route.may_repeat();
+        let must_wait = (is_listed || !may_refuse) && !self.may_move_from(engine);
         if must_wait {
             log::info!(
                 "stream: waiting for a silent engine request={} upstream={engine} run={} last={:?} left_ms={}",
