Read the rest of a refused request's body before the refusal

What callers saw: a request refused by its head alone (401, 404, 503 while a host learns the configuration) whose body was longer than the first read got its refusal, and then the connection was closed without a word: the next request on the kept connection ended without an answer. A connection that closes with unread bytes is reset, which on a slow link may also take the refusal from a caller that still writes.

Cause: a refusal was answered with the body unread. The server gives up such a body after one read and closes.

Change: up to 1 MiB of the body is read and dropped before any refusal, for 100 ms at the longest; what a caller has already sent is there sooner, and the connection is kept. Where the body has not ended by then, the refusal says Connection: close. A body that was too slow is not waited for again.

--- a/crates/gateway/src/serve/ingress.rs
+++ b/crates/gateway/src/serve/ingress.rs
@@ -13,7 +13,7 @@
         view::{Configuration, Customer, Route, RouteKind, ViewFacts},
     },
     bytes::{Bytes, BytesMut},
-    http::{Request, Response, header, request},
+    http::{HeaderValue, Request, Response, header, request},
     http_body_util::BodyExt,
     hyper::body::Incoming,
     std::{
@@ -27,11 +27,13 @@
         ids::ServiceId,
         protection::{Protection, enabled},
     },
-    tokio::sync::OwnedSemaphorePermit,
+    tokio::{sync::OwnedSemaphorePermit, time::timeout},
 };
 
-/// How much more of a body that is too large is read before the answer.
+/// How much of the rest of a body is read before a refusal.
 const MAX_DRAIN_BYTES: usize = 1024 * 1024;
+/// How long a refusal waits for the rest of a body. What a caller has already sent arrives sooner.
+const MAX_DRAIN_TIME: Duration = Duration::from_millis(100);
 /// A final answer is sent this long before the caller or the operator stops waiting for it.
 const ANSWER_MARGIN: Duration = Duration::from_millis(20);
 /// Once a planned stop has lasted this long, new streams are refused, as they might not end in time.
@@ -50,10 +52,10 @@
 pub async fn answer_caller(state: Arc<GatewayState>, request: Request<Incoming>) -> Response<Body> {
     let received = clock::now();
     let in_flight = InFlightGuard::begin(&state);
-    let (head, body) = request.into_parts();
+    let (head, mut body) = request.into_parts();
     let facts = state.protocol.read_request(&head);
     let unanswered = UnansweredGuard::begin(&state, &facts, received);
-    let result = serve(&state, received, head, facts.clone(), body).await;
+    let result = serve(&state, received, head, facts.clone(), &mut body).await;
     let response = match result {
         Ok(response) => response,
         Err(failure) => {
@@ -62,8 +64,14 @@
                 Some(_) => failure.after_earlier_attempt(Ran::Yes),
                 None => failure,
             };
+            let is_drained = drain_refused(&mut body, &failure).await;
             log_failure(&state, &facts, &failure, received);
-            refuse(&state, &facts, &failure)
+            let mut refusal = refuse(&state, &facts, &failure);
+            if !is_drained {
+                let close = HeaderValue::from_static("close");
+                refusal.headers_mut().insert(header::CONNECTION, close);
+            }
+            refusal
         }
     };
     unanswered.answered();
@@ -76,7 +84,7 @@
     received: Instant,
     head: request::Parts,
     facts: RequestFacts,
-    body: Incoming,
+    body: &mut Incoming,
 ) -> Result<Response<Body>, Failure> {
     state.wait_for_first_view().await;
     state.wait_for_view_after_standstill().await;
@@ -208,7 +216,7 @@
 async fn read_body(
     state: &GatewayState,
     configuration: &Configuration,
-    mut body: Incoming,
+    body: &mut Incoming,
 ) -> Result<(Bytes, Option<OwnedSemaphorePermit>), Failure> {
     let max_bytes = configuration.limits.body_bytes;
     let mut received_body = BytesMut::new();
@@ -240,16 +248,31 @@
         .map_err(|_| Failure::new(ErrorKind::HostLimit, "this host holds too many bodies"))
 }
 
+/// Reads and drops the rest of a refused request's body, within limits. Returns whether the body has ended: otherwise
+/// the connection can't be used again, and closes.
+async fn drain_refused(body: &mut Incoming, failure: &Failure) -> bool {
+    // The rest of such a body was waited for already.
+    if failure.kind == ErrorKind::RequestTooSlow {
+        return false;
+    }
+    let drained = timeout(MAX_DRAIN_TIME, drain(body, MAX_DRAIN_BYTES)).await;
+    drained.unwrap_or(false)
+}
+
 /// Reads and drops part of the rest of the body: a sender that still writes when the connection closes would
-/// lose the answer.
-async fn drain(mut body: Incoming, mut remaining_bytes: usize) {
-    while let Some(Ok(frame)) = body.frame().await {
+/// lose the answer. Returns whether the body has ended.
+async fn drain(body: &mut Incoming, mut remaining_bytes: usize) -> bool {
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            return false;
+        };
         let frame_bytes = frame.data_ref().map_or(0, Bytes::len);
         match remaining_bytes.checked_sub(frame_bytes) {
             Some(left) => remaining_bytes = left,
-            None => return,
+            None => return false,
         }
     }
+    true
 }
 
 fn prepare(
