--- a/crates/gateway/src/forward/stream/choose.rs
+++ b/crates/gateway/src/forward/stream/choose.rs
@@ -76,13 +76,15 @@
     }
 
     /// Whether to go on waiting for a silent engine, as the stream can't go on elsewhere now. An engine may be silent
-    /// for a while and then continue. A stream that its caller may repeat and has seen nothing of waits for a limited
-    /// time only: after it, the caller's next attempt is the better chance.
+    /// for a while and then continue, and one that is no longer listed may still be serving what it has begun. A stream
+    /// that its caller may repeat and has seen nothing of waits for a limited time, and only for a listed engine: its
+    /// caller's next attempt is the better chance.
     pub fn must_wait_for(&mut self, upstream: &Upstream) -> bool {
         let engine = &upstream.record.id;
         let may_refuse = !self.has_begun() && self.call.route.may_repeat();
+        let is_listed = self.state.view.upstreams.get(engine).is_some();
         let is_too_long = self.silence_of(engine) >= room::budget_wait(self.call.route.objective);
-        let gives_up = may_refuse && is_too_long;
+        let gives_up = may_refuse && (is_too_long || !is_listed);
         let must_wait = !gives_up && !self.may_move_from(engine);
         if must_wait {
             log::info!(
