Close callers' connections in order before a planned stop ends

Cause: while any request was in flight the host took further ones until the end of its time, 0.4 s before the stop period is over, and then ended with whatever ran. No answer asked its caller to leave; idle connections were never closed.

Change: a stop has phases, all in StopSchedule. All requests are served at first (3.5 s, at most half of the time to the exit). From three fifths of that on, when no directory tells the address any more, each answer carries `Connection: close`. Then the listener is closed and each connection is shut down in order: an idle one at once, a busy one after its answer (HTTP/2: GOAWAY). What was read has the other half to end. Streams that run go on as before.

--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -1,5 +1,5 @@
-//! Graceful shutdown: the host withdraws its address at once, keeps serving requests, and
-//! exits when it has drained or the time for the stop is used up.
+//! Graceful shutdown: the host withdraws its address at once, keeps serving requests for a while, closes its connections
+//! in order, and exits when it has drained or the time for the stop is used up.
 
 use {
     crate::state::GatewayState,
@@ -11,12 +11,6 @@
     },
 };
 
-/// Shortest time between the signal and the exit, even when no request is in flight: callers
-/// may still connect to a withdrawn address for this long. A shorter stop period takes precedence.
-const MIN_DRAIN_TIME: Duration = Duration::from_millis(3_500);
-/// Time before the end of the stop period at which the process exits regardless of requests
-/// in flight.
-const EXIT_MARGIN: Duration = Duration::from_millis(400);
 /// How often the requests in flight are checked during a stop.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -57,11 +51,15 @@
         "stop: signal received, draining in_flight={}",
         state.stop.in_flight()
     );
-    let end = state.options.bounds.stop.saturating_sub(EXIT_MARGIN);
+    state.stop.wait_for_close().await;
+    log::info!(
+        "stop: closing connections in_flight={}",
+        state.stop.in_flight()
+    );
     loop {
         let age = clock::elapsed(began);
         let in_flight = state.stop.in_flight();
-        if age >= end || (age >= MIN_DRAIN_TIME && in_flight == 0) {
+        if age >= state.stop.schedule.exit || in_flight == 0 {
             log::info!(
                 "stop: exiting in_flight={in_flight} age_ms={}",
                 age.as_millis()
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -13,7 +13,7 @@
     },
     eyre::WrapErr,
     futures::future::pending,
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration},
     tealshore_core::http::{ServerOptions, bind, serve},
     tokio::net::TcpListener,
 };
@@ -76,9 +76,14 @@
         let state = state.clone();
         move |request| answer_caller(state.clone(), request)
     };
+    let serving = async {
+        let close = state.stop.wait_for_close();
+        serve(caller_listener, server, handler, close).await;
+        pending::<Infallible>().await
+    };
     tokio::select! {
-        () = serve(caller_listener, server, handler, pending()) => Ok(()),
-        stopped = wait_for_shutdown(state) => stopped.wrap_err("cannot install signal handlers"),
+        never = serving => match never {},
+        stopped = wait_for_shutdown(state.clone()) => stopped.wrap_err("cannot install signal handlers"),
     }
 }
 
--- a/crates/gateway/src/serve/ingress.rs
+++ b/crates/gateway/src/serve/ingress.rs
@@ -13,7 +13,7 @@
         view::{Configuration, Customer, Route, RouteKind, ViewFacts},
     },
     bytes::{Bytes, BytesMut},
-    http::{Request, Response, header, request},
+    http::{HeaderValue, Request, Response, header, request},
     http_body_util::BodyExt,
     hyper::body::Incoming,
     std::{
@@ -54,7 +54,7 @@
     let facts = state.protocol.read_request(&head);
     let unanswered = UnansweredGuard::begin(&state, &facts, received);
     let result = serve(&state, received, head, facts.clone(), body).await;
-    let response = match result {
+    let mut response = match result {
         Ok(response) => response,
         Err(failure) => {
             let failure = match facts.last_event {
@@ -66,6 +66,10 @@
             refuse(&state, &facts, &failure)
         }
     };
+    if state.stop.closes_answered_connections() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
     unanswered.answered();
     drop(in_flight);
     response
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -153,7 +153,7 @@
             capacity: Capacity::default(),
             standstill: Mutex::new(Standstill::new(clock::now())),
             metrics: GatewayMetrics::new()?,
-            stop: Stop::default(),
+            stop: Stop::new(options.bounds.stop),
             body_memory: Arc::new(Semaphore::new(options.host.body_bytes)),
             tunnel_permits: Arc::new(Semaphore::new(options.host.max_tunnels)),
             budgets: Mutex::default(),
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -2,6 +2,7 @@
 
 use {
     std::{
+        future::pending,
         sync::atomic::{AtomicUsize, Ordering},
         time::{Duration, Instant},
     },
@@ -12,22 +13,59 @@
     tokio::sync::watch,
 };
 
+/// The longest time for which all requests are still served after the signal: callers may still connect to a withdrawn
+/// address for this long. A shorter stop period takes precedence.
+const SERVING_TIME: Duration = Duration::from_millis(3_500);
+/// Time before the end of the stop period at which the process exits regardless of requests
+/// in flight.
+const EXIT_MARGIN: Duration = Duration::from_millis(400);
+
+/// The phases of a graceful stop, as times since the signal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StopSchedule {
+    /// From here on, each answer asks its caller to close the connection. Callers have learned by then that the address
+    /// is withdrawn, so they do not come back.
+    pub last_answers: Duration,
+    /// From here on, no connection is accepted and no further request is read. What was read is still answered.
+    pub close: Duration,
+    /// The process exits regardless of requests in flight.
+    pub exit: Duration,
+}
+
+impl StopSchedule {
+    /// Divides a stop period.
+    #[must_use]
+    pub fn new(stop: Duration) -> Self {
+        let exit = stop.saturating_sub(EXIT_MARGIN);
+        // The other half is left to requests that were read in the last moment.
+        let close = SERVING_TIME.min(exit / 2);
+        Self {
+            last_answers: close * 3 / 5,
+            close,
+            exit,
+        }
+    }
+}
+
 /// State of a graceful stop, and the number of requests in flight.
 pub struct Stop {
+    /// When the phases of the stop begin.
+    pub schedule: StopSchedule,
     requested_at: watch::Sender<Option<Instant>>,
     in_flight: AtomicUsize,
 }
 
-impl Default for Stop {
-    fn default() -> Self {
+impl Stop {
+    /// Creates the state of a host that takes this long for a stop at the most.
+    #[must_use]
+    pub fn new(stop: Duration) -> Self {
         Self {
+            schedule: StopSchedule::new(stop),
             requested_at: watch::Sender::new(None),
             in_flight: AtomicUsize::new(0),
         }
     }
-}
 
-impl Stop {
     /// Records that a stop was requested.
     pub fn initiate(&self, now: Instant) {
         self.requested_at.send_replace(Some(now));
@@ -53,6 +91,23 @@
         self.requested_at.borrow().map(clock::elapsed)
     }
 
+    /// Whether answers ask their callers to close the connection.
+    pub fn closes_answered_connections(&self) -> bool {
+        self.age()
+            .is_some_and(|age| age >= self.schedule.last_answers)
+    }
+
+    /// Waits until a stop was requested and no further request is to be read.
+    pub async fn wait_for_close(&self) {
+        let mut requested_at = self.requested_at.subscribe();
+        let requested_at = requested_at.wait_for(Option::is_some).await;
+        // The sender is dropped only with the whole state.
+        let Some(requested_at) = requested_at.ok().and_then(|at| *at) else {
+            return pending().await;
+        };
+        clock::sleep_until(requested_at + self.schedule.close).await;
+    }
+
     /// The number of requests in flight.
     pub fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::Relaxed)
