Write all answers before a planned stop ends

What callers saw: an answer that broke off when the process ended, though its request was no longer in flight. A caller that reads slowly got 2.8 to 3.0 of 7 MB.

Cause: a plain answer leaves the count of requests in flight when its head and body are handed to the server, not when they are written, and the stop waited for that count alone.

Change: the process also waits until all connections of callers have ended, which they do after their last answer is written; still no longer than the stop period allows. `stop: exiting` says with `closed=` whether they had.

A caller that stops reading, a connection with half of a head, or an HTTP/2 caller that vanished now keep a stopping host until the end of its period.

--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -59,9 +59,11 @@
     loop {
         let age = clock::elapsed(began);
         let in_flight = state.stop.in_flight();
-        if age >= state.stop.schedule.exit || in_flight == 0 {
+        // An answer that is no longer in flight may not be written yet; its connection ends when it is.
+        let has_closed = state.stop.has_closed();
+        if age >= state.stop.schedule.exit || (has_closed && in_flight == 0) {
             log::info!(
-                "stop: exiting in_flight={in_flight} age_ms={}",
+                "stop: exiting in_flight={in_flight} closed={has_closed} age_ms={}",
                 age.as_millis()
             );
             return Ok(());
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -79,6 +79,7 @@
     let serving = async {
         let close = state.stop.wait_for_close();
         serve(caller_listener, server, handler, close).await;
+        state.stop.record_closed();
         pending::<Infallible>().await
     };
     tokio::select! {
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -3,7 +3,7 @@
 use {
     std::{
         future::pending,
-        sync::atomic::{AtomicUsize, Ordering},
+        sync::atomic::{AtomicBool, AtomicUsize, Ordering},
         time::{Duration, Instant},
     },
     tealshore_core::{
@@ -53,6 +53,8 @@
     pub schedule: StopSchedule,
     requested_at: watch::Sender<Option<Instant>>,
     in_flight: AtomicUsize,
+    /// Whether all connections of callers have ended.
+    has_closed: AtomicBool,
 }
 
 impl Stop {
@@ -63,6 +65,7 @@
             schedule: StopSchedule::new(stop),
             requested_at: watch::Sender::new(None),
             in_flight: AtomicUsize::new(0),
+            has_closed: AtomicBool::new(false),
         }
     }
 
@@ -108,6 +111,16 @@
         clock::sleep_until(requested_at + self.schedule.close).await;
     }
 
+    /// Records that all connections of callers have ended, so that every answer is written.
+    pub fn record_closed(&self) {
+        self.has_closed.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether all connections of callers have ended.
+    pub fn has_closed(&self) -> bool {
+        self.has_closed.load(Ordering::Relaxed)
+    }
+
     /// The number of requests in flight.
     pub fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::Relaxed)
