--- a/crates/gateway/src/serve/ingress.rs
+++ b/crates/gateway/src/serve/ingress.rs
@@ -56,7 +56,7 @@
     let facts = state.protocol.read_request(&head);
     let unanswered = UnansweredGuard::begin(&state, &facts, received);
     let result = serve(&state, received, head, facts.clone(), &mut body).await;
-    let response = match result {
+    let mut response = match result {
         Ok(response) => response,
         Err(failure) => {
             let failure = match facts.last_event {
@@ -74,6 +74,10 @@
             refusal
         }
     };
+    if state.stop.closes_answered_connections() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
     unanswered.answered();
     drop(in_flight);
     response
