Take lines that make no event for a fault of the engine

Cause: each empty line ended an event, and an event without a position passed as long as the caller had none. Whatever an engine in trouble sends reached the caller once it held an empty line.

Change: an event with neither a position nor data is a fault, as an event at the wrong position is: the stream goes on at another engine. Where a position was known, such an event was refused before as well.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -26,6 +26,8 @@
     TooLarge,
     /// An event does not follow the previous one.
     WrongPosition,
+    /// An event has neither a position nor data.
+    Empty,
 }
 
 impl StreamFault {
@@ -35,6 +37,7 @@
         match self {
             Self::TooLarge => "event-too-large",
             Self::WrongPosition => "wrong-position",
+            Self::Empty => "empty-event",
         }
     }
 }
@@ -54,7 +57,7 @@
     /// Removes and returns the next complete event, or `None` until it is complete.
     ///
     /// # Errors
-    /// The event being collected exceeds the size limit.
+    /// The event being collected exceeds the size limit, or the next event is empty.
     pub fn next_event(&mut self) -> Result<Option<Event>, StreamFault> {
         let Some(end) = find_event_end(&self.pending) else {
             return if self.pending.len() > MAX_EVENT_BYTES {
@@ -65,6 +68,9 @@
         };
         let bytes = self.pending.split_to(end).freeze();
         let id = parse_event_id(&bytes);
+        if id.is_none() && !has_data(&bytes) {
+            return Err(StreamFault::Empty);
+        }
         Ok(Some(Event { id, bytes }))
     }
 
@@ -98,6 +104,11 @@
         .find_map(|value| std::str::from_utf8(value).ok()?.trim().parse().ok())
 }
 
+fn has_data(bytes: &[u8]) -> bool {
+    let mut lines = bytes.split(|byte| *byte == b'\n');
+    lines.any(|line| line.starts_with(b"data"))
+}
+
 /// The position that a caller of a stream has reached, and so the event that must come next.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Progress {
--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/events.rs
@@ -102,3 +102,12 @@
     splitter.push(&vec![b'x'; 300 * 1024]);
     assert_eq!(splitter.next_event(), Err(StreamFault::TooLarge));
 }
+
+#[test]
+fn lines_that_make_no_event_do_not_reach_the_caller() {
+    for junk in ["\n", "\r\n", "junk\n\n", ": junk\n\n"] {
+        let mut splitter = EventSplitter::default();
+        splitter.push(junk.as_bytes());
+        assert_eq!(splitter.next_event(), Err(StreamFault::Empty), "{junk:?}");
+    }
+}
