Search each byte of a stream once for the end of an event

Cause: with each piece that arrived, the search for the end of an event began at the first pending byte, so that an event took time by its length squared, with up to 256 KiB pending.

Change: the splitter remembers up to where it searched, and where the line there begins.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -46,6 +46,10 @@
 #[derive(Default)]
 pub struct EventSplitter {
     pending: BytesMut,
+    /// How many of the pending bytes were searched for the end of an event, however small the pieces they came in.
+    searched: usize,
+    /// Where the line begins at which the search stopped.
+    line_start: usize,
 }
 
 impl EventSplitter {
@@ -59,7 +63,7 @@
     /// # Errors
     /// The event being collected exceeds the size limit, or the next event is empty.
     pub fn next_event(&mut self) -> Result<Option<Event>, StreamFault> {
-        let Some(end) = find_event_end(&self.pending) else {
+        let Some(end) = self.find_event_end() else {
             return if self.pending.len() > MAX_EVENT_BYTES {
                 Err(StreamFault::TooLarge)
             } else {
@@ -74,6 +78,24 @@
         Ok(Some(Event { id, bytes }))
     }
 
+    /// Returns the length of the first event, including the empty line that ends it.
+    fn find_event_end(&mut self) -> Option<usize> {
+        let unsearched = &self.pending[self.searched..];
+        for (index, byte) in (self.searched..).zip(unsearched) {
+            if *byte != b'\n' {
+                continue;
+            }
+            let line = &self.pending[self.line_start..index];
+            if line.is_empty() || line == b"\r" {
+                (self.searched, self.line_start) = (0, 0);
+                return Some(index + 1);
+            }
+            self.line_start = index + 1;
+        }
+        self.searched = self.pending.len();
+        None
+    }
+
     /// Whether part of an event has arrived.
     #[must_use]
     pub fn has_partial_event(&self) -> bool {
@@ -81,22 +103,6 @@
     }
 }
 
-/// Returns the length of the first event, including the empty line that ends it.
-fn find_event_end(bytes: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (index, byte) in bytes.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &bytes[line_start..index];
-        if line.is_empty() || line == b"\r" {
-            return Some(index + 1);
-        }
-        line_start = index + 1;
-    }
-    None
-}
-
 fn parse_event_id(bytes: &[u8]) -> Option<EventId> {
     bytes
         .split(|byte| *byte == b'\n')
--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/events.rs
@@ -7,6 +7,7 @@
 use {
     bytes::Bytes,
     proptest::prelude::*,
+    std::time::{Duration, Instant},
     tealshore_gateway::events::{Event, EventSplitter, Progress, StreamFault},
 };
 
@@ -111,3 +112,16 @@
         assert_eq!(splitter.next_event(), Err(StreamFault::Empty), "{junk:?}");
     }
 }
+
+#[test]
+fn an_event_in_tiny_pieces_does_not_take_time_by_its_length_squared() {
+    let began = Instant::now();
+    let mut splitter = EventSplitter::default();
+    for _ in 0..256 * 1024 {
+        splitter.push(b"x");
+        assert_eq!(splitter.next_event(), Ok(None));
+    }
+    splitter.push(b"x");
+    assert_eq!(splitter.next_event(), Err(StreamFault::TooLarge));
+    assert!(began.elapsed() < Duration::from_secs(2));
+}
