Bound what an upstream may send before the end of its head

A head without end was given up at the HTTP library's default of some 400 KiB, and then looked like a lost connection, so that the engine was checked for a crash.

Cause: interim answers were read and dropped in any number, and a head that is none was not told from no head.

Change: the connection counts what arrives before the end of the head. 64 KiB for a head and 256 KiB with all interim answers are the bound, also for probes, copy calls and calls to other hosts. Bytes that are no answer are a failure of their own, invalid-answer: the upstream lives, so it is no crash under the request, and its version has failed rather than lost the answer. As before, such a request may have run. Connections to the store keep the library's bounds; their calls have time limits.

--- a/crates/gateway/src/forward/connect.rs
+++ b/crates/gateway/src/forward/connect.rs
@@ -9,7 +9,7 @@
         dial::{DialFailure, Dialed, Tunnel, dial},
     },
     crate::{
-        connection::Connection,
+        connection::{Connection, handshake},
         edge::AnswerFacts,
         rollout::Outcome,
         state::{GatewayState, SendBarrier},
@@ -18,11 +18,7 @@
     bytes::Bytes,
     http::{Request, header, response},
     http_body_util::Full,
-    hyper::{
-        body::{Body, Incoming},
-        client::conn::http1,
-    },
-    hyper_util::rt::TokioIo,
+    hyper::body::{Body, Incoming},
     tealshore_core::clock,
     tealshore_core::protection::{Protection, enabled},
 };
@@ -38,6 +34,8 @@
     Limited,
     /// The request was sent, but no complete answer head arrived.
     Unanswered,
+    /// The request was sent, and bytes arrived that are no answer.
+    InvalidAnswer,
     /// The answer belongs to another request.
     ForeignAnswer,
 }
@@ -50,6 +48,7 @@
             Self::Barred(barrier) => barrier.name(),
             Self::Limited => "limited",
             Self::Unanswered => "unanswered",
+            Self::InvalidAnswer => "invalid-answer",
             Self::ForeignAnswer => "foreign-answer",
         }
     }
@@ -60,7 +59,7 @@
         match self {
             Self::Unreachable | Self::Barred(_) | Self::Limited => None,
             Self::Unanswered => Some(Outcome::Lost),
-            Self::ForeignAnswer => Some(Outcome::Failed),
+            Self::InvalidAnswer | Self::ForeignAnswer => Some(Outcome::Failed),
         }
     }
 }
@@ -122,16 +121,20 @@
             tunnel.id
         );
     }
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
-    let (mut sender, driver) = handshake.map_err(|_| SendFailure::Unreachable)?;
-    let connection = Connection::driven_by(tokio::spawn(async move {
-        // Whoever reads the answer sees how the connection ended.
-        let _ = driver.await;
-    }));
+    let handshake = handshake(stream).await;
+    let (mut sender, connection, received) = handshake.map_err(|_| SendFailure::Unreachable)?;
     begin_send(state, call, upstream)?;
     let sent = clock::now();
     let answer = sender.send_request(request).await;
-    let (head, body) = answer.map_err(|_| SendFailure::Unanswered)?.into_parts();
+    let answer = answer.map_err(|error| {
+        if received.is_invalid(&error) {
+            SendFailure::InvalidAnswer
+        } else {
+            SendFailure::Unanswered
+        }
+    });
+    let (head, body) = answer?.into_parts();
+    received.end_head();
     let facts = state.protocol.read_answer(&head);
     state.apply_notices(upstream, &facts, id, sent);
     if is_foreign(&facts, id) && enabled(Protection::AnswerIdentity) {
--- a/crates/gateway/src/forward/ending.rs
+++ b/crates/gateway/src/forward/ending.rs
@@ -53,7 +53,7 @@
                 let report = probe::report(state, upstream, request).await;
                 match report {
                     Ok(report) => finding_from_report(&report, upstream, began),
-                    Err(CallFailure::Closed) => ProbeResult::Refused,
+                    Err(CallFailure::Closed | CallFailure::Invalid) => ProbeResult::Refused,
                     Err(CallFailure::TimedOut) => ProbeResult::Silent,
                 }
             }
--- a/crates/gateway/src/forward/plain/attempt.rs
+++ b/crates/gateway/src/forward/plain/attempt.rs
@@ -155,9 +155,10 @@
     }
     match failure {
         SendFailure::Barred(_) | SendFailure::Limited => AttemptEnd::Declined,
-        SendFailure::Unreachable | SendFailure::Unanswered | SendFailure::ForeignAnswer => {
-            AttemptEnd::Unreachable
-        }
+        SendFailure::Unreachable
+        | SendFailure::Unanswered
+        | SendFailure::InvalidAnswer
+        | SendFailure::ForeignAnswer => AttemptEnd::Unreachable,
     }
 }
 
--- a/crates/gateway/src/peers/run_inquiry.rs
+++ b/crates/gateway/src/peers/run_inquiry.rs
@@ -131,7 +131,7 @@
     };
     match short_call(ready(Ok::<_, Infallible>(stream)), request, bounds).await {
         Ok((StatusCode::OK, body)) => read_reply(host, &body),
-        Ok(_) => HostReply::Unreadable(host),
+        Ok(_) | Err(CallFailure::Invalid) => HostReply::Unreadable(host),
         Err(CallFailure::Closed | CallFailure::TimedOut) => HostReply::Silent(host),
     }
 }
