Count an engine's silence from its last complete event

What callers got: an engine that sends a few bytes a second which complete no event held its stream for as long as its caller waited: 504 at the deadline, or a stream broken off there after its first events, while other engines were free.

Cause: each piece that arrived began the wait anew, the probes included, whether or not it completed an event.

Change: one wait lasts until an event is complete. The limits and what the probes decide are as for an engine that sends nothing.

--- a/crates/gateway/src/forward/stream/attempt.rs
+++ b/crates/gateway/src/forward/stream/attempt.rs
@@ -102,23 +102,41 @@
     }
 }
 
-impl Attempt {
-    /// Waits for the next complete event, or for the end of the attempt.
-    pub async fn next_step(&mut self, state: &GatewayState) -> Step {
-        loop {
-            match self.events.next_event() {
-                Ok(Some(event)) => return Step::Event(event),
-                Ok(None) => {}
-                Err(fault) => return Step::Invalid(fault),
-            }
-            if let Some(end) = self.read_more(state).await {
-                return end;
+/// What arrives of a body.
+enum Arrival {
+    /// A complete event.
+    Event(Event),
+    /// Bytes that are no event.
+    Invalid(StreamFault),
+    /// The end of the body.
+    End,
+    /// The end of the connection within the body.
+    BrokenOff,
+}
+
+/// Reads until an event is complete or the body ends. If it is dropped meanwhile, what was read is kept.
+async fn next_arrival(body: &mut Incoming, events: &mut EventSplitter) -> Arrival {
+    loop {
+        match events.next_event() {
+            Ok(Some(event)) => return Arrival::Event(event),
+            Ok(None) => {}
+            Err(fault) => return Arrival::Invalid(fault),
+        }
+        match body.frame().await {
+            Some(Ok(frame)) => {
+                if let Ok(bytes) = frame.into_data() {
+                    events.push(&bytes);
+                }
             }
+            Some(Err(_)) => return Arrival::BrokenOff,
+            None => return Arrival::End,
         }
     }
+}
 
-    /// Reads more bytes into the splitter. Returns the end of the attempt if no more can be read.
-    async fn read_more(&mut self, state: &GatewayState) -> Option<Step> {
+impl Attempt {
+    /// Waits for the next complete event, or for the end of the attempt. Bytes that complete no event are silence.
+    pub async fn next_step(&mut self, state: &GatewayState) -> Step {
         let silence_limits = if self.has_received_event {
             BETWEEN_EVENTS_LIMITS
         } else {
@@ -134,24 +152,20 @@
             },
             has_no_alternative: self.has_no_alternative,
         };
-        let frame = self.body.frame();
-        match wait_while_alive(state, &self.upstream, pending_request, frame).await {
-            Ok(Some(Ok(frame))) => {
-                if let Ok(bytes) = frame.into_data() {
-                    self.events.push(&bytes);
-                }
-                None
-            }
-            Ok(Some(Err(_))) => Some(Step::Lost(Loss::connection_failed("broken-off"))),
-            Ok(None) if self.events.has_partial_event() => {
-                Some(Step::Lost(Loss::connection_failed("cut-event")))
+        let arrival = next_arrival(&mut self.body, &mut self.events);
+        match wait_while_alive(state, &self.upstream, pending_request, arrival).await {
+            Ok(Arrival::Event(event)) => Step::Event(event),
+            Ok(Arrival::Invalid(fault)) => Step::Invalid(fault),
+            Ok(Arrival::BrokenOff) => Step::Lost(Loss::connection_failed("broken-off")),
+            Ok(Arrival::End) if self.events.has_partial_event() => {
+                Step::Lost(Loss::connection_failed("cut-event"))
             }
-            Ok(None) => Some(self.end_of_body(state).await),
-            Err(wait_failure) => Some(Step::Lost(Loss {
+            Ok(Arrival::End) => self.end_of_body(state).await,
+            Err(wait_failure) => Step::Lost(Loss {
                 cause: wait_failure.name(),
                 outcome: wait_failure.outcome(),
                 is_silence: wait_failure.is_silence(),
-            })),
+            }),
         }
     }
 
