--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/events.rs
@@ -7,6 +7,7 @@
 use {
     bytes::Bytes,
     proptest::prelude::*,
+    std::time::{Duration, Instant},
     tealshore_gateway::events::{Event, EventSplitter, Progress, StreamFault},
 };
 
@@ -102,3 +103,25 @@
     splitter.push(&vec![b'x'; 300 * 1024]);
     assert_eq!(splitter.next_event(), Err(StreamFault::TooLarge));
 }
+
+#[test]
+fn lines_that_make_no_event_do_not_reach_the_caller() {
+    for junk in ["\n", "\r\n", "junk\n\n", ": junk\n\n"] {
+        let mut splitter = EventSplitter::default();
+        splitter.push(junk.as_bytes());
+        assert_eq!(splitter.next_event(), Err(StreamFault::Empty), "{junk:?}");
+    }
+}
+
+#[test]
+fn an_event_in_tiny_pieces_does_not_take_time_by_its_length_squared() {
+    let began = Instant::now();
+    let mut splitter = EventSplitter::default();
+    for _ in 0..256 * 1024 {
+        splitter.push(b"x");
+        assert_eq!(splitter.next_event(), Ok(None));
+    }
+    splitter.push(b"x");
+    assert_eq!(splitter.next_event(), Err(StreamFault::TooLarge));
+    assert!(began.elapsed() < Duration::from_secs(2));
+}
