Refuse what has no answer shortly before a planned stop ends

What callers saw: a connection that closed without an answer when the process ended, under a call or a stream that was read long before and whose upstream took longer than the rest of the stop.

Cause: requests were held as long as their route and their caller allow, whatever was left of the stop.

Change: 0.2 s before the process exits, each request without an answer gets one: 503 if it was not yet read to its end, else 504, as it may have run. A plain call that is read with less time left than its route's objective is refused as not run and not sent. Streams whose answer has begun are not touched.

--- a/crates/gateway/src/serve/ingress.rs
+++ b/crates/gateway/src/serve/ingress.rs
@@ -82,6 +82,27 @@
     facts: RequestFacts,
     body: Incoming,
 ) -> Result<Response<Body>, Failure> {
+    let receiving = Box::pin(receive(state, received, head, facts, body));
+    let reading = state.stop.in_time(receiving);
+    let (call, _room) = reading
+        .await
+        .map_err(|_| Failure::new(ErrorKind::Stopping, "this host stops"))??;
+    check_time_to_answer(state, &call.route)?;
+    let running = state.stop.in_time(Box::pin(run(state, call)));
+    running.await.unwrap_or_else(|_| {
+        let detail = "this host stops and has no answer yet";
+        Err(Failure::new(ErrorKind::Stopping, detail).after_earlier_attempt(Ran::Unknown))
+    })
+}
+
+/// Admits a request and reads its body. The permit counts the memory of the body.
+async fn receive(
+    state: &Arc<GatewayState>,
+    received: Instant,
+    head: request::Parts,
+    facts: RequestFacts,
+    body: Incoming,
+) -> Result<(Arc<Call>, Option<OwnedSemaphorePermit>), Failure> {
     state.wait_for_first_view().await;
     state.wait_for_view_after_standstill().await;
     let admitted = admit(state, &head, &facts)?;
@@ -99,7 +120,7 @@
         deadline += MAX_HOLD;
     }
     let reading = clock::timeout_at(deadline, read_body(state, &admitted.configuration, body));
-    let (body, _room) = reading
+    let (body, room) = reading
         .await
         .map_err(|_| Failure::new(ErrorKind::RequestTooSlow, "the body took too long"))??;
     let call = Arc::new(prepare(received, head, facts, body, admitted));
@@ -110,6 +131,10 @@
         call.view,
         call.customer.as_deref().unwrap_or("-")
     );
+    Ok((call, room))
+}
+
+async fn run(state: &Arc<GatewayState>, call: Arc<Call>) -> Result<Response<Body>, Failure> {
     match call.route.kind {
         RouteKind::Stream { .. } => run_stream(state, call).await,
         RouteKind::Safe | RouteKind::Unsafe => {
@@ -120,6 +145,19 @@
     }
 }
 
+/// Checks that a plain call is likely to end before this host has stopped.
+fn check_time_to_answer(state: &GatewayState, route: &Route) -> Result<(), Failure> {
+    match (route.kind, state.stop.time_to_answer()) {
+        (RouteKind::Safe | RouteKind::Unsafe, Some(left))
+            if left.is_zero() || left < route.objective =>
+        {
+            let detail = "this host stops before the call would end";
+            Err(Failure::new(ErrorKind::Stopping, detail))
+        }
+        (RouteKind::Safe | RouteKind::Unsafe | RouteKind::Stream { .. }, _) => Ok(()),
+    }
+}
+
 fn admit(
     state: &GatewayState,
     head: &request::Parts,
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -2,12 +2,12 @@
 
 use {
     std::{
-        future::pending,
+        future::{Future, pending},
         sync::atomic::{AtomicBool, AtomicUsize, Ordering},
         time::{Duration, Instant},
     },
     tealshore_core::{
-        clock,
+        clock::{self, TimedOut},
         protection::{Protection, enabled},
     },
     tokio::sync::watch,
@@ -19,6 +19,8 @@
 /// Time before the end of the stop period at which the process exits regardless of requests
 /// in flight.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
+/// The time that is left to write the last answers before the process exits.
+const WRITING_TIME: Duration = Duration::from_millis(200);
 
 /// The phases of a graceful stop, as times since the signal.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,6 +30,8 @@
     pub last_answers: Duration,
     /// From here on, no connection is accepted and no further request is read. What was read is still answered.
     pub close: Duration,
+    /// Requests that have no answer yet are refused.
+    pub refuse: Duration,
     /// The process exits regardless of requests in flight.
     pub exit: Duration,
 }
@@ -42,6 +46,7 @@
         Self {
             last_answers: close * 3 / 5,
             close,
+            refuse: exit.saturating_sub(WRITING_TIME),
             exit,
         }
     }
@@ -102,13 +107,36 @@
 
     /// Waits until a stop was requested and no further request is to be read.
     pub async fn wait_for_close(&self) {
+        self.wait_for(self.schedule.close).await;
+    }
+
+    /// How long a request may still wait for its answer; `None` if no stop was requested.
+    pub fn time_to_answer(&self) -> Option<Duration> {
+        let age = self.age()?;
+        Some(self.schedule.refuse.saturating_sub(age))
+    }
+
+    /// Runs a part of a request until it completes, or until requests without an answer are refused.
+    ///
+    /// # Errors
+    /// The request has to be refused.
+    pub async fn in_time<F: Future>(&self, part: F) -> Result<F::Output, TimedOut> {
+        tokio::select! {
+            biased;
+            output = part => Ok(output),
+            () = self.wait_for(self.schedule.refuse) => Err(TimedOut),
+        }
+    }
+
+    /// Waits until a stop was requested and has lasted for some time.
+    async fn wait_for(&self, age: Duration) {
         let mut requested_at = self.requested_at.subscribe();
         let requested_at = requested_at.wait_for(Option::is_some).await;
         // The sender is dropped only with the whole state.
         let Some(requested_at) = requested_at.ok().and_then(|at| *at) else {
             return pending().await;
         };
-        clock::sleep_until(requested_at + self.schedule.close).await;
+        clock::sleep_until(requested_at + age).await;
     }
 
     /// Records that all connections of callers have ended, so that every answer is written.
