Count an engine's refusal that breaks off as a failed attempt

What callers saw: 504 with the budget of repeated sends spent, though a sound engine was free. Beside it the host had no budget left for the streams of other callers, which then wait for it or are broken off.

Cause: an engine that answered a stream with a signed status that is no success and broke off within that answer's body was neither avoided nor counted in the losses. It was chosen again at once, over and over, and each time took from the retry budget.

Change: such an answer is recorded like any other lost one (body-broken), so the next choice is another engine.

--- a/crates/gateway/src/forward/stream/order.rs
+++ b/crates/gateway/src/forward/stream/order.rs
@@ -274,7 +274,7 @@
     }
 
     /// Reads an answer that is not a stream.
-    pub async fn read_whole(&self, answer: Answer) -> PlaceFailure {
+    pub async fn read_whole(&mut self, upstream: &Upstream, answer: Answer) -> PlaceFailure {
         let mut head = answer.head;
         match read_limited(answer.body, MAX_ANSWER_BYTES).await {
             Ok(body) => {
@@ -282,7 +282,7 @@
                 head.extensions.clear();
                 PlaceFailure::NonStream(Box::new(Response::from_parts(head, full(body))))
             }
-            Err(_) => PlaceFailure::Unknown,
+            Err(_) => self.record_unknown_outcome(upstream, "body-broken", Outcome::Lost),
         }
     }
 }
--- a/crates/gateway/src/forward/stream/place.rs
+++ b/crates/gateway/src/forward/stream/place.rs
@@ -272,7 +272,7 @@
         let sent_at = clock::now();
         let answer = self.send_request(&upstream, &plan).await?;
         let Some(head) = self.check_head(&upstream, &answer, plan.resume_from.is_some())? else {
-            return Err(self.read_whole(answer).await);
+            return Err(self.read_whole(&upstream, answer).await);
         };
         if plan.resume_from.is_none() {
             self.record_outcome(&upstream.record, Outcome::Answered(clock::elapsed(sent_at)));
