Log and count an engine's refusal of a stream that is passed on

What operators saw: a stream whose engine answered with a signed status that is no success left no line that ends it and no count, so it could not be told from one that ended without an answer.

Change: it ends with `stream: ended outcome=upstream-failed` and counts in tealshore_requests_total, as a plain call's does.

--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -28,7 +28,7 @@
     },
     attempt::Attempt,
     engines_tried::EnginesTried,
-    http::{Response, response},
+    http::{Response, StatusCode, response},
     own_run::find_own_run,
     place::Placed,
     recopy::Recopy,
@@ -127,7 +127,10 @@
             head.extensions.clear();
             Ok(Response::from_parts(head, run.into_body(first)))
         }
-        Opened::NonStream(response) => Ok(response),
+        Opened::NonStream(response) => {
+            run.log_non_stream(response.status());
+            Ok(response)
+        }
     }
 }
 
@@ -201,6 +204,26 @@
         }
     }
 
+    /// Reports an engine's answer that is no stream and is passed on. It is never a success.
+    fn log_non_stream(&self, status: StatusCode) {
+        let outcome = "upstream-failed";
+        self.state
+            .metrics
+            .outcomes
+            .with_label_values(&[outcome])
+            .inc();
+        log::info!(
+            "stream: ended request={} digest={} outcome={outcome} status={} runs={} age_ms={} left_ms={} {}",
+            self.call.id(),
+            self.call.fingerprint_hex(),
+            status.as_u16(),
+            self.tried.count(),
+            self.call.age_ms(),
+            self.call.left(clock::now()).as_millis(),
+            self.call.view
+        );
+    }
+
     fn engines(&self) -> Engines {
         let service = self.call.configuration.services.get(&self.call.service);
         service
