--- a/crates/gateway/src/forward/stream/order.rs
+++ b/crates/gateway/src/forward/stream/order.rs
@@ -190,6 +190,10 @@
         outcome: Outcome,
     ) -> PlaceFailure {
         self.record_outcome(&upstream.record, outcome);
+        let engine = &upstream.record.id;
+        if !self.tried.silent().contains(engine) {
+            self.tried.record_failure(engine, clock::now());
+        }
         self.record_failed_attempt(upstream, cause, PlaceFailure::Unknown)
     }
 
@@ -251,11 +255,16 @@
                 Outcome::Failed,
             ));
         }
+        // No other protocol was asked for, and passed on, this status would end the caller's connection.
+        if status.is_informational() {
+            return Err(self.record_unknown_outcome(upstream, "interim-status", Outcome::Failed));
+        }
         if status.is_success() {
             return Ok(Some(answer.head.clone()));
         }
         if status.is_server_error() && self.call.route.may_repeat() {
             self.record_outcome(&upstream.record, Outcome::Failed);
+            self.tried.record_failure(&upstream.record.id, clock::now());
             self.failed_at.push(upstream.clone());
             return Err(self.record_failed_attempt(
                 upstream,
@@ -271,7 +280,7 @@
     }
 
     /// Reads an answer that is not a stream.
-    pub async fn read_whole(&self, answer: Answer) -> PlaceFailure {
+    pub async fn read_whole(&mut self, upstream: &Upstream, answer: Answer) -> PlaceFailure {
         let mut head = answer.head;
         match read_limited(answer.body, MAX_ANSWER_BYTES).await {
             Ok(body) => {
@@ -279,7 +288,7 @@
                 head.extensions.clear();
                 PlaceFailure::NonStream(Box::new(Response::from_parts(head, full(body))))
             }
-            Err(_) => PlaceFailure::Unknown,
+            Err(_) => self.record_unknown_outcome(upstream, "body-broken", Outcome::Lost),
         }
     }
 }
