Take a report without end for a sign of life

What callers got: 504 quarantined, for over 13 minutes, for a sound request whose streams broke off three times at engines that answer report calls with bytes without end or with more than 64 KiB.

Cause: such a report counted as a closed connection at full speed, and as silence where it trickled; both are signs that the engine crashed under the request, and only three are needed.

Change: bytes that are no report, or no whole one in time and size, are an outcome of their own. Whoever sends them lives, so it is no crash. A stream whose engine is silent and reports so goes on elsewhere if it can (probe-invalid), as before; but streams whose events come are no longer moved because another one found that.

--- a/crates/gateway/src/forward/ending.rs
+++ b/crates/gateway/src/forward/ending.rs
@@ -53,7 +53,11 @@
                 let report = probe::report(state, upstream, request).await;
                 match report {
                     Ok(report) => finding_from_report(&report, upstream, began),
-                    Err(CallFailure::Closed | CallFailure::Invalid) => ProbeResult::Refused,
+                    Err(CallFailure::Closed) => ProbeResult::Refused,
+                    // Whoever sends bytes lives.
+                    Err(CallFailure::Invalid) => ProbeResult::Lives {
+                        is_same_life: false,
+                    },
                     Err(CallFailure::TimedOut) => ProbeResult::Silent,
                 }
             }
--- a/crates/gateway/src/forward/probe.rs
+++ b/crates/gateway/src/forward/probe.rs
@@ -3,7 +3,7 @@
 use {
     super::dial::dial,
     crate::{
-        connection::{CallBounds, CallFailure, short_call},
+        connection::{CallBounds, CallFailure, Received, short_call_recording},
         edge::ProbeReport,
         rollout::Outcome,
         state::GatewayState,
@@ -36,6 +36,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ProbeOutcome {
     Unanswered,
+    /// The upstream lives, but sent something other than a report.
+    Invalid,
     /// The upstream lives and may have the request.
     Alive,
     /// The upstream lives and does not have the request.
@@ -84,6 +86,8 @@
 pub enum WaitFailure {
     /// The upstream does not answer probes.
     ProbeUnanswered,
+    /// The upstream lives, but answers probes with something other than a report.
+    ProbeInvalid,
     /// Another request or host found the upstream dead, and a probe was not answered.
     FoundDeadElsewhere,
     /// Another incarnation has the upstream's address.
@@ -103,6 +107,7 @@
         match self {
             Self::RequestMissing | Self::AnswerLost => true,
             Self::ProbeUnanswered
+            | Self::ProbeInvalid
             | Self::FoundDeadElsewhere
             | Self::Replaced
             | Self::SilentTooLong => false,
@@ -112,7 +117,10 @@
     /// Whether the upstream was only silent, so that it may still go on with the request.
     pub fn is_silence(self) -> bool {
         match self {
-            Self::ProbeUnanswered | Self::FoundDeadElsewhere | Self::SilentTooLong => true,
+            Self::ProbeUnanswered
+            | Self::ProbeInvalid
+            | Self::FoundDeadElsewhere
+            | Self::SilentTooLong => true,
             Self::Replaced | Self::RequestMissing | Self::AnswerLost => false,
         }
     }
@@ -125,7 +133,7 @@
             | Self::Replaced
             | Self::RequestMissing
             | Self::AnswerLost => Outcome::Lost,
-            Self::SilentTooLong => Outcome::Failed,
+            Self::ProbeInvalid | Self::SilentTooLong => Outcome::Failed,
         }
     }
 
@@ -133,6 +141,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::ProbeUnanswered => "probe-unanswered",
+            Self::ProbeInvalid => "probe-invalid",
             Self::FoundDeadElsewhere | Self::Replaced => "found-dead",
             Self::RequestMissing => "not-held",
             Self::AnswerLost => "answer-lost",
@@ -177,9 +186,10 @@
         // connection.
         match probe_outcome(state, upstream, pending_request.request).await {
             ProbeOutcome::Unanswered => WaitFailure::FoundDeadElsewhere,
-            ProbeOutcome::Alive | ProbeOutcome::Absent | ProbeOutcome::EventsMade(_) => {
-                std::future::pending().await
-            }
+            ProbeOutcome::Invalid
+            | ProbeOutcome::Alive
+            | ProbeOutcome::Absent
+            | ProbeOutcome::EventsMade(_) => std::future::pending().await,
         }
     };
     tokio::select! {
@@ -204,12 +214,20 @@
         absent_reports = if is_absent { absent_reports + 1 } else { 0 };
         let is_answer_lost = match result {
             ProbeOutcome::EventsMade(made) => made > pending_request.events_delivered,
-            ProbeOutcome::Unanswered | ProbeOutcome::Alive | ProbeOutcome::Absent => false,
+            ProbeOutcome::Unanswered
+            | ProbeOutcome::Invalid
+            | ProbeOutcome::Alive
+            | ProbeOutcome::Absent => false,
         };
         lost_reports = if is_answer_lost { lost_reports + 1 } else { 0 };
-        if result == ProbeOutcome::Unanswered {
-            state.suspect(upstream, "probe-unanswered");
-            return WaitFailure::ProbeUnanswered;
+        let probe_failure = match result {
+            ProbeOutcome::Unanswered => Some(WaitFailure::ProbeUnanswered),
+            ProbeOutcome::Invalid => Some(WaitFailure::ProbeInvalid),
+            ProbeOutcome::Alive | ProbeOutcome::Absent | ProbeOutcome::EventsMade(_) => None,
+        };
+        if let Some(failure) = probe_failure {
+            state.suspect(upstream, failure.name());
+            return failure;
         }
         if absent_reports >= REPORTS_TO_CONFIRM {
             return WaitFailure::RequestMissing;
@@ -230,26 +248,30 @@
     upstream: &Upstream,
     request: &RequestId,
 ) -> ProbeOutcome {
-    let report = report(state, upstream, request).await;
-    report.map_or(ProbeOutcome::Unanswered, |report| ProbeOutcome::of(&report))
+    match report(state, upstream, request).await {
+        Ok(report) => ProbeOutcome::of(&report),
+        Err(CallFailure::Invalid) => ProbeOutcome::Invalid,
+        Err(CallFailure::Closed | CallFailure::TimedOut) => ProbeOutcome::Unanswered,
+    }
 }
 
 /// Fetches an upstream's report, with what it says about one request. A second probe is sent
 /// shortly after the first, so that one lost packet does not make the upstream look dead.
 ///
 /// # Errors
-/// Neither probe was answered in time.
+/// Neither probe was answered in time. It is [`CallFailure::Invalid`] if anything arrived.
 pub async fn report(
     state: &GatewayState,
     upstream: &Upstream,
     request: &RequestId,
 ) -> Result<ProbeReport, CallFailure> {
+    let received = Received::default();
     let second = async {
         sleep(SECOND_PROBE_DELAY).await;
-        probe(state, upstream, request).await
+        probe(state, upstream, request, &received).await
     };
     let either = async {
-        let mut first = pin!(probe(state, upstream, request));
+        let mut first = pin!(probe(state, upstream, request, &received));
         let mut second = pin!(second);
         tokio::select! {
             report = &mut first => first_answered(report, second).await,
@@ -257,7 +279,14 @@
         }
     };
     let answered = timeout(PROBE_TIMEOUT, either).await;
-    answered.unwrap_or(Err(CallFailure::TimedOut))
+    let answered = answered.unwrap_or(Err(CallFailure::TimedOut));
+    answered.map_err(|failure| {
+        if received.is_any() {
+            CallFailure::Invalid
+        } else {
+            failure
+        }
+    })
 }
 
 /// Returns the report of one probe, or that of the other if the first was not answered.
@@ -275,10 +304,11 @@
     state: &GatewayState,
     upstream: &Upstream,
     request: &RequestId,
+    received: &Received,
 ) -> Result<ProbeReport, CallFailure> {
     state.record_unpermitted(&upstream.record);
     let call = state.protocol.probe_call(&upstream.record);
     let opening = dial(state, upstream).map_ok(|dialed| dialed.stream);
-    let (status, body) = short_call(opening, call, PROBE_BOUNDS).await?;
+    let (status, body) = short_call_recording(opening, call, PROBE_BOUNDS, received).await?;
     Ok(state.protocol.read_probe(status, &body, request))
 }
