Mark an engine as failing that answers streams with junk

Cause: an engine that fails streams at once is always idle, so most streams went there first, and each took from the retry budget to go on. Engines that answer with a server error are marked as failing once another engine serves the stream, those that send junk were not.

Change: they are, for the same two seconds and told to the other hosts the same way; an event at the wrong position is no such sign. The engine is not suspected and its row stays in use: it gets a stream now and then, and all of them again once it is sound.

Evidence: streams_are_not_refused_because_one_engine_of_four_answers_with_junk failed before and passes, with two kinds of heads, a body and empty lines. Plain services held (safe_calls_are_not_refused_...), since their failures raise the cost of an upstream.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -31,6 +31,15 @@
 }
 
 impl StreamFault {
+    /// Whether the bytes are an event, though not the expected one.
+    #[must_use]
+    pub fn is_event(self) -> bool {
+        match self {
+            Self::WrongPosition => true,
+            Self::TooLarge | Self::Empty => false,
+        }
+    }
+
     /// The fault's name in logs.
     #[must_use]
     pub fn name(self) -> &'static str {
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -74,7 +74,7 @@
     avoid: Vec<EngineId>,
     /// Engines at which the stream may have run.
     tried: EnginesTried,
-    /// Engines that answered the stream with a server error.
+    /// Engines that answered the stream with a server error, or with bytes that are no answer.
     failed_at: Vec<Arc<Upstream>>,
     /// How often the stream was sent, including sends that reached no engine.
     sends: u32,
--- a/crates/gateway/src/forward/stream/order.rs
+++ b/crates/gateway/src/forward/stream/order.rs
@@ -174,6 +174,9 @@
         if failure == SendFailure::Unreachable {
             self.state.suspect(upstream, "unreachable");
         }
+        if failure == SendFailure::InvalidAnswer {
+            self.failed_at.push(upstream.clone());
+        }
         if let Some(outcome) = failure.outcome() {
             return self.record_unknown_outcome(upstream, failure.name(), outcome);
         }
--- a/crates/gateway/src/forward/stream/relay.rs
+++ b/crates/gateway/src/forward/stream/relay.rs
@@ -147,6 +147,9 @@
                 // No crash check: the engine sent this data, so it had not ended, whatever answers
                 // at its address later.
                 Step::Invalid(fault) => {
+                    let attempt = self.attempt.as_ref().filter(|_| !fault.is_event());
+                    self.failed_at
+                        .extend(attempt.map(|attempt| attempt.upstream.clone()));
                     self.end_attempt(Loss {
                         cause: fault.name(),
                         outcome: Outcome::Failed,
