Bound the framing that an upstream sends without a piece of a body

Cause: the framing of a body was read in any amount, as long as it held no error.

Change: what arrives on a connection without completing a head or a piece of a body is bounded by the same 256 KiB, which held for heads alone. Such a body, and one whose framing is malformed, is a fault of an engine that lives (malformed-body), not a lost connection.

Evidence: with the new shape, a_safe_call_is_answered_by_another_upstream_than_one_that_sends_junk and a_stream_goes_on_elsewhere_when_its_engine_sends_junk_at_full_speed failed before and pass.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -14,7 +14,7 @@
     tokio::{net::TcpStream, task::JoinHandle, time::timeout},
 };
 
-pub use metered::Received;
+pub use metered::{AnswerBody, Received};
 
 /// Maximum size of the head of an answer, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
@@ -141,13 +141,14 @@
         let sent = timeout(bounds.idle_timeout, sending).await.ok()?;
         let (answer, _connection) = sent.ok()?;
         let status = answer.status();
-        let body = read_with_idle_timeout(answer.into_body(), bounds).await?;
+        let body = AnswerBody::new(answer.into_body(), received);
+        let body = read_with_idle_timeout(body, bounds).await?;
         Some((status, body))
     };
     timeout(bounds.timeout, transfer).await.ok()?
 }
 
-async fn read_with_idle_timeout(mut body: Incoming, bounds: TransferBounds) -> Option<Bytes> {
+async fn read_with_idle_timeout(mut body: AnswerBody, bounds: TransferBounds) -> Option<Bytes> {
     let mut received = BytesMut::new();
     loop {
         let Some(frame) = timeout(bounds.idle_timeout, body.frame()).await.ok()? else {
@@ -170,7 +171,8 @@
 ) -> Result<(StatusCode, Bytes), CallFailure> {
     let (answer, _connection) = send(opening, request, received).await?;
     let status = answer.status();
-    match read_limited(answer.into_body(), answer_bytes).await {
+    let body = AnswerBody::new(answer.into_body(), received.clone());
+    match read_limited(body, answer_bytes).await {
         Ok(body) => Ok((status, body)),
         Err(ReadError::TooLarge) => Err(CallFailure::Invalid),
         Err(ReadError::Broken) => Err(CallFailure::Closed),
@@ -187,10 +189,7 @@
     let handshake = handshake_recording(stream, received.clone()).await;
     let (mut sender, connection) = handshake.map_err(|_| CallFailure::Closed)?;
     match sender.send_request(request.map(Full::new)).await {
-        Ok(answer) => {
-            received.end_head();
-            Ok((answer, connection))
-        }
+        Ok(answer) => Ok((answer, connection)),
         Err(error) if received.is_invalid(&error) => Err(CallFailure::Invalid),
         Err(_) => Err(CallFailure::Closed),
     }
--- a/crates/gateway/src/connection/metered.rs
+++ b/crates/gateway/src/connection/metered.rs
@@ -1,7 +1,10 @@
-//! Counts what arrives on a connection, and bounds what arrives before the head of an answer.
+//! Counts what arrives on a connection, and bounds what arrives without being part of an answer.
 
 use {
+    bytes::Bytes,
+    hyper::body::{Body, Frame, Incoming, SizeHint},
     std::{
+        error::Error,
         io::{self, IoSlice},
         pin::Pin,
         sync::{
@@ -16,49 +19,56 @@
     },
 };
 
-/// Maximum number of bytes before the end of an answer's head, including interim answers, of which there may be any
-/// number.
-const MAX_BYTES_BEFORE_HEAD: usize = 256 * 1024;
+/// Maximum number of bytes that arrive without completing a head or a piece of a body: the framing of an answer, which
+/// may be any number of interim answers or one endless chunk length, and the piece that is being received.
+const MAX_UNDELIVERED_BYTES: usize = 256 * 1024;
 
 /// What has arrived on one or more connections.
 #[derive(Clone, Debug, Default)]
 pub struct Received {
-    /// How many bytes arrived before the end of the head.
-    bytes_before_head: Arc<AtomicUsize>,
-    has_head: Arc<AtomicBool>,
+    is_any: Arc<AtomicBool>,
+    /// How many bytes arrived since the head or the last piece of the body was delivered.
+    undelivered_bytes: Arc<AtomicUsize>,
 }
 
 impl Received {
     /// Whether any byte has arrived, which shows that the other side lives.
     #[must_use]
     pub fn is_any(&self) -> bool {
-        self.bytes_before_head.load(Ordering::Relaxed) > 0
+        self.is_any.load(Ordering::Relaxed)
     }
 
-    /// Records that the head has arrived. What follows is not bounded here.
-    pub fn end_head(&self) {
-        self.has_head.store(true, Ordering::Relaxed);
+    /// Records that the head or a piece of the body was delivered.
+    pub fn record_delivery(&self) {
+        self.undelivered_bytes.store(0, Ordering::Relaxed);
     }
 
-    /// Whether no head was received because of bytes that are none, rather than because the connection ended.
+    /// Whether an answer ended because of bytes that are none, rather than because the connection ended.
     #[must_use]
     pub fn is_invalid(&self, error: &hyper::Error) -> bool {
-        error.is_parse() || self.is_too_long()
+        let io_error = error.source().and_then(|source| source.downcast_ref());
+        let is_malformed = io_error.is_some_and(|error: &io::Error| {
+            matches!(
+                error.kind(),
+                io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput
+            )
+        });
+        error.is_parse() || is_malformed || self.is_too_long()
     }
 
     fn is_too_long(&self) -> bool {
-        self.bytes_before_head.load(Ordering::Relaxed) > MAX_BYTES_BEFORE_HEAD
+        self.undelivered_bytes.load(Ordering::Relaxed) > MAX_UNDELIVERED_BYTES
     }
 
     /// Records that bytes have arrived.
     ///
     /// # Errors
-    /// The head is too long.
+    /// Too many arrived without a head or a piece of a body.
     fn record(&self, bytes: usize) -> io::Result<()> {
-        if self.has_head.load(Ordering::Relaxed) {
-            return Ok(());
+        if bytes > 0 {
+            self.is_any.store(true, Ordering::Relaxed);
         }
-        self.bytes_before_head.fetch_add(bytes, Ordering::Relaxed);
+        self.undelivered_bytes.fetch_add(bytes, Ordering::Relaxed);
         if self.is_too_long() {
             return Err(io::ErrorKind::InvalidData.into());
         }
@@ -66,6 +76,50 @@
     }
 }
 
+/// The body of an answer that comes on a metered connection.
+pub struct AnswerBody {
+    body: Incoming,
+    received: Received,
+}
+
+impl AnswerBody {
+    /// Wraps the body of an answer whose head was just delivered.
+    pub fn new(body: Incoming, received: Received) -> Self {
+        received.record_delivery();
+        Self { body, received }
+    }
+
+    /// Whether the body ended because of bytes that are none, rather than because the connection ended.
+    #[must_use]
+    pub fn is_invalid(&self, error: &hyper::Error) -> bool {
+        self.received.is_invalid(error)
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<hyper::Result<Frame<Bytes>>>> {
+        let polled = Pin::new(&mut self.body).poll_frame(cx);
+        if matches!(polled, Poll::Ready(Some(Ok(_)))) {
+            self.received.record_delivery();
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// A connection that records what arrives.
 pub struct MeteredStream {
     stream: TcpStream,
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -28,6 +28,8 @@
     WrongPosition,
     /// An event has neither a position nor data.
     Empty,
+    /// The bytes do not form a body.
+    Malformed,
 }
 
 impl StreamFault {
@@ -36,7 +38,7 @@
     pub fn is_event(self) -> bool {
         match self {
             Self::WrongPosition => true,
-            Self::TooLarge | Self::Empty => false,
+            Self::TooLarge | Self::Empty | Self::Malformed => false,
         }
     }
 
@@ -47,6 +49,7 @@
             Self::TooLarge => "event-too-large",
             Self::WrongPosition => "wrong-position",
             Self::Empty => "empty-event",
+            Self::Malformed => "malformed-body",
         }
     }
 }
--- a/crates/gateway/src/forward/connect.rs
+++ b/crates/gateway/src/forward/connect.rs
@@ -9,7 +9,7 @@
         dial::{DialFailure, Dialed, Tunnel, dial},
     },
     crate::{
-        connection::{Connection, handshake},
+        connection::{AnswerBody, Connection, handshake},
         edge::AnswerFacts,
         rollout::Outcome,
         state::{GatewayState, SendBarrier},
@@ -91,7 +91,7 @@
     /// What the adapter read from the head.
     pub facts: AnswerFacts,
     /// The body of the answer.
-    pub body: Incoming,
+    pub body: AnswerBody,
     /// How the end of the body is recognised.
     pub body_end: BodyEnd,
     /// The tunnel through which the answer comes; `None` if the connection is direct.
@@ -134,7 +134,6 @@
         }
     });
     let (head, body) = answer?.into_parts();
-    received.end_head();
     let facts = state.protocol.read_answer(&head);
     state.apply_notices(upstream, &facts, id, sent);
     if is_foreign(&facts, id) && enabled(Protection::AnswerIdentity) {
@@ -144,7 +143,7 @@
         body_end: BodyEnd::of(&head, &body),
         head,
         facts,
-        body,
+        body: AnswerBody::new(body, received),
         through,
         connection,
     })
--- a/crates/gateway/src/forward/plain/attempt.rs
+++ b/crates/gateway/src/forward/plain/attempt.rs
@@ -23,7 +23,7 @@
     tealshore_core::{
         answer::{Failure, implies_not_executed},
         clock,
-        http::read_limited,
+        http::{ReadError, read_limited},
         protection::{Protection, enabled},
     },
 };
@@ -184,6 +184,7 @@
             (AttemptEnd::Answered(answer.head, body), "server-error")
         }
         Ok(body) => (AttemptEnd::Answered(answer.head, body), "answered"),
-        Err(_) => (AttemptEnd::Unknown(Outcome::Lost), "body-broken"),
+        Err(ReadError::TooLarge) => (AttemptEnd::Unknown(Outcome::Failed), "answer-too-large"),
+        Err(ReadError::Broken) => (AttemptEnd::Unknown(Outcome::Lost), "body-broken"),
     }
 }
--- a/crates/gateway/src/forward/stream/attempt.rs
+++ b/crates/gateway/src/forward/stream/attempt.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        connection::Connection,
+        connection::{AnswerBody, Connection},
         events::{Event, EventSplitter, StreamFault},
         forward::{
             connect::BodyEnd,
@@ -17,7 +17,6 @@
         view::Upstream,
     },
     http_body_util::BodyExt,
-    hyper::body::Incoming,
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -41,7 +40,7 @@
     /// How long the engine may be silent before its first event.
     pub silence_limits: SilenceLimits,
     /// The body of the engine's answer.
-    pub body: Incoming,
+    pub body: AnswerBody,
     /// How the end of the body is recognised.
     pub body_end: BodyEnd,
     /// The tunnel through which the answer comes; `None` if the connection is direct.
@@ -115,7 +114,7 @@
 }
 
 /// Reads until an event is complete or the body ends. If it is dropped meanwhile, what was read is kept.
-async fn next_arrival(body: &mut Incoming, events: &mut EventSplitter) -> Arrival {
+async fn next_arrival(body: &mut AnswerBody, events: &mut EventSplitter) -> Arrival {
     loop {
         match events.next_event() {
             Ok(Some(event)) => return Arrival::Event(event),
@@ -128,6 +127,9 @@
                     events.push(&bytes);
                 }
             }
+            Some(Err(error)) if body.is_invalid(&error) => {
+                return Arrival::Invalid(StreamFault::Malformed);
+            }
             Some(Err(_)) => return Arrival::BrokenOff,
             None => return Arrival::End,
         }
