Tell a malformed answer to a short call from a closed connection

A short call whose answer's framing is malformed or never ends was reported as closed by the other side, which speaks of an ended process; it is invalid now, as heads and bodies without end are.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -175,6 +175,7 @@
     match read_limited(body, answer_bytes).await {
         Ok(body) => Ok((status, body)),
         Err(ReadError::TooLarge) => Err(CallFailure::Invalid),
+        Err(ReadError::Broken) if received.has_invalid_body() => Err(CallFailure::Invalid),
         Err(ReadError::Broken) => Err(CallFailure::Closed),
     }
 }
--- a/crates/gateway/src/connection/metered.rs
+++ b/crates/gateway/src/connection/metered.rs
@@ -29,6 +29,8 @@
     is_any: Arc<AtomicBool>,
     /// How many bytes arrived since the head or the last piece of the body was delivered.
     undelivered_bytes: Arc<AtomicUsize>,
+    /// Whether a body ended because of bytes that are none.
+    has_invalid_body: Arc<AtomicBool>,
 }
 
 impl Received {
@@ -38,6 +40,12 @@
         self.is_any.load(Ordering::Relaxed)
     }
 
+    /// Whether a body ended because of bytes that are none.
+    #[must_use]
+    pub fn has_invalid_body(&self) -> bool {
+        self.has_invalid_body.load(Ordering::Relaxed)
+    }
+
     /// Records that the head or a piece of the body was delivered.
     pub fn record_delivery(&self) {
         self.undelivered_bytes.store(0, Ordering::Relaxed);
@@ -105,8 +113,13 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<hyper::Result<Frame<Bytes>>>> {
         let polled = Pin::new(&mut self.body).poll_frame(cx);
-        if matches!(polled, Poll::Ready(Some(Ok(_)))) {
-            self.received.record_delivery();
+        match &polled {
+            Poll::Ready(Some(Ok(_))) => self.received.record_delivery(),
+            Poll::Ready(Some(Err(error))) if self.is_invalid(error) => {
+                let has_invalid_body = &self.received.has_invalid_body;
+                has_invalid_body.store(true, Ordering::Relaxed);
+            }
+            Poll::Ready(Some(Err(_)) | None) | Poll::Pending => {}
         }
         polled
     }
