--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -28,9 +28,20 @@
     WrongPosition,
     /// An event has neither a position nor data.
     Empty,
+    /// The bytes do not form a body.
+    Malformed,
 }
 
 impl StreamFault {
+    /// Whether the bytes are an event, though not the expected one.
+    #[must_use]
+    pub fn is_event(self) -> bool {
+        match self {
+            Self::WrongPosition => true,
+            Self::TooLarge | Self::Empty | Self::Malformed => false,
+        }
+    }
+
     /// The fault's name in logs.
     #[must_use]
     pub fn name(self) -> &'static str {
@@ -38,6 +49,7 @@
             Self::TooLarge => "event-too-large",
             Self::WrongPosition => "wrong-position",
             Self::Empty => "empty-event",
+            Self::Malformed => "malformed-body",
         }
     }
 }
