End a run in the run log however its stream ends

What callers would see: a resume that reads its prompt anew, or a refusal that says 504 in place of 503, for ten minutes and more after a stream ended between its engine's head and its first event.

Change: a stream that is dropped without its end being logged logs it.

--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -106,6 +106,14 @@
     crash_check: CrashCheck,
     /// Replaces the copy of the run's memory when the engine that holds it is lost.
     recopy: Recopy,
+    /// Whether the run log says that this stream is being answered.
+    is_logged: bool,
+}
+
+impl Drop for StreamRun {
+    fn drop(&mut self) {
+        self.end_logged_run(false);
+    }
 }
 
 /// Opens a stream. Returns the head of the engine that sent the first event; the body carries the events of
@@ -174,6 +182,20 @@
             last_event_sent_at: None,
             crash_check: CrashCheck::default(),
             recopy: Recopy::default(),
+            is_logged: false,
+        }
+    }
+
+    /// Records in the run log that this stream is no longer answered, if the log says that it is.
+    fn end_logged_run(&mut self, is_complete: bool) {
+        if std::mem::take(&mut self.is_logged) {
+            self.state.runs.log.lock().end(
+                self.call.fingerprint,
+                &self.call.request(),
+                self.progress.last(),
+                is_complete,
+                clock::now(),
+            );
         }
     }
 
--- a/crates/gateway/src/forward/stream/place.rs
+++ b/crates/gateway/src/forward/stream/place.rs
@@ -347,6 +347,7 @@
             trace,
             origin: Some(origin),
         });
+        self.is_logged = true;
     }
 
     fn count_sends(&self, upstream: &Upstream, copy_to: Option<&Upstream>) {
--- a/crates/gateway/src/forward/stream/relay.rs
+++ b/crates/gateway/src/forward/stream/relay.rs
@@ -393,20 +393,14 @@
             RelayEnd::BrokenOff(break_off) => sender.abort(break_off.cause.into()),
         };
         let is_complete = end == RelayEnd::Complete;
-        let request = self.call.request();
-        self.state.runs.log.lock().end(
-            self.call.fingerprint,
-            &request,
-            self.progress.last(),
-            is_complete,
-            clock::now(),
-        );
+        self.end_logged_run(is_complete);
         // Dropping the attempt ends the run at the engine.
         let attempt = self.attempt.take();
         let upstream = attempt.map(|attempt| attempt.upstream.record.id.clone());
         let outcome = end.name();
         if is_complete {
-            self.state.record_completed(&request, self.call.fingerprint);
+            self.state
+                .record_completed(&self.call.request(), self.call.fingerprint);
             let took = clock::elapsed(self.call.received);
             self.state.metrics.observe_duration("stream", took);
             self.state.record_answer_time(&self.call.service, took);
--- a/crates/gateway/src/serve/ingress.rs
+++ b/crates/gateway/src/serve/ingress.rs
@@ -109,7 +109,7 @@
     received: Instant,
     head: request::Parts,
     facts: RequestFacts,
-    body: Incoming,
+    body: &mut Incoming,
 ) -> Result<(Arc<Call>, Option<OwnedSemaphorePermit>), Failure> {
     state.wait_for_first_view().await;
     state.wait_for_view_after_standstill().await;
