Ask a silent engine again whether it lives after an unframed end

Cause: an answer with neither a length nor chunks ends with its connection, so the host asks whether the engine still lives. An engine that was silent just then counted as one that had ended under its answer; the stream was sent elsewhere from its last event, where nothing was left to send.

Change: a silent engine is asked again for two seconds. One that refuses, or proves to be another life, counts as before, at once.

--- a/crates/gateway/src/forward/stream/attempt.rs
+++ b/crates/gateway/src/forward/stream/attempt.rs
@@ -21,7 +21,9 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    tealshore_core::ids::RequestId,
+    tealshore_core::{clock, ids::RequestId},
+    tealshore_quarantine::uncertain::ProbeResult,
+    tokio::time::sleep,
 };
 
 /// Silence between two events after which an engine is probed, and after which it counts as lost
@@ -31,6 +33,10 @@
     max: Duration::from_millis(4_000),
 };
 
+/// How long a silent engine is asked whether it lives after the end of its connection, and how often.
+const MAX_END_CHECK_TIME: Duration = Duration::from_secs(2);
+const END_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// One engine's part of a stream. Dropping it ends the run at the engine.
 pub struct Attempt {
     /// The engine that runs the stream.
@@ -185,11 +191,24 @@
         {
             return Step::Lost(Loss::connection_failed("ended-with-tunnel"));
         }
-        let kind = UpstreamKind::Engine;
-        let found = kind.find_state(state, &self.upstream, &self.request, self.began);
-        match found.await.evidence() {
+        match self.state_after_end(state).await.evidence() {
             None => Step::End,
             Some(_) => Step::Lost(Loss::connection_failed("ended-with-upstream")),
         }
     }
+
+    /// Returns the state of the engine after the end of its connection. An engine may be silent just then, so one that
+    /// is silent is asked again for some time.
+    async fn state_after_end(&self, state: &GatewayState) -> ProbeResult {
+        let began = clock::now();
+        loop {
+            let kind = UpstreamKind::Engine;
+            let found = kind.find_state(state, &self.upstream, &self.request, self.began);
+            let found = found.await;
+            if found != ProbeResult::Silent || clock::elapsed(began) >= MAX_END_CHECK_TIME {
+                return found;
+            }
+            sleep(END_CHECK_INTERVAL).await;
+        }
+    }
 }
