Leave a silent engine only for one that can go on, with its retry taken

What callers saw: begun streams that were broken off beside a pause although they could have waited, and streams that stayed at a dead engine until their deadline.

Causes, all in the decision to leave a silent engine: it left out engines that the stream had left before, though they had recovered since; it took suspected engines for a way on; it did not ask whether the prompt can still be read in time, as the placing does next; it looked at the retry budget and took from it later, so that all streams of an engine relied on one retry; and an engine that turned the stream away on its return no longer counted as one that was merely silent.

Change: the decision asks what the placing asks, leaves out the silent engine alone, and takes the retry, which is given back if it is not used. A stream that has shown nothing is refused after the budget's time of silence once only engines are left that it ran at. While it waits, its engine is probed each 0.8 s.

--- a/crates/gateway/src/forward/probe.rs
+++ b/crates/gateway/src/forward/probe.rs
@@ -31,6 +31,8 @@
 /// The delay before the next report is requested to confirm such a report. Upstreams renew their
 /// reports about as often.
 const CONFIRM_DELAY: Duration = Duration::from_millis(200);
+/// The interval between probes of a silent upstream whose request has nowhere else to go.
+const WAITING_PROBE_INTERVAL: Duration = Duration::from_millis(800);
 
 /// The result of a probe.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -206,7 +208,11 @@
 ) -> WaitFailure {
     let mut absent_reports = 0;
     let mut lost_reports = 0;
-    let mut pause = pending_request.silence_limits.probe_after;
+    let mut pause = if pending_request.has_no_alternative {
+        WAITING_PROBE_INTERVAL
+    } else {
+        pending_request.silence_limits.probe_after
+    };
     loop {
         sleep(pause).await;
         let result = probe_outcome(state, upstream, pending_request.request).await;
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -88,8 +88,8 @@
     /// The attempt of the same caller whose run this stream continues.
     continues: Option<RequestId>,
     attempt: Option<Attempt>,
-    /// The engine that was last found silent, and since when.
-    silent_since: Option<(EngineId, Instant)>,
+    /// When an engine was first found silent since the last event.
+    silent_since: Option<Instant>,
     lost_at: Option<Instant>,
     /// Whether the stream has been counted for its customer.
     is_counted: bool,
@@ -108,11 +108,16 @@
     recopy: Recopy,
     /// Whether the run log says that this stream is being answered.
     is_logged: bool,
+    /// Whether a retry was taken from the budget for the next send.
+    has_reserved_retry: bool,
 }
 
 impl Drop for StreamRun {
     fn drop(&mut self) {
         self.end_logged_run(false);
+        if self.has_reserved_retry {
+            self.state.refund_retry(&self.call.service);
+        }
     }
 }
 
@@ -183,6 +188,7 @@
             crash_check: CrashCheck::default(),
             recopy: Recopy::default(),
             is_logged: false,
+            has_reserved_retry: false,
         }
     }
 
--- a/crates/gateway/src/forward/stream/choose.rs
+++ b/crates/gateway/src/forward/stream/choose.rs
@@ -3,7 +3,7 @@
 use {
     super::StreamRun,
     crate::{balance::Need, room, view::Upstream},
-    std::{sync::Arc, time::Duration},
+    std::sync::Arc,
     tealshore_core::{clock, ids::EngineId},
     tealshore_runs::MemoryCopy,
 };
@@ -80,15 +80,13 @@
     }
 
     /// Whether to go on waiting for a silent engine, as the stream can't go on elsewhere now. An engine may be silent
-    /// for a while and then continue, and one that is no longer listed may still be serving what it has begun. A stream
-    /// that its caller may repeat and has seen nothing of waits for a limited time, and only for a listed engine: its
-    /// caller's next attempt is the better chance.
+    /// for a while and then continue, and one that is no longer listed may still be serving what it has begun.
     pub fn must_wait_for(&mut self, upstream: &Upstream) -> bool {
         let engine = &upstream.record.id;
+        self.silent_since.get_or_insert_with(clock::now);
         let may_refuse = !self.has_begun() && self.call.route.may_repeat();
         let is_listed = self.state.view.upstreams.get(engine).is_some();
-        let is_too_long = self.silence_of(engine) >= room::budget_wait(self.call.route.objective);
-        let gives_up = may_refuse && (is_too_long || !is_listed);
+        let gives_up = self.is_better_refused() || (may_refuse && !is_listed);
         let must_wait = !gives_up && !self.may_move_from(engine);
         if must_wait {
             log::info!(
@@ -102,32 +100,44 @@
         must_wait
     }
 
-    /// How long ago an engine was first found silent, if it is the one that was found so last.
-    fn silence_of(&mut self, engine: &EngineId) -> Duration {
-        let now = clock::now();
-        let since = match &self.silent_since {
-            Some((id, since)) if id == engine => *since,
-            Some(_) | None => now,
-        };
-        self.silent_since = Some((engine.clone(), since));
-        now.saturating_duration_since(since)
+    /// Records that the stream leaves a silent engine. It may then go to all engines that it left before, which may have
+    /// recovered meanwhile.
+    pub fn leave_silent(&mut self, engine: &EngineId) {
+        self.avoid.clear();
+        self.tried.record_silence(engine);
     }
 
-    /// Whether the stream could now go on elsewhere than at `engine`.
+    /// Whether engines were silent for so long that a stream which its caller may repeat, and has seen nothing of, is
+    /// better refused: the caller's next attempt is the better chance.
+    pub fn is_better_refused(&self) -> bool {
+        let may_refuse = !self.has_begun() && self.call.route.may_repeat();
+        let max_silence = room::budget_wait(self.call.route.objective);
+        let since = self.silent_since;
+        may_refuse && since.is_some_and(|since| clock::elapsed(since) >= max_silence)
+    }
+
+    /// Whether the stream can go on elsewhere than at `engine` now. If so, takes the retry for it from the budget.
     fn may_move_from(&mut self, engine: &EngineId) -> bool {
+        let service = &self.call.service;
         if !self.call.route.may_repeat()
             || !self.has_position()
             || self.state.check_quarantine(&self.call).is_err()
+            || self.check_time_left().is_err()
+            || !self.state.may_retry(service)
         {
             return false;
         }
         let preferences = (self.copy.clone(), self.prompt_cached_at.clone());
-        self.avoid.push(engine.clone());
+        let avoided = std::mem::replace(&mut self.avoid, vec![engine.clone()]);
         let chosen = self.choose();
-        self.avoid.pop();
+        self.avoid = avoided;
         (self.copy, self.prompt_cached_at) = preferences;
-        let is_elsewhere = chosen.is_some_and(|chosen| chosen.upstream.record.id != *engine);
-        is_elsewhere && self.state.may_retry(&self.call.service)
+        let now = clock::now();
+        let is_elsewhere = chosen.is_some_and(|Chosen { upstream, .. }| {
+            upstream.record.id != *engine && !upstream.is_suspected(now)
+        });
+        self.has_reserved_retry = is_elsewhere && self.state.take_retry(&self.call.service);
+        self.has_reserved_retry
     }
 
     /// What the whole prompt needs from an engine.
--- a/crates/gateway/src/forward/stream/engines_tried.rs
+++ b/crates/gateway/src/forward/stream/engines_tried.rs
@@ -43,7 +43,6 @@
 impl EnginesTried {
     /// Records a send to an engine.
     pub fn begin(&mut self, engine: &EngineId) {
-        self.silent.retain(|id| id != engine);
         match self.sends.iter_mut().find(|(id, _)| id == engine) {
             Some((_, sends)) => *sends += 1,
             None => self.sends.push((engine.clone(), 1)),
@@ -65,6 +64,11 @@
         }
     }
 
+    /// Records that a run at an engine ended otherwise, so that the stream does not return there.
+    pub fn record_end(&mut self, engine: &EngineId) {
+        self.silent.retain(|id| id != engine);
+    }
+
     /// The engines that were given up only because they were silent, the first one first. The stream may return to
     /// them.
     #[must_use]
--- a/crates/gateway/src/forward/stream/order.rs
+++ b/crates/gateway/src/forward/stream/order.rs
@@ -79,7 +79,6 @@
         let request = self.call.request_for(&self.state, upstream, &order);
         self.tried.begin(&upstream.record.id);
         self.deliveries += 1;
-        self.silent_since = None;
         let sent_at = clock::now();
         let waited = self.send_and_wait(upstream, plan, request).await;
         match waited {
@@ -95,14 +94,13 @@
                 if wait_failure.has_read_prompt() {
                     self.allow_retry_at(upstream, clock::elapsed(sent_at));
                 }
-                if wait_failure.is_silence() {
-                    self.tried.record_silence(&upstream.record.id);
+                let (cause, outcome) = (wait_failure.name(), wait_failure.outcome());
+                if !wait_failure.is_silence() {
+                    return Err(self.record_unknown_outcome(upstream, cause, outcome));
                 }
-                Err(self.record_unknown_outcome(
-                    upstream,
-                    wait_failure.name(),
-                    wait_failure.outcome(),
-                ))
+                self.leave_silent(&upstream.record.id);
+                self.record_outcome(&upstream.record, outcome);
+                Err(self.record_failed_attempt(upstream, cause, PlaceFailure::Unknown))
             }
         }
     }
@@ -194,9 +192,8 @@
     ) -> PlaceFailure {
         self.record_outcome(&upstream.record, outcome);
         let engine = &upstream.record.id;
-        if !self.tried.silent().contains(engine) {
-            self.tried.record_failure(engine, clock::now());
-        }
+        self.tried.record_end(engine);
+        self.tried.record_failure(engine, clock::now());
         self.record_failed_attempt(upstream, cause, PlaceFailure::Unknown)
     }
 
--- a/crates/gateway/src/forward/stream/place.rs
+++ b/crates/gateway/src/forward/stream/place.rs
@@ -82,6 +82,9 @@
                 self.avoid.clear();
                 continue;
             };
+            if self.is_better_refused() && self.tried.contains(&chosen.upstream.record.id) {
+                return Err(self.refusal(ErrorKind::NoEngine, "the engines are silent"));
+            }
             if let Err(failure) = self.check_send() {
                 return Err(self.refusal(failure.kind, &failure.detail));
             }
@@ -197,7 +200,8 @@
     /// whether the send is allowed.
     fn take_from_retry_budget(&mut self) -> bool {
         self.draws_on_budget = self.deliveries > 0;
-        !self.draws_on_budget || self.state.take_retry(&self.call.service)
+        let has_reserved = std::mem::take(&mut self.has_reserved_retry);
+        !self.draws_on_budget || has_reserved || self.state.take_retry(&self.call.service)
     }
 
     /// Restores the copy or the cached prompt that led to a choice, for the next attempt, if nothing
--- a/crates/gateway/src/forward/stream/relay.rs
+++ b/crates/gateway/src/forward/stream/relay.rs
@@ -196,6 +196,7 @@
         }
         if let Some(attempt) = self.attempt.as_mut() {
             attempt.events_delivered = self.progress.last().unwrap_or(self.progress.delivered());
+            attempt.has_no_alternative = false;
         }
         self.silent_since = None;
         self.record_begin();
@@ -329,13 +330,16 @@
         }
         self.recopy = Recopy::default();
         self.lost_at = Some(clock::now());
-        self.avoid.push(attempt.upstream.record.id.clone());
         let engine = &attempt.upstream.record.id;
         if loss.is_silence {
-            self.tried.record_silence(engine);
-        } else if self.progress.delivered() == attempt.delivered_before {
-            self.tried.record_failure(engine, clock::now());
+            self.leave_silent(engine);
+        } else {
+            self.tried.record_end(engine);
+            if self.progress.delivered() == attempt.delivered_before {
+                self.tried.record_failure(engine, clock::now());
+            }
         }
+        self.avoid.push(engine.clone());
         let cause = loss.cause;
         self.state.metrics.losses.with_label_values(&[cause]).inc();
         log::warn!(
