Pause before a stream returns to an engine that failed it twice

One stream with two engines that break off before an event was sent 76 times and used up the budget that all hosts share; the limit of its route counts engines and not sends, so with fewer engines than that nothing stopped it.

Change: an engine that took a stream and failed it twice without an event is left out of its choices for 100 ms, twice as long after each further failure, up to 6.4 s. Silence is no such failure, and a run that brought an event is none. The stream still returns, so one that has begun goes on when its engines serve again.

--- a/crates/gateway/src/forward/stream/choose.rs
+++ b/crates/gateway/src/forward/stream/choose.rs
@@ -37,7 +37,7 @@
         let preferable = |id: &EngineId| {
             let upstream = self.state.view.upstreams.get(id)?;
             let may_prefer = self.state.may_prefer(service, &upstream, now);
-            may_prefer.then_some(upstream)
+            (may_prefer && !self.tried.is_paused(id, now)).then_some(upstream)
         };
         if let Some(copy) = self.copy.take()
             && self.tried.allows(&copy.upstream, max_engines)
@@ -61,8 +61,12 @@
             });
         }
         let chosen = if self.tried.has_room(max_engines) {
-            self.state
-                .choose_upstream(service, self.need(), &self.avoid)?
+            let paused = self
+                .tried
+                .engines()
+                .filter(|id| self.tried.is_paused(id, now));
+            let avoid: Vec<EngineId> = self.avoid.iter().chain(paused).cloned().collect();
+            self.state.choose_upstream(service, self.need(), &avoid)?
         } else {
             let silent = self.tried.silent().iter();
             let mut returnable = silent.filter(|id| !self.avoid.contains(id));
--- a/crates/gateway/src/forward/stream/order.rs
+++ b/crates/gateway/src/forward/stream/order.rs
@@ -189,6 +189,10 @@
         outcome: Outcome,
     ) -> PlaceFailure {
         self.record_outcome(&upstream.record, outcome);
+        let engine = &upstream.record.id;
+        if !self.tried.silent().contains(engine) {
+            self.tried.record_failure(engine, clock::now());
+        }
         self.record_failed_attempt(upstream, cause, PlaceFailure::Unknown)
     }
 
@@ -259,6 +263,7 @@
         }
         if status.is_server_error() && self.call.route.may_repeat() {
             self.record_outcome(&upstream.record, Outcome::Failed);
+            self.tried.record_failure(&upstream.record.id, clock::now());
             self.failed_at.push(upstream.clone());
             return Err(self.record_failed_attempt(
                 upstream,
--- a/crates/gateway/src/forward/stream/relay.rs
+++ b/crates/gateway/src/forward/stream/relay.rs
@@ -326,8 +326,11 @@
         self.recopy = Recopy::default();
         self.lost_at = Some(clock::now());
         self.avoid.push(attempt.upstream.record.id.clone());
+        let engine = &attempt.upstream.record.id;
         if loss.is_silence {
-            self.tried.record_silence(&attempt.upstream.record.id);
+            self.tried.record_silence(engine);
+        } else if self.progress.delivered() == attempt.delivered_before {
+            self.tried.record_failure(engine, clock::now());
         }
         let cause = loss.cause;
         self.state.metrics.losses.with_label_values(&[cause]).inc();
