Don't quarantine a stream for what others crashed

Cause: only a single other request that was at each of the ends could explain them, and the verdict fell before the other requests had as many crashes as prove them guilty.

Change: ends are explained one by one, each by another request with three crashes, one of them without this request; what is left may be due to one that was at all of it, as before. A request that is newly in quarantine while others were at its ends is neither sent nor refused for 1.2 s. Five crashes quarantine in any case, as before.

Why it works: streams beside requests that crash engines go on to the few engines that are left, as these do, so their ends are shared by several of them; within a second each of these has its third crash or is alone.

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -31,12 +31,16 @@
         trial::{TRIAL_INTERVAL, Trials},
         uncertain::UncertainCrashes,
     },
-    tokio::sync::Notify,
+    tokio::{sync::Notify, time::sleep},
 };
 
 /// A stream with this many crashes against it that lost one more upstream is not resumed on the next one
 /// before it is known whether the lost upstream ended as well.
 const NEAR_QUARANTINE_CRASHES: usize = QUARANTINE_THRESHOLD - 1;
+/// How often a quarantine is checked that may still prove to be wrong.
+const SETTLING_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// A request does not wait for its quarantine to settle if its caller has less than this time left.
+const MIN_TIME_LEFT: Duration = Duration::from_millis(500);
 
 /// Crashes that are known to this host.
 pub struct Crashes {
@@ -103,6 +107,32 @@
         self.is_near(call.fingerprint, &call.shared_parts)
     }
 
+    /// Whether the request is in quarantine, and the next second may show that other requests have crashed its
+    /// upstreams. It is not refused before, unless its time runs out.
+    pub fn is_settling(&self, call: &Call) -> bool {
+        let now = clock::now();
+        let settles_in = self.log.lock().settles_in(call.fingerprint, now);
+        settles_in.is_some() && call.left(now) > MIN_TIME_LEFT
+    }
+
+    /// Waits until the quarantine of a request has settled, or has proved to be wrong.
+    pub async fn await_settled(&self, call: &Call) {
+        let began = clock::now();
+        while self.is_settling(call) {
+            sleep(SETTLING_CHECK_INTERVAL).await;
+        }
+        let waited = clock::elapsed(began);
+        if waited >= SETTLING_CHECK_INTERVAL {
+            let verdict = self.log.lock().verdict(call.fingerprint, clock::now());
+            log::info!(
+                "quarantine: verdict settled request={} digest={} waited_ms={} verdict={verdict:?}",
+                call.id(),
+                call.fingerprint_hex(),
+                waited.as_millis()
+            );
+        }
+    }
+
     fn is_near(&self, request: Fingerprint, shared_parts: &[PartId]) -> bool {
         let silent = self.uncertain.lock().silent(request);
         self.log.lock().against_with(request, silent) >= NEAR_QUARANTINE_CRASHES
--- a/crates/gateway/src/forward/ending.rs
+++ b/crates/gateway/src/forward/ending.rs
@@ -169,6 +169,7 @@
             // If the check was aborted, what is known so far applies.
             let _ = pending.await;
         }
+        state.crashes.await_settled(call).await;
         state.check_quarantine(call)
     }
 }
--- a/crates/gateway/src/forward/stream/place.rs
+++ b/crates/gateway/src/forward/stream/place.rs
@@ -83,6 +83,12 @@
                 continue;
             };
             if let Err(failure) = self.check_send() {
+                if failure.kind == ErrorKind::Quarantined
+                    && self.state.crashes.is_settling(&self.call)
+                {
+                    self.restore_preference(chosen);
+                    continue;
+                }
                 return Err(self.refusal(failure.kind, &failure.detail));
             }
             if !self.take_from_retry_budget() {
--- a/crates/quarantine/src/log.rs
+++ b/crates/quarantine/src/log.rs
@@ -25,6 +25,9 @@
 /// How long a request is quarantined after its last crash, until it is tried again. This is much longer than
 /// the time after which callers retry, and a request that is retried forever crashes one engine per period.
 pub const QUARANTINE_PERIOD: Duration = Duration::from_secs(600);
+/// How long after the last news about a request its quarantine may still prove to be wrong. Hosts recheck silent
+/// upstreams each second, and exchange their findings within 0.2 s.
+const SETTLING_TIME: Duration = Duration::from_millis(1_200);
 /// The maximum number of requests with stored crashes; they take less than 1 MB.
 const MAX_REQUESTS: usize = 2_000;
 /// The maximum number of requests in one set of updates, about 5 kB.
@@ -208,6 +211,28 @@
         }
     }
 
+    /// Returns how long a request in quarantine may still be found not to have caused its crashes, because other
+    /// requests that were present may prove to crash upstreams. It should not be refused before.
+    #[must_use]
+    pub fn settles_in(&self, request: Fingerprint, now: Instant) -> Option<Duration> {
+        if self.verdict(request, now) == Verdict::Allowed {
+            return None;
+        }
+        let record = self.records.get(&request)?;
+        let left = SETTLING_TIME.checked_sub(now.saturating_duration_since(record.changed))?;
+        let was_alone = !self.others(request).any(|other| {
+            let mut crashes = record.crashes.iter();
+            crashes.any(|crash| other.was_present_at(crash))
+        });
+        (!left.is_zero() && !was_alone).then_some(left)
+    }
+
+    fn others(&self, request: Fingerprint) -> impl Iterator<Item = &Record> {
+        let records = self.records.iter();
+        let others = records.filter(move |(other, _)| **other != request);
+        others.map(|(_, record)| record)
+    }
+
     /// Returns since when a request may be tried again after its quarantine.
     #[must_use]
     pub fn on_trial_since(&self, request: Fingerprint, now: Instant) -> Option<Instant> {
@@ -226,21 +251,35 @@
         Some((crashes, record.last_crash()? + QUARANTINE_PERIOD))
     }
 
-    /// Returns whether another request was present at each of the crashes and is incriminated by at least as
-    /// many, so that either may be the cause. Without this check, a stream that began at the same moment as a
-    /// request that crashes engines moved with it from engine to engine three times within 75 ms and was
-    /// refused (once in 3 runs of 14 s on 4 engines with two such requests). The next crash tells the two
-    /// apart.
+    /// Returns whether other requests may be the cause of each crash that incriminates a request. Such a request
+    /// must have crashed as many upstreams as put it in quarantine.
+    ///
+    /// A crash is explained by one that was present and has crashed another upstream without this request. All that
+    /// is left may be due to a single one that was present at each and is incriminated by at least as many crashes.
+    /// Streams beside requests that crash engines are sent to the few engines that are left, as these are: one lost
+    /// three engines to two such requests within a second, and another one moved with such a request from engine to
+    /// engine (once in 3 runs of 14 s on 4 engines with two such requests). The next crash tells them apart.
     fn has_alternative_cause(&self, request: Fingerprint, crashes: &[Crash]) -> bool {
         let own = incriminating(crashes);
         if own.len() >= CERTAINTY_THRESHOLD {
             return false;
         }
-        let mut others = self.records.iter().filter(|(other, _)| **other != request);
-        others.any(|(_, other)| {
-            let shared = |crash: &&Crash| other.crashes.iter().any(|it| it.is_same_crash(crash));
-            own.iter().all(shared) && incriminating_count(&other.crashes) >= own.len()
-        })
+        let present = self.others(request).filter(|record| {
+            own.iter().any(|crash| record.was_present_at(crash))
+                && incriminating_count(&record.crashes) >= QUARANTINE_THRESHOLD
+        });
+        let present: Vec<&Record> = present.collect();
+        let has_cause = |crash: &&Crash| {
+            let mut present = present.iter();
+            present.any(|it| it.was_present_at(crash) && it.has_crashed_without(crashes))
+        };
+        let unexplained: Vec<&Crash> = own.into_iter().filter(|it| !has_cause(it)).collect();
+        let mut present = present.iter();
+        unexplained.is_empty()
+            || present.any(|it| {
+                unexplained.iter().all(|crash| it.was_present_at(crash))
+                    && incriminating_count(&it.crashes) >= unexplained.len()
+            })
     }
 
     /// Returns the updates for other hosts: requests with at least two incriminating crashes, and recent
--- a/crates/quarantine/src/record.rs
+++ b/crates/quarantine/src/record.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        crash::{Crash, Shift, incriminating_count},
+        crash::{Crash, Shift, incriminating, incriminating_count},
         news::{CrashReport, CrashUpdate, to_millis},
     },
     std::time::{Duration, Instant},
@@ -61,6 +61,17 @@
         self.cleared.is_some() || self.is_suspect() || self.crashes.iter().any(Crash::is_at_start)
     }
 
+    /// Returns whether the request was on the upstream when it crashed.
+    pub(crate) fn was_present_at(&self, crash: &Crash) -> bool {
+        self.crashes.iter().any(|own| own.is_same_crash(crash))
+    }
+
+    /// Returns whether a crash incriminates the request that is none of `others`.
+    pub(crate) fn has_crashed_without(&self, others: &[Crash]) -> bool {
+        let mut incriminating = incriminating(&self.crashes).into_iter();
+        incriminating.any(|own| !others.iter().any(|other| own.is_same_crash(other)))
+    }
+
     pub(crate) fn last_crash(&self) -> Option<Instant> {
         self.crashes.iter().map(|crash| crash.ended).max()
     }
--- a/crates/quarantine/tests/log.rs
+++ b/crates/quarantine/tests/log.rs
@@ -135,6 +135,88 @@
     assert_eq!(log.verdict(BESIDE, now), Verdict::Allowed);
 }
 
+/// Records that these requests were on an upstream that crashed at `now`.
+fn crash_under(log: &mut CrashLog, requests: &[u64], upstream: &str, now: Instant) {
+    for request in requests {
+        let mut crash = crash_ended_at(now, upstream, 0);
+        crash.attempt = format!("{request}");
+        log.record(*request, crash, now);
+    }
+}
+
+/// Records three crashes under `REQUEST`, of which one other request was at the first two, and another one at the
+/// third. Each of these has crashed `own_crashes` more upstreams.
+fn log_with_two_other_causes(own_crashes: u64) -> (CrashLog, Instant) {
+    tealshore_core::protection::start();
+    let mut log = CrashLog::default();
+    let mut now = base_instant();
+    for (upstream, other) in [("i-0", 8), ("i-1", 8), ("i-2", 9)] {
+        now += Duration::from_millis(100);
+        crash_under(&mut log, &[REQUEST, other], upstream, now);
+    }
+    for number in 0..own_crashes {
+        for other in [8, 9] {
+            now += Duration::from_millis(100);
+            crash_under(&mut log, &[other], &format!("i-{other}-{number}"), now);
+        }
+    }
+    (log, now)
+}
+
+#[test]
+fn a_request_whose_crashes_two_other_requests_explain_is_not_quarantined() {
+    let (log, now) = log_with_two_other_causes(2);
+    assert_eq!(log.against(REQUEST), QUARANTINE_THRESHOLD);
+    assert!(!is_quarantined(&log, now));
+    for other in [8, 9] {
+        assert_ne!(log.verdict(other, now), Verdict::Allowed);
+    }
+}
+
+#[test]
+fn a_quarantine_ends_once_the_crashes_are_explained_by_other_requests() {
+    let (mut log, mut now) = log_with_two_other_causes(1);
+    assert!(is_quarantined(&log, now));
+    now += Duration::from_millis(100);
+    crash_under(&mut log, &[9], "i-4", now);
+    assert!(!is_quarantined(&log, now));
+    assert_eq!(log.settles_in(REQUEST, now), None);
+}
+
+#[test]
+fn a_request_that_crashes_an_upstream_without_the_others_is_quarantined() {
+    let (mut log, mut now) = log_with_two_other_causes(2);
+    now += Duration::from_millis(100);
+    crash_under(&mut log, &[REQUEST], "i-5", now);
+    assert!(is_quarantined(&log, now));
+}
+
+/// A request that was only beside the cause has no crash of its own, so it explains none.
+#[test]
+fn a_request_is_quarantined_although_others_were_beside_it_at_its_crashes() {
+    tealshore_core::protection::start();
+    let mut log = CrashLog::default();
+    let mut now = base_instant();
+    for (upstream, others) in [("i-0", [8, 9]), ("i-1", [8, 10]), ("i-2", [9, 10])] {
+        now += Duration::from_millis(100);
+        crash_under(&mut log, &[REQUEST, others[0], others[1]], upstream, now);
+    }
+    assert!(is_quarantined(&log, now));
+}
+
+/// What proves another request guilty may become known a second later.
+#[test]
+fn a_new_quarantine_settles_within_two_seconds_if_others_were_present() {
+    let (alone, now) = log_with_crashes(3);
+    assert_eq!(alone.settles_in(REQUEST, now), None);
+    let (log, now) = log_with_two_other_causes(0);
+    let second = Duration::from_secs(1);
+    let left = log.settles_in(REQUEST, now).unwrap();
+    assert!((second..2 * second).contains(&left), "{left:?}");
+    assert_eq!(log.settles_in(REQUEST, now + left), None);
+    assert!(is_quarantined(&log, now + left));
+}
+
 /// If two requests crash engines and always run on the same one, both are quarantined in the end.
 #[test]
 fn two_requests_that_always_crash_the_same_engines_are_both_quarantined() {
