Leave out windows that lost hosts may have reported

Cause: a new holder took a restored row without the decision for one in which nothing was decided, and no process was left that knew better.

Change: a process that takes the lease on a row whose token is of an era before the one in which it first read the row leaves out the undecided windows that could have been decided by a second after its start, in the same write.

Why it works: a window is never decided before its end and the time to settle, so all that lost hosts can have reported is left out. A missing report is priced, a second one that differs is forbidden.

--- a/crates/duties/src/lease.rs
+++ b/crates/duties/src/lease.rs
@@ -30,6 +30,12 @@
 /// if a restore from an older copy loses rows.
 const FENCES_PER_ERA: FencingToken = 1 << 32;
 
+/// Returns the era of the store in which a token was issued.
+#[must_use]
+pub fn era_of(fence: FencingToken) -> u32 {
+    u32::try_from(fence / FENCES_PER_ERA).unwrap_or(u32::MAX)
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct KnownRow {
     version: RowVersion,
--- a/crates/duties/src/usage/record.rs
+++ b/crates/duties/src/usage/record.rs
@@ -3,7 +3,7 @@
 use {
     super::{Counts, HallCounts, UsageLedger, UsageTiming, WindowIndex, oldest_retained},
     serde::{Deserialize, Serialize},
-    std::time::Duration,
+    std::{ops::Range, time::Duration},
 };
 
 /// The reported sums of one window.
@@ -134,6 +134,22 @@
             .collect()
     }
 
+    /// Leaves out the undecided windows that another holder may have decided by `moment`, a time since the Unix
+    /// epoch, at the earliest `settle` after their end. Returns them.
+    pub fn leave_out_decidable(
+        &mut self,
+        timing: UsageTiming,
+        settle: Duration,
+        moment: Duration,
+    ) -> Option<Range<WindowIndex>> {
+        let next = self.next?;
+        let first_kept = timing.window_at(moment.checked_sub(settle)?);
+        (first_kept > next).then(|| {
+            self.next = Some(first_kept);
+            next..first_kept
+        })
+    }
+
     /// Adds decided reports.
     pub fn decide(&mut self, reports: Vec<UsageReport>) {
         self.next = reports.last().map(|last| last.window + 1).or(self.next);
--- a/crates/duties/tests/usage.rs
+++ b/crates/duties/tests/usage.rs
@@ -564,6 +564,23 @@
     assert_eq!(next_holder.decided.len(), 1);
 }
 
+/// A store that came back from an older copy lost whether these were reported.
+#[test]
+fn windows_that_may_have_been_decided_by_lost_hosts_are_left_out() {
+    let mut usage = UsageRecord::default();
+    usage.start_at(FIRST_WINDOW);
+    let decided_first = TIMING.window_end(FIRST_WINDOW) + SETTLE;
+    let before = decided_first - Duration::from_millis(1);
+    assert_eq!(usage.leave_out_decidable(TIMING, SETTLE, before), None);
+    let left_out = usage.leave_out_decidable(TIMING, SETTLE, decided_first + TIMING.window);
+    assert_eq!(left_out, Some(FIRST_WINDOW..FIRST_WINDOW + 2));
+    assert_eq!(usage.next, Some(FIRST_WINDOW + 2));
+    assert_eq!(
+        usage.leave_out_decidable(TIMING, SETTLE, decided_first),
+        None
+    );
+}
+
 #[test]
 fn missing_decisions_are_added_only_once() {
     let mut row = UsageRecord::default();
--- a/crates/gateway/src/sync/duties.rs
+++ b/crates/gateway/src/sync/duties.rs
@@ -59,6 +59,8 @@
     lease_taken_at: Option<Instant>,
     /// The era of the store in which the state of the lease is known.
     era: StoreEra,
+    /// The era in which this process first read the row. It knows of no decision that a store lost before.
+    first_era: Option<StoreEra>,
 }
 
 impl DutyRunner {
@@ -78,6 +80,7 @@
             capacity_checked_at: None,
             lease_taken_at: None,
             era: 0,
+            first_era: None,
         })
     }
 
--- a/crates/gateway/src/sync/duties/decisions.rs
+++ b/crates/gateway/src/sync/duties/decisions.rs
@@ -4,13 +4,18 @@
     super::DutyRunner,
     crate::{capacity, duties::PlacedOrder, options::Duty, state::GatewayState},
     std::time::{Duration, Instant},
-    tealshore_duties::usage::{UsageStep, settle_delay},
+    tealshore_duties::{
+        lease::era_of,
+        usage::{UsageStep, settle_delay},
+    },
 };
 
 /// How long after its end a window is decided. Hosts send their counts once a second, and three
 /// consecutive datagrams of one host are seldom lost. A successor of a crashed holder still reports
 /// within ten seconds.
 const SETTLE_TIME: Duration = Duration::from_millis(3_500);
+/// A process learns what others decided within this time after its start.
+const EXCHANGE_TIME: Duration = Duration::from_secs(1);
 /// How often the holder evaluates which engines are needed.
 const CAPACITY_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -42,6 +47,30 @@
         }
     }
 
+    /// Leaves out windows that may have been reported before this process started, if the row is from before a restore
+    /// of the store of which this process knows nothing: a missing report costs less than a second, different one.
+    pub(super) fn leave_out_unwitnessed(&mut self, now: Instant) {
+        let row_era = era_of(self.record.lease.fence);
+        if self.first_era.is_none_or(|first_era| row_era >= first_era) {
+            return;
+        }
+        let state = self.state().clone();
+        let since_epoch = state.duties.since_epoch(state.feed.store_time(now), now);
+        let age = now.saturating_duration_since(self.started);
+        let started = since_epoch.saturating_sub(age) + EXCHANGE_TIME;
+        let bounds = self.options.usage;
+        let settle = SETTLE_TIME.min(bounds.due / 2);
+        let usage = &mut self.draft.usage;
+        state.duties.add_lost_decisions(usage);
+        if let Some(windows) = usage.leave_out_decidable(bounds, settle, started) {
+            log::warn!(
+                "duties: usage reports left out windows={windows:?} cause=perhaps-reported row_era={row_era} \
+                 first_era={:?}",
+                self.first_era
+            );
+        }
+    }
+
     fn decide_usage(&mut self, state: &GatewayState, now: Instant) {
         // Decisions of another holder may arrive only after the row was read.
         state.duties.add_lost_decisions(&mut self.draft.usage);
--- a/crates/gateway/src/sync/duties/row.rs
+++ b/crates/gateway/src/sync/duties/row.rs
@@ -55,6 +55,8 @@
 
     fn accept_record(&mut self, row: Option<(Revision, DutyRecord)>, sent_at: Instant) {
         self.store_failures = 0;
+        let era = self.state().feed.era();
+        self.first_era.get_or_insert(era);
         let (revision, record) = row.unwrap_or_default();
         let mut draft = record.clone();
         if record.lease.is_older_than(&self.held_record.lease) {
@@ -127,6 +129,9 @@
             }
             Purpose::WriteBack => lease,
         };
+        if purpose == Purpose::Take {
+            self.leave_out_unwitnessed(clock::now());
+        }
         let mut record = self.draft.clone();
         record.lease = lease;
         self.include_counts(&mut record);
