Let streams without an event wait for several silent engines

Beside other work, the test of engines that pause in turn served 21 of 24 streams once: a stream that had shown nothing was refused after two seconds of silence in all, though its engines paused one after the other.

--- a/crates/gateway/src/forward/stream/choose.rs
+++ b/crates/gateway/src/forward/stream/choose.rs
@@ -8,6 +8,9 @@
     tealshore_runs::MemoryCopy,
 };
 
+/// For how many times the wait for the retry budget a stream without an event waits for silent engines.
+const MAX_SILENT_WAITS: u32 = 3;
+
 /// A chosen engine, with the copy to resume from if it holds one.
 pub struct Chosen {
     /// The engine.
@@ -111,7 +114,7 @@
     /// better refused: the caller's next attempt is the better chance.
     pub fn is_better_refused(&self) -> bool {
         let may_refuse = !self.has_begun() && self.call.route.may_repeat();
-        let max_silence = room::budget_wait(self.call.route.objective);
+        let max_silence = room::budget_wait(self.call.route.objective) * MAX_SILENT_WAITS;
         let since = self.silent_since;
         may_refuse && since.is_some_and(|since| clock::elapsed(since) >= max_silence)
     }
