--- a/crates/gateway/src/forward/stream/choose.rs
+++ b/crates/gateway/src/forward/stream/choose.rs
@@ -90,7 +90,7 @@
         let may_refuse = !self.has_begun() && self.call.route.may_repeat();
         let is_listed = self.state.view.upstreams.get(engine).is_some();
         let gives_up = self.is_better_refused() || (may_refuse && !is_listed);
-        let must_wait = !gives_up && !self.may_move_from(engine);
+        let must_wait = !gives_up && !self.reserve_move_from(engine);
         if must_wait {
             log::info!(
                 "stream: waiting for a silent engine request={} upstream={engine} run={} last={:?} left_ms={}",
@@ -119,8 +119,8 @@
         may_refuse && since.is_some_and(|since| clock::elapsed(since) >= max_silence)
     }
 
-    /// Whether the stream can go on elsewhere than at `engine` now. If so, takes the retry for it from the budget.
-    fn may_move_from(&mut self, engine: &EngineId) -> bool {
+    /// Reserves a retry for going on elsewhere than at `engine`. Returns whether the stream can do so now.
+    fn reserve_move_from(&mut self, engine: &EngineId) -> bool {
         let service = &self.call.service;
         if !self.call.route.may_repeat()
             || !self.has_position()
