--- a/crates/quarantine/src/log.rs
+++ b/crates/quarantine/src/log.rs
@@ -256,9 +256,8 @@
     ///
     /// A crash is explained by one that was present and has crashed another upstream without this request. All that
     /// is left may be due to a single one that was present at each and is incriminated by at least as many crashes.
-    /// Streams beside requests that crash engines are sent to the few engines that are left, as these are: one lost
-    /// three engines to two such requests within a second, and another one moved with such a request from engine to
-    /// engine (once in 3 runs of 14 s on 4 engines with two such requests). The next crash tells them apart.
+    /// Streams beside requests that crash engines are sent to the few engines that are left, as these are, and lose
+    /// several engines to them. The next crash tells them apart.
     fn has_alternative_cause(&self, request: Fingerprint, crashes: &[Crash]) -> bool {
         let own = incriminating(crashes);
         if own.len() >= CERTAINTY_THRESHOLD {
