Close connections so that their last answer arrives

What callers saw: a refusal that was sent before the end of the request's body, or an answer behind which more requests lay unread, was lost to a reset of the connection.

Cause: a socket that is closed while bytes of the peer are unread or under way makes the kernel reset the connection. What the peer has not yet received is lost, and its writes fail.

Change: the server's sockets close in two steps. They close the sending side first, and then discard what is received until the peer closes too, for 2 s, 1 s after the last byte in either direction, or 64 MiB at the most. The connection counts towards the limit of connections until then. hyper shuts a socket down at each end in order: an answer to an unread body, an answer that closes, a graceful shutdown, HTTP/2 after GOAWAY. A connection that ends by an error is still closed at once. Tunnels take the plain socket out of its wrapper.

Why it works: nothing is unread when the socket closes, unless the peer sent for longer than the limits, and then it has had seconds to read.

--- a/crates/core/src/http/server.rs
+++ b/crates/core/src/http/server.rs
@@ -1,7 +1,10 @@
 //! An HTTP server with resource limits, for HTTP/1.1 and HTTP/2 with prior knowledge.
 
 use {
-    super::body::{Body, json_body},
+    super::{
+        accepted::AcceptedStream,
+        body::{Body, json_body},
+    },
     crate::answer::{ErrorKind, Failure, Problem},
     futures::FutureExt,
     http::{Request, Response},
@@ -77,7 +80,7 @@
             async move { Ok::<_, Infallible>(response.await.unwrap_or_else(|_| internal_error())) }
         });
         let connection = builder
-            .serve_connection_with_upgrades(TokioIo::new(stream), service)
+            .serve_connection_with_upgrades(TokioIo::new(AcceptedStream::new(stream)), service)
             .into_owned();
         let watched = graceful.watch(connection);
         tokio::spawn(async move {
--- a/crates/gateway/src/serve/tunnel.rs
+++ b/crates/gateway/src/serve/tunnel.rs
@@ -20,7 +20,7 @@
     std::{future::pending, io, sync::Arc, time::Duration},
     tealshore_core::{
         clock,
-        http::{Body, ServerOptions, empty, serve},
+        http::{AcceptedStream, Body, ServerOptions, empty, serve},
     },
     tealshore_paths::TunnelId,
     tokio::{
@@ -230,11 +230,11 @@
             return;
         }
     };
-    let Ok(parts) = downcast::<TokioIo<TcpStream>>(upgraded) else {
+    let Ok(parts) = downcast::<TokioIo<AcceptedStream>>(upgraded) else {
         log::error!("path: tunnel ended before it was used cause=unexpected-connection-type");
         return;
     };
-    let mut peer = parts.io.into_inner();
+    let mut peer = parts.io.into_inner().into_inner();
     for stream in [&peer, &upstream] {
         if let Err(error) = probe_when_idle(stream) {
             log::warn!("path: no keepalive probes for tunnel error={error}");
