Answer requests that arrived before a server stops

What callers saw: a request that lay in the socket of a connection as its host closed its connections, on a new connection or a kept one, was not read, and the connection ended without an answer.

Cause: a graceful shutdown ends an idle HTTP/1 connection, and one whose protocol version isn't known yet, without a look at the socket.

Change: when the server stops, each connection goes on for 100 ms before it is shut down. Its socket is polled before the timer, and the runtime takes the events of sockets before those of timers, so that what had arrived is read. This replaces hyper-util's GracefulShutdown, which has no place for it, by a channel of the same form.

Why it works: a request is now lost to the close only if it arrives after these 100 ms, when its caller sees the end of the connection at once.

--- a/crates/core/src/http/server.rs
+++ b/crates/core/src/http/server.rs
@@ -11,15 +11,22 @@
     hyper::{body::Incoming, service::service_fn},
     hyper_util::{
         rt::{TokioExecutor, TokioIo, TokioTimer},
-        server::{conn::auto::Builder, graceful::GracefulShutdown},
+        server::conn::auto::Builder,
     },
     std::{
         convert::Infallible, future::Future, io, net::SocketAddr, panic::AssertUnwindSafe,
         sync::Arc, time::Duration,
     },
-    tokio::{net::TcpListener, sync::Semaphore},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::{OwnedSemaphorePermit, Semaphore, watch},
+        time::sleep,
+    },
 };
 
+/// How long a stopping server still reads requests: those that its sockets had received are read by then.
+const LAST_READ_TIME: Duration = Duration::from_millis(100);
+
 /// The resource limits of a server.
 #[derive(Clone, Debug)]
 pub struct ServerOptions {
@@ -55,7 +62,8 @@
     Ok((listener, bound))
 }
 
-/// Serves connections until `stop` completes, then waits for the requests in flight to finish.
+/// Serves connections until `stop` completes, then waits for the requests in flight to finish, and for their callers to
+/// have received the answers.
 pub async fn serve<H, F, S>(listener: TcpListener, options: ServerOptions, handler: H, stop: S)
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
@@ -64,34 +72,66 @@
 {
     let builder = Arc::new(connection_builder(&options));
     let permits = Arc::new(Semaphore::new(options.max_connections));
-    let graceful = GracefulShutdown::new();
+    let stopping = watch::Sender::new(false);
+    let start = |stream: TcpStream, permit: OwnedSemaphorePermit| {
+        let connection = run_connection(
+            builder.clone(),
+            stream,
+            handler.clone(),
+            stopping.subscribe(),
+        );
+        tokio::spawn(async move {
+            connection.await;
+            drop(permit);
+        });
+    };
     let mut stop = std::pin::pin!(stop);
     loop {
         let accepted = tokio::select! {
             () = &mut stop => break,
             accepted = accept(&listener, &permits) => accepted,
         };
-        let Some((stream, permit)) = accepted else {
-            continue;
-        };
-        let handler = handler.clone();
-        let service = service_fn(move |request| {
-            let response = AssertUnwindSafe(handler(request)).catch_unwind();
-            async move { Ok::<_, Infallible>(response.await.unwrap_or_else(|_| internal_error())) }
-        });
-        let connection = builder
-            .serve_connection_with_upgrades(TokioIo::new(AcceptedStream::new(stream)), service)
-            .into_owned();
-        let watched = graceful.watch(connection);
-        tokio::spawn(async move {
-            // A connection error needs no handling here: the requests on the connection detect it
-            // themselves.
-            let _ = watched.await;
-            drop(permit);
-        });
+        if let Some((stream, permit)) = accepted {
+            start(stream, permit);
+        }
     }
     drop(listener);
-    graceful.shutdown().await;
+    stopping.send_replace(true);
+    stopping.closed().await;
+}
+
+/// Serves one connection until it ends.
+async fn run_connection<H, F>(
+    builder: Arc<Builder<TokioExecutor>>,
+    stream: TcpStream,
+    handler: H,
+    mut stopping: watch::Receiver<bool>,
+) where
+    H: Fn(Request<Incoming>) -> F + Send + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    // Tokens are small writes; with Nagle's algorithm each would wait for the acknowledgement of the previous one.
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let response = AssertUnwindSafe(handler(request)).catch_unwind();
+        async move { Ok::<_, Infallible>(response.await.unwrap_or_else(|_| internal_error())) }
+    });
+    let stream = TokioIo::new(AcceptedStream::new(stream));
+    let connection = builder.serve_connection_with_upgrades(stream, service);
+    let mut connection = std::pin::pin!(connection);
+    let last_reads = async {
+        // An error means that the server is gone.
+        let _ = stopping.wait_for(|stopping| *stopping).await;
+        sleep(LAST_READ_TIME).await;
+    };
+    // A connection error needs no handling here: the requests on the connection detect it themselves.
+    tokio::select! {
+        biased;
+        _ = &mut connection => return,
+        () = last_reads => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    let _ = connection.await;
 }
 
 /// The answer to a request whose handler panicked. The connection would otherwise close without one.
@@ -106,18 +146,13 @@
 async fn accept(
     listener: &TcpListener,
     permits: &Arc<Semaphore>,
-) -> Option<(tokio::net::TcpStream, tokio::sync::OwnedSemaphorePermit)> {
+) -> Option<(TcpStream, OwnedSemaphorePermit)> {
     const PAUSE_AFTER_ERROR: Duration = Duration::from_millis(20);
     let permit = permits.clone().acquire_owned().await.ok()?;
     match listener.accept().await {
-        Ok((stream, _)) => {
-            // Tokens are small writes; with Nagle's algorithm each would wait for the
-            // acknowledgement of the previous one.
-            let _ = stream.set_nodelay(true);
-            Some((stream, permit))
-        }
+        Ok((stream, _)) => Some((stream, permit)),
         Err(_) => {
-            tokio::time::sleep(PAUSE_AFTER_ERROR).await;
+            sleep(PAUSE_AFTER_ERROR).await;
             None
         }
     }
--- a/crates/core/tests/server.rs
+++ b/crates/core/tests/server.rs
@@ -96,6 +96,12 @@
     }
 }
 
+/// Sends on a connection without giving the server a chance to run on the same thread.
+fn send_at_once(stream: &TcpStream, bytes: &str) {
+    let sent = stream.try_write(bytes.as_bytes()).unwrap();
+    assert_eq!(sent, bytes.len());
+}
+
 /// Returns the head of a request, with these lines at its end.
 fn head(path: &str, lines: &str) -> String {
     format!("POST {path} HTTP/1.1\r\nhost: localhost\r\n{lines}\r\n")
@@ -296,6 +302,31 @@
     timeout(TIMEOUT, server.serving).await.unwrap().unwrap();
 }
 
+#[tokio::test]
+async fn a_request_that_arrived_before_the_server_stops_is_answered() {
+    for is_first in [true, false] {
+        let server = Server::start(100).await;
+        let mut callers = Vec::new();
+        for _ in 0..10 {
+            let mut caller = TcpStream::connect(server.address).await.unwrap();
+            if !is_first {
+                caller.write_all(request("/").as_bytes()).await.unwrap();
+                read_kept(&mut caller).await;
+            }
+            callers.push(caller);
+        }
+        sleep(ACCEPTING_TIME).await;
+        for caller in &callers {
+            send_at_once(caller, &request("/"));
+        }
+        server.stop.send(()).unwrap();
+        let answers = join_all(callers.into_iter().map(read_to_end)).await;
+        let whole = answers.iter().filter(|answer| is_whole(answer, "200"));
+        assert_eq!(whole.count(), 10, "first: {is_first}, {answers:?}");
+        timeout(TIMEOUT, server.serving).await.unwrap().unwrap();
+    }
+}
+
 #[tokio::test]
 async fn a_caller_that_keeps_an_idle_connection_does_not_hold_up_a_stop() {
     let server = Server::start(100).await;
