Accept the connections that wait as a server stops

What callers saw: a reset of connections that they had opened, and often sent a whole request on, just before the host closed its listener, or while it had as many connections as its limit allows.

Cause: the kernel resets connections that wait to be accepted when the listener closes.

Change: a stopping server first accepts what waits, beyond the limit of connections too: no more than 1024, the length of the queue, and no further ones follow.

Why it works: a connection can now be reset unseen only if its handshake ends between the last accept and the close of the listener, which follow each other without a wait.

--- a/crates/core/src/http/server.rs
+++ b/crates/core/src/http/server.rs
@@ -26,6 +26,8 @@
 
 /// How long a stopping server still reads requests: those that its sockets had received are read by then.
 const LAST_READ_TIME: Duration = Duration::from_millis(100);
+/// How many connections are taken from the kernel's queue as a server stops, whatever the limit: as many as it holds.
+const MAX_QUEUED_CONNECTIONS: usize = 1_024;
 
 /// The resource limits of a server.
 #[derive(Clone, Debug)]
@@ -73,7 +75,7 @@
     let builder = Arc::new(connection_builder(&options));
     let permits = Arc::new(Semaphore::new(options.max_connections));
     let stopping = watch::Sender::new(false);
-    let start = |stream: TcpStream, permit: OwnedSemaphorePermit| {
+    let start = |stream: TcpStream, permit: Option<OwnedSemaphorePermit>| {
         let connection = run_connection(
             builder.clone(),
             stream,
@@ -92,10 +94,13 @@
             accepted = accept(&listener, &permits) => accepted,
         };
         if let Some((stream, permit)) = accepted {
-            start(stream, permit);
+            start(stream, Some(permit));
         }
     }
-    drop(listener);
+    // Whole requests may wait there, and closing the listener would reset them.
+    for stream in accept_queued(listener) {
+        start(stream, None);
+    }
     stopping.send_replace(true);
     stopping.closed().await;
 }
@@ -158,6 +163,27 @@
     }
 }
 
+/// Closes a listener, and returns the connections that waited to be accepted.
+fn accept_queued(listener: TcpListener) -> Vec<TcpStream> {
+    let Ok(listener) = listener.into_std() else {
+        return Vec::new();
+    };
+    let mut accepted = Vec::new();
+    while accepted.len() < MAX_QUEUED_CONNECTIONS {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                let registered = stream
+                    .set_nonblocking(true)
+                    .and_then(|()| TcpStream::from_std(stream));
+                accepted.extend(registered);
+            }
+            Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
+            Err(_) => break,
+        }
+    }
+    accepted
+}
+
 fn connection_builder(options: &ServerOptions) -> Builder<TokioExecutor> {
     let mut builder = Builder::new(TokioExecutor::new());
     builder
--- a/crates/core/tests/server.rs
+++ b/crates/core/tests/server.rs
@@ -302,6 +302,36 @@
     timeout(TIMEOUT, server.serving).await.unwrap().unwrap();
 }
 
+#[tokio::test]
+async fn requests_on_connections_that_wait_to_be_accepted_as_the_server_stops_are_answered() {
+    let server = Server::start(100).await;
+    sleep(ACCEPTING_TIME).await;
+    let waiting: Vec<_> = (0..20)
+        .map(|_| server.connect_and_send(&request("/")))
+        .collect();
+    server.stop.send(()).unwrap();
+    let answers = join_all(waiting.into_iter().map(read_to_end)).await;
+    let whole = answers.iter().filter(|answer| is_whole(answer, "200"));
+    assert_eq!(whole.count(), 20, "{answers:?}");
+    timeout(TIMEOUT, server.serving).await.unwrap().unwrap();
+}
+
+#[tokio::test]
+async fn requests_beyond_the_limit_of_connections_are_answered_as_the_server_stops() {
+    let server = Server::start(1).await;
+    let mut kept = server.connect_and_send(&request("/"));
+    read_kept(&mut kept).await;
+    let waiting: Vec<_> = (0..5)
+        .map(|_| server.connect_and_send(&request("/")))
+        .collect();
+    sleep(ACCEPTING_TIME).await;
+    server.stop.send(()).unwrap();
+    let answers = join_all(waiting.into_iter().map(read_to_end)).await;
+    let whole = answers.iter().filter(|answer| is_whole(answer, "200"));
+    assert_eq!(whole.count(), 5, "{answers:?}");
+    timeout(TIMEOUT, server.serving).await.unwrap().unwrap();
+}
+
 #[tokio::test]
 async fn a_request_that_arrived_before_the_server_stops_is_answered() {
     for is_first in [true, false] {
