Write the log lines of a planned stop in any case

What on-call saw: a host that ended a planned stop without a word, just when its log was needed.

Cause: the last lines lay in the queue of the writer thread as `main` returned, and nothing waited for them. Besides, lines of a stop took from the same 200 lines a second and the same queue as all others, so refusals of returning callers, or a slow reader, left them out.

Change: records with the target `urgent` have a queue of their own, which the writer empties first, and no rate limit; the `stop:` lines use it.

--- a/crates/core/src/logs.rs
+++ b/crates/core/src/logs.rs
@@ -2,7 +2,7 @@
 
 mod bounded;
 
-pub use bounded::{BoundedOutput, LineBudget};
+pub use bounded::{BoundedOutput, LineBudget, URGENT_TARGET};
 use {
     crate::settings::{Section, SettingError},
     logforth::{
@@ -88,3 +88,8 @@
         .dispatch(|dispatch| dispatch.filter(filter).append(output))
         .apply();
 }
+
+/// Waits for a short time until the queued lines are written. Must be called before the process exits.
+pub fn flush() {
+    log::logger().flush();
+}
--- a/crates/core/src/logs/bounded.rs
+++ b/crates/core/src/logs/bounded.rs
@@ -1,7 +1,8 @@
 //! Writes log lines to an output without ever blocking the caller.
 //!
-//! Lines pass through a bounded queue to a writer thread. A line that exceeds the rate limit of its
-//! level or finds the queue full is dropped and counted; the count is logged later.
+//! Lines pass through bounded queues to a writer thread. A line that exceeds the rate limit of its
+//! level or finds its queue full is dropped and counted; the count is logged later. Urgent lines have
+//! a queue of their own, which is written first, and no rate limit.
 
 use {
     crate::clock,
@@ -10,19 +11,24 @@
         record::{Level, Record},
     },
     std::{
+        collections::VecDeque,
         fmt,
         io::Write,
         sync::{
-            Mutex,
+            Arc, Condvar, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicU64, Ordering},
-            mpsc::{Receiver, SyncSender, sync_channel},
         },
         time::{Duration, Instant, UNIX_EPOCH},
     },
 };
 
-/// The capacity of the queue in front of the writer thread.
+/// The target of urgent records. Their number must be bounded by what they report.
+pub const URGENT_TARGET: &str = "urgent";
+
+/// The capacity of each queue in front of the writer thread.
 const QUEUE_LINES: usize = 512;
+/// The longest wait of a flush. A reader that stands still must not hold up the exit of the process.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
 /// The length of the window over which lines are counted against the budget.
 const BUDGET_WINDOW: Duration = Duration::from_secs(1);
 
@@ -51,9 +57,82 @@
     warn: u32,
 }
 
+/// The lines that wait for the writer thread.
+#[derive(Default)]
+struct Queues {
+    urgent: VecDeque<String>,
+    ordinary: VecDeque<String>,
+    /// Whether the writer thread has taken a line that is not written yet.
+    is_writing: bool,
+    /// Whether no further line will come.
+    is_closed: bool,
+}
+
+impl Queues {
+    fn next(&mut self) -> Option<String> {
+        self.urgent
+            .pop_front()
+            .or_else(|| self.ordinary.pop_front())
+    }
+
+    fn is_written(&self) -> bool {
+        self.urgent.is_empty() && self.ordinary.is_empty() && !self.is_writing
+    }
+}
+
+/// The queues, and signals between the threads that use them.
+#[derive(Default)]
+struct Shared {
+    queues: Mutex<Queues>,
+    has_lines: Condvar,
+    is_written: Condvar,
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, Queues> {
+        // Each change of the queues is complete in itself.
+        self.queues.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Queues a line. Returns whether there was room.
+    fn push(&self, line: String, is_urgent: bool) -> bool {
+        let mut queues = self.lock();
+        let queue = if is_urgent {
+            &mut queues.urgent
+        } else {
+            &mut queues.ordinary
+        };
+        if queue.len() >= QUEUE_LINES {
+            return false;
+        }
+        queue.push_back(line);
+        drop(queues);
+        self.has_lines.notify_one();
+        true
+    }
+
+    /// Waits for the next line to write; `None` if no further one will come.
+    fn wait_for_next(&self) -> Option<String> {
+        let mut queues = self.lock();
+        queues.is_writing = false;
+        loop {
+            if let Some(line) = queues.next() {
+                queues.is_writing = true;
+                return Some(line);
+            }
+            self.is_written.notify_all();
+            if queues.is_closed {
+                return None;
+            }
+            let waited = self.has_lines.wait(queues);
+            queues = waited.unwrap_or_else(PoisonError::into_inner);
+        }
+    }
+}
+
 /// A log appender that never blocks.
 pub struct BoundedOutput {
-    queue: SyncSender<String>,
+    shared: Arc<Shared>,
     budget: LineBudget,
     window: Mutex<BudgetWindow>,
     dropped: AtomicU64,
@@ -62,10 +141,11 @@
 impl BoundedOutput {
     /// Starts a thread that writes the lines to `output`, and returns the appender that feeds it.
     pub fn start(budget: LineBudget, output: impl Write + Send + 'static) -> Self {
-        let (queue, lines) = sync_channel(QUEUE_LINES);
-        std::thread::spawn(move || write_lines(&lines, output));
+        let shared = Arc::<Shared>::default();
+        let written = shared.clone();
+        std::thread::spawn(move || write_lines(&written, output));
         Self {
-            queue,
+            shared,
             budget,
             window: Mutex::new(BudgetWindow {
                 started_at: clock::now(),
@@ -78,16 +158,34 @@
 
     /// Queues a line, or drops and counts it.
     pub fn write_line(&self, level: Level, line: String) {
-        if !self.is_within_budget(level) || self.queue.try_send(line).is_err() {
+        if !self.is_within_budget(level) || !self.shared.push(line, false) {
             self.dropped.fetch_add(1, Ordering::Relaxed);
             return;
         }
         let dropped = self.dropped.swap(0, Ordering::Relaxed);
-        if dropped > 0 && self.queue.try_send(dropped_line(dropped)).is_err() {
+        if dropped > 0 && !self.shared.push(dropped_line(dropped), false) {
             self.dropped.fetch_add(dropped, Ordering::Relaxed);
         }
     }
 
+    /// Queues a line that is written before all ordinary ones, or drops and counts it.
+    pub fn write_urgent_line(&self, line: String) {
+        if !self.shared.push(line, true) {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Waits for a short time until all lines are written. Returns whether they are.
+    pub fn wait_until_written(&self) -> bool {
+        let queues = self.shared.lock();
+        let is_unwritten = |queues: &mut Queues| !queues.is_written();
+        let waited = self
+            .shared
+            .is_written
+            .wait_timeout_while(queues, FLUSH_TIMEOUT, is_unwritten);
+        !waited.unwrap_or_else(PoisonError::into_inner).1.timed_out()
+    }
+
     fn is_within_budget(&self, level: Level) -> bool {
         let Ok(mut window) = self.window.lock() else {
             return false;
@@ -114,14 +212,21 @@
     format!("level=WARN logs: lines dropped count={count}\n")
 }
 
-fn write_lines(lines: &Receiver<String>, mut output: impl Write) {
-    while let Ok(line) = lines.recv() {
+fn write_lines(shared: &Shared, mut output: impl Write) {
+    while let Some(line) = shared.wait_for_next() {
         // A closed output must not stop the service, so write errors are ignored.
         let _ = output.write_all(line.as_bytes());
         let _ = output.flush();
     }
 }
 
+impl Drop for BoundedOutput {
+    fn drop(&mut self) {
+        self.shared.lock().is_closed = true;
+        self.shared.has_lines.notify_one();
+    }
+}
+
 impl fmt::Debug for BoundedOutput {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("BoundedOutput").finish_non_exhaustive()
@@ -138,11 +243,17 @@
             record.level().name(),
             record.payload()
         );
-        self.write_line(record.level(), line);
+        if record.target() == URGENT_TARGET {
+            self.write_urgent_line(line);
+        } else {
+            self.write_line(record.level(), line);
+        }
         Ok(())
     }
 
     fn flush(&self) -> Result<(), Error> {
+        // A reader that stands still is no error of the process.
+        self.wait_until_written();
         Ok(())
     }
 }
--- a/crates/core/tests/bounded_logs.rs
+++ b/crates/core/tests/bounded_logs.rs
@@ -63,6 +63,19 @@
     }
 }
 
+/// An output that writes one line for each message, and all once the sender is gone.
+struct SlowReader(StalledReader, CapturedOutput);
+impl Write for SlowReader {
+    fn write(&mut self, buffer: &[u8]) -> std::io::Result<usize> {
+        let _ = self.0.write(buffer)?;
+        self.1.write(buffer)
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
 #[test]
 fn a_stalled_reader_does_not_block_logging() {
     let (_keep, stopped) = channel();
@@ -105,3 +118,28 @@
     assert!(dropped > 0, "{text}");
     assert_eq!(written + dropped, LINES, "{text}");
 }
+
+#[test]
+fn urgent_lines_are_written_although_ordinary_ones_fill_the_queue() {
+    let (release, stopped) = channel();
+    let collected = CapturedOutput::default();
+    let budget = LineBudget {
+        info_per_s: 1_000_000,
+        warn_per_s: 1_000_000,
+    };
+    let reader = SlowReader(StalledReader(stopped), collected.clone());
+    let output = BoundedOutput::start(budget, reader);
+    for line in 0..20_000 {
+        output.write_line(Level::Info, format!("line {line}\n"));
+    }
+    output.write_urgent_line("urgent\n".to_owned());
+    assert!(!output.wait_until_written(), "the reader stands still");
+    // Two lines are read: the one that was being written, and the next.
+    release.send(()).unwrap();
+    release.send(()).unwrap();
+    assert!(collected.wait_for("urgent\n").lines().count() <= 2);
+    drop(release);
+    assert!(output.wait_until_written());
+    let text = collected.0.lock().clone();
+    assert!(text.lines().count() > 500, "{text}");
+}
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -4,7 +4,7 @@
 use {
     crate::state::GatewayState,
     std::{sync::Arc, time::Duration},
-    tealshore_core::clock,
+    tealshore_core::{clock, logs::URGENT_TARGET},
     tokio::{
         signal::unix::{SignalKind, signal},
         time::sleep,
@@ -48,11 +48,13 @@
     state.stop.initiate(began);
     state.peers.wake_sender();
     log::info!(
+        target: URGENT_TARGET,
         "stop: signal received, draining in_flight={}",
         state.stop.in_flight()
     );
     state.stop.wait_for_close().await;
     log::info!(
+        target: URGENT_TARGET,
         "stop: closing connections in_flight={}",
         state.stop.in_flight()
     );
@@ -63,6 +65,7 @@
         let has_closed = state.stop.has_closed();
         if age >= state.stop.schedule.exit || (has_closed && in_flight == 0) {
             log::info!(
+                target: URGENT_TARGET,
                 "stop: exiting in_flight={in_flight} closed={has_closed} age_ms={}",
                 age.as_millis()
             );
