Install the signal handlers before anything that takes time

What callers saw: a host that was gone at once, its requests with it, if a SIGTERM, SIGINT or SIGHUP reached it in the first moments of its life, with its listener already open.

Cause: the handlers of SIGTERM and SIGINT were installed as the wait for them was first polled, that of SIGHUP in a spawned task, all after the listeners were bound; until then these signals kill a process.

A signal that arrives earlier than the host waits for it is kept. One place receives all signals: those that arrive during a stop leave a line each, ten a second at most, and change nothing, as before.

Why it holds: no listener exists before the handlers, so no caller can be connected to a process that a signal still kills.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -38,4 +38,7 @@
 pub mod topology;
 pub mod view;
 
-pub use run::run;
+pub use {
+    lifecycle::Signals,
+    run::{run, run_with_signals},
+};
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         edge::Protocol,
-        lifecycle::{log_reload_signals, wait_for_shutdown},
+        lifecycle::{Signals, wait_for_shutdown},
         options::GatewayOptions,
         peers,
         serve::{answer_caller, answer_host_call, serve_tunnels},
@@ -24,11 +24,24 @@
 /// The largest request head that is accepted from a caller, in bytes.
 const MAX_HEADER_BYTES: usize = 64 * 1024;
 
-/// Runs a host until it is stopped by a signal.
+/// Installs the signal handlers and runs a host until it is stopped by a signal.
 ///
 /// # Errors
 /// An address can't be bound, the state can't be created, or a signal handler can't be installed.
 pub async fn run(options: GatewayOptions, protocol: Arc<dyn Protocol>) -> eyre::Result<()> {
+    let signals = Signals::install().wrap_err("cannot install signal handlers")?;
+    run_with_signals(options, protocol, signals).await
+}
+
+/// Runs a host until it is stopped by one of these signals.
+///
+/// # Errors
+/// An address can't be bound, or the state can't be created.
+pub async fn run_with_signals(
+    options: GatewayOptions,
+    protocol: Arc<dyn Protocol>,
+    signals: Signals,
+) -> eyre::Result<()> {
     let host = options.host.clone();
     let caller_listener = listen("callers_address", host.callers_address).await?;
     let state = Arc::new(GatewayState::new(options, protocol)?);
@@ -58,7 +71,6 @@
     }
     sync::start(&state, &peer_socket);
     tokio::spawn(standstill::watch(state.clone()));
-    tokio::spawn(log_reload_signals());
     log::info!(
         "start: host={} hall={} callers={} version={}",
         host.id,
@@ -84,7 +96,7 @@
     };
     tokio::select! {
         never = serving => match never {},
-        stopped = wait_for_shutdown(state.clone()) => stopped.wrap_err("cannot install signal handlers"),
+        () = wait_for_shutdown(state.clone(), signals) => Ok(()),
     }
 }
 
