Send a refusal before the rest of its request's body

What callers saw: a refusal came up to 100 ms late while the body was under way, and without a limit of time where the body was too long. Its connection closed if the body took longer. A caller that expected to be asked for its body was asked for it, only to be refused.

Cause: the rest of a body was read before the refusal was sent, and reading a body answers an Expect: 100-continue.

Change: what is left of a body of known length, up to 1 MiB, is read beside the refusal for 2 s at the most, and the connection is kept. A body of unknown length is still waited for, 100 ms, as the refusal has to say whether the connection closes. It is not read, and the connection closes, if it is longer, if the caller expects to be asked, or in a planned stop; the lingering close delivers the refusal. A body whose announced length is over the limit is refused before it is read.

Why it works: hyper writes an answer while the body of its request is read elsewhere, and keeps the connection once both have ended.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -5,5 +5,6 @@
 mod refusal;
 mod tunnel;
 mod unanswered;
+mod unread;
 
 pub use {host_calls::answer_host_call, ingress::answer_caller, tunnel::serve_tunnels};
--- a/crates/gateway/src/serve/ingress.rs
+++ b/crates/gateway/src/serve/ingress.rs
@@ -1,7 +1,11 @@
 //! Serves a caller's request: finds its route and customer, reads its body and runs it.
 
 use {
-    super::{refusal::refuse, unanswered::UnansweredGuard},
+    super::{
+        refusal::refuse,
+        unanswered::UnansweredGuard,
+        unread::{expects_continue, keep_connection},
+    },
     crate::{
         edge::RequestFacts,
         forward::{
@@ -15,7 +19,7 @@
     bytes::{Bytes, BytesMut},
     http::{HeaderValue, Request, Response, header, request},
     http_body_util::BodyExt,
-    hyper::body::Incoming,
+    hyper::body::{Body as _, Incoming},
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -27,13 +31,9 @@
         ids::ServiceId,
         protection::{Protection, enabled},
     },
-    tokio::{sync::OwnedSemaphorePermit, time::timeout},
+    tokio::sync::OwnedSemaphorePermit,
 };
 
-/// How much of the rest of a body is read before a refusal.
-const MAX_DRAIN_BYTES: usize = 1024 * 1024;
-/// How long a refusal waits for the rest of a body. What a caller has already sent arrives sooner.
-const MAX_DRAIN_TIME: Duration = Duration::from_millis(100);
 /// A final answer is sent this long before the caller or the operator stops waiting for it.
 const ANSWER_MARGIN: Duration = Duration::from_millis(20);
 /// Once a planned stop has lasted this long, new streams are refused, as they might not end in time.
@@ -53,6 +53,7 @@
     let received = clock::now();
     let in_flight = InFlightGuard::begin(&state);
     let (head, mut body) = request.into_parts();
+    let expects_continue = expects_continue(&head);
     let facts = state.protocol.read_request(&head);
     let unanswered = UnansweredGuard::begin(&state, &facts, received);
     let result = serve(&state, received, head, facts.clone(), &mut body).await;
@@ -64,10 +65,12 @@
                 Some(_) => failure.after_earlier_attempt(Ran::Yes),
                 None => failure,
             };
-            let is_drained = drain_refused(&mut body, &failure).await;
             log_failure(&state, &facts, &failure, received);
             let mut refusal = refuse(&state, &facts, &failure);
-            if !is_drained {
+            // The rest of a body that came too slowly was waited for already.
+            if failure.kind == ErrorKind::RequestTooSlow
+                || !keep_connection(&state, body, expects_continue).await
+            {
                 let close = HeaderValue::from_static("close");
                 refusal.headers_mut().insert(header::CONNECTION, close);
             }
@@ -266,6 +269,13 @@
     body: &mut Incoming,
 ) -> Result<(Bytes, Option<OwnedSemaphorePermit>), Failure> {
     let max_bytes = configuration.limits.body_bytes;
+    let too_large = || {
+        let detail = format!("a body has at most {max_bytes} bytes");
+        Failure::new(ErrorKind::BodyTooLarge, detail)
+    };
+    if body.size_hint().lower() > max_bytes as u64 {
+        return Err(too_large());
+    }
     let mut received_body = BytesMut::new();
     let mut room: Option<OwnedSemaphorePermit> = None;
     while let Some(frame) = body.frame().await {
@@ -274,9 +284,7 @@
             continue;
         };
         if received_body.len() + bytes.len() > max_bytes {
-            drain(body, MAX_DRAIN_BYTES).await;
-            let detail = format!("a body has at most {max_bytes} bytes");
-            return Err(Failure::new(ErrorKind::BodyTooLarge, detail));
+            return Err(too_large());
         }
         let reserved = reserve_body_room(state, bytes.len())?;
         match &mut room {
@@ -295,33 +303,6 @@
         .map_err(|_| Failure::new(ErrorKind::HostLimit, "this host holds too many bodies"))
 }
 
-/// Reads and drops the rest of a refused request's body, within limits. Returns whether the body has ended: otherwise
-/// the connection can't be used again, and closes.
-async fn drain_refused(body: &mut Incoming, failure: &Failure) -> bool {
-    // The rest of such a body was waited for already.
-    if failure.kind == ErrorKind::RequestTooSlow {
-        return false;
-    }
-    let drained = timeout(MAX_DRAIN_TIME, drain(body, MAX_DRAIN_BYTES)).await;
-    drained.unwrap_or(false)
-}
-
-/// Reads and drops part of the rest of the body: a sender that still writes when the connection closes would
-/// lose the answer. Returns whether the body has ended.
-async fn drain(body: &mut Incoming, mut remaining_bytes: usize) -> bool {
-    while let Some(frame) = body.frame().await {
-        let Ok(frame) = frame else {
-            return false;
-        };
-        let frame_bytes = frame.data_ref().map_or(0, Bytes::len);
-        match remaining_bytes.checked_sub(frame_bytes) {
-            Some(left) => remaining_bytes = left,
-            None => return false,
-        }
-    }
-    true
-}
-
 fn prepare(
     received: Instant,
     head: request::Parts,
