Tell how each request ended around a planned stop

What on-call saw: a closed connection, whether a request was cut as the process exited, refused, or never read; and `stop: exiting in_flight=1`, which named neither the request nor its upstream.

Cause: the host kept a number of requests in flight, not which. A stream that the exit cut left no line, and a call left `outcome=connection-ended`, as if its caller had gone. An answer that a slow caller had not read was not counted at all.

Change: requests are listed from their head until their connection ends or carries the next one, with route, stage, upstream and sends. As the process exits, each that is left has a line `stop: request cut` (200 at most). Lines that end a request carry `stop_age_ms=` on a host that stops. The lines of the phases name the signal, counts, and the oldest request; `stop: exiting` counts ends by kind, and `tealshore_stop_requests_total{end}` and `tealshore_stop_idle_connections_total` do the same.

Why it holds: a request leaves the list only as its last holder is dropped, which the exit does after the lines are written; the lines are urgent ones, which ordinary lines can't crowd out, and no lock is held while they are made.

--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -7,6 +7,7 @@
     },
     crate::{
         edge::{RequestFacts, UpstreamOrder},
+        in_flight::TrackedRequest,
         state::GatewayState,
         view::{Configuration, Route, Upstream, UpstreamRecord, ViewFacts},
     },
@@ -65,6 +66,8 @@
     pub received: Instant,
     /// When its final answer is due.
     pub deadline: Instant,
+    /// Lists it as in flight.
+    pub tracked: Arc<TrackedRequest>,
 }
 
 impl Call {
--- a/crates/gateway/src/forward/connect.rs
+++ b/crates/gateway/src/forward/connect.rs
@@ -124,6 +124,7 @@
     let handshake = handshake(stream).await;
     let (mut sender, connection, received) = handshake.map_err(|_| SendFailure::Unreachable)?;
     begin_send(state, call, upstream)?;
+    call.tracked.record_send(&upstream.record.id);
     let sent = clock::now();
     let answer = sender.send_request(request).await;
     let answer = answer.map_err(|error| {
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -244,14 +244,16 @@
             .with_label_values(&[outcome])
             .inc();
         log::info!(
-            "stream: ended request={} digest={} outcome={outcome} status={} runs={} age_ms={} left_ms={} {}",
+            target: self.state.stop.log_target(module_path!()),
+            "stream: ended request={} digest={} outcome={outcome} status={} runs={} age_ms={} left_ms={} {}{}",
             self.call.id(),
             self.call.fingerprint_hex(),
             status.as_u16(),
             self.tried.count(),
             self.call.age_ms(),
             self.call.left(clock::now()).as_millis(),
-            self.call.view
+            self.call.view,
+            self.state.stop.age_field()
         );
     }
 
--- a/crates/gateway/src/forward/stream/relay.rs
+++ b/crates/gateway/src/forward/stream/relay.rs
@@ -10,9 +10,11 @@
     },
     crate::{
         events::Event,
+        in_flight::Stage,
         lifecycle::InFlightGuard,
         read_ahead::{ReadAheadSender, read_ahead},
         rollout::Outcome,
+        stop::StopEnd,
     },
     futures::TryStreamExt,
     http_body_util::{BodyExt, StreamBody},
@@ -88,6 +90,7 @@
     pub fn into_body(mut self, first: Option<Event>) -> Body {
         let (sender, receiver) = read_ahead(MAX_READ_AHEAD_BYTES);
         let in_flight = InFlightGuard::begin(&self.state);
+        self.call.tracked.record_stage(Stage::Answering);
         tokio::spawn(async move {
             let ends = self.call.deadline;
             let end = tokio::select! {
@@ -420,10 +423,17 @@
         } else {
             log::Level::Warn
         };
+        self.call.tracked.record_stage(Stage::Answered);
+        self.state.count_stop_end(match end {
+            RelayEnd::Complete => StopEnd::Answered,
+            RelayEnd::CallerGone => StopEnd::CallerGone,
+            RelayEnd::BrokenOff(_) => StopEnd::BrokenOff,
+        });
         log::log!(
+            target: self.state.stop.log_target(module_path!()),
             level,
             "stream: ended request={} digest={} outcome={outcome} upstream={} runs={} events={} last={:?} \
-             age_ms={} left_ms={} in_force={} {} detail={:?}",
+             age_ms={} left_ms={} in_force={} {}{} detail={:?}",
             self.call.id(),
             self.call.fingerprint_hex(),
             upstream.as_deref().unwrap_or("-"),
@@ -434,6 +444,7 @@
             self.call.left(clock::now()).as_millis(),
             self.state.view.version(),
             self.call.view,
+            self.state.stop.age_field(),
             end.detail()
         );
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod events;
 pub mod feed;
 mod forward;
+mod in_flight;
 mod lifecycle;
 pub mod limits;
 mod metrics;
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -2,8 +2,12 @@
 //! in order, and exits when it has drained or the time for the stop is used up.
 
 use {
-    crate::state::GatewayState,
-    std::{io, sync::Arc, time::Duration},
+    crate::{
+        in_flight::{Stage, TrackedRequest},
+        state::GatewayState,
+        stop::{StopAgeField, StopEnd},
+    },
+    std::{fmt, io, sync::Arc, time::Duration},
     tealshore_core::{clock, logs::URGENT_TARGET},
     tokio::{
         signal::unix::{Signal, SignalKind, signal},
@@ -13,6 +17,8 @@
 
 /// How often the requests in flight are checked during a stop.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// How many requests that the exit cuts off have a line of their own, the oldest first.
+const MAX_CUT_LINES: usize = 200;
 /// The least time between two log lines about signals that arrive during a stop.
 const REPEATED_SIGNAL_PAUSE: Duration = Duration::from_millis(100);
 
@@ -119,30 +125,138 @@
     state.peers.wake_sender();
     log::info!(
         target: URGENT_TARGET,
-        "stop: signal received, draining signal={} in_flight={}",
+        "stop: signal received, draining signal={} {}",
         received.name(),
-        state.stop.in_flight()
+        InFlightCounts::of(&state)
     );
     tokio::spawn(signals.log_repeated(state.clone()));
     state.stop.wait_for_close().await;
-    log::info!(
-        target: URGENT_TARGET,
-        "stop: closing connections in_flight={}",
-        state.stop.in_flight()
-    );
+    let counts = InFlightCounts::of(&state);
+    let idle = counts.idle_connections();
+    let idle_count = u64::try_from(idle).unwrap_or_default();
+    state.metrics.stop_idle_connections.inc_by(idle_count);
+    log::info!(target: URGENT_TARGET, "stop: closing connections {counts} idle={idle}");
+    let mut is_refusal_logged = false;
     loop {
         let age = clock::elapsed(began);
         let in_flight = state.stop.in_flight();
         // An answer that is no longer in flight may not be written yet; its connection ends when it is.
         let has_closed = state.stop.has_closed();
         if age >= state.stop.schedule.exit || (has_closed && in_flight == 0) {
-            log::info!(
-                target: URGENT_TARGET,
-                "stop: exiting in_flight={in_flight} closed={has_closed} age_ms={}",
-                age.as_millis()
-            );
+            state.stop.record_exit();
+            log_exit(&state, in_flight, has_closed);
             return;
         }
+        if age >= state.stop.schedule.refuse && !is_refusal_logged {
+            is_refusal_logged = true;
+            let counts = InFlightCounts::of(&state);
+            log::info!(target: URGENT_TARGET, "stop: refusing what has no answer {counts}");
+        }
         sleep(POLL_INTERVAL).await;
     }
 }
+
+/// What is in flight at a moment of a stop, for logs.
+struct InFlightCounts {
+    in_flight: usize,
+    receiving: usize,
+    calls: usize,
+    streams: usize,
+    connections: usize,
+    longest: Option<Arc<TrackedRequest>>,
+    stop_age: StopAgeField,
+}
+
+impl InFlightCounts {
+    fn of(state: &GatewayState) -> Self {
+        let mut unanswered = state.in_flight.requests();
+        unanswered.retain(|request| request.stage() != Stage::Answered);
+        let count = |kind| {
+            let kinds = unanswered.iter().map(|request| request.progress().kind);
+            kinds.filter(|it| *it == kind).count()
+        };
+        let (calls, streams) = (count("call"), count("stream"));
+        Self {
+            in_flight: state.stop.in_flight(),
+            receiving: unanswered.len() - calls - streams,
+            calls,
+            streams,
+            connections: state.in_flight.open_connections(),
+            longest: unanswered.into_iter().next(),
+            stop_age: state.stop.age_field(),
+        }
+    }
+
+    /// The number of connections without a request.
+    fn idle_connections(&self) -> usize {
+        let busy = self.receiving + self.calls + self.streams;
+        self.connections.saturating_sub(busy)
+    }
+}
+
+impl fmt::Display for InFlightCounts {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let longest = self.longest.as_ref();
+        write!(
+            f,
+            "in_flight={} receiving={} calls={} streams={} connections={} longest={} longest_ms={}{}",
+            self.in_flight,
+            self.receiving,
+            self.calls,
+            self.streams,
+            self.connections,
+            longest
+                .and_then(|request| request.id.as_deref())
+                .unwrap_or("-"),
+            longest.map_or(0, |request| clock::elapsed(request.received).as_millis()),
+            self.stop_age
+        )
+    }
+}
+
+/// Reports what the exit of the process cuts off, and how the other requests of the stop ended.
+fn log_exit(state: &GatewayState, in_flight: usize, has_closed: bool) {
+    // Once all connections have ended, whatever was answered is written.
+    let cut = if has_closed {
+        Vec::new()
+    } else {
+        state.in_flight.requests()
+    };
+    let cut_count = u64::try_from(cut.len()).unwrap_or_default();
+    let ends = &state.metrics.stop_requests;
+    ends.with_label_values(&[StopEnd::Cut.name()])
+        .inc_by(cut_count);
+    for request in cut.iter().take(MAX_CUT_LINES) {
+        let progress = request.progress();
+        log::warn!(
+            target: URGENT_TARGET,
+            "stop: request cut request={} kind={} route={} stage={} upstream={} sends={} age_ms={}{} phase=exit",
+            request.id.as_deref().unwrap_or("-"),
+            progress.kind,
+            progress.route.as_deref().unwrap_or("-"),
+            progress.stage.name(),
+            progress.upstream.as_deref().unwrap_or("-"),
+            progress.sends,
+            clock::elapsed(request.received).as_millis(),
+            state.stop.age_field()
+        );
+    }
+    let count = |end: StopEnd| {
+        let ends = &state.metrics.stop_requests;
+        ends.with_label_values(&[end.name()]).get()
+    };
+    log::info!(
+        target: URGENT_TARGET,
+        "stop: exiting in_flight={in_flight} closed={has_closed} age_ms={} connections={} idle_closed={} answered={} \
+         refused_not_run={} refused_unknown={} broken_off={} caller_gone={} cut={}",
+        state.stop.age().unwrap_or_default().as_millis(),
+        state.in_flight.open_connections(),
+        state.metrics.stop_idle_connections.get(),
+        count(StopEnd::Answered),
+        count(StopEnd::RefusedNotRun),
+        count(StopEnd::RefusedUnknown),
+        count(StopEnd::BrokenOff),
+        count(StopEnd::CallerGone),
+        count(StopEnd::Cut)
+    );
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -85,6 +85,10 @@
     pub engines: EngineMetrics,
     /// Requests in flight.
     pub in_flight: IntGauge,
+    /// Ends of requests during a planned stop, by end.
+    pub stop_requests: IntCounterVec,
+    /// Connections without a request that a planned stop closed.
+    pub stop_idle_connections: IntCounter,
     /// The version of the active configuration.
     pub config_version: IntGauge,
     /// The fencing token under which this host holds the duty lease; 0 if it doesn't hold it.
@@ -257,6 +261,15 @@
             )?,
             engines: EngineMetrics::new()?,
             in_flight: IntGauge::new("tealshore_requests_in_flight", "Requests in flight")?,
+            stop_requests: counter(
+                "tealshore_stop_requests_total",
+                "Ends of requests during a planned stop",
+                &["end"],
+            )?,
+            stop_idle_connections: IntCounter::new(
+                "tealshore_stop_idle_connections_total",
+                "Connections without a request that a planned stop closed",
+            )?,
             config_version: IntGauge::new(
                 "tealshore_configuration_version",
                 "The version of the configuration in force",
@@ -315,6 +328,8 @@
             Box::new(self.unreadable_datagrams.clone()),
             Box::new(self.peer_sent_bytes.clone()),
             Box::new(self.in_flight.clone()),
+            Box::new(self.stop_requests.clone()),
+            Box::new(self.stop_idle_connections.clone()),
             Box::new(self.config_version.clone()),
             Box::new(self.duty_fence.clone()),
             Box::new(self.lease_writes.clone()),
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -85,8 +85,8 @@
         ..ServerOptions::default()
     };
     let handler = {
-        let state = state.clone();
-        move |request| answer_caller(state.clone(), request)
+        let (state, connection) = (state.clone(), state.in_flight.connections());
+        move |request| answer_caller(state.clone(), connection.last_answer(), request)
     };
     let serving = async {
         let close = state.stop.wait_for_close();
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -1,5 +1,6 @@
 //! Serves requests of callers, the platform's checks and operators.
 
+mod ended;
 mod host_calls;
 mod ingress;
 mod refusal;
--- a/crates/gateway/src/serve/ingress.rs
+++ b/crates/gateway/src/serve/ingress.rs
@@ -1,25 +1,28 @@
 //! Serves a caller's request: finds its route and customer, reads its body and runs it.
 
 use {
-    super::{refusal::refuse, unanswered::UnansweredGuard},
+    super::{
+        ended::{log_answer, log_failure},
+        refusal::refuse,
+        unanswered::UnansweredGuard,
+    },
     crate::{
         edge::RequestFacts,
         forward::{
             Call, MAX_HOLD, content_digest_of, fingerprint_of, run_plain, run_stream,
             shared_part_ids, strip_connection_headers,
         },
+        in_flight::{LastAnswer, Stage, TrackedRequest},
         lifecycle::InFlightGuard,
         state::GatewayState,
+        stop::StopEnd,
         view::{Configuration, Customer, Route, RouteKind, ViewFacts},
     },
     bytes::{Bytes, BytesMut},
     http::{HeaderValue, Request, Response, header, request},
     http_body_util::BodyExt,
     hyper::body::Incoming,
-    std::{
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::{sync::Arc, time::Duration},
     tealshore_core::{
         answer::{ErrorKind, Failure, Ran},
         clock,
@@ -49,15 +52,27 @@
 }
 
 /// Answers one request of a caller.
-pub async fn answer_caller(state: Arc<GatewayState>, request: Request<Incoming>) -> Response<Body> {
+pub async fn answer_caller(
+    state: Arc<GatewayState>,
+    last_answer: LastAnswer,
+    request: Request<Incoming>,
+) -> Response<Body> {
     let received = clock::now();
+    last_answer.forget();
     let in_flight = InFlightGuard::begin(&state);
     let (head, mut body) = request.into_parts();
     let facts = state.protocol.read_request(&head);
+    let tracked = state.in_flight.begin(facts.request.clone(), received);
     let unanswered = UnansweredGuard::begin(&state, &facts, received);
-    let result = serve(&state, received, head, facts.clone(), &mut body).await;
+    let result = serve(&state, &tracked, head, facts.clone(), &mut body).await;
     let mut response = match result {
-        Ok(response) => response,
+        Ok(response) => {
+            // The end of a stream that has begun is counted as its body ends.
+            if tracked.stage() != Stage::Answering {
+                state.count_stop_end(StopEnd::Answered);
+            }
+            response
+        }
         Err(failure) => {
             let failure = match facts.last_event {
                 // The caller already has events of an earlier attempt, so its stream ran.
@@ -79,18 +94,22 @@
         response.headers_mut().insert(header::CONNECTION, close);
     }
     unanswered.answered();
+    if tracked.stage() != Stage::Answering {
+        tracked.record_stage(Stage::Answered);
+    }
+    last_answer.keep(tracked);
     drop(in_flight);
     response
 }
 
 async fn serve(
     state: &Arc<GatewayState>,
-    received: Instant,
+    tracked: &Arc<TrackedRequest>,
     head: request::Parts,
     facts: RequestFacts,
     body: &mut Incoming,
 ) -> Result<Response<Body>, Failure> {
-    let receiving = Box::pin(receive(state, received, head, facts, body));
+    let receiving = Box::pin(receive(state, tracked, head, facts, body));
     let reading = state.stop.in_time(receiving);
     let (call, _room) = reading
         .await
@@ -106,11 +125,12 @@
 /// Admits a request and reads its body. The permit counts the memory of the body.
 async fn receive(
     state: &Arc<GatewayState>,
-    received: Instant,
+    tracked: &Arc<TrackedRequest>,
     head: request::Parts,
     facts: RequestFacts,
     body: &mut Incoming,
 ) -> Result<(Arc<Call>, Option<OwnedSemaphorePermit>), Failure> {
+    let received = tracked.received;
     state.wait_for_first_view().await;
     state.wait_for_view_after_standstill().await;
     let admitted = admit(state, &head, &facts)?;
@@ -131,7 +151,8 @@
     let (body, room) = reading
         .await
         .map_err(|_| Failure::new(ErrorKind::RequestTooSlow, "the body took too long"))??;
-    let call = Arc::new(prepare(received, head, facts, body, admitted));
+    tracked.record_admission(&admitted.route);
+    let call = Arc::new(prepare(tracked.clone(), head, facts, body, admitted));
     log::debug!(
         "call: admitted request={} route={} {} customer={}",
         call.id(),
@@ -323,7 +344,7 @@
 }
 
 fn prepare(
-    received: Instant,
+    tracked: Arc<TrackedRequest>,
     head: request::Parts,
     facts: RequestFacts,
     body: Bytes,
@@ -338,6 +359,7 @@
     } = admitted;
     let mut headers = head.headers;
     strip_connection_headers(&mut headers);
+    let received = tracked.received;
     let deadline = received + max_hold(&facts, &route);
     let priority = customer
         .as_ref()
@@ -362,6 +384,7 @@
         view,
         priority,
         received,
+        tracked,
     }
 }
 
@@ -371,40 +394,3 @@
     let hold = facts.deadline.unwrap_or(MAX_HOLD).min(route.timeout);
     hold.saturating_sub(ANSWER_MARGIN)
 }
-
-fn log_answer(state: &GatewayState, call: &Call, response: &Response<Body>) {
-    let outcome = if response.status().is_success() {
-        "complete"
-    } else {
-        "upstream-failed"
-    };
-    state.metrics.outcomes.with_label_values(&[outcome]).inc();
-    // A plain answer is received in full before it is passed on.
-    let took = clock::elapsed(call.received);
-    state.metrics.observe_first_byte("call", took);
-    state.metrics.observe_duration("call", took);
-    log::info!(
-        "call: ended request={} digest={} route={} outcome={outcome} status={} age_ms={} {}",
-        call.id(),
-        call.fingerprint_hex(),
-        call.route.name,
-        response.status().as_u16(),
-        call.age_ms(),
-        call.view
-    );
-}
-
-fn log_failure(state: &GatewayState, facts: &RequestFacts, failure: &Failure, received: Instant) {
-    let now = clock::now();
-    let name = failure.kind.name();
-    state.metrics.outcomes.with_label_values(&[name]).inc();
-    log::log!(
-        failure.kind.answer().level,
-        "call: ended request={} outcome={name} ran={:?} age_ms={} {} detail={:?}",
-        facts.request.as_deref().unwrap_or("-"),
-        failure.ran(),
-        now.saturating_duration_since(received).as_millis(),
-        ViewFacts::of(&state.view, now),
-        failure.detail
-    );
-}
--- a/crates/gateway/src/serve/unanswered.rs
+++ b/crates/gateway/src/serve/unanswered.rs
@@ -1,7 +1,7 @@
 //! Reports requests whose connection ended before this host answered them.
 
 use {
-    crate::{edge::RequestFacts, state::GatewayState},
+    crate::{edge::RequestFacts, state::GatewayState, stop::StopEnd},
     std::{sync::Arc, time::Instant},
     tealshore_core::{clock, ids::RequestId},
 };
@@ -33,7 +33,8 @@
 
 impl Drop for UnansweredGuard {
     fn drop(&mut self) {
-        if self.is_answered {
+        // What the exit of the process cuts off is reported by the stop.
+        if self.is_answered || self.state.stop.is_exiting() {
             return;
         }
         let outcome = if std::thread::panicking() {
@@ -46,11 +47,14 @@
             .outcomes
             .with_label_values(&[outcome])
             .inc();
+        self.state.count_stop_end(StopEnd::CallerGone);
         log::warn!(
-            "call: ended without an answer request={} outcome={outcome} age_ms={} in_force={}",
+            target: self.state.stop.log_target(module_path!()),
+            "call: ended without an answer request={} outcome={outcome} age_ms={} in_force={}{}",
             self.request.as_deref().unwrap_or("-"),
             clock::elapsed(self.received).as_millis(),
-            self.state.view.version()
+            self.state.view.version(),
+            self.state.stop.age_field()
         );
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -25,6 +25,7 @@
             Feed, FeederCandidate, FeederChoice, MAX_DEPUTY_WATERMARK_AGE, MAX_WATERMARK_AGE,
             choose_feeder, hosts_before,
         },
+        in_flight::InFlight,
         limits::UpstreamLimits,
         metrics::GatewayMetrics,
         options::{GatewayOptions, StaleKeyPolicy},
@@ -34,7 +35,7 @@
         rollout::Rollouts,
         runs::Runs,
         standstill::Standstill,
-        stop::Stop,
+        stop::{Stop, StopEnd},
         view::View,
     },
     parking_lot::{Mutex, RwLock},
@@ -116,6 +117,8 @@
     pub metrics: GatewayMetrics,
     /// The state of a planned stop.
     pub stop: Stop,
+    /// The requests in flight and the connections of callers.
+    pub in_flight: InFlight,
     /// The memory available for request bodies, one permit for each byte.
     pub body_memory: Arc<Semaphore>,
     /// One permit for each further tunnel that this host may open for others.
@@ -154,6 +157,7 @@
             standstill: Mutex::new(Standstill::new(clock::now())),
             metrics: GatewayMetrics::new()?,
             stop: Stop::new(options.bounds.stop),
+            in_flight: InFlight::default(),
             body_memory: Arc::new(Semaphore::new(options.host.body_bytes)),
             tunnel_permits: Arc::new(Semaphore::new(options.host.max_tunnels)),
             budgets: Mutex::default(),
@@ -290,6 +294,14 @@
         hosts_before(&host.id, host.link_mbps, in_hall) == 0
     }
 
+    /// Counts how a request ended, if this host stops.
+    pub fn count_stop_end(&self, end: StopEnd) {
+        if self.stop.age().is_some() {
+            let ends = &self.metrics.stop_requests;
+            ends.with_label_values(&[end.name()]).inc();
+        }
+    }
+
     /// Counts a request, which an upstream has started, towards the usage of its customer.
     pub fn count_started(&self, customer: Option<&CustomerId>) {
         let Some(customer) = customer else {
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -2,12 +2,14 @@
 
 use {
     std::{
+        fmt,
         future::{Future, pending},
         sync::atomic::{AtomicBool, AtomicUsize, Ordering},
         time::{Duration, Instant},
     },
     tealshore_core::{
         clock::{self, TimedOut},
+        logs::URGENT_TARGET,
         protection::{Protection, enabled},
     },
     tokio::sync::watch,
@@ -60,6 +62,51 @@
     in_flight: AtomicUsize,
     /// Whether all connections of callers have ended.
     has_closed: AtomicBool,
+    /// Whether the process exits.
+    is_exiting: AtomicBool,
+}
+
+/// How a request ended during a stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StopEnd {
+    /// It has a whole answer.
+    Answered,
+    /// It was refused and has not run.
+    RefusedNotRun,
+    /// It was refused and may have run.
+    RefusedUnknown,
+    /// Its stream was broken off.
+    BrokenOff,
+    /// Its connection ended before its answer.
+    CallerGone,
+    /// The exit of the process cut it off.
+    Cut,
+}
+
+impl StopEnd {
+    /// The end's name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::RefusedNotRun => "refused-not-run",
+            Self::RefusedUnknown => "refused-unknown",
+            Self::BrokenOff => "broken-off",
+            Self::CallerGone => "caller-gone",
+            Self::Cut => "cut",
+        }
+    }
+}
+
+/// The age of a stop as a field of a log line; nothing while no stop was requested.
+pub struct StopAgeField(Option<Duration>);
+
+impl fmt::Display for StopAgeField {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            Some(age) => write!(f, " stop_age_ms={}", age.as_millis()),
+            None => Ok(()),
+        }
+    }
 }
 
 impl Stop {
@@ -71,6 +118,7 @@
             requested_at: watch::Sender::new(None),
             in_flight: AtomicUsize::new(0),
             has_closed: AtomicBool::new(false),
+            is_exiting: AtomicBool::new(false),
         }
     }
 
@@ -99,6 +147,20 @@
         self.requested_at.borrow().map(clock::elapsed)
     }
 
+    /// The age of the stop for a log line.
+    pub fn age_field(&self) -> StopAgeField {
+        StopAgeField(self.age())
+    }
+
+    /// The target of log lines about ends of requests. From the close of connections on, few remain, and a request
+    /// that gets no answer must be found in the log.
+    pub fn log_target(&self, module: &'static str) -> &'static str {
+        match self.age() {
+            Some(age) if age >= self.schedule.close => URGENT_TARGET,
+            Some(_) | None => module,
+        }
+    }
+
     /// Whether answers ask their callers to close the connection.
     pub fn closes_answered_connections(&self) -> bool {
         self.age()
@@ -149,6 +211,16 @@
         self.has_closed.load(Ordering::Relaxed)
     }
 
+    /// Records that the process exits, whatever is in flight.
+    pub fn record_exit(&self) {
+        self.is_exiting.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the process exits.
+    pub fn is_exiting(&self) -> bool {
+        self.is_exiting.load(Ordering::Relaxed)
+    }
+
     /// The number of requests in flight.
     pub fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::Relaxed)
