Refuse a call that was sent to nobody as not run when a stop ends

What callers saw: 504, "may have run", for a call that had waited in line for an upstream until a planned stop was nearly over. A call that may not be repeated was then not sent again, though no upstream had it.

Cause: what has no answer 0.2 s before the exit was refused as possibly run, whether it had been sent or not.

Change: the host knows how often each request was sent; a plain call that was sent to nobody is refused as not run. Streams stay as they are: an earlier attempt of the caller may have run.

Why it holds: a send is recorded before its first byte, in the one function through which each send of a call passes.

--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -42,13 +42,35 @@
     }
 }
 
+/// What a request asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestKind {
+    /// Its route is not known yet.
+    Unknown,
+    /// A plain call.
+    Call,
+    /// A stream.
+    Stream,
+}
+
+impl RequestKind {
+    /// The kind's name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Unknown => "unknown",
+            Self::Call => "call",
+            Self::Stream => "stream",
+        }
+    }
+}
+
 /// What is known of a request so far.
 #[derive(Clone, Debug)]
 pub struct RequestProgress {
     /// How far it has come.
     pub stage: Stage,
-    /// What it asks for, in logs.
-    pub kind: &'static str,
+    /// What it asks for.
+    pub kind: RequestKind,
     /// The name of its route.
     pub route: Option<String>,
     /// The upstream to which it was sent last.
@@ -80,8 +102,8 @@
         let mut progress = self.progress.lock();
         progress.stage = Stage::Queued;
         progress.kind = match route.kind {
-            RouteKind::Safe | RouteKind::Unsafe => "call",
-            RouteKind::Stream { .. } => "stream",
+            RouteKind::Safe | RouteKind::Unsafe => RequestKind::Call,
+            RouteKind::Stream { .. } => RequestKind::Stream,
         };
         progress.route = Some(route.name.clone());
     }
@@ -130,7 +152,7 @@
             received,
             progress: Mutex::new(RequestProgress {
                 stage: Stage::Receiving,
-                kind: "unknown",
+                kind: RequestKind::Unknown,
                 route: None,
                 upstream: None,
                 sends: 0,
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -3,7 +3,7 @@
 
 use {
     crate::{
-        in_flight::{Stage, TrackedRequest},
+        in_flight::{RequestKind, Stage, TrackedRequest},
         state::GatewayState,
         stop::{StopAgeField, StopEnd},
     },
@@ -175,7 +175,7 @@
             let kinds = unanswered.iter().map(|request| request.progress().kind);
             kinds.filter(|it| *it == kind).count()
         };
-        let (calls, streams) = (count("call"), count("stream"));
+        let (calls, streams) = (count(RequestKind::Call), count(RequestKind::Stream));
         Self {
             in_flight: state.stop.in_flight(),
             receiving: unanswered.len() - calls - streams,
@@ -232,7 +232,7 @@
             target: URGENT_TARGET,
             "stop: request cut request={} kind={} route={} stage={} upstream={} sends={} age_ms={}{} phase=exit",
             request.id.as_deref().unwrap_or("-"),
-            progress.kind,
+            progress.kind.name(),
             progress.route.as_deref().unwrap_or("-"),
             progress.stage.name(),
             progress.upstream.as_deref().unwrap_or("-"),
--- a/crates/gateway/src/serve/ingress.rs
+++ b/crates/gateway/src/serve/ingress.rs
@@ -12,7 +12,7 @@
             Call, MAX_HOLD, content_digest_of, fingerprint_of, run_plain, run_stream,
             shared_part_ids, strip_connection_headers,
         },
-        in_flight::{LastAnswer, Stage, TrackedRequest},
+        in_flight::{LastAnswer, RequestKind, RequestProgress, Stage, TrackedRequest},
         lifecycle::InFlightGuard,
         state::GatewayState,
         stop::StopEnd,
@@ -118,7 +118,8 @@
     let running = state.stop.in_time(Box::pin(run(state, call)));
     running.await.unwrap_or_else(|_| {
         let detail = "this host stops and has no answer yet";
-        Err(Failure::new(ErrorKind::Stopping, detail).after_earlier_attempt(Ran::Unknown))
+        let ran = ran_at_most(&tracked.progress());
+        Err(Failure::new(ErrorKind::Stopping, detail).after_earlier_attempt(ran))
     })
 }
 
@@ -179,6 +180,15 @@
     }
 }
 
+/// Whether an unanswered request may have run.
+fn ran_at_most(progress: &RequestProgress) -> Ran {
+    match progress.kind {
+        RequestKind::Call if progress.sends == 0 => Ran::No,
+        // An earlier attempt of the caller may have run a stream that this host has not sent.
+        RequestKind::Call | RequestKind::Stream | RequestKind::Unknown => Ran::Unknown,
+    }
+}
+
 /// Checks that a plain call is likely to end before this host has stopped.
 fn check_time_to_answer(state: &GatewayState, route: &Route) -> Result<(), Failure> {
     match (route.kind, state.stop.time_to_answer()) {
