Tell a rewritten configuration by any answer of the era

Cause: whether a row was written since the restore was told by the first read of its own set. A host that learned of the era from upstreams, and whose first read of the configuration came after the operator's write, took that row for the copy's and waited for ten seconds.

Change: Feed keeps the lowest revision of any answer or feeder's watermark in the latest era; a configuration above it was written since.

Why it works: one counter numbers the rows of all sets, so each row of the copy has a version of at most that of any answer of the era. Rows of the copy never count as a rewrite, and a host that knew only the copy still waits for a second without a further configuration.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -34,7 +34,7 @@
 };
 pub use {
     choice::{FeederCandidate, FeederChoice, MAX_GROUP_HOSTS, choose_feeder, hosts_before, rank},
-    era::{KnownEra, RESTORE_GRACE},
+    era::{KnownEra, LowestRevision, RESTORE_GRACE},
     progress::SetProgress,
     recovery::{KnowledgeAtRestore, Recovery, RecoveryEvidence},
     store_clock::StoreClockOffset,
@@ -150,6 +150,7 @@
     upstreams: Mutex<SetProgress>,
     clock: Mutex<StoreClockOffset>,
     era: Mutex<KnownEra>,
+    lowest_revision: Mutex<LowestRevision>,
     recovery: Mutex<Recovery>,
     /// Set when a store call of this host fails because the store is unavailable to it; cleared when the store answers
     /// with rows. Other failures leave it unchanged, such as a refusal because of too many calls or a failed call about
@@ -173,6 +174,7 @@
         let Some(progress) = self.set(set) else {
             return false;
         };
+        self.record_revision(watermark.revision);
         let mut progress = progress.lock();
         let before = progress.watermark();
         progress.advance(watermark);
@@ -203,21 +205,25 @@
         })
     }
 
+    /// Records the revision as of which the store answered, about any set.
+    pub fn record_revision(&self, revision: Revision) {
+        self.lowest_revision.lock().record(revision);
+    }
+
     /// Returns whether a row may predate a restore of the store.
-    pub fn origin_of(&self, set: RowSet, revision: Revision) -> RowOrigin {
-        if self.progress(set).is_written_since_restore(revision) {
+    pub fn origin_of(&self, revision: Revision) -> RowOrigin {
+        if self.lowest_revision.lock().precedes(revision) {
             RowOrigin::WrittenSinceRestore
         } else {
             RowOrigin::MayPredateRestore
         }
     }
 
-    /// Whether a row of the configuration was written after this host first knew the set in the store's current era, to
-    /// which a restore led.
+    /// Whether a row was written after the first answer that this host knows of in the store's current era, to which a
+    /// restore led.
     pub fn is_written_since_restore(&self, revision: Revision) -> bool {
         let era = era_of(revision);
-        let progress = self.progress(RowSet::Configuration);
-        era > 0 && era == self.era() && progress.is_written_since_restore(revision)
+        era > 0 && era == self.era() && self.lowest_revision.lock().precedes(revision)
     }
 
     /// The latest store era that this host knows of.
--- a/crates/gateway/src/feed/era.rs
+++ b/crates/gateway/src/feed/era.rs
@@ -1,8 +1,11 @@
 //! The latest store era that this host knows of, and since when.
 
 use {
-    crate::edge::{EraNamed, StoreEra},
-    std::time::{Duration, Instant},
+    crate::edge::{EraNamed, Revision, StoreEra, era_of},
+    std::{
+        cmp::Ordering,
+        time::{Duration, Instant},
+    },
     tealshore_core::protection::{Protection, enabled},
 };
 
@@ -55,3 +58,31 @@
         age.is_some_and(|age| age < RESTORE_GRACE)
     }
 }
+
+/// The lowest revision of any answer that this host knows of in the latest era. One counter numbers the rows of all
+/// sets, so a row with a higher revision was written after the restore, whichever set the answer was about.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LowestRevision(Option<Revision>);
+
+impl LowestRevision {
+    /// Records the revision of an answer.
+    pub fn record(&mut self, revision: Revision) {
+        let is_lower = self
+            .0
+            .is_none_or(|known| match era_of(revision).cmp(&era_of(known)) {
+                Ordering::Greater => true,
+                Ordering::Equal => revision < known,
+                Ordering::Less => false,
+            });
+        if is_lower {
+            self.0 = Some(revision);
+        }
+    }
+
+    /// Whether a row was written after an answer of the same era that this host knows of.
+    #[must_use]
+    pub fn precedes(&self, revision: Revision) -> bool {
+        self.0
+            .is_some_and(|known| era_of(known) == era_of(revision) && known < revision)
+    }
+}
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -322,6 +322,7 @@
         let arrived = clock::now();
         let feed = &self.state.feed;
         feed.record_answer(page.store_time, sent_at, arrived);
+        feed.record_revision(page.revision);
         let moment = feed.to_local_instant(page.store_time, arrived);
         let written = AnswerTime {
             store_time: page.store_time,
--- a/crates/gateway/src/sync/apply.rs
+++ b/crates/gateway/src/sync/apply.rs
@@ -74,7 +74,7 @@
     ) {
         match change {
             Change::Configuration(configuration) => {
-                let origin = self.state.feed.origin_of(self.set, revision);
+                let origin = self.state.feed.origin_of(revision);
                 apply_configuration(&self.state, revision, *configuration, origin, source);
             }
             Change::Upstream(change) => apply_upstream(&self.state, revision, change, log),
--- a/crates/gateway/src/view/in_force.rs
+++ b/crates/gateway/src/view/in_force.rs
@@ -15,7 +15,7 @@
 pub enum RowOrigin {
     /// The row may come from the restored copy, and so be older than what was known before.
     MayPredateRestore,
-    /// The row was written after this host first read the set in the store's current era.
+    /// The row was written after the first answer that this host knows of in the store's current era.
     WrittenSinceRestore,
 }
 
--- a/crates/gateway/tests/recovery.rs
+++ b/crates/gateway/tests/recovery.rs
@@ -6,6 +6,7 @@
     tealshore_gateway::{
         edge::{Revision, RowSet, StoreEra, revision_in},
         feed::{Feed, KnowledgeAtRestore, Recovery, SetWatermark},
+        view::RowOrigin,
     },
 };
 
@@ -109,3 +110,32 @@
     assert!(!feed.is_written_since_restore(revision(1, 5)));
     assert!(feed.is_written_since_restore(revision(1, 6)));
 }
+
+#[test]
+fn rows_written_after_an_answer_about_another_set_show_a_rewrite() {
+    let feed = feed_at(0, revision(0, 9));
+    feed.record_era(1);
+    feed.record_revision(revision(1, 5));
+    assert_eq!(feed.origin_of(revision(1, 5)), RowOrigin::MayPredateRestore);
+    assert_eq!(
+        feed.origin_of(revision(1, 6)),
+        RowOrigin::WrittenSinceRestore
+    );
+    feed.advance(RowSet::Configuration, watermark(revision(1, 8)));
+    assert!(!feed.is_written_since_restore(revision(1, 5)));
+    assert!(feed.is_written_since_restore(revision(1, 6)));
+    feed.record_revision(revision(1, 4));
+    assert!(feed.is_written_since_restore(revision(1, 5)));
+}
+
+#[test]
+fn an_answer_of_an_earlier_era_does_not_show_a_rewrite_in_a_later_one() {
+    let feed = feed_at(1, revision(1, 5));
+    feed.record_era(2);
+    assert!(!feed.is_written_since_restore(revision(2, 7)));
+    feed.record_revision(revision(2, 6));
+    feed.record_revision(revision(1, 3));
+    assert!(!feed.is_written_since_restore(revision(1, 4)));
+    assert!(!feed.is_written_since_restore(revision(2, 6)));
+    assert!(feed.is_written_since_restore(revision(2, 7)));
+}
