Drop a row that is held back once a full set lacks it

Cause: an upstream that is known to be gone and that a copy lists as ready is held back for ten seconds. A full set removed what it lacks from among the listed upstreams alone, so a host that missed the row's deletion and then read the set of a later copy kept the held row, and listed the dead upstream as ready ten seconds after the first restore.

Change: rows that are held back are compared with a full set as well, in retain and retain_after_outage.

Why it works: what a full set of a later revision lacks is gone. An upstream that lives writes its row each heartbeat, and a row that is written anew is applied at once.

--- a/crates/gateway/src/view/listing.rs
+++ b/crates/gateway/src/view/listing.rs
@@ -42,6 +42,11 @@
         self.expires_at.is_some()
     }
 
+    /// Whether an upstream is listed, or will be by a row that is held back.
+    pub(super) fn has_row(&self) -> bool {
+        self.upstream.is_some() || self.held.is_some()
+    }
+
     fn is_in_grace(&self) -> bool {
         self.expires_at.is_some() || self.held.is_some()
     }
--- a/crates/gateway/src/view/upstreams.rs
+++ b/crates/gateway/src/view/upstreams.rs
@@ -204,7 +204,7 @@
     fn missing(&self, present: &[EngineId]) -> Vec<EngineId> {
         let present: HashSet<&EngineId> = present.iter().collect();
         let listed = self.listed.read();
-        let known = listed.iter().filter(|(_, known)| known.upstream.is_some());
+        let known = listed.iter().filter(|(_, known)| known.has_row());
         let missing = known.filter(|(id, _)| !present.contains(id));
         missing.map(|(id, _)| id.clone()).collect()
     }
--- a/crates/gateway/tests/store_restore.rs
+++ b/crates/gateway/tests/store_restore.rs
@@ -98,6 +98,30 @@
     assert!(!accepts_work(&upstreams, "one"));
 }
 
+#[test]
+fn a_held_row_that_a_later_copy_lacks_is_never_applied() {
+    let upstreams = upstreams_before_restore();
+    upstreams.remove(11, &"one".to_owned());
+    let now = clock::now();
+    upstreams.put_seen(after_restore(10), record("one", UpstreamState::Ready), now);
+    let second_restore = revision_in(2, 9).unwrap_or_default();
+    upstreams.retain(second_restore, &[]);
+    assert!(upstreams.rows().is_empty());
+    assert_eq!(upstreams.end_grace(now + RESTORE_GRACE), 0);
+    assert!(!accepts_work(&upstreams, "one"));
+}
+
+#[test]
+fn a_held_row_that_is_missing_after_an_outage_is_never_applied() {
+    let upstreams = upstreams_before_restore();
+    upstreams.remove(11, &"one".to_owned());
+    let now = clock::now();
+    upstreams.put_seen(after_restore(10), record("one", UpstreamState::Ready), now);
+    upstreams.retain_after_outage(after_restore(12), &[], now + MISSING_ROW_GRACE);
+    assert_eq!(upstreams.end_grace(now + RESTORE_GRACE), 0);
+    assert!(!accepts_work(&upstreams, "one"));
+}
+
 #[test]
 fn an_upstream_missing_from_a_restored_store_accepts_work_for_a_grace_period() {
     let upstreams = upstreams_before_restore();
