Try a quarantined part on which answers began after seconds

Cause: three requests that crash engines by themselves, one after the other before any answer begins, are enough for a quarantine. All prompts are refused then, so no answer can begin that clears the part.

Change: a part on which answers began before is tried from 3 s after its last crash on, with one request that has crashed nothing, by one host after the other. A crash in such a trial, or two under requests sent later than 3 s after the fifth crash, leave it in quarantine for the ten minutes.

Why it works: the first answer that begins excludes the part from all crashes before it, on all hosts. At most two of the three sends that are allowed after the fifth crash are left to trials.

--- a/crates/quarantine/src/parts/log.rs
+++ b/crates/quarantine/src/parts/log.rs
@@ -6,7 +6,7 @@
         begins::Begins,
         crash::{MAX_PARTS, PartCrash, PossibleCause},
         news::PartCrashReport,
-        suspects::{Suspect, find_suspects},
+        suspects::{CONTACT_TIME, Suspect, find_suspects},
     },
     crate::{
         log::{QUARANTINE_PERIOD, UpdateScope, Verdict},
@@ -235,7 +235,8 @@
     }
 
     /// Returns whether a request may be sent to an upstream. After a quarantine one host after the other may try one
-    /// request; `rank_of` returns this host's position in that order.
+    /// request; `rank_of` returns this host's position in that order. A doubtful part is tried after seconds, with
+    /// requests that have crashed nothing.
     pub fn verdict(
         &mut self,
         request: Fingerprint,
@@ -249,7 +250,13 @@
         let suspects = self.suspects.iter();
         let quarantined = suspects.filter(|it| it.strength.is_enough() && it.is_in(parts));
         for suspect in quarantined {
-            let due = suspect.last + QUARANTINE_PERIOD;
+            let is_early = suspect.is_doubtful && now < suspect.last + QUARANTINE_PERIOD;
+            let period = if is_early {
+                CONTACT_TIME
+            } else {
+                QUARANTINE_PERIOD
+            };
+            let due = suspect.last + period;
             let crashes = suspect.strength.weight;
             if let Some(left) = due
                 .checked_duration_since(now)
@@ -258,7 +265,11 @@
                 return Verdict::Quarantined { crashes, left };
             }
             let rank = rank_of(suspect.part);
-            if !self.trials.admit(suspect.part, request, due, rank, now) {
+            let mut crashes_of_request = self.entries.iter().filter(|entry| {
+                entry.crash.request == request && entry.crash.may_be_caused_by(suspect.part)
+            });
+            let is_barred = is_early && crashes_of_request.next().is_some();
+            if is_barred || !self.trials.admit(suspect.part, request, due, rank, now) {
                 let left = TRIAL_INTERVAL;
                 return Verdict::Quarantined { crashes, left };
             }
--- a/crates/quarantine/src/parts/suspects.rs
+++ b/crates/quarantine/src/parts/suspects.rs
@@ -8,7 +8,7 @@
     std::{
         cmp::Reverse,
         collections::{BTreeSet, HashMap},
-        time::Instant,
+        time::{Duration, Instant},
     },
     tealshore_core::ids::Fingerprint,
 };
@@ -24,6 +24,14 @@
 /// The maximum number of crashes of one request that add to the weight: more of them speak against the whole request,
 /// not against a part of it.
 const MAX_WEIGHT_PER_REQUEST: usize = 2;
+/// Hosts have exchanged within this time what they know. A quarantined part on which answers began before is first
+/// tried that long after its last crash.
+pub(super) const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// The number of crashes after which few more requests may be sent, from `CONTACT_TIME` later on.
+const MAX_CRASHES_BEFORE_LIMIT: usize = 5;
+/// The maximum number of crashes under such requests for a part to be tried. Two hosts may send a trial if messages are
+/// lost, and three requests may be sent in all.
+const MAX_LATE_CRASHES: usize = 1;
 /// The sequence and weight from which a part is suspected.
 const SUSPECT_THRESHOLD: usize = 2;
 
@@ -116,6 +124,9 @@
     pub strength: Strength,
     /// When the last of these crashes was detected.
     pub last: Instant,
+    /// Whether the part may be tried shortly after its quarantine began: answers began on it before, no trial has crashed
+    /// an upstream since, and hardly any request that was sent late.
+    pub is_doubtful: bool,
 }
 
 impl Suspect {
@@ -221,6 +232,9 @@
             group: common_parts(&runs),
             strength,
             last,
+            is_doubtful: strength.began_before
+                && !has_crashed_in_trial(part, &runs)
+                && late_crashes(&runs) <= MAX_LATE_CRASHES,
         })
     }
 }
@@ -230,6 +244,27 @@
     causes.any(|cause| cause.part == part && cause.began_before)
 }
 
+/// Returns whether a run began while the crashes before it kept the part in quarantine: only trials do.
+fn has_crashed_in_trial(part: PartId, runs: &[IndexedRun]) -> bool {
+    runs.iter().enumerate().any(|(count, (_, run))| {
+        let before = &runs[..count];
+        let last = before.last();
+        last.is_some_and(|(_, last)| run.began >= last.ended + CONTACT_TIME)
+            && Strength::of(part, before).is_enough()
+    })
+}
+
+/// Returns the number of crashes under runs that began when hosts had had time to learn of the first crashes.
+fn late_crashes(runs: &[IndexedRun]) -> usize {
+    let mut known = BTreeSet::new();
+    let mut distinct = runs.iter().filter(|(index, _)| known.insert(*index));
+    let Some((_, fifth)) = distinct.nth(MAX_CRASHES_BEFORE_LIMIT - 1) else {
+        return 0;
+    };
+    let is_late = |run: &PartCrash| run.began > fifth.ended + CONTACT_TIME;
+    runs.iter().filter(|(_, run)| is_late(run)).count()
+}
+
 /// Returns the parts that are possible causes in all runs.
 fn common_parts(runs: &[IndexedRun]) -> Vec<PartId> {
     let Some((_, first)) = runs.first() else {
--- a/crates/quarantine/tests/parts.rs
+++ b/crates/quarantine/tests/parts.rs
@@ -112,6 +112,67 @@
     assert!(is_refused(&mut log, &parts, at(start, 1_000)));
 }
 
+/// Returns a log in which three requests put a part in quarantine, on which answers began before.
+fn log_of_doubtful_part(start: Instant) -> PartLog {
+    let mut log = PartLog::new(start);
+    log.record_begin(&[FIRST_PART], RUNTIME, at(start, 39_000));
+    for request in 1..=3 {
+        let ended_ms = 40_000 + request * CRASH_INTERVAL_MS;
+        let crash = crash(start, request, &[FIRST_PART], ended_ms);
+        log.record_crash(crash, at(start, ended_ms));
+    }
+    log
+}
+
+/// All prompts have the part, so all were refused for ten minutes and no answer could begin that clears it.
+#[test]
+fn a_part_on_which_answers_began_is_cleared_by_one_request_seconds_after_its_quarantine_began() {
+    let start = base_instant();
+    let mut log = log_of_doubtful_part(start);
+    let parts = [FIRST_PART];
+    assert!(is_refused(&mut log, &parts, at(start, 43_000)));
+    let now = at(start, 44_000);
+    let crasher = log.verdict(2, &parts, |_| 0, now);
+    assert_ne!(crasher, Verdict::Allowed, "it crashed an upstream itself");
+    let other_host = log.verdict(50, &parts, |_| 1, now);
+    assert_ne!(other_host, Verdict::Allowed, "another host is the first");
+    assert_eq!(log.verdict(50, &parts, |_| 0, now), Verdict::Allowed);
+    assert_ne!(log.verdict(51, &parts, |_| 0, now), Verdict::Allowed);
+    assert!(log.record_begin(&parts, RUNTIME, at(start, 44_100)));
+    assert_eq!(
+        log.verdict(51, &parts, |_| 0, at(start, 44_100)),
+        Verdict::Allowed
+    );
+}
+
+#[test]
+fn one_crash_in_an_early_trial_ends_early_trials_on_all_hosts() {
+    let start = base_instant();
+    let mut log = log_of_doubtful_part(start);
+    let parts = [FIRST_PART];
+    let now = at(start, 44_000);
+    assert_eq!(log.verdict(50, &parts, |_| 0, now), Verdict::Allowed);
+    log.record_crash(crash(start, 50, &parts, 44_100), at(start, 44_100));
+    let mut other = PartLog::new(start);
+    let reports = log.reports(at(start, 44_100), UpdateScope::Group);
+    other.merge(&reports, Audience::Nobody, at(start, 44_100));
+    for log in [&mut log, &mut other] {
+        for later_ms in [44_200, 48_000, 600_000, 644_000] {
+            let verdict = log.verdict(51, &parts, |_| 0, at(start, later_ms));
+            assert_ne!(verdict, Verdict::Allowed, "{later_ms} ms");
+        }
+    }
+}
+
+#[test]
+fn a_part_on_which_no_answer_began_has_no_early_trial() {
+    let start = base_instant();
+    let mut log = log_of(start, &[BAD_PART], 3);
+    for later_ms in [35_000, 60_000, 600_000] {
+        assert!(is_refused(&mut log, &[BAD_PART], at(start, later_ms)));
+    }
+}
+
 #[test]
 fn the_crashes_of_one_request_do_not_quarantine_its_parts() {
     let start = base_instant();
--- a/crates/quarantine/tests/parts_model.rs
+++ b/crates/quarantine/tests/parts_model.rs
@@ -59,6 +59,8 @@
     end_ms: u64,
     /// A time without requests.
     silence_ms: Option<(u64, u64)>,
+    /// Whether answers began on the part until it began to crash upstreams.
+    has_begun_before: bool,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -128,6 +130,8 @@
     crashes_ms: Vec<u64>,
     /// Sends of requests with the crashing part by hosts in touch.
     bad_sends_ms: Vec<u64>,
+    /// Those of them that were sent although the part was in quarantine.
+    trials_ms: Vec<u64>,
     /// When a sound request arrived, and whether it was refused.
     sound: Vec<(u64, bool)>,
 }
@@ -152,9 +156,15 @@
             events: 0,
             crashes_ms: Vec::new(),
             bad_sends_ms: Vec::new(),
+            trials_ms: Vec::new(),
             sound: Vec::new(),
             scenario,
         };
+        if model.scenario.has_begun_before {
+            for host in &mut model.hosts {
+                host.log.record_begin(&[BAD_PART], RUNTIME, start);
+            }
+        }
         model.schedule(0, Event::Arrive { is_bad: true });
         model.schedule(0, Event::Arrive { is_bad: false });
         model.schedule(FULL_STATE_INTERVAL_MS, Event::SendFullStates);
@@ -352,6 +362,13 @@
         } else if !is_refused && runs < MAX_RUNS {
             if now_ms >= self.hosts[host].started_ms + CONTACT_MS {
                 self.bad_sends_ms.push(now_ms);
+                let of_others =
+                    self.hosts[host]
+                        .log
+                        .verdict(u64::MAX, &[first, second], |_| usize::MAX, now);
+                if of_others != Verdict::Allowed {
+                    self.trials_ms.push(now_ms);
+                }
             }
             let crashes_ms = now_ms + queued_ms + RUN_MS;
             self.schedule(
@@ -497,6 +514,7 @@
                 restart_ms,
                 end_ms: 40_000,
                 silence_ms: None,
+                has_begun_before: false,
             }
         })
 }
@@ -526,6 +544,23 @@
         );
     }
 
+    #[test]
+    fn early_trials_of_a_part_that_was_sound_before_are_few(scenario in scenario()) {
+        let mut model = Model::new(Scenario {
+            has_begun_before: true,
+            end_ms: 110_000,
+            ..scenario
+        });
+        model.run();
+        prop_assert!(
+            model.trials_ms.is_empty() || model.late_sends() <= MAX_LATER_SENDS,
+            "sends at {:?}, trials at {:?}, crashes at {:?}",
+            model.bad_sends_ms,
+            model.trials_ms,
+            model.crashes_ms
+        );
+    }
+
     #[test]
     fn sound_requests_with_the_same_first_part_are_not_refused(scenario in scenario()) {
         let mut model = Model::new(scenario);
