--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -30,7 +30,8 @@
     /// From here on, each answer asks its caller to close the connection. Callers have learned by then that the address
     /// is withdrawn, so they do not come back.
     pub last_answers: Duration,
-    /// From here on, no connection is accepted and no further request is read. What was read is still answered.
+    /// From here on, no connection is accepted, and no further request is read but those that had arrived. What was read is
+    /// still answered.
     pub close: Duration,
     /// Requests that have no answer yet are refused.
     pub refuse: Duration,
