Let a crashing part explain crashes that a shared part survived

Cause: a quarantined part explained the crashes under runs with both parts only if all its crashes had the other part as a possible cause. An answer that began on the first part had excluded that one from the first crash of the crashing part; so three later crashes under it counted against the first part, beside those of a request that crashes engines and of two streams that were resumed.

Change: it explains them if answers began before on the other part and not on it, whatever its other crashes had in common.

Why it works: a part with three crashes of its own that don't all have the other part as a possible cause is shown to crash engines without it.

--- a/crates/quarantine/src/parts/suspects.rs
+++ b/crates/quarantine/src/parts/suspects.rs
@@ -164,13 +164,10 @@
             && (self.group.contains(&other) || self.strength.count() >= of_other.strength.count())
     }
 
-    /// Returns whether this part explains a crash under a run that has both parts: all its requests have the other
-    /// part, on which answers began before.
-    fn explains_within(&self, other: PartId, of_other: &Self) -> bool {
-        self.strength.is_enough()
-            && self.group.contains(&other)
-            && of_other.strength.began_before
-            && !self.strength.began_before
+    /// Returns whether this part explains a crash under a run that has both parts, and answers began before on the other
+    /// one only. Runs of this part that lack the other one are further evidence for that.
+    fn explains_within(&self, of_other: &Self) -> bool {
+        self.strength.is_enough() && of_other.strength.began_before && !self.strength.began_before
     }
 }
 
@@ -206,7 +203,7 @@
     fn is_explained(&self, part: PartId, own: &Evidence, (index, run): IndexedRun) -> bool {
         let is_within = run.causes.iter().any(|cause| {
             let evidence = self.evidence.get(&cause.part);
-            evidence.is_some_and(|other| other.explains_within(part, own))
+            evidence.is_some_and(|other| other.explains_within(own))
         });
         let beside = self.runs_by_crash.get(&index).into_iter().flatten();
         let mut causes_beside = beside.flat_map(|other| &other.causes);
--- a/crates/quarantine/tests/parts.rs
+++ b/crates/quarantine/tests/parts.rs
@@ -265,6 +265,27 @@
     assert!(!is_refused(&mut log, &[FIRST_PART, OTHER_PART], now));
 }
 
+/// An answer on the first part excluded it from the first of these crashes, so it is not in the group of the other.
+#[test]
+fn a_crashing_part_and_two_requests_that_crash_upstreams_do_not_quarantine_their_first_part() {
+    let start = base_instant();
+    let mut log = PartLog::new(start);
+    let both = [FIRST_PART, BAD_PART];
+    log.record_crash(crash(start, 1, &both, 100), at(start, 100));
+    log.record_begin(&[FIRST_PART], RUNTIME, at(start, 150));
+    for (request, ended_ms) in [(2, 300), (2, 400)] {
+        let crash = crash(start, request, &both, ended_ms);
+        log.record_crash(crash, at(start, ended_ms));
+    }
+    for (request, ended_ms) in [(3, 500), (4, 600)] {
+        let crash = crash(start, request, &[FIRST_PART], ended_ms);
+        log.record_crash(crash, at(start, ended_ms));
+    }
+    let now = at(start, 1_000);
+    assert!(is_refused(&mut log, &both, now));
+    assert!(!is_refused(&mut log, &[FIRST_PART, OTHER_PART], now));
+}
+
 /// Requests that begin on the same upstreams as the crashing ones lose them as often, but for once.
 #[test]
 fn a_part_beside_a_crashing_one_is_not_refused() {
