Show that a part that was sound before is sent once too often

Found by the model of hosts: a part on which answers began before it crashed engines is quarantined only for the crashes of three requests, and four requests with it are sent later than 3 s after the fifth crash where three are allowed.

--- a/crates/quarantine/tests/parts_model.rs
+++ b/crates/quarantine/tests/parts_model.rs
@@ -561,6 +561,21 @@
         );
     }
 
+    #[test]
+    fn later_sends_of_a_part_that_was_sound_before_are_few(scenario in scenario()) {
+        let mut model = Model::new(Scenario {
+            has_begun_before: true,
+            ..scenario
+        });
+        model.run();
+        prop_assert!(
+            model.late_sends() <= MAX_LATER_SENDS,
+            "sends at {:?}, crashes at {:?}",
+            model.bad_sends_ms,
+            model.crashes_ms
+        );
+    }
+
     #[test]
     fn sound_requests_with_the_same_first_part_are_not_refused(scenario in scenario()) {
         let mut model = Model::new(scenario);
