Refuse what has no answer before a delayed stop exits

What callers saw: a connection that closed with no answer, for calls that an upstream ran, if the host did not run between the time to refuse what has no answer and its exit, 0.2 s apart.

Cause: the exit went by the age of the stop alone. A host that comes to both phases at once exits in the same turn, before any refusal is written.

Change: the exit waits until 0.1 s have passed since this host began to refuse.

Why it works: refusals are due before the exit is counted, and the runtime runs all of them in that time, whenever the host goes on.

--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -19,6 +19,9 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// How many requests that the exit cuts off have a line of their own, the oldest first.
 const MAX_CUT_LINES: usize = 200;
+/// The least time between the refusal of what has no answer and the exit. A host that did not run for a moment may come to
+/// both at once.
+const MIN_REFUSAL_TIME: Duration = Duration::from_millis(100);
 /// The least time between two log lines about signals that arrive during a stop.
 const REPEATED_SIGNAL_PAUSE: Duration = Duration::from_millis(100);
 
@@ -136,19 +139,22 @@
     let idle_count = u64::try_from(idle).unwrap_or_default();
     state.metrics.stop_idle_connections.inc_by(idle_count);
     log::info!(target: URGENT_TARGET, "stop: closing connections {counts} idle={idle}");
-    let mut is_refusal_logged = false;
+    let mut refusing_since = None;
     loop {
         let age = clock::elapsed(began);
         let in_flight = state.stop.in_flight();
         // An answer that is no longer in flight may not be written yet; its connection ends when it is.
         let has_closed = state.stop.has_closed();
-        if age >= state.stop.schedule.exit || (has_closed && in_flight == 0) {
+        let has_refused =
+            refusing_since.is_some_and(|since| clock::elapsed(since) >= MIN_REFUSAL_TIME);
+        let is_over = age >= state.stop.schedule.exit && has_refused;
+        if is_over || (has_closed && in_flight == 0) {
             state.stop.record_exit();
             log_exit(&state, in_flight, has_closed);
             return;
         }
-        if age >= state.stop.schedule.refuse && !is_refusal_logged {
-            is_refusal_logged = true;
+        if age >= state.stop.schedule.refuse && refusing_since.is_none() {
+            refusing_since = Some(clock::now());
             let counts = InFlightCounts::of(&state);
             log::info!(target: URGENT_TARGET, "stop: refusing what has no answer {counts}");
         }
