--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -232,21 +232,6 @@
     let ends = &state.metrics.stop_requests;
     ends.with_label_values(&[StopEnd::Cut.name()])
         .inc_by(cut_count);
-    for request in cut.iter().take(MAX_CUT_LINES) {
-        let progress = request.progress();
-        log::warn!(
-            target: URGENT_TARGET,
-            "stop: request cut request={} kind={} route={} stage={} upstream={} sends={} age_ms={}{} phase=exit",
-            request.id.as_deref().unwrap_or("-"),
-            progress.kind.name(),
-            progress.route.as_deref().unwrap_or("-"),
-            progress.stage.name(),
-            progress.upstream.as_deref().unwrap_or("-"),
-            progress.sends,
-            clock::elapsed(request.received).as_millis(),
-            state.stop.age_field()
-        );
-    }
     let count = |end: StopEnd| {
         let ends = &state.metrics.stop_requests;
         ends.with_label_values(&[end.name()]).get()
@@ -265,4 +250,19 @@
         count(StopEnd::CallerGone),
         count(StopEnd::Cut)
     );
+    for request in cut.iter().take(MAX_CUT_LINES) {
+        let progress = request.progress();
+        log::warn!(
+            target: URGENT_TARGET,
+            "stop: request cut request={} kind={} route={} stage={} upstream={} sends={} age_ms={}{} phase=exit",
+            request.id.as_deref().unwrap_or("-"),
+            progress.kind.name(),
+            progress.route.as_deref().unwrap_or("-"),
+            progress.stage.name(),
+            progress.upstream.as_deref().unwrap_or("-"),
+            progress.sends,
+            clock::elapsed(request.received).as_millis(),
+            state.stop.age_field()
+        );
+    }
 }
