Log whether an engine that a stream left still has the run

Nothing told whether an engine that was given up for silence worked on beside the next one. An engine that accepts a probe's connection and sends nothing (stalled) is told from one that can't be reached (probe-unanswered): the first hypothesis predicts the former. What is decided stays as it was: both are left as before.

--- a/crates/gateway/src/forward/probe.rs
+++ b/crates/gateway/src/forward/probe.rs
@@ -10,7 +10,12 @@
         view::Upstream,
     },
     futures::TryFutureExt,
-    std::{future::Future, pin::pin, time::Duration},
+    std::{
+        future::Future,
+        pin::pin,
+        sync::atomic::{AtomicBool, Ordering},
+        time::Duration,
+    },
     tealshore_core::ids::RequestId,
     tokio::time::{sleep, timeout},
 };
@@ -37,7 +42,10 @@
 /// The result of a probe.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ProbeOutcome {
+    /// No connection could be opened, or it was closed without an answer.
     Unanswered,
+    /// The upstream accepted the connection and sent nothing.
+    Stalled,
     /// The upstream lives, but sent something other than a report.
     Invalid,
     /// The upstream lives and may have the request.
@@ -86,8 +94,10 @@
 /// Why the wait for an upstream ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WaitFailure {
-    /// The upstream does not answer probes.
+    /// The upstream can't be reached by probes.
     ProbeUnanswered,
+    /// The upstream accepts probes and does not answer them.
+    Stalled,
     /// The upstream lives, but answers probes with something other than a report.
     ProbeInvalid,
     /// Another request or host found the upstream dead, and a probe was not answered.
@@ -109,6 +119,7 @@
         match self {
             Self::RequestMissing | Self::AnswerLost => true,
             Self::ProbeUnanswered
+            | Self::Stalled
             | Self::ProbeInvalid
             | Self::FoundDeadElsewhere
             | Self::Replaced
@@ -120,6 +131,7 @@
     pub fn is_silence(self) -> bool {
         match self {
             Self::ProbeUnanswered
+            | Self::Stalled
             | Self::ProbeInvalid
             | Self::FoundDeadElsewhere
             | Self::SilentTooLong => true,
@@ -131,6 +143,7 @@
     pub fn outcome(self) -> Outcome {
         match self {
             Self::ProbeUnanswered
+            | Self::Stalled
             | Self::FoundDeadElsewhere
             | Self::Replaced
             | Self::RequestMissing
@@ -143,6 +156,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::ProbeUnanswered => "probe-unanswered",
+            Self::Stalled => "stalled",
             Self::ProbeInvalid => "probe-invalid",
             Self::FoundDeadElsewhere | Self::Replaced => "found-dead",
             Self::RequestMissing => "not-held",
@@ -188,6 +202,7 @@
         // connection.
         match probe_outcome(state, upstream, pending_request.request).await {
             ProbeOutcome::Unanswered => WaitFailure::FoundDeadElsewhere,
+            ProbeOutcome::Stalled => WaitFailure::Stalled,
             ProbeOutcome::Invalid
             | ProbeOutcome::Alive
             | ProbeOutcome::Absent
@@ -221,6 +236,7 @@
         let is_answer_lost = match result {
             ProbeOutcome::EventsMade(made) => made > pending_request.events_delivered,
             ProbeOutcome::Unanswered
+            | ProbeOutcome::Stalled
             | ProbeOutcome::Invalid
             | ProbeOutcome::Alive
             | ProbeOutcome::Absent => false,
@@ -228,6 +244,7 @@
         lost_reports = if is_answer_lost { lost_reports + 1 } else { 0 };
         let probe_failure = match result {
             ProbeOutcome::Unanswered => Some(WaitFailure::ProbeUnanswered),
+            ProbeOutcome::Stalled => Some(WaitFailure::Stalled),
             ProbeOutcome::Invalid => Some(WaitFailure::ProbeInvalid),
             ProbeOutcome::Alive | ProbeOutcome::Absent | ProbeOutcome::EventsMade(_) => None,
         };
@@ -254,13 +271,29 @@
     upstream: &Upstream,
     request: &RequestId,
 ) -> ProbeOutcome {
-    match report(state, upstream, request).await {
+    let trace = ProbeTrace::default();
+    match report_traced(state, upstream, request, &trace).await {
         Ok(report) => ProbeOutcome::of(&report),
         Err(CallFailure::Invalid) => ProbeOutcome::Invalid,
+        Err(CallFailure::TimedOut) if trace.is_connected() => ProbeOutcome::Stalled,
         Err(CallFailure::Closed | CallFailure::TimedOut) => ProbeOutcome::Unanswered,
     }
 }
 
+/// What is known of probes that have not been answered.
+#[derive(Debug, Default)]
+struct ProbeTrace {
+    received: Received,
+    is_connected: AtomicBool,
+}
+
+impl ProbeTrace {
+    /// Whether the upstream accepted a connection.
+    fn is_connected(&self) -> bool {
+        self.is_connected.load(Ordering::Relaxed)
+    }
+}
+
 /// Fetches an upstream's report, with what it says about one request. A second probe is sent
 /// shortly after the first, so that one lost packet does not make the upstream look dead.
 ///
@@ -271,13 +304,21 @@
     upstream: &Upstream,
     request: &RequestId,
 ) -> Result<ProbeReport, CallFailure> {
-    let received = Received::default();
+    report_traced(state, upstream, request, &ProbeTrace::default()).await
+}
+
+async fn report_traced(
+    state: &GatewayState,
+    upstream: &Upstream,
+    request: &RequestId,
+    trace: &ProbeTrace,
+) -> Result<ProbeReport, CallFailure> {
     let second = async {
         sleep(SECOND_PROBE_DELAY).await;
-        probe(state, upstream, request, &received).await
+        probe(state, upstream, request, trace).await
     };
     let either = async {
-        let mut first = pin!(probe(state, upstream, request, &received));
+        let mut first = pin!(probe(state, upstream, request, trace));
         let mut second = pin!(second);
         tokio::select! {
             report = &mut first => first_answered(report, second).await,
@@ -287,7 +328,7 @@
     let answered = timeout(PROBE_TIMEOUT, either).await;
     let answered = answered.unwrap_or(Err(CallFailure::TimedOut));
     answered.map_err(|failure| {
-        if received.is_any() {
+        if trace.received.is_any() {
             CallFailure::Invalid
         } else {
             failure
@@ -310,11 +351,15 @@
     state: &GatewayState,
     upstream: &Upstream,
     request: &RequestId,
-    received: &Received,
+    trace: &ProbeTrace,
 ) -> Result<ProbeReport, CallFailure> {
     state.record_unpermitted(&upstream.record);
     let call = state.protocol.probe_call(&upstream.record);
-    let opening = dial(state, upstream).map_ok(|dialed| dialed.stream);
-    let (status, body) = short_call_recording(opening, call, PROBE_BOUNDS, received).await?;
+    let opening = dial(state, upstream).map_ok(|dialed| {
+        trace.is_connected.store(true, Ordering::Relaxed);
+        dialed.stream
+    });
+    let answer = short_call_recording(opening, call, PROBE_BOUNDS, &trace.received).await;
+    let (status, body) = answer?;
     Ok(state.protocol.read_probe(status, &body, request))
 }
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -7,6 +7,7 @@
 mod attempt;
 mod choose;
 mod copy_holder;
+mod earlier_run;
 mod engines_tried;
 mod order;
 mod own_run;
@@ -27,6 +28,7 @@
         view::{Engines, Upstream},
     },
     attempt::Attempt,
+    earlier_run::EarlierRun,
     engines_tried::EnginesTried,
     http::{Response, StatusCode, response},
     own_run::find_own_run,
@@ -74,6 +76,8 @@
     avoid: Vec<EngineId>,
     /// Engines at which the stream may have run.
     tried: EnginesTried,
+    /// Runs that the stream left since it last went on.
+    earlier_runs: Vec<EarlierRun>,
     /// Engines that answered the stream with a server error, or with bytes that are no answer.
     failed_at: Vec<Arc<Upstream>>,
     /// How often the stream was sent, including sends that reached no engine.
@@ -175,6 +179,7 @@
             call,
             avoid: Vec::new(),
             tried: EnginesTried::default(),
+            earlier_runs: Vec::new(),
             failed_at: Vec::new(),
             sends: 0,
             deliveries: 0,
--- a/crates/gateway/src/forward/stream/order.rs
+++ b/crates/gateway/src/forward/stream/order.rs
@@ -99,6 +99,7 @@
                     return Err(self.record_unknown_outcome(upstream, cause, outcome));
                 }
                 self.leave_silent(&upstream.record.id);
+                self.record_earlier_run(upstream.clone(), cause);
                 self.record_outcome(&upstream.record, outcome);
                 Err(self.record_failed_attempt(upstream, cause, PlaceFailure::Unknown))
             }
@@ -186,11 +187,12 @@
     /// Records a send that may have run, with its outcome for the engine's version.
     fn record_unknown_outcome(
         &mut self,
-        upstream: &Upstream,
+        upstream: &Arc<Upstream>,
         cause: &'static str,
         outcome: Outcome,
     ) -> PlaceFailure {
         self.record_outcome(&upstream.record, outcome);
+        self.record_earlier_run(upstream.clone(), cause);
         let engine = &upstream.record.id;
         self.tried.record_end(engine);
         self.tried.record_failure(engine, clock::now());
@@ -280,7 +282,7 @@
     }
 
     /// Reads an answer that is not a stream.
-    pub async fn read_whole(&mut self, upstream: &Upstream, answer: Answer) -> PlaceFailure {
+    pub async fn read_whole(&mut self, upstream: &Arc<Upstream>, answer: Answer) -> PlaceFailure {
         let mut head = answer.head;
         match read_limited(answer.body, MAX_ANSWER_BYTES).await {
             Ok(body) => {
--- a/crates/gateway/src/forward/stream/place.rs
+++ b/crates/gateway/src/forward/stream/place.rs
@@ -291,6 +291,7 @@
                 .observe_prompt_rate(service, to_read, clock::elapsed(sent_at));
         }
         self.record_run_location(&upstream, plan.copy_to.as_deref());
+        self.check_earlier_runs(&upstream.record.id);
         self.attempt = Some(Attempt {
             upstream,
             request: self.call.request(),
--- a/crates/gateway/src/forward/stream/relay.rs
+++ b/crates/gateway/src/forward/stream/relay.rs
@@ -344,6 +344,7 @@
         }
         self.avoid.push(engine.clone());
         let cause = loss.cause;
+        self.record_earlier_run(attempt.upstream.clone(), cause);
         self.state.metrics.losses.with_label_values(&[cause]).inc();
         log::warn!(
             "stream: run lost request={} digest={} upstream={} cause={cause} silent={} last={:?} copy={} run={} \
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -19,6 +19,8 @@
     pub outcomes: IntCounterVec,
     /// Lost attempts, by cause.
     pub losses: IntCounterVec,
+    /// Runs that streams left for another engine, by what their engine said of them afterwards.
+    pub earlier_runs: IntCounterVec,
     /// Streams that callers resumed, by what proved an earlier run to be the caller's, or why none was proven to be.
     pub resumes: IntCounterVec,
     /// Notices in answers of upstreams, by kind: `rest`, `rest-unreadable` or `leaving`.
@@ -115,6 +117,11 @@
             registry: Registry::new(),
             outcomes: counter("tealshore_requests_total", "Ends of requests", &["outcome"])?,
             losses: counter("tealshore_losses_total", "Attempts lost", &["cause"])?,
+            earlier_runs: counter(
+                "tealshore_earlier_runs_total",
+                "Runs that streams left for another engine, by what the first engine said of them afterwards",
+                &["found"],
+            )?,
             resumes: counter(
                 "tealshore_caller_resumes_total",
                 "Streams that callers resumed",
@@ -297,6 +304,7 @@
         let all: Vec<Box<dyn Collector>> = vec![
             Box::new(self.outcomes.clone()),
             Box::new(self.losses.clone()),
+            Box::new(self.earlier_runs.clone()),
             Box::new(self.resumes.clone()),
             Box::new(self.notices.clone()),
             Box::new(self.limited_sends.clone()),
