Wait for an engine whose process stands still

Callers saw whole answers; what ran twice was the work: a stream left its engine after 430 ms of silence (260 ms without an event and a report unanswered for 170 ms) and went on at another one. An engine that stands still for a second reads nothing, so it doesn't hear of the closed connection either. It kept the run until it woke, 0.4 to 0.7 s after the next one began, and began requests that lay unread in its socket though their streams had left.

Cause: silence was taken for the end of a run, and a closed connection for its order to stop. Neither holds for an engine that doesn't read.

Change: a probe tells an engine that accepts its connection and sends nothing from one that can't be reached. The former lives, as its kernel answers, and is waited for until 1.5 s after the first unanswered probe; it gets no new work meanwhile. The latter (machine dark, killed, cut off) is left at once, as before, so resumes after a loss are as fast. The limit on the silence of an engine that lives doesn't end a wait while the engine stands still.

What it costs: a stream whose engine stops for good while its machine lives goes on after 1.8 s in place of 0.4 s.

--- a/crates/gateway/src/forward/probe.rs
+++ b/crates/gateway/src/forward/probe.rs
@@ -16,7 +16,7 @@
         sync::atomic::{AtomicBool, Ordering},
         time::Duration,
     },
-    tealshore_core::ids::RequestId,
+    tealshore_core::{clock, ids::RequestId},
     tokio::time::{sleep, timeout},
 };
 
@@ -36,6 +36,11 @@
 /// The delay before the next report is requested to confirm such a report. Upstreams renew their
 /// reports about as often.
 const CONFIRM_DELAY: Duration = Duration::from_millis(200);
+/// How long after its first unanswered probe an upstream is waited for that still accepts connections. Its process stands
+/// still and may go on with what it has: it reads neither the close of a connection nor anything else meanwhile.
+const MAX_STALL: Duration = Duration::from_millis(1_500);
+/// The pause between probes of such an upstream.
+const STALLED_PROBE_PAUSE: Duration = Duration::from_millis(130);
 /// The interval between probes of a silent upstream whose request has nowhere else to go.
 const WAITING_PROBE_INTERVAL: Duration = Duration::from_millis(800);
 
@@ -202,8 +207,8 @@
         // connection.
         match probe_outcome(state, upstream, pending_request.request).await {
             ProbeOutcome::Unanswered => WaitFailure::FoundDeadElsewhere,
-            ProbeOutcome::Stalled => WaitFailure::Stalled,
-            ProbeOutcome::Invalid
+            ProbeOutcome::Stalled
+            | ProbeOutcome::Invalid
             | ProbeOutcome::Alive
             | ProbeOutcome::Absent
             | ProbeOutcome::EventsMade(_) => std::future::pending().await,
@@ -212,7 +217,29 @@
     tokio::select! {
         wait_failure = found_dead => wait_failure,
         wait_failure = probe_repeatedly(state, upstream, pending_request) => wait_failure,
-        () = sleep(pending_request.silence_limits.max) => WaitFailure::SilentTooLong,
+        wait_failure = wait_until_silent_too_long(state, upstream, pending_request) => wait_failure,
+    }
+}
+
+/// Completes once the upstream has been silent for too long. The time begins anew when an upstream that stood still at its
+/// end answers probes again.
+async fn wait_until_silent_too_long(
+    state: &GatewayState,
+    upstream: &Upstream,
+    pending_request: PendingRequest<'_>,
+) -> WaitFailure {
+    let is_stalled = || async {
+        probe_outcome(state, upstream, pending_request.request).await == ProbeOutcome::Stalled
+    };
+    loop {
+        sleep(pending_request.silence_limits.max).await;
+        if pending_request.has_no_alternative || !is_stalled().await {
+            return WaitFailure::SilentTooLong;
+        }
+        // The other probes decide how long it is waited for.
+        while is_stalled().await {
+            sleep(STALLED_PROBE_PAUSE).await;
+        }
     }
 }
 
@@ -223,6 +250,7 @@
 ) -> WaitFailure {
     let mut absent_reports = 0;
     let mut lost_reports = 0;
+    let mut stalled_since = None;
     let mut pause = if pending_request.has_no_alternative {
         WAITING_PROBE_INTERVAL
     } else {
@@ -230,7 +258,18 @@
     };
     loop {
         sleep(pause).await;
+        let probed_at = clock::now();
         let result = probe_outcome(state, upstream, pending_request.request).await;
+        if result == ProbeOutcome::Stalled && !pending_request.has_no_alternative {
+            state.suspect(upstream, WaitFailure::Stalled.name());
+            let since = *stalled_since.get_or_insert(probed_at);
+            if clock::elapsed(since) < MAX_STALL {
+                pause = STALLED_PROBE_PAUSE;
+                continue;
+            }
+        } else {
+            stalled_since = None;
+        }
         let is_absent = result == ProbeOutcome::Absent;
         absent_reports = if is_absent { absent_reports + 1 } else { 0 };
         let is_answer_lost = match result {
