Stop a run that its engine reports before its stream goes on elsewhere

What ran twice: an engine answers reports and says that it goes on with a run, but its events don't arrive, as the connection is dead one way. The stream then went on at another engine. All that ended the first run was the close of the very connection that delivers nothing, so it may never end before its deadline.

Cause: as for engines that stand still, the close of a connection was taken for an order to stop that the engine hears.

Stand-ins whose events get lost don't notice the close, and end a run when they are told.

Change: such an engine is told on a new connection to stop the run and to copy its memory to another engine, and the stream goes on from that copy. It is the one order of the protocol that ends a run without its connection. An engine to which the stream returns isn't told.

Not shown: an engine of the platform that is in this state.

--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -132,6 +132,15 @@
     }
 }
 
+/// What becomes of a run whose memory is copied to another engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SourceRun {
+    /// It continues.
+    Continues,
+    /// It stops before its memory is copied.
+    Stops,
+}
+
 /// A set of rows in the platform's store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RowSet {
@@ -377,13 +386,13 @@
     /// Reads the answer to a call that is reserved for the holder of a duty.
     fn read_duty_answer(&self, status: StatusCode) -> DutyAnswer;
 
-    /// Builds the call that asks the engine of a run to copy the run's memory to another engine while the run
-    /// continues.
+    /// Builds the call that asks the engine of a run to copy the run's memory to another engine.
     fn copy_call(
         &self,
         source: &UpstreamRecord,
         run: &RequestId,
         target: SocketAddr,
+        source_run: SourceRun,
     ) -> Request<Bytes>;
 
     /// Reads the name under which a copy is stored from the answer to a copy call.
--- a/crates/gateway/src/forward/probe.rs
+++ b/crates/gateway/src/forward/probe.rs
@@ -144,6 +144,20 @@
         }
     }
 
+    /// Whether the upstream reports that it still works on the request.
+    pub fn is_run_reported(self) -> bool {
+        match self {
+            Self::AnswerLost => true,
+            Self::ProbeUnanswered
+            | Self::Stalled
+            | Self::ProbeInvalid
+            | Self::FoundDeadElsewhere
+            | Self::Replaced
+            | Self::RequestMissing
+            | Self::SilentTooLong => false,
+        }
+    }
+
     /// The outcome recorded for the upstream's version.
     pub fn outcome(self) -> Outcome {
         match self {
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -15,6 +15,7 @@
 mod recopy;
 mod relay;
 mod stagger;
+mod stop_run;
 
 use {
     super::{
--- a/crates/gateway/src/forward/stream/attempt.rs
+++ b/crates/gateway/src/forward/stream/attempt.rs
@@ -94,6 +94,8 @@
     pub outcome: Outcome,
     /// Whether the engine was only silent, so that it may still go on with the run.
     pub is_silence: bool,
+    /// Whether the engine reports that it still works on the run.
+    pub is_reported: bool,
 }
 
 impl Loss {
@@ -103,6 +105,7 @@
             cause,
             outcome: Outcome::Lost,
             is_silence: false,
+            is_reported: false,
         }
     }
 }
@@ -173,6 +176,7 @@
                 cause: wait_failure.name(),
                 outcome: wait_failure.outcome(),
                 is_silence: wait_failure.is_silence(),
+                is_reported: wait_failure.is_run_reported(),
             }),
         }
     }
--- a/crates/gateway/src/forward/stream/order.rs
+++ b/crates/gateway/src/forward/stream/order.rs
@@ -95,6 +95,10 @@
                     self.allow_retry_at(upstream, clock::elapsed(sent_at));
                 }
                 let (cause, outcome) = (wait_failure.name(), wait_failure.outcome());
+                let returns = self.prompt_cached_at.as_ref() == Some(&upstream.record.id);
+                if wait_failure.is_run_reported() && !returns {
+                    self.stop_run_at(upstream).await;
+                }
                 if !wait_failure.is_silence() {
                     return Err(self.record_unknown_outcome(upstream, cause, outcome));
                 }
--- a/crates/gateway/src/forward/stream/recopy.rs
+++ b/crates/gateway/src/forward/stream/recopy.rs
@@ -6,6 +6,7 @@
 use {
     crate::{
         connection::{CallBounds, short_call},
+        edge::SourceRun,
         forward::dial::dial,
         state::GatewayState,
         view::Upstream,
@@ -106,9 +107,11 @@
     run: &RequestId,
     target: &Upstream,
 ) -> Option<MemoryCopy> {
+    let record = &source.record;
+    let address = target.record.address;
     let request = state
         .protocol
-        .copy_call(&source.record, run, target.record.address);
+        .copy_call(record, run, address, SourceRun::Continues);
     state.record_unpermitted(&source.record);
     let opening = dial(state, source).map_ok(|dialed| dialed.stream);
     let answer = short_call(opening, request, COPY_CALL_BOUNDS).await;
--- a/crates/gateway/src/forward/stream/relay.rs
+++ b/crates/gateway/src/forward/stream/relay.rs
@@ -151,7 +151,11 @@
                 Step::Lost(loss) if self.must_wait_out(loss) => {}
                 Step::Lost(loss) => {
                     self.check_attempt_for_crash(loss.cause);
+                    let left = self.attempt.as_ref().map(|left| left.upstream.clone());
                     self.end_attempt(loss);
+                    if let Some(upstream) = left.filter(|_| loss.is_reported) {
+                        self.stop_run_at(&upstream).await;
+                    }
                     return NextStep::Lost;
                 }
                 // No crash check: the engine sent this data, so it had not ended, whatever answers
@@ -164,6 +168,7 @@
                         cause: fault.name(),
                         outcome: Outcome::Failed,
                         is_silence: false,
+                        is_reported: false,
                     });
                     return NextStep::Lost;
                 }
