Take an unnamed refusal for no proof that a request did not run

Callers saw: a request that may not be repeated ran again (10 to 12 times in the test) and was told 503, "not run", though nothing said that the refusal was of this request.

Cause: a refusal (503, 429, 421) without an id was believed. A refusal that waits in front of the answer, as a failing host that lends its path may send it, has no id either: through such a tunnel a call ran 12 times.

Ruled out: answers of earlier requests on the same connection, as each request has a connection of its own.

Change: for a request that may not be repeated, such a refusal counts as one that may have run, cause `unnamed-refusal`. Requests that may be repeated go on as before, so if upstreams leave ids out, only calls that may run once get 502 for it; the cause counts them in `tealshore_losses_total`.

Evidence: `single_runs::a_refusal_without_an_id_does_not_lead_to_a_second_run` and the last case of `single_runs::a_tunnel_that_fails_after_it_passed_the_request_on_leads_to_one_run` failed in 3 of 3 runs before and pass in 3 of 3 after; `answers`, `refusals` and `calls` pass too. Whether upstreams of the users leave ids out was not measured.

Why it holds: calls and streams send by the same function, which checks this.

--- a/crates/gateway/src/forward/connect.rs
+++ b/crates/gateway/src/forward/connect.rs
@@ -16,7 +16,7 @@
         view::Upstream,
     },
     bytes::Bytes,
-    http::{Request, header, response},
+    http::{Request, StatusCode, header, response},
     http_body_util::Full,
     hyper::body::{Body, Incoming},
     tealshore_core::clock,
@@ -38,6 +38,8 @@
     InvalidAnswer,
     /// The answer belongs to another request.
     ForeignAnswer,
+    /// The answer refuses a request without naming it, which is not enough for one that may not be repeated.
+    UnnamedRefusal,
 }
 
 impl SendFailure {
@@ -50,6 +52,7 @@
             Self::Unanswered => "unanswered",
             Self::InvalidAnswer => "invalid-answer",
             Self::ForeignAnswer => "foreign-answer",
+            Self::UnnamedRefusal => "unnamed-refusal",
         }
     }
 
@@ -59,7 +62,9 @@
         match self {
             Self::Unreachable | Self::Barred(_) | Self::Limited => None,
             Self::Unanswered => Some(Outcome::Lost),
-            Self::InvalidAnswer | Self::ForeignAnswer => Some(Outcome::Failed),
+            Self::InvalidAnswer | Self::ForeignAnswer | Self::UnnamedRefusal => {
+                Some(Outcome::Failed)
+            }
         }
     }
 }
@@ -140,6 +145,9 @@
     if is_foreign(&facts, id) && enabled(Protection::AnswerIdentity) {
         return Err(SendFailure::ForeignAnswer);
     }
+    if is_unnamed_refusal(&facts, head.status) && !call.route.may_repeat() {
+        return Err(SendFailure::UnnamedRefusal);
+    }
     Ok(Answer {
         body_end: BodyEnd::of(&head, &body),
         head,
@@ -182,3 +190,8 @@
         None => !facts.not_run,
     }
 }
+
+/// Whether a refusal does not name its request. Upstreams name it in all their answers, unless they could not read it.
+fn is_unnamed_refusal(facts: &AnswerFacts, status: StatusCode) -> bool {
+    facts.not_run && facts.request.is_none() && status != StatusCode::BAD_REQUEST
+}
--- a/crates/gateway/src/forward/plain/attempt.rs
+++ b/crates/gateway/src/forward/plain/attempt.rs
@@ -158,7 +158,8 @@
         SendFailure::Unreachable
         | SendFailure::Unanswered
         | SendFailure::InvalidAnswer
-        | SendFailure::ForeignAnswer => AttemptEnd::Unreachable,
+        | SendFailure::ForeignAnswer
+        | SendFailure::UnnamedRefusal => AttemptEnd::Unreachable,
     }
 }
 
