Repeat no call whose route may no longer be repeated

Callers saw: a call on a route that an operator had just made one that runs once was hedged or sent again, and ran at two upstreams.

Cause: whether a call may be repeated was decided by the configuration of its admission alone. The route's kind may change while the call runs, or a route with a longer prefix may take its path.

Change: before each hedge and retry the route in force for the call's host and path is asked too. A call whose route is gone goes on by its admission, and one that was admitted to run once stays so.

Why it holds: hedges and retries pass one check, which is made again as a hedge is due. A change that the host learns after that, within the time in which the connection opens (300 ms at most), comes too late. Streams are not covered.

--- a/crates/gateway/src/forward/plain.rs
+++ b/crates/gateway/src/forward/plain.rs
@@ -96,7 +96,10 @@
                 () = clock::sleep_until(hedge_at), if may_hedge => {
                     // If no upstream has room for the hedge, it is tried again after the same interval.
                     hedge_at = clock::now() + hedge_after;
-                    if let Ok(hedge) = self.next_attempt().await {
+                    // The configuration may have changed during the wait.
+                    if self.may_run_again()
+                        && let Ok(hedge) = self.next_attempt().await
+                    {
                         attempts.push(hedge);
                     }
                     continue;
@@ -121,13 +124,25 @@
         if !self.may_send {
             return false;
         }
-        if self.call.route.may_repeat() || !enabled(Protection::SingleDispatch) {
+        if self.may_repeat() || !enabled(Protection::SingleDispatch) {
             self.runs < self.call.route.max_attempts.max(1)
         } else {
             self.runs == 0
         }
     }
 
+    /// Whether the call may run more than once. The configuration in force may forbid what that of the admission allowed;
+    /// a call whose route is gone goes on by its admission.
+    fn may_repeat(&self) -> bool {
+        let admitted = &self.call.route;
+        let is_forbidden_now = || {
+            let configuration = self.state.view.configuration()?;
+            let route = configuration.route(&admitted.host, self.call.uri.path())?;
+            Some(!route.may_repeat())
+        };
+        admitted.may_repeat() && !is_forbidden_now().unwrap_or_default()
+    }
+
     /// Records how an attempt ended. Returns the answer if there is one to pass on.
     fn handle_end(&mut self, attempt: FinishedAttempt) -> Result<Option<Response<Body>>, Failure> {
         let upstream = &attempt.upstream;
