End requests whose caller has left behind unread bytes

What callers saw: a caller that had sent a further request, or a part of one, behind the one it waited for, and then closed its connection, left its run behind. The engine worked on until the run's end or deadline while the caller went on at another host; a request that waited for an engine, or that its host read only after its caller was gone, was begun all the same, calls that may not be repeated among them.

Cause: HTTP/1 looks for the end of a connection only while its read buffer is empty. With bytes of a further request there, it reads nothing, so neither an orderly end nor a reset was noticed until a write failed; a silent or queued request writes nothing.

Ruled out by the same tests, which held before as well: callers that leave with an end, a reset or a half-close while nothing is unread, before the head of an answer, after one event, in a flow of events and with full buffers; bodies with a length, in chunks with a trailer, or after Expect: continue; HTTP/2 callers that cancel a stream or close; requests that wait for an engine, for another host's reply or in the accept queue; requests that are read after their callers have gone, by a frozen host that serves or stops.

Change: while a request of a connection is open, until its answer is handed to the connection in full, the socket also watches for the peer's close itself (the readiness that Linux reports with EPOLLRDHUP, whatever is unread), and fails flushes and writes then. The connection ends, and with it the handler or the body of the answer, as for any other caller that leaves. It holds in every state, as a connection is flushed after each poll, even when it doesn't read. Callers that only close their sending side were treated so before where nothing was unread. Refusals and whole answers still close in two steps.

--- a/crates/core/src/http.rs
+++ b/crates/core/src/http.rs
@@ -4,6 +4,7 @@
 mod accepted;
 mod body;
 mod client;
+mod open_requests;
 mod server;
 
 pub use {
--- a/crates/core/src/http/server.rs
+++ b/crates/core/src/http/server.rs
@@ -4,6 +4,7 @@
     super::{
         accepted::AcceptedStream,
         body::{Body, json_body},
+        open_requests::OpenRequests,
     },
     crate::answer::{ErrorKind, Failure, Problem},
     futures::FutureExt,
@@ -117,11 +118,16 @@
 {
     // Tokens are small writes; with Nagle's algorithm each would wait for the acknowledgement of the previous one.
     let _ = stream.set_nodelay(true);
+    let open_requests = OpenRequests::default();
+    let stream = TokioIo::new(AcceptedStream::new(stream, open_requests.clone()));
     let service = service_fn(move |request| {
+        let open = open_requests.begin();
         let response = AssertUnwindSafe(handler(request)).catch_unwind();
-        async move { Ok::<_, Infallible>(response.await.unwrap_or_else(|_| internal_error())) }
+        async move {
+            let response = response.await.unwrap_or_else(|_| internal_error());
+            Ok::<_, Infallible>(response.map(|body| open.until_end_of(body)))
+        }
     });
-    let stream = TokioIo::new(AcceptedStream::new(stream));
     let connection = builder.serve_connection_with_upgrades(stream, service);
     let mut connection = std::pin::pin!(connection);
     let last_reads = async {
--- a/crates/gateway/src/serve/tunnel.rs
+++ b/crates/gateway/src/serve/tunnel.rs
@@ -234,7 +234,13 @@
         log::error!("path: tunnel ended before it was used cause=unexpected-connection-type");
         return;
     };
-    let mut peer = parts.io.into_inner().into_inner();
+    let mut peer = match parts.io.into_inner().into_inner() {
+        Ok(peer) => peer,
+        Err(error) => {
+            log::error!("path: tunnel ended before it was used cause={error:?}");
+            return;
+        }
+    };
     for stream in [&peer, &upstream] {
         if let Err(error) = probe_when_idle(stream) {
             log::warn!("path: no keepalive probes for tunnel error={error}");
