--- a/crates/quarantine/src/parts/log.rs
+++ b/crates/quarantine/src/parts/log.rs
@@ -78,8 +78,6 @@
     unsent: Audience,
     /// Whether this host observed the last change itself rather than learning it from another host.
     is_observed_locally: bool,
-    /// Whether this host saw an answer of the same runtime begin since. The parts that are left were not in it.
-    has_later_begin: bool,
 }
 
 /// The crashes known to this host.
@@ -115,17 +113,17 @@
 
     /// Records that an answer began. Returns whether that excludes parts as causes of known crashes.
     pub fn record_begin(&mut self, parts: &[PartId], runtime: RuntimeId, now: Instant) -> bool {
-        self.begins.record(parts, runtime, now);
-        let mut has_excluded = false;
-        let mut has_first_begin = false;
+        for part in parts {
+            self.begins.record(*part, runtime, now);
+        }
+        let mut has_changed = false;
         for entry in &mut self.entries {
-            has_excluded |= entry.exclude(&self.begins, now);
-            has_first_begin |= entry.note_later_begin(&self.begins);
+            has_changed |= entry.exclude(&self.begins, now);
         }
-        if has_excluded || has_first_begin {
+        if has_changed {
             self.refresh(now);
         }
-        has_excluded
+        has_changed
     }
 
     /// Records that an upstream which seemed to crash is alive. Returns whether the crash was known.
@@ -188,11 +186,9 @@
             changed: now,
             unsent: audience,
             is_observed_locally: audience == Audience::Fleet,
-            has_later_begin: false,
         };
         // Other hosts do not know yet what this host excludes.
         entry.exclude(&self.begins, now);
-        entry.note_later_begin(&self.begins);
         let at = self
             .entries
             .partition_point(|known| known.crash.ended <= entry.crash.ended);
@@ -204,9 +200,7 @@
         self.entries
             .retain(|entry| now.saturating_duration_since(entry.crash.ended) <= CRASH_RETENTION);
         let crashes: Vec<&PartCrash> = self.entries.iter().map(|entry| &entry.crash).collect();
-        let answered = self.entries.iter().filter(|entry| entry.has_later_begin);
-        let answered = answered.map(|entry| entry.crash.run).collect();
-        self.suspects = find_suspects(&crashes, &answered);
+        self.suspects = find_suspects(&crashes);
         while self.entries.len() > MAX_CRASHES {
             let entries = self.entries.iter().enumerate();
             let weakest = entries.min_by_key(|(index, entry)| (self.support(&entry.crash), *index));
@@ -380,13 +374,6 @@
         has_changed
     }
 
-    /// Records whether any answer began since. Returns whether that was not known before.
-    fn note_later_begin(&mut self, begins: &Begins) -> bool {
-        let had_begin = self.has_later_begin;
-        self.has_later_begin |= begins.is_any_begun_since(self.crash.runtime, self.crash.ended);
-        self.has_later_begin && !had_begin
-    }
-
     fn mark_changed(&mut self, audience: Audience, now: Instant) {
         self.changed = now;
         self.unsent = self.unsent.max(audience);
--- a/crates/quarantine/src/parts/suspects.rs
+++ b/crates/quarantine/src/parts/suspects.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        PartId, RunId,
+        PartId,
         crash::{PartCrash, PossibleCause},
     },
     std::{
@@ -175,12 +175,10 @@
 struct Analysis<'a> {
     evidence: HashMap<PartId, Evidence<'a>>,
     runs_by_crash: HashMap<CrashIndex, Vec<&'a PartCrash>>,
-    /// The crashes after which this host saw answers begin.
-    answered: &'a BTreeSet<RunId>,
 }
 
 impl<'a> Analysis<'a> {
-    fn new(crashes: &[&'a PartCrash], answered: &'a BTreeSet<RunId>) -> Self {
+    fn new(crashes: &[&'a PartCrash]) -> Self {
         let indices = crash_indices(crashes);
         let mut runs_by_part: HashMap<PartId, Vec<IndexedRun>> = HashMap::new();
         let mut runs_by_crash: HashMap<CrashIndex, Vec<&PartCrash>> = HashMap::new();
@@ -198,53 +196,32 @@
                 .map(|(part, runs)| (part, Evidence::new(part, runs)))
                 .collect(),
             runs_by_crash,
-            answered,
         }
     }
 
-    /// Returns whether another part of the same run is the better explanation of its crash.
-    fn is_explained_within(&self, own: &Evidence, run: &PartCrash) -> bool {
-        run.causes.iter().any(|cause| {
+    /// Returns whether another part is the better explanation of the crash under a run with this part.
+    fn is_explained(&self, part: PartId, own: &Evidence, (index, run): IndexedRun) -> bool {
+        let is_within = run.causes.iter().any(|cause| {
             let evidence = self.evidence.get(&cause.part);
             evidence.is_some_and(|other| other.explains_within(own))
-        })
-    }
-
-    /// Returns whether a part of another run is the better explanation of the crash under a run with this part.
-    fn is_explained_beside(&self, part: PartId, own: &Evidence, (index, run): IndexedRun) -> bool {
+        });
         let beside = self.runs_by_crash.get(&index).into_iter().flatten();
         let mut causes_beside = beside.flat_map(|other| &other.causes);
-        causes_beside.any(|cause| {
-            let evidence = self.evidence.get(&cause.part);
-            !run.may_be_caused_by(cause.part)
-                && evidence.is_some_and(|other| other.explains_beside(part, own))
-        })
+        is_within
+            || causes_beside.any(|cause| {
+                let evidence = self.evidence.get(&cause.part);
+                !run.may_be_caused_by(cause.part)
+                    && evidence.is_some_and(|other| other.explains_beside(part, own))
+            })
     }
 
-    /// Returns the runs with this part whose crashes no other part explains.
-    ///
-    /// Another part of the same runs explains them only until a run without it crashes an upstream long after: answers
-    /// began meanwhile, none of them on this part.
-    fn unexplained(&self, part: PartId, own: &Evidence<'a>) -> Vec<IndexedRun<'a>> {
-        let runs = own.runs.iter().copied();
-        let (within, mut unexplained): (Vec<IndexedRun>, Vec<IndexedRun>) = runs
-            .filter(|run| !self.is_explained_beside(part, own, *run))
-            .partition(|(_, run)| self.is_explained_within(own, run));
-        let last_began = unexplained.iter().map(|(_, run)| run.began).max();
-        let is_outlasted = |run: &PartCrash| {
-            self.answered.contains(&run.run)
-                && last_began.is_some_and(|began| began >= run.ended + CONTACT_TIME)
-        };
-        unexplained.extend(within.into_iter().filter(|(_, run)| is_outlasted(run)));
-        unexplained.sort_by_key(|(_, run)| run.ended);
-        unexplained
-    }
-
-    fn suspect(&self, part: PartId, own: &Evidence<'a>) -> Option<Suspect> {
+    fn suspect(&self, part: PartId, own: &Evidence) -> Option<Suspect> {
         if !own.strength.is_suspect() {
             return None;
         }
-        let runs = self.unexplained(part, own);
+        let runs = own.runs.iter().copied();
+        let unexplained = runs.filter(|run| !self.is_explained(part, own, *run));
+        let runs: Vec<IndexedRun> = unexplained.collect();
         let strength = Strength::of(part, &runs);
         let last = runs.iter().map(|(_, run)| run.ended).max()?;
         strength.is_suspect().then(|| Suspect {
@@ -296,14 +273,13 @@
         .collect()
 }
 
-/// Returns the parts that are suspected to have caused these crashes, which are ordered by time. `answered` are those
-/// after which this host saw any answer of the same runtime begin.
+/// Returns the parts that are suspected to have caused these crashes, which are ordered by time.
 ///
 /// A part that is in all requests of another one can't be told from it by crashes alone: until answers have begun on
 /// one of them, requests with either are refused only if they have what was common to all.
 #[must_use]
-pub fn find_suspects(crashes: &[&PartCrash], answered: &BTreeSet<RunId>) -> Vec<Suspect> {
-    let analysis = Analysis::new(crashes, answered);
+pub fn find_suspects(crashes: &[&PartCrash]) -> Vec<Suspect> {
+    let analysis = Analysis::new(crashes);
     let evidence = analysis.evidence.iter();
     let mut suspects: Vec<Suspect> = evidence
         .filter_map(|(part, own)| analysis.suspect(*part, own))
--- a/crates/quarantine/tests/parts.rs
+++ b/crates/quarantine/tests/parts.rs
@@ -286,35 +286,18 @@
     assert!(!is_refused(&mut log, &[FIRST_PART, OTHER_PART], now));
 }
 
-/// Records the crashes of two requests with one first part, and of one with another first part that begins seconds later.
-fn log_of_two_first_parts(start: Instant, is_answered: bool) -> PartLog {
+/// All upstreams are down, so no answer could begin on a part that all prompts share.
+#[test]
+fn a_part_explained_by_another_stays_allowed_while_no_answer_begins_at_all() {
+    let start = base_instant();
     let mut log = PartLog::new(start);
     log.record_begin(&[BAD_PART], RUNTIME, at(start, 10));
     for (request, ended_ms) in [(1, 100), (1, 200), (1, 300), (2, 400)] {
         let crash = crash(start, request, &[FIRST_PART, BAD_PART], ended_ms);
         log.record_crash(crash, at(start, ended_ms));
     }
-    if is_answered {
-        log.record_begin(&[100], RUNTIME, at(start, 1_000));
-    }
     let other_first = crash(start, 3, &[OTHER_PART, BAD_PART], 4_000);
     log.record_crash(other_first, at(start, 4_000));
-    log
-}
-
-/// Each first part in turn explained the crashes of a part that was sound before.
-#[test]
-fn a_part_that_crashes_upstreams_under_another_first_part_seconds_later_is_quarantined() {
-    let start = base_instant();
-    let mut log = log_of_two_first_parts(start, true);
-    assert!(is_refused(&mut log, &[100, BAD_PART], at(start, 4_010)));
-}
-
-/// All upstreams are down, so no answer could begin on a part that all prompts share.
-#[test]
-fn a_part_explained_by_another_stays_allowed_while_no_answer_begins_at_all() {
-    let start = base_instant();
-    let mut log = log_of_two_first_parts(start, false);
     assert!(!is_refused(&mut log, &[100, BAD_PART], at(start, 4_010)));
 }
 
