--- a/crates/quarantine/tests/parts.rs
+++ b/crates/quarantine/tests/parts.rs
@@ -286,6 +286,21 @@
     assert!(!is_refused(&mut log, &[FIRST_PART, OTHER_PART], now));
 }
 
+/// All upstreams are down, so no answer could begin on a part that all prompts share.
+#[test]
+fn a_part_explained_by_another_stays_allowed_while_no_answer_begins_at_all() {
+    let start = base_instant();
+    let mut log = PartLog::new(start);
+    log.record_begin(&[BAD_PART], RUNTIME, at(start, 10));
+    for (request, ended_ms) in [(1, 100), (1, 200), (1, 300), (2, 400)] {
+        let crash = crash(start, request, &[FIRST_PART, BAD_PART], ended_ms);
+        log.record_crash(crash, at(start, ended_ms));
+    }
+    let other_first = crash(start, 3, &[OTHER_PART, BAD_PART], 4_000);
+    log.record_crash(other_first, at(start, 4_000));
+    assert!(!is_refused(&mut log, &[100, BAD_PART], at(start, 4_010)));
+}
+
 /// Requests that begin on the same upstreams as the crashing ones lose them as often, but for once.
 #[test]
 fn a_part_beside_a_crashing_one_is_not_refused() {
