Mend what the review of waits for stalled engines found

By reading, a stream could still leave an engine that had just fallen silent, or a sound run could be stopped: - a wait without a way on ignored stalls, so the next unanswered probe ended it after 170 ms. The stall is now kept with the attempt, and holds in every wait. - a probe that found the queue of a stalled engine full, or was closed there, ended the wait as if it couldn't be reached. It now counts as part of the stall; a refused connection ends the wait, as before. Fewer probes are sent meanwhile. - reports before and after a stall counted as in a row, so that a run whose event was under way was taken for lost, and would be stopped. The count begins anew. - the limit on the silence of a living engine ended right after a stall. It begins anew. - the order to stop was left out where a return to the same engine was expected, and where no engine had room for a copy. It is now sent once the next engine is chosen, and names that one. The wait is 1.2 s from the first unanswered probe on (1.5 s before), so that streams go on before callers leave at 2 s.

Tests: an engine that stays silent is left (earlier_runs), and the stream resumes from the copy that the order made (stopped_runs). Not tested: a full queue, a stall in a wait without a way on.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -8,6 +8,7 @@
 mod probe;
 mod prompt_parts;
 mod reservation;
+mod stall;
 mod stream;
 mod unframed_end;
 
--- a/crates/gateway/src/forward/probe.rs
+++ b/crates/gateway/src/forward/probe.rs
@@ -1,7 +1,7 @@
 //! Distinguishes a dead upstream from one that is silent because it is still working.
 
 use {
-    super::dial::dial,
+    super::{dial::dial, stall::Stall},
     crate::{
         connection::{CallBounds, CallFailure, Received, short_call_recording},
         edge::ProbeReport,
@@ -36,18 +36,17 @@
 /// The delay before the next report is requested to confirm such a report. Upstreams renew their
 /// reports about as often.
 const CONFIRM_DELAY: Duration = Duration::from_millis(200);
-/// How long after its first unanswered probe an upstream is waited for that still accepts connections. Its process stands
-/// still and may go on with what it has: it reads neither the close of a connection nor anything else meanwhile.
-const MAX_STALL: Duration = Duration::from_millis(1_500);
-/// The pause between probes of such an upstream.
-const STALLED_PROBE_PAUSE: Duration = Duration::from_millis(130);
+/// The pause between probes of a stalled upstream. Each probe stays in its queue of connections until it goes on.
+const STALLED_PROBE_PAUSE: Duration = Duration::from_millis(250);
 /// The interval between probes of a silent upstream whose request has nowhere else to go.
 const WAITING_PROBE_INTERVAL: Duration = Duration::from_millis(800);
 
 /// The result of a probe.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ProbeOutcome {
-    /// No connection could be opened, or it was closed without an answer.
+    /// Nothing listens at the address of the upstream, or another host reports that it can't be reached.
+    Refused,
+    /// No connection was opened in time, or one was closed without an answer.
     Unanswered,
     /// The upstream accepted the connection and sent nothing.
     Stalled,
@@ -85,6 +84,8 @@
     pub events_delivered: u64,
     /// Whether the request has nowhere else to go. Then what others found of the upstream does not end the wait.
     pub has_no_alternative: bool,
+    /// The stall of the upstream, if it is stalled.
+    pub stall: &'a Stall,
 }
 
 /// How long an upstream may be silent.
@@ -219,8 +220,8 @@
         }
         // A finding of other hosts or requests is verified, since the fault may be in their own
         // connection.
-        match probe_outcome(state, upstream, pending_request.request).await {
-            ProbeOutcome::Unanswered => WaitFailure::FoundDeadElsewhere,
+        match probe_outcome(state, upstream, pending_request).await {
+            ProbeOutcome::Refused | ProbeOutcome::Unanswered => WaitFailure::FoundDeadElsewhere,
             ProbeOutcome::Stalled
             | ProbeOutcome::Invalid
             | ProbeOutcome::Alive
@@ -235,25 +236,34 @@
     }
 }
 
-/// Completes once the upstream has been silent for too long. The time begins anew when an upstream that stood still at its
-/// end answers probes again.
+/// Completes once the upstream has been silent for too long while its process ran.
 async fn wait_until_silent_too_long(
     state: &GatewayState,
     upstream: &Upstream,
     pending_request: PendingRequest<'_>,
 ) -> WaitFailure {
-    let is_stalled = || async {
-        probe_outcome(state, upstream, pending_request.request).await == ProbeOutcome::Stalled
-    };
+    let (stall, max) = (pending_request.stall, pending_request.silence_limits.max);
+    let mut began = clock::now();
     loop {
-        sleep(pending_request.silence_limits.max).await;
-        if pending_request.has_no_alternative || !is_stalled().await {
-            return WaitFailure::SilentTooLong;
-        }
-        // The other probes decide how long it is waited for.
-        while is_stalled().await {
+        clock::sleep_until(began + max).await;
+        while stall.wait_left(clock::now()).is_some() {
             sleep(STALLED_PROBE_PAUSE).await;
         }
+        if let Some(ended) = stall.ended().filter(|ended| *ended > began) {
+            began = ended;
+            continue;
+        }
+        // An upstream that is left has to read that its connection is closed.
+        match probe_outcome(state, upstream, pending_request).await {
+            ProbeOutcome::Stalled if stall.wait_left(clock::now()).is_some() => {}
+            ProbeOutcome::Refused
+            | ProbeOutcome::Unanswered
+            | ProbeOutcome::Stalled
+            | ProbeOutcome::Invalid
+            | ProbeOutcome::Alive
+            | ProbeOutcome::Absent
+            | ProbeOutcome::EventsMade(_) => return WaitFailure::SilentTooLong,
+        }
     }
 }
 
@@ -264,7 +274,6 @@
 ) -> WaitFailure {
     let mut absent_reports = 0;
     let mut lost_reports = 0;
-    let mut stalled_since = None;
     let mut pause = if pending_request.has_no_alternative {
         WAITING_PROBE_INTERVAL
     } else {
@@ -272,23 +281,21 @@
     };
     loop {
         sleep(pause).await;
-        let probed_at = clock::now();
-        let result = probe_outcome(state, upstream, pending_request.request).await;
-        if result == ProbeOutcome::Stalled && !pending_request.has_no_alternative {
+        let result = probe_outcome(state, upstream, pending_request).await;
+        if result == ProbeOutcome::Stalled
+            && let Some(left) = pending_request.stall.wait_left(clock::now())
+        {
             state.suspect(upstream, WaitFailure::Stalled.name());
-            let since = *stalled_since.get_or_insert(probed_at);
-            if clock::elapsed(since) < MAX_STALL {
-                pause = STALLED_PROBE_PAUSE;
-                continue;
-            }
-        } else {
-            stalled_since = None;
+            (absent_reports, lost_reports) = (0, 0);
+            pause = left.min(STALLED_PROBE_PAUSE);
+            continue;
         }
         let is_absent = result == ProbeOutcome::Absent;
         absent_reports = if is_absent { absent_reports + 1 } else { 0 };
         let is_answer_lost = match result {
             ProbeOutcome::EventsMade(made) => made > pending_request.events_delivered,
-            ProbeOutcome::Unanswered
+            ProbeOutcome::Refused
+            | ProbeOutcome::Unanswered
             | ProbeOutcome::Stalled
             | ProbeOutcome::Invalid
             | ProbeOutcome::Alive
@@ -296,7 +303,7 @@
         };
         lost_reports = if is_answer_lost { lost_reports + 1 } else { 0 };
         let probe_failure = match result {
-            ProbeOutcome::Unanswered => Some(WaitFailure::ProbeUnanswered),
+            ProbeOutcome::Refused | ProbeOutcome::Unanswered => Some(WaitFailure::ProbeUnanswered),
             ProbeOutcome::Stalled => Some(WaitFailure::Stalled),
             ProbeOutcome::Invalid => Some(WaitFailure::ProbeInvalid),
             ProbeOutcome::Alive | ProbeOutcome::Absent | ProbeOutcome::EventsMade(_) => None,
@@ -322,15 +329,31 @@
 async fn probe_outcome(
     state: &GatewayState,
     upstream: &Upstream,
-    request: &RequestId,
+    pending_request: PendingRequest<'_>,
 ) -> ProbeOutcome {
-    let trace = ProbeTrace::default();
-    match report_traced(state, upstream, request, &trace).await {
+    let (trace, sent) = (ProbeTrace::default(), clock::now());
+    let stall = pending_request.stall;
+    let report = report_traced(state, upstream, pending_request.request, &trace).await;
+    let outcome = match report {
         Ok(report) => ProbeOutcome::of(&report),
         Err(CallFailure::Invalid) => ProbeOutcome::Invalid,
+        Err(CallFailure::Closed) if !trace.is_connected() => ProbeOutcome::Refused,
         Err(CallFailure::TimedOut) if trace.is_connected() => ProbeOutcome::Stalled,
+        // A process that does not run lets its queue of connections fill up.
+        Err(CallFailure::Closed | CallFailure::TimedOut) if stall.is_stalled() => {
+            ProbeOutcome::Stalled
+        }
         Err(CallFailure::Closed | CallFailure::TimedOut) => ProbeOutcome::Unanswered,
+    };
+    match outcome {
+        ProbeOutcome::Stalled => stall.record_unanswered(sent),
+        ProbeOutcome::Refused | ProbeOutcome::Unanswered => {}
+        ProbeOutcome::Invalid
+        | ProbeOutcome::Alive
+        | ProbeOutcome::Absent
+        | ProbeOutcome::EventsMade(_) => stall.record_answer(clock::now()),
     }
+    outcome
 }
 
 /// What is known of probes that have not been answered.
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -77,6 +77,8 @@
     avoid: Vec<EngineId>,
     /// Engines at which the stream may have run.
     tried: EnginesTried,
+    /// The engine that still works on a run of the stream whose events do not arrive.
+    reported_at: Option<Arc<Upstream>>,
     /// Runs that the stream left since it last went on.
     earlier_runs: Vec<EarlierRun>,
     /// Engines that answered the stream with a server error, or with bytes that are no answer.
@@ -180,6 +182,7 @@
             call,
             avoid: Vec::new(),
             tried: EnginesTried::default(),
+            reported_at: None,
             earlier_runs: Vec::new(),
             failed_at: Vec::new(),
             sends: 0,
--- a/crates/gateway/src/forward/stream/attempt.rs
+++ b/crates/gateway/src/forward/stream/attempt.rs
@@ -10,6 +10,7 @@
             ending::UpstreamKind,
             probe::{PendingRequest, SilenceLimits, wait_while_alive},
             reservation::Reservation,
+            stall::Stall,
             unframed_end::is_tunnel_end_confirmed,
         },
         rollout::Outcome,
@@ -37,7 +38,7 @@
 const MAX_END_CHECK_TIME: Duration = Duration::from_secs(2);
 const END_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// One engine's part of a stream. Dropping it ends the run at the engine.
+/// One engine's part of a stream. Dropping it closes the connection, by which most engines end the run once they read it.
 pub struct Attempt {
     /// The engine that runs the stream.
     pub upstream: Arc<Upstream>,
@@ -67,6 +68,8 @@
     pub events_delivered: u64,
     /// Whether the stream had nowhere else to go when the engine was found silent.
     pub has_no_alternative: bool,
+    /// The stall of the engine, if it is stalled.
+    pub stall: Stall,
     /// The work reserved at the engine.
     pub reservation: Reservation,
     /// The memory reserved at the engine that receives the copy of the run's memory.
@@ -95,7 +98,7 @@
     /// Whether the engine was only silent, so that it may still go on with the run.
     pub is_silence: bool,
     /// Whether the engine reports that it still works on the run.
-    pub is_reported: bool,
+    pub is_run_reported: bool,
 }
 
 impl Loss {
@@ -105,7 +108,7 @@
             cause,
             outcome: Outcome::Lost,
             is_silence: false,
-            is_reported: false,
+            is_run_reported: false,
         }
     }
 }
@@ -162,6 +165,7 @@
                 0
             },
             has_no_alternative: self.has_no_alternative,
+            stall: &self.stall,
         };
         let arrival = next_arrival(&mut self.body, &mut self.events);
         match wait_while_alive(state, &self.upstream, pending_request, arrival).await {
@@ -176,7 +180,7 @@
                 cause: wait_failure.name(),
                 outcome: wait_failure.outcome(),
                 is_silence: wait_failure.is_silence(),
-                is_reported: wait_failure.is_run_reported(),
+                is_run_reported: wait_failure.is_run_reported(),
             }),
         }
     }
--- a/crates/gateway/src/forward/stream/order.rs
+++ b/crates/gateway/src/forward/stream/order.rs
@@ -8,6 +8,7 @@
             call::strip_connection_headers,
             connect::{self, Answer, SendFailure},
             probe::{PendingRequest, SilenceLimits, WaitFailure, wait_while_alive},
+            stall::Stall,
         },
         rollout::Outcome,
         view::Upstream,
@@ -95,9 +96,8 @@
                     self.allow_retry_at(upstream, clock::elapsed(sent_at));
                 }
                 let (cause, outcome) = (wait_failure.name(), wait_failure.outcome());
-                let returns = self.prompt_cached_at.as_ref() == Some(&upstream.record.id);
-                if wait_failure.is_run_reported() && !returns {
-                    self.stop_run_at(upstream).await;
+                if wait_failure.is_run_reported() {
+                    self.reported_at = Some(upstream.clone());
                 }
                 if !wait_failure.is_silence() {
                     return Err(self.record_unknown_outcome(upstream, cause, outcome));
@@ -119,12 +119,13 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Result<Answer, SendFailure>, WaitFailure> {
         let (state, call) = (self.state.clone(), self.call.clone());
-        let id = call.request();
+        let (id, stall) = (call.request(), Stall::default());
         let mut pending_request = PendingRequest {
             request: &id,
             silence_limits: plan.silence_limits,
             events_delivered: 0,
             has_no_alternative: false,
+            stall: &stall,
         };
         let mut sending = pin!(connect::send(&state, &call, upstream, request));
         loop {
--- a/crates/gateway/src/forward/stream/place.rs
+++ b/crates/gateway/src/forward/stream/place.rs
@@ -11,7 +11,7 @@
     },
     crate::{
         events::EventSplitter,
-        forward::{probe::SilenceLimits, reservation::Reservation},
+        forward::{probe::SilenceLimits, reservation::Reservation, stall::Stall},
         rollout::{Outcome, SendKind},
         room,
         view::{Upstream, UpstreamRecord, Work},
@@ -82,6 +82,9 @@
                 self.avoid.clear();
                 continue;
             };
+            if self.stop_reported_run(&chosen.upstream).await {
+                continue;
+            }
             if self.is_better_refused() && self.tried.contains(&chosen.upstream.record.id) {
                 return Err(self.refusal(ErrorKind::NoEngine, "the engines are silent"));
             }
@@ -307,6 +310,7 @@
             has_begun: false,
             events_delivered: self.progress.last().unwrap_or_default(),
             has_no_alternative: false,
+            stall: Stall::default(),
             reservation,
             _copy_reservation: copy_reservation,
         });
--- a/crates/gateway/src/forward/stream/relay.rs
+++ b/crates/gateway/src/forward/stream/relay.rs
@@ -151,11 +151,7 @@
                 Step::Lost(loss) if self.must_wait_out(loss) => {}
                 Step::Lost(loss) => {
                     self.check_attempt_for_crash(loss.cause);
-                    let left = self.attempt.as_ref().map(|left| left.upstream.clone());
                     self.end_attempt(loss);
-                    if let Some(upstream) = left.filter(|_| loss.is_reported) {
-                        self.stop_run_at(&upstream).await;
-                    }
                     return NextStep::Lost;
                 }
                 // No crash check: the engine sent this data, so it had not ended, whatever answers
@@ -168,7 +164,7 @@
                         cause: fault.name(),
                         outcome: Outcome::Failed,
                         is_silence: false,
-                        is_reported: false,
+                        is_run_reported: false,
                     });
                     return NextStep::Lost;
                 }
@@ -350,6 +346,9 @@
         self.avoid.push(engine.clone());
         let cause = loss.cause;
         self.record_earlier_run(attempt.upstream.clone(), cause);
+        if loss.is_run_reported {
+            self.reported_at = Some(attempt.upstream.clone());
+        }
         self.state.metrics.losses.with_label_values(&[cause]).inc();
         log::warn!(
             "stream: run lost request={} digest={} upstream={} cause={cause} silent={} last={:?} copy={} run={} \
--- a/crates/gateway/src/forward/stream/stop_run.rs
+++ b/crates/gateway/src/forward/stream/stop_run.rs
@@ -22,18 +22,21 @@
 };
 
 impl StreamRun {
-    /// Orders an engine to stop the stream's run and to copy its memory to another engine, where the stream then goes
-    /// on. If that fails, the stream goes on by itself.
-    pub(super) async fn stop_run_at(&mut self, upstream: &Arc<Upstream>) {
-        let Some(target) = self.choose_copy_holder(&upstream.record) else {
-            return;
+    /// Orders the engine that still works on a run of the stream to stop it and to copy its memory to `target`, if that is
+    /// another engine. Returns whether the stream can now resume from that copy; without it, the stream goes on by itself.
+    pub(super) async fn stop_reported_run(&mut self, target: &Arc<Upstream>) -> bool {
+        let Some(upstream) = self.reported_at.take() else {
+            return false;
         };
+        if upstream.record.id == target.record.id || !self.engines().copies {
+            return false;
+        }
         let began = clock::now();
         let (record, run) = (&upstream.record, self.call.request());
         let protocol = &self.state.protocol;
         let request = protocol.copy_call(record, &run, target.record.address, SourceRun::Stops);
         self.state.record_unpermitted(record);
-        let opening = dial(&self.state, upstream).map_ok(|dialed| dialed.stream);
+        let opening = dial(&self.state, &upstream).map_ok(|dialed| dialed.stream);
         let answer = short_call(opening, request, STOP_CALL_BOUNDS).await;
         let outcome = match &answer {
             Ok((status, _)) => status.as_str().to_owned(),
@@ -51,10 +54,12 @@
             });
         }
         log::info!(
-            "stream: run stopped request={run} upstream={} copy_to={} is_copied={is_copied} outcome={outcome} took_ms={}",
+            "stream: stop of run ordered request={run} upstream={} copy_to={} is_copied={is_copied} outcome={outcome} \
+             took_ms={}",
             record.id,
             target.record.id,
             clock::elapsed(began).as_millis()
         );
+        is_copied
     }
 }
