Forget a stall once its engine sends again

A stream whose engine stood still twice left it at the second time after some 430 ms, and ran at another one beside it: the stall was forgotten only when a probe was answered, and an engine that wakes may send an event first. The time since the first stall was then over at once.

--- a/crates/gateway/src/forward/stream/attempt.rs
+++ b/crates/gateway/src/forward/stream/attempt.rs
@@ -168,7 +168,11 @@
             stall: &self.stall,
         };
         let arrival = next_arrival(&mut self.body, &mut self.events);
-        match wait_while_alive(state, &self.upstream, pending_request, arrival).await {
+        let waited = wait_while_alive(state, &self.upstream, pending_request, arrival).await;
+        if waited.is_ok() {
+            self.stall.record_answer(clock::now());
+        }
+        match waited {
             Ok(Arrival::Event(event)) => Step::Event(event),
             Ok(Arrival::Invalid(fault)) => Step::Invalid(fault),
             Ok(Arrival::BrokenOff) => Step::Lost(Loss::connection_failed("broken-off")),
