--- a/review/standins2.py
+++ b/review/standins2.py
@@ -700,6 +700,12 @@
     temporary = tempfile.mkdtemp(prefix="tealshore-review-")
     started = []
     code = 2
+
+    def give_up(*_):
+        raise CannotRun("stopped by a signal")
+
+    signal.signal(signal.SIGTERM, give_up)
+    signal.signal(signal.SIGINT, give_up)
     try:
         broken = case(record, temporary, started)
         code = 1 if broken else 0
