Review: a script that could not run exits with 2, not 1

Tried: a stand-in that Python cannot read made cases 4 and 6 to 8 exit with 1, as a broken rule, and a script out of time would have ended with 124.

--- a/review/standins2.py
+++ b/review/standins2.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+import ctypes
 import json
 import os
 import random
@@ -27,6 +28,14 @@
 HOST = "ficu95.example"
 
 
+BROKEN = 41
+
+
+def end_with_parent():
+    """Lets the kernel end a process if the script is killed and can't do so."""
+    ctypes.CDLL(None).prctl(1, signal.SIGKILL)
+
+
 class CannotRun(Exception):
     """The case could not run: exit code 2."""
 
@@ -545,7 +554,7 @@
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
         environment["TEALSHORE_NODE_FILE"] = self.settings
         self.process = subprocess.Popen(command, cwd=ROOT, env=environment, stdout=self.log, stderr=self.log,
-                                        stdin=subprocess.DEVNULL)
+                                        stdin=subprocess.DEVNULL, preexec_fn=end_with_parent)
 
     def signal(self, number):
         self.process.send_signal(number)
@@ -704,10 +713,12 @@
     code = 2
 
     def give_up(*_):
-        raise CannotRun("stopped by a signal")
+        raise CannotRun("stopped by a signal, or out of time")
 
     signal.signal(signal.SIGTERM, give_up)
     signal.signal(signal.SIGINT, give_up)
+    signal.signal(signal.SIGALRM, give_up)
+    signal.alarm(105)
     try:
         broken = case(record, temporary, started)
         code = 1 if broken else 0
@@ -724,4 +735,5 @@
             shutil.rmtree(temporary, ignore_errors=True)
     record.line(f"exit={code} ({'rule broken' if code == 1 else 'rule held' if code == 0 else 'could not run'})")
     print(f"exit {code}", flush=True)
-    os._exit(code)
+    # Python itself ends with 1 after errors, so a broken rule has a code of its own, which run.sh turns into 1.
+    os._exit(BROKEN if code == 1 else code)
