--- a/review/5/case.py
+++ b/review/5/case.py
@@ -14,7 +14,7 @@
 
 KEY = "xd9dnn2ctnfzs989anu6"
 EVENTS = 100
-ROUNDS, PAIRS = 2, 12
+ROUNDS, PAIRS = 1, 24
 DOWN_S = 1.0
 
 
@@ -81,7 +81,7 @@
         await asyncio.sleep(1.5)
         for number, thing in enumerate(pairs):
             calls.append(asyncio.ensure_future(client("second-%d" % thing, thing, hosts[(number + 1) % 4], "m", 0.0)))
-            await asyncio.sleep(0.04)
+            await asyncio.sleep(0.02)
         await asyncio.sleep(0.2)
         if case.has_trouble:
             case.note("all hosts are killed")
