--- a/review/7/case.py
+++ b/review/7/case.py
@@ -17,7 +17,7 @@
 
 
 def stream(record, ip, number):
-    time.sleep(0.25 * number)
+    time.sleep(0.15 * number)
     attempt = s.new_attempt()
     headers = [("X-Model", "m"), ("X-Token-Usage", "8000,700"),
                ("X-Prompt-Prefix", f"5c1e07a2:200,{attempt[:8]}:7800")]
--- a/review/standins2.py
+++ b/review/standins2.py
@@ -446,7 +446,7 @@
         is_open = self.pass_on(connection, ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1"))
         with self.lock:
             self.new_runs += run.after == 0
-            loses = self.loses_answers and run.after == 0 and self.new_runs % 3 == 1
+            loses = self.loses_answers and run.after == 0 and self.new_runs % 3 == 0
         for number in range(run.after + 1, self.pieces + 1):
             time.sleep(self.piece_s)
             if run.is_stopped or (self.drops and not is_open):
@@ -459,7 +459,7 @@
                 is_open = not select.select([connection], [], [], 0)[0]
             event = f"id: {number}\ndata: {run.attempt} {number}\n\n".encode()
             is_open = is_open and self.pass_on(connection, b"%x\r\n%s\r\n" % (len(event), event))
-            if loses and number == self.lost_at:
+            if loses and self.loses_answers and number == self.lost_at:
                 self.record.line(f"answer lost server={self.id} request={run.attempt}: connection reset, run goes on")
                 reset(connection)
                 is_open = False
