Store runs of one content before their callers have events

Cause: the streams that run are stored each 0.7 s. A run that began after the last write is forgotten with the processes, and all processes that start again confirm to each other that the older run is the only one. `stream: resume requested ... evidence=process-replaced run=first-..` in the logs of such a run.

Ruled out: to believe no process that is younger than the run, which would also make each caller who is alone read its prompt anew after a loss of all hosts; a write for each stream (2,500 a second at the users' size).

Change: a host that answers a caller while another run of the same content is known writes all runs of that content to a row of its own, and passes the first event on once the store has acknowledged it (1 s at most; not while the store is away). A caller alone costs nothing.

Why it holds: if a stored run could be taken for the only one, the host of the other run knew of it, as it was reported to the hosts before it was stored; so both are stored before the other caller has an event to resume from.

--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -45,6 +45,7 @@
         clock,
         http::Body,
         ids::{EngineId, RequestId},
+        protection::{Protection, enabled},
     },
     tealshore_runs::{KnownRun, MemoryCopy},
 };
@@ -232,7 +233,10 @@
                 Placed::NonStream(response) => return Ok(Opened::NonStream(response)),
             };
             let first = match self.next_step_or_loss().await {
-                NextStep::Event(event) => Some(event),
+                NextStep::Event(event) => {
+                    self.await_stored_if_ambiguous().await;
+                    Some(event)
+                }
                 NextStep::End => None,
                 NextStep::Lost if self.call.route.may_repeat() => continue,
                 NextStep::Lost => {
@@ -244,6 +248,15 @@
         }
     }
 
+    /// Waits until a loss of all hosts can't lead the caller to the run of another one, or the other one to its run.
+    async fn await_stored_if_ambiguous(&self) {
+        let (state, wanted) = (&self.state, self.call.content_match());
+        if self.call.route.may_repeat() && enabled(Protection::OwnRun) {
+            let attempt = self.call.request();
+            state.await_stored_if_ambiguous(wanted, &attempt).await;
+        }
+    }
+
     /// Reports an engine's answer that is no stream and is passed on. It is never a success.
     fn log_non_stream(&self, status: StatusCode) {
         let outcome = "upstream-failed";
--- a/crates/gateway/src/peers/exchange/apply.rs
+++ b/crates/gateway/src/peers/exchange/apply.rs
@@ -16,7 +16,7 @@
         sync::{apply_rollout_record, apply_upstream_delta},
         view::Condition,
     },
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{net::SocketAddr, sync::Arc},
     tealshore_core::{clock, ids::HostId},
     tealshore_duties::lease::LeaseSummary,
     tealshore_runs::{KnownRun, RunLocation, RunOrigin, RunTrace},
@@ -259,11 +259,7 @@
     findings: &[Finding],
 ) {
     let now = clock::now();
-    let mut log = state.runs.log.lock();
-    for run in runs {
-        log.record_peer(run, sender.runs_on, Duration::ZERO, now);
-    }
-    drop(log);
+    state.record_peer_runs(runs, sender.runs_on, now);
     for finding in findings {
         apply_finding(state, finding, sender.host);
     }
--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -5,11 +5,16 @@
 use {
     parking_lot::Mutex,
     std::{
+        collections::HashSet,
         sync::atomic::{AtomicBool, Ordering},
         time::Duration,
     },
+    tealshore_core::ids::RequestId,
     tealshore_runs::RunLog,
-    tokio::{sync::Notify, time::timeout},
+    tokio::{
+        sync::{Notify, watch},
+        time::timeout,
+    },
 };
 
 /// The recent runs that this host knows.
@@ -20,6 +25,10 @@
     /// Whether the runs from before this host's start are known, as far as any host or the store knows them.
     is_restored: AtomicBool,
     restored: Notify,
+    /// Wakes the task that stores ambiguous runs.
+    ambiguity: Notify,
+    /// The attempts of the ambiguous runs that this host stored last.
+    stored: watch::Sender<HashSet<RequestId>>,
 }
 
 impl Runs {
@@ -42,4 +51,27 @@
     pub fn is_restored(&self) -> bool {
         self.is_restored.load(Ordering::Relaxed)
     }
+
+    /// Has the ambiguous runs stored at once.
+    pub fn report_ambiguity(&self) {
+        self.ambiguity.notify_one();
+    }
+
+    /// Waits until a run may have become ambiguous, for `max_wait` at most.
+    pub async fn wait_ambiguity(&self, max_wait: Duration) {
+        // Runs also become ambiguous by what other hosts report, which is found without a notification.
+        let _ = timeout(max_wait, self.ambiguity.notified()).await;
+    }
+
+    /// Records the attempts of the ambiguous runs that this host stored.
+    pub fn record_stored(&self, attempts: HashSet<RequestId>) {
+        self.stored.send_replace(attempts);
+    }
+
+    /// Waits until this host has stored the run of an attempt, for `max_wait` at most. Returns whether it has.
+    pub async fn wait_stored(&self, attempt: &RequestId, max_wait: Duration) -> bool {
+        let mut stored = self.stored.subscribe();
+        let waiting = stored.wait_for(|attempts| attempts.contains(attempt));
+        matches!(timeout(max_wait, waiting).await, Ok(Ok(_)))
+    }
 }
--- a/crates/gateway/src/state/runs.rs
+++ b/crates/gateway/src/state/runs.rs
@@ -2,11 +2,14 @@
 
 use {
     super::GatewayState,
-    std::time::Duration,
-    tealshore_core::clock,
-    tealshore_runs::{KnownRun, RunLocation, RunReport},
+    std::time::{Duration, Instant},
+    tealshore_core::{clock, ids::RequestId},
+    tealshore_runs::{ContentMatch, KnownRun, RunLocation, RunReport},
 };
 
+/// How long the first event of an ambiguous run waits for the store.
+const STORE_TIMEOUT: Duration = Duration::from_secs(1);
+
 impl GatewayState {
     /// Records that this host answers a request, and reports it to the peers at once: they must know of the run before
     /// its caller can have an event of it.
@@ -15,6 +18,43 @@
         self.peers.announce_run();
     }
 
+    /// Returns once the caller of a run that began may have an event of it: if another caller may have asked for the
+    /// same, the store must know of both runs, unless it does not answer in time.
+    pub async fn await_stored_if_ambiguous(&self, wanted: ContentMatch, attempt: &RequestId) {
+        let began = clock::now();
+        let is_ambiguous = self.runs.log.lock().is_ambiguous(wanted, began);
+        if !is_ambiguous || !self.feed.reaches_store() {
+            return;
+        }
+        self.runs.report_ambiguity();
+        if !self.runs.wait_stored(attempt, STORE_TIMEOUT).await {
+            log::warn!(
+                "runs: ambiguous run not stored in time request={attempt} content={:016x} waited_ms={}",
+                wanted.content,
+                clock::elapsed(began).as_millis()
+            );
+        }
+    }
+
+    /// Records runs that another host reports.
+    pub fn record_peer_runs(&self, runs: Vec<KnownRun>, location: RunLocation, now: Instant) {
+        let mut log = self.runs.log.lock();
+        let mut is_ambiguous = false;
+        for run in runs {
+            let wanted = run.origin.as_ref().map(|origin| ContentMatch {
+                fingerprint: run.trace.fingerprint,
+                content: origin.content,
+            });
+            let is_new = log.record_peer(run, location, Duration::ZERO, now);
+            let wanted = wanted.filter(|_| is_new);
+            is_ambiguous |= wanted.is_some_and(|wanted| log.is_ambiguous(wanted, now));
+        }
+        drop(log);
+        if is_ambiguous {
+            self.runs.report_ambiguity();
+        }
+    }
+
     /// Records runs that this host learned of at its start.
     pub fn restore_runs(&self, runs: Vec<RunReport>) {
         let now = clock::now();
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -2,6 +2,7 @@
 //! updated from a feeder host or by watching the set in the store. It is read in full again whenever changes
 //! may have been missed.
 
+mod ambiguous_runs;
 mod apply;
 mod calls;
 mod crashes;
@@ -75,6 +76,8 @@
     tokio::spawn(async move { hosts.maintain_hosts().await });
     let mut runs = Follower::new(state.clone(), RowSet::Runs);
     tokio::spawn(async move { runs.maintain_runs().await });
+    let mut ambiguous_runs = Follower::new(state.clone(), RowSet::Runs);
+    tokio::spawn(async move { ambiguous_runs.store_ambiguous_runs().await });
     let mut rollouts = Follower::new(state.clone(), RowSet::Rollouts);
     tokio::spawn(async move { rollouts.lead_rollouts().await });
     tokio::spawn(rollouts::review::review_rollouts(state.clone()));
--- a/crates/runs/src/log.rs
+++ b/crates/runs/src/log.rs
@@ -3,11 +3,12 @@
 use {
     crate::{
         inquiry::{RunReport, RunState},
+        proof::{Doubt, sole_run},
         trace::{ContentDigest, EventId, KnownRun, RunOrigin, RunTrace},
     },
     std::{
         cmp::Reverse,
-        collections::HashMap,
+        collections::{BTreeSet, HashMap},
         time::{Duration, Instant},
     },
     tealshore_core::ids::{EngineId, Fingerprint, RequestId},
@@ -35,7 +36,7 @@
 }
 
 /// Which runs a lookup returns: those of requests for one content.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ContentMatch {
     /// The digest under which runs are kept.
     pub fingerprint: Fingerprint,
@@ -183,36 +184,68 @@
         }
     }
 
-    /// Records a run of another host that was answered `age` ago.
+    /// Whether another caller may have asked for the same as one whom this process answers.
+    #[must_use]
+    pub fn is_ambiguous(&self, wanted: ContentMatch, now: Instant) -> bool {
+        let reports = self.recent(wanted, now);
+        let is_own = |report: &RunReport| report.state == Some(RunState::Answering);
+        reports.iter().any(is_own) && sole_run(&reports) == Err(Doubt::SeveralRuns)
+    }
+
+    /// Returns the runs of each content for which this process answers a caller while another caller may have asked for
+    /// the same, ordered by fingerprint.
+    #[must_use]
+    pub fn ambiguous(&self, now: Instant) -> Vec<KnownRun> {
+        let answering = self.entries.values().flatten().filter_map(|entry| {
+            let origin = entry.run.origin.as_ref()?;
+            let is_own = matches!(entry.state, EntryState::Answering { .. });
+            is_own.then_some(ContentMatch {
+                fingerprint: entry.run.trace.fingerprint,
+                content: origin.content,
+            })
+        });
+        let contents: BTreeSet<ContentMatch> = answering.collect();
+        let ambiguous = contents
+            .into_iter()
+            .filter(|wanted| self.is_ambiguous(*wanted, now));
+        ambiguous
+            .flat_map(|wanted| self.matching(wanted, now))
+            .map(|entry| entry.run_at(now))
+            .collect()
+    }
+
+    /// Records a run of another host that was answered `age` ago. Returns whether it was unknown.
     pub fn record_peer(
         &mut self,
         run: KnownRun,
         location: RunLocation,
         age: Duration,
         now: Instant,
-    ) {
+    ) -> bool {
         let at = now.checked_sub(age).unwrap_or(now);
         let (fingerprint, request) = (run.trace.fingerprint, run.trace.request.clone());
         if let Some(known) = self.find(fingerprint, &request) {
             let EntryState::Reported { at: known_at } = known.state else {
-                return;
+                return false;
             };
             if at < known_at {
-                return;
+                return false;
             }
             let (origin, waits_until) = (known.run.origin.take(), known.waits_until);
             *known = Entry::new(run, location, EntryState::Reported { at }, now);
             known.run.origin = known.run.origin.take().or(origin);
             known.waits_until = known.waits_until.or(waits_until);
-            return;
+            return false;
         }
         let entry = Entry::new(run, location, EntryState::Reported { at }, now);
-        if self.peer_runs < MAX_PEER_RUNS {
+        let has_room = self.peer_runs < MAX_PEER_RUNS;
+        if has_room {
             self.push(entry);
         } else {
             let kept_until = entry.waits_until.max(Some(now + MIN_RUN_RETENTION));
             self.partial_until = self.partial_until.max(kept_until);
         }
+        has_room
     }
 
     /// Returns the engine that ran a request of this content last and may still have its prompt cached.
--- a/crates/runs/tests/log.rs
+++ b/crates/runs/tests/log.rs
@@ -8,7 +8,10 @@
 
 use {
     std::time::{Duration, Instant},
-    support::{CONTENT, FINGERPRINT, run, run_of, run_of_earlier_build, trace, wanted},
+    support::{
+        CONTENT, FINGERPRINT, continuation, run, run_of, run_of_earlier_build, trace, wanted,
+    },
+    tealshore_core::ids::RequestId,
     tealshore_runs::{ContentMatch, KnownRun, RunLocation, RunLog, RunReport, RunState},
 };
 
@@ -41,6 +44,36 @@
     assert_eq!(own.len(), 2);
 }
 
+/// Guards against a stored run that its caller can't be told from, as the other run of its content was not stored.
+#[test]
+fn runs_are_ambiguous_with_each_other_while_this_process_answers_one_of_them() {
+    let mut log = RunLog::default();
+    let now = Instant::now();
+    let ambiguous = |log: &RunLog| -> Vec<RequestId> {
+        let runs = log.ambiguous(now).into_iter();
+        runs.map(|run| run.trace.request).collect()
+    };
+    log.record_peer(run("theirs", "there"), RunLocation::InGroup, NO_AGE, now);
+    log.record_peer(run("others", "there"), RunLocation::InGroup, NO_AGE, now);
+    assert!(ambiguous(&log).is_empty());
+    log.begin(run("own", "here"), now);
+    log.begin(run_of("alone", "here", CONTENT + 1), now);
+    assert_eq!(ambiguous(&log), ["theirs", "others", "own"]);
+    end(&mut log, "own", false, now);
+    assert!(ambiguous(&log).is_empty());
+}
+
+#[test]
+fn a_run_that_continues_the_only_other_one_is_not_ambiguous() {
+    let mut log = RunLog::default();
+    let now = Instant::now();
+    log.record_peer(run("earlier", "lost"), RunLocation::InGroup, NO_AGE, now);
+    log.begin(continuation("later", "here", "earlier"), now);
+    assert!(!log.is_ambiguous(wanted(), now));
+    log.begin(run_of_earlier_build("unknown"), now);
+    assert!(log.is_ambiguous(wanted(), now));
+}
+
 #[test]
 fn an_answer_that_ended_is_remembered_with_its_end() {
     let mut log = RunLog::default();
