Prove no run that began after a loss of all hosts to a caller from before it

What callers would have seen (found by the model, MIXED): a caller's run begins after the last write of the runs, and all hosts are lost. Another caller asks for the same at a host that started since, and that host is killed. The first caller, who comes back only now, gets the rest of the other one's stream.

Processes that restored the runs from the store know nothing of those that were lost unwritten, and take the first run that they see for the only one. The model did not show it as its store was written at once; it is now written when the writer writes, and by hosts with ambiguous runs.

While a caller from before may still wait (30 s, or the route's timeout), a run that neither was restored nor continues one that was is not proven: `evidence=earlier-runs-lost`. A host that has not restored all runs needs another one to confirm. The row of runs is written once at the start, so that a host which finds none was there first.

Cost: callers whose run began after a loss of all hosts, and whose host is lost again within that time, read their prompt anew. A caller alone whose host is lost with all others resumes from its copy as before.

--- a/crates/gateway/src/forward/stream/own_run.rs
+++ b/crates/gateway/src/forward/stream/own_run.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{forward::call::Call, peers::ask_about_runs, state::GatewayState},
+    std::time::Duration,
     tealshore_core::clock,
     tealshore_core::protection::{Protection, enabled},
     tealshore_runs::{Doubt, EventId, KnownRun, Proof, RunReport, prove_own_run, sole_run},
@@ -9,6 +10,8 @@
 
 /// Maximum number of runs in a log line.
 const MAX_LISTED_RUNS: usize = 4;
+/// How long any caller may wait for its answer and resume meanwhile.
+const MIN_PATIENCE: Duration = Duration::from_secs(30);
 
 /// Returns the run that the caller left after `last_event`, or `None` if none is proven to be the caller's: the copy
 /// of another caller's run must not be used.
@@ -49,12 +52,16 @@
     last_event: EventId,
 ) -> Result<(KnownRun, Proof), Doubt> {
     let (_, origin) = sole_run(known)?;
-    let inquiry = ask_about_runs(state, call.content_match(), origin).await;
+    let mut inquiry = ask_about_runs(state, call.content_match(), origin).await;
+    // Until this host has restored all runs, only another one can confirm that there is no other.
+    inquiry.has_witnesses |= !state.runs.is_restored();
     let now = clock::now();
     let log = state.runs.log.lock();
     if log.is_partial(now) {
         return Err(Doubt::LogFull);
     }
+    let patience = MIN_PATIENCE.max(call.route.timeout);
+    inquiry.loss = log.loss(patience, now);
     // Another host may have reported another run meanwhile.
     let known = log.recent(call.content_match(), now);
     drop(log);
--- a/crates/gateway/src/peers/run_inquiry.rs
+++ b/crates/gateway/src/peers/run_inquiry.rs
@@ -105,6 +105,7 @@
         replies,
         has_witnesses,
         unheard: unheard_names,
+        loss: None,
     }
 }
 
--- a/crates/gateway/src/peers/snapshot.rs
+++ b/crates/gateway/src/peers/snapshot.rs
@@ -41,6 +41,9 @@
 /// Link capacity in Mbit/s per connection, about what the slow link of an asking host takes.
 const MBPS_PER_CONNECTION: u32 = 5;
 
+/// How long hosts that start are told of a loss of all hosts, which is longer than callers wait.
+const LOSS_RETENTION: Duration = Duration::from_secs(600);
+
 /// Returns how many hosts a host serves at once, given the capacity of its link.
 #[must_use]
 pub fn max_snapshot_connections(link_mbps: u32) -> usize {
@@ -241,7 +244,12 @@
                 postcard::to_extend(&state.view.configuration_revision(), bytes)
                     .and_then(|bytes| postcard::to_extend(&state.configuration_report(now), bytes))
             }
-            RowSet::Runs => postcard::to_extend(&state.runs.log.lock().all(now), bytes),
+            RowSet::Runs => {
+                let log = state.runs.log.lock();
+                let loss = log.loss(LOSS_RETENTION, now);
+                postcard::to_extend(&log.all(now), bytes)
+                    .and_then(|bytes| postcard::to_extend(&loss, bytes))
+            }
             RowSet::Upstreams
             | RowSet::Hosts
             | RowSet::Rollouts
--- a/crates/gateway/src/state/runs.rs
+++ b/crates/gateway/src/state/runs.rs
@@ -4,7 +4,7 @@
     super::GatewayState,
     std::time::{Duration, Instant},
     tealshore_core::{clock, ids::RequestId},
-    tealshore_runs::{ContentMatch, KnownRun, RunLocation, RunReport},
+    tealshore_runs::{ContentMatch, KnownRun, LossReport, RunLocation, RunReport},
 };
 
 /// How long the first event of an ambiguous run waits for the store.
@@ -55,22 +55,20 @@
         }
     }
 
-    /// Records runs that this host learned of at its start.
-    pub fn restore_runs(&self, runs: Vec<RunReport>) {
+    /// Records what another host knows of runs, at this host's start.
+    pub fn restore_runs(&self, runs: Vec<RunReport>, loss: Option<LossReport>) {
         let now = clock::now();
         let mut log = self.runs.log.lock();
         for report in runs {
             log.record_peer(report.run, RunLocation::OtherGroup, report.age, now);
         }
+        if let Some(loss) = loss {
+            log.record_loss(loss, now);
+        }
     }
 
-    /// Records runs that this host read from the store, which does not say when they were last answered.
+    /// Records a row of runs that this host read from the store, as no other host knows the runs from before its start.
     pub fn restore_stored_runs(&self, runs: Vec<KnownRun>) {
-        let reports = runs.into_iter().map(|run| RunReport {
-            run,
-            state: None,
-            age: Duration::ZERO,
-        });
-        self.restore_runs(reports.collect());
+        self.runs.log.lock().restore(runs, clock::now());
     }
 }
--- a/crates/gateway/src/sync/from_peers.rs
+++ b/crates/gateway/src/sync/from_peers.rs
@@ -25,7 +25,7 @@
         time::{Duration, Instant},
     },
     tealshore_core::{clock, ids::EngineId, spread::with_jitter},
-    tealshore_runs::{KnownRun, RunReport},
+    tealshore_runs::{KnownRun, LossReport, RunReport},
 };
 
 /// Limits of a call for a set. The limit of the whole call is much longer than the idle timeout, so that a
@@ -241,9 +241,13 @@
                 .peers
                 .snapshot_sources(RowSet::Runs, 0, SourceScope::AllHalls, now);
         for source in sources.into_iter().take(MAX_PEERS_ASKED) {
-            if let Some(runs) = fetch_runs(source).await {
-                log::info!("feed: received runs peer={source} runs={}", runs.len());
-                self.state.restore_runs(runs);
+            if let Some((runs, loss)) = fetch_runs(source).await {
+                log::info!(
+                    "feed: received runs peer={source} runs={} lost_ms={:?}",
+                    runs.len(),
+                    loss.as_ref().map(|loss| loss.age.as_millis())
+                );
+                self.state.restore_runs(runs, loss);
                 return true;
             }
         }
@@ -368,9 +372,9 @@
     })
 }
 
-/// Fetches the recent runs from another host. A host of an earlier build tells only which ones run, without their
-/// origins.
-async fn fetch_runs(source: SocketAddr) -> Option<Vec<RunReport>> {
+/// Fetches the recent runs from another host, and the loss of all hosts that it knows of. A host of an earlier build
+/// tells only which ones run, without their origins, or no loss.
+async fn fetch_runs(source: SocketAddr) -> Option<(Vec<RunReport>, Option<LossReport>)> {
     let (status, body) = get(&snapshot_path(RowSet::Runs), source).await?;
     if !status.is_success() {
         return None;
@@ -379,8 +383,9 @@
     let SnapshotRows::Runs(running) = snapshot.rows else {
         return None;
     };
-    if let Ok((reports, _)) = postcard::take_from_bytes(rest) {
-        return Some(reports);
+    if let Ok((reports, rest)) = postcard::take_from_bytes(rest) {
+        let (loss, _) = postcard::take_from_bytes(rest).unwrap_or_default();
+        return Some((reports, loss));
     }
     let reports = running.into_iter().map(|trace| RunReport {
         run: KnownRun {
@@ -390,7 +395,7 @@
         state: None,
         age: Duration::ZERO,
     });
-    Some(reports.collect())
+    Some((reports.collect(), None))
 }
 
 async fn get(path: &str, source: SocketAddr) -> Option<(StatusCode, Bytes)> {
--- a/crates/gateway/src/sync/runs.rs
+++ b/crates/gateway/src/sync/runs.rs
@@ -23,18 +23,21 @@
     /// writes for its group.
     pub(super) async fn maintain_runs(&mut self) {
         self.restore_runs().await;
-        let mut written: Vec<RunTrace> = Vec::new();
+        // The row is written at the start although it may be empty: a host that finds one was not there first.
+        let mut written: Option<Vec<RunTrace>> = None;
         loop {
             sleep(RUNS_WRITE_INTERVAL).await;
             if self.may_lack_own_rows() {
-                written.clear();
+                written = None;
             }
             let now = clock::now();
             if !self.writes_for_group(now) {
                 continue;
             }
             let running = self.state.runs.log.lock().running_in_group(now);
-            let has_change = running.iter().any(|run| !written.contains(&run.trace));
+            let has_change = written
+                .as_ref()
+                .is_none_or(|written| running.iter().any(|run| !written.contains(&run.trace)));
             if !has_change {
                 continue;
             }
@@ -43,7 +46,7 @@
             match self.write(request).await {
                 Ok(()) => {
                     self.record_recovery();
-                    written = running.into_iter().map(|run| run.trace).collect();
+                    written = Some(running.into_iter().map(|run| run.trace).collect());
                 }
                 Err(failure) => self.pause_after(&failure).await,
             }
--- a/crates/runs/src/inquiry.rs
+++ b/crates/runs/src/inquiry.rs
@@ -4,7 +4,7 @@
     crate::trace::{EventId, KnownRun},
     serde::{Deserialize, Serialize},
     std::time::Duration,
-    tealshore_core::ids::{HostId, ProcessId},
+    tealshore_core::ids::{HostId, ProcessId, RequestId},
 };
 
 /// The state of an answer, according to the process that gives it.
@@ -53,6 +53,32 @@
     Unreadable(HostId),
 }
 
+/// A loss of all hosts that knew the runs of that time, of which only the stored ones are known since.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LossReport {
+    /// Time since the stored runs were read.
+    pub age: Duration,
+    /// The attempts of the stored runs.
+    pub restored: Vec<RequestId>,
+}
+
+impl LossReport {
+    /// Whether a caller who was answered before the loss may have left a run that is not known, beside the last one of
+    /// `runs`. Beside a stored run, another run of its content would be stored too.
+    pub(crate) fn may_hide_run(&self, last: &KnownRun, runs: &[RunReport]) -> bool {
+        let mut attempt = Some(&last.trace.request);
+        while let Some(request) = attempt {
+            if self.restored.contains(request) {
+                return false;
+            }
+            let mut reports = runs.iter();
+            let report = reports.find(|report| report.run.trace.request == *request);
+            attempt = report.and_then(|report| report.run.origin.as_ref()?.continues.as_ref());
+        }
+        true
+    }
+}
+
 /// What an inquiry about the runs of a request found.
 #[derive(Clone, Debug, Default)]
 pub struct Inquiry {
@@ -62,6 +88,8 @@
     pub has_witnesses: bool,
     /// Hosts that were asked since nothing was heard from them lately: they may answer callers all the same.
     pub unheard: Vec<HostId>,
+    /// A loss of all hosts since which a caller who was answered before may still wait.
+    pub loss: Option<LossReport>,
 }
 
 impl Inquiry {
--- a/crates/runs/src/lib.rs
+++ b/crates/runs/src/lib.rs
@@ -12,7 +12,7 @@
 mod proof;
 mod trace;
 
-pub use inquiry::{HostReply, Inquiry, RunReport, RunState};
+pub use inquiry::{HostReply, Inquiry, LossReport, RunReport, RunState};
 pub use log::{ContentMatch, RunLocation, RunLog};
 pub use proof::{Doubt, Proof, prove_own_run, sole_run};
 pub use trace::{ContentDigest, EventId, KnownRun, MemoryCopy, RunOrigin, RunTrace};
--- a/crates/runs/src/log.rs
+++ b/crates/runs/src/log.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        inquiry::{RunReport, RunState},
+        inquiry::{LossReport, RunReport, RunState},
         proof::{Doubt, sole_run},
         trace::{ContentDigest, EventId, KnownRun, RunOrigin, RunTrace},
     },
@@ -152,6 +152,8 @@
     peer_runs: usize,
     /// Until when runs may be missing, since some were left out for lack of room.
     partial_until: Option<Instant>,
+    /// The latest loss of all hosts, with its time.
+    loss: Option<(Instant, Vec<RequestId>)>,
 }
 
 impl RunLog {
@@ -248,6 +250,33 @@
         has_room
     }
 
+    /// Records that a loss of all hosts left only these stored runs.
+    pub fn restore(&mut self, runs: Vec<KnownRun>, now: Instant) {
+        let (_, restored) = self.loss.get_or_insert((now, Vec::new()));
+        restored.extend(runs.iter().map(|run| run.trace.request.clone()));
+        for run in runs {
+            // The store does not say when they were last answered.
+            self.record_peer(run, RunLocation::OtherGroup, Duration::ZERO, now);
+        }
+    }
+
+    /// Records the loss of all hosts that another host knows of.
+    pub fn record_loss(&mut self, loss: LossReport, now: Instant) {
+        let at = now.checked_sub(loss.age).unwrap_or(now);
+        self.loss = Some((at, loss.restored));
+    }
+
+    /// Returns the latest loss of all hosts, if a caller who was answered before may still wait for `patience` after it.
+    #[must_use]
+    pub fn loss(&self, patience: Duration, now: Instant) -> Option<LossReport> {
+        let (at, restored) = self.loss.as_ref()?;
+        let age = now.saturating_duration_since(*at);
+        (age <= patience).then(|| LossReport {
+            age,
+            restored: restored.clone(),
+        })
+    }
+
     /// Returns the engine that ran a request of this content last and may still have its prompt cached.
     #[must_use]
     pub fn last_engine(&self, wanted: ContentMatch, now: Instant) -> Option<EngineId> {
--- a/crates/runs/src/proof.rs
+++ b/crates/runs/src/proof.rs
@@ -59,6 +59,8 @@
     UnheardHost,
     /// This host may know of some runs no longer, for lack of room.
     LogFull,
+    /// The run began after a loss of all hosts, so one that began before may be unknown.
+    EarlierRunsLost,
 }
 
 impl Doubt {
@@ -78,6 +80,7 @@
             Self::Unconfirmed => "unconfirmed",
             Self::UnheardHost => "unheard-host",
             Self::LogFull => "log-full",
+            Self::EarlierRunsLost => "earlier-runs-lost",
         }
     }
 }
@@ -125,6 +128,10 @@
     if unheard.any(|host| inquiry.reply_of(host).is_none_or(may_hide_runs)) {
         return Err(Doubt::UnheardHost);
     }
+    let mut loss = inquiry.loss.iter();
+    if loss.any(|loss| loss.may_hide_run(&sole.run, &merged)) {
+        return Err(Doubt::EarlierRunsLost);
+    }
     let proof = match sole.state {
         Some(state) => check_state(state, last_event)?,
         None => check_process(origin, inquiry.reply_of(run_host))?,
--- a/crates/runs/tests/proof.rs
+++ b/crates/runs/tests/proof.rs
@@ -11,7 +11,8 @@
     support::{continuation, process, run, run_of_earlier_build},
     tealshore_core::ids::ProcessId,
     tealshore_runs::{
-        Doubt, HostReply, Inquiry, KnownRun, Proof, RunReport, RunState, prove_own_run, sole_run,
+        Doubt, HostReply, Inquiry, KnownRun, LossReport, Proof, RunReport, RunState, prove_own_run,
+        sole_run,
     },
 };
 
@@ -123,6 +124,7 @@
         replies: replies.to_vec(),
         has_witnesses: true,
         unheard: Vec::new(),
+        loss: None,
     }
 }
 
@@ -256,3 +258,29 @@
         assert_eq!(proven.map(|(_, proof)| proof), expected, "{of_unheard:?}");
     }
 }
+
+/// Guards against a run that is taken for that of a caller whose own run was lost with all hosts.
+#[test]
+fn no_run_that_began_after_a_loss_of_all_hosts_is_proven() {
+    let known = [
+        reported(run("stored", "a")),
+        reported(continuation("later", "a", "stored")),
+    ];
+    let gone = HostReply::NotListening("a".to_owned());
+    let witness = reply(process("w", 1), known.to_vec());
+    let cases = [
+        (vec!["stored"], Ok(Proof::ProcessGone)),
+        (vec!["later"], Ok(Proof::ProcessGone)),
+        (vec!["another"], Err(Doubt::EarlierRunsLost)),
+        (Vec::new(), Err(Doubt::EarlierRunsLost)),
+    ];
+    for (restored, expected) in cases {
+        let mut asked = inquiry(&[witness.clone(), gone.clone()]);
+        asked.loss = Some(LossReport {
+            age: Duration::from_secs(1),
+            restored: restored.into_iter().map(str::to_owned).collect(),
+        });
+        let proven = prove_own_run(&known, &asked, LAST_EVENT);
+        assert_eq!(proven.map(|(_, proof)| proof), expected, "{asked:?}");
+    }
+}
--- a/crates/runs/tests/resume_model.rs
+++ b/crates/runs/tests/resume_model.rs
@@ -90,6 +90,7 @@
             host.clone().prop_map(|host| Event::Kill { host }).boxed(),
         ));
         weighted.push((1, Just(Event::KillAll).boxed()));
+        weighted.push((3, Just(Event::StoreRuns).boxed()));
         weighted.push((
             4,
             host.clone()
--- a/crates/runs/tests/resume_model/world.rs
+++ b/crates/runs/tests/resume_model/world.rs
@@ -8,8 +8,7 @@
     },
     tealshore_core::ids::RequestId,
     tealshore_runs::{
-        HostReply, Inquiry, KnownRun, Proof, RunLocation, RunLog, RunReport, prove_own_run,
-        sole_run,
+        HostReply, Inquiry, KnownRun, Proof, RunLocation, RunLog, prove_own_run, sole_run,
     },
 };
 
@@ -60,6 +59,8 @@
     Restart {
         host: usize,
     },
+    /// The host that writes for all others stores the runs that it knows.
+    StoreRuns,
     /// A host goes on to answer callers, while no other host hears it or reaches it.
     CutOff {
         host: usize,
@@ -97,8 +98,10 @@
     hosts: Vec<Host>,
     attempts: [Option<Attempt>; CALLERS],
     owners: HashMap<RequestId, usize>,
-    /// The runs in the store, which is written at once.
+    /// The running streams in the store, as of its last write.
     stored: Vec<KnownRun>,
+    /// The ambiguous runs in the store, by the host that wrote them at once.
+    stored_ambiguous: [Vec<KnownRun>; HOSTS],
     /// What proved the runs from which streams continued.
     pub proofs: Vec<Proof>,
 }
@@ -122,6 +125,7 @@
             attempts: [const { None }; CALLERS],
             owners: HashMap::new(),
             stored: Vec::new(),
+            stored_ambiguous: [const { Vec::new() }; HOSTS],
             proofs: Vec::new(),
         }
     }
@@ -151,7 +155,7 @@
         origin.waits_ms = u64::try_from(waits.as_millis()).unwrap();
         self.hosts[host].log.begin(run.clone(), self.now);
         self.owners.insert(request.clone(), caller);
-        self.stored.push(run.clone());
+        self.store_ambiguous(host);
         for other in (0..HOSTS).filter(|other| *other != host) {
             let is_received = self.hosts[other].is_alive && self.reaches(host, other);
             if is_received && missed_by != Some(other) {
@@ -171,6 +175,20 @@
     fn report(&mut self, run: KnownRun, to: usize) {
         let log = &mut self.hosts[to].log;
         log.record_peer(run, RunLocation::InGroup, Duration::ZERO, self.now);
+        self.store_ambiguous(to);
+    }
+
+    fn store_ambiguous(&mut self, by: usize) {
+        let ambiguous = self.hosts[by].log.ambiguous(self.now);
+        if !ambiguous.is_empty() {
+            self.stored_ambiguous[by] = ambiguous;
+        }
+    }
+
+    fn store_runs(&mut self) {
+        if let Some(writer) = self.hosts.iter().find(|host| host.is_alive) {
+            self.stored = writer.log.running_in_group(self.now);
+        }
     }
 
     /// Ends the answer to a caller at its host.
@@ -209,24 +227,26 @@
         let mut others = (0..HOSTS).filter(|other| {
             *other != host && self.hosts[*other].is_alive && self.reaches(host, *other)
         });
-        let stored = self.stored.iter().map(|run| RunReport {
-            run: run.clone(),
-            state: None,
-            age: Duration::ZERO,
-        });
-        let known = match others.next() {
-            Some(other) => self.hosts[other].log.all(self.now),
-            None => stored.collect(),
-        };
+        let mut log = RunLog::default();
+        match others.next().map(|other| &self.hosts[other].log) {
+            Some(other) => {
+                for report in other.all(self.now) {
+                    log.record_peer(report.run, RunLocation::InGroup, report.age, self.now);
+                }
+                if let Some(loss) = other.loss(PATIENCE, self.now) {
+                    log.record_loss(loss, self.now);
+                }
+            }
+            None => {
+                let ambiguous = self.stored_ambiguous.iter().flatten();
+                let stored = self.stored.iter().chain(ambiguous).cloned();
+                log.restore(stored.collect(), self.now);
+            }
+        }
         let restarted = &mut self.hosts[host];
-        restarted.log = RunLog::default();
+        restarted.log = log;
         restarted.incarnation += 1;
         restarted.is_alive = true;
-        for report in known {
-            restarted
-                .log
-                .record_peer(report.run, RunLocation::InGroup, report.age, self.now);
-        }
     }
 
     /// Asks other hosts as a host does whose caller resumes.
@@ -256,6 +276,7 @@
             replies,
             has_witnesses: !witnesses.is_empty(),
             unheard: unheard.into_iter().map(name).collect(),
+            loss: self.hosts[by].log.loss(PATIENCE, self.now),
         }
     }
 
@@ -342,6 +363,7 @@
             Event::Kill { host } => self.kill(host),
             Event::KillAll => (0..HOSTS).for_each(|host| self.kill(host)),
             Event::Restart { host } => self.restart(host),
+            Event::StoreRuns => self.store_runs(),
             Event::CutOff { host } => self.hosts[host].is_cut_off = true,
             Event::Heal { host } => self.heal(host),
             Event::Wait { ms } => self.now += Duration::from_millis(ms),
