Ask for keys while there are customers, also if none of them has one

Cause: a host keeps customers by their keys and took an empty map for a deployment without customers. In the log: `view: configuration received ... keys=0 outcome=in-force`, then 200 for each request. The same map decided whether the age of the view is looked at.

Change: the configuration says whether there are customers (`requires_keys`, also in that log line). A request that carries a key has it checked also where there are no customers: a key that is unknown gets 401, so a customer that was taken away whole is out as well; requests without a key run there as before.

Rows are the operator's own, so nothing stored changes. A host of a build before that reads such a row itself still has the fault.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -66,7 +66,8 @@
     shares::{Share, divide_into_shares},
     snapshot::{
         InvalidNameIndex, PackedUpstreams, SNAPSHOT_CACHE_TIME, SetSnapshot, SnapshotCache,
-        SnapshotRows, max_snapshot_connections, packed_upstreams_path, snapshot_path,
+        SnapshotRows, for_earlier_builds, max_snapshot_connections, packed_upstreams_path,
+        restore_key_requirement, snapshot_path,
     },
     tunnels::{
         FOUND_HEADER, FOUND_REFUSED, FOUND_UNANSWERED, FOUND_UNKNOWN, TUNNEL_ID_HEADER, TunnelHost,
--- a/crates/gateway/src/peers/snapshot.rs
+++ b/crates/gateway/src/peers/snapshot.rs
@@ -10,7 +10,7 @@
         feed::SetWatermark,
         rollout::RolloutOrder,
         state::GatewayState,
-        view::{Configuration, UpstreamChanges, UpstreamRecord},
+        view::{Configuration, Customer, UpstreamChanges, UpstreamRecord},
     },
     bytes::Bytes,
     http::{Request, Response, StatusCode, Uri, uri::PathAndQuery},
@@ -24,6 +24,7 @@
     tealshore_core::{
         clock,
         http::{Body, ServerOptions, empty, full, serve},
+        ids::CustomerId,
     },
     tealshore_runs::RunTrace,
     tokio::net::TcpListener,
@@ -147,7 +148,7 @@
         let (watermark, rows) = match set {
             RowSet::Configuration => {
                 let configuration = state.view.configuration();
-                let configuration = configuration.map(|known| known.as_ref().clone());
+                let configuration = configuration.map(|known| for_earlier_builds(&known));
                 let orders = state.rollouts.orders().into_iter();
                 let rows = SnapshotRows::Configuration {
                     configuration,
@@ -171,6 +172,39 @@
     }
 }
 
+/// A key that no request can carry.
+const UNUSABLE_KEY: &str = "\0";
+
+/// Returns the configuration as snapshots carry it. Earlier builds ask for no key where the configuration holds none, so
+/// one is added if there are customers without any.
+#[must_use]
+pub fn for_earlier_builds(configuration: &Configuration) -> Configuration {
+    let mut configuration = configuration.clone();
+    if configuration.requires_keys && configuration.customers.is_empty() {
+        let customer = Customer {
+            name: CustomerId::new(),
+            priority: None,
+        };
+        configuration
+            .customers
+            .insert(UNUSABLE_KEY.to_owned(), customer);
+    }
+    configuration
+}
+
+/// Completes a configuration that a snapshot carried. Returns whether requests may be admitted by it: an earlier build
+/// does not tell whether there are customers if none has a key.
+#[must_use]
+pub fn restore_key_requirement(
+    configuration: &mut Configuration,
+    requires_keys: Option<bool>,
+) -> bool {
+    let has_keys = !configuration.customers.is_empty();
+    configuration.customers.remove(UNUSABLE_KEY);
+    configuration.requires_keys = has_keys || requires_keys == Some(true);
+    has_keys || requires_keys.is_some()
+}
+
 /// The path of a set's snapshot.
 pub fn snapshot_path(set: RowSet) -> String {
     format!("/{}", set.name())
@@ -241,8 +275,11 @@
         encoding.and_then(|bytes| match set {
             // Hosts of an earlier build ignore what follows the set.
             RowSet::Configuration => {
+                let configuration = state.view.configuration();
+                let requires_keys = configuration.map(|known| known.requires_keys);
                 postcard::to_extend(&state.view.configuration_revision(), bytes)
                     .and_then(|bytes| postcard::to_extend(&state.configuration_report(now), bytes))
+                    .and_then(|bytes| postcard::to_extend(&requires_keys, bytes))
             }
             RowSet::Runs => {
                 let log = state.runs.log.lock();
--- a/crates/gateway/src/serve/ingress.rs
+++ b/crates/gateway/src/serve/ingress.rs
@@ -213,9 +213,8 @@
     };
     let host = host_of(head);
     let route = configuration.route(&host, head.uri.path()).cloned();
-    let needs_keys = !configuration.customers.is_empty();
     let is_public = facts.key.is_none() && route.as_ref().is_some_and(|route| route.public);
-    if needs_keys && !is_public {
+    if configuration.must_authenticate(facts.key.as_ref()) && !is_public {
         check_view_age(state, facts)?;
     }
     let route = route
@@ -282,7 +281,8 @@
         .key
         .as_ref()
         .and_then(|key| configuration.customers.get(key));
-    if known.is_none() && !configuration.customers.is_empty() && !route.public {
+    let must_authenticate = configuration.must_authenticate(facts.key.as_ref());
+    if known.is_none() && must_authenticate && !route.public {
         let detail = "no customer has this key";
         return Err(Failure::new(ErrorKind::Unauthenticated, detail));
     }
--- a/crates/gateway/src/sync/apply.rs
+++ b/crates/gateway/src/sync/apply.rs
@@ -190,7 +190,7 @@
 ) -> Applied {
     let version = new.version;
     let routes = new.route_count();
-    let keys = new.customers.len();
+    let (keys, requires_keys) = (new.customers.len(), new.requires_keys);
     let now = clock::now();
     let is_in_restore_grace = state.feed.is_in_restore_grace(now);
     let applied = state.view.apply(new, revision, origin, is_in_restore_grace);
@@ -202,7 +202,7 @@
     state.metrics.config_version.set(current_version);
     log::info!(
         "view: configuration received version={version} revision={revision} era={} origin={} source={source} \
-         routes={routes} keys={keys} outcome={} {}",
+         routes={routes} keys={keys} requires_keys={requires_keys} outcome={} {}",
         era_of(revision),
         origin.name(),
         applied.name(),
--- a/crates/gateway/src/sync/from_peers.rs
+++ b/crates/gateway/src/sync/from_peers.rs
@@ -14,7 +14,7 @@
         edge::{Revision, RowSet, UpstreamChange},
         peers::{
             ConfigurationReport, PackedUpstreams, SetSnapshot, SnapshotRows, SourceScope,
-            packed_upstreams_path, snapshot_path,
+            packed_upstreams_path, restore_key_requirement, snapshot_path,
         },
         view::{Applied, RowOrigin, UpstreamChanges, ViewSource},
     },
@@ -363,9 +363,19 @@
     if !status.is_success() {
         return None;
     }
-    let (snapshot, rest) = postcard::take_from_bytes(&body).ok()?;
+    let (mut snapshot, rest): (SetSnapshot, &[u8]) = postcard::take_from_bytes(&body).ok()?;
     let (row, rest): (Revision, &[u8]) = postcard::take_from_bytes(rest).unwrap_or_default();
-    let (report, _) = postcard::take_from_bytes(rest).unwrap_or_default();
+    let (report, rest) = postcard::take_from_bytes(rest).unwrap_or_default();
+    if let SnapshotRows::Configuration {
+        configuration: Some(configuration),
+        ..
+    } = &mut snapshot.rows
+    {
+        let (requires_keys, _) = postcard::take_from_bytes(rest).unwrap_or_default();
+        if !restore_key_requirement(configuration, requires_keys) {
+            return None;
+        }
+    }
     Some(FetchedSet {
         snapshot,
         configuration: FetchedConfiguration { row, report },
--- a/crates/gateway/src/view/configuration.rs
+++ b/crates/gateway/src/view/configuration.rs
@@ -16,10 +16,14 @@
     routes: HashMap<String, Vec<Route>>,
     /// The services, by name.
     pub services: HashMap<ServiceId, Service>,
-    /// The customers, by API key; if there are none, requests need no key.
+    /// The customers, by API key. A customer may have no key.
     pub customers: HashMap<String, Customer>,
     /// Limits on requests.
     pub limits: Limits,
+    /// Whether there are customers, so that requests need the key of one. Snapshots carry it in a field of their own, as
+    /// earlier builds read the others.
+    #[serde(skip)]
+    pub requires_keys: bool,
 }
 
 /// Whether requests of a route may be sent again.
@@ -117,6 +121,13 @@
 }
 
 impl Configuration {
+    /// Whether a request has to be authenticated. One that carries a key has it checked also if none is needed: the key
+    /// may have been taken away together with its customer.
+    #[must_use]
+    pub fn must_authenticate(&self, key: Option<&String>) -> bool {
+        self.requires_keys || key.is_some()
+    }
+
     /// Replaces all routes.
     pub fn set_routes(&mut self, routes: Vec<Route>) {
         self.routes.clear();
--- a/crates/gateway/tests/snapshot.rs
+++ b/crates/gateway/tests/snapshot.rs
@@ -14,9 +14,11 @@
         feed::SetWatermark,
         peers::{
             InvalidNameIndex, PackedUpstreams, SNAPSHOT_CACHE_TIME, SetSnapshot, SnapshotCache,
-            SnapshotRows, max_snapshot_connections,
+            SnapshotRows, for_earlier_builds, max_snapshot_connections, restore_key_requirement,
+        },
+        view::{
+            Configuration, Customer, UpstreamChanges, UpstreamRecord, UpstreamState, Upstreams,
         },
-        view::{UpstreamChanges, UpstreamRecord, UpstreamState, Upstreams},
     },
 };
 
@@ -387,3 +389,40 @@
     };
     assert!(PackedUpstreams::pack(runs).is_none());
 }
+
+fn customers(keys: &[&str]) -> Configuration {
+    let mut configuration = Configuration::default();
+    for key in keys {
+        let customer = Customer {
+            name: "atlas".to_owned(),
+            priority: None,
+        };
+        configuration.customers.insert((*key).to_owned(), customer);
+    }
+    configuration
+}
+
+/// Guards against a host that takes customers without keys for no customers, as an earlier build told it of neither.
+#[test]
+fn a_configuration_without_keys_is_not_taken_from_an_earlier_build() {
+    let mut without_keys = customers(&[]);
+    assert!(!restore_key_requirement(&mut without_keys, None));
+    let mut with_keys = customers(&["key"]);
+    assert!(restore_key_requirement(&mut with_keys, None));
+    assert!(with_keys.requires_keys);
+    let mut open = customers(&[]);
+    assert!(restore_key_requirement(&mut open, Some(false)));
+    assert!(!open.requires_keys);
+}
+
+/// Guards against an earlier build that admits requests without a key by what this build tells it.
+#[test]
+fn a_configuration_without_keys_tells_earlier_builds_of_a_key() {
+    let mut configuration = customers(&[]);
+    configuration.requires_keys = true;
+    let bytes = postcard::to_stdvec(&for_earlier_builds(&configuration)).unwrap();
+    let mut told: Configuration = postcard::from_bytes(&bytes).unwrap();
+    assert!(!told.customers.is_empty());
+    assert!(restore_key_requirement(&mut told, Some(true)));
+    assert!(told.customers.is_empty() && told.requires_keys);
+}
