End each run that a stream leaves by an order to its engine

The stream goes on at another engine within 2 ms, and the earlier run goes on beside it for 2.7 s: 2 or 3 of 24 requests.

Cause: a host only closed the connection of a run that it left. Most engines drop a request then; nothing ends it where they do not, or where the connection broke on one side alone. The order to stop (`kv-move` with `last`) was given after one cause of many, `answer-lost`; in all other cases the log had `stream: run lost` and 0.6 s later `stream: earlier run checked ... found=held`.

Change: each way to leave a run now ends it by the order, in the background, as the stream is sent to the next engine: broken and silent connections, answers that are refused or can't be read, answers that never began; a caller who leaves, a deadline, a stream that is not continued; and the run that a caller left at a lost host and resumes here from its copy. The order is repeated, four times within 1.1 s, while it is not answered, and not once nothing listens or the run is gone (404). The memory that it copies is freed at once. A stream that returns to an engine cancels what is under way there. `stream: end of run ordered` and `tealshore_run_endings_total` tell the results.

Tests: stopped_runs::* with engines that go on with runs whose connection has closed: nine ways to leave a run, a caller who leaves before and after the first event, a deadline, a resume at another host; four tests failed before and hold.

--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -141,6 +141,22 @@
     Stops,
 }
 
+/// What an engine answers to the order to stop a run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StopAnswer {
+    /// The run has stopped.
+    Stopped {
+        /// The name under which the engine keeps the run's memory.
+        copy: String,
+    },
+    /// The engine does not have the run.
+    NoRun,
+    /// The engine can't stop the run now.
+    Busy,
+    /// The engine does not know the order.
+    Refused,
+}
+
 /// A set of rows in the platform's store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RowSet {
@@ -397,4 +413,10 @@
 
     /// Reads the name under which a copy is stored from the answer to a copy call.
     fn read_copied(&self, status: StatusCode, body: &[u8]) -> Option<String>;
+
+    /// Reads the answer to a copy call that stops the run.
+    fn read_stopped(&self, status: StatusCode, body: &[u8]) -> StopAnswer;
+
+    /// Builds the call that frees a copy of a run's memory, at the run's engine and at the one that holds the copy.
+    fn release_call(&self, source: &UpstreamRecord, copy: &str) -> Request<Bytes>;
 }
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -8,6 +8,7 @@
 mod choose;
 mod copy_holder;
 mod earlier_run;
+mod end_run;
 mod engines_tried;
 mod order;
 mod own_run;
@@ -30,6 +31,7 @@
     },
     attempt::Attempt,
     earlier_run::EarlierRun,
+    end_run::RunEndings,
     engines_tried::EnginesTried,
     http::{Response, StatusCode, response},
     own_run::find_own_run,
@@ -82,6 +84,12 @@
     reported_at: Option<Arc<Upstream>>,
     /// Runs that the stream left since it last went on.
     earlier_runs: Vec<EarlierRun>,
+    /// The run that the caller left before it resumed the stream here, until the stream goes on at an engine.
+    left_by_caller: Option<KnownRun>,
+    /// The engine whose answer to the current send has not begun.
+    sending_to: Option<Arc<Upstream>>,
+    /// Orders to end runs.
+    endings: RunEndings,
     /// Engines that answered the stream with a server error, or with bytes that are no answer.
     failed_at: Vec<Arc<Upstream>>,
     /// How often the stream was sent, including sends that reached no engine.
@@ -123,6 +131,7 @@
 impl Drop for StreamRun {
     fn drop(&mut self) {
         self.end_logged_run(false);
+        self.end_all_runs("not-continued");
         if self.has_reserved_retry {
             self.state.refund_retry(&self.call.service);
         }
@@ -177,7 +186,10 @@
                 Some(run) => Some(run.trace.engine.clone()),
                 None => last_engine,
             },
-            continues: own_run.map(|run| run.trace.request),
+            continues: own_run.as_ref().map(|run| run.trace.request.clone()),
+            left_by_caller: own_run,
+            sending_to: None,
+            endings: RunEndings::default(),
             retried_same_engine: false,
             state,
             call,
--- a/crates/gateway/src/forward/stream/earlier_run.rs
+++ b/crates/gateway/src/forward/stream/earlier_run.rs
@@ -26,9 +26,11 @@
 
 /// A run that a stream left.
 pub(super) struct EarlierRun {
-    upstream: Arc<Upstream>,
+    pub(super) upstream: Arc<Upstream>,
     left_at: Instant,
-    cause: &'static str,
+    pub(super) cause: &'static str,
+    /// Whether it was ended by an order, or is being ended.
+    pub(super) is_ended: bool,
 }
 
 /// What an engine says of a run that was left.
@@ -82,6 +84,7 @@
                 upstream,
                 left_at: clock::now(),
                 cause,
+                is_ended: false,
             });
         }
     }
--- a/crates/gateway/src/forward/stream/place.rs
+++ b/crates/gateway/src/forward/stream/place.rs
@@ -282,8 +282,12 @@
             copy_to,
             resume_from,
         };
+        self.end_earlier_runs(&upstream);
         let sent_at = clock::now();
-        let answer = self.send_request(&upstream, &plan).await?;
+        self.sending_to = Some(upstream.clone());
+        let answer = self.send_request(&upstream, &plan).await;
+        self.sending_to = None;
+        let answer = answer?;
         let Some(head) = self.check_head(&upstream, &answer, plan.resume_from.is_some())? else {
             return Err(self.read_whole(&upstream, answer).await);
         };
--- a/crates/gateway/src/forward/stream/relay.rs
+++ b/crates/gateway/src/forward/stream/relay.rs
@@ -406,10 +406,14 @@
         };
         let is_complete = end == RelayEnd::Complete;
         self.end_logged_run(is_complete);
-        // Dropping the attempt ends the run at the engine.
-        let attempt = self.attempt.take();
+        let attempt = self.attempt.as_ref();
         let upstream = attempt.map(|attempt| attempt.upstream.record.id.clone());
         let outcome = end.name();
+        if is_complete {
+            self.attempt = None;
+        } else {
+            self.end_all_runs(outcome);
+        }
         if is_complete {
             self.state
                 .record_completed(&self.call.request(), self.call.fingerprint);
--- a/crates/gateway/src/forward/stream/stop_run.rs
+++ b/crates/gateway/src/forward/stream/stop_run.rs
@@ -47,6 +47,11 @@
             .and_then(|(status, body)| protocol.read_copied(status, &body));
         let is_copied = copied.is_some();
         if let Some(name) = copied {
+            let stopped = self
+                .earlier_runs
+                .iter_mut()
+                .filter(|run| run.upstream.record.id == record.id);
+            stopped.for_each(|run| run.is_ended = true);
             self.copy = Some(MemoryCopy {
                 upstream: target.record.id.clone(),
                 address: record.address,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -21,6 +21,8 @@
     pub losses: IntCounterVec,
     /// Runs that streams left for another engine, by what their engine said of them afterwards.
     pub earlier_runs: IntCounterVec,
+    /// Orders that end runs which streams left, by result.
+    pub run_endings: IntCounterVec,
     /// Streams that callers resumed, by what proved an earlier run to be the caller's, or why none was proven to be.
     pub resumes: IntCounterVec,
     /// Notices in answers of upstreams, by kind: `rest`, `rest-unreadable` or `leaving`.
@@ -122,6 +124,11 @@
                 "Runs that streams left for another engine, by what the first engine said of them afterwards",
                 &["found"],
             )?,
+            run_endings: counter(
+                "tealshore_run_endings_total",
+                "Orders that end runs which streams left, by result",
+                &["outcome"],
+            )?,
             resumes: counter(
                 "tealshore_caller_resumes_total",
                 "Streams that callers resumed",
@@ -305,6 +312,7 @@
             Box::new(self.outcomes.clone()),
             Box::new(self.losses.clone()),
             Box::new(self.earlier_runs.clone()),
+            Box::new(self.run_endings.clone()),
             Box::new(self.resumes.clone()),
             Box::new(self.notices.clone()),
             Box::new(self.limited_sends.clone()),
