Copy bodies that are read whole into one buffer

A host of 110 MB goes over its memory within some 3 s, is killed, and 12 plain requests on kept connections end without an answer.

Cause: a body that is read whole was kept in the pieces in which it came, and only their data was bounded, at 1 MiB. A chunk of one byte costs some 38 bytes, as it keeps its entry and the read buffer that it lies in.

Change: pieces are copied into one buffer as they come. All bodies that are read whole pass here: answers, reports, answers to copy calls, of the store and of the list of hosts.

--- a/crates/core/src/http/body.rs
+++ b/crates/core/src/http/body.rs
@@ -1,10 +1,10 @@
 //! Bodies of requests and responses.
 
 use {
-    bytes::Bytes,
+    bytes::{BufMut, Bytes, BytesMut},
     http_body_util::{BodyExt, Empty, Full, Limited, combinators::UnsyncBoxBody},
     serde::Serialize,
-    std::convert::Infallible,
+    std::{convert::Infallible, pin::pin},
 };
 
 /// The error with which a body ends early.
@@ -38,7 +38,8 @@
     Broken,
 }
 
-/// Reads a complete body of at most `max_bytes`.
+/// Reads a complete body of at most `max_bytes`. What has arrived is copied into one buffer: each piece that is kept costs
+/// memory of its own, and a body may come in pieces of one byte.
 ///
 /// # Errors
 /// The body exceeds the size limit, or ended early.
@@ -47,11 +48,22 @@
     B: hyper::body::Body,
     B::Error: Into<BodyError>,
 {
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(whole) => Ok(whole.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(ReadError::TooLarge),
-        Err(_) => Err(ReadError::Broken),
+    let mut limited = pin!(Limited::new(body, max_bytes));
+    let mut received = BytesMut::new();
+    while let Some(frame) = limited.frame().await {
+        match frame {
+            Ok(frame) => {
+                if let Ok(data) = frame.into_data() {
+                    received.put(data);
+                }
+            }
+            Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+                return Err(ReadError::TooLarge);
+            }
+            Err(_) => return Err(ReadError::Broken),
+        }
     }
+    Ok(received.freeze())
 }
 
 /// Reads a complete body as [`read_limited`] does. Where the body is too large, up to `drain_bytes`
