Take a status that is none, or ends no request, for no answer

Cause: hyper reads any status from 100 to 999. The forwarding code asked only whether it is a success, a refusal, an error, or (at two places) an interim one.

Change: one place decides it, where the head of each answer to a request arrives, directly or through a tunnel: 200 to 599, else `invalid-answer`, as for bytes that are no head. It replaces the two checks for interim statuses, so a `safe` call is sent on after a 101 as well.

Evidence: invalid_answers::an_answer_whose_status_is_none_is_not_passed_on failed before (600) and holds.

--- a/crates/gateway/src/forward/connect.rs
+++ b/crates/gateway/src/forward/connect.rs
@@ -140,6 +140,9 @@
         }
     });
     let (head, body) = answer?.into_parts();
+    if !is_final_status(head.status) {
+        return Err(SendFailure::InvalidAnswer);
+    }
     let facts = state.protocol.read_answer(&head);
     state.apply_notices(upstream, &facts, id, sent);
     if is_foreign(&facts, id) && enabled(Protection::AnswerIdentity) {
@@ -158,6 +161,15 @@
     })
 }
 
+/// Whether a status ends a request. Statuses of other classes are none, and an interim one that arrives here switches to a
+/// protocol that nobody asked for.
+fn is_final_status(status: StatusCode) -> bool {
+    status.is_success()
+        || status.is_redirection()
+        || status.is_client_error()
+        || status.is_server_error()
+}
+
 /// Checks, now that the connection is open, whether the upstream may get the request, and takes a permit for it. Its
 /// row or its answer to another request may have changed since it was chosen. Probes and copy calls don't pass here
 /// and are sent without a permit.
--- a/crates/gateway/src/forward/stream/order.rs
+++ b/crates/gateway/src/forward/stream/order.rs
@@ -262,10 +262,6 @@
                 Outcome::Failed,
             ));
         }
-        // No other protocol was asked for, and passed on, this status would end the caller's connection.
-        if status.is_informational() {
-            return Err(self.record_unknown_outcome(upstream, "interim-status", Outcome::Failed));
-        }
         if status.is_success() {
             return Ok(Some(answer.head.clone()));
         }
--- a/crates/gateway/src/serve/ingress.rs
+++ b/crates/gateway/src/serve/ingress.rs
@@ -169,11 +169,6 @@
         RouteKind::Stream { .. } => run_stream(state, call).await,
         RouteKind::Safe | RouteKind::Unsafe => {
             let response = run_plain(state, &call).await?;
-            // No other protocol was asked for, and passed on, this status would end the caller's connection.
-            if response.status().is_informational() {
-                let detail = "the upstream gave an interim status in place of an answer";
-                return Err(Failure::new(ErrorKind::UpstreamUnconfirmed, detail));
-            }
             log_answer(state, &call, &response);
             Ok(response)
         }
