Take a body for chunked only if its last coding says so

Cause: any `Transfer-Encoding` counted as one that marks the end of the body. With any but `chunked` as its last coding it ends with its connection (RFC 9112, 6.3), which has to be confirmed by the upstream's being alive.

--- a/crates/gateway/src/forward/connect.rs
+++ b/crates/gateway/src/forward/connect.rs
@@ -16,7 +16,7 @@
         view::Upstream,
     },
     bytes::Bytes,
-    http::{Request, StatusCode, header, response},
+    http::{HeaderMap, Request, StatusCode, header, response},
     http_body_util::Full,
     hyper::body::{Body, Incoming},
     tealshore_core::clock,
@@ -80,8 +80,7 @@
 
 impl BodyEnd {
     fn of(head: &response::Parts, body: &Incoming) -> Self {
-        let is_chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
-        if is_chunked || body.size_hint().exact().is_some() {
+        if is_chunked(&head.headers) || body.size_hint().exact().is_some() {
             Self::Marked
         } else {
             Self::ConnectionClose
@@ -89,6 +88,16 @@
     }
 }
 
+/// Whether the last coding of a body is that in chunks. With any other one it ends with its connection.
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let last = headers
+        .get_all(header::TRANSFER_ENCODING)
+        .iter()
+        .next_back();
+    let coding = last.and_then(|codings| codings.to_str().ok()?.rsplit(',').next());
+    coding.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
+}
+
 /// An answer whose body has not been read yet. Dropping it closes the connection at once.
 pub struct Answer {
     /// The head of the answer.
