Count the body of a request as memory until its answer has ended

Cause: the permit that counts a body was dropped as soon as the head of the answer was there. The body of a stream is kept to its end, to be sent again.

Change: the permit belongs to the call, as the body does. A request for which no room is left is refused at once, with 503 and as not run, as before its answer.

--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -26,6 +26,7 @@
     },
     tealshore_quarantine::parts::PartId,
     tealshore_runs::{ContentDigest, ContentMatch},
+    tokio::sync::OwnedSemaphorePermit,
     xxhash_rust::xxh3::Xxh3,
 };
 
@@ -44,6 +45,8 @@
     pub headers: HeaderMap,
     /// Its whole body.
     pub body: Bytes,
+    /// Counts the memory of the body, which is kept until the answer has ended: it may have to be sent again.
+    pub _body_room: Option<OwnedSemaphorePermit>,
     /// The configuration that admitted it.
     pub configuration: Arc<Configuration>,
     /// Its route.
--- a/crates/gateway/src/serve/ingress.rs
+++ b/crates/gateway/src/serve/ingress.rs
@@ -111,7 +111,7 @@
 ) -> Result<Response<Body>, Failure> {
     let receiving = Box::pin(receive(state, tracked, head, facts, body));
     let reading = state.stop.in_time(receiving);
-    let (call, _room) = reading
+    let call = reading
         .await
         .map_err(|_| Failure::new(ErrorKind::Stopping, "this host stops"))??;
     check_time_to_answer(state, &call.route)?;
@@ -123,14 +123,14 @@
     })
 }
 
-/// Admits a request and reads its body. The permit counts the memory of the body.
+/// Admits a request and reads its body.
 async fn receive(
     state: &Arc<GatewayState>,
     tracked: &Arc<TrackedRequest>,
     head: request::Parts,
     facts: RequestFacts,
     body: &mut Incoming,
-) -> Result<(Arc<Call>, Option<OwnedSemaphorePermit>), Failure> {
+) -> Result<Arc<Call>, Failure> {
     let received = tracked.received;
     state.wait_for_first_view().await;
     state.wait_for_view_after_standstill().await;
@@ -153,6 +153,7 @@
         .await
         .map_err(|_| Failure::new(ErrorKind::RequestTooSlow, "the body took too long"))??;
     tracked.record_admission(&admitted.route);
+    let body = ReceivedBody { bytes: body, room };
     let call = Arc::new(prepare(tracked.clone(), head, facts, body, admitted));
     log::debug!(
         "call: admitted request={} route={} {} customer={}",
@@ -161,7 +162,7 @@
         call.view,
         call.customer.as_deref().unwrap_or("-")
     );
-    Ok((call, room))
+    Ok(call)
 }
 
 async fn run(state: &Arc<GatewayState>, call: Arc<Call>) -> Result<Response<Body>, Failure> {
@@ -319,6 +320,13 @@
     Ok((received_body.freeze(), room))
 }
 
+/// The whole body of a request.
+struct ReceivedBody {
+    bytes: Bytes,
+    /// Counts its memory.
+    room: Option<OwnedSemaphorePermit>,
+}
+
 fn reserve_body_room(state: &GatewayState, bytes: usize) -> Result<OwnedSemaphorePermit, Failure> {
     let permits = u32::try_from(bytes).unwrap_or(u32::MAX);
     let room = state.body_memory.clone();
@@ -330,7 +338,7 @@
     tracked: Arc<TrackedRequest>,
     head: request::Parts,
     facts: RequestFacts,
-    body: Bytes,
+    body: ReceivedBody,
     admitted: Admitted,
 ) -> Call {
     let Admitted {
@@ -349,15 +357,16 @@
         .and_then(|customer| customer.priority)
         .unwrap_or(route.priority);
     let host = headers.get(header::HOST);
-    let content = content_digest_of(&head.method, &head.uri, host, &facts, &body);
+    let content = content_digest_of(&head.method, &head.uri, host, &facts, &body.bytes);
     Call {
-        fingerprint: fingerprint_of(&head.uri, &facts, &body),
+        fingerprint: fingerprint_of(&head.uri, &facts, &body.bytes),
         content,
         shared_parts: shared_part_ids(facts.prompt.as_ref()),
         method: head.method,
         uri: head.uri,
         headers,
-        body,
+        body: body.bytes,
+        _body_room: body.room,
         deadline,
         facts,
         configuration,
