Bound the memory of all large answers of a host together

Each call collects up to 8 MiB before it is given up; 60 at once took a host of 110 MB to 471 MB, which the platform kills, with the requests of all other callers.

Cause: one answer was bounded, all of them were not.

Change: beyond its first 64 KiB an answer counts against a quarter of the host's memory, twice, as its buffer doubles as it grows, until it has been passed on. Where none is left the call ends as for any answer that can't be read (`answer-memory`). Small answers, as nearly all are, are read in any case.

Evidence: memory_limits::answers_without_end_do_not_take_up_the_memory_of_a_host failed before (470,668 kB) and holds, with the program as a process of its own. Heads without end were bounded before (endless_answers).

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -11,6 +11,7 @@
 mod stall;
 mod stream;
 mod unframed_end;
+mod whole_answer;
 
 pub use {
     call::{Call, MAX_HOLD, content_digest_of, fingerprint_of, strip_connection_headers},
--- a/crates/gateway/src/forward/plain/attempt.rs
+++ b/crates/gateway/src/forward/plain/attempt.rs
@@ -9,6 +9,7 @@
             dial::{DialFailure, Tunnel},
             reservation::Reservation,
             unframed_end::is_tunnel_end_confirmed,
+            whole_answer::{AnswerFault, read_whole_answer},
         },
         rollout::Outcome,
         state::GatewayState,
@@ -23,7 +24,6 @@
     tealshore_core::{
         answer::{Failure, implies_not_executed},
         clock,
-        http::{ReadError, read_limited},
         protection::{Protection, enabled},
     },
 };
@@ -108,7 +108,7 @@
     match connect::send(state, call, upstream, request).await {
         Ok(answer) => {
             let (body_end, through) = (answer.body_end, answer.through.clone());
-            let (end, cause) = read(answer).await;
+            let (end, cause) = read(state, answer).await;
             match (&end, body_end) {
                 (AttemptEnd::Answered(..), BodyEnd::ConnectionClose) => {
                     match find_cut(state, call, upstream, through.as_ref()).await {
@@ -163,7 +163,7 @@
     }
 }
 
-async fn read(answer: Answer) -> (AttemptEnd, &'static str) {
+async fn read(state: &GatewayState, answer: Answer) -> (AttemptEnd, &'static str) {
     if answer.facts.not_run {
         return (AttemptEnd::NotRun, "turned-away");
     }
@@ -180,12 +180,19 @@
     if implies_not_executed(status) && enabled(Protection::ConfirmedRefusal) {
         return (AttemptEnd::Unknown(Outcome::Failed), "unconfirmed-refusal");
     }
-    match read_limited(answer.body, MAX_ANSWER_BYTES).await {
+    match read_whole_answer(answer.body, MAX_ANSWER_BYTES, &state.answer_memory).await {
         Ok(body) if status.is_server_error() => {
             (AttemptEnd::Answered(answer.head, body), "server-error")
         }
         Ok(body) => (AttemptEnd::Answered(answer.head, body), "answered"),
-        Err(ReadError::TooLarge) => (AttemptEnd::Unknown(Outcome::Failed), "answer-too-large"),
-        Err(ReadError::Broken) => (AttemptEnd::Unknown(Outcome::Lost), "body-broken"),
+        Err(fault) => (AttemptEnd::Unknown(outcome_of(fault)), fault.name()),
+    }
+}
+
+/// What an answer that could not be read shows of the upstream's version.
+fn outcome_of(fault: AnswerFault) -> Outcome {
+    match fault {
+        AnswerFault::TooLarge => Outcome::Failed,
+        AnswerFault::NoMemory | AnswerFault::Broken => Outcome::Lost,
     }
 }
--- a/crates/gateway/src/forward/stream/order.rs
+++ b/crates/gateway/src/forward/stream/order.rs
@@ -9,6 +9,7 @@
             connect::{self, Answer, SendFailure},
             probe::{PendingRequest, SilenceLimits, WaitFailure, wait_while_alive},
             stall::Stall,
+            whole_answer::read_whole_answer,
         },
         rollout::Outcome,
         view::Upstream,
@@ -24,7 +25,7 @@
     tealshore_core::{
         answer::implies_not_executed,
         clock,
-        http::{Body, full, read_limited},
+        http::{Body, full},
     },
     tealshore_runs::MemoryCopy,
 };
@@ -285,13 +286,14 @@
     /// Reads an answer that is not a stream.
     pub async fn read_whole(&mut self, upstream: &Arc<Upstream>, answer: Answer) -> PlaceFailure {
         let mut head = answer.head;
-        match read_limited(answer.body, MAX_ANSWER_BYTES).await {
+        let memory = &self.state.answer_memory;
+        match read_whole_answer(answer.body, MAX_ANSWER_BYTES, memory).await {
             Ok(body) => {
                 strip_connection_headers(&mut head.headers);
                 head.extensions.clear();
                 PlaceFailure::NonStream(Box::new(Response::from_parts(head, full(body))))
             }
-            Err(_) => self.record_unknown_outcome(upstream, "body-broken", Outcome::Lost),
+            Err(fault) => self.record_unknown_outcome(upstream, fault.name(), Outcome::Lost),
         }
     }
 }
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -76,6 +76,8 @@
     pub source_address: Option<IpAddr>,
     /// Most bytes of request bodies held in memory at once.
     pub body_bytes: usize,
+    /// Most bytes of memory that large answers of upstreams take at once.
+    pub answer_bytes: usize,
     /// Most connections of callers open at once.
     pub max_connections: usize,
     /// Most tunnels that are open for other hosts at once.
@@ -229,6 +231,7 @@
             metrics_address: section.address("metrics_address")?,
             source_address: read_source_address(section)?,
             body_bytes: to_usize(memory_mb * 1024 * 1024 / BODY_MEMORY_DIVISOR),
+            answer_bytes: to_usize(memory_mb * 1024 * 1024 / ANSWER_MEMORY_DIVISOR),
             max_connections: to_usize(max_files / CONNECTION_FILES_DIVISOR),
             max_tunnels: to_usize(max_files / TUNNEL_FILES_DIVISOR),
             link_mbps: number(section, "link_mbps", 1_000.0)?.round() as u32,
@@ -250,6 +253,8 @@
 
 /// Request bodies may take up the host's memory divided by this number.
 const BODY_MEMORY_DIVISOR: u64 = 4;
+/// Large answers of upstreams may take up the host's memory divided by this number.
+const ANSWER_MEMORY_DIVISOR: u64 = 4;
 /// Callers' connections may take up the host's file descriptors divided by this number.
 const CONNECTION_FILES_DIVISOR: u64 = 2;
 /// As many tunnels may be open as the host has file descriptors divided by this number; each takes two.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -121,6 +121,8 @@
     pub in_flight: InFlight,
     /// The memory available for request bodies, one permit for each byte.
     pub body_memory: Arc<Semaphore>,
+    /// One permit for each byte of memory that large answers of upstreams may use.
+    pub answer_memory: Arc<Semaphore>,
     /// One permit for each further tunnel that this host may open for others.
     pub tunnel_permits: Arc<Semaphore>,
     budgets: Mutex<HashMap<ServiceId, RetryBudget>>,
@@ -159,6 +161,7 @@
             stop: Stop::new(options.bounds.stop),
             in_flight: InFlight::default(),
             body_memory: Arc::new(Semaphore::new(options.host.body_bytes)),
+            answer_memory: Arc::new(Semaphore::new(options.host.answer_bytes)),
             tunnel_permits: Arc::new(Semaphore::new(options.host.max_tunnels)),
             budgets: Mutex::default(),
             read_rates: Mutex::default(),
