Take no unframed answer for whole that ended around a pause of the host

Cause: an end of the connection counts as the end of the answer if the upstream still listens, which is looked at when the host sees the end. After a pause that is not when the connection ended. The incarnation was looked at for engines only.

Change: the host notes pauses of 250 ms and more (a standstill, as before, begins at 1 s). An unframed answer that ends within the second after one is taken as cut: 502 for a call that may not be repeated, else another upstream. A stream is taken as cut then unless the engine's report shows the same incarnation. A lender of a tunnel confirms no end after a pause of its own. For plain services, too, a row with another birth than the one that was called shows that the upstream ended.

--- a/crates/gateway/src/forward/plain/attempt.rs
+++ b/crates/gateway/src/forward/plain/attempt.rs
@@ -6,7 +6,8 @@
         forward::{
             call::Call,
             connect::{self, Answer, BodyEnd, SendFailure},
-            dial::{DialFailure, Tunnel},
+            dial::Tunnel,
+            ending::UpstreamKind,
             reservation::Reservation,
             unframed_end::is_tunnel_end_confirmed,
             whole_answer::{AnswerFault, read_whole_answer},
@@ -105,13 +106,14 @@
         resume_from: None,
     };
     let request = call.request_for(state, upstream, &order);
+    let sent = clock::now();
     match connect::send(state, call, upstream, request).await {
         Ok(answer) => {
             let (body_end, through) = (answer.body_end, answer.through.clone());
             let (end, cause) = read(state, answer).await;
             match (&end, body_end) {
                 (AttemptEnd::Answered(..), BodyEnd::ConnectionClose) => {
-                    match find_cut(state, call, upstream, through.as_ref()).await {
+                    match find_cut(state, call, upstream, through.as_ref(), sent).await {
                         Some(cut) => (AttemptEnd::Unknown(Outcome::Lost), cut),
                         None => (end, cause),
                     }
@@ -129,23 +131,29 @@
     call: &Call,
     upstream: &Upstream,
     through: Option<&Tunnel>,
+    sent: Instant,
 ) -> Option<&'static str> {
     if let Some(tunnel) = through
         && !is_tunnel_end_confirmed(state, tunnel, call.id()).await
     {
         return Some("ended-with-tunnel");
     }
-    has_crashed(state, upstream)
+    has_crashed(state, upstream, call, sent)
         .await
         .then_some("ended-with-upstream")
 }
 
-/// Whether an upstream crashed while it answered, so that the end of its connection may not be the end of the answer.
-async fn has_crashed(state: &GatewayState, upstream: &Upstream) -> bool {
-    matches!(
-        connect::probe_connection(state, upstream).await,
-        Err(DialFailure::Refused)
-    )
+/// Whether an upstream may have crashed while it answered, so that the end of its connection may not be the end of the
+/// answer. After a pause of this process, the one that listens there may be another one.
+async fn has_crashed(
+    state: &GatewayState,
+    upstream: &Upstream,
+    call: &Call,
+    sent: Instant,
+) -> bool {
+    let (kind, request) = (UpstreamKind::PlainService, call.request());
+    let found = kind.find_state(state, upstream, &request, sent).await;
+    found.evidence().is_some() || state.has_just_paused()
 }
 
 /// How an attempt ended that got no answer.
--- a/crates/gateway/src/forward/stream/attempt.rs
+++ b/crates/gateway/src/forward/stream/attempt.rs
@@ -203,10 +203,12 @@
         {
             return Step::Lost(Loss::connection_failed("ended-with-tunnel"));
         }
-        match self.state_after_end(state).await.evidence() {
-            None => Step::End,
-            Some(_) => Step::Lost(Loss::connection_failed("ended-with-upstream")),
+        let found = self.state_after_end(state).await;
+        let is_same_life = found == ProbeResult::Lives { is_same_life: true };
+        if found.evidence().is_some() || (!is_same_life && state.has_just_paused()) {
+            return Step::Lost(Loss::connection_failed("ended-with-upstream"));
         }
+        Step::End
     }
 
     /// Returns the state of the engine after the end of its connection. An engine may be silent just then, so one that
--- a/crates/gateway/src/serve/tunnel.rs
+++ b/crates/gateway/src/serve/tunnel.rs
@@ -252,6 +252,8 @@
     let end = pass(&mut peer, &mut upstream).await;
     drop(permit);
     match (end, id) {
+        // After a pause of this process, the other host can't find out any more whether the upstream ended.
+        (TunnelEnd::ByUpstream, Some(_)) if state.has_just_paused() => {}
         (TunnelEnd::ByUpstream, Some(id)) => {
             state.tunnel_ends.lock().record(id, clock::now());
             drop(peer);
--- a/crates/gateway/src/standstill.rs
+++ b/crates/gateway/src/standstill.rs
@@ -15,6 +15,8 @@
 const TICK: Duration = Duration::from_millis(100);
 /// The time without a tick from which the process stood still.
 const MIN_STANDSTILL: Duration = Duration::from_secs(1);
+/// The time without a tick in which an upstream may have ended and started again, unnoticed by this process.
+const MIN_PAUSE: Duration = Duration::from_millis(250);
 /// The difference between the clocks from which the machine was suspended.
 const MIN_SUSPENSION: Duration = Duration::from_millis(100);
 /// The time after a standstill in which the host is learning again what it missed.
@@ -25,6 +27,8 @@
 pub struct Standstill {
     last_tick: Instant,
     last_ended: Option<Instant>,
+    /// When the process last went on after a pause, a standstill included.
+    last_pause_ended: Option<Instant>,
 }
 
 impl Standstill {
@@ -34,6 +38,7 @@
         Self {
             last_tick: now,
             last_ended: None,
+            last_pause_ended: None,
         }
     }
 
@@ -41,6 +46,9 @@
     pub fn tick(&mut self, now: Instant) -> Option<Duration> {
         let gap = now.saturating_duration_since(self.last_tick);
         self.last_tick = now;
+        if gap >= MIN_PAUSE {
+            self.last_pause_ended = Some(now);
+        }
         if gap < MIN_STANDSTILL {
             return None;
         }
@@ -48,6 +56,15 @@
         Some(gap)
     }
 
+    /// Returns whether the process has just paused, for a shorter time than a standstill too.
+    #[must_use]
+    pub fn has_just_paused(&self, now: Instant) -> bool {
+        let is_unnoticed = now.saturating_duration_since(self.last_tick) >= MIN_PAUSE;
+        let ended = self.last_pause_ended;
+        is_unnoticed
+            || ended.is_some_and(|ended| now.saturating_duration_since(ended) < CATCH_UP_TIME)
+    }
+
     /// Returns whether the process has just stood still. A standstill may have ended before the next tick.
     #[must_use]
     pub fn has_just_ended(&self, now: Instant) -> bool {
@@ -58,6 +75,14 @@
     }
 }
 
+impl GatewayState {
+    /// Whether this process has just paused. What it now finds of an upstream then says nothing of the moment at which a
+    /// connection of that upstream ended.
+    pub fn has_just_paused(&self) -> bool {
+        self.standstill.lock().has_just_paused(clock::now())
+    }
+}
+
 /// The time on the steady clock and on the clock that counts suspensions, read together.
 #[derive(Clone, Copy)]
 struct ClockPair {
--- a/crates/gateway/tests/standstill.rs
+++ b/crates/gateway/tests/standstill.rs
@@ -20,3 +20,20 @@
     assert_eq!(standstill.tick(at(4_400)), None);
     assert!(!standstill.has_just_ended(at(4_600)));
 }
+
+#[test]
+fn a_pause_that_is_no_standstill_is_known_for_a_second() {
+    let start = clock::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut standstill = Standstill::new(start);
+    assert_eq!(standstill.tick(at(100)), None);
+    assert!(!standstill.has_just_paused(at(340)));
+    assert!(standstill.has_just_paused(at(350)));
+    assert_eq!(standstill.tick(at(400)), None);
+    assert!(standstill.has_just_paused(at(450)));
+    assert!(!standstill.has_just_ended(at(450)));
+    for ms in (500..1_500).step_by(100) {
+        assert_eq!(standstill.tick(at(ms)), None);
+    }
+    assert!(!standstill.has_just_paused(at(1_500)));
+}
