Hedge no call whose route has no latency objective

Cause: the time to the next hedge is half the objective, so the loop that waits for it never waits.

Change: without an objective there are no hedges, and at least 10 ms pass between two attempts to hedge.

--- a/crates/gateway/src/forward/plain.rs
+++ b/crates/gateway/src/forward/plain.rs
@@ -30,6 +30,9 @@
 
 /// A second upstream is asked after the objective divided by this.
 const HEDGE_DIVISOR: u32 = 2;
+/// The shortest time after which a call is hedged, and between two attempts to do so. A route without an objective has no
+/// hedges.
+const MIN_HEDGE_DELAY: Duration = Duration::from_millis(10);
 /// Pause before upstreams are asked again after all of them turned a call away.
 const ALL_BUSY_PAUSE: Duration = Duration::from_millis(5);
 
@@ -82,11 +85,12 @@
             FuturesUnordered::new();
         let first = self.next_attempt().await?;
         attempts.push(first);
-        let hedge_after = self.call.route.objective / HEDGE_DIVISOR;
+        let objective = self.call.route.objective;
+        let hedge_after = (objective / HEDGE_DIVISOR).max(MIN_HEDGE_DELAY);
         let mut hedge_at = clock::now() + hedge_after;
         let deadline = self.call.deadline;
         loop {
-            let may_hedge = self.may_run_again() && !attempts.is_empty();
+            let may_hedge = !objective.is_zero() && self.may_run_again() && !attempts.is_empty();
             tokio::select! {
                 Some(attempt) = attempts.next() => {
                     if let Some(answer) = self.handle_end(attempt)? {
