Check lost paths of a host that has no requests

Cause: a lost path was checked only as part of a request's connection, and is remembered for ten seconds.

Change: each host tries one upstream of each service to which its path is lost, each half second, whether it has requests or not. A connection that opens restores the path, and the others are told at once.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod metrics;
 pub mod options;
 pub mod pace;
+mod path_check;
 pub mod peers;
 pub mod read_ahead;
 pub mod read_rate;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -5,6 +5,7 @@
         edge::Protocol,
         lifecycle::{Signals, wait_for_shutdown},
         options::GatewayOptions,
+        path_check::check_lost_paths,
         peers,
         serve::{answer_caller, answer_host_call, serve_tunnels},
         standstill,
@@ -71,6 +72,7 @@
     }
     sync::start(&state, &peer_socket);
     tokio::spawn(standstill::watch(state.clone()));
+    tokio::spawn(check_lost_paths(state.clone()));
     log::info!(
         "start: host={} hall={} callers={} version={}",
         host.id,
