--- a/crates/core/tests/bodies.rs
+++ b/crates/core/tests/bodies.rs
@@ -23,7 +23,7 @@
 struct Piece(Arc<AtomicUsize>);
 
 impl Piece {
-    fn new(alive: &Arc<AtomicUsize>) -> Bytes {
+    fn bytes(alive: &Arc<AtomicUsize>) -> Bytes {
         alive.fetch_add(1, Ordering::SeqCst);
         Bytes::from_owner(Self(alive.clone()))
     }
@@ -49,7 +49,7 @@
     let (counted, peak) = (alive.clone(), most.clone());
     let pieces = (0..PIECES).map(move |_| {
         peak.fetch_max(counted.load(Ordering::SeqCst), Ordering::SeqCst);
-        Ok::<_, Infallible>(Frame::data(Piece::new(&counted)))
+        Ok::<_, Infallible>(Frame::data(Piece::bytes(&counted)))
     });
     let body = StreamBody::new(stream::iter(pieces));
     let read = read_limited(body, PIECES).await.unwrap();
