--- a/crates/gateway/src/forward/connect.rs
+++ b/crates/gateway/src/forward/connect.rs
@@ -88,7 +88,7 @@
     }
 }
 
-/// Whether the last coding of a body is that in chunks. With any other one it ends with its connection.
+/// Whether `chunked` is the final transfer coding. With any other final coding, the body ends with its connection.
 fn is_chunked(headers: &HeaderMap) -> bool {
     let last = headers
         .get_all(header::TRANSFER_ENCODING)
@@ -170,8 +170,8 @@
     })
 }
 
-/// Whether a status ends a request. Statuses of other classes are none, and an interim one that arrives here switches to a
-/// protocol that nobody asked for.
+/// Whether a status is one of a final answer (200 to 599). An interim answer that gets here switches to a protocol that was
+/// not requested.
 fn is_final_status(status: StatusCode) -> bool {
     status.is_success()
         || status.is_redirection()
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -260,7 +260,8 @@
         }
     }
 
-    /// Waits until a loss of all hosts can't lead the caller to the run of another one, or the other one to its run.
+    /// Waits until the runs of callers who asked for the same are stored, so that they are told apart after a loss of all
+    /// hosts.
     async fn await_stored_if_ambiguous(&self) {
         let (state, wanted) = (&self.state, self.call.content_match());
         if self.call.route.may_repeat() && enabled(Protection::OwnRun) {
--- a/crates/gateway/src/standstill.rs
+++ b/crates/gateway/src/standstill.rs
@@ -76,8 +76,8 @@
 }
 
 impl GatewayState {
-    /// Whether this process has just paused. What it now finds of an upstream then says nothing of the moment at which a
-    /// connection of that upstream ended.
+    /// Whether this process has just paused. The state of an upstream that it observes now may then differ from the state
+    /// in which the upstream was when its connection ended.
     pub fn has_just_paused(&self) -> bool {
         self.standstill.lock().has_just_paused(clock::now())
     }
--- a/crates/gateway/src/sync/runs.rs
+++ b/crates/gateway/src/sync/runs.rs
@@ -23,7 +23,7 @@
     /// writes for its group.
     pub(super) async fn maintain_runs(&mut self) {
         self.restore_runs().await;
-        // The row is written at the start although it may be empty: a host that finds one was not there first.
+        // The first write does not wait for a run: a starting host tells from the row that the system ran before.
         let mut written: Option<Vec<RunTrace>> = None;
         loop {
             sleep(RUNS_WRITE_INTERVAL).await;
